--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure speed, memory and bytes; each module is a command."""
--- /dev/null
+++ b/benchmarks/path.py
@@ -0,0 +1,105 @@
+"""Time the whole path: start-to-answer of each kind, at a low load.
+
+Run as ``python -m benchmarks.path [--json]``.
+"""
+
+import json
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from benchmarks.tables import percentile, print_rows
+from tests.cells import Cell, http_call
+
+REQUESTS = 200
+PATH = "/v1/requests"
+# Jobs end when their worker is asked next; one after the other would take minutes.
+SIDE_BY_SIDE = {"urgent": 1, "once": 1, "deferred": 1, "job": 8}
+LOOK_SECONDS = 0.01
+
+
+def main():
+    rows = []
+    for deployment in ("footfall", "wayleave"):
+        with Cell(deployment) as cell:
+            rows += measure(cell)
+    print_rows(rows)
+
+
+def measure(cell):
+    kinds = {
+        "urgent": lambda number, address: _urgent(cell, number, address),
+        "once": lambda number, address: _once(cell, number, address),
+        "deferred": lambda number, address: _deferred(cell, number, address),
+        "job": lambda number, address: _job(cell, number, address),
+    }
+    addresses = [found.addresses["http"] for found in cell.gateways]
+    rows = []
+    for kind, send in kinds.items():
+
+        def timed(number, send=send):
+            began = time.perf_counter()
+            send(number, addresses[number % len(addresses)])
+            return time.perf_counter() - began
+
+        with ThreadPoolExecutor(SIDE_BY_SIDE[kind]) as executor:
+            seconds = list(executor.map(timed, range(REQUESTS)))
+        rows.append(
+            {
+                "cell": cell.deployment,
+                "kind": kind,
+                "requests": REQUESTS,
+                "median_ms": percentile(seconds, 0.5) * 1000,
+                "p99_ms": percentile(seconds, 0.99) * 1000,
+            }
+        )
+    return rows
+
+
+def _service(cell, urgency, repeatable):
+    return next(
+        found["name"]
+        for found in cell.bundle["services"]
+        if (found["urgency"], found["repeatable"]) == (urgency, repeatable)
+    )
+
+
+def _urgent(cell, number, address):
+    body = {"service": _service(cell, "urgent", True), "payload": number}
+    assert http_call(address, "POST", PATH, body)[0] == 200
+
+
+def _once(cell, number, address):
+    body = {"service": _service(cell, "urgent", False), "payload": number}
+    headers = {"Idempotency-Key": f"path-{number}"}
+    assert http_call(address, "POST", PATH, body, headers)[0] == 200
+
+
+def _deferred(cell, number, address):
+    body = {"service": _service(cell, "deferred", True), "payload": number}
+    _wait_for(address, http_call(address, "POST", PATH, body))
+
+
+def _job(cell, number, address):
+    body = {
+        "job": cell.bundle["jobs"][0]["name"],
+        "members": 3,
+        "processors": 1000,
+        "payload": {"run_seconds": 0.01},
+    }
+    _wait_for(address, http_call(address, "POST", PATH, body))
+
+
+def _wait_for(address, accepted):
+    status, headers, _ = accepted
+    assert status == 202
+    while True:
+        found = json.loads(http_call(address, "GET", headers["Location"])[2])
+        if found["state"] == "ended":
+            assert found["outcome"] == "done", found
+            return
+        threading.Event().wait(LOOK_SECONDS)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/papayapick/bundle/commands.py
@@ -0,0 +1,106 @@
+"""Propose, accept and acknowledge bundles."""
+
+from papayapick.bundle.exceptions import RollConflict
+from papayapick.bundle.heads import HEAD_KEY, SEEN_PREFIX, Head, Proposal
+from papayapick.bundle.queries import object_name, read_head
+from papayapick.platforms import Condition, TransactionConflict, Write
+from papayapick.platforms.commands import transact_settled
+
+__all__ = ["accept", "acknowledge", "propose"]
+
+PROPOSAL_SECONDS = 30.0
+
+
+def propose(table, objects, envelope, operator, now):
+    """Store a verified bundle and offer it to every process.
+
+    Parameters
+    ----------
+    table : TableProtocol
+    objects : ObjectsProtocol
+    envelope : Envelope
+        Its signatures have been checked.
+    operator : str
+    now : float
+        Seconds since the epoch.
+
+    Returns
+    -------
+    Proposal
+
+    Raises
+    ------
+    RollUnderWay, RollConflict, TableUnavailable, ObjectsUnavailable
+    """
+    digest = envelope.bundle.digest
+    objects.put(object_name(digest), envelope.to_bytes())
+    head = read_head(table)
+    if head.proposal is not None:
+        head.proposal.refuse_if_open(now, PROPOSAL_SECONDS)
+    proposal = Proposal(head.sequence + 1, digest, operator, now)
+    _change_head(table, head, head.as_mapping(proposal))
+    return proposal
+
+
+def accept(table, proposal):
+    """Put a proposal in force.
+
+    The change is a compare-and-set of the one row that holds both, so of two
+    operators one wins; a lost answer is settled by reading the row back.
+
+    Returns
+    -------
+    Head
+
+    Raises
+    ------
+    RollConflict
+        Names the winner.
+    TableUnavailable
+        The outcome is not known; look again.
+    """
+    head = read_head(table)
+    if head.proposal is None or (head.proposal.as_mapping() != proposal.as_mapping()):
+        if (head.sequence, head.digest, head.operator) == (
+            proposal.sequence,
+            proposal.digest,
+            proposal.operator,
+        ):
+            return head
+        raise _conflict(head)
+    accepted = Head(
+        proposal.sequence, proposal.digest, proposal.operator, None, head.version
+    )
+    _change_head(table, head, accepted.as_mapping())
+    return accepted
+
+
+def withdraw(table, proposal):
+    """Take back a proposal that has not been accepted, if it is still there."""
+    head = read_head(table)
+    if head.proposal and head.proposal.as_mapping() == proposal.as_mapping():
+        _change_head(table, head, head.as_mapping())
+
+
+def acknowledge(table, host, sequence, digest, state):
+    """Say that a process has verified a bundle or put it in force."""
+    value = {"sequence": sequence, "digest": digest, "state": state}
+    table.transact([], [Write(SEEN_PREFIX + host, value)])
+
+
+def _change_head(table, head, value):
+    try:
+        transact_settled(
+            table, [Condition(HEAD_KEY, head.version)], [Write(HEAD_KEY, value)]
+        )
+    except TransactionConflict as error:
+        raise _conflict(read_head(table)) from error
+
+
+def _conflict(head):
+    winner = head.proposal or head
+    return RollConflict(
+        operator=winner.operator or "nobody",
+        digest=winner.digest[:12],
+        sequence=winner.sequence,
+    )
--- /dev/null
+++ b/papayapick/bundle/queries.py
@@ -0,0 +1,57 @@
+"""Read heads, envelopes and acknowledgements."""
+
+from papayapick.bundle.exceptions import BundleUnknown
+from papayapick.bundle.heads import HEAD_KEY, SEEN_PREFIX, Head
+from papayapick.bundle.signing import Envelope
+from papayapick.platforms import ObjectMissing
+
+__all__ = ["fetch_envelope", "object_name", "read_head", "read_seen"]
+
+
+def object_name(digest):
+    """Return the object that holds a bundle's envelope."""
+    return f"bundle/{digest}"
+
+
+def read_head(table):
+    """Return the head; raise TableUnavailable."""
+    return Head.from_row(table.read(HEAD_KEY))
+
+
+def fetch_envelope(objects, digest, keyring):
+    """Fetch a bundle and check document, digest and signatures.
+
+    Returns
+    -------
+    Envelope
+
+    Raises
+    ------
+    BundleUnknown, BundleInvalid, SignaturesMissing, ObjectsUnavailable
+    """
+    try:
+        data = objects.get(object_name(digest))
+    except ObjectMissing as error:
+        raise BundleUnknown(digest=digest) from error
+    return verified_envelope(data, digest, keyring)
+
+
+def verified_envelope(data, digest, keyring):
+    """Check the bytes of an envelope against digest and signatures."""
+    envelope = Envelope.from_bytes(data)
+    if envelope.bundle.digest != digest:
+        raise BundleUnknown(digest=digest)
+    keyring.verify(envelope)
+    return envelope
+
+
+def read_seen(table):
+    """Return what each process has said of bundles.
+
+    Returns
+    -------
+    dict of str to dict
+        By host: ``sequence``, ``digest`` and ``state``.
+    """
+    rows = table.scan(SEEN_PREFIX)
+    return {row.key.removeprefix(SEEN_PREFIX): row.value for row in rows}
--- /dev/null
+++ b/papayapick/bundle/watcher.py
@@ -0,0 +1,217 @@
+"""Keep the newest accepted bundle in force in one process."""
+
+import threading
+
+from papayapick.bundle.commands import acknowledge
+from papayapick.bundle.exceptions import (
+    BundleError,
+    BundleInvalid,
+    BundleMissing,
+    BundleUnconfirmed,
+)
+from papayapick.bundle.heads import IN_FORCE, VERIFIED
+from papayapick.bundle.queries import fetch_envelope, read_head, verified_envelope
+from papayapick.observability import get_logger
+from papayapick.platforms import ObjectsUnavailable, TableUnavailable
+
+__all__ = ["BundleWatcher"]
+
+_LOG = get_logger(__name__)
+
+
+class _Current:
+    __slots__ = ("bundle", "envelope", "sequence")
+
+    def __init__(self, sequence, envelope):
+        self.sequence = sequence
+        self.envelope = envelope
+        self.bundle = envelope.bundle
+
+
+class BundleWatcher:
+    """Fetch, verify, acknowledge and put bundles in force.
+
+    A process swaps whole bundles in one assignment and never goes back to a
+    lower sequence.
+
+    Parameters
+    ----------
+    table, objects, keyring
+    host : str
+        Name under which the process acknowledges.
+    cell : str
+        A bundle of another cell is refused.
+    on_change : callable, optional
+        Called with the new bundle after the swap.
+    pauses : PauseGuard, optional
+        After a pause the head is looked at again before it counts as confirmed.
+    """
+
+    __slots__ = (
+        "_cell",
+        "_confirmed_pauses",
+        "_current",
+        "_envelopes",
+        "_host",
+        "_keyring",
+        "_lock",
+        "_objects",
+        "_on_change",
+        "_pauses",
+        "_table",
+        "_told",
+    )
+
+    def __init__(
+        self, table, objects, keyring, host, cell, on_change=None, pauses=None
+    ):
+        self._table = table
+        self._objects = objects
+        self._keyring = keyring
+        self._host = host
+        self._cell = cell
+        self._on_change = on_change or (lambda bundle: None)
+        self._current = None
+        self._envelopes = {}
+        self._told = None
+        self._pauses = pauses
+        self._confirmed_pauses = 0
+        self._lock = threading.Lock()
+
+    @property
+    def bundle(self):
+        """Return the bundle in force; raise BundleMissing where there is none."""
+        current = self._current
+        if current is None:
+            raise BundleMissing()
+        return current.bundle
+
+    @property
+    def sequence(self):
+        """Return the sequence in force, 0 where there is none."""
+        return self._current.sequence if self._current else 0
+
+    @property
+    def digest(self):
+        """Return the digest in force, empty where there is none."""
+        return self._current.bundle.digest if self._current else ""
+
+    @property
+    def is_confirmed(self):
+        """Return whether the head was looked at since the last pause."""
+        return self._pauses is None or (self._pauses.count() == self._confirmed_pauses)
+
+    def confirm(self):
+        """Look at the head again after a pause; raise BundleUnconfirmed."""
+        try:
+            self.refresh()
+        except TableUnavailable as error:
+            raise BundleUnconfirmed() from error
+
+    def envelope_bytes(self, digest):
+        """Return the envelope of a bundle that this process has verified."""
+        with self._lock:
+            found = self._envelopes.get(digest)
+        return found.to_bytes() if found else b""
+
+    def refresh(self):
+        """Look at the head once; verify what is proposed, swap to what is accepted.
+
+        Raises
+        ------
+        TableUnavailable
+        """
+        pauses = self._pauses.count() if self._pauses else 0
+        head = read_head(self._table)
+        proposal = head.proposal
+        if proposal is not None and self._verified(proposal.digest):
+            self._tell(proposal.sequence, proposal.digest, VERIFIED)
+        if head.sequence > self.sequence and self._verified(head.digest):
+            self.put_in_force(head.sequence, self._envelopes[head.digest])
+        if head.sequence and head.sequence == self.sequence and proposal is None:
+            self._tell(head.sequence, head.digest, IN_FORCE)
+        if self.sequence >= head.sequence:
+            self._confirmed_pauses = pauses
+
+    def hear(self, sequence, digest, fetch):
+        """Take a newer bundle from a peer.
+
+        Parameters
+        ----------
+        sequence : int
+        digest : str
+        fetch : callable
+            Returns the envelope's bytes from that peer.
+
+        Notes
+        -----
+        The peer is authenticated and speaks of a sequence that it has in force,
+        which only an accepted bundle reaches; the document is verified here.
+        This carries a roll through the cell while the table is down.
+        """
+        if sequence <= self.sequence or not digest:
+            return
+        with self._lock:
+            envelope = self._envelopes.get(digest)
+        if envelope is None:
+            try:
+                envelope = verified_envelope(fetch(), digest, self._keyring)
+                self._check_cell(envelope)
+            except BundleError as error:
+                _LOG.error("bundle of a peer refused", extra={"error": str(error)})
+                return
+            self._remember(envelope)
+        self.put_in_force(sequence, envelope)
+
+    def put_in_force(self, sequence, envelope):
+        """Swap to a verified bundle unless one as new is in force."""
+        with self._lock:
+            # Two threads may bring bundles at once; the lower sequence must
+            # lose whichever comes last.
+            if self._current is not None and sequence <= self._current.sequence:
+                return
+            self._current = _Current(sequence, envelope)
+        _LOG.info(
+            "bundle in force",
+            extra={"bundle_sequence": sequence, "digest": envelope.bundle.digest},
+        )
+        self._on_change(envelope.bundle)
+
+    def _verified(self, digest):
+        with self._lock:
+            if digest in self._envelopes:
+                return True
+        try:
+            envelope = fetch_envelope(self._objects, digest, self._keyring)
+            self._check_cell(envelope)
+        except ObjectsUnavailable:
+            return False
+        except BundleError as error:
+            _LOG.error("bundle refused", extra={"error": str(error)})
+            return False
+        self._remember(envelope)
+        return True
+
+    def _check_cell(self, envelope):
+        if envelope.bundle.cell != self._cell:
+            raise BundleInvalid(
+                place="cell", reason=f"it is for {envelope.bundle.cell}"
+            )
+
+    def _remember(self, envelope):
+        with self._lock:
+            current = self._current
+            self._envelopes = {
+                found.bundle.digest: found
+                for found in (current.envelope if current else envelope, envelope)
+            }
+
+    def _tell(self, sequence, digest, state):
+        told = (sequence, digest, state)
+        if told == self._told:
+            return
+        try:
+            acknowledge(self._table, self._host, sequence, digest, state)
+        except TableUnavailable:
+            return
+        self._told = told
--- /dev/null
+++ b/papayapick/conf/__init__.py
@@ -0,0 +1,7 @@
+"""Settings: one page of defaults, read from flags and the environment."""
+
+from papayapick.conf.defaults import SETTINGS
+from papayapick.conf.exceptions import SettingInvalid, SettingMissing
+from papayapick.conf.settings import Setting, Settings
+
+__all__ = ["SETTINGS", "Setting", "SettingInvalid", "SettingMissing", "Settings"]
--- /dev/null
+++ b/papayapick/conf/exceptions.py
@@ -0,0 +1,25 @@
+"""Errors of the settings."""
+
+from papayapick.exceptions import PapayapickError
+
+__all__ = ["SettingInvalid", "SettingMissing", "SettingsError"]
+
+
+class SettingsError(PapayapickError):
+    """Stand for any error in the settings."""
+
+    code = "settings.error"
+
+
+class SettingInvalid(SettingsError):
+    """Report a value that is not allowed."""
+
+    code = "settings.invalid"
+    template = "{flag}={given!r}: allowed is {allowed}; hint: {hint}"
+
+
+class SettingMissing(SettingsError):
+    """Report a setting that has no value and no default."""
+
+    code = "settings.missing"
+    template = "{flag} is not set; hint: pass it or set {variable} ({hint})"
--- /dev/null
+++ b/papayapick/daemon/process.py
@@ -0,0 +1,187 @@
+"""Hold the parts that every process of a cell has."""
+
+import random
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+from papayapick.bundle import BundleWatcher, KeyRing
+from papayapick.clock import SystemClock
+from papayapick.limits import PauseGuard
+from papayapick.membership import Peers
+from papayapick.observability import Metrics, Tracing, get_logger
+from papayapick.platforms import HostList, HttpPool, ObjectStore, Table
+from papayapick.platforms.exceptions import PlatformError, TableUnavailable
+from papayapick.wire import PeerServer
+from papayapick.wire.messages import BundleBody, BundleQuery, Heartbeat, Hello
+
+__all__ = ["Process"]
+
+_LOG = get_logger(__name__)
+# One task for each connection, peer and loop: idle ones cost stack only.
+_TASKS = 512
+
+
+class Process:
+    """Build and run what the gateway and the placer have in common.
+
+    Parameters
+    ----------
+    settings : Settings
+    program : str
+        Name for logs and traces.
+    handler : callable
+        Answers peers' messages other than bundle queries.
+    heartbeat_shards : callable
+        Returns the list of ShardSummary that this process tells peers.
+    """
+
+    __slots__ = (
+        "_handler",
+        "_heartbeat_shards",
+        "_stopping",
+        "cell_key",
+        "clock",
+        "executor",
+        "generator",
+        "identity",
+        "is_draining",
+        "metrics",
+        "objects",
+        "pauses",
+        "peer_server",
+        "peers",
+        "platform_pool",
+        "settings",
+        "table",
+        "tracing",
+        "watcher",
+    )
+
+    def __init__(
+        self, settings, program, handler, heartbeat_shards, on_bundle=None, clock=None
+    ):
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.metrics = Metrics()
+        self.tracing = Tracing.from_config(settings, program)
+        self.executor = ThreadPoolExecutor(_TASKS, thread_name_prefix=program)
+        self.generator = random.Random(settings.seed or None)
+        self.is_draining = False
+        self._handler = handler
+        self._heartbeat_shards = heartbeat_shards
+        self._stopping = threading.Event()
+        self.pauses = PauseGuard(self.clock, settings.pause_seconds)
+        self.platform_pool = HttpPool(settings.platform_timeout_seconds)
+        self.table = Table(settings.table_url, self.platform_pool, self._count_table)
+        self.objects = ObjectStore(settings.objects_url, self.platform_pool)
+        self.watcher = BundleWatcher(
+            self.table,
+            self.objects,
+            KeyRing.from_config(settings),
+            settings.host_name,
+            settings.cell,
+            on_bundle,
+            self.pauses,
+        )
+        self._open_peers()
+
+    @property
+    def is_stopping(self):
+        """Return the event that ends every loop."""
+        return self._stopping
+
+    def start(self):
+        """Start listening to peers and the loops."""
+        self.peer_server.start()
+        self.loop(self._refresh, self.settings.poll_seconds)
+        self.loop(self.pauses.count, self.pauses.tick_seconds)
+
+    def loop(self, step, seconds):
+        """Run a step again and again as a task of its own until the process stops.
+
+        Parameters
+        ----------
+        step : callable
+        seconds : float
+            Between the end of a step and the next.
+        """
+        self.executor.submit(self._loop, step, seconds)
+
+    def close(self):
+        """End every loop, connection and task."""
+        self._stopping.set()
+        self.peers.close()
+        self.peer_server.close()
+        self.platform_pool.close()
+        self.executor.shutdown(wait=False, cancel_futures=True)
+        self.tracing.close()
+
+    def heartbeat(self):
+        """Return what this process says of itself."""
+        return Heartbeat(
+            host=self.settings.host_name,
+            bundle_sequence=self.watcher.sequence,
+            bundle_digest=self.watcher.digest,
+            shards=self._heartbeat_shards(),
+            draining=self.is_draining,
+        )
+
+    def _open_peers(self):
+        settings = self.settings
+        with open(settings.cell_key, "rb") as file:
+            self.cell_key = file.read().strip()[:64]
+        self.identity = Hello(
+            host=settings.host_name,
+            region=settings.region,
+            zone=settings.availability_zone,
+        )
+        self.peer_server = PeerServer(
+            settings.listen_peer,
+            self.cell_key,
+            self.identity,
+            self._answer,
+            self.executor,
+            self._count_bytes,
+        )
+        self.peers = Peers.from_config(
+            settings,
+            HostList(settings.hosts_url, self.platform_pool),
+            self.cell_key,
+            self.identity,
+            self.clock,
+            self.executor,
+            self._count_bytes,
+            (self.heartbeat, self.watcher.hear),
+        )
+
+    def _answer(self, payload, peer, traceparent):
+        if isinstance(payload, Heartbeat):
+            return self.heartbeat()
+        if isinstance(payload, BundleQuery):
+            return BundleBody(envelope=self.watcher.envelope_bytes(payload.digest))
+        return self._handler(payload, peer, traceparent)
+
+    def _refresh(self):
+        self.peers.refresh()
+        try:
+            self.watcher.refresh()
+        except TableUnavailable:
+            _LOG.debug("table down, bundle from peers only")
+        self.metrics.bundle_sequence.set(self.watcher.sequence)
+
+    def _loop(self, step, seconds):
+        while not self._stopping.is_set():
+            try:
+                step()
+            except PlatformError as error:
+                _LOG.info("step put off", extra={"error": str(error)})
+            except Exception:
+                # One bad step must not end the loop that others depend on.
+                _LOG.exception("step failed")
+            self.clock.wait(self._stopping, seconds)
+
+    def _count_table(self, operation):
+        self.metrics.table_operations.labels(operation).inc()
+
+    def _count_bytes(self, purpose, distance, direction, size):
+        self.metrics.peer_bytes.labels(purpose, distance, direction).inc(size)
--- /dev/null
+++ b/papayapick/gateway/admission.py
@@ -0,0 +1,222 @@
+"""Check callers' requests before anything else sees them."""
+
+import hashlib
+import json
+import uuid
+
+from papayapick.gateway.exceptions import (
+    BodyTooLarge,
+    DeadlinePast,
+    KeyMissing,
+    RequestInvalid,
+    ServiceNotInBundle,
+    WorkTooLarge,
+)
+from papayapick.ledger import Amounts
+
+__all__ = ["Admitted", "admit", "shard_for_key"]
+
+_KEY_LIMIT = 128
+_NAME_LIMIT = 64
+_ANONYMOUS = "anonymous"
+_DEMANDS = ("processors", "memory", "accelerators")
+
+
+class Admitted:
+    """Hold a checked request.
+
+    Parameters
+    ----------
+    request_id : str
+    shard : str
+        That journals it; empty for work that is not journaled.
+    name : str
+    policy : ServicePolicy or JobPolicy
+    caller : str
+    payload : bytes
+    timeout : float
+        Seconds.
+    job : dict or None
+    """
+
+    __slots__ = (
+        "caller",
+        "job",
+        "name",
+        "payload",
+        "policy",
+        "request_id",
+        "shard",
+        "timeout",
+    )
+
+    def __init__(
+        self, request_id, shard, name, policy, caller, payload, timeout, job=None
+    ):
+        self.request_id = request_id
+        self.shard = shard
+        self.name = name
+        self.policy = policy
+        self.caller = caller
+        self.payload = payload
+        self.timeout = timeout
+        self.job = job
+
+    @property
+    def is_durable(self):
+        """Return whether the work is journaled before it starts."""
+        return self.job is not None or self.policy.is_durable
+
+
+def shard_for_key(bundle, caller, name, key):
+    """Return the shard that journals a key, the same through every gateway.
+
+    Shards of the store's region are taken, so that journaling does not cross
+    the link between regions.
+    """
+    zones = bundle.zones()
+    shards = [
+        shard
+        for shard in bundle.shards()
+        if zones[shard.rpartition(".")[0]] == bundle.store_region
+    ]
+    digest = _key_digest(caller, name, key)
+    return shards[int(digest[:8], 16) % len(shards)]
+
+
+def _key_digest(caller, name, key):
+    text = json.dumps([caller, name, key]).encode()
+    return hashlib.sha256(text).hexdigest()
+
+
+def admit(environ, bundle, body_limit):
+    """Check one request to run work.
+
+    Parameters
+    ----------
+    environ : dict
+        Of WSGI.
+    bundle : Bundle
+    body_limit : int
+        Bytes.
+
+    Returns
+    -------
+    Admitted
+
+    Raises
+    ------
+    GatewayError
+        Nothing ran.
+    """
+    found = _read_body(environ, body_limit)
+    caller = _header(environ, "HTTP_CALLER", _NAME_LIMIT) or _ANONYMOUS
+    key = _header(environ, "HTTP_IDEMPOTENCY_KEY", _KEY_LIMIT)
+    if ("service" in found) == ("job" in found):
+        raise RequestInvalid(place="body", reason="name one service or one job")
+    if "job" in found:
+        return _admit_job(environ, bundle, found, caller, key)
+    return _admit_service(environ, bundle, found, caller, key)
+
+
+def _admit_service(environ, bundle, found, caller, key):
+    name = _name(found, "service")
+    policy = bundle.services.get(name)
+    if policy is None:
+        raise ServiceNotInBundle(name=name)
+    if not policy.repeatable and not key:
+        raise KeyMissing(name=name)
+    payload = json.dumps(found.get("payload")).encode()
+    timeout = _timeout(environ, policy.timeout_seconds, policy.longest_timeout_seconds)
+    request_id, shard = uuid.uuid4().hex, ""
+    if policy.is_durable:
+        request_id, shard = _durable_identity(bundle, caller, name, key)
+    return Admitted(request_id, shard, name, policy, caller, payload, timeout)
+
+
+def _admit_job(environ, bundle, found, caller, key):
+    name = _name(found, "job")
+    policy = bundle.jobs.get(name)
+    if policy is None:
+        raise ServiceNotInBundle(name=name)
+    if not policy.repeatable and not key:
+        raise KeyMissing(name=name)
+    members = found.get("members", 1)
+    if not isinstance(members, int) or isinstance(members, bool) or members < 1:
+        raise RequestInvalid(place="members", reason="a whole number from 1")
+    if members > policy.members_limit:
+        raise WorkTooLarge(members=members, limit=policy.members_limit)
+    job = {
+        "members": members,
+        "demand": _demand(found),
+        "work": found.get("payload") or {},
+    }
+    timeout = _timeout(environ, policy.timeout_seconds, policy.timeout_seconds)
+    request_id, shard = _durable_identity(bundle, caller, name, key)
+    payload = json.dumps(job, sort_keys=True).encode()
+    return Admitted(request_id, shard, name, policy, caller, payload, timeout, job)
+
+
+def _durable_identity(bundle, caller, name, key):
+    key = key or uuid.uuid4().hex
+    shard = shard_for_key(bundle, caller, name, key)
+    return f"{shard}.{_key_digest(caller, name, key)[:32]}", shard
+
+
+def _read_body(environ, body_limit):
+    try:
+        size = int(environ.get("CONTENT_LENGTH") or 0)
+    except ValueError as error:
+        raise RequestInvalid(place="Content-Length", reason="a number") from error
+    if size > body_limit:
+        raise BodyTooLarge(size=size, limit=body_limit)
+    try:
+        found = json.loads(environ["wsgi.input"].read(size))
+    except (ValueError, RecursionError) as error:
+        raise RequestInvalid(place="body", reason="it is not JSON") from error
+    if not isinstance(found, dict):
+        raise RequestInvalid(place="body", reason="it is no JSON object")
+    return found
+
+
+def _name(found, field):
+    name = found[field]
+    if not isinstance(name, str) or not 0 < len(name) <= _NAME_LIMIT:
+        raise RequestInvalid(place=field, reason="a name of up to 64 characters")
+    return name
+
+
+def _demand(found):
+    amounts = {}
+    for field in _DEMANDS:
+        amount = found.get(field, 0)
+        if not isinstance(amount, int) or isinstance(amount, bool) or amount < 0:
+            raise RequestInvalid(place=field, reason="a whole number from 0")
+        amounts[field] = amount
+    if amounts["processors"] == 0:
+        raise RequestInvalid(place="processors", reason="at least 1 millicore")
+    return Amounts.from_mapping(amounts).as_mapping()
+
+
+def _header(environ, name, limit):
+    value = environ.get(name, "")
+    if len(value) > limit or not value.isprintable():
+        raise RequestInvalid(
+            place=name.removeprefix("HTTP_"), reason=f"up to {limit} characters"
+        )
+    return value
+
+
+def _timeout(environ, default, longest):
+    given = environ.get("HTTP_REQUEST_TIMEOUT")
+    if given is None:
+        return default
+    try:
+        seconds = float(given)
+    except ValueError as error:
+        raise RequestInvalid(place="Request-Timeout", reason="seconds") from error
+    if seconds != seconds:
+        raise RequestInvalid(place="Request-Timeout", reason="seconds")
+    if seconds <= 0:
+        raise DeadlinePast()
+    return min(seconds, longest)
--- /dev/null
+++ b/papayapick/gateway/application.py
@@ -0,0 +1,148 @@
+"""Answer callers over HTTP as a WSGI application."""
+
+import http.client
+import threading
+import uuid
+
+from papayapick.bundle import BundleMissing
+from papayapick.daemon.health import health_answer
+from papayapick.exceptions import PapayapickError
+from papayapick.gateway.admission import admit
+from papayapick.gateway.exceptions import PathUnknown
+from papayapick.gateway.problems import Answer, problem
+from papayapick.observability import get_logger
+from papayapick.wire import PeerDisconnected, PeerTimeout
+
+__all__ = ["Application"]
+
+_LOG = get_logger(__name__)
+_REQUESTS = "/v1/requests"
+_UNKNOWN = "unknown"
+
+
+class Application:
+    """Route, trace, count and answer callers' requests.
+
+    Parameters
+    ----------
+    process : Process
+    urgent : UrgentCalls
+    durable : DurableWork
+    caller_limits : CallerLimits
+    """
+
+    __slots__ = (
+        "_durable",
+        "_in_flight",
+        "_limits",
+        "_lock",
+        "_process",
+        "_urgent",
+    )
+
+    def __init__(self, process, urgent, durable, caller_limits):
+        self._process = process
+        self._urgent = urgent
+        self._durable = durable
+        self._limits = caller_limits
+        self._in_flight = 0
+        self._lock = threading.Lock()
+
+    @property
+    def in_flight(self):
+        """Return the number of requests that are being served."""
+        return self._in_flight
+
+    def is_ready(self):
+        """Return whether the balancer may send callers here."""
+        return bool(self._process.watcher.sequence) and not self._process.is_draining
+
+    def __call__(self, environ, start_response):
+        """Answer one request as WSGI demands."""
+        found = health_answer(environ["PATH_INFO"], self._process, self.is_ready)
+        if found is not None:
+            status, kind, body = found
+            return self._send(start_response, status, Answer(200, kind, body))
+        with self._lock:
+            self._in_flight += 1
+        try:
+            answer = self._traced(environ)
+        finally:
+            with self._lock:
+                self._in_flight -= 1
+        reason = http.client.responses.get(answer.status, "Unknown")
+        return self._send(start_response, f"{answer.status} {reason}", answer)
+
+    def _traced(self, environ):
+        traceparent = environ.get("HTTP_TRACEPARENT", "")
+        with self._process.tracing.span("gateway.request", traceparent):
+            trace_id = self._process.tracing.trace_id()
+            request_id = uuid.uuid4().hex
+            try:
+                answer = self._route(environ)
+            except PapayapickError as error:
+                answer = problem(error, request_id, _fallback_outcome(error))
+                self._process.metrics.refusals.labels(error.code).inc()
+            except Exception:
+                _LOG.exception("request failed")
+                error = PapayapickError()
+                answer = problem(error, request_id, _UNKNOWN)
+            answer.headers.append(("Trace-Id", trace_id))
+            return answer
+
+    def _route(self, environ):
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        if path == _REQUESTS and method == "POST":
+            return self._post(environ)
+        request_id = path.removeprefix(_REQUESTS + "/")
+        if request_id != path and request_id and "/" not in request_id:
+            if method == "GET":
+                return self._durable.query(request_id)
+            if method == "DELETE":
+                return self._durable.cancel(request_id)
+        raise PathUnknown(method=method[:16], path=path[:64])
+
+    def _post(self, environ):
+        self._confirm_bundle()
+        process = self._process
+        bundle = process.watcher.bundle
+        admitted = admit(environ, bundle, process.settings.body_limit_bytes)
+        self._limits.admit(admitted.caller)
+        if admitted.is_durable:
+            answer = self._durable.submit(admitted)
+        else:
+            answer = self._urgent.serve(admitted)
+        answer.headers.append(("Request-Id", admitted.request_id))
+        process.metrics.requests.labels(admitted.name, answer.outcome).inc()
+        return answer
+
+    def _confirm_bundle(self):
+        """Look at the bundle's head again after a pause.
+
+        A process frozen through a roll would otherwise admit work under the
+        bundle that was replaced.
+        """
+        watcher = self._process.watcher
+        if not watcher.is_confirmed:
+            watcher.confirm()
+        if not watcher.sequence:
+            raise BundleMissing()
+
+    def _send(self, start_response, status, answer):
+        headers = [
+            ("Content-Type", answer.content_type),
+            ("Content-Length", str(len(answer.body))),
+            *answer.headers,
+        ]
+        start_response(status, headers)
+        return [answer.body]
+
+
+def _fallback_outcome(error):
+    """Return what became of work whose error does not say it.
+
+    A broken or silent connection to a placer leaves submitted work open.
+    """
+    if isinstance(error, (PeerDisconnected, PeerTimeout)):
+        return _UNKNOWN
+    return "not_run"
--- /dev/null
+++ b/papayapick/gateway/durable.py
@@ -0,0 +1,145 @@
+"""Hand durable work to the shard that journals it, and ask what became of it."""
+
+import base64
+import json
+
+from papayapick.gateway.problems import Answer, problem
+from papayapick.journal import WorkUnknown
+from papayapick.membership import ShardUnserved
+from papayapick.platforms.objects import digest_of
+from papayapick.wire import PeerRefused, PeerUnreachable
+from papayapick.wire.messages import Submit, WorkCancel, WorkQuery
+
+__all__ = ["DurableWork"]
+
+_PATH = "/v1/requests/"
+_ANSWER_SECONDS = 1.5
+_MOVED_SECONDS = 2.0
+_MOVED_WAIT_SECONDS = 0.05
+_MOVED_CODES = ("ownership.", "placer.shard-closed", "journal.fenced")
+ENDED = "ended"
+_SHOWN_CHARACTERS = 128
+_PROBLEM_CODES = {
+    "failed": "call.backend-failed",
+    "unknown": "call.answer-missing",
+    "not_run": "work.not-run",
+}
+
+
+class DurableWork:
+    """Submit, query and cancel work through its shard's owner.
+
+    Parameters
+    ----------
+    process : Process
+    """
+
+    __slots__ = ("_process",)
+
+    def __init__(self, process):
+        self._process = process
+
+    def submit(self, admitted):
+        """Hand work over; answer 202, or the whole answer where it is urgent.
+
+        Parameters
+        ----------
+        admitted : Admitted
+
+        Returns
+        -------
+        Answer
+        """
+        is_urgent = admitted.policy.urgency == "urgent"
+        wait = admitted.timeout if is_urgent else 0.0
+        deadline = self._process.clock.time() + admitted.timeout
+        wanted = Submit(
+            shard=admitted.shard,
+            request_id=admitted.request_id,
+            kind="job" if admitted.job else "request",
+            name=admitted.name,
+            caller=admitted.caller,
+            payload=b"" if admitted.job else admitted.payload,
+            payload_digest=digest_of(admitted.payload),
+            deadline_milliseconds=int(deadline * 1000),
+            wait_milliseconds=int(wait * 1000),
+            job=json.dumps(admitted.job) if admitted.job else "",
+        )
+        state = self._ask(wanted, wait + _ANSWER_SECONDS)
+        location = [("Location", _PATH + admitted.request_id)]
+        if state.state != ENDED:
+            body = {"request": state.request_id, "state": state.state}
+            return Answer.from_json(202, body, location, "accepted")
+        if not is_urgent:
+            return self._report(state, location, status=202)
+        return self._whole(state, location)
+
+    def query(self, request_id):
+        """Return the state of a request, and its result once it has ended."""
+        shard = self._shard_of(request_id)
+        wanted = WorkQuery(shard=shard, request_id=request_id)
+        return self._report(self._ask(wanted, _ANSWER_SECONDS))
+
+    def cancel(self, request_id):
+        """Cancel a request; the answer tells whether it had started."""
+        shard = self._shard_of(request_id)
+        wanted = WorkCancel(shard=shard, request_id=request_id)
+        return self._report(self._ask(wanted, _ANSWER_SECONDS))
+
+    def _ask(self, wanted, seconds):
+        clock = self._process.clock
+        traceparent = self._process.tracing.traceparent()
+        give_up = clock.monotonic() + min(seconds, _MOVED_SECONDS)
+        while True:
+            try:
+                peer = self._process.peers.owner_of(wanted.shard)
+                return peer.client.ask(wanted, seconds, traceparent)
+            except (ShardUnserved, PeerUnreachable):
+                if clock.monotonic() >= give_up:
+                    raise
+            except PeerRefused as error:
+                has_moved = error.refusal_code.startswith(_MOVED_CODES)
+                if not has_moved or clock.monotonic() >= give_up:
+                    raise
+            clock.wait(self._process.is_stopping, _MOVED_WAIT_SECONDS)
+
+    def _shard_of(self, request_id):
+        shard = request_id.rpartition(".")[0]
+        if shard not in self._process.watcher.bundle.shards():
+            raise WorkUnknown(request_id=request_id[:_SHOWN_CHARACTERS])
+        return shard
+
+    @staticmethod
+    def _whole(state, location):
+        if state.outcome == "done":
+            return Answer(state.status, state.content_type, state.result, location)
+        error = PeerRefused(
+            refusal_code=_PROBLEM_CODES[state.outcome],
+            detail=state.detail or state.outcome,
+            outcome=state.outcome,
+            retry_after=1.0 if state.outcome == "not_run" else 0,
+        )
+        answer = problem(error, state.request_id)
+        answer.headers += location
+        return answer
+
+    @staticmethod
+    def _report(state, headers=(), status=200):
+        body = {"request": state.request_id, "state": state.state}
+        if state.state == ENDED:
+            body["outcome"] = state.outcome
+            if state.detail:
+                body["detail"] = state.detail
+            if state.status:
+                body["status"] = state.status
+                body["content_type"] = state.content_type
+                body.update(_result_of(state))
+        outcome = body.get("outcome", state.state)
+        return Answer.from_json(status, body, headers, outcome)
+
+
+def _result_of(state):
+    try:
+        return {"result": json.loads(state.result)}
+    except ValueError:
+        return {"result_base64": base64.b64encode(state.result).decode()}
--- /dev/null
+++ b/papayapick/gateway/exceptions.py
@@ -0,0 +1,89 @@
+"""Errors that callers meet."""
+
+from papayapick.exceptions import PapayapickError
+
+__all__ = [
+    "BackendFailed",
+    "BodyTooLarge",
+    "CallAnswerMissing",
+    "DeadlinePast",
+    "GatewayError",
+    "KeyMissing",
+    "PathUnknown",
+    "RequestInvalid",
+    "ServiceNotInBundle",
+    "WorkTooLarge",
+]
+
+
+class GatewayError(PapayapickError):
+    """Stand for any refusal at the gateway; the work did not run."""
+
+    code = "request.error"
+    outcome = "not_run"
+
+
+class RequestInvalid(GatewayError):
+    """Report a request that is not well formed."""
+
+    code = "request.invalid"
+    template = "{place}: {reason}"
+
+
+class BodyTooLarge(GatewayError):
+    """Report a body over the limit."""
+
+    code = "request.body-too-large"
+    template = "the body has {size} bytes, allowed are {limit}"
+
+
+class ServiceNotInBundle(GatewayError):
+    """Report a service or job that the bundle does not name."""
+
+    code = "request.service-unknown"
+    template = "{name} is not in the bundle"
+
+
+class KeyMissing(GatewayError):
+    """Report work not to be repeated that came without an idempotency key."""
+
+    code = "request.key-missing"
+    template = "{name} is not to be repeated and needs the header Idempotency-Key"
+
+
+class DeadlinePast(GatewayError):
+    """Report a request whose deadline was over when it came."""
+
+    code = "request.deadline-past"
+    template = "the deadline is over already"
+
+
+class WorkTooLarge(GatewayError):
+    """Report a job with more members than its policy allows."""
+
+    code = "request.members-over-limit"
+    template = "{members} members, allowed are {limit}"
+
+
+class PathUnknown(GatewayError):
+    """Report a path or method that the interface does not have."""
+
+    code = "request.path-unknown"
+    template = "there is no {method} {path}"
+
+
+class BackendFailed(GatewayError):
+    """Report a backend server that answered with an error of its own."""
+
+    code = "call.backend-failed"
+    template = "the backend server answered {status}"
+    outcome = "failed"
+
+
+class CallAnswerMissing(GatewayError):
+    """Report a call that was sent and got no whole answer."""
+
+    code = "call.answer-missing"
+    template = "the backend server gave no whole answer in time"
+    outcome = "unknown"
+    retry_after = 1.0
--- /dev/null
+++ b/papayapick/gateway/process.py
@@ -0,0 +1,130 @@
+"""Run the gateway: listen to callers, and to peers."""
+
+import logging
+import threading
+
+from waitress.server import create_server
+
+from papayapick.daemon import Process
+from papayapick.gateway.application import Application
+from papayapick.gateway.durable import DurableWork
+from papayapick.gateway.urgent import UrgentCalls
+from papayapick.limits import CallerLimits, RetryBudget
+from papayapick.observability import get_logger
+from papayapick.platforms import HttpPool, InstanceClient
+from papayapick.routing import SlotClient
+
+__all__ = ["PROGRAM", "Gateway"]
+
+PROGRAM = "papayapick-gateway"
+_LOG = get_logger(__name__)
+_CALL_SECONDS = 30.0
+_HEADER_LIMIT_BYTES = 32 << 10
+_CONNECTION_LIMIT = 1000
+_IDLE_SECONDS = 30
+_QUIET_SECONDS = 0.2
+_LOOK_SECONDS = 0.05
+
+
+class Gateway:
+    """Serve callers.
+
+    Parameters
+    ----------
+    settings : Settings
+    """
+
+    __slots__ = ("_application", "_limits", "_process", "_server")
+
+    def __init__(self, settings, clock=None):
+        self._process = Process(
+            settings,
+            PROGRAM,
+            lambda payload, peer, traceparent: None,
+            list,
+            on_bundle=lambda bundle: self._limits.use_bundle(bundle),
+            clock=clock,
+        )
+        process = self._process
+        self._limits = CallerLimits(process.clock)
+        slots = SlotClient(
+            process.peers,
+            settings,
+            process.clock,
+            process.generator,
+            lambda: process.watcher.bundle.zones(),
+        )
+        instances = InstanceClient(HttpPool(_CALL_SECONDS))
+        urgent = UrgentCalls(process, slots, instances, RetryBudget())
+        durable = DurableWork(process)
+        self._application = Application(process, urgent, durable, self._limits)
+        self._server = self._listen(settings)
+
+    @classmethod
+    def from_config(cls, settings):
+        """Build a gateway from its settings."""
+        return cls(settings)
+
+    @property
+    def application(self):
+        """Return the WSGI application."""
+        return self._application
+
+    def addresses(self):
+        """Return what the process listens on, for its log."""
+        host, port = self._process.peer_server.address
+        server = self._server
+        return {
+            "http": f"{server.effective_host}:{server.effective_port}",
+            "peer": f"{host}:{port}",
+        }
+
+    def start(self):
+        """Start every task."""
+        self._process.start()
+        self._process.executor.submit(self._server.run)
+
+    def stop(self):
+        """Let every request in flight get its whole answer, then close.
+
+        The balancer sees ``/readyz`` fail and sends no more; what it still
+        sends meanwhile is served.
+        """
+        process = self._process
+        process.is_draining = True
+        deadline = process.clock.monotonic() + process.settings.drain_seconds
+        quiet_since = None
+        while process.clock.monotonic() < deadline:
+            now = process.clock.monotonic()
+            if not self._is_quiet():
+                quiet_since = None
+            elif quiet_since is None:
+                quiet_since = now
+            elif now - quiet_since >= _QUIET_SECONDS:
+                break
+            process.clock.wait(threading.Event(), _LOOK_SECONDS)
+        self._server.close()
+        process.close()
+
+    def _is_quiet(self):
+        # An answer that a slow caller has not read yet lies in its channel.
+        channels = list(self._server.active_channels.values())
+        return not self._application.in_flight and all(
+            not channel.requests and not channel.total_outbufs_len
+            for channel in channels
+        )
+
+    def _listen(self, settings):
+        logging.getLogger("waitress").setLevel(logging.ERROR)
+        host, port = settings.listen_http
+        return create_server(
+            self._application,
+            host=host,
+            port=port,
+            threads=settings.http_threads,
+            connection_limit=_CONNECTION_LIMIT,
+            channel_timeout=_IDLE_SECONDS,
+            max_request_header_size=_HEADER_LIMIT_BYTES,
+            max_request_body_size=settings.body_limit_bytes + 1024,
+            ident=None,
+        )
--- /dev/null
+++ b/papayapick/journal/__init__.py
@@ -0,0 +1,36 @@
+"""Durable records of work, written in segments by the owner of a shard."""
+
+from papayapick.journal.exceptions import (
+    JournalError,
+    JournalFenced,
+    JournalUnavailable,
+    JournalUnsettled,
+    KeyReused,
+    WorkUnknown,
+)
+from papayapick.journal.records import (
+    Accepted,
+    Ended,
+    Record,
+    Started,
+    record_from_mapping,
+)
+from papayapick.journal.work import WorkBook, WorkItem
+from papayapick.journal.writer import Journal
+
+__all__ = [
+    "Accepted",
+    "Ended",
+    "Journal",
+    "JournalError",
+    "JournalFenced",
+    "JournalUnavailable",
+    "JournalUnsettled",
+    "KeyReused",
+    "Record",
+    "Started",
+    "WorkBook",
+    "WorkItem",
+    "WorkUnknown",
+    "record_from_mapping",
+]
--- /dev/null
+++ b/papayapick/journal/records.py
@@ -0,0 +1,172 @@
+"""Describe the records of the journal."""
+
+__all__ = ["Accepted", "Ended", "Record", "Started", "record_from_mapping"]
+
+
+class Record:
+    """Stand for one record about one request.
+
+    The names in ``__slots__`` of a subclass are the fields of its stored form.
+    """
+
+    __slots__ = ("request_id",)
+    kind = ""
+
+    def as_mapping(self):
+        """Return the stored form, JSON values only."""
+        fields = {name: getattr(self, name) for name in self.__slots__}
+        return {"kind": self.kind, "request_id": self.request_id, **fields}
+
+    def __eq__(self, other):
+        return type(self) is type(other) and self.as_mapping() == other.as_mapping()
+
+    def __hash__(self):
+        return hash((self.kind, self.request_id))
+
+
+class Accepted(Record):
+    """Say that a request was taken on.
+
+    Parameters
+    ----------
+    request_id : str
+    work : {"request", "job"}
+    name : str
+        Of the service or kind of job.
+    caller : str
+    payload : str
+        Base64 of a small payload, else empty.
+    payload_object : str
+        Object that holds a large payload, else empty.
+    payload_digest : str
+    deadline : float
+        Seconds since the epoch.
+    repeatable : bool
+    job : dict or None
+        ``members`` and ``demand`` of a job.
+    """
+
+    __slots__ = (
+        "caller",
+        "deadline",
+        "job",
+        "name",
+        "payload",
+        "payload_digest",
+        "payload_object",
+        "repeatable",
+        "work",
+    )
+    kind = "accepted"
+
+    def __init__(
+        self,
+        request_id,
+        work,
+        name,
+        caller,
+        payload,
+        payload_object,
+        payload_digest,
+        deadline,
+        repeatable,
+        job=None,
+    ):
+        self.request_id = request_id
+        self.work = work
+        self.name = name
+        self.caller = caller
+        self.payload = payload
+        self.payload_object = payload_object
+        self.payload_digest = payload_digest
+        self.deadline = deadline
+        self.repeatable = repeatable
+        self.job = job
+
+
+class Started(Record):
+    """Say that a request is about to be sent, before its first byte leaves.
+
+    Parameters
+    ----------
+    request_id : str
+    attempt : int
+    places : list of dict
+        ``host``, ``url`` and ``task`` of each place the work may run in.
+    time : float
+        Seconds since the epoch.
+    """
+
+    __slots__ = ("attempt", "places", "time")
+    kind = "started"
+
+    def __init__(self, request_id, attempt, places, time):
+        self.request_id = request_id
+        self.attempt = attempt
+        self.places = places
+        self.time = time
+
+
+class Ended(Record):
+    """Say what became of a request, for good.
+
+    Parameters
+    ----------
+    request_id : str
+    outcome : {"done", "failed", "unknown", "not_run"}
+    status : int
+        HTTP status of the backend server, 0 where there is none.
+    content_type : str
+    result : str
+        Base64 of a small result, else empty.
+    result_object : str
+    detail : str
+        Code of the error that ended it, else empty.
+    time : float
+    """
+
+    __slots__ = (
+        "content_type",
+        "detail",
+        "outcome",
+        "result",
+        "result_object",
+        "status",
+        "time",
+    )
+    kind = "ended"
+
+    def __init__(
+        self,
+        request_id,
+        outcome,
+        time,
+        status=0,
+        content_type="",
+        result="",
+        result_object="",
+        detail="",
+    ):
+        self.request_id = request_id
+        self.outcome = outcome
+        self.time = time
+        self.status = status
+        self.content_type = content_type
+        self.result = result
+        self.result_object = result_object
+        self.detail = detail
+
+
+_KINDS = {kind.kind: kind for kind in (Accepted, Started, Ended)}
+
+
+def record_from_mapping(found):
+    """Read a record from its stored form.
+
+    Examples
+    --------
+    >>> record_from_mapping(Started("r", 1, [], 0.0).as_mapping()).attempt
+    1
+    """
+    fields = dict(found)
+    return _KINDS[fields.pop("kind")](**fields)
--- /dev/null
+++ b/papayapick/ledger/__init__.py
@@ -0,0 +1,23 @@
+"""Count what hosts and instances hold, in integers, never over."""
+
+from papayapick.ledger.amounts import Amounts
+from papayapick.ledger.exceptions import (
+    HostFull,
+    HostUnknown,
+    LedgerError,
+    NeverFits,
+    ReservationUnknown,
+)
+from papayapick.ledger.hosts import HostLedger
+from papayapick.ledger.slots import SlotLedger
+
+__all__ = [
+    "Amounts",
+    "HostFull",
+    "HostLedger",
+    "HostUnknown",
+    "LedgerError",
+    "NeverFits",
+    "ReservationUnknown",
+    "SlotLedger",
+]
--- /dev/null
+++ b/papayapick/ledger/exceptions.py
@@ -0,0 +1,46 @@
+"""Errors of the ledger."""
+
+from papayapick.exceptions import PapayapickError
+
+__all__ = [
+    "HostFull",
+    "HostUnknown",
+    "LedgerError",
+    "NeverFits",
+    "ReservationUnknown",
+]
+
+
+class LedgerError(PapayapickError):
+    """Stand for any error of the ledger."""
+
+    code = "ledger.error"
+
+
+class HostFull(LedgerError):
+    """Report a host or instance without room for a demand."""
+
+    code = "ledger.host-full"
+    template = "{host} has no room for {demand}"
+
+
+class HostUnknown(LedgerError):
+    """Report a host that the ledger does not hold."""
+
+    code = "ledger.host-unknown"
+    template = "{host} is not in the ledger"
+
+
+class ReservationUnknown(LedgerError):
+    """Report a reservation that is over or never was."""
+
+    code = "ledger.reservation-unknown"
+    template = "reservation {reservation} is not held"
+
+
+class NeverFits(LedgerError):
+    """Report a demand that no host of the cell could ever hold."""
+
+    code = "ledger.never-fits"
+    template = "no host of the cell could hold {demand}"
+    outcome = "not_run"
--- /dev/null
+++ b/papayapick/ledger/slots.py
@@ -0,0 +1,152 @@
+"""Count slots and connections of instances."""
+
+from papayapick.ledger.exceptions import HostFull, HostUnknown, ReservationUnknown
+
+__all__ = ["SlotLedger"]
+
+
+class _Instance:
+    __slots__ = (
+        "connections",
+        "grants",
+        "is_open",
+        "name",
+        "service",
+        "slots",
+        "url",
+    )
+
+    def __init__(self, name, service, url, slots, connections):
+        self.name = name
+        self.service = service
+        self.url = url
+        self.slots = slots
+        self.connections = connections
+        self.grants = set()
+        self.is_open = False
+
+    @property
+    def limit(self):
+        return min(self.slots, self.connections)
+
+
+class SlotLedger:
+    """Count the slots of the instances of one shard.
+
+    An instance is closed until a new owner knows what runs there.
+    """
+
+    __slots__ = ("_grants", "_instances", "_services")
+
+    def __init__(self):
+        self._instances = {}
+        self._services = {}
+        self._grants = {}
+
+    @property
+    def names(self):
+        """Return the names of the instances."""
+        return list(self._instances)
+
+    def add(self, name, service, url, slots, connections):
+        """Add a closed instance; one that is there takes the new address."""
+        found = self._instances.get(name)
+        if found is not None:
+            found.url = url
+            return
+        instance = _Instance(name, service, url, slots, connections)
+        self._instances[name] = instance
+        self._services.setdefault(service, []).append(instance)
+
+    def open(self, name):
+        """Let new work go to an instance."""
+        self._instance(name).is_open = True
+
+    def close(self, name):
+        """Let no new work go to an instance."""
+        self._instance(name).is_open = False
+
+    def is_open(self, name):
+        """Return whether new work may go to an instance."""
+        return name in self._instances and self._instances[name].is_open
+
+    def remove(self, name):
+        """Forget an instance; its grants end."""
+        instance = self._instances.pop(name)
+        self._services[instance.service].remove(instance)
+        for grant in instance.grants:
+            del self._grants[grant]
+
+    def take(self, name, grant):
+        """Take a slot and a connection of an open instance.
+
+        Raises
+        ------
+        HostUnknown, HostFull
+        """
+        instance = self._instance(name)
+        if not instance.is_open or len(instance.grants) >= instance.limit:
+            raise HostFull(host=name, demand="one slot")
+        self._grants[grant] = instance
+        instance.grants.add(grant)
+
+    def restore(self, name, grant):
+        """Count a call that was found running, even over the limit."""
+        instance = self._instance(name)
+        self._grants[grant] = instance
+        instance.grants.add(grant)
+
+    def give_back(self, grant):
+        """Give a slot back on proof that the call has ended.
+
+        Returns
+        -------
+        str
+            Name of the instance.
+
+        Raises
+        ------
+        ReservationUnknown
+        """
+        instance = self._grants.pop(grant, None)
+        if instance is None:
+            raise ReservationUnknown(reservation=grant)
+        instance.grants.discard(grant)
+        return instance.name
+
+    def url(self, name):
+        """Return the address of an instance."""
+        return self._instance(name).url
+
+    def busy(self, name):
+        """Return the slots in use at an instance."""
+        return len(self._instance(name).grants)
+
+    def free_slots(self, service):
+        """Return the free slots of a service's open instances."""
+        return sum(
+            max(0, instance.limit - len(instance.grants))
+            for instance in self._services.get(service, ())
+            if instance.is_open
+        )
+
+    def instances(self, service):
+        """Return the names of a service's instances, open or not."""
+        return [instance.name for instance in self._services.get(service, ())]
+
+    def open_instances(self, service):
+        """Return names, slots in use and limits of the open instances."""
+        return [
+            (instance.name, len(instance.grants), instance.limit)
+            for instance in self._services.get(service, ())
+            if instance.is_open
+        ]
+
+    def services(self):
+        """Return the names of the services."""
+        return list(self._services)
+
+    def _instance(self, name):
+        if name not in self._instances:
+            raise HostUnknown(host=name)
+        return self._instances[name]
--- /dev/null
+++ b/papayapick/management/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' command line."""
+
+__all__ = []
--- /dev/null
+++ b/papayapick/management/commands/bundle.py
@@ -0,0 +1,219 @@
+"""Check, compare, sign, roll and step back bundles."""
+
+import json
+import threading
+
+from papayapick.bundle import (
+    Bundle,
+    BundleInvalid,
+    Envelope,
+    KeyRing,
+    sign,
+)
+from papayapick.bundle.commands import accept, propose, withdraw
+from papayapick.bundle.heads import IN_FORCE
+from papayapick.bundle.queries import fetch_envelope, read_head, read_seen
+from papayapick.management.base import Command, read_file
+from papayapick.management.exceptions import NotAcknowledged
+from papayapick.platforms.hosts import GATEWAY_KIND, PLACER_KIND
+
+__all__ = ["BundleCommand"]
+
+_LOOK_SECONDS = 0.1
+
+
+class BundleCommand(Command):
+    """Steer the bundle of a cell."""
+
+    name = "bundle"
+    usage = """Check, compare, sign, roll and step back bundles.
+
+Usage:
+  papayapick bundle check <file> [--json]
+  papayapick bundle diff <old> <new> [--json]
+  papayapick bundle sign <file> --key=FILE --operator=NAME --out=FILE [--json]
+  papayapick bundle roll <file> [--operator=NAME] [--wait=SECONDS] [--force]
+                              [--dry-run] [--json]
+  papayapick bundle step-back <digest> [--operator=NAME] [--wait=SECONDS]
+                              [--force] [--dry-run] [--json]
+  papayapick bundle status [--json]
+  papayapick bundle --help
+
+Options:
+  --operator=NAME  Name under which you act; default is your login.
+  --key=FILE       Your private key.
+  --out=FILE       Where the signed bundle goes.
+  --wait=SECONDS   Time for processes to acknowledge [default: 10].
+  --force          Accept though some processes have not acknowledged.
+  --dry-run        Check all, change nothing.
+  --json           Write for programs.
+  --help           Show this page.
+
+Addresses and keys come from the PAPAYAPICK_ variables.
+"""
+
+    def handle(self):
+        """Run the named step."""
+        for step in ("check", "diff", "sign", "roll", "step-back", "status"):
+            if self.options[step]:
+                return getattr(self, "_" + step.replace("-", "_"))()
+        return 2
+
+    def _check(self):
+        envelope = _read_envelope(self.options["<file>"])
+        bundle = envelope.bundle
+        self.output.write(
+            f"{bundle.cell} {bundle.document['label']} {bundle.digest}",
+            cell=bundle.cell,
+            label=bundle.document["label"],
+            digest=bundle.digest,
+            signed_by=sorted(envelope.signatures),
+        )
+        return 0
+
+    def _diff(self):
+        old = _read_envelope(self.options["<old>"]).bundle.document
+        new = _read_envelope(self.options["<new>"]).bundle.document
+        for place, before, after in _differences(old, new):
+            self.output.write(
+                f"{place}: {json.dumps(before)} -> {json.dumps(after)}",
+                place=place,
+                before=before,
+                after=after,
+            )
+        return 0
+
+    def _sign(self):
+        envelope = _read_envelope(self.options["<file>"])
+        sign(envelope, self.operator(), read_file(self.options["--key"]))
+        with open(self.options["--out"], "wb") as file:
+            file.write(envelope.to_bytes())
+        self.output.write(
+            f"signed by {', '.join(sorted(envelope.signatures))}",
+            signed_by=sorted(envelope.signatures),
+            digest=envelope.bundle.digest,
+        )
+        return 0
+
+    def _roll(self):
+        settings = self.settings()
+        envelope = _read_envelope(self.options["<file>"])
+        KeyRing.from_config(settings).verify(envelope)
+        return self._put_in_force(settings, envelope)
+
+    def _step_back(self):
+        settings = self.settings()
+        _, objects, _ = self.platform(settings)
+        keyring = KeyRing.from_config(settings)
+        envelope = fetch_envelope(objects, self.options["<digest>"], keyring)
+        return self._put_in_force(settings, envelope)
+
+    def _put_in_force(self, settings, envelope):
+        if envelope.bundle.cell != settings.cell:
+            raise BundleInvalid(
+                place="cell", reason=f"it is for {envelope.bundle.cell}"
+            )
+        table, objects, hosts = self.platform(settings)
+        digest = envelope.bundle.digest
+        if self.options["--dry-run"]:
+            head = read_head(table)
+            self.output.write(
+                f"would roll {digest} as sequence {head.sequence + 1}",
+                digest=digest,
+                sequence=head.sequence + 1,
+            )
+            return 0
+        proposal = propose(table, objects, envelope, self.operator(), self.clock.time())
+        names = _process_names(hosts)
+        missing = self._wait_for(table, names, proposal, states=None)
+        if missing and not self.options["--force"]:
+            withdraw(table, proposal)
+            raise NotAcknowledged(hosts=", ".join(sorted(missing)))
+        head = accept(table, proposal)
+        self.output.write(
+            f"accepted {digest} as sequence {head.sequence}",
+            accepted=digest,
+            sequence=head.sequence,
+        )
+        missing = self._wait_for(table, names, proposal, states=(IN_FORCE,))
+        self.output.write(
+            f"in force on {len(names) - len(missing)} of {len(names)} processes"
+            + (f"; not heard from {', '.join(sorted(missing))}" if missing else ""),
+            in_force=sorted(set(names) - missing),
+            not_heard_from=sorted(missing),
+        )
+        return 0
+
+    def _wait_for(self, table, names, proposal, states):
+        deadline = self.clock.monotonic() + float(self.options["--wait"])
+        while True:
+            seen = read_seen(table)
+            missing = {
+                name
+                for name in names
+                if not _has_seen(seen.get(name), proposal, states)
+            }
+            if not missing or self.clock.monotonic() >= deadline:
+                return missing
+            self.clock.wait(threading.Event(), _LOOK_SECONDS)
+
+    def _status(self):
+        settings = self.settings()
+        table, _, hosts = self.platform(settings)
+        head = read_head(table)
+        self.output.write(
+            f"sequence {head.sequence} {head.digest} by {head.operator or 'nobody'}",
+            sequence=head.sequence,
+            digest=head.digest,
+            operator=head.operator,
+            proposal=head.proposal.as_mapping() if head.proposal else None,
+        )
+        seen = read_seen(table)
+        for name in _process_names(hosts):
+            found = seen.get(name, {"sequence": 0, "state": "nothing"})
+            self.output.write(
+                f"  {name}: {found['state']} {found['sequence']}", host=name, **found
+            )
+        return 0
+
+
+def _read_envelope(path):
+    data = read_file(path)
+    try:
+        return Envelope.from_bytes(data)
+    except BundleInvalid:
+        document = _json_or_none(data)
+        if document is None or "document" in document:
+            raise
+        return Envelope(Bundle.from_document(document), {})
+
+
+def _json_or_none(data):
+    try:
+        found = json.loads(data)
+    except ValueError:
+        return None
+    return found if isinstance(found, dict) else None
+
+
+def _process_names(hosts):
+    return sorted(
+        entry.name
+        for entry in hosts.fetch()
+        if entry.kind in (GATEWAY_KIND, PLACER_KIND) and entry.is_live
+    )
+
+
+def _has_seen(found, proposal, states):
+    if found is None:
+        return False
+    is_it = (found["sequence"], found["digest"]) == (proposal.sequence, proposal.digest)
+    return is_it and (states is None or found["state"] in states)
+
+
+def _differences(old, new, place=""):
+    if isinstance(old, dict) and isinstance(new, dict):
+        for key in sorted(old.keys() | new.keys()):
+            yield from _differences(old.get(key), new.get(key), f"{place}/{key}")
+    elif old != new:
+        yield place, old, new
--- /dev/null
+++ b/papayapick/ownership/__init__.py
@@ -0,0 +1,25 @@
+"""Which placer serves a shard of hosts, and at which epoch."""
+
+from papayapick.ownership.assignments import preferred_owner, shard_of
+from papayapick.ownership.commands import claim, release
+from papayapick.ownership.exceptions import (
+    OwnershipError,
+    OwnershipUnconfirmed,
+    ShardNotOwned,
+    TakeoverLost,
+)
+from papayapick.ownership.queries import ShardRow, read_shard, read_shards
+
+__all__ = [
+    "OwnershipError",
+    "OwnershipUnconfirmed",
+    "ShardNotOwned",
+    "ShardRow",
+    "TakeoverLost",
+    "claim",
+    "preferred_owner",
+    "read_shard",
+    "read_shards",
+    "release",
+    "shard_of",
+]
--- /dev/null
+++ b/papayapick/placer/exceptions.py
@@ -0,0 +1,60 @@
+"""Errors of the placer."""
+
+from papayapick.exceptions import PapayapickError
+
+__all__ = [
+    "OutcomeUnsettled",
+    "PlacerError",
+    "ServiceUnknown",
+    "ShardClosed",
+    "WaitOver",
+    "WaitingFull",
+]
+
+
+class PlacerError(PapayapickError):
+    """Stand for any refusal by a placer; the work did not run."""
+
+    code = "placer.error"
+    outcome = "not_run"
+
+    @property
+    def retry_after(self):
+        """Return the seconds after which coming back helps."""
+        return self._details.get("retry_after", 1.0)
+
+
+class WaitingFull(PlacerError):
+    """Report a service whose queue is full."""
+
+    code = "placer.waiting-full"
+    template = "{waiting} requests wait for {service} already"
+
+
+class WaitOver(PlacerError):
+    """Report a request that got no slot within the time it could wait."""
+
+    code = "placer.wait-over"
+    template = "no slot of {service} came free in time"
+
+
+class ShardClosed(PlacerError):
+    """Report a shard whose owner is still taking the inventory, or draining."""
+
+    code = "placer.shard-closed"
+    template = "shard {shard} takes no work now"
+
+
+class ServiceUnknown(PlacerError):
+    """Report a service that no instance of the shard serves."""
+
+    code = "placer.service-unknown"
+    template = "shard {shard} has no instance of {service}"
+
+
+class OutcomeUnsettled(PlacerError):
+    """Report work whose outcome a newer owner has to settle."""
+
+    code = "placer.outcome-unsettled"
+    template = "the outcome is left to a newer owner ({cause})"
+    outcome = "unknown"
--- /dev/null
+++ b/papayapick/placer/shards.py
@@ -0,0 +1,141 @@
+"""Hold one shard while this process owns it."""
+
+from papayapick.journal import Journal, WorkBook
+from papayapick.ledger import Amounts, HostLedger, SlotLedger
+from papayapick.ownership import OwnershipUnconfirmed
+from papayapick.placement import PowerOfTwo
+from papayapick.placer.exceptions import ShardClosed
+from papayapick.placer.slots import SlotDesk
+from papayapick.wire.messages import ShardSummary
+
+__all__ = ["Shard"]
+
+
+class Shard:
+    """Keep ledger, queue, journal and work of one shard at one epoch.
+
+    Parameters
+    ----------
+    row : ShardRow
+        As claimed.
+    process : Process
+    journal_bucket : TokenBucket
+    on_fenced : callable
+        Called with the shard when a newer owner is met.
+    """
+
+    __slots__ = (
+        "_confirmed_pauses",
+        "_is_closed",
+        "_pauses",
+        "book",
+        "desk",
+        "entries",
+        "hosts",
+        "journal",
+        "row",
+    )
+
+    def __init__(self, row, process, journal_bucket, on_fenced):
+        self.row = row
+        self.hosts = HostLedger()
+        self.desk = SlotDesk(
+            row.shard,
+            row.epoch,
+            SlotLedger(),
+            PowerOfTwo(process.generator),
+            process.clock,
+        )
+        self.book = WorkBook()
+        self.journal = Journal(
+            process.table,
+            row,
+            process.clock,
+            process.settings.journal_linger_seconds,
+            journal_bucket,
+            on_fenced=lambda: on_fenced(self),
+            on_written=self._apply,
+        )
+        self.entries = {}
+        self._pauses = process.pauses
+        self._confirmed_pauses = process.pauses.count()
+        self._is_closed = False
+
+    @property
+    def name(self):
+        """Return the name of the shard."""
+        return self.row.shard
+
+    @property
+    def epoch(self):
+        """Return the epoch at which the shard is owned."""
+        return self.row.epoch
+
+    @property
+    def is_closed(self):
+        """Return whether the shard takes no new work."""
+        return self._is_closed
+
+    @property
+    def needs_confirmation(self):
+        """Return whether the process was paused since the last confirmation."""
+        return self._pauses.count() != self._confirmed_pauses
+
+    def check_serving(self):
+        """Raise where nothing may be decided now.
+
+        Raises
+        ------
+        ShardClosed
+            The shard is being handed over.
+        OwnershipUnconfirmed
+            The process was paused; a newer owner may have fenced it.
+        """
+        if self._is_closed:
+            raise ShardClosed(shard=self.name, retry_after=0.05)
+        if self.needs_confirmation:
+            raise OwnershipUnconfirmed(shard=self.name)
+
+    def confirm(self, pauses):
+        """Note that the table named this owner after so many pauses."""
+        self._confirmed_pauses = pauses
+
+    def close(self):
+        """Take no more work, refuse what waits and end the journal."""
+        self._is_closed = True
+        self.desk.refuse_all(ShardClosed(shard=self.name, retry_after=0.05))
+        self.journal.close()
+
+    def stop_admission(self):
+        """Take no new work; what runs goes on to its end."""
+        self._is_closed = True
+        self.desk.refuse_all(ShardClosed(shard=self.name, retry_after=0.05))
+
+    def summary(self):
+        """Return what peers are told of this shard."""
+        return ShardSummary(shard=self.name, epoch=self.epoch, loads=self.desk.loads())
+
+    def add_worker(self, entry):
+        """Add a closed worker of the live list."""
+        self.entries[entry.name] = entry
+        self.hosts.add(entry.name, Amounts.from_mapping(entry.capacity))
+
+    def add_instance(self, entry):
+        """Add a closed instance of the live list."""
+        self.entries[entry.name] = entry
+        self.desk.with_ledger(
+            lambda ledger: ledger.add(
+                entry.name,
+                entry.service,
+                entry.url,
+                entry.capacity.get("slots", 0),
+                entry.capacity.get("connections", 0),
+            )
+        )
+
+    def use_book(self, book):
+        """Take over the work that an earlier owner journaled."""
+        self.book = book
+
+    def _apply(self, record):
+        self.book.apply(record)
--- /dev/null
+++ b/papayapick/placer/takeover.py
@@ -0,0 +1,130 @@
+"""Take over shards: claim, fence, count what runs, then serve."""
+
+from papayapick.journal.queries import read_work
+from papayapick.ledger import Amounts
+from papayapick.observability import get_logger
+from papayapick.ownership import shard_of
+from papayapick.platforms import PlatformError, StaleEpoch
+from papayapick.platforms.hosts import INSTANCE, WORKER
+
+__all__ = ["HostKeeper", "load_work"]
+
+_LOG = get_logger(__name__)
+
+
+def load_work(shard, table, objects):
+    """Rebuild a shard's work from its journal; raise PlatformError."""
+    shard.use_book(read_work(table, objects, shard.name))
+
+
+class HostKeeper:
+    """Keep the hosts of owned shards in step with the list and the hosts' word.
+
+    A host is opened only after it has been fenced at the shard's epoch and has
+    told what runs there: an earlier owner's work would otherwise be missing
+    from the ledger, and the host given more than it holds.
+
+    Parameters
+    ----------
+    workers : WorkerClient
+    instances : InstanceClient
+    executor : concurrent.futures.Executor
+    """
+
+    __slots__ = ("_executor", "_instances", "_workers")
+
+    def __init__(self, workers, instances, executor):
+        self._workers = workers
+        self._instances = instances
+        self._executor = executor
+
+    def refresh(self, shard, entries, shards_per_zone):
+        """Add, open and close hosts of a shard after a look at the list.
+
+        Parameters
+        ----------
+        shard : Shard
+        entries : list of HostEntry
+        shards_per_zone : int
+        """
+        to_fence = []
+        for entry in self._own(shard, entries, shards_per_zone):
+            self._note(shard, entry)
+            if entry.is_live and not self._is_open(shard, entry):
+                to_fence.append(entry)
+            elif not entry.is_live:
+                self._close(shard, entry)
+        futures = [
+            self._executor.submit(self._open, shard, entry) for entry in to_fence
+        ]
+        for future in futures:
+            future.result()
+
+    def reconcile(self, shard):
+        """Ask backend servers about grants past their upper bound."""
+        for instance, grants in shard.desk.doubtful().items():
+            entry = shard.entries[instance]
+            try:
+                running = set(self._instances.running(entry.url, shard.epoch))
+            except PlatformError:
+                continue
+            for grant in grants:
+                # A grant of this owner is past its run's upper bound; one that
+                # was restored goes on until the backend server drops it.
+                if not isinstance(grant, str) or grant not in running:
+                    shard.desk.release(grant)
+
+    @staticmethod
+    def _own(shard, entries, shards_per_zone):
+        for entry in entries:
+            if entry.kind not in (WORKER, INSTANCE):
+                continue
+            worker = entry.worker or entry.name
+            if shard_of(worker, entry.zone, shards_per_zone) == shard.name:
+                yield entry
+
+    @staticmethod
+    def _note(shard, entry):
+        if entry.kind == WORKER:
+            shard.add_worker(entry)
+        else:
+            shard.add_instance(entry)
+
+    @staticmethod
+    def _is_open(shard, entry):
+        if entry.kind == WORKER:
+            return shard.hosts.is_open(entry.name)
+        return shard.desk.with_ledger(lambda ledger: ledger.is_open(entry.name))
+
+    @staticmethod
+    def _close(shard, entry):
+        if entry.kind == WORKER:
+            shard.hosts.close(entry.name)
+        else:
+            shard.desk.with_ledger(lambda ledger: ledger.close(entry.name))
+
+    def _open(self, shard, entry):
+        try:
+            if entry.kind == WORKER:
+                self._open_worker(shard, entry)
+            else:
+                self._open_instance(shard, entry)
+        except StaleEpoch:
+            _LOG.warning("a newer owner fenced the host", extra={"host": entry.name})
+        except PlatformError as error:
+            # Unreachable counts as full; the next look tries again.
+            _LOG.info("host stays closed", extra={"error": str(error)})
+
+    def _open_worker(self, shard, entry):
+        reports = self._workers.fence(entry, shard.epoch)
+        for report in reports:
+            if report.is_running:
+                demand = Amounts.from_mapping(report.demand)
+                shard.hosts.restore(entry.name, report.task, demand)
+        shard.hosts.open(entry.name)
+
+    def _open_instance(self, shard, entry):
+        running = self._instances.running(entry.url, shard.epoch)
+        shard.desk.restore(entry.name, running)
+        shard.desk.with_ledger(lambda ledger: ledger.open(entry.name))
+        shard.desk.serve_waiting()
--- /dev/null
+++ b/papayapick/platforms/hosts.py
@@ -0,0 +1,133 @@
+"""Read the platform's list of live and leaving hosts, which lags."""
+
+import json
+
+from papayapick.platforms.exceptions import (
+    AnswerMissing,
+    HostListUnavailable,
+    NotSent,
+)
+
+__all__ = ["GATEWAY_KIND", "INSTANCE", "PLACER_KIND", "WORKER", "HostEntry", "HostList"]
+
+WORKER = "worker"
+INSTANCE = "instance"
+PLACER_KIND = "placer"
+GATEWAY_KIND = "gateway"
+LIVE = "live"
+_NOT_MODIFIED = 304
+
+
+class HostEntry:
+    """Hold one line of the live list.
+
+    Parameters
+    ----------
+    name : str
+    kind : {"worker", "instance", "gateway", "placer"}
+    state : {"live", "leaving"}
+    url : str
+        Base address; ``IP:PORT`` for processes of the cell.
+    region, zone, rack : str
+    capacity : dict of str to int
+        ``processors`` (millicores), ``memory`` (MiB), ``accelerators``,
+        ``slots`` and ``connections``; what is missing is 0.
+    service : str
+        Service of an instance, else empty.
+    worker : str
+        Worker that an instance stands on, else empty.
+    """
+
+    __slots__ = (
+        "capacity",
+        "kind",
+        "name",
+        "rack",
+        "region",
+        "service",
+        "state",
+        "url",
+        "worker",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        name,
+        kind,
+        state,
+        url,
+        region,
+        zone,
+        rack="",
+        capacity=None,
+        service="",
+        worker="",
+    ):
+        self.name = name
+        self.kind = kind
+        self.state = state
+        self.url = url
+        self.region = region
+        self.zone = zone
+        self.rack = rack
+        self.capacity = capacity or {}
+        self.service = service
+        self.worker = worker
+
+    @property
+    def is_live(self):
+        """Return whether new work may go there."""
+        return self.state == LIVE
+
+    @property
+    def address(self):
+        """Return the IP number and port of a process of the cell."""
+        host, _, port = self.url.rpartition(":")
+        return host, int(port)
+
+
+class HostList:
+    """Fetch the live list.
+
+    Parameters
+    ----------
+    url : str
+    pool : HttpPool
+    """
+
+    __slots__ = ("_entries", "_pool", "_tag", "_url")
+
+    def __init__(self, url, pool):
+        self._url = url
+        self._pool = pool
+        self._tag = None
+        self._entries = []
+
+    def fetch(self):
+        """Return the entries of the list.
+
+        An unchanged list costs an answer without a body: the list of a cell
+        is some ten kilobytes and every process looks once a second.
+
+        Returns
+        -------
+        list of HostEntry
+
+        Raises
+        ------
+        HostListUnavailable
+        """
+        try:
+            headers = {"If-None-Match": self._tag} if self._tag else {}
+            answer = self._pool.request("GET", self._url, headers=headers)
+            if answer.status == _NOT_MODIFIED:
+                return list(self._entries)
+            if answer.status != 200:
+                raise HostListUnavailable()
+            lines = json.loads(answer.body)["hosts"]
+            self._entries = [HostEntry(**line) for line in lines]
+            self._tag = answer.headers.get("ETag")
+            return list(self._entries)
+        except (NotSent, AnswerMissing, ValueError, KeyError, TypeError) as error:
+            raise HostListUnavailable() from error
--- /dev/null
+++ b/papayapick/platforms/objects.py
@@ -0,0 +1,55 @@
+"""Reach the platform's object store over HTTP."""
+
+import hashlib
+import urllib.parse
+
+from papayapick.platforms.exceptions import (
+    AnswerMissing,
+    NotSent,
+    ObjectMissing,
+    ObjectsUnavailable,
+)
+
+__all__ = ["ObjectStore", "digest_of"]
+
+
+def digest_of(data):
+    """Return the SHA-256 of bytes in hexadecimal digits."""
+    return hashlib.sha256(data).hexdigest()
+
+
+class ObjectStore:
+    """Keep bytes by name.
+
+    Parameters
+    ----------
+    url : str
+    pool : HttpPool
+    """
+
+    __slots__ = ("_pool", "_url")
+
+    def __init__(self, url, pool):
+        self._url = url
+        self._pool = pool
+
+    def put(self, name, data):
+        """Store bytes; storing the same bytes again changes nothing."""
+        if self._call("PUT", name, data).status != 200:
+            raise ObjectsUnavailable()
+
+    def get(self, name):
+        """Return the bytes of a name."""
+        answer = self._call("GET", name)
+        if answer.status == 404:
+            raise ObjectMissing(name=name)
+        if answer.status != 200:
+            raise ObjectsUnavailable()
+        return answer.body
+
+    def _call(self, method, name, data=None):
+        url = f"{self._url}/{urllib.parse.quote(name)}"
+        try:
+            return self._pool.request(method, url, data)
+        except (NotSent, AnswerMissing) as error:
+            raise ObjectsUnavailable() from error
--- /dev/null
+++ b/papayapick/wire/__init__.py
@@ -0,0 +1,28 @@
+"""Messages between the processes of a cell, over authenticated TCP frames."""
+
+from papayapick.wire.client import PeerClient
+from papayapick.wire.codec import decode, encode
+from papayapick.wire.exceptions import (
+    FrameInvalid,
+    PeerDisconnected,
+    PeerRefused,
+    PeerTimeout,
+    PeerUnreachable,
+    WireError,
+)
+from papayapick.wire.frames import Connection
+from papayapick.wire.server import PeerServer
+
+__all__ = [
+    "Connection",
+    "FrameInvalid",
+    "PeerClient",
+    "PeerDisconnected",
+    "PeerRefused",
+    "PeerServer",
+    "PeerTimeout",
+    "PeerUnreachable",
+    "WireError",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/papayapick/wire/client.py
@@ -0,0 +1,182 @@
+"""Call one peer over one connection."""
+
+import itertools
+import socket
+import threading
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeout
+
+from papayapick.wire.exceptions import (
+    PeerDisconnected,
+    PeerRefused,
+    PeerTimeout,
+    PeerUnreachable,
+    WireError,
+)
+from papayapick.wire.frames import Connection
+from papayapick.wire.messages import Refusal
+
+__all__ = ["PeerClient"]
+
+
+class PeerClient:
+    """Send messages to a peer and pair the answers.
+
+    The connection is opened at the first call and again after it broke.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+    cell_key : bytes
+    identity : Hello
+    executor : concurrent.futures.Executor
+        Runs one task that reads the connection.
+    connect_seconds : float
+    meter : callable, optional
+    """
+
+    __slots__ = (
+        "_address",
+        "_cell_key",
+        "_connect_seconds",
+        "_connection",
+        "_executor",
+        "_identifiers",
+        "_identity",
+        "_lock",
+        "_meter",
+        "_pending",
+    )
+
+    def __init__(
+        self, address, cell_key, identity, executor, connect_seconds=1.0, meter=None
+    ):
+        self._address = address
+        self._cell_key = cell_key
+        self._identity = identity
+        self._executor = executor
+        self._connect_seconds = connect_seconds
+        self._meter = meter
+        self._connection = None
+        self._identifiers = itertools.count(1)
+        self._pending = {}
+        self._lock = threading.Lock()
+
+    @property
+    def address(self):
+        """Return the peer's IP number and port."""
+        return self._address
+
+    def call(self, payload, traceparent=""):
+        """Send a message whose answer is wanted.
+
+        Parameters
+        ----------
+        payload : Payload
+        traceparent : str
+
+        Returns
+        -------
+        concurrent.futures.Future
+            Gives the answering payload, or raises ``PeerRefused`` or
+            ``PeerDisconnected``.
+
+        Raises
+        ------
+        PeerUnreachable
+            Nothing was sent.
+        """
+        connection = self._connected()
+        identifier = next(self._identifiers)
+        future = Future()
+        with self._lock:
+            self._pending[identifier] = (connection, future)
+        try:
+            connection.send(identifier, payload, traceparent)
+        except PeerDisconnected as error:
+            self._fail(connection, error)
+        return future
+
+    def ask(self, payload, seconds, traceparent=""):
+        """Send a message and wait for its answer.
+
+        Raises
+        ------
+        PeerUnreachable, PeerDisconnected, PeerTimeout, PeerRefused
+        """
+        future = self.call(payload, traceparent)
+        try:
+            return future.result(seconds)
+        except FutureTimeout as error:
+            raise PeerTimeout(address=self._address, seconds=seconds) from error
+
+    def tell(self, payload):
+        """Send a message that has no answer; a broken connection loses it."""
+        self._connected().send(0, payload)
+
+    def close(self):
+        """Close the connection and fail what is outstanding."""
+        with self._lock:
+            connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.close()
+
+    def _connected(self):
+        with self._lock:
+            if self._connection is not None:
+                return self._connection
+            self._connection = self._connect()
+            self._executor.submit(self._read, self._connection)
+            return self._connection
+
+    def _connect(self):
+        try:
+            sock = socket.create_connection(self._address, self._connect_seconds)
+            connection = Connection(sock, self._cell_key, self._identity, self._meter)
+            connection.greet()
+            sock.settimeout(None)
+        except (OSError, WireError) as error:
+            raise PeerUnreachable(address=self._address) from error
+        return connection
+
+    def _read(self, connection):
+        try:
+            while True:
+                identifier, payload, _ = connection.receive()
+                self._settle(identifier, payload)
+        except WireError as error:
+            self._fail(connection, error)
+
+    def _settle(self, identifier, payload):
+        with self._lock:
+            _, future = self._pending.pop(identifier, (None, None))
+        if future is None:
+            # The caller gave up on this answer; it belongs to no one else.
+            return
+        if isinstance(payload, Refusal):
+            future.set_exception(
+                PeerRefused(
+                    refusal_code=payload.code,
+                    detail=payload.detail,
+                    outcome=payload.outcome,
+                    retry_after=payload.retry_after_milliseconds / 1000,
+                )
+            )
+        else:
+            future.set_result(payload)
+
+    def _fail(self, connection, cause):
+        connection.close()
+        with self._lock:
+            if self._connection is connection:
+                self._connection = None
+            lost = [
+                identifier
+                for identifier, (sent_on, _) in self._pending.items()
+                if sent_on is connection
+            ]
+            futures = [self._pending.pop(identifier)[1] for identifier in lost]
+        for future in futures:
+            error = PeerDisconnected(address=self._address)
+            error.__cause__ = cause
+            future.set_exception(error)
--- /dev/null
+++ b/papayapick/wire/codec.py
@@ -0,0 +1,112 @@
+"""Turn messages into packed Cap'n Proto bytes and back."""
+
+from pathlib import Path
+
+import capnp
+
+from papayapick.wire import messages
+from papayapick.wire.exceptions import FrameInvalid
+
+__all__ = ["decode", "encode"]
+
+capnp.remove_import_hook()
+_SCHEMA = capnp.load(str(Path(__file__).with_name("messages.capnp")))
+
+_NESTED = {
+    "shards": messages.ShardSummary,
+    "loads": messages.ServiceLoad,
+}
+_TRAVERSAL_WORDS = 1 << 23
+
+
+def _camel(name):
+    head, *rest = name.split("_")
+    return head + "".join(part.title() for part in rest)
+
+
+_WIRE_NAMES = {}
+_CLASSES = {}
+for _name in messages.__all__:
+    _class = getattr(messages, _name)
+    _WIRE_NAMES[_class] = {slot: _camel(slot) for slot in _class.__slots__}
+    _CLASSES[_name[0].lower() + _name[1:]] = _class
+
+
+def _plain(value):
+    if isinstance(value, messages.Payload):
+        return _fields(value)
+    if isinstance(value, (list, tuple)):
+        return [_plain(item) for item in value]
+    return value
+
+
+def _fields(payload):
+    found = {}
+    for slot, wire_name in _WIRE_NAMES[type(payload)].items():
+        value = getattr(payload, slot)
+        if value is not None:
+            found[wire_name] = _plain(value)
+    return found
+
+
+def encode(identifier, payload, traceparent=""):
+    """Return the packed bytes of one message.
+
+    Parameters
+    ----------
+    identifier : int
+        Pairs an answer with its question.
+    payload : Payload
+    traceparent : str
+
+    Returns
+    -------
+    bytes
+    """
+    kind = type(payload).__name__
+    body = {kind[0].lower() + kind[1:]: _fields(payload)}
+    if traceparent:
+        body["traceparent"] = traceparent
+    return _SCHEMA.Message.new_message(id=identifier, **body).to_bytes_packed()
+
+
+def decode(data):
+    """Read one message.
+
+    Parameters
+    ----------
+    data : bytes
+
+    Returns
+    -------
+    identifier : int
+    payload : Payload
+    traceparent : str
+
+    Raises
+    ------
+    FrameInvalid
+        The bytes are not a message of this schema.
+    """
+    try:
+        message = _SCHEMA.Message.from_bytes_packed(
+            data, traversal_limit_in_words=_TRAVERSAL_WORDS
+        )
+        kind = message.which()
+        payload = _read(_CLASSES[str(kind)], getattr(message, str(kind)))
+        return message.id, payload, message.traceparent
+    except (capnp.KjException, KeyError, ValueError) as error:
+        raise FrameInvalid(reason="not a message of the schema") from error
+
+
+def _read(kind, reader):
+    fields = {}
+    for slot, wire_name in _WIRE_NAMES[kind].items():
+        value = getattr(reader, wire_name)
+        nested = _NESTED.get(slot)
+        if nested is not None:
+            value = [_read(nested, item) for item in value]
+        elif slot == "avoid":
+            value = list(value)
+        fields[slot] = value
+    return kind(**fields)
--- /dev/null
+++ b/papayapick/wire/exceptions.py
@@ -0,0 +1,72 @@
+"""Errors between the processes of a cell."""
+
+from papayapick.exceptions import PapayapickError
+
+__all__ = [
+    "FrameInvalid",
+    "PeerDisconnected",
+    "PeerRefused",
+    "PeerTimeout",
+    "PeerUnreachable",
+    "WireError",
+]
+
+
+class WireError(PapayapickError):
+    """Stand for any error on a connection between processes."""
+
+    code = "wire.error"
+
+
+class FrameInvalid(WireError):
+    """Report a frame that is too large, forged, replayed or not decodable."""
+
+    code = "wire.frame-invalid"
+    template = "frame refused: {reason}"
+
+
+class PeerUnreachable(WireError):
+    """Report a connection that could not be made, so nothing was sent."""
+
+    code = "wire.peer-unreachable"
+    template = "peer {address} cannot be reached"
+
+
+class PeerDisconnected(WireError):
+    """Report a connection that broke with the answer outstanding."""
+
+    code = "wire.peer-disconnected"
+    template = "peer {address} went away before it answered"
+
+
+class PeerTimeout(WireError):
+    """Report an answer that did not come in time."""
+
+    code = "wire.peer-timeout"
+    template = "peer {address} did not answer within {seconds} s"
+
+
+class PeerRefused(WireError):
+    """Carry a peer's typed refusal.
+
+    ``outcome`` is one of ``not_run``, ``unknown`` and ``failed``;
+    ``retry_after`` is in seconds.
+    """
+
+    code = "wire.peer-refused"
+    template = "{refusal_code}: {detail}"
+
+    @property
+    def outcome(self):
+        """Return what became of the work."""
+        return self._details["outcome"]
+
+    @property
+    def retry_after(self):
+        """Return the seconds after which coming back helps."""
+        return self._details["retry_after"]
+
+    @property
+    def refusal_code(self):
+        """Return the code of the error at the peer."""
+        return self._details["refusal_code"]
--- /dev/null
+++ b/papayapick/wire/messages.capnp
@@ -0,0 +1,128 @@
+@0xc2f4d9a1b7e35086;
+# Messages between the processes of one cell.
+
+struct Message {
+  id @0 :UInt64;
+  traceparent @1 :Text;
+  union {
+    hello @2 :Hello;
+    heartbeat @3 :Heartbeat;
+    slotRequest @4 :SlotRequest;
+    slotGrant @5 :SlotGrant;
+    release @6 :Release;
+    submit @7 :Submit;
+    workQuery @8 :WorkQuery;
+    workCancel @9 :WorkCancel;
+    workState @10 :WorkState;
+    refusal @11 :Refusal;
+    acknowledgement @12 :Acknowledgement;
+    bundleQuery @13 :BundleQuery;
+    bundleBody @14 :BundleBody;
+  }
+}
+
+struct Hello {
+  nonce @0 :Data;
+  host @1 :Text;
+  region @2 :Text;
+  zone @3 :Text;
+}
+
+struct Heartbeat {
+  host @0 :Text;
+  bundleSequence @1 :UInt64;
+  bundleDigest @2 :Text;
+  shards @3 :List(ShardSummary);
+  draining @4 :Bool;
+}
+
+struct ShardSummary {
+  shard @0 :Text;
+  epoch @1 :UInt64;
+  loads @2 :List(ServiceLoad);
+}
+
+struct ServiceLoad {
+  service @0 :Text;
+  freeSlots @1 :UInt32;
+  waiting @2 :UInt32;
+}
+
+struct SlotRequest {
+  shard @0 :Text;
+  service @1 :Text;
+  requestId @2 :Text;
+  waitMilliseconds @3 :UInt32;
+  runMilliseconds @4 :UInt32;
+  caller @5 :Text;
+  avoid @6 :List(Text);
+}
+
+struct SlotGrant {
+  grantId @0 :UInt64;
+  shard @1 :Text;
+  epoch @2 :UInt64;
+  instance @3 :Text;
+  url @4 :Text;
+}
+
+struct Release {
+  shard @0 :Text;
+  epoch @1 :UInt64;
+  grantId @2 :UInt64;
+  outcome @3 :Text;
+  runMicroseconds @4 :UInt64;
+}
+
+struct Submit {
+  shard @0 :Text;
+  requestId @1 :Text;
+  kind @2 :Text;
+  name @3 :Text;
+  caller @4 :Text;
+  payload @5 :Data;
+  payloadDigest @6 :Text;
+  deadlineMilliseconds @7 :UInt64;
+  waitMilliseconds @8 :UInt32;
+  job @9 :Text;
+}
+
+struct WorkQuery {
+  shard @0 :Text;
+  requestId @1 :Text;
+  explain @2 :Bool;
+}
+
+struct WorkCancel {
+  shard @0 :Text;
+  requestId @1 :Text;
+}
+
+struct WorkState {
+  requestId @0 :Text;
+  state @1 :Text;
+  outcome @2 :Text;
+  status @3 :UInt16;
+  contentType @4 :Text;
+  result @5 :Data;
+  detail @6 :Text;
+}
+
+struct Refusal {
+  code @0 :Text;
+  detail @1 :Text;
+  outcome @2 :Text;
+  retryAfterMilliseconds @3 :UInt32;
+}
+
+struct Acknowledgement {
+  bundleSequence @0 :UInt64;
+}
+
+struct BundleQuery {
+  digest @0 :Text;
+}
+
+struct BundleBody {
+  envelope @0 :Data;
+}
--- /dev/null
+++ b/papayapick/wire/messages.py
@@ -0,0 +1,162 @@
+"""Name the messages as plain classes."""
+
+__all__ = [
+    "Acknowledgement",
+    "BundleBody",
+    "BundleQuery",
+    "Heartbeat",
+    "Hello",
+    "Payload",
+    "Refusal",
+    "Release",
+    "ServiceLoad",
+    "ShardSummary",
+    "SlotGrant",
+    "SlotRequest",
+    "Submit",
+    "WorkCancel",
+    "WorkQuery",
+    "WorkState",
+]
+
+
+class Payload:
+    """Stand for the body of one message.
+
+    The names in ``__slots__`` are the fields of the schema in snake case; a
+    field that is not given keeps the schema's default.
+
+    Examples
+    --------
+    >>> WorkQuery(shard="hobart-a.0", request_id="r1").request_id
+    'r1'
+    """
+
+    __slots__ = ()
+
+    def __init__(self, **fields):
+        for name in self.__slots__:
+            setattr(self, name, fields.pop(name, None))
+        if fields:
+            raise TypeError(sorted(fields))
+
+    def __repr__(self):
+        shown = ", ".join(f"{name}={getattr(self, name)!r}" for name in self.__slots__)
+        return f"{type(self).__name__}({shown})"
+
+
+class Hello(Payload):
+    """Open a connection: who speaks, and a nonce for the session key."""
+
+    __slots__ = ("host", "nonce", "region", "zone")
+
+
+class ServiceLoad(Payload):
+    """Tell the free slots and waiting requests of a service in a shard."""
+
+    __slots__ = ("free_slots", "service", "waiting")
+
+
+class ShardSummary(Payload):
+    """Tell who serves a shard at which epoch, and its load."""
+
+    __slots__ = ("epoch", "loads", "shard")
+
+
+class Heartbeat(Payload):
+    """Say that a process lives, what it owns and which bundle it runs."""
+
+    __slots__ = ("bundle_digest", "bundle_sequence", "draining", "host", "shards")
+
+
+class SlotRequest(Payload):
+    """Ask for a slot on an instance of a service."""
+
+    __slots__ = (
+        "avoid",
+        "caller",
+        "request_id",
+        "run_milliseconds",
+        "service",
+        "shard",
+        "wait_milliseconds",
+    )
+
+
+class SlotGrant(Payload):
+    """Give a slot on one instance."""
+
+    __slots__ = ("epoch", "grant_id", "instance", "shard", "url")
+
+
+class Release(Payload):
+    """Give a slot back with what became of the call."""
+
+    __slots__ = ("epoch", "grant_id", "outcome", "run_microseconds", "shard")
+
+
+class Submit(Payload):
+    """Hand over work that must be durable."""
+
+    __slots__ = (
+        "caller",
+        "deadline_milliseconds",
+        "job",
+        "kind",
+        "name",
+        "payload",
+        "payload_digest",
+        "request_id",
+        "shard",
+        "wait_milliseconds",
+    )
+
+
+class WorkQuery(Payload):
+    """Ask for the state of durable work."""
+
+    __slots__ = ("explain", "request_id", "shard")
+
+
+class WorkCancel(Payload):
+    """Ask that durable work be cancelled."""
+
+    __slots__ = ("request_id", "shard")
+
+
+class WorkState(Payload):
+    """Tell the state of durable work and, when it is over, its result."""
+
+    __slots__ = (
+        "content_type",
+        "detail",
+        "outcome",
+        "request_id",
+        "result",
+        "state",
+        "status",
+    )
+
+
+class Refusal(Payload):
+    """Refuse a message with a typed error."""
+
+    __slots__ = ("code", "detail", "outcome", "retry_after_milliseconds")
+
+
+class Acknowledgement(Payload):
+    """Confirm a message that has no answer of its own."""
+
+    __slots__ = ("bundle_sequence",)
+
+
+class BundleQuery(Payload):
+    """Ask for the signed envelope of a bundle."""
+
+    __slots__ = ("digest",)
+
+
+class BundleBody(Payload):
+    """Give the signed envelope of a bundle."""
+
+    __slots__ = ("envelope",)
--- /dev/null
+++ b/papayapick/wire/server.py
@@ -0,0 +1,160 @@
+"""Answer peers: one task for each connection."""
+
+import contextlib
+import socket
+import threading
+from concurrent.futures import Future
+
+from papayapick.exceptions import PapayapickError
+from papayapick.observability import get_logger
+from papayapick.wire.exceptions import PeerRefused, WireError
+from papayapick.wire.frames import Connection
+from papayapick.wire.messages import Refusal
+
+__all__ = ["PeerServer"]
+
+_LOG = get_logger(__name__)
+_GREETING_SECONDS = 2.0
+_BACKLOG = 128
+
+
+class PeerServer:
+    """Accept peers and hand their messages to a handler.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+        Port 0 takes any free port.
+    cell_key : bytes
+    identity : Hello
+    handler : callable
+        Called with payload, peer and traceparent; returns a payload, a future
+        of one, or None for a message that has no answer. A
+        ``PapayapickError`` it raises goes back as a ``Refusal``.
+    executor : concurrent.futures.Executor
+    meter : callable, optional
+    """
+
+    __slots__ = (
+        "_cell_key",
+        "_connections",
+        "_executor",
+        "_handler",
+        "_identity",
+        "_listener",
+        "_lock",
+        "_meter",
+        "_stopping",
+    )
+
+    def __init__(self, address, cell_key, identity, handler, executor, meter=None):
+        self._listener = socket.create_server(address, backlog=_BACKLOG)
+        self._cell_key = cell_key
+        self._identity = identity
+        self._handler = handler
+        self._executor = executor
+        self._meter = meter
+        self._connections = set()
+        self._lock = threading.Lock()
+        self._stopping = False
+
+    @property
+    def address(self):
+        """Return the IP number and port that peers connect to."""
+        return self._listener.getsockname()[:2]
+
+    def start(self):
+        """Start accepting."""
+        self._executor.submit(self._accept)
+
+    def close(self):
+        """Stop accepting and close every connection."""
+        self._stopping = True
+        # Not every system lets a listening socket be shut down.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        with self._lock:
+            connections = list(self._connections)
+        for connection in connections:
+            connection.close()
+
+    def _accept(self):
+        while not self._stopping:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                continue
+            connection = Connection(sock, self._cell_key, self._identity, self._meter)
+            self._executor.submit(self._serve, sock, connection)
+
+    def _serve(self, sock, connection):
+        with self._lock:
+            self._connections.add(connection)
+        try:
+            # A stranger that connects and stays silent must not hold a thread.
+            sock.settimeout(_GREETING_SECONDS)
+            connection.answer_greeting()
+            sock.settimeout(None)
+            while True:
+                identifier, payload, traceparent = connection.receive()
+                self._handle(connection, identifier, payload, traceparent)
+        except WireError as error:
+            _LOG.debug("connection ended", extra={"error": str(error)})
+        finally:
+            connection.close()
+            with self._lock:
+                self._connections.discard(connection)
+
+    def _handle(self, connection, identifier, payload, traceparent):
+        try:
+            answer = self._handler(payload, connection.peer, traceparent)
+        except PapayapickError as error:
+            answer = refusal_of(error)
+        except Exception as error:
+            # A fault in one handler must not cut off the peer's other calls.
+            _LOG.exception("handler failed", extra={"kind": type(payload).__name__})
+            answer = _unexpected(error)
+        if isinstance(answer, Future):
+            answer.add_done_callback(
+                lambda done: self._answer_later(connection, identifier, done)
+            )
+        elif answer is not None:
+            connection.send(identifier, answer)
+
+    def _answer_later(self, connection, identifier, done):
+        error = done.exception()
+        if error is None:
+            answer = done.result()
+        elif isinstance(error, PapayapickError):
+            answer = refusal_of(error)
+        else:
+            _LOG.error("handler failed later", exc_info=error)
+            answer = _unexpected(error)
+        try:
+            connection.send(identifier, answer)
+        except WireError:
+            _LOG.info("answer had no connection left")
+
+
+def refusal_of(error):
+    """Return the ``Refusal`` that tells a peer of an error.
+
+    Parameters
+    ----------
+    error : PapayapickError
+        May carry ``outcome`` and ``retry_after`` (seconds).
+    """
+    code = error.refusal_code if isinstance(error, PeerRefused) else error.code
+    return Refusal(
+        code=code,
+        detail=str(error),
+        outcome=getattr(error, "outcome", "unknown"),
+        retry_after_milliseconds=int(getattr(error, "retry_after", 0) * 1000),
+    )
+
+
+def _unexpected(error):
+    return Refusal(
+        code="papayapick.error", detail=type(error).__name__, outcome="unknown"
+    )
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,12 @@
+"""The demo's requests get the right answers on both deployments."""
+
+import pytest
+
+from tests.cells import Cell
+from tests.demo import Demo
+
+
+@pytest.mark.parametrize("deployment", ["footfall", "wayleave"])
+def test_demo_finds_nothing_wrong(deployment):
+    with Cell(deployment) as cell:
+        assert Demo(cell).run() == 0
