Refuse hostile frames and strangers, and let a cell key be replaced

Cause: a stranger could send a 4 MiB greeting before anything was checked, hold a task for ever with a byte now and then, or hold all tasks with silent connections; a packed message of 32 KiB could stand for more memory than a host has; a frozen peer that stopped reading blocked whoever answered it; and a cell key could only be replaced by stopping the whole cell.

Ruled out: TLS between the processes. It needs certificates on hosts that keep nothing and are replaced at any time, and a shared key in one file is what the operators can look after; frames stay keyed BLAKE2b under a session key.

Change: a greeting has 1 KiB, two seconds in all, and at most 64 go on at once; a message takes 16 MiB at most; a send has five seconds; the key file holds up to four keys, the first opens connections and all are accepted (wire/keys.py).

Guards taken out one at a time on a scratch copy, each seen to fail: frame limit, greeting limit, code, counter on either side, one key per direction, type of the greeting, its time limit, send limit, decoding errors, greetings at once, unpacked size. The first try of the last two survived their test: the packed message had to be truly long, and the strangers' time had to be out of reach.

Not shown: how the listener fares under thousands of connections a second.

--- a/papayapick/daemon/process.py
+++ b/papayapick/daemon/process.py
@@ -11,7 +11,7 @@
 from papayapick.observability import Metrics, Tracing, get_logger
 from papayapick.platforms import HostList, HttpPool, ObjectStore, Table
 from papayapick.platforms.exceptions import PlatformError, TableUnavailable
-from papayapick.wire import PeerServer
+from papayapick.wire import CellKeys, PeerServer
 from papayapick.wire.messages import BundleBody, BundleQuery, Heartbeat, Hello
 
 __all__ = ["Process"]
@@ -128,8 +128,7 @@
 
     def _open_peers(self):
         settings = self.settings
-        with open(settings.cell_key, "rb") as file:
-            self.cell_key = file.read().strip()[:64]
+        self.cell_key = CellKeys.from_file(settings.cell_key)
         self.identity = Hello(
             host=settings.host_name,
             region=settings.region,
--- a/papayapick/wire/__init__.py
+++ b/papayapick/wire/__init__.py
@@ -3,7 +3,9 @@
 from papayapick.wire.client import PeerClient
 from papayapick.wire.codec import decode, encode
 from papayapick.wire.exceptions import (
+    CellKeyInvalid,
     FrameInvalid,
+    GreetingOverdue,
     PeerDisconnected,
     PeerRefused,
     PeerTimeout,
@@ -11,11 +13,15 @@
     WireError,
 )
 from papayapick.wire.frames import Connection
+from papayapick.wire.keys import CellKeys
 from papayapick.wire.server import PeerServer
 
 __all__ = [
+    "CellKeyInvalid",
+    "CellKeys",
     "Connection",
     "FrameInvalid",
+    "GreetingOverdue",
     "PeerClient",
     "PeerDisconnected",
     "PeerRefused",
--- a/papayapick/wire/client.py
+++ b/papayapick/wire/client.py
@@ -27,7 +27,7 @@
     Parameters
     ----------
     address : tuple of (str, int)
-    cell_key : bytes
+    cell_key : CellKeys or bytes
     identity : Hello
     executor : concurrent.futures.Executor
         Runs one task that reads the connection.
@@ -133,8 +133,7 @@
         try:
             sock = socket.create_connection(self._address, self._connect_seconds)
             connection = Connection(sock, self._cell_key, self._identity, self._meter)
-            connection.greet()
-            sock.settimeout(None)
+            connection.greet(self._connect_seconds)
         except (OSError, WireError) as error:
             raise PeerUnreachable(address=self._address) from error
         return connection
--- a/papayapick/wire/codec.py
+++ b/papayapick/wire/codec.py
@@ -16,7 +16,9 @@
     "shards": messages.ShardSummary,
     "loads": messages.ServiceLoad,
 }
-_TRAVERSAL_WORDS = 1 << 23
+# Packing turns runs of zeros into two bytes, so a short frame can stand for
+# gigabytes: a message takes at most 16 MiB, four times the longest frame.
+_TRAVERSAL_WORDS = 2 << 20
 
 
 def _camel(name):
--- a/papayapick/wire/exceptions.py
+++ b/papayapick/wire/exceptions.py
@@ -3,7 +3,9 @@
 from papayapick.exceptions import PapayapickError
 
 __all__ = [
+    "CellKeyInvalid",
     "FrameInvalid",
+    "GreetingOverdue",
     "PeerDisconnected",
     "PeerRefused",
     "PeerTimeout",
@@ -25,6 +27,20 @@
     template = "frame refused: {reason}"
 
 
+class CellKeyInvalid(WireError):
+    """Report a file that holds no key of a cell; a key's text is never shown."""
+
+    code = "wire.cell-key-invalid"
+    template = "{path} holds no cell key: {reason}; hint: papayapick key cell FILE"
+
+
+class GreetingOverdue(WireError):
+    """Report a stranger that did not finish its greeting in time."""
+
+    code = "wire.greeting-overdue"
+    template = "the greeting took too long"
+
+
 class PeerUnreachable(WireError):
     """Report a connection that could not be made, so nothing was sent."""
 
--- a/papayapick/wire/frames.py
+++ b/papayapick/wire/frames.py
@@ -3,7 +3,8 @@
 A frame is a length of 4 bytes, a code of 16 bytes and the message. The code is
 a keyed BLAKE2b over a counter and the message, so a frame that is forged,
 altered, replayed or reordered is refused. The session key comes from the
-cell's key and a nonce of each side.
+cell's key and a nonce of each side. The caller takes the first of its cell keys
+and the listener answers under the one that the caller used.
 """
 
 import contextlib
@@ -14,13 +15,19 @@
 import struct
 import threading
 
+from papayapick.clock import SystemClock
 from papayapick.wire.codec import decode, encode
-from papayapick.wire.exceptions import FrameInvalid, PeerDisconnected
+from papayapick.wire.exceptions import FrameInvalid, GreetingOverdue, PeerDisconnected
+from papayapick.wire.keys import CellKeys
 from papayapick.wire.messages import Hello
 
-__all__ = ["FRAME_LIMIT_BYTES", "Connection"]
+__all__ = ["FRAME_LIMIT_BYTES", "GREETING_LIMIT_BYTES", "Connection"]
 
 FRAME_LIMIT_BYTES = 4 << 20
+GREETING_LIMIT_BYTES = 1 << 10
+_GREETING_SECONDS = 2.0
+_SEND_SECONDS = 5
+_TIMEVAL = struct.Struct("@ll")
 _CODE_BYTES = 16
 _NONCE_BYTES = 16
 _HEADER = struct.Struct(">I")
@@ -40,16 +47,21 @@
     Parameters
     ----------
     sock : socket.socket
-    cell_key : bytes
-        At most 64 bytes, shared by the processes of the cell.
+    cell_keys : CellKeys or bytes
+        Shared by the processes of the cell.
     identity : Hello
         Host, region and zone of this process; the nonce is filled in.
     meter : callable, optional
         Called with purpose, distance, direction and bytes of each frame.
+    clock : Clock, optional
+        Ends a greeting that takes too long.
     """
 
     __slots__ = (
         "_cell_key",
+        "_cell_keys",
+        "_clock",
+        "_deadline",
         "_identity",
         "_meter",
         "_peer",
@@ -61,11 +73,14 @@
         "_socket",
     )
 
-    def __init__(self, sock, cell_key, identity, meter=None):
+    def __init__(self, sock, cell_keys, identity, meter=None, clock=None):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._socket = sock
-        self._cell_key = cell_key
-        self._send_key = self._receive_key = cell_key
+        self._cell_keys = CellKeys.of(cell_keys)
+        self._cell_key = self._cell_keys.first
+        self._clock = clock or SystemClock()
+        self._deadline = None
+        self._send_key = self._receive_key = self._cell_key
         self._send_counter = self._receive_counter = 0
         self._send_lock = threading.Lock()
         self._identity = identity
@@ -84,22 +99,31 @@
             return "link"
         return "zone" if self._peer.zone == self._identity.zone else "region"
 
-    def greet(self):
+    def greet(self, seconds=_GREETING_SECONDS):
         """Exchange greetings as the side that connected.
 
+        Parameters
+        ----------
+        seconds : float
+            For the whole greeting.
+
         Raises
         ------
-        FrameInvalid, PeerDisconnected
+        FrameInvalid, GreetingOverdue, PeerDisconnected
         """
+        self._deadline = self._clock.monotonic() + seconds
         nonce = self._send_hello()
-        self._receive_hello()
+        self._receive_hello(self._cell_keys.first)
         self._derive_keys(nonce, self._peer.nonce, is_caller=True)
+        self._end_greeting()
 
-    def answer_greeting(self):
+    def answer_greeting(self, seconds=_GREETING_SECONDS):
         """Exchange greetings as the side that listened."""
-        self._receive_hello()
+        self._deadline = self._clock.monotonic() + seconds
+        self._receive_hello(*self._cell_keys)
         nonce = self._send_hello()
         self._derive_keys(self._peer.nonce, nonce, is_caller=False)
+        self._end_greeting()
 
     def send(self, identifier, payload, traceparent=""):
         """Send one message; callable from several threads."""
@@ -111,6 +135,9 @@
             try:
                 self._socket.sendall(frame)
             except OSError as error:
+                # Part of a frame may have gone out; what came after it would be
+                # read as the rest of it.
+                self.close()
                 raise PeerDisconnected(address=self._address()) from error
         self._meter(type(payload).__name__, self.distance, "sent", len(frame))
 
@@ -123,17 +150,25 @@
         payload : Payload
         traceparent : str
         """
+        code, body = self._read_frame(FRAME_LIMIT_BYTES)
+        if not self._is_authentic(self._receive_key, code, body):
+            raise FrameInvalid(reason="the code does not match")
+        return self._decoded(body)
+
+    def _read_frame(self, limit):
         (length,) = _HEADER.unpack(self._read(_HEADER.size))
-        if length > FRAME_LIMIT_BYTES:
+        if length > limit:
             raise FrameInvalid(reason=f"{length} bytes are over the limit")
-        code = self._read(_CODE_BYTES)
-        body = self._read(length)
-        expected = _code(self._receive_key, self._receive_counter, body)
-        if not hmac.compare_digest(code, expected):
-            raise FrameInvalid(reason="the code does not match")
+        return self._read(_CODE_BYTES), self._read(length)
+
+    def _is_authentic(self, key, code, body):
+        expected = _code(key, self._receive_counter, body)
+        return hmac.compare_digest(code, expected)
+
+    def _decoded(self, body):
         self._receive_counter += 1
         identifier, payload, traceparent = decode(body)
-        size = _HEADER.size + _CODE_BYTES + length
+        size = _HEADER.size + _CODE_BYTES + len(body)
         self._meter(type(payload).__name__, self.distance, "received", size)
         return identifier, payload, traceparent
 
@@ -158,12 +193,27 @@
         )
         return nonce
 
-    def _receive_hello(self):
-        _, payload, _ = self.receive()
+    def _receive_hello(self, *keys):
+        # A stranger may send anything: a long frame would hold memory before
+        # its code is checked, so a greeting is short.
+        code, body = self._read_frame(GREETING_LIMIT_BYTES)
+        matching = [key for key in keys if self._is_authentic(key, code, body)]
+        if not matching:
+            raise FrameInvalid(reason="the code does not match")
+        self._cell_key = self._send_key = matching[0]
+        _, payload, _ = self._decoded(body)
         if not isinstance(payload, Hello) or len(payload.nonce) != _NONCE_BYTES:
             raise FrameInvalid(reason="no greeting")
         self._peer = payload
 
+    def _end_greeting(self):
+        self._deadline = None
+        self._socket.settimeout(None)
+        # A frozen peer stops reading; without a limit, whoever answers it would
+        # block here for good, with the lock that other answers need.
+        limit = _TIMEVAL.pack(_SEND_SECONDS, 0)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, limit)
+
     def _derive_keys(self, caller_nonce, listener_nonce, is_caller):
         nonces = caller_nonce + listener_nonce
         keys = [
@@ -176,6 +226,7 @@
     def _read(self, size):
         parts = bytearray()
         while len(parts) < size:
+            self._limit_wait()
             try:
                 part = self._socket.recv(size - len(parts))
             except OSError as error:
@@ -185,5 +236,15 @@
             parts += part
         return bytes(parts)
 
+    def _limit_wait(self):
+        # A timeout for each part alone would let a stranger that sends a byte
+        # now and then hold a task for ever.
+        if self._deadline is None:
+            return
+        rest = self._deadline - self._clock.monotonic()
+        if rest <= 0:
+            raise GreetingOverdue()
+        self._socket.settimeout(rest)
+
     def _address(self):
         return self._peer.host if self._peer else "before its greeting"
--- a/papayapick/wire/server.py
+++ b/papayapick/wire/server.py
@@ -14,8 +14,10 @@
 __all__ = ["PeerServer"]
 
 _LOG = get_logger(__name__)
-_GREETING_SECONDS = 2.0
 _BACKLOG = 128
+_GREETING_SECONDS = 2.0
+# A hundred peers that come back at once greet within milliseconds each.
+_GREETINGS_AT_ONCE = 64
 
 
 class PeerServer:
@@ -25,7 +27,7 @@
     ----------
     address : tuple of (str, int)
         Port 0 takes any free port.
-    cell_key : bytes
+    cell_key : CellKeys or bytes
     identity : Hello
     handler : callable
         Called with payload, peer and traceparent; returns a payload, a future
@@ -33,12 +35,15 @@
         ``PapayapickError`` it raises goes back as a ``Refusal``.
     executor : concurrent.futures.Executor
     meter : callable, optional
+    clock : Clock, optional
     """
 
     __slots__ = (
         "_cell_key",
+        "_clock",
         "_connections",
         "_executor",
+        "_greetings",
         "_handler",
         "_identity",
         "_listener",
@@ -47,13 +52,24 @@
         "_stopping",
     )
 
-    def __init__(self, address, cell_key, identity, handler, executor, meter=None):
+    def __init__(
+        self,
+        address,
+        cell_key,
+        identity,
+        handler,
+        executor,
+        meter=None,
+        clock=None,
+    ):
         self._listener = socket.create_server(address, backlog=_BACKLOG)
         self._cell_key = cell_key
         self._identity = identity
         self._handler = handler
         self._executor = executor
         self._meter = meter
+        self._clock = clock
+        self._greetings = threading.BoundedSemaphore(_GREETINGS_AT_ONCE)
         self._connections = set()
         self._lock = threading.Lock()
         self._stopping = False
@@ -85,17 +101,21 @@
                 sock, _ = self._listener.accept()
             except OSError:
                 continue
-            connection = Connection(sock, self._cell_key, self._identity, self._meter)
-            self._executor.submit(self._serve, sock, connection)
+            # Strangers that connect and stay silent hold a task each until their
+            # time is over; past this many, the tasks of real peers would run out.
+            if not self._greetings.acquire(blocking=False):
+                sock.close()
+                continue
+            connection = Connection(
+                sock, self._cell_key, self._identity, self._meter, self._clock
+            )
+            self._executor.submit(self._serve, connection)
 
-    def _serve(self, sock, connection):
+    def _serve(self, connection):
         with self._lock:
             self._connections.add(connection)
         try:
-            # A stranger that connects and stays silent must not hold a thread.
-            sock.settimeout(_GREETING_SECONDS)
-            connection.answer_greeting()
-            sock.settimeout(None)
+            self._greet(connection)
             while True:
                 identifier, payload, traceparent = connection.receive()
                 self._handle(connection, identifier, payload, traceparent)
@@ -106,6 +126,12 @@
             with self._lock:
                 self._connections.discard(connection)
 
+    def _greet(self, connection):
+        try:
+            connection.answer_greeting(_GREETING_SECONDS)
+        finally:
+            self._greetings.release()
+
     def _handle(self, connection, identifier, payload, traceparent):
         try:
             answer = self._handler(payload, connection.peer, traceparent)
--- /dev/null
+++ b/tests/wire/test_keys.py
@@ -0,0 +1,78 @@
+"""A cell's key is replaced while the cell runs."""
+
+import base64
+
+import pytest
+
+from papayapick.wire import CellKeyInvalid, CellKeys, FrameInvalid, WireError
+from papayapick.wire.messages import WorkQuery
+from tests.wire.links import greeted
+
+OLD, NEW = b"o" * 32, b"n" * 32
+# Each step of a rotation, as the processes before and after it hold the keys.
+STEPS = [
+    ("before", [OLD], [OLD]),
+    ("second accepted", [OLD], [OLD, NEW]),
+    ("second first", [OLD, NEW], [NEW, OLD]),
+    ("old dropped", [NEW, OLD], [NEW]),
+    ("after", [NEW], [NEW]),
+]
+
+
+@pytest.mark.parametrize(
+    ("one", "other"), [row[1:] for row in STEPS], ids=[row[0] for row in STEPS]
+)
+def test_processes_on_both_sides_of_a_step_understand_each_other(one, other):
+    for near, far in ((one, other), (other, one)):
+        with greeted(CellKeys(near), CellKeys(far)) as (caller, listener, _, _):
+            caller.send(1, WorkQuery(shard="s", request_id="r"))
+            assert listener.receive()[1].request_id == "r"
+            listener.send(1, WorkQuery(shard="s", request_id="back"))
+            assert caller.receive()[1].request_id == "back"
+
+
+@pytest.mark.parametrize(("near", "far"), [([OLD], [NEW]), ([NEW, OLD], [OLD])])
+def test_step_left_out_is_refused(near, far):
+    with pytest.raises((FrameInvalid, WireError)):
+        with greeted(CellKeys(near), CellKeys(far)):
+            raise AssertionError("greeted without a common key")
+
+
+def _line(key):
+    return base64.b64encode(key)
+
+
+FILES = [
+    ("empty", b"", "0 keys"),
+    ("no base64", b"!!!secret!!!", "line 1"),
+    ("short", _line(b"secret"), "line 1"),
+    ("long", _line(b"s" * 65), "line 1"),
+    ("second bad", _line(OLD) + b"\nsecret", "line 2"),
+    ("too many", b"\n".join(_line(bytes([n]) * 32) for n in range(5)), "5 keys"),
+    ("twice", _line(OLD) + b"\n" + _line(OLD), "stands twice"),
+]
+
+
+@pytest.mark.parametrize(
+    ("data", "reason"), [row[1:] for row in FILES], ids=[row[0] for row in FILES]
+)
+def test_bad_key_file_is_a_typed_error_without_its_text(tmp_path, data, reason):
+    path = tmp_path / "cell.key"
+    path.write_bytes(data)
+    with pytest.raises(CellKeyInvalid, match=reason) as caught:
+        CellKeys.from_file(path)
+    assert "secret" not in str(caught.value)
+    assert caught.value.__cause__ is None
+
+
+def test_missing_key_file_is_a_typed_error(tmp_path):
+    with pytest.raises(CellKeyInvalid):
+        CellKeys.from_file(tmp_path / "nowhere")
+
+
+def test_keys_do_not_show_their_text(tmp_path):
+    path = tmp_path / "cell.key"
+    path.write_bytes(_line(OLD) + b"\n" + _line(NEW) + b"\n")
+    keys = CellKeys.from_file(path)
+    assert keys.first == OLD
+    assert repr(keys) == "CellKeys(2 keys)"
