Show cells and requests, and tell a roll's progress truthfully

Cause: operators could roll bundles, but not see who owns what, who lives, or why a request waits; a roll was silent until its end and exited with 0 though processes had not been heard from; wrong arguments exited with 1, as refusals do.

Change: cell status|hosts|shards ask the processes themselves over the peers' connections and set their word beside the table and the live list, so that they work in an outage too and say what did not answer. request show|explain|cancel ask the owner of the shard; the owner explains in WorkState.detail from what it holds (placer/explanations.py). A roll shows each process as it acknowledges. Exit codes: 0, 1, 2 for wrong arguments and settings, and 3 for done with something missing.

Weighed: the gateways' HTTP interface for request. It needs an address that the operator must look up, and could not explain; the cell key is at hand.

--- a/papayapick/daemon/program.py
+++ b/papayapick/daemon/program.py
@@ -4,7 +4,7 @@
 import sys
 import threading
 
-from docopt import docopt
+from docopt import DocoptExit, docopt
 
 from papayapick import VERSION
 from papayapick.conf import Settings
@@ -35,7 +35,11 @@
         As docopt gives them.
     settings : Settings
     """
-    options = docopt(usage, argv=arguments, version=f"papayapick {VERSION}")
+    try:
+        options = docopt(usage, argv=arguments, version=f"papayapick {VERSION}")
+    except DocoptExit as error:
+        sys.stderr.write(f"command.usage: {error}\n")
+        sys.exit(EXIT_SETTINGS)
     try:
         return options, Settings.from_config(program, options)
     except SettingsError as error:
--- a/papayapick/management/base.py
+++ b/papayapick/management/base.py
@@ -7,10 +7,10 @@
 from papayapick.clock import SystemClock
 from papayapick.conf import Settings
 from papayapick.conf.settings import OPERATOR
-from papayapick.management.exceptions import FileUnreadable
+from papayapick.management.exceptions import FileUnreadable, FileUnwritable
 from papayapick.platforms import HostList, HttpPool, ObjectStore, Table
 
-__all__ = ["Command", "Output", "read_file"]
+__all__ = ["Command", "Output", "read_file", "write_file"]
 
 
 class Output:
@@ -95,3 +95,17 @@
             return file.read()
     except OSError as error:
         raise FileUnreadable(path=path, reason=error.strerror) from error
+
+
+def write_file(path, data):
+    """Write the bytes of a file.
+
+    Raises
+    ------
+    FileUnwritable
+    """
+    try:
+        with open(path, "wb") as file:
+            file.write(data)
+    except OSError as error:
+        raise FileUnwritable(path=path, reason=error.strerror) from error
--- a/papayapick/management/commands/__init__.py
+++ b/papayapick/management/commands/__init__.py
@@ -1,11 +1,12 @@
 """One module for each command."""
 
 from papayapick.management.commands.bundle import BundleCommand
+from papayapick.management.commands.cell import CellCommand
 from papayapick.management.commands.check import CheckCommand
 from papayapick.management.commands.key import KeyCommand
+from papayapick.management.commands.request import RequestCommand
 
 __all__ = ["COMMANDS"]
 
-COMMANDS = {
-    command.name: command for command in (BundleCommand, CheckCommand, KeyCommand)
-}
+_ALL = (BundleCommand, CellCommand, CheckCommand, KeyCommand, RequestCommand)
+COMMANDS = {command.name: command for command in _ALL}
--- a/papayapick/management/commands/bundle.py
+++ b/papayapick/management/commands/bundle.py
@@ -1,6 +1,7 @@
 """Check, compare, sign, roll and step back bundles."""
 
 import json
+import math
 import threading
 
 from papayapick.bundle import (
@@ -13,13 +14,19 @@
 from papayapick.bundle.commands import accept, propose, withdraw
 from papayapick.bundle.heads import IN_FORCE
 from papayapick.bundle.queries import fetch_envelope, read_head, read_seen
-from papayapick.management.base import Command, read_file
-from papayapick.management.exceptions import NotAcknowledged
-from papayapick.platforms.hosts import GATEWAY_KIND, PLACER_KIND
+from papayapick.management.base import Command, read_file, write_file
+from papayapick.management.exceptions import (
+    ArgumentInvalid,
+    NotAcknowledged,
+    SigningKeyInvalid,
+)
+from papayapick.management.exit_codes import EXIT_OK, EXIT_PARTLY, EXIT_SETTINGS
+from papayapick.management.peers import process_entries
 
 __all__ = ["BundleCommand"]
 
 _LOOK_SECONDS = 0.1
+_LONGEST_WAIT_SECONDS = 3600
 
 
 class BundleCommand(Command):
@@ -57,7 +64,7 @@
         for step in ("check", "diff", "sign", "roll", "step-back", "status"):
             if self.options[step]:
                 return getattr(self, "_" + step.replace("-", "_"))()
-        return 2
+        return EXIT_SETTINGS
 
     def _check(self):
         envelope = _read_envelope(self.options["<file>"])
@@ -69,7 +76,7 @@
             digest=bundle.digest,
             signed_by=sorted(envelope.signatures),
         )
-        return 0
+        return EXIT_OK
 
     def _diff(self):
         old = _read_envelope(self.options["<old>"]).bundle.document
@@ -81,19 +88,23 @@
                 before=before,
                 after=after,
             )
-        return 0
+        return EXIT_OK
 
     def _sign(self):
         envelope = _read_envelope(self.options["<file>"])
-        sign(envelope, self.operator(), read_file(self.options["--key"]))
-        with open(self.options["--out"], "wb") as file:
-            file.write(envelope.to_bytes())
+        key_path = self.options["--key"]
+        try:
+            sign(envelope, self.operator(), read_file(key_path))
+        except (ValueError, TypeError, AttributeError):
+            # Without its cause: a library's message may quote the file.
+            raise SigningKeyInvalid(path=key_path) from None
+        write_file(self.options["--out"], envelope.to_bytes())
         self.output.write(
             f"signed by {', '.join(sorted(envelope.signatures))}",
             signed_by=sorted(envelope.signatures),
             digest=envelope.bundle.digest,
         )
-        return 0
+        return EXIT_OK
 
     def _roll(self):
         settings = self.settings()
@@ -109,6 +120,7 @@
         return self._put_in_force(settings, envelope)
 
     def _put_in_force(self, settings, envelope):
+        self._patience()
         if envelope.bundle.cell != settings.cell:
             raise BundleInvalid(
                 place="cell", reason=f"it is for {envelope.bundle.cell}"
@@ -122,7 +134,7 @@
                 digest=digest,
                 sequence=head.sequence + 1,
             )
-            return 0
+            return EXIT_OK
         proposal = propose(table, objects, envelope, self.operator(), self.clock.time())
         names = _process_names(hosts)
         missing = self._wait_for(table, names, proposal, states=None)
@@ -142,21 +154,36 @@
             in_force=sorted(set(names) - missing),
             not_heard_from=sorted(missing),
         )
-        return 0
+        return EXIT_PARTLY if missing else EXIT_OK
 
     def _wait_for(self, table, names, proposal, states):
-        deadline = self.clock.monotonic() + float(self.options["--wait"])
+        deadline = self.clock.monotonic() + self._patience()
+        missing = set(names)
         while True:
             seen = read_seen(table)
-            missing = {
-                name
-                for name in names
-                if not _has_seen(seen.get(name), proposal, states)
-            }
+            for name in sorted(missing):
+                if _has_seen(seen.get(name), proposal, states):
+                    missing.discard(name)
+                    self._show_progress(name, seen[name], len(names) - len(missing))
             if not missing or self.clock.monotonic() >= deadline:
                 return missing
             self.clock.wait(threading.Event(), _LOOK_SECONDS)
 
+    def _show_progress(self, name, found, count):
+        state = found["state"]
+        self.output.write(f"  {name}: {state}", host=name, state=state, count=count)
+
+    def _patience(self):
+        given = self.options["--wait"]
+        try:
+            seconds = float(given)
+        except ValueError:
+            seconds = math.nan
+        if not 0 <= seconds <= _LONGEST_WAIT_SECONDS:
+            allowed = f"seconds from 0 to {_LONGEST_WAIT_SECONDS}"
+            raise ArgumentInvalid(flag="--wait", given=given, allowed=allowed)
+        return seconds
+
     def _status(self):
         settings = self.settings()
         table, _, hosts = self.platform(settings)
@@ -174,7 +201,7 @@
             self.output.write(
                 f"  {name}: {found['state']} {found['sequence']}", host=name, **found
             )
-        return 0
+        return EXIT_OK
 
 
 def _read_envelope(path):
@@ -197,11 +224,8 @@
 
 
 def _process_names(hosts):
-    return sorted(
-        entry.name
-        for entry in hosts.fetch()
-        if entry.kind in (GATEWAY_KIND, PLACER_KIND) and entry.is_live
-    )
+    found = process_entries(hosts.fetch())
+    return sorted(entry.name for entry in found if entry.is_live)
 
 
 def _has_seen(found, proposal, states):
--- a/papayapick/management/commands/check.py
+++ b/papayapick/management/commands/check.py
@@ -1,7 +1,11 @@
 """Run the system checks."""
 
+import os
+
 from papayapick.checks import run_checks
+from papayapick.conf.queries import read_sources
 from papayapick.management.base import Command
+from papayapick.management.exit_codes import EXIT_FAILED, EXIT_OK
 
 __all__ = ["CheckCommand"]
 
@@ -14,18 +18,23 @@
 
 Usage:
   papayapick check [<bundle>...] [--deploy] [--json]
+  papayapick check --settings [--json]
   papayapick check --help
 
 Without --deploy only the package and the named bundle files are looked at.
 
 Options:
-  --deploy  Look at the settings and reach the platform too.
-  --json    Write for programs.
-  --help    Show this page.
+  --deploy    Look at settings, keys, platform and live list too; compare the
+              live list with the named bundle, or with the one in force.
+  --settings  Show each setting of this environment and where it comes from.
+  --json      Write for programs.
+  --help      Show this page.
 """
 
     def handle(self):
         """Print each finding; return 1 where one is an error."""
+        if self.options["--settings"]:
+            return self._show_settings()
         findings = run_checks(
             bundles=self.options["<bundle>"], is_deployed=self.options["--deploy"]
         )
@@ -37,4 +46,15 @@
             findings=len(findings),
             errors=len(errors),
         )
-        return 1 if errors else 0
+        return EXIT_FAILED if errors else EXIT_OK
+
+    def _show_settings(self):
+        for found in read_sources(os.environ):
+            self.output.write(
+                f"{found.setting.name} = {found.value} ({found.source})",
+                name=found.setting.name,
+                value=found.value,
+                unit=found.setting.unit,
+                source=found.source,
+            )
+        return EXIT_OK
--- a/papayapick/management/commands/key.py
+++ b/papayapick/management/commands/key.py
@@ -6,7 +6,7 @@
 
 from papayapick.bundle import generate_key
 from papayapick.management.base import Command
-from papayapick.management.exceptions import FileUnreadable
+from papayapick.management.exceptions import FileUnwritable
 
 __all__ = ["KeyCommand"]
 
@@ -55,4 +55,4 @@
         with os.fdopen(os.open(path, flags, 0o600), "wb") as file:
             file.write(data)
     except OSError as error:
-        raise FileUnreadable(path=path, reason=error.strerror) from error
+        raise FileUnwritable(path=path, reason=error.strerror) from error
--- /dev/null
+++ b/papayapick/management/commands/request.py
@@ -0,0 +1,83 @@
+"""Show, explain and cancel one request."""
+
+import base64
+import json
+
+from papayapick.management.base import Command
+from papayapick.management.exceptions import OwnerMissing, RequestIdInvalid
+from papayapick.management.exit_codes import EXIT_OK
+from papayapick.management.peers import OperatorPeers
+from papayapick.ownership import read_shard
+from papayapick.wire.messages import WorkCancel, WorkQuery
+
+__all__ = ["RequestCommand"]
+
+
+class RequestCommand(Command):
+    """Ask the owner of a request's shard."""
+
+    name = "request"
+    usage = """Show, explain and cancel durable requests.
+
+Usage:
+  papayapick request show <id> [--json]
+  papayapick request explain <id> [--json]
+  papayapick request cancel <id> [--dry-run] [--json]
+  papayapick request --help
+
+explain tells why a request waits, or where it was placed. Urgent repeatable
+requests are not kept: their answer went to the caller.
+
+Options:
+  --dry-run  Show the request, cancel nothing.
+  --json     Write for programs.
+  --help     Show this page.
+
+Addresses and keys come from the PAPAYAPICK_ variables.
+"""
+
+    def handle(self):
+        """Ask for the request, or for its end."""
+        request_id = self.options["<id>"]
+        shard = request_id.rpartition(".")[0]
+        if not shard:
+            raise RequestIdInvalid(request_id=request_id)
+        settings = self.settings()
+        table, _, hosts = self.platform(settings)
+        owner = read_shard(table, shard).owner
+        with OperatorPeers.from_config(
+            settings, hosts.fetch(), self.operator()
+        ) as peers:
+            try:
+                state = peers.ask(owner, self._message(shard, request_id))
+            except KeyError:
+                raise OwnerMissing(shard=shard, owner=owner or "nobody") from None
+        self._show(state)
+        return EXIT_OK
+
+    def _message(self, shard, request_id):
+        if self.options["cancel"] and not self.options["--dry-run"]:
+            return WorkCancel(shard=shard, request_id=request_id)
+        explain = bool(self.options["explain"])
+        return WorkQuery(shard=shard, request_id=request_id, explain=explain)
+
+    def _show(self, state):
+        values = {"request": state.request_id, "state": state.state}
+        text = f"{state.request_id}: {state.state}"
+        if state.outcome:
+            values.update(outcome=state.outcome, status=state.status)
+            values["result_base64"] = base64.b64encode(state.result).decode()
+            text += f", {state.outcome}"
+        if self.options["explain"] and state.detail:
+            reasons = json.loads(state.detail)
+            values["reasons"] = reasons
+            for reason in reasons:
+                text += f"\n  {reason['code']}: {reason['text']}"
+        elif state.detail:
+            values["detail"] = state.detail
+            text += f" ({state.detail})"
+        if self.options["cancel"] and self.options["--dry-run"]:
+            is_cancellable = state.state == "waiting"
+            values["would_cancel"] = is_cancellable
+            text += "\n  would be cancelled" if is_cancellable else "\n  has begun"
+        self.output.write(text, **values)
--- a/papayapick/management/exceptions.py
+++ b/papayapick/management/exceptions.py
@@ -2,7 +2,17 @@
 
 from papayapick.exceptions import PapayapickError
 
-__all__ = ["CommandError", "CommandUnknown", "FileUnreadable", "NotAcknowledged"]
+__all__ = [
+    "ArgumentInvalid",
+    "CommandError",
+    "CommandUnknown",
+    "FileUnreadable",
+    "FileUnwritable",
+    "NotAcknowledged",
+    "OwnerMissing",
+    "RequestIdInvalid",
+    "SigningKeyInvalid",
+]
 
 
 class CommandError(PapayapickError):
@@ -30,3 +40,38 @@
 
     code = "command.not-acknowledged"
     template = "not acknowledged by {hosts}; the bundle was not accepted"
+
+
+class ArgumentInvalid(CommandError):
+    """Report an argument that is not allowed."""
+
+    code = "command.argument-invalid"
+    template = "{flag}={given!r}: allowed is {allowed}"
+
+
+class RequestIdInvalid(CommandError):
+    """Report a text that can't be the id of a durable request."""
+
+    code = "command.request-id-invalid"
+    template = "{request_id!r} names no shard; hint: take it from Location"
+
+
+class OwnerMissing(CommandError):
+    """Report a shard whose owner is not on the live list."""
+
+    code = "command.owner-missing"
+    template = "shard {shard} belongs to {owner}, which is not on the live list"
+
+
+class FileUnwritable(CommandError):
+    """Report a file that can't be written."""
+
+    code = "command.file-unwritable"
+    template = "{path} can't be written: {reason}"
+
+
+class SigningKeyInvalid(CommandError):
+    """Report a file that holds no private key; its text is never shown."""
+
+    code = "command.signing-key-invalid"
+    template = "{path} holds no unencrypted Ed25519 private key"
--- a/papayapick/management/program.py
+++ b/papayapick/management/program.py
@@ -2,18 +2,18 @@
 
 import sys
 
-from docopt import docopt
+from docopt import DocoptExit, docopt
 
 from papayapick import VERSION
 from papayapick.conf.exceptions import SettingsError
 from papayapick.exceptions import PapayapickError
 from papayapick.management.base import Output
 from papayapick.management.commands import COMMANDS
-from papayapick.management.exceptions import CommandUnknown
+from papayapick.management.exceptions import ArgumentInvalid, CommandUnknown
+from papayapick.management.exit_codes import EXIT_FAILED, EXIT_SETTINGS
+from papayapick.wire import PeerRefused
 
-__all__ = ["EXIT_FAILED", "EXIT_OK", "EXIT_SETTINGS", "USAGE", "main", "run"]
-
-EXIT_OK, EXIT_FAILED, EXIT_SETTINGS = 0, 1, 2
+__all__ = ["USAGE", "main", "run"]
 
 USAGE = """Steer a cell of papayapick.
 
@@ -24,11 +24,13 @@
 
 Commands:
   bundle   Check, compare, sign, roll and step back bundles.
+  cell     Show who lives, who owns what and which bundle runs where.
   check    Look for mistakes in settings, bundle and surroundings.
   key      Make keys for operators and for the cell.
+  request  Show, explain and cancel durable requests.
 
 Each command has its own --help. Exit codes: 0 done, 1 refused or failed,
-2 wrong settings or arguments.
+2 wrong settings or arguments, 3 done but something did not answer.
 """
 
 
@@ -45,25 +47,36 @@
     int
         The exit code.
     """
-    found = docopt(
-        USAGE, argv=arguments, version=f"papayapick {VERSION}", options_first=True
-    )
-    name = found["<command>"]
     try:
-        if name not in COMMANDS:
-            raise CommandUnknown(name=name, known=", ".join(sorted(COMMANDS)))
-        command = COMMANDS[name]
-        options = docopt(command.usage, argv=[name, *found["<arguments>"]])
+        command, options = _parse(arguments)
         output = Output(stdout, bool(options.get("--json")))
         return command(options, output).handle()
-    except (SettingsError, CommandUnknown) as error:
+    except DocoptExit as error:
+        stderr.write(f"command.usage: {error}\n")
+        return EXIT_SETTINGS
+    except (SettingsError, CommandUnknown, ArgumentInvalid) as error:
         stderr.write(f"{error.code}: {error}\n")
         return EXIT_SETTINGS
+    except PeerRefused as error:
+        # Its text begins with the code of the error at the peer.
+        stderr.write(f"{error}\n")
+        return EXIT_FAILED
     except PapayapickError as error:
         stderr.write(f"{error.code}: {error}\n")
         return EXIT_FAILED
 
 
+def _parse(arguments):
+    found = docopt(
+        USAGE, argv=arguments, version=f"papayapick {VERSION}", options_first=True
+    )
+    name = found["<command>"]
+    if name not in COMMANDS:
+        raise CommandUnknown(name=name, known=", ".join(sorted(COMMANDS)))
+    command = COMMANDS[name]
+    return command, docopt(command.usage, argv=[name, *found["<arguments>"]])
+
+
 def main():
     """Run the command line of this process."""
     sys.exit(run(sys.argv[1:], sys.stdout, sys.stderr))
--- /dev/null
+++ b/papayapick/management/views.py
@@ -0,0 +1,142 @@
+"""See a cell from the table, the live list and the processes themselves."""
+
+from papayapick.bundle.queries import read_head
+from papayapick.ownership import read_shards
+from papayapick.platforms import HostListUnavailable, TableUnavailable
+
+__all__ = ["CellView", "ShardView", "read_cell"]
+
+
+class ShardView:
+    """Hold what table and processes say of one shard.
+
+    ``owner`` and ``epoch`` are the table's; ``served_by`` and
+    ``served_epoch`` are of the process that claims the highest epoch.
+    """
+
+    __slots__ = (
+        "epoch",
+        "free_slots",
+        "name",
+        "owner",
+        "served_by",
+        "served_epoch",
+        "waiting",
+    )
+
+    def __init__(self, name, row=None):
+        self.name = name
+        self.owner = row.owner if row else None
+        self.epoch = row.epoch if row else None
+        self.served_by = ""
+        self.served_epoch = 0
+        self.free_slots = {}
+        self.waiting = {}
+
+    @property
+    def is_served(self):
+        """Return whether a process serves it, as far as the table is seen."""
+        if not self.served_by:
+            return False
+        if self.owner is None:
+            return True
+        return (self.served_by, self.served_epoch) == (self.owner, self.epoch)
+
+    def hear(self, host, summary):
+        """Note a process's claim unless one with a higher epoch was heard."""
+        if self.served_by and summary.epoch <= self.served_epoch:
+            return
+        self.served_by, self.served_epoch = host, summary.epoch
+        self.free_slots = {one.service: one.free_slots for one in summary.loads or ()}
+        self.waiting = {one.service: one.waiting for one in summary.loads or ()}
+
+    def as_mapping(self):
+        """Return the view for programs."""
+        fields = {name: getattr(self, name) for name in self.__slots__}
+        return {**fields, "shard": fields.pop("name"), "is_served": self.is_served}
+
+
+class CellView:
+    """Hold one look at a cell.
+
+    Parameters
+    ----------
+    head : Head or None
+        None where the table does not answer.
+    shards : dict of str to ShardView
+    entries : list of HostEntry or None
+        None where the live list does not answer.
+    heartbeats : dict of str to Heartbeat or None
+    """
+
+    __slots__ = ("entries", "head", "heartbeats", "shards")
+
+    def __init__(self, head, shards, entries, heartbeats):
+        self.head = head
+        self.shards = shards
+        self.entries = entries
+        self.heartbeats = heartbeats
+
+    @property
+    def answering(self):
+        """Return the names of the processes that answered."""
+        return sorted(name for name, beat in self.heartbeats.items() if beat)
+
+    @property
+    def silent(self):
+        """Return the names of the processes that did not answer."""
+        return sorted(name for name, beat in self.heartbeats.items() if not beat)
+
+    @property
+    def behind(self):
+        """Return the processes that answered and run another bundle."""
+        if self.head is None:
+            return []
+        return [
+            name
+            for name in self.answering
+            if self.heartbeats[name].bundle_sequence != self.head.sequence
+        ]
+
+    @property
+    def unserved(self):
+        """Return the names of the shards that nobody serves."""
+        return sorted(name for name, one in self.shards.items() if not one.is_served)
+
+    @property
+    def is_whole(self):
+        """Return whether everything answers, is served and is up to date."""
+        is_seen = self.head is not None and self.entries is not None
+        return is_seen and not (self.silent or self.behind or self.unserved)
+
+
+def read_cell(table, hosts, connect):
+    """Look at a cell; what does not answer is left out and said so.
+
+    Parameters
+    ----------
+    table : TableProtocol
+    hosts : HostList
+    connect : callable
+        Takes the entries of the live list and returns OperatorPeers.
+
+    Returns
+    -------
+    CellView
+    """
+    try:
+        head, rows = read_head(table), read_shards(table)
+    except TableUnavailable:
+        head, rows = None, {}
+    try:
+        entries = hosts.fetch()
+    except HostListUnavailable:
+        entries = None
+    with connect(entries or []) as peers:
+        heartbeats = peers.heartbeats()
+    shards = {name: ShardView(name, row) for name, row in rows.items()}
+    for host, beat in heartbeats.items():
+        for summary in (beat.shards or ()) if beat else ():
+            shard = shards.setdefault(summary.shard, ShardView(summary.shard))
+            shard.hear(host, summary)
+    return CellView(head, shards, entries, heartbeats)
--- a/papayapick/placer/process.py
+++ b/papayapick/placer/process.py
@@ -17,6 +17,7 @@
     release,
 )
 from papayapick.ownership.queries import ShardRow
+from papayapick.placer.explanations import explain, reasons_as_text
 from papayapick.placer.jobs import JobRunner
 from papayapick.placer.requests import RequestRunner
 from papayapick.placer.shards import Shard
@@ -278,7 +279,10 @@
         from papayapick.placer.work import state_of
 
         item = self._work.find(shard, query.request_id)
-        return state_of(item, self._process.objects)
+        state = state_of(item, self._process.objects)
+        if query.explain:
+            state.detail = reasons_as_text(explain(shard, item))
+        return state
 
     def _release(self, released):
         with self._lock:
--- /dev/null
+++ b/tests/management/commands.py
@@ -0,0 +1,34 @@
+"""Run the command line inside the test's process."""
+
+import io
+import json
+import os
+from unittest import mock
+
+from papayapick.management.program import run
+
+
+class Ran:
+    """Hold what a command printed and its exit code."""
+
+    def __init__(self, code, out, err):
+        self.code = code
+        self.out = out
+        self.err = err
+
+    @property
+    def lines(self):
+        return [json.loads(line) for line in self.out.splitlines()]
+
+
+def run_command(*arguments, environment=None):
+    """Run papayapick in this process under an environment."""
+    out, err = io.StringIO(), io.StringIO()
+    with mock.patch.dict(os.environ, environment or {}):
+        code = run([str(argument) for argument in arguments], out, err)
+    return Ran(code, out.getvalue(), err.getvalue())
+
+
+def in_cell(cell, *arguments):
+    """Run papayapick against a running cell."""
+    return run_command(*arguments, environment=cell._environment())
