Check settings, keys, platform, clock and live list, and document settings

Cause: the system checks saw only two services and no key file, no contradiction between settings, and nothing of the live list; the settings had no page.

The ids changed their concern: conf.E001 is package.E001, wire.E001 is package.E002, conf.E002 is settings.E001; nothing outside named them.

pytest tests/management tests/checks tests/conf: passed.

--- a/papayapick/checks/__init__.py
+++ b/papayapick/checks/__init__.py
@@ -1,6 +1,18 @@
-"""System checks with ids and hints."""
+"""System checks with ids and hints, a module for each concern."""
 
+from papayapick.checks import bundles, keys, package, platform, settings
 from papayapick.checks.findings import Finding
 from papayapick.checks.queries import register, run_checks
+from papayapick.checks.surroundings import Surroundings
 
-__all__ = ["Finding", "register", "run_checks"]
+__all__ = [
+    "Finding",
+    "Surroundings",
+    "bundles",
+    "keys",
+    "package",
+    "platform",
+    "register",
+    "run_checks",
+    "settings",
+]
--- /dev/null
+++ b/papayapick/checks/bundles.py
@@ -0,0 +1,81 @@
+"""Check bundles, and a bundle against the live list."""
+
+from papayapick.bundle import BundleInvalid
+from papayapick.checks.findings import Finding
+from papayapick.checks.queries import register
+from papayapick.checks.surroundings import read_bundle
+from papayapick.ledger import Amounts
+from papayapick.platforms.hosts import GATEWAY_KIND, INSTANCE, PLACER_KIND, WORKER
+
+__all__ = ["check_bundles", "check_hosts", "check_services", "check_teams"]
+
+
+@register
+def check_bundles(surroundings):
+    """Find bundle documents that break the schema or name another cell."""
+    settings = surroundings.settings
+    for path in surroundings.bundles:
+        try:
+            bundle = read_bundle(path)
+        except (OSError, ValueError) as error:
+            message = f"{path}: {error}"
+            yield Finding("bundle.E001", message, "name a JSON document")
+        except BundleInvalid as error:
+            yield Finding("bundle.E002", f"{path}: {error}", "see docs/ref/bundle.md")
+        else:
+            if settings is not None and bundle.cell != settings.cell:
+                message = f"{path} is for {bundle.cell}, this cell is {settings.cell}"
+                yield Finding("bundle.E003", message, "name the right file or cell")
+
+
+@register
+def check_services(surroundings):
+    """Find services without an instance, and instances without a service."""
+    bundle, entries = surroundings.compared_bundle, surroundings.entries
+    if bundle is None or entries is None:
+        return
+    listed = {entry.service for entry in entries if entry.kind == INSTANCE}
+    for name in sorted(set(bundle.services) - listed):
+        message = f"service {name} has no instance on the live list"
+        yield Finding("bundle.W001", message, "its requests will be refused")
+    for name in sorted(listed - set(bundle.services)):
+        message = f"instances of {name} stand idle: the bundle does not name it"
+        yield Finding("bundle.W002", message, "add it to the bundle")
+
+
+@register
+def check_hosts(surroundings):
+    """Find zones without placers or gateways, and hosts outside the bundle."""
+    bundle, entries = surroundings.compared_bundle, surroundings.entries
+    if bundle is None or entries is None:
+        return
+    zones = bundle.zones()
+    for kind, identifier in (
+        (PLACER_KIND, "bundle.W003"),
+        (GATEWAY_KIND, "bundle.W004"),
+    ):
+        held = {entry.zone for entry in entries if entry.kind == kind and entry.is_live}
+        for zone in sorted(set(zones) - held):
+            message = f"zone {zone} has no live {kind}"
+            yield Finding(identifier, message, "start one there, or look at the list")
+    for entry in entries:
+        if zones.get(entry.zone) != entry.region:
+            message = f"{entry.name} stands in {entry.region}/{entry.zone}"
+            hint = "the bundle has no such place, so nothing runs there"
+            yield Finding("bundle.E004", message, hint)
+
+
+@register
+def check_teams(surroundings):
+    """Find a team's quota that no cell of this size could give."""
+    bundle, entries = surroundings.compared_bundle, surroundings.entries
+    if bundle is None or entries is None:
+        return
+    total = Amounts()
+    for entry in entries:
+        if entry.kind == WORKER and entry.is_live:
+            total += Amounts.from_mapping(entry.capacity)
+    for name, quota in sorted(bundle.teams.items()):
+        if not Amounts.from_mapping(quota).fits_in(total):
+            message = f"the quota of {name} is over the live workers' {total!r}"
+            yield Finding("bundle.W005", message, "lower it, or add workers")
--- a/papayapick/checks/findings.py
+++ b/papayapick/checks/findings.py
@@ -12,20 +12,29 @@
     Parameters
     ----------
     identifier : str
-        Stable, such as ``bundle.E001``.
-    level : {"error", "warning"}
+        Stable, such as ``bundle.E001``; E is an error, W a warning.
     message : str
     hint : str
+
+    Examples
+    --------
+    >>> Finding("keys.W001", "others can read it", "chmod 600").is_error
+    False
     """
 
-    __slots__ = ("hint", "identifier", "level", "message")
+    __slots__ = ("hint", "identifier", "message")
 
-    def __init__(self, identifier, level, message, hint):
+    def __init__(self, identifier, message, hint):
         self.identifier = identifier
-        self.level = level
         self.message = message
         self.hint = hint
 
+    @property
+    def level(self):
+        """Return ``error`` or ``warning``."""
+        letter = self.identifier.rpartition(".")[2][0]
+        return ERROR if letter == "E" else WARNING
+
     @property
     def is_error(self):
         """Return whether the finding must be mended."""
--- /dev/null
+++ b/papayapick/checks/surroundings.py
@@ -0,0 +1,118 @@
+"""Hold what the checks look at."""
+
+import json
+import os
+from functools import cached_property
+
+from papayapick.bundle import Bundle, BundleInvalid, Envelope
+from papayapick.bundle.queries import object_name, read_head
+from papayapick.clock import SystemClock
+from papayapick.conf import Settings
+from papayapick.conf.exceptions import SettingsError
+from papayapick.conf.settings import OPERATOR
+from papayapick.platforms import (
+    HostList,
+    HostListUnavailable,
+    HttpPool,
+    ObjectMissing,
+    ObjectStore,
+    ObjectsUnavailable,
+    Table,
+    TableUnavailable,
+)
+
+__all__ = ["Surroundings"]
+
+
+class Surroundings:
+    """Read settings and platform at the first use, once for all checks.
+
+    Parameters
+    ----------
+    bundles : sequence of str
+        Paths of bundle documents.
+    is_deployed : bool
+        Whether settings and platform are looked at.
+    environment : dict, optional
+        Defaults to the process's own.
+    clock : Clock, optional
+    """
+
+    def __init__(self, bundles=(), is_deployed=False, environment=None, clock=None):
+        self.bundles = list(bundles)
+        self.is_deployed = is_deployed
+        self.environment = dict(os.environ if environment is None else environment)
+        self.clock = clock or SystemClock()
+
+    @cached_property
+    def settings(self):
+        """Return the operator's settings, None where they are wrong."""
+        if not self.is_deployed:
+            return None
+        try:
+            return Settings.from_config(OPERATOR, environment=self.environment)
+        except SettingsError:
+            return None
+
+    @cached_property
+    def pool(self):
+        """Return the connections to the platform."""
+        return HttpPool(self.settings.platform_timeout_seconds)
+
+    @cached_property
+    def table(self):
+        """Return the table service."""
+        return Table(self.settings.table_url, self.pool)
+
+    @cached_property
+    def objects(self):
+        """Return the object store."""
+        return ObjectStore(self.settings.objects_url, self.pool)
+
+    @cached_property
+    def entries(self):
+        """Return the live list, None where it is not looked at or silent."""
+        if self.settings is None:
+            return None
+        try:
+            return HostList(self.settings.hosts_url, self.pool).fetch()
+        except HostListUnavailable:
+            return None
+
+    @cached_property
+    def bundle_in_force(self):
+        """Return the accepted bundle, None where there is none to be seen."""
+        if self.settings is None:
+            return None
+        try:
+            head = read_head(self.table)
+            if not head.sequence:
+                return None
+            data = self.objects.get(object_name(head.digest))
+            return Envelope.from_bytes(data).bundle
+        except (TableUnavailable, ObjectsUnavailable, ObjectMissing, BundleInvalid):
+            return None
+
+    @cached_property
+    def compared_bundle(self):
+        """Return the named bundle, or without one that in force, or None."""
+        for path in self.bundles:
+            try:
+                return read_bundle(path)
+            except (OSError, ValueError, BundleInvalid):
+                return None
+        return self.bundle_in_force
+
+
+def read_bundle(path):
+    """Return the bundle of a file, signed or not.
+
+    Raises
+    ------
+    OSError, ValueError, BundleInvalid
+    """
+    with open(path, encoding="utf-8") as file:
+        found = json.load(file)
+    if isinstance(found, dict) and "document" in found:
+        found = found["document"]
+    return Bundle.from_document(found)
--- /dev/null
+++ b/tests/conf/test_settings.py
@@ -0,0 +1,161 @@
+"""Settings are checked: a wrong one ends a program with one line and code 2."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from papayapick.conf import SETTINGS, SettingInvalid, SettingMissing, Settings
+from papayapick.conf.queries import read_sources, reference_page
+from papayapick.conf.settings import GATEWAY, OPERATOR, PLACER
+from papayapick.daemon import program as daemon_program
+from papayapick.gateway import program as gateway_program
+from papayapick.placer import program as placer_program
+from tests.cells import ROOT
+
+URL = "http://127.0.0.1:1"
+USAGES = {GATEWAY: gateway_program.USAGE, PLACER: placer_program.USAGE}
+
+
+@pytest.fixture
+def environment(tmp_path):
+    path = tmp_path / "file"
+    path.write_text("text")
+    values = {"text": "name", "url": URL, "file": str(path)}
+    return {
+        setting.variable: values[setting.kind]
+        for setting in SETTINGS
+        if setting.default is None
+    }
+
+
+@pytest.mark.parametrize("program", [GATEWAY, PLACER, OPERATOR])
+def test_defaults_suffice_beside_what_is_required(program, environment):
+    settings = Settings.from_config(program, environment=environment)
+    for setting in SETTINGS:
+        if program in setting.programs and setting.default is not None:
+            assert getattr(settings, setting.name) == setting.default
+
+
+@pytest.mark.parametrize("program", [GATEWAY, PLACER])
+def test_every_flag_stands_in_help_with_variable_unit_and_reason(program):
+    usage = USAGES[program]
+    for setting in SETTINGS:
+        is_read = program in setting.programs
+        assert (f"  {setting.flag}=" in usage) is is_read, setting.name
+        assert (f"{setting.variable})." in usage) is is_read, setting.name
+        if is_read:
+            assert setting.reason in usage
+
+
+@pytest.mark.parametrize("setting", SETTINGS, ids=lambda setting: setting.name)
+def test_missing_setting_is_named_with_flag_and_variable(setting, environment):
+    if setting.default is not None:
+        assert setting.reason
+        return
+    del environment[setting.variable]
+    with pytest.raises(SettingMissing) as caught:
+        Settings.from_config(setting.programs[0], environment=environment)
+    assert setting.flag in str(caught.value)
+    assert setting.variable in str(caught.value)
+
+
+BAD = {
+    "text": [""],
+    "integer": ["", "x", "1.5", "nan", "-1", "1e30", "99999999999"],
+    "number": ["", "x", "nan", "inf", "-inf", "-1", "1e30"],
+    "address": ["", "x", "1", ":80", "127.0.0.1:", "127.0.0.1:99999", "h:-1"],
+    "file": ["", "/nowhere/file", "/"],
+    "url": ["", "x", "ftp://host", "host:80", "http//x"],
+    "choice": ["", "x", "INFO"],
+}
+BAD_ROWS = [
+    (setting, given)
+    for setting in SETTINGS
+    for given in BAD[setting.kind]
+    if (setting.kind, given) != ("choice", "info")
+]
+
+
+@pytest.mark.parametrize(
+    ("setting", "given"),
+    BAD_ROWS,
+    ids=[f"{setting.name}={given}" for setting, given in BAD_ROWS],
+)
+def test_bad_value_is_told_on_one_line(setting, given, environment):
+    environment[setting.variable] = given
+    with pytest.raises(SettingInvalid) as caught:
+        Settings.from_config(setting.programs[0], environment=environment)
+    told = str(caught.value)
+    assert told.startswith(f"{setting.flag}={given!r}: allowed is ")
+    assert "hint: " in told
+    assert "\n" not in told
+
+
+def test_flag_goes_before_the_variable(environment):
+    environment["PAPAYAPICK_POLL_SECONDS"] = "5"
+    flags = {"--poll-seconds": "7"}
+    assert Settings.from_config(GATEWAY, flags, environment).poll_seconds == 7
+
+
+@pytest.mark.parametrize("program", [GATEWAY, PLACER])
+@pytest.mark.parametrize(
+    ("arguments", "code"),
+    [
+        (["--cell="], "settings.invalid"),
+        ([], "settings.missing"),
+        (["--no-such-flag"], "command.usage"),
+    ],
+)
+def test_program_ends_with_code_2(program, arguments, code, capsys, monkeypatch):
+    for setting in SETTINGS:
+        monkeypatch.delenv(setting.variable, raising=False)
+    with pytest.raises(SystemExit) as ended:
+        daemon_program.read_settings(USAGES[program], program, arguments)
+    assert ended.value.code == 2
+    out, err = capsys.readouterr()
+    assert out == ""
+    assert err.startswith(code + ": ")
+
+
+def test_real_process_ends_with_code_2():
+    found = subprocess.run(
+        [sys.executable, "-m", "papayapick.placer.program", "--listen-peer=x"],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        env={**os.environ, "PAPAYAPICK_CELL": "c"},
+    )
+    assert (found.returncode, found.stdout) == (2, "")
+    assert found.stderr.count("\n") == 1
+
+
+def test_sources_tell_where_a_value_comes_from():
+    environment = {
+        "PAPAYAPICK_POLL_SECONDS": "2",
+        "PAPAYAPICK_HTTP_THREADS": "many",
+    }
+    found = {one.setting.name: one for one in read_sources(environment)}
+    assert (found["poll_seconds"].value, found["poll_seconds"].source) == (
+        2.0,
+        "environment",
+    )
+    assert found["http_threads"].source == "wrong"
+    assert found["http_threads"].value_or_default == 16
+    assert found["cell"].source == "missing"
+    assert found["grant_seconds"].source == "default"
+
+
+def test_reference_page_is_in_step():
+    page = Path(ROOT, "docs", "ref", "settings.md").read_text()
+    assert page == reference_page()
+
+
+def test_each_setting_has_reason_and_each_number_its_range():
+    for setting in SETTINGS:
+        assert setting.reason
+        if setting.kind in ("integer", "number"):
+            assert setting.minimum is not None
+            assert setting.maximum is not None
