Keep every failure's span, and write a line for each request

Cause: with sampling by trace id a failure was kept only by luck; no log line named request, shard, epoch or bundle; the metrics had no page and nothing of the process's own memory and processor time, which have limits.

Change: a hop that failed and was not sampled is written after the fact, under the same trace id, with its error code and outcome and without the error's text. The gateway writes an access line for each request (setting access_log: all, failures, none), without body, key or header.

In others' files: gateway/application.py (hop, access line), gateway/urgent.py (one line: shard and epoch for the log), placer/process.py (fields of the log), daemon/process.py (bundle sequence for the log).

--- a/papayapick/daemon/process.py
+++ b/papayapick/daemon/process.py
@@ -8,7 +8,12 @@
 from papayapick.clock import SystemClock
 from papayapick.limits import PauseGuard
 from papayapick.membership import Peers
-from papayapick.observability import Metrics, Tracing, get_logger
+from papayapick.observability import (
+    Metrics,
+    Tracing,
+    get_logger,
+    set_process_fields,
+)
 from papayapick.platforms import HostList, HttpPool, ObjectStore, Table
 from papayapick.platforms.exceptions import PlatformError, TableUnavailable
 from papayapick.wire import CellKeys, PeerServer
@@ -167,6 +172,7 @@
         except TableUnavailable:
             _LOG.debug("table down, bundle from peers only")
         self.metrics.bundle_sequence.set(self.watcher.sequence)
+        set_process_fields(bundle_sequence=self.watcher.sequence)
 
     def _loop(self, step, seconds):
         while not self._stopping.is_set():
--- a/papayapick/gateway/application.py
+++ b/papayapick/gateway/application.py
@@ -10,7 +10,7 @@
 from papayapick.gateway.admission import admit
 from papayapick.gateway.exceptions import PathUnknown
 from papayapick.gateway.problems import Answer, problem
-from papayapick.observability import get_logger
+from papayapick.observability import AccessLog, get_logger, log_fields, note_fields
 from papayapick.wire import PeerDisconnected, PeerTimeout
 
 __all__ = ["Application"]
@@ -32,6 +32,7 @@
     """
 
     __slots__ = (
+        "_access",
         "_durable",
         "_in_flight",
         "_limits",
@@ -45,6 +46,7 @@
         self._urgent = urgent
         self._durable = durable
         self._limits = caller_limits
+        self._access = AccessLog(process.settings.access_log, process.clock)
         self._in_flight = 0
         self._lock = threading.Lock()
 
@@ -74,22 +76,34 @@
         return self._send(start_response, f"{answer.status} {reason}", answer)
 
     def _traced(self, environ):
+        process = self._process
         traceparent = environ.get("HTTP_TRACEPARENT", "")
-        with self._process.tracing.span("gateway.request", traceparent):
-            trace_id = self._process.tracing.trace_id()
-            request_id = uuid.uuid4().hex
-            try:
-                answer = self._route(environ)
-            except PapayapickError as error:
-                answer = problem(error, request_id, _fallback_outcome(error))
-                self._process.metrics.refusals.labels(error.code).inc()
-            except Exception:
-                _LOG.exception("request failed")
-                error = PapayapickError()
-                answer = problem(error, request_id, _UNKNOWN)
-            answer.headers.append(("Trace-Id", trace_id))
+        request_id = uuid.uuid4().hex
+        began = self._access.start()
+        with (
+            process.tracing.span("gateway.request", traceparent) as hop,
+            log_fields(request_id=request_id, bundle_sequence=process.watcher.sequence),
+        ):
+            answer = self._answer(environ, request_id, hop)
+            answer.headers.append(("Trace-Id", process.tracing.trace_id()))
+            method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+            self._access.write(began, method, path, answer.status, answer.outcome)
             return answer
 
+    def _answer(self, environ, request_id, hop):
+        try:
+            return self._route(environ)
+        except PapayapickError as error:
+            answer = problem(error, request_id, _fallback_outcome(error))
+            self._process.metrics.refusals.labels(error.code).inc()
+            hop.fail(error.code, answer.outcome)
+        except Exception:
+            _LOG.exception("request failed")
+            error = PapayapickError()
+            answer = problem(error, request_id, _UNKNOWN)
+            hop.fail(error.code, answer.outcome)
+        return answer
+
     def _route(self, environ):
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
         if path == _REQUESTS and method == "POST":
@@ -107,6 +121,9 @@
         process = self._process
         bundle = process.watcher.bundle
         admitted = admit(environ, bundle, process.settings.body_limit_bytes)
+        note_fields(request_id=admitted.request_id, service=admitted.name)
+        if admitted.shard:
+            note_fields(shard=admitted.shard)
         self._limits.admit(admitted.caller)
         if admitted.is_durable:
             answer = self._durable.submit(admitted)
--- a/papayapick/gateway/urgent.py
+++ b/papayapick/gateway/urgent.py
@@ -6,6 +6,7 @@
     DeadlinePast,
 )
 from papayapick.gateway.problems import Answer
+from papayapick.observability import note_fields
 from papayapick.platforms import (
     AnswerInvalid,
     AnswerMissing,
@@ -83,6 +84,7 @@
         tracing = self._process.tracing
         with tracing.span("gateway.slot"):
             grant = self._slot(admitted, deadline, avoid)
+        note_fields(shard=grant.granted.shard, epoch=grant.granted.epoch)
         clock = self._process.clock
         began = clock.monotonic()
         self._process.metrics.wait_seconds.labels(admitted.name).observe(
--- a/papayapick/observability/logs.py
+++ b/papayapick/observability/logs.py
@@ -6,22 +6,29 @@
 from opentelemetry import trace
 from pythonjsonlogger.json import JsonFormatter
 
+from papayapick.observability.fields import current_fields
+
 __all__ = ["configure_logs", "get_logger"]
 
 _FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
+_STATIC = {"cell": "cell", "host": "host_name", "zone": "availability_zone"}
 
 
-class _TraceFilter(logging.Filter):
-    """Add the trace id of the current span to each record."""
+class _FieldFilter(logging.Filter):
+    """Add trace id, request, shard, epoch and bundle sequence to each record."""
 
     def filter(self, record):
         context = trace.get_current_span().get_span_context()
         if context.is_valid:
             record.trace_id = format(context.trace_id, "032x")
+        for name, value in current_fields().items():
+            # What the line itself names goes before what surrounds it.
+            if not hasattr(record, name):
+                setattr(record, name, value)
         return True
 
 
-def configure_logs(settings, program):
+def configure_logs(settings, program, stream=None):
     """Send JSON lines to standard error.
 
     Parameters
@@ -29,16 +36,22 @@
     settings : Settings
     program : str
         Written on each line.
+    stream : file, optional
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stderr)
+    static = {
+        name: getattr(settings, setting)
+        for name, setting in _STATIC.items()
+        if hasattr(settings, setting)
+    }
     handler.setFormatter(
         JsonFormatter(
             _FORMAT,
             rename_fields={"asctime": "time", "levelname": "level"},
-            static_fields={"program": program, "cell": settings.cell},
+            static_fields={"program": program, **static},
         )
     )
-    handler.addFilter(_TraceFilter())
+    handler.addFilter(_FieldFilter())
     root = logging.getLogger("papayapick")
     root.handlers = [handler]
     root.setLevel(settings.log_level.upper())
--- a/papayapick/observability/metrics.py
+++ b/papayapick/observability/metrics.py
@@ -5,6 +5,7 @@
     Counter,
     Gauge,
     Histogram,
+    ProcessCollector,
     generate_latest,
 )
 
@@ -34,6 +35,8 @@
 
     def __init__(self):
         self._registry = CollectorRegistry()
+        # Memory and processor time of the process itself have limits too.
+        ProcessCollector(registry=self._registry)
         self.requests = self._counter(
             "papayapick_requests", "Requests answered", ("service", "outcome")
         )
@@ -75,3 +78,19 @@
     def text(self):
         """Return the Prometheus text format, as bytes."""
         return generate_latest(self._registry)
+
+    def describe(self):
+        """Return name, kind, labels and meaning of each metric, by name.
+
+        Returns
+        -------
+        list of tuple
+        """
+        return sorted(self._described(name) for name in self.__slots__[1:])
+
+    def _described(self, attribute):
+        metric = getattr(self, attribute)
+        (family,) = metric.describe()
+        suffix = "_total" if family.type == "counter" else ""
+        labels = tuple(metric._labelnames)
+        return family.name + suffix, family.type, labels, family.documentation
--- a/papayapick/placer/process.py
+++ b/papayapick/placer/process.py
@@ -7,7 +7,7 @@
 from papayapick.journal import JournalError
 from papayapick.ledger import Amounts, NeverFits
 from papayapick.limits import TokenBucket
-from papayapick.observability import get_logger
+from papayapick.observability import get_logger, log_fields
 from papayapick.ownership import (
     ShardNotOwned,
     TakeoverLost,
@@ -140,7 +140,10 @@
             self._release(payload)
             return None
         shard = self._serving(payload.shard)
-        with self._process.tracing.span(type(payload).__name__, traceparent):
+        with (
+            self._process.tracing.span(type(payload).__name__, traceparent),
+            log_fields(shard=shard.name, epoch=shard.epoch),
+        ):
             if isinstance(payload, SlotRequest):
                 return self._grant(shard, payload)
             if isinstance(payload, Submit):
