--- a/papayapick/daemon/program.py
+++ b/papayapick/daemon/program.py
@@ -1,5 +1,6 @@
 """Run a daemon from its command line until it is told to stop."""
 
+import os
 import signal
 import sys
 import threading
@@ -82,8 +83,6 @@
     _LOG.info("stopped", extra={"at_once": len(signals) > 1})
     # Tasks blocked on a peer would hold the interpreter open.
     sys.stderr.flush()
-    import os
-
     os._exit(0)
 
 
--- a/papayapick/journal/writer.py
+++ b/papayapick/journal/writer.py
@@ -79,6 +79,7 @@
         "_is_closed",
         "_is_fenced",
         "_is_settling",
+        "_is_writing",
         "_linger",
         "_lock",
         "_next",
@@ -88,6 +89,7 @@
         "_stop",
         "_table",
         "_wakeup",
+        "_writing",
     )
 
     def __init__(
@@ -104,8 +106,10 @@
         self._next = 0
         self._is_fenced = False
         self._is_settling = False
+        self._is_writing = False
         self._is_closed = False
         self._lock = threading.Lock()
+        self._writing = threading.Lock()
         self._wakeup = threading.Event()
         self._stop = threading.Event()
 
@@ -114,6 +118,12 @@
         """Return whether records are taken now."""
         return not (self._is_fenced or self._is_settling or self._is_closed)
 
+    @property
+    def is_idle(self):
+        """Return whether every record taken so far has its fate."""
+        with self._lock:
+            return not (self._entries or self._is_writing)
+
     def append(self, record, must_last=False):
         """Queue a record.
 
@@ -171,12 +181,21 @@
 
     def write_segment(self):
         """Write what is queued as one row and settle its fate."""
-        with self._lock:
-            self._wakeup.clear()
-            batch = self._entries[:_RECORDS_PER_SEGMENT]
-            del self._entries[: len(batch)]
-        if not batch:
-            return
+        # A flush at shutdown meets the task of this journal: two segments under
+        # one number would conflict and look like a newer owner.
+        with self._writing:
+            with self._lock:
+                self._wakeup.clear()
+                batch = self._entries[:_RECORDS_PER_SEGMENT]
+                del self._entries[: len(batch)]
+                self._is_writing = bool(batch)
+            try:
+                if batch:
+                    self._write(batch)
+            finally:
+                self._is_writing = False
+
+    def _write(self, batch):
         key = segment_key(self._owned.shard, self._owned.epoch, self._next)
         try:
             self._create(key, [entry.record.as_mapping() for entry in batch])
--- /dev/null
+++ b/papayapick/placer/owners.py
@@ -0,0 +1,190 @@
+"""Own shards: claim those this placer should serve, and lose them truthfully."""
+
+import threading
+
+from papayapick.observability import get_logger
+from papayapick.ownership import (
+    ShardNotOwned,
+    TakeoverLost,
+    claim,
+    preferred_owner,
+    read_shards,
+)
+from papayapick.ownership.queries import ShardRow
+from papayapick.placer.shards import Shard
+from papayapick.placer.takeover import load_work
+from papayapick.platforms import PlatformError
+
+__all__ = ["ShardOwner"]
+
+_LOG = get_logger(__name__)
+
+
+class ShardOwner:
+    """Hold the shards of one placer.
+
+    Parameters
+    ----------
+    process : Process
+    keeper : HostKeeper
+    bucket : TokenBucket
+        Writes that the journals of this process may make.
+    on_taken : callable
+        Called with a shard whose work is loaded and whose hosts were looked at.
+    on_lost : callable
+        Called with a shard that was closed.
+    """
+
+    __slots__ = (
+        "_bucket",
+        "_claimed",
+        "_keeper",
+        "_lock",
+        "_on_lost",
+        "_on_taken",
+        "_process",
+        "_shards",
+    )
+
+    def __init__(self, process, keeper, bucket, on_taken, on_lost):
+        self._process = process
+        self._keeper = keeper
+        self._bucket = bucket
+        self._on_taken = on_taken
+        self._on_lost = on_lost
+        self._shards = {}
+        self._claimed = {}
+        self._lock = threading.Lock()
+
+    @property
+    def shards(self):
+        """Return the owned shards."""
+        with self._lock:
+            return list(self._shards.values())
+
+    def get(self, name):
+        """Return an owned shard, or None."""
+        with self._lock:
+            return self._shards.get(name)
+
+    def serving(self, name):
+        """Return an owned shard; raise ShardNotOwned."""
+        shard = self.get(name)
+        if shard is None:
+            raise ShardNotOwned(shard=name)
+        return shard
+
+    def own(self):
+        """Confirm the owned shards and take those that this placer should serve.
+
+        Raises
+        ------
+        TableUnavailable
+        """
+        process = self._process
+        if process.is_draining or not process.watcher.sequence:
+            return
+        pauses = process.pauses.count()
+        rows = read_shards(process.table)
+        self._confirm(rows, pauses)
+        wanted = [
+            rows.get(name) or ShardRow(name, "", 0, 0)
+            for name in process.watcher.bundle.shards()
+        ]
+        wanted = [row for row in wanted if self._should_take(row)]
+        futures = [process.executor.submit(self.take, row) for row in wanted]
+        for future in futures:
+            try:
+                future.result()
+            except PlatformError as error:
+                _LOG.info("takeover put off", extra={"error": str(error)})
+
+    def take(self, row):
+        """Claim a shard, load its work, look at its hosts and serve it.
+
+        Parameters
+        ----------
+        row : ShardRow
+            As it was read.
+
+        Returns
+        -------
+        Shard or None
+            None where another placer was first.
+
+        Raises
+        ------
+        PlatformError
+            The shard may be claimed but is not served; the next look goes on.
+        """
+        process = self._process
+        taken = self._claim(row)
+        if taken is None:
+            return None
+        shard = Shard(taken, process, self._bucket, self.lose)
+        load_work(shard, process.table, process.objects)
+        with self._lock:
+            self._shards[shard.name] = shard
+            self._claimed.pop(shard.name, None)
+        process.executor.submit(shard.journal.run)
+        _LOG.info("shard taken", extra={"shard": shard.name, "epoch": shard.epoch})
+        count = process.watcher.bundle.document["topology"]["shards_per_zone"]
+        self._keeper.refresh(shard, process.peers.entries, count)
+        self._on_taken(shard)
+        return shard
+
+    def lose(self, shard):
+        """Close a shard that a newer owner has."""
+        self.forget(shard)
+        _LOG.warning("shard lost", extra={"shard": shard.name, "epoch": shard.epoch})
+
+    def forget(self, shard):
+        """Close a shard and serve it no more."""
+        with self._lock:
+            if self._shards.get(shard.name) is shard:
+                del self._shards[shard.name]
+        shard.close()
+        self._on_lost(shard)
+
+    def _claim(self, row):
+        # A claim whose work could not be loaded, the table or object store
+        # having failed in between, is gone on with: a claim at each look would
+        # fence the hosts again and again.
+        before = self._claimed.get(row.shard)
+        if before is not None and before.version == row.version:
+            return before
+        process = self._process
+        try:
+            taken = claim(process.table, row, process.settings.host_name)
+        except TakeoverLost as error:
+            _LOG.info("takeover lost", extra={"error": str(error)})
+            return None
+        self._claimed[row.shard] = taken
+        return taken
+
+    def _confirm(self, rows, pauses):
+        for shard in self.shards:
+            row = rows.get(shard.name)
+            if row is None or (row.owner, row.epoch) != (
+                shard.row.owner,
+                shard.epoch,
+            ):
+                self.lose(shard)
+            else:
+                shard.confirm(pauses)
+
+    def _should_take(self, row):
+        process = self._process
+        host = process.settings.host_name
+        if self.get(row.shard) is not None:
+            return False
+        # One that drains answers heartbeats still, but takes nothing any more.
+        placers = [
+            peer.entry for peer in process.peers.live() if not peer.heard.draining
+        ]
+        if preferred_owner(row.shard, placers) != host:
+            return False
+        if row.owner in ("", host):
+            # Its own name on a shard it does not serve: an earlier life's.
+            return True
+        return not process.peers.is_alive(row.owner)
--- a/papayapick/placer/process.py
+++ b/papayapick/placer/process.py
@@ -1,5 +1,6 @@
 """Run the placer: own shards, grant slots, run durable work."""
 
+import json
 import threading
 
 from papayapick.daemon import Process
@@ -8,20 +9,12 @@
 from papayapick.ledger import Amounts, NeverFits
 from papayapick.limits import TokenBucket
 from papayapick.observability import get_logger
-from papayapick.ownership import (
-    ShardNotOwned,
-    TakeoverLost,
-    claim,
-    preferred_owner,
-    read_shards,
-    release,
-)
-from papayapick.ownership.queries import ShardRow
+from papayapick.ownership import release
 from papayapick.placer.jobs import JobRunner
+from papayapick.placer.owners import ShardOwner
 from papayapick.placer.requests import RequestRunner
-from papayapick.placer.shards import Shard
-from papayapick.placer.takeover import HostKeeper, load_work
-from papayapick.placer.work import WorkDesk
+from papayapick.placer.takeover import HostKeeper
+from papayapick.placer.work import WorkDesk, state_of
 from papayapick.platforms import InstanceClient, PlatformError, WorkerClient
 from papayapick.platforms.hosts import WORKER
 from papayapick.routing import SlotClient
@@ -52,30 +45,29 @@
     """
 
     __slots__ = (
-        "_bucket",
         "_health",
         "_jobs",
         "_keeper",
-        "_lock",
+        "_owner",
         "_process",
         "_requests",
-        "_shards",
         "_work",
     )
 
     def __init__(self, settings, clock=None):
-        self._shards = {}
-        self._lock = threading.Lock()
         self._process = Process(
             settings, PROGRAM, self.handle, self._summaries, clock=clock
         )
         process = self._process
         rate = settings.table_writes_per_second
-        self._bucket = TokenBucket(rate, rate / 4 + 1, process.clock)
+        bucket = TokenBucket(rate, rate / 4 + 1, process.clock)
         pool = process.platform_pool
         workers, instances = WorkerClient(pool), InstanceClient(pool)
         self._keeper = HostKeeper(workers, instances, process.executor)
         self._work = WorkDesk(process)
+        self._owner = ShardOwner(
+            process, self._keeper, bucket, self._resume, lambda shard: None
+        )
         slots = SlotClient(
             process.peers,
             settings,
@@ -95,8 +87,7 @@
     @property
     def shards(self):
         """Return the owned shards."""
-        with self._lock:
-            return list(self._shards.values())
+        return self._owner.shards
 
     def is_ready(self):
         """Return whether peers may send work."""
@@ -138,7 +129,7 @@
         if isinstance(payload, Release):
             self._release(payload)
             return None
-        shard = self._serving(payload.shard)
+        shard = self._owner.serving(payload.shard)
         with self._process.tracing.span(type(payload).__name__, traceparent):
             if isinstance(payload, SlotRequest):
                 return self._grant(shard, payload)
@@ -152,17 +143,8 @@
 
     def own_shards(self):
         """Confirm the owned shards and take those that this placer should serve."""
-        process = self._process
-        if process.is_draining or not process.watcher.sequence:
-            return
-        pauses = process.pauses.count()
-        rows = read_shards(process.table)
-        self._confirm(rows, pauses)
-        for name in process.watcher.bundle.shards():
-            row = rows.get(name) or ShardRow(name, "", 0, 0)
-            if name not in self._shards and self._should_take(row):
-                self._take(row)
-        process.metrics.owned_shards.set(len(self._shards))
+        self._owner.own()
+        self._process.metrics.owned_shards.set(len(self.shards))
 
     def refresh_hosts(self):
         """Bring the hosts of the owned shards in step with the live list."""
@@ -174,45 +156,6 @@
             self._keeper.refresh(shard, process.peers.entries, count)
             self._keeper.reconcile(shard)
 
-    def _confirm(self, rows, pauses):
-        for shard in self.shards:
-            row = rows.get(shard.name)
-            if row is None or (row.owner, row.epoch) != (
-                shard.row.owner,
-                shard.epoch,
-            ):
-                self._lose(shard)
-            else:
-                shard.confirm(pauses)
-
-    def _should_take(self, row):
-        process = self._process
-        host = process.settings.host_name
-        placers = [peer.entry for peer in process.peers.live()]
-        if preferred_owner(row.shard, placers) != host:
-            return False
-        if row.owner in ("", host):
-            # Its own name on a shard it does not serve: an earlier life's.
-            return True
-        return not process.peers.is_alive(row.owner)
-
-    def _take(self, row):
-        process = self._process
-        try:
-            taken = claim(process.table, row, process.settings.host_name)
-        except TakeoverLost as error:
-            _LOG.info("takeover lost", extra={"error": str(error)})
-            return
-        shard = Shard(taken, process, self._bucket, self._lose)
-        load_work(shard, process.table, process.objects)
-        with self._lock:
-            self._shards[shard.name] = shard
-        process.executor.submit(shard.journal.run)
-        _LOG.info("shard taken", extra={"shard": shard.name, "epoch": shard.epoch})
-        count = process.watcher.bundle.document["topology"]["shards_per_zone"]
-        self._keeper.refresh(shard, process.peers.entries, count)
-        self._resume(shard)
-
     def _resume(self, shard):
         for item in shard.book.items:
             runner = self._runner(item)
@@ -221,29 +164,13 @@
             elif item.state == "running":
                 runner.recover(shard, item)
 
-    def _lose(self, shard):
-        with self._lock:
-            if self._shards.get(shard.name) is shard:
-                del self._shards[shard.name]
-        shard.close()
-        _LOG.warning("shard lost", extra={"shard": shard.name, "epoch": shard.epoch})
-
     def _hand_over(self, shard):
         shard.journal.flush()
         try:
             release(self._process.table, shard.row)
         except PlatformError as error:
             _LOG.info("shard not released", extra={"error": str(error)})
-        with self._lock:
-            self._shards.pop(shard.name, None)
-        shard.close()
-
-    def _serving(self, name):
-        with self._lock:
-            shard = self._shards.get(name)
-        if shard is None:
-            raise ShardNotOwned(shard=name)
-        return shard
+        self._owner.forget(shard)
 
     def _grant(self, shard, wanted):
         shard.check_serving()
@@ -263,8 +190,6 @@
         return self._work.submit(shard, wanted, policy)
 
     def _check_holdable(self, wanted):
-        import json
-
         demand = Amounts.from_mapping(json.loads(wanted.job)["demand"])
         capacities = [
             Amounts.from_mapping(entry.capacity)
@@ -275,14 +200,11 @@
             raise NeverFits(demand=demand)
 
     def _query(self, shard, query):
-        from papayapick.placer.work import state_of
-
         item = self._work.find(shard, query.request_id)
         return state_of(item, self._process.objects)
 
     def _release(self, released):
-        with self._lock:
-            shard = self._shards.get(released.shard)
+        shard = self._owner.get(released.shard)
         if shard is not None and shard.epoch == released.epoch:
             shard.desk.release(released.grant_id)
 
