--- a/papayapick/journal/__init__.py
+++ b/papayapick/journal/__init__.py
@@ -10,6 +10,7 @@
 )
 from papayapick.journal.records import (
     Accepted,
+    Cancelled,
     Ended,
     Record,
     Started,
@@ -20,6 +21,7 @@
 
 __all__ = [
     "Accepted",
+    "Cancelled",
     "Ended",
     "Journal",
     "JournalError",
--- a/papayapick/journal/queries.py
+++ b/papayapick/journal/queries.py
@@ -42,4 +42,5 @@
     for row in table.scan(journal_prefix(shard)):
         for found in row.value["records"]:
             book.apply(record_from_mapping(found))
+    book.note_earlier_starts()
     return book
--- a/papayapick/journal/records.py
+++ b/papayapick/journal/records.py
@@ -1,6 +1,15 @@
 """Describe the records of the journal."""
 
-__all__ = ["Accepted", "Ended", "Record", "Started", "record_from_mapping"]
+__all__ = [
+    "Accepted",
+    "Cancelled",
+    "Ended",
+    "Record",
+    "Started",
+    "record_from_mapping",
+]
+
+CANCELLED = "work.cancelled"
 
 
 class Record:
@@ -157,7 +166,28 @@
         self.detail = detail
 
 
-_KINDS = {kind.kind: kind for kind in (Accepted, Started, Ended)}
+class Cancelled(Record):
+    """Say that a request is not to start; void where it has started.
+
+    Parameters
+    ----------
+    request_id : str
+    time : float
+    """
+
+    __slots__ = ("time",)
+    kind = "cancelled"
+
+    def __init__(self, request_id, time):
+        self.request_id = request_id
+        self.time = time
+
+    def as_ended(self):
+        """Return the outcome where the request had not started."""
+        return Ended(self.request_id, "not_run", self.time, detail=CANCELLED)
+
+
+_KINDS = {kind.kind: kind for kind in (Accepted, Started, Ended, Cancelled)}
 
 
 def record_from_mapping(found):
--- a/papayapick/journal/work.py
+++ b/papayapick/journal/work.py
@@ -1,7 +1,7 @@
 """Fold records into the state of each request."""
 
 from papayapick.journal.exceptions import KeyReused, WorkUnknown
-from papayapick.journal.records import Accepted, Started
+from papayapick.journal.records import Accepted, Cancelled, Started
 
 __all__ = ["ENDED", "RUNNING", "WAITING", "WorkBook", "WorkItem"]
 
@@ -18,10 +18,13 @@
     accepted : Accepted
     """
 
-    __slots__ = ("accepted", "ended", "started")
+    __slots__ = ("accepted", "ended", "may_have_run", "started")
 
     def __init__(self, accepted):
         self.accepted = accepted
+        # Kept by the process that runs it: whether a byte was ever sent. Only
+        # without one is "not run" said of work whose start is journaled.
+        self.may_have_run = False
         self.started = None
         self.ended = None
 
@@ -73,14 +76,29 @@
         if isinstance(record, Accepted):
             self._items.setdefault(record.request_id, WorkItem(record))
             return
-        item = self.get(record.request_id)
-        if item.ended is not None:
+        item = self._items.get(record.request_id)
+        # A record of a request that was forgotten since tells nothing new.
+        if item is None or item.ended is not None:
             return
         if isinstance(record, Started):
             item.started = record
+        elif isinstance(record, Cancelled):
+            self._cancel(item, record)
         else:
             item.ended = record
 
+    def note_earlier_starts(self):
+        """Take every start for a run: its owner's knowledge died with it."""
+        for item in self._items.values():
+            item.may_have_run = item.started is not None
+
+    @staticmethod
+    def _cancel(item, record):
+        # The journal's order decides a race with the start: behind it, "not
+        # run" would be told of work that is being sent.
+        if item.started is None:
+            item.ended = record.as_ended()
+
     def get(self, request_id):
         """Return a request; raise WorkUnknown."""
         try:
--- a/papayapick/placer/exceptions.py
+++ b/papayapick/placer/exceptions.py
@@ -5,10 +5,12 @@
 __all__ = [
     "OutcomeUnsettled",
     "PlacerError",
+    "ResultUnreadable",
     "ServiceUnknown",
     "ShardClosed",
     "WaitOver",
     "WaitingFull",
+    "WorkMoved",
 ]
 
 
@@ -58,3 +60,19 @@
     code = "placer.outcome-unsettled"
     template = "the outcome is left to a newer owner ({cause})"
     outcome = "unknown"
+
+
+class ResultUnreadable(PlacerError):
+    """Report work that has ended, whose result can't be read just now."""
+
+    code = "placer.result-unreadable"
+    template = "request {request_id} has ended; its result can't be read now"
+    outcome = "unknown"
+
+
+class WorkMoved(PlacerError):
+    """Report work that was taken on and has gone to another owner."""
+
+    code = "placer.work-moved"
+    template = "request {request_id} goes on under another owner"
+    outcome = "unknown"
--- a/papayapick/placer/process.py
+++ b/papayapick/placer/process.py
@@ -5,7 +5,6 @@
 
 from papayapick.daemon import Process
 from papayapick.daemon.health import HealthServer
-from papayapick.journal import JournalError
 from papayapick.ledger import Amounts, NeverFits
 from papayapick.limits import TokenBucket
 from papayapick.observability import get_logger
@@ -13,6 +12,7 @@
 from papayapick.placer.jobs import JobRunner
 from papayapick.placer.owners import ShardOwner
 from papayapick.placer.requests import RequestRunner
+from papayapick.placer.runners import WorkLoop
 from papayapick.placer.takeover import HostKeeper
 from papayapick.placer.work import WorkDesk, state_of
 from papayapick.platforms import InstanceClient, PlatformError, WorkerClient
@@ -32,7 +32,7 @@
 _LOG = get_logger(__name__)
 _RUNNERS = 16
 _EXPIRE_SECONDS = 0.02
-_TAKE_SECONDS = 0.1
+_IDLE_SECONDS = 5.0
 _JOB = "job"
 
 
@@ -66,7 +66,7 @@
         self._keeper = HostKeeper(workers, instances, process.executor)
         self._work = WorkDesk(process)
         self._owner = ShardOwner(
-            process, self._keeper, bucket, self._resume, lambda shard: None
+            process, self._keeper, bucket, self._resume, self._work.leave
         )
         slots = SlotClient(
             process.peers,
@@ -106,9 +106,11 @@
         process.loop(self.own_shards, process.settings.poll_seconds)
         process.loop(self.refresh_hosts, process.settings.poll_seconds)
         process.loop(self._expire, _EXPIRE_SECONDS)
+        process.loop(self._answer_overdue, _EXPIRE_SECONDS)
         process.loop(self._renew, process.settings.task_lease_seconds / 20)
+        loop = WorkLoop(process, self._work, self._runner)
         for _ in range(_RUNNERS):
-            process.loop(self._run_next, 0)
+            process.loop(loop.step, 0)
 
     def stop(self):
         """Hand the shards over, let what runs end, and close."""
@@ -212,21 +214,14 @@
         for shard in self.shards:
             shard.desk.expire()
 
+    def _answer_overdue(self):
+        self._process.clock.wait(self._work.has_waiters, _IDLE_SECONDS)
+        self._work.answer_overdue()
+
     def _renew(self):
         for shard in self.shards:
             self._jobs.renew(shard)
 
-    def _run_next(self):
-        found = self._work.take(_TAKE_SECONDS)
-        if found is None:
-            return
-        shard, item = found
-        try:
-            self._runner(item).run(shard, item)
-        except (PlatformError, JournalError) as error:
-            _LOG.info("run put off", extra={"error": str(error)})
-            self._work.enqueue(shard, item, 1.0)
-
     def _runner(self, item):
         return self._jobs if item.accepted.work == _JOB else self._requests
 
--- a/papayapick/placer/requests.py
+++ b/papayapick/placer/requests.py
@@ -52,11 +52,16 @@
             return
         policy = self._process.watcher.bundle.services.get(item.accepted.name)
         if policy is None:
-            self.end(shard, item, NOT_RUN, detail="work.service-removed")
+            outcome = UNKNOWN if item.may_have_run else NOT_RUN
+            self.end(shard, item, outcome, detail="work.service-removed")
             return
-        now = self._process.clock.time()
-        if now > item.accepted.deadline:
-            self.end(shard, item, NOT_RUN, detail="work.deadline-over")
+        if item.may_have_run and not item.accepted.repeatable:
+            # Whatever brought it back here, it is never sent a second time.
+            self.end(shard, item, UNKNOWN, detail="work.outcome-lost")
+            return
+        if self._process.clock.time() >= item.accepted.deadline:
+            outcome = UNKNOWN if item.may_have_run else NOT_RUN
+            self.end(shard, item, outcome, detail="work.deadline-over")
             return
         try:
             grant = self._acquire(item, policy)
@@ -160,14 +165,17 @@
         accepted = item.accepted
         rest = accepted.deadline - self._process.clock.time()
         seconds = min(policy.run_seconds, max(0.05, rest))
+        ran_before = item.may_have_run
         try:
             payload = load_inline_or_object(
                 self._process.objects, accepted.payload, accepted.payload_object
             )
+            item.may_have_run = True
             answer = self._instances.call(
                 granted.url, item.request_id, granted.epoch, payload, seconds
             )
         except (NotSent, StaleEpoch, ObjectsUnavailable):
+            item.may_have_run = ran_before
             self._put_back(shard, item)
         except (AnswerMissing, AnswerInvalid) as error:
             self._without_answer(shard, item, policy, error)
@@ -195,6 +203,10 @@
             return
         delay = min(_LONGEST_BACKOFF_SECONDS, _BACKOFF_SECONDS * 2**item.attempts)
         delay *= 0.5 + self._process.generator.random()
+        if not item.may_have_run:
+            # It is refused at its deadline, not at the try after it.
+            rest = item.accepted.deadline - self._process.clock.time()
+            delay = min(delay, max(0.0, rest))
         self._desk.enqueue(shard, item, max(least, delay))
 
     def _keep(self, body):
--- a/tests/failures/lives.py
+++ b/tests/failures/lives.py
@@ -1,5 +1,6 @@
 """Lives of a placer: its real parts in one process, over in-process stand-ins."""
 
+import contextlib
 import json
 import queue
 import random
@@ -16,6 +17,7 @@
 from papayapick.ownership import read_shard
 from papayapick.placer.owners import ShardOwner
 from papayapick.placer.requests import RequestRunner
+from papayapick.placer.runners import WorkLoop
 from papayapick.placer.takeover import HostKeeper
 from papayapick.placer.work import WorkDesk
 from papayapick.platforms import (
@@ -60,6 +62,8 @@
         self.faults = {}
         self.operations = []
         self.is_armed = False
+        self.failing_object_read = 0
+        self.object_reads = 0
         self.dead = threading.Event()
         self._late = []
         self._lock = threading.Lock()
@@ -69,6 +73,10 @@
         self.is_armed = True
 
     def request(self, method, url, body=None, headers=None, timeout=None, fresh=False):
+        if method == "GET" and "/objects/" in url:
+            self.object_reads += 1
+            if self.object_reads == self.failing_object_read:
+                raise NotSent(url=url)
         fault = self._next_fault(method, url)
         if self.dead.is_set() or fault == KILLED_BEFORE:
             self._die()
@@ -186,11 +194,12 @@
             table=Table(URL + "/table", self.pool),
             watcher=SimpleNamespace(bundle=cell.bundle, sequence=1),
         )
-        instances = InstanceClient(self.pool)
+        self.instances = instances = InstanceClient(self.pool)
         keeper = HostKeeper(WorkerClient(self.pool), instances, process.executor)
         self.desk = WorkDesk(process)
         slots = DeskSlots(self)
         self.runner = RequestRunner(process, slots, instances, self.desk)
+        self.loop = WorkLoop(process, self.desk, lambda item: self.runner)
         bucket = TokenBucket(1e6, 1e6, cell.clock)
         self.owner = ShardOwner(process, keeper, bucket, self._resume, self._left)
         self.shard = None
@@ -238,6 +247,39 @@
                 self.clock.advance(1.0)
                 self.settle()
 
+    def run_next(self):
+        """Run one item that is due."""
+        if not self.pool.is_armed:
+            self.pool.arm(self._armed)
+        self._run(*self.desk.take(0))
+
+    def start_run(self):
+        """Start the run of an item that is due, and return its thread."""
+        thread = threading.Thread(target=self.run_next, daemon=True)
+        thread.start()
+        return thread
+
+    @contextlib.contextmanager
+    def held(self):
+        """Hold the journal's writer back, so that records gather."""
+        with self.shard.journal._writing:
+            yield
+
+    def wait_for_records(self, count):
+        """Wait until so many records gathered."""
+        while len(self.shard.journal._entries) < count:
+            self.pool.dead.wait(0.002)
+
+    def break_next_answer(self):
+        """Let the handling of the next answer fail unexpectedly."""
+        call = self.instances.call
+
+        def broken(*arguments):
+            call(*arguments)
+            raise RuntimeError("a fault of ours")
+
+        self.runner._instances = SimpleNamespace(call=broken)
+
     def settle(self):
         """Wait until the journal has written what it holds, or is dead."""
         written = threading.Event()
@@ -263,7 +305,7 @@
 
         def run():
             try:
-                self.runner.run(shard, item)
+                self.loop.run_one(shard, item)
             except Killed:
                 pass
             finally:
@@ -285,4 +327,4 @@
                 self.runner.recover(shard, item)
 
     def _left(self, shard):
-        pass
+        self.desk.leave(shard)
