--- a/papayapick/observability/traces.py
+++ b/papayapick/observability/traces.py
@@ -164,13 +164,8 @@
         return int(self._clock.time() * _NANOSECONDS)
 
     def open(self, name, context):
-        """Return the library's manager of a span; its errors are noted by the hop."""
-        return self._tracer.start_as_current_span(
-            name,
-            context=context,
-            record_exception=False,
-            set_status_on_exception=False,
-        )
+        """Return the library's manager of a span."""
+        return self._tracer.start_as_current_span(name, context=context)
 
     def keep_failure(self, name, began, span, error, attributes):
         """Keep a failure of a trace that is not sampled, under the same trace id.
