--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specify the core protocols small enough to be checked in every state."""
