--- /dev/null
+++ b/tests/ownership/parts.py
@@ -0,0 +1,99 @@
+"""Put shards together with stand-ins, without processes or sockets."""
+
+import random
+from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
+
+from papayapick.clock import ManualClock
+from papayapick.limits import PauseGuard, TokenBucket
+from papayapick.ownership import claim, read_shard
+from papayapick.placer.shards import Shard
+from papayapick.placer.takeover import HostKeeper
+from papayapick.platforms import InstanceClient, WorkerClient
+from papayapick.platforms.hosts import HostEntry
+from tests.standins.pool import InProcessPool
+from tests.standins.server import Platform
+
+SHARD = "hobart-a.0"
+CAPACITY = {"processors": 16000, "memory": 65536, "accelerators": 0}
+URL = "http://platform"
+
+
+class SmallCell:
+    """One worker and one instance with one slot, and as many owners as wanted."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.platform = Platform(self.clock, service_seconds=0)
+        self.platform.workers.add("worker-1", CAPACITY)
+        self.platform.instances.add("counts-1", "counts", slots=1)
+        pool = InProcessPool(self.platform)
+        self.workers = WorkerClient(pool)
+        self.instances = InstanceClient(pool)
+        self.executor = ThreadPoolExecutor(4)
+        self.keeper = HostKeeper(self.workers, self.instances, self.executor)
+        self.entries = [
+            _entry("worker-1", "worker", CAPACITY),
+            _entry("counts-1", "instance", {"slots": 1, "connections": 4}),
+        ]
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *ignored):
+        self.platform.board.clear()
+        self.executor.shutdown()
+
+    def process(self):
+        """Return what a shard needs of its process."""
+        return SimpleNamespace(
+            clock=self.clock,
+            table=self.platform.table,
+            objects=self.platform.objects,
+            generator=random.Random(7),
+            settings=SimpleNamespace(
+                journal_linger_seconds=0.0, task_lease_seconds=10.0
+            ),
+            pauses=PauseGuard(self.clock, 1.0),
+        )
+
+    def claim(self, placer):
+        """Claim the shard; its hosts are closed still."""
+        row = claim(self.platform.table, read_shard(self.platform.table, SHARD), placer)
+        bucket = TokenBucket(1000, 1000, self.clock)
+        return Shard(row, self.process(), bucket, lambda shard: shard.close())
+
+    def take_over(self, placer):
+        """Claim the shard, fence its hosts and take the inventory."""
+        shard = self.claim(placer)
+        self.refresh(shard)
+        return shard
+
+    def refresh(self, shard):
+        self.keeper.refresh(shard, self.entries, 1)
+
+    def start(self, shard, task, demand):
+        """Send the start of a task as the shard's owner."""
+        worker = shard.entries["worker-1"]
+        self.workers.start(worker, shard.epoch, task, demand, 10, {"run_seconds": 99})
+
+    def call(self, shard, request_id):
+        """Send a call that goes on running, as a gateway with a grant."""
+        counter = self.platform.instances
+        status, _, _ = counter.call("counts-1", request_id, shard.epoch, 1)
+        return status
+
+
+def _entry(name, kind, capacity):
+    place = {"region": "south-tas", "zone": "hobart-a", "rack": "rack-1"}
+    service = "counts" if kind == "instance" else ""
+    return HostEntry(
+        name,
+        kind,
+        "live",
+        f"{URL}/{kind}s/{name}",
+        capacity=capacity,
+        service=service,
+        worker="worker-1" if service else "",
+        **place,
+    )
--- /dev/null
+++ b/tests/ownership/test_takeover.py
@@ -0,0 +1,130 @@
+import threading
+
+import pytest
+
+from papayapick.journal import JournalFenced, Started
+from papayapick.ledger import Amounts, HostFull
+from papayapick.ownership import OwnershipUnconfirmed
+from papayapick.placer.exceptions import WaitOver
+from papayapick.platforms import StaleEpoch, WorkerUnreachable
+from papayapick.wire.messages import SlotRequest
+from tests.ownership.parts import CAPACITY, SmallCell
+
+WHOLE = Amounts.from_mapping(CAPACITY)
+
+
+@pytest.fixture
+def cell():
+    with SmallCell() as found:
+        yield found
+
+
+def test_an_owner_frozen_between_check_and_send_starts_nothing(cell):
+    """A checks its ledger and is frozen; B takes over and fills the worker; A
+    wakes and sends its start. Without the fence the host holds both.
+    """
+    earlier = cell.take_over("placer-a")
+    earlier.hosts.reserve("worker-1", "late", WHOLE)
+    newer = cell.take_over("placer-b")
+    newer.hosts.reserve("worker-1", "first", WHOLE)
+    cell.start(newer, "first", CAPACITY)
+    with pytest.raises(StaleEpoch):
+        cell.start(earlier, "late", CAPACITY)
+    assert cell.platform.workers.running() == {"worker-1": ["first"]}
+    assert cell.platform.workers.overfilled() == 0
+
+
+def test_a_start_that_landed_before_the_fence_is_counted(cell):
+    """A's start reaches the worker just before B's fence. Without the
+    inventory B's ledger is empty and B fills the worker a second time.
+    """
+    earlier = cell.take_over("placer-a")
+    cell.start(earlier, "first", CAPACITY)
+    newer = cell.take_over("placer-b")
+    with pytest.raises(HostFull):
+        newer.hosts.reserve("worker-1", "second", Amounts(processors=1))
+
+
+def test_a_worker_is_fenced_before_its_inventory_is_believed(cell):
+    """The worker can't be reached at the takeover. Were it opened without the
+    fence, the earlier owner's start would come on top of the new owner's.
+    """
+    earlier = cell.take_over("placer-a")
+    cell.platform.board.set("worker-1", "down")
+    newer = cell.take_over("placer-b")
+    assert newer.hosts.tightest(Amounts(processors=1)) is None
+    cell.platform.board.clear("worker-1")
+    cell.start(earlier, "first", CAPACITY)
+    cell.refresh(newer)
+    assert newer.hosts.is_open("worker-1")
+    assert newer.hosts.free("worker-1") == Amounts()
+
+
+def test_an_unanswered_start_is_reserved_before_it_is_sent(cell):
+    """The answer to a start is lost; the room stays taken, so a second task of
+    the same size is not sent to a host that runs the first.
+    """
+    shard = cell.take_over("placer-a")
+    shard.hosts.reserve("worker-1", "first", WHOLE)
+    cell.platform.board.set("worker-1", "lose_answers", 1)
+    with pytest.raises(WorkerUnreachable):
+        cell.start(shard, "first", CAPACITY)
+    with pytest.raises(HostFull):
+        shard.hosts.reserve("worker-1", "second", Amounts(processors=1))
+    assert cell.platform.workers.running() == {"worker-1": ["first"]}
+
+
+def test_an_earlier_owner_can_journal_nothing(cell):
+    """A is frozen, B takes over, A wakes and accepts work in its own journal:
+    without the epoch's condition B would never know of it and it be lost.
+    """
+    earlier = cell.take_over("placer-a")
+    cell.take_over("placer-b")
+    entry = earlier.journal.append(Started("r", 1, [], 0.0))
+    earlier.journal.write_segment()
+    with pytest.raises(JournalFenced):
+        entry.written.result(0)
+    assert earlier.is_closed
+
+
+def test_a_woken_owner_decides_nothing_before_it_has_looked(cell):
+    """A placer is frozen for longer than the allowed gap. It still believes in
+    its shard; a grant given now could be for a slot that B gave out.
+    """
+    shard = cell.take_over("placer-a")
+    shard.check_serving()
+    cell.clock.advance(5)
+    with pytest.raises(OwnershipUnconfirmed):
+        shard.check_serving()
+    shard.confirm(shard._pauses.count())
+    shard.check_serving()
+
+
+def test_a_grant_of_an_earlier_owner_is_refused_by_the_instance(cell):
+    """A gateway is frozen with A's grant; B takes over, finds the slot free
+    and grants it again. Without the fence one slot runs two calls.
+    """
+    earlier = cell.take_over("placer-a")
+    newer = cell.take_over("placer-b")
+    assert cell.call(newer, "first") == 200
+    assert cell.call(earlier, "late") == 409
+    assert cell.platform.instances.runs() == {"first": 1}
+
+
+def test_a_call_that_runs_at_the_takeover_keeps_its_slot(cell):
+    """A gateway's call runs under A's grant when B takes over. Without the
+    inventory B gives the one slot to a second call.
+    """
+    earlier = cell.take_over("placer-a")
+    cell.platform.board.set("counts-1", "freeze")
+    running = cell.executor.submit(cell.call, earlier, "first")
+    while cell.platform.instances.state("counts-1", "first")[0] != 200:
+        threading.Event().wait(0.005)
+    newer = cell.take_over("placer-b")
+    assert newer.desk.held() == 1
+    with pytest.raises(WaitOver):
+        newer.desk.request(
+            SlotRequest(service="counts", wait_milliseconds=0, run_milliseconds=10), 8
+        )
+    cell.platform.board.clear("counts-1")
+    assert running.result() == 200
