"Not run" only where the refusal precedes every start

(1) A cancel that finds the work waiting while its start is queued is journaled behind the start in the same segment; the runner sends as soon as the start is durable, the cancel then set the outcome, and the caller heard "not_run" of work that runs. (2) A repeatable call without an answer is put back; when its deadline came first, it was ended as "not_run" though the first try may have run.

Change: WorkBook makes a refusal behind a start void, and giving up after a start is "unknown" (WorkItem.refusal).

--- a/papayapick/journal/work.py
+++ b/papayapick/journal/work.py
@@ -8,6 +8,8 @@
 WAITING = "waiting"
 RUNNING = "running"
 ENDED = "ended"
+NOT_RUN = "not_run"
+UNKNOWN = "unknown"
 
 
 class WorkItem:
@@ -42,6 +44,14 @@
         """Return how often the work has been started."""
         return self.started.attempt if self.started else 0
 
+    @property
+    def refusal(self):
+        """Return the outcome of giving up now.
+
+        Once a start is journaled the work may have run, whatever came of it.
+        """
+        return NOT_RUN if self.started is None else UNKNOWN
+
     def records(self):
         """Return the records that give this state again."""
         found = (self.accepted, self.started, self.ended)
@@ -78,8 +88,11 @@
             return
         if isinstance(record, Started):
             item.started = record
-        else:
+        elif record.outcome != NOT_RUN or item.started is None:
             item.ended = record
+        # A refusal that comes after a start, such as a cancel queued behind it,
+        # is void: the runner may have sent the work already, and the caller
+        # would hear "not run" of work that runs. The journal's order decides.
 
     def get(self, request_id):
         """Return a request; raise WorkUnknown."""
--- a/papayapick/placer/jobs.py
+++ b/papayapick/placer/jobs.py
@@ -45,7 +45,7 @@
         if item.ended is not None or shard.is_closed:
             return
         if self._process.clock.time() > item.accepted.deadline:
-            self.end(shard, item, NOT_RUN, "work.deadline-over")
+            self.end(shard, item, item.refusal, "work.deadline-over")
             return
         places = self._reserve(shard, item)
         if places is None:
--- a/papayapick/placer/requests.py
+++ b/papayapick/placer/requests.py
@@ -15,7 +15,7 @@
 
 __all__ = ["RequestRunner"]
 
-DONE, FAILED, UNKNOWN, NOT_RUN = "done", "failed", "unknown", "not_run"
+DONE, FAILED, UNKNOWN = "done", "failed", "unknown"
 _SLOT_WAIT_SECONDS = 0.5
 _BACKOFF_SECONDS = 0.2
 _LONGEST_BACKOFF_SECONDS = 10.0
@@ -52,11 +52,11 @@
             return
         policy = self._process.watcher.bundle.services.get(item.accepted.name)
         if policy is None:
-            self.end(shard, item, NOT_RUN, detail="work.service-removed")
+            self.end(shard, item, item.refusal, detail="work.service-removed")
             return
         now = self._process.clock.time()
         if now > item.accepted.deadline:
-            self.end(shard, item, NOT_RUN, detail="work.deadline-over")
+            self.end(shard, item, item.refusal, detail="work.deadline-over")
             return
         try:
             grant = self._acquire(item, policy)
--- a/papayapick/placer/work.py
+++ b/papayapick/placer/work.py
@@ -159,7 +159,9 @@
             if error is not None:
                 answer.set_exception(error)
             else:
-                self.finish(item)
+                # A start that was journaled first makes the cancel void.
+                if item.ended is not None:
+                    self.finish(item)
                 answer.set_result(state_of(item, self._process.objects))
 
         entry.written.add_done_callback(written)
