Count a task's lease from the last renewal sent, not from its start

A worker cut off after a renewal kept its job, but the lease was counted from the journaled start, so any job older than a lease was started a second time at once. A successor counted the same way, though the earlier owner may go on renewing. A worker missing on the live list made the stop fail with an AttributeError.

Change: ownership/leases.py (LeaseBook) counts from the last start or renewal sent, by the monotonic clock; after half a lease without an answer the runner renews no more and only asks, since a renewal that arrives unanswered would keep the lease in force for ever; a task of an earlier owner has no time until its worker has answered the new owner. A missing worker is no confirmed stop.

Ruled out: letting an owner that lost sight of the table stop renewing (a long outage of the table would then stop every task of the cell).

Cost: a job on a silent worker is started elsewhere about 1.5 leases after the cut (15.3 s with the default of 10 s) in place of at once.

--- a/papayapick/placer/jobs.py
+++ b/papayapick/placer/jobs.py
@@ -6,6 +6,7 @@
 from papayapick.journal import Ended, JournalError, JournalUnsettled, Started
 from papayapick.ledger import Amounts, LedgerError
 from papayapick.observability import get_logger
+from papayapick.ownership import LeaseBook
 from papayapick.platforms import (
     PlatformError,
     StaleEpoch,
@@ -33,12 +34,15 @@
     desk : WorkDesk
     """
 
-    __slots__ = ("_desk", "_process", "_workers")
+    __slots__ = ("_desk", "_leases", "_process", "_workers")
 
     def __init__(self, process, workers, desk):
         self._process = process
         self._workers = workers
         self._desk = desk
+        self._leases = LeaseBook(
+            process.clock, process.settings.task_lease_seconds, _DRIFT
+        )
 
     def run(self, shard, item):
         """Start a job if all its members fit now; else put it back."""
@@ -131,8 +135,11 @@
         demand = item.accepted.job["demand"]
         lease = self._process.settings.task_lease_seconds
         work = item.accepted.job.get("work", {})
+        for task in _tasks(item):
+            self._leases.note_start(task)
         for place in item.started.places:
             entry = shard.entries[place["host"]]
+            self._leases.note_start(place["task"])
             try:
                 self._workers.start(
                     entry, shard.epoch, place["task"], demand, lease, work
@@ -154,17 +161,28 @@
         entry = shard.entries.get(worker)
         if entry is None:
             return {}
-        lease = self._process.settings.task_lease_seconds
         try:
-            reports = self._workers.renew(entry, shard.epoch, tasks, lease)
+            reports = self._renew_or_ask(entry, shard.epoch, tasks)
         except PlatformError:
             return {}
+        self._leases.note_answer(tasks)
         return {report.task: report for report in reports}
 
+    def _renew_or_ask(self, entry, epoch, tasks):
+        if self._leases.are_silent(tasks):
+            # Each renewal may reach the worker and be answered into the void;
+            # only once they end can the lease be known to be over. A fence
+            # tells whether the worker is back and prolongs nothing.
+            return self._workers.fence(entry, epoch)
+        self._leases.note_renewal(tasks)
+        lease = self._process.settings.task_lease_seconds
+        return self._workers.renew(entry, epoch, tasks, lease)
+
     def _collect(self, shard, item, reports):
         found = [reports.get(place["task"]) for place in item.started.places]
         if all(report and report.state == "done" for report in found):
             self._release(shard, item.started.places)
+            self._leases.forget(_tasks(item))
             results = {report.task: report.result for report in found}
             self.end(shard, item, DONE, results=results)
             return
@@ -173,8 +191,7 @@
             self._give_up(shard, item)
 
     def _leases_are_over(self, item):
-        lease = self._process.settings.task_lease_seconds * (1 + _DRIFT)
-        return self._process.clock.time() > item.started.time + lease
+        return self._leases.are_over(_tasks(item))
 
     def _give_up(self, shard, item):
         # No member may run on while the others are started elsewhere: a stop
@@ -191,6 +208,9 @@
         confirmed = True
         for place in item.started.places:
             entry = shard.entries.get(place["host"])
+            if entry is None:
+                confirmed = False
+                continue
             try:
                 self._workers.stop(entry, shard.epoch, [place["task"]])
             except PlatformError:
@@ -198,5 +218,9 @@
         return confirmed
 
 
+def _tasks(item):
+    return [place["task"] for place in item.started.places]
+
+
 def _text_of(body):
     return base64.b64encode(body.encode()).decode()
--- a/tests/ownership/parts.py
+++ b/tests/ownership/parts.py
@@ -20,20 +20,22 @@
 
 
 class SmallCell:
-    """One worker and one instance with one slot, and as many owners as wanted."""
+    """A worker or more, an instance with one slot, as many owners as wanted."""
 
-    def __init__(self):
+    def __init__(self, workers=("worker-1",)):
         self.clock = ManualClock()
         self.platform = Platform(self.clock, service_seconds=0)
-        self.platform.workers.add("worker-1", CAPACITY)
+        for name in workers:
+            self.platform.workers.add(name, CAPACITY)
         self.platform.instances.add("counts-1", "counts", slots=1)
         pool = InProcessPool(self.platform)
         self.workers = WorkerClient(pool)
         self.instances = InstanceClient(pool)
         self.executor = ThreadPoolExecutor(4)
+        self._shards = []
         self.keeper = HostKeeper(self.workers, self.instances, self.executor)
         self.entries = [
-            _entry("worker-1", "worker", CAPACITY),
+            *(_entry(name, "worker", CAPACITY) for name in workers),
             _entry("counts-1", "instance", {"slots": 1, "connections": 4}),
         ]
 
@@ -42,6 +44,8 @@
 
     def __exit__(self, *ignored):
         self.platform.board.clear()
+        for shard in self._shards:
+            shard.close()
         self.executor.shutdown()
 
     def process(self):
@@ -61,7 +65,9 @@
         """Claim the shard; its hosts are closed still."""
         row = claim(self.platform.table, read_shard(self.platform.table, SHARD), placer)
         bucket = TokenBucket(1000, 1000, self.clock)
-        return Shard(row, self.process(), bucket, lambda shard: shard.close())
+        shard = Shard(row, self.process(), bucket, lambda shard: shard.close())
+        self._shards.append(shard)
+        return shard
 
     def take_over(self, placer):
         """Claim the shard, fence its hosts and take the inventory."""
