Judge instances by their answers, and refuse in time at the slot desk

Cause: outcome and run time of each release were thrown away, so that an instance that failed at once looked idle and drew nearly every call; the queue stopped at an expired head, knew no callers and refused late, with a fixed Retry-After. A slot was also given out again when a caller merely stopped waiting, while the backend server still ran the request.

Ruled out: power of two draws over calls in flight alone (blind to failing fast); failures within the cost for each single failure (one chance failure shunned an instance at low load, without a sample to clear it).

Change: InstanceHealth (moving averages, ejection with a cap of half, single probes with doubling pauses, slow start) under the policy HealthAware, used by the placer's shards. The desk refuses on arrival what the rate can't serve in time, refuses at once what became hopeless, evicts from the longest line when full, and spreads Retry-After. After "unknown" a slot stays taken until the backend server says that the request runs no more; the end of doubtful calls is now matched by request id.

--- a/papayapick/placer/exceptions.py
+++ b/papayapick/placer/exceptions.py
@@ -8,6 +8,7 @@
     "ServiceUnknown",
     "ShardClosed",
     "WaitOver",
+    "WaitTooLong",
     "WaitingFull",
 ]
 
@@ -38,6 +39,13 @@
     template = "no slot of {service} came free in time"
 
 
+class WaitTooLong(PlacerError):
+    """Report a queue that moves too slowly for the request's deadline."""
+
+    code = "placer.wait-too-long"
+    template = "the wait for {service} would pass the deadline"
+
+
 class ShardClosed(PlacerError):
     """Report a shard whose owner is still taking the inventory, or draining."""
 
--- a/papayapick/placer/process.py
+++ b/papayapick/placer/process.py
@@ -284,7 +284,9 @@
         with self._lock:
             shard = self._shards.get(released.shard)
         if shard is not None and shard.epoch == released.epoch:
-            shard.desk.release(released.grant_id)
+            shard.desk.release(
+                released.grant_id, released.outcome, released.run_microseconds / 1e6
+            )
 
     def _expire(self):
         for shard in self.shards:
--- a/papayapick/placer/shards.py
+++ b/papayapick/placer/shards.py
@@ -3,7 +3,7 @@
 from papayapick.journal import Journal, WorkBook
 from papayapick.ledger import Amounts, HostLedger, SlotLedger
 from papayapick.ownership import OwnershipUnconfirmed
-from papayapick.placement import PowerOfTwo
+from papayapick.placement import HealthAware, InstanceHealth
 from papayapick.placer.exceptions import ShardClosed
 from papayapick.placer.slots import SlotDesk
 from papayapick.wire.messages import ShardSummary
@@ -43,8 +43,9 @@
             row.shard,
             row.epoch,
             SlotLedger(),
-            PowerOfTwo(process.generator),
+            HealthAware(InstanceHealth(process.clock), process.generator),
             process.clock,
+            process.generator,
         )
         self.book = WorkBook()
         self.journal = Journal(
--- a/papayapick/placer/takeover.py
+++ b/papayapick/placer/takeover.py
@@ -62,17 +62,13 @@
 
     def reconcile(self, shard):
         """Ask backend servers about grants past their upper bound."""
-        for instance, grants in shard.desk.doubtful().items():
+        for instance in shard.desk.doubtful():
             entry = shard.entries[instance]
             try:
-                running = set(self._instances.running(entry.url, shard.epoch))
+                running = self._instances.running(entry.url, shard.epoch)
             except PlatformError:
                 continue
-            for grant in grants:
-                # A grant of this owner is past its run's upper bound; one that
-                # was restored goes on until the backend server drops it.
-                if not isinstance(grant, str) or grant not in running:
-                    shard.desk.release(grant)
+            shard.desk.reconcile(instance, running)
 
     @staticmethod
     def _own(shard, entries, shards_per_zone):
