Route by corrected loads, bound tries by latency, share callers' rates

Cause: a refusal or a dead placer at the first shard ended the request, though others had room; all calls of a heartbeat's time went to the shard that looked emptiest; the first try of a silent backend server ate the whole deadline; each gateway admitted a caller's whole rate; a refused slot for the second try told "not run" though the first may have run.

Shards with room are asked first, nearest first, for a slot at once; only then the request waits at one, and a full one sends it on. A slot that comes after the gateway gave up is given back. Rates of callers are divided by the live gateways.

Also: kept connections are looked at before use and closed after an answer out of step, limits hold for a whole answer and not for each part of it, chunked answers are taken, a backend server's own word that it leaves is heeded.

--- a/papayapick/gateway/process.py
+++ b/papayapick/gateway/process.py
@@ -9,9 +9,10 @@
 from papayapick.gateway.application import Application
 from papayapick.gateway.durable import DurableWork
 from papayapick.gateway.urgent import UrgentCalls
-from papayapick.limits import CallerLimits, RetryBudget
+from papayapick.limits import AttemptTimeouts, CallerLimits, RetryBudgets
 from papayapick.observability import get_logger
 from papayapick.platforms import HttpPool, InstanceClient
+from papayapick.platforms.hosts import GATEWAY_KIND
 from papayapick.routing import SlotClient
 
 __all__ = ["PROGRAM", "Gateway"]
@@ -46,7 +47,7 @@
             clock=clock,
         )
         process = self._process
-        self._limits = CallerLimits(process.clock)
+        self._limits = CallerLimits(process.clock, self._live_gateways)
         slots = SlotClient(
             process.peers,
             settings,
@@ -55,7 +56,9 @@
             lambda: process.watcher.bundle.zones(),
         )
         instances = InstanceClient(HttpPool(_CALL_SECONDS))
-        urgent = UrgentCalls(process, slots, instances, RetryBudget())
+        urgent = UrgentCalls(
+            process, slots, instances, RetryBudgets(), AttemptTimeouts()
+        )
         durable = DurableWork(process)
         self._application = Application(process, urgent, durable, self._limits)
         self._server = self._listen(settings)
@@ -106,6 +109,10 @@
         self._server.close()
         process.close()
 
+    def _live_gateways(self):
+        entries = self._process.peers.entries
+        return sum(found.kind == GATEWAY_KIND and found.is_live for found in entries)
+
     def _is_quiet(self):
         # An answer that a slow caller has not read yet lies in its channel.
         channels = list(self._server.active_channels.values())
--- a/papayapick/limits/__init__.py
+++ b/papayapick/limits/__init__.py
@@ -3,13 +3,16 @@
 from papayapick.limits.buckets import CallerLimits, TokenBucket
 from papayapick.limits.exceptions import CallerOverLimit, LimitError
 from papayapick.limits.pauses import PauseGuard
-from papayapick.limits.retries import RetryBudget
+from papayapick.limits.retries import RetryBudget, RetryBudgets
+from papayapick.limits.timeouts import AttemptTimeouts
 
 __all__ = [
+    "AttemptTimeouts",
     "CallerLimits",
     "CallerOverLimit",
     "LimitError",
     "PauseGuard",
     "RetryBudget",
+    "RetryBudgets",
     "TokenBucket",
 ]
--- a/papayapick/limits/buckets.py
+++ b/papayapick/limits/buckets.py
@@ -35,6 +35,14 @@
         self._then = clock.monotonic()
         self._lock = threading.Lock()
 
+    def use_rate(self, rate, burst):
+        """Go on at another rate; tokens over the burst are lost."""
+        with self._lock:
+            self._grow()
+            self._rate = rate
+            self._burst = burst
+            self._tokens = min(self._tokens, burst)
+
     def take(self, tokens=1):
         """Take tokens if there are enough.
 
@@ -44,54 +52,75 @@
             0.0 where they were taken, else the seconds until there are enough.
         """
         with self._lock:
-            now = self._clock.monotonic()
-            grown = self._tokens + (now - self._then) * self._rate
-            self._tokens = min(self._burst, grown)
-            self._then = now
+            self._grow()
             if self._tokens >= tokens:
                 self._tokens -= tokens
                 return 0.0
             return (tokens - self._tokens) / self._rate
 
+    def _grow(self):
+        now = self._clock.monotonic()
+        grown = self._tokens + (now - self._then) * self._rate
+        self._tokens = min(self._burst, grown)
+        self._then = now
+
 
 class CallerLimits:
     """Hold each caller to the rate that the bundle names for it.
 
-    A caller that the bundle does not name is not limited here.
+    Every gateway admits its share of each rate: rate over live gateways. The
+    balancer spreads a caller's requests, and no gateway knows what the others
+    admit. A caller that the bundle does not name is not limited here.
 
     Parameters
     ----------
     clock : Clock
-    share : float
-        Share of each rate that this gateway may admit.
+    gateways : callable, optional
+        Returns the number of live gateways.
     """
 
-    __slots__ = ("_buckets", "_clock", "_limits", "_share")
+    __slots__ = ("_buckets", "_clock", "_count", "_gateways", "_limits", "_lock")
 
-    def __init__(self, clock, share=1.0):
+    def __init__(self, clock, gateways=lambda: 1):
         self._clock = clock
-        self._share = share
+        self._gateways = gateways
+        self._count = 1
         self._limits = {}
         self._buckets = {}
+        self._lock = threading.Lock()
 
     def use_bundle(self, bundle):
         """Take the callers' limits of a bundle; unchanged ones keep their bucket."""
         limits = bundle.callers
-        self._buckets = {
-            name: self._buckets[name]
-            if self._limits.get(name) == limit and name in self._buckets
-            else TokenBucket(
-                limit["requests_per_second"] * self._share, limit["burst"], self._clock
-            )
-            for name, limit in limits.items()
-        }
-        self._limits = limits
+        with self._lock:
+            self._buckets = {
+                name: self._buckets[name]
+                if self._limits.get(name) == limit and name in self._buckets
+                else TokenBucket(*self._share(limit), self._clock)
+                for name, limit in limits.items()
+            }
+            self._limits = limits
 
     def admit(self, caller):
         """Count one request; raise CallerOverLimit."""
         bucket = self._buckets.get(caller)
         if bucket is None:
             return
+        self._share_out()
         wait = bucket.take()
         if wait:
             raise CallerOverLimit(caller=caller, retry_after=wait)
+
+    def _share_out(self):
+        count = max(1, self._gateways())
+        if count == self._count:
+            return
+        with self._lock:
+            self._count = count
+            for name, bucket in self._buckets.items():
+                bucket.use_rate(*self._share(self._limits[name]))
+
+    def _share(self, limit):
+        rate = limit["requests_per_second"] / self._count
+        # A burst under one token would never admit anything.
+        return rate, max(1.0, limit["burst"] / self._count)
--- a/papayapick/limits/retries.py
+++ b/papayapick/limits/retries.py
@@ -2,7 +2,7 @@
 
 import threading
 
-__all__ = ["RetryBudget"]
+__all__ = ["RetryBudget", "RetryBudgets"]
 
 
 class RetryBudget:
@@ -35,6 +35,11 @@
         self._saved = float(reserve)
         self._lock = threading.Lock()
 
+    @property
+    def has_retry(self):
+        """Return whether a retry could be taken now."""
+        return self._saved >= 1
+
     def earn(self):
         """Count a first try."""
         with self._lock:
@@ -47,3 +52,39 @@
                 return False
             self._saved -= 1
             return True
+
+
+class RetryBudgets:
+    """Keep a budget for each service, so that one can't spend another's.
+
+    Parameters
+    ----------
+    ratio, reserve : float
+        As of RetryBudget.
+
+    Examples
+    --------
+    >>> budgets = RetryBudgets(reserve=1)
+    >>> budgets.of("counts").spend(), budgets.of("counts").spend()
+    (True, False)
+    >>> budgets.of("access").spend()
+    True
+    """
+
+    __slots__ = ("_budgets", "_lock", "_ratio", "_reserve")
+
+    def __init__(self, ratio=0.1, reserve=10.0):
+        self._ratio = ratio
+        self._reserve = reserve
+        self._budgets = {}
+        self._lock = threading.Lock()
+
+    def of(self, service):
+        """Return the budget of a service."""
+        found = self._budgets.get(service)
+        if found is None:
+            with self._lock:
+                found = self._budgets.setdefault(
+                    service, RetryBudget(self._ratio, self._reserve)
+                )
+        return found
--- a/papayapick/placer/takeover.py
+++ b/papayapick/placer/takeover.py
@@ -120,7 +120,7 @@
         shard.hosts.open(entry.name)
 
     def _open_instance(self, shard, entry):
-        running = self._instances.running(entry.url, shard.epoch)
+        running = self._instances.running(entry.url, shard.epoch, must_stay=True)
         shard.desk.restore(entry.name, running)
         shard.desk.with_ledger(lambda ledger: ledger.open(entry.name))
         shard.desk.serve_waiting()
--- a/papayapick/platforms/exceptions.py
+++ b/papayapick/platforms/exceptions.py
@@ -5,6 +5,7 @@
 __all__ = [
     "AnswerInvalid",
     "AnswerMissing",
+    "HostLeaving",
     "HostListUnavailable",
     "NotSent",
     "ObjectMissing",
@@ -80,6 +81,13 @@
     template = "the live list did not answer"
 
 
+class HostLeaving(PlatformError):
+    """Report a backend server that says itself that it takes no new work."""
+
+    code = "platform.host-leaving"
+    template = "{url} is leaving"
+
+
 class WorkerUnreachable(PlatformError):
     """Report a worker that gave no answer; the call may have taken effect."""
 
--- a/papayapick/platforms/http.py
+++ b/papayapick/platforms/http.py
@@ -1,14 +1,17 @@
 """Send HTTP requests over kept connections and tell truthfully what was sent."""
 
 import http.client
+import select
 import threading
 import urllib.parse
 
-from papayapick.platforms.exceptions import AnswerMissing, NotSent
+from papayapick.clock import SystemClock
+from papayapick.platforms.exceptions import AnswerInvalid, AnswerMissing, NotSent
 
 __all__ = ["HttpAnswer", "HttpPool"]
 
 _KEPT_PER_ADDRESS = 32
+_PART_BYTES = 64 << 10
 
 
 class HttpAnswer:
@@ -28,17 +31,28 @@
     Parameters
     ----------
     timeout : float
-        Seconds to connect, and to wait for each part of an answer.
+        Seconds for one request, from connecting to the last byte.
+    clock : Clock, optional
     """
 
-    __slots__ = ("_idle", "_lock", "_timeout")
+    __slots__ = ("_clock", "_idle", "_lock", "_timeout")
 
-    def __init__(self, timeout):
+    def __init__(self, timeout, clock=None):
         self._timeout = timeout
+        self._clock = clock or SystemClock()
         self._idle = {}
         self._lock = threading.Lock()
 
-    def request(self, method, url, body=None, headers=None, timeout=None, fresh=False):
+    def request(
+        self,
+        method,
+        url,
+        body=None,
+        headers=None,
+        timeout=None,
+        fresh=False,
+        check=None,
+    ):
         """Send one request and read the whole answer.
 
         Parameters
@@ -52,6 +66,9 @@
         fresh : bool
             Open a new connection. A kept one may have been closed by the other
             side unseen; a request lost on it can't be told from one that ran.
+        check : callable, optional
+            Raises for an answer that is not to this request. The connection is
+            then closed: after one answer out of step, all later ones are.
 
         Returns
         -------
@@ -61,11 +78,12 @@
         ------
         NotSent
             No connection could be made, so the request took no effect.
-        AnswerMissing
+        AnswerMissing, AnswerInvalid
             The request may have taken effect.
         """
         parts = urllib.parse.urlsplit(url)
         timeout = self._timeout if timeout is None else timeout
+        deadline = self._clock.monotonic() + timeout
         connection = self._take(parts.netloc, timeout, fresh)
         try:
             if connection.sock is None:
@@ -73,22 +91,26 @@
         except OSError as error:
             connection.close()
             raise NotSent(url=url) from error
-        connection.sock.settimeout(timeout)
+        path = parts.path or "/"
+        if parts.query:
+            path += "?" + parts.query
         try:
-            path = parts.path or "/"
-            if parts.query:
-                path += "?" + parts.query
-            connection.request(method, path, body=body, headers=headers or {})
-            response = connection.getresponse()
-            data = response.read()
+            answer, is_kept = self._exchange(
+                connection, method, path, body, headers or {}, deadline
+            )
+            if check is not None:
+                check(answer)
         except (OSError, http.client.HTTPException) as error:
             connection.close()
             raise AnswerMissing(url=url) from error
-        if response.will_close:
+        except BaseException:
             connection.close()
-        else:
+            raise
+        if is_kept:
             self._keep(parts.netloc, connection)
-        return HttpAnswer(response.status, response.headers, data)
+        else:
+            connection.close()
+        return answer
 
     def close(self):
         """Close the idle connections."""
@@ -98,11 +120,50 @@
             for connection in connections:
                 connection.close()
 
+    def _exchange(self, connection, method, path, body, headers, deadline):
+        sock = connection.sock
+        self._limit(sock, deadline)
+        connection.request(method, path, body=body, headers=headers)
+        self._limit(sock, deadline)
+        response = connection.getresponse()
+        parts = []
+        while part := self._read_part(sock, response, deadline):
+            parts.append(part)
+        data = b"".join(parts)
+        if response.length:
+            # The connection ended in the middle of the body.
+            raise http.client.IncompleteRead(data, response.length)
+        if _has_more(sock, response):
+            # A length that is too short makes a cut answer look whole, and
+            # leaves its rest as the start of the next answer.
+            raise AnswerInvalid(url=path, reason="it is longer than its length")
+        is_kept = not response.will_close
+        response.close()
+        return HttpAnswer(response.status, response.headers, data), is_kept
+
+    def _read_part(self, sock, response, deadline):
+        # Limited anew for each part: a server that sends a byte now and then
+        # would never meet a limit on the silence between two of them.
+        self._limit(sock, deadline)
+        return response.read1(_PART_BYTES)
+
+    def _limit(self, sock, deadline):
+        rest = deadline - self._clock.monotonic()
+        if rest <= 0:
+            raise TimeoutError
+        sock.settimeout(rest)
+
     def _take(self, netloc, timeout, fresh):
-        with self._lock:
-            kept = self._idle.get(netloc)
-            if kept and not fresh:
-                return kept.pop()
+        while not fresh:
+            with self._lock:
+                kept = self._idle.get(netloc)
+                connection = kept.pop() if kept else None
+            if connection is None:
+                break
+            if not _is_readable(connection.sock):
+                return connection
+            # Closed by the other side, or bytes that nobody asked for.
+            connection.close()
         return http.client.HTTPConnection(netloc, timeout=timeout)
 
     def _keep(self, netloc, connection):
@@ -112,3 +173,17 @@
                 kept.append(connection)
                 return
         connection.close()
+
+
+def _is_readable(sock):
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(0))
+
+
+def _has_more(sock, response):
+    """Return whether bytes follow the body that were received with it."""
+    if response.fp is None or response.length is None:
+        return False
+    sock.settimeout(0)
+    return bool(response.fp.peek(1))
--- a/papayapick/platforms/instances.py
+++ b/papayapick/platforms/instances.py
@@ -5,10 +5,11 @@
 from papayapick.platforms.exceptions import (
     AnswerInvalid,
     AnswerMissing,
+    HostLeaving,
     StaleEpoch,
 )
 
-__all__ = ["InstanceClient"]
+__all__ = ["InstanceClient", "is_leaving"]
 
 REQUEST_ID = "Request-Id"
 EPOCH = "Shard-Epoch"
@@ -16,6 +17,12 @@
 LEAVING = "Leaving"
 _STALE_EPOCH_STATUS = 409
 _ABSENT = "absent"
+_CHUNKED = "chunked"
+
+
+def is_leaving(answer):
+    """Return whether a backend server says with its answer that it leaves."""
+    return answer.headers.get(LEAVING) is not None
 
 
 class InstanceClient:
@@ -66,14 +73,15 @@
         }
         if traceparent:
             headers["traceparent"] = traceparent
-        answer = self._pool.request("POST", url, payload, headers, seconds, once)
-        if answer.headers.get(REQUEST_ID) != request_id:
-            # A late or reordered answer on a kept connection would otherwise
-            # reach another caller.
-            raise AnswerInvalid(url=url, reason="it belongs to another request")
-        if answer.headers.get("Content-Length") is None:
-            # Without a length, an answer cut short looks whole.
-            raise AnswerInvalid(url=url, reason="it has no length")
+        answer = self._pool.request(
+            "POST",
+            url,
+            payload,
+            headers,
+            seconds,
+            once,
+            check=lambda found: _check_whole(url, request_id, found),
+        )
         if answer.status == _STALE_EPOCH_STATUS and answer.headers.get(EPOCH):
             raise StaleEpoch(target=url, epoch=epoch)
         return answer
@@ -95,12 +103,27 @@
             return _ABSENT
         return self._decoded(url, answer)["state"]
 
-    def running(self, url, epoch):
-        """Fence an instance and return the ids of the requests it runs."""
+    def running(self, url, epoch, must_stay=False):
+        """Fence an instance and return the ids of the requests it runs.
+
+        Parameters
+        ----------
+        url : str
+        epoch : int
+        must_stay : bool
+            Raise HostLeaving for an instance that says it leaves: the live
+            list lags, and would have it opened again after its own word.
+
+        Raises
+        ------
+        NotSent, AnswerMissing, HostLeaving, StaleEpoch
+        """
         body = json.dumps({"epoch": epoch}).encode()
         answer = self._pool.request("POST", f"{url}/fence", body)
         if answer.status == _STALE_EPOCH_STATUS:
             raise StaleEpoch(target=url, epoch=epoch)
+        if must_stay and is_leaving(answer):
+            raise HostLeaving(url=url)
         return self._decoded(url, answer)["running"]
 
     @staticmethod
@@ -109,3 +132,19 @@
             return json.loads(answer.body)
         except ValueError as error:
             raise AnswerMissing(url=url) from error
+
+
+def _check_whole(url, request_id, answer):
+    """Raise AnswerInvalid for an answer that may be another's or cut short."""
+    if answer.headers.get_all(REQUEST_ID) != [request_id]:
+        # A late or reordered answer on a kept connection would otherwise
+        # reach another caller.
+        raise AnswerInvalid(url=url, reason="it belongs to another request")
+    lengths = set(answer.headers.get_all("Content-Length") or ())
+    is_chunked = answer.headers.get("Transfer-Encoding", "").lower() == _CHUNKED
+    if is_chunked and not lengths:
+        # The last chunk, of no bytes, proves the end.
+        return
+    if len(lengths) != 1 or not lengths.pop().strip().isdecimal():
+        # Without one readable length, an answer cut short looks whole.
+        raise AnswerInvalid(url=url, reason="it has no length")
--- a/papayapick/routing/__init__.py
+++ b/papayapick/routing/__init__.py
@@ -1,6 +1,23 @@
 """Choose the shard and the instance that serve a call."""
 
-from papayapick.routing.exceptions import GrantExpired, NoRoute, RoutingError
+from papayapick.routing.exceptions import (
+    DeadlineOver,
+    GrantExpired,
+    NoRoute,
+    PlacerSilent,
+    RoutingError,
+)
+from papayapick.routing.loads import Candidate, LoadView
 from papayapick.routing.slots import Grant, SlotClient
 
-__all__ = ["Grant", "GrantExpired", "NoRoute", "RoutingError", "SlotClient"]
+__all__ = [
+    "Candidate",
+    "DeadlineOver",
+    "Grant",
+    "GrantExpired",
+    "LoadView",
+    "NoRoute",
+    "PlacerSilent",
+    "RoutingError",
+    "SlotClient",
+]
--- a/papayapick/routing/exceptions.py
+++ b/papayapick/routing/exceptions.py
@@ -2,7 +2,7 @@
 
 from papayapick.exceptions import PapayapickError
 
-__all__ = ["GrantExpired", "NoRoute", "RoutingError"]
+__all__ = ["DeadlineOver", "GrantExpired", "NoRoute", "PlacerSilent", "RoutingError"]
 
 
 class RoutingError(PapayapickError):
@@ -25,3 +25,17 @@
 
     code = "routing.grant-expired"
     template = "the slot on {instance} came too late to be used"
+
+
+class DeadlineOver(RoutingError):
+    """Report a deadline that passed before a slot was had."""
+
+    code = "routing.deadline-over"
+    template = "the deadline passed before a slot of {service} was had"
+
+
+class PlacerSilent(RoutingError):
+    """Report placers that gave no answer; a slot alone runs nothing."""
+
+    code = "routing.placer-silent"
+    template = "no placer answered for {service}"
--- a/papayapick/routing/slots.py
+++ b/papayapick/routing/slots.py
@@ -1,14 +1,25 @@
 """Ask placers for slots, nearest first."""
 
+from concurrent.futures import TimeoutError as FutureTimeout
+
 from papayapick.ownership.assignments import zone_of
-from papayapick.routing.exceptions import GrantExpired, NoRoute
-from papayapick.wire import WireError
+from papayapick.routing.exceptions import (
+    DeadlineOver,
+    GrantExpired,
+    NoRoute,
+    PlacerSilent,
+)
+from papayapick.routing.loads import LoadView
+from papayapick.wire import PeerRefused, WireError
 from papayapick.wire.messages import Release, SlotRequest
 
 __all__ = ["Grant", "SlotClient"]
 
 OWN_ZONE, OWN_REGION, ACROSS_LINK = range(3)
 _ANSWER_SECONDS = 0.25
+_TRIES_WITH_ROOM = 3
+_TRIES_TO_WAIT = 2
+_UNUSED = "unused"
 
 
 class Grant:
@@ -21,14 +32,16 @@
         Of the placer that gave it.
     usable_until : float
         Monotonic seconds, counted from when the slot was asked for.
+    service : str
     """
 
-    __slots__ = ("client", "granted", "usable_until")
+    __slots__ = ("client", "granted", "service", "usable_until")
 
-    def __init__(self, granted, client, usable_until):
+    def __init__(self, granted, client, usable_until, service=""):
         self.granted = granted
         self.client = client
         self.usable_until = usable_until
+        self.service = service
 
     def check_usable(self, now):
         """Raise GrantExpired once the placer may have given the slot away.
@@ -41,6 +54,20 @@
             raise GrantExpired(instance=self.granted.instance)
 
 
+class _Call:
+    """Hold what stays the same over the tries of one request for a slot."""
+
+    __slots__ = ("avoid", "caller", "deadline", "policy", "request_id", "traceparent")
+
+    def __init__(self, policy, request_id, deadline, caller, avoid, traceparent):
+        self.policy = policy
+        self.request_id = request_id
+        self.deadline = deadline
+        self.caller = caller
+        self.avoid = avoid
+        self.traceparent = traceparent
+
+
 class SlotClient:
     """Get slots from the placers and give them back.
 
@@ -54,7 +81,7 @@
         Returns the region of each zone.
     """
 
-    __slots__ = ("_clock", "_generator", "_peers", "_settings", "_zones")
+    __slots__ = ("_clock", "_generator", "_loads", "_peers", "_settings", "_zones")
 
     def __init__(self, peers, settings, clock, generator, zones):
         self._peers = peers
@@ -62,12 +89,17 @@
         self._clock = clock
         self._generator = generator
         self._zones = zones
+        self._loads = LoadView(clock)
 
     def acquire(
         self, policy, request_id, wait_seconds, caller="", avoid=(), traceparent=""
     ):
         """Get a slot of a service.
 
+        Shards with room are asked first, nearest first, for a slot at once;
+        only where none has one does the request wait at a shard. No shard is
+        asked twice.
+
         Parameters
         ----------
         policy : ServicePolicy
@@ -85,31 +117,31 @@
 
         Raises
         ------
-        NoRoute, WireError
+        RoutingError, PeerRefused
             Nothing ran.
         """
-        shard, peer = self._choose(policy)
-        asked = self._clock.monotonic()
-        wanted = SlotRequest(
-            shard=shard,
-            service=policy.name,
-            request_id=request_id,
-            wait_milliseconds=max(0, int(wait_seconds * 1000)),
-            run_milliseconds=int(policy.run_seconds * 1000),
-            caller=caller,
-            avoid=list(avoid),
-        )
-        granted = peer.client.ask(wanted, wait_seconds + _ANSWER_SECONDS, traceparent)
-        # Counted from the asking for a slot given at once, and from the end of
-        # the longest wait otherwise: the placer keeps it taken for longer.
-        usable_until = asked + wait_seconds + self._settings.grant_seconds
-        return Grant(granted, peer.client, usable_until)
+        deadline = self._clock.monotonic() + wait_seconds
+        call = _Call(policy, request_id, deadline, caller, avoid, traceparent)
+        candidates = self._candidates(policy)
+        if not candidates:
+            raise NoRoute(service=policy.name)
+        grant, error = self._try_room(call, candidates)
+        if grant is None:
+            grant, error = self._try_to_wait(call, candidates, error)
+        if grant is None:
+            raise error or PlacerSilent(service=policy.name)
+        return grant
 
     def release(self, grant, outcome, run_seconds):
         """Give a slot back; a lost release is found by the placer's sweep."""
         granted = grant.granted
+        self._loads.note_release(granted.shard, grant.service)
+        self._tell_release(granted, grant.client, outcome, run_seconds)
+
+    @staticmethod
+    def _tell_release(granted, client, outcome, run_seconds):
         try:
-            grant.client.tell(
+            client.tell(
                 Release(
                     shard=granted.shard,
                     epoch=granted.epoch,
@@ -121,29 +153,123 @@
         except WireError:
             return
 
-    def _choose(self, policy):
-        tiers = ([], [], [])
+    def _try_room(self, call, candidates):
+        """Ask shards with room for a slot at once; none of them lets it wait."""
+        error = None
+        for _ in range(_TRIES_WITH_ROOM):
+            found = self._next_with_room(candidates)
+            if found is None:
+                break
+            candidates.remove(found)
+            grant, refusal = self._ask(call, found, 0.0)
+            if grant is not None:
+                return grant, None
+            error = refusal or error
+            if refusal is not None:
+                # It may still let the request wait.
+                found.room = 0
+                candidates.append(found)
+        return None, error
+
+    def _try_to_wait(self, call, candidates, error):
+        """Let the request wait at one shard; a full one sends it to the next."""
+        candidates.sort(key=self._waiting_order)
+        tries = 0
+        for found in candidates:
+            if tries == _TRIES_TO_WAIT:
+                break
+            rest = call.deadline - self._clock.monotonic()
+            if rest <= 0:
+                return None, error or DeadlineOver(service=call.policy.name)
+            if not self._loads.may_try(found.peer):
+                continue
+            tries += 1
+            grant, refusal = self._ask(call, found, rest)
+            if grant is not None:
+                return grant, None
+            error = refusal or error
+        return None, error
+
+    def _ask(self, call, candidate, wait_seconds):
+        """Ask one shard.
+
+        Returns
+        -------
+        (Grant or None, PeerRefused or None)
+            Neither where the placer is silent.
+        """
+        peer, name = candidate.peer, call.policy.name
+        asked = self._clock.monotonic()
+        wanted = SlotRequest(
+            shard=candidate.shard,
+            service=name,
+            request_id=call.request_id,
+            wait_milliseconds=int(wait_seconds * 1000),
+            run_milliseconds=int(call.policy.run_seconds * 1000),
+            caller=call.caller,
+            avoid=list(call.avoid),
+        )
+        heard_at = peer.last_heard
+        try:
+            granted = self._answer(peer.client, wanted, wait_seconds, call.traceparent)
+        except PeerRefused as refusal:
+            self._loads.note_answer(peer)
+            self._loads.note_refusal(candidate, name)
+            return None, refusal
+        except WireError:
+            self._loads.note_silence(peer)
+            return None, None
+        self._loads.note_answer(peer)
+        self._loads.note_grant(candidate.shard, name, heard_at)
+        # Counted from the asking for a slot given at once, and from the end of
+        # the longest wait otherwise: the placer keeps it taken for longer.
+        usable_until = asked + wait_seconds + self._settings.grant_seconds
+        return Grant(granted, peer.client, usable_until, name), None
+
+    def _answer(self, client, wanted, wait_seconds, traceparent):
+        future = client.call(wanted, traceparent)
+        try:
+            return future.result(wait_seconds + _ANSWER_SECONDS)
+        except FutureTimeout as error:
+            # A slot that comes after all would stay taken until the placer's
+            # sweep, while its service is short of slots.
+            future.add_done_callback(lambda done: self._give_back(done, client))
+            raise WireError() from error
+
+    def _give_back(self, done, client):
+        if not done.exception():
+            self._tell_release(done.result(), client, _UNUSED, 0.0)
+
+    def _candidates(self, policy):
+        found = []
         for shard, (peer, summary) in self._peers.serving().items():
+            tier = self._tier(shard)
+            if tier == ACROSS_LINK and not policy.across_link:
+                continue
             for load in summary.loads:
                 if load.service == policy.name:
-                    tier = self._tier(shard)
-                    tiers[tier].append((load.free_slots - load.waiting, shard, peer))
-        if not policy.across_link:
-            tiers[ACROSS_LINK].clear()
-        for tier in tiers:
-            with_room = [found for found in tier if found[0] > 0]
-            if with_room:
-                return self._draw(with_room)
-        for tier in tiers:
-            if tier:
-                return self._draw(tier)
-        raise NoRoute(service=policy.name)
-
-    def _draw(self, found):
-        first = self._generator.choice(found)
-        second = self._generator.choice(found)
-        best = max(first, second, key=lambda one: one[0])
-        return best[1], best[2]
+                    found.append(self._loads.candidate(tier, shard, peer, load))
+        return found
+
+    def _next_with_room(self, candidates):
+        with_room = [
+            found
+            for found in candidates
+            if found.room > 0 and not self._loads.is_silent(found.peer)
+        ]
+        while with_room:
+            nearest = min(found.tier for found in with_room)
+            tier = [found for found in with_room if found.tier == nearest]
+            # Two draws, and not the emptiest: every gateway sees the same loads.
+            draws = self._generator.choice(tier), self._generator.choice(tier)
+            best = max(draws, key=lambda found: found.room)
+            if self._loads.may_try(best.peer):
+                return best
+            with_room.remove(best)
+        return None
+
+    def _waiting_order(self, candidate):
+        return (candidate.is_refusing, candidate.tier, self._generator.random())
 
     def _tier(self, shard):
         zone = zone_of(shard)
