--- /dev/null
+++ b/tests/gateway/test_whole_answers.py
@@ -0,0 +1,214 @@
+"""Take only whole answers to the very request, over real sockets.
+
+Each row has a backend server answer wrongly; the next request to it must get
+its own whole answer, whatever the wrong one left behind.
+"""
+
+import threading
+
+import pytest
+
+from papayapick.platforms import AnswerInvalid, AnswerMissing, HttpPool, InstanceClient
+from papayapick.platforms.instances import is_leaving
+from tests.gateway.scripted import ScriptedServer
+
+CLOSE = ScriptedServer.CLOSE
+NEVER = threading.Event()
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n"
+OTHER = b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+GOOD = HEAD + b"Content-Length: 5\r\n\r\nwhole"
+
+
+@pytest.fixture
+def server():
+    found = ScriptedServer()
+    yield found
+    found.close()
+
+
+@pytest.fixture
+def client():
+    pool = HttpPool(5.0)
+    yield InstanceClient(pool)
+    pool.close()
+
+
+def call(client, server, request_id, seconds=5.0):
+    answer = client.call(server.url, request_id, 1, b"{}", seconds, once=False)
+    return answer.body
+
+
+WRONG = [
+    # The server closes after half the body; half a count looks like a count.
+    ("truncated", [HEAD + b"Content-Length: 9\r\n\r\nhalf", CLOSE], AnswerMissing),
+    # The length is too short; what is cut off looks whole.
+    ("length too short", [HEAD + b"Content-Length: 4\r\n\r\nwhole"], AnswerInvalid),
+    # The length is too long; the rest never comes.
+    ("length too long", [HEAD + b"Content-Length: 9\r\n\r\nwhole"], AnswerMissing),
+    # Without a length a closed connection looks like the end.
+    ("no length", [HEAD + b"\r\nwhole", CLOSE], AnswerInvalid),
+    ("length no number", [HEAD + b"Content-Length: x\r\n\r\nwh", CLOSE], AnswerInvalid),
+    (
+        "two lengths",
+        [HEAD + b"Content-Length: 2\r\nContent-Length: 5\r\n\r\nwh", CLOSE],
+        AnswerInvalid,
+    ),
+    # The answer to another caller's request would reach this one.
+    ("another's answer", [OTHER + b"Content-Length: 5\r\n\r\nother"], AnswerInvalid),
+    ("no id", [b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"], AnswerInvalid),
+    (
+        "two ids",
+        [HEAD + b"Request-Id: other\r\nContent-Length: 5\r\n\r\nwhole"],
+        AnswerInvalid,
+    ),
+    ("closed before the head", [CLOSE], AnswerMissing),
+    # The library takes a head that is cut short for a whole one.
+    ("closed in the head", [HEAD + b"Content-Le", CLOSE], AnswerInvalid),
+    ("no HTTP", [b"whole\r\n\r\n", CLOSE], AnswerMissing),
+    ("silent", [NEVER], AnswerMissing),
+    (
+        "chunks without the last",
+        [HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", CLOSE],
+        AnswerMissing,
+    ),
+    (
+        "chunk cut",
+        [HEAD + b"Transfer-Encoding: chunked\r\n\r\n9\r\nwhole", CLOSE],
+        AnswerMissing,
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("parts", "error"), [row[1:] for row in WRONG], ids=[row[0] for row in WRONG]
+)
+def test_wrong_answer_is_refused_and_spoils_no_later_one(client, server, parts, error):
+    """A backend server gives a wrong answer, then good ones.
+
+    The first caller must hear of a failure and no part of a body; the second
+    must get its own, though the first left bytes or a broken connection.
+    """
+    server.answer(*parts)
+    seconds = 0.3 if error is AnswerMissing else 5.0
+    with pytest.raises(error):
+        call(client, server, "first", seconds)
+    server.answer(GOOD)
+    assert call(client, server, "second") == b"whole"
+
+
+def test_late_answer_reaches_nobody(client, server):
+    """A caller gives up; the server answers later, while another waits.
+
+    On a shared connection the late answer would be taken for the other's.
+    """
+    late = threading.Event()
+    server.answer(late, GOOD)
+    with pytest.raises(AnswerMissing):
+        call(client, server, "first", 0.2)
+    late.set()
+    server.answer(HEAD + b"Content-Length: 4\r\n\r\nmine")
+    assert call(client, server, "second") == b"mine"
+
+
+def test_answers_in_the_wrong_order_are_both_refused(client, server):
+    """On a kept connection the server answers the previous request again.
+
+    From then on each answer would be the one before. The connection is given
+    up, and the next request starts on a new one.
+    """
+    server.answer(GOOD)
+    call(client, server, "first")
+    server.answer(b"HTTP/1.1 200 OK\r\nRequest-Id: first\r\nContent-Length: 0\r\n\r\n")
+    with pytest.raises(AnswerInvalid):
+        call(client, server, "second")
+    server.answer(GOOD)
+    assert call(client, server, "third") == b"whole"
+    assert server.connections == 2
+
+
+def test_stray_bytes_on_an_idle_connection_are_seen(client, server):
+    """After a whole answer the server sends a second one that nobody asked for.
+
+    The next request would read it as its own answer.
+    """
+    sent = threading.Event()
+    stray = threading.Event()
+    server.answer(GOOD, stray, OTHER + b"Content-Length: 0\r\n\r\n", sent, CLOSE)
+    assert call(client, server, "first") == b"whole"
+    pool = client._pool
+    (kept,) = next(iter(pool._idle.values()))
+    stray.set()
+    kept.sock.settimeout(5)
+    kept.sock.recv(1, 2)  # MSG_PEEK: the bytes are there.
+    server.answer(GOOD)
+    assert call(client, server, "second") == b"whole"
+    assert server.connections == 2
+    sent.set()
+
+
+def test_connection_closed_while_idle_costs_no_request(client, server):
+    """The server closes idle connections; the next request fails for nothing."""
+    server.answer(GOOD, CLOSE)
+    call(client, server, "first")
+    (kept,) = next(iter(client._pool._idle.values()))
+    kept.sock.settimeout(5)
+    assert kept.sock.recv(1, 2) == b""
+    server.answer(GOOD)
+    assert call(client, server, "second") == b"whole"
+
+
+def test_drip_of_bytes_ends_at_the_deadline(server):
+    """A server sends one byte now and then and never falls silent for long.
+
+    A limit on the silence between two parts would let it hold the caller for
+    ever.
+    """
+
+    class DripClock:
+        """Runs half a second at each look."""
+
+        now = 0.0
+
+        def monotonic(self):
+            self.now += 0.5
+            return self.now
+
+    client = InstanceClient(HttpPool(5.0, DripClock()))
+    body = [bytes([97 + number]) for number in range(20)]
+    server.answer(HEAD + b"Content-Length: 20\r\n\r\n", *body)
+    with pytest.raises(AnswerMissing):
+        # Each look at the clock leaves less; the socket itself never times out
+        # before, as the bytes are there.
+        call(client, server, "first", 2.0)
+
+
+def test_chunked_answer_is_whole_with_its_last_chunk(client, server):
+    chunks = b"5\r\nwhole\r\n4\r\n one\r\n0\r\n\r\n"
+    server.answer(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks)
+    assert call(client, server, "first") == b"whole one"
+    server.answer(GOOD)
+    assert call(client, server, "second") == b"whole"
+
+
+def test_same_request_through_another_gateway_gets_its_own_answer(server):
+    """A caller loses patience and asks again through another gateway.
+
+    Both answers come, the first one late. Each gateway names its own id, so
+    that neither takes the other's answer.
+    """
+    first, second = InstanceClient(HttpPool(5.0)), InstanceClient(HttpPool(5.0))
+    late = threading.Event()
+    server.answer(late, HEAD + b"Content-Length: 3\r\n\r\nold")
+    with pytest.raises(AnswerMissing):
+        call(first, server, "gateway-1", 0.2)
+    server.answer(HEAD + b"Content-Length: 3\r\n\r\nnew")
+    assert call(second, server, "gateway-2") == b"new"
+    late.set()
+    server.answer(GOOD)
+    assert call(first, server, "gateway-1-again") == b"whole"
+
+
+def test_leaving_is_read_from_any_answer(client, server):
+    server.answer(HEAD + b"Leaving: 1\r\nContent-Length: 0\r\n\r\n")
+    answer = client.call(server.url, "first", 1, b"{}", 5.0, once=False)
+    assert is_leaving(answer)
