--- a/tests/gateway/scripted.py
+++ b/tests/gateway/scripted.py
@@ -77,4 +77,4 @@
             name, _, value = line.partition(b":")
             headers[name.lower()] = value.strip()
         reader.read(int(headers.get(b"content-length", 0)))
-        return headers[b"request-id"].decode()
+        return headers.get(b"request-id", b"").decode()
--- a/tests/gateway/test_whole_answers.py
+++ b/tests/gateway/test_whole_answers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from papayapick.platforms import AnswerInvalid, AnswerMissing, HttpPool, InstanceClient
+from papayapick.platforms.exceptions import HostLeaving
 from papayapick.platforms.instances import is_leaving
 from tests.gateway.scripted import ScriptedServer
 
@@ -212,3 +213,17 @@
     server.answer(HEAD + b"Leaving: 1\r\nContent-Length: 0\r\n\r\n")
     answer = client.call(server.url, "first", 1, b"{}", 5.0, once=False)
     assert is_leaving(answer)
+
+
+def test_leaving_server_is_not_opened_but_tells_what_it_runs(client, server):
+    """The list lags and names a leaving server as live; the placer looks at it.
+
+    Opened, it would get new work again. What it still runs must be told all
+    the same, or its slots are lost.
+    """
+    body = b'Leaving: 1\r\nContent-Length: 17\r\n\r\n{"running":["r"]}'
+    for _ in range(2):
+        server.answer(b"HTTP/1.1 200 OK\r\n" + body)
+    with pytest.raises(HostLeaving):
+        client.running(server.url, 1, must_stay=True)
+    assert client.running(server.url, 1) == ["r"]
--- /dev/null
+++ b/tests/placer/test_slots_leaving.py
@@ -0,0 +1,156 @@
+"""Give a leaving backend server no new work, whoever says that it leaves."""
+
+import random
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from papayapick.clock import ManualClock
+from papayapick.ledger import SlotLedger
+from papayapick.ownership import shard_of
+from papayapick.placement import HealthAware, InstanceHealth
+from papayapick.placer.exceptions import WaitOver
+from papayapick.placer.slots import SlotDesk
+from papayapick.placer.takeover import HostKeeper
+from papayapick.platforms import HostEntry, NotSent
+from papayapick.platforms.exceptions import HostLeaving
+from papayapick.wire.messages import SlotRequest
+
+ZONE, SHARDS = "a", 1
+NAMES = ("i1", "i2")
+
+
+class FakeInstances:
+    """Say what runs; ``leaving`` and ``down`` name instances."""
+
+    def __init__(self):
+        self.leaving = set()
+        self.down = set()
+
+    def running(self, url, epoch, must_stay=False):
+        if url in self.down:
+            raise NotSent(url=url)
+        if must_stay and url in self.leaving:
+            raise HostLeaving(url=url)
+        return []
+
+
+class FakeShard:
+    """As much of a shard as the keeper uses for instances."""
+
+    name = shard_of("i1", ZONE, SHARDS)
+    epoch = 1
+
+    def __init__(self, clock):
+        self.entries = {}
+        policy = HealthAware(InstanceHealth(clock), random.Random(1))
+        self.desk = SlotDesk(self.name, 1, SlotLedger(), policy, clock)
+
+    def add_instance(self, entry):
+        self.entries[entry.name] = entry
+        self.desk.with_ledger(
+            lambda ledger: ledger.add(entry.name, "counts", entry.url, 8, 64)
+        )
+
+
+class Bench:
+    """Look at the list once a second, as the placer does."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.instances = FakeInstances()
+        self.shard = FakeShard(self.clock)
+        self.executor = ThreadPoolExecutor(1)
+        self.keeper = HostKeeper(None, self.instances, self.executor)
+        self.states = dict.fromkeys(NAMES, "live")
+        self.look()
+
+    def look(self):
+        entries = [
+            HostEntry(name, "instance", state, name, "south", ZONE, service="counts")
+            for name, state in self.states.items()
+        ]
+        self.keeper.refresh(self.shard, entries, SHARDS)
+
+    def call(self, outcome="done"):
+        wanted = SlotRequest(
+            shard=self.shard.name,
+            service="counts",
+            request_id="r",
+            wait_milliseconds=0,
+            run_milliseconds=1000,
+            caller="",
+        )
+        grant = self.shard.desk.request(wanted, 0)
+        said = grant.instance in self.instances.leaving and outcome == "done"
+        self.shard.desk.release(grant.grant_id, "leaving" if said else outcome, 0.01)
+        return grant.instance
+
+    def seconds_with_new_work(self, name, seconds=10):
+        """Return how long after now the last new call went to an instance."""
+        began = self.clock.monotonic()
+        last = 0.0
+        for second in range(seconds):
+            for _ in range(10):
+                self.clock.advance(0.1)
+                if self.call() == name:
+                    last = self.clock.monotonic() - began
+            if second < seconds - 1:
+                self.look()
+        return last
+
+
+@pytest.fixture
+def bench():
+    found = Bench()
+    yield found
+    found.executor.shutdown()
+
+
+def announces(bench):
+    bench.instances.leaving.add("i1")
+
+
+def is_listed(bench):
+    bench.states["i1"] = "leaving"
+
+
+def both(bench):
+    announces(bench)
+    is_listed(bench)
+
+
+def announces_and_closes(bench):
+    announces(bench)
+    bench.instances.down.add("i1")
+
+
+@pytest.mark.parametrize("leave", [announces, is_listed, both, announces_and_closes])
+def test_leaving_server_gets_no_new_work_after_three_seconds(bench, leave):
+    """A backend server leaves: it says so itself, the list says so, or both.
+
+    The list lags in the first case and shows it as live all the time; what is
+    sent after a few seconds is lost with the server.
+    """
+    leave(bench)
+    assert bench.seconds_with_new_work("i1") <= 3.0
+
+
+def test_leaving_server_that_comes_back_gets_work_again(bench):
+    """A deployment is called off; the server stays, and says so no longer."""
+    announces(bench)
+    bench.seconds_with_new_work("i1")
+    bench.instances.leaving.clear()
+    bench.look()
+    bench.clock.advance(1)
+    assert "i1" in {bench.call() for _ in range(50)}
+
+
+def test_last_server_that_leaves_gets_no_more_work_either(bench):
+    """Both servers of a service leave; callers must hear of it at once."""
+    bench.instances.leaving.update(NAMES)
+    for _ in range(2):
+        bench.call()
+    bench.look()
+    with pytest.raises(WaitOver):
+        bench.call()
--- a/tests/standins/board.py
+++ b/tests/standins/board.py
@@ -2,7 +2,7 @@
 
 import threading
 
-KINDS = ("down", "slow", "lose_answers", "freeze", "fail")
+KINDS = ("down", "slow", "lose_answers", "freeze", "fail", "leave")
 
 
 class FaultBoard:
@@ -11,6 +11,7 @@
     ``down``: no effect, no answer. ``slow``: so many seconds first.
     ``lose_answers``: the effect happens, the answer is lost; a number limits
     how many. ``freeze``: waits until cleared. ``fail``: answers an error.
+    ``leave``: says in each answer that it leaves, and goes on answering.
     """
 
     def __init__(self):
--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -146,6 +146,12 @@
         name, _, path = rest.partition("/")
         if self.board.get(name, "down"):
             return 503, {}, {}
+        status, body, headers = self._instance(environ, name, path, data)
+        if self.board.get(name, "leave"):
+            headers = {**headers, "Leaving": "1"}
+        return status, body, headers
+
+    def _instance(self, environ, name, path, data):
         if path == "fence":
             return (*self.instances.fence(name, json.loads(data)["epoch"]), {})
         if path.startswith("requests/"):
