--- a/papayapick/placer/process.py
+++ b/papayapick/placer/process.py
@@ -208,7 +208,9 @@
     def _release(self, released):
         shard = self._owner.get(released.shard)
         if shard is not None and shard.epoch == released.epoch:
-            shard.desk.release(released.grant_id)
+            shard.desk.release(
+                released.grant_id, released.outcome, released.run_microseconds / 1e6
+            )
 
     def _expire(self):
         for shard in self.shards:
