--- a/papayapick/journal/work.py
+++ b/papayapick/journal/work.py
@@ -8,6 +8,8 @@
 WAITING = "waiting"
 RUNNING = "running"
 ENDED = "ended"
+NOT_RUN = "not_run"
+UNKNOWN = "unknown"
 
 
 class WorkItem:
@@ -45,6 +47,11 @@
         """Return how often the work has been started."""
         return self.started.attempt if self.started else 0
 
+    @property
+    def refusal(self):
+        """Return the outcome of giving up now."""
+        return UNKNOWN if self.may_have_run else NOT_RUN
+
     def records(self):
         """Return the records that give this state again."""
         found = (self.accepted, self.started, self.ended)
--- a/papayapick/placer/requests.py
+++ b/papayapick/placer/requests.py
@@ -15,7 +15,7 @@
 
 __all__ = ["RequestRunner"]
 
-DONE, FAILED, UNKNOWN, NOT_RUN = "done", "failed", "unknown", "not_run"
+DONE, FAILED, UNKNOWN = "done", "failed", "unknown"
 _SLOT_WAIT_SECONDS = 0.5
 _BACKOFF_SECONDS = 0.2
 _LONGEST_BACKOFF_SECONDS = 10.0
@@ -52,16 +52,14 @@
             return
         policy = self._process.watcher.bundle.services.get(item.accepted.name)
         if policy is None:
-            outcome = UNKNOWN if item.may_have_run else NOT_RUN
-            self.end(shard, item, outcome, detail="work.service-removed")
+            self.end(shard, item, item.refusal, detail="work.service-removed")
             return
         if item.may_have_run and not item.accepted.repeatable:
             # Whatever brought it back here, it is never sent a second time.
             self.end(shard, item, UNKNOWN, detail="work.outcome-lost")
             return
         if self._process.clock.time() >= item.accepted.deadline:
-            outcome = UNKNOWN if item.may_have_run else NOT_RUN
-            self.end(shard, item, outcome, detail="work.deadline-over")
+            self.end(shard, item, item.refusal, detail="work.deadline-over")
             return
         try:
             grant = self._acquire(item, policy)
