Find a worker without a scan, and keep accelerators for their work

Cause: the ledger's index knew free processors only. Where workers have processors left and no memory, `tightest` looked at every one of them: the new test printed "assert 501 <= 40" against the earlier code, and the kept-share test "assert 8 == 4". The ledger had no lock either, though 16 runners and the host keeper use it at once.

Ruled out: one index per amount (each alone is fooled by the others); a scan cut short (refuses work that fits).

Change: RoomIndex holds workers by free accelerators, in steps of processors, with a tree of the most free memory over the steps. Work without accelerators sees a worker's free amounts less what its free accelerators keep. A lock stands over each change. Baselines beside: random, first fit, least loaded.

With the comparison in `reserve` taken out, the invariant test fails at the sequence add, open, reserve.

--- a/papayapick/ledger/hosts.py
+++ b/papayapick/ledger/hosts.py
@@ -1,12 +1,18 @@
 """Reserve room on workers before anything starts there."""
 
-from sortedcontainers import SortedKeyList
+import threading
+from collections import Counter
 
 from papayapick.ledger.amounts import Amounts
 from papayapick.ledger.exceptions import HostFull, HostUnknown, ReservationUnknown
+from papayapick.ledger.rooms import RoomIndex
 
 __all__ = ["HostLedger"]
 
+# Of each free accelerator's share of its host, what other work must leave free.
+KEPT_PERCENT = 50
+_WITHOUT_ACCELERATORS = -1
+
 
 class _Host:
     __slots__ = ("capacity", "free", "is_open", "name", "reservations")
@@ -23,46 +29,84 @@
     """Count the room of the workers of one shard.
 
     A host is closed until it has been fenced and its inventory taken; a closed
-    host counts as full. The index holds open hosts by free processors, so that
-    a decision does not scan them all.
+    host counts as full. Two indexes hold the open hosts, one for work that needs
+    accelerators and one for work that needs none; the second shows of a host
+    with free accelerators only what it need not keep for them.
+
+    Several tasks of a placer use one ledger. Each change and each choice with its
+    reservation holds the lock: two choices of the same room would overfill a host.
+
+    Parameters
+    ----------
+    kept_percent : int
+        Of each free accelerator's share of its host's processors and memory,
+        what work without accelerators leaves free.
     """
 
-    __slots__ = ("_hosts", "_index", "_reservations")
-
-    def __init__(self):
+    __slots__ = (
+        "_accelerated",
+        "_capacities",
+        "_hosts",
+        "_kept_percent",
+        "_lock",
+        "_plain",
+        "_reservations",
+        "_version",
+    )
+
+    def __init__(self, kept_percent=KEPT_PERCENT):
         self._hosts = {}
         self._reservations = {}
-        self._index = SortedKeyList(
-            key=lambda host: (host.free.processors, host.free.memory, host.name)
-        )
+        self._capacities = Counter()
+        self._plain = RoomIndex()
+        self._accelerated = RoomIndex()
+        self._kept_percent = kept_percent
+        self._version = 0
+        self._lock = threading.RLock()
 
     @property
     def names(self):
         """Return the names of the hosts."""
-        return list(self._hosts)
+        with self._lock:
+            return list(self._hosts)
+
+    @property
+    def lock(self):
+        """Return the lock to hold over a choice and its reservation."""
+        return self._lock
+
+    @property
+    def version(self):
+        """Return a number that grows with each change."""
+        return self._version
 
     def add(self, name, capacity):
         """Add a closed host; an equal one that is there stays as it is."""
-        host = self._hosts.get(name)
-        if host is None:
-            self._hosts[name] = _Host(name, capacity)
-        elif host.capacity != capacity:
-            self._change(host, free=host.free + capacity - host.capacity)
-            host.capacity = capacity
+        with self._lock:
+            host = self._hosts.get(name)
+            if host is None:
+                self._hosts[name] = _Host(name, capacity)
+                self._capacities[capacity] += 1
+            elif host.capacity != capacity:
+                self._capacities[capacity] += 1
+                self._forget_capacity(host.capacity)
+                free = host.free + capacity - host.capacity
+                host.capacity = capacity
+                self._change(host, free)
 
     def open(self, name):
         """Let new work go to a host."""
-        host = self._host(name)
-        if not host.is_open:
+        with self._lock:
+            host = self._host(name)
             host.is_open = True
-            self._index.add(host)
+            self._change(host, host.free)
 
     def close(self, name):
         """Let no new work go to a host; what is reserved stays reserved."""
-        host = self._host(name)
-        if host.is_open:
-            self._index.remove(host)
+        with self._lock:
+            host = self._host(name)
             host.is_open = False
+            self._change(host, host.free)
 
     def is_open(self, name):
         """Return whether new work may go to a host."""
@@ -70,10 +114,12 @@
 
     def remove(self, name):
         """Forget a host and its reservations."""
-        self.close(name)
-        host = self._hosts.pop(name)
-        for reservation in host.reservations:
-            del self._reservations[reservation]
+        with self._lock:
+            self.close(name)
+            host = self._hosts.pop(name)
+            self._forget_capacity(host.capacity)
+            for reservation in host.reservations:
+                del self._reservations[reservation]
 
     def reserve(self, name, reservation, demand):
         """Take room on an open host; the same reservation again changes nothing.
@@ -82,12 +128,13 @@
         ------
         HostUnknown, HostFull
         """
-        if reservation in self._reservations:
-            return
-        host = self._host(name)
-        if not host.is_open or not demand.fits_in(host.free):
-            raise HostFull(host=name, demand=demand)
-        self._take(host, reservation, demand)
+        with self._lock:
+            if reservation in self._reservations:
+                return
+            host = self._host(name)
+            if not host.is_open or not demand.fits_in(host.free):
+                raise HostFull(host=name, demand=demand)
+            self._take(host, reservation, demand)
 
     def restore(self, name, reservation, demand):
         """Count work that an inventory found, even where it overfills the host.
@@ -95,8 +142,9 @@
         What runs there runs, whatever the ledger thinks; a free amount below
         zero keeps new work away until it has ended.
         """
-        if reservation not in self._reservations:
-            self._take(self._host(name), reservation, demand)
+        with self._lock:
+            if reservation not in self._reservations:
+                self._take(self._host(name), reservation, demand)
 
     def release(self, reservation):
         """Give room back on proof that the work has ended.
@@ -110,12 +158,13 @@
         ------
         ReservationUnknown
         """
-        if reservation not in self._reservations:
-            raise ReservationUnknown(reservation=reservation)
-        host, demand = self._reservations.pop(reservation)
-        host.reservations.discard(reservation)
-        self._change(host, free=host.free + demand)
-        return host.name
+        with self._lock:
+            if reservation not in self._reservations:
+                raise ReservationUnknown(reservation=reservation)
+            host, demand = self._reservations.pop(reservation)
+            host.reservations.discard(reservation)
+            self._change(host, host.free + demand)
+            return host.name
 
     def free(self, name):
         """Return the free amounts of a host, nothing where it is closed."""
@@ -128,38 +177,71 @@
 
     def reservations(self, name):
         """Return the reservations on a host."""
-        return set(self._host(name).reservations)
+        with self._lock:
+            return set(self._host(name).reservations)
+
+    def reserved(self, reservation):
+        """Return the host's name and the amounts of a reservation, or None."""
+        found = self._reservations.get(reservation)
+        return (found[0].name, found[1]) if found else None
+
+    def open_hosts(self):
+        """Return the names of the hosts that take new work."""
+        with self._lock:
+            return [host.name for host in self._hosts.values() if host.is_open]
 
     def tightest(self, demand):
-        """Return the open host that holds a demand with least processors left.
+        """Return the open host that holds a demand with least left over.
 
         Returns
         -------
         str or None
         """
-        start = self._index.bisect_key_left((demand.processors, 0, ""))
-        for host in self._index.islice(start):
-            if demand.fits_in(host.free):
-                return host.name
-        return None
+        with self._lock:
+            index = self._accelerated if demand.accelerators else self._plain
+            return index.find(demand)
 
     def could_hold(self, demand):
         """Return whether any host could hold a demand if it were empty."""
-        return any(demand.fits_in(host.capacity) for host in self._hosts.values())
+        with self._lock:
+            return any(demand.fits_in(capacity) for capacity in self._capacities)
 
     def _host(self, name):
         if name not in self._hosts:
             raise HostUnknown(host=name)
         return self._hosts[name]
 
+    def _forget_capacity(self, capacity):
+        self._capacities[capacity] -= 1
+        if not self._capacities[capacity]:
+            del self._capacities[capacity]
+
     def _take(self, host, reservation, demand):
         self._reservations[reservation] = (host, demand)
         host.reservations.add(reservation)
-        self._change(host, free=host.free - demand)
+        self._change(host, host.free - demand)
 
     def _change(self, host, free):
-        if host.is_open:
-            self._index.remove(host)
+        self._version += 1
         host.free = free
-        if host.is_open:
-            self._index.add(host)
+        self._plain.discard(host.name)
+        self._accelerated.discard(host.name)
+        # An overfilled host stands in no index: none of it is free.
+        if not host.is_open or not Amounts().fits_in(free):
+            return
+        if not host.capacity.accelerators:
+            self._plain.add(host.name, free, _WITHOUT_ACCELERATORS)
+            return
+        self._accelerated.add(host.name, free)
+        rest = free - self._kept(host)
+        if Amounts().fits_in(rest):
+            self._plain.add(host.name, rest, free.accelerators)
+
+    def _kept(self, host):
+        """Return what other work leaves to the free accelerators of a host."""
+        share = host.free.accelerators * self._kept_percent
+        whole = host.capacity.accelerators * 100
+        return Amounts(
+            host.capacity.processors * share // whole,
+            host.capacity.memory * share // whole,
+        )
--- a/papayapick/placement/__init__.py
+++ b/papayapick/placement/__init__.py
@@ -6,5 +6,22 @@
     PowerOfTwo,
     RoundRobin,
 )
+from papayapick.placement.tasks import (
+    FirstFit,
+    HostPolicy,
+    LeastLoadedHost,
+    RandomFit,
+    Tightest,
+)
 
-__all__ = ["InstancePolicy", "LeastLoaded", "PowerOfTwo", "RoundRobin"]
+__all__ = [
+    "FirstFit",
+    "HostPolicy",
+    "InstancePolicy",
+    "LeastLoaded",
+    "LeastLoadedHost",
+    "PowerOfTwo",
+    "RandomFit",
+    "RoundRobin",
+    "Tightest",
+]
