Start jobs from one queue, with a promised time and backfill behind it

Cause: a job that did not fit was put back every 0.2 s with nothing reserved, so small jobs that came later took each place that came free. With the earlier code the new test of a stream of small jobs printed "assert None == ('done', '')" for the large one. Found on the way, each seen to fail first: - A lease counted as over from the start of the task, not from its last renewal: with that rule put back, the worker cut off after renewals and the next one both ran the job ("assert 2 <= 1"). - A job started once was told as not_run when its deadline passed. - A job that fails everywhere, and a worker that fails everything, were never told apart; a start refused by a worker was tried there again. - Nothing stopped a run at its policy's bound.

Ruled out: reserving members as they come free (two such jobs wait for each other); reserving for every waiting job (a pass costs jobs times hosts).

Change: JobQueue keeps waiting and running jobs of a shard in the order of latest start with ageing. Backfill starts from the front; the first that does not fit is promised the earliest time at which all members fit if all runs last to their bound, and jobs behind it start only where they can't delay that. FailureBook sets a worker aside after three different jobs failed there, a tenth of the shard at most, and probes it after 60 s, then twice that. JobRunner uses both; a run past its bound is stopped.

--- a/papayapick/ledger/hosts.py
+++ b/papayapick/ledger/hosts.py
@@ -12,15 +12,28 @@
 # Of each free accelerator's share of its host, what other work must leave free.
 KEPT_PERCENT = 50
 _WITHOUT_ACCELERATORS = -1
+_NOTHING = Amounts()
 
 
 class _Host:
-    __slots__ = ("capacity", "free", "is_open", "name", "reservations")
+    __slots__ = (
+        "capacity",
+        "free",
+        "held",
+        "is_aside",
+        "is_open",
+        "name",
+        "reservations",
+        "shown",
+    )
 
     def __init__(self, name, capacity):
         self.name = name
         self.capacity = capacity
         self.free = capacity
+        self.held = _NOTHING
+        self.shown = _NOTHING
+        self.is_aside = False
         self.is_open = False
         self.reservations = set()
 
@@ -51,6 +64,7 @@
         "_lock",
         "_plain",
         "_reservations",
+        "_shown",
         "_version",
     )
 
@@ -61,9 +75,13 @@
         self._plain = RoomIndex()
         self._accelerated = RoomIndex()
         self._kept_percent = kept_percent
+        self._shown = _NOTHING
         self._version = 0
         self._lock = threading.RLock()
 
+    def __contains__(self, name):
+        return name in self._hosts
+
     @property
     def names(self):
         """Return the names of the hosts."""
@@ -108,6 +126,14 @@
             host.is_open = False
             self._change(host, host.free)
 
+    def set_aside(self, name, is_aside):
+        """Keep new work from an open host, or let it go there again."""
+        with self._lock:
+            host = self._host(name)
+            if host.is_aside != is_aside:
+                host.is_aside = is_aside
+                self._change(host, host.free)
+
     def is_open(self, name):
         """Return whether new work may go to a host."""
         return name in self._hosts and self._hosts[name].is_open
@@ -132,7 +158,7 @@
             if reservation in self._reservations:
                 return
             host = self._host(name)
-            if not host.is_open or not demand.fits_in(host.free):
+            if host.is_aside or not host.is_open or not demand.fits_in(host.free):
                 raise HostFull(host=name, demand=demand)
             self._take(host, reservation, demand)
 
@@ -166,6 +192,21 @@
             self._change(host, host.free + demand)
             return host.name
 
+    def hold(self, name, amounts):
+        """Hide free room of a host from choices; a reservation may still use it.
+
+        Parameters
+        ----------
+        name : str
+        amounts : Amounts
+            Replaces what was held there before; nothing ends the hold.
+        """
+        with self._lock:
+            host = self._host(name)
+            if host.held != amounts:
+                host.held = amounts
+                self._index(host)
+
     def free(self, name):
         """Return the free amounts of a host, nothing where it is closed."""
         host = self._host(name)
@@ -188,7 +229,11 @@
     def open_hosts(self):
         """Return the names of the hosts that take new work."""
         with self._lock:
-            return [host.name for host in self._hosts.values() if host.is_open]
+            return [
+                host.name
+                for host in self._hosts.values()
+                if host.is_open and not host.is_aside
+            ]
 
     def tightest(self, demand):
         """Return the open host that holds a demand with least left over.
@@ -201,6 +246,18 @@
             index = self._accelerated if demand.accelerators else self._plain
             return index.find(demand)
 
+    def may_hold(self, demand, members):
+        """Return whether so many members fit in all free room taken together.
+
+        It refuses most large jobs without a try; a true answer promises nothing.
+        """
+        with self._lock:
+            return (
+                demand.processors * members <= self._shown.processors
+                and demand.memory * members <= self._shown.memory
+                and demand.accelerators * members <= self._shown.accelerators
+            )
+
     def could_hold(self, demand):
         """Return whether any host could hold a demand if it were empty."""
         with self._lock:
@@ -224,18 +281,26 @@
     def _change(self, host, free):
         self._version += 1
         host.free = free
+        self._index(host)
+
+    def _index(self, host):
         self._plain.discard(host.name)
         self._accelerated.discard(host.name)
+        shown = host.free - host.held
         # An overfilled host stands in no index: none of it is free.
-        if not host.is_open or not Amounts().fits_in(free):
+        is_taking = host.is_open and not host.is_aside
+        is_shown = is_taking and _NOTHING.fits_in(shown)
+        before, host.shown = host.shown, shown if is_shown else _NOTHING
+        self._shown = self._shown + host.shown - before
+        if not is_shown:
             return
         if not host.capacity.accelerators:
-            self._plain.add(host.name, free, _WITHOUT_ACCELERATORS)
+            self._plain.add(host.name, shown, _WITHOUT_ACCELERATORS)
             return
-        self._accelerated.add(host.name, free)
-        rest = free - self._kept(host)
-        if Amounts().fits_in(rest):
-            self._plain.add(host.name, rest, free.accelerators)
+        self._accelerated.add(host.name, shown)
+        rest = shown - self._kept(host)
+        if _NOTHING.fits_in(rest):
+            self._plain.add(host.name, rest, shown.accelerators)
 
     def _kept(self, host):
         """Return what other work leaves to the free accelerators of a host."""
--- a/papayapick/placement/__init__.py
+++ b/papayapick/placement/__init__.py
@@ -1,11 +1,27 @@
 """Choose where work goes."""
 
+from papayapick.placement.failures import FailureBook
 from papayapick.placement.instances import (
     InstancePolicy,
     LeastLoaded,
     PowerOfTwo,
     RoundRobin,
 )
+from papayapick.placement.jobs import (
+    ArrivalOrder,
+    DeadlineOrder,
+    JobOrder,
+    Place,
+    RunningJob,
+    WaitingJob,
+)
+from papayapick.placement.queue import JobQueue
+from papayapick.placement.starts import (
+    Backfill,
+    FirstComeFirstServed,
+    FirstThatFits,
+    StartPolicy,
+)
 from papayapick.placement.tasks import (
     FirstFit,
     HostPolicy,
@@ -15,13 +31,25 @@
 )
 
 __all__ = [
+    "ArrivalOrder",
+    "Backfill",
+    "DeadlineOrder",
+    "FailureBook",
+    "FirstComeFirstServed",
     "FirstFit",
+    "FirstThatFits",
     "HostPolicy",
     "InstancePolicy",
+    "JobOrder",
+    "JobQueue",
     "LeastLoaded",
     "LeastLoadedHost",
+    "Place",
     "PowerOfTwo",
     "RandomFit",
     "RoundRobin",
+    "RunningJob",
+    "StartPolicy",
     "Tightest",
+    "WaitingJob",
 ]
--- /dev/null
+++ b/papayapick/placement/jobs.py
@@ -0,0 +1,174 @@
+"""Describe jobs that wait and run, and the order in which they start."""
+
+from typing import Protocol
+
+__all__ = [
+    "ArrivalOrder",
+    "DeadlineOrder",
+    "JobOrder",
+    "Place",
+    "RunningJob",
+    "WaitingJob",
+]
+
+
+class WaitingJob:
+    """Hold what a start is decided on.
+
+    Parameters
+    ----------
+    name : str
+        Id of the request.
+    demand : Amounts
+        Of each member.
+    members : int
+    run_seconds : float
+        Upper bound of a run; whatever runs on is stopped.
+    arrival, deadline : float
+        Seconds on the clock of the decisions.
+    is_urgent : bool
+    can_pause : bool
+        Whether it may be checkpointed and go on later.
+    team : str
+    attempt : int
+        Number of the start, part of the tasks' names.
+    avoid : frozenset of str
+        Hosts that it failed on.
+    """
+
+    __slots__ = (
+        "arrival",
+        "attempt",
+        "avoid",
+        "can_pause",
+        "deadline",
+        "demand",
+        "is_urgent",
+        "members",
+        "name",
+        "run_seconds",
+        "team",
+    )
+
+    def __init__(
+        self,
+        name,
+        demand,
+        members=1,
+        run_seconds=3600.0,
+        arrival=0.0,
+        deadline=float("inf"),
+        is_urgent=False,
+        can_pause=False,
+        team="",
+        attempt=1,
+        avoid=frozenset(),
+    ):
+        self.name = name
+        self.demand = demand
+        self.members = members
+        self.run_seconds = run_seconds
+        self.arrival = arrival
+        self.deadline = deadline
+        self.is_urgent = is_urgent
+        self.can_pause = can_pause
+        self.team = team
+        self.attempt = attempt
+        self.avoid = avoid
+
+    @property
+    def latest_start(self):
+        """Return the time after which the deadline may be missed."""
+        return self.deadline - self.run_seconds
+
+
+class Place:
+    """Name the task of one member and its host."""
+
+    __slots__ = ("host", "task")
+
+    def __init__(self, host, task):
+        self.host = host
+        self.task = task
+
+
+class RunningJob:
+    """Hold a job with the places of its members.
+
+    Parameters
+    ----------
+    job : WaitingJob
+    places : list of Place
+    end : float
+        Time by which the run is over at the latest.
+
+    Attributes
+    ----------
+    renewed : float
+        Monotonic time at which its leases were last asked for; an answer that
+        was lost may have renewed them.
+    heard : float
+        Monotonic time at which all its members were last reported.
+    is_given_up : bool
+        Whether its leases are renewed no more, so that it ends.
+    """
+
+    __slots__ = ("end", "heard", "is_given_up", "job", "places", "renewed")
+
+    def __init__(self, job, places, end):
+        self.job = job
+        self.places = places
+        self.end = end
+        self.renewed = self.heard = float("-inf")
+        self.is_given_up = False
+
+
+class JobOrder(Protocol):
+    """Give the place of a job in the queue; it never changes while it waits."""
+
+    def due(self, job):
+        """Return the time by which the job should start; earlier goes first."""
+
+
+class ArrivalOrder:
+    """Serve jobs as they come: a baseline."""
+
+    __slots__ = ()
+
+    def due(self, job):
+        """Return the time of arrival."""
+        return job.arrival
+
+
+class DeadlineOrder:
+    """Serve urgent jobs as they come, others by latest start, with ageing.
+
+    A job that has waited for ``ageing_seconds`` stands before all that come from
+    then on, so that a stream of nearer deadlines can't starve it.
+
+    Parameters
+    ----------
+    ageing_seconds : float
+    margin_seconds : float
+        How long before its latest start a job is due.
+
+    Examples
+    --------
+    >>> from papayapick.ledger import Amounts
+    >>> order = DeadlineOrder(ageing_seconds=600, margin_seconds=60)
+    >>> order.due(WaitingJob("a", Amounts(1), run_seconds=100, deadline=500))
+    340
+    """
+
+    __slots__ = ("_ageing_seconds", "_margin_seconds")
+
+    def __init__(self, ageing_seconds=3600.0, margin_seconds=300.0):
+        self._ageing_seconds = ageing_seconds
+        self._margin_seconds = margin_seconds
+
+    def due(self, job):
+        """Return the arrival of urgent work, else latest start or end of ageing."""
+        if job.is_urgent:
+            return job.arrival
+        aged = job.arrival + self._ageing_seconds
+        return min(job.latest_start - self._margin_seconds, aged)
--- a/papayapick/placer/jobs.py
+++ b/papayapick/placer/jobs.py
@@ -4,8 +4,9 @@
 import json
 
 from papayapick.journal import Ended, JournalError, JournalUnsettled, Started
-from papayapick.ledger import Amounts, LedgerError
+from papayapick.ledger import Amounts
 from papayapick.observability import get_logger
+from papayapick.placement import Place, RunningJob, WaitingJob
 from papayapick.platforms import (
     PlatformError,
     StaleEpoch,
@@ -16,15 +17,16 @@
 __all__ = ["JobRunner"]
 
 _LOG = get_logger(__name__)
-DONE, FAILED, UNKNOWN, NOT_RUN = "done", "failed", "unknown", "not_run"
+DONE, FAILED, NOT_RUN = "done", "failed", "not_run"
+_URGENT = "urgent"
 _RETRY_SECONDS = 0.2
-_ATTEMPTS = 3
+_RUN_SECONDS = 3600.0
 # Clocks of workers and placers drift apart by at most this share.
 _DRIFT = 0.02
 
 
 class JobRunner:
-    """Reserve all members, journal the places, start, renew and collect.
+    """Queue jobs, journal the places of what starts, start, renew and collect.
 
     Parameters
     ----------
@@ -41,32 +43,55 @@
         self._desk = desk
 
     def run(self, shard, item):
-        """Start a job if all its members fit now; else put it back."""
+        """Let a job wait for room, and start whatever fits now."""
         if item.ended is not None or shard.is_closed:
             return
-        if self._process.clock.time() > item.accepted.deadline:
-            self.end(shard, item, NOT_RUN, "work.deadline-over")
-            return
-        places = self._reserve(shard, item)
-        if places is None:
-            self._desk.enqueue(shard, item, _RETRY_SECONDS)
-            return
-        if self._journal_start(shard, item, places):
-            self._start_members(shard, item)
-        else:
-            self._release(shard, places)
+        shard.jobs.add(self._job(shard, item))
+        self.start_waiting(shard)
 
     def recover(self, shard, item):
         """Take over a started job: its inventory is in the ledger already."""
+        job = self._job(shard, item)
+        places = [Place(one["host"], one["task"]) for one in item.started.places]
+        running = RunningJob(job, places, item.started.time + job.run_seconds)
+        # The earlier owner may have renewed the leases until a moment ago.
+        running.renewed = running.heard = self._process.clock.monotonic()
+        shard.jobs.adopt(running)
 
     def renew(self, shard):
         """Renew the leases of a shard's tasks and collect what has ended."""
+        now = self._process.clock.monotonic()
+        jobs = shard.jobs.running
+        for running in jobs:
+            if not running.is_given_up:
+                running.renewed = now
         reports = {}
-        for worker, tasks in self._running(shard).items():
+        for worker, tasks in _tasks_by_worker(jobs).items():
             reports.update(self._renew_worker(shard, worker, tasks))
-        for item in shard.book.items:
-            if item.state == "running" and item.accepted.work == "job":
-                self._collect(shard, item, reports)
+        for running in jobs:
+            item = shard.book.get(running.job.name)
+            if item.started is None or item.ended is not None:
+                continue
+            if running.is_given_up:
+                self._give_up(shard, item, running)
+            else:
+                self._collect(shard, item, running, reports)
+        shard.failures.probe(self._process.clock.time())
+        self._process.executor.submit(self.start_waiting, shard)
+
+    def start_waiting(self, shard):
+        """Start the waiting jobs whose turn it is and that fit."""
+        if shard.is_closed:
+            return
+        now = self._process.clock.time()
+        for name in shard.jobs.take_overdue(now):
+            self._end_overdue(shard, shard.book.get(name))
+        starts = shard.jobs.choose_starts(now)
+        # All are journaled together: they share a segment, and so one write.
+        entries = [(start, self._journal_start(shard, start)) for start in starts]
+        for start, entry in entries:
+            if entry is not None and self._is_durable(shard, start, entry):
+                self._start_members(shard, shard.book.get(start.job.name), start)
 
     def end(self, shard, item, outcome, detail="", results=None):
         """Journal the outcome of a job and answer those who wait for it."""
@@ -80,76 +105,91 @@
             result=_text_of(body),
             detail=detail,
         )
+        shard.failures.forget(item.request_id)
         try:
             entry = shard.journal.append(ended, must_last=True)
         except JournalError:
             return
         entry.settled.add_done_callback(lambda done: self._desk.finish(item))
 
-    def _reserve(self, shard, item):
-        demand = Amounts.from_mapping(item.accepted.job["demand"])
-        members = item.accepted.job["members"]
-        attempt = item.attempts + 1
-        places = []
-        for number in range(members):
-            task = f"{item.request_id}.{attempt}.{number}"
-            name = shard.hosts.tightest(demand)
-            if name is None:
-                self._release(shard, places)
-                return None
-            shard.hosts.reserve(name, task, demand)
-            places.append({"host": name, "task": task})
-        return places
-
-    @staticmethod
-    def _release(shard, places):
-        for place in places:
-            try:
-                shard.hosts.release(place["task"])
-            except LedgerError:
-                # A task that the inventory did not find holds nothing.
-                continue
-
-    def _journal_start(self, shard, item, places):
-        started = Started(
-            item.request_id, item.attempts + 1, places, self._process.clock.time()
+    def _job(self, shard, item):
+        policy = self._process.watcher.bundle.jobs.get(item.accepted.name)
+        is_urgent = policy is not None and policy.urgency == _URGENT
+        return WaitingJob(
+            item.request_id,
+            Amounts.from_mapping(item.accepted.job["demand"]),
+            item.accepted.job["members"],
+            policy.run_seconds if policy else _RUN_SECONDS,
+            self._process.clock.time(),
+            item.accepted.deadline,
+            is_urgent,
+            can_pause=item.accepted.repeatable and not is_urgent,
+            team=policy.team if policy else "",
+            attempt=item.attempts + 1,
+            avoid=shard.failures.hosts_of(item.request_id),
         )
+
+    def _end_overdue(self, shard, item):
+        if item.ended is not None:
+            return
+        # What has been started once may have run: "not run" would not be true.
+        outcome = FAILED if item.attempts else NOT_RUN
+        self.end(shard, item, outcome, "work.deadline-over")
+
+    def _journal_start(self, shard, start):
+        item = shard.book.get(start.job.name)
+        if item.ended is not None:
+            shard.jobs.finish(item.request_id)
+            return None
+        places = [{"host": one.host, "task": one.task} for one in start.places]
+        now = self._process.clock.time()
+        started = Started(item.request_id, start.job.attempt, places, now)
+        try:
+            return shard.journal.append(started)
+        except JournalError:
+            self._put_back(shard, item)
+            return None
+
+    def _is_durable(self, shard, start, entry):
+        item = shard.book.get(start.job.name)
         try:
-            entry = shard.journal.append(started)
             entry.written.result()
         except JournalUnsettled:
+            shard.jobs.finish(item.request_id)
             entry.settled.add_done_callback(
                 lambda done: self._desk.enqueue(shard, item, _RETRY_SECONDS)
             )
             return False
         except JournalError:
-            self._desk.enqueue(shard, item, _RETRY_SECONDS)
+            self._put_back(shard, item)
             return False
-        return item.ended is None and item.started == started
+        if item.ended is None and item.started == entry.record:
+            return True
+        # A cancel stands before the start in the journal.
+        shard.jobs.finish(item.request_id)
+        return False
+
+    def _put_back(self, shard, item):
+        shard.jobs.finish(item.request_id)
+        self._desk.enqueue(shard, item, _RETRY_SECONDS)
 
-    def _start_members(self, shard, item):
+    def _start_members(self, shard, item, running):
         demand = item.accepted.job["demand"]
         lease = self._process.settings.task_lease_seconds
         work = item.accepted.job.get("work", {})
-        for place in item.started.places:
-            entry = shard.entries[place["host"]]
+        running.heard = self._process.clock.monotonic()
+        for place in running.places:
+            entry = shard.entries[place.host]
+            running.renewed = self._process.clock.monotonic()
             try:
-                self._workers.start(
-                    entry, shard.epoch, place["task"], demand, lease, work
-                )
+                self._workers.start(entry, shard.epoch, place.task, demand, lease, work)
             except (StaleEpoch, TaskRefused, WorkerUnreachable) as error:
                 _LOG.info("member not started", extra={"error": str(error)})
-                self._give_up(shard, item)
+                now = self._process.clock.time()
+                shard.failures.note_refusal(place.host, item.request_id, now)
+                self._give_up(shard, item, running)
                 return
 
-    def _running(self, shard):
-        found = {}
-        for item in shard.book.items:
-            if item.state == "running" and item.accepted.work == "job":
-                for place in item.started.places:
-                    found.setdefault(place["host"], []).append(place["task"])
-        return found
-
     def _renew_worker(self, shard, worker, tasks):
         entry = shard.entries.get(worker)
         if entry is None:
@@ -161,42 +201,78 @@
             return {}
         return {report.task: report for report in reports}
 
-    def _collect(self, shard, item, reports):
-        found = [reports.get(place["task"]) for place in item.started.places]
-        if all(report and report.state == "done" for report in found):
-            self._release(shard, item.started.places)
-            results = {report.task: report.result for report in found}
+    def _collect(self, shard, item, running, reports):
+        reported = [reports.get(place.task) for place in running.places]
+        if all(report and report.state == "done" for report in reported):
+            for place in running.places:
+                shard.failures.note_success(place.host)
+            shard.jobs.finish(item.request_id)
+            results = {report.task: report.result for report in reported}
             self.end(shard, item, DONE, results=results)
             return
-        bad = [one for one in found if one and one.state in ("failed", "lapsed")]
-        if bad or None in found and self._leases_are_over(item):
-            self._give_up(shard, item)
+        now = self._process.clock.time()
+        failed = [
+            place.host
+            for place, report in zip(running.places, reported, strict=True)
+            if report and report.state == "failed"
+        ]
+        for host in failed:
+            shard.failures.note_failure(host, item.request_id, now)
+        if None not in reported:
+            running.heard = self._process.clock.monotonic()
+        lapsed = any(report and report.state == "lapsed" for report in reported)
+        if failed or lapsed:
+            self._give_up(shard, item, running)
+        elif self._is_lease_over(running.heard):
+            for place, report in zip(running.places, reported, strict=True):
+                if report is None:
+                    shard.failures.note_refusal(place.host, item.request_id, now)
+            self._give_up(shard, item, running)
+        elif now > running.end:
+            # A run past its bound would put off what was promised its room.
+            self._give_up(shard, item, running, "work.run-time-over")
 
-    def _leases_are_over(self, item):
+    def _is_lease_over(self, since):
         lease = self._process.settings.task_lease_seconds * (1 + _DRIFT)
-        return self._process.clock.time() > item.started.time + lease
+        return self._process.clock.monotonic() > since + lease
 
-    def _give_up(self, shard, item):
-        # No member may run on while the others are started elsewhere: a stop
-        # that is not confirmed is waited for until the lease is over.
-        if not self._stop_all(shard, item) and not self._leases_are_over(item):
+    def _give_up(self, shard, item, running, detail=""):
+        # No member may run on while the others are started elsewhere. Where a stop
+        # is not confirmed, the lease must be over, counted from its last renewal:
+        # so it is renewed no more. Counted from the start, the task of a worker
+        # that was cut off would still run under the lease it was given last.
+        running.is_given_up = True
+        stopped = self._stop_all(shard, running)
+        if not stopped and not self._is_lease_over(running.renewed):
             return
-        self._release(shard, item.started.places)
-        if item.accepted.repeatable and item.attempts < _ATTEMPTS:
-            self._desk.enqueue(shard, item, _RETRY_SECONDS)
-        else:
+        shard.jobs.finish(item.request_id)
+        if detail:
+            self.end(shard, item, FAILED, detail)
+        elif not item.accepted.repeatable:
             self.end(shard, item, FAILED, "work.member-failed")
+        elif shard.failures.fails_everywhere(item.request_id):
+            self.end(shard, item, FAILED, "work.fails-everywhere")
+        else:
+            self._desk.enqueue(shard, item, _RETRY_SECONDS)
 
-    def _stop_all(self, shard, item):
+    def _stop_all(self, shard, running):
         confirmed = True
-        for place in item.started.places:
-            entry = shard.entries.get(place["host"])
+        for place in running.places:
+            entry = shard.entries.get(place.host)
             try:
-                self._workers.stop(entry, shard.epoch, [place["task"]])
+                self._workers.stop(entry, shard.epoch, [place.task])
             except PlatformError:
                 confirmed = False
         return confirmed
 
 
+def _tasks_by_worker(jobs):
+    found = {}
+    for running in jobs:
+        for place in running.places if not running.is_given_up else ():
+            found.setdefault(place.host, []).append(place.task)
+    return found
+
+
 def _text_of(body):
     return base64.b64encode(body.encode()).decode()
--- a/papayapick/placer/shards.py
+++ b/papayapick/placer/shards.py
@@ -3,7 +3,7 @@
 from papayapick.journal import Journal, WorkBook
 from papayapick.ledger import Amounts, HostLedger, SlotLedger
 from papayapick.ownership import OwnershipUnconfirmed
-from papayapick.placement import PowerOfTwo
+from papayapick.placement import FailureBook, JobQueue, PowerOfTwo
 from papayapick.placer.exceptions import ShardClosed
 from papayapick.placer.slots import SlotDesk
 from papayapick.wire.messages import ShardSummary
@@ -31,7 +31,9 @@
         "book",
         "desk",
         "entries",
+        "failures",
         "hosts",
+        "jobs",
         "journal",
         "row",
     )
@@ -39,6 +41,8 @@
     def __init__(self, row, process, journal_bucket, on_fenced):
         self.row = row
         self.hosts = HostLedger()
+        self.jobs = JobQueue(self.hosts)
+        self.failures = FailureBook(self.hosts)
         self.desk = SlotDesk(
             row.shard,
             row.epoch,
--- /dev/null
+++ b/tests/placement/test_failures.py
@@ -0,0 +1,90 @@
+"""Workers that fail everything are told from jobs that fail everywhere."""
+
+import pytest
+
+from papayapick.ledger import Amounts, HostLedger
+from papayapick.placement import FailureBook
+
+CORE = Amounts(1000, 1024)
+
+
+def book_of(workers, share=0.1):
+    ledger = HostLedger()
+    for number in range(workers):
+        ledger.add(f"worker-{number}", Amounts(4000, 4096))
+        ledger.open(f"worker-{number}")
+    return ledger, FailureBook(ledger, share)
+
+
+def fail(book, host, jobs, now=0.0):
+    for job in jobs:
+        book.note_failure(host, job, now)
+
+
+def test_a_worker_that_fails_different_jobs_gets_no_more():
+    """One broken worker fails hundreds of jobs.
+
+    It fails at once, so it always has room, and is the tightest choice again
+    and again.
+    """
+    ledger, book = book_of(10)
+    fail(book, "worker-3", ["a", "b"])
+    assert not book.aside
+    fail(book, "worker-3", ["c"])
+    assert book.aside == {"worker-3"}
+    assert "worker-3" not in ledger.open_hosts()
+
+
+def test_a_job_that_fails_everywhere_sets_no_worker_aside():
+    """Three jobs that can't run take three sound workers out of the cell."""
+    ledger, book = book_of(10)
+    for job in ("a", "b", "c"):
+        for number in range(3):
+            book.note_failure(f"worker-{number}", job, 0.0)
+    assert not book.aside
+    assert book.fails_everywhere("a")
+
+
+def test_no_more_than_the_share_is_set_aside():
+    """A fault that all share, such as a missing image, empties the cell."""
+    ledger, book = book_of(20)
+    for number in range(20):
+        fail(book, f"worker-{number}", [f"{number}-{job}" for job in range(5)])
+    assert len(book.aside) == 2
+    assert len(ledger.open_hosts()) == 18
+
+
+@pytest.mark.parametrize(("relapses", "seconds"), [(0, 60), (1, 120), (2, 240)])
+def test_a_worker_set_aside_is_probed_later_and_later(relapses, seconds):
+    """A worker that was mended stays unused, or a broken one comes back too soon."""
+    ledger, book = book_of(10)
+    now = 0.0
+    fail(book, "worker-3", ["a", "b", "c"], now)
+    for relapse in range(relapses):
+        now += 60 * 2**relapse
+        book.probe(now)
+        fail(book, "worker-3", [f"again-{relapse}"], now)
+    assert book.aside == {"worker-3"}
+    book.probe(now + seconds - 1)
+    assert book.aside == {"worker-3"}
+    book.probe(now + seconds)
+    assert not book.aside
+    assert "worker-3" in ledger.open_hosts()
+
+
+def test_a_success_clears_a_worker():
+    ledger, book = book_of(10)
+    fail(book, "worker-3", ["a", "b"])
+    book.note_success("worker-3")
+    fail(book, "worker-3", ["c", "d"])
+    assert not book.aside
+
+
+def test_a_refused_job_goes_elsewhere_until_no_host_is_left():
+    """A job is offered to the same unreachable worker for ever."""
+    ledger, book = book_of(2)
+    book.note_refusal("worker-0", "a", 0.0)
+    assert book.hosts_of("a") == {"worker-0"}
+    book.note_refusal("worker-1", "a", 0.0)
+    assert book.hosts_of("a") == frozenset()
+    assert not book.fails_everywhere("a")
--- /dev/null
+++ b/tests/placement/test_gangs.py
@@ -0,0 +1,197 @@
+"""Jobs of several members start whole, in order, and starve nobody."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from papayapick.ledger import Amounts, HostLedger
+from papayapick.placement import (
+    Backfill,
+    DeadlineOrder,
+    FirstThatFits,
+    JobQueue,
+    Tightest,
+    WaitingJob,
+)
+from papayapick.placement.gangs import promise, reserve_all
+
+CORE = Amounts(1000, 1024)
+
+
+def ledger_of(workers, cores=4):
+    ledger = HostLedger()
+    for number in range(workers):
+        ledger.add(f"worker-{number}", Amounts(cores * 1000, cores * 1024))
+        ledger.open(f"worker-{number}")
+    return ledger
+
+
+def job(name, members=1, cores=1, seconds=10.0, **more):
+    demand = Amounts(cores * 1000, cores * 1024)
+    return WaitingJob(name, demand, members, seconds, **more)
+
+
+def names_of(starts):
+    return [start.job.name for start in starts]
+
+
+def free_cores(ledger):
+    return sum(ledger.free(name).processors for name in ledger.names) // 1000
+
+
+def test_a_job_that_lacks_one_place_holds_none():
+    """Two jobs wait for each other for ever.
+
+    Each reserved some of its members and waits for the rest, which the other
+    holds; no third job can start either.
+    """
+    ledger = ledger_of(4)
+    assert reserve_all(ledger, Tightest(), job("a", members=3, cores=3)) is not None
+    assert reserve_all(ledger, Tightest(), job("b", members=2, cores=3)) is None
+    assert free_cores(ledger) == 16 - 9
+    assert reserve_all(ledger, Tightest(), job("c", cores=4)) is not None
+
+
+def test_small_jobs_that_never_stop_coming_do_not_starve_a_large_one():
+    """A job of four members waits for ever although the cell is never overloaded.
+
+    Whenever one of its places comes free a small job takes it, as at no moment
+    all four are free together.
+    """
+    started = {}
+    for policy in (FirstThatFits(), Backfill()):
+        queue = JobQueue(ledger_of(4, cores=1), policy)
+        for number in range(4):
+            queue.add(job(f"first-{number}", seconds=10.0 + number))
+        running = {one.job.name: one.end for one in queue.choose_starts(0.0)}
+        queue.add(job("large", members=4, seconds=10.0, arrival=0.0))
+        for second in range(1, 60):
+            queue.add(job(f"small-{second}", seconds=10.0, arrival=float(second)))
+            for name in [name for name, end in running.items() if end <= second]:
+                queue.finish(name)
+                del running[name]
+            for one in queue.choose_starts(float(second)):
+                running[one.job.name] = one.end
+                started.setdefault((type(policy), one.job.name), second)
+    assert (FirstThatFits, "large") not in started
+    assert started[Backfill, "large"] == 13
+
+
+def test_work_that_is_over_in_time_fills_the_wait():
+    """Half of the cell idles while a large job waits for the other half.
+
+    A short job could be over before the large one can start; a long one would
+    put it off.
+    """
+    queue = JobQueue(ledger_of(2, cores=1))
+    queue.add(job("running", seconds=100.0))
+    assert names_of(queue.choose_starts(0.0)) == ["running"]
+    queue.add(job("large", members=2, seconds=50.0, arrival=1.0))
+    queue.add(job("long", seconds=100.0, arrival=2.0))
+    queue.add(job("short", seconds=90.0, arrival=3.0))
+    assert names_of(queue.choose_starts(4.0)) == ["short"]
+    queue.finish("short")
+    queue.finish("running")
+    assert names_of(queue.choose_starts(94.0)) == ["large"]
+
+
+def test_a_cancelled_job_gives_up_what_was_promised_to_it():
+    """Jobs wait for a job that is no longer there.
+
+    The large job was cancelled while room was held for it, and nothing else
+    changes that would make the queue look again.
+    """
+    queue = JobQueue(ledger_of(2, cores=1))
+    queue.add(job("running", seconds=100.0))
+    queue.choose_starts(0.0)
+    queue.add(job("large", members=2, arrival=1.0))
+    queue.add(job("long", seconds=500.0, arrival=2.0))
+    assert queue.choose_starts(3.0) == []
+    queue.discard("large")
+    assert names_of(queue.choose_starts(4.0)) == ["long"]
+
+
+def test_waiting_raises_a_job_above_nearer_deadlines_that_come_later():
+    """Work with a far deadline never runs, as nearer ones keep coming."""
+    order = DeadlineOrder(ageing_seconds=600.0, margin_seconds=0.0)
+    far = job("far", deadline=1e6, arrival=0.0)
+    near = [
+        job(f"near-{at}", deadline=at + 100.0, arrival=float(at))
+        for at in range(0, 1200, 100)
+    ]
+    ordered = sorted([far, *near], key=order.due)
+    assert ordered.index(far) == 6
+
+
+@pytest.mark.parametrize("members", [1, 3])
+def test_overdue_jobs_are_told_at_once(members):
+    queue = JobQueue(ledger_of(1, cores=1))
+    queue.add(job("running", seconds=100.0))
+    queue.choose_starts(0.0)
+    queue.add(job("late", members=members, deadline=5.0))
+    assert queue.take_overdue(5.0) == []
+    assert queue.take_overdue(5.1) == ["late"]
+    assert len(queue) == 0
+
+
+JOBS = st.lists(
+    st.tuples(
+        st.integers(1, 8),
+        st.integers(1, 4),
+        st.integers(1, 40),
+        st.floats(0.1, 1.0),
+        st.integers(0, 15),
+    ),
+    min_size=2,
+    max_size=25,
+)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(JOBS)
+def test_a_promised_start_is_kept_whatever_fills_behind_it(drawn):
+    """A large job starts later than promised.
+
+    Something that was let in behind it still holds the room. Runs end when they
+    like, but never after their bound.
+    """
+    ledger = ledger_of(4)
+    policy = Backfill()
+    queue = JobQueue(ledger, policy)
+    ends, promised, now, started = {}, {}, 0.0, set()
+    arrivals, shares = [], {}
+    for number, (members, cores, bound, share, gap) in enumerate(drawn):
+        name = f"job-{number}"
+        arrival = (arrivals[-1].arrival if arrivals else 0.0) + gap
+        most = 4 * (4 // cores)
+        arrivals.append(
+            job(name, min(members, most), cores, float(bound), arrival=arrival)
+        )
+        shares[name] = share
+    while arrivals or ends or len(queue):
+        now = min([one.arrival for one in arrivals[:1]] + list(ends.values()))
+        if arrivals and arrivals[0].arrival <= now:
+            queue.add(arrivals.pop(0))
+        for name in [name for name, end in ends.items() if end <= now]:
+            queue.finish(name)
+            del ends[name]
+        for one in queue.choose_starts(now):
+            name = one.job.name
+            assert now <= promised.get(name, now) + 1e-6
+            ends[name] = now + one.job.run_seconds * shares[name]
+            started.add(name)
+        if policy.promised is not None:
+            name, found = policy.promised
+            promised.setdefault(name, found.time)
+    assert started == set(shares)
+
+
+def test_a_promise_counts_only_room_that_fits_a_member():
+    ledger = ledger_of(2)
+    queue = JobQueue(ledger)
+    queue.add(job("a", cores=3, seconds=10.0))
+    queue.add(job("b", cores=3, seconds=20.0))
+    queue.choose_starts(0.0)
+    found = promise(ledger, job("c", cores=4), queue.running, 0.0)
+    assert found.time == 10.0
+    assert promise(ledger, job("d", members=3, cores=3), queue.running, 0.0) is None
--- /dev/null
+++ b/tests/placer/jobcells.py
@@ -0,0 +1,140 @@
+"""One shard with workers in memory, driven step by step with a manual clock."""
+
+import base64
+import json
+import random
+from types import SimpleNamespace
+
+from papayapick.bundle import Bundle
+from papayapick.clock import ManualClock
+from papayapick.journal import Journal
+from papayapick.limits import PauseGuard, TokenBucket
+from papayapick.ownership.queries import ShardRow
+from papayapick.placer.jobs import JobRunner
+from papayapick.placer.shards import Shard
+from papayapick.placer.work import WorkDesk
+from papayapick.platforms import WorkerClient, WorkerUnreachable
+from papayapick.platforms.http import HttpAnswer
+from papayapick.platforms.types import Row
+from papayapick.wire.messages import Submit
+from tests.standins import MemoryObjects, MemoryTable, WorkersStandin
+
+LEASE_SECONDS = 10.0
+JOBS = (
+    {"name": "batch", "urgency": "deferred", "repeatable": True, "run_seconds": 600},
+    {"name": "rush", "urgency": "urgent", "repeatable": True, "run_seconds": 600},
+    {"name": "once", "urgency": "deferred", "repeatable": False, "run_seconds": 600},
+)
+
+
+class InlineExecutor:
+    def submit(self, call, *arguments):
+        call(*arguments)
+
+
+class WorkersPool:
+    """Carry calls of the real worker client to the stand-in, or cut them."""
+
+    def __init__(self, workers):
+        self.workers = workers
+        self.cut = set()
+
+    def request(self, method, url, data):
+        name, _, path = url.rpartition("/")
+        if name in self.cut:
+            raise WorkerUnreachable(worker=name)
+        status, found = self.workers.call(name, path, json.loads(data))
+        return HttpAnswer(status, {}, json.dumps(found).encode())
+
+
+class JobCell:
+    def __init__(self, capacities, teams=(), jobs=JOBS):
+        self.clock = ManualClock()
+        self.table = MemoryTable()
+        self.workers = WorkersStandin(self.clock)
+        self.pool = WorkersPool(self.workers)
+        bundle = Bundle(
+            {"services": [], "jobs": list(jobs), "teams": list(teams), "topology": {}}
+        )
+        self.process = SimpleNamespace(
+            clock=self.clock,
+            executor=InlineExecutor(),
+            generator=random.Random(1),
+            objects=MemoryObjects(),
+            pauses=PauseGuard(self.clock, 1e9),
+            settings=SimpleNamespace(
+                task_lease_seconds=LEASE_SECONDS, journal_linger_seconds=0.0
+            ),
+            table=self.table,
+            watcher=SimpleNamespace(bundle=bundle),
+        )
+        self.desk = WorkDesk(self.process)
+        self.client = WorkerClient(self.pool)
+        self.runner = JobRunner(self.process, self.client, self.desk)
+        row = ShardRow("zone-a.0", "host-1", 1, 1)
+        self.table.rows[row.key] = Row(row.key, {}, 1)
+        bucket = TokenBucket(1e9, 1e9, self.clock)
+        self.shard = Shard(row, self.process, bucket, lambda shard: None)
+        self.shard.journal = WritingJournal(
+            self.table, row, self.clock, 0.0, bucket, on_written=self.shard._apply
+        )
+        for name, capacity in capacities.items():
+            self.workers.add(name, capacity.as_mapping())
+            entry = SimpleNamespace(name=name, url=name, capacity=capacity.as_mapping())
+            self.shard.add_worker(entry)
+            self.shard.hosts.open(name)
+
+    def submit(self, name, kind="batch", members=1, work=None, timeout=86400, **demand):
+        job = {"members": members, "demand": demand, "work": work or {}}
+        body = json.dumps(job)
+        wanted = Submit(
+            shard=self.shard.name,
+            request_id=name,
+            kind="job",
+            name=kind,
+            caller="test",
+            payload=b"",
+            payload_digest=base64.b64encode(body.encode()).decode(),
+            deadline_milliseconds=int((self.clock.time() + timeout) * 1000),
+            wait_milliseconds=0,
+            job=body,
+        )
+        policy = self.process.watcher.bundle.jobs[kind]
+        return self.desk.submit(self.shard, wanted, policy).result()
+
+    def step(self, seconds=0.5):
+        """Let time pass, then do what the placer's loops do."""
+        self.clock.advance(seconds)
+        while (found := self.desk.take(0)) is not None:
+            self.runner.run(*found)
+        self.runner.renew(self.shard)
+
+    def run_for(self, seconds):
+        for _ in range(int(seconds * 2)):
+            self.step()
+
+    def item(self, name):
+        return self.shard.book.get(name)
+
+    def ended(self, name):
+        found = self.item(name).ended
+        return (found.outcome, found.detail) if found else None
+
+    def running(self):
+        """Return the workers on which each job's tasks run."""
+        found = {}
+        for worker, tasks in self.workers.running().items():
+            for task in tasks:
+                found.setdefault(task.split(".")[0], []).append(worker)
+        return found
+
+
+class WritingJournal(Journal):
+    """Write each record at once, in the calling thread."""
+
+    __slots__ = ()
+
+    def append(self, record, must_last=False):
+        entry = super().append(record, must_last)
+        self.write_segment()
+        return entry
--- /dev/null
+++ b/tests/placer/test_jobs.py
@@ -0,0 +1,151 @@
+"""Jobs run whole, once, and end truthfully whatever their workers do."""
+
+import pytest
+
+from papayapick.ledger import Amounts
+from tests.placer.jobcells import LEASE_SECONDS, JobCell
+
+WORKER = Amounts(4000, 8192)
+
+
+def cell_of(workers, capacity=WORKER):
+    return JobCell({f"worker-{number}": capacity for number in range(workers)})
+
+
+def test_a_job_of_several_members_starts_whole_and_ends_once():
+    cell = cell_of(2)
+    cell.submit("a", members=8, processors=1000, work={"run_seconds": 2})
+    cell.step()
+    assert len(cell.running()["a"]) == 8
+    cell.run_for(3)
+    assert cell.ended("a") == ("done", "")
+    assert cell.shard.hosts.free("worker-0") == WORKER
+
+
+def test_a_large_job_starts_although_small_ones_never_stop_coming():
+    """A job of two whole workers is put back every fifth of a second for ever.
+
+    Each time one of the workers has room, a small job that came later takes it.
+    """
+    cell = cell_of(2)
+    for number in range(8):
+        work = {"run_seconds": 5 + number}
+        cell.submit(f"first-{number}", processors=1000, work=work)
+    cell.step()
+    cell.submit("large", members=2, processors=4000, work={"run_seconds": 1})
+    for number in range(60):
+        cell.submit(f"small-{number}", processors=1000, work={"run_seconds": 9})
+        cell.step()
+    assert cell.ended("large") == ("done", "")
+
+
+def test_the_task_of_a_worker_that_was_cut_off_is_not_started_twice():
+    """A job is counted twice: it runs on two workers.
+
+    Its worker renewed the lease a moment before it was cut off, long after the
+    start. A lease counted from the start is over at once, and the job is started
+    on another worker while the first still runs it.
+    """
+    cell = cell_of(2)
+    cell.submit("a", processors=1000, work={"run_seconds": 500})
+    cell.run_for(3 * LEASE_SECONDS)
+    (worker,) = cell.running()["a"]
+    cell.pool.cut.add(worker)
+    for _ in range(120):
+        cell.step()
+        assert len(cell.running().get("a", ())) <= 1
+    assert cell.running()["a"] != [worker]
+
+
+def test_a_cut_that_mends_within_the_lease_moves_nothing():
+    cell = cell_of(2)
+    cell.submit("a", processors=1000, work={"run_seconds": 60})
+    cell.run_for(20)
+    (worker,) = cell.running()["a"]
+    cell.pool.cut.add(worker)
+    cell.run_for(LEASE_SECONDS / 2)
+    cell.pool.cut.clear()
+    cell.run_for(40)
+    assert cell.ended("a") == ("done", "")
+    assert cell.item("a").attempts == 1
+
+
+@pytest.mark.parametrize(
+    ("kind", "detail", "attempts"),
+    [("batch", "work.fails-everywhere", 3), ("once", "work.member-failed", 1)],
+)
+def test_a_job_that_fails_on_every_host_is_ended(kind, detail, attempts):
+    """A job that can't run takes room for ever.
+
+    It fails wherever it is started and is started again; its caller waits until
+    the deadline. One not to be repeated is started once.
+    """
+    cell = cell_of(5)
+    cell.submit("a", kind, processors=1000, work={"fail": True})
+    cell.run_for(30)
+    assert cell.ended("a") == ("failed", detail)
+    assert cell.item("a").attempts == attempts
+    assert not cell.shard.failures.aside
+
+
+def test_a_job_past_its_bound_is_stopped():
+    """A large job waits past the time it was promised.
+
+    A run that should be over goes on and holds the room.
+    """
+    cell = cell_of(1)
+    cell.submit("a", processors=1000, work={"run_seconds": 5000})
+    cell.run_for(602)
+    assert cell.ended("a") == ("failed", "work.run-time-over")
+    assert cell.running() == {}
+
+
+def test_work_that_ran_once_is_never_told_as_not_run():
+    """A member is told "not run", and the work had run.
+
+    The first start failed after it had begun; the deadline passed while the job
+    waited for its next start.
+    """
+    cell = cell_of(1)
+    cell.submit("a", processors=4000, timeout=8, work={"run_seconds": 100})
+    cell.step()
+    cell.pool.cut.add("worker-0")
+    cell.run_for(40)
+    assert cell.ended("a") == ("failed", "work.deadline-over")
+
+
+def test_work_that_never_started_is_told_as_not_run():
+    cell = cell_of(1)
+    cell.submit("a", processors=4000, work={"run_seconds": 100})
+    cell.step()
+    cell.submit("b", processors=4000, timeout=8)
+    cell.run_for(10)
+    assert cell.ended("b") == ("not_run", "work.deadline-over")
+
+
+def test_a_cancelled_job_never_starts():
+    cell = cell_of(1)
+    cell.submit("a", processors=4000, work={"run_seconds": 5})
+    cell.step()
+    cell.submit("b", processors=4000, work={"run_seconds": 5})
+    cell.step()
+    assert cell.desk.cancel(cell.shard, "b").result().outcome == "not_run"
+    cell.run_for(10)
+    assert cell.ended("b") == ("not_run", "work.cancelled")
+    assert cell.item("b").attempts == 0
+    assert cell.shard.hosts.free("worker-0") == WORKER
+
+
+def test_a_worker_that_fails_everything_stops_getting_jobs():
+    """Every job goes to the one worker that fails all, as it is always free."""
+    cell = cell_of(12)
+    broken = "worker-0"
+    for number in range(60):
+        cell.submit(f"job-{number}", processors=500, work={"run_seconds": 2})
+        cell.step()
+        for task in cell.workers._workers[broken].tasks.values():
+            task.work["fail"] = True
+    assert cell.shard.failures.aside == {broken}
+    cell.run_for(40)
+    outcomes = {cell.ended(f"job-{number}") for number in range(60)}
+    assert outcomes == {("done", "")}
