--- a/tests/ownership/parts.py
+++ b/tests/ownership/parts.py
@@ -59,6 +59,8 @@
                 journal_linger_seconds=0.0, task_lease_seconds=10.0
             ),
             pauses=PauseGuard(self.clock, 1.0),
+            watcher=SimpleNamespace(bundle=SimpleNamespace(jobs={})),
+            executor=self.executor,
         )
 
     def claim(self, placer):
