--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -5,15 +5,21 @@
 processor time is that of each process, from the system's own count.
 """
 
+import json
 import os
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 from benchmarks.tables import print_rows
+from papayapick.platforms import HttpPool, Table
 from tests.cells import Cell, http_call
 
 SECONDS = 10
-REQUESTS = 1500
+PROCESSES = 3
+CALLS = 2000
+PATH = "/v1/requests"
+LOOK_SECONDS = 0.5
 TICKS = os.sysconf("SC_CLK_TCK")
 SETTLE_SECONDS = 2
 BASE = {"PAPAYAPICK_HEARTBEAT_SECONDS": "0.5", "PAPAYAPICK_POLL_SECONDS": "1"}
@@ -33,7 +39,7 @@
             _pass(SETTLE_SECONDS)
             rows += _idle(cell, name)
             if environment is BASE:
-                rows += _loaded(cell)
+                rows += [*_loaded(cell), _call(cell)]
     print_rows(rows)
 
 
@@ -48,33 +54,86 @@
             name,
             _mean(cell, kind, before, after) / SECONDS * 1e6,
             "us/s",
-            (_sum(cell, kind, peers_after) - _sum(cell, kind, peers)) / SECONDS / 3,
+            (_sum(cell, kind, peers_after) - _sum(cell, kind, peers))
+            / SECONDS
+            / PROCESSES,
         )
         for kind in ("gateway", "placer")
     ]
 
 
 def _loaded(cell):
-    address = cell.gateways[0].addresses["http"]
-    body = {"service": "quick-counts", "payload": {"arcade": 7}}
-    before, bytes_before = _spent(cell), _counted(cell)
-    began = time.monotonic()
-    for _ in range(REQUESTS):
-        assert http_call(address, "POST", "/v1/requests", body)[0] == 200
-    seconds = time.monotonic() - began
-    after, bytes_after = _spent(cell), _counted(cell)
-    rows = []
-    for kind in ("gateway", "placer"):
-        # One gateway served all; any placers of its region may have helped.
-        spent = _mean(cell, kind, before, after) * 3
-        sent = _sum(cell, kind, bytes_after) - _sum(cell, kind, bytes_before)
-        name = f"{REQUESTS} urgent requests, one by one, in {seconds:.1f} s"
-        rows.append(
-            _row(
-                cell, kind, name, spent / REQUESTS * 1e6, "us/request", sent / REQUESTS
+    addresses = [gateway.addresses["http"] for gateway in cell.gateways]
+    for kind, (count, side_by_side, send) in LOADS.items():
+        before, bytes_before = _spent(cell), _counted(cell)
+        writes = cell.control("counts")["writes"]
+        began = time.monotonic()
+        with ThreadPoolExecutor(side_by_side) as executor:
+            list(executor.map(lambda n, s=send: s(addresses[n % 3], n), range(count)))
+        seconds = time.monotonic() - began
+        writes = (cell.control("counts")["writes"] - writes) / count
+        after, bytes_after = _spent(cell), _counted(cell)
+        name = f"{count} {kind}, {seconds:.1f} s, {writes:.2f} writes each"
+        for process in ("gateway", "placer"):
+            spent = _mean(cell, process, before, after) * PROCESSES
+            sent = _sum(cell, process, bytes_after) - _sum(cell, process, bytes_before)
+            yield _row(
+                cell, process, name, spent / count * 1e6, "us/request", sent / count
             )
-        )
-    return rows
+
+
+def _urgent(address, number):
+    body = {"service": "quick-counts", "payload": {"arcade": number}}
+    assert http_call(address, "POST", PATH, body)[0] == 200
+
+
+def _deferred(address, number):
+    body = {"service": "tenant-comparisons", "payload": {"week": number}}
+    _wait_for(address, http_call(address, "POST", PATH, body))
+
+
+def _job(address, number):
+    body = {"job": "season-model", "members": 3, "processors": 1000}
+    body["payload"] = {"run_seconds": 0.01}
+    _wait_for(address, http_call(address, "POST", PATH, body))
+
+
+def _wait_for(address, accepted):
+    status, headers, _ = accepted
+    assert status == 202
+    while True:
+        found = json.loads(http_call(address, "GET", headers["Location"])[2])
+        if found["state"] == "ended":
+            assert found["outcome"] == "done", found
+            return
+        _pass(LOOK_SECONDS)
+
+
+LOADS = {
+    "urgent requests one by one": (600, 1, _urgent),
+    "urgent requests 6 at a time": (1800, 6, _urgent),
+    "deferred requests 24 at a time": (600, 24, _deferred),
+    "jobs of 3 members 24 at a time": (120, 24, _job),
+}
+
+
+def _call(cell):
+    """Return the caller's processor time for one call of the platform."""
+    pool = HttpPool(5.0)
+    table = Table(cell.url + "/table", pool)
+    began = time.thread_time()
+    for _ in range(CALLS):
+        table.read("bundle/head")
+    spent = (time.thread_time() - began) / CALLS * 1e6
+    pool.close()
+    return {
+        "process": "any",
+        "run": f"{CALLS} calls of the platform",
+        "processor": spent,
+        "unit": "us/call",
+        "peer_bytes": 0.0,
+        "resident_mb": 0.0,
+    }
 
 
 def _row(cell, kind, name, spent, unit, sent):
