Work out what the target size takes, from measured slopes

Cause: the users ask for a capacity page at 5,900 workers and 75,000 tasks, with each limit beside its figure and plainly where today's code does not reach it.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -24,13 +24,14 @@
 
 SEED = 7
 WORKERS, TASKS, TEAMS, SERVICES = 5900, 75_000, 670, 200
+LEASED = 13
 CAPACITY = Amounts(64_000, 256 * 1024, 4)
 DEMAND = Amounts(1000, 2048)
 REQUEST_IDS = [f"hobart-a.0.{number:032x}" for number in range(TASKS)]
 
 
 def main():
-    rows = [*_ledger(), *_slots(), *_work(), *_bundle(), *_live_list()]
+    rows = [*_ledger(), *_slots(), *_work(), *_bundle(), *_live_list(), *_leases()]
     print_rows(rows)
 
 
@@ -244,6 +245,24 @@
     yield _row("live list, an entry read", spent, "us", f"{WORKERS} entries")
 
 
+def _leases():
+    """Give the bodies of a renewal, without the heads of HTTP."""
+    tasks = [f"{name}.1.0" for name in REQUEST_IDS[:LEASED]]
+    report = {
+        "state": "running",
+        "demand": DEMAND.as_mapping(),
+        "usage": DEMAND.as_mapping(),
+        "result": "",
+    }
+    asked = {"epoch": 12, "tasks": tasks, "lease_seconds": 60.0}
+    told = {"tasks": [{"task": name, **report} for name in tasks]}
+    bare = len(json.dumps({**asked, "tasks": []})) + len(json.dumps({"tasks": []}))
+    whole = len(json.dumps(asked)) + len(json.dumps(told))
+    yield _row("lease renewal, a worker", bare, "bytes", "without tasks")
+    size = f"{LEASED} tasks"
+    yield _row("lease renewal, a task", (whole - bare) / LEASED, "bytes", size)
+
+
 def _held():
     return tracemalloc.get_traced_memory()[0]
 
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -11,13 +11,14 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
-from benchmarks.tables import print_rows
+from benchmarks.tables import percentile, print_rows
 from papayapick.platforms import HttpPool, Table
 from tests.cells import Cell, http_call
 
 SECONDS = 10
 PROCESSES = 3
 CALLS = 2000
+ROLLS = 5
 PATH = "/v1/requests"
 LOOK_SECONDS = 0.5
 TICKS = os.sysconf("SC_CLK_TCK")
@@ -39,7 +40,7 @@
             _pass(SETTLE_SECONDS)
             rows += _idle(cell, name)
             if environment is BASE:
-                rows += [*_loaded(cell), _call(cell)]
+                rows += [*_loaded(cell), _call(cell), _roll(cell)]
     print_rows(rows)
 
 
@@ -117,6 +118,25 @@
 }
 
 
+def _roll(cell):
+    """Return the time of a whole step back, the command's own start in it."""
+    status = cell.command("bundle", "status", "--json").stdout.splitlines()[0]
+    digest = json.loads(status)["digest"]
+    seconds = []
+    for _ in range(ROLLS):
+        began = time.monotonic()
+        cell.command("bundle", "step-back", digest, "--operator=ana")
+        seconds.append(time.monotonic() - began)
+    return {
+        "process": "operator",
+        "run": f"step back on 6 processes, median of {ROLLS}",
+        "processor": percentile(seconds, 0.5),
+        "unit": "s in all",
+        "peer_bytes": 0.0,
+        "resident_mb": 0.0,
+    }
+
+
 def _call(cell):
     """Return the caller's processor time for one call of the platform."""
     pool = HttpPool(5.0)
--- /dev/null
+++ b/benchmarks/target.py
@@ -0,0 +1,133 @@
+"""Work out what each role takes at the users' target size, from measured slopes.
+
+Run as ``python -m benchmarks.target [--json]``. The slopes were measured by
+``benchmarks.processes``, ``benchmarks.messages`` and ``benchmarks.capacity``; the
+page docs/CAPACITY.md says when and on which host. Nothing is measured here.
+"""
+
+from benchmarks.tables import print_rows
+
+# The letter's target.
+WORKERS, TASKS, SERVICE_TASKS, ZONES, REGIONS = 5900, 75_000, 15_000, 13, 4
+STARTS_PER_SECOND, JOBS_PER_DAY, CHANGES_PER_DAY = 440, 41_000, 5_000
+DAY_SECONDS = 86_400
+# Chosen: three entry hosts a zone, each with a gateway and a placer; the
+# largest region has four of the zones.
+HOSTS, NEAR_HOSTS = 3 * ZONES, 3 * 4
+SHARDS = 4 * ZONES
+SERVICES = 200
+# Slopes, in seconds of processor time.
+ASK, ANSWER = 0.66e-3, 0.50e-3
+GATEWAY_POLL, PLACER_POLL = 1.5e-3, 3.1e-3
+GATEWAY_REST, PLACER_REST = 1.2e-3, 8.4e-3
+PLATFORM_CALL, RECORD, VERIFY = 0.39e-3, 0.034e-3, 73e-3
+LIST_ENTRY = 7.5e-6
+URGENT_GATEWAY, URGENT_PLACER, JOB_MEMBER = 3.3e-3, 1.1e-3, 2.6e-3
+# Slopes, in bytes.
+HEARTBEAT, SHARD_BYTES, LOAD_BYTES, PACKET = 139, 25, 20.1, 80
+LIST_LINE, LIST_HELD, TASK_HELD, WORKER_HELD = 267, 781, 131, 405
+GATEWAY_BASE, PLACER_BASE, WORK_HELD = 52.1e6, 54.7e6, 697
+LEASE_BODY, LEASE_TASK, HTTP_HEADS = 62, 279, 270
+BUNDLE = 37_758
+
+
+class Plan:
+    """Hold the settings that a plan changes.
+
+    Parameters
+    ----------
+    name : str
+    near, far : float
+        Seconds between heartbeats within and between regions.
+    renewal : float
+        Seconds between renewals of a worker's leases.
+    loads : float
+        Service loads told of each shard in a heartbeat.
+    list_share : float
+        Share of the live list that a process reads.
+    rest : float
+        Share of the placer's idle loops that is left.
+    has_relay : bool
+        Whether a gateway hears all of the placer of its own host.
+    """
+
+    def __init__(
+        self, name, near, far, renewal, loads, list_share, rest, has_relay=False
+    ):
+        self.name = name
+        self.near = near
+        self.far = far
+        self.renewal = renewal
+        self.loads = loads
+        self.list_share = list_share
+        self.rest = rest
+        self.has_relay = has_relay
+
+
+PLANS = (
+    Plan("today's code and settings", 0.5, 2.0, 0.5, SERVICES, 1.0, 1.0),
+    Plan("settings alone", 2.0, 8.0, 3.0, SERVICES, 1.0, 1.0),
+    Plan("and the first four changes", 2.0, 8.0, 20.0, 5, 1 / ZONES, 0.2),
+    Plan("and a relay on each host", 2.0, 8.0, 20.0, 5, 1 / ZONES, 0.2, True),
+)
+RELAY_ASKED = 2.0
+LIST_CHANGES_PER_DAY = 32 + 2 * 370
+ENTRIES = WORKERS + SERVICE_TASKS
+
+
+def main():
+    print_rows([row for plan in PLANS for row in _rows(plan)])
+
+
+def _rows(plan):
+    asked = NEAR_HOSTS / plan.near + (HOSTS - NEAR_HOSTS) / plan.far
+    change = CHANGES_PER_DAY / DAY_SECONDS
+    list_reads = LIST_CHANGES_PER_DAY / DAY_SECONDS * plan.list_share
+    common = change * VERIFY + list_reads * ENTRIES * LIST_ENTRY
+    heartbeat = _heartbeat(plan)
+    listed = list_reads * ENTRIES * LIST_LINE + change * BUNDLE
+    gateway_asked = RELAY_ASKED if plan.has_relay else asked
+    answered = asked + gateway_asked
+    gateway_seconds = gateway_asked * ASK + GATEWAY_POLL + GATEWAY_REST + common
+    # What a relay tells its gateway does not leave the host.
+    sent = 0 if plan.has_relay else asked
+    gateway_bytes = sent * (heartbeat + HEARTBEAT + 2 * PACKET) + listed
+    held = ENTRIES * LIST_HELD * plan.list_share
+    renewals = WORKERS / HOSTS / plan.renewal
+    placer_seconds = asked * ASK + answered * ANSWER + PLACER_POLL + common
+    placer_seconds += PLACER_REST * plan.rest + renewals * PLATFORM_CALL
+    placer_bytes = asked * 2 * (2 * heartbeat + 2 * PACKET) + listed
+    placer_bytes += sent * (heartbeat + HEARTBEAT + 2 * PACKET)
+    lease = LEASE_BODY + HTTP_HEADS + 2 * PACKET + LEASE_TASK * TASKS / WORKERS
+    placer_bytes += renewals * lease
+    placer_held = WORKERS / HOSTS * WORKER_HELD + TASKS / HOSTS * TASK_HELD
+    placer_held += JOBS_PER_DAY / HOSTS * WORK_HELD
+    yield _row(plan, "gateway", gateway_seconds, gateway_bytes, GATEWAY_BASE + held)
+    memory = PLACER_BASE + held + placer_held
+    yield _row(plan, "placer", placer_seconds, placer_bytes, memory)
+    yield _row(
+        plan,
+        "entry host",
+        gateway_seconds + placer_seconds,
+        gateway_bytes + placer_bytes,
+        GATEWAY_BASE + held + memory,
+    )
+
+
+def _heartbeat(plan):
+    shards = SHARDS / HOSTS
+    return HEARTBEAT + shards * (SHARD_BYTES + plan.loads * LOAD_BYTES)
+
+
+def _row(plan, role, seconds, size, memory):
+    return {
+        "plan": plan.name,
+        "role": role,
+        "core_percent": seconds * 100,
+        "kb_per_s": size / 1000,
+        "mb": memory / 1e6,
+    }
+
+
+if __name__ == "__main__":
+    main()
