--- a/tests/standins/pool.py
+++ b/tests/standins/pool.py
@@ -12,7 +12,16 @@
     def __init__(self, platform):
         self._platform = platform
 
-    def request(self, method, url, body=None, headers=None, timeout=None, fresh=False):
+    def request(
+        self,
+        method,
+        url,
+        body=None,
+        headers=None,
+        timeout=None,
+        fresh=False,
+        check=None,
+    ):
         parts = urllib.parse.urlsplit(url)
         data = body or b""
         environ = {
@@ -27,7 +36,10 @@
         started = []
         answer = self._platform(environ, lambda *found: started.append(found))
         status, lines = started[0]
-        return HttpAnswer(int(status.split()[0]), dict(lines), b"".join(answer))
+        found = HttpAnswer(int(status.split()[0]), dict(lines), b"".join(answer))
+        if check is not None:
+            check(found)
+        return found
 
     def close(self):
         """Hold nothing open."""
