Hand shards over directly; submit durable work again to whoever owns its shard

Cause: a placer told to stop refused urgent work from the first moment until another found its released shards at its next look, and gateways learned of that with a later heartbeat; a returned placer never got its zone's shards back; a gateway whose placer died answered 'unknown' though the same id may be submitted again safely, or said not_run for a key that an earlier owner may have taken on; two takes of a shard in one process could open two journals at one epoch.

Ruled out: pushing heartbeats to gateways (placers don't connect to them); writing the next owner into the row (saves one write, needs the row's meaning in three places).

The change: the leaving placer serves a shard until the durable runs in its hands end, releases it, tells the next owner (new message Handover) and passes on what gateways still send for five heartbeats; a placer that comes back is given its zone's shard by the same way; while the table takes no release the shard stays. gateway/submission.py submits again under the same id, also past a frozen placer, and says unknown where no certain word is to be had.

--- a/papayapick/gateway/application.py
+++ b/papayapick/gateway/application.py
@@ -109,7 +109,8 @@
         admitted = admit(environ, bundle, process.settings.body_limit_bytes)
         self._limits.admit(admitted.caller)
         if admitted.is_durable:
-            answer = self._durable.submit(admitted)
+            is_keyed = bool(environ.get("HTTP_IDEMPOTENCY_KEY"))
+            answer = self._durable.submit(admitted, is_keyed)
         else:
             answer = self._urgent.serve(admitted)
         answer.headers.append(("Request-Id", admitted.request_id))
--- a/papayapick/gateway/durable.py
+++ b/papayapick/gateway/durable.py
@@ -4,19 +4,21 @@
 import json
 
 from papayapick.gateway.problems import Answer, problem
+from papayapick.gateway.submission import (
+    ANSWER_SECONDS,
+    MOVED_SECONDS,
+    MOVED_WAIT_SECONDS,
+    Submission,
+    has_moved,
+)
 from papayapick.journal import WorkUnknown
 from papayapick.membership import ShardUnserved
-from papayapick.platforms.objects import digest_of
 from papayapick.wire import PeerRefused, PeerUnreachable
-from papayapick.wire.messages import Submit, WorkCancel, WorkQuery
+from papayapick.wire.messages import WorkCancel, WorkQuery
 
 __all__ = ["DurableWork"]
 
 _PATH = "/v1/requests/"
-_ANSWER_SECONDS = 1.5
-_MOVED_SECONDS = 2.0
-_MOVED_WAIT_SECONDS = 0.05
-_MOVED_CODES = ("ownership.", "placer.shard-closed", "journal.fenced")
 ENDED = "ended"
 _SHOWN_CHARACTERS = 128
 _PROBLEM_CODES = {
@@ -39,12 +41,14 @@
     def __init__(self, process):
         self._process = process
 
-    def submit(self, admitted):
+    def submit(self, admitted, is_keyed=True):
         """Hand work over; answer 202, or the whole answer where it is urgent.
 
         Parameters
         ----------
         admitted : Admitted
+        is_keyed : bool
+            Whether an earlier request may have had the same id.
 
         Returns
         -------
@@ -52,20 +56,8 @@
         """
         is_urgent = admitted.policy.urgency == "urgent"
         wait = admitted.timeout if is_urgent else 0.0
-        deadline = self._process.clock.time() + admitted.timeout
-        wanted = Submit(
-            shard=admitted.shard,
-            request_id=admitted.request_id,
-            kind="job" if admitted.job else "request",
-            name=admitted.name,
-            caller=admitted.caller,
-            payload=b"" if admitted.job else admitted.payload,
-            payload_digest=digest_of(admitted.payload),
-            deadline_milliseconds=int(deadline * 1000),
-            wait_milliseconds=int(wait * 1000),
-            job=json.dumps(admitted.job) if admitted.job else "",
-        )
-        state = self._ask(wanted, wait + _ANSWER_SECONDS)
+        submission = Submission(self._process, admitted, wait, is_keyed)
+        state = submission.settle()
         location = [("Location", _PATH + admitted.request_id)]
         if state.state != ENDED:
             body = {"request": state.request_id, "state": state.state}
@@ -78,18 +70,18 @@
         """Return the state of a request, and its result once it has ended."""
         shard = self._shard_of(request_id)
         wanted = WorkQuery(shard=shard, request_id=request_id)
-        return self._report(self._ask(wanted, _ANSWER_SECONDS))
+        return self._report(self._ask(wanted, ANSWER_SECONDS))
 
     def cancel(self, request_id):
         """Cancel a request; the answer tells whether it had started."""
         shard = self._shard_of(request_id)
         wanted = WorkCancel(shard=shard, request_id=request_id)
-        return self._report(self._ask(wanted, _ANSWER_SECONDS))
+        return self._report(self._ask(wanted, ANSWER_SECONDS))
 
     def _ask(self, wanted, seconds):
         clock = self._process.clock
         traceparent = self._process.tracing.traceparent()
-        give_up = clock.monotonic() + min(seconds, _MOVED_SECONDS)
+        give_up = clock.monotonic() + min(seconds, MOVED_SECONDS)
         while True:
             try:
                 peer = self._process.peers.owner_of(wanted.shard)
@@ -98,10 +90,9 @@
                 if clock.monotonic() >= give_up:
                     raise
             except PeerRefused as error:
-                has_moved = error.refusal_code.startswith(_MOVED_CODES)
-                if not has_moved or clock.monotonic() >= give_up:
+                if not has_moved(error) or clock.monotonic() >= give_up:
                     raise
-            clock.wait(self._process.is_stopping, _MOVED_WAIT_SECONDS)
+            clock.wait(self._process.is_stopping, MOVED_WAIT_SECONDS)
 
     def _shard_of(self, request_id):
         shard = request_id.rpartition(".")[0]
--- a/papayapick/gateway/exceptions.py
+++ b/papayapick/gateway/exceptions.py
@@ -9,6 +9,7 @@
     "DeadlinePast",
     "GatewayError",
     "KeyMissing",
+    "OwnerMissing",
     "PathUnknown",
     "RequestInvalid",
     "ServiceNotInBundle",
@@ -87,3 +88,16 @@
     template = "the backend server gave no whole answer in time"
     outcome = "unknown"
     retry_after = 1.0
+
+
+class OwnerMissing(GatewayError):
+    """Report a key whose shard nobody serves just now.
+
+    An earlier request under the key may have been taken on, so "not run" would
+    be no certain word.
+    """
+
+    code = "request.owner-missing"
+    template = "nobody can tell now what became of key of request {request_id}"
+    outcome = "unknown"
+    retry_after = 1.0
--- a/papayapick/placer/owners.py
+++ b/papayapick/placer/owners.py
@@ -44,6 +44,7 @@
         "_on_taken",
         "_process",
         "_shards",
+        "_taking",
     )
 
     def __init__(self, process, keeper, bucket, on_taken, on_lost):
@@ -54,6 +55,7 @@
         self._on_lost = on_lost
         self._shards = {}
         self._claimed = {}
+        self._taking = set()
         self._lock = threading.Lock()
 
     @property
@@ -99,13 +101,16 @@
             except PlatformError as error:
                 _LOG.info("takeover put off", extra={"error": str(error)})
 
-    def take(self, row):
+    def take(self, row, serving=None):
         """Claim a shard, load its work, look at its hosts and serve it.
 
         Parameters
         ----------
         row : ShardRow
             As it was read.
+        serving : concurrent.futures.Future, optional
+            Settled as soon as requests are taken, with the hosts still to be
+            looked at.
 
         Returns
         -------
@@ -117,20 +122,21 @@
         PlatformError
             The shard may be claimed but is not served; the next look goes on.
         """
-        process = self._process
-        taken = self._claim(row)
-        if taken is None:
-            return None
-        shard = Shard(taken, process, self._bucket, self.lose)
-        load_work(shard, process.table, process.objects)
         with self._lock:
-            self._shards[shard.name] = shard
-            self._claimed.pop(shard.name, None)
-        process.executor.submit(shard.journal.run)
-        _LOG.info("shard taken", extra={"shard": shard.name, "epoch": shard.epoch})
-        count = process.watcher.bundle.document["topology"]["shards_per_zone"]
-        self._keeper.refresh(shard, process.peers.entries, count)
-        self._on_taken(shard)
+            if row.shard in self._shards or row.shard in self._taking:
+                # Two journals at one epoch would write the same segments.
+                return None
+            self._taking.add(row.shard)
+        try:
+            shard = self._claim_and_load(row)
+        finally:
+            with self._lock:
+                self._taking.discard(row.shard)
+            if serving is not None:
+                serving.set_result(None)
+        if shard is not None:
+            self._keeper.refresh(shard, self._process.peers.entries, self._count())
+            self._on_taken(shard)
         return shard
 
     def lose(self, shard):
@@ -146,6 +152,25 @@
         shard.close()
         self._on_lost(shard)
 
+    def _claim_and_load(self, row):
+        process = self._process
+        taken = self._claim(row)
+        if taken is None:
+            return None
+        shard = Shard(taken, process, self._bucket, self.lose)
+        load_work(shard, process.table, process.objects)
+        self._keeper.note(shard, process.peers.entries, self._count())
+        with self._lock:
+            self._shards[shard.name] = shard
+            self._claimed.pop(shard.name, None)
+        process.executor.submit(shard.journal.run)
+        _LOG.info("shard taken", extra={"shard": shard.name, "epoch": shard.epoch})
+        return shard
+
+    def _count(self):
+        document = self._process.watcher.bundle.document
+        return document["topology"]["shards_per_zone"]
+
     def _claim(self, row):
         # A claim whose work could not be loaded, the table or object store
         # having failed in between, is gone on with: a claim at each look would
--- a/papayapick/placer/process.py
+++ b/papayapick/placer/process.py
@@ -1,24 +1,25 @@
 """Run the placer: own shards, grant slots, run durable work."""
 
 import json
-import threading
 
 from papayapick.daemon import Process
 from papayapick.daemon.health import HealthServer
 from papayapick.ledger import Amounts, NeverFits
 from papayapick.limits import TokenBucket
 from papayapick.observability import get_logger
-from papayapick.ownership import release
+from papayapick.placer.handover import ShardHandover
 from papayapick.placer.jobs import JobRunner
 from papayapick.placer.owners import ShardOwner
+from papayapick.placer.payloads import state_of
 from papayapick.placer.requests import RequestRunner
 from papayapick.placer.runners import WorkLoop
 from papayapick.placer.takeover import HostKeeper
-from papayapick.placer.work import WorkDesk, state_of
-from papayapick.platforms import InstanceClient, PlatformError, WorkerClient
+from papayapick.placer.work import WorkDesk
+from papayapick.platforms import InstanceClient, WorkerClient
 from papayapick.platforms.hosts import WORKER
 from papayapick.routing import SlotClient
 from papayapick.wire.messages import (
+    Handover,
     Release,
     SlotRequest,
     Submit,
@@ -33,6 +34,7 @@
 _RUNNERS = 16
 _EXPIRE_SECONDS = 0.02
 _IDLE_SECONDS = 5.0
+_LOOK_SECONDS = 0.02
 _JOB = "job"
 
 
@@ -45,9 +47,11 @@
     """
 
     __slots__ = (
+        "_handover",
         "_health",
         "_jobs",
         "_keeper",
+        "_loop",
         "_owner",
         "_process",
         "_requests",
@@ -68,6 +72,8 @@
         self._owner = ShardOwner(
             process, self._keeper, bucket, self._resume, self._work.leave
         )
+        self._loop = WorkLoop(process, self._work, self._runner)
+        self._handover = ShardHandover(process, self._owner, self._loop.in_hand)
         slots = SlotClient(
             process.peers,
             settings,
@@ -108,26 +114,38 @@
         process.loop(self._expire, _EXPIRE_SECONDS)
         process.loop(self._answer_overdue, _EXPIRE_SECONDS)
         process.loop(self._renew, process.settings.task_lease_seconds / 20)
-        loop = WorkLoop(process, self._work, self._runner)
         for _ in range(_RUNNERS):
-            process.loop(loop.step, 0)
+            process.loop(self._loop.step, 0)
 
     def stop(self):
-        """Hand the shards over, let what runs end, and close."""
+        """Let what runs end, hand the shards over, and close.
+
+        A shard is served until the runs of its durable work that are in hand
+        have ended, and only those: the next owner starts the rest. Then what
+        still comes here is passed on for as long as gateways may send it.
+        """
         process = self._process
         process.is_draining = True
+        clock = process.clock
+        deadline = clock.monotonic() + process.settings.drain_seconds
+        while self.shards and clock.monotonic() < deadline:
+            self._handover.hand_over_idle()
+            clock.wait(process.is_stopping, _LOOK_SECONDS)
         for shard in self.shards:
-            shard.stop_admission()
-        deadline = process.clock.monotonic() + process.settings.drain_seconds
-        while self._has_running() and process.clock.monotonic() < deadline:
-            process.clock.wait(threading.Event(), 0.05)
-        for shard in self.shards:
-            self._hand_over(shard)
+            self._handover.hand_over(shard, must_leave=True)
+        if self._handover.summaries():
+            clock.wait(process.is_stopping, self._handover.passing_seconds)
         self._health.close()
         process.close()
 
     def handle(self, payload, peer, traceparent):
         """Answer one message of a peer."""
+        if isinstance(payload, Handover):
+            return self._handover.receive(payload)
+        if self._owner.get(payload.shard) is None:
+            passed = self._handover.pass_on(payload, traceparent)
+            if passed is not None:
+                return None if isinstance(payload, Release) else passed
         if isinstance(payload, Release):
             self._release(payload)
             return None
@@ -146,6 +164,8 @@
     def own_shards(self):
         """Confirm the owned shards and take those that this placer should serve."""
         self._owner.own()
+        if not self._process.is_draining:
+            self._handover.give_back()
         self._process.metrics.owned_shards.set(len(self.shards))
 
     def refresh_hosts(self):
@@ -166,14 +186,6 @@
             elif item.state == "running":
                 runner.recover(shard, item)
 
-    def _hand_over(self, shard):
-        shard.journal.flush()
-        try:
-            release(self._process.table, shard.row)
-        except PlatformError as error:
-            _LOG.info("shard not released", extra={"error": str(error)})
-        self._owner.forget(shard)
-
     def _grant(self, shard, wanted):
         shard.check_serving()
         policy = self._process.watcher.bundle.services.get(wanted.service)
@@ -225,12 +237,6 @@
     def _runner(self, item):
         return self._jobs if item.accepted.work == _JOB else self._requests
 
-    def _has_running(self):
-        return any(
-            item.state == "running" and item.accepted.work != _JOB
-            for shard in self.shards
-            for item in shard.book.items
-        )
-
     def _summaries(self):
-        return [shard.summary() for shard in self.shards if not shard.is_closed]
+        served = [shard.summary() for shard in self.shards if not shard.is_closed]
+        return served + self._handover.summaries()
--- a/papayapick/placer/requests.py
+++ b/papayapick/placer/requests.py
@@ -2,7 +2,7 @@
 
 from papayapick.journal import Ended, JournalError, JournalUnsettled, Started
 from papayapick.placer.exceptions import OutcomeUnsettled
-from papayapick.placer.work import inline_or_object, load_inline_or_object
+from papayapick.placer.payloads import inline_or_object, load_inline_or_object
 from papayapick.platforms import (
     AnswerInvalid,
     AnswerMissing,
--- a/papayapick/placer/runners.py
+++ b/papayapick/placer/runners.py
@@ -1,5 +1,8 @@
 """Run durable work as it comes due."""
 
+import collections
+import threading
+
 from papayapick.journal import JournalError
 from papayapick.observability import get_logger
 from papayapick.platforms import PlatformError
@@ -9,6 +12,7 @@
 _LOG = get_logger(__name__)
 _TAKE_SECONDS = 5.0
 _RETRY_SECONDS = 1.0
+_LEAVING_SECONDS = 0.1
 
 
 class WorkLoop:
@@ -22,24 +26,42 @@
         Returns the runner of an item.
     """
 
-    __slots__ = ("_desk", "_process", "_runner_of")
+    __slots__ = ("_desk", "_in_hand", "_lock", "_process", "_runner_of")
 
     def __init__(self, process, desk, runner_of):
         self._process = process
         self._desk = desk
         self._runner_of = runner_of
+        self._in_hand = collections.Counter()
+        self._lock = threading.Lock()
+
+    def in_hand(self, shard):
+        """Return how many runs of a shard are under way."""
+        with self._lock:
+            return self._in_hand[shard.name]
 
     def step(self):
         """Run the next item that comes due; the step of a task."""
-        if self._process.is_draining:
-            self._process.clock.wait(self._process.is_stopping, _RETRY_SECONDS)
-            return
         found = self._desk.take(_TAKE_SECONDS)
         if found is not None:
             self.run_one(*found)
 
     def run_one(self, shard, item):
         """Run an item; whatever fails, it is put off and not dropped."""
+        with self._lock:
+            self._in_hand[shard.name] += 1
+        try:
+            self._run(shard, item)
+        finally:
+            with self._lock:
+                self._in_hand[shard.name] -= 1
+
+    def _run(self, shard, item):
+        if shard.is_leaving and not shard.is_closed:
+            # The next owner starts it; here it is kept for the case that the
+            # shard stays after all.
+            self._desk.enqueue(shard, item, _LEAVING_SECONDS)
+            return
         try:
             self._runner_of(item).run(shard, item)
         except (PlatformError, JournalError) as error:
--- a/papayapick/placer/shards.py
+++ b/papayapick/placer/shards.py
@@ -32,6 +32,7 @@
         "desk",
         "entries",
         "hosts",
+        "is_leaving",
         "journal",
         "row",
     )
@@ -57,6 +58,8 @@
             on_written=self._apply,
         )
         self.entries = {}
+        # Set while the shard is about to be handed over: nothing is started.
+        self.is_leaving = False
         self._pauses = process.pauses
         self._confirmed_pauses = process.pauses.count()
         self._is_closed = False
@@ -111,6 +114,11 @@
         self._is_closed = True
         self.desk.refuse_all(ShardClosed(shard=self.name, retry_after=0.05))
 
+    def resume_admission(self):
+        """Take work again: the shard could not be given away."""
+        self.is_leaving = False
+        self._is_closed = False
+
     def summary(self):
         """Return what peers are told of this shard."""
         return ShardSummary(shard=self.name, epoch=self.epoch, loads=self.desk.loads())
--- a/papayapick/placer/takeover.py
+++ b/papayapick/placer/takeover.py
@@ -48,8 +48,7 @@
         shards_per_zone : int
         """
         to_fence = []
-        for entry in self._own(shard, entries, shards_per_zone):
-            self._note(shard, entry)
+        for entry in self.note(shard, entries, shards_per_zone):
             if entry.is_live and not self._is_open(shard, entry):
                 to_fence.append(entry)
             elif not entry.is_live:
@@ -60,6 +59,17 @@
         for future in futures:
             future.result()
 
+    def note(self, shard, entries, shards_per_zone):
+        """Add the hosts of a shard, closed, and return their entries.
+
+        Done before the shard is served: a request for a service whose hosts
+        are still to be opened waits, and is not told that there are none.
+        """
+        found = list(self._own(shard, entries, shards_per_zone))
+        for entry in found:
+            self._note(shard, entry)
+        return found
+
     def reconcile(self, shard):
         """Ask backend servers about grants past their upper bound."""
         for instance, grants in shard.desk.doubtful().items():
--- a/papayapick/placer/work.py
+++ b/papayapick/placer/work.py
@@ -1,6 +1,5 @@
 """Admit, query and cancel durable work of the owned shards."""
 
-import base64
 import heapq
 import itertools
 import json
@@ -8,61 +7,17 @@
 from concurrent.futures import Future
 
 from papayapick.journal import Accepted, Cancelled, KeyReused
-from papayapick.journal.work import ENDED, WAITING
+from papayapick.journal.work import WAITING
 from papayapick.placer.exceptions import ResultUnreadable, WorkMoved
+from papayapick.placer.payloads import inline_or_object, state_of
 from papayapick.platforms import PlatformError
 from papayapick.platforms.objects import digest_of
-from papayapick.wire.messages import WorkState
 
-__all__ = ["WorkDesk", "inline_or_object", "load_inline_or_object", "state_of"]
+__all__ = ["WorkDesk"]
 
-INLINE_BYTES = 4096
 _MOVED_RETRY_SECONDS = 0.05
 
 
-def inline_or_object(objects, data):
-    """Return base64 text of small bytes, or store large ones by digest.
-
-    Returns
-    -------
-    inline : str
-    name : str
-        Of the object, empty where the bytes are inline.
-    """
-    if len(data) <= INLINE_BYTES:
-        return base64.b64encode(data).decode(), ""
-    name = f"payload/{digest_of(data)}"
-    objects.put(name, data)
-    return "", name
-
-
-def load_inline_or_object(objects, inline, name):
-    """Return the bytes that ``inline_or_object`` kept."""
-    return objects.get(name) if name else base64.b64decode(inline)
-
-
-def state_of(item, objects):
-    """Return what a caller is told of a request.
-
-    Parameters
-    ----------
-    item : WorkItem
-    objects : ObjectsProtocol
-    """
-    ended = item.ended
-    if ended is None:
-        return WorkState(request_id=item.request_id, state=item.state)
-    return WorkState(
-        request_id=item.request_id,
-        state=ENDED,
-        outcome=ended.outcome,
-        status=ended.status,
-        content_type=ended.content_type,
-        result=load_inline_or_object(objects, ended.result, ended.result_object),
-        detail=ended.detail,
-    )
-
-
 class _Waiter:
     __slots__ = ("answer", "deadline", "item", "shard")
 
--- a/papayapick/wire/messages.capnp
+++ b/papayapick/wire/messages.capnp
@@ -18,6 +18,7 @@
     acknowledgement @12 :Acknowledgement;
     bundleQuery @13 :BundleQuery;
     bundleBody @14 :BundleBody;
+    handover @15 :Handover;
   }
 }
 
@@ -126,3 +127,8 @@
 struct BundleBody {
   envelope @0 :Data;
 }
+
+struct Handover {
+  shard @0 :Text;
+  epoch @1 :UInt64;
+}
--- a/papayapick/wire/messages.py
+++ b/papayapick/wire/messages.py
@@ -4,6 +4,7 @@
     "Acknowledgement",
     "BundleBody",
     "BundleQuery",
+    "Handover",
     "Heartbeat",
     "Hello",
     "Payload",
@@ -160,3 +161,9 @@
     """Give the signed envelope of a bundle."""
 
     __slots__ = ("envelope",)
+
+
+class Handover(Payload):
+    """Tell the next owner of a shard that it was released at an epoch."""
+
+    __slots__ = ("epoch", "shard")
--- a/tests/failures/test_at_most_once.py
+++ b/tests/failures/test_at_most_once.py
@@ -5,7 +5,7 @@
 import pytest
 
 from papayapick.exceptions import PapayapickError
-from papayapick.placer.work import INLINE_BYTES
+from papayapick.placer.payloads import INLINE_BYTES
 from tests.failures.lives import (
     FAULTS,
     KILLED_AFTER,
--- /dev/null
+++ b/tests/failures/test_processes.py
@@ -0,0 +1,211 @@
+"""Kills, freezes and shutdowns of real processes; the stand-ins judge."""
+
+import json
+import signal
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from tests.cells import Cell, http_call
+from tests.failures.loads import Load
+
+QUICK = {
+    "PAPAYAPICK_HEARTBEAT_SECONDS": "0.1",
+    "PAPAYAPICK_DEAD_AFTER_SECONDS": "1.0",
+    "PAPAYAPICK_POLL_SECONDS": "0.2",
+}
+REQUESTS = "/v1/requests"
+SLOTS = 8
+ONCE = {"service": "heatmap-refresh", "payload": {"seconds": 2.0}}
+
+
+@pytest.fixture
+def cell():
+    with Cell("footfall", QUICK) as cell:
+        yield cell
+        counts = cell.control("counts")
+        assert counts["overfilled"] == 0
+        assert counts["most"] <= SLOTS
+
+
+def send_once(cell, key, address, seconds=2.0):
+    body = {"service": "heatmap-refresh", "payload": {"seconds": seconds}}
+    status, headers, data = http_call(
+        address, "POST", REQUESTS, body, {"Idempotency-Key": key}
+    )
+    return status, headers, json.loads(data)
+
+
+def wait_for_run(cell, count=1):
+    def has_run():
+        runs = cell.control("counts")["runs"]
+        return sum(".0." in request_id for request_id in runs) >= count
+
+    cell.wait_until(has_run, "the work does not run")
+
+
+def owner_of_run(cell):
+    runs = cell.control("counts")["runs"]
+    request_id = next(found for found in runs if ".0." in found)
+    zone = request_id.partition(".")[0]
+    return cell.daemons[f"placer-{zone}"], request_id
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
+def test_placer_that_dies_or_freezes_in_mid_run(cell, number):
+    """A heatmap refresh runs when the placer that journaled it is gone.
+
+    Its caller waits on the gateway, which asks the successor; that finds a
+    start without an outcome and says "unknown", also to whoever asks again
+    under the key. A frozen placer that wakes changes nothing of it.
+    """
+    gateway = cell.gateways[0].addresses["http"]
+    with ThreadPoolExecutor(1) as executor:
+        sent = executor.submit(send_once, cell, "k1", gateway)
+        wait_for_run(cell)
+        placer, request_id = owner_of_run(cell)
+        placer.signal(number)
+        status, _, found = sent.result()
+    assert (status, found["outcome"]) == (504, "unknown")
+    if number == signal.SIGSTOP:
+        placer.signal(signal.SIGCONT)
+    status, _, found = send_once(cell, "k1", gateway)
+    assert (status, found["outcome"]) == (504, "unknown")
+    assert cell.control("counts")["runs"][request_id] == 1
+
+
+def test_frozen_placer_that_wakes_under_load_overfills_nothing(cell):
+    """A placer is frozen until another has its shards, then wakes under load.
+
+    It still believes in its shards and would give out slots that its successor
+    gives out too; the pause makes it ask the table first, and the backend
+    servers refuse its epoch.
+    """
+    placer = cell.placers[0]
+    others = [found for found in cell.placers if found is not placer]
+    addresses = [found.addresses["http"] for found in cell.gateways]
+
+    def taken_over():
+        owned = [cell.metric(found, "papayapick_owned_shards") for found in others]
+        return sum(owned) == 3
+
+    with Load(addresses, threads=24) as load:
+        load.wait_for_more(50)
+        placer.signal(signal.SIGSTOP)
+        cell.wait_until(taken_over, "nobody took the shards")
+        placer.signal(signal.SIGCONT)
+        load.wait_for_more(200)
+    assert all(found[2] in ("", "not_run") for found in load.answers)
+
+
+def test_gateway_told_to_stop_finishes_what_is_in_flight(cell):
+    """SIGTERM comes while slow answers are on their way: each arrives whole."""
+    gateway = cell.gateways[0]
+    address = gateway.addresses["http"]
+    body = {"service": "quick-counts", "payload": {"seconds": 1.0}}
+    headers = {"Request-Timeout": "8"}
+    with ThreadPoolExecutor(10) as executor:
+        sent = [
+            executor.submit(http_call, address, "POST", REQUESTS, body, headers)
+            for _ in range(8)
+        ]
+        once = executor.submit(send_once, cell, "k2", address, 1.5)
+        wait_for_run(cell)
+        gateway.signal(signal.SIGTERM)
+        answers = [found.result() for found in sent]
+    assert [status for status, _, _ in answers] == [200] * 8
+    assert all(json.loads(data)["payload"] == body["payload"] for *_, data in answers)
+    assert once.result()[0] == 200
+    gateway.process.wait(30)
+    assert gateway.process.returncode == 0
+
+
+def test_placer_told_to_stop_hands_over_and_cuts_nothing_off(cell):
+    """SIGTERM comes to a placer under load, with slow work in its hands.
+
+    Every urgent request gets its answer through the handover, the slow refresh
+    ends under the placer that journaled it, and one sent during the drain is
+    run by whoever has the shard then.
+    """
+    addresses = [found.addresses["http"] for found in cell.gateways]
+    with Load(addresses) as load, ThreadPoolExecutor(2) as executor:
+        first = executor.submit(send_once, cell, "k1", addresses[0], 1.5)
+        wait_for_run(cell)
+        placer, request_id = owner_of_run(cell)
+        load.wait_for_more(50)
+        placer.signal(signal.SIGTERM)
+        placer.wait_for_line("draining")
+        again = executor.submit(send_once, cell, "k1", addresses[1], 1.5)
+        placer.wait_for_line("shard handed over")
+        placer.process.wait(30)
+        load.wait_for_more(50)
+    assert load.problems == []
+    assert (first.result()[0], again.result()[0]) == (200, 200)
+    assert first.result()[2] == again.result()[2]
+    assert cell.control("counts")["runs"][request_id] == 1
+    assert placer.process.returncode == 0
+
+
+def test_second_signal_ends_a_placer_that_waits(cell):
+    """An operator insists: the second SIGTERM does not wait for the drain.
+
+    The caller then hears the truth from the successor, which is "unknown".
+    """
+    address = cell.gateways[0].addresses["http"]
+    with ThreadPoolExecutor(1) as executor:
+        sent = executor.submit(send_once, cell, "k1", address, 6.0)
+        wait_for_run(cell)
+        placer, request_id = owner_of_run(cell)
+        placer.signal(signal.SIGTERM)
+        placer.wait_for_line("draining")
+        placer.signal(signal.SIGTERM)
+        placer.process.wait(5)
+        status, _, found = sent.result()
+    assert (status, found["outcome"]) == (504, "unknown")
+    assert cell.control("counts")["runs"][request_id] == 1
+
+
+def test_restart_of_every_entry_host_in_turn(cell):
+    """Hosts are replaced one after the other while jobs and requests go on.
+
+    No request is refused or cut off, no worker is overfilled, no work not to
+    be repeated runs twice, and each placer gets the shard of its zone back.
+    """
+    job = {
+        "job": "season-model",
+        "members": 4,
+        "processors": 8000,
+        "memory": 4096,
+        "payload": {"run_seconds": 3},
+    }
+    gateways = [found.addresses["http"] for found in cell.gateways]
+    locations = []
+    for number in range(6):
+        status, headers, _ = http_call(gateways[number % 3], "POST", REQUESTS, job)
+        assert status == 202
+        locations.append(headers["Location"])
+    with Load(gateways) as load:
+        for number, placer in enumerate(list(cell.placers)):
+            assert send_once(cell, f"r{number}", gateways[0], 0.1)[0] == 200
+            placer.signal(signal.SIGTERM)
+            placer.process.wait(30)
+            cell.control("remove", name=placer.name)
+            del cell.daemons[placer.name]
+            place = placer.place
+            started = cell.add("placer", placer.name, place["region"], place["zone"])
+            cell.announce(started)
+            cell.wait_until(
+                lambda found=started: cell.metric(found, "papayapick_owned_shards"),
+                "the shard of the zone does not come back",
+            )
+    assert load.problems == []
+    ended = threading.Event()
+    for location in locations:
+        while not ended.wait(0.05):
+            _, _, data = http_call(gateways[0], "GET", location)
+            if json.loads(data).get("outcome"):
+                break
+        assert json.loads(data)["outcome"] == "done"
+    runs = cell.control("counts")["runs"]
+    assert {runs[found] for found in runs if ".0." in found} == {1}
