--- a/papayapick/placer/jobs.py
+++ b/papayapick/placer/jobs.py
@@ -132,6 +132,8 @@
         return item.ended is None and item.started == started
 
     def _start_members(self, shard, item):
+        # From here on a member may run, whatever becomes of the others.
+        item.may_have_run = True
         demand = item.accepted.job["demand"]
         lease = self._process.settings.task_lease_seconds
         work = item.accepted.job.get("work", {})
--- a/papayapick/placer/requests.py
+++ b/papayapick/placer/requests.py
@@ -54,8 +54,11 @@
         if policy is None:
             self.end(shard, item, item.refusal, detail="work.service-removed")
             return
-        now = self._process.clock.time()
-        if now > item.accepted.deadline:
+        if item.may_have_run and not item.accepted.repeatable:
+            # Whatever brought it back here, it is never sent a second time.
+            self.end(shard, item, UNKNOWN, detail="work.outcome-lost")
+            return
+        if self._process.clock.time() >= item.accepted.deadline:
             self.end(shard, item, item.refusal, detail="work.deadline-over")
             return
         try:
@@ -160,14 +163,17 @@
         accepted = item.accepted
         rest = accepted.deadline - self._process.clock.time()
         seconds = min(policy.run_seconds, max(0.05, rest))
+        ran_before = item.may_have_run
         try:
             payload = load_inline_or_object(
                 self._process.objects, accepted.payload, accepted.payload_object
             )
+            item.may_have_run = True
             answer = self._instances.call(
                 granted.url, item.request_id, granted.epoch, payload, seconds
             )
         except (NotSent, StaleEpoch, ObjectsUnavailable):
+            item.may_have_run = ran_before
             self._put_back(shard, item)
         except (AnswerMissing, AnswerInvalid) as error:
             self._without_answer(shard, item, policy, error)
@@ -195,6 +201,10 @@
             return
         delay = min(_LONGEST_BACKOFF_SECONDS, _BACKOFF_SECONDS * 2**item.attempts)
         delay *= 0.5 + self._process.generator.random()
+        if not item.may_have_run:
+            # It is refused at its deadline, not at the try after it.
+            rest = item.accepted.deadline - self._process.clock.time()
+            delay = min(delay, max(0.0, rest))
         self._desk.enqueue(shard, item, max(least, delay))
 
     def _keep(self, body):
