Rolls: settle by the sequence's row, keep the topology, confirm through peers

A woken or new process is confirmed by the table, or by answers of more than half of the listed placers, each asked after the pause and each confirmed itself; heartbeats carry that.

Seen to fail on a scratch copy, each by the test of its name: no condition on the accept, settling by the head, no settling, no topology check, no patience, an unconditional swap, confirmed at the start, one peer, unconfirmed peers, answers asked for before the pause, no signature check of a peer's bundle, k-1.

--- a/papayapick/bundle/__init__.py
+++ b/papayapick/bundle/__init__.py
@@ -9,9 +9,10 @@
     RollConflict,
     RollUnderWay,
     SignaturesMissing,
+    TopologyMoved,
 )
 from papayapick.bundle.signing import Envelope, KeyRing, generate_key, sign
-from papayapick.bundle.watcher import BundleWatcher
+from papayapick.bundle.watcher import BundleWatcher, PeerHead
 
 __all__ = [
     "Bundle",
@@ -23,10 +24,12 @@
     "Envelope",
     "JobPolicy",
     "KeyRing",
+    "PeerHead",
     "RollConflict",
     "RollUnderWay",
     "ServicePolicy",
     "SignaturesMissing",
+    "TopologyMoved",
     "generate_key",
     "sign",
 ]
--- a/papayapick/bundle/documents.py
+++ b/papayapick/bundle/documents.py
@@ -183,6 +183,11 @@
         """Return the region the platform's store stands in."""
         return self._document["topology"]["store_region"]
 
+    @property
+    def shards_per_zone(self):
+        """Return how many shards the hosts of a zone fall into."""
+        return self._document["topology"]["shards_per_zone"]
+
     @property
     def callers(self):
         """Return the callers' limits by name."""
@@ -221,8 +226,8 @@
         >>> Bundle({"topology": topology, "services": []}).shards()
         ['hobart-a.0', 'hobart-a.1']
         """
-        count = self._document["topology"]["shards_per_zone"]
-        return [f"{zone}.{number}" for zone in self.zones() for number in range(count)]
+        numbers = range(self.shards_per_zone)
+        return [f"{zone}.{number}" for zone in self.zones() for number in numbers]
 
 
 def _check_names(document):
--- a/papayapick/bundle/exceptions.py
+++ b/papayapick/bundle/exceptions.py
@@ -11,6 +11,7 @@
     "RollConflict",
     "RollUnderWay",
     "SignaturesMissing",
+    "TopologyMoved",
 ]
 
 
@@ -27,6 +28,16 @@
     template = "bundle refused at {place}: {reason}"
 
 
+class TopologyMoved(BundleError):
+    """Report a topology under which keys or hosts would change their shard."""
+
+    code = "bundle.topology-moved"
+    template = (
+        "{part} can't change from {before} to {after} in a live cell: "
+        "keys and hosts would move to other shards; roll it to a new cell"
+    )
+
+
 class SignaturesMissing(BundleError):
     """Report a bundle with too few valid signatures of operators."""
 
--- a/papayapick/bundle/heads.py
+++ b/papayapick/bundle/heads.py
@@ -2,14 +2,20 @@
 
 from papayapick.bundle.exceptions import RollUnderWay
 
-__all__ = ["HEAD_KEY", "Head", "Proposal"]
+__all__ = ["HEAD_KEY", "Head", "Proposal", "accepted_key"]
 
 HEAD_KEY = "bundle/head"
 SEEN_PREFIX = "bundle/seen/"
+ACCEPTED_PREFIX = "bundle/accepted/"
 VERIFIED = "verified"
 IN_FORCE = "in_force"
 
 
+def accepted_key(sequence):
+    """Return the row that keeps what was accepted as a sequence."""
+    return f"{ACCEPTED_PREFIX}{sequence:010d}"
+
+
 class Proposal:
     """Hold a bundle that an operator wants accepted."""
 
--- a/papayapick/bundle/queries.py
+++ b/papayapick/bundle/queries.py
@@ -1,11 +1,25 @@
 """Read heads, envelopes and acknowledgements."""
 
 from papayapick.bundle.exceptions import BundleUnknown
-from papayapick.bundle.heads import HEAD_KEY, SEEN_PREFIX, Head
+from papayapick.bundle.heads import (
+    HEAD_KEY,
+    SEEN_PREFIX,
+    Head,
+    Proposal,
+    accepted_key,
+)
 from papayapick.bundle.signing import Envelope
 from papayapick.platforms import ObjectMissing
 
-__all__ = ["fetch_envelope", "object_name", "read_head", "read_seen"]
+__all__ = [
+    "fetch_envelope",
+    "object_name",
+    "read_accepted",
+    "read_head",
+    "read_seen",
+    "stored_bundle",
+    "verified_envelope",
+]
 
 
 def object_name(digest):
@@ -18,6 +32,36 @@
     return Head.from_row(table.read(HEAD_KEY))
 
 
+def read_accepted(table, sequence):
+    """Return the proposal that was accepted as a sequence, or None."""
+    row = table.read(accepted_key(sequence))
+    if row is None:
+        return None
+    fields = {name: row.value[name] for name in Proposal.__slots__}
+    return Proposal(**fields)
+
+
+def stored_bundle(objects, digest):
+    """Return the bundle of an accepted digest, whose signatures were checked.
+
+    Raises
+    ------
+    BundleUnknown, BundleInvalid, ObjectsUnavailable
+    """
+    return _stored_envelope(objects, digest).bundle
+
+
+def _stored_envelope(objects, digest):
+    try:
+        data = objects.get(object_name(digest))
+    except ObjectMissing as error:
+        raise BundleUnknown(digest=digest) from error
+    envelope = Envelope.from_bytes(data)
+    if envelope.bundle.digest != digest:
+        raise BundleUnknown(digest=digest)
+    return envelope
+
+
 def fetch_envelope(objects, digest, keyring):
     """Fetch a bundle and check document, digest and signatures.
 
@@ -29,11 +73,9 @@
     ------
     BundleUnknown, BundleInvalid, SignaturesMissing, ObjectsUnavailable
     """
-    try:
-        data = objects.get(object_name(digest))
-    except ObjectMissing as error:
-        raise BundleUnknown(digest=digest) from error
-    return verified_envelope(data, digest, keyring)
+    envelope = _stored_envelope(objects, digest)
+    keyring.verify(envelope)
+    return envelope
 
 
 def verified_envelope(data, digest, keyring):
--- a/papayapick/bundle/watcher.py
+++ b/papayapick/bundle/watcher.py
@@ -14,11 +14,38 @@
 from papayapick.observability import get_logger
 from papayapick.platforms import ObjectsUnavailable, TableUnavailable
 
-__all__ = ["BundleWatcher"]
+__all__ = ["BundleWatcher", "PeerHead"]
 
 _LOG = get_logger(__name__)
 
 
+class PeerHead:
+    """Hold what a peer says of the bundle it has in force.
+
+    Parameters
+    ----------
+    peer : str
+    sequence : int
+    digest : str
+    is_confirmed : bool
+        Whether the peer has looked since its own last pause.
+    pauses : int
+        This process's pauses, counted before the peer was asked.
+    placers : int
+        How many placers the live list names.
+    """
+
+    __slots__ = ("digest", "is_confirmed", "pauses", "peer", "placers", "sequence")
+
+    def __init__(self, peer, sequence, digest, is_confirmed, pauses, placers):
+        self.peer = peer
+        self.sequence = sequence
+        self.digest = digest
+        self.is_confirmed = is_confirmed
+        self.pauses = pauses
+        self.placers = placers
+
+
 class _Current:
     __slots__ = ("bundle", "envelope", "sequence")
 
@@ -50,6 +77,7 @@
     __slots__ = (
         "_cell",
         "_confirmed_pauses",
+        "_confirming",
         "_current",
         "_envelopes",
         "_host",
@@ -75,7 +103,9 @@
         self._envelopes = {}
         self._told = None
         self._pauses = pauses
-        self._confirmed_pauses = 0
+        # A process that starts has not looked yet, as after a pause.
+        self._confirmed_pauses = -1
+        self._confirming = (-1, set())
         self._lock = threading.Lock()
 
     @property
@@ -98,9 +128,13 @@
 
     @property
     def is_confirmed(self):
-        """Return whether the head was looked at since the last pause."""
+        """Return whether the head was looked at since the start and last pause."""
         return self._pauses is None or (self._pauses.count() == self._confirmed_pauses)
 
+    def count_pauses(self):
+        """Return the pauses so far, to be noted before a peer is asked."""
+        return self._pauses.count() if self._pauses else 0
+
     def confirm(self):
         """Look at the head again after a pause; raise BundleUnconfirmed."""
         try:
@@ -121,7 +155,7 @@
         ------
         TableUnavailable
         """
-        pauses = self._pauses.count() if self._pauses else 0
+        pauses = self.count_pauses()
         head = read_head(self._table)
         proposal = head.proposal
         if proposal is not None and self._verified(proposal.digest):
@@ -133,13 +167,12 @@
         if self.sequence >= head.sequence:
             self._confirmed_pauses = pauses
 
-    def hear(self, sequence, digest, fetch):
-        """Take a newer bundle from a peer.
+    def hear(self, heard, fetch):
+        """Take a newer bundle from a peer, and its word that there is no newer.
 
         Parameters
         ----------
-        sequence : int
-        digest : str
+        heard : PeerHead
         fetch : callable
             Returns the envelope's bytes from that peer.
 
@@ -149,19 +182,38 @@
         which only an accepted bundle reaches; the document is verified here.
         This carries a roll through the cell while the table is down.
         """
-        if sequence <= self.sequence or not digest:
-            return
+        if heard.sequence > self.sequence and heard.digest:
+            self._take(heard, fetch)
+        if heard.is_confirmed and 0 < heard.sequence <= self.sequence:
+            self._note_confirmation(heard)
+
+    def _take(self, heard, fetch):
         with self._lock:
-            envelope = self._envelopes.get(digest)
+            envelope = self._envelopes.get(heard.digest)
         if envelope is None:
             try:
-                envelope = verified_envelope(fetch(), digest, self._keyring)
+                envelope = verified_envelope(fetch(), heard.digest, self._keyring)
                 self._check_cell(envelope)
             except BundleError as error:
                 _LOG.error("bundle of a peer refused", extra={"error": str(error)})
                 return
             self._remember(envelope)
-        self.put_in_force(sequence, envelope)
+        self.put_in_force(heard.sequence, envelope)
+
+    def _note_confirmation(self, heard):
+        # While the table is down a woken process goes by its peers. An answer
+        # asked for before the pause may have waited unread through a roll, and
+        # a peer that was itself frozen may know no more: neither counts. More
+        # than half of the placers must agree, since some may be cut off from
+        # those that took the newest bundle.
+        with self._lock:
+            pauses, peers = self._confirming
+            if pauses != heard.pauses:
+                peers = set()
+            peers.add(heard.peer)
+            self._confirming = (heard.pauses, peers)
+            if len(peers) * 2 > heard.placers:
+                self._confirmed_pauses = max(self._confirmed_pauses, heard.pauses)
 
     def put_in_force(self, sequence, envelope):
         """Swap to a verified bundle unless one as new is in force."""
--- a/papayapick/daemon/process.py
+++ b/papayapick/daemon/process.py
@@ -124,6 +124,7 @@
             bundle_digest=self.watcher.digest,
             shards=self._heartbeat_shards(),
             draining=self.is_draining,
+            confirmed=self.watcher.is_confirmed,
         )
 
     def _open_peers(self):
@@ -151,7 +152,7 @@
             self.clock,
             self.executor,
             self._count_bytes,
-            (self.heartbeat, self.watcher.hear),
+            (self.heartbeat, self.watcher.hear, self.watcher.count_pauses),
         )
 
     def _answer(self, payload, peer, traceparent):
--- a/papayapick/membership/peers.py
+++ b/papayapick/membership/peers.py
@@ -2,6 +2,7 @@
 
 import threading
 
+from papayapick.bundle import PeerHead
 from papayapick.membership.exceptions import ShardUnserved
 from papayapick.observability import get_logger
 from papayapick.platforms import HostListUnavailable
@@ -60,16 +61,20 @@
         Runs one task for each peer.
     settings : Settings
     hear_bundle : callable
-        Called with sequence, digest and a function that fetches the body.
+        Called with a PeerHead and a function that fetches the body.
+    count_pauses : callable
+        Returns the pauses of this process so far.
     """
 
     __slots__ = (
         "_clock",
         "_connect",
+        "_count_pauses",
         "_entries",
         "_executor",
         "_hear_bundle",
         "_host_list",
+        "_listed_placers",
         "_lock",
         "_own_heartbeat",
         "_peers",
@@ -86,6 +91,7 @@
         executor,
         settings,
         hear_bundle,
+        count_pauses=lambda: 0,
     ):
         self._host_list = host_list
         self._connect = connect
@@ -94,6 +100,8 @@
         self._executor = executor
         self._settings = settings
         self._hear_bundle = hear_bundle
+        self._count_pauses = count_pauses
+        self._listed_placers = 0
         self._entries = []
         self._peers = {}
         self._lock = threading.Lock()
@@ -108,7 +116,7 @@
         Parameters
         ----------
         callbacks : tuple of callable
-            ``own_heartbeat`` and ``hear_bundle``.
+            ``own_heartbeat``, ``hear_bundle`` and ``count_pauses``.
         """
 
         def connect(address):
@@ -121,10 +129,8 @@
                 meter=meter,
             )
 
-        own_heartbeat, hear_bundle = callbacks
-        return cls(
-            host_list, connect, own_heartbeat, clock, executor, settings, hear_bundle
-        )
+        own_heartbeat, *rest = callbacks
+        return cls(host_list, connect, own_heartbeat, clock, executor, settings, *rest)
 
     @property
     def entries(self):
@@ -140,6 +146,7 @@
             return
         self._entries = entries
         placers = {entry.name: entry for entry in entries if entry.kind == PLACER_KIND}
+        self._listed_placers = len(placers)
         with self._lock:
             for name, entry in placers.items():
                 known = self._peers.get(name)
@@ -229,6 +236,7 @@
     def beat(self, peer):
         """Exchange one heartbeat with a peer."""
         seconds = self._settings.dead_after_seconds / 2
+        pauses = self._count_pauses()
         answer = peer.client.ask(self._own_heartbeat(), seconds)
         if not isinstance(answer, Heartbeat):
             return
@@ -239,4 +247,12 @@
             query = BundleQuery(digest=answer.bundle_digest)
             return peer.client.ask(query, seconds).envelope
 
-        self._hear_bundle(answer.bundle_sequence, answer.bundle_digest, fetch)
+        head = PeerHead(
+            peer.name,
+            answer.bundle_sequence,
+            answer.bundle_digest,
+            answer.confirmed,
+            pauses,
+            self._listed_placers,
+        )
+        self._hear_bundle(head, fetch)
--- a/papayapick/platforms/commands.py
+++ b/papayapick/platforms/commands.py
@@ -28,7 +28,8 @@
     Raises
     ------
     TransactionConflict
-        Nothing was written.
+        Nothing was written, or the answer was lost and another writer has
+        changed the row since.
     TableUnavailable
         The effect is still unknown.
     """
--- a/papayapick/wire/codec.py
+++ b/papayapick/wire/codec.py
@@ -15,6 +15,7 @@
 _NESTED = {
     "shards": messages.ShardSummary,
     "loads": messages.ServiceLoad,
+    "placers": messages.PlacerSummary,
 }
 _TRAVERSAL_WORDS = 1 << 23
 
--- a/papayapick/wire/messages.capnp
+++ b/papayapick/wire/messages.capnp
@@ -34,6 +34,18 @@
   bundleDigest @2 :Text;
   shards @3 :List(ShardSummary);
   draining @4 :Bool;
+  confirmed @5 :Bool;
+  headVersion @6 :UInt64;
+  listTag @7 :Text;
+  known @8 :UInt64;
+  summaryVersion @9 :UInt64;
+  placers @10 :List(PlacerSummary);
+}
+
+struct PlacerSummary {
+  host @0 :Text;
+  draining @1 :Bool;
+  shards @2 :List(ShardSummary);
 }
 
 struct ShardSummary {
--- a/papayapick/wire/messages.py
+++ b/papayapick/wire/messages.py
@@ -7,6 +7,7 @@
     "Heartbeat",
     "Hello",
     "Payload",
+    "PlacerSummary",
     "Refusal",
     "Release",
     "ServiceLoad",
@@ -63,10 +64,35 @@
     __slots__ = ("epoch", "loads", "shard")
 
 
+class PlacerSummary(Payload):
+    """Tell what one live placer of a region serves."""
+
+    __slots__ = ("draining", "host", "shards")
+
+
 class Heartbeat(Payload):
-    """Say that a process lives, what it owns and which bundle it runs."""
+    """Say that a process lives, what it owns and which bundle it runs.
 
-    __slots__ = ("bundle_digest", "bundle_sequence", "draining", "host", "shards")
+    ``confirmed`` tells whether it has looked since its last pause. ``known`` is
+    the version of the region summary that the asker has; a summary with that
+    version comes without its ``placers``. ``head_version`` and ``list_tag``
+    are what the process has read of the bundle's head and the live list, so
+    that others look only once they change.
+    """
+
+    __slots__ = (
+        "bundle_digest",
+        "bundle_sequence",
+        "confirmed",
+        "draining",
+        "head_version",
+        "host",
+        "known",
+        "list_tag",
+        "placers",
+        "shards",
+        "summary_version",
+    )
 
 
 class SlotRequest(Payload):
