--- a/papayapick/wire/codec.py
+++ b/papayapick/wire/codec.py
@@ -15,6 +15,7 @@
 _NESTED = {
     "shards": messages.ShardSummary,
     "loads": messages.ServiceLoad,
+    "placers": messages.PlacerSummary,
 }
 # Packing turns runs of zeros into two bytes, so a short frame can stand for
 # gigabytes: a message takes at most 16 MiB, four times the longest frame.
