Release slots of journaled requests truthfully; let fakes check answers

Cause: after a missing answer the runner of journaled requests released its slot as free though the backend server may run on, and it overlooked a server that says it leaves.

Change: the runner's release says unknown, leaving, failed, unused or done, as the gateway's does. The two pools of the tests run the check and give headers in the form of the library, so that the real check of the answer runs there too (stricter than before).

--- a/papayapick/placer/requests.py
+++ b/papayapick/placer/requests.py
@@ -10,6 +10,7 @@
     ObjectsUnavailable,
     StaleEpoch,
 )
+from papayapick.platforms.instances import is_leaving
 from papayapick.routing import GrantExpired, RoutingError
 from papayapick.wire import WireError
 
@@ -21,6 +22,7 @@
 _LONGEST_BACKOFF_SECONDS = 10.0
 _ATTEMPTS = 5
 _SERVER_ERROR = 500
+_UNUSED, _LEAVING = "unused", "leaving"
 
 
 class RequestRunner:
@@ -125,12 +127,13 @@
 
     def _run_with(self, shard, item, policy, grant):
         began = self._process.clock.monotonic()
-        outcome = "unused"
+        outcome = _UNUSED
         try:
             if self._journal_start(shard, item, grant):
                 grant.check_usable(self._process.clock.monotonic())
-                outcome = "called"
-                self._send(shard, item, policy, grant)
+                # Until the answer is in, the backend server may be running it.
+                outcome = UNKNOWN
+                outcome = self._send(shard, item, policy, grant)
         except GrantExpired:
             self._put_back(shard, item)
         finally:
@@ -159,6 +162,7 @@
         return item.ended is None and item.started == started
 
     def _send(self, shard, item, policy, grant):
+        """Send the request once; return what the slot's release should say."""
         granted = grant.granted
         accepted = item.accepted
         rest = accepted.deadline - self._process.clock.time()
@@ -172,13 +176,17 @@
             answer = self._instances.call(
                 granted.url, item.request_id, granted.epoch, payload, seconds
             )
-        except (NotSent, StaleEpoch, ObjectsUnavailable):
+        except (NotSent, StaleEpoch, ObjectsUnavailable) as error:
             item.may_have_run = ran_before
             self._put_back(shard, item)
+            return FAILED if isinstance(error, NotSent) else _UNUSED
         except (AnswerMissing, AnswerInvalid) as error:
             self._without_answer(shard, item, policy, error)
-        else:
-            self._with_answer(shard, item, answer)
+            return UNKNOWN
+        self._with_answer(shard, item, answer)
+        if is_leaving(answer):
+            return _LEAVING
+        return FAILED if answer.status >= _SERVER_ERROR else DONE
 
     def _with_answer(self, shard, item, answer):
         if answer.status < _SERVER_ERROR:
--- a/tests/failures/lives.py
+++ b/tests/failures/lives.py
@@ -72,7 +72,16 @@
         self.faults = dict(faults)
         self.is_armed = True
 
-    def request(self, method, url, body=None, headers=None, timeout=None, fresh=False):
+    def request(
+        self,
+        method,
+        url,
+        body=None,
+        headers=None,
+        timeout=None,
+        fresh=False,
+        check=None,
+    ):
         if method == "GET" and "/objects/" in url:
             self.object_reads += 1
             if self.object_reads == self.failing_object_read:
@@ -92,6 +101,8 @@
             self._die()
         if fault == LOST or answer is None:
             raise AnswerMissing(url=url)
+        if check is not None:
+            check(answer)
         return answer
 
     def _next_fault(self, method, url):
--- a/tests/standins/pool.py
+++ b/tests/standins/pool.py
@@ -1,18 +1,36 @@
 """Reach the stand-ins in the same process, in place of HTTP."""
 
+import http.client
 import io
 import urllib.parse
 
 from papayapick.platforms.http import HttpAnswer
 
 
+def message(lines):
+    """Return headers in the form in which they come over a socket."""
+    headers = http.client.HTTPMessage()
+    for name, value in lines:
+        headers[name] = value
+    return headers
+
+
 class InProcessPool:
     """Hand requests to the platform's application, without a socket."""
 
     def __init__(self, platform):
         self._platform = platform
 
-    def request(self, method, url, body=None, headers=None, timeout=None, fresh=False):
+    def request(
+        self,
+        method,
+        url,
+        body=None,
+        headers=None,
+        timeout=None,
+        fresh=False,
+        check=None,
+    ):
         parts = urllib.parse.urlsplit(url)
         data = body or b""
         environ = {
@@ -27,7 +45,10 @@
         started = []
         answer = self._platform(environ, lambda *found: started.append(found))
         status, lines = started[0]
-        return HttpAnswer(int(status.split()[0]), dict(lines), b"".join(answer))
+        found = HttpAnswer(int(status.split()[0]), message(lines), b"".join(answer))
+        if check is not None:
+            check(found)
+        return found
 
     def close(self):
         """Hold nothing open."""
