Pause deferred jobs for urgent ones, and let deferred work arrive

Cause: urgent and deferred jobs waited in one line, so an urgent job waited for whatever filled the shard, and a deferred one had no claim before its deadline.

The worker client and its stand-in learn `checkpoint`; a later start names the saved task. A pause that a worker does not answer ends as any job that is given up. A successor that finds a job checkpointed queues it again. Work without accelerators is promised only room that its choice can get, and may use what accelerators keep where it fits nowhere else: the queue stood still otherwise.

--- a/papayapick/ledger/hosts.py
+++ b/papayapick/ledger/hosts.py
@@ -243,8 +243,37 @@
         str or None
         """
         with self._lock:
-            index = self._accelerated if demand.accelerators else self._plain
-            return index.find(demand)
+            if self._may_use_kept(demand):
+                name = self._accelerated.find(demand)
+                if name is not None:
+                    return name
+            return None if demand.accelerators else self._plain.find(demand)
+
+    def usable(self, name, free, demand):
+        """Return what a demand may use of the free amounts of a host.
+
+        Parameters
+        ----------
+        name : str
+        free : Amounts
+            Now, or as it will be.
+        demand : Amounts
+
+        Returns
+        -------
+        Amounts
+        """
+        host = self._host(name)
+        if not host.capacity.accelerators or self._may_use_kept(demand):
+            return free
+        return free - self._kept(host.capacity, free)
+
+    def _may_use_kept(self, demand):
+        # Work that no host could hold beside idle accelerators would never run.
+        return demand.accelerators or not any(
+            demand.fits_in(capacity - self._kept(capacity, capacity))
+            for capacity in self._capacities
+        )
 
     def may_hold(self, demand, members):
         """Return whether so many members fit in all free room taken together.
@@ -298,15 +327,17 @@
             self._plain.add(host.name, shown, _WITHOUT_ACCELERATORS)
             return
         self._accelerated.add(host.name, shown)
-        rest = shown - self._kept(host)
+        rest = shown - self._kept(host.capacity, shown)
         if _NOTHING.fits_in(rest):
             self._plain.add(host.name, rest, shown.accelerators)
 
-    def _kept(self, host):
+    def _kept(self, capacity, free):
         """Return what other work leaves to the free accelerators of a host."""
-        share = host.free.accelerators * self._kept_percent
-        whole = host.capacity.accelerators * 100
+        if not capacity.accelerators:
+            return _NOTHING
+        share = max(0, free.accelerators) * self._kept_percent
+        whole = capacity.accelerators * 100
         return Amounts(
-            host.capacity.processors * share // whole,
-            host.capacity.memory * share // whole,
+            capacity.processors * share // whole,
+            capacity.memory * share // whole,
         )
--- a/papayapick/placement/failures.py
+++ b/papayapick/placement/failures.py
@@ -64,18 +64,10 @@
             return set(self._aside)
 
     def hosts_of(self, job):
-        """Return the hosts to avoid for a job: it failed there or was refused.
-
-        Refusals count no more once they leave no host: one of these may answer
-        again.
-        """
+        """Return the hosts to avoid for a job: it failed there or was refused."""
         with self._lock:
             failed = self._failed.get(job, set())
-            refused = self._refused.get(job, set())
-            if not set(self._ledger.open_hosts()) - failed - refused:
-                self._refused.pop(job, None)
-                return frozenset(failed)
-            return frozenset(failed | refused)
+            return frozenset(failed | self._refused.get(job, set()))
 
     def fails_everywhere(self, job):
         """Return whether a job failed on so many hosts that it is to blame."""
--- a/papayapick/placement/gangs.py
+++ b/papayapick/placement/gangs.py
@@ -81,7 +81,7 @@
     names = [name for name in ledger.open_hosts() if name not in job.avoid]
     free = {name: ledger.free(name) for name in names}
     released = {}
-    counts = {name: _count(free[name], job) for name in names}
+    counts = {name: _count(ledger, name, free[name], job) for name in names}
     room = sum(counts.values())
     time = now
     for end, host, amounts in _ends(running, now):
@@ -91,7 +91,7 @@
             continue
         time = end
         released[host] = released.get(host, _NOTHING) + amounts
-        count = _count(free[host] + released[host], job)
+        count = _count(ledger, host, free[host] + released[host], job)
         room += count - counts[host]
         counts[host] = count
     if room < job.members:
@@ -115,8 +115,9 @@
     return sorted(found, key=lambda end: end[0])
 
 
-def _count(free, job):
+def _count(ledger, name, free, job):
     demand = job.demand
+    free = ledger.usable(name, free, demand)
     count = job.members
     for there, needed in (
         (free.processors, demand.processors),
--- a/papayapick/placement/jobs.py
+++ b/papayapick/placement/jobs.py
@@ -1,5 +1,6 @@
 """Describe jobs that wait and run, and the order in which they start."""
 
+import math
 from typing import Protocol
 
 __all__ = [
@@ -34,6 +35,8 @@
         Number of the start, part of the tasks' names.
     avoid : frozenset of str
         Hosts that it failed on.
+    checkpoints : tuple of str
+        Tasks of an earlier start that its members go on from.
     """
 
     __slots__ = (
@@ -41,6 +44,7 @@
         "attempt",
         "avoid",
         "can_pause",
+        "checkpoints",
         "deadline",
         "demand",
         "is_urgent",
@@ -63,6 +67,7 @@
         team="",
         attempt=1,
         avoid=frozenset(),
+        checkpoints=(),
     ):
         self.name = name
         self.demand = demand
@@ -75,6 +80,28 @@
         self.team = team
         self.attempt = attempt
         self.avoid = avoid
+        self.checkpoints = checkpoints
+
+    def paused(self):
+        """Return the job as it waits again once its members were checkpointed.
+
+        It keeps its arrival, and so its place in the order.
+        """
+        tasks = (f"{self.name}.{self.attempt}.{n}" for n in range(self.members))
+        return WaitingJob(
+            self.name,
+            self.demand,
+            self.members,
+            self.run_seconds,
+            self.arrival,
+            self.deadline,
+            self.is_urgent,
+            self.can_pause,
+            self.team,
+            self.attempt + 1,
+            self.avoid,
+            tuple(tasks),
+        )
 
     @property
     def latest_start(self):
@@ -111,9 +138,19 @@
         Monotonic time at which all its members were last reported.
     is_given_up : bool
         Whether its leases are renewed no more, so that it ends.
+    is_pausing : bool
+        Whether it is being checkpointed to make room.
     """
 
-    __slots__ = ("end", "heard", "is_given_up", "job", "places", "renewed")
+    __slots__ = (
+        "end",
+        "heard",
+        "is_given_up",
+        "is_pausing",
+        "job",
+        "places",
+        "renewed",
+    )
 
     def __init__(self, job, places, end):
         self.job = job
@@ -121,13 +158,17 @@
         self.end = end
         self.renewed = self.heard = float("-inf")
         self.is_given_up = False
+        self.is_pausing = False
 
 
 class JobOrder(Protocol):
     """Give the place of a job in the queue; it never changes while it waits."""
 
+    def key(self, job):
+        """Return a tuple; the smaller goes first."""
+
     def due(self, job):
-        """Return the time by which the job should start; earlier goes first."""
+        """Return the time from which a job goes before all others."""
 
 
 class ArrivalOrder:
@@ -135,29 +176,36 @@
 
     __slots__ = ()
 
-    def due(self, job):
+    def key(self, job):
         """Return the time of arrival."""
-        return job.arrival
+        return (job.arrival,)
+
+    def due(self, job):
+        """Return infinity: no job goes before its turn."""
+        return math.inf
 
 
 class DeadlineOrder:
-    """Serve urgent jobs as they come, others by latest start, with ageing.
+    """Serve urgent jobs as they come, then others by latest start, with ageing.
 
-    A job that has waited for ``ageing_seconds`` stands before all that come from
-    then on, so that a stream of nearer deadlines can't starve it.
+    Deferred work whose latest start is near goes before urgent work: it must
+    arrive. Among deferred work, a job that has waited for ``ageing_seconds`` stands
+    before all that come from then on, so that a stream of nearer deadlines can't
+    starve it.
 
     Parameters
     ----------
     ageing_seconds : float
     margin_seconds : float
-        How long before its latest start a job is due.
+        How long before its latest start a deferred job is due.
 
     Examples
     --------
     >>> from papayapick.ledger import Amounts
     >>> order = DeadlineOrder(ageing_seconds=600, margin_seconds=60)
-    >>> order.due(WaitingJob("a", Amounts(1), run_seconds=100, deadline=500))
-    340
+    >>> job = WaitingJob("a", Amounts(1), run_seconds=100, deadline=500)
+    >>> order.key(job), order.due(job)
+    ((1, 400), 340)
     """
 
     __slots__ = ("_ageing_seconds", "_margin_seconds")
@@ -166,9 +214,14 @@
         self._ageing_seconds = ageing_seconds
         self._margin_seconds = margin_seconds
 
+    def key(self, job):
+        """Return urgent work by arrival, before other work by latest start."""
+        if job.is_urgent:
+            return (0, job.arrival)
+        return (1, min(job.latest_start, job.arrival + self._ageing_seconds))
+
     def due(self, job):
-        """Return the arrival of urgent work, else latest start or end of ageing."""
+        """Return shortly before the latest start of deferred work."""
         if job.is_urgent:
-            return job.arrival
-        aged = job.arrival + self._ageing_seconds
-        return min(job.latest_start - self._margin_seconds, aged)
+            return math.inf
+        return job.latest_start - self._margin_seconds
--- /dev/null
+++ b/papayapick/placement/pauses.py
@@ -0,0 +1,114 @@
+"""Choose which deferred jobs to checkpoint so that urgent ones fit."""
+
+__all__ = ["choose_pauses"]
+
+_MARGIN_SECONDS = 300.0
+
+
+def choose_pauses(ledger, urgent, running, now):
+    """Return jobs whose pause makes room for waiting urgent jobs.
+
+    A job is paused only where it could still run whole before its deadline, so
+    that deferred work arrives even if its checkpoint is lost. Each member of an
+    urgent job takes the host where fewest members are paused, those with the
+    latest deadlines first; a paused job frees the room of all its members.
+
+    Parameters
+    ----------
+    ledger : HostLedger
+    urgent : iterable of WaitingJob
+        In their order; the first that no pause can help ends the search.
+    running : iterable of RunningJob
+    now : float
+
+    Returns
+    -------
+    list of RunningJob
+    """
+    room = _Room(ledger, running, now)
+    chosen = []
+    for job in urgent:
+        found = room.make(job)
+        if found is None:
+            break
+        chosen += found
+    return chosen
+
+
+def _can_pause(one, now):
+    job = one.job
+    slack = job.deadline - now - job.run_seconds
+    return job.can_pause and not one.is_given_up and slack > _MARGIN_SECONDS
+
+
+class _Room:
+    """Count what is free, and would be, on each host."""
+
+    __slots__ = ("_free", "_ledger", "_on_host", "_paused")
+
+    def __init__(self, ledger, running, now):
+        self._ledger = ledger
+        self._free = {name: ledger.free(name) for name in ledger.open_hosts()}
+        self._on_host = {}
+        self._paused = set()
+        found = sorted(running, key=lambda one: one.job.deadline, reverse=True)
+        for one in found:
+            if one.is_pausing:
+                # Its room comes free already.
+                self._pause(one)
+            elif _can_pause(one, now):
+                for place in one.places:
+                    self._on_host.setdefault(place.host, []).append(one)
+
+    def make(self, job):
+        """Return what to pause for a job, or None where no pause helps."""
+        before, paused = dict(self._free), set(self._paused)
+        chosen = []
+        for _ in range(job.members):
+            found = self._place(job)
+            if found is None:
+                self._free, self._paused = before, paused
+                return None
+            chosen += found
+        return chosen
+
+    def _place(self, job):
+        best, host = None, None
+        for name in self._free:
+            if name in job.avoid:
+                continue
+            found = self._needed(name, job.demand, best)
+            if found is not None and (best is None or len(found) < len(best)):
+                best, host = found, name
+                if not best:
+                    break
+        if best is None:
+            return None
+        for one in best:
+            self._pause(one)
+        self._free[host] = self._free[host] - job.demand
+        return best
+
+    def _needed(self, name, demand, best):
+        free = self._free[name]
+        found = []
+        for one in self._on_host.get(name, ()):
+            if self._fits(name, free, demand):
+                break
+            if best is not None and len(found) + 1 >= len(best):
+                return None
+            if one.job.name not in self._paused and one not in found:
+                found.append(one)
+                for place in one.places:
+                    if place.host == name:
+                        free = free + one.job.demand
+        return found if self._fits(name, free, demand) else None
+
+    def _fits(self, name, free, demand):
+        return demand.fits_in(self._ledger.usable(name, free, demand))
+
+    def _pause(self, one):
+        self._paused.add(one.job.name)
+        for place in one.places:
+            if place.host in self._free:
+                self._free[place.host] = self._free[place.host] + one.job.demand
--- a/papayapick/placement/queue.py
+++ b/papayapick/placement/queue.py
@@ -7,10 +7,14 @@
 
 from papayapick.ledger import LedgerError
 from papayapick.placement.jobs import DeadlineOrder
+from papayapick.placement.pauses import choose_pauses
 from papayapick.placement.starts import Backfill
 
 __all__ = ["JobQueue"]
 
+# Urgent jobs that one look makes room for.
+_URGENT_LOOKS = 16
+
 
 class JobQueue:
     """Hold jobs in their order and start them by a policy.
@@ -25,6 +29,8 @@
     __slots__ = (
         "_added",
         "_deadlines",
+        "_due",
+        "_due_seen",
         "_first_refused",
         "_ledger",
         "_lock",
@@ -43,6 +49,8 @@
         self._waiting = {}
         self._sorted = SortedList()
         self._deadlines = []
+        self._due = SortedList()
+        self._due_seen = 0
         self._running = {}
         self._added = []
         self._first_refused = None
@@ -72,9 +80,10 @@
         with self._lock:
             if job.name in self._waiting or job.name in self._running:
                 return
-            key = (self._order.due(job), job.name)
+            key = (self._order.key(job), job.name)
             self._waiting[job.name] = (key, job)
             self._sorted.add(key)
+            self._due.add((self._order.due(job), job.name))
             heapq.heappush(self._deadlines, (job.deadline, job.name))
             self._added.append(key)
 
@@ -116,6 +125,39 @@
             self._seen = self._ledger.version
             return starts
 
+    @property
+    def promised(self):
+        """Return the name of the job that room is held for, or None."""
+        found = getattr(self._policy, "promised", None)
+        return found[0] if found else None
+
+    def choose_pauses(self, now):
+        """Return running jobs to checkpoint for urgent jobs that must wait.
+
+        Each is marked as pausing; its room counts as taken until ``finish``.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        list of RunningJob
+        """
+        with self._lock:
+            urgent = []
+            for _, name in self._sorted.islice(0, _URGENT_LOOKS):
+                job = self._waiting[name][1]
+                if not job.is_urgent:
+                    break
+                urgent.append(job)
+            if not urgent:
+                return []
+            chosen = choose_pauses(self._ledger, urgent, self._running.values(), now)
+            for one in chosen:
+                one.is_pausing = True
+            return chosen
+
     def finish(self, name):
         """Give back the room of a job whose members have all ended."""
         with self._lock:
@@ -142,17 +184,27 @@
     def _choose(self, now):
         added = [key for key in self._added if key in self._sorted]
         first = self._first_refused
+        due = [name for _, name in self._due.irange(maximum=(now, ""))]
         is_same = first is not None and self._seen == self._ledger.version
+        is_same = is_same and len(due) == self._due_seen
+        self._due_seen = len(due)
         if is_same and all(key > first for key in added):
             # The room and what waits for it are as they were: only what came
             # behind the first that waits may still fit.
             jobs = [self._waiting[key[1]][1] for key in sorted(added)]
             return self._policy.choose_added(self._ledger, jobs, now) if jobs else []
-        waiting = (self._waiting[key[1]][1] for key in self._sorted)
+        waiting = (self._waiting[name][1] for name in self._in_order(due))
         running = self._running.values()
         return self._policy.choose(self._ledger, waiting, running, now)
 
+    def _in_order(self, due):
+        yield from due
+        first = set(due)
+        yield from (name for _, name in self._sorted if name not in first)
+
     def _discard(self, name):
         found = self._waiting.pop(name, None)
         if found is not None:
-            self._sorted.remove(found[0])
+            key, job = found
+            self._sorted.remove(key)
+            self._due.remove((self._order.due(job), name))
--- a/papayapick/placement/starts.py
+++ b/papayapick/placement/starts.py
@@ -96,13 +96,14 @@
         Jobs looked at in one pass.
     """
 
-    __slots__ = ("_held", "_hosts", "_looks", "_refused", "promised")
+    __slots__ = ("_held", "_hosts", "_looks", "_refused", "_urgent_waits", "promised")
 
     def __init__(self, hosts=None, looks=_LOOKS):
         self._hosts = hosts or Tightest()
         self._looks = looks
         self._held = {}
         self._refused = set()
+        self._urgent_waits = False
         self.promised = None
 
     def choose(self, ledger, waiting, running, now):
@@ -110,15 +111,17 @@
         starts = []
         self.promised = None
         self._refused = set()
+        self._urgent_waits = False
         with ledger.lock:
             self._hold(ledger, {})
             running = list(running)
             for job in itertools.islice(waiting, self._looks):
                 places = self._place(ledger, job, now)
+                if places is None and self.promised is None:
+                    places = self._promise(ledger, job, running + starts, now)
                 if places is not None:
                     starts.append(RunningJob(job, places, now + job.run_seconds))
-                elif self.promised is None:
-                    self._promise(ledger, job, running + starts, now)
+                self._urgent_waits |= job.is_urgent and places is None
         return starts
 
     def choose_added(self, ledger, added, now):
@@ -133,6 +136,9 @@
 
     def _place(self, ledger, job, now):
         is_short = self._is_short(job, now)
+        if self._urgent_waits and job.can_pause and not is_short:
+            # It would be paused again for the urgent job behind the first.
+            return None
         shape = (job.demand, job.members, job.avoid, is_short, self.promised is None)
         if shape in self._refused:
             return None
@@ -153,9 +159,17 @@
 
     def _promise(self, ledger, job, running, now):
         found = promise(ledger, job, running, now)
+        if found is None and job.avoid:
+            # Without the hosts that it failed on it would wait for ever.
+            job.avoid = frozenset()
+            places = self._place(ledger, job, now)
+            if places is not None:
+                return places
+            found = promise(ledger, job, running, now)
         if found is not None:
             self.promised = (job.name, found)
             self._hold(ledger, found.holds)
+        return None
 
     def _hold(self, ledger, holds):
         for name in self._held:
--- a/papayapick/placer/jobs.py
+++ b/papayapick/placer/jobs.py
@@ -20,6 +20,9 @@
 DONE, FAILED, NOT_RUN = "done", "failed", "not_run"
 _URGENT = "urgent"
 _RETRY_SECONDS = 0.2
+# Not by an end of their own: a lease that lapsed, or an owner that was replaced
+# after it had stopped some members.
+_ENDED_EARLY = ("lapsed", "stopped", "checkpointed")
 _RUN_SECONDS = 3600.0
 # Clocks of workers and placers drift apart by at most this share.
 _DRIFT = 0.02
@@ -74,7 +77,7 @@
                 continue
             if running.is_given_up:
                 self._give_up(shard, item, running)
-            else:
+            elif not running.is_pausing:
                 self._collect(shard, item, running, reports)
         shard.failures.probe(self._process.clock.time())
         self._process.executor.submit(self.start_waiting, shard)
@@ -86,12 +89,25 @@
         now = self._process.clock.time()
         for name in shard.jobs.take_overdue(now):
             self._end_overdue(shard, shard.book.get(name))
-        starts = shard.jobs.choose_starts(now)
+        starts = self._choose_starts(shard, now)
         # All are journaled together: they share a segment, and so one write.
         entries = [(start, self._journal_start(shard, start)) for start in starts]
         for start, entry in entries:
             if entry is not None and self._is_durable(shard, start, entry):
                 self._start_members(shard, shard.book.get(start.job.name), start)
+        for running in shard.jobs.choose_pauses(now):
+            self._process.executor.submit(self._pause, shard, running)
+
+    @staticmethod
+    def _choose_starts(shard, now):
+        starts = shard.jobs.choose_starts(now)
+        while (name := shard.jobs.promised) is not None:
+            if shard.book.get(name).ended is None:
+                break
+            # It was cancelled; what was held for it is free for others.
+            shard.jobs.discard(name)
+            starts += shard.jobs.choose_starts(now)
+        return starts
 
     def end(self, shard, item, outcome, detail="", results=None):
         """Journal the outcome of a job and answer those who wait for it."""
@@ -176,9 +192,11 @@
     def _start_members(self, shard, item, running):
         demand = item.accepted.job["demand"]
         lease = self._process.settings.task_lease_seconds
-        work = item.accepted.job.get("work", {})
         running.heard = self._process.clock.monotonic()
-        for place in running.places:
+        for number, place in enumerate(running.places):
+            work = dict(item.accepted.job.get("work", {}))
+            if running.job.checkpoints:
+                work["checkpoint"] = running.job.checkpoints[number]
             entry = shard.entries[place.host]
             running.renewed = self._process.clock.monotonic()
             try:
@@ -190,6 +208,25 @@
                 self._give_up(shard, item, running)
                 return
 
+    def _pause(self, shard, running):
+        item = shard.book.get(running.job.name)
+        try:
+            for place in running.places:
+                entry = shard.entries[place.host]
+                self._workers.checkpoint(entry, shard.epoch, [place.task])
+        except PlatformError as error:
+            # Some members may run on: the job ends as any that is given up, and
+            # is run again from its start.
+            _LOG.info("job not paused", extra={"error": str(error)})
+            self._give_up(shard, item, running)
+            return
+        self._resume_later(shard, item, running)
+
+    def _resume_later(self, shard, item, running):
+        shard.jobs.finish(item.request_id)
+        shard.jobs.add(running.job.paused())
+        self._process.executor.submit(self.start_waiting, shard)
+
     def _renew_worker(self, shard, worker, tasks):
         entry = shard.entries.get(worker)
         if entry is None:
@@ -210,6 +247,10 @@
             results = {report.task: report.result for report in reported}
             self.end(shard, item, DONE, results=results)
             return
+        if all(report and report.state == "checkpointed" for report in reported):
+            # An earlier owner paused it and was replaced before it went on.
+            self._resume_later(shard, item, running)
+            return
         now = self._process.clock.time()
         failed = [
             place.host
@@ -220,7 +261,7 @@
             shard.failures.note_failure(host, item.request_id, now)
         if None not in reported:
             running.heard = self._process.clock.monotonic()
-        lapsed = any(report and report.state == "lapsed" for report in reported)
+        lapsed = any(report and report.state in _ENDED_EARLY for report in reported)
         if failed or lapsed:
             self._give_up(shard, item, running)
         elif self._is_lease_over(running.heard):
--- a/papayapick/platforms/workers.py
+++ b/papayapick/platforms/workers.py
@@ -19,7 +19,7 @@
     Parameters
     ----------
     task : str
-    state : {"running", "done", "failed", "stopped", "lapsed"}
+    state : {"running", "done", "failed", "stopped", "lapsed", "checkpointed"}
     demand : dict of str to int
     usage : dict of str to int
         Observed use, which lags.
@@ -94,6 +94,14 @@
         """Stop tasks; once this returns they do not run."""
         self._call(worker, "/stop", epoch, {"tasks": tasks})
 
+    def checkpoint(self, worker, epoch, tasks):
+        """Save and stop tasks; once this returns they do not run.
+
+        A later start names a saved task as ``checkpoint`` in its work to go on
+        from there.
+        """
+        self._call(worker, "/checkpoint", epoch, {"tasks": tasks})
+
     def renew(self, worker, epoch, tasks, lease_seconds):
         """Renew the leases of tasks and return the worker's reports.
 
--- a/tests/ledger/test_hosts.py
+++ b/tests/ledger/test_hosts.py
@@ -177,3 +177,13 @@
     assert ledger.could_hold(Amounts(4000, 1))
     ledger.remove("worker-0")
     assert not ledger.could_hold(Amounts(1, 1))
+
+
+def test_work_that_fits_nowhere_else_may_use_what_accelerators_keep():
+    """A job is accepted as it fits a host, and waits until its deadline.
+
+    All hosts have accelerators, and each keeps half of itself for them.
+    """
+    ledger = ledger_of(Amounts(8000, 8192, 1))
+    assert ledger.tightest(Amounts(6000, 1024)) == "worker-0"
+    assert ledger.tightest(Amounts(9000, 1024)) is None
--- a/tests/placement/test_failures.py
+++ b/tests/placement/test_failures.py
@@ -3,7 +3,7 @@
 import pytest
 
 from papayapick.ledger import Amounts, HostLedger
-from papayapick.placement import FailureBook
+from papayapick.placement import FailureBook, JobQueue, WaitingJob
 
 CORE = Amounts(1000, 1024)
 
@@ -80,11 +80,21 @@
     assert not book.aside
 
 
-def test_a_refused_job_goes_elsewhere_until_no_host_is_left():
-    """A job is offered to the same unreachable worker for ever."""
+def test_a_refused_job_goes_elsewhere_as_long_as_it_fits_there():
+    """A job is offered to the same unreachable worker for ever, or to none.
+
+    It avoids the workers that refused it; once it needs one of these, the avoided
+    worker may answer again.
+    """
     ledger, book = book_of(2)
+    queue = JobQueue(ledger)
     book.note_refusal("worker-0", "a", 0.0)
-    assert book.hosts_of("a") == {"worker-0"}
-    book.note_refusal("worker-1", "a", 0.0)
-    assert book.hosts_of("a") == frozenset()
     assert not book.fails_everywhere("a")
+    queue.add(WaitingJob("a", CORE, 4, avoid=book.hosts_of("a")))
+    (start,) = queue.choose_starts(0.0)
+    assert {place.host for place in start.places} == {"worker-1"}
+    queue.add(WaitingJob("b", CORE, 8, avoid=frozenset(["worker-0"])))
+    assert queue.choose_starts(0.0) == []
+    queue.finish("a")
+    (start,) = queue.choose_starts(1.0)
+    assert {place.host for place in start.places} == {"worker-0", "worker-1"}
--- a/tests/placement/test_gangs.py
+++ b/tests/placement/test_gangs.py
@@ -119,7 +119,7 @@
         job(f"near-{at}", deadline=at + 100.0, arrival=float(at))
         for at in range(0, 1200, 100)
     ]
-    ordered = sorted([far, *near], key=order.due)
+    ordered = sorted([far, *near], key=order.key)
     assert ordered.index(far) == 6
 
 
@@ -195,3 +195,62 @@
     found = promise(ledger, job("c", cores=4), queue.running, 0.0)
     assert found.time == 10.0
     assert promise(ledger, job("d", members=3, cores=3), queue.running, 0.0) is None
+
+
+def test_room_kept_for_accelerators_is_promised_to_no_other_work():
+    """The queue stands still although jobs behind the first fit.
+
+    The first was promised room that its choice can never get: a host keeps it for
+    idle accelerators.
+    """
+    ledger = ledger_of(1, cores=4)
+    ledger.add("accelerated", Amounts(8000, 8192, 8))
+    ledger.open("accelerated")
+    queue = JobQueue(ledger)
+    queue.add(job("running", cores=4, seconds=10.0))
+    queue.choose_starts(0.0)
+    queue.add(job("first", members=2, cores=4, arrival=1.0))
+    queue.add(job("behind", cores=1, seconds=5.0, arrival=2.0))
+    assert names_of(queue.choose_starts(3.0)) == ["behind"]
+    queue.finish("behind")
+    queue.finish("running")
+    assert names_of(queue.choose_starts(10.0)) == ["first"]
+
+
+def test_deferred_work_whose_latest_start_is_near_goes_before_urgent_work():
+    """A comparison never arrives, as urgent work always comes first."""
+    queue = JobQueue(ledger_of(1, cores=1), order=DeadlineOrder(margin_seconds=60.0))
+    queue.add(job("running", seconds=10.0))
+    queue.choose_starts(0.0)
+    queue.add(job("deferred", deadline=100.0, arrival=0.0))
+    queue.add(job("rush-1", is_urgent=True, arrival=1.0))
+    queue.add(job("rush-2", is_urgent=True, arrival=2.0))
+    order = []
+    for now in (10.0, 40.0, 50.0):
+        queue.finish(order[-1] if order else "running")
+        order += names_of(queue.choose_starts(now))
+    assert order == ["rush-1", "deferred", "rush-2"]
+
+
+def test_what_is_paused_is_not_started_again_while_urgent_work_waits():
+    """Jobs are checkpointed and started over and over, and no work gets done.
+
+    Room is held for the first urgent job only; a paused job takes the room that
+    the second needs, and is paused again.
+    """
+    queue = JobQueue(ledger_of(2, cores=1))
+    for name in ("low-1", "low-2"):
+        queue.add(job(name, seconds=900.0, deadline=1e5, can_pause=True))
+    queue.choose_starts(0.0)
+    for name in ("rush-1", "rush-2"):
+        queue.add(job(name, seconds=600.0, is_urgent=True, arrival=1.0))
+    assert queue.choose_starts(1.0) == []
+    pauses = queue.choose_pauses(1.0)
+    assert len(pauses) == 2
+    assert queue.choose_pauses(1.0) == []
+    starts = []
+    for running in pauses:
+        queue.finish(running.job.name)
+        queue.add(running.job.paused())
+        starts += names_of(queue.choose_starts(3.0))
+    assert starts == ["rush-1", "rush-2"]
--- a/tests/placer/test_jobs.py
+++ b/tests/placer/test_jobs.py
@@ -149,3 +149,75 @@
     cell.run_for(40)
     outcomes = {cell.ended(f"job-{number}") for number in range(60)}
     assert outcomes == {("done", "")}
+
+
+def test_an_urgent_job_pauses_deferred_work_which_still_arrives():
+    """An urgent job waits for an overnight job that fills the cell.
+
+    The overnight job has hours to spare. It is checkpointed, and goes on from
+    there once the urgent job is over.
+    """
+    cell = cell_of(2)
+    cell.submit("night", members=2, processors=4000, work={"run_seconds": 100})
+    cell.run_for(60)
+    cell.submit("rush", "rush", processors=4000, work={"run_seconds": 10})
+    cell.run_for(1)
+    assert set(cell.running()) == {"rush"}
+    cell.run_for(52)
+    assert cell.ended("rush") == ("done", "")
+    assert cell.ended("night") == ("done", "")
+    assert cell.item("night").attempts == 2
+
+
+@pytest.mark.parametrize(("kind", "timeout"), [("once", 86400), ("batch", 700)])
+def test_work_that_must_not_pause_runs_on(kind, timeout):
+    """A deferred job misses its deadline, or a fee run is started again.
+
+    It was paused for an urgent job although its deadline is near, or although
+    it must not be started twice.
+    """
+    cell = cell_of(1)
+    work = {"run_seconds": 20}
+    cell.submit("held", kind, processors=4000, timeout=timeout, work=work)
+    cell.run_for(5)
+    cell.submit("rush", "rush", processors=4000, work={"run_seconds": 1})
+    cell.run_for(5)
+    assert set(cell.running()) == {"held"}
+    cell.run_for(20)
+    assert (cell.ended("held"), cell.ended("rush")) == (("done", ""), ("done", ""))
+
+
+def test_a_pause_that_one_worker_does_not_answer_runs_nothing_twice():
+    """One member is saved, the other runs on, and the job is started again.
+
+    Its worker can't be reached while the job is paused; until its lease is over
+    the member may run there.
+    """
+    cell = cell_of(2)
+    cell.submit("night", members=2, processors=4000, work={"run_seconds": 100})
+    cell.run_for(30)
+    cell.pool.cut.add("worker-1")
+    cell.submit("rush", "rush", processors=4000, work={"run_seconds": 1})
+    for _ in range(80):
+        cell.step()
+        tasks = cell.workers.running()["worker-1"]
+        assert len(tasks) <= 1
+    cell.pool.cut.clear()
+    cell.run_for(140)
+    assert cell.ended("rush") == ("done", "")
+    assert cell.ended("night") == ("done", "")
+    assert cell.workers.overfilled() == 0
+
+
+def test_a_cancelled_job_keeps_no_room_from_others():
+    """A small job waits for the turn of a large one that was cancelled."""
+    cell = cell_of(2)
+    cell.submit("first", processors=4000, work={"run_seconds": 500})
+    cell.step()
+    cell.submit("large", members=2, processors=4000, work={"run_seconds": 1})
+    cell.submit("small", processors=4000, work={"run_seconds": 1})
+    cell.run_for(3)
+    assert "small" not in cell.running()
+    cell.desk.cancel(cell.shard, "large")
+    cell.run_for(3)
+    assert cell.ended("small") == ("done", "")
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -30,6 +30,7 @@
         self._clock = clock
         self._drift = drift
         self._workers = {}
+        self._progress = {}
         self._lock = threading.Lock()
 
     def add(self, name, capacity):
@@ -70,6 +71,7 @@
             if task.ended:
                 continue
             due = task.started + task.work.get("run_seconds", 0.05)
+            due -= self._progress.get(task.work.get("checkpoint"), 0.0)
             if task.work.get("fail"):
                 task.ended = "failed"
             elif due <= min(now, task.lease_end):
@@ -101,6 +103,15 @@
             task.ended = task.ended or "stopped"
         return 200, {}
 
+    def _checkpoint(self, worker, body):
+        for name in body["tasks"]:
+            task = worker.tasks.get(name)
+            if task is not None and not task.ended:
+                before = self._progress.get(task.work.get("checkpoint"), 0.0)
+                self._progress[name] = before + self._now() - task.started
+                task.ended = "checkpointed"
+        return 200, {}
+
     def _leases(self, worker, body):
         now = self._now()
         for name in body["tasks"]:
