--- a/papayapick/daemon/process.py
+++ b/papayapick/daemon/process.py
@@ -129,6 +129,7 @@
             bundle_digest=self.watcher.digest,
             shards=self._heartbeat_shards(),
             draining=self.is_draining,
+            confirmed=self.watcher.is_confirmed,
         )
 
     def _open_peers(self):
@@ -155,7 +156,7 @@
             self.clock,
             self.executor,
             self._count_bytes,
-            (self.heartbeat, self.watcher.hear),
+            (self.heartbeat, self.watcher.hear, self.watcher.count_pauses),
         )
 
     def _answer(self, payload, peer, traceparent):
--- a/papayapick/wire/messages.capnp
+++ b/papayapick/wire/messages.capnp
@@ -18,6 +18,7 @@
     acknowledgement @12 :Acknowledgement;
     bundleQuery @13 :BundleQuery;
     bundleBody @14 :BundleBody;
+    handover @15 :Handover;
   }
 }
 
@@ -34,6 +35,18 @@
   bundleDigest @2 :Text;
   shards @3 :List(ShardSummary);
   draining @4 :Bool;
+  confirmed @5 :Bool;
+  headVersion @6 :UInt64;
+  listTag @7 :Text;
+  known @8 :UInt64;
+  summaryVersion @9 :UInt64;
+  placers @10 :List(PlacerSummary);
+}
+
+struct PlacerSummary {
+  host @0 :Text;
+  draining @1 :Bool;
+  shards @2 :List(ShardSummary);
 }
 
 struct ShardSummary {
@@ -126,3 +139,8 @@
 struct BundleBody {
   envelope @0 :Data;
 }
+
+struct Handover {
+  shard @0 :Text;
+  epoch @1 :UInt64;
+}
