Tell every process of an accepted bundle, so that an outage can't keep it back

Cause: processes found an accepted bundle at their next look at the table. With the table down from right after the accept none of them ever saw it: accepted, and in force nowhere for the whole outage.

Change: after the accept the operator's program tells every process on the list (one heartbeat each, side by side, authenticated by the cell's key); a process that is asked by a peer with a higher sequence takes it from what it verified before. Those that could not be told hear of it from their peers.

Not covered: the operator's program dies between the accept and the telling and the table goes down within the same second.

--- a/papayapick/daemon/process.py
+++ b/papayapick/daemon/process.py
@@ -4,7 +4,7 @@
 import threading
 from concurrent.futures import ThreadPoolExecutor
 
-from papayapick.bundle import BundleWatcher, KeyRing
+from papayapick.bundle import BundleUnknown, BundleWatcher, KeyRing, PeerHead
 from papayapick.clock import SystemClock
 from papayapick.limits import PauseGuard
 from papayapick.membership import Peers
@@ -157,11 +157,29 @@
 
     def _answer(self, payload, peer, traceparent):
         if isinstance(payload, Heartbeat):
+            self._hear_asker(payload)
             return self.heartbeat()
         if isinstance(payload, BundleQuery):
             return BundleBody(envelope=self.watcher.envelope_bytes(payload.digest))
         return self._handler(payload, peer, traceparent)
 
+    def _hear_asker(self, heartbeat):
+        head = PeerHead(
+            heartbeat.host,
+            heartbeat.bundle_sequence,
+            heartbeat.bundle_digest,
+            is_confirmed=False,
+            pauses=0,
+            placers=0,
+        )
+
+        def fetch():
+            # The asker's envelope can't be fetched over its own connection;
+            # what was not verified before is fetched at the next heartbeat.
+            raise BundleUnknown(digest=heartbeat.bundle_digest)
+
+        self.watcher.hear(head, fetch)
+
     def _refresh(self):
         self.peers.refresh()
         try:
--- a/papayapick/management/commands/bundle.py
+++ b/papayapick/management/commands/bundle.py
@@ -15,11 +15,14 @@
 from papayapick.bundle.queries import fetch_envelope, read_head, read_seen
 from papayapick.management.base import Command, read_file
 from papayapick.management.exceptions import NotAcknowledged
+from papayapick.membership.commands import announce_head
 from papayapick.platforms.hosts import GATEWAY_KIND, PLACER_KIND
+from papayapick.wire.messages import Hello
 
 __all__ = ["BundleCommand"]
 
 _LOOK_SECONDS = 0.1
+_CELL_KEY_BYTES = 64
 
 
 class BundleCommand(Command):
@@ -124,12 +127,14 @@
             )
             return 0
         proposal = propose(table, objects, envelope, self.operator(), self.clock.time())
-        names = _process_names(hosts)
+        entries = hosts.fetch()
+        names = _process_names(entries)
         missing = self._wait_for(table, names, proposal, states=None)
         if missing and not self.options["--force"]:
             withdraw(table, proposal)
             raise NotAcknowledged(hosts=", ".join(sorted(missing)))
         head = accept(table, proposal)
+        self._announce(settings, entries, head)
         self.output.write(
             f"accepted {digest} as sequence {head.sequence}",
             accepted=digest,
@@ -144,6 +149,12 @@
         )
         return 0
 
+    def _announce(self, settings, entries, head):
+        key = read_file(settings.cell_key).strip()[:_CELL_KEY_BYTES]
+        identity = Hello(host=f"operator {self.operator()}", region="", zone="")
+        seconds = settings.platform_timeout_seconds
+        announce_head(entries, head, key, identity, seconds)
+
     def _wait_for(self, table, names, proposal, states):
         deadline = self.clock.monotonic() + float(self.options["--wait"])
         while True:
@@ -169,7 +180,7 @@
             proposal=head.proposal.as_mapping() if head.proposal else None,
         )
         seen = read_seen(table)
-        for name in _process_names(hosts):
+        for name in _process_names(hosts.fetch()):
             found = seen.get(name, {"sequence": 0, "state": "nothing"})
             self.output.write(
                 f"  {name}: {found['state']} {found['sequence']}", host=name, **found
@@ -196,10 +207,10 @@
     return found if isinstance(found, dict) else None
 
 
-def _process_names(hosts):
+def _process_names(entries):
     return sorted(
         entry.name
-        for entry in hosts.fetch()
+        for entry in entries
         if entry.kind in (GATEWAY_KIND, PLACER_KIND) and entry.is_live
     )
 
