--- a/benchmarks/rolls.py
+++ b/benchmarks/rolls.py
@@ -15,6 +15,7 @@
 from papayapick.bundle.queries import read_seen
 from papayapick.membership.commands import announce_head
 from papayapick.platforms import HostList, HttpPool, ObjectStore, Table
+from papayapick.wire import CellKeys
 from papayapick.wire.messages import Hello
 from tests.cells import Cell
 
@@ -33,7 +34,7 @@
         self.objects = ObjectStore(f"{cell.url}/objects", pool)
         self.entries = HostList(f"{cell.url}/hosts", pool).fetch()
         folder = Path(cell.folder.name)
-        self.cell_key = (folder / "cell.key").read_bytes().strip()[:64]
+        self.cell_keys = CellKeys.from_file(folder / "cell.key")
         self.keys = {n: (folder / f"{n}.pem").read_bytes() for n in ("ana", "ben")}
         self.number = 0
 
@@ -43,7 +44,7 @@
         head = accept(self.table, proposal)
         accepted = time.time()
         if is_announced:
-            announce_head(self.entries, head, self.cell_key, IDENTITY, 1.0)
+            announce_head(self.entries, head, self.cell_keys, IDENTITY, 1.0)
         if is_down:
             self.cell.control("faults", target="table", kind="down")
         found = self._wait(head.sequence, accepted)
--- a/papayapick/gateway/urgent.py
+++ b/papayapick/gateway/urgent.py
@@ -3,6 +3,7 @@
 from papayapick.exceptions import PapayapickError
 from papayapick.gateway.exceptions import BackendFailed, CallAnswerMissing
 from papayapick.gateway.problems import Answer
+from papayapick.observability import note_fields
 from papayapick.platforms import (
     AnswerInvalid,
     AnswerMissing,
@@ -126,6 +127,7 @@
         tracing = self._process.tracing
         with tracing.span("gateway.slot"):
             grant = self._slot(attempts)
+        note_fields(shard=grant.granted.shard, epoch=grant.granted.epoch)
         clock = self._process.clock
         began = clock.monotonic()
         self._process.metrics.wait_seconds.labels(admitted.name).observe(
--- a/papayapick/membership/commands.py
+++ b/papayapick/membership/commands.py
@@ -11,7 +11,7 @@
 _SIDE_BY_SIDE = 32
 
 
-def announce_head(entries, head, cell_key, identity, seconds):
+def announce_head(entries, head, cell_keys, identity, seconds):
     """Tell every process on the list which bundle was accepted.
 
     A process would find the accepted bundle at its next look at the table. An
@@ -24,7 +24,7 @@
     entries : list of HostEntry
     head : Head
         As it was accepted.
-    cell_key : bytes
+    cell_keys : CellKeys
     identity : Hello
     seconds : float
         To wait for one process.
@@ -44,7 +44,7 @@
     def tell(entry):
         # A client's reader takes a thread until the client is closed.
         with ThreadPoolExecutor(1) as reader:
-            client = PeerClient(entry.address, cell_key, identity, reader, seconds)
+            client = PeerClient(entry.address, cell_keys, identity, reader, seconds)
             try:
                 client.ask(message, seconds)
             except WireError:
--- a/papayapick/placer/shards.py
+++ b/papayapick/placer/shards.py
@@ -3,7 +3,7 @@
 from papayapick.journal import Journal, WorkBook
 from papayapick.ledger import Amounts, HostLedger, SlotLedger
 from papayapick.ownership import OwnershipUnconfirmed
-from papayapick.placement import HealthAware, InstanceHealth
+from papayapick.placement import FailureBook, HealthAware, InstanceHealth, JobQueue
 from papayapick.placer.exceptions import ShardClosed
 from papayapick.placer.slots import SlotDesk
 from papayapick.wire.messages import ShardSummary
@@ -31,7 +31,10 @@
         "book",
         "desk",
         "entries",
+        "failures",
         "hosts",
+        "is_leaving",
+        "jobs",
         "journal",
         "row",
     )
@@ -39,6 +42,8 @@
     def __init__(self, row, process, journal_bucket, on_fenced):
         self.row = row
         self.hosts = HostLedger()
+        self.jobs = JobQueue(self.hosts)
+        self.failures = FailureBook(self.hosts)
         self.desk = SlotDesk(
             row.shard,
             row.epoch,
@@ -58,6 +63,8 @@
             on_written=self._apply,
         )
         self.entries = {}
+        # Set while the shard is about to be handed over: nothing is started.
+        self.is_leaving = False
         self._pauses = process.pauses
         self._confirmed_pauses = process.pauses.count()
         self._is_closed = False
@@ -112,6 +119,11 @@
         self._is_closed = True
         self.desk.refuse_all(ShardClosed(shard=self.name, retry_after=0.05))
 
+    def resume_admission(self):
+        """Take work again: the shard could not be given away."""
+        self.is_leaving = False
+        self._is_closed = False
+
     def summary(self):
         """Return what peers are told of this shard."""
         return ShardSummary(shard=self.name, epoch=self.epoch, loads=self.desk.loads())
--- a/tests/ownership/test_leases.py
+++ b/tests/ownership/test_leases.py
@@ -142,7 +142,10 @@
     cell.entries = [entry for entry in cell.entries if entry.name != host_of(earlier)]
     successor = Owner(cell, "placer-b")
     successor.shard.use_book(earlier.shard.book)
-    cell.clock.advance(LEASE / 2)
-    successor.runner._give_up(successor.shard, successor.shard.book.get("r"))
+    successor.runner.recover(successor.shard, successor.shard.book.get("r"))
+    for _ in range(8):
+        cell.clock.advance(LEASE * 0.4)
+        earlier.renew()
+        successor.renew()
     assert places(cell) == 1
     assert not successor.is_rerun()
