--- a/papayapick/management/commands/bundle.py
+++ b/papayapick/management/commands/bundle.py
@@ -29,6 +29,7 @@
 __all__ = ["BundleCommand"]
 
 _LOOK_SECONDS = 0.1
+_ANNOUNCE_SECONDS = 1.0
 _LONGEST_WAIT_SECONDS = 3600
 
 
@@ -138,15 +139,17 @@
                 sequence=head.sequence + 1,
             )
             return EXIT_OK
-        proposal = propose(table, objects, envelope, self.operator(), self.clock.time())
+        # What can fail without harm fails before the proposal is written.
+        keys = CellKeys.from_file(settings.cell_key)
         entries = hosts.fetch()
+        proposal = propose(table, objects, envelope, self.operator(), self.clock.time())
         names = _process_names(entries)
         missing = self._wait_for(table, names, proposal, states=None)
         if missing and not self.options["--force"]:
             withdraw(table, proposal)
             raise NotAcknowledged(hosts=", ".join(sorted(missing)))
         head = accept(table, proposal)
-        self._announce(settings, entries, head)
+        self._announce(keys, entries, head)
         self.output.write(
             f"accepted {digest} as sequence {head.sequence}",
             accepted=digest,
@@ -161,11 +164,9 @@
         )
         return EXIT_PARTLY if missing else EXIT_OK
 
-    def _announce(self, settings, entries, head):
-        keys = CellKeys.from_file(settings.cell_key)
+    def _announce(self, keys, entries, head):
         identity = Hello(host=f"operator/{self.operator()}", region="", zone="")
-        seconds = settings.platform_timeout_seconds
-        announce_head(entries, head, keys, identity, seconds)
+        announce_head(entries, head, keys, identity, _ANNOUNCE_SECONDS)
 
     def _wait_for(self, table, names, proposal, states):
         deadline = self.clock.monotonic() + self._patience()
--- a/tests/management/test_roll.py
+++ b/tests/management/test_roll.py
@@ -1,5 +1,6 @@
 """A roll shows who acknowledged, and tells truthfully who did not."""
 
+import base64
 import io
 import json
 
@@ -79,9 +80,12 @@
         self.path.write_bytes(self.envelope.to_bytes())
         keys = folder / "keys.json"
         keys.write_text(json.dumps({"ana": public}))
+        cell_key = keys.with_name("cell.key")
+        cell_key.write_text(base64.b64encode(bytes(32)).decode())
         self.settings = Settings(
             {
                 "cell": "footfall",
+                "cell_key": str(cell_key),
                 "operator_keys": str(keys),
                 "required_signatures": 1,
             }
--- a/tests/wire/test_messages.py
+++ b/tests/wire/test_messages.py
@@ -13,24 +13,35 @@
 SUMMARY = st.builds(
     messages.ShardSummary, shard=TEXT, epoch=LARGE, loads=st.lists(LOAD, max_size=3)
 )
+PLACER = st.builds(
+    messages.PlacerSummary,
+    host=TEXT,
+    draining=st.booleans(),
+    shards=st.lists(SUMMARY, max_size=2),
+)
 KINDS = {
     "bundle_sequence": LARGE,
+    "confirmed": st.booleans(),
     "draining": st.booleans(),
     "envelope": st.binary(max_size=100),
     "epoch": LARGE,
     "explain": st.booleans(),
     "free_slots": SMALL,
     "grant_id": LARGE,
+    "head_version": LARGE,
+    "known": LARGE,
     "loads": st.lists(LOAD, max_size=3),
     "avoid": st.lists(TEXT, max_size=3),
     "nonce": st.binary(min_size=16, max_size=16),
+    "placers": st.lists(PLACER, max_size=3),
     "payload": st.binary(max_size=100),
     "result": st.binary(max_size=100),
     "shards": st.lists(SUMMARY, max_size=3),
     "status": SMALL,
+    "summary_version": LARGE,
     "waiting": SMALL,
 }
-NESTED = {"Payload", "ServiceLoad", "ShardSummary"}
+NESTED = {"Payload", "PlacerSummary", "ServiceLoad", "ShardSummary"}
 CLASSES = [getattr(messages, name) for name in messages.__all__ if name not in NESTED]
 
 
