One relay a region speaks over the paid link

Cause: every gateway and placer exchanged heartbeats with every placer of the other region, whole shard lists both ways, changed or not.

Change: inside a region everybody asks every placer as before; over the link one placer of a region, found by rendezvous hashing among those that answered lately, asks one of the other region, which answers with a summary of its region's live placers (loads rounded down to powers of two). An unchanged summary crosses as its version. The relay hands it on inside its region with its age, so a process judges far silence from the real last word. A partner that leaves a question unanswered is passed over; where no near placer answers, each process asks for itself. Questions carry no shards any more.

Ruled out: an elected relay (needs the table); gossip over the link (more than one copy crosses). The allowed silence of far placers is 1.25 times that of near ones: a dead relay is replaced after a third of the allowed silence, and the word of the next must arrive before far placers seem dead.

--- a/papayapick/daemon/process.py
+++ b/papayapick/daemon/process.py
@@ -162,7 +162,9 @@
     def _answer(self, payload, peer, traceparent):
         if isinstance(payload, Heartbeat):
             self._hear_asker(payload)
-            return self.heartbeat()
+            answer = self.heartbeat()
+            self.peers.add_summary(answer, payload.known or 0, peer.region)
+            return answer
         if isinstance(payload, BundleQuery):
             return BundleBody(envelope=self.watcher.envelope_bytes(payload.digest))
         return self._handler(payload, peer, traceparent)
--- a/papayapick/membership/peers.py
+++ b/papayapick/membership/peers.py
@@ -4,6 +4,8 @@
 
 from papayapick.bundle import PeerHead
 from papayapick.membership.exceptions import ShardUnserved
+from papayapick.membership.relays import crosses
+from papayapick.membership.retelling import Retelling
 from papayapick.observability import get_logger
 from papayapick.platforms import HostListUnavailable
 from papayapick.platforms.hosts import PLACER_KIND
@@ -13,7 +15,15 @@
 __all__ = ["Peer", "Peers"]
 
 _LOG = get_logger(__name__)
-_LINK_HEARTBEAT_FACTOR = 4
+_LINK_HEARTBEAT_FACTOR = 2
+# A near placer that missed two heartbeats is no relay any more, though it is
+# not dead yet: another takes the relay's part before far placers seem silent.
+_RELAY_SILENCE_SHARE = 1 / 3
+# What a relay tells is older than what a process hears itself, by one heartbeat
+# over the link and one inside the region, and by a change of relays.
+_FAR_SILENCE_FACTOR = 1.25
+# A loop wakes a little early or late.
+_ALMOST = 0.9
 
 
 class Peer:
@@ -27,13 +37,15 @@
         Monotonic seconds; silence counts from here until the first answer.
     """
 
-    __slots__ = ("client", "entry", "heard", "last_heard", "stop")
+    __slots__ = ("asked", "client", "entry", "failed", "heard", "last_heard", "stop")
 
     def __init__(self, entry, client, now):
         self.entry = entry
         self.client = client
         self.heard = None
         self.last_heard = now
+        self.asked = float("-inf")
+        self.failed = float("-inf")
         self.stop = threading.Event()
 
     @property
@@ -78,6 +90,7 @@
         "_lock",
         "_own_heartbeat",
         "_peers",
+        "_retelling",
         "_settings",
         "_stopping",
     )
@@ -102,6 +115,7 @@
         self._hear_bundle = hear_bundle
         self._count_pauses = count_pauses
         self._listed_placers = 0
+        self._retelling = Retelling(self)
         self._entries = []
         self._peers = {}
         self._lock = threading.Lock()
@@ -160,9 +174,9 @@
 
     def live(self):
         """Return the placers that answer, this process among them where listed."""
-        with self._lock:
-            peers = list(self._peers.values())
-        return [peer for peer in peers if peer.heard and not self._is_silent(peer)]
+        return [
+            peer for peer in self.peers() if peer.heard and not self._is_silent(peer)
+        ]
 
     def is_alive(self, name):
         """Return whether a placer answered within the allowed silence."""
@@ -215,33 +229,89 @@
         peer.stop.set()
         peer.client.close()
 
+    def peers(self):
+        """Return every placer that is listed or answers still."""
+        with self._lock:
+            return list(self._peers.values())
+
+    def is_far(self, peer):
+        """Return whether a placer stands in another region."""
+        return peer.entry.region != self._settings.region
+
+    def silence(self, peer):
+        """Return the seconds since a placer was last heard of."""
+        return self._clock.monotonic() - peer.last_heard
+
+    @property
+    def link_seconds(self):
+        """Return the time between two heartbeats over the link."""
+        return self._settings.heartbeat_seconds * _LINK_HEARTBEAT_FACTOR
+
     def _is_silent(self, peer):
-        silence = self._clock.monotonic() - peer.last_heard
-        return silence > self._settings.dead_after_seconds
+        allowed = self._settings.dead_after_seconds
+        if self.is_far(peer):
+            allowed *= _FAR_SILENCE_FACTOR
+        return self.silence(peer) > allowed
 
     def _follow(self, peer):
-        seconds = self._settings.heartbeat_seconds
-        if peer.entry.region != self._settings.region:
-            # Bytes over the link between regions are paid for.
-            seconds *= _LINK_HEARTBEAT_FACTOR
         while not (self._stopping or peer.stop.is_set()):
-            try:
-                self.beat(peer)
-            except WireError as error:
-                _LOG.debug(
-                    "peer silent", extra={"peer": peer.name, "error": str(error)}
-                )
-            self._clock.wait(peer.stop, seconds)
+            self.step(peer)
+            self._clock.wait(peer.stop, self._settings.heartbeat_seconds)
+
+    def step(self, peer):
+        """Exchange a heartbeat with a peer if it is due and this process's part."""
+        if not self._is_due(peer):
+            return
+        peer.asked = self._clock.monotonic()
+        try:
+            self.beat(peer)
+        except WireError as error:
+            peer.failed = self._clock.monotonic()
+            _LOG.debug("peer silent", extra={"peer": peer.name, "error": str(error)})
+
+    def _is_due(self, peer):
+        if not self.is_far(peer):
+            return True
+        # Bytes over the link between regions are paid for.
+        since = self._clock.monotonic() - peer.asked
+        return since >= self.link_seconds * _ALMOST and self.asks(peer)
+
+    def asks(self, peer):
+        """Return whether this process exchanges heartbeats with a far placer."""
+        allowed = self._settings.dead_after_seconds * _RELAY_SILENCE_SHARE
+        near, far = [], []
+        for found in self.peers():
+            if not self.is_far(found):
+                if found.heard and self.silence(found) <= allowed:
+                    near.append(found.name)
+            elif found.entry.region == peer.entry.region and self._answers(found):
+                far.append(found.name)
+        settings = self._settings
+        return crosses(settings.host_name, settings.region, near, far, peer.name)
+
+    def _answers(self, peer):
+        # A partner that left a question unanswered is passed over for a while;
+        # else all of its region would seem silent with it.
+        since = self._clock.monotonic() - peer.failed
+        allowed = self._settings.dead_after_seconds
+        return peer.heard and not self._is_silent(peer) and since > allowed
 
     def beat(self, peer):
-        """Exchange one heartbeat with a peer."""
-        seconds = self._settings.dead_after_seconds / 2
+        """Exchange one heartbeat with a peer; raise WireError."""
+        seconds = self._settings.dead_after_seconds * _RELAY_SILENCE_SHARE
         pauses = self._count_pauses()
-        answer = peer.client.ask(self._own_heartbeat(), seconds)
+        question = self._own_heartbeat()
+        # The answerer asks this process itself, if it wants to know.
+        question.shards = None
+        question.known = self._retelling.known_version(peer)
+        answer = peer.client.ask(question, seconds)
         if not isinstance(answer, Heartbeat):
             return
-        peer.heard = answer
-        peer.last_heard = self._clock.monotonic()
+        now = self._clock.monotonic()
+        if not self.is_far(peer):
+            peer.heard = answer
+            peer.last_heard = now
+        self._retelling.note(peer, answer, now)
 
         def fetch():
             query = BundleQuery(digest=answer.bundle_digest)
@@ -256,3 +326,15 @@
             self._listed_placers,
         )
         self._hear_bundle(head, fetch)
+
+    def add_summary(self, answer, known, asker_region):
+        """Put what an asker should hear of other placers into an answer.
+
+        Parameters
+        ----------
+        answer : Heartbeat
+        known : int
+            Version of the summary that the asker has.
+        asker_region : str
+        """
+        self._retelling.add(answer, known, asker_region == self._settings.region)
--- /dev/null
+++ b/papayapick/membership/retelling.py
@@ -0,0 +1,99 @@
+"""Tell the own region of far placers, and other regions of the own."""
+
+from papayapick.membership.relays import summary_of
+from papayapick.wire.messages import Heartbeat
+
+__all__ = ["Retelling"]
+
+_FRESH_BEATS = 2.5
+
+
+class Retelling:
+    """Put summaries of regions into heartbeats and take them out again.
+
+    A process of another region is told of the placers of this region; one of
+    this region is told of the others by whoever asked over the link itself. An
+    unchanged summary crosses as its version only.
+
+    Parameters
+    ----------
+    peers : Peers
+    """
+
+    __slots__ = ("_peers", "_told")
+
+    def __init__(self, peers):
+        self._peers = peers
+        self._told = {}
+
+    def known_version(self, peer):
+        """Return the version of the summary last told by a peer, 0 for none."""
+        found = self._told.get(peer.name)
+        return found[0] if found else 0
+
+    def add(self, answer, known, is_near):
+        """Add to an answer what its asker should hear.
+
+        Parameters
+        ----------
+        answer : Heartbeat
+        known : int
+        is_near : bool
+            Whether the asker stands in this region.
+        """
+        if is_near:
+            found = self._heard_over_link()
+        else:
+            found = [one for one in self._peers.live() if not self._peers.is_far(one)]
+            # They stand in the summary.
+            answer.shards = None
+        if not found:
+            return
+        version, placers = summary_of(found)
+        answer.summary_version = version
+        if is_near:
+            oldest = max(self._peers.silence(peer) for peer in found)
+            answer.summary_age_milliseconds = int(oldest * 1000)
+        if version != known:
+            answer.placers = placers
+
+    def note(self, teller, answer, now):
+        """Take the summary of an answer as the word of far placers.
+
+        Parameters
+        ----------
+        teller : Peer
+        answer : Heartbeat
+        now : float
+            Monotonic seconds.
+        """
+        if not answer.summary_version:
+            return
+        told = self._told.get(teller.name)
+        if told is None or told[0] != answer.summary_version:
+            told = (answer.summary_version, answer.placers or [])
+            self._told[teller.name] = told
+        heard_at = now - (answer.summary_age_milliseconds or 0) / 1000
+        known = {peer.name: peer for peer in self._peers.peers()}
+        for found in told[1]:
+            peer = known.get(found.host)
+            if peer is None or not self._peers.is_far(peer):
+                continue
+            # The word of two relays may come in either order.
+            if heard_at >= peer.last_heard or peer.heard is None:
+                peer.heard = Heartbeat(
+                    host=found.host,
+                    bundle_sequence=answer.bundle_sequence,
+                    bundle_digest=answer.bundle_digest,
+                    shards=found.shards,
+                    draining=found.draining,
+                )
+                peer.last_heard = heard_at
+
+    def _heard_over_link(self):
+        # What others told this process is not told again: its age would be lost.
+        allowed = self._peers.link_seconds * _FRESH_BEATS
+        far = [one for one in self._peers.peers() if self._peers.is_far(one)]
+        if not any(one.name in self._told for one in far):
+            return []
+        return [one for one in far if one.heard and self._peers.silence(one) <= allowed]
--- a/papayapick/wire/messages.capnp
+++ b/papayapick/wire/messages.capnp
@@ -41,6 +41,7 @@
   known @8 :UInt64;
   summaryVersion @9 :UInt64;
   placers @10 :List(PlacerSummary);
+  summaryAgeMilliseconds @11 :UInt32;
 }
 
 struct PlacerSummary {
--- a/papayapick/wire/messages.py
+++ b/papayapick/wire/messages.py
@@ -76,7 +76,8 @@
 
     ``confirmed`` tells whether it has looked since its last pause. ``known`` is
     the version of the region summary that the asker has; a summary with that
-    version comes without its ``placers``. ``head_version`` and ``list_tag``
+    version comes without its ``placers``; its age is that of the oldest word in
+    it. ``head_version`` and ``list_tag``
     are what the process has read of the bundle's head and the live list, so
     that others look only once they change.
     """
@@ -92,6 +93,7 @@
         "list_tag",
         "placers",
         "shards",
+        "summary_age_milliseconds",
         "summary_version",
     )
 
