--- a/papayapick/gateway/durable.py
+++ b/papayapick/gateway/durable.py
@@ -81,7 +81,7 @@
     def _ask(self, wanted, seconds):
         clock = self._process.clock
         traceparent = self._process.tracing.traceparent()
-        give_up = clock.monotonic() + min(seconds, MOVED_SECONDS)
+        give_up = clock.monotonic() + MOVED_SECONDS
         while True:
             try:
                 peer = self._process.peers.owner_of(wanted.shard)
--- a/papayapick/gateway/submission.py
+++ b/papayapick/gateway/submission.py
@@ -24,7 +24,9 @@
 ]
 
 ANSWER_SECONDS = 1.5
-MOVED_SECONDS = 2.0
+# Longer than two heartbeats across the link between regions, after which a
+# gateway there knows of a new owner.
+MOVED_SECONDS = 4.5
 MOVED_WAIT_SECONDS = 0.05
 _LOOK_SECONDS = 0.25
 _WORK_MOVED = "placer.work-moved"
--- a/papayapick/journal/queries.py
+++ b/papayapick/journal/queries.py
@@ -5,7 +5,13 @@
 from papayapick.journal.records import record_from_mapping
 from papayapick.journal.work import WorkBook
 
-__all__ = ["journal_prefix", "read_work", "segment_key", "snapshot_key"]
+__all__ = [
+    "JournalState",
+    "journal_prefix",
+    "read_journal",
+    "segment_key",
+    "snapshot_key",
+]
 
 
 def journal_prefix(shard):
@@ -23,12 +29,32 @@
     return f"snapshot/{shard}"
 
 
-def read_work(table, objects, shard):
+class JournalState:
+    """Hold what a shard's journal said when it was read.
+
+    Parameters
+    ----------
+    book : WorkBook
+    keys : list of str
+        Of the segments, oldest first.
+    snapshot_version : int
+        Of the row that names the snapshot, 0 where there is none.
+    """
+
+    __slots__ = ("book", "keys", "snapshot_version")
+
+    def __init__(self, book, keys, snapshot_version):
+        self.book = book
+        self.keys = keys
+        self.snapshot_version = snapshot_version
+
+
+def read_journal(table, objects, shard):
     """Rebuild the requests of a shard from snapshot and segments.
 
     Returns
     -------
-    WorkBook
+    JournalState
 
     Raises
     ------
@@ -36,11 +62,13 @@
     """
     book = WorkBook()
     snapshot = table.read(snapshot_key(shard))
-    if snapshot is not None and snapshot.value.get("object"):
+    if snapshot is not None:
         for found in json.loads(objects.get(snapshot.value["object"])):
             book.apply(record_from_mapping(found))
-    for row in table.scan(journal_prefix(shard)):
+    rows = table.scan(journal_prefix(shard))
+    for row in rows:
         for found in row.value["records"]:
             book.apply(record_from_mapping(found))
     book.note_earlier_starts()
-    return book
+    version = snapshot.version if snapshot is not None else 0
+    return JournalState(book, [row.key for row in rows], version)
--- a/papayapick/journal/work.py
+++ b/papayapick/journal/work.py
@@ -119,6 +119,8 @@
             raise KeyReused(request_id=request_id)
         return item
 
-    def forget(self, request_id):
-        """Drop a request whose outcome has been kept long enough."""
-        self._items.pop(request_id, None)
+    def forget_before(self, time):
+        """Drop the requests that ended before a time, in seconds since the epoch."""
+        for request_id, item in list(self._items.items()):
+            if item.ended is not None and item.ended.time < time:
+                del self._items[request_id]
--- a/papayapick/placer/shards.py
+++ b/papayapick/placer/shards.py
@@ -8,7 +8,11 @@
 from papayapick.placer.slots import SlotDesk
 from papayapick.wire.messages import ShardSummary
 
-__all__ = ["Shard"]
+__all__ = ["OUTCOME_RETENTION_SECONDS", "Shard"]
+
+# A key is remembered for so long after its request has ended; a repeat after
+# that runs anew. Longer than the longest timeout of a policy (two days).
+OUTCOME_RETENTION_SECONDS = 3 * 24 * 3600
 
 
 class Shard:
@@ -26,7 +30,9 @@
 
     __slots__ = (
         "_confirmed_pauses",
+        "_clock",
         "_is_closed",
+        "_objects",
         "_pauses",
         "book",
         "desk",
@@ -56,8 +62,12 @@
             journal_bucket,
             on_fenced=lambda: on_fenced(self),
             on_written=self._apply,
+            on_segment=self._compact,
+            generator=process.generator,
         )
         self.entries = {}
+        self._clock = process.clock
+        self._objects = process.objects
         # Set while the shard is about to be handed over: nothing is started.
         self.is_leaving = False
         self._pauses = process.pauses
@@ -141,9 +151,21 @@
             )
         )
 
-    def use_book(self, book):
+    def use_journal(self, state):
         """Take over the work that an earlier owner journaled."""
-        self.book = book
+        self.book = state.book
+        self.journal.go_on_from(state)
 
     def _apply(self, record):
         self.book.apply(record)
+
+    def _compact(self):
+        """Fold the journal where that is due; runs in the journal's own task.
+
+        So the book holds exactly what the segments written so far say.
+        """
+        if not self.journal.is_compaction_due(len(self.book)):
+            return
+        self.book.forget_before(self._clock.time() - OUTCOME_RETENTION_SECONDS)
+        records = [one for item in self.book.items for one in item.records()]
+        self.journal.compact(self._objects, records)
--- a/papayapick/placer/takeover.py
+++ b/papayapick/placer/takeover.py
@@ -1,6 +1,6 @@
 """Take over shards: claim, fence, count what runs, then serve."""
 
-from papayapick.journal.queries import read_work
+from papayapick.journal.queries import read_journal
 from papayapick.ledger import Amounts
 from papayapick.observability import get_logger
 from papayapick.ownership import shard_of
@@ -14,7 +14,7 @@
 
 def load_work(shard, table, objects):
     """Rebuild a shard's work from its journal; raise PlatformError."""
-    shard.use_book(read_work(table, objects, shard.name))
+    shard.use_journal(read_journal(table, objects, shard.name))
 
 
 class HostKeeper:
