--- a/papayapick/placer/shards.py
+++ b/papayapick/placer/shards.py
@@ -3,7 +3,7 @@
 from papayapick.journal import Journal, WorkBook
 from papayapick.ledger import Amounts, HostLedger, SlotLedger
 from papayapick.ownership import OwnershipUnconfirmed
-from papayapick.placement import PowerOfTwo
+from papayapick.placement import FailureBook, HealthAware, InstanceHealth, JobQueue
 from papayapick.placer.exceptions import ShardClosed
 from papayapick.placer.slots import SlotDesk
 from papayapick.wire.messages import ShardSummary
@@ -37,8 +37,10 @@
         "book",
         "desk",
         "entries",
+        "failures",
         "hosts",
         "is_leaving",
+        "jobs",
         "journal",
         "row",
     )
@@ -46,12 +48,15 @@
     def __init__(self, row, process, journal_bucket, on_fenced):
         self.row = row
         self.hosts = HostLedger()
+        self.jobs = JobQueue(self.hosts)
+        self.failures = FailureBook(self.hosts)
         self.desk = SlotDesk(
             row.shard,
             row.epoch,
             SlotLedger(),
-            PowerOfTwo(process.generator),
+            HealthAware(InstanceHealth(process.clock), process.generator),
             process.clock,
+            process.generator,
         )
         self.book = WorkBook()
         self.journal = Journal(
--- a/tests/failures/lives.py
+++ b/tests/failures/lives.py
@@ -72,7 +72,22 @@
         self.faults = dict(faults)
         self.is_armed = True
 
-    def request(self, method, url, body=None, headers=None, timeout=None, fresh=False):
+    def request(
+        self,
+        method,
+        url,
+        body=None,
+        headers=None,
+        timeout=None,
+        fresh=False,
+        check=None,
+    ):
+        answer = self._request(method, url, body, headers)
+        if check is not None:
+            check(answer)
+        return answer
+
+    def _request(self, method, url, body, headers):
         if method == "GET" and "/objects/" in url:
             self.object_reads += 1
             if self.object_reads == self.failing_object_read:
