--- a/papayapick/placement/__init__.py
+++ b/papayapick/placement/__init__.py
@@ -1,10 +1,13 @@
 """Choose where work goes."""
 
 from papayapick.placement.failures import FailureBook
+from papayapick.placement.health import HealthRules, InstanceHealth
 from papayapick.placement.instances import (
+    HealthAware,
     InstancePolicy,
     LeastLoaded,
     PowerOfTwo,
+    RandomInstance,
     RoundRobin,
 )
 from papayapick.placement.jobs import (
@@ -31,6 +34,14 @@
 )
 
 __all__ = [
+    "HealthAware",
+    "HealthRules",
+    "InstanceHealth",
+    "InstancePolicy",
+    "LeastLoaded",
+    "PowerOfTwo",
+    "RandomInstance",
+    "RoundRobin",
     "ArrivalOrder",
     "Backfill",
     "DeadlineOrder",
--- a/papayapick/placement/jobs.py
+++ b/papayapick/placement/jobs.py
@@ -131,9 +131,6 @@
 
     Attributes
     ----------
-    renewed : float
-        Monotonic time at which its leases were last asked for; an answer that
-        was lost may have renewed them.
     heard : float
         Monotonic time at which all its members were last reported.
     is_given_up : bool
@@ -142,21 +139,13 @@
         Whether it is being checkpointed to make room.
     """
 
-    __slots__ = (
-        "end",
-        "heard",
-        "is_given_up",
-        "is_pausing",
-        "job",
-        "places",
-        "renewed",
-    )
+    __slots__ = ("end", "heard", "is_given_up", "is_pausing", "job", "places")
 
     def __init__(self, job, places, end):
         self.job = job
         self.places = places
         self.end = end
-        self.renewed = self.heard = float("-inf")
+        self.heard = float("-inf")
         self.is_given_up = False
         self.is_pausing = False
 
--- a/papayapick/placer/jobs.py
+++ b/papayapick/placer/jobs.py
@@ -6,6 +6,7 @@
 from papayapick.journal import Ended, JournalError, JournalUnsettled, Started
 from papayapick.ledger import Amounts
 from papayapick.observability import get_logger
+from papayapick.ownership import LeaseBook
 from papayapick.placement import Place, RunningJob, WaitingJob
 from papayapick.platforms import (
     PlatformError,
@@ -17,7 +18,7 @@
 __all__ = ["JobRunner"]
 
 _LOG = get_logger(__name__)
-DONE, FAILED, NOT_RUN = "done", "failed", "not_run"
+DONE, FAILED = "done", "failed"
 _URGENT = "urgent"
 _RETRY_SECONDS = 0.2
 # Not by an end of their own: a lease that lapsed, or an owner that was replaced
@@ -38,12 +39,15 @@
     desk : WorkDesk
     """
 
-    __slots__ = ("_desk", "_process", "_workers")
+    __slots__ = ("_desk", "_leases", "_process", "_workers")
 
     def __init__(self, process, workers, desk):
         self._process = process
         self._workers = workers
         self._desk = desk
+        self._leases = LeaseBook(
+            process.clock, process.settings.task_lease_seconds, _DRIFT
+        )
 
     def run(self, shard, item):
         """Let a job wait for room, and start whatever fits now."""
@@ -57,17 +61,12 @@
         job = self._job(shard, item)
         places = [Place(one["host"], one["task"]) for one in item.started.places]
         running = RunningJob(job, places, item.started.time + job.run_seconds)
-        # The earlier owner may have renewed the leases until a moment ago.
-        running.renewed = running.heard = self._process.clock.monotonic()
+        running.heard = self._process.clock.monotonic()
         shard.jobs.adopt(running)
 
     def renew(self, shard):
         """Renew the leases of a shard's tasks and collect what has ended."""
-        now = self._process.clock.monotonic()
         jobs = shard.jobs.running
-        for running in jobs:
-            if not running.is_given_up:
-                running.renewed = now
         reports = {}
         for worker, tasks in _tasks_by_worker(jobs).items():
             reports.update(self._renew_worker(shard, worker, tasks))
@@ -148,9 +147,7 @@
     def _end_overdue(self, shard, item):
         if item.ended is not None:
             return
-        # What has been started once may have run: "not run" would not be true.
-        outcome = FAILED if item.attempts else NOT_RUN
-        self.end(shard, item, outcome, "work.deadline-over")
+        self.end(shard, item, item.refusal, "work.deadline-over")
 
     def _journal_start(self, shard, start):
         item = shard.book.get(start.job.name)
@@ -190,15 +187,19 @@
         self._desk.enqueue(shard, item, _RETRY_SECONDS)
 
     def _start_members(self, shard, item, running):
+        # From here on a member may run, whatever becomes of the others.
+        item.may_have_run = True
         demand = item.accepted.job["demand"]
         lease = self._process.settings.task_lease_seconds
         running.heard = self._process.clock.monotonic()
+        for task in _tasks(running):
+            self._leases.note_start(task)
         for number, place in enumerate(running.places):
             work = dict(item.accepted.job.get("work", {}))
             if running.job.checkpoints:
                 work["checkpoint"] = running.job.checkpoints[number]
             entry = shard.entries[place.host]
-            running.renewed = self._process.clock.monotonic()
+            self._leases.note_start(place.task)
             try:
                 self._workers.start(entry, shard.epoch, place.task, demand, lease, work)
             except (StaleEpoch, TaskRefused, WorkerUnreachable) as error:
@@ -223,6 +224,7 @@
         self._resume_later(shard, item, running)
 
     def _resume_later(self, shard, item, running):
+        self._leases.forget(_tasks(running))
         shard.jobs.finish(item.request_id)
         shard.jobs.add(running.job.paused())
         self._process.executor.submit(self.start_waiting, shard)
@@ -231,19 +233,30 @@
         entry = shard.entries.get(worker)
         if entry is None:
             return {}
-        lease = self._process.settings.task_lease_seconds
         try:
-            reports = self._workers.renew(entry, shard.epoch, tasks, lease)
+            reports = self._renew_or_ask(entry, shard.epoch, tasks)
         except PlatformError:
             return {}
+        self._leases.note_answer(tasks)
         return {report.task: report for report in reports}
 
+    def _renew_or_ask(self, entry, epoch, tasks):
+        if self._leases.are_silent(tasks):
+            # Each renewal may reach the worker and be answered into the void;
+            # only once they end can the lease be known to be over. A fence
+            # tells whether the worker is back and prolongs nothing.
+            return self._workers.fence(entry, epoch)
+        self._leases.note_renewal(tasks)
+        lease = self._process.settings.task_lease_seconds
+        return self._workers.renew(entry, epoch, tasks, lease)
+
     def _collect(self, shard, item, running, reports):
         reported = [reports.get(place.task) for place in running.places]
         if all(report and report.state == "done" for report in reported):
             for place in running.places:
                 shard.failures.note_success(place.host)
             shard.jobs.finish(item.request_id)
+            self._leases.forget(_tasks(running))
             results = {report.task: report.result for report in reported}
             self.end(shard, item, DONE, results=results)
             return
@@ -284,8 +297,9 @@
         # that was cut off would still run under the lease it was given last.
         running.is_given_up = True
         stopped = self._stop_all(shard, running)
-        if not stopped and not self._is_lease_over(running.renewed):
+        if not stopped and not self._leases.are_over(_tasks(running)):
             return
+        self._leases.forget(_tasks(running))
         shard.jobs.finish(item.request_id)
         if detail:
             self.end(shard, item, FAILED, detail)
@@ -300,6 +314,9 @@
         confirmed = True
         for place in running.places:
             entry = shard.entries.get(place.host)
+            if entry is None:
+                confirmed = False
+                continue
             try:
                 self._workers.stop(entry, shard.epoch, [place.task])
             except PlatformError:
@@ -307,6 +324,10 @@
         return confirmed
 
 
+def _tasks(running):
+    return [place.task for place in running.places]
+
+
 def _tasks_by_worker(jobs):
     found = {}
     for running in jobs:
--- a/papayapick/placer/shards.py
+++ b/papayapick/placer/shards.py
@@ -3,7 +3,7 @@
 from papayapick.journal import Journal, WorkBook
 from papayapick.ledger import Amounts, HostLedger, SlotLedger
 from papayapick.ownership import OwnershipUnconfirmed
-from papayapick.placement import FailureBook, JobQueue, PowerOfTwo
+from papayapick.placement import FailureBook, HealthAware, InstanceHealth, JobQueue
 from papayapick.placer.exceptions import ShardClosed
 from papayapick.placer.slots import SlotDesk
 from papayapick.wire.messages import ShardSummary
@@ -47,8 +47,9 @@
             row.shard,
             row.epoch,
             SlotLedger(),
-            PowerOfTwo(process.generator),
+            HealthAware(InstanceHealth(process.clock), process.generator),
             process.clock,
+            process.generator,
         )
         self.book = WorkBook()
         self.journal = Journal(
