Share a shard among teams, with borrowing that is given back

Cause: the bundle names teams with quotas and nothing read them; the team that lodged first took the whole shard.

Ruled out: refusing work over the quota (idle room is wasted); a share by weights alone (no team could count on its quota).

Change: QuotaBook counts what each team's jobs hold in a shard against the shard's part of the quota. Lanes gives the order: deferred work that is due, then jobs within quota, then those that borrow, least of its quota first. Once a job within quota has waited a minute, deferred jobs of teams over theirs are checkpointed for it; an urgent job has any deferred job checkpointed, unless it borrows itself. JobRunner takes the quotas from the bundle in force.

Tests: tests/quotas.

--- a/papayapick/placement/jobs.py
+++ b/papayapick/placement/jobs.py
@@ -37,6 +37,11 @@
         Hosts that it failed on.
     checkpoints : tuple of str
         Tasks of an earlier start that its members go on from.
+
+    Attributes
+    ----------
+    is_borrowing : bool
+        Whether its start would take its team over the quota.
     """
 
     __slots__ = (
@@ -47,6 +52,7 @@
         "checkpoints",
         "deadline",
         "demand",
+        "is_borrowing",
         "is_urgent",
         "members",
         "name",
@@ -81,6 +87,7 @@
         self.attempt = attempt
         self.avoid = avoid
         self.checkpoints = checkpoints
+        self.is_borrowing = False
 
     def paused(self):
         """Return the job as it waits again once its members were checkpointed.
@@ -103,6 +110,13 @@
             tuple(tasks),
         )
 
+    @property
+    def rank(self):
+        """Return 0 for urgent work, 1 for deferred, 2 for what borrows."""
+        if self.is_borrowing:
+            return 2
+        return 0 if self.is_urgent else 1
+
     @property
     def latest_start(self):
         """Return the time after which the deadline may be missed."""
--- a/papayapick/placement/queue.py
+++ b/papayapick/placement/queue.py
@@ -1,19 +1,22 @@
 """Keep the jobs of a shard that wait and run, and choose the next starts."""
 
 import heapq
+import itertools
 import threading
 
-from sortedcontainers import SortedList
-
 from papayapick.ledger import LedgerError
 from papayapick.placement.jobs import DeadlineOrder
+from papayapick.placement.lanes import Lanes
 from papayapick.placement.pauses import choose_pauses
 from papayapick.placement.starts import Backfill
+from papayapick.quotas import QuotaBook
 
 __all__ = ["JobQueue"]
 
-# Urgent jobs that one look makes room for.
-_URGENT_LOOKS = 16
+# Jobs that one look makes room for.
+_CLAIMS = 16
+# A deferred job waits so long for runs to end before it has others paused.
+_PATIENCE_SECONDS = 60.0
 
 
 class JobQueue:
@@ -24,48 +27,62 @@
     ledger : HostLedger
     policy : StartPolicy, optional
     order : JobOrder, optional
+    quotas : QuotaBook, optional
     """
 
     __slots__ = (
         "_added",
         "_deadlines",
-        "_due",
         "_due_seen",
-        "_first_refused",
         "_ledger",
         "_lock",
-        "_order",
         "_policy",
+        "_quotas",
         "_running",
         "_seen",
-        "_sorted",
         "_waiting",
     )
 
-    def __init__(self, ledger, policy=None, order=None):
+    def __init__(self, ledger, policy=None, order=None, quotas=None):
         self._ledger = ledger
         self._policy = policy or Backfill()
-        self._order = order or DeadlineOrder()
-        self._waiting = {}
-        self._sorted = SortedList()
+        self._quotas = quotas or QuotaBook()
+        self._waiting = Lanes(order or DeadlineOrder(), self._quotas)
         self._deadlines = []
-        self._due = SortedList()
-        self._due_seen = 0
         self._running = {}
         self._added = []
-        self._first_refused = None
+        self._due_seen = 0
         self._seen = None
         self._lock = threading.Lock()
 
     def __len__(self):
         return len(self._waiting)
 
+    def __contains__(self, name):
+        return name in self._waiting
+
     @property
     def running(self):
         """Return the jobs that hold room."""
         with self._lock:
             return list(self._running.values())
 
+    @property
+    def promised(self):
+        """Return the name of the job that room is held for, or None."""
+        found = getattr(self._policy, "promised", None)
+        return found[0] if found else None
+
+    def use_bundle(self, bundle):
+        """Take the teams' quotas of a bundle.
+
+        Parameters
+        ----------
+        bundle : Bundle
+        """
+        with self._lock:
+            self._quotas.use(bundle.digest, bundle.teams, len(bundle.shards()))
+
     def is_running(self, name):
         """Return whether a job holds room."""
         return name in self._running
@@ -80,17 +97,14 @@
         with self._lock:
             if job.name in self._waiting or job.name in self._running:
                 return
-            key = (self._order.key(job), job.name)
-            self._waiting[job.name] = (key, job)
-            self._sorted.add(key)
-            self._due.add((self._order.due(job), job.name))
+            self._waiting.add(job)
             heapq.heappush(self._deadlines, (job.deadline, job.name))
-            self._added.append(key)
+            self._added.append(job.name)
 
     def discard(self, name):
         """Let a job wait no longer."""
         with self._lock:
-            self._discard(name)
+            self._waiting.discard(name)
             # It may have held room for itself.
             self._seen = None
 
@@ -102,7 +116,8 @@
         running : RunningJob
         """
         with self._lock:
-            self._running.setdefault(running.job.name, running)
+            if running.job.name not in self._running:
+                self._count(running)
 
     def choose_starts(self, now):
         """Reserve room for what starts now.
@@ -118,21 +133,14 @@
         with self._lock:
             starts = self._choose(now)
             for start in starts:
-                self._discard(start.job.name)
-                self._running[start.job.name] = start
+                self._waiting.discard(start.job.name)
+                self._count(start)
             self._added.clear()
-            self._first_refused = self._sorted[0] if self._sorted else None
             self._seen = self._ledger.version
             return starts
 
-    @property
-    def promised(self):
-        """Return the name of the job that room is held for, or None."""
-        found = getattr(self._policy, "promised", None)
-        return found[0] if found else None
-
     def choose_pauses(self, now):
-        """Return running jobs to checkpoint for urgent jobs that must wait.
+        """Return running jobs to checkpoint for jobs with a claim to their room.
 
         Each is marked as pausing; its room counts as taken until ``finish``.
 
@@ -145,15 +153,16 @@
         list of RunningJob
         """
         with self._lock:
-            urgent = []
-            for _, name in self._sorted.islice(0, _URGENT_LOOKS):
-                job = self._waiting[name][1]
-                if not job.is_urgent:
-                    break
-                urgent.append(job)
-            if not urgent:
+            claims = [
+                job
+                for job in itertools.islice(self._waiting.walk(now), _CLAIMS)
+                if self._has_claim(job, now)
+            ]
+            if not claims:
                 return []
-            chosen = choose_pauses(self._ledger, urgent, self._running.values(), now)
+            chosen = choose_pauses(
+                self._ledger, self._quotas, claims, self._running.values(), now
+            )
             for one in chosen:
                 one.is_pausing = True
             return chosen
@@ -162,6 +171,9 @@
         """Give back the room of a job whose members have all ended."""
         with self._lock:
             found = self._running.pop(name, None)
+            if found is not None:
+                job = found.job
+                self._quotas.finish(job.team, job.demand, job.members)
         for place in found.places if found else ():
             try:
                 self._ledger.release(place.task)
@@ -175,36 +187,42 @@
         with self._lock:
             while self._deadlines and self._deadlines[0][0] < now:
                 deadline, name = heapq.heappop(self._deadlines)
-                found = self._waiting.get(name)
-                if found is not None and found[1].deadline == deadline:
-                    self._discard(name)
+                job = self._waiting.get(name)
+                if job is not None and job.deadline == deadline:
+                    self._waiting.discard(name)
                     overdue.append(name)
         return overdue
 
+    def _count(self, running):
+        job = running.job
+        self._running[job.name] = running
+        self._quotas.start(job.team, job.demand, job.members)
+
+    def _has_claim(self, job, now):
+        if job.is_borrowing:
+            return False
+        return job.is_urgent or now - job.arrival >= _PATIENCE_SECONDS
+
     def _choose(self, now):
-        added = [key for key in self._added if key in self._sorted]
-        first = self._first_refused
-        due = [name for _, name in self._due.irange(maximum=(now, ""))]
-        is_same = first is not None and self._seen == self._ledger.version
-        is_same = is_same and len(due) == self._due_seen
-        self._due_seen = len(due)
-        if is_same and all(key > first for key in added):
+        due = len(self._waiting.due(now))
+        is_same = self._seen == self._ledger.version and due == self._due_seen
+        self._due_seen = due
+        added = [self._waiting.get(name) for name in self._added]
+        added = [job for job in added if job is not None]
+        if is_same and all(self._is_behind(job) for job in added):
             # The room and what waits for it are as they were: only what came
             # behind the first that waits may still fit.
-            jobs = [self._waiting[key[1]][1] for key in sorted(added)]
-            return self._policy.choose_added(self._ledger, jobs, now) if jobs else []
-        waiting = (self._waiting[name][1] for name in self._in_order(due))
+            added.sort(key=lambda job: self._waiting.key(job.name))
+            return self._policy.choose_added(self._ledger, added, now) if added else []
         running = self._running.values()
-        return self._policy.choose(self._ledger, waiting, running, now)
-
-    def _in_order(self, due):
-        yield from due
-        first = set(due)
-        yield from (name for _, name in self._sorted if name not in first)
-
-    def _discard(self, name):
-        found = self._waiting.pop(name, None)
-        if found is not None:
-            key, job = found
-            self._sorted.remove(key)
-            self._due.remove((self._order.due(job), name))
+        return self._policy.choose(self._ledger, self._waiting.walk(now), running, now)
+
+    def _is_behind(self, job):
+        """Note whether a job borrows; return whether it is behind the promised."""
+        job.is_borrowing = self._quotas.borrows(job.team, job.demand, job.members)
+        first = self._waiting.get(self.promised)
+        if first is None:
+            return False
+        if first.is_borrowing != job.is_borrowing:
+            return job.is_borrowing
+        return self._waiting.key(job.name) > self._waiting.key(first.name)
--- a/papayapick/placement/starts.py
+++ b/papayapick/placement/starts.py
@@ -11,6 +11,7 @@
 __all__ = ["Backfill", "FirstComeFirstServed", "FirstThatFits", "StartPolicy"]
 
 _LOOKS = 256
+_NO_RANK = 3
 _NOTHING = Amounts()
 
 
@@ -96,14 +97,14 @@
         Jobs looked at in one pass.
     """
 
-    __slots__ = ("_held", "_hosts", "_looks", "_refused", "_urgent_waits", "promised")
+    __slots__ = ("_held", "_hosts", "_looks", "_refused", "_waiting_rank", "promised")
 
     def __init__(self, hosts=None, looks=_LOOKS):
         self._hosts = hosts or Tightest()
         self._looks = looks
         self._held = {}
         self._refused = set()
-        self._urgent_waits = False
+        self._waiting_rank = _NO_RANK
         self.promised = None
 
     def choose(self, ledger, waiting, running, now):
@@ -111,7 +112,7 @@
         starts = []
         self.promised = None
         self._refused = set()
-        self._urgent_waits = False
+        self._waiting_rank = _NO_RANK
         with ledger.lock:
             self._hold(ledger, {})
             running = list(running)
@@ -121,7 +122,8 @@
                     places = self._promise(ledger, job, running + starts, now)
                 if places is not None:
                     starts.append(RunningJob(job, places, now + job.run_seconds))
-                self._urgent_waits |= job.is_urgent and places is None
+                if places is None:
+                    self._waiting_rank = min(self._waiting_rank, job.rank)
         return starts
 
     def choose_added(self, ledger, added, now):
@@ -136,8 +138,8 @@
 
     def _place(self, ledger, job, now):
         is_short = self._is_short(job, now)
-        if self._urgent_waits and job.can_pause and not is_short:
-            # It would be paused again for the urgent job behind the first.
+        if job.can_pause and job.rank > self._waiting_rank and not is_short:
+            # It would be paused again for another that waits behind the first.
             return None
         shape = (job.demand, job.members, job.avoid, is_short, self.promised is None)
         if shape in self._refused:
--- a/papayapick/placer/jobs.py
+++ b/papayapick/placer/jobs.py
@@ -86,6 +86,7 @@
         if shard.is_closed:
             return
         now = self._process.clock.time()
+        shard.jobs.use_bundle(self._process.watcher.bundle)
         for name in shard.jobs.take_overdue(now):
             self._end_overdue(shard, shard.book.get(name))
         starts = self._choose_starts(shard, now)
--- /dev/null
+++ b/papayapick/quotas/__init__.py
@@ -0,0 +1,6 @@
+"""Share the room of a cell among teams, with borrowing that is given back."""
+
+from papayapick.quotas.queries import fairness_index
+from papayapick.quotas.shares import QuotaBook
+
+__all__ = ["QuotaBook", "fairness_index"]
--- a/tests/placer/jobcells.py
+++ b/tests/placer/jobcells.py
@@ -54,7 +54,15 @@
         self.workers = WorkersStandin(self.clock)
         self.pool = WorkersPool(self.workers)
         bundle = Bundle(
-            {"services": [], "jobs": list(jobs), "teams": list(teams), "topology": {}}
+            {
+                "services": [],
+                "jobs": list(jobs),
+                "teams": list(teams),
+                "topology": {
+                    "shards_per_zone": 1,
+                    "regions": [{"name": "region", "zones": ["zone-a"]}],
+                },
+            }
         )
         self.process = SimpleNamespace(
             clock=self.clock,
--- /dev/null
+++ b/tests/quotas/test_shares.py
@@ -0,0 +1,117 @@
+"""Teams get their quota, borrow what idles, and give it back."""
+
+import pytest
+
+from papayapick.ledger import Amounts, HostLedger
+from papayapick.placement import JobQueue, WaitingJob
+from papayapick.quotas import QuotaBook
+
+CORE = Amounts(1000, 1024)
+
+
+def queue_of(cores, **quotas):
+    ledger = HostLedger()
+    ledger.add("worker-0", Amounts(cores * 1000, cores * 1024))
+    ledger.open("worker-0")
+    book = QuotaBook()
+    teams = {team: {"processors": quota * 1000} for team, quota in quotas.items()}
+    book.use("digest", teams, 1)
+    return JobQueue(ledger, quotas=book)
+
+
+def add(queue, team, count, arrival=0.0, **more):
+    for number in range(count):
+        queue.add(
+            WaitingJob(
+                f"{team}-{arrival:g}-{number}",
+                CORE,
+                run_seconds=1000.0,
+                arrival=arrival,
+                deadline=1e6,
+                team=team,
+                **more,
+            )
+        )
+
+
+def teams_of(starts):
+    return sorted(start.job.team for start in starts)
+
+
+def test_a_team_that_came_first_does_not_take_another_teams_quota():
+    """A team waits for hours as another lodged hundreds of jobs before it."""
+    queue = queue_of(4, first=2, second=2)
+    add(queue, "first", 10)
+    add(queue, "second", 2, arrival=1.0)
+    assert teams_of(queue.choose_starts(2.0)) == ["first"] * 2 + ["second"] * 2
+
+
+def test_what_one_team_leaves_another_borrows_and_gives_back():
+    """Half of the cell idles at night, or its owner can't get it back by day.
+
+    The borrower's jobs run for hours; they are checkpointed once the owner has
+    waited for a minute.
+    """
+    queue = queue_of(4, first=2, second=2)
+    add(queue, "first", 10, can_pause=True)
+    assert len(queue.choose_starts(0.0)) == 4
+    add(queue, "second", 3, arrival=100.0)
+    assert queue.choose_starts(100.0) == []
+    assert queue.choose_pauses(159.0) == []
+    pauses = queue.choose_pauses(160.0)
+    assert len(pauses) == 2
+    for running in pauses:
+        queue.finish(running.job.name)
+        queue.add(running.job.paused())
+    assert teams_of(queue.choose_starts(162.0)) == ["second"] * 2
+    assert queue.choose_pauses(400.0) == []
+
+
+def test_what_is_left_goes_to_the_team_that_borrows_least():
+    queue = queue_of(8, small=1, large=4)
+    add(queue, "small", 8)
+    add(queue, "large", 8)
+    starts = teams_of(queue.choose_starts(0.0))
+    assert (starts.count("small"), starts.count("large")) == (2, 6)
+
+
+def test_work_without_a_quota_borrows_nothing():
+    queue = queue_of(2, listed=1)
+    add(queue, "", 1)
+    add(queue, "listed", 2, arrival=-1.0)
+    assert teams_of(queue.choose_starts(0.0)) == ["", "listed"]
+
+
+def test_an_urgent_job_over_its_quota_pauses_nobody():
+    """A team marks all its jobs urgent and takes the whole cell."""
+    queue = queue_of(2, greedy=0, modest=2)
+    add(queue, "modest", 2, can_pause=True)
+    queue.choose_starts(0.0)
+    add(queue, "greedy", 2, arrival=1.0, is_urgent=True)
+    assert queue.choose_starts(2.0) == []
+    assert queue.choose_pauses(2.0) == []
+
+
+@pytest.mark.parametrize(
+    ("amounts", "used", "expected"),
+    [
+        ({"processors": 2000}, Amounts(2000, 10**9), False),
+        ({"processors": 2000}, Amounts(2001), True),
+        ({"processors": 9000, "memory": 100}, Amounts(0, 101), True),
+        ({"processors": 9000, "accelerators": 0}, Amounts(0, 0, 1), True),
+    ],
+)
+def test_each_amount_has_its_quota(amounts, used, expected):
+    book = QuotaBook()
+    book.use("digest", {"team": amounts}, 1)
+    book.start("team", used, 1)
+    assert book.is_over("team") is expected
+
+
+def test_a_new_bundle_changes_the_quotas_and_keeps_what_is_used():
+    book = QuotaBook()
+    book.use("old", {"team": {"processors": 1000}}, 1)
+    book.start("team", Amounts(1000), 2)
+    assert book.is_over("team")
+    book.use("new", {"team": {"processors": 4000}}, 2)
+    assert not book.is_over("team")
