--- /dev/null
+++ b/benchmarks/processes.py
@@ -0,0 +1,193 @@
+"""Measure whole processes: idle, by heartbeat, by poll and by request.
+
+Run as ``python -m benchmarks.processes [--json]``. Three gateways and three
+placers run on this machine with the stand-ins; memory is what is resident, and
+processor time is that of each process, from the system's own count.
+"""
+
+import json
+import os
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from benchmarks.tables import print_rows
+from papayapick.platforms import HttpPool, Table
+from tests.cells import Cell, http_call
+
+SECONDS = 10
+PROCESSES = 3
+CALLS = 2000
+PATH = "/v1/requests"
+LOOK_SECONDS = 0.5
+TICKS = os.sysconf("SC_CLK_TCK")
+SETTLE_SECONDS = 2
+BASE = {"PAPAYAPICK_HEARTBEAT_SECONDS": "0.5", "PAPAYAPICK_POLL_SECONDS": "1"}
+VARIANTS = {
+    "idle, the deployment's settings": BASE,
+    "idle, heartbeats 10 times as often": BASE
+    | {"PAPAYAPICK_HEARTBEAT_SECONDS": "0.05"},
+    "idle, polls 10 times as often": BASE | {"PAPAYAPICK_POLL_SECONDS": "0.1"},
+}
+CALM = {"PAPAYAPICK_TRACES": "none", "PAPAYAPICK_DEAD_AFTER_SECONDS": "3"}
+
+
+def main():
+    rows = []
+    for name, environment in VARIANTS.items():
+        with Cell("footfall", {**environment, **CALM}) as cell:
+            _pass(SETTLE_SECONDS)
+            rows += _idle(cell, name)
+            if environment is BASE:
+                rows += [*_loaded(cell), _call(cell)]
+    print_rows(rows)
+
+
+def _idle(cell, name):
+    before, peers = _spent(cell), _counted(cell)
+    _pass(SECONDS)
+    after, peers_after = _spent(cell), _counted(cell)
+    return [
+        _row(
+            cell,
+            kind,
+            name,
+            _mean(cell, kind, before, after) / SECONDS * 1e6,
+            "us/s",
+            (_sum(cell, kind, peers_after) - _sum(cell, kind, peers))
+            / SECONDS
+            / PROCESSES,
+        )
+        for kind in ("gateway", "placer")
+    ]
+
+
+def _loaded(cell):
+    addresses = [gateway.addresses["http"] for gateway in cell.gateways]
+    for kind, (count, side_by_side, send) in LOADS.items():
+        before, bytes_before = _spent(cell), _counted(cell)
+        writes = cell.control("counts")["writes"]
+        began = time.monotonic()
+        with ThreadPoolExecutor(side_by_side) as executor:
+            list(executor.map(lambda n, s=send: s(addresses[n % 3], n), range(count)))
+        seconds = time.monotonic() - began
+        writes = (cell.control("counts")["writes"] - writes) / count
+        after, bytes_after = _spent(cell), _counted(cell)
+        name = f"{count} {kind}, {seconds:.1f} s, {writes:.2f} writes each"
+        for process in ("gateway", "placer"):
+            spent = _mean(cell, process, before, after) * PROCESSES
+            sent = _sum(cell, process, bytes_after) - _sum(cell, process, bytes_before)
+            yield _row(
+                cell, process, name, spent / count * 1e6, "us/request", sent / count
+            )
+
+
+def _urgent(address, number):
+    body = {"service": "quick-counts", "payload": {"arcade": number}}
+    assert http_call(address, "POST", PATH, body)[0] == 200
+
+
+def _deferred(address, number):
+    body = {"service": "tenant-comparisons", "payload": {"week": number}}
+    _wait_for(address, http_call(address, "POST", PATH, body))
+
+
+def _job(address, number):
+    body = {"job": "season-model", "members": 3, "processors": 1000}
+    body["payload"] = {"run_seconds": 0.01}
+    _wait_for(address, http_call(address, "POST", PATH, body))
+
+
+def _wait_for(address, accepted):
+    status, headers, _ = accepted
+    assert status == 202
+    while True:
+        found = json.loads(http_call(address, "GET", headers["Location"])[2])
+        if found["state"] == "ended":
+            assert found["outcome"] == "done", found
+            return
+        _pass(LOOK_SECONDS)
+
+
+LOADS = {
+    "urgent requests one by one": (600, 1, _urgent),
+    "urgent requests 6 at a time": (1800, 6, _urgent),
+    "deferred requests 24 at a time": (600, 24, _deferred),
+    "jobs of 3 members 24 at a time": (120, 24, _job),
+}
+
+
+def _call(cell):
+    """Return the caller's processor time for one call of the platform."""
+    pool = HttpPool(5.0)
+    table = Table(cell.url + "/table", pool)
+    began = time.thread_time()
+    for _ in range(CALLS):
+        table.read("bundle/head")
+    spent = (time.thread_time() - began) / CALLS * 1e6
+    pool.close()
+    return {
+        "process": "any",
+        "run": f"{CALLS} calls of the platform",
+        "processor": spent,
+        "unit": "us/call",
+        "peer_bytes": 0.0,
+        "resident_mb": 0.0,
+    }
+
+
+def _row(cell, kind, name, spent, unit, sent):
+    found = [one for one in cell.daemons.values() if one.kind == kind]
+    return {
+        "process": kind,
+        "run": name,
+        "processor": spent,
+        "unit": unit,
+        "peer_bytes": sent,
+        "resident_mb": max(_resident(one.process.pid) for one in found) / 1e6,
+    }
+
+
+def _pass(seconds):
+    threading.Event().wait(seconds)
+
+
+def _spent(cell):
+    return {name: _seconds(one.process.pid) for name, one in cell.daemons.items()}
+
+
+def _seconds(pid):
+    with open(f"/proc/{pid}/stat") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def _resident(pid):
+    with open(f"/proc/{pid}/statm") as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def _mean(cell, kind, before, after):
+    names = [name for name, one in cell.daemons.items() if one.kind == kind]
+    return sum(after[name] - before[name] for name in names) / len(names)
+
+
+def _counted(cell):
+    """Return the bytes that each process exchanged with peers, both ways."""
+    return {name: _peer_bytes(one) for name, one in cell.daemons.items()}
+
+
+def _peer_bytes(daemon):
+    _, _, body = http_call(daemon.addresses["http"], "GET", "/metrics")
+    lines = body.decode().splitlines()
+    found = [line for line in lines if line.startswith("papayapick_peer_bytes_total{")]
+    return sum(float(line.rpartition(" ")[2]) for line in found)
+
+
+def _sum(cell, kind, counted):
+    names = [name for name, one in cell.daemons.items() if one.kind == kind]
+    return sum(counted[name] for name in names)
+
+
+if __name__ == "__main__":
+    main()
--- a/papayapick/daemon/process.py
+++ b/papayapick/daemon/process.py
@@ -8,10 +8,15 @@
 from papayapick.clock import SystemClock
 from papayapick.limits import PauseGuard
 from papayapick.membership import Peers
-from papayapick.observability import Metrics, Tracing, get_logger
+from papayapick.observability import (
+    Metrics,
+    Tracing,
+    get_logger,
+    set_process_fields,
+)
 from papayapick.platforms import HostList, HttpPool, ObjectStore, Table
 from papayapick.platforms.exceptions import PlatformError, TableUnavailable
-from papayapick.wire import PeerServer
+from papayapick.wire import CellKeys, PeerServer
 from papayapick.wire.messages import BundleBody, BundleQuery, Heartbeat, Hello
 
 __all__ = ["Process"]
@@ -124,12 +129,12 @@
             bundle_digest=self.watcher.digest,
             shards=self._heartbeat_shards(),
             draining=self.is_draining,
+            confirmed=self.watcher.is_confirmed,
         )
 
     def _open_peers(self):
         settings = self.settings
-        with open(settings.cell_key, "rb") as file:
-            self.cell_key = file.read().strip()[:64]
+        self.cell_key = CellKeys.from_file(settings.cell_key)
         self.identity = Hello(
             host=settings.host_name,
             region=settings.region,
@@ -151,7 +156,7 @@
             self.clock,
             self.executor,
             self._count_bytes,
-            (self.heartbeat, self.watcher.hear),
+            (self.heartbeat, self.watcher.hear, self.watcher.count_pauses),
         )
 
     def _answer(self, payload, peer, traceparent):
@@ -168,6 +173,7 @@
         except TableUnavailable:
             _LOG.debug("table down, bundle from peers only")
         self.metrics.bundle_sequence.set(self.watcher.sequence)
+        set_process_fields(bundle_sequence=self.watcher.sequence)
 
     def _loop(self, step, seconds):
         while not self._stopping.is_set():
