--- a/papayapick/placer/process.py
+++ b/papayapick/placer/process.py
@@ -7,8 +7,9 @@
 from papayapick.daemon.health import HealthServer
 from papayapick.ledger import Amounts, NeverFits
 from papayapick.limits import TokenBucket
-from papayapick.observability import get_logger
+from papayapick.observability import get_logger, log_fields
 from papayapick.ownership import release
+from papayapick.placer.explanations import explain, reasons_as_text
 from papayapick.placer.jobs import JobRunner
 from papayapick.placer.owners import ShardOwner
 from papayapick.placer.requests import RequestRunner
@@ -132,7 +133,10 @@
             self._release(payload)
             return None
         shard = self._owner.serving(payload.shard)
-        with self._process.tracing.span(type(payload).__name__, traceparent):
+        with (
+            self._process.tracing.span(type(payload).__name__, traceparent),
+            log_fields(shard=shard.name, epoch=shard.epoch),
+        ):
             if isinstance(payload, SlotRequest):
                 return self._grant(shard, payload)
             if isinstance(payload, Submit):
@@ -203,7 +207,10 @@
 
     def _query(self, shard, query):
         item = self._work.find(shard, query.request_id)
-        return state_of(item, self._process.objects)
+        state = state_of(item, self._process.objects)
+        if query.explain:
+            state.detail = reasons_as_text(explain(shard, item))
+        return state
 
     def _release(self, released):
         shard = self._owner.get(released.shard)
--- a/tests/failures/lives.py
+++ b/tests/failures/lives.py
@@ -82,6 +82,15 @@
         fresh=False,
         check=None,
     ):
+<<<<<<< HEAD
+=======
+        answer = self._request(method, url, body, headers)
+        if check is not None:
+            check(answer)
+        return answer
+
+    def _request(self, method, url, body, headers):
+>>>>>>> main
         if method == "GET" and "/objects/" in url:
             self.object_reads += 1
             if self.object_reads == self.failing_object_read:
--- a/tests/placer/test_slots_durable.py
+++ b/tests/placer/test_slots_durable.py
@@ -40,9 +40,7 @@
             clock=clock,
             generator=random.Random(1),
             objects=None,
-            watcher=SimpleNamespace(
-                bundle=SimpleNamespace(services={"counts": policy})
-            ),
+            watcher=SimpleNamespace(bundle=bundle),
         )
         book = WorkBook()
         book.apply(
