--- a/papayapick/gateway/application.py
+++ b/papayapick/gateway/application.py
@@ -126,7 +126,8 @@
             note_fields(shard=admitted.shard)
         self._limits.admit(admitted.caller)
         if admitted.is_durable:
-            answer = self._durable.submit(admitted)
+            is_keyed = bool(environ.get("HTTP_IDEMPOTENCY_KEY"))
+            answer = self._durable.submit(admitted, is_keyed)
         else:
             answer = self._urgent.serve(admitted)
         answer.headers.append(("Request-Id", admitted.request_id))
--- a/tests/failures/lives.py
+++ b/tests/failures/lives.py
@@ -82,15 +82,12 @@
         fresh=False,
         check=None,
     ):
-<<<<<<< HEAD
-=======
         answer = self._request(method, url, body, headers)
         if check is not None:
             check(answer)
         return answer
 
     def _request(self, method, url, body, headers):
->>>>>>> main
         if method == "GET" and "/objects/" in url:
             self.object_reads += 1
             if self.object_reads == self.failing_object_read:
@@ -110,8 +107,6 @@
             self._die()
         if fault == LOST or answer is None:
             raise AnswerMissing(url=url)
-        if check is not None:
-            check(answer)
         return answer
 
     def _next_fault(self, method, url):
