Let the limit of first tries learn from the tries that it cut

Cause: only whole answers counted, so that a limit near the real latencies cut the slow ones, saw only the fast ones, and shrank further.

A try is bounded by 0.7 of the time left in any case, so that a silent server leaves time for another.

Seen to fail without the count: test_limit_of_first_tries_does_not_cut_the_ same_share_for_ever.

--- a/benchmarks/urgent.py
+++ b/benchmarks/urgent.py
@@ -304,8 +304,9 @@
     def _end(self, request, gateway, grant, outcome, began):
         now = self.clock.monotonic()
         gateway.release(grant, outcome, now - began)
-        if outcome == "done":
+        if outcome in ("done", "unknown"):
             self.timeouts.observe("counts", now - began)
+        if outcome == "done":
             if now <= request.deadline:
                 self.answered += 1
                 self.waits.append(float(began - request.arrived))
--- a/papayapick/gateway/urgent.py
+++ b/papayapick/gateway/urgent.py
@@ -148,6 +148,7 @@
         except (AnswerMissing, AnswerInvalid):
             # The backend server may still run it: the slot is not free yet.
             outcome = UNKNOWN
+            self._timeouts.observe(admitted.name, clock.monotonic() - began)
             raise
         finally:
             self._slots.release(grant, outcome, clock.monotonic() - began)
--- a/papayapick/limits/timeouts.py
+++ b/papayapick/limits/timeouts.py
@@ -10,6 +10,7 @@
 _RENEW_EVERY = 16
 _HIGH_SHARE, _USUAL_SHARE = 0.99, 0.9
 _FACTOR = 2.0
+_LARGEST_SHARE = 0.7
 _LEAST_SECONDS = 0.05
 _UNKNOWN_SHARE = 0.5
 
@@ -58,7 +59,11 @@
         self._lock = threading.Lock()
 
     def observe(self, service, seconds):
-        """Note the latency of an answer."""
+        """Note the latency of an answer, or the time after which a try was cut.
+
+        Without the cut ones only the fast answers would be seen, the limit
+        would shrink with each look, and more and more tries be cut.
+        """
         with self._lock:
             self._of(service).add(seconds)
 
@@ -75,7 +80,7 @@
             high = self._of(service).high
         if high is None:
             return rest * _UNKNOWN_SHARE
-        return min(rest, max(_LEAST_SECONDS, _FACTOR * high))
+        return min(rest * _LARGEST_SHARE, max(_LEAST_SECONDS, _FACTOR * high))
 
     def usual_seconds(self, service):
         """Return what nine of ten answers stay under, or None if not known."""
--- a/tests/gateway/test_urgent.py
+++ b/tests/gateway/test_urgent.py
@@ -59,6 +59,10 @@
         if step == "silent":
             self.clock.advance(seconds)
             raise AnswerMissing(url=url)
+        if isinstance(step, float):
+            self.clock.advance(min(step, seconds))
+            if step > seconds:
+                raise AnswerMissing(url=url)
         if step == "late":
             self.clock.advance(5.0)
             raise AnswerMissing(url=url)
@@ -176,6 +180,24 @@
     assert bench.instances.given == [2.0]
 
 
+def test_limit_of_first_tries_does_not_cut_the_same_share_for_ever():
+    """One of ten requests rightly takes five times as long as the others.
+
+    Cut each time, it is sent twice, and both runs load the servers. Looking
+    at whole answers only, the limit would never learn that it is too short.
+    """
+    bench = Bench()
+    bench.calls._budgets = RetryBudgets(ratio=1.0, reserve=100.0)
+    cut = []
+    for number in range(400):
+        is_slow = number > 50 and number % 10 == 0
+        script = [0.5 if is_slow else 0.1, 0.1]
+        bench.serve(*script)
+        cut.append(bench.slots.released[-2:].count("unknown"))
+    assert sum(cut[:200]) > 0
+    assert sum(cut[200:]) == 0
+
+
 def test_empty_budget_ends_retries():
     """Every backend server fails, and each request is sent twice.
 
