--- a/papayapick/management/views.py
+++ b/papayapick/management/views.py
@@ -136,7 +136,18 @@
         heartbeats = peers.heartbeats()
     shards = {name: ShardView(name, row) for name, row in rows.items()}
     for host, beat in heartbeats.items():
-        for summary in (beat.shards or ()) if beat else ():
+        for owner, summary in _claims(host, beat):
             shard = shards.setdefault(summary.shard, ShardView(summary.shard))
-            shard.hear(host, summary)
+            shard.hear(owner, summary)
     return CellView(head, shards, entries, heartbeats)
+
+
+def _claims(host, beat):
+    if beat is None:
+        return
+    for summary in beat.shards or ():
+        yield host, summary
+    # A process of another region tells of all placers of its own in a summary.
+    for placer in beat.placers or ():
+        for summary in placer.shards or ():
+            yield placer.host, summary
--- a/tests/ownership/parts.py
+++ b/tests/ownership/parts.py
@@ -1,9 +1,11 @@
 """Put shards together with stand-ins, without processes or sockets."""
 
+import json
 import random
 from concurrent.futures import ThreadPoolExecutor
 from types import SimpleNamespace
 
+from papayapick.bundle import Bundle
 from papayapick.clock import ManualClock
 from papayapick.limits import PauseGuard, TokenBucket
 from papayapick.ownership import claim, read_shard
@@ -11,9 +13,13 @@
 from papayapick.placer.takeover import HostKeeper
 from papayapick.platforms import InstanceClient, WorkerClient
 from papayapick.platforms.hosts import HostEntry
+from tests.cells import ROOT
 from tests.standins.pool import InProcessPool
 from tests.standins.server import Platform
 
+BUNDLE = Bundle.from_document(
+    json.loads((ROOT / "deploy/footfall/bundle.json").read_text())
+)
 SHARD = "hobart-a.0"
 CAPACITY = {"processors": 16000, "memory": 65536, "accelerators": 0}
 URL = "http://platform"
@@ -59,7 +65,7 @@
                 journal_linger_seconds=0.0, task_lease_seconds=10.0
             ),
             pauses=PauseGuard(self.clock, 1.0),
-            watcher=SimpleNamespace(bundle=SimpleNamespace(jobs={})),
+            watcher=SimpleNamespace(bundle=BUNDLE),
             executor=self.executor,
         )
 
--- a/tests/ownership/test_leases.py
+++ b/tests/ownership/test_leases.py
@@ -1,6 +1,7 @@
 import pytest
 
 from papayapick.journal import Accepted
+from papayapick.journal.queries import read_journal
 from papayapick.placer.jobs import JobRunner
 from papayapick.placer.work import WorkDesk
 from papayapick.platforms import NotSent, WorkerClient
@@ -28,6 +29,12 @@
         workers = WorkerClient(pool) if pool else cell.workers
         self.runner = JobRunner(process, workers, self.desk)
 
+    def read_journal(self):
+        """Take over what the earlier owner journaled."""
+        platform = self.cell.platform
+        state = read_journal(platform.table, platform.objects, self.shard.name)
+        self.shard.use_journal(state)
+
     def run(self, item):
         task = self.cell.executor.submit(self.shard.journal.run)
         self.runner.run(self.shard, item)
@@ -119,7 +126,7 @@
     successor = Owner(cell, "placer-b", CutPool(cell.platform))
     # The worker has not heard of B: its fence is still at A's epoch.
     cell.platform.workers._workers[host_of(earlier)].epoch = earlier.shard.epoch
-    successor.shard.use_book(earlier.shard.book)
+    successor.read_journal()
     successor.runner.recover(successor.shard, successor.shard.book.get("r"))
     for _ in range(8):
         cell.clock.advance(LEASE * 0.4)
@@ -141,7 +148,7 @@
     start(cell, earlier)
     cell.entries = [entry for entry in cell.entries if entry.name != host_of(earlier)]
     successor = Owner(cell, "placer-b")
-    successor.shard.use_book(earlier.shard.book)
+    successor.read_journal()
     successor.runner.recover(successor.shard, successor.shard.book.get("r"))
     for _ in range(8):
         cell.clock.advance(LEASE * 0.4)
--- a/tests/spec/test_journal_replay.py
+++ b/tests/spec/test_journal_replay.py
@@ -10,7 +10,7 @@
 from papayapick.bundle.documents import ServicePolicy
 from papayapick.clock import ManualClock
 from papayapick.journal import Ended, JournalUnsettled, Started
-from papayapick.journal.queries import read_work
+from papayapick.journal.queries import read_journal
 from papayapick.limits import PauseGuard, TokenBucket
 from papayapick.ownership import claim, read_shard
 from papayapick.placer.requests import RequestRunner
@@ -77,14 +77,14 @@
         row = claim(table, read_shard(table, SHARD), owner)
         bucket = TokenBucket(1000, 1000, self.clock)
         self.shard = Shard(row, self.process, bucket, lambda shard: shard.close())
-        self.shard.use_book(self.journaled())
+        self.shard.use_journal(read_journal(table, self.process.objects, SHARD))
         self.desk = WorkDesk(self.process)
         self.backend = Backend(self)
         self.runner = RequestRunner(self.process, Slots(), self.backend, self.desk)
 
     def journaled(self):
         """Return what a successor would read."""
-        return read_work(self.table, self.process.objects, SHARD)
+        return read_journal(self.table, self.process.objects, SHARD).book
 
     def submit(self, policy, steps=()):
         """Submit work "r"; the write of its acceptance goes as ``steps`` say."""
