Ask each process for its own word, and draw messages from the schema

Cause: since one relay a region speaks over the link, a process of another region hears a summary without the answerer's own shards; an operator, who named no region, saw every shard as served by nobody: "assert ('placer-hobart-a', 1) == ('', 0)" in tests/management/test_cell.py. And the test of messages listed its field types by name, which a new message outgrew: "struct has no such member; name = placerSummary".

Change: an operator greets each process with that process's own region.

--- a/papayapick/management/peers.py
+++ b/papayapick/management/peers.py
@@ -37,10 +37,11 @@
         self._seconds = seconds
         self._askers = ThreadPoolExecutor(_SIDE_BY_SIDE)
         # One task reads each connection for as long as it is open.
-        self._readers = ThreadPoolExecutor(max(1, len(self._entries)))
-        identity = Hello(host=f"operator/{operator}", region="", zone="")
+        self._readers = readers = ThreadPoolExecutor(max(1, len(self._entries)))
         self._clients = {
-            name: PeerClient(entry.address, cell_keys, identity, self._readers, seconds)
+            name: PeerClient(
+                entry.address, cell_keys, _identity(operator, entry), readers, seconds
+            )
             for name, entry in self._entries.items()
         }
 
@@ -91,3 +92,9 @@
             return self.ask(name, Heartbeat(host="operator"))
         except WireError:
             return None
+
+
+def _identity(operator, entry):
+    # Who asks from another region hears a summary of the region only; the
+    # operator asks each process for its own word.
+    return Hello(host=f"operator/{operator}", region=entry.region, zone=entry.zone)
--- a/tests/wire/test_messages.py
+++ b/tests/wire/test_messages.py
@@ -4,61 +4,49 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from papayapick.wire import FrameInvalid, decode, encode, messages
+from papayapick.wire import FrameInvalid, codec, decode, encode, messages
 
 TEXT = st.text(st.characters(exclude_categories=["Cs"]), max_size=30)
-SMALL = st.integers(0, 2**16 - 1)
-LARGE = st.integers(0, 2**63)
-LOAD = st.builds(messages.ServiceLoad, service=TEXT, free_slots=SMALL, waiting=SMALL)
-SUMMARY = st.builds(
-    messages.ShardSummary, shard=TEXT, epoch=LARGE, loads=st.lists(LOAD, max_size=3)
-)
-PLACER = st.builds(
-    messages.PlacerSummary,
-    host=TEXT,
-    draining=st.booleans(),
-    shards=st.lists(SUMMARY, max_size=2),
-)
-KINDS = {
-    "bundle_sequence": LARGE,
-    "confirmed": st.booleans(),
-    "draining": st.booleans(),
-    "envelope": st.binary(max_size=100),
-    "epoch": LARGE,
-    "explain": st.booleans(),
-    "free_slots": SMALL,
-    "grant_id": LARGE,
-    "head_version": LARGE,
-    "known": LARGE,
-    "loads": st.lists(LOAD, max_size=3),
-    "avoid": st.lists(TEXT, max_size=3),
-    "nonce": st.binary(min_size=16, max_size=16),
-    "placers": st.lists(PLACER, max_size=3),
-    "payload": st.binary(max_size=100),
-    "result": st.binary(max_size=100),
-    "shards": st.lists(SUMMARY, max_size=3),
-    "status": SMALL,
-    "summary_version": LARGE,
-    "waiting": SMALL,
+IDENTIFIER = st.integers(0, 2**63)
+SCALARS = {
+    "bool": st.booleans(),
+    "data": st.binary(max_size=100),
+    "text": TEXT,
+    "uint16": st.integers(0, 2**16 - 1),
+    "uint32": st.integers(0, 2**32 - 1),
+    "uint64": st.integers(0, 2**64 - 1),
 }
-NESTED = {"Payload", "PlacerSummary", "ServiceLoad", "ShardSummary"}
-CLASSES = [getattr(messages, name) for name in messages.__all__ if name not in NESTED]
+UNION = codec._SCHEMA.Message.schema.union_fields
+CLASSES = [codec._CLASSES[name] for name in UNION]
 
 
-def _strategy(name):
-    if name in KINDS:
-        return KINDS[name]
-    if name.endswith(("_milliseconds", "_microseconds")):
-        return SMALL
-    return TEXT
+def _strategy(slot, kind):
+    name = kind.which()
+    if name != "list":
+        return SCALARS[name]
+    if slot in codec._NESTED:
+        return st.lists(_payloads(codec._NESTED[slot]), max_size=2)
+    return st.lists(SCALARS[kind.list.elementType.which()], max_size=3)
 
 
 def _payloads(kind):
-    return st.builds(kind, **{name: _strategy(name) for name in kind.__slots__})
+    fields = getattr(codec._SCHEMA, kind.__name__).schema.fields
+    strategies = {
+        slot: _strategy(slot, fields[wire_name].proto.slot.type)
+        for slot, wire_name in codec._WIRE_NAMES[kind].items()
+    }
+    return st.builds(kind, **strategies)
+
+
+def test_each_class_has_the_fields_of_the_schema():
+    for kind, names in codec._WIRE_NAMES.items():
+        if kind is not messages.Payload:
+            schema = getattr(codec._SCHEMA, kind.__name__).schema
+            assert sorted(names.values()) == sorted(schema.fieldnames), kind
 
 
 @settings(derandomize=True, max_examples=150, deadline=None)
-@given(st.one_of([_payloads(kind) for kind in CLASSES]), LARGE, TEXT)
+@given(st.one_of([_payloads(kind) for kind in CLASSES]), IDENTIFIER, TEXT)
 def test_message_comes_out_as_it_went_in(payload, identifier, traceparent):
     found = decode(encode(identifier, payload, traceparent))
     assert (found[0], found[2]) == (identifier, traceparent)
