--- a/benchmarks/target.py
+++ b/benchmarks/target.py
@@ -67,7 +67,7 @@
 PLANS = (
     Plan("today's code and settings", 0.5, 2.0, 0.5, SERVICES, 1.0, 1.0),
     Plan("settings alone", 2.0, 8.0, 3.0, SERVICES, 1.0, 1.0),
-    Plan("and the first four changes", 2.0, 8.0, 20.0, 5, 1 / ZONES, 0.2),
+    Plan("and the first five changes", 2.0, 8.0, 20.0, 5, 1 / ZONES, 0.2),
     Plan("and a relay on each host", 2.0, 8.0, 20.0, 5, 1 / ZONES, 0.2, True),
 )
 RELAY_ASKED = 2.0
@@ -80,45 +80,43 @@
 
 
 def _rows(plan):
-    asked = NEAR_HOSTS / plan.near + (HOSTS - NEAR_HOSTS) / plan.far
+    asked = NEAR_HOSTS / plan.near
     change = CHANGES_PER_DAY / DAY_SECONDS
     list_reads = LIST_CHANGES_PER_DAY / DAY_SECONDS * plan.list_share
     common = change * VERIFY + list_reads * ENTRIES * LIST_ENTRY
-    heartbeat = _heartbeat(plan)
     listed = list_reads * ENTRIES * LIST_LINE + change * BUNDLE
+    shard = SHARD_BYTES + plan.loads * LOAD_BYTES
+    # The far regions' summary comes anew from the relay with each change of it.
+    far_shards = SHARDS * (1 - NEAR_HOSTS / HOSTS)
+    summary = far_shards * shard / plan.far
+    exchange = 2 * HEARTBEAT + SHARDS / HOSTS * shard + 2 * PACKET
     gateway_asked = RELAY_ASKED if plan.has_relay else asked
-    answered = asked + gateway_asked
-    gateway_seconds = gateway_asked * ASK + GATEWAY_POLL + GATEWAY_REST + common
     # What a relay tells its gateway does not leave the host.
-    sent = 0 if plan.has_relay else asked
-    gateway_bytes = sent * (heartbeat + HEARTBEAT + 2 * PACKET) + listed
+    gateway_sent = 0 if plan.has_relay else asked * exchange + summary
+    gateway_seconds = gateway_asked * ASK + GATEWAY_POLL + GATEWAY_REST + common
     held = ENTRIES * LIST_HELD * plan.list_share
     renewals = WORKERS / HOSTS / plan.renewal
-    placer_seconds = asked * ASK + answered * ANSWER + PLACER_POLL + common
-    placer_seconds += PLACER_REST * plan.rest + renewals * PLATFORM_CALL
-    placer_bytes = asked * 2 * (2 * heartbeat + 2 * PACKET) + listed
-    placer_bytes += sent * (heartbeat + HEARTBEAT + 2 * PACKET)
+    placer_seconds = asked * ASK + (asked + gateway_asked) * ANSWER + PLACER_POLL
+    placer_seconds += common + PLACER_REST * plan.rest + renewals * PLATFORM_CALL
     lease = LEASE_BODY + HTTP_HEADS + 2 * PACKET + LEASE_TASK * TASKS / WORKERS
+    placer_bytes = 2 * asked * exchange + gateway_sent + summary + listed
     placer_bytes += renewals * lease
     placer_held = WORKERS / HOSTS * WORKER_HELD + TASKS / HOSTS * TASK_HELD
     placer_held += JOBS_PER_DAY / HOSTS * WORK_HELD
-    yield _row(plan, "gateway", gateway_seconds, gateway_bytes, GATEWAY_BASE + held)
-    memory = PLACER_BASE + held + placer_held
-    yield _row(plan, "placer", placer_seconds, placer_bytes, memory)
+    gateway_memory, placer_memory = GATEWAY_BASE + held, PLACER_BASE + held
+    placer_memory += placer_held
+    gateway_bytes = gateway_sent + listed
+    yield _row(plan, "gateway", gateway_seconds, gateway_bytes, gateway_memory)
+    yield _row(plan, "placer", placer_seconds, placer_bytes, placer_memory)
     yield _row(
         plan,
         "entry host",
         gateway_seconds + placer_seconds,
         gateway_bytes + placer_bytes,
-        GATEWAY_BASE + held + memory,
+        gateway_memory + placer_memory,
     )
 
 
-def _heartbeat(plan):
-    shards = SHARDS / HOSTS
-    return HEARTBEAT + shards * (SHARD_BYTES + plan.loads * LOAD_BYTES)
-
-
 def _row(plan, role, seconds, size, memory):
     return {
         "plan": plan.name,
