Far from the store, look only where something may have changed

Cause: the six processes of the region without the store polled the bundle's head and the live list, and its placers the shards' rows, once a second each, all over the paid link.

Change: heartbeats carry the version of the head's row and the tag of the list as last read or heard. A process in another region than the store's looks where these differ from its own, where it was paused, owes an acknowledgement or hears of no placer near the store, where a shard is served by nobody or at a higher epoch, and every 20 s in any case. Processes near the store look as before.

--- a/papayapick/bundle/watcher.py
+++ b/papayapick/bundle/watcher.py
@@ -80,6 +80,7 @@
         "_confirming",
         "_current",
         "_envelopes",
+        "_head_version",
         "_host",
         "_keyring",
         "_lock",
@@ -102,6 +103,7 @@
         self._current = None
         self._envelopes = {}
         self._told = None
+        self._head_version = 0
         self._pauses = pauses
         # A process that starts has not looked yet, as after a pause.
         self._confirmed_pauses = -1
@@ -126,6 +128,20 @@
         """Return the digest in force, empty where there is none."""
         return self._current.bundle.digest if self._current else ""
 
+    @property
+    def head_version(self):
+        """Return the version of the head's row as last read."""
+        return self._head_version
+
+    @property
+    def owes_word(self):
+        """Return whether the table was not told yet of the bundle in force."""
+        return bool(self.sequence) and self._told != (
+            self.sequence,
+            self.digest,
+            IN_FORCE,
+        )
+
     @property
     def is_confirmed(self):
         """Return whether the head was looked at since the start and last pause."""
@@ -157,6 +173,7 @@
         """
         pauses = self.count_pauses()
         head = read_head(self._table)
+        self._head_version = head.version
         proposal = head.proposal
         if proposal is not None and self._verified(proposal.digest):
             self._tell(proposal.sequence, proposal.digest, VERIFIED)
--- a/papayapick/daemon/process.py
+++ b/papayapick/daemon/process.py
@@ -7,7 +7,7 @@
 from papayapick.bundle import BundleUnknown, BundleWatcher, KeyRing, PeerHead
 from papayapick.clock import SystemClock
 from papayapick.limits import PauseGuard
-from papayapick.membership import Peers
+from papayapick.membership import LookGate, Peers
 from papayapick.observability import (
     Metrics,
     Tracing,
@@ -42,6 +42,7 @@
 
     __slots__ = (
         "_handler",
+        "_head_gate",
         "_heartbeat_shards",
         "_stopping",
         "cell_key",
@@ -130,6 +131,8 @@
             shards=self._heartbeat_shards(),
             draining=self.is_draining,
             confirmed=self.watcher.is_confirmed,
+            head_version=max(self.watcher.head_version, self.peers.newest_head),
+            list_tag=self.peers.list_tag,
         )
 
     def _open_peers(self):
@@ -158,6 +161,17 @@
             self._count_bytes,
             (self.heartbeat, self.watcher.hear, self.watcher.count_pauses),
         )
+        self.peers.use_store_region(self._store_region)
+        self._head_gate = LookGate(self.clock, self.hears_store)
+
+    def hears_store(self):
+        """Return whether the store is far and a live placer near it is known."""
+        return self.peers.hears(self._store_region())
+
+    def _store_region(self):
+        if not self.watcher.sequence:
+            return ""
+        return self.watcher.bundle.store_region
 
     def _answer(self, payload, peer, traceparent):
         if isinstance(payload, Heartbeat):
@@ -188,12 +202,21 @@
 
     def _refresh(self):
         self.peers.refresh()
+        if self._head_gate.is_due(self._head_has_changed()):
+            self._look_at_head()
+        self.metrics.bundle_sequence.set(self.watcher.sequence)
+        set_process_fields(bundle_sequence=self.watcher.sequence)
+
+    def _head_has_changed(self):
+        watcher = self.watcher
+        is_behind = self.peers.newest_head > watcher.head_version
+        return is_behind or watcher.owes_word or not watcher.is_confirmed
+
+    def _look_at_head(self):
         try:
             self.watcher.refresh()
         except TableUnavailable:
             _LOG.debug("table down, bundle from peers only")
-        self.metrics.bundle_sequence.set(self.watcher.sequence)
-        set_process_fields(bundle_sequence=self.watcher.sequence)
 
     def _loop(self, step, seconds):
         while not self._stopping.is_set():
--- /dev/null
+++ b/papayapick/membership/looks.py
@@ -0,0 +1,43 @@
+"""Decide when a process far from the store looks at what it keeps there."""
+
+__all__ = ["LookGate"]
+
+_LONGEST_SECONDS = 20.0
+
+
+class LookGate:
+    """Let a look through where something may have changed.
+
+    Each look of a process in another region than the store's crosses the paid
+    link. Such a process hears from placers near the store whether the bundle's
+    head or the live list has changed, and looks then. Where it hears of none of
+    them, where it was paused, and from time to time in any case, it looks.
+
+    Parameters
+    ----------
+    clock : Clock
+    hears_store : callable
+        Returns whether a live placer of the store's region is known, False for
+        a process that stands there itself.
+    """
+
+    __slots__ = ("_clock", "_hears_store", "_looked")
+
+    def __init__(self, clock, hears_store):
+        self._clock = clock
+        self._hears_store = hears_store
+        self._looked = float("-inf")
+
+    def is_due(self, has_changed):
+        """Return whether to look now, and count the look as made.
+
+        Parameters
+        ----------
+        has_changed : bool
+        """
+        now = self._clock.monotonic()
+        is_quiet = self._hears_store() and not has_changed
+        if is_quiet and now - self._looked < _LONGEST_SECONDS:
+            return False
+        self._looked = now
+        return True
--- a/papayapick/membership/peers.py
+++ b/papayapick/membership/peers.py
@@ -4,6 +4,7 @@
 
 from papayapick.bundle import PeerHead
 from papayapick.membership.exceptions import ShardUnserved
+from papayapick.membership.looks import LookGate
 from papayapick.membership.relays import crosses
 from papayapick.membership.retelling import Retelling
 from papayapick.observability import get_logger
@@ -86,8 +87,10 @@
         "_executor",
         "_hear_bundle",
         "_host_list",
+        "_list_gate",
         "_listed_placers",
         "_lock",
+        "_newest_head",
         "_own_heartbeat",
         "_peers",
         "_retelling",
@@ -115,6 +118,8 @@
         self._hear_bundle = hear_bundle
         self._count_pauses = count_pauses
         self._listed_placers = 0
+        self._newest_head = 0
+        self._list_gate = LookGate(clock, lambda: False)
         self._retelling = Retelling(self)
         self._entries = []
         self._peers = {}
@@ -151,8 +156,36 @@
         """Return the live list as it was last read."""
         return self._entries
 
+    @property
+    def newest_head(self):
+        """Return the highest version of the bundle's head heard of."""
+        return self._newest_head
+
+    @property
+    def list_tag(self):
+        """Return the tag of the live list as last read."""
+        return self._host_list.tag
+
+    def hears(self, region):
+        """Return whether a live placer of another region is known."""
+        return region != self._settings.region and any(
+            peer.entry.region == region for peer in self.live()
+        )
+
+    def use_store_region(self, store_region):
+        """Look at the list less often while the store's region is heard.
+
+        Parameters
+        ----------
+        store_region : callable
+            Returns the region's name, empty where none is known yet.
+        """
+        self._list_gate = LookGate(self._clock, lambda: self.hears(store_region()))
+
     def refresh(self):
         """Read the list; start a task for each new placer, end those long gone."""
+        if not self._list_gate.is_due(self._list_has_changed()):
+            return
         try:
             entries = self._host_list.fetch()
         except HostListUnavailable:
@@ -247,6 +280,11 @@
         """Return the time between two heartbeats over the link."""
         return self._settings.heartbeat_seconds * _LINK_HEARTBEAT_FACTOR
 
+    def _list_has_changed(self):
+        own = self._host_list.tag
+        tags = {peer.heard.list_tag for peer in self.live()}
+        return bool(tags - {own, "", None})
+
     def _is_silent(self, peer):
         allowed = self._settings.dead_after_seconds
         if self.is_far(peer):
@@ -308,6 +346,7 @@
         if not isinstance(answer, Heartbeat):
             return
         now = self._clock.monotonic()
+        self._newest_head = max(self._newest_head, answer.head_version or 0)
         if not self.is_far(peer):
             peer.heard = answer
             peer.last_heard = now
--- a/papayapick/membership/retelling.py
+++ b/papayapick/membership/retelling.py
@@ -87,6 +87,7 @@
                     bundle_digest=answer.bundle_digest,
                     shards=found.shards,
                     draining=found.draining,
+                    list_tag=answer.list_tag,
                 )
                 peer.last_heard = heard_at
 
--- a/papayapick/placer/owners.py
+++ b/papayapick/placer/owners.py
@@ -2,6 +2,7 @@
 
 import threading
 
+from papayapick.membership import LookGate
 from papayapick.observability import get_logger
 from papayapick.ownership import (
     ShardNotOwned,
@@ -38,6 +39,7 @@
     __slots__ = (
         "_bucket",
         "_claimed",
+        "_gate",
         "_keeper",
         "_lock",
         "_on_lost",
@@ -55,6 +57,7 @@
         self._on_lost = on_lost
         self._shards = {}
         self._claimed = {}
+        self._gate = LookGate(process.clock, lambda: process.hears_store())
         self._taking = set()
         self._lock = threading.Lock()
 
@@ -86,6 +89,8 @@
         process = self._process
         if process.is_draining or not process.watcher.sequence:
             return
+        if not self._gate.is_due(self._may_have_changed()):
+            return
         pauses = process.pauses.count()
         rows = read_shards(process.table)
         self._confirm(rows, pauses)
@@ -198,6 +203,19 @@
             else:
                 shard.confirm(pauses)
 
+    def _may_have_changed(self):
+        """Return whether the rows may tell something that the peers don't."""
+        shards = self.shards
+        served = self._process.peers.serving()
+        return (
+            any(shard.needs_confirmation for shard in shards)
+            or bool(set(self._process.watcher.bundle.shards()) - set(served))
+            or any(
+                shard.name in served and served[shard.name][1].epoch > shard.epoch
+                for shard in shards
+            )
+        )
+
     def _should_take(self, row):
         process = self._process
         host = process.settings.host_name
--- a/papayapick/platforms/hosts.py
+++ b/papayapick/platforms/hosts.py
@@ -104,6 +104,11 @@
         self._tag = None
         self._entries = []
 
+    @property
+    def tag(self):
+        """Return the tag of the list as last fetched, empty before."""
+        return self._tag or ""
+
     def fetch(self):
         """Return the entries of the list.
 
