--- a/papayapick/placer/process.py
+++ b/papayapick/placer/process.py
@@ -1,6 +1,8 @@
 """Run the placer: own shards, grant slots, run durable work."""
 
 import json
+import threading
+from concurrent.futures import Future
 
 from papayapick.daemon import Process
 from papayapick.daemon.health import HealthServer
@@ -49,6 +51,7 @@
 
     __slots__ = (
         "_handover",
+        "_has_queued",
         "_health",
         "_jobs",
         "_keeper",
@@ -63,6 +66,7 @@
         self._process = Process(
             settings, PROGRAM, self.handle, self._summaries, clock=clock
         )
+        self._has_queued = threading.Event()
         process = self._process
         rate = settings.table_writes_per_second
         bucket = TokenBucket(rate, rate / 4 + 1, process.clock)
@@ -195,7 +199,10 @@
         policy = self._process.watcher.bundle.services.get(wanted.service)
         limit = policy.waiting_limit if policy else 0
         with self._process.metrics.decision_seconds.time():
-            return shard.desk.request(wanted, limit)
+            granted = shard.desk.request(wanted, limit)
+        if isinstance(granted, Future):
+            self._has_queued.set()
+        return granted
 
     def _submit(self, shard, wanted):
         shard.check_serving()
@@ -232,8 +239,13 @@
             )
 
     def _expire(self):
+        # Cleared before the look: what queues meanwhile sets it again.
+        self._process.clock.wait(self._has_queued, _IDLE_SECONDS)
+        self._has_queued.clear()
         for shard in self.shards:
             shard.desk.expire()
+            if any(load.waiting for load in shard.desk.loads()):
+                self._has_queued.set()
 
     def _answer_overdue(self):
         self._process.clock.wait(self._work.has_waiters, _IDLE_SECONDS)
