--- a/papayapick/journal/writer.py
+++ b/papayapick/journal/writer.py
@@ -185,9 +185,12 @@
         # one number would conflict and look like a newer owner.
         with self._writing:
             with self._lock:
-                self._wakeup.clear()
                 batch = self._entries[:_RECORDS_PER_SEGMENT]
                 del self._entries[: len(batch)]
+                if not self._entries:
+                    # What is left of a wave wakes the task again at once: it would
+                    # sleep a second after each segment.
+                    self._wakeup.clear()
                 self._is_writing = bool(batch)
             try:
                 if batch:
--- a/papayapick/placement/lanes.py
+++ b/papayapick/placement/lanes.py
@@ -34,6 +34,9 @@
     def __len__(self):
         return len(self._jobs)
 
+    def __iter__(self):
+        return iter(list(self._jobs))
+
     def __contains__(self, name):
         return name in self._jobs
 
--- a/papayapick/placement/queue.py
+++ b/papayapick/placement/queue.py
@@ -101,11 +101,18 @@
             heapq.heappush(self._deadlines, (job.deadline, job.name))
             self._added.append(job.name)
 
-    def discard(self, name):
-        """Let a job wait no longer."""
+    def discard_where(self, is_over):
+        """Let jobs wait no longer, all in one go.
+
+        Parameters
+        ----------
+        is_over : callable
+            Tells by the name of a job.
+        """
         with self._lock:
-            self._waiting.discard(name)
-            # It may have held room for itself.
+            for name in [name for name in self._waiting if is_over(name)]:
+                self._waiting.discard(name)
+            # One of them may have held room for itself.
             self._seen = None
 
     def adopt(self, running):
@@ -207,22 +214,28 @@
         due = len(self._waiting.due(now))
         is_same = self._seen == self._ledger.version and due == self._due_seen
         self._due_seen = due
+        running = self._running.values()
         added = [self._waiting.get(name) for name in self._added]
         added = [job for job in added if job is not None]
         if is_same and all(self._is_behind(job) for job in added):
             # The room and what waits for it are as they were: only what came
             # behind the first that waits may still fit.
             added.sort(key=lambda job: self._waiting.key(job.name))
-            return self._policy.choose_added(self._ledger, added, now) if added else []
-        running = self._running.values()
+            if not added:
+                return []
+            return self._policy.choose_added(self._ledger, added, running, now)
         return self._policy.choose(self._ledger, self._waiting.walk(now), running, now)
 
     def _is_behind(self, job):
-        """Note whether a job borrows; return whether it is behind the promised."""
+        """Note whether a job borrows; return whether it is behind the promised.
+
+        Where nothing is promised, no job that waits can start or be promised room
+        before something ends, and the order does not matter.
+        """
         job.is_borrowing = self._quotas.borrows(job.team, job.demand, job.members)
         first = self._waiting.get(self.promised)
         if first is None:
-            return False
+            return self.promised is None
         if first.is_borrowing != job.is_borrowing:
             return job.is_borrowing
         return self._waiting.key(job.name) > self._waiting.key(first.name)
--- a/papayapick/placement/starts.py
+++ b/papayapick/placement/starts.py
@@ -30,7 +30,7 @@
         now : float
         """
 
-    def choose_added(self, ledger, added, now):
+    def choose_added(self, ledger, added, running, now):
         """Return what starts of jobs that came since the last choice.
 
         Nothing else has changed, and each comes after one that had to wait.
@@ -55,7 +55,7 @@
             starts.append(RunningJob(job, places, now + job.run_seconds))
         return starts
 
-    def choose_added(self, ledger, added, now):
+    def choose_added(self, ledger, added, running, now):
         """Start none: they stand behind one that waits."""
         return []
 
@@ -78,7 +78,7 @@
                 starts.append(RunningJob(job, places, now + job.run_seconds))
         return starts
 
-    def choose_added(self, ledger, added, now):
+    def choose_added(self, ledger, added, running, now):
         """Start each that fits."""
         return self.choose(ledger, added, (), now)
 
@@ -126,12 +126,15 @@
                     self._waiting_rank = min(self._waiting_rank, job.rank)
         return starts
 
-    def choose_added(self, ledger, added, now):
-        """Fill behind the job that has a promise."""
+    def choose_added(self, ledger, added, running, now):
+        """Fill behind the job that has a promise, or promise one of these."""
         starts = []
         with ledger.lock:
             for job in added:
                 places = self._place(ledger, job, now)
+                if places is None and self.promised is None:
+                    found = itertools.chain(running, starts)
+                    places = self._promise(ledger, job, found, now)
                 if places is not None:
                     starts.append(RunningJob(job, places, now + job.run_seconds))
         return starts
--- a/papayapick/placer/jobs.py
+++ b/papayapick/placer/jobs.py
@@ -100,12 +100,16 @@
 
     @staticmethod
     def _choose_starts(shard, now):
+        def is_ended(name):
+            return shard.book.get(name).ended is not None
+
         starts = shard.jobs.choose_starts(now)
-        while (name := shard.jobs.promised) is not None:
-            if shard.book.get(name).ended is None:
-                break
-            # It was cancelled; what was held for it is free for others.
-            shard.jobs.discard(name)
+        name = shard.jobs.promised
+        if name is not None and is_ended(name):
+            # It was cancelled, and what was held for it is free for others. All
+            # that were cancelled with it go at once: a pass for each would hold up
+            # whatever else the process decides.
+            shard.jobs.discard_where(is_ended)
             starts += shard.jobs.choose_starts(now)
         return starts
 
--- a/tests/placement/test_gangs.py
+++ b/tests/placement/test_gangs.py
@@ -107,7 +107,7 @@
     queue.add(job("large", members=2, arrival=1.0))
     queue.add(job("long", seconds=500.0, arrival=2.0))
     assert queue.choose_starts(3.0) == []
-    queue.discard("large")
+    queue.discard_where(lambda name: name == "large")
     assert names_of(queue.choose_starts(4.0)) == ["long"]
 
 
