--- a/papayapick/management/commands/bundle.py
+++ b/papayapick/management/commands/bundle.py
@@ -22,10 +22,14 @@
 )
 from papayapick.management.exit_codes import EXIT_OK, EXIT_PARTLY, EXIT_SETTINGS
 from papayapick.management.peers import process_entries
+from papayapick.membership.commands import announce_head
+from papayapick.wire import CellKeys
+from papayapick.wire.messages import Hello
 
 __all__ = ["BundleCommand"]
 
 _LOOK_SECONDS = 0.1
+_ANNOUNCE_SECONDS = 1.0
 _LONGEST_WAIT_SECONDS = 3600
 
 
@@ -135,13 +139,17 @@
                 sequence=head.sequence + 1,
             )
             return EXIT_OK
+        # What can fail without harm fails before the proposal is written.
+        keys = CellKeys.from_file(settings.cell_key)
+        entries = hosts.fetch()
         proposal = propose(table, objects, envelope, self.operator(), self.clock.time())
-        names = _process_names(hosts)
+        names = _process_names(entries)
         missing = self._wait_for(table, names, proposal, states=None)
         if missing and not self.options["--force"]:
             withdraw(table, proposal)
             raise NotAcknowledged(hosts=", ".join(sorted(missing)))
         head = accept(table, proposal)
+        self._announce(keys, entries, head)
         self.output.write(
             f"accepted {digest} as sequence {head.sequence}",
             accepted=digest,
@@ -156,6 +164,10 @@
         )
         return EXIT_PARTLY if missing else EXIT_OK
 
+    def _announce(self, keys, entries, head):
+        identity = Hello(host=f"operator/{self.operator()}", region="", zone="")
+        announce_head(entries, head, keys, identity, _ANNOUNCE_SECONDS)
+
     def _wait_for(self, table, names, proposal, states):
         deadline = self.clock.monotonic() + self._patience()
         missing = set(names)
@@ -196,7 +208,7 @@
             proposal=head.proposal.as_mapping() if head.proposal else None,
         )
         seen = read_seen(table)
-        for name in _process_names(hosts):
+        for name in _process_names(hosts.fetch()):
             found = seen.get(name, {"sequence": 0, "state": "nothing"})
             self.output.write(
                 f"  {name}: {found['state']} {found['sequence']}", host=name, **found
@@ -223,8 +235,8 @@
     return found if isinstance(found, dict) else None
 
 
-def _process_names(hosts):
-    found = process_entries(hosts.fetch())
+def _process_names(entries):
+    found = process_entries(entries)
     return sorted(entry.name for entry in found if entry.is_live)
 
 
