Explain whether a waiting job has room held for it

Cause: a job that waits behind another one's promised start was told only that too few hosts have room, which can look wrong to an operator who sees room.

--- a/papayapick/placer/explanations.py
+++ b/papayapick/placer/explanations.py
@@ -78,7 +78,7 @@
 
 def _shortage(shard, item):
     if item.accepted.job:
-        return [_job_shortage(shard, item.accepted.job)]
+        return [_job_shortage(shard, item.accepted.job), *_turn(shard, item)]
     loads = {load.service: load for load in shard.desk.loads()}
     load = loads.get(item.accepted.name)
     if load is None:
@@ -100,3 +100,13 @@
         "open hosts have room for one now"
     )
     return Reason("waits.for-room", text)
+
+
+def _turn(shard, item):
+    promised = shard.jobs.promised
+    if promised is None:
+        return []
+    if promised == item.request_id:
+        return [Reason("waits.promised", "room is held for it; no other delays it")]
+    text = f"room is held for {promised}; others start only where they don't delay it"
+    return [Reason("waits.behind-promise", text)]
--- a/tests/management/test_request.py
+++ b/tests/management/test_request.py
@@ -84,6 +84,11 @@
         self.is_available = is_available
 
 
+class FakeJobs:
+    def __init__(self, promised):
+        self.promised = promised
+
+
 class FakeDesk:
     def __init__(self, *loads):
         self._loads = loads
@@ -97,7 +102,10 @@
 
     name = "a.0"
 
-    def __init__(self, closed=False, unconfirmed=False, journal=True, loads=()):
+    def __init__(
+        self, closed=False, unconfirmed=False, journal=True, loads=(), promised=None
+    ):
+        self.jobs = FakeJobs(promised)
         self.is_closed = closed
         self.needs_confirmation = unconfirmed
         self.journal = FakeJournal(journal)
@@ -117,6 +125,22 @@
     ("slot", FakeShard(loads=[LOAD]), None, [], ["waits.for-slot"], "0 slots free"),
     ("no instance", FakeShard(), None, [], ["waits.no-instance"], "another shard"),
     ("room", FakeShard(), JOB, [], ["waits.for-room"], "0 of 1 open hosts"),
+    (
+        "promised",
+        FakeShard(promised="r1"),
+        JOB,
+        [],
+        ["waits.for-room", "waits.promised"],
+        "open hosts",
+    ),
+    (
+        "behind",
+        FakeShard(promised="r0"),
+        JOB,
+        [],
+        ["waits.for-room", "waits.behind-promise"],
+        "open hosts",
+    ),
     ("never", FakeShard(), LARGE, [], ["waits.never-fits-shard"], "99000"),
     (
         "table down",
