Check that each process of the live list answers under the cell key

Change: process.W001 for a silent process and process.W002 for one with another bundle than the accepted; tried on the running cell with a right key, a foreign key (six silent) and a head that nobody has heard of (six behind).

--- a/papayapick/checks/__init__.py
+++ b/papayapick/checks/__init__.py
@@ -1,6 +1,6 @@
 """System checks with ids and hints, a module for each concern."""
 
-from papayapick.checks import bundles, keys, package, platform, settings
+from papayapick.checks import bundles, keys, package, platform, processes, settings
 from papayapick.checks.findings import Finding
 from papayapick.checks.queries import register, run_checks
 from papayapick.checks.surroundings import Surroundings
@@ -12,6 +12,7 @@
     "keys",
     "package",
     "platform",
+    "processes",
     "register",
     "run_checks",
     "settings",
--- /dev/null
+++ b/papayapick/checks/processes.py
@@ -0,0 +1,44 @@
+"""Check that the processes of the live list answer under the cell key."""
+
+import getpass
+
+from papayapick.bundle.queries import read_head
+from papayapick.checks.findings import Finding
+from papayapick.checks.queries import register
+from papayapick.management.peers import OperatorPeers
+from papayapick.platforms import TableUnavailable
+from papayapick.wire import CellKeyInvalid
+
+__all__ = ["check_processes"]
+
+
+@register
+def check_processes(surroundings):
+    """Find processes that are silent, or that run another bundle."""
+    if surroundings.settings is None or surroundings.entries is None:
+        return
+    try:
+        peers = OperatorPeers.from_config(
+            surroundings.settings, surroundings.entries, getpass.getuser()
+        )
+    except CellKeyInvalid:
+        # Told by the check of the keys.
+        return
+    with peers:
+        heartbeats = peers.heartbeats()
+    sequence = _sequence_of(surroundings)
+    for name, heartbeat in sorted(heartbeats.items()):
+        if heartbeat is None:
+            message = f"{name} is on the live list and does not answer"
+            hint = "look at the process, its peer address and its cell key"
+            yield Finding("process.W001", message, hint)
+        elif sequence is not None and heartbeat.bundle_sequence != sequence:
+            message = f"{name} runs bundle {heartbeat.bundle_sequence}, not {sequence}"
+            yield Finding("process.W002", message, "look again, then at its log")
+
+
+def _sequence_of(surroundings):
+    try:
+        return read_head(surroundings.table).sequence
+    except TableUnavailable:
+        return None
--- a/tests/checks/test_checks.py
+++ b/tests/checks/test_checks.py
@@ -4,14 +4,23 @@
 import json
 import os
 from email.utils import formatdate
+from pathlib import Path
 
 import pytest
 
-from papayapick.checks import Surroundings, bundles, keys, package, platform, settings
+from papayapick.checks import (
+    Surroundings,
+    bundles,
+    keys,
+    package,
+    platform,
+    processes,
+    settings,
+)
 from papayapick.checks.queries import run_checks
 from papayapick.clock import ManualClock
 from papayapick.conf import SETTINGS, Settings
-from papayapick.platforms import HostEntry, NotSent
+from papayapick.platforms import HostEntry, NotSent, Row
 from tests.cells import ROOT
 from tests.management.commands import in_cell, run_command
 
@@ -262,6 +271,46 @@
     ]
 
 
+PROCESSES = [
+    ("right", lambda environment, found: None, []),
+    (
+        "other key",
+        lambda environment, found: Path(environment["PAPAYAPICK_CELL_KEY"]).write_bytes(
+            base64.b64encode(b"n" * 32)
+        ),
+        ["process.W001"] * 6,
+    ),
+    (
+        "table ahead",
+        lambda environment, found: setattr(found, "table", Ahead()),
+        ["process.W002"] * 6,
+    ),
+]
+
+
+class Ahead:
+    """Hold a head that no process has heard of."""
+
+    def read(self, key):
+        value = {"sequence": 99, "digest": "d", "operator": "ana", "proposal": None}
+        return Row(key, value, 1)
+
+
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [row[1:] for row in PROCESSES],
+    ids=[row[0] for row in PROCESSES],
+)
+def test_processes_are_asked_under_the_key(footfall, tmp_path, change, expected):
+    key = tmp_path / "cell.key"
+    environment = footfall._environment()
+    key.write_bytes(Path(environment["PAPAYAPICK_CELL_KEY"]).read_bytes())
+    environment["PAPAYAPICK_CELL_KEY"] = str(key)
+    found = Surroundings([], True, environment)
+    change(environment, found)
+    assert ids(processes.check_processes(found)) == expected
+
+
 def test_running_cell_has_no_errors(footfall):
     found = in_cell(footfall, "check", "--deploy", "--json")
     assert found.code == 0, found.out
