Tell truthfully of rolls that are interrupted or lose the table

Cause: an outage after the acceptance ended a roll with table.unavailable and exit code 1, "failed", while the bundle was in force; a lost answer to the acceptance did the same with an outcome that nobody knows; a roll ended at the keyboard left its proposal open, which refuses other operators for 30 s.

Change: no word heard during an outage is "not heard from", code 3; a lost answer is command.roll-unsettled, code 4, with the hint to look first; an interruption withdraws the proposal. Each guard taken out is seen to fail its test; the test of the pipe had survived while it went through head, whose pipe takes all at once.

--- a/papayapick/management/commands/bundle.py
+++ b/papayapick/management/commands/bundle.py
@@ -18,11 +18,14 @@
 from papayapick.management.exceptions import (
     ArgumentInvalid,
     NotAcknowledged,
+    RollInterrupted,
+    RollUnsettled,
     SigningKeyInvalid,
 )
 from papayapick.management.exit_codes import EXIT_OK, EXIT_PARTLY, EXIT_SETTINGS
 from papayapick.management.peers import process_entries
 from papayapick.membership.commands import announce_head
+from papayapick.platforms import TableUnavailable
 from papayapick.wire import CellKeys
 from papayapick.wire.messages import Hello
 
@@ -144,11 +147,8 @@
         entries = hosts.fetch()
         proposal = propose(table, objects, envelope, self.operator(), self.clock.time())
         names = _process_names(entries)
-        missing = self._wait_for(table, names, proposal, states=None)
-        if missing and not self.options["--force"]:
-            withdraw(table, proposal)
-            raise NotAcknowledged(hosts=", ".join(sorted(missing)))
-        head = accept(table, proposal)
+        self._collect(table, names, proposal)
+        head = self._accept(table, proposal)
         self._announce(keys, entries, head)
         self.output.write(
             f"accepted {digest} as sequence {head.sequence}",
@@ -164,6 +164,28 @@
         )
         return EXIT_PARTLY if missing else EXIT_OK
 
+    def _collect(self, table, names, proposal):
+        try:
+            missing = self._wait_for(table, names, proposal, states=None)
+        except KeyboardInterrupt:
+            # An open proposal would refuse other operators until it lapses.
+            withdraw(table, proposal)
+            raise RollInterrupted() from None
+        if missing and not self.options["--force"]:
+            withdraw(table, proposal)
+            raise NotAcknowledged(hosts=", ".join(sorted(missing)))
+
+    @staticmethod
+    def _accept(table, proposal):
+        try:
+            return accept(table, proposal)
+        except TableUnavailable as error:
+            # It may have taken effect; "failed" would have the operator repeat
+            # it, or go on as if the old bundle were in force.
+            raise RollUnsettled(
+                digest=proposal.digest, sequence=proposal.sequence
+            ) from error
+
     def _announce(self, keys, entries, head):
         identity = Hello(host=f"operator/{self.operator()}", region="", zone="")
         announce_head(entries, head, keys, identity, _ANNOUNCE_SECONDS)
@@ -172,7 +194,7 @@
         deadline = self.clock.monotonic() + self._patience()
         missing = set(names)
         while True:
-            seen = read_seen(table)
+            seen = _seen_if_readable(table)
             for name in sorted(missing):
                 if _has_seen(seen.get(name), proposal, states):
                     missing.discard(name)
@@ -235,6 +257,15 @@
     return found if isinstance(found, dict) else None
 
 
+def _seen_if_readable(table):
+    # An outage while the words come in says nothing about the roll: what is
+    # accepted stays accepted, and nobody has been heard from.
+    try:
+        return read_seen(table)
+    except TableUnavailable:
+        return {}
+
+
 def _process_names(entries):
     found = process_entries(entries)
     return sorted(entry.name for entry in found if entry.is_live)
--- a/papayapick/management/exceptions.py
+++ b/papayapick/management/exceptions.py
@@ -11,6 +11,8 @@
     "NotAcknowledged",
     "OwnerMissing",
     "RequestIdInvalid",
+    "RollInterrupted",
+    "RollUnsettled",
     "SigningKeyInvalid",
 ]
 
@@ -75,3 +77,20 @@
 
     code = "command.signing-key-invalid"
     template = "{path} holds no unencrypted Ed25519 private key"
+
+
+class RollInterrupted(CommandError):
+    """Report a roll that its operator ended before the acceptance."""
+
+    code = "command.roll-interrupted"
+    template = "interrupted; the bundle was not accepted"
+
+
+class RollUnsettled(CommandError):
+    """Report an acceptance whose answer was lost."""
+
+    code = "command.roll-unsettled"
+    template = (
+        "the table did not answer; whether {digest} was accepted as sequence "
+        "{sequence} is not known; hint: papayapick bundle status"
+    )
--- a/papayapick/management/program.py
+++ b/papayapick/management/program.py
@@ -1,5 +1,6 @@
 """Run papayapick, the operators' command line."""
 
+import os
 import sys
 
 from docopt import DocoptExit, docopt
@@ -9,8 +10,12 @@
 from papayapick.exceptions import PapayapickError
 from papayapick.management.base import Output
 from papayapick.management.commands import COMMANDS
-from papayapick.management.exceptions import ArgumentInvalid, CommandUnknown
-from papayapick.management.exit_codes import EXIT_FAILED, EXIT_SETTINGS
+from papayapick.management.exceptions import (
+    ArgumentInvalid,
+    CommandUnknown,
+    RollUnsettled,
+)
+from papayapick.management.exit_codes import EXIT_FAILED, EXIT_SETTINGS, EXIT_UNKNOWN
 from papayapick.wire import PeerRefused
 
 __all__ = ["USAGE", "main", "run"]
@@ -30,7 +35,7 @@
   request  Show, explain and cancel durable requests.
 
 Each command has its own --help. Exit codes: 0 done, 1 refused or failed,
-2 wrong settings or arguments, 3 done but something did not answer.
+2 wrong settings or arguments, 3 done but something did not answer, 4 not known.
 """
 
 
@@ -57,6 +62,9 @@
     except (SettingsError, CommandUnknown, ArgumentInvalid) as error:
         stderr.write(f"{error.code}: {error}\n")
         return EXIT_SETTINGS
+    except RollUnsettled as error:
+        stderr.write(f"{error.code}: {error}\n")
+        return EXIT_UNKNOWN
     except PeerRefused as error:
         # Its text begins with the code of the error at the peer.
         stderr.write(f"{error}\n")
@@ -79,7 +87,14 @@
 
 def main():
     """Run the command line of this process."""
-    sys.exit(run(sys.argv[1:], sys.stdout, sys.stderr))
+    try:
+        code = run(sys.argv[1:], sys.stdout, sys.stderr)
+    except BrokenPipeError:
+        # Whoever read the output has seen enough, as `head` does; the
+        # interpreter would complain again when it flushes at its end.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = EXIT_FAILED
+    sys.exit(code)
 
 
 if __name__ == "__main__":
--- a/tests/management/test_program.py
+++ b/tests/management/test_program.py
@@ -1,12 +1,16 @@
 """Wrong command lines end with exit code 2, refusals with 1, on one line."""
 
 import json
+import os
+import subprocess
+import sys
 
 import pytest
 
 from papayapick.management.commands import COMMANDS
 from tests.management.commands import in_cell, run_command
 
+PROGRAM = "papayapick.management.program"
 WRONG = [
     ("no such command", ["nothing"], 2, "command.unknown"),
     ("no step", ["cell"], 2, "command.usage"),
@@ -95,3 +99,17 @@
         source = path
     assert sorted(json.loads(path.read_text())["signatures"]) == ["ana", "ben"]
     return path
+
+
+def test_reader_that_has_left_gets_no_traceback():
+    reader, writer = os.pipe()
+    os.close(reader)
+    found = subprocess.run(
+        [sys.executable, "-m", PROGRAM, "check", "--settings"],
+        stdout=writer,
+        stderr=subprocess.PIPE,
+        text=True,
+        timeout=60,
+    )
+    os.close(writer)
+    assert (found.returncode, found.stderr) == (1, "")
--- a/tests/management/test_roll.py
+++ b/tests/management/test_roll.py
@@ -9,15 +9,19 @@
 from papayapick.bundle import KeyRing, RollConflict, RollUnderWay, generate_key, sign
 from papayapick.bundle.commands import accept, acknowledge, propose
 from papayapick.bundle.documents import Bundle
-from papayapick.bundle.heads import IN_FORCE, VERIFIED
+from papayapick.bundle.heads import HEAD_KEY, IN_FORCE, VERIFIED
 from papayapick.bundle.queries import read_head
 from papayapick.bundle.signing import Envelope
 from papayapick.clock import ManualClock
 from papayapick.conf import Settings
 from papayapick.management.base import Output
 from papayapick.management.commands.bundle import BundleCommand
-from papayapick.management.exceptions import NotAcknowledged
-from papayapick.platforms import HostEntry
+from papayapick.management.exceptions import (
+    NotAcknowledged,
+    RollInterrupted,
+    RollUnsettled,
+)
+from papayapick.platforms import HostEntry, TableUnavailable
 from tests.cells import ROOT
 from tests.standins.board import FaultBoard
 from tests.standins.store import MemoryObjects, MemoryTable
@@ -175,3 +179,65 @@
     with pytest.raises(RollConflict, match="ben won"):
         desk.roll(force=True)
     assert read_head(desk.table).operator == "ben"
+
+
+def test_interrupted_roll_leaves_no_open_proposal(desk):
+    """
+    Another operator's urgent roll is refused for half a minute.
+    Order: ana's roll waits for a silent process; she ends it at the keyboard.
+    Cause: her proposal stays open until it lapses.
+    """
+
+    def interrupt():
+        raise KeyboardInterrupt
+
+    desk.clock.step = interrupt
+    with pytest.raises(RollInterrupted):
+        desk.roll()
+    assert read_head(desk.table).proposal is None
+
+
+def test_outage_after_the_acceptance_is_not_told_as_a_failure(desk):
+    """
+    An operator is told that a roll failed, and it is in force.
+    Order: the bundle is accepted; the table goes down while words come in.
+    Cause: an error of the look in place of "not heard from".
+    """
+    look = desk.clock.step
+
+    def look_until_accepted():
+        look()
+        if read_head(desk.table).sequence:
+            desk.table.board.set("table", "down")
+            desk.clock.step = lambda: None
+
+    desk.processes.deaf_once_accepted = set(NAMES)
+    desk.clock.step = look_until_accepted
+    assert desk.roll() == 3
+    assert desk.lines[-1]["not_heard_from"] == list(NAMES)
+    desk.table.board.clear()
+    assert read_head(desk.table).sequence == 1
+
+
+def test_acceptance_without_an_answer_is_told_as_unknown(desk):
+    """
+    An operator repeats a roll that took effect, or believes one that did not.
+    Order: all acknowledge; the table takes the acceptance and answers no more.
+    Cause: a lost answer told as a refusal.
+    """
+    transact, read = desk.table.transact, desk.table.read
+
+    def answer_no_more(*ignored):
+        raise TableUnavailable()
+
+    def lose_the_acceptance(conditions, writes):
+        transact(conditions, writes)
+        if writes[0].key == HEAD_KEY and not writes[0].value["proposal"]:
+            desk.table.read = desk.table.transact = answer_no_more
+            answer_no_more()
+
+    desk.table.transact = lose_the_acceptance
+    with pytest.raises(RollUnsettled, match="not known"):
+        desk.roll()
+    desk.table.read, desk.table.transact = read, transact
+    assert read_head(desk.table).sequence == 1
