--- a/papayapick/journal/entries.py
+++ b/papayapick/journal/entries.py
@@ -12,10 +12,11 @@
     ``settled`` gets True or False once it is known.
     """
 
-    __slots__ = ("record", "settled", "written")
+    __slots__ = ("must_last", "record", "settled", "written")
 
-    def __init__(self, record):
+    def __init__(self, record, must_last=False):
         self.record = record
+        self.must_last = must_last
         self.written = Future()
         self.settled = Future()
 
--- a/papayapick/journal/writer.py
+++ b/papayapick/journal/writer.py
@@ -152,7 +152,7 @@
                 raise JournalFenced(shard=self._owned.shard)
             if self._is_settling and not must_last:
                 raise JournalUnavailable(shard=self._owned.shard)
-            entry = Entry(record)
+            entry = Entry(record, must_last)
             self._entries.append(entry)
         self._wakeup.set()
         return entry
@@ -285,7 +285,7 @@
         # The write may have taken effect, and may still take effect later. An
         # empty segment under the same key decides it: either it is created, and
         # the late write fails on the existing row, or the first one is there.
-        self._is_settling = True
+        self._refuse_queued()
         _LOG.warning("journal unsettled", extra={"shard": self._owned.shard})
         for entry in batch:
             entry.written.set_exception(JournalUnsettled(shard=self._owned.shard))
@@ -309,6 +309,16 @@
                 entry.settled.set_result(was_written)
             return
 
+    def _refuse_queued(self):
+        # What came while the write was under way would wait behind it for as
+        # long as the outage; none of it has left this process.
+        with self._lock:
+            self._is_settling = True
+            refused = [entry for entry in self._entries if not entry.must_last]
+            self._entries = [entry for entry in self._entries if entry.must_last]
+        for entry in refused:
+            entry.fail(JournalUnavailable(shard=self._owned.shard))
+
     def _decide(self, key, batch):
         try:
             self._create(key, [])
--- a/tests/failures/lives.py
+++ b/tests/failures/lives.py
@@ -65,6 +65,8 @@
         self.failing_object_read = 0
         self.object_reads = 0
         self.dead = threading.Event()
+        self._held = 0
+        self._go = threading.Event()
         self._late = []
         self._lock = threading.Lock()
 
@@ -109,13 +111,28 @@
             raise AnswerMissing(url=url)
         return answer
 
+    def hold(self, number):
+        """Let an operation wait until ``let_go``."""
+        self._held = number
+        self._go.clear()
+
+    def let_go(self):
+        self._go.set()
+
+    def wait_for_operations(self, count):
+        while len(self.operations) < count:
+            self.dead.wait(0.002)
+
     def _next_fault(self, method, url):
         is_watched = method != "GET" and any(part in url for part in WATCHED)
         with self._lock:
             if not self.is_armed or not is_watched or url.endswith("/fence"):
                 return None
             self.operations.append(url)
-            return self.faults.get(len(self.operations))
+            number = len(self.operations)
+        if number == self._held:
+            self._go.wait(SECONDS)
+        return self.faults.get(number)
 
     def _die(self):
         self.dead.set()
--- a/tests/failures/test_store_outage.py
+++ b/tests/failures/test_store_outage.py
@@ -125,3 +125,20 @@
         life.settle()
         assert all(item.ended for item in items)
         assert cell.platform.table.writes - writes <= 8 + 1
+
+
+def test_record_queued_behind_a_lost_answer_is_refused_at_once():
+    """A second refresh is queued at the moment the table goes down.
+
+    It stood behind the first, whose fate takes as long as the outage, and its
+    caller was left to a timeout ("unknown") though nothing had been written.
+    """
+    with PartsCell() as cell:
+        life = cell.start("placer-1", dict.fromkeys(range(1, 12), DOWN))
+        life.pool.hold(1)
+        first = life.submit(key="k1")
+        life.pool.wait_for_operations(1)
+        second = life.submit(key="k2")
+        life.pool.let_go()
+        assert isinstance(first.exception(5), JournalUnsettled)
+        assert isinstance(second.exception(5), JournalUnavailable)
