--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -20,6 +20,7 @@
 from papayapick.placement import PowerOfTwo
 from papayapick.placer.slots import SlotDesk
 from papayapick.platforms import HostEntry
+from papayapick.quotas import QuotaBook
 from papayapick.wire.messages import SlotRequest
 
 SEED = 7
@@ -31,7 +32,15 @@
 
 
 def main():
-    rows = [*_ledger(), *_slots(), *_work(), *_bundle(), *_live_list(), *_leases()]
+    rows = [
+        *_ledger(),
+        *_slots(),
+        *_work(),
+        *_bundle(),
+        *_live_list(),
+        *_leases(),
+        *_quotas(),
+    ]
     print_rows(rows)
 
 
@@ -263,6 +272,29 @@
     yield _row("lease renewal, a task", (whole - bare) / LEASED, "bytes", size)
 
 
+def _quotas():
+    teams = {f"team-{n}": {"processors": 1000 * n} for n in range(TEAMS)}
+    tracemalloc.start()
+    before = _held()
+    book = QuotaBook()
+    book.use("digest", teams, 52)
+    for name in teams:
+        book.start(name, DEMAND, 1)
+    per_team = (_held() - before) / TEAMS
+    tracemalloc.stop()
+
+    def use(number):
+        book.use(f"digest-{number}", teams, 52)
+
+    def ask(number):
+        book.borrows(f"team-{number % TEAMS}", DEMAND, 3)
+
+    size = f"{TEAMS} teams"
+    yield _row("quotas, a team", per_team, "bytes", size)
+    yield _row("quotas taken from a bundle", _microseconds(use, 50), "us", size)
+    yield _row("whether a job borrows", _microseconds(ask, 5000), "us", size)
+
+
 def _held():
     return tracemalloc.get_traced_memory()[0]
 
