Relays proved with a manual clock; the paid link measured beside the way before

Cause: a relay hears its own word again over loopback. A word told again also grew younger by the fraction of a millisecond that its age was rounded down.

Change: a near teller's tag is not taken for a far placer's, ages are rounded up, an older word never replaces a newer.

--- a/papayapick/membership/peers.py
+++ b/papayapick/membership/peers.py
@@ -120,7 +120,7 @@
         self._listed_placers = 0
         self._newest_head = 0
         self._list_gate = LookGate(clock, lambda: False)
-        self._retelling = Retelling(self)
+        self._retelling = Retelling(self, clock)
         self._entries = []
         self._peers = {}
         self._lock = threading.Lock()
--- a/papayapick/membership/retelling.py
+++ b/papayapick/membership/retelling.py
@@ -1,11 +1,16 @@
 """Tell the own region of far placers, and other regions of the own."""
 
+import math
+
 from papayapick.membership.relays import summary_of
-from papayapick.wire.messages import Heartbeat
+from papayapick.wire.messages import Heartbeat, ShardSummary
 
 __all__ = ["Retelling"]
 
 _FRESH_BEATS = 2.5
+# Another region needs to know at once who serves what, but of loads only about
+# how much room there is: under load they change with every heartbeat.
+_LOADS_SECONDS = 5.0
 
 
 class Retelling:
@@ -18,12 +23,15 @@
     Parameters
     ----------
     peers : Peers
+    clock : Clock
     """
 
-    __slots__ = ("_peers", "_told")
+    __slots__ = ("_clock", "_peers", "_said", "_told")
 
-    def __init__(self, peers):
+    def __init__(self, peers, clock):
         self._peers = peers
+        self._clock = clock
+        self._said = (None, float("-inf"), None)
         self._told = {}
 
     def known_version(self, peer):
@@ -49,11 +57,12 @@
             answer.shards = None
         if not found:
             return
-        version, placers = summary_of(found)
+        version, placers = summary_of(found) if is_near else self._say(found)
         answer.summary_version = version
         if is_near:
             oldest = max(self._peers.silence(peer) for peer in found)
-            answer.summary_age_milliseconds = int(oldest * 1000)
+            # Rounded up, so that no word grows younger when it is told again.
+            answer.summary_age_milliseconds = math.ceil(oldest * 1000)
         if version != known:
             answer.placers = placers
 
@@ -73,24 +82,42 @@
         if told is None or told[0] != answer.summary_version:
             told = (answer.summary_version, answer.placers or [])
             self._told[teller.name] = told
+        # A near teller's tag is in its own heartbeat. Taken for a far placer's,
+        # it would hide from a relay that asks itself that the list has changed.
+        list_tag = answer.list_tag if self._peers.is_far(teller) else None
         heard_at = now - (answer.summary_age_milliseconds or 0) / 1000
         known = {peer.name: peer for peer in self._peers.peers()}
         for found in told[1]:
             peer = known.get(found.host)
             if peer is None or not self._peers.is_far(peer):
                 continue
-            # The word of two relays may come in either order.
-            if heard_at >= peer.last_heard or peer.heard is None:
+            # The word of two relays may come in either order, and this process,
+            # which asks itself as well, hears its own word again.
+            if heard_at > peer.last_heard or peer.heard is None:
                 peer.heard = Heartbeat(
                     host=found.host,
                     bundle_sequence=answer.bundle_sequence,
                     bundle_digest=answer.bundle_digest,
                     shards=found.shards,
                     draining=found.draining,
-                    list_tag=answer.list_tag,
+                    list_tag=list_tag,
                 )
                 peer.last_heard = heard_at
 
+    def _say(self, found):
+        """Return the summary for other regions, its loads a little old."""
+        now = self._clock.monotonic()
+        served = {
+            (peer.name, bool(peer.heard.draining), shard.shard, shard.epoch)
+            for peer in found
+            for shard in peer.heard.shards or [ShardSummary(shard="", epoch=0)]
+        }
+        said, since, summary = self._said
+        if served != said or now - since >= _LOADS_SECONDS:
+            summary = summary_of(found)
+            self._said = (served, now, summary)
+        return summary
+
     def _heard_over_link(self):
         # What others told this process is not told again: its age would be lost.
         allowed = self._peers.link_seconds * _FRESH_BEATS
--- /dev/null
+++ b/tests/membership/parts.py
@@ -0,0 +1,168 @@
+"""Processes of two regions that exchange real heartbeats by hand, in one thread."""
+
+from concurrent.futures import Executor
+from types import SimpleNamespace
+
+from papayapick.clock import ManualClock
+from papayapick.membership import Peers
+from papayapick.platforms import HostListUnavailable
+from papayapick.platforms.hosts import HostEntry
+from papayapick.wire import PeerTimeout
+from papayapick.wire.codec import decode, encode
+from papayapick.wire.messages import Heartbeat, ServiceLoad, ShardSummary
+
+HEARTBEAT, DEAD_AFTER = 0.5, 3.0
+SOUTH, NORTH = "south-tas", "north-tas"
+
+
+class Idle(Executor):
+    """Run no task: tests step the peers themselves."""
+
+    def submit(self, *task, **options):
+        return None
+
+
+class SharedList:
+    """Hold the lines; each process's copy may lag behind or be down."""
+
+    def __init__(self):
+        self.entries = []
+        self.is_down = False
+        self.tag = ""
+        self.fetched = 0
+
+    def fetch(self):
+        self.fetched += 1
+        if self.is_down:
+            raise HostListUnavailable()
+        return list(self.entries)
+
+
+class Member:
+    """One process: its peers, and what it says of itself."""
+
+    def __init__(self, world, name, kind, region, zone, shards=()):
+        self.world = world
+        self.name = name
+        self.shards = list(shards)
+        self.is_down = False
+        self.draining = False
+        self.host_list = SharedList()
+        settings = SimpleNamespace(
+            host_name=name,
+            region=region,
+            heartbeat_seconds=HEARTBEAT,
+            dead_after_seconds=DEAD_AFTER,
+        )
+        self.entry = HostEntry(name, kind, "live", name + ":1", region, zone)
+        self.peers = Peers(
+            self.host_list,
+            lambda address: Line(world, self, address[0]),
+            self.heartbeat,
+            world.clock,
+            Idle(),
+            settings,
+            lambda head, fetch: None,
+        )
+
+    def heartbeat(self):
+        return Heartbeat(
+            host=self.name,
+            bundle_sequence=1,
+            draining=self.draining,
+            list_tag=self.host_list.tag,
+            shards=[
+                ShardSummary(
+                    shard=shard,
+                    epoch=epoch,
+                    loads=[ServiceLoad(service="counts", free_slots=9, waiting=0)],
+                )
+                for shard, epoch in self.shards
+            ],
+        )
+
+    def answer(self, question, asker):
+        answer = self.heartbeat()
+        self.peers.add_summary(answer, question.known or 0, asker.entry.region)
+        return answer
+
+    def live(self):
+        return sorted(peer.name for peer in self.peers.live())
+
+
+class Line:
+    """Carry real messages to another member and count their bytes."""
+
+    def __init__(self, world, asker, name):
+        self.world, self.asker, self.name = world, asker, name
+
+    def ask(self, question, seconds):
+        world, peer = self.world, self.world.members[self.name]
+        is_far = peer.entry.region != self.asker.entry.region
+        if peer.is_down or (is_far and world.is_link_cut):
+            raise PeerTimeout(address=self.name, seconds=seconds)
+        sent = encode(1, question)
+        received = encode(1, peer.answer(decode(sent)[1], self.asker))
+        if is_far:
+            world.link_bytes += len(sent) + len(received)
+            world.crossings.append((self.asker.name, self.name))
+        return decode(received)[1]
+
+    def close(self):
+        """Hold nothing open."""
+
+
+class World:
+    """All members, their clock and the link between the regions."""
+
+    def __init__(self):
+        self.clock = ManualClock(1000.0)
+        self.members = {}
+        self.is_link_cut = False
+        self.link_bytes = 0
+        self.crossings = []
+
+    @classmethod
+    def of(cls, north=3, south=6, gateways=1):
+        """Return placers and gateways of two regions that know each other."""
+        world = cls()
+        for region, count in ((NORTH, north), (SOUTH, south)):
+            for number in range(count):
+                name = f"placer-{region}-{number}"
+                shards = [(f"{region}.{number}", 1)]
+                world.add(name, "placer", region, shards)
+            for number in range(gateways):
+                world.add(f"gateway-{region}-{number}", "gateway", region)
+        world.list_all()
+        world.run(6)
+        return world
+
+    def add(self, name, kind, region, shards=()):
+        member = Member(self, name, kind, region, region, shards)
+        self.members[name] = member
+        return member
+
+    def list_all(self):
+        entries = [member.entry for member in self.members.values()]
+        for member in self.members.values():
+            member.host_list.entries = entries
+            member.peers.refresh()
+
+    def run(self, seconds):
+        """Let all members that are up exchange heartbeats for so long."""
+        for _ in range(round(seconds / HEARTBEAT)):
+            for member in self.members.values():
+                if not member.is_down:
+                    for peer in member.peers.peers():
+                        member.peers.step(peer)
+            self.clock.advance(HEARTBEAT)
+
+    def names(self, region):
+        return sorted(
+            name
+            for name, member in self.members.items()
+            if member.entry.region == region and member.entry.kind == "placer"
+        )
+
+    def all_placers(self):
+        return sorted(self.names(NORTH) + self.names(SOUTH))
