--- a/papayapick/placement/starts.py
+++ b/papayapick/placement/starts.py
@@ -11,6 +11,7 @@
 __all__ = ["Backfill", "FirstComeFirstServed", "FirstThatFits", "StartPolicy"]
 
 _LOOKS = 256
+_NO_RANK = 3
 _NOTHING = Amounts()
 
 
@@ -29,7 +30,7 @@
         now : float
         """
 
-    def choose_added(self, ledger, added, now):
+    def choose_added(self, ledger, added, running, now):
         """Return what starts of jobs that came since the last choice.
 
         Nothing else has changed, and each comes after one that had to wait.
@@ -54,7 +55,7 @@
             starts.append(RunningJob(job, places, now + job.run_seconds))
         return starts
 
-    def choose_added(self, ledger, added, now):
+    def choose_added(self, ledger, added, running, now):
         """Start none: they stand behind one that waits."""
         return []
 
@@ -77,7 +78,7 @@
                 starts.append(RunningJob(job, places, now + job.run_seconds))
         return starts
 
-    def choose_added(self, ledger, added, now):
+    def choose_added(self, ledger, added, running, now):
         """Start each that fits."""
         return self.choose(ledger, added, (), now)
 
@@ -96,14 +97,14 @@
         Jobs looked at in one pass.
     """
 
-    __slots__ = ("_held", "_hosts", "_looks", "_refused", "_urgent_waits", "promised")
+    __slots__ = ("_held", "_hosts", "_looks", "_refused", "_waiting_rank", "promised")
 
     def __init__(self, hosts=None, looks=_LOOKS):
         self._hosts = hosts or Tightest()
         self._looks = looks
         self._held = {}
         self._refused = set()
-        self._urgent_waits = False
+        self._waiting_rank = _NO_RANK
         self.promised = None
 
     def choose(self, ledger, waiting, running, now):
@@ -111,7 +112,7 @@
         starts = []
         self.promised = None
         self._refused = set()
-        self._urgent_waits = False
+        self._waiting_rank = _NO_RANK
         with ledger.lock:
             self._hold(ledger, {})
             running = list(running)
@@ -121,23 +122,27 @@
                     places = self._promise(ledger, job, running + starts, now)
                 if places is not None:
                     starts.append(RunningJob(job, places, now + job.run_seconds))
-                self._urgent_waits |= job.is_urgent and places is None
+                if places is None:
+                    self._waiting_rank = min(self._waiting_rank, job.rank)
         return starts
 
-    def choose_added(self, ledger, added, now):
-        """Fill behind the job that has a promise."""
+    def choose_added(self, ledger, added, running, now):
+        """Fill behind the job that has a promise, or promise one of these."""
         starts = []
         with ledger.lock:
             for job in added:
                 places = self._place(ledger, job, now)
+                if places is None and self.promised is None:
+                    found = itertools.chain(running, starts)
+                    places = self._promise(ledger, job, found, now)
                 if places is not None:
                     starts.append(RunningJob(job, places, now + job.run_seconds))
         return starts
 
     def _place(self, ledger, job, now):
         is_short = self._is_short(job, now)
-        if self._urgent_waits and job.can_pause and not is_short:
-            # It would be paused again for the urgent job behind the first.
+        if job.can_pause and job.rank > self._waiting_rank and not is_short:
+            # It would be paused again for another that waits behind the first.
             return None
         shape = (job.demand, job.members, job.avoid, is_short, self.promised is None)
         if shape in self._refused:
