Only placers that take shards are candidates for them

Cause: a placer without a bundle answers heartbeats and takes nothing; chosen as the preferred owner it left its shards unserved while all others waited for it. One that the list names as leaving was chosen like any other.

Change: ownership.candidates, used for takeovers: drains not, has a bundle, is not named as leaving unless all are. Seen to fail: without the first two the draining and the bundleless case; without the list the leaving case; without the way out, a list that calls every placer leaving.

Touched outside this part: placer/owners.py (uses it).

--- a/papayapick/ownership/__init__.py
+++ b/papayapick/ownership/__init__.py
@@ -1,6 +1,6 @@
 """Which placer serves a shard of hosts, and at which epoch."""
 
-from papayapick.ownership.assignments import preferred_owner, shard_of
+from papayapick.ownership.assignments import candidates, preferred_owner, shard_of
 from papayapick.ownership.commands import claim, release
 from papayapick.ownership.exceptions import (
     OwnershipError,
@@ -18,6 +18,7 @@
     "ShardNotOwned",
     "ShardRow",
     "TakeoverLost",
+    "candidates",
     "claim",
     "preferred_owner",
     "read_shard",
--- a/papayapick/ownership/assignments.py
+++ b/papayapick/ownership/assignments.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-__all__ = ["preferred_owner", "shard_of", "zone_of"]
+__all__ = ["candidates", "preferred_owner", "shard_of", "zone_of"]
 
 
 def _score(*parts):
@@ -33,6 +33,31 @@
     return shard.rpartition(".")[0]
 
 
+def candidates(peers):
+    """Return the placers that may be given shards.
+
+    One that drains, or has no bundle yet, answers heartbeats and takes nothing:
+    chosen as the preferred owner it would leave its shards unserved. One that
+    the list names as leaving is chosen only where no other answers, since the
+    list may be wrong.
+
+    Parameters
+    ----------
+    peers : list of Peer
+        Those that answer.
+
+    Returns
+    -------
+    list of HostEntry
+    """
+    able = [
+        peer.entry
+        for peer in peers
+        if not peer.heard.draining and peer.heard.bundle_sequence
+    ]
+    return [entry for entry in able if entry.is_live] or able
+
+
 def preferred_owner(shard, placers):
     """Return the placer that should serve a shard, the same to all who look.
 
--- a/papayapick/placer/owners.py
+++ b/papayapick/placer/owners.py
@@ -7,6 +7,7 @@
 from papayapick.ownership import (
     ShardNotOwned,
     TakeoverLost,
+    candidates,
     claim,
     preferred_owner,
     read_shards,
@@ -221,11 +222,7 @@
         host = process.settings.host_name
         if self.get(row.shard) is not None:
             return False
-        # One that drains answers heartbeats still, but takes nothing any more.
-        placers = [
-            peer.entry for peer in process.peers.live() if not peer.heard.draining
-        ]
-        if preferred_owner(row.shard, placers) != host:
+        if preferred_owner(row.shard, candidates(process.peers.live())) != host:
             return False
         if row.owner in ("", host):
             # Its own name on a shard it does not serve: an earlier life's.
