Reserve what tasks of a kind were seen to use

Change: ObservedQuantile, by shard and kind of job; a task proved to use more than reserved has its reservation raised. JobRunner reserves, starts and learns by it. The calls to workers moved to placer/members.py and what is kept for accelerators to ledger/kept.py, as both files had grown.

--- a/papayapick/ledger/hosts.py
+++ b/papayapick/ledger/hosts.py
@@ -1,10 +1,10 @@
 """Reserve room on workers before anything starts there."""
 
 import threading
-from collections import Counter
 
 from papayapick.ledger.amounts import Amounts
 from papayapick.ledger.exceptions import HostFull, HostUnknown, ReservationUnknown
+from papayapick.ledger.kept import KeptRoom
 from papayapick.ledger.rooms import RoomIndex
 
 __all__ = ["HostLedger"]
@@ -58,9 +58,8 @@
 
     __slots__ = (
         "_accelerated",
-        "_capacities",
         "_hosts",
-        "_kept_percent",
+        "_kept",
         "_lock",
         "_plain",
         "_reservations",
@@ -71,10 +70,9 @@
     def __init__(self, kept_percent=KEPT_PERCENT):
         self._hosts = {}
         self._reservations = {}
-        self._capacities = Counter()
         self._plain = RoomIndex()
         self._accelerated = RoomIndex()
-        self._kept_percent = kept_percent
+        self._kept = KeptRoom(kept_percent)
         self._shown = _NOTHING
         self._version = 0
         self._lock = threading.RLock()
@@ -104,10 +102,10 @@
             host = self._hosts.get(name)
             if host is None:
                 self._hosts[name] = _Host(name, capacity)
-                self._capacities[capacity] += 1
+                self._kept.add(capacity)
             elif host.capacity != capacity:
-                self._capacities[capacity] += 1
-                self._forget_capacity(host.capacity)
+                self._kept.add(capacity)
+                self._kept.forget(host.capacity)
                 free = host.free + capacity - host.capacity
                 host.capacity = capacity
                 self._change(host, free)
@@ -143,7 +141,7 @@
         with self._lock:
             self.close(name)
             host = self._hosts.pop(name)
-            self._forget_capacity(host.capacity)
+            self._kept.forget(host.capacity)
             for reservation in host.reservations:
                 del self._reservations[reservation]
 
@@ -243,7 +241,7 @@
         str or None
         """
         with self._lock:
-            if self._may_use_kept(demand):
+            if self._kept.may_use(demand):
                 name = self._accelerated.find(demand)
                 if name is not None:
                     return name
@@ -264,16 +262,33 @@
         Amounts
         """
         host = self._host(name)
-        if not host.capacity.accelerators or self._may_use_kept(demand):
+        if not host.capacity.accelerators or self._kept.may_use(demand):
             return free
-        return free - self._kept(host.capacity, free)
+        return free - self._kept.amounts(host.capacity, free)
 
-    def _may_use_kept(self, demand):
-        # Work that no host could hold beside idle accelerators would never run.
-        return demand.accelerators or not any(
-            demand.fits_in(capacity - self._kept(capacity, capacity))
-            for capacity in self._capacities
-        )
+    def grow(self, reservation, used):
+        """Raise a reservation to what its task is proved to use; never lower it.
+
+        The host runs it, whatever the ledger thinks; a free amount below zero
+        keeps new work away.
+        """
+        with self._lock:
+            if reservation not in self._reservations:
+                return
+            host, demand = self._reservations[reservation]
+            grown = Amounts(
+                max(demand.processors, used.processors),
+                max(demand.memory, used.memory),
+                max(demand.accelerators, used.accelerators),
+            )
+            if grown != demand:
+                self._reservations[reservation] = (host, grown)
+                self._change(host, host.free + demand - grown)
+
+    def capacities(self):
+        """Return the different capacities of the hosts."""
+        with self._lock:
+            return self._kept.capacities
 
     def may_hold(self, demand, members):
         """Return whether so many members fit in all free room taken together.
@@ -290,18 +305,13 @@
     def could_hold(self, demand):
         """Return whether any host could hold a demand if it were empty."""
         with self._lock:
-            return any(demand.fits_in(capacity) for capacity in self._capacities)
+            return self._kept.could_hold(demand)
 
     def _host(self, name):
         if name not in self._hosts:
             raise HostUnknown(host=name)
         return self._hosts[name]
 
-    def _forget_capacity(self, capacity):
-        self._capacities[capacity] -= 1
-        if not self._capacities[capacity]:
-            del self._capacities[capacity]
-
     def _take(self, host, reservation, demand):
         self._reservations[reservation] = (host, demand)
         host.reservations.add(reservation)
@@ -327,17 +337,6 @@
             self._plain.add(host.name, shown, _WITHOUT_ACCELERATORS)
             return
         self._accelerated.add(host.name, shown)
-        rest = shown - self._kept(host.capacity, shown)
+        rest = shown - self._kept.amounts(host.capacity, shown)
         if _NOTHING.fits_in(rest):
             self._plain.add(host.name, rest, shown.accelerators)
-
-    def _kept(self, capacity, free):
-        """Return what other work leaves to the free accelerators of a host."""
-        if not capacity.accelerators:
-            return _NOTHING
-        share = max(0, free.accelerators) * self._kept_percent
-        whole = capacity.accelerators * 100
-        return Amounts(
-            capacity.processors * share // whole,
-            capacity.memory * share // whole,
-        )
--- /dev/null
+++ b/papayapick/ledger/kept.py
@@ -0,0 +1,66 @@
+"""Keep room beside free accelerators for the work that needs them."""
+
+from collections import Counter
+
+from papayapick.ledger.amounts import Amounts
+
+__all__ = ["KeptRoom"]
+
+_NOTHING = Amounts()
+
+
+class KeptRoom:
+    """Know the capacities of the hosts, and what of each other work leaves free.
+
+    Parameters
+    ----------
+    percent : int
+        Of each free accelerator's share of its host's processors and memory.
+    """
+
+    __slots__ = ("_capacities", "_percent")
+
+    def __init__(self, percent):
+        self._capacities = Counter()
+        self._percent = percent
+
+    @property
+    def capacities(self):
+        """Return the different capacities of the hosts."""
+        return list(self._capacities)
+
+    def add(self, capacity):
+        """Count a host."""
+        self._capacities[capacity] += 1
+
+    def forget(self, capacity):
+        """Count a host no longer."""
+        self._capacities[capacity] -= 1
+        if not self._capacities[capacity]:
+            del self._capacities[capacity]
+
+    def could_hold(self, demand):
+        """Return whether any host could hold a demand if it were empty."""
+        return any(demand.fits_in(capacity) for capacity in self._capacities)
+
+    def may_use(self, demand):
+        """Return whether a demand may use what is kept.
+
+        Besides work for accelerators this is work that no host could hold beside
+        idle accelerators: it would never run.
+        """
+        return demand.accelerators or not any(
+            demand.fits_in(capacity - self.amounts(capacity, capacity))
+            for capacity in self._capacities
+        )
+
+    def amounts(self, capacity, free):
+        """Return what other work leaves to the free accelerators of a host."""
+        if not capacity.accelerators:
+            return _NOTHING
+        share = max(0, free.accelerators) * self._percent
+        whole = capacity.accelerators * 100
+        return Amounts(
+            capacity.processors * share // whole,
+            capacity.memory * share // whole,
+        )
--- a/papayapick/placement/jobs.py
+++ b/papayapick/placement/jobs.py
@@ -163,6 +163,11 @@
         self.is_given_up = False
         self.is_pausing = False
 
+    @property
+    def tasks(self):
+        """Return the names of the members' tasks."""
+        return [place.task for place in self.places]
+
 
 class JobOrder(Protocol):
     """Give the place of a job in the queue; it never changes while it waits."""
--- a/papayapick/placer/jobs.py
+++ b/papayapick/placer/jobs.py
@@ -6,14 +6,9 @@
 from papayapick.journal import Ended, JournalError, JournalUnsettled, Started
 from papayapick.ledger import Amounts
 from papayapick.observability import get_logger
-from papayapick.ownership import LeaseBook
 from papayapick.placement import Place, RunningJob, WaitingJob
-from papayapick.platforms import (
-    PlatformError,
-    StaleEpoch,
-    TaskRefused,
-    WorkerUnreachable,
-)
+from papayapick.placer.members import JobMembers
+from papayapick.platforms import PlatformError
 
 __all__ = ["JobRunner"]
 
@@ -25,8 +20,6 @@
 # after it had stopped some members.
 _ENDED_EARLY = ("lapsed", "stopped", "checkpointed")
 _RUN_SECONDS = 3600.0
-# Clocks of workers and placers drift apart by at most this share.
-_DRIFT = 0.02
 
 
 class JobRunner:
@@ -39,15 +32,12 @@
     desk : WorkDesk
     """
 
-    __slots__ = ("_desk", "_leases", "_process", "_workers")
+    __slots__ = ("_desk", "_members", "_process")
 
     def __init__(self, process, workers, desk):
         self._process = process
-        self._workers = workers
         self._desk = desk
-        self._leases = LeaseBook(
-            process.clock, process.settings.task_lease_seconds, _DRIFT
-        )
+        self._members = JobMembers(process, workers)
 
     def run(self, shard, item):
         """Let a job wait for room, and start whatever fits now."""
@@ -67,9 +57,7 @@
     def renew(self, shard):
         """Renew the leases of a shard's tasks and collect what has ended."""
         jobs = shard.jobs.running
-        reports = {}
-        for worker, tasks in _tasks_by_worker(jobs).items():
-            reports.update(self._renew_worker(shard, worker, tasks))
+        reports = self._members.renew(shard, jobs)
         for running in jobs:
             item = shard.book.get(running.job.name)
             if item.started is None or item.ended is not None:
@@ -83,7 +71,7 @@
 
     def start_waiting(self, shard):
         """Start the waiting jobs whose turn it is and that fit."""
-        if shard.is_closed:
+        if shard.is_closed or shard.is_leaving:
             return
         now = self._process.clock.time()
         shard.jobs.use_bundle(self._process.watcher.bundle)
@@ -135,9 +123,10 @@
     def _job(self, shard, item):
         policy = self._process.watcher.bundle.jobs.get(item.accepted.name)
         is_urgent = policy is not None and policy.urgency == _URGENT
+        declared = Amounts.from_mapping(item.accepted.job["demand"])
         return WaitingJob(
             item.request_id,
-            Amounts.from_mapping(item.accepted.job["demand"]),
+            shard.estimates.estimate(item.accepted.name, declared),
             item.accepted.job["members"],
             policy.run_seconds if policy else _RUN_SECONDS,
             self._process.clock.time(),
@@ -194,32 +183,18 @@
     def _start_members(self, shard, item, running):
         # From here on a member may run, whatever becomes of the others.
         item.may_have_run = True
-        demand = item.accepted.job["demand"]
-        lease = self._process.settings.task_lease_seconds
-        running.heard = self._process.clock.monotonic()
-        for task in _tasks(running):
-            self._leases.note_start(task)
-        for number, place in enumerate(running.places):
-            work = dict(item.accepted.job.get("work", {}))
-            if running.job.checkpoints:
-                work["checkpoint"] = running.job.checkpoints[number]
-            entry = shard.entries[place.host]
-            self._leases.note_start(place.task)
-            try:
-                self._workers.start(entry, shard.epoch, place.task, demand, lease, work)
-            except (StaleEpoch, TaskRefused, WorkerUnreachable) as error:
-                _LOG.info("member not started", extra={"error": str(error)})
-                now = self._process.clock.time()
-                shard.failures.note_refusal(place.host, item.request_id, now)
-                self._give_up(shard, item, running)
-                return
+        work = item.accepted.job.get("work", {})
+        refused_by = self._members.start(shard, running, work)
+        if refused_by is not None:
+            _LOG.info("member not started", extra={"host": refused_by})
+            now = self._process.clock.time()
+            shard.failures.note_refusal(refused_by, item.request_id, now)
+            self._give_up(shard, item, running)
 
     def _pause(self, shard, running):
         item = shard.book.get(running.job.name)
         try:
-            for place in running.places:
-                entry = shard.entries[place.host]
-                self._workers.checkpoint(entry, shard.epoch, [place.task])
+            self._members.checkpoint(shard, running)
         except PlatformError as error:
             # Some members may run on: the job ends as any that is given up, and
             # is run again from its start.
@@ -229,39 +204,21 @@
         self._resume_later(shard, item, running)
 
     def _resume_later(self, shard, item, running):
-        self._leases.forget(_tasks(running))
+        self._members.forget(running)
         shard.jobs.finish(item.request_id)
         shard.jobs.add(running.job.paused())
         self._process.executor.submit(self.start_waiting, shard)
 
-    def _renew_worker(self, shard, worker, tasks):
-        entry = shard.entries.get(worker)
-        if entry is None:
-            return {}
-        try:
-            reports = self._renew_or_ask(entry, shard.epoch, tasks)
-        except PlatformError:
-            return {}
-        self._leases.note_answer(tasks)
-        return {report.task: report for report in reports}
-
-    def _renew_or_ask(self, entry, epoch, tasks):
-        if self._leases.are_silent(tasks):
-            # Each renewal may reach the worker and be answered into the void;
-            # only once they end can the lease be known to be over. A fence
-            # tells whether the worker is back and prolongs nothing.
-            return self._workers.fence(entry, epoch)
-        self._leases.note_renewal(tasks)
-        lease = self._process.settings.task_lease_seconds
-        return self._workers.renew(entry, epoch, tasks, lease)
-
     def _collect(self, shard, item, running, reports):
         reported = [reports.get(place.task) for place in running.places]
         if all(report and report.state == "done" for report in reported):
-            for place in running.places:
+            for place, report in zip(running.places, reported, strict=True):
                 shard.failures.note_success(place.host)
+                if report.usage:
+                    used = Amounts.from_mapping(report.usage)
+                    shard.estimates.note(item.accepted.name, used)
             shard.jobs.finish(item.request_id)
-            self._leases.forget(_tasks(running))
+            self._members.forget(running)
             results = {report.task: report.result for report in reported}
             self.end(shard, item, DONE, results=results)
             return
@@ -277,12 +234,10 @@
         ]
         for host in failed:
             shard.failures.note_failure(host, item.request_id, now)
-        if None not in reported:
-            running.heard = self._process.clock.monotonic()
         lapsed = any(report and report.state in _ENDED_EARLY for report in reported)
         if failed or lapsed:
             self._give_up(shard, item, running)
-        elif self._is_lease_over(running.heard):
+        elif self._members.is_silent(running):
             for place, report in zip(running.places, reported, strict=True):
                 if report is None:
                     shard.failures.note_refusal(place.host, item.request_id, now)
@@ -291,20 +246,13 @@
             # A run past its bound would put off what was promised its room.
             self._give_up(shard, item, running, "work.run-time-over")
 
-    def _is_lease_over(self, since):
-        lease = self._process.settings.task_lease_seconds * (1 + _DRIFT)
-        return self._process.clock.monotonic() > since + lease
-
     def _give_up(self, shard, item, running, detail=""):
-        # No member may run on while the others are started elsewhere. Where a stop
-        # is not confirmed, the lease must be over, counted from its last renewal:
-        # so it is renewed no more. Counted from the start, the task of a worker
-        # that was cut off would still run under the lease it was given last.
+        # No member may run on while the others are started elsewhere: until all
+        # have ended the job is kept, and its leases are renewed no more.
         running.is_given_up = True
-        stopped = self._stop_all(shard, running)
-        if not stopped and not self._leases.are_over(_tasks(running)):
+        if not self._members.stop(shard, running):
             return
-        self._leases.forget(_tasks(running))
+        self._members.forget(running)
         shard.jobs.finish(item.request_id)
         if detail:
             self.end(shard, item, FAILED, detail)
@@ -315,31 +263,6 @@
         else:
             self._desk.enqueue(shard, item, _RETRY_SECONDS)
 
-    def _stop_all(self, shard, running):
-        confirmed = True
-        for place in running.places:
-            entry = shard.entries.get(place.host)
-            if entry is None:
-                confirmed = False
-                continue
-            try:
-                self._workers.stop(entry, shard.epoch, [place.task])
-            except PlatformError:
-                confirmed = False
-        return confirmed
-
-
-def _tasks(running):
-    return [place.task for place in running.places]
-
-
-def _tasks_by_worker(jobs):
-    found = {}
-    for running in jobs:
-        for place in running.places if not running.is_given_up else ():
-            found.setdefault(place.host, []).append(place.task)
-    return found
-
 
 def _text_of(body):
     return base64.b64encode(body.encode()).decode()
--- a/papayapick/placer/shards.py
+++ b/papayapick/placer/shards.py
@@ -1,5 +1,6 @@
 """Hold one shard while this process owns it."""
 
+from papayapick.estimates import ObservedQuantile
 from papayapick.journal import Journal, WorkBook
 from papayapick.ledger import Amounts, HostLedger, SlotLedger
 from papayapick.ownership import OwnershipUnconfirmed
@@ -37,6 +38,7 @@
         "book",
         "desk",
         "entries",
+        "estimates",
         "failures",
         "hosts",
         "is_leaving",
@@ -50,6 +52,7 @@
         self.hosts = HostLedger()
         self.jobs = JobQueue(self.hosts)
         self.failures = FailureBook(self.hosts)
+        self.estimates = ObservedQuantile(self.hosts)
         self.desk = SlotDesk(
             row.shard,
             row.epoch,
--- a/tests/standins/workers.py
+++ b/tests/standins/workers.py
@@ -128,6 +128,7 @@
                 "task": task.name,
                 "state": task.ended or "running",
                 "demand": task.demand,
+                "usage": task.work.get("usage", {}),
                 "result": "ok" if task.ended == "done" else "",
             }
             for task in tasks
