--- a/papayapick/ledger/__init__.py
+++ b/papayapick/ledger/__init__.py
@@ -4,6 +4,7 @@
 from papayapick.ledger.exceptions import (
     HostFull,
     HostUnknown,
+    JobNeverFits,
     LedgerError,
     NeverFits,
     ReservationUnknown,
@@ -16,6 +17,7 @@
     "HostFull",
     "HostLedger",
     "HostUnknown",
+    "JobNeverFits",
     "LedgerError",
     "NeverFits",
     "ReservationUnknown",
--- a/papayapick/ledger/exceptions.py
+++ b/papayapick/ledger/exceptions.py
@@ -5,6 +5,7 @@
 __all__ = [
     "HostFull",
     "HostUnknown",
+    "JobNeverFits",
     "LedgerError",
     "NeverFits",
     "ReservationUnknown",
@@ -44,3 +45,9 @@
     code = "ledger.never-fits"
     template = "no host of the cell could hold {demand}"
     outcome = "not_run"
+
+
+class JobNeverFits(NeverFits):
+    """Report a job whose members its shard could never hold all at once."""
+
+    template = "shard {shard} could never hold {members} members of {demand}"
--- a/papayapick/ledger/hosts.py
+++ b/papayapick/ledger/hosts.py
@@ -302,10 +302,10 @@
                 and demand.accelerators * members <= self._shown.accelerators
             )
 
-    def could_hold(self, demand):
-        """Return whether any host could hold a demand if it were empty."""
+    def could_hold(self, demand, members=1):
+        """Return whether the hosts could hold so many members if all were empty."""
         with self._lock:
-            return self._kept.could_hold(demand)
+            return self._kept.could_hold(demand, members)
 
     def _host(self, name):
         if name not in self._hosts:
--- a/papayapick/ledger/kept.py
+++ b/papayapick/ledger/kept.py
@@ -39,9 +39,12 @@
         if not self._capacities[capacity]:
             del self._capacities[capacity]
 
-    def could_hold(self, demand):
-        """Return whether any host could hold a demand if it were empty."""
-        return any(demand.fits_in(capacity) for capacity in self._capacities)
+    def could_hold(self, demand, members=1):
+        """Return whether the hosts could hold so many members if all were empty."""
+        found = 0
+        for capacity, hosts in self._capacities.items():
+            found += hosts * _times(demand, capacity, members)
+        return found >= members
 
     def may_use(self, demand):
         """Return whether a demand may use what is kept.
@@ -64,3 +67,15 @@
             capacity.processors * share // whole,
             capacity.memory * share // whole,
         )
+
+
+def _times(demand, capacity, most):
+    """Return how often a demand fits in a capacity, at most so often."""
+    if not demand.fits_in(capacity):
+        return 0
+    parts = (
+        (capacity.processors, demand.processors),
+        (capacity.memory, demand.memory),
+        (capacity.accelerators, demand.accelerators),
+    )
+    return min([most, *(there // needed for there, needed in parts if needed)])
--- a/papayapick/placer/process.py
+++ b/papayapick/placer/process.py
@@ -6,7 +6,7 @@
 
 from papayapick.daemon import Process
 from papayapick.daemon.health import HealthServer
-from papayapick.ledger import Amounts, NeverFits
+from papayapick.ledger import Amounts, JobNeverFits, NeverFits
 from papayapick.limits import TokenBucket
 from papayapick.observability import get_logger, log_fields
 from papayapick.placer.explanations import explain, reasons_as_text
@@ -209,13 +209,14 @@
         bundle = self._process.watcher.bundle
         if wanted.kind == _JOB:
             policy = bundle.jobs[wanted.name]
-            self._check_holdable(wanted)
+            self._check_holdable(shard, wanted)
         else:
             policy = bundle.services[wanted.name]
         return self._work.submit(shard, wanted, policy)
 
-    def _check_holdable(self, wanted):
-        demand = Amounts.from_mapping(json.loads(wanted.job)["demand"])
+    def _check_holdable(self, shard, wanted):
+        job = json.loads(wanted.job)
+        demand = Amounts.from_mapping(job["demand"])
         capacities = [
             Amounts.from_mapping(entry.capacity)
             for entry in self._process.peers.entries
@@ -223,6 +224,10 @@
         ]
         if not any(demand.fits_in(capacity) for capacity in capacities):
             raise NeverFits(demand=demand)
+        members = job["members"]
+        if not shard.hosts.could_hold(demand, members):
+            # It would wait for its deadline: a job stays within its shard.
+            raise JobNeverFits(shard=shard.name, members=members, demand=demand)
 
     def _query(self, shard, query):
         item = self._work.find(shard, query.request_id)
--- a/tests/placer/test_jobs.py
+++ b/tests/placer/test_jobs.py
@@ -1,7 +1,11 @@
 """Jobs run whole, once, and end truthfully whatever their workers do."""
 
+from concurrent.futures import Future
+from types import SimpleNamespace
+
 import pytest
 
+from papayapick.journal import Ended
 from papayapick.ledger import Amounts
 from tests.placer.jobcells import LEASE_SECONDS, JobCell
 
@@ -221,3 +225,46 @@
     cell.desk.cancel(cell.shard, "large")
     cell.run_for(3)
     assert cell.ended("small") == ("done", "")
+
+
+def test_an_outcome_whose_write_was_lost_is_written_again():
+    """A caller asks for a job for ever and hears that it runs.
+
+    It has ended, but the table was down and its outcome was never written. The
+    job holds no room, so nothing looks at it again.
+    """
+    cell = cell_of(1)
+    cell.submit("a", processors=4000, work={"run_seconds": 2})
+    cell.step()
+    cell.shard.journal = LosingJournal(cell.shard.journal)
+    cell.run_for(5)
+    (lost,) = cell.shard.journal.lost
+    assert cell.ended("a") is None
+    lost.settled.set_result(False)
+    assert cell.ended("a") == ("done", "")
+
+
+class LosingJournal:
+    """Leave the fate of the first outcome open."""
+
+    def __init__(self, journal):
+        self.journal = journal
+        self.lost = []
+
+    def append(self, record, must_last=False):
+        if isinstance(record, Ended) and not self.lost:
+            self.lost.append(SimpleNamespace(settled=Future()))
+            return self.lost[0]
+        return self.journal.append(record, must_last)
+
+
+@pytest.mark.parametrize(
+    ("members", "processors", "holds"),
+    [(8, 1000, True), (9, 1000, False), (2, 3000, True), (3, 3000, False)],
+)
+def test_a_job_that_its_shard_can_never_hold_is_known_at_once(
+    members, processors, holds
+):
+    """A job of nine members waits for a day on a shard that holds eight."""
+    hosts = cell_of(2).shard.hosts
+    assert hosts.could_hold(Amounts(processors), members) is holds
