Call the workers of jobs side by side

Cause: renewals, starts and stops of a shard's jobs went from worker to worker in one thread. A worker that is gone answers by a timeout of a second; a rack of eight, and the stops of its jobs, outlast the ten seconds of all other leases. The new test holds one worker's call until the other was called: with the calls one after the other it printed "assert None == ('done', '')".

Ruled out: shorter timeouts (a slow answer would count as a lost worker).

Change: up to 32 calls at once on the process's executor, for renewals, for settling jobs and for starts.

--- a/papayapick/placer/jobs.py
+++ b/papayapick/placer/jobs.py
@@ -8,7 +8,7 @@
 from papayapick.observability import get_logger
 from papayapick.placement import Place, RunningJob, WaitingJob
 from papayapick.placer.exceptions import OutcomeUnsettled
-from papayapick.placer.members import JobMembers
+from papayapick.placer.members import JobMembers, in_parallel
 from papayapick.platforms import PlatformError
 
 __all__ = ["JobRunner"]
@@ -59,17 +59,23 @@
         """Renew the leases of a shard's tasks and collect what has ended."""
         jobs = shard.jobs.running
         reports = self._members.renew(shard, jobs)
-        for running in jobs:
-            item = shard.book.get(running.job.name)
-            if item.started is None or item.ended is not None:
-                continue
-            if running.is_given_up:
-                self._give_up(shard, item, running)
-            elif not running.is_pausing:
-                self._collect(shard, item, running, reports)
+
+        def settle(running):
+            self._settle(shard, running, reports)
+
+        in_parallel(self._process.executor, settle, jobs)
         shard.failures.probe(self._process.clock.time())
         self._process.executor.submit(self.start_waiting, shard)
 
+    def _settle(self, shard, running, reports):
+        item = shard.book.get(running.job.name)
+        if item.started is None or item.ended is not None:
+            return
+        if running.is_given_up:
+            self._give_up(shard, item, running)
+        elif not running.is_pausing:
+            self._collect(shard, item, running, reports)
+
     def start_waiting(self, shard):
         """Start the waiting jobs whose turn it is and that fit."""
         if shard.is_closed or shard.is_leaving:
@@ -81,9 +87,13 @@
         starts = self._choose_starts(shard, now)
         # All are journaled together: they share a segment, and so one write.
         entries = [(start, self._journal_start(shard, start)) for start in starts]
-        for start, entry in entries:
+
+        def start_one(found):
+            start, entry = found
             if entry is not None and self._is_durable(shard, start, entry):
                 self._start_members(shard, shard.book.get(start.job.name), start)
+
+        in_parallel(self._process.executor, start_one, entries)
         for running in shard.jobs.choose_pauses(now):
             self._process.executor.submit(self._pause, shard, running)
 
--- a/papayapick/placer/members.py
+++ b/papayapick/placer/members.py
@@ -4,8 +4,10 @@
 from papayapick.ownership import LeaseBook
 from papayapick.platforms import PlatformError
 
-__all__ = ["JobMembers"]
+__all__ = ["JobMembers", "in_parallel"]
 
+# Calls of workers under way at once; the executor serves peers as well.
+_CALLS = 32
 # Clocks of workers and placers drift apart by at most this share.
 _DRIFT = 0.02
 
@@ -19,10 +21,11 @@
     workers : WorkerClient
     """
 
-    __slots__ = ("_clock", "_lease_seconds", "_leases", "_workers")
+    __slots__ = ("_clock", "_executor", "_lease_seconds", "_leases", "_workers")
 
     def __init__(self, process, workers):
         self._clock = process.clock
+        self._executor = process.executor
         self._workers = workers
         self._lease_seconds = process.settings.task_lease_seconds
         self._leases = LeaseBook(self._clock, self._lease_seconds, _DRIFT)
@@ -63,14 +66,23 @@
     def renew(self, shard, jobs):
         """Renew the leases of jobs that are not given up.
 
+        Workers are called side by side: those of a rack that went answer only
+        after a timeout each, and one after the other they would outlast the leases
+        of all other workers.
+
         Returns
         -------
         dict of str to TaskReport
             By task; a worker that did not answer is missing.
         """
         reports = {}
-        for worker, tasks in _tasks_by_worker(jobs).items():
+
+        def renew_worker(found):
+            worker, tasks = found
             reports.update(self._renew_worker(shard, worker, tasks))
+
+        calls = list(_tasks_by_worker(jobs).items())
+        in_parallel(self._executor, renew_worker, calls)
         for running in jobs:
             if all(task in reports for task in running.tasks):
                 running.heard = self._clock.monotonic()
@@ -144,6 +156,26 @@
         return self._workers.renew(entry, epoch, tasks, self._lease_seconds)
 
 
+def in_parallel(executor, call, items):
+    """Call with each item, at most 32 at once; return when all are done.
+
+    Parameters
+    ----------
+    executor : concurrent.futures.Executor
+    call : callable
+    items : list
+    """
+
+    def call_each(part):
+        for item in part:
+            call(item)
+
+    parts = [items[start::_CALLS] for start in range(min(_CALLS, len(items)))]
+    futures = [executor.submit(call_each, part) for part in parts]
+    for future in futures:
+        future.result()
+
+
 def _tasks_by_worker(jobs):
     found = {}
     for running in jobs:
--- a/tests/placer/jobcells.py
+++ b/tests/placer/jobcells.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import random
+from concurrent.futures import Future
 from types import SimpleNamespace
 
 from papayapick.bundle import Bundle
@@ -29,7 +30,9 @@
 
 class InlineExecutor:
     def submit(self, call, *arguments):
-        call(*arguments)
+        done = Future()
+        done.set_result(call(*arguments))
+        return done
 
 
 class WorkersPool:
--- a/tests/placer/test_jobs.py
+++ b/tests/placer/test_jobs.py
@@ -1,15 +1,18 @@
 """Jobs run whole, once, and end truthfully whatever their workers do."""
 
-from concurrent.futures import Future
+import threading
+from concurrent.futures import Future, ThreadPoolExecutor
 from types import SimpleNamespace
 
 import pytest
 
 from papayapick.journal import Ended
 from papayapick.ledger import Amounts
+from papayapick.platforms import WorkerUnreachable
 from tests.placer.jobcells import LEASE_SECONDS, JobCell
 
 WORKER = Amounts(4000, 8192)
+STALL_SECONDS = 5
 
 
 def cell_of(workers, capacity=WORKER):
@@ -268,3 +271,41 @@
     """A job of nine members waits for a day on a shard that holds eight."""
     hosts = cell_of(2).shard.hosts
     assert hosts.could_hold(Amounts(processors), members) is holds
+
+
+class StallingPool:
+    """Hold the call of one worker until the other worker has been called."""
+
+    def __init__(self, pool):
+        self.pool = pool
+        self.first = None
+        self.other = threading.Event()
+
+    def request(self, method, url, data):
+        if not url.endswith("/leases"):
+            return self.pool.request(method, url, data)
+        self.first = self.first or url
+        if url != self.first:
+            self.other.set()
+        elif not self.other.wait(STALL_SECONDS):
+            raise WorkerUnreachable(worker=url)
+        return self.pool.request(method, url, data)
+
+
+def test_workers_that_do_not_answer_hold_up_no_others_lease():
+    """A rack goes, and jobs on sound workers end with it.
+
+    Each lost worker answers by a timeout. Called one after the other they take
+    longer than a lease, and the leases of all others lapse meanwhile.
+    """
+    cell = cell_of(2)
+    cell.submit("a", members=2, processors=4000, work={"run_seconds": 1})
+    cell.step()
+    stalling = StallingPool(cell.pool)
+    cell.client._pool = stalling
+    cell.clock.advance(2.0)
+    with ThreadPoolExecutor(8) as executor:
+        cell.runner._members._executor = executor
+        cell.runner.renew(cell.shard)
+    assert stalling.other.is_set()
+    assert cell.ended("a") == ("done", "")
