--- a/papayapick/placer/process.py
+++ b/papayapick/placer/process.py
@@ -88,6 +88,7 @@
         )
         self._requests = RequestRunner(process, slots, instances, self._work)
         self._jobs = JobRunner(process, workers, self._work)
+        process.metrics.owned_shards.set_function(lambda: len(self.shards))
         self._health = HealthServer(process, self.is_ready)
 
     @classmethod
@@ -174,7 +175,6 @@
         self._owner.own()
         if not self._process.is_draining:
             self._handover.give_back()
-        self._process.metrics.owned_shards.set(len(self.shards))
 
     def refresh_hosts(self):
         """Bring the hosts of the owned shards in step with the live list."""
--- a/tests/failures/lives.py
+++ b/tests/failures/lives.py
@@ -227,7 +227,9 @@
             watcher=SimpleNamespace(bundle=cell.bundle, sequence=1),
         )
         self.instances = instances = InstanceClient(self.pool)
-        keeper = HostKeeper(WorkerClient(self.pool), instances, process.executor)
+        self.keeper = keeper = HostKeeper(
+            WorkerClient(self.pool), instances, process.executor
+        )
         self.desk = WorkDesk(process)
         slots = DeskSlots(self)
         self.runner = RequestRunner(process, slots, instances, self.desk)
@@ -244,6 +246,10 @@
         self._armed = faults
         self.shard = self.owner.take(row)
 
+    def refresh(self):
+        """Look at the hosts again, as the placer does at each poll."""
+        self.keeper.refresh(self.shard, self.process.peers.entries, 1)
+
     def submit(self, service=ONCE, key="k1", payload=b"1", wait=8.0):
         """Hand work to the desk as a gateway would."""
         if not self.pool.is_armed:
