--- a/tests/failures/lives.py
+++ b/tests/failures/lives.py
@@ -237,6 +237,7 @@
         bucket = TokenBucket(1e6, 1e6, cell.clock)
         self.owner = ShardOwner(process, keeper, bucket, self._resume, self._left)
         self.shard = None
+        self._closed = []
 
     def take(self, name, faults):
         row = read_shard(self.process.table, name)
@@ -334,8 +335,9 @@
         """Drop the process: none of its threads does anything any more."""
         self.pool.dead.set()
         self.process.is_stopping.set()
-        if self.shard is not None:
-            self.shard.journal.close()
+        shards = {self.shard, *self.owner.shards, *self._closed} - {None}
+        for shard in shards:
+            shard.journal.close()
         self.process.executor.shutdown(wait=False, cancel_futures=True)
 
     def _run(self, shard, item):
@@ -365,4 +367,5 @@
                 self.runner.recover(shard, item)
 
     def _left(self, shard):
+        self._closed.append(shard)
         self.desk.leave(shard)
