--- a/tests/failures/lives.py
+++ b/tests/failures/lives.py
@@ -227,7 +227,9 @@
             watcher=SimpleNamespace(bundle=cell.bundle, sequence=1),
         )
         self.instances = instances = InstanceClient(self.pool)
-        keeper = HostKeeper(WorkerClient(self.pool), instances, process.executor)
+        self.keeper = keeper = HostKeeper(
+            WorkerClient(self.pool), instances, process.executor
+        )
         self.desk = WorkDesk(process)
         slots = DeskSlots(self)
         self.runner = RequestRunner(process, slots, instances, self.desk)
@@ -235,6 +237,7 @@
         bucket = TokenBucket(1e6, 1e6, cell.clock)
         self.owner = ShardOwner(process, keeper, bucket, self._resume, self._left)
         self.shard = None
+        self._closed = []
 
     def take(self, name, faults):
         row = read_shard(self.process.table, name)
@@ -244,6 +247,10 @@
         self._armed = faults
         self.shard = self.owner.take(row)
 
+    def refresh(self):
+        """Look at the hosts again, as the placer does at each poll."""
+        self.keeper.refresh(self.shard, self.process.peers.entries, 1)
+
     def submit(self, service=ONCE, key="k1", payload=b"1", wait=8.0):
         """Hand work to the desk as a gateway would."""
         if not self.pool.is_armed:
@@ -328,8 +335,9 @@
         """Drop the process: none of its threads does anything any more."""
         self.pool.dead.set()
         self.process.is_stopping.set()
-        if self.shard is not None:
-            self.shard.journal.close()
+        shards = {self.shard, *self.owner.shards, *self._closed} - {None}
+        for shard in shards:
+            shard.journal.close()
         self.process.executor.shutdown(wait=False, cancel_futures=True)
 
     def _run(self, shard, item):
@@ -359,4 +367,5 @@
                 self.runner.recover(shard, item)
 
     def _left(self, shard):
+        self._closed.append(shard)
         self.desk.leave(shard)
