--- a/papayapick/membership/retelling.py
+++ b/papayapick/membership/retelling.py
@@ -10,7 +10,7 @@
 _FRESH_BEATS = 2.5
 # Another region needs to know at once who serves what, but of loads only about
 # how much room there is: under load they change with every heartbeat.
-_LOADS_SECONDS = 5.0
+_LOADS_SECONDS = 10.0
 
 
 class Retelling:
