--- a/papayapick/placement/queue.py
+++ b/papayapick/placement/queue.py
@@ -217,6 +217,8 @@
         running = self._running.values()
         added = [self._waiting.get(name) for name in self._added]
         added = [job for job in added if job is not None]
+        # Where none but these wait, the first of them has its turn.
+        is_same = is_same and len(self._waiting) > len(added)
         if is_same and all(self._is_behind(job) for job in added):
             # The room and what waits for it are as they were: only what came
             # behind the first that waits may still fit.
--- a/tests/placement/test_gangs.py
+++ b/tests/placement/test_gangs.py
@@ -8,6 +8,7 @@
 from papayapick.placement import (
     Backfill,
     DeadlineOrder,
+    FirstComeFirstServed,
     FirstThatFits,
     JobQueue,
     Tightest,
@@ -254,3 +255,17 @@
         queue.add(running.job.paused())
         starts += names_of(queue.choose_starts(3.0))
     assert starts == ["rush-1", "rush-2"]
+
+
+@pytest.mark.parametrize("policy", [Backfill, FirstComeFirstServed, FirstThatFits])
+def test_a_job_that_comes_to_an_empty_queue_starts(policy):
+    """A job waits although the cell idles, until another comes or ends.
+
+    Nothing has changed since the last look but that the job came, and it was taken
+    for one that stands behind another.
+    """
+    queue = JobQueue(ledger_of(2), policy())
+    queue.add(job("first"))
+    assert names_of(queue.choose_starts(0.0)) == ["first"]
+    queue.add(job("second"))
+    assert names_of(queue.choose_starts(1.0)) == ["second"]
