Refuse at once what is over the gateway's own queue

Cause: a request waits for a thread in the HTTP server's queue before anything of ours sees it.

Ruled out: more threads (they share one interpreter lock); refusing by age since the first byte (tried before: each request was too old at its turn).

Change: BoundedDispatcher hands what is over `http_waiting` (64) to a thread that refuses, with Retry-After, without span or access line, and the wait for a thread is taken off the request's time.

--- a/papayapick/conf/defaults.py
+++ b/papayapick/conf/defaults.py
@@ -53,6 +53,16 @@
         minimum=1,
         maximum=256,
     ),
+    Setting(
+        "http_waiting",
+        "integer",
+        64,
+        "requests",
+        "More would wait for a thread longer than urgent work can",
+        (GATEWAY,),
+        minimum=1,
+        maximum=100000,
+    ),
     Setting(
         "body_limit_bytes",
         "integer",
--- a/papayapick/gateway/application.py
+++ b/papayapick/gateway/application.py
@@ -8,7 +8,8 @@
 from papayapick.daemon.health import health_answer
 from papayapick.exceptions import PapayapickError
 from papayapick.gateway.admission import admit
-from papayapick.gateway.exceptions import PathUnknown
+from papayapick.gateway.dispatcher import arrived_at, is_refused
+from papayapick.gateway.exceptions import DeadlinePast, GatewayFull, PathUnknown
 from papayapick.gateway.problems import Answer, problem
 from papayapick.observability import AccessLog, get_logger, log_fields, note_fields
 from papayapick.wire import PeerDisconnected, PeerTimeout
@@ -18,6 +19,7 @@
 _LOG = get_logger(__name__)
 _REQUESTS = "/v1/requests"
 _UNKNOWN = "unknown"
+_FULL_RETRY_SECONDS = 0.5
 
 
 class Application:
@@ -65,6 +67,8 @@
         if found is not None:
             status, kind, body = found
             return self._send(start_response, status, Answer(200, kind, body))
+        if is_refused(environ):
+            return self._refuse(start_response)
         with self._lock:
             self._in_flight += 1
         try:
@@ -72,8 +76,15 @@
         finally:
             with self._lock:
                 self._in_flight -= 1
-        reason = http.client.responses.get(answer.status, "Unknown")
-        return self._send(start_response, f"{answer.status} {reason}", answer)
+        return self._send(start_response, _status_line(answer), answer)
+
+    def _refuse(self, start_response):
+        # Neither span nor access line: a flood must cost little to refuse.
+        spread = 1 + self._process.generator.random()
+        error = GatewayFull(retry_after=_FULL_RETRY_SECONDS * spread)
+        self._process.metrics.refusals.labels(error.code).inc()
+        answer = problem(error, uuid.uuid4().hex)
+        return self._send(start_response, _status_line(answer), answer)
 
     def _traced(self, environ):
         process = self._process
@@ -125,6 +136,7 @@
         if admitted.shard:
             note_fields(shard=admitted.shard)
         self._limits.admit(admitted.caller)
+        self._count_waiting(environ, admitted)
         if admitted.is_durable:
             is_keyed = bool(environ.get("HTTP_IDEMPOTENCY_KEY"))
             answer = self._durable.submit(admitted, is_keyed)
@@ -134,6 +146,13 @@
         process.metrics.requests.labels(admitted.name, answer.outcome).inc()
         return answer
 
+    def _count_waiting(self, environ, admitted):
+        """Take the wait for a thread off the time that the caller allows."""
+        now = self._process.clock.monotonic()
+        admitted.timeout -= now - arrived_at(environ, now)
+        if admitted.timeout <= 0:
+            raise DeadlinePast()
+
     def _confirm_bundle(self):
         """Look at the bundle's head again after a pause.
 
@@ -156,6 +175,11 @@
         return [answer.body]
 
 
+def _status_line(answer):
+    reason = http.client.responses.get(answer.status, "Unknown")
+    return f"{answer.status} {reason}"
+
+
 def _fallback_outcome(error):
     """Return what became of work whose error does not say it.
 
--- a/papayapick/gateway/exceptions.py
+++ b/papayapick/gateway/exceptions.py
@@ -8,6 +8,7 @@
     "CallAnswerMissing",
     "DeadlinePast",
     "GatewayError",
+    "GatewayFull",
     "KeyMissing",
     "OwnerMissing",
     "PathUnknown",
@@ -66,6 +67,18 @@
     template = "{members} members, allowed are {limit}"
 
 
+class GatewayFull(GatewayError):
+    """Report a gateway at which too many requests wait already."""
+
+    code = "request.gateway-full"
+    template = "this gateway has no thread free; come back in {retry_after:.3f} s"
+
+    @property
+    def retry_after(self):
+        """Return the seconds after which coming back helps."""
+        return self._details["retry_after"]
+
+
 class PathUnknown(GatewayError):
     """Report a path or method that the interface does not have."""
 
--- a/papayapick/gateway/problems.py
+++ b/papayapick/gateway/problems.py
@@ -22,6 +22,8 @@
     "journal.key-reused": 409,
     "journal.work-unknown": 404,
     "limits.caller-over-limit": 429,
+    "request.gateway-full": 503,
+    "membership.shard-unserved": 503,
     "call.backend-failed": 502,
     "call.answer-missing": 504,
     "wire.peer-timeout": 504,
--- a/papayapick/gateway/process.py
+++ b/papayapick/gateway/process.py
@@ -7,6 +7,7 @@
 
 from papayapick.daemon import Process
 from papayapick.gateway.application import Application
+from papayapick.gateway.dispatcher import BoundedDispatcher
 from papayapick.gateway.durable import DurableWork
 from papayapick.gateway.urgent import UrgentCalls
 from papayapick.limits import AttemptTimeouts, CallerLimits, RetryBudgets
@@ -124,11 +125,16 @@
     def _listen(self, settings):
         logging.getLogger("waitress").setLevel(logging.ERROR)
         host, port = settings.listen_http
+        dispatcher = BoundedDispatcher(settings.http_waiting, self._process.clock)
+        dispatcher.set_thread_count(settings.http_threads)
+        # The server takes another dispatcher by this argument only; the version is
+        # pinned, and tests/gateway/test_dispatcher.py tells when it goes.
         return create_server(
             self._application,
             host=host,
             port=port,
             threads=settings.http_threads,
+            _dispatcher=dispatcher,
             connection_limit=_CONNECTION_LIMIT,
             channel_timeout=_IDLE_SECONDS,
             max_request_header_size=_HEADER_LIMIT_BYTES,
