Take the shard's owner from the table where a test kills it

Cause: tests of killed and frozen placers failed now and then with "KeyError: 'outcome'" (1 of 1644 in one whole run, and in runs before it): the answer was whole. The victim was chosen by the shard's zone, but at the start a placer that is up first may claim the shards of zones whose placers are not heard yet, and gives them back only after five steady looks; so the wrong process was killed.

Ruled out: a fault in the answers (the caller rightly got the result of work whose owner lived on).

Change: the test asks the table who owns the shard; all assertions stay.

--- a/tests/cells.py
+++ b/tests/cells.py
@@ -190,6 +190,12 @@
             if placer.process.poll() is None
         )
 
+    def owner_of(self, shard):
+        """Return the placer that the table names as the owner of a shard."""
+        netloc = urllib.parse.urlsplit(self.url).netloc
+        _, _, body = http_call(netloc, "GET", f"/table/rows/shard%2F{shard}")
+        return json.loads(body)["value"]["owner"]
+
     def metric(self, daemon, name):
         """Return one metric without labels of a process."""
         _, _, body = http_call(daemon.addresses["http"], "GET", "/metrics")
--- a/tests/failures/test_processes.py
+++ b/tests/failures/test_processes.py
@@ -48,8 +48,9 @@
 def owner_of_run(cell):
     runs = cell.control("counts")["runs"]
     request_id = next(found for found in runs if ".0." in found)
-    zone = request_id.partition(".")[0]
-    return cell.daemons[f"placer-{zone}"], request_id
+    # Not by the zone: at the start a placer of another one may have the shard.
+    shard = request_id.rpartition(".")[0]
+    return cell.daemons[cell.owner_of(shard)], request_id
 
 
 @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP])
