--- a/papayapick/daemon/process.py
+++ b/papayapick/daemon/process.py
@@ -198,7 +198,13 @@
             # what was not verified before is fetched at the next heartbeat.
             raise BundleUnknown(digest=heartbeat.bundle_digest)
 
+        before = self.watcher.sequence
         self.watcher.hear(head, fetch)
+        is_news = self.peers.note_head(heartbeat.head_version or 0)
+        if is_news or self.watcher.sequence != before:
+            # Once for each piece of news: a proposal is verified, and what was
+            # put in force acknowledged, without waiting for the next look.
+            self.executor.submit(self._look_at_head)
 
     def _refresh(self):
         self.peers.refresh()
--- a/papayapick/management/commands/bundle.py
+++ b/papayapick/management/commands/bundle.py
@@ -1,5 +1,6 @@
 """Check, compare, sign, roll and step back bundles."""
 
+import contextlib
 import json
 import math
 import threading
@@ -147,6 +148,9 @@
         entries = hosts.fetch()
         proposal = propose(table, objects, envelope, self.operator(), self.clock.time())
         names = _process_names(entries)
+        with contextlib.suppress(TableUnavailable):
+            # They would find the proposal themselves, only later.
+            self._announce(keys, entries, read_head(table))
         self._collect(table, names, proposal)
         head = self._accept(table, proposal)
         self._announce(keys, entries, head)
--- a/papayapick/membership/commands.py
+++ b/papayapick/membership/commands.py
@@ -12,18 +12,19 @@
 
 
 def announce_head(entries, head, cell_keys, identity, seconds):
-    """Tell every process on the list which bundle was accepted.
+    """Tell every process on the list that the bundle's head has changed.
 
-    A process would find the accepted bundle at its next look at the table. An
-    outage that begins just after the accept would then keep the bundle from
-    all of them, though it is accepted; told by the operator's program, they
-    put in force what they have verified already, and pass it on.
+    Told of a proposal, they verify it at once; those far from the store would
+    look only when a heartbeat over the link says so. An accepted bundle they
+    would find at their next look at the table. An outage that begins just after
+    the accept would then keep it from all of them; told by the operator's
+    program, they put in force what they have verified already, and pass it on.
 
     Parameters
     ----------
     entries : list of HostEntry
     head : Head
-        As it was accepted.
+        With the bundle that is in force, and the version of the row.
     cell_keys : CellKeys
     identity : Hello
     seconds : float
@@ -38,7 +39,10 @@
         entry for entry in entries if entry.kind in (GATEWAY_KIND, PLACER_KIND)
     ]
     message = Heartbeat(
-        host=identity.host, bundle_sequence=head.sequence, bundle_digest=head.digest
+        host=identity.host,
+        bundle_sequence=head.sequence,
+        bundle_digest=head.digest,
+        head_version=head.version,
     )
 
     def tell(entry):
--- a/papayapick/membership/peers.py
+++ b/papayapick/membership/peers.py
@@ -346,7 +346,7 @@
         if not isinstance(answer, Heartbeat):
             return
         now = self._clock.monotonic()
-        self._newest_head = max(self._newest_head, answer.head_version or 0)
+        self.note_head(answer.head_version or 0)
         if not self.is_far(peer):
             peer.heard = answer
             peer.last_heard = now
@@ -366,6 +366,14 @@
         )
         self._hear_bundle(head, fetch)
 
+    def note_head(self, version):
+        """Hear of a version of the bundle's head; return whether it is a newer one."""
+        with self._lock:
+            if version <= self._newest_head:
+                return False
+            self._newest_head = version
+            return True
+
     def add_summary(self, answer, known, asker_region):
         """Put what an asker should hear of other placers into an answer.
 
--- a/tests/membership/test_announce.py
+++ b/tests/membership/test_announce.py
@@ -1,7 +1,11 @@
 import socket
 from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
+
+import pytest
 
 from papayapick.bundle.heads import Head
+from papayapick.daemon import Process
 from papayapick.membership.commands import announce_head
 from papayapick.platforms.hosts import HostEntry
 from papayapick.wire import PeerServer
@@ -24,7 +28,8 @@
     heard = []
 
     def answer(payload, peer, traceparent):
-        heard.append((peer.host, payload.bundle_sequence, payload.bundle_digest))
+        told = (payload.bundle_sequence, payload.bundle_digest, payload.head_version)
+        heard.append((peer.host, *told))
         return Heartbeat(host="one")
 
     with ThreadPoolExecutor(8) as executor, socket.create_server(("127.0.0.1", 0)) as s:
@@ -40,7 +45,7 @@
         told = announce_head(entries, HEAD, KEY, Hello(host="operator ana"), 0.2)
         server.close()
     assert told == ["gateway-1", "placer-1"]
-    assert heard == [("operator ana", 7, "digest")] * 2
+    assert heard == [("operator ana", 7, "digest", 3)] * 2
 
 
 def test_a_stranger_without_the_key_is_not_heard():
@@ -59,3 +64,50 @@
         told = announce_head(entries, HEAD, b"another key", Hello(host="x"), 0.2)
         server.close()
     assert (told, heard) == ([], [])
+
+
+class Listener:
+    """Hold what a process needs to hear an asker, and count its looks."""
+
+    def __init__(self):
+        self.looks = 0
+        self.newest = 0
+        self.watcher = SimpleNamespace(sequence=4, hear=self.put_in_force)
+        self.peers = SimpleNamespace(note_head=self.note_head)
+        self.executor = SimpleNamespace(submit=lambda look: look())
+
+    def put_in_force(self, head, fetch):
+        self.watcher.sequence = max(self.watcher.sequence, head.sequence)
+
+    def note_head(self, version):
+        is_newer = version > self.newest
+        self.newest = max(self.newest, version)
+        return is_newer
+
+    def _look_at_head(self):
+        self.looks += 1
+
+
+@pytest.mark.parametrize(
+    ("sequences", "versions", "looks"),
+    [
+        ((4, 4), (9, 9), 1),
+        ((4, 5), (9, 9), 2),
+        ((5, 5), (0, 0), 1),
+        ((4, 4), (0, 0), 0),
+    ],
+    ids=["proposed", "proposed and accepted", "accepted", "nothing new"],
+)
+def test_a_process_looks_once_for_each_piece_of_news(sequences, versions, looks):
+    """An operator's roll takes four seconds: processes far from the store wait
+    for a heartbeat over the link before they look. Told by the operator's
+    program they look at once; but each only once, or the heartbeats of all
+    others would have the table asked again and again.
+    """
+    process = Listener()
+    for sequence, version in zip(sequences, versions, strict=True):
+        beat = Heartbeat(
+            host="a", bundle_sequence=sequence, bundle_digest="d", head_version=version
+        )
+        Process._hear_asker(process, beat)
+    assert process.looks == looks
