Put the starter of whole cells and the demo in a package of their own

Cause: benchmarks, demo and tests all start cells, from a module among the tests; and two in-process pools of the tests built the same WSGI environment.

Ruled out: a copy for each user. Change: demo/cells.py and demo/__main__.py (`python -m demo`, as scripts/demo runs it); FaultyPool extends InProcessPool. No test changed but for its imports.

--- a/benchmarks/flood.py
+++ b/benchmarks/flood.py
@@ -12,7 +12,7 @@
 import time
 
 from benchmarks.tables import percentile, print_rows
-from tests.cells import Cell
+from demo.cells import Cell
 
 PATH = "/v1/requests"
 BODY = json.dumps({"service": "quick-counts", "payload": {"door": 1}})
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -9,7 +9,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from benchmarks.tables import percentile, print_rows
-from tests.cells import Cell, http_call
+from demo.cells import Cell, http_call
 
 REQUESTS = 200
 PATH = "/v1/requests"
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -12,8 +12,8 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from benchmarks.tables import percentile, print_rows
+from demo.cells import Cell, http_call
 from papayapick.platforms import HttpPool, Table
-from tests.cells import Cell, http_call
 
 SECONDS = 10
 PROCESSES = 3
--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -11,7 +11,7 @@
 import time
 
 from benchmarks.tables import percentile, print_rows
-from tests.cells import Cell
+from demo.cells import Cell
 from tests.failures.loads import Load
 
 BEFORE = 200
--- a/benchmarks/requests.py
+++ b/benchmarks/requests.py
@@ -19,7 +19,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from benchmarks.tables import percentile, print_rows
-from tests.cells import ROOT, Cell, http_call
+from demo.cells import ROOT, Cell, http_call
 
 DEPLOYMENT, SERVICE = "footfall", "quick-counts"
 PATH = "/v1/requests"
--- a/benchmarks/rolls.py
+++ b/benchmarks/rolls.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from benchmarks.tables import percentile, print_rows
+from demo.cells import Cell
 from papayapick.bundle import Bundle, Envelope, sign
 from papayapick.bundle.commands import accept, propose
 from papayapick.bundle.queries import read_seen
@@ -17,7 +18,6 @@
 from papayapick.platforms import HostList, HttpPool, ObjectStore, Table
 from papayapick.wire import CellKeys
 from papayapick.wire.messages import Hello
-from tests.cells import Cell
 
 GIVEN_UP_SECONDS = 6.0
 LOOK_SECONDS = 0.005
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -13,11 +13,11 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from benchmarks.tables import percentile, print_rows
+from demo.cells import Cell, http_call
 from papayapick.clock import ManualClock
 from papayapick.journal import Accepted, Ended, Journal, Started
 from papayapick.limits import TokenBucket
 from papayapick.ownership import claim, read_shard
-from tests.cells import Cell, http_call
 from tests.standins.store import MemoryTable
 
 SEED = 20
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Start whole cells on loopback, with stand-ins of the platform, and use them."""
--- a/tests/demo.py
+++ b/demo/__main__.py
@@ -5,7 +5,7 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
-from tests.cells import Cell, http_call
+from demo.cells import Cell, http_call
 
 DEPLOYMENTS = ("footfall", "wayleave")
 REQUESTS = "/v1/requests"
--- a/tests/bundle/parts.py
+++ b/tests/bundle/parts.py
@@ -3,12 +3,12 @@
 import copy
 import json
 
+from demo.cells import ROOT
 from papayapick.bundle import Bundle, BundleWatcher, Envelope, KeyRing, PeerHead, sign
 from papayapick.bundle.commands import accept, propose
 from papayapick.bundle.signing import generate_key
 from papayapick.clock import ManualClock
 from papayapick.limits import PauseGuard
-from tests.cells import ROOT
 from tests.standins.scripted import ScriptedTable
 from tests.standins.store import MemoryObjects
 
--- a/tests/checks/test_checks.py
+++ b/tests/checks/test_checks.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from demo.cells import ROOT
 from papayapick.checks import (
     Surroundings,
     bundles,
@@ -21,7 +22,6 @@
 from papayapick.clock import ManualClock
 from papayapick.conf import SETTINGS, Settings
 from papayapick.platforms import HostEntry, NotSent, Row
-from tests.cells import ROOT
 from tests.management.commands import in_cell, run_command
 
 BUNDLE = str(ROOT / "deploy" / "footfall" / "bundle.json")
--- a/tests/conf/test_settings.py
+++ b/tests/conf/test_settings.py
@@ -7,13 +7,13 @@
 
 import pytest
 
+from demo.cells import ROOT
 from papayapick.conf import SETTINGS, SettingInvalid, SettingMissing, Settings
 from papayapick.conf.queries import read_sources, reference_page
 from papayapick.conf.settings import GATEWAY, OPERATOR, PLACER
 from papayapick.daemon import program as daemon_program
 from papayapick.gateway import program as gateway_program
 from papayapick.placer import program as placer_program
-from tests.cells import ROOT
 
 URL = "http://127.0.0.1:1"
 USAGES = {GATEWAY: gateway_program.USAGE, PLACER: placer_program.USAGE}
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.cells import Cell
+from demo.cells import Cell
 
 KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 MOST_KNOWN_RED = 3
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -5,10 +5,10 @@
 
 import pytest
 
+from demo.cells import ROOT
 from papayapick.conf import SETTINGS
 from papayapick.gateway import problems
 from papayapick.management.commands import COMMANDS
-from tests.cells import ROOT
 
 DOCS = ROOT / "docs"
 PAGES = sorted(DOCS.rglob("*.md")) + [ROOT / "README.md"]
--- a/tests/failures/lives.py
+++ b/tests/failures/lives.py
@@ -6,11 +6,9 @@
 import random
 import threading
 from concurrent.futures import ThreadPoolExecutor
-from email.message import Message
-from io import BytesIO
 from types import SimpleNamespace
-from urllib.parse import urlsplit
 
+from demo.cells import ROOT
 from papayapick.bundle import Bundle
 from papayapick.clock import ManualClock
 from papayapick.limits import PauseGuard, TokenBucket
@@ -29,11 +27,10 @@
     Table,
     WorkerClient,
 )
-from papayapick.platforms.http import HttpAnswer
 from papayapick.platforms.objects import digest_of
 from papayapick.routing import Grant, NoRoute
 from papayapick.wire.messages import SlotRequest, Submit
-from tests.cells import ROOT
+from tests.standins.pool import InProcessPool
 from tests.standins.server import Platform
 
 URL = "http://platform"
@@ -50,7 +47,7 @@
     """End a thread of a process that is dead."""
 
 
-class FaultyPool:
+class FaultyPool(InProcessPool):
     """Carry requests to the stand-ins and do what the faults say.
 
     Operations on the way of durable work are numbered from 1 once ``arm`` was
@@ -58,7 +55,7 @@
     """
 
     def __init__(self, platform):
-        self.platform = platform
+        super().__init__(platform)
         self.faults = {}
         self.operations = []
         self.is_armed = False
@@ -74,16 +71,7 @@
         self.faults = dict(faults)
         self.is_armed = True
 
-    def request(
-        self,
-        method,
-        url,
-        body=None,
-        headers=None,
-        timeout=None,
-        fresh=False,
-        check=None,
-    ):
+    def request(self, method, url, body=None, headers=None, *unused, check=None):
         answer = self._request(method, url, body, headers)
         if check is not None:
             check(answer)
@@ -100,11 +88,11 @@
         if fault == DOWN:
             raise NotSent(url=url)
         if fault == LATE:
-            self._late.append((method, url, body, headers or {}))
+            self._late.append((method, url, body, headers))
             raise AnswerMissing(url=url)
-        answer = self._ask(method, url, body, headers or {})
+        answer = super().request(method, url, body, headers)
         while self._late:
-            self._ask(*self._late.pop())
+            super().request(*self._late.pop())
         if fault == KILLED_AFTER:
             self._die()
         if fault == LOST or answer is None:
@@ -138,24 +126,6 @@
         self.dead.set()
         raise Killed
 
-    def _ask(self, method, url, body, headers):
-        parts = urlsplit(url)
-        environ = {
-            "REQUEST_METHOD": method,
-            "PATH_INFO": parts.path,
-            "QUERY_STRING": parts.query,
-            "CONTENT_LENGTH": str(len(body or b"")),
-            "wsgi.input": BytesIO(body or b""),
-        }
-        for name, value in headers.items():
-            environ["HTTP_" + name.upper().replace("-", "_")] = value
-        status = []
-        parts = self.platform(environ, lambda *found: status.extend(found))
-        found = Message()
-        for name, value in status[1]:
-            found[name] = value
-        return HttpAnswer(int(status[0].split()[0]), found, b"".join(parts))
-
 
 class DeskSlots:
     """Give slots straight from the shard's own desk."""
--- a/tests/failures/loads.py
+++ b/tests/failures/loads.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-from tests.cells import http_call
+from demo.cells import http_call
 
 URGENT = {"service": "quick-counts", "payload": {"seconds": 0.02}}
 
--- a/tests/failures/test_processes.py
+++ b/tests/failures/test_processes.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.cells import Cell, http_call
+from demo.cells import Cell, http_call
 from tests.failures.loads import Load
 
 QUICK = {
--- a/tests/failures/test_store_outage.py
+++ b/tests/failures/test_store_outage.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from demo.cells import Cell, http_call
 from papayapick.journal import JournalUnavailable, JournalUnsettled
-from tests.cells import Cell, http_call
 from tests.failures.lives import DOWN, SHARD
 from tests.failures.lives import Cell as PartsCell
 
--- a/tests/gateway/test_bad_input.py
+++ b/tests/gateway/test_bad_input.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.cells import http_call
+from demo.cells import http_call
 
 JOB = {"job": "season-model", "members": 3, "processors": 1000}
 ONCE = {"service": "heatmap-refresh", "payload": {}}
--- a/tests/gateway/test_callers_limits.py
+++ b/tests/gateway/test_callers_limits.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.cells import http_call
+from demo.cells import http_call
 
 PATH = "/v1/requests"
 BODY = {"service": "quick-counts", "payload": {}}
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -6,9 +6,9 @@
 import pytest
 from waitress.server import create_server
 
+from demo.cells import http_call
 from papayapick.clock import ManualClock
 from papayapick.gateway.dispatcher import BoundedDispatcher, arrived_at, is_refused
-from tests.cells import http_call
 
 SECONDS = 5
 
--- a/tests/management/test_request.py
+++ b/tests/management/test_request.py
@@ -4,13 +4,13 @@
 
 import pytest
 
+from demo.cells import http_call
 from papayapick.clock import ManualClock
 from papayapick.journal import Accepted, Ended, Started, WorkBook
 from papayapick.ledger import Amounts, HostLedger
 from papayapick.management.commands.request import RequestCommand
 from papayapick.placer.explanations import explain
 from papayapick.wire.messages import ServiceLoad, WorkCancel, WorkQuery
-from tests.cells import http_call
 from tests.management.commands import in_cell
 
 PATH = "/v1/requests"
--- a/tests/management/test_roll.py
+++ b/tests/management/test_roll.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from demo.cells import ROOT
 from papayapick.bundle import KeyRing, RollConflict, RollUnderWay, generate_key, sign
 from papayapick.bundle.commands import accept, acknowledge, propose
 from papayapick.bundle.documents import Bundle
@@ -22,7 +23,6 @@
     RollUnsettled,
 )
 from papayapick.platforms import HostEntry, TableUnavailable
-from tests.cells import ROOT
 from tests.standins.board import FaultBoard
 from tests.standins.store import MemoryObjects, MemoryTable
 
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from demo.cells import http_call
 from papayapick.clock import ManualClock
 from papayapick.conf import Settings
 from papayapick.observability import (
@@ -17,7 +18,6 @@
     log_fields,
     note_fields,
 )
-from tests.cells import http_call
 
 PATH = "/v1/requests"
 TRACE = "00-" + "ab" * 16 + "-" + "cd" * 8 + "-01"
--- a/tests/observability/test_metrics.py
+++ b/tests/observability/test_metrics.py
@@ -2,9 +2,9 @@
 
 import re
 
+from demo.cells import ROOT, http_call
 from papayapick.observability import Metrics
 from papayapick.observability.queries import metrics_page
-from tests.cells import ROOT, http_call
 
 UNITS = ("_seconds", "_bytes_total", "_bytes")
 COUNTED = re.compile(r"_total$|_sequence$|_shards$")
--- a/tests/ownership/parts.py
+++ b/tests/ownership/parts.py
@@ -5,6 +5,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from types import SimpleNamespace
 
+from demo.cells import ROOT
 from papayapick.bundle import Bundle
 from papayapick.clock import ManualClock
 from papayapick.limits import PauseGuard, TokenBucket
@@ -13,7 +14,6 @@
 from papayapick.placer.takeover import HostKeeper
 from papayapick.platforms import InstanceClient, WorkerClient
 from papayapick.platforms.hosts import HostEntry
-from tests.cells import ROOT
 from tests.standins.pool import InProcessPool
 from tests.standins.server import Platform
 
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from tests.cells import Cell
-from tests.demo import Demo
+from demo.__main__ import Demo
+from demo.cells import Cell
 
 
 @pytest.mark.parametrize("deployment", ["footfall", "wayleave"])
--- a/tests/wire/test_envelopes.py
+++ b/tests/wire/test_envelopes.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from demo.cells import ROOT
 from papayapick.bundle import (
     BundleInvalid,
     Envelope,
@@ -16,7 +17,6 @@
     sign,
 )
 from papayapick.bundle.documents import DOCUMENT_LIMIT_BYTES
-from tests.cells import ROOT
 
 DOCUMENT = json.loads((ROOT / "deploy" / "footfall" / "bundle.json").read_text())
 PRIVATE, PUBLIC = generate_key()
