Part setting from settings, and one peer from all peers

Cause, read as a newcomer: the page of defaults and the reader of settings imported each other, hidden by imports inside functions; membership/peers.py had grown to 387 lines with two classes.

Change: conf/setting.py (one setting), conf/defaults.py (the page), conf/settings.py (reading them) import in one direction; membership/peer.py holds Peer. No behaviour changes. peers.py has 360 lines now.

tests/conf, membership, routing, docs, checks: pass.

--- a/benchmarks/urgent.py
+++ b/benchmarks/urgent.py
@@ -20,7 +20,7 @@
 from papayapick.exceptions import PapayapickError
 from papayapick.ledger import SlotLedger
 from papayapick.limits import AttemptTimeouts, RetryBudgets
-from papayapick.membership.peers import Peer
+from papayapick.membership import Peer
 from papayapick.placement import (
     HealthAware,
     InstanceHealth,
--- a/papayapick/checks/settings.py
+++ b/papayapick/checks/settings.py
@@ -7,7 +7,7 @@
 from papayapick.conf import SETTINGS, Settings
 from papayapick.conf.exceptions import SettingsError
 from papayapick.conf.queries import read_sources
-from papayapick.conf.settings import OPERATOR
+from papayapick.conf.setting import OPERATOR
 
 __all__ = ["check_intervals", "check_settings", "check_variables"]
 
--- a/papayapick/checks/surroundings.py
+++ b/papayapick/checks/surroundings.py
@@ -9,7 +9,7 @@
 from papayapick.clock import SystemClock
 from papayapick.conf import Settings
 from papayapick.conf.exceptions import SettingsError
-from papayapick.conf.settings import OPERATOR
+from papayapick.conf.setting import OPERATOR
 from papayapick.platforms import (
     HostList,
     HostListUnavailable,
--- a/papayapick/conf/__init__.py
+++ b/papayapick/conf/__init__.py
@@ -2,6 +2,7 @@
 
 from papayapick.conf.defaults import SETTINGS
 from papayapick.conf.exceptions import SettingInvalid, SettingMissing
-from papayapick.conf.settings import Setting, Settings
+from papayapick.conf.setting import Setting
+from papayapick.conf.settings import Settings
 
 __all__ = ["SETTINGS", "Setting", "SettingInvalid", "SettingMissing", "Settings"]
--- a/papayapick/conf/defaults.py
+++ b/papayapick/conf/defaults.py
@@ -1,6 +1,6 @@
 """The page of defaults: every setting with unit, range and reason."""
 
-from papayapick.conf.settings import GATEWAY, PLACER, Setting
+from papayapick.conf.setting import GATEWAY, PLACER, Setting
 
 __all__ = ["SETTINGS"]
 
--- a/papayapick/conf/settings.py
+++ b/papayapick/conf/settings.py
@@ -1,154 +1,11 @@
-"""Read and check settings from flags and environment variables."""
+"""Read the settings of a program from flags and environment variables."""
 
 import os
 
-from papayapick.conf.exceptions import SettingInvalid, SettingMissing
+from papayapick.conf.defaults import SETTINGS
+from papayapick.conf.exceptions import SettingMissing
 
-__all__ = ["GATEWAY", "OPERATOR", "PLACER", "Setting", "Settings"]
-
-GATEWAY = "gateway"
-PLACER = "placer"
-OPERATOR = "operator"
-
-_TRUE = frozenset({"1", "true", "yes", "on"})
-_FALSE = frozenset({"0", "false", "no", "off"})
-
-
-class Setting:
-    """Describe one setting.
-
-    Parameters
-    ----------
-    name : str
-        Lower case with underscores; gives the flag and the variable.
-    kind : {"text", "integer", "number", "address", "file", "url", "choice"}
-    default : object
-        ``None`` where a value must be given.
-    unit : str
-    reason : str
-        Why the default is what it is.
-    programs : tuple of str
-    minimum, maximum : float, optional
-    choices : tuple of str, optional
-    """
-
-    __slots__ = (
-        "choices",
-        "default",
-        "kind",
-        "maximum",
-        "minimum",
-        "name",
-        "programs",
-        "reason",
-        "unit",
-    )
-
-    def __init__(
-        self,
-        name,
-        kind,
-        default,
-        unit,
-        reason,
-        programs=(GATEWAY, PLACER, OPERATOR),
-        minimum=None,
-        maximum=None,
-        choices=(),
-    ):
-        self.name = name
-        self.kind = kind
-        self.default = default
-        self.unit = unit
-        self.reason = reason
-        self.programs = programs
-        self.minimum = minimum
-        self.maximum = maximum
-        self.choices = choices
-
-    @property
-    def flag(self):
-        """Return the command-line flag."""
-        return "--" + self.name.replace("_", "-")
-
-    @property
-    def variable(self):
-        """Return the environment variable."""
-        return "PAPAYAPICK_" + self.name.upper()
-
-    @property
-    def allowed(self):
-        """Return what is allowed, in words."""
-        if self.kind == "choice":
-            return "one of " + ", ".join(self.choices)
-        if self.kind in ("integer", "number"):
-            return f"{self.kind} from {self.minimum} to {self.maximum} {self.unit}"
-        return {
-            "address": "IP:PORT, port 0 for any free one",
-            "file": "the path of a readable file",
-            "url": "http://HOST:PORT with an optional path",
-            "text": "text that is not empty",
-        }[self.kind]
-
-    def parse(self, given):
-        """Check a given text and return its value.
-
-        Parameters
-        ----------
-        given : str
-
-        Returns
-        -------
-        object
-
-        Raises
-        ------
-        SettingInvalid
-        """
-        parser = getattr(self, "_parse_" + self.kind)
-        try:
-            return parser(given)
-        except (ValueError, OSError) as error:
-            raise SettingInvalid(
-                flag=self.flag, given=given, allowed=self.allowed, hint=self.reason
-            ) from error
-
-    def _parse_text(self, given):
-        if not given:
-            raise ValueError
-        return given
-
-    def _parse_integer(self, given):
-        return self._within(int(given))
-
-    def _parse_number(self, given):
-        return self._within(float(given))
-
-    def _parse_address(self, given):
-        host, separator, port = given.rpartition(":")
-        if not separator or not host or not 0 <= int(port) <= 65535:
-            raise ValueError
-        return host, int(port)
-
-    def _parse_file(self, given):
-        with open(given, "rb"):
-            return given
-
-    def _parse_url(self, given):
-        if not given.startswith("http://"):
-            raise ValueError
-        return given.rstrip("/")
-
-    def _parse_choice(self, given):
-        if given not in self.choices:
-            raise ValueError
-        return given
-
-    def _within(self, value):
-        # A value that is not a number compares false on both sides.
-        if not self.minimum <= value <= self.maximum:
-            raise ValueError
-        return value
+__all__ = ["Settings"]
 
 
 class Settings:
@@ -196,8 +53,6 @@
         ------
         SettingInvalid, SettingMissing
         """
-        from papayapick.conf.defaults import SETTINGS
-
         arguments = arguments or {}
         environment = os.environ if environment is None else environment
         values = {}
@@ -220,8 +75,6 @@
     @staticmethod
     def usage(program):
         """Return the lines of docopt's option section for a program."""
-        from papayapick.conf.defaults import SETTINGS
-
         lines = []
         for setting in SETTINGS:
             if program not in setting.programs:
--- a/papayapick/gateway/program.py
+++ b/papayapick/gateway/program.py
@@ -1,7 +1,7 @@
 """Run papayapick-gateway."""
 
 from papayapick.conf import Settings
-from papayapick.conf.settings import GATEWAY
+from papayapick.conf.setting import GATEWAY
 from papayapick.daemon import run_program
 from papayapick.gateway.process import Gateway
 
--- a/papayapick/management/base.py
+++ b/papayapick/management/base.py
@@ -6,7 +6,7 @@
 
 from papayapick.clock import SystemClock
 from papayapick.conf import Settings
-from papayapick.conf.settings import OPERATOR
+from papayapick.conf.setting import OPERATOR
 from papayapick.management.exceptions import FileUnreadable, FileUnwritable
 from papayapick.platforms import HostList, HttpPool, ObjectStore, Table
 
--- a/papayapick/membership/peers.py
+++ b/papayapick/membership/peers.py
@@ -5,6 +5,7 @@
 from papayapick.bundle import PeerHead
 from papayapick.membership.exceptions import ShardUnserved
 from papayapick.membership.looks import LookGate
+from papayapick.membership.peer import Peer
 from papayapick.membership.relays import crosses
 from papayapick.membership.retelling import Retelling
 from papayapick.observability import get_logger
@@ -13,7 +14,7 @@
 from papayapick.wire import PeerClient, WireError
 from papayapick.wire.messages import BundleQuery, Heartbeat
 
-__all__ = ["Peer", "Peers"]
+__all__ = ["Peers"]
 
 _LOG = get_logger(__name__)
 _LINK_HEARTBEAT_FACTOR = 2
@@ -27,34 +28,6 @@
 _ALMOST = 0.9
 
 
-class Peer:
-    """Hold what is known of one placer.
-
-    Parameters
-    ----------
-    entry : HostEntry
-    client : PeerClient
-    now : float
-        Monotonic seconds; silence counts from here until the first answer.
-    """
-
-    __slots__ = ("asked", "client", "entry", "failed", "heard", "last_heard", "stop")
-
-    def __init__(self, entry, client, now):
-        self.entry = entry
-        self.client = client
-        self.heard = None
-        self.last_heard = now
-        self.asked = float("-inf")
-        self.failed = float("-inf")
-        self.stop = threading.Event()
-
-    @property
-    def name(self):
-        """Return the placer's name."""
-        return self.entry.name
-
-
 class Peers:
     """Keep a heartbeat with every placer on the live list.
 
--- a/papayapick/placer/program.py
+++ b/papayapick/placer/program.py
@@ -1,7 +1,7 @@
 """Run papayapick-placer."""
 
 from papayapick.conf import Settings
-from papayapick.conf.settings import PLACER
+from papayapick.conf.setting import PLACER
 from papayapick.daemon import run_program
 from papayapick.placer.process import Placer
 
--- a/tests/conf/test_settings.py
+++ b/tests/conf/test_settings.py
@@ -10,7 +10,7 @@
 from demo.cells import ROOT
 from papayapick.conf import SETTINGS, SettingInvalid, SettingMissing, Settings
 from papayapick.conf.queries import read_sources, reference_page
-from papayapick.conf.settings import GATEWAY, OPERATOR, PLACER
+from papayapick.conf.setting import GATEWAY, OPERATOR, PLACER
 from papayapick.daemon import program as daemon_program
 from papayapick.gateway import program as gateway_program
 from papayapick.placer import program as placer_program
--- a/tests/routing/test_slots.py
+++ b/tests/routing/test_slots.py
@@ -8,7 +8,7 @@
 
 from papayapick.bundle.documents import ServicePolicy
 from papayapick.clock import ManualClock
-from papayapick.membership.peers import Peer
+from papayapick.membership import Peer
 from papayapick.routing import LoadView, NoRoute, PlacerSilent, SlotClient
 from papayapick.routing import slots as slots_module
 from papayapick.wire import PeerDisconnected, PeerRefused, PeerUnreachable
