Say "never fits" only once the live list was read

Cause: a placer that starts while the live list is down knows no worker, and answered every job with 422 "never fits", which is final.

Ruled out: admitting the job unchecked (one that can never run would wait for its deadline). Change: with no list read the shard is closed to jobs for the moment, 503 `not_run` with Retry-After.

--- a/papayapick/placer/process.py
+++ b/papayapick/placer/process.py
@@ -9,6 +9,7 @@
 from papayapick.ledger import Amounts, JobNeverFits, NeverFits
 from papayapick.limits import TokenBucket
 from papayapick.observability import get_logger, log_fields
+from papayapick.placer.exceptions import ShardClosed
 from papayapick.placer.explanations import explain, reasons_as_text
 from papayapick.placer.handover import ShardHandover
 from papayapick.placer.jobs import JobRunner
@@ -37,6 +38,7 @@
 _RUNNERS = 16
 _EXPIRE_SECONDS = 0.02
 _IDLE_SECONDS = 5.0
+_UNLISTED_RETRY_SECONDS = 1.0
 _LOOK_SECONDS = 0.02
 _JOB = "job"
 
@@ -224,6 +226,10 @@
         job = json.loads(wanted.job)
         demand = Amounts.from_mapping(job["demand"])
         entries = self._process.peers.entries
+        if not entries:
+            # The live list was not read yet. "Never" is final for a caller, and
+            # with no worker known it would be said of every job.
+            raise ShardClosed(shard=shard.name, retry_after=_UNLISTED_RETRY_SECONDS)
         if not self._listing.could_hold(demand, entries, self._shards_per_zone()):
             raise NeverFits(demand=demand)
         members = job["members"]
