--- a/tests/bundle/parts.py
+++ b/tests/bundle/parts.py
@@ -9,7 +9,7 @@
 from papayapick.bundle.signing import generate_key
 from papayapick.clock import ManualClock
 from papayapick.limits import PauseGuard
-from tests.standins.scripted import ScriptedTable
+from tests.fakes.scripted import ScriptedTable
 from tests.standins.store import MemoryObjects
 
 OPERATORS = ("ana", "ben", "cem")
--- a/tests/bundle/test_rolls.py
+++ b/tests/bundle/test_rolls.py
@@ -10,7 +10,7 @@
 from papayapick.bundle.queries import fetch_envelope, read_head
 from papayapick.platforms import TableUnavailable, TransactionConflict
 from tests.bundle.parts import Cell
-from tests.standins.scripted import DONE_UNANSWERED, LATE, UNDONE_UNANSWERED
+from tests.fakes.scripted import DONE_UNANSWERED, LATE, UNDONE_UNANSWERED
 
 REGIONS = [
     {"name": "south-tas", "zones": ["hobart-a", "kingston-b"]},
--- a/tests/failures/lives.py
+++ b/tests/failures/lives.py
@@ -30,7 +30,7 @@
 from papayapick.platforms.objects import digest_of
 from papayapick.routing import Grant, NoRoute
 from papayapick.wire.messages import SlotRequest, Submit
-from tests.standins.pool import InProcessPool
+from tests.fakes.pool import InProcessPool
 from tests.standins.server import Platform
 
 URL = "http://platform"
--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes at the interfaces, for tests in one process."""
--- a/tests/ownership/parts.py
+++ b/tests/ownership/parts.py
@@ -14,7 +14,7 @@
 from papayapick.placer.takeover import HostKeeper
 from papayapick.platforms import InstanceClient, WorkerClient
 from papayapick.platforms.hosts import HostEntry
-from tests.standins.pool import InProcessPool
+from tests.fakes.pool import InProcessPool
 from tests.standins.server import Platform
 
 BUNDLE = Bundle.from_document(
--- a/tests/ownership/test_claims.py
+++ b/tests/ownership/test_claims.py
@@ -2,7 +2,7 @@
 
 from papayapick.ownership import ShardRow, TakeoverLost, claim, read_shard, release
 from papayapick.platforms import TableUnavailable, TransactionConflict, Write
-from tests.standins.scripted import (
+from tests.fakes.scripted import (
     DONE_UNANSWERED,
     LATE,
     UNDONE_UNANSWERED,
--- a/tests/ownership/test_leases.py
+++ b/tests/ownership/test_leases.py
@@ -5,8 +5,8 @@
 from papayapick.placer.jobs import JobRunner
 from papayapick.placer.work import WorkDesk
 from papayapick.platforms import NotSent, WorkerClient
+from tests.fakes.pool import InProcessPool
 from tests.ownership.parts import CAPACITY, SmallCell
-from tests.standins.pool import InProcessPool
 
 LEASE = 10.0
 
--- a/tests/spec/test_journal_replay.py
+++ b/tests/spec/test_journal_replay.py
@@ -19,7 +19,7 @@
 from papayapick.platforms import AnswerMissing, TransactionConflict
 from papayapick.platforms.http import HttpAnswer
 from papayapick.wire.messages import SlotGrant, Submit
-from tests.standins.scripted import DONE_UNANSWERED, LATE, ScriptedTable
+from tests.fakes.scripted import DONE_UNANSWERED, LATE, ScriptedTable
 from tests.standins.store import MemoryObjects
 
 SHARD = "hobart-a.0"
