Round loads up for other regions, and measure recovery with the right owner

Cause: (1) an idle shard of 64 slots whose first slot was taken was told to other regions as 32 free, and as 64 again a moment later; each change crosses the paid link. (2) benchmarks.recovery picked the placer of the first zone, which need not own a shard at the start: a run printed 0.004 s for a frozen placer.

Ruled out for (1): steps of four (64 is one as well); telling loads less often (10 s is what routing bears).

Change: loads are rounded up; the benchmark asks the table for the owner.

--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -57,20 +57,26 @@
     }
 
 
+def owner_of_a_shard(cell):
+    """Return the owner of the first zone's shard, which may stand in another."""
+    zone = next(iter(cell.zones))
+    return cell.daemons[cell.owner_of(f"{zone}.0")]
+
+
 def kill(cell):
-    placer = cell.placers[0]
+    placer = owner_of_a_shard(cell)
     placer.signal(signal.SIGKILL)
     return taken_by_others(cell, placer)
 
 
 def freeze(cell):
-    placer = cell.placers[0]
+    placer = owner_of_a_shard(cell)
     placer.signal(signal.SIGSTOP)
     return taken_by_others(cell, placer)
 
 
 def hand_over(cell):
-    placer = cell.placers[0]
+    placer = owner_of_a_shard(cell)
     placer.signal(signal.SIGTERM)
     return taken_by_others(cell, placer)
 
--- a/papayapick/membership/relays.py
+++ b/papayapick/membership/relays.py
@@ -39,8 +39,9 @@
 def summary_of(peers):
     """Return what a region tells others of its live placers, and its version.
 
-    Loads are rounded down to powers of two: another region needs to know
-    whether there is room, and each change that is told crosses the paid link.
+    Loads are rounded up to powers of two: another region needs to know whether
+    there is room, and each change that is told crosses the paid link. Rounded
+    down, the first call at an idle shard of 64 slots would be told as 32 left.
 
     Parameters
     ----------
@@ -77,7 +78,7 @@
 
 
 def _power_of_two(count):
-    return 1 << (count.bit_length() - 1) if count else 0
+    return 1 << (count - 1).bit_length() if count else 0
 
 
 def crosses(host, region, near, far, name):
