--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -28,6 +28,7 @@
 
 
 def measure(cell, name, fault):
+    cell.wait_until(lambda: is_settled(cell), "a shard away from its zone")
     gateways = [found.addresses["http"] for found in cell.gateways]
     with Load(gateways, threads=9) as load:
         load.wait_for_more(BEFORE)
@@ -57,6 +58,14 @@
     }
 
 
+def is_settled(cell):
+    """Return whether each shard is where it belongs.
+
+    At the start the first placer that is up may own several, or all.
+    """
+    return all(cell.owner_of(f"{zone}.0") == f"placer-{zone}" for zone in cell.zones)
+
+
 def owner_of_a_shard(cell):
     """Return the owner of the first zone's shard, which may stand in another."""
     zone = next(iter(cell.zones))
