--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -119,14 +119,16 @@
     def _objects(self, environ, rest, data):
         if environ["REQUEST_METHOD"] == "PUT":
             self.objects.put(rest, data)
-            return 200, {}, {}
+            is_lost = self.board.take("objects", "lose_answers")
+            return (503 if is_lost else 200), {}, {}
         try:
             return 200, self.objects.get(rest), {}
         except ObjectMissing:
             return 404, {}, {}
 
     def _hosts(self, environ, rest, data):
-        if self.board.get(HOSTS, "down"):
+        self.board.delay(HOSTS)
+        if self.board.get(HOSTS, "down") or self.board.get(HOSTS, "fail"):
             return 503, {}, {}
         tag, body = self.hosts.answer()
         if environ.get("HTTP_IF_NONE_MATCH") == tag:
@@ -136,7 +138,7 @@
     def _workers(self, environ, rest, data):
         name, _, path = rest.partition("/")
         self.board.delay(name)
-        if self.board.get(name, "down"):
+        if self.board.get(name, "down") or self.board.get(name, "fail"):
             return 503, {}, {}
         status, body = self.workers.call(name, path, json.loads(data))
         if self.board.take(name, "lose_answers"):
@@ -163,6 +165,8 @@
         status, body, headers = self.instances.call(
             name, request_id, epoch, json.loads(data)
         )
+        if self.board.take(name, "lose_answers"):
+            return 503, {}, {}
         return status, body, {"Request-Id": request_id, **headers}
 
     def _control(self, environ, rest, data):
