Rename platforms to clients, so that platform/ stands alone

Cause: the adapter to the users' platform is papayapick/platform/; beside it papayapick/platforms/ would have to be told apart by one letter. Ruled out: a top-level platform/, which would shadow the standard module. Change: papayapick/platforms becomes papayapick/clients (the HTTP clients of the product's own interface); no logic is touched.

--- a/benchmarks/cancellations.py
+++ b/benchmarks/cancellations.py
@@ -14,6 +14,8 @@
 from types import SimpleNamespace
 
 from benchmarks.tables import percentile, print_rows
+from papayapick.clients import WorkerClient
+from papayapick.clients.types import Row
 from papayapick.clock import SystemClock
 from papayapick.ledger import Amounts
 from papayapick.limits import PauseGuard, TokenBucket
@@ -21,8 +23,6 @@
 from papayapick.placer.jobs import JobRunner
 from papayapick.placer.shards import Shard
 from papayapick.placer.work import WorkDesk
-from papayapick.platforms import WorkerClient
-from papayapick.platforms.types import Row
 from papayapick.wire.messages import SlotRequest, Submit
 from tests.placer.jobcells import JobCell
 from tests.standins import MemoryObjects, MemoryTable
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -12,6 +12,7 @@
 
 from benchmarks.tables import print_rows
 from papayapick.bundle import Bundle, Envelope, KeyRing, generate_key, sign
+from papayapick.clients import HostEntry
 from papayapick.clock import ManualClock
 from papayapick.journal import Accepted, Ended, Journal, Started, WorkBook
 from papayapick.ledger import Amounts, HostLedger, SlotLedger
@@ -20,7 +21,6 @@
 from papayapick.placement import PowerOfTwo
 from papayapick.placer.listing import HostListing
 from papayapick.placer.slots import SlotDesk
-from papayapick.platforms import HostEntry
 from papayapick.quotas import QuotaBook
 from papayapick.wire.messages import SlotRequest
 
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -17,8 +17,8 @@
 from benchmarks.tables import print_rows
 from demo.cells import Cell, http_call
 from papayapick.bundle.queries import read_head
+from papayapick.clients import HostList, HttpPool, Table
 from papayapick.ownership import read_shards
-from papayapick.platforms import HostList, HttpPool, Table
 from papayapick.wire import CellKeys, PeerClient
 from papayapick.wire.codec import encode
 from papayapick.wire.messages import Heartbeat, Hello
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -13,7 +13,7 @@
 
 from benchmarks.tables import percentile, print_rows
 from demo.cells import Cell, http_call
-from papayapick.platforms import HttpPool, Table
+from papayapick.clients import HttpPool, Table
 
 SECONDS = 10
 PROCESSES = 3
--- a/benchmarks/rolls.py
+++ b/benchmarks/rolls.py
@@ -14,8 +14,8 @@
 from papayapick.bundle import Bundle, Envelope, sign
 from papayapick.bundle.commands import accept, propose
 from papayapick.bundle.queries import read_seen
+from papayapick.clients import HostList, HttpPool, ObjectStore, Table
 from papayapick.membership.commands import announce_head
-from papayapick.platforms import HostList, HttpPool, ObjectStore, Table
 from papayapick.wire import CellKeys
 from papayapick.wire.messages import Hello
 
--- a/papayapick/bundle/commands.py
+++ b/papayapick/bundle/commands.py
@@ -15,8 +15,8 @@
     stored_bundle,
 )
 from papayapick.bundle.topology import check_topology_kept
-from papayapick.platforms import Condition, TransactionConflict, Write
-from papayapick.platforms.commands import transact_settled
+from papayapick.clients import Condition, TransactionConflict, Write
+from papayapick.clients.commands import transact_settled
 
 __all__ = ["accept", "acknowledge", "propose"]
 
--- a/papayapick/bundle/queries.py
+++ b/papayapick/bundle/queries.py
@@ -9,7 +9,7 @@
     accepted_key,
 )
 from papayapick.bundle.signing import Envelope
-from papayapick.platforms import ObjectMissing
+from papayapick.clients import ObjectMissing
 
 __all__ = [
     "fetch_envelope",
--- a/papayapick/bundle/watcher.py
+++ b/papayapick/bundle/watcher.py
@@ -11,8 +11,8 @@
 )
 from papayapick.bundle.heads import IN_FORCE, VERIFIED
 from papayapick.bundle.queries import fetch_envelope, read_head, verified_envelope
+from papayapick.clients import ObjectsUnavailable, TableUnavailable
 from papayapick.observability import get_logger
-from papayapick.platforms import ObjectsUnavailable, TableUnavailable
 
 __all__ = ["BundleWatcher", "PeerHead"]
 
--- a/papayapick/checks/bundles.py
+++ b/papayapick/checks/bundles.py
@@ -4,8 +4,8 @@
 from papayapick.checks.findings import Finding
 from papayapick.checks.queries import register
 from papayapick.checks.surroundings import read_bundle
+from papayapick.clients.hosts import GATEWAY_KIND, INSTANCE, PLACER_KIND, WORKER
 from papayapick.ledger import Amounts
-from papayapick.platforms.hosts import GATEWAY_KIND, INSTANCE, PLACER_KIND, WORKER
 
 __all__ = ["check_bundles", "check_hosts", "check_services", "check_teams"]
 
--- a/papayapick/checks/platform.py
+++ b/papayapick/checks/platform.py
@@ -4,7 +4,7 @@
 
 from papayapick.checks.findings import Finding
 from papayapick.checks.queries import register
-from papayapick.platforms import (
+from papayapick.clients import (
     AnswerMissing,
     NotSent,
     ObjectMissing,
--- a/papayapick/checks/processes.py
+++ b/papayapick/checks/processes.py
@@ -5,8 +5,8 @@
 from papayapick.bundle.queries import read_head
 from papayapick.checks.findings import Finding
 from papayapick.checks.queries import register
+from papayapick.clients import TableUnavailable
 from papayapick.management.peers import OperatorPeers
-from papayapick.platforms import TableUnavailable
 from papayapick.wire import CellKeyInvalid
 
 __all__ = ["check_processes"]
--- a/papayapick/checks/surroundings.py
+++ b/papayapick/checks/surroundings.py
@@ -6,11 +6,7 @@
 
 from papayapick.bundle import Bundle, BundleInvalid, Envelope
 from papayapick.bundle.queries import object_name, read_head
-from papayapick.clock import SystemClock
-from papayapick.conf import Settings
-from papayapick.conf.exceptions import SettingsError
-from papayapick.conf.setting import OPERATOR
-from papayapick.platforms import (
+from papayapick.clients import (
     HostList,
     HostListUnavailable,
     HttpPool,
@@ -20,6 +16,10 @@
     Table,
     TableUnavailable,
 )
+from papayapick.clock import SystemClock
+from papayapick.conf import Settings
+from papayapick.conf.exceptions import SettingsError
+from papayapick.conf.setting import OPERATOR
 
 __all__ = ["Surroundings"]
 
--- a/papayapick/platforms/__init__.py
+++ b/papayapick/clients/__init__.py
@@ -1,6 +1,6 @@
 """The platform's services, by their published protocols."""
 
-from papayapick.platforms.exceptions import (
+from papayapick.clients.exceptions import (
     AnswerInvalid,
     AnswerMissing,
     HostListUnavailable,
@@ -14,13 +14,13 @@
     TransactionConflict,
     WorkerUnreachable,
 )
-from papayapick.platforms.hosts import HostEntry, HostList
-from papayapick.platforms.http import HttpAnswer, HttpPool
-from papayapick.platforms.instances import InstanceClient
-from papayapick.platforms.objects import ObjectStore
-from papayapick.platforms.table import Row, Table
-from papayapick.platforms.types import Condition, ObjectsProtocol, TableProtocol, Write
-from papayapick.platforms.workers import WorkerClient
+from papayapick.clients.hosts import HostEntry, HostList
+from papayapick.clients.http import HttpAnswer, HttpPool
+from papayapick.clients.instances import InstanceClient
+from papayapick.clients.objects import ObjectStore
+from papayapick.clients.table import Row, Table
+from papayapick.clients.types import Condition, ObjectsProtocol, TableProtocol, Write
+from papayapick.clients.workers import WorkerClient
 
 __all__ = [
     "AnswerInvalid",
--- a/papayapick/platforms/commands.py
+++ b/papayapick/clients/commands.py
@@ -2,8 +2,8 @@
 
 import uuid
 
-from papayapick.platforms.exceptions import TableUnavailable, TransactionConflict
-from papayapick.platforms.types import Condition, Write
+from papayapick.clients.exceptions import TableUnavailable, TransactionConflict
+from papayapick.clients.types import Condition, Write
 
 __all__ = ["transact_settled"]
 
--- a/papayapick/platforms/http.py
+++ b/papayapick/clients/http.py
@@ -5,8 +5,8 @@
 import threading
 import urllib.parse
 
+from papayapick.clients.exceptions import AnswerInvalid, AnswerMissing, NotSent
 from papayapick.clock import SystemClock
-from papayapick.platforms.exceptions import AnswerInvalid, AnswerMissing, NotSent
 
 __all__ = ["HttpAnswer", "HttpPool"]
 
--- a/papayapick/platforms/instances.py
+++ b/papayapick/clients/instances.py
@@ -2,7 +2,7 @@
 
 import json
 
-from papayapick.platforms.exceptions import (
+from papayapick.clients.exceptions import (
     AnswerInvalid,
     AnswerMissing,
     HostLeaving,
--- a/papayapick/platforms/objects.py
+++ b/papayapick/clients/objects.py
@@ -3,7 +3,7 @@
 import hashlib
 import urllib.parse
 
-from papayapick.platforms.exceptions import (
+from papayapick.clients.exceptions import (
     AnswerMissing,
     NotSent,
     ObjectMissing,
--- a/papayapick/platforms/table.py
+++ b/papayapick/clients/table.py
@@ -3,13 +3,13 @@
 import json
 import urllib.parse
 
-from papayapick.platforms.exceptions import (
+from papayapick.clients.exceptions import (
     AnswerMissing,
     NotSent,
     TableUnavailable,
     TransactionConflict,
 )
-from papayapick.platforms.types import Row
+from papayapick.clients.types import Row
 
 __all__ = ["Row", "Table"]
 
--- a/papayapick/daemon/process.py
+++ b/papayapick/daemon/process.py
@@ -5,6 +5,8 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from papayapick.bundle import BundleUnknown, BundleWatcher, KeyRing, PeerHead
+from papayapick.clients import HostList, HttpPool, ObjectStore, Table
+from papayapick.clients.exceptions import PlatformError, TableUnavailable
 from papayapick.clock import SystemClock
 from papayapick.limits import PauseGuard
 from papayapick.membership import LookGate, Peers
@@ -14,8 +16,6 @@
     get_logger,
     set_process_fields,
 )
-from papayapick.platforms import HostList, HttpPool, ObjectStore, Table
-from papayapick.platforms.exceptions import PlatformError, TableUnavailable
 from papayapick.wire import CellKeys, PeerServer
 from papayapick.wire.messages import BundleBody, BundleQuery, Heartbeat, Hello
 
--- a/papayapick/gateway/process.py
+++ b/papayapick/gateway/process.py
@@ -5,6 +5,8 @@
 
 from waitress.server import create_server
 
+from papayapick.clients import HttpPool, InstanceClient
+from papayapick.clients.hosts import GATEWAY_KIND
 from papayapick.daemon import Process
 from papayapick.gateway.application import Application
 from papayapick.gateway.dispatcher import BoundedDispatcher
@@ -12,8 +14,6 @@
 from papayapick.gateway.urgent import UrgentCalls
 from papayapick.limits import AttemptTimeouts, CallerLimits, RetryBudgets
 from papayapick.observability import get_logger
-from papayapick.platforms import HttpPool, InstanceClient
-from papayapick.platforms.hosts import GATEWAY_KIND
 from papayapick.routing import SlotClient
 
 __all__ = ["PROGRAM", "Gateway"]
--- a/papayapick/gateway/submission.py
+++ b/papayapick/gateway/submission.py
@@ -3,9 +3,9 @@
 import json
 from concurrent.futures import TimeoutError as FutureTimeout
 
+from papayapick.clients.objects import digest_of
 from papayapick.gateway.exceptions import OwnerMissing
 from papayapick.membership import ShardUnserved
-from papayapick.platforms.objects import digest_of
 from papayapick.wire import (
     PeerDisconnected,
     PeerRefused,
--- a/papayapick/gateway/urgent.py
+++ b/papayapick/gateway/urgent.py
@@ -1,16 +1,16 @@
 """Serve urgent repeatable requests: a slot, a call, the whole answer."""
 
-from papayapick.exceptions import PapayapickError
-from papayapick.gateway.exceptions import BackendFailed, CallAnswerMissing
-from papayapick.gateway.problems import Answer
-from papayapick.observability import note_fields
-from papayapick.platforms import (
+from papayapick.clients import (
     AnswerInvalid,
     AnswerMissing,
     NotSent,
     StaleEpoch,
 )
-from papayapick.platforms.instances import is_leaving
+from papayapick.clients.instances import is_leaving
+from papayapick.exceptions import PapayapickError
+from papayapick.gateway.exceptions import BackendFailed, CallAnswerMissing
+from papayapick.gateway.problems import Answer
+from papayapick.observability import note_fields
 from papayapick.routing import DeadlineOver, GrantExpired, NoRoute, PlacerSilent
 from papayapick.wire import PeerRefused
 
--- a/papayapick/journal/commands.py
+++ b/papayapick/journal/commands.py
@@ -2,8 +2,8 @@
 
 import json
 
+from papayapick.clients import Condition, TableUnavailable, Write
 from papayapick.journal.queries import snapshot_key
-from papayapick.platforms import Condition, TableUnavailable, Write
 
 __all__ = ["MOST_DELETED", "write_snapshot"]
 
--- a/papayapick/journal/writer.py
+++ b/papayapick/journal/writer.py
@@ -3,6 +3,13 @@
 import random
 import threading
 
+from papayapick.clients import (
+    Condition,
+    ObjectsUnavailable,
+    TableUnavailable,
+    TransactionConflict,
+    Write,
+)
 from papayapick.journal.commands import MOST_DELETED, write_snapshot
 from papayapick.journal.entries import Entry
 from papayapick.journal.exceptions import (
@@ -12,13 +19,6 @@
 )
 from papayapick.journal.queries import segment_key, snapshot_key
 from papayapick.observability import get_logger
-from papayapick.platforms import (
-    Condition,
-    ObjectsUnavailable,
-    TableUnavailable,
-    TransactionConflict,
-    Write,
-)
 
 __all__ = ["Journal"]
 
--- a/papayapick/management/base.py
+++ b/papayapick/management/base.py
@@ -4,11 +4,11 @@
 import json
 import sys
 
+from papayapick.clients import HostList, HttpPool, ObjectStore, Table
 from papayapick.clock import SystemClock
 from papayapick.conf import Settings
 from papayapick.conf.setting import OPERATOR
 from papayapick.management.exceptions import FileUnreadable, FileUnwritable
-from papayapick.platforms import HostList, HttpPool, ObjectStore, Table
 
 __all__ = ["Command", "Output", "read_file", "write_file"]
 
--- a/papayapick/management/commands/bundle.py
+++ b/papayapick/management/commands/bundle.py
@@ -15,6 +15,7 @@
 from papayapick.bundle.commands import accept, propose, withdraw
 from papayapick.bundle.heads import IN_FORCE
 from papayapick.bundle.queries import fetch_envelope, read_head, read_seen
+from papayapick.clients import TableUnavailable
 from papayapick.management.base import Command, read_file, write_file
 from papayapick.management.exceptions import (
     ArgumentInvalid,
@@ -26,7 +27,6 @@
 from papayapick.management.exit_codes import EXIT_OK, EXIT_PARTLY, EXIT_SETTINGS
 from papayapick.management.peers import process_entries
 from papayapick.membership.commands import announce_head
-from papayapick.platforms import TableUnavailable
 from papayapick.wire import CellKeys
 from papayapick.wire.messages import Hello
 
--- a/papayapick/management/views.py
+++ b/papayapick/management/views.py
@@ -1,8 +1,8 @@
 """See a cell from the table, the live list and the processes themselves."""
 
 from papayapick.bundle.queries import read_head
+from papayapick.clients import HostListUnavailable, TableUnavailable
 from papayapick.ownership import read_shards
-from papayapick.platforms import HostListUnavailable, TableUnavailable
 
 __all__ = ["CellView", "ShardView", "read_cell"]
 
--- a/papayapick/membership/commands.py
+++ b/papayapick/membership/commands.py
@@ -2,7 +2,7 @@
 
 from concurrent.futures import ThreadPoolExecutor
 
-from papayapick.platforms.hosts import GATEWAY_KIND, PLACER_KIND
+from papayapick.clients.hosts import GATEWAY_KIND, PLACER_KIND
 from papayapick.wire import PeerClient, WireError
 from papayapick.wire.messages import Heartbeat
 
--- a/papayapick/membership/peers.py
+++ b/papayapick/membership/peers.py
@@ -3,14 +3,14 @@
 import threading
 
 from papayapick.bundle import PeerHead
+from papayapick.clients import HostListUnavailable
+from papayapick.clients.hosts import PLACER_KIND
 from papayapick.membership.exceptions import ShardUnserved
 from papayapick.membership.looks import LookGate
 from papayapick.membership.peer import Peer
 from papayapick.membership.relays import crosses
 from papayapick.membership.retelling import Retelling
 from papayapick.observability import get_logger
-from papayapick.platforms import HostListUnavailable
-from papayapick.platforms.hosts import PLACER_KIND
 from papayapick.wire import PeerClient, WireError
 from papayapick.wire.messages import BundleQuery, Heartbeat
 
--- a/papayapick/ownership/commands.py
+++ b/papayapick/ownership/commands.py
@@ -1,9 +1,9 @@
 """Take and release shards by compare-and-set."""
 
+from papayapick.clients import Condition, TransactionConflict, Write
+from papayapick.clients.commands import transact_settled
 from papayapick.ownership.exceptions import TakeoverLost
 from papayapick.ownership.queries import ShardRow, read_shard
-from papayapick.platforms import Condition, TransactionConflict, Write
-from papayapick.platforms.commands import transact_settled
 
 __all__ = ["claim", "release"]
 
--- a/papayapick/placer/handover.py
+++ b/papayapick/placer/handover.py
@@ -4,9 +4,9 @@
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeout
 
+from papayapick.clients import PlatformError
 from papayapick.observability import get_logger
 from papayapick.ownership import preferred_owner, read_shard, release
-from papayapick.platforms import PlatformError
 from papayapick.wire import WireError
 from papayapick.wire.messages import Acknowledgement, Handover, Release
 
--- a/papayapick/placer/jobs.py
+++ b/papayapick/placer/jobs.py
@@ -3,13 +3,13 @@
 import base64
 import json
 
+from papayapick.clients import PlatformError
 from papayapick.journal import Ended, JournalError, JournalUnsettled, Started
 from papayapick.ledger import Amounts
 from papayapick.observability import get_logger
 from papayapick.placement import Place, RunningJob, WaitingJob
 from papayapick.placer.exceptions import OutcomeUnsettled
 from papayapick.placer.members import JobMembers, in_parallel
-from papayapick.platforms import PlatformError
 
 __all__ = ["JobRunner"]
 
--- a/papayapick/placer/listing.py
+++ b/papayapick/placer/listing.py
@@ -2,9 +2,9 @@
 
 import threading
 
+from papayapick.clients.hosts import INSTANCE, WORKER
 from papayapick.ledger import Amounts
 from papayapick.ownership import shard_of
-from papayapick.platforms.hosts import INSTANCE, WORKER
 
 __all__ = ["HostListing"]
 
--- a/papayapick/placer/members.py
+++ b/papayapick/placer/members.py
@@ -1,8 +1,8 @@
 """Start, renew, checkpoint and stop the members of jobs on their workers."""
 
+from papayapick.clients import PlatformError
 from papayapick.ledger import Amounts
 from papayapick.ownership import LeaseBook
-from papayapick.platforms import PlatformError
 
 __all__ = ["JobMembers", "in_parallel"]
 
--- a/papayapick/placer/owners.py
+++ b/papayapick/placer/owners.py
@@ -2,6 +2,7 @@
 
 import threading
 
+from papayapick.clients import PlatformError
 from papayapick.membership import LookGate
 from papayapick.observability import get_logger
 from papayapick.ownership import (
@@ -15,7 +16,6 @@
 from papayapick.ownership.queries import ShardRow
 from papayapick.placer.shards import Shard
 from papayapick.placer.takeover import load_work
-from papayapick.platforms import PlatformError
 
 __all__ = ["ShardOwner"]
 
--- a/papayapick/placer/payloads.py
+++ b/papayapick/placer/payloads.py
@@ -2,8 +2,8 @@
 
 import base64
 
+from papayapick.clients.objects import digest_of
 from papayapick.journal.work import ENDED
-from papayapick.platforms.objects import digest_of
 from papayapick.wire.messages import WorkState
 
 __all__ = ["INLINE_BYTES", "inline_or_object", "load_inline_or_object", "state_of"]
--- a/papayapick/placer/process.py
+++ b/papayapick/placer/process.py
@@ -4,6 +4,7 @@
 import threading
 from concurrent.futures import Future
 
+from papayapick.clients import InstanceClient, WorkerClient
 from papayapick.daemon import Process
 from papayapick.daemon.health import HealthServer
 from papayapick.ledger import Amounts, JobNeverFits, NeverFits
@@ -20,7 +21,6 @@
 from papayapick.placer.runners import WorkLoop
 from papayapick.placer.takeover import HostKeeper
 from papayapick.placer.work import WorkDesk
-from papayapick.platforms import InstanceClient, WorkerClient
 from papayapick.routing import SlotClient
 from papayapick.wire.messages import (
     Handover,
--- a/papayapick/placer/requests.py
+++ b/papayapick/placer/requests.py
@@ -1,16 +1,16 @@
 """Run journaled requests on backend servers."""
 
-from papayapick.journal import Ended, JournalError, JournalUnsettled, Started
-from papayapick.placer.exceptions import OutcomeUnsettled
-from papayapick.placer.payloads import inline_or_object, load_inline_or_object
-from papayapick.platforms import (
+from papayapick.clients import (
     AnswerInvalid,
     AnswerMissing,
     NotSent,
     ObjectsUnavailable,
     StaleEpoch,
 )
-from papayapick.platforms.instances import is_leaving
+from papayapick.clients.instances import is_leaving
+from papayapick.journal import Ended, JournalError, JournalUnsettled, Started
+from papayapick.placer.exceptions import OutcomeUnsettled
+from papayapick.placer.payloads import inline_or_object, load_inline_or_object
 from papayapick.routing import GrantExpired, RoutingError
 from papayapick.wire import WireError
 
--- a/papayapick/placer/runners.py
+++ b/papayapick/placer/runners.py
@@ -3,9 +3,9 @@
 import collections
 import threading
 
+from papayapick.clients import PlatformError
 from papayapick.journal import JournalError
 from papayapick.observability import get_logger
-from papayapick.platforms import PlatformError
 
 __all__ = ["WorkLoop"]
 
--- a/papayapick/placer/takeover.py
+++ b/papayapick/placer/takeover.py
@@ -1,11 +1,11 @@
 """Take over shards: claim, fence, count what runs, then serve."""
 
+from papayapick.clients import PlatformError, StaleEpoch
+from papayapick.clients.hosts import WORKER
 from papayapick.journal.queries import read_journal
 from papayapick.ledger import Amounts
 from papayapick.observability import get_logger
 from papayapick.placer.listing import HostListing
-from papayapick.platforms import PlatformError, StaleEpoch
-from papayapick.platforms.hosts import WORKER
 
 __all__ = ["HostKeeper", "load_work"]
 
--- a/papayapick/placer/work.py
+++ b/papayapick/placer/work.py
@@ -6,12 +6,12 @@
 import threading
 from concurrent.futures import Future
 
+from papayapick.clients import PlatformError
+from papayapick.clients.objects import digest_of
 from papayapick.journal import Accepted, Cancelled, KeyReused
 from papayapick.journal.work import WAITING
 from papayapick.placer.exceptions import ResultUnreadable, WorkMoved
 from papayapick.placer.payloads import inline_or_object, state_of
-from papayapick.platforms import PlatformError
-from papayapick.platforms.objects import digest_of
 
 __all__ = ["WorkDesk"]
 
--- a/tests/checks/test_checks.py
+++ b/tests/checks/test_checks.py
@@ -19,9 +19,9 @@
     settings,
 )
 from papayapick.checks.queries import run_checks
+from papayapick.clients import HostEntry, NotSent, Row
 from papayapick.clock import ManualClock
 from papayapick.conf import SETTINGS, Settings
-from papayapick.platforms import HostEntry, NotSent, Row
 from tests.management.commands import in_cell, run_command
 
 BUNDLE = str(ROOT / "deploy" / "footfall" / "bundle.json")
--- a/tests/contracts/test_store.py
+++ b/tests/contracts/test_store.py
@@ -10,7 +10,7 @@
 import pytest
 from waitress.server import create_server
 
-from papayapick.platforms import (
+from papayapick.clients import (
     Condition,
     HttpPool,
     ObjectMissing,
@@ -21,7 +21,7 @@
     TransactionConflict,
     Write,
 )
-from papayapick.platforms.commands import transact_settled
+from papayapick.clients.commands import transact_settled
 from tests.standins.server import Platform
 
 KINDS = ("in process", "over HTTP")
--- a/tests/failures/lives.py
+++ b/tests/failures/lives.py
@@ -10,15 +10,7 @@
 
 from demo.cells import ROOT
 from papayapick.bundle import Bundle
-from papayapick.clock import ManualClock
-from papayapick.limits import PauseGuard, TokenBucket
-from papayapick.ownership import read_shard
-from papayapick.placer.owners import ShardOwner
-from papayapick.placer.requests import RequestRunner
-from papayapick.placer.runners import WorkLoop
-from papayapick.placer.takeover import HostKeeper
-from papayapick.placer.work import WorkDesk
-from papayapick.platforms import (
+from papayapick.clients import (
     AnswerMissing,
     HostList,
     InstanceClient,
@@ -27,7 +19,15 @@
     Table,
     WorkerClient,
 )
-from papayapick.platforms.objects import digest_of
+from papayapick.clients.objects import digest_of
+from papayapick.clock import ManualClock
+from papayapick.limits import PauseGuard, TokenBucket
+from papayapick.ownership import read_shard
+from papayapick.placer.owners import ShardOwner
+from papayapick.placer.requests import RequestRunner
+from papayapick.placer.runners import WorkLoop
+from papayapick.placer.takeover import HostKeeper
+from papayapick.placer.work import WorkDesk
 from papayapick.routing import Grant, NoRoute
 from papayapick.wire.messages import SlotRequest, Submit
 from tests.fakes.pool import InProcessPool
--- a/tests/failures/test_takeover.py
+++ b/tests/failures/test_takeover.py
@@ -5,9 +5,9 @@
 
 import pytest
 
+from papayapick.clients import PlatformError, StaleEpoch, WorkerClient
 from papayapick.ledger import Amounts
 from papayapick.ownership import read_shard
-from papayapick.platforms import PlatformError, StaleEpoch, WorkerClient
 from tests.failures.lives import DOWN, LATE, LOST, ONCE, SHARD, Cell, Life
 
 DEMAND = {"processors": 9000, "memory": 1024, "accelerators": 0}
--- a/tests/fakes/pool.py
+++ b/tests/fakes/pool.py
@@ -4,7 +4,7 @@
 import io
 import urllib.parse
 
-from papayapick.platforms.http import HttpAnswer
+from papayapick.clients.http import HttpAnswer
 
 
 def message(lines):
--- a/tests/fakes/scripted.py
+++ b/tests/fakes/scripted.py
@@ -1,6 +1,6 @@
 """A table whose next transactions go as a test says, one by one."""
 
-from papayapick.platforms import TableUnavailable
+from papayapick.clients import TableUnavailable
 from tests.standins.store import MemoryTable
 
 DONE_UNANSWERED = "done, answer lost"
--- a/tests/gateway/test_urgent.py
+++ b/tests/gateway/test_urgent.py
@@ -7,12 +7,12 @@
 import pytest
 
 from papayapick.bundle.documents import ServicePolicy
+from papayapick.clients import AnswerMissing, NotSent, StaleEpoch
+from papayapick.clients.http import HttpAnswer
 from papayapick.clock import ManualClock
 from papayapick.gateway.exceptions import BackendFailed, CallAnswerMissing
 from papayapick.gateway.urgent import UrgentCalls
 from papayapick.limits import AttemptTimeouts, RetryBudgets
-from papayapick.platforms import AnswerMissing, NotSent, StaleEpoch
-from papayapick.platforms.http import HttpAnswer
 from papayapick.routing import DeadlineOver, Grant
 from papayapick.wire import PeerRefused
 from papayapick.wire.messages import SlotGrant
--- a/tests/gateway/test_whole_answers.py
+++ b/tests/gateway/test_whole_answers.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from papayapick.platforms import AnswerInvalid, AnswerMissing, HttpPool, InstanceClient
-from papayapick.platforms.exceptions import HostLeaving
-from papayapick.platforms.instances import is_leaving
+from papayapick.clients import AnswerInvalid, AnswerMissing, HttpPool, InstanceClient
+from papayapick.clients.exceptions import HostLeaving
+from papayapick.clients.instances import is_leaving
 from tests.gateway.scripted import ScriptedServer
 
 CLOSE = ScriptedServer.CLOSE
--- a/tests/journal/test_writer.py
+++ b/tests/journal/test_writer.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from papayapick.clients import TableUnavailable
 from papayapick.clock import ManualClock
 from papayapick.journal import (
     Accepted,
@@ -17,7 +18,6 @@
 from papayapick.journal.queries import read_journal
 from papayapick.limits import TokenBucket
 from papayapick.ownership import claim, read_shard
-from papayapick.platforms import TableUnavailable
 from tests.standins.board import FaultBoard
 from tests.standins.store import MemoryObjects, MemoryTable
 
--- a/tests/management/test_roll.py
+++ b/tests/management/test_roll.py
@@ -13,6 +13,7 @@
 from papayapick.bundle.heads import HEAD_KEY, IN_FORCE, VERIFIED
 from papayapick.bundle.queries import read_head
 from papayapick.bundle.signing import Envelope
+from papayapick.clients import HostEntry, TableUnavailable
 from papayapick.clock import ManualClock
 from papayapick.conf import Settings
 from papayapick.management.base import Output
@@ -22,7 +23,6 @@
     RollInterrupted,
     RollUnsettled,
 )
-from papayapick.platforms import HostEntry, TableUnavailable
 from tests.standins.board import FaultBoard
 from tests.standins.store import MemoryObjects, MemoryTable
 
--- a/tests/membership/parts.py
+++ b/tests/membership/parts.py
@@ -3,10 +3,10 @@
 from concurrent.futures import Executor
 from types import SimpleNamespace
 
+from papayapick.clients import HostListUnavailable
+from papayapick.clients.hosts import HostEntry
 from papayapick.clock import ManualClock
 from papayapick.membership import Peers
-from papayapick.platforms import HostListUnavailable
-from papayapick.platforms.hosts import HostEntry
 from papayapick.wire import PeerTimeout
 from papayapick.wire.codec import decode, encode
 from papayapick.wire.messages import Heartbeat, ServiceLoad, ShardSummary
--- a/tests/membership/test_announce.py
+++ b/tests/membership/test_announce.py
@@ -5,9 +5,9 @@
 import pytest
 
 from papayapick.bundle.heads import Head
+from papayapick.clients.hosts import HostEntry
 from papayapick.daemon import Process
 from papayapick.membership.commands import announce_head
-from papayapick.platforms.hosts import HostEntry
 from papayapick.wire import PeerServer
 from papayapick.wire.messages import Heartbeat, Hello
 
--- a/tests/ownership/parts.py
+++ b/tests/ownership/parts.py
@@ -7,13 +7,13 @@
 
 from demo.cells import ROOT
 from papayapick.bundle import Bundle
+from papayapick.clients import InstanceClient, WorkerClient
+from papayapick.clients.hosts import HostEntry
 from papayapick.clock import ManualClock
 from papayapick.limits import PauseGuard, TokenBucket
 from papayapick.ownership import claim, read_shard
 from papayapick.placer.shards import Shard
 from papayapick.placer.takeover import HostKeeper
-from papayapick.platforms import InstanceClient, WorkerClient
-from papayapick.platforms.hosts import HostEntry
 from tests.fakes.pool import InProcessPool
 from tests.standins.server import Platform
 
--- a/tests/ownership/test_assignments.py
+++ b/tests/ownership/test_assignments.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from papayapick.clients.hosts import HostEntry
 from papayapick.ownership import candidates, preferred_owner
-from papayapick.platforms.hosts import HostEntry
 from papayapick.wire.messages import Heartbeat
 
 SHARDS = [f"hobart-a.{number}" for number in range(64)]
--- a/tests/ownership/test_claims.py
+++ b/tests/ownership/test_claims.py
@@ -1,7 +1,7 @@
 import pytest
 
+from papayapick.clients import TableUnavailable, TransactionConflict, Write
 from papayapick.ownership import ShardRow, TakeoverLost, claim, read_shard, release
-from papayapick.platforms import TableUnavailable, TransactionConflict, Write
 from tests.fakes.scripted import (
     DONE_UNANSWERED,
     LATE,
--- a/tests/ownership/test_leases.py
+++ b/tests/ownership/test_leases.py
@@ -1,10 +1,10 @@
 import pytest
 
+from papayapick.clients import NotSent, WorkerClient
 from papayapick.journal import Accepted
 from papayapick.journal.queries import read_journal
 from papayapick.placer.jobs import JobRunner
 from papayapick.placer.work import WorkDesk
-from papayapick.platforms import NotSent, WorkerClient
 from tests.fakes.pool import InProcessPool
 from tests.ownership.parts import CAPACITY, SmallCell
 
--- a/tests/ownership/test_takeover.py
+++ b/tests/ownership/test_takeover.py
@@ -2,11 +2,11 @@
 
 import pytest
 
+from papayapick.clients import StaleEpoch, WorkerUnreachable
 from papayapick.journal import JournalFenced, Started
 from papayapick.ledger import Amounts, HostFull
 from papayapick.ownership import OwnershipUnconfirmed
 from papayapick.placer.exceptions import WaitOver
-from papayapick.platforms import StaleEpoch, WorkerUnreachable
 from papayapick.wire.messages import SlotRequest
 from tests.ownership.parts import CAPACITY, SmallCell
 
--- a/tests/placer/jobcells.py
+++ b/tests/placer/jobcells.py
@@ -7,6 +7,9 @@
 from types import SimpleNamespace
 
 from papayapick.bundle import Bundle
+from papayapick.clients import WorkerClient, WorkerUnreachable
+from papayapick.clients.http import HttpAnswer
+from papayapick.clients.types import Row
 from papayapick.clock import ManualClock
 from papayapick.journal import Journal
 from papayapick.limits import PauseGuard, TokenBucket
@@ -14,9 +17,6 @@
 from papayapick.placer.jobs import JobRunner
 from papayapick.placer.shards import Shard
 from papayapick.placer.work import WorkDesk
-from papayapick.platforms import WorkerClient, WorkerUnreachable
-from papayapick.platforms.http import HttpAnswer
-from papayapick.platforms.types import Row
 from papayapick.wire.messages import Submit
 from tests.standins import MemoryObjects, MemoryTable, WorkersStandin
 
--- a/tests/placer/test_admission.py
+++ b/tests/placer/test_admission.py
@@ -5,11 +5,11 @@
 
 import pytest
 
+from papayapick.clients.hosts import HostEntry
 from papayapick.ledger import HostLedger, NeverFits
 from papayapick.placer.exceptions import ShardClosed
 from papayapick.placer.listing import HostListing
 from papayapick.placer.process import Placer
-from papayapick.platforms.hosts import HostEntry
 from papayapick.wire.messages import Submit
 
 CAPACITY = {"processors": 16000, "memory": 65536}
--- a/tests/placer/test_jobs.py
+++ b/tests/placer/test_jobs.py
@@ -6,9 +6,9 @@
 
 import pytest
 
+from papayapick.clients import WorkerUnreachable
 from papayapick.journal import Ended
 from papayapick.ledger import Amounts
-from papayapick.platforms import WorkerUnreachable
 from tests.placer.jobcells import LEASE_SECONDS, JobCell
 
 WORKER = Amounts(4000, 8192)
--- a/tests/placer/test_jobs_cancelled.py
+++ b/tests/placer/test_jobs_cancelled.py
@@ -3,11 +3,11 @@
 import threading
 from concurrent.futures import wait
 
+from papayapick.clients.types import Row
 from papayapick.clock import ManualClock
 from papayapick.journal import Cancelled, Journal
 from papayapick.limits import TokenBucket
 from papayapick.ownership.queries import ShardRow
-from papayapick.platforms.types import Row
 from tests.placer.test_jobs import cell_of
 from tests.standins import MemoryTable
 
--- a/tests/placer/test_slots_durable.py
+++ b/tests/placer/test_slots_durable.py
@@ -7,11 +7,11 @@
 import pytest
 
 from papayapick.bundle.documents import ServicePolicy
+from papayapick.clients import AnswerMissing, NotSent, StaleEpoch
+from papayapick.clients.http import HttpAnswer
 from papayapick.clock import ManualClock
 from papayapick.journal import Accepted, WorkBook
 from papayapick.placer.requests import RequestRunner
-from papayapick.platforms import AnswerMissing, NotSent, StaleEpoch
-from papayapick.platforms.http import HttpAnswer
 from papayapick.routing import Grant
 from papayapick.wire.messages import SlotGrant
 
--- a/tests/placer/test_slots_leaving.py
+++ b/tests/placer/test_slots_leaving.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from papayapick.clients import HostEntry, NotSent
+from papayapick.clients.exceptions import HostLeaving
 from papayapick.clock import ManualClock
 from papayapick.ledger import SlotLedger
 from papayapick.ownership import shard_of
@@ -12,8 +14,6 @@
 from papayapick.placer.exceptions import WaitOver
 from papayapick.placer.slots import SlotDesk
 from papayapick.placer.takeover import HostKeeper
-from papayapick.platforms import HostEntry, NotSent
-from papayapick.platforms.exceptions import HostLeaving
 from papayapick.wire.messages import SlotRequest
 
 ZONE, SHARDS = "a", 1
--- a/tests/spec/test_journal_replay.py
+++ b/tests/spec/test_journal_replay.py
@@ -8,6 +8,8 @@
 import pytest
 
 from papayapick.bundle.documents import ServicePolicy
+from papayapick.clients import AnswerMissing, TransactionConflict
+from papayapick.clients.http import HttpAnswer
 from papayapick.clock import ManualClock
 from papayapick.journal import Ended, JournalUnsettled, Started
 from papayapick.journal.queries import read_journal
@@ -16,8 +18,6 @@
 from papayapick.placer.requests import RequestRunner
 from papayapick.placer.shards import Shard
 from papayapick.placer.work import WorkDesk
-from papayapick.platforms import AnswerMissing, TransactionConflict
-from papayapick.platforms.http import HttpAnswer
 from papayapick.wire.messages import SlotGrant, Submit
 from tests.fakes.scripted import DONE_UNANSWERED, LATE, ScriptedTable
 from tests.standins.store import MemoryObjects
--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -10,8 +10,7 @@
 
 from waitress.server import create_server
 
-from papayapick.clock import SystemClock
-from papayapick.platforms import (
+from papayapick.clients import (
     Condition,
     ObjectMissing,
     ObjectsUnavailable,
@@ -19,6 +18,7 @@
     TransactionConflict,
     Write,
 )
+from papayapick.clock import SystemClock
 from tests.standins.board import FaultBoard
 from tests.standins.hosts import HOSTS, HostsStandin
 from tests.standins.instances import InstancesStandin
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -2,13 +2,13 @@
 
 import threading
 
-from papayapick.platforms import (
+from papayapick.clients import (
     ObjectMissing,
     ObjectsUnavailable,
     TableUnavailable,
     TransactionConflict,
 )
-from papayapick.platforms.types import Row
+from papayapick.clients.types import Row
 from tests.standins.board import FaultBoard
 
 TABLE, OBJECTS = "table", "objects"
