--- a/papayapick/clock.py
+++ b/papayapick/clock.py
@@ -4,7 +4,7 @@
 import time
 from typing import Protocol
 
-__all__ = ["Clock", "ManualClock", "SystemClock"]
+__all__ = ["BootClock", "Clock", "ManualClock", "SystemClock"]
 
 
 class Clock(Protocol):
@@ -38,6 +38,20 @@
         return event.wait(seconds)
 
 
+class BootClock(SystemClock):
+    """Count the time of a suspended machine too.
+
+    The plain monotonic clock stands still while a machine is suspended; a lease
+    that ran out meanwhile would seem to be in force.
+    """
+
+    __slots__ = ()
+
+    def monotonic(self):
+        """Return seconds since the machine started, suspensions included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """Stand still until a test advances it.
 
--- /dev/null
+++ b/papayapick/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The program of an entry host on the users' platform."""
--- /dev/null
+++ b/papayapick/entry/acceptance.py
@@ -0,0 +1,107 @@
+"""Accept jobs, cancel them and tell their states."""
+
+from concurrent.futures import TimeoutError as FutureTimeout
+
+from papayapick.clients.exceptions import TableUnavailable
+from papayapick.entry.exceptions import AcceptanceUnknown, JobUnknown, StateUnknown
+from papayapick.jobs.state import JobStatus
+from papayapick.platform.store import Expectation, RowWrite
+from papayapick.pool.journal import JOBS_TABLE, PROGRESS_TABLE
+from papayapick.pool.owner import CANCEL_SUFFIX
+
+__all__ = ["Acceptance"]
+
+_ANSWER_SECONDS = 2.6
+
+
+class Acceptance:
+    """Serve callers' requests about jobs.
+
+    Parameters
+    ----------
+    store : Store
+    writer : GroupWriter
+    board : StateBoard
+    """
+
+    __slots__ = ("_board", "_store", "_writer")
+
+    def __init__(self, store, writer, board):
+        self._store = store
+        self._writer = writer
+        self._board = board
+
+    def submit(self, document):
+        """Store a job; the same id again is the same job.
+
+        Raises
+        ------
+        NotAccepted, AcceptanceUnknown
+        """
+        identifier = document.identifier
+        if self._board.state(identifier) is not None:
+            return
+        expectation = Expectation(JOBS_TABLE, document.pool, identifier, 0)
+        write = RowWrite(JOBS_TABLE, document.pool, identifier, document.as_record())
+        _wait(self._writer.submit(expectation, write))
+        self._board.note_accepted(identifier)
+
+    def cancel(self, queue, identifier):
+        """Cancel a job, durably.
+
+        Raises
+        ------
+        JobUnknown, StateUnknown, NotAccepted, AcceptanceUnknown
+        """
+        if self._board.state(identifier) in JobStatus.FINAL:
+            return
+        rows = self._read(JOBS_TABLE, queue.pool, identifier, CANCEL_SUFFIX + "~")
+        versions = {row.key: row.version for row in rows}
+        if identifier not in versions:
+            raise JobUnknown(identifier=identifier)
+        if identifier + CANCEL_SUFFIX in versions:
+            return
+        # On condition that the job is still there: the mark of a job that was
+        # dropped meanwhile would stay for good.
+        expectation = Expectation(
+            JOBS_TABLE, queue.pool, identifier, versions[identifier]
+        )
+        write = RowWrite(JOBS_TABLE, queue.pool, identifier + CANCEL_SUFFIX, {"by": 1})
+        _wait(self._writer.submit(expectation, write))
+
+    def status(self, queue, identifier):
+        """Return the status of a job.
+
+        Raises
+        ------
+        JobUnknown, StateUnknown
+        """
+        status = self._board.state(identifier)
+        if status is not None:
+            return status
+        jobs = self._read(JOBS_TABLE, queue.pool, identifier, "~")
+        if not any(row.key == identifier for row in jobs):
+            raise JobUnknown(identifier=identifier)
+        status = JobStatus.WAITING
+        for row in self._read(PROGRESS_TABLE, queue.pool, identifier, "~"):
+            if row.value is not None:
+                status = row.value["status"]
+        is_cancelled = any(row.key != identifier for row in jobs)
+        if is_cancelled and status not in JobStatus.FINAL:
+            status = JobStatus.CANCELLED
+        self._board.note({identifier: status})
+        return status
+
+    def _read(self, table, pool, identifier, end):
+        try:
+            page = self._store.read(table, pool, identifier, identifier + end, limit=3)
+        except TableUnavailable as error:
+            raise StateUnknown() from error
+        return page.rows
+
+
+def _wait(future):
+    try:
+        return future.result(_ANSWER_SECONDS)
+    except FutureTimeout as error:
+        raise AcceptanceUnknown() from error
--- /dev/null
+++ b/papayapick/entry/candidacy.py
@@ -0,0 +1,165 @@
+"""Notice that a pool has no working owner, and become it."""
+
+import random
+import socket
+import threading
+
+from papayapick.clients.exceptions import TableUnavailable
+from papayapick.observability.logs import get_logger
+from papayapick.ownership.pools import OwnershipLost, PoolRow, read_pool, take_pool
+from papayapick.pool.owner import PoolOwner
+
+__all__ = ["Candidacy"]
+
+_LOG = get_logger(__name__)
+
+# Three missed beats, and a slow one: a host that is busy is not replaced.
+_SILENCE_SECONDS = 0.9
+_LOOK_SECONDS = 0.05
+_PROBE_SECONDS = 0.2
+# Hosts that notice at the same time try one after the other, those nearest to the
+# store first; who comes late finds the pool taken.
+_SPREAD_SECONDS = 0.06
+_DISTANCE_WEIGHT = 3
+_RETRY_SECONDS = 0.3
+
+
+class Candidacy:
+    """Watch the owner of one pool.
+
+    Parameters
+    ----------
+    host : EntryHost
+    pool : str
+    """
+
+    __slots__ = (
+        "_heard_at",
+        "_host",
+        "_is_suspected",
+        "_lock",
+        "_wakeup",
+        "owner",
+        "pool",
+        "row",
+    )
+
+    def __init__(self, host, pool):
+        self._host = host
+        self.pool = pool
+        self.row = PoolRow(pool)
+        self.owner = None
+        self._heard_at = host.clock.monotonic()
+        self._is_suspected = True
+        self._lock = threading.Lock()
+        self._wakeup = threading.Event()
+
+    @property
+    def is_owner(self):
+        """Return whether this process owns the pool."""
+        return self.owner is not None and not self.owner.is_stopped
+
+    def note_row(self, row):
+        """Take in the row of the pool as the store has it.
+
+        Parameters
+        ----------
+        row : PoolRow
+        """
+        with self._lock:
+            if row.version < self.row.version:
+                return
+            is_new = row.version > self.row.version
+            self.row = row
+            if is_new and row.owner:
+                self._heard_at = self._host.clock.monotonic()
+                self._is_suspected = False
+        owner = self.owner
+        if self.is_owner and row.version > owner.row.version:
+            owner.note_lost()
+        if not row.owner:
+            self._wakeup.set()
+
+    def note_beat(self, beat):
+        """Take in the word of an owner; return whether it is the newest known."""
+        with self._lock:
+            if beat.epoch < self.row.epoch:
+                return False
+            self._heard_at = self._host.clock.monotonic()
+            if beat.host == self.row.owner:
+                self._is_suspected = False
+        return True
+
+    def note_end(self, peer):
+        """Check on the owner when its connection has ended."""
+        if peer.host != self.row.owner or not self.row.address:
+            return
+        if _is_listening(self.row.address):
+            return
+        _LOG.info("owner's process is gone", extra={"pool": self.pool})
+        self._is_suspected = True
+        self._wakeup.set()
+
+    def run(self):
+        """Watch until the process stops."""
+        host = self._host
+        while not host.stopping.is_set():
+            host.clock.wait(self._wakeup, _LOOK_SECONDS)
+            self._wakeup.clear()
+            if self.is_owner or host.is_draining or not self._is_needed():
+                continue
+            host.clock.wait(host.stopping, self._delay())
+            if self._is_needed() and not host.is_draining:
+                self._try()
+
+    def _is_needed(self):
+        silence = self._host.clock.monotonic() - self._heard_at
+        return not self.row.owner or self._is_suspected or silence > _SILENCE_SECONDS
+
+    def _delay(self):
+        distance = _DISTANCE_WEIGHT * self._host.store_seconds
+        return distance + random.uniform(0, _SPREAD_SECONDS)
+
+    def _try(self):
+        host = self._host
+        known = self.row
+        try:
+            row = read_pool(host.store, self.pool)
+            if row.version > known.version:
+                # Somebody was faster, unless the pool was just given up.
+                self.note_row(row)
+                if row.owner:
+                    return
+            name = host.settings.host_name
+            address = "{}:{}".format(*host.settings.peer_address)
+            taken = take_pool(host.store, row, name, address)
+        except OwnershipLost:
+            _LOG.info("pool taken by another host", extra={"pool": self.pool})
+            self._heard_at = host.clock.monotonic()
+            return
+        except TableUnavailable as error:
+            _LOG.info("pool not taken", extra={"error": str(error)})
+            host.clock.wait(host.stopping, _RETRY_SECONDS)
+            return
+        self._own(taken)
+
+    def _own(self, row):
+        owner = PoolOwner(self._host, row)
+        self.note_row(row)
+        try:
+            owner.start()
+        except TableUnavailable as error:
+            _LOG.warning("pool not read", extra={"error": str(error)})
+            owner.give_up()
+            return
+        self.owner = owner
+        self._host.note_owner(owner)
+
+
+def _is_listening(address):
+    host, _, port = address.rpartition(":")
+    try:
+        socket.create_connection((host, int(port)), _PROBE_SECONDS).close()
+    except OSError:
+        return False
+    return True
--- /dev/null
+++ b/papayapick/entry/configuration.py
@@ -0,0 +1,64 @@
+"""Follow the operator's configuration; never go back to an older version."""
+
+from papayapick.observability.logs import get_logger
+from papayapick.platform.configuration import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    decode_configuration,
+)
+from papayapick.platform.exceptions import BodyInvalid
+
+__all__ = ["ConfigurationWatcher"]
+
+_LOG = get_logger(__name__)
+
+
+class ConfigurationWatcher:
+    """Hold the newest configuration that this process has seen.
+
+    Parameters
+    ----------
+    host : EntryHost
+    """
+
+    __slots__ = ("_current", "_host")
+
+    def __init__(self, host):
+        self._host = host
+        self._current = None
+
+    @property
+    def current(self):
+        """Return the ``CellConfiguration`` in force, or None."""
+        return self._current
+
+    def run(self):
+        """Follow the operator's rows until the process stops."""
+        self._host.follow(
+            OPERATOR_TABLE, None, self._note_rows, self._read, self._host.stopping
+        )
+
+    def _read(self):
+        return self._host.store.read_all(OPERATOR_TABLE, "")
+
+    def _note_rows(self, rows):
+        for row in rows:
+            if row.key == CONFIGURATION_KEY and row.value is not None:
+                self._take(row.value)
+
+    def _take(self, value):
+        try:
+            found = decode_configuration(value)
+        except BodyInvalid as error:
+            _LOG.error("configuration refused", extra={"error": str(error)})
+            return
+        # A reading that began before a change may arrive after it: an older
+        # version never replaces a newer one in the life of a process.
+        if self._current is not None and found.version <= self._current.version:
+            return
+        self._current = found
+        _LOG.info(
+            "configuration in force",
+            extra={"version": found.version, "queues": len(found.queues)},
+        )
+        self._host.note_configuration(found)
--- /dev/null
+++ b/papayapick/entry/followers.py
@@ -0,0 +1,59 @@
+"""Follow a table of the store: read it whole, then take its changes."""
+
+from papayapick.clients.exceptions import TableUnavailable
+from papayapick.observability.logs import get_logger
+from papayapick.platform.exceptions import HistoryLost
+
+__all__ = ["FOLLOW_WAIT_SECONDS", "follow_table"]
+
+_LOG = get_logger(__name__)
+
+# One waiting call a second and a half: a connection that went silent is noticed
+# soon after, well within the bound for a change of the configuration.
+FOLLOW_WAIT_SECONDS = 1.2
+_RETRY_SECONDS = 0.2
+
+
+def follow_table(store, clock, table, version, on_rows, read_all, stopping, on_answer):
+    """Hand on the changes of a table until told to stop.
+
+    Parameters
+    ----------
+    store : Store
+    clock : Clock
+    table : str
+    version : int or None
+        Changes after it are wanted; None to read the table first.
+    on_rows : callable
+        Called with a list of StoredRow, in the order of their changes.
+    read_all : callable
+        Returns all rows and a version; also called when the history is lost.
+    stopping : threading.Event
+    on_answer : callable
+        Called with the time at which a call was sent that the store answered.
+    """
+    is_away = False
+    while not stopping.is_set():
+        asked_at = clock.monotonic()
+        try:
+            if version is None:
+                rows, version = read_all()
+            else:
+                page = store.follow(table, version, FOLLOW_WAIT_SECONDS)
+                rows, version = page.rows, page.version
+        except HistoryLost:
+            _LOG.info("history lost", extra={"table": table, "version": version})
+            version = None
+            continue
+        except TableUnavailable as error:
+            if not is_away:
+                _LOG.warning("store lost", extra={"table": table, "error": str(error)})
+            is_away = True
+            clock.wait(stopping, _RETRY_SECONDS)
+            continue
+        if is_away:
+            _LOG.info("store back", extra={"table": table, "version": version})
+            is_away = False
+        on_answer(asked_at)
+        if rows and not stopping.is_set():
+            on_rows(rows)
--- /dev/null
+++ b/papayapick/entry/process.py
@@ -0,0 +1,418 @@
+"""Put the parts of an entry host together."""
+
+import base64
+import os
+import threading
+from concurrent.futures import Future, ThreadPoolExecutor
+
+from papayapick.clients.exceptions import TableUnavailable
+from papayapick.clients.http import HttpPool
+from papayapick.clock import BootClock
+from papayapick.entry.acceptance import Acceptance
+from papayapick.entry.advisers import Adviser
+from papayapick.entry.application import Application
+from papayapick.entry.board import StateBoard
+from papayapick.entry.candidacy import Candidacy
+from papayapick.entry.configuration import ConfigurationWatcher
+from papayapick.entry.followers import follow_table
+from papayapick.entry.peers import HOSTS_PARTITION, OwnerLine, Peers
+from papayapick.entry.servers import FrontServer
+from papayapick.entry.writers import GroupWriter
+from papayapick.jobs.queues import Queue
+from papayapick.observability.logs import get_logger
+from papayapick.ownership.pools import CELL_TABLE, pool_row
+from papayapick.platform.exceptions import ConditionFailed
+from papayapick.platform.store import Expectation, RowWrite, Store
+from papayapick.wire import CellKeys, PeerServer
+from papayapick.wire.messages import (
+    AdviceQuery,
+    AdviceReply,
+    Hello,
+    PoolBeat,
+    PoolBeatAnswer,
+    Ticket,
+)
+
+__all__ = ["EntryHost"]
+
+_LOG = get_logger(__name__)
+
+_TASKS = 256
+_STORE_CALL_SECONDS = 2.0
+_WORKER_CALL_SECONDS = 1.0
+_KEY_PARTITION = "key"
+_KEY_BYTES = 32
+_START_RETRY_SECONDS = 0.2
+# Without a word of the store for so long, a host can't accept jobs.
+_STORE_AWAY_SECONDS = 2.6
+# Before the platform kills the process, what is under way has ended.
+_GRACE_SLACK_SECONDS = 1.2
+
+
+class EntryHost:
+    """Run all that an entry host does.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+    clock : Clock, optional
+    """
+
+    def __init__(self, settings, clock=None):
+        self.settings = settings
+        self.clock = clock or BootClock()
+        self.stopping = threading.Event()
+        self.is_draining = False
+        self.executor = ThreadPoolExecutor(_TASKS, thread_name_prefix="entry")
+        self.store = Store(settings.store_address, HttpPool(_STORE_CALL_SECONDS))
+        self.worker_pool = HttpPool(_WORKER_CALL_SECONDS)
+        self.board = StateBoard()
+        self.configuration = ConfigurationWatcher(self)
+        self.writer = GroupWriter(self.store, self.clock, self.stopping)
+        self.acceptance = Acceptance(self.store, self.writer, self.board)
+        self.adviser = Adviser(settings.advice_address, HttpPool(_WORKER_CALL_SECONDS))
+        self.peers = None
+        # Seconds that a short call of the store takes from here.
+        self.store_seconds = 0.0
+        self._store_answered_at = None
+        self._advice_seconds = 0.0
+        self._advice_lock = threading.Lock()
+        self._candidacies = {}
+        self._lines = {}
+        self._queues = {}
+        self._lock = threading.RLock()
+        self._front = FrontServer(settings, Application(self))
+        self._peer_server = None
+
+    # Life.
+
+    def start(self):
+        """Answer health checks at once, then join the cell."""
+        self.executor.submit(self._front.run)
+        self.executor.submit(self._run_loop, "join", self._join)
+
+    def stop(self):
+        """Hand over, finish what is under way, and end."""
+        self.is_draining = True
+        started = self.clock.monotonic()
+        for candidacy in list(self._candidacies.values()):
+            if candidacy.is_owner:
+                candidacy.owner.give_up()
+        rest = self.settings.grace_seconds - _GRACE_SLACK_SECONDS
+        rest -= self.clock.monotonic() - started
+        self.clock.wait(self.stopping, max(0.0, rest))
+        self.stopping.set()
+        self._front.close()
+
+    def is_ready(self):
+        """Return whether this host can accept jobs."""
+        if self.is_draining or self.configuration.current is None:
+            return False
+        return self._store_age() < _STORE_AWAY_SECONDS
+
+    def _store_age(self):
+        if self._store_answered_at is None:
+            return float("inf")
+        return self.clock.monotonic() - self._store_answered_at
+
+    def _run_loop(self, name, step):
+        try:
+            step()
+        except Exception:
+            # A host without one of its loops serves nobody well; it is started
+            # again by whoever started it.
+            _LOG.exception("loop failed", extra={"loop": name})
+            os._exit(1)
+
+    def _join(self):
+        keys = CellKeys([self._cell_key()])
+        settings = self.settings
+        identity = Hello(
+            host=settings.host_name, region=settings.region, zone=settings.zone
+        )
+        self.peers = Peers(self, keys, identity, self.executor)
+        self._peer_server = PeerServer(
+            settings.peer_address,
+            keys,
+            identity,
+            self._answer,
+            self.executor,
+            on_end=self._note_peer_end,
+        )
+        self._peer_server.start()
+        self._register()
+        for name, step in (
+            ("configuration", self.configuration.run),
+            ("cell", self._follow_cell),
+            ("writer", self.writer.run),
+        ):
+            self.executor.submit(self._run_loop, name, step)
+
+    def _cell_key(self):
+        """Return the key of the cell, made by the first process that asks."""
+        expectation = Expectation(CELL_TABLE, _KEY_PARTITION, "key", 0)
+        fresh = base64.b64encode(os.urandom(_KEY_BYTES)).decode()
+        write = RowWrite(CELL_TABLE, _KEY_PARTITION, "key", {"key": fresh})
+
+        def try_once():
+            for row in self.store.read(CELL_TABLE, _KEY_PARTITION).rows:
+                return base64.b64decode(row.value["key"])
+            try:
+                self.store.transact([expectation], [write])
+            except ConditionFailed:
+                _LOG.info("another host made the key")
+            return None
+
+        while True:
+            asked_at = self.clock.monotonic()
+            key = self._persist(try_once)
+            if key is not None:
+                self.store_seconds = self.clock.monotonic() - asked_at
+                return key
+
+    def _register(self):
+        settings = self.settings
+        address, port = settings.peer_address
+        value = {
+            "address": address,
+            "port": port,
+            "zone": settings.zone,
+            "region": settings.region,
+        }
+        write = RowWrite(CELL_TABLE, HOSTS_PARTITION, settings.host_name, value)
+        self._persist(lambda: self.store.transact([], [write]))
+
+    def _persist(self, step):
+        while True:
+            try:
+                return step()
+            except TableUnavailable as error:
+                _LOG.info("store away", extra={"error": str(error)})
+                self.clock.wait(self.stopping, _START_RETRY_SECONDS)
+
+    # What the store says.
+
+    def follow(self, table, version, on_rows, read_all, stopping):
+        """Follow a table; see ``follow_table``."""
+        follow_table(
+            self.store,
+            self.clock,
+            table,
+            version,
+            on_rows,
+            read_all,
+            stopping,
+            self._note_store_answer,
+        )
+
+    def _note_store_answer(self, asked_at):
+        self._store_answered_at = self.clock.monotonic()
+
+    def _follow_cell(self):
+        follow_table(
+            self.store,
+            self.clock,
+            CELL_TABLE,
+            None,
+            self._note_cell_rows,
+            self._read_cell,
+            self.stopping,
+            self._note_cell_answer,
+        )
+
+    def _read_cell(self):
+        rows, version = self.store.read_all(CELL_TABLE, HOSTS_PARTITION)
+        for pool in list(self._candidacies):
+            rows += self.store.read_all(CELL_TABLE, pool)[0]
+        return rows, version
+
+    def _note_cell_rows(self, rows):
+        for row in rows:
+            if row.partition == HOSTS_PARTITION:
+                self.peers.note_row(row)
+                continue
+            found = pool_row(row)
+            if found is not None and found.pool in self._candidacies:
+                self._candidacies[found.pool].note_row(found)
+        self._open_lines()
+
+    def _note_cell_answer(self, asked_at):
+        self._note_store_answer(asked_at)
+        for candidacy in list(self._candidacies.values()):
+            if candidacy.is_owner:
+                candidacy.owner.note_confirmed(asked_at)
+
+    def note_configuration(self, configuration):
+        """Watch the pools of a new configuration, and renew queues' policies."""
+        self._queues.update(configuration.queues)
+        for pool in configuration.pools:
+            if pool not in self._candidacies:
+                candidacy = Candidacy(self, pool)
+                self._candidacies[pool] = candidacy
+                self.executor.submit(self._run_loop, pool, candidacy.run)
+        for candidacy in list(self._candidacies.values()):
+            if candidacy.is_owner:
+                candidacy.owner.renew_queues()
+
+    def queue_of(self, document):
+        """Return the queue of a job, as last configured.
+
+        A queue that was removed before this process started is not known any more;
+        its accepted jobs come last and may fail once.
+        """
+        found = self._queues.get(document.queue)
+        if found is not None:
+            return found
+        return Queue(
+            document.queue, "", "", document.pool, 9, 1, 1.0, 0, 0, False, None
+        )
+
+    # Owning pools.
+
+    def note_owner(self, owner):
+        """Tell the other hosts of a pool that this one has taken."""
+        self.board.note(owner.all_states())
+        with self._lock:
+            self._lines = {}
+        self._open_lines()
+
+    def note_owner_failed(self, owner):
+        """Free a pool that this process can't serve."""
+        owner.give_up()
+
+    def look_at_owner(self, owner):
+        """Look whether the pool is still this host's."""
+        self.executor.submit(self._look_at_owner, owner)
+
+    def _look_at_owner(self, owner):
+        from papayapick.ownership.pools import read_pool
+
+        asked_at = self.clock.monotonic()
+        try:
+            row = read_pool(self.store, owner.pool)
+        except TableUnavailable as error:
+            _LOG.info("owner not confirmed", extra={"error": str(error)})
+            return
+        if row.version == owner.row.version:
+            owner.note_confirmed(asked_at)
+        else:
+            self._candidacies[owner.pool].note_row(row)
+
+    def _open_lines(self):
+        with self._lock:
+            for candidacy in list(self._candidacies.values()):
+                if not candidacy.is_owner:
+                    continue
+                for peer in self.peers.all():
+                    key = (candidacy.pool, candidacy.row.epoch, peer.name, peer.address)
+                    if key not in self._lines:
+                        line = OwnerLine(self, candidacy.owner, peer)
+                        self._lines[key] = line
+                        self.executor.submit(line.run)
+
+    def tell(self, owner):
+        """Tell all hosts what has changed in an owner's pool."""
+        news = owner.take_news()
+        if not news:
+            return
+        self.board.note(news)
+        self.board.note_loads(owner.pool, owner.waiting_jobs())
+        with self._lock:
+            lines = list(self._lines.values())
+        for line in lines:
+            line.put(news)
+
+    # Advice.
+
+    def ask_advice(self, key, workers, expected):
+        """Ask for advice through the host that has least to ask.
+
+        Returns
+        -------
+        concurrent.futures.Future
+            Gives the ticket by worker.
+        """
+        answer = Future()
+        with self._advice_lock:
+            least, peer = self._advice_seconds, None
+            for one in self.peers.live():
+                if one.advice_seconds < least:
+                    least, peer = one.advice_seconds, one
+            self._add_advice(peer, expected)
+        try:
+            if peer is None:
+                asked = self.adviser.ask(str(key), workers, expected)
+            else:
+                asked = self.peers.ask_advice(peer, key, workers, expected)
+        except Exception as error:
+            self._note_advice(peer, expected)
+            answer.set_exception(error)
+            return answer
+        asked.add_done_callback(
+            lambda done: self._pass_advice(done, answer, peer, expected)
+        )
+        return answer
+
+    def _pass_advice(self, done, answer, peer, expected):
+        self._note_advice(peer, expected)
+        error = done.exception()
+        if error is not None:
+            answer.set_exception(error)
+        elif peer is None:
+            answer.set_result(done.result())
+        else:
+            tickets = done.result().tickets
+            answer.set_result({one.worker: one.ticket for one in tickets})
+
+    def _note_advice(self, peer, expected):
+        with self._advice_lock:
+            self._add_advice(peer, -expected)
+
+    def _add_advice(self, peer, seconds):
+        if peer is None:
+            self._advice_seconds += seconds
+        else:
+            peer.advice_seconds += seconds
+
+    # Peers' messages.
+
+    def _answer(self, payload, peer, traceparent):
+        if isinstance(payload, PoolBeat):
+            return self._answer_beat(payload)
+        if isinstance(payload, AdviceQuery):
+            return self._answer_advice(payload)
+        return None
+
+    def _answer_beat(self, beat):
+        candidacy = self._candidacies.get(beat.pool)
+        epoch = 0
+        if candidacy is not None:
+            if candidacy.note_beat(beat):
+                self.board.note({one.identifier: one.status for one in beat.news})
+                loads = {one.queue: one.waiting for one in beat.queue_loads}
+                self.board.note_loads(beat.pool, loads)
+            epoch = candidacy.row.epoch
+        age = min(self._store_age(), 1000.0)
+        return PoolBeatAnswer(epoch=epoch, store_age_milliseconds=int(age * 1000))
+
+    def _answer_advice(self, query):
+        answer = Future()
+        expected = query.expected_milliseconds / 1000
+        asked = self.adviser.ask(query.step, list(query.workers), expected)
+
+        def note(done):
+            if done.exception() is not None:
+                answer.set_exception(done.exception())
+                return
+            tickets = [
+                Ticket(worker=worker, ticket=ticket)
+                for worker, ticket in done.result().items()
+            ]
+            answer.set_result(AdviceReply(tickets=tickets))
+
+        asked.add_done_callback(note)
+        return answer
+
+    def _note_peer_end(self, peer):
+        for candidacy in list(self._candidacies.values()):
+            candidacy.note_end(peer)
--- /dev/null
+++ b/papayapick/entry/servers.py
@@ -0,0 +1,47 @@
+"""Listen for callers and for health checks."""
+
+import logging
+
+from waitress.server import create_server
+
+__all__ = ["FrontServer"]
+
+_THREADS = 24
+_CONNECTIONS = 1500
+# Larger bodies than any configuration allows are refused by the library itself.
+_BODY_LIMIT_BYTES = 4 << 20
+_CHANNEL_SECONDS = 60
+
+
+class FrontServer:
+    """Serve one application on the front and the readiness address.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+    application : callable
+    """
+
+    __slots__ = ("_server",)
+
+    def __init__(self, settings, application):
+        logging.getLogger("waitress.queue").setLevel(logging.ERROR)
+        addresses = (settings.frontend_address, settings.readiness_address)
+        self._server = create_server(
+            application,
+            listen=" ".join(f"{host}:{port}" for host, port in addresses),
+            threads=_THREADS,
+            connection_limit=_CONNECTIONS,
+            max_request_body_size=_BODY_LIMIT_BYTES,
+            channel_timeout=_CHANNEL_SECONDS,
+            clear_untrusted_proxy_headers=False,
+            ident=None,
+        )
+
+    def run(self):
+        """Serve until closed."""
+        self._server.run()
+
+    def close(self):
+        """Stop listening."""
+        self._server.close()
--- /dev/null
+++ b/papayapick/entry/writers.py
@@ -0,0 +1,164 @@
+"""Write what callers hand in to the store, many requests in one transaction."""
+
+import queue
+from concurrent.futures import Future
+
+from papayapick.clients.exceptions import TableUnavailable
+from papayapick.entry.exceptions import AcceptanceUnknown, NotAccepted
+from papayapick.observability.logs import get_logger
+from papayapick.platform.exceptions import ConditionFailed, StoreRefused
+
+__all__ = ["Entry", "GroupWriter"]
+
+_LOG = get_logger(__name__)
+
+_ENTRIES_PER_CALL = 50
+_RETRY_SECONDS = 0.1
+# A request is tried again for so long; callers wait three seconds at most.
+_TRY_SECONDS = 2.2
+
+
+class Entry:
+    """Hold one write that is wanted.
+
+    Parameters
+    ----------
+    expectation : Expectation
+    write : RowWrite
+    deadline : float
+        Monotonic seconds.
+
+    Attributes
+    ----------
+    future : concurrent.futures.Future
+        Gives True where the row was written, False where the expectation did not
+        hold; raises ``NotAccepted`` where nothing was written and
+        ``AcceptanceUnknown`` where that is not known.
+    """
+
+    __slots__ = ("deadline", "expectation", "future", "is_unsure", "write")
+
+    def __init__(self, expectation, write, deadline):
+        self.expectation = expectation
+        self.write = write
+        self.deadline = deadline
+        self.future = Future()
+        # A try had no answer: the row may be written, or may be written later.
+        self.is_unsure = False
+
+
+class GroupWriter:
+    """Write entries in groups, each group in one transaction.
+
+    Parameters
+    ----------
+    store : Store
+    clock : Clock
+    stopping : threading.Event
+    """
+
+    __slots__ = ("_clock", "_entries", "_held", "_stopping", "_store")
+
+    def __init__(self, store, clock, stopping):
+        self._store = store
+        self._clock = clock
+        self._stopping = stopping
+        self._entries = queue.SimpleQueue()
+        self._held = None
+
+    def submit(self, expectation, write):
+        """Write a row under a condition.
+
+        Returns
+        -------
+        concurrent.futures.Future
+            As ``Entry.future``.
+        """
+        deadline = self._clock.monotonic() + _TRY_SECONDS
+        entry = Entry(expectation, write, deadline)
+        self._entries.put(entry)
+        return entry.future
+
+    def run(self):
+        """Write groups until the process stops."""
+        while not self._stopping.is_set():
+            group = self._gather()
+            if group:
+                self._write(group)
+
+    def _gather(self):
+        """Return entries of one partition that wait, the oldest first."""
+        first = self._held
+        self._held = None
+        if first is None:
+            try:
+                first = self._entries.get(timeout=0.5)
+            except queue.Empty:
+                return []
+        group = [first]
+        while len(group) < _ENTRIES_PER_CALL:
+            try:
+                entry = self._entries.get_nowait()
+            except queue.Empty:
+                break
+            if entry.write.partition != first.write.partition:
+                self._held = entry
+                break
+            if any(entry.write.key == one.write.key for one in group):
+                # The same id twice in one group: the second waits for the first.
+                self._held = entry
+                break
+            group.append(entry)
+        return group
+
+    def _write(self, group):
+        while group:
+            try:
+                self._store.transact(
+                    [entry.expectation for entry in group],
+                    [entry.write for entry in group],
+                )
+            except ConditionFailed as error:
+                group = self._settle_conflicts(group, error.rows)
+                continue
+            except StoreRefused:
+                group = self._give_up_late(group, is_unsure=False)
+            except TableUnavailable:
+                group = self._give_up_late(group, is_unsure=True)
+            else:
+                for entry in group:
+                    entry.future.set_result(True)
+                return
+            self._clock.wait(self._stopping, _RETRY_SECONDS)
+
+    def _settle_conflicts(self, group, rows):
+        """Settle the entries whose condition did not hold; return the others."""
+        found = {(row.table, row.key): row.version for row in rows}
+        rest = []
+        for entry in group:
+            wanted = entry.expectation
+            version = found.get((wanted.table, wanted.key), 0)
+            if version == wanted.version:
+                rest.append(entry)
+            else:
+                entry.future.set_result(False)
+        if len(rest) == len(group):
+            # The store says that a condition failed and shows none that did.
+            _LOG.warning("conflict without a changed row")
+            return self._give_up_late(group, is_unsure=False)
+        return rest
+
+    def _give_up_late(self, group, is_unsure):
+        now = self._clock.monotonic()
+        rest = []
+        for entry in group:
+            entry.is_unsure = entry.is_unsure or is_unsure
+            if not entry.is_unsure:
+                # Nothing was done: the caller learns at once and may come back.
+                error = NotAccepted(reason="the store refuses writes")
+                entry.future.set_exception(error)
+            elif now > entry.deadline:
+                entry.future.set_exception(AcceptanceUnknown())
+            else:
+                rest.append(entry)
+        return rest
--- /dev/null
+++ b/papayapick/jobs/book.py
@@ -0,0 +1,404 @@
+"""Keep the jobs of a pool: which steps are ready, and what each end means."""
+
+from papayapick.jobs.documents import TaskKey
+from papayapick.jobs.records import restore_progress
+from papayapick.jobs.runs import Run, RunPhase
+from papayapick.jobs.state import JobState, JobStatus
+
+__all__ = ["JobBook"]
+
+_DONE = "done"
+_FAILED = "failed"
+
+
+class JobBook:
+    """Hold all jobs of one pool; its caller holds the lock.
+
+    Attributes
+    ----------
+    changed : set of str
+        Jobs whose progress is to be journaled.
+    news : set of str
+        Jobs whose status has changed since it was last told.
+    to_stop : list of Run
+        Runs that nothing needs any more, for the caller to stop.
+    """
+
+    __slots__ = ("_jobs", "_open_steps", "_timed", "changed", "news", "to_stop")
+
+    def __init__(self):
+        self._jobs = {}
+        # Steps that are ready and have a task waiting, by key.
+        self._open_steps = {}
+        self._timed = {}
+        self.changed = set()
+        self.news = set()
+        self.to_stop = []
+
+    def __contains__(self, identifier):
+        return identifier in self._jobs
+
+    def get(self, identifier):
+        """Return the job of an id, or None."""
+        return self._jobs.get(identifier)
+
+    def jobs(self):
+        """Return all jobs, as a list."""
+        return list(self._jobs.values())
+
+    def waiting_steps(self):
+        """Return the ready steps that have a task to start, as a list."""
+        return list(self._open_steps.values())
+
+    def add(self, document, queue, now, record=None):
+        """Add a job that was accepted.
+
+        Parameters
+        ----------
+        document : JobDocument
+        queue : Queue
+        now : float
+            Monotonic seconds.
+        record : dict, optional
+            Its progress under an earlier owner.
+
+        Returns
+        -------
+        JobState
+        """
+        job = self._jobs.get(document.identifier)
+        if job is not None:
+            return job
+        job = JobState(document, queue, now)
+        self._jobs[document.identifier] = job
+        if record is not None:
+            restore_progress(job, record)
+        self.news.add(job.identifier)
+        if job.is_final:
+            job.finished_at = now
+            return job
+        if document.is_timed:
+            self._timed[document.identifier] = job
+        elif not job.occurrences:
+            job.open_occurrence(0)
+        for number in list(job.occurrences):
+            self._open_ready(job, number, now)
+        return job
+
+    def open_due(self, wall_now, now):
+        """Open the occurrences whose time has come.
+
+        Parameters
+        ----------
+        wall_now : float
+            Unix seconds.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        float or None
+            Unix seconds of the next occurrence.
+        """
+        soonest = None
+        for job in list(self._timed.values()):
+            due = self._open_due_of(job, wall_now, now)
+            if due is not None and (soonest is None or due < soonest):
+                soonest = due
+        return soonest
+
+    def _open_due_of(self, job, wall_now, now):
+        document = job.document
+        for number in range(document.occurrences):
+            if number in job.over or number in job.occurrences:
+                continue
+            due = document.due_at(number)
+            if due > wall_now:
+                return due
+            job.open_occurrence(number)
+            self._open_ready(job, number, now)
+        self._timed.pop(document.identifier, None)
+        return None
+
+    def cancel(self, identifier, now):
+        """Cancel a job; what runs of it is added to ``to_stop``.
+
+        Returns
+        -------
+        bool
+            False where no such job is known.
+        """
+        job = self._jobs.get(identifier)
+        if job is None:
+            return False
+        if not job.is_final:
+            self._finish(job, JobStatus.CANCELLED, now)
+        return True
+
+    def forget(self, identifier):
+        """Drop a job that is over."""
+        self._jobs.pop(identifier, None)
+
+    def begin(self, step, index, worker, now, attempt=None):
+        """Note that a task is about to be ordered on a worker.
+
+        Parameters
+        ----------
+        step : StepState
+        index : int
+        worker : str
+        now : float
+        attempt : int, optional
+            Shared by the members of a gang.
+
+        Returns
+        -------
+        Run
+        """
+        task = step.tasks[index]
+        task.attempt = (task.attempt + 1) if attempt is None else attempt
+        run = Run(
+            TaskKey(*step.key, index),
+            task.attempt,
+            worker,
+            step.step.room_demand,
+            RunPhase.ORDERED,
+            now,
+            step.step,
+        )
+        task.runs.append(run)
+        step.waiting.discard(index)
+        if not step.waiting:
+            self._open_steps.pop(step.key, None)
+        self.changed.add(step.job.identifier)
+        return run
+
+    def adopt(self, report, worker, now):
+        """Take over a run that a worker lists.
+
+        Parameters
+        ----------
+        report : RunReport
+        worker : str
+        now : float
+
+        Returns
+        -------
+        Run
+            One that nothing needs is added to ``to_stop``.
+        """
+        step = self._step(report.key)
+        if step is None:
+            run = Run(report.key, report.attempt, worker, None, RunPhase.RUNNING, now)
+            self.to_stop.append(run)
+            return run
+        demand = step.step.room_demand
+        run = Run(
+            report.key,
+            report.attempt,
+            worker,
+            demand,
+            RunPhase.RUNNING,
+            now,
+            step.step,
+        )
+        task = step.tasks[report.key.index]
+        task.attempt = max(task.attempt, report.attempt)
+        is_second = bool(task.runs) and not step.step.allows_copies
+        task.runs.append(run)
+        self._note_running(step.job)
+        if task.is_done or step.job.is_final or is_second:
+            self.to_stop.append(run)
+        else:
+            step.waiting.discard(report.key.index)
+            if not step.waiting:
+                self._open_steps.pop(step.key, None)
+        return run
+
+    def note_started(self, run):
+        """Note that a worker runs a task."""
+        if run.phase in (RunPhase.ORDERED, RunPhase.UNSURE):
+            run.phase = RunPhase.RUNNING
+        step = self._step(run.key)
+        if step is not None:
+            self._note_running(step.job)
+
+    def note_checkpoint(self, run):
+        """Keep the newest progress that a run has saved."""
+        step = self._step(run.key)
+        if step is not None and run.checkpoint:
+            step.tasks[run.key.index].checkpoint = run.checkpoint
+
+    def settle_gangs(self, now):
+        """Stop gangs that were taken over without all of their members.
+
+        The owner before may have died between the orders of one gang; its members
+        would wait for the others until their time is over, and hold room.
+        """
+        for job in self._jobs.values():
+            if job.is_final:
+                continue
+            for step in job.steps():
+                is_partial = step.waiting and step.active_runs()
+                if step.step.is_gang and is_partial:
+                    step.waiting.clear()
+                    self._open_steps.pop(step.key, None)
+                    self._break_gang(step, now)
+
+    def drop(self, run, now):
+        """Take back a run that did not start and can't start any more."""
+        self._release(run)
+        step = self._step(run.key)
+        if step is None or step.job.is_final:
+            return
+        if step.step.is_gang:
+            self._break_gang(step, now)
+        else:
+            self._wait_again(step, run.key.index)
+
+    def end(self, key, attempt, outcome, checkpoint, worker, now):
+        """Take note of the end of a run.
+
+        Parameters
+        ----------
+        key : TaskKey
+        attempt : int
+        outcome : str
+            One of ``EndOutcome``.
+        checkpoint : str
+        worker : str
+        now : float
+        """
+        step = self._step(key)
+        if step is None:
+            return
+        task = step.tasks[key.index]
+        ended = [run for run in task.runs if run.name == (key, attempt)]
+        for run in ended:
+            self._release(run)
+        if step.job.is_final or task.is_done:
+            return
+        self.changed.add(step.job.identifier)
+        if checkpoint:
+            task.checkpoint = checkpoint
+        if outcome == _DONE and not step.step.is_lasting:
+            self._note_done(step, key.index, now)
+            return
+        if outcome == _FAILED:
+            self._note_failure(step, task, worker, now)
+        if step.job.is_final:
+            return
+        if step.step.is_gang:
+            self._break_gang(step, now)
+        elif not task.runs:
+            self._wait_again(step, key.index)
+
+    def _note_done(self, step, index, now):
+        indexes = range(len(step.tasks)) if step.step.is_gang else (index,)
+        for number in indexes:
+            task = step.tasks[number]
+            if task.is_done:
+                continue
+            task.is_done = True
+            step.left -= 1
+            step.waiting.discard(number)
+            if not step.step.is_gang:
+                # The members of a gang end together; copies must be told to.
+                self.to_stop += task.runs
+        if not step.waiting:
+            self._open_steps.pop(step.key, None)
+        if step.is_done:
+            self._note_step_done(step, now)
+
+    def _note_step_done(self, step, now):
+        job = step.job
+        occurrence = step.key.occurrence
+        if all(one.is_done for one in job.occurrences[occurrence]):
+            job.over.add(occurrence)
+            if len(job.over) >= max(1, job.document.occurrences):
+                self._finish(job, JobStatus.COMPLETED, now)
+            elif job.document.is_timed:
+                # Steps of an occurrence that is over are not asked for again.
+                job.occurrences.pop(occurrence)
+            return
+        self._open_ready(job, occurrence, now)
+
+    def _note_failure(self, step, task, worker, now):
+        counted = step.tasks[0] if step.step.is_gang else task
+        counted.failures += 1
+        task.avoid.add(worker)
+        if step.step.is_lasting:
+            return
+        if counted.failures >= step.job.queue.failure_limit:
+            self._finish(step.job, JobStatus.FAILED, now)
+
+    def _break_gang(self, step, now):
+        step.is_gang_broken = True
+        active = step.active_runs()
+        self.to_stop += [run for run in active if run.stop_requested is None]
+        if active:
+            return
+        step.is_gang_broken = False
+        # Progress saved by any member is valid for all, and all must carry the
+        # same.
+        checkpoint = max((task.checkpoint for task in step.tasks), default="")
+        attempt = max(task.attempt for task in step.tasks)
+        for index, task in enumerate(step.tasks):
+            task.checkpoint = checkpoint
+            task.attempt = attempt
+            self._wait_again(step, index)
+
+    def _finish(self, job, status, now):
+        job.status = status
+        job.finished_at = now
+        self.changed.add(job.identifier)
+        self.news.add(job.identifier)
+        self._timed.pop(job.identifier, None)
+        for step in job.steps():
+            step.waiting.clear()
+            self._open_steps.pop(step.key, None)
+            if status != JobStatus.COMPLETED or not step.step.is_gang:
+                self.to_stop += step.active_runs()
+
+    def _open_ready(self, job, occurrence, now):
+        steps = job.occurrences[occurrence]
+        for step in steps:
+            if step.is_ready or step.is_done:
+                continue
+            if all(steps[number].is_done for number in step.step.after):
+                step.is_ready = True
+                step.ready_at = now
+                for index, task in enumerate(step.tasks):
+                    if not task.is_done and not task.runs:
+                        self._wait_again(step, index)
+
+    def _wait_again(self, step, index):
+        step.waiting.add(index)
+        self._open_steps[step.key] = step
+
+    def _note_running(self, job):
+        if job.status == JobStatus.WAITING:
+            job.status = JobStatus.RUNNING
+            self.news.add(job.identifier)
+
+    def _release(self, run):
+        step = self._step(run.key)
+        if step is None:
+            return
+        runs = step.tasks[run.key.index].runs
+        if run in runs:
+            runs.remove(run)
+
+    def _step(self, key):
+        job = self._jobs.get(key.job)
+        if job is None:
+            return None
+        steps = job.occurrences.get(key.occurrence)
+        if steps is None or key.step >= len(steps):
+            return None
+        step = steps[key.step]
+        return step if key.index < len(step.tasks) else None
+
+    def step_of(self, key):
+        """Return the step of a task or step, or None where it is over."""
+        return self._step(TaskKey(key.job, key.occurrence, key.step, 0))
--- /dev/null
+++ b/papayapick/jobs/records.py
@@ -0,0 +1,78 @@
+"""Turn the progress of a job into a record for the store and back."""
+
+__all__ = ["progress_record", "restore_progress"]
+
+
+def progress_record(job):
+    """Return what a successor must know of a job beside its document.
+
+    Parameters
+    ----------
+    job : JobState
+
+    Returns
+    -------
+    dict
+        JSON values; tasks without news are left out.
+    """
+    record = {"status": job.status}
+    if job.is_final:
+        return record
+    if job.over:
+        record["over"] = sorted(job.over)
+    record["occurrences"] = {
+        str(number): [_step_record(step) for step in steps]
+        for number, steps in job.occurrences.items()
+    }
+    return record
+
+
+def restore_progress(job, record):
+    """Set the progress of a job from a record.
+
+    Parameters
+    ----------
+    job : JobState
+        Fresh from its document.
+    record : dict
+    """
+    job.status = job.durable_status = record["status"]
+    if job.is_final:
+        return
+    job.over = set(record.get("over", ()))
+    for number, steps in record.get("occurrences", {}).items():
+        states = job.open_occurrence(int(number))
+        for state, found in zip(states, steps, strict=True):
+            _restore_step(state, found)
+
+
+def _step_record(step):
+    done = 0
+    record = {}
+    for index, task in enumerate(step.tasks):
+        if task.is_done:
+            done |= 1 << index
+            continue
+        if task.attempt:
+            record.setdefault("attempts", {})[index] = task.attempt
+        if task.failures:
+            record.setdefault("failures", {})[index] = task.failures
+        if task.checkpoint:
+            record.setdefault("checkpoints", {})[index] = task.checkpoint
+    if done:
+        record["done"] = f"{done:x}"
+    return record
+
+
+def _restore_step(step, record):
+    done = int(record.get("done", "0"), 16)
+    for index, task in enumerate(step.tasks):
+        if done >> index & 1:
+            task.is_done = True
+            step.left -= 1
+    for index, attempt in record.get("attempts", {}).items():
+        step.tasks[int(index)].attempt = attempt
+    for index, failures in record.get("failures", {}).items():
+        step.tasks[int(index)].failures = failures
+    for index, checkpoint in record.get("checkpoints", {}).items():
+        step.tasks[int(index)].checkpoint = checkpoint
--- /dev/null
+++ b/papayapick/jobs/runs.py
@@ -0,0 +1,79 @@
+"""Hold one start of a task on a worker."""
+
+import enum
+
+__all__ = ["Run", "RunPhase"]
+
+
+class RunPhase(enum.Enum):
+    """Tell how far a run is, as far as its owner knows."""
+
+    # The order was or is being sent; its room is taken.
+    ORDERED = "ordered"
+    RUNNING = "running"
+    # A stop was ordered; its room is taken until the end is listed.
+    STOPPING = "stopping"
+    # The order had no answer: it may run now, or start later.
+    UNSURE = "unsure"
+
+
+class Run:
+    """Hold one start of a task.
+
+    Parameters
+    ----------
+    key : TaskKey
+    attempt : int
+        Number of the start; all members of a gang share it.
+    worker : str
+    demand : Amounts
+        What it takes of its worker's room.
+    phase : RunPhase
+    since : float
+        Monotonic seconds of the order.
+    """
+
+    __slots__ = (
+        "attempt",
+        "checkpoint",
+        "demand",
+        "figure",
+        "image",
+        "is_filler",
+        "key",
+        "pace",
+        "percent",
+        "percent_at",
+        "phase",
+        "since",
+        "stop_confirmed",
+        "stop_requested",
+        "tail_limit",
+        "worker",
+    )
+
+    def __init__(self, key, attempt, worker, demand, phase, since, step=None):
+        self.key = key
+        self.attempt = attempt
+        self.worker = worker
+        self.demand = demand
+        self.phase = phase
+        self.since = since
+        self.checkpoint = ""
+        self.percent = 0
+        self.percent_at = since
+        self.figure = 0.0
+        self.pace = 100
+        # Monotonic seconds of the stop's order, or None.
+        self.stop_requested = None
+        # Monotonic seconds of the answer to a stop, or None: since then the run
+        # can't start any more.
+        self.stop_confirmed = None
+        self.is_filler = step is not None and step.is_filler
+        self.tail_limit = step.tail_limit_seconds if step is not None else 0.0
+        self.image = step.image if step is not None else ""
+
+    @property
+    def name(self):
+        """Return key and attempt, which name the run on its worker."""
+        return (self.key, self.attempt)
--- /dev/null
+++ b/papayapick/jobs/state.py
@@ -0,0 +1,155 @@
+"""Hold what is known of a job, its steps and tasks while it is not over."""
+
+from papayapick.jobs.documents import StepKey
+
+__all__ = ["JobState", "JobStatus", "StepState", "TaskState"]
+
+
+class JobStatus:
+    """Name the states of a job."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    FINAL = frozenset((COMPLETED, FAILED, CANCELLED))
+
+
+class TaskState:
+    """Hold one task.
+
+    Attributes
+    ----------
+    attempt : int
+        Number of its last start; 0 before the first.
+    failures : int
+        Runs that ended as failed.
+    checkpoint : str
+        Newest progress that was saved; empty for none.
+    runs : list of Run
+        Those whose end is not known yet; several only for copies.
+    avoid : set of str
+        Workers on which it failed.
+    """
+
+    __slots__ = ("attempt", "avoid", "checkpoint", "failures", "is_done", "runs")
+
+    def __init__(self):
+        self.attempt = 0
+        self.avoid = set()
+        self.checkpoint = ""
+        self.failures = 0
+        self.is_done = False
+        self.runs = []
+
+
+class StepState:
+    """Hold one step of one occurrence.
+
+    Parameters
+    ----------
+    job : JobState
+    occurrence, number : int
+    """
+
+    __slots__ = (
+        "is_gang_broken",
+        "is_ready",
+        "job",
+        "key",
+        "left",
+        "ready_at",
+        "step",
+        "tasks",
+        "waiting",
+    )
+
+    def __init__(self, job, occurrence, number):
+        self.job = job
+        self.key = StepKey(job.document.identifier, occurrence, number)
+        self.step = job.document.steps[number]
+        self.tasks = [TaskState() for _ in range(self.step.tasks)]
+        self.left = self.step.tasks
+        self.waiting = set()
+        self.is_ready = False
+        self.ready_at = 0.0
+        # A member ended before the gang was done: the others must end before
+        # it is started again.
+        self.is_gang_broken = False
+
+    @property
+    def is_done(self):
+        """Return whether all of its tasks have ended as done."""
+        return self.left == 0
+
+    def active_runs(self):
+        """Return the runs whose end is not known."""
+        return [run for task in self.tasks for run in task.runs]
+
+
+class JobState:
+    """Hold one job.
+
+    Parameters
+    ----------
+    document : JobDocument
+    queue : Queue
+    arrived : float
+        Monotonic seconds at which its owner learned of it.
+
+    Attributes
+    ----------
+    status : str
+        One of ``JobStatus``, as it follows from all that is known.
+    durable_status : str
+        What callers may be told: a final status counts once it is stored.
+    occurrences : dict of int to list of StepState
+        Those that are due and not over.
+    over : set of int
+        Occurrences that are over.
+    """
+
+    __slots__ = (
+        "arrived",
+        "document",
+        "durable_status",
+        "finished_at",
+        "occurrences",
+        "over",
+        "queue",
+        "status",
+    )
+
+    def __init__(self, document, queue, arrived):
+        self.document = document
+        self.queue = queue
+        self.arrived = arrived
+        self.status = JobStatus.WAITING
+        self.durable_status = JobStatus.WAITING
+        self.finished_at = None
+        self.occurrences = {}
+        self.over = set()
+
+    @property
+    def identifier(self):
+        """Return the id that the caller chose."""
+        return self.document.identifier
+
+    @property
+    def is_final(self):
+        """Return whether nothing of the job is to be started any more."""
+        return self.status in JobStatus.FINAL
+
+    def open_occurrence(self, number):
+        """Add an occurrence that is due."""
+        steps = [
+            StepState(self, number, index) for index in range(len(self.document.steps))
+        ]
+        self.occurrences[number] = steps
+        return steps
+
+    def steps(self):
+        """Return the steps of all occurrences that are not over."""
+        return [step for steps in self.occurrences.values() for step in steps]
--- /dev/null
+++ b/papayapick/placement/pace.py
@@ -0,0 +1,78 @@
+"""Pace what fills a worker, so that tasks beside it keep their response time."""
+
+__all__ = ["Pacer"]
+
+# The figures of a tail are rough and half a second old. Slowing down begins well
+# under the limit; speeding up needs clear distance, else the two would alternate.
+_SLOW_SHARE = 0.8
+_FAST_SHARE = 0.5
+_SLOWER = 0.5
+_FASTER = 1.3
+_LEAST_STEP_SECONDS = 0.45
+_FULL = 100
+
+
+class Pacer:
+    """Choose the share of its processors at which each filling task works."""
+
+    __slots__ = ("_changed_at",)
+
+    def __init__(self):
+        self._changed_at = {}
+
+    def decide(self, room, now):
+        """Return new paces for the fillers of a worker.
+
+        Parameters
+        ----------
+        room : WorkerRoom
+        now : float
+
+        Returns
+        -------
+        list of tuple of (Run, int)
+            Run and percent.
+        """
+        if not room.filler_processors:
+            return []
+        if now - self._changed_at.get(room.worker, 0.0) < _LEAST_STEP_SECONDS:
+            return []
+        load = self._load(room)
+        changes = []
+        for run in room.runs.values():
+            if not run.is_filler or run.percent is None:
+                continue
+            pace = _next_pace(run.pace, load)
+            if pace != run.pace:
+                changes.append((run, pace))
+        if changes:
+            self._changed_at[room.worker] = now
+        return changes
+
+    @staticmethod
+    def _load(room):
+        """Return the worst tail as a share of its limit; 0 where none serves."""
+        shares = [
+            run.figure / 1000 / run.tail_limit
+            for run in room.runs.values()
+            if run.tail_limit and run.percent == _FULL
+        ]
+        return max(shares, default=0.0)
+
+
+def _next_pace(pace, load):
+    """Return the next percent.
+
+    Examples
+    --------
+    >>> _next_pace(100, 1.2), _next_pace(10, 1.2), _next_pace(100, 0.6)
+    (50, 0, 100)
+    >>> _next_pace(0, 0.3), _next_pace(50, 0.3)
+    (10, 65)
+    """
+    if load > _SLOW_SHARE:
+        slower = int(pace * _SLOWER)
+        return slower if slower >= 10 else 0
+    if load < _FAST_SHARE and pace < _FULL:
+        return min(_FULL, max(10, int(pace * _FASTER)))
+    return pace
--- /dev/null
+++ b/papayapick/placement/steps.py
@@ -0,0 +1,92 @@
+"""Decide which waiting step is served next, and place its tasks."""
+
+from papayapick.jobs.documents import TaskKey
+
+__all__ = ["order_steps", "place_step"]
+
+
+def order_steps(steps):
+    """Return waiting steps in the order in which they are served.
+
+    Parameters
+    ----------
+    steps : list of StepState
+    """
+    return sorted(
+        steps, key=lambda step: (step.job.queue.priority, step.job.arrived, step.key)
+    )
+
+
+def place_step(step, rooms, allowed, begin):
+    """Place as many tasks of a step as find room; all or none of a gang.
+
+    Parameters
+    ----------
+    step : StepState
+    rooms : Rooms
+    allowed : container of str or None
+    begin : callable
+        Takes step, index, worker and attempt (or None); reserves the room and
+        returns a Run.
+
+    Returns
+    -------
+    list of Run
+    """
+    if step.step.is_gang:
+        return _place_gang(step, rooms, allowed, begin)
+    runs = []
+    for index in sorted(step.waiting):
+        room = rooms.choose(step, index, allowed)
+        if room is None:
+            break
+        runs.append(begin(step, index, room.worker, None))
+    return runs
+
+
+def _place_gang(step, rooms, allowed, begin):
+    if len(step.waiting) < len(step.tasks):
+        return []
+    racks = [None]
+    if step.step.is_rack_bound:
+        # Spread over racks it works slowly; that is still better than waiting.
+        racks = sorted({room.rack for room in rooms}) + [None]
+    for rack in racks:
+        chosen = _choose_all(step, rooms, allowed, rack)
+        if chosen is not None:
+            attempt = max(task.attempt for task in step.tasks) + 1
+            return [
+                begin(step, index, worker, attempt)
+                for index, worker in enumerate(chosen)
+            ]
+    return []
+
+
+class _Probe:
+    """Take room while a gang is tried; given back before anything is begun."""
+
+    __slots__ = ("demand", "is_filler", "key", "name", "tail_limit")
+
+    def __init__(self, key, demand, is_filler):
+        self.key = key
+        self.demand = demand
+        self.name = (key, "probe")
+        self.is_filler = is_filler
+        self.tail_limit = 0.0
+
+
+def _choose_all(step, rooms, allowed, rack):
+    probes = []
+    try:
+        for index in range(len(step.tasks)):
+            room = rooms.choose(step, index, allowed, rack)
+            if room is None:
+                return None
+            key = TaskKey(*step.key, index)
+            probe = _Probe(key, step.step.room_demand, step.step.is_filler)
+            room.reserve(probe)
+            probes.append((room, probe))
+        return [room.worker for room, _ in probes]
+    finally:
+        for room, probe in probes:
+            room.release(probe)
--- /dev/null
+++ b/papayapick/platform/advice.py
@@ -0,0 +1,59 @@
+"""Ask the advice service which workers may run a step."""
+
+import json
+
+from papayapick.clients.exceptions import AnswerInvalid, AnswerMissing, NotSent
+from papayapick.platform.exceptions import CheckFailed
+
+__all__ = ["AdviceClient"]
+
+# A call for 100 workers of the slowest queue takes a second and a half of the
+# service's own time; more than this means that the call is lost.
+_CALL_SLACK_SECONDS = 1.0
+
+
+class AdviceClient:
+    """Call the advice service.
+
+    Parameters
+    ----------
+    address : str
+    pool : HttpPool
+    """
+
+    __slots__ = ("_pool", "_url")
+
+    def __init__(self, address, pool):
+        self._url = f"http://{address}/advise"
+        self._pool = pool
+
+    def ask(self, step_name, workers, expected_seconds):
+        """Return the tickets of the workers that may run a step.
+
+        Parameters
+        ----------
+        step_name : str
+            Job, occurrence and step, joined by dots.
+        workers : list of str
+            At most 100.
+        expected_seconds : float
+            What the call takes when nothing waits before it.
+
+        Returns
+        -------
+        dict of str to str
+            Ticket by worker.
+
+        Raises
+        ------
+        CheckFailed
+        """
+        body = json.dumps({"step": step_name, "workers": workers}).encode()
+        seconds = expected_seconds + _CALL_SLACK_SECONDS
+        try:
+            answer = self._pool.request("POST", self._url, body, timeout=seconds)
+            if answer.status == 200:
+                return dict(json.loads(answer.body)["good"])
+        except (NotSent, AnswerMissing, AnswerInvalid, ValueError, KeyError) as error:
+            raise CheckFailed(address="advice", status=0) from error
+        raise CheckFailed(address="advice", status=answer.status)
--- /dev/null
+++ b/papayapick/platform/settings.py
@@ -0,0 +1,102 @@
+"""Read the settings file that the platform writes for each process."""
+
+import os
+import tomllib
+
+from papayapick.platform.exceptions import PlatformSettingsInvalid
+
+__all__ = ["PlatformSettings", "SETTINGS_VARIABLE"]
+
+SETTINGS_VARIABLE = "PAPAYAPICK_CONFIG"
+
+
+class PlatformSettings:
+    """Hold what an entry host is told about itself and its surroundings.
+
+    Addresses are ``IP:PORT``; times are in seconds.
+
+    Parameters
+    ----------
+    found : dict
+        The decoded file. Fields that are not known are ignored.
+    """
+
+    __slots__ = (
+        "advice_address",
+        "cancel_seconds",
+        "checkpoint_seconds",
+        "frontend_address",
+        "gang_seconds",
+        "grace_seconds",
+        "harm_seconds",
+        "host_name",
+        "kill_seconds",
+        "lease_limit_seconds",
+        "machines_address",
+        "peer_address",
+        "readiness_address",
+        "region",
+        "status_seconds",
+        "store_address",
+        "zone",
+    )
+
+    def __init__(self, found):
+        bounds = found["bounds"]
+        listen = found["listen"]
+        self.host_name = _text(found["node"])
+        self.zone = _text(found["zone"])
+        self.region = _text(found["region"])
+        self.peer_address = (_text(found["ip"]), int(found["port_range"][0]))
+        self.frontend_address = _address(listen["frontend"])
+        self.readiness_address = _address(listen["readiness"])
+        self.store_address = _text(found["platform"]["address"])
+        self.advice_address = _text(found.get("advice", ""))
+        self.machines_address = _text(found.get("cloud_api", {}).get("address", ""))
+        self.grace_seconds = float(bounds["grace_s"])
+        self.status_seconds = float(bounds["status_s"])
+        self.lease_limit_seconds = bounds["hold_max_ms"] / 1000
+        self.kill_seconds = bounds["kill_grace_ms"] / 1000
+        self.gang_seconds = bounds["gang_timeout_ms"] / 1000
+        self.cancel_seconds = bounds["cancel_ms"] / 1000
+        self.checkpoint_seconds = float(bounds["checkpoint_s"])
+        self.harm_seconds = bounds.get("harm_ms", 0) / 1000
+
+    @classmethod
+    def from_config(cls, environment=None):
+        """Read the file that the environment names.
+
+        Raises
+        ------
+        PlatformSettingsInvalid
+            Tells the field that is missing or of another type.
+        """
+        environment = os.environ if environment is None else environment
+        path = environment.get(SETTINGS_VARIABLE, "")
+        try:
+            with open(path, "rb") as file:
+                found = tomllib.load(file)
+        except OSError as error:
+            raise PlatformSettingsInvalid(path=path, reason=error.strerror) from error
+        except ValueError as error:
+            raise PlatformSettingsInvalid(path=path, reason=str(error)) from error
+        try:
+            return cls(found)
+        except KeyError as error:
+            reason = f"field {error.args[0]} is missing"
+            raise PlatformSettingsInvalid(path=path, reason=reason) from error
+        except (TypeError, ValueError, IndexError) as error:
+            raise PlatformSettingsInvalid(path=path, reason=str(error)) from error
+
+
+def _text(found):
+    if not isinstance(found, str):
+        raise ValueError(f"{found!r} is no text")
+    return found
+
+
+def _address(found):
+    host, separator, port = _text(found).rpartition(":")
+    if not separator:
+        raise ValueError(f"{found!r} is no IP:PORT")
+    return host, int(port)
--- /dev/null
+++ b/papayapick/platform/store.py
@@ -0,0 +1,279 @@
+"""Read and change rows of the platform's store."""
+
+import base64
+import json
+import urllib.parse
+
+from papayapick.clients.exceptions import AnswerMissing, NotSent, TableUnavailable
+from papayapick.platform.exceptions import ConditionFailed, HistoryLost, StoreRefused
+
+__all__ = ["Expectation", "Page", "RowWrite", "Store", "StoredRow"]
+
+_CALL_SECONDS = 2.0
+# What the answer of a waiting call may take beyond its wait.
+_FEED_SLACK_SECONDS = 1.0
+
+
+class StoredRow:
+    """Hold one row of the store.
+
+    Parameters
+    ----------
+    table, partition, key : str
+    value : dict or None
+        None where the row was deleted, or where its bytes are no JSON object.
+    version : int
+        Of the transaction that wrote it last.
+    is_deleted : bool
+    """
+
+    __slots__ = ("is_deleted", "key", "partition", "table", "value", "version")
+
+    def __init__(self, table, partition, key, value, version, is_deleted=False):
+        self.table = table
+        self.partition = partition
+        self.key = key
+        self.value = value
+        self.version = version
+        self.is_deleted = is_deleted
+
+
+class Page:
+    """Hold rows as of one moment.
+
+    Parameters
+    ----------
+    rows : list of StoredRow
+    version : int
+        Newest version of the store at that moment.
+    has_more : bool
+    """
+
+    __slots__ = ("has_more", "rows", "version")
+
+    def __init__(self, rows, version, has_more=False):
+        self.rows = rows
+        self.version = version
+        self.has_more = has_more
+
+
+class Expectation:
+    """Demand that a row has a version, or with 0 that it is absent."""
+
+    __slots__ = ("key", "partition", "table", "version")
+
+    def __init__(self, table, partition, key, version):
+        self.table = table
+        self.partition = partition
+        self.key = key
+        self.version = version
+
+
+class RowWrite:
+    """Set a row, or delete it where the value is None."""
+
+    __slots__ = ("key", "partition", "table", "value")
+
+    def __init__(self, table, partition, key, value):
+        self.table = table
+        self.partition = partition
+        self.key = key
+        self.value = value
+
+
+class Store:
+    """Call the store; every method is one call and tries once.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT``.
+    pool : HttpPool
+    count : callable, optional
+        Called with the operation and its outcome for each call.
+
+    Notes
+    -----
+    Each method raises ``StoreRefused`` where nothing was done and
+    ``TableUnavailable`` where a write may have been done, or may be done later.
+    """
+
+    __slots__ = ("_base", "_count", "_pool")
+
+    def __init__(self, address, pool, count=None):
+        self._base = "http://" + address
+        self._pool = pool
+        self._count = count or (lambda operation, outcome: None)
+
+    def transact(self, expectations, writes, spans_partitions=False):
+        """Apply all writes if all expectations hold.
+
+        Parameters
+        ----------
+        expectations : list of Expectation
+        writes : list of RowWrite
+        spans_partitions : bool
+
+        Returns
+        -------
+        int
+            Version of all rows written.
+
+        Raises
+        ------
+        ConditionFailed, StoreRefused, TableUnavailable
+        """
+        body = {
+            "expected_rev": [
+                {"table": e.table, "part": e.partition, "key": e.key, "ver": e.version}
+                for e in expectations
+            ],
+            "writes": [
+                {
+                    "table": w.table,
+                    "part": w.partition,
+                    "key": w.key,
+                    "value": _encoded(w.value),
+                }
+                for w in writes
+                if w.value is not None
+            ],
+            "remove": [
+                {"table": w.table, "part": w.partition, "key": w.key}
+                for w in writes
+                if w.value is None
+            ],
+        }
+        if spans_partitions:
+            body["across"] = True
+        data = json.dumps(body, separators=(",", ":")).encode()
+        answer = self._call("transact", "POST", "/rows-tx", data)
+        if answer.status == 412:
+            found = _json(answer)
+            raise ConditionFailed([_row(row) for row in found.get("rows", ())])
+        if answer.status != 200:
+            raise StoreRefused()
+        return _json(answer)["ver"]
+
+    def read(self, table, partition, first="", end="", limit=500):
+        """Return a page of rows in order of their keys.
+
+        Parameters
+        ----------
+        table, partition : str
+        first, end : str
+            Keys; the range excludes the second one.
+        limit : int
+            Rows, at most 500.
+
+        Returns
+        -------
+        Page
+        """
+        query = {"table": table, "part": partition, "limit": limit}
+        if first:
+            query["from"] = first
+        if end:
+            query["to"] = end
+        answer = self._call("read", "GET", "/rows-get?" + _query(query))
+        if answer.status != 200:
+            raise StoreRefused()
+        return _page(_json(answer))
+
+    def read_all(self, table, partition):
+        """Return every row of a partition.
+
+        Returns
+        -------
+        rows : list of StoredRow
+        version : int
+            Of the first page: changes since then are to be followed.
+        """
+        rows, first, version = [], "", None
+        while True:
+            page = self.read(table, partition, first)
+            rows += page.rows
+            version = page.version if version is None else version
+            if not page.has_more or not page.rows:
+                return rows, version
+            first = page.rows[-1].key + "\0"
+
+    def follow(self, table, version, wait_seconds):
+        """Wait for changes of a table since a version.
+
+        Returns
+        -------
+        Page
+            Without rows where nothing has changed.
+
+        Raises
+        ------
+        HistoryLost
+            The table is to be read again.
+        """
+        wait = int(wait_seconds * 1000)
+        query = _query({"table": table, "after": version, "wait_ms": wait})
+        answer = self._call(
+            "follow",
+            "GET",
+            "/rows-feed?" + query,
+            seconds=wait_seconds + _FEED_SLACK_SECONDS,
+        )
+        if answer.status == 410:
+            raise HistoryLost(table=table)
+        if answer.status != 200:
+            raise StoreRefused()
+        return _page(_json(answer))
+
+    def _call(self, operation, method, path, body=None, seconds=_CALL_SECONDS):
+        try:
+            answer = self._pool.request(
+                method, self._base + path, body, timeout=seconds
+            )
+        except NotSent as error:
+            self._count(operation, "not-sent")
+            raise StoreRefused() from error
+        except AnswerMissing as error:
+            self._count(operation, "no-answer")
+            raise TableUnavailable() from error
+        self._count(operation, str(answer.status))
+        return answer
+
+
+def _query(fields):
+    return urllib.parse.urlencode(fields)
+
+
+def _encoded(value):
+    data = json.dumps(value, separators=(",", ":")).encode()
+    return base64.b64encode(data).decode()
+
+
+def _json(answer):
+    try:
+        return json.loads(answer.body)
+    except ValueError as error:
+        raise TableUnavailable() from error
+
+
+def _page(found):
+    rows = [_row(row) for row in found.get("rows", ())]
+    return Page(rows, found["ver"], bool(found.get("more_pages")))
+
+
+def _row(found):
+    is_deleted = bool(found.get("deleted"))
+    value = None if is_deleted else _decoded(found.get("value", ""))
+    return StoredRow(
+        found["table"], found["part"], found["key"], value, found["ver"], is_deleted
+    )
+
+
+def _decoded(text):
+    # Other writers share some tables: bytes that are no JSON object are theirs
+    # to mend, and stand for no value here.
+    try:
+        value = json.loads(base64.b64decode(text))
+    except ValueError:
+        return None
+    return value if isinstance(value, dict) else None
--- /dev/null
+++ b/papayapick/platform/workers.py
@@ -0,0 +1,241 @@
+"""Call workers: start, stop and pace tasks, renew leases, read ends."""
+
+import json
+
+from papayapick.clients.exceptions import AnswerInvalid, AnswerMissing, NotSent
+from papayapick.jobs.documents import TaskKey
+from papayapick.ledger.amounts import Amounts
+from papayapick.platform.exceptions import CheckFailed, WorkerSilent
+from papayapick.pool.reports import (
+    EndReport,
+    Registration,
+    RunReport,
+    StartOutcome,
+    WorkerReport,
+)
+
+__all__ = ["WORKERS_TABLE", "WorkerClient", "decode_registration"]
+
+WORKERS_TABLE = "servers"
+_ORDER_SECONDS = 0.8
+_LOOK_SLACK_SECONDS = 0.8
+_REASONS = {
+    "fence": StartOutcome.FENCED,
+    "old": StartOutcome.OUTDATED,
+    "late": StartOutcome.EXPIRED,
+    "room": StartOutcome.NO_ROOM,
+    "ticket": StartOutcome.TICKET_INVALID,
+}
+
+
+def decode_registration(key, found):
+    """Return what a worker has registered of itself, or None where unusable.
+
+    Parameters
+    ----------
+    key : str
+        Id of the worker.
+    found : dict or None
+
+    Returns
+    -------
+    Registration or None
+        None for an entry of another writer: fields missing or of another type.
+    """
+    try:
+        room = found["capacity"]
+        state = found["state"]
+        if state not in ("ready", "draining"):
+            return None
+        labels = found.get("labels", [])
+        return Registration(
+            worker=key,
+            pool=_text(found["service"]),
+            address=_text(found["address"]),
+            zone=_text(found["zone"]),
+            capacity=Amounts(
+                int(room["cpu"]), int(room["mem_mb"]), int(room.get("gpu", 0))
+            ),
+            labels=tuple(_text(label) for label in labels),
+            is_leaving=state == "draining",
+            leaves_in=found.get("remaining_ms", 0) / 1000,
+            born=found.get("born"),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return None
+
+
+class WorkerClient:
+    """Call one worker.
+
+    Parameters
+    ----------
+    worker, address : str
+    pool : HttpPool
+    """
+
+    __slots__ = ("_base", "_headers", "_pool", "_worker")
+
+    def __init__(self, worker, address, pool):
+        self._worker = worker
+        self._base = "http://" + address
+        self._pool = pool
+        # A worker of another life at the same address refuses the call.
+        self._headers = {
+            "Content-Type": "application/json",
+            "X-Expect-Instance": worker,
+        }
+
+    def start(self, run, payload, lease_end, epoch, checkpoint="", ticket=""):
+        """Order the start of a task.
+
+        Parameters
+        ----------
+        run : Run
+        payload : str
+        lease_end : float
+            Seconds on the worker's clock.
+        epoch : int
+        checkpoint, ticket : str
+
+        Returns
+        -------
+        StartOutcome
+        """
+        body = {
+            "task": _task(run.key),
+            "attempt": run.attempt,
+            "spec": payload,
+            "expires_ms": int(lease_end * 1000),
+            "fencing_token": epoch,
+        }
+        if checkpoint:
+            body["checkpointed"] = checkpoint
+        if ticket:
+            body["ticket"] = ticket
+        try:
+            answer = self._post("/run-start", body, _ORDER_SECONDS)
+        except NotSent:
+            return StartOutcome.NOT_SENT
+        except (AnswerMissing, AnswerInvalid):
+            return StartOutcome.UNKNOWN
+        if answer.status == 200:
+            return StartOutcome.STARTED
+        if answer.status == 409:
+            return _REASONS.get(_json(answer).get("reason"), StartOutcome.REFUSED)
+        return StartOutcome.REFUSED
+
+    def stop(self, key, attempt, epoch):
+        """Order a run to stop; it can't start any more either.
+
+        Raises
+        ------
+        WorkerSilent, CheckFailed
+        """
+        body = {"task": _task(key), "attempt": attempt, "fencing_token": epoch}
+        self._checked("/run-stop", body)
+
+    def pace(self, key, attempt, percent, epoch):
+        """Let a run work at a share of its processors.
+
+        Raises
+        ------
+        WorkerSilent, CheckFailed
+        """
+        body = {
+            "task": _task(key),
+            "attempt": attempt,
+            "percent": percent,
+            "fencing_token": epoch,
+        }
+        self._checked("/pace", body)
+
+    def renew(self, epoch, acknowledged, lease_end=None, wait_seconds=0.0):
+        """Renew the lease of all that runs, forget ends, and read both lists.
+
+        Parameters
+        ----------
+        epoch : int
+        acknowledged : int
+            Number of the last end whose record is durable.
+        lease_end : float, optional
+            Seconds on the worker's clock.
+        wait_seconds : float
+            The answer waits so long for an end.
+
+        Returns
+        -------
+        WorkerReport
+
+        Raises
+        ------
+        WorkerSilent, CheckFailed
+        """
+        body = {"fencing_token": epoch, "ack_cursor": acknowledged}
+        if lease_end is not None:
+            body["expires_ms"] = int(lease_end * 1000)
+        if wait_seconds:
+            body["wait_ms"] = int(wait_seconds * 1000)
+        return _report(
+            _json(self._checked("/hold", body, wait_seconds + _LOOK_SLACK_SECONDS))
+        )
+
+    def _checked(self, path, body, seconds=_ORDER_SECONDS):
+        try:
+            answer = self._post(path, body, seconds)
+        except (NotSent, AnswerMissing, AnswerInvalid) as error:
+            raise WorkerSilent(worker=self._worker) from error
+        if answer.status != 200:
+            raise CheckFailed(
+                address=self._worker, status=answer.status, body=answer.body[:80]
+            )
+        return answer
+
+    def _post(self, path, body, seconds):
+        data = json.dumps(body, separators=(",", ":")).encode()
+        return self._pool.request(
+            "POST", self._base + path, data, self._headers, timeout=seconds
+        )
+
+
+def _report(found):
+    return WorkerReport(
+        clock=found["clock_ms"] / 1000,
+        born=found.get("born"),
+        runs=[_run(row) for row in found.get("running", ())],
+        ends=[_end(row) for row in found.get("finished", ())],
+    )
+
+
+def _run(row):
+    key = _task_key(row[0])
+    # The fifth entry is the tail in milliseconds for a task that serves, and
+    # the processors in use, in thousandths, for any other.
+    figure = row[4] if len(row) > 4 else 0
+    return RunReport(key, row[1], row[2], row[3], figure or 0)
+
+
+def _end(row):
+    return EndReport(row[0], _task_key(row[1]), row[2], row[3], row[4])
+
+
+def _task(key):
+    return f"{key.job}.{key.occurrence}.{key.step}.{key.index}"
+
+
+def _task_key(text):
+    job, occurrence, step, index = text.rsplit(".", 3)
+    return TaskKey(job, int(occurrence), int(step), int(index))
+
+
+def _json(answer):
+    try:
+        return json.loads(answer.body)
+    except ValueError:
+        return {}
+
+
+def _text(found):
+    if not isinstance(found, str):
+        raise TypeError("not a text")
+    return found
--- /dev/null
+++ b/papayapick/pool/__init__.py
@@ -0,0 +1,1 @@
+"""What the owner of a pool of workers does."""
--- /dev/null
+++ b/papayapick/pool/journal.py
@@ -0,0 +1,132 @@
+"""Write the progress of jobs to the store in group commits."""
+
+import threading
+
+from papayapick.clients.exceptions import TableUnavailable
+from papayapick.jobs.records import progress_record
+from papayapick.jobs.state import JobStatus
+from papayapick.observability.logs import get_logger
+from papayapick.platform.exceptions import ConditionFailed
+from papayapick.platform.store import RowWrite
+
+__all__ = ["JOBS_TABLE", "PROGRESS_TABLE", "PoolJournal"]
+
+_LOG = get_logger(__name__)
+
+JOBS_TABLE = "jobs"
+PROGRESS_TABLE = "progress"
+# A transaction takes at most 100 entries; one is the condition on the owner's row.
+_ROWS_PER_COMMIT = 90
+_RETRY_SECONDS = 0.15
+# Least time between two commits: ends come in groups, and each call has a price.
+_GATHER_SECONDS = 0.02
+
+
+class PoolJournal:
+    """Commit what has changed, then acknowledge ends and tell final states.
+
+    Parameters
+    ----------
+    store : Store
+    owner : PoolOwner
+    clock : Clock
+
+    Notes
+    -----
+    Ends are taken in under the owner's lock, so a snapshot of the changed jobs and
+    of the numbers of the last ends, taken under that lock, belong together. Only
+    when the records are durable may the workers forget the ends: else an end whose
+    record is lost would be lost with its owner, and the task would run again.
+    """
+
+    __slots__ = ("_clock", "_owner", "_store", "_wakeup")
+
+    def __init__(self, store, owner, clock):
+        self._store = store
+        self._owner = owner
+        self._clock = clock
+        self._wakeup = threading.Event()
+
+    def wake(self):
+        """Commit soon."""
+        self._wakeup.set()
+
+    def run(self):
+        """Commit again and again until the owner stops."""
+        while not self._owner.is_stopped:
+            self._clock.wait(self._wakeup, 1.0)
+            self._wakeup.clear()
+            while not self._owner.is_stopped and self.commit():
+                self._owner.pause(_GATHER_SECONDS)
+
+    def commit(self):
+        """Write one batch.
+
+        Returns
+        -------
+        bool
+            Whether more may be waiting.
+        """
+        owner = self._owner
+        with owner.lock:
+            changed = self._take_changed()
+            writes = [self._write(job) for job in changed]
+            statuses = [job.status for job in changed]
+            # Ends whose jobs are in a later batch must not be acknowledged yet.
+            is_all = not owner.book.changed
+            ends = [
+                (link, link.processed)
+                for link in owner.links()
+                if is_all and link.processed > link.acknowledged
+            ]
+        if not writes and not ends:
+            return False
+        if writes and not self._transact(writes):
+            with owner.lock:
+                owner.book.changed.update(job.identifier for job in changed)
+            owner.pause(_RETRY_SECONDS)
+            return True
+        with owner.lock:
+            for job, status in zip(changed, statuses, strict=True):
+                job.durable_status = status
+                if status in JobStatus.FINAL:
+                    owner.book.news.add(job.identifier)
+            for link, number in ends:
+                link.acknowledge(number)
+        owner.note_committed()
+        return True
+
+    def _take_changed(self):
+        book = self._owner.book
+        taken = []
+        for identifier in list(book.changed)[:_ROWS_PER_COMMIT]:
+            book.changed.discard(identifier)
+            job = book.get(identifier)
+            if job is not None:
+                taken.append(job)
+        return taken
+
+    def _write(self, job):
+        return RowWrite(
+            PROGRESS_TABLE,
+            job.document.pool,
+            job.identifier,
+            progress_record(job),
+        )
+
+    def _transact(self, writes):
+        try:
+            self._store.transact([self._owner.row.expectation], writes)
+        except ConditionFailed:
+            _LOG.warning(
+                "pool lost: its row was changed", extra={"epoch": self._owner.row.epoch}
+            )
+            self._owner.note_lost()
+            return False
+        except TableUnavailable as error:
+            # The same records are written again: a write that took effect and is
+            # repeated changes nothing.
+            _LOG.info("commit put off", extra={"error": str(error)})
+            return False
+        self._owner.note_store_answer()
+        return True
--- /dev/null
+++ b/papayapick/pool/links.py
@@ -0,0 +1,188 @@
+"""Keep in touch with one worker: renew its lease, read its runs and ends."""
+
+import threading
+
+from papayapick.observability.logs import get_logger
+from papayapick.platform.exceptions import CheckFailed, WorkerSilent
+
+__all__ = ["LEASE_SECONDS", "WorkerLink"]
+
+_LOG = get_logger(__name__)
+
+# Long enough for a takeover (2 s after a freeze) and one lost renewal, short enough
+# that a task of a worker that was cut off is placed again soon.
+LEASE_SECONDS = 3.6
+# A worker's steady clock may be 2% slow.
+_CLOCK_RATE = 0.98
+_LAPSE_SLACK_SECONDS = 0.1
+# An answer waits so long for an end; a lease is renewed at least so often.
+_WAIT_SECONDS = 0.8
+_WAIT_PACED_SECONDS = 0.4
+_RETRY_SECONDS = 0.2
+# While the store is away ends can't be acknowledged, and a waiting call would
+# return at once with the same ends.
+_UNACKNOWLEDGED_SECONDS = 0.3
+_FENCED = 409
+_OTHER_LIFE = 421
+
+
+class WorkerLink:
+    """Hold what is known of one worker, and the task that asks it.
+
+    Parameters
+    ----------
+    registration : Registration
+    client : WorkerClient
+    epoch : int
+    clock : Clock
+    listener : LinkListener
+        Told of reports, of silence and of lapsed leases.
+
+    Attributes
+    ----------
+    processed, acknowledged : int
+        Number of the last end that was taken note of, and of the last whose
+        record is durable.
+    lapse_at : float
+        Monotonic seconds after which no lease given by this owner is in force.
+    is_inventoried : bool
+        Whether it has answered this owner, so that it refuses older ones.
+    """
+
+    __slots__ = (
+        "_acknowledgement",
+        "_clock",
+        "_clock_read_at",
+        "_epoch",
+        "_listener",
+        "_worker_clock",
+        "acknowledged",
+        "asked_at",
+        "born",
+        "client",
+        "failed_since",
+        "is_inventoried",
+        "is_stopped",
+        "lapse_at",
+        "processed",
+        "registration",
+    )
+
+    def __init__(self, registration, client, epoch, clock, listener):
+        self.registration = registration
+        self.client = client
+        self._epoch = epoch
+        self._clock = clock
+        self._listener = listener
+        self._acknowledgement = threading.Event()
+        self._worker_clock = None
+        self._clock_read_at = 0.0
+        # Monotonic seconds at which the last report was asked for.
+        self.asked_at = 0.0
+        self.acknowledged = 0
+        self.processed = 0
+        self.born = None
+        self.failed_since = None
+        self.is_inventoried = False
+        self.is_stopped = False
+        self.lapse_at = 0.0
+
+    @property
+    def worker(self):
+        """Return the id of the worker."""
+        return self.registration.worker
+
+    @property
+    def is_silent(self):
+        """Return whether its last call had no answer."""
+        return self.failed_since is not None
+
+    def lease_end(self):
+        """Return the end of a lease given now, on the worker's clock, or None.
+
+        None where its clock was not read yet. The end is kept in mind: until it
+        is over, whatever this worker was ordered may run there.
+        """
+        if self._worker_clock is None:
+            return None
+        now = self._clock.monotonic()
+        end = self._worker_clock + (now - self._clock_read_at) + LEASE_SECONDS
+        rest = (end - self._worker_clock) / _CLOCK_RATE
+        lapse = self._clock_read_at + rest + _LAPSE_SLACK_SECONDS
+        self.lapse_at = max(self.lapse_at, lapse)
+        return end
+
+    def acknowledge(self, number):
+        """Let the worker forget ends up to a number: their record is durable."""
+        self.acknowledged = max(self.acknowledged, number)
+        self._acknowledgement.set()
+
+    def stop(self):
+        """End the task that asks the worker, after its present call."""
+        self.is_stopped = True
+        self._acknowledgement.set()
+
+    def run(self):
+        """Ask the worker again and again until the link is stopped."""
+        while not self.is_stopped:
+            if not self._listener.may_act():
+                self._pause(_RETRY_SECONDS)
+                continue
+            try:
+                self._ask()
+            except WorkerSilent:
+                self._note_silence()
+            except CheckFailed as error:
+                self._note_refusal(error)
+
+    def _ask(self):
+        wait = self._wait_seconds()
+        acknowledged = self.acknowledged
+        self._acknowledgement.clear()
+        self.asked_at = self._clock.monotonic()
+        report = self.client.renew(self._epoch, acknowledged, self.lease_end(), wait)
+        if self.is_stopped:
+            return
+        self._worker_clock = report.clock
+        self._clock_read_at = self._clock.monotonic()
+        if self.born is not None and report.born != self.born:
+            # It crashed and started again under its id: nothing of before runs,
+            # and its ends are numbered anew.
+            self._listener.note_rebirth(self)
+            self.acknowledged = self.processed = 0
+        self.born = report.born
+        self.failed_since = None
+        self._listener.note_report(self, report)
+        if self.processed > self.acknowledged:
+            self._pause(_UNACKNOWLEDGED_SECONDS)
+
+    def _wait_seconds(self):
+        if self._worker_clock is None or self.processed > self.acknowledged:
+            return 0.0
+        is_paced = self._listener.is_paced(self)
+        return _WAIT_PACED_SECONDS if is_paced else _WAIT_SECONDS
+
+    def _pause(self, seconds):
+        self._clock.wait(self._acknowledgement, seconds)
+
+    def _note_silence(self):
+        if self.failed_since is None:
+            self.failed_since = self._clock.monotonic()
+        self._listener.note_silence(self)
+        self._pause(_RETRY_SECONDS)
+
+    def _note_refusal(self, error):
+        status = error.details["status"]
+        if status == _FENCED:
+            self._listener.note_fenced(self)
+        elif status == _OTHER_LIFE:
+            # Another worker answers at its address: this life is over.
+            self._listener.note_rebirth(self)
+            self._note_silence()
+            return
+        else:
+            _LOG.info(
+                "worker refused a renewal",
+                extra={"worker": self.worker, "status": status},
+            )
+        self._pause(_RETRY_SECONDS)
--- /dev/null
+++ b/papayapick/pool/orders.py
@@ -0,0 +1,76 @@
+"""Send orders to workers and tell the owner what became of them."""
+
+from papayapick.jobs.runs import RunPhase
+from papayapick.observability.logs import get_logger
+from papayapick.platform.exceptions import CheckFailed, WorkerSilent
+from papayapick.pool.reports import StartOutcome
+
+__all__ = ["Orders"]
+
+_LOG = get_logger(__name__)
+
+
+class Orders:
+    """Send starts, stops and paces, each as a task of its own.
+
+    Parameters
+    ----------
+    owner : PoolOwner
+    executor : concurrent.futures.Executor
+    """
+
+    __slots__ = ("_executor", "_owner")
+
+    def __init__(self, owner, executor):
+        self._owner = owner
+        self._executor = executor
+
+    def start(self, link, run, payload, checkpoint, ticket):
+        """Order a start."""
+        self._executor.submit(self._start, link, run, payload, checkpoint, ticket)
+
+    def stop(self, link, run):
+        """Order a stop."""
+        self._executor.submit(self._stop, link, run)
+
+    def pace(self, link, run, percent):
+        """Order the share of its processors at which a run works."""
+        self._executor.submit(self._pace, link, run, percent)
+
+    def _start(self, link, run, payload, checkpoint, ticket):
+        owner = self._owner
+        with owner.lock:
+            # Stopped before it was sent, or this process is not sure any more
+            # that it owns the pool: the order must not leave.
+            may_send = run.phase == RunPhase.ORDERED and owner.may_act()
+            lease_end = link.lease_end() if may_send else None
+        if lease_end is None:
+            outcome = StartOutcome.NOT_SENT
+        else:
+            outcome = link.client.start(
+                run, payload, lease_end, owner.row.epoch, checkpoint, ticket
+            )
+        owner.note_start(link, run, outcome)
+
+    def _stop(self, link, run):
+        owner = self._owner
+        try:
+            link.client.stop(run.key, run.attempt, owner.row.epoch)
+        except WorkerSilent:
+            # Ordered again by the next tick.
+            return
+        except CheckFailed as error:
+            _LOG.info(
+                "stop refused",
+                extra={"worker": link.worker, "status": error.details["status"]},
+            )
+            return
+        owner.note_stop_confirmed(run)
+
+    def _pace(self, link, run, percent):
+        try:
+            link.client.pace(run.key, run.attempt, percent, self._owner.row.epoch)
+        except (WorkerSilent, CheckFailed) as error:
+            _LOG.info("pace not set", extra={"error": str(error)})
+            return
+        run.pace = percent
--- a/papayapick/wire/codec.py
+++ b/papayapick/wire/codec.py
@@ -16,7 +16,11 @@
     "shards": messages.ShardSummary,
     "loads": messages.ServiceLoad,
     "placers": messages.PlacerSummary,
+    "news": messages.JobNews,
+    "queue_loads": messages.QueueLoad,
+    "tickets": messages.Ticket,
 }
+_TEXT_LISTS = frozenset(("avoid", "workers"))
 # Packing turns runs of zeros into two bytes, so a short frame can stand for
 # gigabytes: a message takes at most 16 MiB, four times the longest frame.
 _TRAVERSAL_WORDS = 2 << 20
@@ -119,7 +123,7 @@
         nested = _NESTED.get(slot)
         if nested is not None:
             value = [_read(nested, item) for item in value]
-        elif slot == "avoid":
+        elif slot in _TEXT_LISTS:
             value = list(value)
         fields[slot] = value
     return kind(**fields)
--- a/papayapick/wire/messages.capnp
+++ b/papayapick/wire/messages.capnp
@@ -19,6 +19,10 @@
     bundleQuery @13 :BundleQuery;
     bundleBody @14 :BundleBody;
     handover @15 :Handover;
+    poolBeat @16 :PoolBeat;
+    poolBeatAnswer @17 :PoolBeatAnswer;
+    adviceQuery @18 :AdviceQuery;
+    adviceReply @19 :AdviceReply;
   }
 }
 
@@ -145,3 +149,42 @@
   shard @0 :Text;
   epoch @1 :UInt64;
 }
+
+struct PoolBeat {
+  pool @0 :Text;
+  epoch @1 :UInt64;
+  host @2 :Text;
+  news @3 :List(JobNews);
+  queueLoads @4 :List(QueueLoad);
+  givesWay @5 :Bool;
+}
+
+struct JobNews {
+  identifier @0 :Text;
+  status @1 :Text;
+}
+
+struct QueueLoad {
+  queue @0 :Text;
+  waiting @1 :UInt32;
+}
+
+struct PoolBeatAnswer {
+  epoch @0 :UInt64;
+  storeAgeMilliseconds @1 :UInt32;
+}
+
+struct AdviceQuery {
+  step @0 :Text;
+  workers @1 :List(Text);
+  expectedMilliseconds @2 :UInt32;
+}
+
+struct AdviceReply {
+  tickets @0 :List(Ticket);
+}
+
+struct Ticket {
+  worker @0 :Text;
+  ticket @1 :Text;
+}
--- a/papayapick/wire/messages.py
+++ b/papayapick/wire/messages.py
@@ -2,13 +2,19 @@
 
 __all__ = [
     "Acknowledgement",
+    "AdviceQuery",
+    "AdviceReply",
     "BundleBody",
     "BundleQuery",
     "Handover",
     "Heartbeat",
     "Hello",
+    "JobNews",
     "Payload",
     "PlacerSummary",
+    "PoolBeat",
+    "PoolBeatAnswer",
+    "QueueLoad",
     "Refusal",
     "Release",
     "ServiceLoad",
@@ -16,6 +22,7 @@
     "SlotGrant",
     "SlotRequest",
     "Submit",
+    "Ticket",
     "WorkCancel",
     "WorkQuery",
     "WorkState",
@@ -195,3 +202,45 @@
     """Tell the next owner of a shard that it was released at an epoch."""
 
     __slots__ = ("epoch", "shard")
+
+
+class JobNews(Payload):
+    """Tell the status of one job."""
+
+    __slots__ = ("identifier", "status")
+
+
+class QueueLoad(Payload):
+    """Tell how many jobs of a queue have not begun."""
+
+    __slots__ = ("queue", "waiting")
+
+
+class PoolBeat(Payload):
+    """Tell who owns a pool, and what has changed there."""
+
+    __slots__ = ("epoch", "gives_way", "host", "news", "pool", "queue_loads")
+
+
+class PoolBeatAnswer(Payload):
+    """Tell the newest epoch a host knows, and how old its word from the store is."""
+
+    __slots__ = ("epoch", "store_age_milliseconds")
+
+
+class AdviceQuery(Payload):
+    """Ask a host to ask the advice service about a step."""
+
+    __slots__ = ("expected_milliseconds", "step", "workers")
+
+
+class Ticket(Payload):
+    """Hold the ticket with which a worker may run a step."""
+
+    __slots__ = ("ticket", "worker")
+
+
+class AdviceReply(Payload):
+    """Tell which workers may run a step."""
+
+    __slots__ = ("tickets",)
--- a/papayapick/wire/server.py
+++ b/papayapick/wire/server.py
@@ -36,6 +36,9 @@
     executor : concurrent.futures.Executor
     meter : callable, optional
     clock : Clock, optional
+    on_end : callable, optional
+        Called with the ``Hello`` of a peer whose connection has ended: a process
+        that was killed is noticed by that before its heartbeats are missed.
     """
 
     __slots__ = (
@@ -49,6 +52,7 @@
         "_listener",
         "_lock",
         "_meter",
+        "_on_end",
         "_stopping",
     )
 
@@ -61,7 +65,9 @@
         executor,
         meter=None,
         clock=None,
+        on_end=None,
     ):
+        self._on_end = on_end or (lambda peer: None)
         self._listener = socket.create_server(address, backlog=_BACKLOG)
         self._cell_key = cell_key
         self._identity = identity
@@ -125,6 +131,8 @@
             connection.close()
             with self._lock:
                 self._connections.discard(connection)
+            if connection.peer is not None and not self._stopping:
+                self._on_end(connection.peer)
 
     def _greet(self, connection):
         try:
