Let the lease of a silent worker run out; ask advice about new workers

Each look at a silent worker counted as a renewal that might have arrived, so its lease was never over. Beside it, advice was asked again only about the good workers of the first answer, and a release replaces them. Change: no lease in the calls to a silent worker; advice keeps the unfit workers, not the good ones.

--- a/papayapick/pool/advice.py
+++ b/papayapick/pool/advice.py
@@ -12,18 +12,26 @@
 # The advice service takes at most 100 workers in a call.
 _WORKERS_PER_CALL = 100
 _RETRY_SECONDS = 0.2
+# Calls wait for others of the same host; one that takes longer than this was lost
+# with the host that was to make it.
+_LOST_FACTOR = 4
+_LOST_SECONDS = 1.5
 
 
 class _Advice:
     """Hold what is known of one step."""
 
-    __slots__ = ("asked_at", "is_asked", "known_good", "tickets", "valid_until")
+    __slots__ = ("asked", "asked_at", "lost_at", "tickets", "unfit", "valid_until")
 
     def __init__(self):
         self.asked_at = 0.0
-        self.is_asked = False
-        # Which workers are good doesn't change for a step; only tickets age.
-        self.known_good = None
+        # Workers of the call that is under way; empty where none is.
+        self.asked = ()
+        # When the call under way counts as lost.
+        self.lost_at = 0.0
+        # Workers that may not run the step: that doesn't change, only tickets
+        # age. Those that came since are in neither set, and are asked about.
+        self.unfit = set()
         self.tickets = {}
         self.valid_until = 0.0
 
@@ -58,10 +66,10 @@
             return None
         return advice.tickets
 
-    def known_good(self, key):
-        """Return the workers known to be good for a step, or None."""
+    def unfit(self, key):
+        """Return the workers known not to be allowed a step."""
         advice = self._by_step.get(key)
-        return advice.known_good if advice is not None else None
+        return advice.unfit if advice is not None else frozenset()
 
     def want(self, key, policy, candidates, now):
         """Ask for advice on a step unless that is under way.
@@ -75,33 +83,35 @@
         now : float
         """
         advice = self._by_step.setdefault(key, _Advice())
-        if advice.is_asked or now < advice.asked_at + _RETRY_SECONDS:
+        if now < advice.asked_at + _RETRY_SECONDS:
             return
-        if advice.known_good is not None:
-            candidates = [one for one in candidates if one in advice.known_good]
+        if advice.asked and now < advice.lost_at:
+            return
+        candidates = [one for one in candidates if one not in advice.unfit]
         if not candidates:
             return
         candidates = candidates[:_WORKERS_PER_CALL]
-        advice.is_asked = True
+        expected = policy.expected_seconds(len(candidates))
+        advice.asked = candidates
         advice.asked_at = now
-        self._ask(key, candidates, policy.expected_seconds(len(candidates)))
+        advice.lost_at = now + _LOST_FACTOR * expected + _LOST_SECONDS
+        self._ask(key, candidates, expected)
 
     def note_answer(self, key, tickets, policy, now):
         """Keep the tickets that an answer has brought."""
         advice = self._by_step.get(key)
         if advice is None:
             return
-        advice.is_asked = False
+        advice.unfit.update(one for one in advice.asked if one not in tickets)
+        advice.asked = ()
         advice.tickets = tickets
-        if advice.known_good is None:
-            advice.known_good = set(tickets)
         advice.valid_until = now + policy.valid_seconds - _TICKET_SLACK_SECONDS
 
     def note_failure(self, key):
         """Let the step be asked for again."""
         advice = self._by_step.get(key)
         if advice is not None:
-            advice.is_asked = False
+            advice.asked = ()
 
     def drop_ticket(self, key, worker):
         """Forget a ticket that its worker refused."""
--- a/papayapick/pool/links.py
+++ b/papayapick/pool/links.py
@@ -140,7 +140,11 @@
         acknowledged = self.acknowledged
         self._acknowledgement.clear()
         self.asked_at = self._clock.monotonic()
-        report = self.client.renew(self._epoch, acknowledged, self.lease_end(), wait)
+        # A call that gets no answer may still renew the lease. While the worker is
+        # silent it is only looked at: else its lease would never count as over, and
+        # what ran on a worker that is gone would never be placed again.
+        lease_end = None if self.is_silent else self.lease_end()
+        report = self.client.renew(self._epoch, acknowledged, lease_end, wait)
         if self.is_stopped:
             return
         self._worker_clock = report.clock
@@ -157,7 +161,9 @@
             self._pause(_UNACKNOWLEDGED_SECONDS)
 
     def _wait_seconds(self):
-        if self._worker_clock is None or self.processed > self.acknowledged:
+        if self._worker_clock is None or self.is_silent:
+            return 0.0
+        if self.processed > self.acknowledged:
             return 0.0
         is_paced = self._listener.is_paced(self)
         return _WAIT_PACED_SECONDS if is_paced else _WAIT_SECONDS
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -448,6 +448,15 @@
         if room is None:
             return
         now = self._host.clock.monotonic()
+        if room.runs:
+            _LOG.info(
+                "runs lost with their worker",
+                extra={
+                    "worker": link.worker,
+                    "runs": len(room.runs),
+                    "silent_seconds": round(now - (link.failed_since or now), 3),
+                },
+            )
         for run in list(room.runs.values()):
             room.release(run)
             self.book.end(run.key, run.attempt, EndOutcome.LAPSED, "", link.worker, now)
@@ -598,15 +607,19 @@
         policy = step.job.queue.advice
         if policy is None:
             return
-        able = self.rooms.able(step.step)
-        good = self._advice.known_good(step.key)
-        if good is not None:
-            # A ticket ages: it is asked for again only where it can be used.
-            demand = step.step.room_demand
-            if not any(room.worker in good and room.has_room(demand) for room in able):
-                return
-        names = [room.worker for room in able if not room.registration.is_leaving]
-        self._advice.want(step.key, policy, names, now)
+        able = [
+            room
+            for room in self.rooms.able(step.step)
+            if not room.registration.is_leaving
+        ]
+        unfit = self._advice.unfit(step.key)
+        # A ticket ages: it is asked for again only where it can be used.
+        demand = step.step.room_demand
+        if not unfit or any(
+            room.worker not in unfit and room.has_room(demand) for room in able
+        ):
+            names = [room.worker for room in able]
+            self._advice.want(step.key, policy, names, now)
 
     def _ask_ahead(self, now):
         """Ask for the advice on a step while the one before it is about to end."""
--- /dev/null
+++ b/tests/pool/test_advice.py
@@ -0,0 +1,84 @@
+"""Advice on which workers may run a step."""
+
+import pytest
+
+from papayapick.jobs import AdvicePolicy, StepKey
+from papayapick.pool.advice import AdviceBook
+
+KEY = StepKey("0" * 16, 0, 0)
+POLICY = AdvicePolicy(0.5, 0.01, 2.5)
+
+
+class Asked:
+    def __init__(self):
+        self.calls = []
+
+    def __call__(self, key, workers, expected):
+        self.calls.append((key, list(workers)))
+
+
+@pytest.fixture
+def asked():
+    return Asked()
+
+
+@pytest.fixture
+def book(asked):
+    return AdviceBook(asked)
+
+
+def test_workers_that_came_later_are_asked_about(book, asked):
+    """A caller's lasting task stays down though new workers stand idle.
+
+    The workers known to be good were replaced by a release. Advice was asked
+    again only about the good ones of the first answer, none of which was left.
+    """
+    book.want(KEY, POLICY, ["w1", "w2"], 10.0)
+    book.note_answer(KEY, {"w1": "t1"}, POLICY, 10.6)
+    book.want(KEY, POLICY, ["w2", "w3"], 20.0)
+    assert asked.calls[-1][1] == ["w3"]
+
+
+def test_unfit_workers_are_not_asked_about_again(book, asked):
+    book.want(KEY, POLICY, ["w1", "w2"], 10.0)
+    book.note_answer(KEY, {"w1": "t1"}, POLICY, 10.6)
+    book.want(KEY, POLICY, ["w1", "w2"], 20.0)
+    assert asked.calls[-1][1] == ["w1"]
+    assert book.unfit(KEY) == {"w2"}
+
+
+def test_ticket_ages(book):
+    book.want(KEY, POLICY, ["w1"], 10.0)
+    book.note_answer(KEY, {"w1": "t1"}, POLICY, 10.6)
+    assert book.tickets(KEY, POLICY, 12.8) == {"w1": "t1"}
+    assert book.tickets(KEY, POLICY, 13.2) is None
+
+
+def test_one_call_at_a_time_for_a_step(book, asked):
+    book.want(KEY, POLICY, ["w1"], 10.0)
+    book.want(KEY, POLICY, ["w1"], 10.5)
+    assert len(asked.calls) == 1
+
+
+def test_call_that_never_ends_is_asked_again(book, asked):
+    """A caller's job waits for ever: the host that was to ask was powered off.
+
+    Its connection hangs without a reset, so the call neither fails nor ends.
+    """
+    book.want(KEY, POLICY, ["w1"], 10.0)
+    book.want(KEY, POLICY, ["w1"], 20.0)
+    assert len(asked.calls) == 2
+
+
+def test_failed_call_is_asked_again(book, asked):
+    book.want(KEY, POLICY, ["w1"], 10.0)
+    book.note_failure(KEY)
+    book.want(KEY, POLICY, ["w1"], 10.3)
+    assert len(asked.calls) == 2
+
+
+def test_refused_ticket_is_dropped(book):
+    book.want(KEY, POLICY, ["w1", "w2"], 10.0)
+    book.note_answer(KEY, {"w1": "t1", "w2": "t2"}, POLICY, 10.6)
+    book.drop_ticket(KEY, "w1")
+    assert book.tickets(KEY, POLICY, 11.0) == {"w2": "t2"}
--- /dev/null
+++ b/tests/pool/test_links.py
@@ -0,0 +1,151 @@
+"""Keeping in touch with workers."""
+
+import pytest
+
+from papayapick.clock import ManualClock
+from papayapick.ledger import Amounts
+from papayapick.platform.exceptions import CheckFailed, WorkerSilent
+from papayapick.pool.links import LEASE_SECONDS, WorkerLink
+from papayapick.pool.reports import Registration, WorkerReport
+
+OTHER_LIFE = 421
+FENCED = 409
+
+
+class Client:
+    """Answer renewals by a script; note the lease that each asked for."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.leases = []
+        self.answers = []
+        self.calls_left = 0
+
+    def renew(self, epoch, acknowledged, lease_end=None, wait_seconds=0.0):
+        if not self.calls_left:
+            raise _EnoughCalls
+        self.calls_left -= 1
+        self.leases.append(lease_end)
+        answer = self.answers.pop(0) if self.answers else _report(self.clock)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class Listener:
+    def __init__(self):
+        self.events = []
+
+    def may_act(self):
+        return True
+
+    def is_paced(self, link):
+        return False
+
+    def note_report(self, link, report):
+        self.events.append("report")
+
+    def note_silence(self, link):
+        self.events.append("silence")
+
+    def note_rebirth(self, link):
+        self.events.append("rebirth")
+
+    def note_fenced(self, link):
+        self.events.append("fenced")
+
+
+def _report(clock, born=1):
+    return WorkerReport(clock.monotonic() + 1000, born, [], [])
+
+
+class _NoWait(ManualClock):
+    """Advance instead of waiting."""
+
+    def wait(self, event, seconds):
+        self.advance(seconds)
+        return event.is_set()
+
+
+@pytest.fixture
+def clock():
+    return _NoWait(100.0)
+
+
+@pytest.fixture
+def link(clock):
+    registration = Registration("w1", "pool", "a:1", "zone", Amounts(1000, 1000))
+    return WorkerLink(registration, Client(clock), 3, clock, Listener())
+
+
+class _EnoughCalls(Exception):
+    """End the link's endless task."""
+
+
+def _run(link, calls):
+    """Let the link make so many calls and take in their answers."""
+    link.client.calls_left = calls
+    with pytest.raises(_EnoughCalls):
+        link.run()
+
+
+def test_lease_of_a_silent_worker_runs_out(clock, link):
+    """A caller sees a lasting task that is down for good.
+
+    Its worker left while the owner renewed the lease. The owner asked the dead
+    worker again every 0.2 s and counted each call as a renewal that might have
+    arrived, so the lease never was over and the task was never placed again.
+    """
+    _run(link, 2)
+    link.client.answers = [WorkerSilent(worker="w1") for _ in range(60)]
+    given_until = link.lapse_at
+    _run(link, 60)
+    assert link.is_silent
+    # One call may have been under way as the worker left.
+    assert link.lapse_at <= given_until + LEASE_SECONDS
+    assert clock.monotonic() > link.lapse_at
+
+
+def test_worker_that_is_back_is_given_a_lease_again(clock, link):
+    _run(link, 2)
+    link.client.answers = [WorkerSilent(worker="w1")]
+    _run(link, 3)
+    assert not link.is_silent
+    assert link.client.leases[-1] is not None
+
+
+def test_first_look_gives_no_lease_for_want_of_a_clock(link):
+    _run(link, 1)
+    assert link.client.leases == [None]
+
+
+def test_lapse_covers_a_worker_whose_clock_is_slow(clock, link):
+    _run(link, 1)
+    end = link.lease_end()
+    read_at = clock.monotonic()
+    # At 98% of real time the worker's clock reaches the end only then.
+    reached = read_at + (end - (1000 + read_at)) / 0.98
+    assert link.lapse_at >= reached
+
+
+def test_worker_born_again_under_its_id_starts_anew(clock, link):
+    """A caller's task would seem to run for ever on a worker that restarted.
+
+    The worker crashed and came back under its id between two looks, so no call
+    failed. Only its time of birth tells; its ends are numbered from 1 again.
+    """
+    _run(link, 1)
+    link.processed = link.acknowledged = 7
+    link.client.answers = [_report(clock, born=2)]
+    _run(link, 2)
+    assert "rebirth" in link._listener.events
+    assert link.processed == link.acknowledged == 0
+
+
+@pytest.mark.parametrize(
+    ("status", "event"), [(FENCED, "fenced"), (OTHER_LIFE, "rebirth")]
+)
+def test_refused_renewal(link, status, event):
+    link.client.answers = [CheckFailed(address="w1", status=status)]
+    _run(link, 1)
+    assert event in link._listener.events
