Let an owner that is cut off from the store give way; relay doors' calls

It neither saw new jobs nor recorded ends; nobody took over, since its beats still arrived and a live peer's word confirmed it. Doors that were cut off left callers without an answer for 2.2 s, then 504. Two processes outlived the grace time: giving up waited for the store. Ruled out: stopping at once when the store is lost (if it is down for all, nobody takes over, and leases would lapse). Change: an owner that had no answer when one was due, while a live peer had, says so in its beats, goes on until replaced, and stops on the word of a newer epoch. Writes and reads of doors go through another host while the store does not answer here. Giving up is a task beside the grace time. The owner looks each 0.4 s.

--- a/papayapick/entry/acceptance.py
+++ b/papayapick/entry/acceptance.py
@@ -19,7 +19,7 @@
 
     Parameters
     ----------
-    store : Store
+    store : RelayedStore
     writer : GroupWriter
     board : StateBoard
     """
@@ -94,10 +94,9 @@
 
     def _read(self, table, pool, identifier, end):
         try:
-            page = self._store.read(table, pool, identifier, identifier + end, limit=3)
+            return self._store.read(table, pool, identifier, identifier + end, 3)
         except TableUnavailable as error:
             raise StateUnknown() from error
-        return page.rows
 
 
 def _wait(future):
--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -87,7 +87,9 @@
                 return False
             self._heard_at = self._host.clock.monotonic()
             if beat.host == self.row.owner:
-                self._is_suspected = False
+                self._is_suspected = bool(beat.gives_way)
+        if beat.gives_way and not self._host.is_store_lost():
+            self._wakeup.set()
         return True
 
     def note_end(self, peer):
--- a/papayapick/entry/followers.py
+++ b/papayapick/entry/followers.py
@@ -4,17 +4,28 @@
 from papayapick.observability.logs import get_logger
 from papayapick.platform.exceptions import HistoryLost
 
-__all__ = ["FOLLOW_WAIT_SECONDS", "follow_table"]
+__all__ = ["FOLLOW_WAIT_SECONDS", "OWNER_WAIT_SECONDS", "follow_table"]
 
 _LOG = get_logger(__name__)
 
 # One waiting call a second and a half: a connection that went silent is noticed
 # soon after, well within the bound for a change of the configuration.
 FOLLOW_WAIT_SECONDS = 1.2
+OWNER_WAIT_SECONDS = 0.4
 _RETRY_SECONDS = 0.2
 
 
-def follow_table(store, clock, table, version, on_rows, read_all, stopping, on_answer):
+def follow_table(
+    store,
+    clock,
+    table,
+    version,
+    on_rows,
+    read_all,
+    stopping,
+    on_answer,
+    wait_seconds=lambda: FOLLOW_WAIT_SECONDS,
+):
     """Hand on the changes of a table until told to stop.
 
     Parameters
@@ -31,6 +42,8 @@
     stopping : threading.Event
     on_answer : callable
         Called with the time at which a call was sent that the store answered.
+    wait_seconds : callable, optional
+        Returns how long a call waits for changes.
     """
     is_away = False
     while not stopping.is_set():
@@ -39,7 +52,7 @@
             if version is None:
                 rows, version = read_all()
             else:
-                page = store.follow(table, version, FOLLOW_WAIT_SECONDS)
+                page = store.follow(table, version, wait_seconds())
                 rows, version = page.rows, page.version
         except HistoryLost:
             _LOG.info("history lost", extra={"table": table, "version": version})
--- a/papayapick/entry/peers.py
+++ b/papayapick/entry/peers.py
@@ -183,7 +183,7 @@
             queue_loads=[
                 QueueLoad(queue=queue, waiting=count) for queue, count in loads.items()
             ],
-            gives_way=self._owner.is_stopped,
+            gives_way=self._owner.gives_way(),
         )
         asked_at = self._host.clock.monotonic()
         try:
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -14,8 +14,13 @@
 from papayapick.entry.board import StateBoard
 from papayapick.entry.candidacy import Candidacy
 from papayapick.entry.configuration import ConfigurationWatcher
-from papayapick.entry.followers import follow_table
+from papayapick.entry.followers import (
+    FOLLOW_WAIT_SECONDS,
+    OWNER_WAIT_SECONDS,
+    follow_table,
+)
 from papayapick.entry.peers import HOSTS_PARTITION, OwnerLine, Peers
+from papayapick.entry.relays import RelayedStore, StoreRelay
 from papayapick.entry.servers import FrontServer
 from papayapick.entry.writers import GroupWriter
 from papayapick.jobs.queues import Queue
@@ -30,6 +35,7 @@
     Hello,
     PoolBeat,
     PoolBeatAnswer,
+    StoreCall,
     Ticket,
 )
 
@@ -43,7 +49,9 @@
 _KEY_PARTITION = "key"
 _KEY_BYTES = 32
 _START_RETRY_SECONDS = 0.2
-# Without a word of the store for so long, a host can't accept jobs.
+# Followers have an answer each 1.2 s when nothing changes.
+_STORE_OVERDUE_SECONDS = 1.7
+# Without a word of the store for so long, a host is not ready for callers.
 _STORE_AWAY_SECONDS = 2.6
 # Before the platform kills the process, what is under way has ended.
 _GRACE_SLACK_SECONDS = 1.2
@@ -68,13 +76,16 @@
         self.worker_pool = HttpPool(_WORKER_CALL_SECONDS)
         self.board = StateBoard()
         self.configuration = ConfigurationWatcher(self)
-        self.writer = GroupWriter(self.store, self.clock, self.stopping)
-        self.acceptance = Acceptance(self.store, self.writer, self.board)
+        self.relayed_store = RelayedStore(self)
+        self.writer = GroupWriter(self.relayed_store, self.clock, self.stopping)
+        self.acceptance = Acceptance(self.relayed_store, self.writer, self.board)
         self.adviser = Adviser(settings.advice_address, HttpPool(_WORKER_CALL_SECONDS))
         self.peers = None
         # Seconds that a short call of the store takes from here.
         self.store_seconds = 0.0
         self._store_answered_at = None
+        self._store_failed_at = None
+        self._relay = StoreRelay(self)
         self._advice_seconds = 0.0
         self._advice_lock = threading.Lock()
         self._candidacies = {}
@@ -94,13 +105,12 @@
     def stop(self):
         """Hand over, finish what is under way, and end."""
         self.is_draining = True
-        started = self.clock.monotonic()
         for candidacy in list(self._candidacies.values()):
             if candidacy.is_owner:
-                candidacy.owner.give_up()
+                # As a task: a store that is away must not hold up the end.
+                self.executor.submit(candidacy.owner.give_up)
         rest = self.settings.grace_seconds - _GRACE_SLACK_SECONDS
-        rest -= self.clock.monotonic() - started
-        self.clock.wait(self.stopping, max(0.0, rest))
+        self.clock.wait(self.stopping, rest)
         self.stopping.set()
         self._front.close()
 
@@ -110,6 +120,27 @@
             return False
         return self._store_age() < _STORE_AWAY_SECONDS
 
+    def is_store_lost(self):
+        """Return whether the store did not answer this host lately."""
+        if self._store_answered_at is None:
+            return True
+        if self._store_age() > _STORE_OVERDUE_SECONDS:
+            return True
+        failed_at = self._store_failed_at
+        return failed_at is not None and failed_at > self._store_answered_at
+
+    def note_store_failure(self):
+        """Note that a call of the store had no answer or was refused."""
+        self._store_failed_at = self.clock.monotonic()
+
+    def note_store_word(self):
+        """Note that the store has answered."""
+        self._store_answered_at = self.clock.monotonic()
+
+    def store_age(self):
+        """Return the seconds since the store last answered this host."""
+        return self._store_age()
+
     def _store_age(self):
         if self._store_answered_at is None:
             return float("inf")
@@ -206,7 +237,7 @@
         )
 
     def _note_store_answer(self, asked_at):
-        self._store_answered_at = self.clock.monotonic()
+        self.note_store_word()
 
     def _follow_cell(self):
         follow_table(
@@ -218,8 +249,14 @@
             self._read_cell,
             self.stopping,
             self._note_cell_answer,
+            self._cell_wait_seconds,
         )
 
+    def _cell_wait_seconds(self):
+        # An owner notices soon that it is cut off from the store.
+        is_owner = any(one.is_owner for one in list(self._candidacies.values()))
+        return OWNER_WAIT_SECONDS if is_owner else FOLLOW_WAIT_SECONDS
+
     def _read_cell(self):
         rows, version = self.store.read_all(CELL_TABLE, HOSTS_PARTITION)
         for pool in list(self._candidacies):
@@ -381,6 +418,8 @@
             return self._answer_beat(payload)
         if isinstance(payload, AdviceQuery):
             return self._answer_advice(payload)
+        if isinstance(payload, StoreCall):
+            return self._relay.answer(payload)
         return None
 
     def _answer_beat(self, beat):
--- /dev/null
+++ b/papayapick/entry/relays.py
@@ -0,0 +1,170 @@
+"""Reach the store through another host while this one can't."""
+
+import json
+import random
+from concurrent.futures import Future
+
+from papayapick.clients.exceptions import TableUnavailable
+from papayapick.observability.logs import get_logger
+from papayapick.platform.exceptions import ConditionFailed, StoreRefused
+from papayapick.platform.store import Expectation, RowWrite, StoredRow
+from papayapick.wire.exceptions import WireError
+from papayapick.wire.messages import StoreCall, StoreResult
+
+__all__ = ["RelayedStore", "StoreRelay"]
+
+_LOG = get_logger(__name__)
+
+_CALL_SECONDS = 0.9
+_PEERS_TRIED = 2
+# When no other host reaches the store either, it is down for all: they are not
+# asked again for so long.
+_PAUSE_SECONDS = 0.5
+_DONE = "done"
+_CONFLICT = "conflict"
+_REFUSED = "refused"
+_UNKNOWN = "unknown"
+
+
+class RelayedStore:
+    """Call the store, or have another host call it.
+
+    Some hosts are cut off from the store, or turned away by it, while the others
+    are served; without this their callers' jobs would be refused, and those whose
+    write had no answer could not be settled.
+
+    Parameters
+    ----------
+    host : EntryHost
+    """
+
+    __slots__ = ("_host", "_paused_until", "_preferred")
+
+    def __init__(self, host):
+        self._host = host
+        self._preferred = None
+        self._paused_until = 0.0
+
+    def transact(self, expectations, writes):
+        """Apply all writes if all expectations hold; see ``Store.transact``."""
+        call = StoreCall(
+            expectations=json.dumps(
+                [[e.table, e.partition, e.key, e.version] for e in expectations]
+            ).encode(),
+            writes=json.dumps(
+                [[w.table, w.partition, w.key, w.value] for w in writes]
+            ).encode(),
+        )
+        return self._call(lambda: self._host.store.transact(expectations, writes), call)
+
+    def read(self, table, partition, first, end, limit):
+        """Return the rows of a range, as a list of StoredRow."""
+        call = StoreCall(
+            range=json.dumps([table, partition, first, end, limit]).encode()
+        )
+
+        def read():
+            return self._host.store.read(table, partition, first, end, limit).rows
+
+        return self._call(read, call)
+
+    def _call(self, directly, call):
+        failure = StoreRefused()
+        if not self._host.is_store_lost():
+            try:
+                found = directly()
+            except TableUnavailable as error:
+                self._host.note_store_failure()
+                failure = error
+            else:
+                self._host.note_store_word()
+                return found
+        for peer in self._candidates():
+            try:
+                return self._relayed(peer, call)
+            except ConditionFailed:
+                raise
+            except TableUnavailable as error:
+                if not isinstance(error, StoreRefused):
+                    failure = error
+        self._paused_until = self._host.clock.monotonic() + _PAUSE_SECONDS
+        raise failure
+
+    def _candidates(self):
+        if self._host.clock.monotonic() < self._paused_until:
+            return []
+        peers = self._host.peers.all()
+        random.shuffle(peers)
+        peers.sort(key=lambda peer: peer is not self._preferred)
+        return peers[:_PEERS_TRIED]
+
+    def _relayed(self, peer, call):
+        try:
+            result = peer.client.ask(call, _CALL_SECONDS)
+        except WireError as error:
+            self._preferred = None
+            raise TableUnavailable() from error
+        if result.outcome == _DONE:
+            self._preferred = peer
+            found = json.loads(result.body)
+            return [_row(one) for one in found] if call.range else found
+        if result.outcome == _CONFLICT:
+            raise ConditionFailed([_row(one) for one in json.loads(result.body)])
+        self._preferred = None
+        raise StoreRefused() if result.outcome == _REFUSED else TableUnavailable()
+
+
+class StoreRelay:
+    """Call the store for other hosts.
+
+    Parameters
+    ----------
+    host : EntryHost
+    """
+
+    __slots__ = ("_host",)
+
+    def __init__(self, host):
+        self._host = host
+
+    def answer(self, call):
+        """Return a future of the ``StoreResult`` of a call.
+
+        Parameters
+        ----------
+        call : StoreCall
+        """
+        if self._host.is_store_lost():
+            done = Future()
+            done.set_result(StoreResult(outcome=_REFUSED))
+            return done
+        return self._host.executor.submit(self._answer, call)
+
+    def _answer(self, call):
+        try:
+            return StoreResult(outcome=_DONE, body=self._run(call))
+        except ConditionFailed as error:
+            return StoreResult(outcome=_CONFLICT, body=_rows(error.rows))
+        except StoreRefused:
+            return StoreResult(outcome=_REFUSED)
+        except TableUnavailable as error:
+            _LOG.info("relayed call without an answer", extra={"error": str(error)})
+            return StoreResult(outcome=_UNKNOWN)
+
+    def _run(self, call):
+        store = self._host.store
+        if call.range:
+            return _rows(store.read(*json.loads(call.range)).rows)
+        expectations = [Expectation(*one) for one in json.loads(call.expectations)]
+        writes = [RowWrite(*one) for one in json.loads(call.writes)]
+        return json.dumps(store.transact(expectations, writes)).encode()
+
+
+def _rows(rows):
+    return json.dumps(
+        [[row.table, row.partition, row.key, row.value, row.version] for row in rows]
+    ).encode()
+
+
+def _row(found):
+    return StoredRow(*found)
--- a/papayapick/entry/writers.py
+++ b/papayapick/entry/writers.py
@@ -14,6 +14,8 @@
 
 _ENTRIES_PER_CALL = 50
 _RETRY_SECONDS = 0.1
+# A process that stops is noticed so soon.
+_LOOK_SECONDS = 0.5
 # A request is tried again for so long; callers wait three seconds at most.
 _TRY_SECONDS = 2.2
 
@@ -52,7 +54,7 @@
 
     Parameters
     ----------
-    store : Store
+    store : RelayedStore
     clock : Clock
     stopping : threading.Event
     """
@@ -87,12 +89,20 @@
                 self._write(group)
 
     def _gather(self):
+        """Wait for an entry and return it with those that can go with it."""
+        if self._held is None:
+            try:
+                self._held = self._entries.get(timeout=_LOOK_SECONDS)
+            except queue.Empty:
+                return []
+        return self._gather_now()
+
+    def _gather_now(self):
         """Return entries of one partition that wait, the oldest first."""
-        first = self._held
-        self._held = None
+        first, self._held = self._held, None
         if first is None:
             try:
-                first = self._entries.get(timeout=0.5)
+                first = self._entries.get_nowait()
             except queue.Empty:
                 return []
         group = [first]
--- a/papayapick/platform/store.py
+++ b/papayapick/platform/store.py
@@ -9,7 +9,9 @@
 
 __all__ = ["Expectation", "Page", "RowWrite", "Store", "StoredRow"]
 
-_CALL_SECONDS = 2.0
+# A slow store, 60 times its usual time, still answers a transaction in half a
+# second; past this, the way to it is cut or it is down.
+_CALL_SECONDS = 1.2
 # What the answer of a waiting call may take beyond its wait.
 _FEED_SLACK_SECONDS = 1.0
 
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -39,6 +39,10 @@
 # A worker that did not answer a new owner may run what the old one started there
 # until that lease is over.
 _QUIET_SECONDS = _UNCONFIRMED_SECONDS + LEASE_SECONDS / 0.98
+# An owner has an answer of the store at least each 0.4 s.
+_STORE_OVERDUE_SECONDS = 1.0
+# Another host had an answer when one was due here.
+_STORE_MARGIN_SECONDS = 0.5
 _FORGET_EVERY_SECONDS = 5.0
 # An order is sent and carried out within this time of the decision.
 _AHEAD_SECONDS = 0.3
@@ -141,6 +145,23 @@
         """Note that the store applied a write on condition of the owner's row."""
         self.note_confirmed(self._host.clock.monotonic())
 
+    def gives_way(self):
+        """Return whether another host should take over.
+
+        An owner that the store does not answer can neither see new jobs nor record
+        ends. While other hosts are answered, one of them does better. This owner
+        goes on until it is replaced: if the store is down for all, nobody else can
+        do more.
+        """
+        age = self._host.store_age()
+        if age < _STORE_OVERDUE_SECONDS:
+            return False
+        now = self._host.clock.monotonic()
+        return any(
+            now - peer.answered_at + peer.store_age < age - _STORE_MARGIN_SECONDS
+            for peer in self._host.peers.live()
+        )
+
     def note_peer(self, peer, epoch, asked_at):
         """Take in the answer of another host to a beat.
 
@@ -148,7 +169,7 @@
         confirms this owner as well as the store itself would.
         """
         if epoch > self.row.epoch:
-            self._host.look_at_owner(self)
+            self.note_lost()
         elif peer.store_age < _UNCONFIRMED_SECONDS:
             self.note_confirmed(asked_at - peer.store_age)
         else:
--- a/papayapick/wire/messages.capnp
+++ b/papayapick/wire/messages.capnp
@@ -23,6 +23,8 @@
     poolBeatAnswer @17 :PoolBeatAnswer;
     adviceQuery @18 :AdviceQuery;
     adviceReply @19 :AdviceReply;
+    storeCall @20 :StoreCall;
+    storeResult @21 :StoreResult;
   }
 }
 
@@ -188,3 +190,14 @@
   worker @0 :Text;
   ticket @1 :Text;
 }
+
+struct StoreCall {
+  expectations @0 :Data;
+  writes @1 :Data;
+  range @2 :Data;
+}
+
+struct StoreResult {
+  outcome @0 :Text;
+  body @1 :Data;
+}
--- a/papayapick/wire/messages.py
+++ b/papayapick/wire/messages.py
@@ -21,6 +21,8 @@
     "ShardSummary",
     "SlotGrant",
     "SlotRequest",
+    "StoreCall",
+    "StoreResult",
     "Submit",
     "Ticket",
     "WorkCancel",
@@ -244,3 +246,15 @@
     """Tell which workers may run a step."""
 
     __slots__ = ("tickets",)
+
+
+class StoreCall(Payload):
+    """Ask a host to call the store: a transaction, or a range of rows, as JSON."""
+
+    __slots__ = ("expectations", "range", "writes")
+
+
+class StoreResult(Payload):
+    """Tell what became of a relayed call, with its rows or version as JSON."""
+
+    __slots__ = ("body", "outcome")
--- a/papayapick/wire/server.py
+++ b/papayapick/wire/server.py
@@ -168,7 +168,7 @@
         try:
             connection.send(identifier, answer)
         except WireError:
-            _LOG.info("answer had no connection left")
+            _LOG.debug("answer had no connection left")
 
 
 def refusal_of(error):
--- /dev/null
+++ b/tests/contracts/test_cluster.py
@@ -0,0 +1,218 @@
+"""The clients of the users' platform, against its stand-in over HTTP."""
+
+import pytest
+
+from papayapick.clients import HttpPool, TableUnavailable
+from papayapick.jobs import Run, RunPhase, TaskKey
+from papayapick.ledger import Amounts
+from papayapick.platform.exceptions import (
+    CheckFailed,
+    ConditionFailed,
+    HistoryLost,
+    StoreRefused,
+    WorkerSilent,
+)
+from papayapick.platform.store import Expectation, RowWrite, Store
+from papayapick.platform.workers import WorkerClient, decode_registration
+from papayapick.pool.reports import StartOutcome
+from tests.standins.cluster import Cluster
+
+TABLE, PART = "jobs", "pool-1"
+KEY = TaskKey("5c0e7a21d94b36f8", 0, 1, 17)
+
+
+@pytest.fixture(scope="module")
+def server():
+    cluster = Cluster()
+    yield cluster
+    cluster.close()
+
+
+@pytest.fixture
+def cluster(server):
+    server.rows.__init__()
+    server.workers.clear()
+    return server
+
+
+@pytest.fixture
+def pool():
+    pool = HttpPool(1.0)
+    yield pool
+    pool.close()
+
+
+@pytest.fixture
+def store(cluster, pool):
+    return Store(cluster.address, pool)
+
+
+def _write(key, value):
+    return RowWrite(TABLE, PART, key, value)
+
+
+def test_rows_are_read_back_in_order(store):
+    version = store.transact([], [_write("b", {"n": 2}), _write("a", {"n": 1})])
+    page = store.read(TABLE, PART)
+    assert [(row.key, row.value, row.version) for row in page.rows] == [
+        ("a", {"n": 1}, version),
+        ("b", {"n": 2}, version),
+    ]
+    assert page.version == version
+
+
+def test_condition_that_fails_names_the_rows(store):
+    version = store.transact([], [_write("a", {"n": 1})])
+    with pytest.raises(ConditionFailed) as caught:
+        store.transact([Expectation(TABLE, PART, "a", 0)], [_write("a", {"n": 2})])
+    assert [(row.key, row.version) for row in caught.value.rows] == [("a", version)]
+    assert store.read(TABLE, PART).rows[0].value == {"n": 1}
+
+
+def test_deletion_is_followed_as_such(store):
+    first = store.transact([], [_write("a", {"n": 1})])
+    store.transact([], [_write("a", None)])
+    (row,) = store.follow(TABLE, first, 0.1).rows
+    assert row.is_deleted
+    assert row.value is None
+
+
+def test_lost_history_is_told(cluster, store):
+    first = store.transact([], [_write("a", {"n": 1})])
+    store.transact([], [_write("a", {"n": 2})])
+    cluster.rows.forget_history()
+    with pytest.raises(HistoryLost):
+        store.follow(TABLE, first, 0.1)
+
+
+def test_pages_are_joined(store):
+    for start in range(0, 600, 60):
+        numbers = range(start, start + 60)
+        store.transact([], [_write(f"{number:04}", {}) for number in numbers])
+    rows, _ = store.read_all(TABLE, PART)
+    assert [row.key for row in rows] == [f"{number:04}" for number in range(600)]
+
+
+def test_refused_call_did_nothing(cluster, store):
+    cluster.rows.is_down = True
+    with pytest.raises(StoreRefused):
+        store.transact([], [_write("a", {})])
+
+
+def test_lost_answer_is_told_apart_from_a_refusal(cluster, store):
+    """A caller is told "not run" and the job runs all the same.
+
+    The store applied the write and its answer was lost; taken for a refusal, the
+    host would tell the caller what is not true.
+    """
+    cluster.rows.answers_to_lose = 1
+    with pytest.raises(TableUnavailable) as caught:
+        store.transact([], [_write("a", {})])
+    assert not isinstance(caught.value, StoreRefused)
+    assert store.read(TABLE, PART).rows
+
+
+def test_row_of_another_writer_has_no_value(cluster, store):
+    cluster.rows.transact(
+        {
+            "expected_rev": [],
+            "writes": [{"table": TABLE, "part": PART, "key": "x", "value": "@@"}],
+            "remove": [],
+        }
+    )
+    assert store.read(TABLE, PART).rows[0].value is None
+
+
+# Workers.
+
+
+def _run(attempt=1):
+    return Run(KEY, attempt, "w1", Amounts(100, 100), RunPhase.ORDERED, 0.0)
+
+
+@pytest.fixture
+def worker(cluster):
+    return cluster.add_worker("w1", task_seconds=60)
+
+
+@pytest.fixture
+def client(cluster, worker, pool):
+    return WorkerClient("w1", f"{cluster.address}/workers/w1", pool)
+
+
+def _lease(client):
+    return client.renew(1, 0).clock + 5
+
+
+def test_start_is_listed_and_its_stop_ends_it(client):
+    end = _lease(client)
+    assert client.start(_run(), "payload", end, 1) == StartOutcome.STARTED
+    (found,) = client.renew(1, 0).runs
+    assert (found.key, found.attempt) == (KEY, 1)
+    client.stop(KEY, 1, 1)
+    (ended,) = client.renew(1, 0).ends
+    assert (ended.number, ended.key, ended.outcome) == (1, KEY, "stopped")
+    assert client.renew(1, 1).ends == []
+
+
+def test_lower_epoch_is_fenced(client):
+    end = _lease(client)
+    client.renew(5, 0)
+    assert client.start(_run(), "payload", end, 4) == StartOutcome.FENCED
+    with pytest.raises(CheckFailed) as caught:
+        client.renew(4, 0)
+    assert caught.value.details["status"] == 409
+
+
+def test_start_after_its_stop_is_refused(client):
+    """A task runs twice: its order was carried out seconds after its owner gave up.
+
+    A stop that was answered makes the later start fail, so the owner may place
+    the task elsewhere.
+    """
+    end = _lease(client)
+    client.stop(KEY, 1, 1)
+    assert client.start(_run(), "payload", end, 1) == StartOutcome.OUTDATED
+
+
+def test_start_under_a_lease_that_is_over_is_refused(client):
+    end = client.renew(1, 0).clock - 1
+    assert client.start(_run(), "payload", end, 1) == StartOutcome.EXPIRED
+
+
+def test_start_without_an_answer_is_unknown(worker, client):
+    end = _lease(client)
+    worker.starts_to_lose = 1
+    assert client.start(_run(), "payload", end, 1) == StartOutcome.UNKNOWN
+
+
+def test_worker_without_an_answer_is_silent(worker, client):
+    worker.is_silent = True
+    with pytest.raises(WorkerSilent):
+        client.renew(1, 0)
+
+
+@pytest.mark.parametrize(
+    "entry",
+    [
+        None,
+        {},
+        {"service": "p", "address": "a:1", "zone": "z", "state": "resting"},
+        {
+            "service": 7,
+            "address": "a:1",
+            "zone": "z",
+            "state": "ready",
+            "capacity": {"cpu": 1, "mem_mb": 1},
+        },
+        {
+            "service": "p",
+            "address": "a:1",
+            "zone": "z",
+            "state": "ready",
+            "capacity": {"cpu": "many", "mem_mb": 1},
+        },
+    ],
+)
+def test_entry_of_another_writer_names_no_worker(entry):
+    assert decode_registration("w1", entry) is None
--- /dev/null
+++ b/tests/entry/test_relays.py
@@ -0,0 +1,167 @@
+"""Reaching the store through another host."""
+
+import threading
+
+import pytest
+
+from papayapick.clients import TableUnavailable
+from papayapick.clock import ManualClock
+from papayapick.entry.relays import RelayedStore, StoreRelay
+from papayapick.platform.exceptions import ConditionFailed, StoreRefused
+from papayapick.platform.store import Expectation, Page, RowWrite, StoredRow
+from papayapick.wire.exceptions import PeerTimeout
+
+EXPECTATION = Expectation("jobs", "pool", "j1", 0)
+WRITE = RowWrite("jobs", "pool", "j1", {"n": 1})
+
+
+class Store:
+    """Apply transactions, or fail by a script."""
+
+    def __init__(self):
+        self.failures = []
+        self.written = []
+
+    def transact(self, expectations, writes):
+        if self.failures:
+            raise self.failures.pop(0)
+        self.written += [write.key for write in writes]
+        return 7
+
+    def read(self, table, partition, first, end, limit):
+        if self.failures:
+            raise self.failures.pop(0)
+        return Page([StoredRow(table, partition, first, {"n": 1}, 7)], 7)
+
+
+class Executor:
+    def submit(self, step, *args):
+        from concurrent.futures import Future
+
+        future = Future()
+        future.set_result(step(*args))
+        return future
+
+
+class Host:
+    """Stand for an entry host with its store and its peers."""
+
+    def __init__(self, peers=()):
+        self.clock = ManualClock(100.0)
+        self.store = Store()
+        self.executor = Executor()
+        self.peers = self
+        self.is_lost = False
+        self.stopping = threading.Event()
+        self._peers = [Peer(peer) for peer in peers]
+
+    def all(self):
+        return list(self._peers)
+
+    def is_store_lost(self):
+        return self.is_lost
+
+    def note_store_failure(self):
+        self.is_lost = True
+
+    def note_store_word(self):
+        self.is_lost = False
+
+
+class Peer:
+    def __init__(self, host):
+        self.host = host
+        self.client = self
+        self.asked = 0
+        self.is_silent = False
+
+    def ask(self, call, seconds):
+        self.asked += 1
+        if self.is_silent:
+            raise PeerTimeout(address="a:1", seconds=seconds)
+        return StoreRelay(self.host).answer(call).result()
+
+
+@pytest.fixture
+def other():
+    return Host()
+
+
+@pytest.fixture
+def host(other):
+    return Host([other])
+
+
+def test_write_goes_through_another_host(host, other):
+    """A caller's job is refused though the store serves other hosts.
+
+    The store turned away this host only; its callers were refused for as long as
+    that lasted.
+    """
+    host.store.failures = [StoreRefused()]
+    assert RelayedStore(host).transact([EXPECTATION], [WRITE]) == 7
+    assert other.store.written == ["j1"]
+
+
+def test_write_without_an_answer_is_settled_by_another_host(host, other):
+    """A caller hears "unknown" for a job that is stored.
+
+    The first try had no answer and may have been applied. The second, through
+    another host, finds the row there: the caller may be told that it is accepted.
+    """
+    row = StoredRow("jobs", "pool", "j1", {"n": 1}, 5)
+    host.store.failures = [TableUnavailable()]
+    other.store.failures = [ConditionFailed([row])]
+    with pytest.raises(ConditionFailed) as caught:
+        RelayedStore(host).transact([EXPECTATION], [WRITE])
+    assert [(one.key, one.version) for one in caught.value.rows] == [("j1", 5)]
+
+
+def test_store_that_is_lost_is_not_tried_first(host, other):
+    host.is_lost = True
+    RelayedStore(host).transact([EXPECTATION], [WRITE])
+    assert host.store.written == []
+
+
+def test_rows_are_read_through_another_host(host):
+    host.is_lost = True
+    (row,) = RelayedStore(host).read("jobs", "pool", "j1", "j1~", 3)
+    assert (row.key, row.value, row.version) == ("j1", {"n": 1}, 7)
+
+
+def test_refused_everywhere_took_no_effect(host, other):
+    host.store.failures = [StoreRefused()]
+    other.store.failures = [StoreRefused()]
+    with pytest.raises(StoreRefused):
+        RelayedStore(host).transact([EXPECTATION], [WRITE])
+
+
+@pytest.mark.parametrize("first", [StoreRefused, TableUnavailable])
+def test_relay_without_an_answer_is_unknown(host, first):
+    """A caller is told "not run" for a job that runs.
+
+    The other host may have written the row before its answer was lost.
+    """
+    host.store.failures = [first()]
+    host.all()[0].is_silent = True
+    with pytest.raises(TableUnavailable) as caught:
+        RelayedStore(host).transact([EXPECTATION], [WRITE])
+    assert not isinstance(caught.value, StoreRefused)
+
+
+def test_unknown_stays_unknown_when_the_relay_is_refused(host, other):
+    host.store.failures = [TableUnavailable()]
+    other.is_lost = True
+    with pytest.raises(TableUnavailable) as caught:
+        RelayedStore(host).transact([EXPECTATION], [WRITE])
+    assert not isinstance(caught.value, StoreRefused)
+
+
+def test_others_are_not_asked_again_at_once(host, other):
+    other.is_lost = True
+    host.is_lost = True
+    store = RelayedStore(host)
+    for _ in range(3):
+        with pytest.raises(StoreRefused):
+            store.transact([EXPECTATION], [WRITE])
+    assert host.all()[0].asked == 1
--- /dev/null
+++ b/tests/standins/cluster.py
@@ -0,0 +1,349 @@
+"""Stand in for the users' platform: store, workers and advice over HTTP.
+
+Small on purpose: it keeps rows and runs in memory and takes faults by attribute.
+A worker's address carries its name as a path, so that one server serves all.
+"""
+
+import base64
+import json
+import threading
+import time
+import urllib.parse
+
+from waitress.server import create_server
+
+THREADS = 96
+GONE = "410 Gone"
+OK = "200 OK"
+CONFLICT = "409 Conflict"
+FAILED = "412 Precondition Failed"
+AWAY = "503 Service Unavailable"
+MISDIRECTED = "421 Misdirected Request"
+ROWS_PER_PAGE = 500
+LEASE_LIMIT_MS = 6000
+
+
+class Rows:
+    """Keep rows with one counter of versions and a history."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.history = []
+        self.oldest = 0
+        self.is_down = False
+        # So many answers to transactions are lost after they were applied.
+        self.answers_to_lose = 0
+        self.transactions = 0
+        self.changed = threading.Condition()
+
+    def transact(self, body):
+        with self.changed:
+            self.transactions += 1
+            failed = [
+                one for one in body["expected_rev"] if self._version(one) != one["ver"]
+            ]
+            if failed:
+                rows = [self.rows.get(_key(one)) for one in body["expected_rev"]]
+                return FAILED, {"rows": [row for row in rows if row]}
+            self.version += 1
+            for one in body["writes"]:
+                self._put({**one, "ver": self.version})
+            for one in body["remove"]:
+                if self.rows.pop(_key(one), None):
+                    gone = {"value": "", "deleted": True, "ver": self.version}
+                    self.history.append({**one, **gone})
+            self.changed.notify_all()
+            return OK, {"ver": self.version, "now_ms": 0}
+
+    def _put(self, row):
+        self.rows[_key(row)] = row
+        self.history.append(row)
+
+    def _version(self, one):
+        row = self.rows.get(_key(one))
+        return row["ver"] if row else 0
+
+    def get(self, query):
+        limit = min(int(query.get("limit", ROWS_PER_PAGE)), ROWS_PER_PAGE)
+        with self.changed:
+            found = [
+                row
+                for (table, part, key), row in sorted(self.rows.items())
+                if table == query["table"]
+                and part == query["part"]
+                and key >= query.get("from", "")
+                and ("to" not in query or key < query["to"])
+            ]
+            body = {"rows": found[:limit], "more_pages": len(found) > limit}
+            return OK, {**body, "ver": self.version, "now_ms": 0}
+
+    def feed(self, query):
+        after, table = int(query["after"]), query["table"]
+        deadline = time.monotonic() + int(query["wait_ms"]) / 1000
+        with self.changed:
+            while not self.is_down:
+                if after < self.oldest:
+                    return GONE, {}
+                rows = [
+                    row
+                    for row in self.history
+                    if row["table"] == table and row["ver"] > after
+                ]
+                rest = deadline - time.monotonic()
+                if rows or rest <= 0:
+                    return OK, {"rows": rows, "ver": self.version, "now_ms": 0}
+                self.changed.wait(rest)
+        return AWAY, {}
+
+    def forget_history(self):
+        with self.changed:
+            self.history = []
+            self.oldest = self.version
+
+    def write(self, table, part, key, value):
+        """Write as the operator or a worker does, past all rules."""
+        encoded = base64.b64encode(json.dumps(value).encode()).decode()
+        row = {"table": table, "part": part, "key": key, "value": encoded}
+        self.transact({"expected_rev": [], "writes": [row], "remove": []})
+
+    def remove(self, table, part, key):
+        row = {"table": table, "part": part, "key": key}
+        self.transact({"expected_rev": [], "writes": [], "remove": [row]})
+
+
+def _key(one):
+    return (one["table"], one["part"], one["key"])
+
+
+class WorkerStandin:
+    """Run tasks for ``task_seconds`` under a lease; refuse lower fencing tokens."""
+
+    def __init__(self, name, cpu=16000, mem_mb=65536, task_seconds=0.1):
+        self.name = name
+        self.capacity = {"cpu": cpu, "mem_mb": mem_mb, "gpu": 0}
+        self.task_seconds = task_seconds
+        self.born = 1
+        self.token = 0
+        self.until = 0.0
+        self.running = {}
+        self.finished = []
+        self.last_attempts = {}
+        self.starts = []
+        self.overlaps = []
+        self.number = 0
+        self.failing = set()
+        self.is_silent = False
+        self.starts_to_lose = 0
+        # Orders whose answer is lost and which are carried out by ``run_late``.
+        self.late = []
+        self.starts_to_delay = 0
+        self.changed = threading.Condition()
+
+    def call(self, path, body):
+        with self.changed:
+            if body.get("fencing_token", 0) < self.token:
+                return CONFLICT, self._body(reason="fence")
+            self.token = body.get("fencing_token", 0)
+            self._advance()
+            return getattr(self, "_" + path.replace("-", "_"))(body)
+
+    def _run_start(self, body):
+        if self.starts_to_delay:
+            self.starts_to_delay -= 1
+            self.late.append(body)
+            return None
+        return self._start(body)
+
+    def _start(self, body):
+        task, attempt = body["task"], body["attempt"]
+        if (task, attempt) in self.running:
+            return OK, self._body()
+        if attempt <= self.last_attempts.get(task, 0):
+            return CONFLICT, self._body(reason="old")
+        if body["expires_ms"] < self._clock():
+            return CONFLICT, self._body(reason="late")
+        self._extend(body)
+        self.running[(task, attempt)] = time.monotonic() + self.task_seconds
+        self.starts.append((task, attempt))
+        self.changed.notify_all()
+        if self.starts_to_lose:
+            self.starts_to_lose -= 1
+            return None
+        return OK, self._body()
+
+    def run_late(self):
+        """Carry out the orders that were left unanswered."""
+        with self.changed:
+            late, self.late = self.late, []
+            return [
+                (CONFLICT, {"reason": "fence"})
+                if body["fencing_token"] < self.token
+                else self._start(body)
+                for body in late
+            ]
+
+    def _run_stop(self, body):
+        name = (body["task"], body["attempt"])
+        if name in self.running:
+            self._end(name, "stopped")
+        task, attempt = name
+        self.last_attempts[task] = max(attempt, self.last_attempts.get(task, 0))
+        return OK, self._body()
+
+    def _pace(self, body):
+        return OK, self._body()
+
+    def _hold(self, body):
+        self._extend(body)
+        seen = body.get("ack_cursor", 0)
+        self.finished = [end for end in self.finished if end[0] > seen]
+        deadline = time.monotonic() + body.get("wait_ms", 0) / 1000
+        while not self.finished and time.monotonic() < deadline:
+            self.changed.wait(0.01)
+            self._advance()
+        running = [[task, attempt, "", 50, 0] for task, attempt in self.running]
+        return OK, self._body(running=running, finished=list(self.finished))
+
+    def _extend(self, body):
+        if "expires_ms" in body:
+            limit = self._clock() + LEASE_LIMIT_MS
+            self.until = max(self.until, min(body["expires_ms"], limit))
+
+    def _advance(self):
+        now = time.monotonic()
+        for name, end in list(self.running.items()):
+            if now >= end:
+                how = "failed" if name[0] in self.failing else "done"
+                self._end(name, how)
+        if self._clock() > self.until:
+            for name in list(self.running):
+                self._end(name, "lapsed")
+
+    def _end(self, name, how):
+        self.running.pop(name)
+        self.number += 1
+        task, attempt = name
+        self.last_attempts[task] = max(attempt, self.last_attempts.get(task, 0))
+        self.finished.append([self.number, task, attempt, how, ""])
+        self.changed.notify_all()
+
+    def _clock(self):
+        return int(time.monotonic() * 1000) + 5_000_000
+
+    def _body(self, **fields):
+        return {"clock_ms": self._clock(), "born": self.born, **fields}
+
+
+class Cluster:
+    """Serve the whole stand-in on one port."""
+
+    def __init__(self):
+        self.rows = Rows()
+        self.workers = {}
+        self.advice_seconds = 0.0
+        self.advice_calls = 0
+        self._server = create_server(
+            self, host="127.0.0.1", port=0, threads=THREADS, connection_limit=500
+        )
+        self._thread = threading.Thread(target=self._server.run, daemon=True)
+        self._thread.start()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self._server.effective_port}"
+
+    def close(self):
+        self._server.close()
+
+    def add_worker(self, name, **settings):
+        worker = WorkerStandin(name, **settings)
+        self.workers[name] = worker
+        self.register(name)
+        return worker
+
+    def register(self, name, state="ready"):
+        worker = self.workers[name]
+        self.rows.write(
+            "servers",
+            "",
+            name,
+            {
+                "service": "pool-1",
+                "address": f"{self.address}/workers/{name}",
+                "zone": "z1",
+                "state": state,
+                "capacity": worker.capacity,
+                "labels": ["a", "r1-1"],
+            },
+        )
+
+    def configure(self, version=1, **route):
+        queue = {
+            "name": "quick",
+            "host": "jobs.example",
+            "path_prefix": "/quick/",
+            "service": "pool-1",
+            "priority": 0,
+            "attempts": 2,
+            "timeout_ms": 3000,
+            "slo_ms": 500,
+            "stretch": 1.5,
+            **route,
+        }
+        value = {
+            "version": version,
+            "routes": [queue],
+            "services": [{"name": "pool-1"}],
+            "limits": {"max_body_bytes": 262144},
+        }
+        self.rows.write("op", "", "config", value)
+
+    def starts(self):
+        """Return all starts so far, by task."""
+        found = {}
+        for worker in self.workers.values():
+            for task, attempt in worker.starts:
+                found.setdefault(task, []).append((worker.name, attempt))
+        return found
+
+    def __call__(self, environ, start_response):
+        path = environ["PATH_INFO"]
+        size = int(environ.get("CONTENT_LENGTH") or 0)
+        body = json.loads(environ["wsgi.input"].read(size)) if size else {}
+        query = dict(urllib.parse.parse_qsl(environ.get("QUERY_STRING", "")))
+        query.setdefault("part", "")
+        answer = self._answer(path, body, query, environ)
+        if answer is None:
+            # Waitress closes the connection of an answer that is too short.
+            start_response(OK, [("Content-Length", "10")])
+            return [b""]
+        status, found = answer
+        data = json.dumps(found).encode()
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(data))),
+        ]
+        start_response(status, headers)
+        return [data]
+
+    def _answer(self, path, body, query, environ):
+        if path.startswith("/workers/"):
+            _, _, name, call = path.split("/")
+            worker = self.workers.get(name)
+            if worker is None:
+                return MISDIRECTED, {}
+            return None if worker.is_silent else worker.call(call, body)
+        if path == "/advise":
+            self.advice_calls += 1
+            time.sleep(self.advice_seconds)
+            return OK, {"good": [[one, "t-" + one] for one in body["workers"]]}
+        if self.rows.is_down:
+            return AWAY, {}
+        if path == "/rows-tx":
+            found = self.rows.transact(body)
+            if self.rows.answers_to_lose:
+                self.rows.answers_to_lose -= 1
+                return None
+            return found
+        return self.rows.get(query) if path == "/rows-get" else self.rows.feed(query)
