--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -85,6 +85,7 @@
         self.store_seconds = 0.0
         self._store_answered_at = None
         self._store_failed_at = None
+        self._store_steady_since = None
         self._relay = StoreRelay(self)
         self._advice_seconds = 0.0
         self._advice_lock = threading.Lock()
@@ -135,7 +136,15 @@
 
     def note_store_word(self):
         """Note that the store has answered."""
-        self._store_answered_at = self.clock.monotonic()
+        now = self.clock.monotonic()
+        if self._store_answered_at is None or self.is_store_lost():
+            self._store_steady_since = now
+        self._store_answered_at = now
+
+    def had_steady_store(self, seconds):
+        """Return whether the store has answered this host all the while."""
+        since = self._store_steady_since
+        return since is not None and self.clock.monotonic() - since > seconds
 
     def store_age(self):
         """Return the seconds since the store last answered this host."""
--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -24,12 +24,22 @@
         Runs that nothing needs any more, for the caller to stop.
     """
 
-    __slots__ = ("_jobs", "_open_steps", "_timed", "changed", "news", "to_stop")
+    __slots__ = (
+        "_held",
+        "_jobs",
+        "_open_steps",
+        "_timed",
+        "changed",
+        "news",
+        "to_stop",
+    )
 
     def __init__(self):
         self._jobs = {}
         # Steps that are ready and have a task waiting, by key.
         self._open_steps = {}
+        # Tasks that are kept back after a takeover, as (step, index).
+        self._held = set()
         self._timed = {}
         self.changed = set()
         self.news = set()
@@ -157,6 +167,7 @@
         """
         task = step.tasks[index]
         task.attempt = (task.attempt + 1) if attempt is None else attempt
+        task.place = worker
         run = Run(
             TaskKey(*step.key, index),
             task.attempt,
@@ -204,6 +215,7 @@
         )
         task = step.tasks[report.key.index]
         task.attempt = max(task.attempt, report.attempt)
+        task.place = worker
         is_second = bool(task.runs) and not step.step.allows_copies
         task.runs.append(run)
         self._note_running(step.job)
@@ -229,21 +241,51 @@
         if step is not None and run.checkpoint:
             step.tasks[run.key.index].checkpoint = run.checkpoint
 
-    def settle_gangs(self, now):
-        """Stop gangs that were taken over without all of their members.
+    def hold(self, is_held):
+        """Keep back tasks that may run already under an earlier owner.
+
+        Parameters
+        ----------
+        is_held : callable
+            Takes a TaskState; returns whether its task is kept back.
+        """
+        for step in self.waiting_steps():
+            for index in list(step.waiting):
+                if is_held(step.tasks[index]):
+                    step.waiting.discard(index)
+                    self._held.add((step, index))
+            if not step.waiting:
+                self._open_steps.pop(step.key, None)
+
+    def let_go(self, is_clear, now):
+        """Let tasks wait for a worker that were kept back.
+
+        Parameters
+        ----------
+        is_clear : callable
+            Takes a TaskState; returns whether its task runs nowhere unseen.
+        now : float
+        """
+        clear = [one for one in self._held if is_clear(one[0].tasks[one[1]])]
+        self._held.difference_update(clear)
+        for step, index in clear:
+            task = step.tasks[index]
+            if not (task.is_done or task.runs or step.job.is_final):
+                self._wait_again(step, index)
+        for step in {step for step, _ in clear}:
+            self._settle_gang(step, now)
+
+    def _settle_gang(self, step, now):
+        """Stop a gang that was taken over without all of its members.
 
         The owner before may have died between the orders of one gang; its members
         would wait for the others until their time is over, and hold room.
         """
-        for job in self._jobs.values():
-            if job.is_final:
-                continue
-            for step in job.steps():
-                is_partial = step.waiting and step.active_runs()
-                if step.step.is_gang and is_partial:
-                    step.waiting.clear()
-                    self._open_steps.pop(step.key, None)
-                    self._break_gang(step, now)
+        is_partial = step.waiting and step.active_runs()
+        if step.step.is_gang and is_partial and not step.job.is_final:
+            step.waiting.clear()
+            self._open_steps.pop(step.key, None)
+            self._break_gang(step, now)
 
     def drop(self, run, now):
         """Take back a run that did not start and can't start any more."""
--- a/papayapick/jobs/records.py
+++ b/papayapick/jobs/records.py
@@ -55,6 +55,8 @@
             continue
         if task.attempt:
             record.setdefault("attempts", {})[index] = task.attempt
+        if task.runs:
+            record.setdefault("places", {})[index] = task.place
         if task.failures:
             record.setdefault("failures", {})[index] = task.failures
         if task.checkpoint:
@@ -72,6 +74,8 @@
             step.left -= 1
     for index, attempt in record.get("attempts", {}).items():
         step.tasks[int(index)].attempt = attempt
+    for index, place in record.get("places", {}).items():
+        step.tasks[int(index)].place = place
     for index, failures in record.get("failures", {}).items():
         step.tasks[int(index)].failures = failures
     for index, checkpoint in record.get("checkpoints", {}).items():
--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -32,9 +32,20 @@
         Those whose end is not known yet; several only for copies.
     avoid : set of str
         Workers on which it failed.
+    place : str
+        Worker of its last start; empty before the first. After a takeover the
+        task may still run there.
     """
 
-    __slots__ = ("attempt", "avoid", "checkpoint", "failures", "is_done", "runs")
+    __slots__ = (
+        "attempt",
+        "avoid",
+        "checkpoint",
+        "failures",
+        "is_done",
+        "place",
+        "runs",
+    )
 
     def __init__(self):
         self.attempt = 0
@@ -42,6 +53,7 @@
         self.checkpoint = ""
         self.failures = 0
         self.is_done = False
+        self.place = ""
         self.runs = []
 
 
--- a/papayapick/pool/journal.py
+++ b/papayapick/pool/journal.py
@@ -19,7 +19,7 @@
 _ROWS_PER_COMMIT = 90
 _RETRY_SECONDS = 0.15
 # Least time between two commits: ends come in groups, and each call has a price.
-_GATHER_SECONDS = 0.02
+_GATHER_SECONDS = 0.01
 
 
 class PoolJournal:
@@ -72,6 +72,7 @@
             changed = self._take_changed()
             writes = [self._write(job) for job in changed]
             statuses = [job.status for job in changed]
+            starts = owner.take_unsent({job.identifier for job in changed})
             # Ends whose jobs are in a later batch must not be acknowledged yet.
             is_all = not owner.book.changed
             ends = [
@@ -84,8 +85,12 @@
         if writes and not self._transact(writes):
             with owner.lock:
                 owner.book.changed.update(job.identifier for job in changed)
+                owner.put_back_unsent(starts)
             owner.pause(_RETRY_SECONDS)
             return True
+        # A start is ordered only now: whoever takes over knows where each task may
+        # run, and waits only for workers that are silent and were given some.
+        owner.send_starts(starts)
         with owner.lock:
             for job, status in zip(changed, statuses, strict=True):
                 job.durable_status = status
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -73,12 +73,13 @@
         "_is_settled",
         "_journal",
         "_links",
-        "_loaded_at",
+        "_is_journal_exact",
         "_order_executor",
         "_orders",
         "_pacer",
         "_stopping",
         "_taken_at",
+        "_unsent",
         "_wakeup",
         "book",
         "is_lost",
@@ -100,7 +101,8 @@
         self._taken_at = host.clock.monotonic()
         self._confirmed_at = self._taken_at
         self._forgotten_at = self._taken_at
-        self._loaded_at = float("inf")
+        self._is_journal_exact = host.had_steady_store(_QUIET_SECONDS)
+        self._unsent = []
         self._is_settled = False
         self._executor = ThreadPoolExecutor(_TASKS, thread_name_prefix="pool")
         self._order_executor = ThreadPoolExecutor(
@@ -177,11 +179,7 @@
 
     def _note_outage(self, asked_at):
         """Go on while the store answers nobody: then nobody can take over either."""
-        peers = self._host.peers.all()
-        live = self._host.peers.live()
-        if 2 * (len(live) + 1) > len(peers) + 1 and not any(
-            peer.store_age < _UNCONFIRMED_SECONDS for peer in live
-        ):
+        if self._is_alone_in_charge():
             self.note_confirmed(asked_at)
 
     def renew_queues(self):
@@ -274,7 +272,9 @@
             self._take_jobs(jobs, records)
             for row in workers:
                 self._take_registration(row)
-            self._loaded_at = self._host.clock.monotonic()
+            # Exact journals name the worker of each start before it is ordered;
+            # without one, any task may run on a worker that has not answered.
+            self.book.hold(lambda task: bool(task.place) or not self._is_journal_exact)
         return version
 
     # Jobs.
@@ -432,20 +432,27 @@
             self.book.drop(run, now)
 
     def _note_inventory(self, now):
+        """Let go what no worker that is still silent can run."""
         if self._is_settled:
             return
-        is_complete = all(link.is_inventoried for link in self._links.values())
-        if is_complete or now > self._taken_at + _QUIET_SECONDS:
+        silent = {
+            link.worker for link in self._links.values() if not link.is_inventoried
+        }
+        is_over = now > self._taken_at + _QUIET_SECONDS
+        if is_over or not silent:
             self._is_settled = True
-            self.book.settle_gangs(now)
+            self.book.let_go(lambda task: True, now)
             _LOG.info(
                 "pool settled",
                 extra={
                     "pool": self.pool,
                     "seconds": round(now - self._taken_at, 3),
-                    "is_complete": is_complete,
+                    "silent": sorted(silent),
                 },
             )
+        elif self._is_journal_exact:
+            known = set(self._links) - silent
+            self.book.let_go(lambda task: not task.place or task.place in known, now)
 
     def note_silence(self, link):
         """Close a worker that did not answer."""
@@ -592,8 +599,6 @@
 
     def _place(self, now):
         for step in order_steps(self.book.waiting_steps()):
-            if not self._may_place(step):
-                continue
             allowed = None
             if step.job.queue.advice is not None:
                 allowed = self._advice.tickets(step.key, step.job.queue.advice, now)
@@ -604,17 +609,53 @@
             for run in runs:
                 ticket = allowed.get(run.worker, "") if allowed else ""
                 checkpoint = step.tasks[run.key.index].checkpoint
-                self._orders.start(
-                    self._links[run.worker],
-                    run,
-                    step.job.document.payload,
-                    checkpoint,
-                    ticket,
-                )
-
-    def _may_place(self, step):
-        # Until all workers have answered, a task of before may run on one of them.
-        return self._is_settled or step.job.arrived > self._loaded_at
+                payload = step.job.document.payload
+                self._unsent.append((run, payload, checkpoint, ticket))
+        if self._unsent and self._sends_unrecorded():
+            self.send_starts(self.take_unsent())
+
+    def _sends_unrecorded(self):
+        """Return whether starts are ordered before their record is durable.
+
+        Only while the store answers nobody: else a successor could not tell where
+        a task may run, and would wait for every worker that is silent.
+        """
+        return self._host.is_store_lost() and self._is_alone_in_charge()
+
+    def _is_alone_in_charge(self):
+        """Return whether most hosts are heard, and none of them has the store."""
+        peers, live = self._host.peers.all(), self._host.peers.live()
+        if 2 * (len(live) + 1) <= len(peers) + 1:
+            return False
+        return not any(peer.store_age < _UNCONFIRMED_SECONDS for peer in live)
+
+    def take_unsent(self, identifiers=None):
+        """Return starts that are not ordered yet, and forget them.
+
+        Parameters
+        ----------
+        identifiers : set of str, optional
+            Only those of these jobs.
+        """
+        if identifiers is None:
+            taken, self._unsent = self._unsent, []
+            return taken
+        taken = [one for one in self._unsent if one[0].key.job in identifiers]
+        self._unsent = [
+            one for one in self._unsent if one[0].key.job not in identifiers
+        ]
+        return taken
+
+    def put_back_unsent(self, starts):
+        """Keep starts whose record could not be written."""
+        self._unsent = starts + self._unsent
+
+    def send_starts(self, starts):
+        """Order starts."""
+        for run, payload, checkpoint, ticket in starts:
+            link = self._links.get(run.worker)
+            if link is not None:
+                self._orders.start(link, run, payload, checkpoint, ticket)
 
     def _begin(self, step, index, worker, attempt):
         now = self._host.clock.monotonic()
