Spread jobs over partitions; order starts at once while the store is slow

Change: jobs lie in eight partitions by id, progress in the owner's; starts leave before their record while commits take over 60 ms or the store answers nobody, after every host was told that records may be missing; a successor that was told, or heard nothing for 2.5 s, waits for silent workers as before. A failed call makes a host count the store as lost until it answers again.

--- a/papayapick/entry/acceptance.py
+++ b/papayapick/entry/acceptance.py
@@ -6,8 +6,8 @@
 from papayapick.entry.exceptions import AcceptanceUnknown, JobUnknown, StateUnknown
 from papayapick.jobs.state import JobStatus
 from papayapick.platform.store import Expectation, RowWrite
-from papayapick.pool.journal import JOBS_TABLE, PROGRESS_TABLE
-from papayapick.pool.owner import CANCEL_SUFFIX
+from papayapick.pool.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
+from papayapick.pool.partitions import job_partition
 
 __all__ = ["Acceptance"]
 
@@ -41,8 +41,9 @@
         identifier = document.identifier
         if self._board.state(identifier) is not None:
             return
-        expectation = Expectation(JOBS_TABLE, document.pool, identifier, 0)
-        write = RowWrite(JOBS_TABLE, document.pool, identifier, document.as_record())
+        partition = job_partition(document.pool, identifier)
+        expectation = Expectation(JOBS_TABLE, partition, identifier, 0)
+        write = RowWrite(JOBS_TABLE, partition, identifier, document.as_record())
         _wait(self._writer.submit(expectation, write))
         self._board.note_accepted(identifier)
 
@@ -55,7 +56,8 @@
         """
         if self._board.state(identifier) in JobStatus.FINAL:
             return
-        rows = self._read(JOBS_TABLE, queue.pool, identifier, CANCEL_SUFFIX + "~")
+        partition = job_partition(queue.pool, identifier)
+        rows = self._read(JOBS_TABLE, partition, identifier, CANCEL_SUFFIX + "~")
         versions = {row.key: row.version for row in rows}
         if identifier not in versions:
             raise JobUnknown(identifier=identifier)
@@ -64,9 +66,9 @@
         # On condition that the job is still there: the mark of a job that was
         # dropped meanwhile would stay for good.
         expectation = Expectation(
-            JOBS_TABLE, queue.pool, identifier, versions[identifier]
+            JOBS_TABLE, partition, identifier, versions[identifier]
         )
-        write = RowWrite(JOBS_TABLE, queue.pool, identifier + CANCEL_SUFFIX, {"by": 1})
+        write = RowWrite(JOBS_TABLE, partition, identifier + CANCEL_SUFFIX, {})
         _wait(self._writer.submit(expectation, write))
 
     def status(self, queue, identifier):
@@ -79,7 +81,8 @@
         status = self._board.state(identifier)
         if status is not None:
             return status
-        jobs = self._read(JOBS_TABLE, queue.pool, identifier, "~")
+        partition = job_partition(queue.pool, identifier)
+        jobs = self._read(JOBS_TABLE, partition, identifier, "~")
         if not any(row.key == identifier for row in jobs):
             raise JobUnknown(identifier=identifier)
         status = JobStatus.WAITING
@@ -92,9 +95,9 @@
         self._board.note({identifier: status})
         return status
 
-    def _read(self, table, pool, identifier, end):
+    def _read(self, table, partition, identifier, end):
         try:
-            return self._store.read(table, pool, identifier, identifier + end, 3)
+            return self._store.read(table, partition, identifier, identifier + end, 3)
         except TableUnavailable as error:
             raise StateUnknown() from error
 
--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -8,6 +8,7 @@
 from papayapick.observability.logs import get_logger
 from papayapick.ownership.pools import OwnershipLost, PoolRow, read_pool, take_pool
 from papayapick.pool.owner import PoolOwner
+from papayapick.pool.recording import TRUST_SECONDS
 
 __all__ = ["Candidacy"]
 
@@ -38,6 +39,8 @@
         "_host",
         "_is_suspected",
         "_lock",
+        "_may_lack_records",
+        "_told_at",
         "_wakeup",
         "owner",
         "pool",
@@ -51,6 +54,8 @@
         self.owner = None
         self._heard_at = host.clock.monotonic()
         self._is_suspected = True
+        self._may_lack_records = True
+        self._told_at = 0.0
         self._lock = threading.Lock()
         self._wakeup = threading.Event()
 
@@ -86,6 +91,8 @@
             if beat.epoch < self.row.epoch:
                 return False
             self._heard_at = self._host.clock.monotonic()
+            self._may_lack_records = bool(beat.may_lack_records)
+            self._told_at = self._heard_at
             if beat.host == self.row.owner:
                 self._is_suspected = bool(beat.gives_way)
         if beat.gives_way and not self._host.is_store_lost():
@@ -145,8 +152,13 @@
             return
         self._own(taken)
 
+    def _trusts_records(self):
+        """Return whether each start before now was recorded before its order."""
+        age = self._host.clock.monotonic() - self._told_at
+        return not self._may_lack_records and age < TRUST_SECONDS
+
     def _own(self, row):
-        owner = PoolOwner(self._host, row)
+        owner = PoolOwner(self._host, row, self._trusts_records())
         self.note_row(row)
         try:
             owner.start()
--- a/papayapick/entry/followers.py
+++ b/papayapick/entry/followers.py
@@ -24,6 +24,7 @@
     read_all,
     stopping,
     on_answer,
+    on_failure=lambda: None,
     wait_seconds=lambda: FOLLOW_WAIT_SECONDS,
 ):
     """Hand on the changes of a table until told to stop.
@@ -42,6 +43,8 @@
     stopping : threading.Event
     on_answer : callable
         Called with the time at which a call was sent that the store answered.
+    on_failure : callable, optional
+        Called when a call was refused or had no answer.
     wait_seconds : callable, optional
         Returns how long a call waits for changes.
     """
@@ -62,6 +65,7 @@
             if not is_away:
                 _LOG.warning("store lost", extra={"table": table, "error": str(error)})
             is_away = True
+            on_failure()
             clock.wait(stopping, _RETRY_SECONDS)
             continue
         if is_away:
--- a/papayapick/entry/peers.py
+++ b/papayapick/entry/peers.py
@@ -175,6 +175,7 @@
             if self._news:
                 self._wakeup.set()
         loads = self._owner.waiting_jobs()
+        may_lack_records = self._owner.recording.is_announced
         beat = PoolBeat(
             pool=self._owner.pool,
             epoch=self._owner.row.epoch,
@@ -184,6 +185,7 @@
                 QueueLoad(queue=queue, waiting=count) for queue, count in loads.items()
             ],
             gives_way=self._owner.gives_way(),
+            may_lack_records=may_lack_records,
         )
         asked_at = self._host.clock.monotonic()
         try:
@@ -197,5 +199,6 @@
             return False
         self._peer.answered_at = self._host.clock.monotonic()
         self._peer.store_age = answer.store_age_milliseconds / 1000
+        self._owner.recording.note_told(self._peer.name, may_lack_records)
         self._owner.note_peer(self._peer, answer.epoch, asked_at)
         return True
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -51,6 +51,8 @@
 _START_RETRY_SECONDS = 0.2
 # Followers have an answer each 1.2 s when nothing changes.
 _STORE_OVERDUE_SECONDS = 1.7
+# Stands for "not at all" where the age of its last answer is told.
+_LOST_AGE_SECONDS = 1000.0
 # Without a word of the store for so long, a host is not ready for callers.
 _STORE_AWAY_SECONDS = 2.6
 # Before the platform kills the process, what is under way has ended.
@@ -85,7 +87,6 @@
         self.store_seconds = 0.0
         self._store_answered_at = None
         self._store_failed_at = None
-        self._store_steady_since = None
         self._relay = StoreRelay(self)
         self._advice_seconds = 0.0
         self._advice_lock = threading.Lock()
@@ -136,19 +137,15 @@
 
     def note_store_word(self):
         """Note that the store has answered."""
-        now = self.clock.monotonic()
-        if self._store_answered_at is None or self.is_store_lost():
-            self._store_steady_since = now
-        self._store_answered_at = now
-
-    def had_steady_store(self, seconds):
-        """Return whether the store has answered this host all the while."""
-        since = self._store_steady_since
-        return since is not None and self.clock.monotonic() - since > seconds
+        self._store_answered_at = self.clock.monotonic()
 
     def store_age(self):
-        """Return the seconds since the store last answered this host."""
-        return self._store_age()
+        """Return the seconds since the store last answered this host.
+
+        Long where its last call failed: what it said before is no sign that it
+        would answer now.
+        """
+        return _LOST_AGE_SECONDS if self.is_store_lost() else self._store_age()
 
     def _store_age(self):
         if self._store_answered_at is None:
@@ -243,6 +240,7 @@
             read_all,
             stopping,
             self._note_store_answer,
+            self.note_store_failure,
         )
 
     def _note_store_answer(self, asked_at):
@@ -258,6 +256,7 @@
             self._read_cell,
             self.stopping,
             self._note_cell_answer,
+            self.note_store_failure,
             self._cell_wait_seconds,
         )
 
@@ -440,7 +439,7 @@
                 loads = {one.queue: one.waiting for one in beat.queue_loads}
                 self.board.note_loads(beat.pool, loads)
             epoch = candidacy.row.epoch
-        age = min(self._store_age(), 1000.0)
+        age = min(self.store_age(), _LOST_AGE_SECONDS)
         return PoolBeatAnswer(epoch=epoch, store_age_milliseconds=int(age * 1000))
 
     def _answer_advice(self, query):
--- a/papayapick/pool/forgetting.py
+++ b/papayapick/pool/forgetting.py
@@ -5,7 +5,8 @@
 from papayapick.observability.logs import get_logger
 from papayapick.platform.exceptions import ConditionFailed
 from papayapick.platform.store import RowWrite
-from papayapick.pool.journal import JOBS_TABLE, PROGRESS_TABLE
+from papayapick.pool.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
+from papayapick.pool.partitions import job_partition
 
 __all__ = ["forget_jobs"]
 
@@ -35,17 +36,17 @@
         ][:_JOBS_PER_CALL]
     if not old:
         return
-    writes = [
-        RowWrite(table, owner.pool, key, None)
-        for identifier in old
-        for table, key in (
-            (JOBS_TABLE, identifier),
-            (JOBS_TABLE, identifier + "!cancel"),
-            (PROGRESS_TABLE, identifier),
-        )
-    ]
+    writes = []
+    for identifier in old:
+        partition = job_partition(owner.pool, identifier)
+        # All at once: a job whose progress alone is gone would run again.
+        writes += [
+            RowWrite(JOBS_TABLE, partition, identifier, None),
+            RowWrite(JOBS_TABLE, partition, identifier + CANCEL_SUFFIX, None),
+            RowWrite(PROGRESS_TABLE, owner.pool, identifier, None),
+        ]
     try:
-        host.store.transact([owner.row.expectation], writes)
+        host.store.transact([owner.row.expectation], writes, spans_partitions=True)
     except (ConditionFailed, TableUnavailable) as error:
         _LOG.info("old jobs kept for now", extra={"error": str(error)})
         return
--- a/papayapick/pool/journal.py
+++ b/papayapick/pool/journal.py
@@ -9,12 +9,14 @@
 from papayapick.platform.exceptions import ConditionFailed
 from papayapick.platform.store import RowWrite
 
-__all__ = ["JOBS_TABLE", "PROGRESS_TABLE", "PoolJournal"]
+__all__ = ["CANCEL_SUFFIX", "JOBS_TABLE", "PROGRESS_TABLE", "PoolJournal"]
 
 _LOG = get_logger(__name__)
 
 JOBS_TABLE = "jobs"
 PROGRESS_TABLE = "progress"
+# Ends the key of the row that cancels a job; the job's own row never changes.
+CANCEL_SUFFIX = "!cancel"
 # A transaction takes at most 100 entries; one is the condition on the owner's row.
 _ROWS_PER_COMMIT = 90
 _RETRY_SECONDS = 0.15
@@ -120,6 +122,7 @@
         )
 
     def _transact(self, writes):
+        asked_at = self._clock.monotonic()
         try:
             self._store.transact([self._owner.row.expectation], writes)
         except ConditionFailed:
@@ -132,6 +135,8 @@
             # The same records are written again: a write that took effect and is
             # repeated changes nothing.
             _LOG.info("commit put off", extra={"error": str(error)})
+            self._owner.note_commit(None)
             return False
-        self._owner.note_store_answer()
+        self._owner.note_commit(self._clock.monotonic() - asked_at)
+        self._owner.note_confirmed(asked_at)
         return True
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -17,16 +17,22 @@
 )
 from papayapick.pool.advice import AdviceBook
 from papayapick.pool.forgetting import forget_jobs
-from papayapick.pool.journal import JOBS_TABLE, PROGRESS_TABLE, PoolJournal
+from papayapick.pool.journal import (
+    CANCEL_SUFFIX,
+    JOBS_TABLE,
+    PROGRESS_TABLE,
+    PoolJournal,
+)
 from papayapick.pool.links import LEASE_SECONDS, WorkerLink
 from papayapick.pool.orders import Orders
+from papayapick.pool.partitions import job_partitions
+from papayapick.pool.recording import RecordingMode
 from papayapick.pool.reports import EndOutcome, StartOutcome
 
-__all__ = ["CANCEL_SUFFIX", "PoolOwner"]
+__all__ = ["PoolOwner"]
 
 _LOG = get_logger(__name__)
 
-CANCEL_SUFFIX = "!cancel"
 # A task for each worker, for each order under way and for each loop; idle ones
 # cost a small stack only.
 _TASKS = 512
@@ -57,6 +63,8 @@
         The process: store, clock, pools of connections, peers and queues.
     row : PoolRow
         As it was taken.
+    is_journal_exact : bool
+        Whether each start of before is known to have been recorded.
 
     Attributes
     ----------
@@ -71,6 +79,7 @@
         "_forgotten_at",
         "_host",
         "_is_settled",
+        "_job_partitions",
         "_journal",
         "_links",
         "_is_journal_exact",
@@ -84,11 +93,12 @@
         "book",
         "is_lost",
         "lock",
+        "recording",
         "rooms",
         "row",
     )
 
-    def __init__(self, host, row):
+    def __init__(self, host, row, is_journal_exact=False):
         self._host = host
         self.row = row
         self.lock = threading.RLock()
@@ -101,8 +111,10 @@
         self._taken_at = host.clock.monotonic()
         self._confirmed_at = self._taken_at
         self._forgotten_at = self._taken_at
-        self._is_journal_exact = host.had_steady_store(_QUIET_SECONDS)
+        self._is_journal_exact = is_journal_exact
+        self.recording = RecordingMode(host.clock)
         self._unsent = []
+        self._job_partitions = job_partitions(row.pool)
         self._is_settled = False
         self._executor = ThreadPoolExecutor(_TASKS, thread_name_prefix="pool")
         self._order_executor = ThreadPoolExecutor(
@@ -143,10 +155,6 @@
         """Note that the pool was still this owner's at a time."""
         self._confirmed_at = max(self._confirmed_at, asked_at)
 
-    def note_store_answer(self):
-        """Note that the store applied a write on condition of the owner's row."""
-        self.note_confirmed(self._host.clock.monotonic())
-
     def gives_way(self):
         """Return whether another host should take over.
 
@@ -265,7 +273,7 @@
     def _load(self):
         store = self._host.store
         progress, _ = store.read_all(PROGRESS_TABLE, self.pool)
-        jobs, version = store.read_all(JOBS_TABLE, self.pool)
+        jobs, version = self._read_jobs()
         workers, _ = store.read_all(WORKERS_TABLE, "")
         records = {row.key: row.value for row in progress if row.value}
         with self.lock:
@@ -279,18 +287,31 @@
 
     # Jobs.
 
+    def _read_jobs(self):
+        """Return the rows of all jobs, and a version that is not newer than any."""
+        store = self._host.store
+        pages = list(
+            self._executor.map(
+                lambda partition: store.read_all(JOBS_TABLE, partition),
+                self._job_partitions,
+            )
+        )
+        rows = [row for found, _ in pages for row in found]
+        return rows, min(version for _, version in pages)
+
     def _follow_jobs(self, version):
         self._host.follow(
             JOBS_TABLE,
             version,
             self._note_job_rows,
-            lambda: self._host.store.read_all(JOBS_TABLE, self.pool),
+            self._read_jobs,
             self._stopping,
         )
 
     def _note_job_rows(self, rows):
         with self.lock:
-            self._take_jobs([row for row in rows if row.partition == self.pool], {})
+            own = self._job_partitions
+            self._take_jobs([row for row in rows if row.partition in own], {})
             self._stop_unneeded()
         self.wake()
 
@@ -611,16 +632,17 @@
                 checkpoint = step.tasks[run.key.index].checkpoint
                 payload = step.job.document.payload
                 self._unsent.append((run, payload, checkpoint, ticket))
-        if self._unsent and self._sends_unrecorded():
+        if self._unsent and self.recording.may_send(self._host.peers.all()):
             self.send_starts(self.take_unsent())
 
-    def _sends_unrecorded(self):
-        """Return whether starts are ordered before their record is durable.
-
-        Only while the store answers nobody: else a successor could not tell where
-        a task may run, and would wait for every worker that is silent.
-        """
-        return self._host.is_store_lost() and self._is_alone_in_charge()
+    def note_commit(self, seconds):
+        """Take in a commit, or with None one that the store did not take."""
+        if seconds is not None:
+            self.recording.note_commit(seconds)
+            self._host.note_store_word()
+            return
+        self._host.note_store_failure()
+        self.recording.note_outage(self._is_alone_in_charge())
 
     def _is_alone_in_charge(self):
         """Return whether most hosts are heard, and none of them has the store."""
--- a/papayapick/wire/messages.capnp
+++ b/papayapick/wire/messages.capnp
@@ -159,6 +159,7 @@
   news @3 :List(JobNews);
   queueLoads @4 :List(QueueLoad);
   givesWay @5 :Bool;
+  mayLackRecords @6 :Bool;
 }
 
 struct JobNews {
--- a/papayapick/wire/messages.py
+++ b/papayapick/wire/messages.py
@@ -221,7 +221,15 @@
 class PoolBeat(Payload):
     """Tell who owns a pool, and what has changed there."""
 
-    __slots__ = ("epoch", "gives_way", "host", "news", "pool", "queue_loads")
+    __slots__ = (
+        "epoch",
+        "gives_way",
+        "host",
+        "may_lack_records",
+        "news",
+        "pool",
+        "queue_loads",
+    )
 
 
 class PoolBeatAnswer(Payload):
