--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -82,7 +82,7 @@
     assert (step.estimate_seconds, step.tail_limit_seconds) == (0.9, 0.08)
     assert step.is_gang and step.is_rack_bound and step.is_lasting
     assert step.has_checkpoints and step.allows_copies and step.is_filler
-    assert (step.label, step.data_rack, step.image) == ("a", "r1-1", "i")
+    assert (step.label, step.preferred_rack, step.image) == ("a", "r1-1", "i")
     assert (step.tasks_per_worker, step.unavailable_limit) == (2, 1)
 
 
