Put commits of progress in order; ask the named owner before replacing it

A commit without an answer may be applied seconds later, and a handover may commit beside the loop; either puts old records over newer ones. Ruled out: rewriting the owner's row at each commit (every host follows it). Change: each commit demands and rewrites one row of sequence; one commit at a time; the host that a row names is asked whether it owns the pool; hosts far from the store wait 0.4 s longer before they take it.

--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -21,7 +21,9 @@
 # Hosts that notice at the same time try one after the other, those nearest to the
 # store first; who comes late finds the pool taken.
 _SPREAD_SECONDS = 0.06
-_DISTANCE_WEIGHT = 3
+# An owner in the other region is 45 ms from the store and from most workers, at each
+# call; waiting 0.4 s for one that is near costs less.
+_DISTANCE_WEIGHT = 10
 _RETRY_SECONDS = 0.3
 
 
@@ -41,6 +43,7 @@
         "_lock",
         "_may_lack_records",
         "_told_at",
+        "_watched_version",
         "_wakeup",
         "owner",
         "pool",
@@ -56,6 +59,9 @@
         self._is_suspected = True
         self._may_lack_records = True
         self._told_at = 0.0
+        # Version of the row whose owner is expected to beat; another row is looked
+        # into before its owner counts as silent.
+        self._watched_version = None
         self._lock = threading.Lock()
         self._wakeup = threading.Event()
 
@@ -78,6 +84,7 @@
             is_new = row.version > self.row.version > 0
             self.row = row
             if is_new and row.owner:
+                self._watched_version = row.version
                 self._heard_at = self._host.clock.monotonic()
                 self._is_suspected = False
         owner = self.owner
@@ -92,6 +99,7 @@
             if beat.epoch < self.row.epoch:
                 return False
             self._heard_at = self._host.clock.monotonic()
+            self._watched_version = self.row.version
             self._may_lack_records = bool(beat.may_lack_records)
             self._told_at = self._heard_at
             if beat.host == self.row.owner:
@@ -132,13 +140,12 @@
 
     def _try(self):
         host = self._host
-        known = self.row
         try:
             row = read_pool(host.store, self.pool)
-            if row.version > known.version:
-                self.note_row(row)
-                if self._is_served(row):
-                    return
+            self.note_row(row)
+            if row.version != self._watched_version and self._is_served(row):
+                self._expect_beats()
+                return
             name = host.settings.host_name
             address = "{}:{}".format(*host.settings.peer_address)
             taken = take_pool(host.store, row, name, address)
@@ -152,15 +159,22 @@
             return
         self._own(taken)
 
+    def _expect_beats(self):
+        with self._lock:
+            self._watched_version = self.row.version
+            self._heard_at = self._host.clock.monotonic()
+            self._is_suspected = False
+
     def _is_served(self, row):
-        """Return whether the owner that a row names may be at work.
+        """Return whether the owner that a row names is at work.
 
-        After a power loss of all hosts the row names a process that is gone; to
-        wait for its beats would add 0.65 s to each recovery.
+        After a power loss of all hosts the row names a process that is gone, or
+        one that has started again and owns nothing; to wait for its beats would
+        add 0.65 s to each recovery.
         """
         if not row.owner or row.owner == self._host.settings.host_name:
             return False
-        return _is_listening(row.address)
+        return self._host.is_owned_by(row)
 
     def _trusts_records(self):
         """Return whether each start before now was recorded before its order."""
@@ -170,13 +184,14 @@
     def _own(self, row):
         owner = PoolOwner(self._host, row, self._trusts_records())
         self.note_row(row)
+        # Before it has read the state: a host that asks who owns must not hear "no".
+        self.owner = owner
         try:
             owner.start()
         except TableUnavailable as error:
             _LOG.warning("pool not read", extra={"error": str(error)})
             owner.give_up()
             return
-        self.owner = owner
         self._host.note_owner(owner)
 
 
--- a/papayapick/entry/peers.py
+++ b/papayapick/entry/peers.py
@@ -5,7 +5,13 @@
 from papayapick.observability.logs import get_logger
 from papayapick.wire import PeerClient
 from papayapick.wire.exceptions import WireError
-from papayapick.wire.messages import AdviceQuery, JobNews, PoolBeat, QueueLoad
+from papayapick.wire.messages import (
+    AdviceQuery,
+    JobNews,
+    OwnerQuery,
+    PoolBeat,
+    QueueLoad,
+)
 
 __all__ = ["HOSTS_PARTITION", "OwnerLine", "Peer", "Peers"]
 
@@ -17,6 +23,7 @@
 # Others notice a silent owner by three missed beats.
 BEAT_SECONDS = 0.2
 _RETRY_SECONDS = 0.3
+_QUERY_SECONDS = 0.3
 # News of many jobs go into one message.
 _GATHER_SECONDS = 0.015
 _NEWS_PER_BEAT = 500
@@ -117,6 +124,17 @@
         )
         return Peer(row.key, address, row.value["zone"], row.value["region"], client)
 
+    def owned_epoch(self, peer, pool):
+        """Return the epoch under which a host owns a pool now; 0 for none."""
+        try:
+            return peer.client.ask(OwnerQuery(pool=pool), _QUERY_SECONDS).epoch
+        except WireError as error:
+            _LOG.info(
+                "host did not say whether it owns",
+                extra={"peer": peer.name, "error": str(error)},
+            )
+            return 0
+
     def ask_advice(self, peer, key, workers, expected_seconds):
         """Return a future of the reply of one host."""
         query = AdviceQuery(
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -33,6 +33,7 @@
     AdviceQuery,
     AdviceReply,
     Hello,
+    OwnerQuery,
     PoolBeat,
     PoolBeatAnswer,
     StoreCall,
@@ -380,6 +381,13 @@
         for line in lines:
             line.put(news)
 
+    def is_owned_by(self, row):
+        """Return whether the host that a row names says that it owns the pool."""
+        for peer in self.peers.all():
+            if peer.name == row.owner:
+                return self.peers.owned_epoch(peer, row.pool) >= row.epoch
+        return False
+
     # Advice.
 
     def ask_advice(self, key, workers, expected):
@@ -439,6 +447,8 @@
             return self._answer_beat(payload)
         if isinstance(payload, AdviceQuery):
             return self._answer_advice(payload)
+        if isinstance(payload, OwnerQuery):
+            return self._answer_owner_query(payload)
         if isinstance(payload, StoreCall):
             return self._relay.answer(payload)
         return None
@@ -455,6 +465,12 @@
         age = min(self.store_age(), _LOST_AGE_SECONDS)
         return PoolBeatAnswer(epoch=epoch, store_age_milliseconds=int(age * 1000))
 
+    def _answer_owner_query(self, query):
+        candidacy = self._candidacies.get(query.pool)
+        is_owner = candidacy is not None and candidacy.is_owner
+        epoch = candidacy.owner.row.epoch if is_owner else 0
+        return PoolBeatAnswer(epoch=epoch, store_age_milliseconds=0)
+
     def _answer_advice(self, query):
         answer = Future()
         expected = query.expected_milliseconds / 1000
--- a/papayapick/pool/journal.py
+++ b/papayapick/pool/journal.py
@@ -7,17 +7,25 @@
 from papayapick.jobs.state import JobStatus
 from papayapick.observability.logs import get_logger
 from papayapick.platform.exceptions import ConditionFailed
-from papayapick.platform.store import RowWrite
+from papayapick.platform.store import Expectation, RowWrite
 
-__all__ = ["CANCEL_SUFFIX", "JOBS_TABLE", "PROGRESS_TABLE", "PoolJournal"]
+__all__ = [
+    "CANCEL_SUFFIX",
+    "JOBS_TABLE",
+    "PROGRESS_TABLE",
+    "SEQUENCE_KEY",
+    "PoolJournal",
+]
 
 _LOG = get_logger(__name__)
 
 JOBS_TABLE = "jobs"
 PROGRESS_TABLE = "progress"
+# Key of the row that puts commits in order; no job has such an id.
+SEQUENCE_KEY = "sequence"
 # Ends the key of the row that cancels a job; the job's own row never changes.
 CANCEL_SUFFIX = "!cancel"
-# A transaction takes at most 100 entries; one is the condition on the owner's row.
+# A transaction takes at most 100 entries, conditions included.
 _ROWS_PER_COMMIT = 90
 _RETRY_SECONDS = 0.15
 # Least time between two commits: ends come in groups, and each call has a price.
@@ -39,15 +47,42 @@
     of the numbers of the last ends, taken under that lock, belong together. Only
     when the records are durable may the workers forget the ends: else an end whose
     record is lost would be lost with its owner, and the task would run again.
+
+    Commits follow each other strictly: each demands the version of a row that the
+    one before it wrote. A commit without an answer may be applied seconds later;
+    without that row it would put old records over newer ones, and a task whose end
+    was already acknowledged would run again after a takeover.
     """
 
-    __slots__ = ("_clock", "_owner", "_store", "_wakeup")
+    __slots__ = (
+        "_clock",
+        "_commit_lock",
+        "_owner",
+        "_sequence_version",
+        "_store",
+        "_wakeup",
+    )
 
     def __init__(self, store, owner, clock):
         self._store = store
         self._owner = owner
         self._clock = clock
         self._wakeup = threading.Event()
+        # The loop and a handover may both commit.
+        self._commit_lock = threading.Lock()
+        self._sequence_version = 0
+
+    def resume(self, rows):
+        """Go on behind the commits of earlier owners.
+
+        Parameters
+        ----------
+        rows : list of StoredRow
+            All records of the pool.
+        """
+        for row in rows:
+            if row.key == SEQUENCE_KEY:
+                self._sequence_version = row.version
 
     def wake(self):
         """Commit soon."""
@@ -69,6 +104,10 @@
         bool
             Whether more may be waiting.
         """
+        with self._commit_lock:
+            return self._commit()
+
+    def _commit(self):
         owner = self._owner
         with owner.lock:
             changed = self._take_changed()
@@ -123,9 +162,18 @@
 
     def _transact(self, writes):
         asked_at = self._clock.monotonic()
+        pool = self._owner.pool
+        sequence = Expectation(
+            PROGRESS_TABLE, pool, SEQUENCE_KEY, self._sequence_version
+        )
+        mark = RowWrite(PROGRESS_TABLE, pool, SEQUENCE_KEY, {})
         try:
-            self._store.transact([self._owner.row.expectation], writes)
-        except ConditionFailed:
+            self._sequence_version = self._store.transact(
+                [self._owner.row.expectation, sequence], [*writes, mark]
+            )
+        except ConditionFailed as error:
+            if self._was_own_write(error.rows):
+                return False
             _LOG.warning(
                 "pool lost: its row was changed", extra={"epoch": self._owner.row.epoch}
             )
@@ -140,3 +188,15 @@
         self._owner.note_commit(self._clock.monotonic() - asked_at)
         self._owner.note_confirmed(asked_at)
         return True
+
+    def _was_own_write(self, rows):
+        """Return whether an earlier commit without an answer was applied.
+
+        Nobody else writes under this epoch; the records are written once more.
+        """
+        versions = {(row.table, row.key): row.version for row in rows}
+        owned = self._owner.row.expectation
+        if versions.get((owned.table, owned.key)) != owned.version:
+            return False
+        self._sequence_version = versions.get((PROGRESS_TABLE, SEQUENCE_KEY), 0)
+        return True
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -274,6 +274,7 @@
         jobs, version = self._read_jobs()
         workers, _ = store.read_all(WORKERS_TABLE, "")
         records = {row.key: row.value for row in progress if row.value}
+        self._journal.resume(progress)
         with self.lock:
             self._take_jobs(jobs, records)
             for row in workers:
--- a/papayapick/wire/messages.capnp
+++ b/papayapick/wire/messages.capnp
@@ -25,6 +25,7 @@
     adviceReply @19 :AdviceReply;
     storeCall @20 :StoreCall;
     storeResult @21 :StoreResult;
+    ownerQuery @22 :OwnerQuery;
   }
 }
 
@@ -202,3 +203,7 @@
   outcome @0 :Text;
   body @1 :Data;
 }
+
+struct OwnerQuery {
+  pool @0 :Text;
+}
--- a/papayapick/wire/messages.py
+++ b/papayapick/wire/messages.py
@@ -10,6 +10,7 @@
     "Heartbeat",
     "Hello",
     "JobNews",
+    "OwnerQuery",
     "Payload",
     "PlacerSummary",
     "PoolBeat",
@@ -266,3 +267,9 @@
     """Tell what became of a relayed call, with its rows or version as JSON."""
 
     __slots__ = ("body", "outcome")
+
+
+class OwnerQuery(Payload):
+    """Ask a host whether it owns a pool now; answered by ``PoolBeatAnswer``."""
+
+    __slots__ = ("pool",)
--- /dev/null
+++ b/tests/entry/test_candidacy.py
@@ -0,0 +1,187 @@
+"""Noticing that a pool has no working owner."""
+
+import socket
+import threading
+
+import pytest
+
+from papayapick.clock import ManualClock
+from papayapick.entry import candidacy as module
+from papayapick.entry.candidacy import Candidacy
+from papayapick.ownership.pools import PoolRow
+from papayapick.wire.messages import Hello, PoolBeat
+
+
+class _Clock(ManualClock):
+    def wait(self, event, seconds):
+        self.advance(seconds)
+        return event.is_set()
+
+
+class Settings:
+    host_name = "h1"
+    peer_address = ("127.0.0.1", 1)
+
+
+class Host:
+    def __init__(self):
+        self.clock = _Clock(100.0)
+        self.settings = Settings()
+        self.stopping = threading.Event()
+        self.store = object()
+        self.store_seconds = 0.01
+        self.is_draining = False
+        self.asked = 0
+        # Addresses at which nobody owns the pool, though a process may listen.
+        self.not_owning = set()
+
+    def is_store_lost(self):
+        return False
+
+    def is_owned_by(self, row):
+        self.asked += 1
+        return row.address not in self.not_owning
+
+
+@pytest.fixture
+def taken():
+    return []
+
+
+@pytest.fixture
+def rows():
+    """The pool's row in the store, as the only item."""
+    return [PoolRow("pool")]
+
+
+@pytest.fixture
+def candidacy(monkeypatch, rows, taken):
+    def take(store, seen, owner, address):
+        taken.append(seen.epoch + 1)
+        row = PoolRow("pool", owner, seen.epoch + 1, address, seen.version + 1)
+        rows[0] = row
+        return row
+
+    monkeypatch.setattr(module, "read_pool", lambda store, pool: rows[0])
+    monkeypatch.setattr(module, "take_pool", take)
+    monkeypatch.setattr(Candidacy, "_own", lambda self, row: self.note_row(row))
+    return Candidacy(Host(), "pool")
+
+
+@pytest.fixture
+def listener():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        yield f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def _dead_address():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def _look(candidacy, times=1):
+    """Look at the pool as the endless task does."""
+    for _ in range(times):
+        if candidacy._is_needed():
+            candidacy._try()
+
+
+def _beat(epoch=3, host="h2", **fields):
+    return PoolBeat(pool="pool", epoch=epoch, host=host, **fields)
+
+
+def test_pool_without_an_owner_is_taken(candidacy, taken):
+    _look(candidacy)
+    assert taken == [1]
+
+
+def test_restarted_host_leaves_a_living_owner_alone(candidacy, rows, taken, listener):
+    """Callers wait for a takeover that nobody needed, at each restart of a host.
+
+    The restarted process had heard no beat yet, so it suspected the owner; its
+    second look took the pool though the first had found the owner listening.
+    """
+    rows[0] = PoolRow("pool", "h2", 3, listener, 7)
+    _look(candidacy, times=5)
+    assert taken == []
+
+
+def test_row_that_is_followed_first_is_no_evidence(candidacy, rows, taken, listener):
+    """The same, when the follower of the table had read the row before the look."""
+    rows[0] = PoolRow("pool", "h2", 3, listener, 7)
+    candidacy.note_row(rows[0])
+    _look(candidacy, times=5)
+    assert taken == []
+
+
+def test_restarted_host_takes_the_pool_of_a_dead_owner_at_once(candidacy, rows, taken):
+    """After a power loss of all hosts, callers wait for beats that never come."""
+    rows[0] = PoolRow("pool", "h2", 3, "127.0.0.1:9", 7)
+    candidacy._host.not_owning.add("127.0.0.1:9")
+    _look(candidacy)
+    assert taken == [4]
+
+
+def test_own_row_of_an_earlier_life_is_no_owner(candidacy, rows, taken, listener):
+    rows[0] = PoolRow("pool", "h1", 3, listener, 7)
+    _look(candidacy)
+    assert taken == [4]
+
+
+def test_silent_owner_is_replaced(candidacy, rows, taken, listener):
+    """Jobs wait for an owner that is frozen: it listens, and beats no more."""
+    rows[0] = PoolRow("pool", "h2", 3, listener, 7)
+    _look(candidacy)
+    candidacy.note_beat(_beat())
+    candidacy._host.clock.advance(0.6)
+    _look(candidacy)
+    assert taken == []
+    candidacy._host.clock.advance(0.1)
+    _look(candidacy)
+    assert taken == [4]
+
+
+def test_beats_of_an_older_epoch_are_no_sign(candidacy, rows, taken, listener):
+    rows[0] = PoolRow("pool", "h2", 3, listener, 7)
+    _look(candidacy)
+    assert not candidacy.note_beat(_beat(epoch=2, host="h3"))
+
+
+def test_owner_that_gives_way_is_replaced(candidacy, rows, taken, listener):
+    """New jobs wait for an owner that the store turns away, and it alone."""
+    rows[0] = PoolRow("pool", "h2", 3, listener, 7)
+    _look(candidacy)
+    candidacy.note_beat(_beat(gives_way=True))
+    _look(candidacy)
+    assert taken == [4]
+
+
+@pytest.mark.parametrize("is_listening", [True, False])
+def test_ended_connection_is_checked(candidacy, rows, taken, listener, is_listening):
+    address = listener if is_listening else _dead_address()
+    rows[0] = PoolRow("pool", "h2", 3, listener, 7)
+    _look(candidacy)
+    rows[0] = PoolRow("pool", "h2", 3, address, 8)
+    candidacy.note_row(rows[0])
+    candidacy.note_end(Hello(host="h2"))
+    _look(candidacy)
+    assert taken == ([] if is_listening else [4])
+
+
+def test_end_of_another_host_is_no_matter(candidacy, rows, taken):
+    rows[0] = PoolRow("pool", "h2", 3, _dead_address(), 7)
+    candidacy.note_row(rows[0])
+    candidacy._expect_beats()
+    candidacy.note_end(Hello(host="h3"))
+    _look(candidacy)
+    assert taken == []
+
+
+def test_records_are_trusted_only_after_a_recent_word(candidacy):
+    assert not candidacy._trusts_records()
+    candidacy.note_beat(_beat())
+    assert candidacy._trusts_records()
+    candidacy._host.clock.advance(3.0)
+    assert not candidacy._trusts_records()
+    candidacy.note_beat(_beat(may_lack_records=True))
+    assert not candidacy._trusts_records()
--- /dev/null
+++ b/tests/pool/test_journal.py
@@ -0,0 +1,221 @@
+"""Commits of progress: in order, and fenced."""
+
+import threading
+
+import pytest
+
+from papayapick.clients import TableUnavailable
+from papayapick.clock import ManualClock
+from papayapick.jobs import JobBook, JobDocument, JobStatus, Queue, Step
+from papayapick.ledger import Amounts
+from papayapick.ownership.pools import CELL_TABLE, PoolRow
+from papayapick.platform.exceptions import ConditionFailed
+from papayapick.platform.store import RowWrite, StoredRow
+from papayapick.pool.journal import PROGRESS_TABLE, PoolJournal
+
+QUEUE = Queue("q", "h", "/q/", "pool", 0, 2, 1.5, 0.5, 3.0, False, None)
+IDS = [f"{number:016x}" for number in range(200)]
+
+
+class Store:
+    """Keep rows by version; hold transactions back by a script."""
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.script = []
+        self.late = []
+
+    def transact(self, expectations, writes):
+        how = self.script.pop(0) if self.script else "apply"
+        if how == "later":
+            self.late.append((expectations, writes))
+            raise TableUnavailable()
+        version = self.apply(expectations, writes)
+        if how == "lose":
+            raise TableUnavailable()
+        return version
+
+    def apply(self, expectations, writes):
+        for one in expectations:
+            row = self.rows.get((one.table, one.key))
+            if (row.version if row else 0) != one.version:
+                found = [self.rows.get((e.table, e.key)) for e in expectations]
+                raise ConditionFailed([row for row in found if row])
+        self.version += 1
+        for write in writes:
+            row = StoredRow(
+                write.table, write.partition, write.key, write.value, self.version
+            )
+            self.rows[(write.table, write.key)] = row
+        return self.version
+
+    def record(self, identifier):
+        return self.rows[(PROGRESS_TABLE, identifier)].value
+
+
+class Link:
+    def __init__(self):
+        self.processed = self.acknowledged = 0
+
+    def acknowledge(self, number):
+        self.acknowledged = number
+
+
+class Owner:
+    """Hold what the journal asks of an owner."""
+
+    def __init__(self, store):
+        self.lock = threading.RLock()
+        self.book = JobBook()
+        self.link = Link()
+        version = store.apply([], [RowWrite(CELL_TABLE, "pool", "owner", {})])
+        self.row = PoolRow("pool", "h1", 1, "a:1", version)
+        self.pool = "pool"
+        self.sent = []
+        self.unsent = []
+        self.is_lost = self.is_stopped = False
+
+    def links(self):
+        return [self.link]
+
+    def take_unsent(self, identifiers):
+        taken, self.unsent = self.unsent, []
+        return taken
+
+    def put_back_unsent(self, starts):
+        self.unsent = starts
+
+    def send_starts(self, starts):
+        self.sent += starts
+
+    def pause(self, seconds):
+        pass
+
+    def note_commit(self, seconds):
+        pass
+
+    def note_confirmed(self, asked_at):
+        pass
+
+    def note_committed(self):
+        pass
+
+    def note_lost(self):
+        self.is_lost = True
+
+
+@pytest.fixture
+def store():
+    return Store()
+
+
+@pytest.fixture
+def owner(store):
+    return Owner(store)
+
+
+@pytest.fixture
+def journal(store, owner):
+    return PoolJournal(store, owner, ManualClock())
+
+
+def _job(owner, identifier=IDS[0], tasks=2):
+    step = Step(tasks, Amounts(1, 1))
+    document = JobDocument(identifier, "q", "pool", "t", [step], 0.0)
+    job = owner.book.add(document, QUEUE, 0.0)
+    (state,) = [s for s in owner.book.waiting_steps() if s.job is job]
+    return job, [owner.book.begin(state, index, "w", 0.0) for index in range(tasks)]
+
+
+def _done(owner, run):
+    owner.book.end(run.key, run.attempt, "done", "", "w", 0.0)
+    owner.link.processed += 1
+
+
+def test_ends_are_acknowledged_only_when_recorded(store, owner, journal):
+    """A finished task runs again: its worker had forgotten the end too early."""
+    _, runs = _job(owner)
+    _done(owner, runs[0])
+    store.script = ["later"]
+    journal.commit()
+    assert owner.link.acknowledged == 0
+    journal.commit()
+    assert owner.link.acknowledged == 1
+    assert store.record(IDS[0])["occurrences"]["0"][0]["done"] == "1"
+
+
+def test_commit_that_is_applied_late_changes_nothing(store, owner, journal):
+    """A refresh runs twice after a takeover.
+
+    A commit had no answer and was applied seconds later, over the record of an end
+    that the worker had been allowed to forget. The successor started the task anew.
+    """
+    _, runs = _job(owner)
+    store.script = ["later"]
+    journal.commit()
+    _done(owner, runs[0])
+    journal.commit()
+    assert owner.link.acknowledged == 1
+    with pytest.raises(ConditionFailed):
+        store.apply(*store.late.pop())
+    assert store.record(IDS[0])["occurrences"]["0"][0]["done"] == "1"
+
+
+def test_own_commit_whose_answer_was_lost_is_no_loss_of_the_pool(store, owner, journal):
+    _, runs = _job(owner)
+    store.script = ["lose"]
+    journal.commit()
+    _done(owner, runs[0])
+    while journal.commit():
+        pass
+    assert not owner.is_lost
+    assert owner.link.acknowledged == 1
+
+
+def test_pool_that_was_taken_is_noticed(store, owner, journal):
+    _job(owner)
+    store.apply([], [RowWrite(CELL_TABLE, "pool", "owner", {})])
+    journal.commit()
+    assert owner.is_lost
+    assert (PROGRESS_TABLE, IDS[0]) not in store.rows
+
+
+def test_successor_goes_on_behind_earlier_commits(store, owner, journal):
+    _job(owner)
+    journal.commit()
+    successor = PoolJournal(store, owner, ManualClock())
+    successor.resume(list(store.rows.values()))
+    _job(owner, IDS[1])
+    successor.commit()
+    assert not owner.is_lost
+    assert (PROGRESS_TABLE, IDS[1]) in store.rows
+
+
+def test_starts_leave_when_their_record_is_durable(store, owner, journal):
+    _job(owner)
+    owner.unsent = ["start"]
+    store.script = ["later"]
+    journal.commit()
+    assert owner.sent == []
+    journal.commit()
+    assert owner.sent == ["start"]
+
+
+def test_final_status_is_told_only_when_durable(store, owner, journal):
+    job, runs = _job(owner, tasks=1)
+    _done(owner, runs[0])
+    assert job.status == JobStatus.COMPLETED
+    assert job.durable_status != JobStatus.COMPLETED
+    journal.commit()
+    assert job.durable_status == JobStatus.COMPLETED
+
+
+def test_ends_of_jobs_in_a_later_batch_are_not_acknowledged(owner, journal):
+    for identifier in IDS[:95]:
+        _, runs = _job(owner, identifier, tasks=1)
+        _done(owner, runs[0])
+    journal.commit()
+    assert owner.link.acknowledged == 0
+    journal.commit()
+    assert owner.link.acknowledged == 95
