Take a pool only if its partitions can be read; keep a partition's outage to itself

Ruled out: the owner's own state (it was answered by its peers all the while). Change: a candidate first reads a row of each partition it needs; a call that is refused at once closes its partition for 0.5 s, only a silent one the store. Both tests failed before the change.

--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -7,7 +7,7 @@
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.observability.logs import get_logger
 from papayapick.ownership.pools import OwnershipLost, PoolRow, read_pool, take_pool
-from papayapick.pool.owner import PoolOwner
+from papayapick.pool.owner import PoolOwner, check_readable
 from papayapick.pool.recording import TRUST_SECONDS
 
 __all__ = ["Candidacy"]
@@ -146,6 +146,7 @@
             if row.version != self._watched_version and self._is_served(row):
                 self._expect_beats()
                 return
+            check_readable(host, self.pool)
             name = host.settings.host_name
             address = "{}:{}".format(*host.settings.peer_address)
             taken = take_pool(host.store, row, name, address)
--- a/papayapick/entry/relays.py
+++ b/papayapick/entry/relays.py
@@ -22,6 +22,7 @@
 # When no other host reaches the store either, it is down for all: they are not
 # asked again for so long.
 _PAUSE_SECONDS = 0.5
+_SILENT_SECONDS = 0.4
 # A host that did not answer is not asked again for so long: the rows of hosts that
 # were removed stay for a while.
 _AVOID_SECONDS = 5.0
@@ -43,12 +44,14 @@
     host : EntryHost
     """
 
-    __slots__ = ("_host", "_paused_until", "_preferred")
+    __slots__ = ("_host", "_paused_partitions", "_paused_until", "_preferred")
 
     def __init__(self, host):
         self._host = host
         self._preferred = None
         self._paused_until = 0.0
+        # Monotonic seconds until which a partition is not called directly.
+        self._paused_partitions = {}
 
     def transact(self, expectations, writes):
         """Apply all writes if all expectations hold; see ``Store.transact``."""
@@ -62,7 +65,9 @@
         )
         store = self._host.store
         return self._call(
-            lambda: store.transact(expectations, writes, seconds=_WRITE_SECONDS), call
+            lambda: store.transact(expectations, writes, seconds=_WRITE_SECONDS),
+            call,
+            writes[0].partition,
         )
 
     def read(self, table, partition, first, end, limit):
@@ -74,16 +79,16 @@
         def read():
             return self._host.store.read(table, partition, first, end, limit).rows
 
-        return self._call(read, call)
+        return self._call(read, call, partition)
 
-    def _call(self, directly, call):
+    def _call(self, directly, call, partition):
         failure = StoreRefused()
-        if not self._host.is_store_lost():
+        if self._is_tried(partition):
+            asked_at = self._host.clock.monotonic()
             try:
                 found = directly()
             except TableUnavailable as error:
-                # Callers behind this one are not sent the same way.
-                self._host.note_store_failure()
+                self._note_failure(partition, asked_at)
                 failure = error
             else:
                 self._host.note_store_word()
@@ -99,6 +104,22 @@
         self._paused_until = self._host.clock.monotonic() + _PAUSE_SECONDS
         raise failure
 
+    def _is_tried(self, partition):
+        now = self._host.clock.monotonic()
+        is_paused = now < self._paused_partitions.get(partition, 0.0)
+        return not (is_paused or self._host.is_store_lost())
+
+    def _note_failure(self, partition, asked_at):
+        """Keep callers behind this one from being sent the same way.
+
+        A store that refuses at once may have lost one partition only; one that is
+        silent costs each caller the whole wait.
+        """
+        now = self._host.clock.monotonic()
+        if now - asked_at > _SILENT_SECONDS:
+            self._host.note_store_failure()
+        self._paused_partitions[partition] = now + _PAUSE_SECONDS
+
     def _candidates(self):
         if self._host.clock.monotonic() < self._paused_until:
             return []
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -29,7 +29,7 @@
 from papayapick.pool.recording import RecordingMode
 from papayapick.pool.reports import EndOutcome, StartOutcome
 
-__all__ = ["PoolOwner"]
+__all__ = ["PoolOwner", "check_readable"]
 
 _LOG = get_logger(__name__)
 
@@ -53,6 +53,21 @@
 _AHEAD_SECONDS = 0.3
 
 
+def check_readable(host, pool):
+    """Read a row of each partition that a new owner of a pool needs.
+
+    Partitions can be away one by one. A host that took the pool and could not read
+    it would stop an owner that knows the state, and give the pool up again.
+
+    Raises
+    ------
+    TableUnavailable
+    """
+    places = [(JOBS_TABLE, partition) for partition in job_partitions(pool)]
+    places += [(PROGRESS_TABLE, pool), (WORKERS_TABLE, "")]
+    list(host.executor.map(lambda place: host.store.read(*place, limit=1), places))
+
+
 class PoolOwner:
     """Decide for one pool under one epoch.
 
--- a/tests/entry/test_candidacy.py
+++ b/tests/entry/test_candidacy.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from papayapick.clients import TableUnavailable
 from papayapick.clock import ManualClock
 from papayapick.entry import candidacy as module
 from papayapick.entry.candidacy import Candidacy
@@ -64,6 +65,7 @@
 
     monkeypatch.setattr(module, "read_pool", lambda store, pool: rows[0])
     monkeypatch.setattr(module, "take_pool", take)
+    monkeypatch.setattr(module, "check_readable", lambda host, pool: None)
     monkeypatch.setattr(Candidacy, "_own", lambda self, row: self.note_row(row))
     return Candidacy(Host(), "pool")
 
@@ -185,3 +187,18 @@
     assert not candidacy._trusts_records()
     candidacy.note_beat(_beat(may_lack_records=True))
     assert not candidacy._trusts_records()
+
+
+def test_pool_that_cannot_be_read_is_not_taken(monkeypatch, candidacy, taken):
+    """Hosts take the pool from each other, and none of them decides.
+
+    Some partitions of the store were away: each host could take the pool and could
+    not read it, gave it up, and the next one took it.
+    """
+
+    def fail(host, pool):
+        raise TableUnavailable()
+
+    monkeypatch.setattr(module, "check_readable", fail)
+    _look(candidacy, times=3)
+    assert taken == []
--- a/tests/entry/test_relays.py
+++ b/tests/entry/test_relays.py
@@ -192,3 +192,19 @@
             store.transact([EXPECTATION], [WRITE])
         host.clock.advance(1.0)
     assert host.all()[0].asked == 1
+
+
+def test_partition_that_is_away_does_not_close_the_others(host, other):
+    """Callers are refused though their part of the store answers.
+
+    One partition refuses; that is no sign for the others.
+    """
+    host.store.failures = [StoreRefused()]
+    other.is_lost = True
+    store = RelayedStore(host)
+    with pytest.raises(StoreRefused):
+        store.transact([EXPECTATION], [WRITE])
+    write = RowWrite("jobs", "other", "j2", {})
+    expectation = Expectation("jobs", "other", "j2", 0)
+    assert store.transact([expectation], [write]) == 7
+    assert host.store.written == ["j2"]
