Get past lost answers of the store: quick tries, starts ahead, no stale tickets

Ruled out: advice (asked once a step), cancels (acknowledged in time). Change: a commit counts as unanswered after 0.5 s and is tried again at once behind the one that was applied; starts leave before their record meanwhile, as when the store is slow; a start whose ticket is too old is not sent; callers' writes wait 0.5 s instead of 0.8.

--- a/papayapick/entry/relays.py
+++ b/papayapick/entry/relays.py
@@ -16,8 +16,8 @@
 _LOG = get_logger(__name__)
 
 _CALL_SECONDS = 0.9
-# Callers behind this one wait too; a store 60 times slower answers in half of it.
-_WRITE_SECONDS = 0.8
+# Callers behind this one wait too; a store 60 times slower answers within it.
+_WRITE_SECONDS = 0.5
 _PEERS_TRIED = 2
 # When no other host reaches the store either, it is down for all: they are not
 # asked again for so long.
--- a/papayapick/pool/advice.py
+++ b/papayapick/pool/advice.py
@@ -66,6 +66,13 @@
             return None
         return advice.tickets
 
+    def usable_until(self, key):
+        """Return when the tickets of a step are too old to be sent; may be never."""
+        advice = self._by_step.get(key)
+        if advice is None:
+            return float("inf")
+        return advice.valid_until + _TICKET_SLACK_SECONDS / 2
+
     def unfit(self, key):
         """Return the workers known not to be allowed a step."""
         advice = self._by_step.get(key)
--- a/papayapick/pool/journal.py
+++ b/papayapick/pool/journal.py
@@ -28,6 +28,9 @@
 # A transaction takes at most 100 entries, conditions included.
 _ROWS_PER_COMMIT = 90
 _RETRY_SECONDS = 0.15
+# While answers are lost, each costs this wait; a store 60 times slower still answers
+# within it as a rule, and if not, the next try finds what was written.
+_ANSWER_SECONDS = 0.5
 # Least time between two commits: ends come in groups, and each call has a price.
 _GATHER_SECONDS = 0.01
 # Ends that neither finish a job nor start a task may wait so long: with 10 ms for
@@ -60,6 +63,7 @@
     __slots__ = (
         "_clock",
         "_commit_lock",
+        "_is_behind_own_write",
         "_owner",
         "_sequence_version",
         "_store",
@@ -74,6 +78,7 @@
         # The loop and a handover may both commit.
         self._commit_lock = threading.Lock()
         self._sequence_version = 0
+        self._is_behind_own_write = False
 
     def resume(self, rows):
         """Go on behind the commits of earlier owners.
@@ -172,6 +177,15 @@
         )
 
     def _transact(self, writes):
+        """Write a batch; return whether that is sure."""
+        return self._try_transact(writes) or (
+            # An earlier commit had no answer and was applied: at once again, behind
+            # it, since starts and callers wait.
+            self._is_behind_own_write and self._try_transact(writes)
+        )
+
+    def _try_transact(self, writes):
+        self._is_behind_own_write = False
         asked_at = self._clock.monotonic()
         pool = self._owner.pool
         sequence = Expectation(
@@ -180,10 +194,13 @@
         mark = RowWrite(PROGRESS_TABLE, pool, SEQUENCE_KEY, {})
         try:
             self._sequence_version = self._store.transact(
-                [self._owner.row.expectation, sequence], [*writes, mark]
+                [self._owner.row.expectation, sequence],
+                [*writes, mark],
+                seconds=_ANSWER_SECONDS,
             )
         except ConditionFailed as error:
             if self._was_own_write(error.rows):
+                self._is_behind_own_write = True
                 return False
             _LOG.warning(
                 "pool lost: its row was changed", extra={"epoch": self._owner.row.epoch}
--- a/papayapick/pool/orders.py
+++ b/papayapick/pool/orders.py
@@ -5,11 +5,34 @@
 from papayapick.platform.exceptions import CheckFailed, WorkerSilent
 from papayapick.pool.reports import StartOutcome
 
-__all__ = ["Orders"]
+__all__ = ["Orders", "Start"]
 
 _LOG = get_logger(__name__)
 
 
+class Start:
+    """Hold a start that is to be ordered.
+
+    Parameters
+    ----------
+    run : Run
+    payload, checkpoint, ticket : str
+    usable_until : float
+        Monotonic seconds after which the worker would refuse the ticket.
+    """
+
+    __slots__ = ("checkpoint", "payload", "run", "ticket", "usable_until")
+
+    def __init__(
+        self, run, payload, checkpoint="", ticket="", usable_until=float("inf")
+    ):
+        self.run = run
+        self.payload = payload
+        self.checkpoint = checkpoint
+        self.ticket = ticket
+        self.usable_until = usable_until
+
+
 class Orders:
     """Send starts, stops and paces, each as a task of its own.
 
@@ -25,9 +48,15 @@
         self._owner = owner
         self._executor = executor
 
-    def start(self, link, run, payload, checkpoint, ticket):
-        """Order a start."""
-        self._submit(self._start, link, run, payload, checkpoint, ticket)
+    def start(self, link, start):
+        """Order a start.
+
+        Parameters
+        ----------
+        link : WorkerLink
+        start : Start
+        """
+        self._submit(self._start, link, start)
 
     def stop(self, link, run):
         """Order a stop."""
@@ -43,18 +72,25 @@
             if not self._owner.is_stopped:
                 self._executor.submit(step, *args)
 
-    def _start(self, link, run, payload, checkpoint, ticket):
-        owner = self._owner
+    def _start(self, link, start):
+        owner, run = self._owner, start.run
         with owner.lock:
             # Stopped before it was sent, or this process is not sure any more
             # that it owns the pool: the order must not leave.
             may_send = run.phase == RunPhase.ORDERED and owner.may_act()
+            # The record took longer than the ticket lasts.
+            may_send = may_send and owner.now() < start.usable_until
             lease_end = link.lease_end() if may_send else None
         if lease_end is None:
             outcome = StartOutcome.NOT_SENT
         else:
             outcome = link.client.start(
-                run, payload, lease_end, owner.row.epoch, checkpoint, ticket
+                run,
+                start.payload,
+                lease_end,
+                owner.row.epoch,
+                start.checkpoint,
+                start.ticket,
             )
         owner.note_start(link, run, outcome)
 
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -24,7 +24,7 @@
     PoolJournal,
 )
 from papayapick.pool.links import LEASE_SECONDS, WorkerLink
-from papayapick.pool.orders import Orders
+from papayapick.pool.orders import Orders, Start
 from papayapick.pool.partitions import job_partitions
 from papayapick.pool.recording import RecordingMode
 from papayapick.pool.reports import EndOutcome, StartOutcome
@@ -155,6 +155,10 @@
         """Return the links to all workers, as a list."""
         return list(self._links.values())
 
+    def now(self):
+        """Return monotonic seconds."""
+        return self._host.clock.monotonic()
+
     def may_act(self):
         """Return whether orders may be sent.
 
@@ -692,7 +696,10 @@
                 ticket = allowed.get(run.worker, "") if allowed else ""
                 checkpoint = step.tasks[run.key.index].checkpoint
                 payload = step.job.document.payload
-                self._unsent.append((run, payload, checkpoint, ticket))
+                usable_until = self._advice.usable_until(step.key)
+                self._unsent.append(
+                    Start(run, payload, checkpoint, ticket, usable_until)
+                )
         if self._unsent and self.recording.may_send(self._host.peers.all()):
             self.send_starts(self.take_unsent())
 
@@ -703,6 +710,7 @@
             self._host.note_store_word()
             return
         self._host.note_store_failure()
+        self.recording.note_failure()
         self.recording.note_outage(self._is_alone_in_charge())
 
     def _is_alone_in_charge(self):
@@ -723,9 +731,9 @@
         if identifiers is None:
             taken, self._unsent = self._unsent, []
             return taken
-        taken = [one for one in self._unsent if one[0].key.job in identifiers]
+        taken = [one for one in self._unsent if one.run.key.job in identifiers]
         self._unsent = [
-            one for one in self._unsent if one[0].key.job not in identifiers
+            one for one in self._unsent if one.run.key.job not in identifiers
         ]
         return taken
 
@@ -743,10 +751,10 @@
 
     def send_starts(self, starts):
         """Order starts."""
-        for run, payload, checkpoint, ticket in starts:
-            link = self._links.get(run.worker)
+        for start in starts:
+            link = self._links.get(start.run.worker)
             if link is not None:
-                self._orders.start(link, run, payload, checkpoint, ticket)
+                self._orders.start(link, start)
 
     def _begin(self, step, index, worker, attempt):
         now = self._host.clock.monotonic()
--- a/papayapick/pool/recording.py
+++ b/papayapick/pool/recording.py
@@ -60,6 +60,11 @@
             if self._quick >= _QUICK_COMMITS:
                 self._is_slow = False
 
+    def note_failure(self):
+        """Take in a commit that had no answer: the next may have none either."""
+        with self._lock:
+            self._is_slow, self._quick = True, 0
+
     def note_outage(self, is_lost):
         """Take in whether the store answers nobody."""
         with self._lock:
--- a/tests/pool/test_journal.py
+++ b/tests/pool/test_journal.py
@@ -26,7 +26,7 @@
         self.script = []
         self.late = []
 
-    def transact(self, expectations, writes):
+    def transact(self, expectations, writes, seconds=1.0):
         how = self.script.pop(0) if self.script else "apply"
         if how == "later":
             self.late.append((expectations, writes))
--- a/tests/pool/test_owner.py
+++ b/tests/pool/test_owner.py
@@ -143,7 +143,7 @@
 def _place(owner):
     with owner.lock:
         owner._place(owner._host.clock.monotonic())
-    return [start[0] for start in owner.take_unsent()]
+    return [start.run for start in owner.take_unsent()]
 
 
 def test_task_is_kept_back_until_its_worker_has_answered(host):
@@ -396,3 +396,18 @@
     owner = _owner(host)
     _report(owner, "w2", ends=[(KEY, 1, "failed")])
     assert _waiting(owner) == 0
+
+
+def test_start_whose_ticket_is_too_old_is_not_sent(host):
+    """Workers refuse starts whose record took longer than the ticket lasts."""
+    _store_job(host, _job())
+    owner = _owner(host)
+    _report(owner, "w2")
+    _report(owner, "w1")
+    with owner.lock:
+        owner._place(host.clock.monotonic())
+    (start,) = owner.take_unsent()
+    start.usable_until = host.clock.monotonic() + 1.0
+    host.clock.advance(1.1)
+    owner._orders._start(owner._links[start.run.worker], start)
+    assert _waiting(owner) == 1
--- a/tests/pool/test_recording.py
+++ b/tests/pool/test_recording.py
@@ -78,3 +78,10 @@
     mode.note_commit(0.3)
     mode.note_commit(0.008)
     assert mode.is_announced
+
+
+def test_commit_without_an_answer_counts_as_slow(mode):
+    """Starts wait for half a second each while the store loses answers."""
+    mode.note_failure()
+    _tell(mode, "h2", "h3")
+    assert mode.may_send(PEERS)
