Never use the number of an unrecorded start again

Ruled out: a lost failure (each is in the record before it is acknowledged). Change: an end raises the number of the task's last start.

--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -321,6 +321,8 @@
         if step is None:
             return
         task = step.tasks[key.index]
+        # A start may be known from its end only: its number is not used again.
+        task.attempt = max(task.attempt, attempt)
         ended = [run for run in task.runs if run.name == (key, attempt)]
         for run in ended:
             self._release(run)
--- a/tests/jobs/test_book.py
+++ b/tests/jobs/test_book.py
@@ -296,3 +296,18 @@
     book.cancel(ID, 1.0)
     _, again = _restored(job)
     assert again.status == again.durable_status == JobStatus.CANCELLED
+
+
+def test_number_of_a_start_that_was_not_recorded_is_not_used_again(book):
+    """A task runs more often than it may fail.
+
+    Its owner died after a start that no record named. The successor learned of the
+    run from the worker's list of ends and gave the next start the same number; the
+    failure of that one was taken for the one already counted.
+    """
+    job = book.add(_document(_step()), QUEUE, 0.0)
+    book.end(TaskKey(ID, 0, 0, 0), 3, "failed", "", "w1", 1.0)
+    (run,) = _begin_all(book)
+    assert run.attempt == 4
+    _end(book, run, "failed")
+    assert job.status == JobStatus.FAILED
