Never vouch for records of an owner before; take a pool only from whom was suspected

Ruled out: acknowledgements (the store was down; the end stood in the worker's list), the hold on tasks (it was off because the records were trusted). Change: an owner says that records may be missing until all workers have answered and what it found is recorded; a candidate that reads another row than the one it suspected asks that owner; a claim under way counts as owning; a query on a connection of an earlier life is tried again. The new tests failed before the change.

--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -37,6 +37,7 @@
     """
 
     __slots__ = (
+        "_claimed_epoch",
         "_heard_at",
         "_host",
         "_is_suspected",
@@ -55,6 +56,7 @@
         self.pool = pool
         self.row = PoolRow(pool)
         self.owner = None
+        self._claimed_epoch = 0
         self._heard_at = host.clock.monotonic()
         self._is_suspected = True
         self._may_lack_records = True
@@ -65,6 +67,15 @@
         self._lock = threading.Lock()
         self._wakeup = threading.Event()
 
+    @property
+    def owned_epoch(self):
+        """Return the epoch under which this process owns the pool; 0 for none.
+
+        Also while the answer to its claim is on the way: a host that has read the
+        new row already would else hear "no" and take the pool in turn.
+        """
+        return self.owner.row.epoch if self.is_owner else self._claimed_epoch
+
     @property
     def is_owner(self):
         """Return whether this process owns the pool."""
@@ -124,11 +135,12 @@
         while not host.stopping.is_set():
             host.clock.wait(self._wakeup, _LOOK_SECONDS)
             self._wakeup.clear()
+            suspected = self.row
             if self.is_owner or host.is_draining or not self._is_needed():
                 continue
             host.clock.wait(host.stopping, self._delay())
             if self._is_needed() and not host.is_draining:
-                self._try()
+                self._try(suspected)
 
     def _is_needed(self):
         silence = self._host.clock.monotonic() - self._heard_at
@@ -138,23 +150,31 @@
         distance = _DISTANCE_WEIGHT * self._host.store_seconds
         return distance + random.uniform(0, _SPREAD_SECONDS)
 
-    def _try(self):
+    def _try(self, suspected):
+        """Take the pool if its owner is still the one that was suspected."""
         host = self._host
         try:
             row = read_pool(host.store, self.pool)
             self.note_row(row)
-            if row.version != self._watched_version and self._is_served(row):
+            # Another host may have taken the pool since, and its row may have come
+            # here by the feed while this call was under way.
+            is_other = row.version != suspected.version
+            is_unwatched = row.version != self._watched_version
+            if (is_other or is_unwatched) and self._is_served(row):
                 self._expect_beats()
                 return
             check_readable(host, self.pool)
             name = host.settings.host_name
             address = "{}:{}".format(*host.settings.peer_address)
+            self._claimed_epoch = row.epoch + 1
             taken = take_pool(host.store, row, name, address)
         except OwnershipLost:
+            self._claimed_epoch = 0
             _LOG.info("pool taken by another host", extra={"pool": self.pool})
             self._heard_at = host.clock.monotonic()
             return
         except TableUnavailable as error:
+            self._claimed_epoch = 0
             _LOG.info("pool not taken", extra={"error": str(error)})
             host.clock.wait(host.stopping, _RETRY_SECONDS)
             return
@@ -187,6 +207,7 @@
         self.note_row(row)
         # Before it has read the state: a host that asks who owns must not hear "no".
         self.owner = owner
+        self._claimed_epoch = 0
         # Beats begin before the state is read, which takes a second while the store
         # is slow: other hosts would take the pool in turn meanwhile.
         self._host.note_owner(owner)
--- a/papayapick/entry/peers.py
+++ b/papayapick/entry/peers.py
@@ -23,7 +23,8 @@
 # Others notice a silent owner by three missed beats.
 BEAT_SECONDS = 0.2
 _RETRY_SECONDS = 0.3
-_QUERY_SECONDS = 0.3
+_QUERY_SECONDS = 0.2
+_QUERY_TRIES = 2
 # News of many jobs go into one message.
 _GATHER_SECONDS = 0.015
 _NEWS_PER_BEAT = 500
@@ -126,14 +127,16 @@
 
     def owned_epoch(self, peer, pool):
         """Return the epoch under which a host owns a pool now; 0 for none."""
-        try:
-            return peer.client.ask(OwnerQuery(pool=pool), _QUERY_SECONDS).epoch
-        except WireError as error:
-            _LOG.info(
-                "host did not say whether it owns",
-                extra={"peer": peer.name, "error": str(error)},
-            )
-            return 0
+        for _ in range(_QUERY_TRIES):
+            try:
+                return peer.client.ask(OwnerQuery(pool=pool), _QUERY_SECONDS).epoch
+            except WireError as error:
+                # A kept connection may be of an earlier life of that host.
+                _LOG.info(
+                    "host did not say whether it owns",
+                    extra={"peer": peer.name, "error": str(error)},
+                )
+        return 0
 
     def ask_advice(self, peer, key, workers, expected_seconds):
         """Return a future of the reply of one host."""
@@ -195,7 +198,7 @@
             if self._news:
                 self._wakeup.set()
         loads = self._owner.waiting_jobs()
-        may_lack_records = self._owner.recording.is_announced
+        may_lack_records = self._owner.may_lack_records()
         beat = PoolBeat(
             pool=self._owner.pool,
             epoch=self._owner.row.epoch,
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -477,8 +477,7 @@
 
     def _answer_owner_query(self, query):
         candidacy = self._candidacies.get(query.pool)
-        is_owner = candidacy is not None and candidacy.is_owner
-        epoch = candidacy.owner.row.epoch if is_owner else 0
+        epoch = candidacy.owned_epoch if candidacy is not None else 0
         return PoolBeatAnswer(epoch=epoch, store_age_milliseconds=0)
 
     def _answer_advice(self, query):
--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -218,6 +218,8 @@
         task.place = worker
         is_second = bool(task.runs) and not step.step.allows_copies
         task.runs.append(run)
+        # Its start may have left without a record.
+        self.changed.add(step.job.identifier)
         self._note_running(step.job)
         if task.is_done or step.job.is_final or is_second:
             self.to_stop.append(run)
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -48,6 +48,8 @@
 # Another host had an answer so long after this one had none: then the store is not
 # down for all. Hosts notice an outage within tenths of a second of each other.
 _STORE_MARGIN_SECONDS = 0.4
+# What was found at the workers is recorded so long after the last of them answered.
+_RECORDED_SECONDS = 1.0
 _FORGET_EVERY_SECONDS = 5.0
 # An order is sent and carried out within this time of the decision.
 _AHEAD_SECONDS = 0.3
@@ -102,6 +104,7 @@
         "_orders",
         "_pacer",
         "_stopping",
+        "_settled_at",
         "_taken_at",
         "_unsent",
         "_wakeup",
@@ -131,6 +134,7 @@
         self._unsent = []
         self._job_partitions = job_partitions(row.pool)
         self._is_settled = False
+        self._settled_at = None
         self._is_leaving = False
         self._executor = ThreadPoolExecutor(_TASKS, thread_name_prefix="pool")
         self._order_executor = ThreadPoolExecutor(
@@ -175,6 +179,16 @@
         """Note that the pool was still this owner's at a time."""
         self._confirmed_at = max(self._confirmed_at, asked_at)
 
+    def may_lack_records(self):
+        """Return whether a successor must not trust the records of starts.
+
+        An owner that took over from one that ordered starts without records knows
+        them only when all workers have answered, and records what it found then.
+        """
+        if self.recording.is_announced or self._settled_at is None:
+            return True
+        return self.now() - self._settled_at < _RECORDED_SECONDS
+
     def gives_way(self):
         """Return whether another host should take over.
 
@@ -530,6 +544,7 @@
         )
         if is_over or not (silent or self.book.has_held):
             self._is_settled = True
+            self._settled_at = now
             _LOG.info(
                 "pool settled",
                 extra={
--- a/tests/entry/test_candidacy.py
+++ b/tests/entry/test_candidacy.py
@@ -63,11 +63,18 @@
         rows[0] = row
         return row
 
+    def take_and_claim(store, seen, owner, address):
+        claims.append(found.owned_epoch)
+        return take(store, seen, owner, address)
+
+    claims = []
     monkeypatch.setattr(module, "read_pool", lambda store, pool: rows[0])
-    monkeypatch.setattr(module, "take_pool", take)
+    monkeypatch.setattr(module, "take_pool", take_and_claim)
     monkeypatch.setattr(module, "check_readable", lambda host, pool: None)
     monkeypatch.setattr(Candidacy, "_own", lambda self, row: self.note_row(row))
-    return Candidacy(Host(), "pool")
+    found = Candidacy(Host(), "pool")
+    found._host.claims = claims
+    return found
 
 
 @pytest.fixture
@@ -85,7 +92,7 @@
     """Look at the pool as the endless task does."""
     for _ in range(times):
         if candidacy._is_needed():
-            candidacy._try()
+            candidacy._try(candidacy.row)
 
 
 def _beat(epoch=3, host="h2", **fields):
@@ -202,3 +209,27 @@
     monkeypatch.setattr(module, "check_readable", fail)
     _look(candidacy, times=3)
     assert taken == []
+
+
+def test_claim_is_told_before_its_answer_has_come(candidacy, taken):
+    """Hosts take the pool from each other as the store comes back.
+
+    One had read the row of the other before that one knew that it was the owner,
+    asked it, and heard "no".
+    """
+    _look(candidacy)
+    assert candidacy._host.claims == taken == [1]
+
+
+def test_pool_taken_by_another_while_looking_is_left_alone(candidacy, rows, taken):
+    """Hosts take the pool from each other as the store comes back.
+
+    A host suspected the owner; while its reading was under way another one took
+    the pool, and that row came here by the feed before the reading was answered.
+    """
+    suspected = PoolRow("pool", "h2", 3, "127.0.0.1:9", 7)
+    candidacy.note_row(suspected)
+    rows[0] = PoolRow("pool", "h3", 4, "127.0.0.1:8", 8)
+    candidacy.note_row(rows[0])
+    candidacy._try(suspected)
+    assert taken == []
--- a/tests/pool/test_owner.py
+++ b/tests/pool/test_owner.py
@@ -424,3 +424,22 @@
     assert owner.gives_way()
     assert owner.may_act()
     assert not owner.is_stopped
+
+
+def test_records_are_not_vouched_for_before_all_workers_answered(host):
+    """A refresh runs twice after two takeovers in a row.
+
+    The first owner had ordered starts without records while the store was down. The
+    second had not heard all workers yet when a third took over, and had told it
+    that nothing was missing.
+    """
+    _store_job(host, _job())
+    owner = _owner(host, is_journal_exact=False)
+    assert owner.may_lack_records()
+    _report(owner, "w1", runs=[(KEY, 1)])
+    assert owner.may_lack_records()
+    _report(owner, "w2")
+    assert ID in owner.book.changed
+    assert owner.may_lack_records()
+    host.clock.advance(1.1)
+    assert not owner.may_lack_records()
