Keep the workers of a pool on record for its successor

Ruled out: the leases (in force), the records (starts had left without). Change: registrations stand in rows beside the records of progress; a successor asks those workers too, places nothing on one that the list has not confirmed, and drops one that is silent, off the list and past its lease.

--- a/papayapick/pool/journal.py
+++ b/papayapick/pool/journal.py
@@ -26,7 +26,7 @@
 # Ends the key of the row that cancels a job; the job's own row never changes.
 CANCEL_SUFFIX = "!cancel"
 # A transaction takes at most 100 entries, conditions included.
-_ROWS_PER_COMMIT = 90
+_ROWS_PER_COMMIT = 60
 _RETRY_SECONDS = 0.15
 # While answers are lost, each costs this wait; a store 60 times slower still answers
 # within it as a rule, and if not, the next try finds what was written.
@@ -127,7 +127,8 @@
         owner = self._owner
         with owner.lock:
             changed = self._take_changed()
-            writes = [self._write(job) for job in changed]
+            roster = owner.roster.take_changed()
+            writes = roster + [self._write(job) for job in changed]
             statuses = [job.status for job in changed]
             starts = owner.take_unsent({job.identifier for job in changed})
             # Ends whose jobs are in a later batch must not be acknowledged yet.
@@ -143,6 +144,7 @@
             with owner.lock:
                 owner.book.changed.update(job.identifier for job in changed)
                 owner.put_back_unsent(starts)
+                owner.roster.put_back(roster)
             owner.pause(_RETRY_SECONDS)
             return True
         # A start is ordered only now: whoever takes over knows where each task may
--- a/papayapick/pool/links.py
+++ b/papayapick/pool/links.py
@@ -61,6 +61,7 @@
         "client",
         "failed_since",
         "is_inventoried",
+        "is_listed",
         "is_stopped",
         "lapse_at",
         "newest_asked_at",
@@ -82,6 +83,8 @@
         self.born = None
         self.failed_since = None
         self.is_inventoried = False
+        # Whether the platform's list names it now.
+        self.is_listed = True
         self.is_stopped = False
         self.lapse_at = 0.0
         # Monotonic seconds of the newest question whose list of runs was taken in.
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -28,6 +28,7 @@
 from papayapick.pool.partitions import job_partitions
 from papayapick.pool.recording import RecordingMode
 from papayapick.pool.reports import EndOutcome, StartOutcome
+from papayapick.pool.roster import WorkerRoster
 
 __all__ = ["PoolOwner", "check_readable"]
 
@@ -113,6 +114,7 @@
         "lock",
         "recording",
         "rooms",
+        "roster",
         "row",
     )
 
@@ -122,6 +124,7 @@
         self.lock = threading.RLock()
         self.book = JobBook()
         self.rooms = Rooms()
+        self.roster = WorkerRoster(PROGRESS_TABLE, row.pool)
         self.is_lost = False
         self._links = {}
         self._stopping = threading.Event()
@@ -329,6 +332,9 @@
             self._take_jobs(jobs, records)
             for row in workers:
                 self._take_registration(row)
+            for registration in self.roster.restore(progress):
+                if registration.worker not in self._links:
+                    self._add_link(registration, is_listed=False)
             # Exact journals name the worker of each start before it is ordered;
             # without one, any task may run on a worker that has not answered.
             self.book.hold(lambda task: bool(task.place) or not self._is_journal_exact)
@@ -409,20 +415,36 @@
         link = self._links.get(row.key)
         if registration is None or registration.pool != self.pool:
             if link is not None:
+                link.is_listed = False
                 link.registration.is_leaving = True
                 self._open_or_close(link)
             return
         if link is not None:
+            link.is_listed = True
             link.registration.is_leaving = registration.is_leaving
             self._open_or_close(link)
             return
+        self.roster.note(registration)
+        self._add_link(registration, is_listed=True)
+
+    def _add_link(self, registration, is_listed):
         if self.is_stopped:
             return
-        client = WorkerClient(row.key, registration.address, self._host.worker_pool)
+        worker = registration.worker
+        client = WorkerClient(worker, registration.address, self._host.worker_pool)
         link = WorkerLink(registration, client, self.row.epoch, self._host.clock, self)
-        self._links[row.key] = link
+        link.is_listed = is_listed
+        self._links[worker] = link
         self.rooms.add(WorkerRoom(registration))
-        self._executor.submit(self._guarded, row.key, link.run)
+        self._executor.submit(self._guarded, worker, link.run)
+
+    def _drop_link(self, link):
+        """Forget a worker that is silent, off the list, and past its lease."""
+        link.stop()
+        del self._links[link.worker]
+        self.rooms.remove(link.worker)
+        self.roster.forget(link.worker)
+        _LOG.info("worker gone", extra={"worker": link.worker})
 
     def _open_or_close(self, link):
         room = self.rooms.get(link.worker)
@@ -683,6 +705,8 @@
             room = self.rooms.get(link.worker)
             if link.is_silent and now > max(link.lapse_at, self._lapse_floor(link)):
                 self._lose_runs(link)
+                if not link.is_listed and self._is_settled:
+                    self._drop_link(link)
                 continue
             for run in list(room.runs.values()):
                 self._tick_run(link, run, now)
--- a/tests/pool/test_owner.py
+++ b/tests/pool/test_owner.py
@@ -12,7 +12,14 @@
 from papayapick.pool.journal import JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.links import LEASE_SECONDS
 from papayapick.pool.owner import PoolOwner
-from papayapick.pool.reports import EndReport, RunReport, StartOutcome, WorkerReport
+from papayapick.pool.reports import (
+    EndReport,
+    Registration,
+    RunReport,
+    StartOutcome,
+    WorkerReport,
+)
+from papayapick.pool.roster import WorkerRoster
 
 QUEUE = Queue("q", "h", "/q/", "pool", 0, 2, 1.5, 0.5, 3.0, False, None)
 ID = "5c0e7a21d94b36f8"
@@ -443,3 +450,37 @@
     assert owner.may_lack_records()
     host.clock.advance(1.1)
     assert not owner.may_lack_records()
+
+
+def test_worker_that_the_list_forgot_is_asked(host):
+    """Counts run twice after an outage of the store.
+
+    The list had forgotten most workers while the store was away, and starts had
+    left without records. The new owner asked the workers of the list only, heard
+    of no such run, and started the tasks again.
+    """
+    roster = WorkerRoster(PROGRESS_TABLE, "pool")
+    roster.note(Registration("w9", "pool", "w9:1", "z", Amounts(4000, 4000)))
+    for write in roster.take_changed():
+        host.put(PROGRESS_TABLE, "pool", write.key, write.value)
+    _store_job(host, _job())
+    owner = _owner(host, is_journal_exact=False)
+    _report(owner, "w1")
+    _report(owner, "w2")
+    assert _waiting(owner) == 0
+    _report(owner, "w9", runs=[(KEY, 1)])
+    assert _waiting(owner) == 0
+    assert not owner.rooms.get("w9").is_open
+    assert owner.rooms.get("w9").runs
+
+
+def test_worker_that_is_gone_is_dropped(host):
+    owner = _owner(host)
+    _report(owner, "w1")
+    link = _report(owner, "w2")
+    owner._note_worker_rows([StoredRow("servers", "", "w2", None, 2, True)])
+    link.failed_since = host.clock.monotonic()
+    host.clock.advance(20.0)
+    owner._tick(host.clock.monotonic())
+    assert [one.worker for one in owner.links()] == ["w1"]
+    assert owner.rooms.get("w2") is None
