Count failed starts by their numbers, in any order

The successor read the second from one worker, then the first from another, and took the first for a repetition because its number was lower. Ruled out: lost ends (both stood in the workers' lists). Change: a task keeps the numbers of its failed starts, not the highest. The new test failed before.

--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -395,10 +395,7 @@
     def _note_failure(self, step, task, attempt, worker, now):
         counted = step.tasks[0] if step.step.is_gang else task
         task.avoid.add(worker)
-        if attempt <= counted.failed_attempt:
-            return
-        counted.failed_attempt = attempt
-        counted.failures += 1
+        counted.failed_attempts.add(attempt)
         if step.step.is_lasting:
             return
         if counted.failures >= step.job.queue.failure_limit:
--- a/papayapick/jobs/records.py
+++ b/papayapick/jobs/records.py
@@ -57,9 +57,8 @@
             record.setdefault("attempts", {})[index] = task.attempt
         if task.runs:
             record.setdefault("places", {})[index] = task.place
-        if task.failures:
-            record.setdefault("failures", {})[index] = task.failures
-            record.setdefault("failed", {})[index] = task.failed_attempt
+        if task.failed_attempts:
+            record.setdefault("failed", {})[index] = sorted(task.failed_attempts)
         if task.checkpoint:
             record.setdefault("checkpoints", {})[index] = task.checkpoint
     if done:
@@ -77,9 +76,7 @@
         step.tasks[int(index)].attempt = attempt
     for index, place in record.get("places", {}).items():
         step.tasks[int(index)].place = place
-    for index, failures in record.get("failures", {}).items():
-        step.tasks[int(index)].failures = failures
-    for index, attempt in record.get("failed", {}).items():
-        step.tasks[int(index)].failed_attempt = attempt
+    for index, attempts in record.get("failed", {}).items():
+        step.tasks[int(index)].failed_attempts = set(attempts)
     for index, checkpoint in record.get("checkpoints", {}).items():
         step.tasks[int(index)].checkpoint = checkpoint
--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -24,11 +24,10 @@
     ----------
     attempt : int
         Number of its last start; 0 before the first.
-    failures : int
-        Runs that ended as failed.
-    failed_attempt : int
-        Number of the last of them. A successor reads the end again that led to a
-        record, and the members of a gang fail together; each counts once.
+    failed_attempts : set of int
+        Numbers of the starts that ended as failed. A successor reads ends again that
+        led to a record, and in any order; the members of a gang fail together. Each
+        start counts once.
     checkpoint : str
         Newest progress that was saved; empty for none.
     runs : list of Run
@@ -44,8 +43,7 @@
         "attempt",
         "avoid",
         "checkpoint",
-        "failed_attempt",
-        "failures",
+        "failed_attempts",
         "is_done",
         "place",
         "runs",
@@ -55,12 +53,16 @@
         self.attempt = 0
         self.avoid = set()
         self.checkpoint = ""
-        self.failures = 0
-        self.failed_attempt = 0
+        self.failed_attempts = set()
         self.is_done = False
         self.place = ""
         self.runs = []
 
+    @property
+    def failures(self):
+        """Return how many of its starts ended as failed."""
+        return len(self.failed_attempts)
+
 
 class StepState:
     """Hold one step of one occurrence.
--- a/tests/pool/test_owner.py
+++ b/tests/pool/test_owner.py
@@ -220,7 +220,7 @@
     The owner recorded the failure and died before the worker could forget it; the
     successor read it in the record and again in the worker's list.
     """
-    record = _started("w1", failures={"0": 1}, failed={"0": 1})
+    record = _started("w1", failed={"0": [1]})
     _store_job(host, _job(), record)
     owner = _owner(host)
     _report(owner, "w1", ends=[(KEY, 1, "failed")])
@@ -505,3 +505,16 @@
     host.clock.advance(0.1)
     _report(owner, "w2", ends=[(TaskKey(ID, 0, 1, 0), 1, "done")])
     assert owner.book.get(ID).status == JobStatus.COMPLETED
+
+
+def test_failures_count_in_whatever_order_they_are_read(host):
+    """A task runs more often than it may fail.
+
+    Two failures were not recorded when the owner was cut off. Its successor read
+    the second one first, and took the first one for a repetition.
+    """
+    _store_job(host, _job())
+    owner = _owner(host, is_journal_exact=False)
+    _report(owner, "w2", ends=[(KEY, 2, "failed")])
+    _report(owner, "w1", ends=[(KEY, 1, "failed")])
+    assert owner.book.get(ID).status == JobStatus.FAILED
