Keep one unreadable record or worker from stopping a pool

Change: a record that can't be read is refused and logged, and its job left as it is; worker entries with no usable address or endless capacity name no worker; a worker that answers nonsense counts as silent; rows of no base64 have no value.

--- a/papayapick/platform/advice.py
+++ b/papayapick/platform/advice.py
@@ -54,6 +54,13 @@
             answer = self._pool.request("POST", self._url, body, timeout=seconds)
             if answer.status == 200:
                 return dict(json.loads(answer.body)["good"])
-        except (NotSent, AnswerMissing, AnswerInvalid, ValueError, KeyError) as error:
+        except (
+            NotSent,
+            AnswerMissing,
+            AnswerInvalid,
+            ValueError,
+            KeyError,
+            TypeError,
+        ) as error:
             raise CheckFailed(address="advice", status=0) from error
         raise CheckFailed(address="advice", status=answer.status)
--- a/papayapick/platform/store.py
+++ b/papayapick/platform/store.py
@@ -280,6 +280,6 @@
     # to mend, and stand for no value here.
     try:
         value = json.loads(base64.b64decode(text))
-    except ValueError:
+    except (ValueError, TypeError, RecursionError):
         return None
     return value if isinstance(value, dict) else None
--- a/papayapick/platform/workers.py
+++ b/papayapick/platform/workers.py
@@ -1,6 +1,7 @@
 """Call workers: start, stop and pace tasks, renew leases, read ends."""
 
 import json
+import re
 
 from papayapick.clients.exceptions import AnswerInvalid, AnswerMissing, NotSent
 from papayapick.jobs.documents import TaskKey
@@ -17,6 +18,8 @@
 __all__ = ["WORKERS_TABLE", "WorkerClient", "decode_registration"]
 
 WORKERS_TABLE = "servers"
+# IP and port; a path may follow.
+_ADDRESS = re.compile(r"[0-9A-Za-z.-]+:[0-9]{1,5}(/\S*)?")
 # An order is answered in 3 ms, or 50 across the link between regions. Past this it
 # counts as unanswered: it is stopped, and the task is placed elsewhere.
 _ORDER_SECONDS = 0.35
@@ -53,7 +56,7 @@
         return Registration(
             worker=key,
             pool=_text(found["service"]),
-            address=_text(found["address"]),
+            address=_address(found["address"]),
             zone=_text(found["zone"]),
             capacity=Amounts(
                 int(room["cpu"]), int(room["mem_mb"]), int(room.get("gpu", 0))
@@ -63,7 +66,7 @@
             leaves_in=found.get("remaining_ms", 0) / 1000,
             born=found.get("born"),
         )
-    except (KeyError, TypeError, ValueError, AttributeError):
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
         return None
 
 
@@ -178,9 +181,13 @@
             body["expires_ms"] = int(lease_end * 1000)
         if wait_seconds:
             body["wait_ms"] = int(wait_seconds * 1000)
-        return _report(
-            _json(self._checked("/hold", body, wait_seconds + _LOOK_SLACK_SECONDS))
-        )
+        answer = self._checked("/hold", body, wait_seconds + _LOOK_SLACK_SECONDS)
+        try:
+            return _report(_json(answer))
+        except (KeyError, TypeError, ValueError, IndexError) as error:
+            # A worker that answers nonsense is as good as silent; it must not end
+            # the task that keeps in touch with it.
+            raise WorkerSilent(worker=self._worker) from error
 
     def _checked(self, path, body, seconds=_ORDER_SECONDS):
         try:
@@ -237,6 +244,12 @@
         return {}
 
 
+def _address(found):
+    if not _ADDRESS.fullmatch(_text(found)):
+        raise ValueError("not an address")
+    return found
+
+
 def _text(found):
     if not isinstance(found, str):
         raise TypeError("not a text")
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -326,7 +326,8 @@
         progress, _ = store.read_all(PROGRESS_TABLE, self.pool)
         jobs, version = self._read_jobs()
         workers, _ = store.read_all(WORKERS_TABLE, "")
-        records = {row.key: row.value for row in progress if row.value}
+        # A row that can't be read is no sign that the job has not begun.
+        records = {row.key: row.value or {} for row in progress}
         self._journal.resume(progress)
         with self.lock:
             self._take_jobs(jobs, records)
@@ -379,13 +380,23 @@
             if row.key.endswith(CANCEL_SUFFIX):
                 cancelled.append(row.key.removesuffix(CANCEL_SUFFIX))
             elif row.key not in self.book:
-                document = JobDocument.from_record(row.value)
-                queue = self._host.queue_of(document)
-                job = self.book.add(document, queue, now, records.get(row.key))
-                self._advise_first(job, now)
+                self._take_job(row, records.get(row.key), now)
         for identifier in cancelled:
             self.book.cancel(identifier, now)
 
+    def _take_job(self, row, record, now):
+        try:
+            document = JobDocument.from_record(row.value)
+            queue = self._host.queue_of(document)
+            job = self.book.add(document, queue, now, record)
+        except (KeyError, TypeError, ValueError, IndexError):
+            # One record that can't be read must not stop all other jobs, on each
+            # host in turn; this job stays as it is until somebody mends it.
+            _LOG.exception("record refused", extra={"request_id": row.key})
+            self.book.forget(row.key)
+            return
+        self._advise_first(job, now)
+
     def _advise_first(self, job, now):
         if job.is_final:
             return
--- a/tests/contracts/test_cluster.py
+++ b/tests/contracts/test_cluster.py
@@ -212,7 +212,28 @@
             "state": "ready",
             "capacity": {"cpu": "many", "mem_mb": 1},
         },
+        {
+            "service": "p",
+            "address": "a:b:c",
+            "zone": "z",
+            "state": "ready",
+            "capacity": {"cpu": 1, "mem_mb": 1},
+        },
+        {
+            "service": "p",
+            "address": "a:1",
+            "zone": "z",
+            "state": "ready",
+            "capacity": {"cpu": float("inf"), "mem_mb": 1},
+        },
     ],
 )
 def test_entry_of_another_writer_names_no_worker(entry):
     assert decode_registration("w1", entry) is None
+
+
+def test_worker_that_answers_nonsense_is_silent(worker, client):
+    """All jobs of a pool stand still: one worker's list could not be read."""
+    worker._body = lambda **fields: {"running": 7}
+    with pytest.raises(WorkerSilent):
+        client.renew(1, 0)
--- a/tests/pool/test_owner.py
+++ b/tests/pool/test_owner.py
@@ -518,3 +518,26 @@
     _report(owner, "w2", ends=[(KEY, 2, "failed")])
     _report(owner, "w1", ends=[(KEY, 1, "failed")])
     assert owner.book.get(ID).status == JobStatus.FAILED
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        {},
+        {"status": "running", "occurrences": {"0": [{"failed": {"0": 1}}]}},
+        {"status": "running", "occurrences": {"0": []}},
+        {"status": "running", "occurrences": {"0": [{"attempts": {"7": 1}}]}},
+    ],
+)
+def test_record_that_cannot_be_read_stops_only_its_job(host, record):
+    """All jobs of a pool stand still: each host in turn ends itself.
+
+    One record was of a form that the program does not know, and reading it failed
+    at each takeover.
+    """
+    _store_job(host, _job(), record)
+    other = "0000000000000009"
+    document = JobDocument(other, "q", "pool", "t", [Step(1, Amounts(1, 1))], 0.0)
+    host.put(JOBS_TABLE, "pool/1", other, document.as_record())
+    owner = _owner(host)
+    assert [job.identifier for job in owner.book.jobs()] == [other]
