--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -173,6 +173,8 @@
         """
         task = step.tasks[index]
         task.attempt = (task.attempt + 1) if attempt is None else attempt
+        # With a copy beside it, the first one's place stays on record: a successor
+        # may start a task that allows copies in any case.
         task.place = worker
         run = Run(
             TaskKey(*step.key, index),
@@ -351,6 +353,8 @@
         if checkpoint:
             task.checkpoint = checkpoint
         if outcome == _DONE and not step.step.is_lasting:
+            took = max((now - run.since for run in ended), default=0.0)
+            step.usual_seconds = max(step.usual_seconds, took)
             self._note_done(step, key.index, now)
             return
         if outcome == _FAILED:
--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -79,9 +79,11 @@
         "job",
         "key",
         "left",
+        "preempted_at",
         "ready_at",
         "step",
         "tasks",
+        "usual_seconds",
         "waiting",
     )
 
@@ -94,6 +96,10 @@
         self.waiting = set()
         self.is_ready = False
         self.ready_at = 0.0
+        # When others were last stopped for its sake.
+        self.preempted_at = float("-inf")
+        # What a run of it took that ended as done: the longest so far.
+        self.usual_seconds = 0.0
         # A member ended before the gang was done: the others must end before
         # it is started again.
         self.is_gang_broken = False
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -7,7 +7,9 @@
 from papayapick.jobs import JobBook, JobDocument, JobStatus, RunPhase
 from papayapick.observability.logs import get_logger
 from papayapick.ownership.pools import OwnershipLost, release_pool
+from papayapick.placement.copies import stragglers
 from papayapick.placement.pace import Pacer
+from papayapick.placement.preemption import choose_victims, may_preempt
 from papayapick.placement.rooms import Rooms, WorkerRoom
 from papayapick.placement.steps import order_steps, place_step
 from papayapick.platform.workers import (
@@ -723,6 +725,8 @@
             for run in list(room.runs.values()):
                 self._tick_run(link, run, now)
         self._ask_ahead(now)
+        self._start_copies(now)
+        self._preempt(now)
         self._stop_unneeded()
         if now - self._forgotten_at > _FORGET_EVERY_SECONDS:
             self._forgotten_at = now
@@ -825,6 +829,65 @@
         self.rooms.get(worker).reserve(run)
         return run
 
+    def _start_copies(self, now):
+        """Start second copies of stragglers that other workers have room for."""
+        for job in self.book.jobs():
+            if job.is_final:
+                continue
+            for step in job.steps():
+                for index in stragglers(step, now):
+                    self._start_copy(step, index, now)
+
+    def _start_copy(self, step, index, now):
+        policy, allowed = step.job.queue.advice, None
+        if policy is not None:
+            allowed = self._advice.tickets(step.key, policy, now)
+            if allowed is None:
+                self._want_advice(step, now)
+                return
+        slow = step.tasks[index].runs[0].worker
+        step.tasks[index].avoid.add(slow)
+        room = self.rooms.choose(step, index, allowed)
+        if room is None or room.worker == slow:
+            return
+        run = self._begin(step, index, room.worker, None)
+        ticket = allowed.get(run.worker, "") if allowed else ""
+        usable_until = self._advice.usable_until(step.key)
+        payload = step.job.document.payload
+        self._unsent.append(Start(run, payload, "", ticket, usable_until))
+        _LOG.info("second copy", extra={**_run_fields(run), "slow": slow})
+
+    def _preempt(self, now):
+        """Stop patient tasks for the most urgent step that finds no room."""
+        for step in order_steps(self.book.waiting_steps()):
+            if step.step.is_gang or not may_preempt(step, now):
+                continue
+            policy, allowed = step.job.queue.advice, None
+            if policy is not None:
+                allowed = self._advice.tickets(step.key, policy, now)
+                if allowed is None:
+                    continue
+            victims = choose_victims(step, self.rooms, allowed, self._victim_priority)
+            if not victims:
+                continue
+            step.preempted_at = now
+            for run in victims:
+                _LOG.info(
+                    "stopped for an urgent task",
+                    extra={**_run_fields(run), "urgent": str(step.key)},
+                )
+                self._order_stop(run, now)
+            return
+
+    def _victim_priority(self, run):
+        step = self.book.step_of(run.key)
+        if step is None or step.job.is_final:
+            return None
+        found = step.step
+        if not found.has_checkpoints or found.is_gang or found.is_lasting:
+            return None
+        return step.job.queue.priority
+
     # Advice.
 
     def _want_advice(self, step, now):
--- a/tests/placement/test_rooms.py
+++ b/tests/placement/test_rooms.py
@@ -2,9 +2,11 @@
 
 import pytest
 
-from papayapick.jobs import JobBook, JobDocument, Queue, Step
+from papayapick.jobs import JobBook, JobDocument, Queue, RunPhase, Step
 from papayapick.ledger import Amounts
+from papayapick.placement.copies import stragglers
 from papayapick.placement.pace import Pacer
+from papayapick.placement.preemption import choose_victims, may_preempt
 from papayapick.placement.rooms import Rooms, WorkerRoom
 from papayapick.placement.steps import order_steps, place_step
 from papayapick.pool.reports import Registration
@@ -142,3 +144,71 @@
     serving.figure = 20.0
     ((_, percent),) = pacer.decide(room, 20.0)
     assert percent > 0
+
+
+# Preemption.
+
+
+def _fill(rooms, worker, tasks, **fields):
+    """Let patient tasks run on a worker, and return their runs."""
+    patient = Queue("p", "h", "/p/", "pool", 2, 2, 1.5, 0.5, 3.0, False, None)
+    step = Step(tasks, Amounts(2000, 100), **fields)
+    book, state = _waiting(step, "2" * 16, patient)
+    runs = []
+    for index in range(tasks):
+        run = book.begin(state, index, worker, 0.0)
+        run.phase = RunPhase.RUNNING
+        rooms.get(worker).reserve(run)
+        runs.append(run)
+    return runs
+
+
+def test_urgent_task_takes_the_place_of_one_that_saves_its_progress(rooms):
+    """A door count waits for a comparison to end: all workers were full of them."""
+    kept = _fill(rooms, "w1", 2)
+    saving = _fill(rooms, "w2", 2, has_checkpoints=True)
+    _, state = _waiting(Step(1, Amounts(1500, 100)), "1" * 16)
+    assert not may_preempt(state, 0.2)
+    assert may_preempt(state, 0.3)
+
+    def priority(run):
+        return 2 if run in saving else None
+
+    (victim,) = choose_victims(state, rooms, None, priority)
+    assert victim in saving
+    assert victim not in kept
+    assert choose_victims(state, rooms, {"w1"}, priority) == []
+    state.preempted_at = 0.3
+    assert not may_preempt(state, 0.9)
+
+
+def test_equals_are_not_stopped(rooms):
+    _fill(rooms, "w1", 2, has_checkpoints=True)
+    _fill(rooms, "w2", 2, has_checkpoints=True)
+    _, state = _waiting(Step(1, Amounts(1500, 100)), "1" * 16)
+    assert choose_victims(state, rooms, None, lambda run: 0) == []
+
+
+# Copies.
+
+
+def test_straggler_of_a_step_that_allows_copies(rooms):
+    """A step waits ten times its usual length for one task on a slow worker."""
+    step = Step(3, Amounts(100, 100), allows_copies=True, estimate_seconds=1.0)
+    book, state = _waiting(step)
+    runs = _place(book, state, rooms)
+    for run in runs:
+        run.phase = RunPhase.RUNNING
+    for run in runs[:2]:
+        book.end(run.key, run.attempt, "done", "", run.worker, 1.8)
+    assert stragglers(state, 2.0) == []
+    assert stragglers(state, 4.0) == [runs[2].key.index]
+    book.begin(state, runs[2].key.index, "w2", 4.0)
+    assert stragglers(state, 9.0) == []
+
+
+def test_no_copy_where_the_step_does_not_allow_it(rooms):
+    book, state = _waiting(Step(1, Amounts(100, 100), estimate_seconds=1.0))
+    (run,) = _place(book, state, rooms)
+    run.phase = RunPhase.RUNNING
+    assert stragglers(state, 60.0) == []
--- a/tests/pool/test_owner.py
+++ b/tests/pool/test_owner.py
@@ -120,7 +120,7 @@
 def _store_job(host, document, record=None):
     number = int(ID, 16) % 8
     host.put(JOBS_TABLE, f"pool/{number}", ID, document.as_record())
-    if record:
+    if record is not None:
         host.put(PROGRESS_TABLE, "pool", ID, record)
 
 
