Split the owner of a pool and the entry process into parts with one job each

Ruled out: base classes that share the owner's fields (nobody could tell whose state a method changes). Change: no logic. Tests ask the new parts the same questions.

--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -7,8 +7,9 @@
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.observability.logs import get_logger
 from papayapick.ownership.pools import OwnershipLost, PoolRow, read_pool, take_pool
-from papayapick.pool.owner import PoolOwner, check_readable
+from papayapick.pool.owner import PoolOwner
 from papayapick.pool.recording import TRUST_SECONDS
+from papayapick.pool.sources import check_readable
 
 __all__ = ["Candidacy"]
 
@@ -115,7 +116,7 @@
             self._told_at = self._heard_at
             if beat.host == self.row.owner:
                 self._is_suspected = bool(beat.gives_way)
-        if beat.gives_way and not self._host.is_store_lost():
+        if beat.gives_way and not self._host.store_health.is_lost():
             self._wakeup.set()
         return True
 
--- /dev/null
+++ b/papayapick/entry/joining.py
@@ -0,0 +1,65 @@
+"""Join the cell: its key, and this host's row."""
+
+import base64
+import os
+
+from papayapick.clients.exceptions import TableUnavailable
+from papayapick.entry.peers import HOSTS_PARTITION
+from papayapick.observability.logs import get_logger
+from papayapick.ownership.pools import CELL_TABLE
+from papayapick.platform.exceptions import ConditionFailed
+from papayapick.platform.store import Expectation, RowWrite
+
+__all__ = ["cell_key", "register"]
+
+_LOG = get_logger(__name__)
+
+_KEY_PARTITION = "key"
+_KEY_BYTES = 32
+_RETRY_SECONDS = 0.2
+
+
+def cell_key(host):
+    """Return the key of the cell, made by the first process that asks."""
+    expectation = Expectation(CELL_TABLE, _KEY_PARTITION, "key", 0)
+    fresh = base64.b64encode(os.urandom(_KEY_BYTES)).decode()
+    write = RowWrite(CELL_TABLE, _KEY_PARTITION, "key", {"key": fresh})
+
+    def try_once():
+        for row in host.store.read(CELL_TABLE, _KEY_PARTITION).rows:
+            return base64.b64decode(row.value["key"])
+        try:
+            host.store.transact([expectation], [write])
+        except ConditionFailed:
+            _LOG.info("another host made the key")
+        return None
+
+    while True:
+        asked_at = host.clock.monotonic()
+        key = _persist(host, try_once)
+        if key is not None:
+            host.store_seconds = host.clock.monotonic() - asked_at
+            return key
+
+
+def register(host):
+    """Let the other hosts know this one."""
+    settings = host.settings
+    address, port = settings.peer_address
+    value = {
+        "address": address,
+        "port": port,
+        "zone": settings.zone,
+        "region": settings.region,
+    }
+    write = RowWrite(CELL_TABLE, HOSTS_PARTITION, settings.host_name, value)
+    _persist(host, lambda: host.store.transact([], [write]))
+
+
+def _persist(host, step):
+    while True:
+        try:
+            return step()
+        except TableUnavailable as error:
+            _LOG.info("store away", extra={"error": str(error)})
+            host.clock.wait(host.stopping, _RETRY_SECONDS)
--- a/papayapick/entry/peers.py
+++ b/papayapick/entry/peers.py
@@ -164,7 +164,7 @@
         self._host = host
         self._owner = owner
         self._peer = peer
-        self._news = owner.all_states()
+        self._news = owner.news.all_states()
         self._lock = threading.Lock()
         self._wakeup = threading.Event()
 
@@ -197,7 +197,7 @@
                 del self._news[identifier]
             if self._news:
                 self._wakeup.set()
-        loads = self._owner.waiting_jobs()
+        loads = self._owner.news.waiting_jobs()
         may_lack_records = self._owner.may_lack_records()
         beat = PoolBeat(
             pool=self._owner.pool,
@@ -207,7 +207,7 @@
             queue_loads=[
                 QueueLoad(queue=queue, waiting=count) for queue, count in loads.items()
             ],
-            gives_way=self._owner.gives_way(),
+            gives_way=self._owner.standing.gives_way(),
             may_lack_records=may_lack_records,
         )
         asked_at = self._host.clock.monotonic()
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -1,15 +1,14 @@
 """Put the parts of an entry host together."""
 
-import base64
 import os
 import threading
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import ThreadPoolExecutor
 
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.clients.http import HttpPool
 from papayapick.clock import BootClock
 from papayapick.entry.acceptance import Acceptance
-from papayapick.entry.advisers import Adviser
+from papayapick.entry.advisers import AdviceDesk
 from papayapick.entry.application import Application
 from papayapick.entry.board import StateBoard
 from papayapick.entry.candidacy import Candidacy
@@ -19,25 +18,24 @@
     OWNER_WAIT_SECONDS,
     follow_table,
 )
+from papayapick.entry.joining import cell_key, register
 from papayapick.entry.peers import HOSTS_PARTITION, OwnerLine, Peers
 from papayapick.entry.relays import RelayedStore, StoreRelay
 from papayapick.entry.servers import FrontServer
+from papayapick.entry.store_health import StoreHealth
 from papayapick.entry.writers import GroupWriter
 from papayapick.jobs.queues import Queue
 from papayapick.observability.logs import get_logger
-from papayapick.ownership.pools import CELL_TABLE, pool_row
-from papayapick.platform.exceptions import ConditionFailed
-from papayapick.platform.store import Expectation, RowWrite, Store
+from papayapick.ownership.pools import CELL_TABLE, pool_row, read_pool
+from papayapick.platform.store import Store
 from papayapick.wire import CellKeys, PeerServer
 from papayapick.wire.messages import (
     AdviceQuery,
-    AdviceReply,
     Hello,
     OwnerQuery,
     PoolBeat,
     PoolBeatAnswer,
     StoreCall,
-    Ticket,
 )
 
 __all__ = ["EntryHost"]
@@ -47,13 +45,6 @@
 _TASKS = 256
 _STORE_CALL_SECONDS = 2.0
 _WORKER_CALL_SECONDS = 1.0
-_KEY_PARTITION = "key"
-_KEY_BYTES = 32
-_START_RETRY_SECONDS = 0.2
-# Followers have an answer each 1.2 s when nothing changes.
-_STORE_OVERDUE_SECONDS = 1.7
-# Stands for "not at all" where the age of its last answer is told.
-_LOST_AGE_SECONDS = 1000.0
 # Without a word of the store for so long, a host is not ready for callers.
 _STORE_AWAY_SECONDS = 2.6
 # Before the platform kills the process, what is under way has ended.
@@ -86,16 +77,12 @@
             self.relayed_store, self.clock, self.stopping, self.executor
         )
         self.acceptance = Acceptance(self.relayed_store, self.writer, self.board)
-        self.adviser = Adviser(settings.advice_address, HttpPool(_WORKER_CALL_SECONDS))
+        self.advice = AdviceDesk(self, HttpPool(_WORKER_CALL_SECONDS))
         self.peers = None
         # Seconds that a short call of the store takes from here.
         self.store_seconds = 0.0
-        self._store_answered_at = None
-        self._store_failed_at = None
-        self._store_lost_at = None
+        self.store_health = StoreHealth(self.clock)
         self._relay = StoreRelay(self)
-        self._advice_seconds = 0.0
-        self._advice_lock = threading.Lock()
         self._candidacies = {}
         self._lines = {}
         self._queues = {}
@@ -134,47 +121,7 @@
         """Return whether this host can accept jobs."""
         if self.is_draining or self.configuration.current is None:
             return False
-        return self._store_age() < _STORE_AWAY_SECONDS
-
-    def is_store_lost(self):
-        """Return whether the store did not answer this host lately."""
-        if self._store_answered_at is None:
-            return True
-        if self._store_age() > _STORE_OVERDUE_SECONDS:
-            if self._store_lost_at is None:
-                self._store_lost_at = self.clock.monotonic()
-            return True
-        failed_at = self._store_failed_at
-        return failed_at is not None and failed_at > self._store_answered_at
-
-    def note_store_failure(self):
-        """Note that a call of the store had no answer or was refused."""
-        now = self.clock.monotonic()
-        if self._store_lost_at is None:
-            self._store_lost_at = now
-        self._store_failed_at = now
-
-    def store_lost_at(self):
-        """Return since when the store fails to answer this host, or None."""
-        return self._store_lost_at if self.is_store_lost() else None
-
-    def note_store_word(self):
-        """Note that the store has answered."""
-        self._store_answered_at = self.clock.monotonic()
-        self._store_lost_at = None
-
-    def store_age(self):
-        """Return the seconds since the store last answered this host.
-
-        Long where its last call failed: what it said before is no sign that it
-        would answer now.
-        """
-        return _LOST_AGE_SECONDS if self.is_store_lost() else self._store_age()
-
-    def _store_age(self):
-        if self._store_answered_at is None:
-            return float("inf")
-        return self.clock.monotonic() - self._store_answered_at
+        return self.store_health.age() < _STORE_AWAY_SECONDS
 
     def _run_loop(self, name, step):
         try:
@@ -186,7 +133,7 @@
             os._exit(1)
 
     def _join(self):
-        keys = CellKeys([self._cell_key()])
+        keys = CellKeys([cell_key(self)])
         settings = self.settings
         identity = Hello(
             host=settings.host_name, region=settings.region, zone=settings.zone
@@ -201,7 +148,7 @@
             on_end=self._note_peer_end,
         )
         self._peer_server.start()
-        self._register()
+        register(self)
         for name, step in (
             ("configuration", self.configuration.run),
             ("cell", self._follow_cell),
@@ -209,48 +156,6 @@
         ):
             self.executor.submit(self._run_loop, name, step)
 
-    def _cell_key(self):
-        """Return the key of the cell, made by the first process that asks."""
-        expectation = Expectation(CELL_TABLE, _KEY_PARTITION, "key", 0)
-        fresh = base64.b64encode(os.urandom(_KEY_BYTES)).decode()
-        write = RowWrite(CELL_TABLE, _KEY_PARTITION, "key", {"key": fresh})
-
-        def try_once():
-            for row in self.store.read(CELL_TABLE, _KEY_PARTITION).rows:
-                return base64.b64decode(row.value["key"])
-            try:
-                self.store.transact([expectation], [write])
-            except ConditionFailed:
-                _LOG.info("another host made the key")
-            return None
-
-        while True:
-            asked_at = self.clock.monotonic()
-            key = self._persist(try_once)
-            if key is not None:
-                self.store_seconds = self.clock.monotonic() - asked_at
-                return key
-
-    def _register(self):
-        settings = self.settings
-        address, port = settings.peer_address
-        value = {
-            "address": address,
-            "port": port,
-            "zone": settings.zone,
-            "region": settings.region,
-        }
-        write = RowWrite(CELL_TABLE, HOSTS_PARTITION, settings.host_name, value)
-        self._persist(lambda: self.store.transact([], [write]))
-
-    def _persist(self, step):
-        while True:
-            try:
-                return step()
-            except TableUnavailable as error:
-                _LOG.info("store away", extra={"error": str(error)})
-                self.clock.wait(self.stopping, _START_RETRY_SECONDS)
-
     # What the store says.
 
     def follow(self, table, version, on_rows, read_all, stopping):
@@ -264,11 +169,11 @@
             read_all,
             stopping,
             self._note_store_answer,
-            self.note_store_failure,
+            self.store_health.note_failure,
         )
 
     def _note_store_answer(self, asked_at):
-        self.note_store_word()
+        self.store_health.note_word()
 
     def _follow_cell(self):
         follow_table(
@@ -280,7 +185,7 @@
             self._read_cell,
             self.stopping,
             self._note_cell_answer,
-            self.note_store_failure,
+            self.store_health.note_failure,
             self._cell_wait_seconds,
         )
 
@@ -309,7 +214,7 @@
         self._note_store_answer(asked_at)
         for candidacy in list(self._candidacies.values()):
             if candidacy.is_owner:
-                candidacy.owner.note_confirmed(asked_at)
+                candidacy.owner.standing.note_confirmed(asked_at)
 
     def note_configuration(self, configuration):
         """Watch the pools of a new configuration, and renew queues' policies."""
@@ -340,7 +245,7 @@
 
     def note_owner(self, owner):
         """Tell the other hosts of a pool that this one has taken."""
-        self.board.note(owner.all_states())
+        self.board.note(owner.news.all_states())
         with self._lock:
             self._lines = {}
         self._open_lines()
@@ -354,8 +259,6 @@
         self.executor.submit(self._look_at_owner, owner)
 
     def _look_at_owner(self, owner):
-        from papayapick.ownership.pools import read_pool
-
         asked_at = self.clock.monotonic()
         try:
             row = read_pool(self.store, owner.pool)
@@ -363,7 +266,7 @@
             _LOG.info("owner not confirmed", extra={"error": str(error)})
             return
         if row.version == owner.row.version:
-            owner.note_confirmed(asked_at)
+            owner.standing.note_confirmed(asked_at)
         else:
             self._candidacies[owner.pool].note_row(row)
 
@@ -381,11 +284,11 @@
 
     def tell(self, owner):
         """Tell all hosts what has changed in an owner's pool."""
-        news = owner.take_news()
+        news = owner.news.take()
         if not news:
             return
         self.board.note(news)
-        self.board.note_loads(owner.pool, owner.waiting_jobs())
+        self.board.note_loads(owner.pool, owner.news.waiting_jobs())
         with self._lock:
             lines = list(self._lines.values())
         for line in lines:
@@ -398,65 +301,13 @@
                 return self.peers.owned_epoch(peer, row.pool) >= row.epoch
         return False
 
-    # Advice.
-
-    def ask_advice(self, key, workers, expected):
-        """Ask for advice through the host that has least to ask.
-
-        Returns
-        -------
-        concurrent.futures.Future
-            Gives the ticket by worker.
-        """
-        answer = Future()
-        with self._advice_lock:
-            least, peer = self._advice_seconds, None
-            for one in self.peers.live():
-                if one.advice_seconds < least:
-                    least, peer = one.advice_seconds, one
-            self._add_advice(peer, expected)
-        try:
-            if peer is None:
-                asked = self.adviser.ask(str(key), workers, expected)
-            else:
-                asked = self.peers.ask_advice(peer, key, workers, expected)
-        except Exception as error:
-            self._note_advice(peer, expected)
-            answer.set_exception(error)
-            return answer
-        asked.add_done_callback(
-            lambda done: self._pass_advice(done, answer, peer, expected)
-        )
-        return answer
-
-    def _pass_advice(self, done, answer, peer, expected):
-        self._note_advice(peer, expected)
-        error = done.exception()
-        if error is not None:
-            answer.set_exception(error)
-        elif peer is None:
-            answer.set_result(done.result())
-        else:
-            tickets = done.result().tickets
-            answer.set_result({one.worker: one.ticket for one in tickets})
-
-    def _note_advice(self, peer, expected):
-        with self._advice_lock:
-            self._add_advice(peer, -expected)
-
-    def _add_advice(self, peer, seconds):
-        if peer is None:
-            self._advice_seconds += seconds
-        else:
-            peer.advice_seconds += seconds
-
     # Peers' messages.
 
     def _answer(self, payload, peer, traceparent):
         if isinstance(payload, PoolBeat):
             return self._answer_beat(payload)
         if isinstance(payload, AdviceQuery):
-            return self._answer_advice(payload)
+            return self.advice.answer(payload)
         if isinstance(payload, OwnerQuery):
             return self._answer_owner_query(payload)
         if isinstance(payload, StoreCall):
@@ -472,7 +323,7 @@
                 loads = {one.queue: one.waiting for one in beat.queue_loads}
                 self.board.note_loads(beat.pool, loads)
             epoch = candidacy.row.epoch
-        age = min(self.store_age(), _LOST_AGE_SECONDS)
+        age = self.store_health.told_age()
         return PoolBeatAnswer(epoch=epoch, store_age_milliseconds=int(age * 1000))
 
     def _answer_owner_query(self, query):
@@ -480,24 +331,6 @@
         epoch = candidacy.owned_epoch if candidacy is not None else 0
         return PoolBeatAnswer(epoch=epoch, store_age_milliseconds=0)
 
-    def _answer_advice(self, query):
-        answer = Future()
-        expected = query.expected_milliseconds / 1000
-        asked = self.adviser.ask(query.step, list(query.workers), expected)
-
-        def note(done):
-            if done.exception() is not None:
-                answer.set_exception(done.exception())
-                return
-            tickets = [
-                Ticket(worker=worker, ticket=ticket)
-                for worker, ticket in done.result().items()
-            ]
-            answer.set_result(AdviceReply(tickets=tickets))
-
-        asked.add_done_callback(note)
-        return answer
-
     def _note_peer_end(self, peer):
         for candidacy in list(self._candidacies.values()):
             candidacy.note_end(peer)
--- a/papayapick/entry/relays.py
+++ b/papayapick/entry/relays.py
@@ -91,7 +91,7 @@
                 self._note_failure(partition, asked_at)
                 failure = error
             else:
-                self._host.note_store_word()
+                self._host.store_health.note_word()
                 return found
         for peer in self._candidates():
             try:
@@ -107,7 +107,7 @@
     def _is_tried(self, partition):
         now = self._host.clock.monotonic()
         is_paused = now < self._paused_partitions.get(partition, 0.0)
-        return not (is_paused or self._host.is_store_lost())
+        return not (is_paused or self._host.store_health.is_lost())
 
     def _note_failure(self, partition, asked_at):
         """Keep callers behind this one from being sent the same way.
@@ -117,7 +117,7 @@
         """
         now = self._host.clock.monotonic()
         if now - asked_at > _SILENT_SECONDS:
-            self._host.note_store_failure()
+            self._host.store_health.note_failure()
         self._paused_partitions[partition] = now + _PAUSE_SECONDS
 
     def _candidates(self):
@@ -174,7 +174,7 @@
         ----------
         call : StoreCall
         """
-        if self._host.is_store_lost():
+        if self._host.store_health.is_lost():
             done = Future()
             done.set_result(StoreResult(outcome=_REFUSED))
             return done
--- /dev/null
+++ b/papayapick/pool/advising.py
@@ -0,0 +1,119 @@
+"""Ask for advice on steps, ahead of need, through the hosts that have time."""
+
+from papayapick.observability.logs import get_logger
+from papayapick.pool.advice import AdviceBook
+
+__all__ = ["Advising"]
+
+_LOG = get_logger(__name__)
+
+# An order is sent and carried out within this time of the decision.
+_AHEAD_SECONDS = 0.3
+
+
+class Advising:
+    """Want advice where it can be used, and take in the answers.
+
+    Parameters
+    ----------
+    owner : PoolOwner
+    """
+
+    __slots__ = ("_book", "_owner")
+
+    def __init__(self, owner):
+        self._owner = owner
+        self._book = AdviceBook(self._ask)
+
+    def tickets(self, step, now):
+        """Return the valid tickets of a step by worker, or None."""
+        return self._book.tickets(step.key, step.job.queue.advice, now)
+
+    def usable_until(self, step):
+        """Return when the tickets of a step are too old to be sent."""
+        return self._book.usable_until(step.key)
+
+    def drop_ticket(self, run):
+        """Forget the ticket of a start that its worker refused for it."""
+        self._book.drop_ticket(run.key.step_key, run.worker)
+
+    def want_first(self, job, now):
+        """Ask for advice on the steps of a job that are ready."""
+        if job.is_final:
+            return
+        for step in job.steps():
+            if step.is_ready and not step.is_done:
+                self.want(step, now)
+
+    def want(self, step, now):
+        """Ask for advice on a step where it can be used."""
+        policy = step.job.queue.advice
+        if policy is None:
+            return
+        able = [
+            room
+            for room in self._owner.rooms.able(step.step)
+            if not room.registration.is_leaving
+        ]
+        unfit = self._book.unfit(step.key)
+        # A ticket ages: it is asked for again only where it can be used.
+        demand = step.step.room_demand
+        if not unfit or any(
+            room.worker not in unfit and room.has_room(demand) for room in able
+        ):
+            names = [room.worker for room in able]
+            self._book.want(step.key, policy, names, now)
+
+    def ask_ahead(self, now):
+        """Ask for the advice on a step while the one before it is about to end."""
+        for job in self._owner.book.jobs():
+            if job.is_final or job.queue.advice is None:
+                continue
+            for steps in job.occurrences.values():
+                for step in steps:
+                    if step.is_ready or not step.step.after:
+                        continue
+                    rest = max(
+                        self._rest_seconds(steps[number], now)
+                        for number in step.step.after
+                    )
+                    workers = len(self._owner.rooms)
+                    expected = job.queue.advice.expected_seconds(workers)
+                    if rest < expected + _AHEAD_SECONDS:
+                        self.want(step, now)
+
+    @staticmethod
+    def _rest_seconds(step, now):
+        """Return how long a step may still run, going by its progress."""
+        if step.is_done:
+            return 0.0
+        if not step.is_ready or step.waiting:
+            return float("inf")
+        rest = 0.0
+        for task in step.tasks:
+            for run in task.runs:
+                elapsed = now - run.since
+                done = run.percent / 100
+                if done > 0.05:
+                    total = (run.percent_at - run.since) / done
+                else:
+                    total = step.step.estimate_seconds
+                rest = max(rest, total - elapsed)
+        return rest
+
+    def _ask(self, key, workers, expected):
+        future = self._owner.host.advice.ask(key, workers, expected)
+        future.add_done_callback(lambda done: self._note(key, done))
+
+    def _note(self, key, done):
+        error = done.exception()
+        with self._owner.lock:
+            step = self._owner.book.step_of(key)
+            if error is not None:
+                _LOG.info("no advice", extra={"step": str(key), "error": str(error)})
+                self._book.note_failure(key)
+            elif step is not None:
+                now = self._owner.now()
+                policy = step.job.queue.advice
+                self._book.note_answer(key, done.result(), policy, now)
+        self._owner.wake()
--- /dev/null
+++ b/papayapick/pool/decisions.py
@@ -0,0 +1,156 @@
+"""Decide what starts where, what is copied, and what makes room."""
+
+from papayapick.observability.logs import get_logger
+from papayapick.placement.copies import stragglers
+from papayapick.placement.preemption import choose_victims, may_preempt
+from papayapick.placement.steps import order_steps, place_step
+from papayapick.pool.orders import Start
+from papayapick.pool.reports import run_fields
+
+__all__ = ["Decisions"]
+
+_LOG = get_logger(__name__)
+
+
+class Decisions:
+    """Place waiting tasks, and keep their starts until their record is durable.
+
+    Parameters
+    ----------
+    owner : PoolOwner
+    """
+
+    __slots__ = ("_owner", "_unsent")
+
+    def __init__(self, owner):
+        self._owner = owner
+        self._unsent = []
+
+    def place(self, now):
+        """Place what waits, the most urgent first; starts wait for their record."""
+        for step in order_steps(self._owner.book.waiting_steps()):
+            allowed = None
+            if step.job.queue.advice is not None:
+                allowed = self._owner.advising.tickets(step, now)
+                if allowed is None:
+                    self._owner.advising.want(step, now)
+                    continue
+            runs = place_step(step, self._owner.rooms, allowed, self._begin)
+            for run in runs:
+                ticket = allowed.get(run.worker, "") if allowed else ""
+                checkpoint = step.tasks[run.key.index].checkpoint
+                payload = step.job.document.payload
+                usable_until = self._owner.advising.usable_until(step)
+                self._unsent.append(
+                    Start(run, payload, checkpoint, ticket, usable_until)
+                )
+        if self._unsent and self._owner.recording.may_send(
+            self._owner.host.peers.all()
+        ):
+            self.send_starts(self.take_unsent())
+
+    def _begin(self, step, index, worker, attempt):
+        now = self._owner.now()
+        run = self._owner.book.begin(step, index, worker, now, attempt)
+        self._owner.rooms.get(worker).reserve(run)
+        return run
+
+    def start_copies(self, now):
+        """Start second copies of stragglers that other workers have room for."""
+        for job in self._owner.book.jobs():
+            if job.is_final:
+                continue
+            for step in job.steps():
+                for index in stragglers(step, now):
+                    self._start_copy(step, index, now)
+
+    def _start_copy(self, step, index, now):
+        policy, allowed = step.job.queue.advice, None
+        if policy is not None:
+            allowed = self._owner.advising.tickets(step, now)
+            if allowed is None:
+                self._owner.advising.want(step, now)
+                return
+        slow = step.tasks[index].runs[0].worker
+        step.tasks[index].avoid.add(slow)
+        room = self._owner.rooms.choose(step, index, allowed)
+        if room is None or room.worker == slow:
+            return
+        run = self._begin(step, index, room.worker, None)
+        ticket = allowed.get(run.worker, "") if allowed else ""
+        usable_until = self._owner.advising.usable_until(step)
+        payload = step.job.document.payload
+        self._unsent.append(Start(run, payload, "", ticket, usable_until))
+        _LOG.info("second copy", extra={**run_fields(run), "slow": slow})
+
+    def preempt(self, now):
+        """Stop patient tasks for the most urgent step that finds no room."""
+        for step in order_steps(self._owner.book.waiting_steps()):
+            if step.step.is_gang or not may_preempt(step, now):
+                continue
+            policy, allowed = step.job.queue.advice, None
+            if policy is not None:
+                allowed = self._owner.advising.tickets(step, now)
+                if allowed is None:
+                    continue
+            victims = choose_victims(
+                step, self._owner.rooms, allowed, self._victim_priority
+            )
+            if not victims:
+                continue
+            step.preempted_at = now
+            for run in victims:
+                _LOG.info(
+                    "stopped for an urgent task",
+                    extra={**run_fields(run), "urgent": str(step.key)},
+                )
+                self._owner.orders.stop_once(run, now)
+            return
+
+    def _victim_priority(self, run):
+        step = self._owner.book.step_of(run.key)
+        if step is None or step.job.is_final:
+            return None
+        found = step.step
+        if not found.has_checkpoints or found.is_gang or found.is_lasting:
+            return None
+        return step.job.queue.priority
+
+    def take_unsent(self, identifiers=None):
+        """Return starts that are not ordered yet, and forget them.
+
+        Parameters
+        ----------
+        identifiers : set of str, optional
+            Only those of these jobs.
+        """
+        if identifiers is None:
+            taken, self._unsent = self._unsent, []
+            return taken
+        taken = [one for one in self._unsent if one.run.key.job in identifiers]
+        self._unsent = [
+            one for one in self._unsent if one.run.key.job not in identifiers
+        ]
+        return taken
+
+    def has_urgent_records(self):
+        """Return whether a start or a final state waits for its record."""
+        with self._owner.lock:
+            if self._unsent:
+                return True
+            jobs = (
+                self._owner.book.get(identifier)
+                for identifier in self._owner.book.changed
+            )
+            return any(job is not None and job.is_final for job in jobs)
+
+    def put_back_unsent(self, starts):
+        """Keep starts whose record could not be written."""
+        self._unsent = starts + self._unsent
+
+    def send_starts(self, starts):
+        """Order starts."""
+        for start in starts:
+            link = self._owner.links_by_worker.get(start.run.worker)
+            if link is not None:
+                self._owner.orders.start(link, start)
--- a/papayapick/pool/journal.py
+++ b/papayapick/pool/journal.py
@@ -108,7 +108,7 @@
         """Wait for more to commit, shortly where a caller waits for it."""
         self._owner.pause(_GATHER_SECONDS)
         rest = _GATHER_ENDS_SECONDS - _GATHER_SECONDS
-        while rest > 0 and not self._owner.has_urgent_records():
+        while rest > 0 and not self._owner.decisions.has_urgent_records():
             self._owner.pause(_GATHER_SECONDS)
             rest -= _GATHER_SECONDS
 
@@ -130,7 +130,7 @@
             roster = owner.roster.take_changed()
             writes = roster + [self._write(job) for job in changed]
             statuses = [job.status for job in changed]
-            starts = owner.take_unsent({job.identifier for job in changed})
+            starts = owner.decisions.take_unsent({job.identifier for job in changed})
             # Ends whose jobs are in a later batch must not be acknowledged yet.
             is_all = not owner.book.changed
             ends = [
@@ -143,13 +143,13 @@
         if writes and not self._transact(writes):
             with owner.lock:
                 owner.book.changed.update(job.identifier for job in changed)
-                owner.put_back_unsent(starts)
+                owner.decisions.put_back_unsent(starts)
                 owner.roster.put_back(roster)
             owner.pause(_RETRY_SECONDS)
             return True
         # A start is ordered only now: whoever takes over knows where each task may
         # run, and waits only for workers that are silent and were given some.
-        owner.send_starts(starts)
+        owner.decisions.send_starts(starts)
         with owner.lock:
             for job, status in zip(changed, statuses, strict=True):
                 job.durable_status = status
@@ -157,7 +157,7 @@
                     owner.book.news.add(job.identifier)
             for link, number in ends:
                 link.acknowledge(number)
-        owner.note_committed()
+        owner.wake()
         return True
 
     def _take_changed(self):
@@ -216,7 +216,7 @@
             self._owner.note_commit(None)
             return False
         self._owner.note_commit(self._clock.monotonic() - asked_at)
-        self._owner.note_confirmed(asked_at)
+        self._owner.standing.note_confirmed(asked_at)
         return True
 
     def _was_own_write(self, rows):
--- /dev/null
+++ b/papayapick/pool/lists.py
@@ -0,0 +1,177 @@
+"""Take in what workers list: their runs, their ends, and their silence."""
+
+from papayapick.jobs.runs import RunPhase
+from papayapick.observability.logs import get_logger
+from papayapick.placement.pace import Pacer
+from papayapick.pool.reports import EndOutcome, run_fields
+from papayapick.pool.settling import QUIET_SECONDS
+
+__all__ = ["WorkerLists"]
+
+_LOG = get_logger(__name__)
+
+
+class WorkerLists:
+    """Hear the links to workers, and keep book and rooms in step with their lists.
+
+    Parameters
+    ----------
+    owner : PoolOwner
+    """
+
+    __slots__ = ("_owner", "_pacer")
+
+    def __init__(self, owner):
+        self._owner = owner
+        self._pacer = Pacer()
+
+    def may_act(self):
+        """Return whether leases may be renewed."""
+        return self._owner.may_act()
+
+    def is_paced(self, link):
+        """Return whether a worker has tasks that others beside them may disturb."""
+        room = self._owner.rooms.get(link.worker)
+        return room is not None and room.filler_processors and room.serving
+
+    def note_report(self, link, report, asked_at):
+        """Take in what a worker lists.
+
+        Parameters
+        ----------
+        link : WorkerLink
+        report : WorkerReport
+        asked_at : float
+            Monotonic seconds; what was confirmed before is reflected in it.
+        """
+        with self._owner.lock:
+            room = self._owner.rooms.get(link.worker)
+            if room is None:
+                return
+            now = self._owner.now()
+            for end in report.ends:
+                if end.number > link.processed:
+                    self._take_end(link, room, end, now)
+            if asked_at >= link.newest_asked_at:
+                link.newest_asked_at = asked_at
+                self._take_runs(link, room, report, now)
+                self._drop_vanished(room, report, asked_at, now)
+            if not link.is_inventoried:
+                link.is_inventoried = True
+                # What an earlier owner started there is under a lease that it gave.
+                link.lapse_at = max(link.lapse_at, self._owner.taken_at + QUIET_SECONDS)
+                self._owner.settling.note_inventory(now)
+            self.open_or_close(link)
+            self._drop_stopped(room, report, asked_at, now)
+            for run, percent in self._pacer.decide(room, now):
+                self._owner.orders.pace(link, run, percent)
+            self._owner.orders.stop_unneeded()
+            has_ends = link.processed > link.acknowledged
+        self._owner.wake()
+        if has_ends or self._owner.book.changed:
+            self._owner.journal.wake()
+
+    def note_silence(self, link):
+        """Close a worker that did not answer."""
+        with self._owner.lock:
+            self.open_or_close(link)
+
+    def note_fenced(self, link):
+        """Ask whether the pool was lost: a worker has seen a newer epoch."""
+        _LOG.warning("fenced by a worker", extra={"worker": link.worker})
+        self._owner.standing.doubt()
+        self._owner.host.look_at_owner(self._owner)
+
+    def note_rebirth(self, link):
+        """Take note that all that ran on a worker is gone."""
+        with self._owner.lock:
+            self.lose_runs(link)
+        self._owner.wake()
+
+    def open_or_close(self, link):
+        """Let tasks be placed on a worker, or not."""
+        room = self._owner.rooms.get(link.worker)
+        if room is not None:
+            room.is_open = (
+                link.is_inventoried
+                and not link.is_silent
+                and not link.registration.is_leaving
+            )
+
+    def _take_end(self, link, room, end, now):
+        run = room.runs.get((end.key, end.attempt))
+        self._owner.book.end(
+            end.key, end.attempt, end.outcome, end.checkpoint, link.worker, now
+        )
+        if run is not None:
+            room.release(run)
+        link.processed = end.number
+
+    def _take_runs(self, link, room, report, now):
+        for found in report.runs:
+            run = room.runs.get((found.key, found.attempt))
+            if run is None:
+                run = self._owner.book.adopt(found, link.worker, now)
+                room.reserve(run)
+            if run.phase in (RunPhase.ORDERED, RunPhase.UNSURE):
+                if run.phase == RunPhase.UNSURE:
+                    _LOG.info("late start found", extra=run_fields(run))
+                self._owner.book.note_started(run)
+            run.was_seen = True
+            run.percent, run.percent_at = found.percent, now
+            run.figure = found.figure
+            if found.checkpoint != run.checkpoint:
+                run.checkpoint = found.checkpoint
+                self._owner.book.note_checkpoint(run)
+
+    def _drop_vanished(self, room, report, asked_at, now):
+        """Give up runs that a worker listed once and lists no more.
+
+        Lists asked for on two connections may overtake each other: an old one
+        shows a run whose end was taken note of, and nothing more is heard of it.
+        Its task would wait for that end for ever.
+        """
+        listed = {(found.key, found.attempt) for found in report.runs}
+        for run in list(room.runs.values()):
+            if run.was_seen and run.percent_at < asked_at and run.name not in listed:
+                _LOG.warning("run vanished", extra=run_fields(run))
+                room.release(run)
+                self._owner.book.end(
+                    run.key, run.attempt, EndOutcome.LAPSED, "", run.worker, now
+                )
+
+    def _drop_stopped(self, room, report, asked_at, now):
+        """Give back what was stopped before it started.
+
+        A stop that was answered makes a later start of the run fail; a list asked
+        for after that, with the run in neither part, shows that it never ran.
+        """
+        listed = {(found.key, found.attempt) for found in report.runs}
+        for run in list(room.runs.values()):
+            confirmed = run.stop_confirmed
+            if confirmed is None or confirmed > asked_at or run.name in listed:
+                continue
+            room.release(run)
+            self._owner.book.drop(run, now)
+
+    def lose_runs(self, link):
+        """Take note that no run on a worker can be at work any more."""
+        room = self._owner.rooms.get(link.worker)
+        if room is None:
+            return
+        now = self._owner.now()
+        if room.runs:
+            _LOG.info(
+                "runs lost with their worker",
+                extra={
+                    "worker": link.worker,
+                    "runs": len(room.runs),
+                    "silent_seconds": round(now - (link.failed_since or now), 3),
+                },
+            )
+        for run in list(room.runs.values()):
+            room.release(run)
+            self._owner.book.end(
+                run.key, run.attempt, EndOutcome.LAPSED, "", link.worker, now
+            )
+        self._owner.orders.stop_unneeded()
--- a/papayapick/pool/orders.py
+++ b/papayapick/pool/orders.py
@@ -3,7 +3,7 @@
 from papayapick.jobs.runs import RunPhase
 from papayapick.observability.logs import get_logger
 from papayapick.platform.exceptions import CheckFailed, WorkerSilent
-from papayapick.pool.reports import StartOutcome
+from papayapick.pool.reports import StartOutcome, run_fields
 
 __all__ = ["Orders", "Start"]
 
@@ -66,6 +66,60 @@
         """Order the share of its processors at which a run works."""
         self._submit(self._pace, link, run, percent)
 
+    def note_start(self, link, run, outcome):
+        """Take note of what became of an order to start."""
+        with self._owner.lock:
+            room = self._owner.rooms.get(link.worker)
+            if room is None or run.name not in room.runs:
+                return
+            now = self._owner.now()
+            if outcome == StartOutcome.STARTED:
+                self._owner.book.note_started(run)
+            elif outcome == StartOutcome.UNKNOWN:
+                if run.phase == RunPhase.ORDERED:
+                    run.phase = RunPhase.UNSURE
+                    _LOG.info("start without an answer", extra=run_fields(run))
+                    self.stop_once(run, now)
+            else:
+                self._note_not_started(room, run, outcome, now)
+            self.stop_unneeded()
+        if outcome == StartOutcome.FENCED:
+            self._owner.lists.note_fenced(link)
+        self._owner.wake()
+
+    def _note_not_started(self, room, run, outcome, now):
+        _LOG.info("start refused", extra={**run_fields(run), "reason": outcome.value})
+        room.release(run)
+        if outcome == StartOutcome.TICKET_INVALID:
+            self._owner.advising.drop_ticket(run)
+        elif outcome in (StartOutcome.NO_ROOM, StartOutcome.REFUSED):
+            step = self._owner.book.step_of(run.key)
+            if step is not None:
+                step.tasks[run.key.index].avoid.add(run.worker)
+        self._owner.book.drop(run, now)
+
+    def note_stop_confirmed(self, run):
+        """Note that a worker has taken a stop."""
+        with self._owner.lock:
+            run.stop_confirmed = self._owner.now()
+
+    def stop_unneeded(self):
+        """Order the stops that the book asks for."""
+        now = self._owner.now()
+        runs, self._owner.book.to_stop = self._owner.book.to_stop, []
+        for run in runs:
+            self.stop_once(run, now)
+
+    def stop_once(self, run, now):
+        """Order a run to stop, once; its room is taken until its end is sure."""
+        if run.stop_requested is not None:
+            return
+        link = self._owner.links_by_worker.get(run.worker)
+        run.phase = RunPhase.STOPPING
+        run.stop_requested = now
+        if link is not None:
+            self.stop(link, run)
+
     def _submit(self, step, *args):
         with self._owner.lock:
             # Nothing is ordered once the pool was left.
@@ -92,7 +146,7 @@
                 start.checkpoint,
                 start.ticket,
             )
-        owner.note_start(link, run, outcome)
+        self.note_start(link, run, outcome)
 
     def _stop(self, link, run):
         owner = self._owner
@@ -107,7 +161,7 @@
                 extra={"worker": link.worker, "status": error.details["status"]},
             )
             return
-        owner.note_stop_confirmed(run)
+        self.note_stop_confirmed(run)
         if run.phase == RunPhase.STOPPING and not run.was_seen:
             # It may never have started; then no end is listed for it, and only a
             # list asked for from now on shows that its room is free.
--- a/papayapick/pool/reports.py
+++ b/papayapick/pool/reports.py
@@ -9,6 +9,7 @@
     "RunReport",
     "StartOutcome",
     "WorkerReport",
+    "run_fields",
 ]
 
 
@@ -165,3 +166,14 @@
         self.born = born
         self.runs = runs
         self.ends = ends
+
+
+def run_fields(run):
+    """Return the fields by which a line of the log names a run."""
+    return {
+        "request_id": run.key.job,
+        "step": run.key.step,
+        "task": run.key.index,
+        "attempt": run.attempt,
+        "worker": run.worker,
+    }
--- /dev/null
+++ b/papayapick/pool/settling.py
@@ -0,0 +1,96 @@
+"""Find out, after a takeover, what runs where."""
+
+from papayapick.observability.logs import get_logger
+from papayapick.pool.links import LEASE_SECONDS
+from papayapick.pool.standing import UNCONFIRMED_SECONDS
+
+__all__ = ["QUIET_SECONDS", "Settling"]
+
+_LOG = get_logger(__name__)
+
+# A worker that did not answer a new owner may run what the old one started there
+# until that lease is over.
+QUIET_SECONDS = UNCONFIRMED_SECONDS + LEASE_SECONDS / 0.98
+# What was found at the workers is recorded so long after the last of them answered.
+_RECORDED_SECONDS = 1.0
+
+
+class Settling:
+    """Keep back tasks that may run unseen, until that is known.
+
+    Parameters
+    ----------
+    owner : PoolOwner
+    is_journal_exact : bool
+        Whether each start of before is known to have been recorded.
+    """
+
+    __slots__ = ("_is_journal_exact", "_is_settled", "_owner", "_settled_at")
+
+    def __init__(self, owner, is_journal_exact):
+        self._owner = owner
+        self._is_journal_exact = is_journal_exact
+        self._is_settled = False
+        self._settled_at = None
+
+    @property
+    def is_settled(self):
+        """Return whether it is known where all tasks of before run."""
+        return self._is_settled
+
+    def begin(self):
+        """Keep back what may run unseen.
+
+        Exact journals name the worker of each start before it is ordered; without
+        one, any task may run on a worker that has not answered.
+        """
+        self._owner.book.hold(
+            lambda task: bool(task.place) or not self._is_journal_exact
+        )
+
+    def note_inventory(self, now):
+        """Let go what no worker that is still silent can run."""
+        if self._is_settled:
+            return
+        silent = sorted(
+            link.worker
+            for link in self._owner.links_by_worker.values()
+            if not link.is_inventoried
+        )
+        is_over = now > self._owner.taken_at + QUIET_SECONDS
+        self._owner.book.let_go(
+            lambda task: is_over or self._is_clear(task, bool(silent)), now
+        )
+        if is_over or not (silent or self._owner.book.has_held):
+            self._owner.book.let_all_go(now)
+            self._is_settled = True
+            self._settled_at = now
+            _LOG.info(
+                "pool settled",
+                extra={
+                    "pool": self._owner.pool,
+                    "seconds": round(now - self._owner.taken_at, 3),
+                    "silent": silent,
+                },
+            )
+
+    def _is_clear(self, task, has_silent):
+        """Return whether a task of before can't run at a worker unseen.
+
+        A worker that is leaving may have left the list and run on; its tasks are
+        kept back though all workers of the list have answered.
+        """
+        if task.place:
+            link = self._owner.links_by_worker.get(task.place)
+            return link is not None and link.is_inventoried
+        return not has_silent
+
+    def may_lack_records(self):
+        """Return whether a successor must not trust the records of starts.
+
+        An owner that took over from one that ordered starts without records knows
+        them only when all workers have answered, and records what it found then.
+        """
+        if self._settled_at is None:
+            return True
+        return self._owner.now() - self._settled_at < _RECORDED_SECONDS
--- /dev/null
+++ b/papayapick/pool/standing.py
@@ -0,0 +1,86 @@
+"""Judge whether an owner may still decide, or should be replaced."""
+
+__all__ = ["UNCONFIRMED_SECONDS", "Standing"]
+
+# An owner that had no word for so long whether it still owns the pool orders
+# nothing. Leases last longer, so what runs is not lost by a short pause.
+UNCONFIRMED_SECONDS = 2.0
+# Another host had an answer so long after this one had none: then the store is not
+# down for all. Hosts notice an outage within tenths of a second of each other.
+_STORE_MARGIN_SECONDS = 0.4
+
+
+class Standing:
+    """Hold the last word that a pool is still its owner's.
+
+    Parameters
+    ----------
+    host : EntryHost
+
+    Attributes
+    ----------
+    is_leaving : bool
+        The owner was told to stop, and asks for a successor.
+    """
+
+    __slots__ = ("_confirmed_at", "_host", "is_leaving")
+
+    def __init__(self, host):
+        self._host = host
+        self._confirmed_at = host.clock.monotonic()
+        self.is_leaving = False
+
+    def is_confirmed(self):
+        """Return whether the last word is recent enough to act upon.
+
+        A process that was suspended or cut off may have been replaced without
+        knowing. Workers that the new owner reached refuse it; for the others the
+        new owner waits, and this bound makes that wait long enough.
+        """
+        age = self._host.clock.monotonic() - self._confirmed_at
+        return age < UNCONFIRMED_SECONDS
+
+    def doubt(self):
+        """Act no more until there is a new word."""
+        self._confirmed_at = float("-inf")
+
+    def note_peer(self, peer, asked_at):
+        """Take in that a peer knows of no newer owner.
+
+        A host that has lately had word from the store confirms this owner as well
+        as the store itself would. While the store answers nobody, the owner goes on
+        if most hosts are heard: then nobody can take over either.
+        """
+        if peer.store_age < UNCONFIRMED_SECONDS:
+            self.note_confirmed(asked_at - peer.store_age)
+        elif self.is_alone_in_charge():
+            self.note_confirmed(asked_at)
+
+    def note_confirmed(self, asked_at):
+        """Note that the pool was still this owner's at a time."""
+        self._confirmed_at = max(self._confirmed_at, asked_at)
+
+    def gives_way(self):
+        """Return whether another host should take over.
+
+        An owner that the store does not answer can neither see new jobs nor record
+        ends. While other hosts are answered, one of them does better. This owner
+        goes on until it is replaced: if the store is down for all, nobody else can
+        do more.
+        """
+        if self.is_leaving:
+            return True
+        lost_at = self._host.store_health.lost_at()
+        if lost_at is None:
+            return False
+        return any(
+            peer.answered_at - peer.store_age > lost_at + _STORE_MARGIN_SECONDS
+            for peer in self._host.peers.live()
+        )
+
+    def is_alone_in_charge(self):
+        """Return whether most hosts are heard, and none of them has the store."""
+        peers, live = self._host.peers.all(), self._host.peers.live()
+        if 2 * (len(live) + 1) <= len(peers) + 1:
+            return False
+        return not any(peer.store_age < UNCONFIRMED_SECONDS for peer in live)
--- a/tests/entry/test_candidacy.py
+++ b/tests/entry/test_candidacy.py
@@ -36,7 +36,11 @@
         # Addresses at which nobody owns the pool, though a process may listen.
         self.not_owning = set()
 
-    def is_store_lost(self):
+    @property
+    def store_health(self):
+        return self
+
+    def is_lost(self):
         return False
 
     def is_owned_by(self, row):
--- a/tests/entry/test_relays.py
+++ b/tests/entry/test_relays.py
@@ -43,6 +43,22 @@
         return future
 
 
+class Health:
+    """Say whether the store is lost, as told."""
+
+    def __init__(self):
+        self.is_down = False
+
+    def is_lost(self):
+        return self.is_down
+
+    def note_failure(self):
+        self.is_down = True
+
+    def note_word(self):
+        self.is_down = False
+
+
 class Host:
     """Stand for an entry host with its store and its peers."""
 
@@ -51,22 +67,13 @@
         self.store = Store()
         self.executor = Executor()
         self.peers = self
-        self.is_lost = False
+        self.store_health = Health()
         self.stopping = threading.Event()
         self._peers = [Peer(peer) for peer in peers]
 
     def all(self):
         return list(self._peers)
 
-    def is_store_lost(self):
-        return self.is_lost
-
-    def note_store_failure(self):
-        self.is_lost = True
-
-    def note_store_word(self):
-        self.is_lost = False
-
 
 class Peer:
     def __init__(self, host):
@@ -122,13 +129,13 @@
 
 
 def test_store_that_is_lost_is_not_tried_first(host, other):
-    host.is_lost = True
+    host.store_health.is_down = True
     RelayedStore(host).transact([EXPECTATION], [WRITE])
     assert host.store.written == []
 
 
 def test_rows_are_read_through_another_host(host):
-    host.is_lost = True
+    host.store_health.is_down = True
     (row,) = RelayedStore(host).read("jobs", "pool", "j1", "j1~", 3)
     assert (row.key, row.value, row.version) == ("j1", {"n": 1}, 7)
 
@@ -155,15 +162,15 @@
 
 def test_unknown_stays_unknown_when_the_relay_is_refused(host, other):
     host.store.failures = [TableUnavailable()]
-    other.is_lost = True
+    other.store_health.is_down = True
     with pytest.raises(TableUnavailable) as caught:
         RelayedStore(host).transact([EXPECTATION], [WRITE])
     assert not isinstance(caught.value, StoreRefused)
 
 
 def test_others_are_not_asked_again_at_once(host, other):
-    other.is_lost = True
-    host.is_lost = True
+    other.store_health.is_down = True
+    host.store_health.is_down = True
     store = RelayedStore(host)
     for _ in range(3):
         with pytest.raises(StoreRefused):
@@ -177,14 +184,14 @@
     The row of a removed host was still there. Connecting to it failed, and that
     was taken for an answer that was lost.
     """
-    host.is_lost = True
+    host.store_health.is_down = True
     host.all()[0].is_gone = True
     with pytest.raises(StoreRefused):
         RelayedStore(host).transact([EXPECTATION], [WRITE])
 
 
 def test_host_that_is_gone_is_left_alone_for_a_while(host):
-    host.is_lost = True
+    host.store_health.is_down = True
     host.all()[0].is_gone = True
     store = RelayedStore(host)
     for _ in range(3):
@@ -200,7 +207,7 @@
     One partition refuses; that is no sign for the others.
     """
     host.store.failures = [StoreRefused()]
-    other.is_lost = True
+    other.store_health.is_down = True
     store = RelayedStore(host)
     with pytest.raises(StoreRefused):
         store.transact([EXPECTATION], [WRITE])
--- a/tests/pool/test_journal.py
+++ b/tests/pool/test_journal.py
@@ -75,6 +75,7 @@
         version = store.apply([], [RowWrite(CELL_TABLE, "pool", "owner", {})])
         self.row = PoolRow("pool", "h1", 1, "a:1", version)
         self.pool = "pool"
+        self.decisions = self.standing = self
         self.sent = []
         self.unsent = []
         self.is_lost = self.is_stopped = False
@@ -101,7 +102,7 @@
     def note_confirmed(self, asked_at):
         pass
 
-    def note_committed(self):
+    def wake(self):
         pass
 
     def note_lost(self):
--- a/tests/pool/test_owner.py
+++ b/tests/pool/test_owner.py
@@ -53,7 +53,7 @@
         self.stopping = threading.Event()
         self.executor = NoThreads()
         self.rows = {}
-        self.lost_at = None
+        self.lost_since = None
         self.live_peers = []
 
     def read_all(self, table, partition):
@@ -72,8 +72,12 @@
     def live(self):
         return self.live_peers
 
-    def store_lost_at(self):
-        return self.lost_at
+    @property
+    def store_health(self):
+        return self
+
+    def lost_at(self):
+        return self.lost_since
 
     def look_at_owner(self, owner):
         pass
@@ -112,8 +116,8 @@
     owner = PoolOwner(host, PoolRow("pool", "h1", 3, "a:1", 9), is_journal_exact)
     owner._executor.shutdown()
     owner._order_executor.shutdown()
-    owner._executor, owner._orders._executor = NoThreads(), NoThreads()
-    owner._load()
+    owner._executor, owner.orders._executor = NoThreads(), NoThreads()
+    owner.sources.load()
     return owner
 
 
@@ -125,15 +129,15 @@
 
 
 def _report(owner, worker, runs=(), ends=(), asked_at=None):
-    link = owner._links[worker]
-    now = owner._host.clock.monotonic()
+    link = owner.links_by_worker[worker]
+    now = owner.host.clock.monotonic()
     report = WorkerReport(
         50.0,
         1,
         [RunReport(key, attempt) for key, attempt in runs],
         [EndReport(number, *end) for number, end in enumerate(ends, 1)],
     )
-    owner.note_report(link, report, now if asked_at is None else asked_at)
+    owner.lists.note_report(link, report, now if asked_at is None else asked_at)
     return link
 
 
@@ -149,8 +153,8 @@
 
 def _place(owner):
     with owner.lock:
-        owner._place(owner._host.clock.monotonic())
-    return [start.run for start in owner.take_unsent()]
+        owner.decisions.place(owner.host.clock.monotonic())
+    return [start.run for start in owner.decisions.take_unsent()]
 
 
 def test_task_is_kept_back_until_its_worker_has_answered(host):
@@ -176,7 +180,7 @@
     _report(owner, "w2")
     assert _waiting(owner) == 0
     host.clock.advance(6.0)
-    owner._note_inventory(host.clock.monotonic())
+    owner.settling.note_inventory(host.clock.monotonic())
     assert _waiting(owner) == 1
 
 
@@ -207,10 +211,10 @@
     link = _report(owner, "w1", runs=[(KEY, 1)])
     link.failed_since = host.clock.monotonic()
     host.clock.advance(1.0)
-    owner._tick(host.clock.monotonic())
+    owner.tick(host.clock.monotonic())
     assert _waiting(owner) == 0
     host.clock.advance(LEASE_SECONDS + 2.5)
-    owner._tick(host.clock.monotonic())
+    owner.tick(host.clock.monotonic())
     assert _waiting(owner) == 1
 
 
@@ -284,12 +288,12 @@
     _report(owner, "w2")
     _report(owner, "w1")
     (run,) = _place(owner)
-    link = owner._links[run.worker]
+    link = owner.links_by_worker[run.worker]
     room = owner.rooms.get(run.worker)
-    owner.note_start(link, run, StartOutcome.UNKNOWN)
+    owner.orders.note_start(link, run, StartOutcome.UNKNOWN)
     asked_at = host.clock.monotonic()
     host.clock.advance(0.1)
-    owner.note_stop_confirmed(run)
+    owner.orders.note_stop_confirmed(run)
     _report(owner, run.worker, asked_at=asked_at)
     assert run.name in room.runs
     assert _waiting(owner) == 0
@@ -305,7 +309,9 @@
     _report(owner, "w2")
     _report(owner, "w1")
     (run,) = _place(owner)
-    owner.note_start(owner._links[run.worker], run, StartOutcome.UNKNOWN)
+    owner.orders.note_start(
+        owner.links_by_worker[run.worker], run, StartOutcome.UNKNOWN
+    )
     _report(owner, run.worker, runs=[(KEY, 1)])
     host.clock.advance(0.1)
     _report(owner, run.worker, ends=[(KEY, 1, "done")])
@@ -329,7 +335,7 @@
     _report(owner, "w2")
     _report(owner, "w1")
     (run,) = _place(owner)
-    owner.note_start(owner._links[run.worker], run, outcome)
+    owner.orders.note_start(owner.links_by_worker[run.worker], run, outcome)
     assert _waiting(owner) == 1
     assert not owner.rooms.get(run.worker).runs
 
@@ -345,14 +351,14 @@
     """Nobody decides while the store is down for all: the owner had given way."""
     owner = _owner(host)
     now = host.clock.monotonic()
-    assert not owner.gives_way()
-    host.lost_at = now - 1.0
+    assert not owner.standing.gives_way()
+    host.lost_since = now - 1.0
     host.live_peers = [_Peer(now, 1000.0)]
-    assert not owner.gives_way()
+    assert not owner.standing.gives_way()
     host.live_peers = [_Peer(now, 0.9)]
-    assert not owner.gives_way()
+    assert not owner.standing.gives_way()
     host.live_peers = [_Peer(now, 0.2)]
-    assert owner.gives_way()
+    assert owner.standing.gives_way()
 
 
 def test_owner_that_heard_nothing_for_long_orders_nothing(host):
@@ -360,7 +366,7 @@
     assert owner.may_act()
     host.clock.advance(2.1)
     assert not owner.may_act()
-    owner.note_confirmed(host.clock.monotonic() - 0.1)
+    owner.standing.note_confirmed(host.clock.monotonic() - 0.1)
     assert owner.may_act()
 
 
@@ -412,11 +418,11 @@
     _report(owner, "w2")
     _report(owner, "w1")
     with owner.lock:
-        owner._place(host.clock.monotonic())
-    (start,) = owner.take_unsent()
+        owner.decisions.place(host.clock.monotonic())
+    (start,) = owner.decisions.take_unsent()
     start.usable_until = host.clock.monotonic() + 1.0
     host.clock.advance(1.1)
-    owner._orders._start(owner._links[start.run.worker], start)
+    owner.orders._start(owner.links_by_worker[start.run.worker], start)
     assert _waiting(owner) == 1
 
 
@@ -428,7 +434,7 @@
     """
     owner = _owner(host)
     owner.leave()
-    assert owner.gives_way()
+    assert owner.standing.gives_way()
     assert owner.may_act()
     assert not owner.is_stopped
 
@@ -478,10 +484,10 @@
     owner = _owner(host)
     _report(owner, "w1")
     link = _report(owner, "w2")
-    owner._note_worker_rows([StoredRow("servers", "", "w2", None, 2, True)])
+    owner.sources.note_worker_rows([StoredRow("servers", "", "w2", None, 2, True)])
     link.failed_since = host.clock.monotonic()
     host.clock.advance(20.0)
-    owner._tick(host.clock.monotonic())
+    owner.tick(host.clock.monotonic())
     assert [one.worker for one in owner.links()] == ["w1"]
     assert owner.rooms.get("w2") is None
 
