--- a/papayapick/entry/acceptance.py
+++ b/papayapick/entry/acceptance.py
@@ -3,6 +3,7 @@
 from concurrent.futures import TimeoutError as FutureTimeout
 
 from papayapick.clients.exceptions import TableUnavailable
+from papayapick.entry.events import JOB_KNOWN
 from papayapick.entry.exceptions import AcceptanceUnknown, JobUnknown, StateUnknown
 from papayapick.jobs.state import JobStatus
 from papayapick.platform.store import Expectation, RowWrite
@@ -34,42 +35,56 @@
     def submit(self, document):
         """Store a job; the same id again is the same job.
 
+        Returns
+        -------
+        bool
+            False where a job of this id was there already.
+
         Raises
         ------
         NotAccepted, AcceptanceUnknown
         """
         identifier = document.identifier
         if self._board.state(identifier) is not None:
-            return
+            JOB_KNOWN.write(request_id=identifier, queue=document.queue, source="board")
+            return False
         partition = job_partition(document.pool, identifier)
         expectation = Expectation(JOBS_TABLE, partition, identifier, 0)
         write = RowWrite(JOBS_TABLE, partition, identifier, document.as_record())
-        _wait(self._writer.submit(expectation, write))
+        is_new = _wait(self._writer.submit(expectation, write))
+        if not is_new:
+            JOB_KNOWN.write(request_id=identifier, queue=document.queue, source="store")
         self._board.note_accepted(identifier)
+        return is_new
 
     def cancel(self, queue, identifier):
         """Cancel a job, durably.
 
+        Returns
+        -------
+        bool
+            False where it was over or cancelled already.
+
         Raises
         ------
         JobUnknown, StateUnknown, NotAccepted, AcceptanceUnknown
         """
         if self._board.state(identifier) in JobStatus.FINAL:
-            return
+            return False
         partition = job_partition(queue.pool, identifier)
         rows = self._read(JOBS_TABLE, partition, identifier, CANCEL_SUFFIX + "~")
         versions = {row.key: row.version for row in rows}
         if identifier not in versions:
             raise JobUnknown(identifier=identifier)
         if identifier + CANCEL_SUFFIX in versions:
-            return
+            return False
         # On condition that the job is still there: the mark of a job that was
         # dropped meanwhile would stay for good.
         expectation = Expectation(
             JOBS_TABLE, partition, identifier, versions[identifier]
         )
         write = RowWrite(JOBS_TABLE, partition, identifier + CANCEL_SUFFIX, {})
-        _wait(self._writer.submit(expectation, write))
+        return _wait(self._writer.submit(expectation, write))
 
     def status(self, queue, identifier):
         """Return the status of a job.
--- a/papayapick/entry/application.py
+++ b/papayapick/entry/application.py
@@ -2,9 +2,14 @@
 
 import json
 
+from papayapick.entry.events import (
+    CANCEL_STORED,
+    JOB_ACCEPTED,
+    REQUEST_FAILED,
+    REQUEST_REFUSED,
+)
 from papayapick.entry.exceptions import BodyTooLarge, NoSuchQueue, NotAccepted
 from papayapick.exceptions import PapayapickError
-from papayapick.observability.logs import get_logger
 from papayapick.platform.exceptions import BodyInvalid
 from papayapick.platform.requests import (
     decode_job,
@@ -15,7 +20,6 @@
 
 __all__ = ["Application"]
 
-_LOG = get_logger(__name__)
 _JSON = "application/json"
 _OK = "200 OK"
 _BAD_REQUEST = "400 Bad Request"
@@ -26,6 +30,8 @@
 # When to come back: outages of the store last seconds, and a host that has no
 # configuration yet reads it within one.
 _RETRY_AFTER_SECONDS = 1
+# Of what a caller sent, so much goes into a line.
+_PATH_CHARACTERS = 128
 
 
 class Application:
@@ -47,7 +53,7 @@
         if environ["SERVER_PORT"] == self._readiness_port:
             status, body = self._health(environ)
         else:
-            status, body = self._guarded(environ)
+            status, body = self._guarded(environ, self._host.clock.monotonic())
         headers = [("Content-Type", _JSON), ("Content-Length", str(len(body)))]
         if status == _AWAY:
             headers.append(("Retry-After", str(_RETRY_AFTER_SECONDS)))
@@ -59,18 +65,34 @@
             return _NOT_FOUND, b"{}"
         return (_OK if self._host.is_ready() else _AWAY), b"{}"
 
-    def _guarded(self, environ):
+    def _guarded(self, environ, arrived_at):
         try:
-            return self._answer(environ)
+            return self._answer(environ, arrived_at)
         except BodyInvalid as error:
-            return _BAD_REQUEST, _problem(error)
+            return self._refuse(environ, arrived_at, _BAD_REQUEST, error)
         except PapayapickError as error:
             status = getattr(error, "status", _FAILED)
             if status == _FAILED:
-                _LOG.exception("request failed")
-            return status, _problem(error)
-
-    def _answer(self, environ):
+                REQUEST_FAILED.write_failure(**_asked(environ))
+            return self._refuse(environ, arrived_at, status, error)
+
+    def _refuse(self, environ, arrived_at, status, error):
+        REQUEST_REFUSED.write(
+            **_asked(environ),
+            status=int(status.split()[0]),
+            code=error.code,
+            detail=str(error),
+            seconds=self._since(arrived_at),
+            store_age_seconds=self._host.store_health.shown_age(),
+            configuration_version=self._host.configuration.version,
+            retry_after_seconds=_RETRY_AFTER_SECONDS if status == _AWAY else None,
+        )
+        return status, _problem(error)
+
+    def _since(self, arrived_at):
+        return round(self._host.clock.monotonic() - arrived_at, 4)
+
+    def _answer(self, environ, arrived_at):
         host = self._host
         configuration = host.configuration.current
         if configuration is None:
@@ -90,15 +112,33 @@
         if method == "POST":
             body = _body(environ, configuration.body_limit_bytes)
             document = decode_job(identifier, queue, body, host.clock.time())
-            host.acceptance.submit(document)
+            if host.acceptance.submit(document):
+                self._note_accepted(document, queue, arrived_at)
             return _OK, b"{}"
         if method == "GET":
             return _OK, encode_state(host.acceptance.status(queue, identifier))
         if method == "DELETE":
-            host.acceptance.cancel(queue, identifier)
+            if host.acceptance.cancel(queue, identifier):
+                CANCEL_STORED.write(
+                    request_id=identifier,
+                    queue=queue.name,
+                    seconds=self._since(arrived_at),
+                )
             return _OK, b"{}"
         return _NOT_ALLOWED, b"{}"
 
+    def _note_accepted(self, document, queue, arrived_at):
+        JOB_ACCEPTED.write(
+            request_id=document.identifier,
+            queue=queue.name,
+            pool=queue.pool,
+            priority=queue.priority,
+            steps=len(document.steps),
+            tasks=sum(step.tasks for step in document.steps),
+            seconds=self._since(arrived_at),
+            configuration_version=self._host.configuration.version,
+        )
+
 
 def _body(environ, limit):
     size = int(environ.get("CONTENT_LENGTH") or 0)
@@ -109,3 +149,14 @@
 
 def _problem(error):
     return json.dumps({"error": error.code, "detail": str(error)}).encode()
+
+
+def _asked(environ):
+    """Return the fields by which a line names a request."""
+    path = environ["PATH_INFO"][:_PATH_CHARACTERS]
+    return {
+        "request_id": path.rpartition("/")[2],
+        "method": environ["REQUEST_METHOD"],
+        "asked_host": environ.get("HTTP_HOST", "")[:_PATH_CHARACTERS],
+        "path": path,
+    }
--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -5,7 +5,13 @@
 import threading
 
 from papayapick.clients.exceptions import TableUnavailable
-from papayapick.observability.logs import get_logger
+from papayapick.entry.events import (
+    OWNER_GONE,
+    OWNER_SILENT,
+    POOL_LOST_RACE,
+    POOL_NOT_TAKEN,
+    POOL_UNREAD,
+)
 from papayapick.ownership.pools import OwnershipLost, PoolRow, read_pool, take_pool
 from papayapick.pool.owner import PoolOwner
 from papayapick.pool.recording import TRUST_SECONDS
@@ -13,8 +19,6 @@
 
 __all__ = ["Candidacy"]
 
-_LOG = get_logger(__name__)
-
 # Three missed beats: a host that lost power is replaced within a second.
 _SILENCE_SECONDS = 0.65
 _LOOK_SECONDS = 0.05
@@ -126,7 +130,7 @@
             return
         if _is_listening(self.row.address):
             return
-        _LOG.info("owner's process is gone", extra={"pool": self.pool})
+        OWNER_GONE.write(pool=self.pool, owner=self.row.owner)
         self._is_suspected = True
         self._wakeup.set()
 
@@ -141,12 +145,23 @@
                 continue
             host.clock.wait(host.stopping, self._delay())
             if self._is_needed() and not host.is_draining:
+                self._note_suspicion()
                 self._try(suspected)
 
     def _is_needed(self):
         silence = self._host.clock.monotonic() - self._heard_at
         return not self.row.owner or self._is_suspected or silence > _SILENCE_SECONDS
 
+    def _note_suspicion(self):
+        silent = self._host.clock.monotonic() - self._heard_at
+        OWNER_SILENT.write(
+            pool=self.pool,
+            epoch=self.row.epoch,
+            owner=self.row.owner,
+            silent_seconds=round(silent, 3),
+            is_reported=self._is_suspected,
+        )
+
     def _delay(self):
         distance = _DISTANCE_WEIGHT * self._host.store_seconds
         return distance + random.uniform(0, _SPREAD_SECONDS)
@@ -171,12 +186,12 @@
             taken = take_pool(host.store, row, name, address)
         except OwnershipLost:
             self._claimed_epoch = 0
-            _LOG.info("pool taken by another host", extra={"pool": self.pool})
+            POOL_LOST_RACE.write(pool=self.pool, epoch=self.row.epoch)
             self._heard_at = host.clock.monotonic()
             return
         except TableUnavailable as error:
             self._claimed_epoch = 0
-            _LOG.info("pool not taken", extra={"error": str(error)})
+            POOL_NOT_TAKEN.write(pool=self.pool, epoch=self.row.epoch, error=str(error))
             host.clock.wait(host.stopping, _RETRY_SECONDS)
             return
         self._own(taken)
@@ -215,7 +230,7 @@
         try:
             owner.start()
         except TableUnavailable as error:
-            _LOG.warning("pool not read", extra={"error": str(error)})
+            POOL_UNREAD.write(pool=self.pool, epoch=row.epoch, error=str(error))
             owner.give_up()
             return
         self._host.tell(owner)
--- a/papayapick/entry/configuration.py
+++ b/papayapick/entry/configuration.py
@@ -1,6 +1,6 @@
 """Follow the operator's configuration; never go back to an older version."""
 
-from papayapick.observability.logs import get_logger
+from papayapick.entry.events import CONFIGURATION_IN_FORCE, CONFIGURATION_REFUSED
 from papayapick.platform.configuration import (
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
@@ -10,8 +10,6 @@
 
 __all__ = ["ConfigurationWatcher"]
 
-_LOG = get_logger(__name__)
-
 
 class ConfigurationWatcher:
     """Hold the newest configuration that this process has seen.
@@ -32,6 +30,11 @@
         """Return the ``CellConfiguration`` in force, or None."""
         return self._current
 
+    @property
+    def version(self):
+        """Return the version in force; 0 for none."""
+        return 0 if self._current is None else self._current.version
+
     def run(self):
         """Follow the operator's rows until the process stops."""
         self._host.follow(
@@ -50,15 +53,17 @@
         try:
             found = decode_configuration(value)
         except BodyInvalid as error:
-            _LOG.error("configuration refused", extra={"error": str(error)})
+            CONFIGURATION_REFUSED.write(version_in_force=self.version, error=str(error))
             return
         # A reading that began before a change may arrive after it: an older
         # version never replaces a newer one in the life of a process.
         if self._current is not None and found.version <= self._current.version:
             return
-        self._current = found
-        _LOG.info(
-            "configuration in force",
-            extra={"version": found.version, "queues": len(found.queues)},
+        version_before, self._current = self.version, found
+        CONFIGURATION_IN_FORCE.write(
+            version=found.version,
+            version_before=version_before,
+            queues=len(found.queues),
+            pools=sorted(found.pools),
         )
         self._host.note_configuration(found)
--- a/papayapick/entry/followers.py
+++ b/papayapick/entry/followers.py
@@ -1,13 +1,11 @@
 """Follow a table of the store: read it whole, then take its changes."""
 
 from papayapick.clients.exceptions import TableUnavailable
-from papayapick.observability.logs import get_logger
+from papayapick.entry.events import HISTORY_LOST, STORE_BACK, STORE_LOST
 from papayapick.platform.exceptions import HistoryLost
 
 __all__ = ["FOLLOW_WAIT_SECONDS", "OWNER_WAIT_SECONDS", "follow_table"]
 
-_LOG = get_logger(__name__)
-
 # One waiting call a second and a half: a connection that went silent is noticed
 # soon after, well within the bound for a change of the configuration.
 FOLLOW_WAIT_SECONDS = 1.2
@@ -48,7 +46,8 @@
     wait_seconds : callable, optional
         Returns how long a call waits for changes.
     """
-    is_away = False
+    away_since = None
+    answered_at = clock.monotonic()
     while not stopping.is_set():
         asked_at = clock.monotonic()
         try:
@@ -58,19 +57,22 @@
                 page = store.follow(table, version, wait_seconds())
                 rows, version = page.rows, page.version
         except HistoryLost:
-            _LOG.info("history lost", extra={"table": table, "version": version})
+            HISTORY_LOST.write(table=table, version=version)
             version = None
             continue
         except TableUnavailable as error:
-            if not is_away:
-                _LOG.warning("store lost", extra={"table": table, "error": str(error)})
-            is_away = True
+            if away_since is None:
+                away_since = clock.monotonic()
+                age = round(away_since - answered_at, 3)
+                STORE_LOST.write(table=table, error=str(error), age_seconds=age)
             on_failure()
             clock.wait(stopping, _RETRY_SECONDS)
             continue
-        if is_away:
-            _LOG.info("store back", extra={"table": table, "version": version})
-            is_away = False
+        answered_at = clock.monotonic()
+        if away_since is not None:
+            away = round(answered_at - away_since, 3)
+            STORE_BACK.write(table=table, version=version, away_seconds=away)
+            away_since = None
         on_answer(asked_at)
         if rows and not stopping.is_set():
             on_rows(rows)
--- a/papayapick/entry/joining.py
+++ b/papayapick/entry/joining.py
@@ -4,16 +4,14 @@
 import os
 
 from papayapick.clients.exceptions import TableUnavailable
+from papayapick.entry.events import CELL_KEY_FOUND, STORE_AWAY
 from papayapick.entry.peers import HOSTS_PARTITION
-from papayapick.observability.logs import get_logger
 from papayapick.ownership.pools import CELL_TABLE
 from papayapick.platform.exceptions import ConditionFailed
 from papayapick.platform.store import Expectation, RowWrite
 
 __all__ = ["cell_key", "register"]
 
-_LOG = get_logger(__name__)
-
 _KEY_PARTITION = "key"
 _KEY_BYTES = 32
 _RETRY_SECONDS = 0.2
@@ -31,14 +29,16 @@
         try:
             host.store.transact([expectation], [write])
         except ConditionFailed:
-            _LOG.info("another host made the key")
+            # Another host has made it since the reading above: that one is read.
+            return None
         return None
 
     while True:
         asked_at = host.clock.monotonic()
-        key = _persist(host, try_once)
+        key = _persist(host, "key", try_once)
         if key is not None:
             host.store_seconds = host.clock.monotonic() - asked_at
+            CELL_KEY_FOUND.write(made_here=key == base64.b64decode(fresh))
             return key
 
 
@@ -53,13 +53,13 @@
         "region": settings.region,
     }
     write = RowWrite(CELL_TABLE, HOSTS_PARTITION, settings.host_name, value)
-    _persist(host, lambda: host.store.transact([], [write]))
+    _persist(host, "register", lambda: host.store.transact([], [write]))
 
 
-def _persist(host, step):
+def _persist(host, name, step):
     while True:
         try:
             return step()
         except TableUnavailable as error:
-            _LOG.info("store away", extra={"error": str(error)})
+            STORE_AWAY.write(step=name, error=str(error))
             host.clock.wait(host.stopping, _RETRY_SECONDS)
--- a/papayapick/entry/peers.py
+++ b/papayapick/entry/peers.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from papayapick.observability.logs import get_logger
+from papayapick.entry.events import HOST_UNREACHED, OWNERSHIP_UNSAID
 from papayapick.wire import PeerClient
 from papayapick.wire.exceptions import WireError
 from papayapick.wire.messages import (
@@ -15,8 +15,6 @@
 
 __all__ = ["HOSTS_PARTITION", "OwnerLine", "Peer", "Peers"]
 
-_LOG = get_logger(__name__)
-
 HOSTS_PARTITION = "hosts"
 _CONNECT_SECONDS = 0.4
 _ANSWER_SECONDS = 0.6
@@ -132,10 +130,7 @@
                 return peer.client.ask(OwnerQuery(pool=pool), _QUERY_SECONDS).epoch
             except WireError as error:
                 # A kept connection may be of an earlier life of that host.
-                _LOG.info(
-                    "host did not say whether it owns",
-                    extra={"peer": peer.name, "error": str(error)},
-                )
+                OWNERSHIP_UNSAID.write(peer=peer.name, pool=pool, error=str(error))
         return 0
 
     def ask_advice(self, peer, key, workers, expected_seconds):
@@ -158,7 +153,15 @@
     peer : Peer
     """
 
-    __slots__ = ("_host", "_lock", "_news", "_owner", "_peer", "_wakeup")
+    __slots__ = (
+        "_host",
+        "_is_missed",
+        "_lock",
+        "_news",
+        "_owner",
+        "_peer",
+        "_wakeup",
+    )
 
     def __init__(self, host, owner, peer):
         self._host = host
@@ -167,6 +170,7 @@
         self._news = owner.news.all_states()
         self._lock = threading.Lock()
         self._wakeup = threading.Event()
+        self._is_missed = False
 
     @property
     def peer(self):
@@ -214,14 +218,22 @@
         try:
             answer = self._peer.client.ask(beat, _ANSWER_SECONDS)
         except WireError as error:
-            _LOG.debug("host not told", extra={"peer": self._peer.name})
+            self._note_miss(error)
             if not isinstance(error, OSError):
                 self._peer.client.close()
             with self._lock:
                 self._news = {**told, **self._news}
             return False
+        self._is_missed = False
         self._peer.answered_at = self._host.clock.monotonic()
         self._peer.store_age = answer.store_age_milliseconds / 1000
         self._owner.recording.note_told(self._peer.name, may_lack_records)
         self._owner.note_peer(self._peer, answer.epoch, asked_at)
         return True
+
+    def _note_miss(self, error):
+        if not self._is_missed:
+            self._is_missed = True
+            HOST_UNREACHED.write(
+                peer=self._peer.name, pool=self._owner.pool, error=str(error)
+            )
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -13,6 +13,11 @@
 from papayapick.entry.board import StateBoard
 from papayapick.entry.candidacy import Candidacy
 from papayapick.entry.configuration import ConfigurationWatcher
+from papayapick.entry.events import (
+    LOOP_FAILED,
+    OWNER_UNCONFIRMED,
+    READINESS_CHANGED,
+)
 from papayapick.entry.followers import (
     FOLLOW_WAIT_SECONDS,
     OWNER_WAIT_SECONDS,
@@ -25,7 +30,6 @@
 from papayapick.entry.store_health import StoreHealth
 from papayapick.entry.writers import GroupWriter
 from papayapick.jobs.queues import Queue
-from papayapick.observability.logs import get_logger
 from papayapick.ownership.pools import CELL_TABLE, pool_row, read_pool
 from papayapick.platform.store import Store
 from papayapick.wire import CellKeys, PeerServer
@@ -40,8 +44,6 @@
 
 __all__ = ["EntryHost"]
 
-_LOG = get_logger(__name__)
-
 _TASKS = 256
 _STORE_CALL_SECONDS = 2.0
 _WORKER_CALL_SECONDS = 1.0
@@ -84,6 +86,7 @@
         self.store_health = StoreHealth(self.clock)
         self._relay = StoreRelay(self)
         self._candidacies = {}
+        self._was_ready = False
         self._lines = {}
         self._queues = {}
         self._lock = threading.RLock()
@@ -119,9 +122,24 @@
 
     def is_ready(self):
         """Return whether this host can accept jobs."""
-        if self.is_draining or self.configuration.current is None:
-            return False
-        return self.store_health.age() < _STORE_AWAY_SECONDS
+        is_ready = (
+            not self.is_draining
+            and self.configuration.current is not None
+            and self.store_health.age() < _STORE_AWAY_SECONDS
+        )
+        if is_ready != self._was_ready:
+            self._was_ready = is_ready
+            READINESS_CHANGED.write(
+                is_ready=is_ready,
+                is_draining=self.is_draining,
+                configuration_version=self.configuration.version,
+                store_age_seconds=self.store_health.shown_age(),
+            )
+        return is_ready
+
+    def owned_pools(self):
+        """Return the names of the pools that this process owns."""
+        return [one.pool for one in list(self._candidacies.values()) if one.is_owner]
 
     def _run_loop(self, name, step):
         try:
@@ -129,7 +147,7 @@
         except Exception:
             # A host without one of its loops serves nobody well; it is started
             # again by whoever started it.
-            _LOG.exception("loop failed", extra={"loop": name})
+            LOOP_FAILED.write_failure(loop=name)
             os._exit(1)
 
     def _join(self):
@@ -263,7 +281,9 @@
         try:
             row = read_pool(self.store, owner.pool)
         except TableUnavailable as error:
-            _LOG.info("owner not confirmed", extra={"error": str(error)})
+            OWNER_UNCONFIRMED.write(
+                pool=owner.pool, epoch=owner.row.epoch, error=str(error)
+            )
             return
         if row.version == owner.row.version:
             owner.standing.note_confirmed(asked_at)
--- a/papayapick/entry/program.py
+++ b/papayapick/entry/program.py
@@ -9,20 +9,26 @@
 from docopt import DocoptExit, docopt
 
 from papayapick import VERSION
-from papayapick.entry.logs import configure_entry_logs
+from papayapick.clock import BootClock
+from papayapick.entry.events import (
+    PROCESS_STARTED,
+    PROCESS_STOPPED,
+    PROCESS_STOPPING,
+    SETTINGS_KEPT,
+    SETTINGS_READ,
+)
 from papayapick.entry.process import EntryHost
-from papayapick.observability.logs import get_logger
+from papayapick.observability.events import EventLog
 from papayapick.platform.exceptions import PlatformSettingsInvalid
 from papayapick.platform.settings import PlatformSettings
 
 __all__ = ["USAGE", "main"]
 
-# By name: run as a program, the module is called otherwise.
-_LOG = get_logger("papayapick.entry.program")
-
 EXIT_SETTINGS = 2
 # A small stack: each worker and peer has a task, and memory is paid for.
 _STACK_BYTES = 256 << 10
+# Lines that were left out are counted up so often.
+_LEFT_OUT_SECONDS = 5.0
 
 USAGE = """Run an entry host on the users' platform.
 
@@ -55,7 +61,10 @@
         sys.stderr.write(f"{error.code}: {error}\n")
         sys.exit(EXIT_SETTINGS)
     threading.stack_size(_STACK_BYTES)
-    configure_entry_logs(settings, options["--log-level"])
+    clock = BootClock()
+    static = {"host": settings.host_name, "zone": settings.zone}
+    log = EventLog(clock, options["--log-level"], static)
+    log.start()
     wakeup = threading.Event()
     stops = []
 
@@ -69,21 +78,31 @@
     signal.signal(signal.SIGTERM, note_stop)
     signal.signal(signal.SIGINT, note_stop)
     signal.signal(signal.SIGHUP, note_reload)
-    host = EntryHost(settings)
+    host = EntryHost(settings, clock)
     # What is loaded by now stays; looking through it again finds nothing.
     gc.collect()
     gc.freeze()
     host.start()
-    _LOG.info("started", extra={"peer_port": settings.peer_address[1]})
+    PROCESS_STARTED.write(
+        version=VERSION,
+        role_address="{}:{}".format(*settings.frontend_address),
+        peer_address="{}:{}".format(*settings.peer_address),
+        store_address=settings.store_address,
+        log_level=options["--log-level"],
+    )
     while not stops:
-        wakeup.wait(5.0)
+        wakeup.wait(_LEFT_OUT_SECONDS)
+        log.tell_left_out()
         if wakeup.is_set() and not stops:
             wakeup.clear()
             _reload()
-    _LOG.info("stopping")
+    stopped_at = clock.monotonic()
+    PROCESS_STOPPING.write(
+        owned_pools=host.owned_pools(), grace_seconds=settings.grace_seconds
+    )
     host.stop()
-    _LOG.info("stopped")
-    sys.stdout.flush()
+    PROCESS_STOPPED.write(seconds=round(clock.monotonic() - stopped_at, 3))
+    log.close()
     # Tasks that wait for a peer would hold the interpreter open.
     os._exit(0)
 
@@ -92,9 +111,9 @@
     try:
         PlatformSettings.from_config()
     except PlatformSettingsInvalid as error:
-        _LOG.error("settings not read again", extra={"error": str(error)})
+        SETTINGS_KEPT.write(error=str(error))
         return
-    _LOG.info("settings read again")
+    SETTINGS_READ.write()
 
 
 if __name__ == "__main__":
--- a/papayapick/entry/relays.py
+++ b/papayapick/entry/relays.py
@@ -5,7 +5,7 @@
 from concurrent.futures import Future
 
 from papayapick.clients.exceptions import TableUnavailable
-from papayapick.observability.logs import get_logger
+from papayapick.entry.events import RELAY_UNANSWERED
 from papayapick.platform.exceptions import ConditionFailed, StoreRefused
 from papayapick.platform.store import Expectation, RowWrite, StoredRow
 from papayapick.wire.exceptions import PeerUnreachable, WireError
@@ -13,8 +13,6 @@
 
 __all__ = ["RelayedStore", "StoreRelay"]
 
-_LOG = get_logger(__name__)
-
 _CALL_SECONDS = 0.9
 # Callers behind this one wait too; a store 60 times slower answers within it.
 _WRITE_SECONDS = 0.5
@@ -188,7 +186,7 @@
         except StoreRefused:
             return StoreResult(outcome=_REFUSED)
         except TableUnavailable as error:
-            _LOG.info("relayed call without an answer", extra={"error": str(error)})
+            RELAY_UNANSWERED.write(partition=_partition(call), error=str(error))
             return StoreResult(outcome=_UNKNOWN)
 
     def _run(self, call):
@@ -200,6 +198,12 @@
         return json.dumps(store.transact(expectations, writes)).encode()
 
 
+def _partition(call):
+    if call.range:
+        return json.loads(call.range)[1]
+    return json.loads(call.writes)[0][1]
+
+
 def _rows(rows):
     return json.dumps(
         [[row.table, row.partition, row.key, row.value, row.version] for row in rows]
--- a/papayapick/entry/store_health.py
+++ b/papayapick/entry/store_health.py
@@ -55,6 +55,10 @@
             return float("inf")
         return self._clock.monotonic() - self._answered_at
 
+    def shown_age(self):
+        """Return the age for a line of the log, or None before the first answer."""
+        return None if self._answered_at is None else round(self.age(), 3)
+
     def told_age(self):
         """Return the age to tell other hosts.
 
--- a/papayapick/entry/writers.py
+++ b/papayapick/entry/writers.py
@@ -4,14 +4,12 @@
 from concurrent.futures import Future
 
 from papayapick.clients.exceptions import TableUnavailable
+from papayapick.entry.events import CONFLICT_UNCLEAR, WRITE_UNSETTLED
 from papayapick.entry.exceptions import AcceptanceUnknown, NotAccepted
-from papayapick.observability.logs import get_logger
 from papayapick.platform.exceptions import ConditionFailed, StoreRefused
 
 __all__ = ["Entry", "GroupWriter"]
 
-_LOG = get_logger(__name__)
-
 _ENTRIES_PER_CALL = 50
 _RETRY_SECONDS = 0.1
 # A process that stops is noticed so soon.
@@ -149,7 +147,8 @@
                 continue
             except StoreRefused:
                 return self._give_up_late(group, is_unsure=False)
-            except TableUnavailable:
+            except TableUnavailable as error:
+                WRITE_UNSETTLED.write(**_named(group), error=str(error))
                 return self._give_up_late(group, is_unsure=True)
             for entry in group:
                 entry.future.set_result(True)
@@ -169,7 +168,7 @@
                 entry.future.set_result(False)
         if len(rest) == len(group):
             # The store says that a condition failed and shows none that did.
-            _LOG.warning("conflict without a changed row")
+            CONFLICT_UNCLEAR.write(**_named(group))
             return self._give_up_late(group, is_unsure=False)
         return rest
 
@@ -187,3 +186,11 @@
             else:
                 rest.append(entry)
         return rest
+
+
+def _named(group):
+    """Return the fields by which a line names a group."""
+    return {
+        "request_ids": [entry.write.key for entry in group],
+        "partition": group[0].write.partition,
+    }
--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -358,7 +358,7 @@
             self._note_done(step, key.index, now)
             return
         if outcome == _FAILED:
-            self._note_failure(step, task, attempt, worker, now)
+            self._note_failure(step, key, attempt, worker, now)
         if step.job.is_final:
             return
         if step.step.is_gang:
@@ -396,13 +396,15 @@
             return
         self._open_ready(job, occurrence, now)
 
-    def _note_failure(self, step, task, attempt, worker, now):
+    def _note_failure(self, step, key, attempt, worker, now):
+        task = step.tasks[key.index]
         counted = step.tasks[0] if step.step.is_gang else task
         task.avoid.add(worker)
         counted.failed_attempts.add(attempt)
         if step.step.is_lasting:
             return
         if counted.failures >= step.job.queue.failure_limit:
+            step.job.failed_task, step.job.failed_worker = key, worker
             self._finish(step.job, JobStatus.FAILED, now)
 
     def _break_gang(self, step, now):
--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -83,6 +83,7 @@
         "ready_at",
         "step",
         "tasks",
+        "told_wait",
         "usual_seconds",
         "waiting",
     )
@@ -98,6 +99,8 @@
         self.ready_at = 0.0
         # When others were last stopped for its sake.
         self.preempted_at = float("-inf")
+        # What its wait was last logged to be for; empty for nothing.
+        self.told_wait = ""
         # What a run of it took that ended as done: the longest so far.
         self.usual_seconds = 0.0
         # A member ended before the gang was done: the others must end before
@@ -130,6 +133,10 @@
         One of ``JobStatus``, as it follows from all that is known.
     durable_status : str
         What callers may be told: a final status counts once it is stored.
+    failed_task : TaskKey or None
+        The one whose failures ended the job.
+    failed_worker : str
+        Where its last failure was.
     occurrences : dict of int to list of StepState
         Those that are due and not over.
     over : set of int
@@ -140,6 +147,8 @@
         "arrived",
         "document",
         "durable_status",
+        "failed_task",
+        "failed_worker",
         "finished_at",
         "occurrences",
         "over",
@@ -153,6 +162,8 @@
         self.arrived = arrived
         self.status = JobStatus.WAITING
         self.durable_status = JobStatus.WAITING
+        self.failed_task = None
+        self.failed_worker = ""
         self.finished_at = None
         self.occurrences = {}
         self.over = set()
--- a/papayapick/observability/logs.py
+++ b/papayapick/observability/logs.py
@@ -1,63 +1,14 @@
-"""Write logs as JSON lines."""
+"""Name the loggers of the package."""
 
 import logging
-import sys
 
-from opentelemetry import trace
-from pythonjsonlogger.json import JsonFormatter
+__all__ = ["get_logger"]
 
-from papayapick.observability.fields import current_fields
 
-__all__ = ["configure_logs", "get_logger"]
-
-_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
-_STATIC = {"cell": "cell", "host": "host_name", "zone": "availability_zone"}
-
-
-class _FieldFilter(logging.Filter):
-    """Add trace id, request, shard, epoch and bundle sequence to each record."""
-
-    def filter(self, record):
-        context = trace.get_current_span().get_span_context()
-        if context.is_valid:
-            record.trace_id = format(context.trace_id, "032x")
-        for name, value in current_fields().items():
-            # What the line itself names goes before what surrounds it.
-            if not hasattr(record, name):
-                setattr(record, name, value)
-        return True
-
-
-def configure_logs(settings, program, stream=None):
-    """Send JSON lines to standard error.
+def get_logger(name):
+    """Return the logger of a module, below ``papayapick``.
 
-    Parameters
-    ----------
-    settings : Settings
-    program : str
-        Written on each line.
-    stream : file, optional
+    Apart from what writes the lines: that loads the tracing library, which costs an
+    entry host 26 of the 177 ms of its imports and is not used there.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
-    static = {
-        name: getattr(settings, setting)
-        for name, setting in _STATIC.items()
-        if hasattr(settings, setting)
-    }
-    handler.setFormatter(
-        JsonFormatter(
-            _FORMAT,
-            rename_fields={"asctime": "time", "levelname": "level"},
-            static_fields={"program": program, **static},
-        )
-    )
-    handler.addFilter(_FieldFilter())
-    root = logging.getLogger("papayapick")
-    root.handlers = [handler]
-    root.setLevel(settings.log_level.upper())
-    root.propagate = False
-
-
-def get_logger(name):
-    """Return the logger of a module, below ``papayapick``."""
     return logging.getLogger(name)
--- a/papayapick/pool/advice.py
+++ b/papayapick/pool/advice.py
@@ -1,11 +1,7 @@
 """Keep advice on which workers may run a step, asked ahead of need."""
 
-from papayapick.observability.logs import get_logger
-
 __all__ = ["AdviceBook"]
 
-_LOG = get_logger(__name__)
-
 # A ticket is used only if it is valid so much longer: an order over the link
 # between regions takes up to 50 ms, and may wait for a thread.
 _TICKET_SLACK_SECONDS = 0.2
--- a/papayapick/pool/advising.py
+++ b/papayapick/pool/advising.py
@@ -1,12 +1,10 @@
 """Ask for advice on steps, ahead of need, through the hosts that have time."""
 
-from papayapick.observability.logs import get_logger
 from papayapick.pool.advice import AdviceBook
+from papayapick.pool.events import NO_ADVICE
 
 __all__ = ["Advising"]
 
-_LOG = get_logger(__name__)
-
 # An order is sent and carried out within this time of the decision.
 _AHEAD_SECONDS = 0.3
 
@@ -103,14 +101,20 @@
 
     def _ask(self, key, workers, expected):
         future = self._owner.host.advice.ask(key, workers, expected)
-        future.add_done_callback(lambda done: self._note(key, done))
+        future.add_done_callback(lambda done: self._note(key, len(workers), done))
 
-    def _note(self, key, done):
+    def _note(self, key, workers, done):
         error = done.exception()
         with self._owner.lock:
             step = self._owner.book.step_of(key)
             if error is not None:
-                _LOG.info("no advice", extra={"step": str(key), "error": str(error)})
+                NO_ADVICE.write(
+                    request_id=key.job,
+                    occurrence=key.occurrence,
+                    step=key.step,
+                    workers=workers,
+                    error=str(error),
+                )
                 self._book.note_failure(key)
             elif step is not None:
                 now = self._owner.now()
--- a/papayapick/pool/decisions.py
+++ b/papayapick/pool/decisions.py
@@ -1,15 +1,22 @@
 """Decide what starts where, what is copied, and what makes room."""
 
-from papayapick.observability.logs import get_logger
 from papayapick.placement.copies import stragglers
 from papayapick.placement.preemption import choose_victims, may_preempt
 from papayapick.placement.steps import order_steps, place_step
+from papayapick.pool.events import (
+    COPY_STARTED,
+    STEP_PLACED,
+    STEP_WAITS,
+    STOPPED_FOR_URGENT,
+)
 from papayapick.pool.orders import Start
 from papayapick.pool.reports import run_fields
 
 __all__ = ["Decisions"]
 
-_LOG = get_logger(__name__)
+
+# Advice and room are found within this time as a rule; a longer wait is worth a line.
+_TOLD_WAIT_SECONDS = 0.5
 
 
 class Decisions:
@@ -34,6 +41,7 @@
                 allowed = self._owner.advising.tickets(step, now)
                 if allowed is None:
                     self._owner.advising.want(step, now)
+                    self._note_wait(step, "advice", now)
                     continue
             runs = place_step(step, self._owner.rooms, allowed, self._begin)
             for run in runs:
@@ -44,11 +52,46 @@
                 self._unsent.append(
                     Start(run, payload, checkpoint, ticket, usable_until)
                 )
+            if runs:
+                self._note_placed(step, runs, now)
+            if step.waiting:
+                self._note_wait(step, "room", now)
         if self._unsent and self._owner.recording.may_send(
             self._owner.host.peers.all()
         ):
             self.send_starts(self.take_unsent())
 
+    def _note_placed(self, step, runs, now):
+        step.told_wait = ""
+        STEP_PLACED.write(
+            request_id=step.key.job,
+            occurrence=step.key.occurrence,
+            step=step.key.step,
+            tasks=[run.key.index for run in runs],
+            attempts=[run.attempt for run in runs],
+            workers=[run.worker for run in runs],
+            left=len(step.waiting),
+            waited_seconds=round(now - step.ready_at, 3),
+            epoch=self._owner.row.epoch,
+        )
+
+    def _note_wait(self, step, reason, now):
+        """Tell once what a step waits for, when it has waited long."""
+        waited = now - step.ready_at
+        if waited < _TOLD_WAIT_SECONDS or step.told_wait == reason:
+            return
+        step.told_wait = reason
+        STEP_WAITS.write(
+            request_id=step.key.job,
+            occurrence=step.key.occurrence,
+            step=step.key.step,
+            tasks=len(step.waiting),
+            reason=reason,
+            waited_seconds=round(waited, 3),
+            open_workers=sum(room.is_open for room in self._owner.rooms),
+            able_workers=len(self._owner.rooms.able(step.step)),
+        )
+
     def _begin(self, step, index, worker, attempt):
         now = self._owner.now()
         run = self._owner.book.begin(step, index, worker, now, attempt)
@@ -71,7 +114,8 @@
             if allowed is None:
                 self._owner.advising.want(step, now)
                 return
-        slow = step.tasks[index].runs[0].worker
+        first = step.tasks[index].runs[0]
+        slow = first.worker
         step.tasks[index].avoid.add(slow)
         room = self._owner.rooms.choose(step, index, allowed)
         if room is None or room.worker == slow:
@@ -81,7 +125,12 @@
         usable_until = self._owner.advising.usable_until(step)
         payload = step.job.document.payload
         self._unsent.append(Start(run, payload, "", ticket, usable_until))
-        _LOG.info("second copy", extra={**run_fields(run), "slow": slow})
+        COPY_STARTED.write(
+            **run_fields(run),
+            slow_worker=slow,
+            slow_seconds=round(now - first.since, 3),
+            usual_seconds=round(step.usual_seconds, 3),
+        )
 
     def preempt(self, now):
         """Stop patient tasks for the most urgent step that finds no room."""
@@ -100,9 +149,8 @@
                 continue
             step.preempted_at = now
             for run in victims:
-                _LOG.info(
-                    "stopped for an urgent task",
-                    extra={**run_fields(run), "urgent": str(step.key)},
+                STOPPED_FOR_URGENT.write(
+                    **run_fields(run), percent=run.percent, urgent=str(step.key)
                 )
                 self._owner.orders.stop_once(run, now)
             return
--- /dev/null
+++ b/papayapick/pool/events.py
@@ -0,0 +1,209 @@
+"""What the owner of a pool writes down; the reference page lists the same."""
+
+import logging
+
+from papayapick.observability.events import Event
+
+__all__ = [
+    "COMMIT_PUT_OFF",
+    "COPY_STARTED",
+    "JOB_ENDED",
+    "JOB_TAKEN",
+    "JOBS_KEPT",
+    "NO_ADVICE",
+    "PACE_NOT_SET",
+    "PACE_SET",
+    "POOL_LEFT",
+    "POOL_LOOP_FAILED",
+    "POOL_LOST",
+    "POOL_NOT_RELEASED",
+    "POOL_SETTLED",
+    "POOL_TAKEN",
+    "RECORD_REFUSED",
+    "RECORDING_CHANGED",
+    "RENEWAL_REFUSED",
+    "RUN_ENDED",
+    "RUN_FOUND",
+    "RUN_VANISHED",
+    "RUNS_LOST",
+    "START_FOUND",
+    "START_REFUSED",
+    "START_UNANSWERED",
+    "STEP_PLACED",
+    "STEP_WAITS",
+    "STOP_REFUSED",
+    "STOPPED_FOR_URGENT",
+    "WORKER_BACK",
+    "WORKER_FENCED",
+    "WORKER_GONE",
+    "WORKER_SILENT",
+    "WORKER_UNSEEN",
+]
+
+_RUN = "request_id step task attempt worker"
+
+# Ownership.
+
+POOL_TAKEN = Event(
+    "pool taken",
+    "pool epoch jobs workers is_journal_exact seconds",
+    "This host decides for the pool from now on; seconds from the claim to here.",
+)
+POOL_SETTLED = Event(
+    "pool settled",
+    "pool epoch seconds silent",
+    "It is known where all tasks of before run; silent workers are past their lease.",
+)
+POOL_LEFT = Event("pool left", "pool epoch is_lost", "This host decides no more.")
+POOL_LOST = Event(
+    "pool lost",
+    "pool epoch version_seen",
+    "The row of the pool was changed by another host.",
+    level=logging.WARNING,
+)
+POOL_NOT_RELEASED = Event(
+    "pool not released", "pool epoch error", "The pool was left without freeing it."
+)
+POOL_LOOP_FAILED = Event(
+    "loop of the pool failed",
+    "pool loop",
+    "A task of the owner raised; the pool is given up for another host.",
+    level=logging.ERROR,
+)
+
+# The journal.
+
+COMMIT_PUT_OFF = Event(
+    "commit put off",
+    "pool records seconds error",
+    "The store did not take a commit; the same records are written again.",
+)
+RECORDING_CHANGED = Event(
+    "recording changed",
+    "pool is_before_start commit_seconds",
+    "Whether starts wait until their record is durable; decided by how long the last "
+    "commit took, where it was answered.",
+)
+RECORD_REFUSED = Event(
+    "record refused",
+    "request_id",
+    "A stored job can't be read; it stays as it is and the others go on.",
+    level=logging.ERROR,
+)
+JOBS_KEPT = Event(
+    "old jobs kept for now", "pool jobs error", "They are removed a little later."
+)
+
+# Jobs and steps.
+
+JOB_TAKEN = Event(
+    "job taken in",
+    "request_id queue priority steps status pool epoch",
+    "The owner knows the job; status other than waiting after a takeover.",
+)
+STEP_PLACED = Event(
+    "step placed",
+    "request_id occurrence step tasks attempts workers left waited_seconds epoch",
+    "Workers were chosen for tasks of a step; left wait for room.",
+    per_second=60,
+)
+STEP_WAITS = Event(
+    "step waits",
+    "request_id occurrence step tasks reason waited_seconds open_workers able_workers",
+    "A ready step was not placed whole. Reasons: advice, room.",
+)
+COPY_STARTED = Event(
+    "second copy",
+    _RUN + " slow_worker slow_seconds usual_seconds",
+    "A task that allows it is started a second time beside a slow one.",
+)
+STOPPED_FOR_URGENT = Event(
+    "stopped for an urgent task",
+    _RUN + " percent urgent",
+    "A patient task gives room; it goes on from its saved progress later.",
+)
+RUN_ENDED = Event(
+    "run ended",
+    _RUN + " outcome failures failure_limit seconds is_retried",
+    "A run ended in any way but done.",
+    per_second=60,
+)
+JOB_ENDED = Event(
+    "job ended",
+    "request_id status seconds deciding_step deciding_task deciding_worker epoch",
+    "A final state; seconds since the owner took the job in.",
+    per_second=60,
+)
+
+# Orders and workers.
+
+START_REFUSED = Event(
+    "start refused",
+    _RUN + " reason room_processors room_memory",
+    "A worker did not start a task, or the order was not sent.",
+)
+START_UNANSWERED = Event(
+    "start unanswered",
+    _RUN + " lapse_in_seconds",
+    "The task may run or start later: it is stopped and waits until that is sure.",
+)
+START_FOUND = Event(
+    "late start found", _RUN, "A start without an answer was carried out after all."
+)
+STOP_REFUSED = Event(
+    "stop refused", "worker status", "A worker answered a stop with an error."
+)
+PACE_SET = Event(
+    "pace set",
+    _RUN + " percent percent_before",
+    "A filling task works at another share of its processors.",
+)
+PACE_NOT_SET = Event(
+    "pace not set", "worker error", "A worker did not take an order on pace."
+)
+RUN_FOUND = Event(
+    "run found",
+    _RUN + " is_needed percent",
+    "A worker lists a run that this owner did not start: one of an owner before, or "
+    "one whose order came late. What is not needed is stopped.",
+    per_second=200,
+)
+RUN_VANISHED = Event(
+    "run vanished",
+    _RUN,
+    "A worker listed a run once, and lists neither it nor its end.",
+    level=logging.WARNING,
+)
+RUNS_LOST = Event(
+    "runs lost with their worker",
+    "worker runs request_ids silent_seconds reason",
+    "What ran there can't be at work any more: its lease is over, or it began anew.",
+)
+WORKER_SILENT = Event(
+    "worker silent",
+    "worker lapse_in_seconds",
+    "It did not answer; nothing new is placed there.",
+)
+WORKER_BACK = Event("worker back", "worker silent_seconds", "It answers again.")
+WORKER_GONE = Event(
+    "worker gone", "worker", "Silent, off the list and past its lease: forgotten."
+)
+WORKER_FENCED = Event(
+    "fenced by a worker",
+    "worker epoch",
+    "It has seen a newer epoch: this owner acts no more until the store confirms it.",
+    level=logging.WARNING,
+)
+WORKER_UNSEEN = Event(
+    "worker not looked at",
+    "worker error",
+    "Its lists could not be read once more after a stop.",
+)
+RENEWAL_REFUSED = Event(
+    "renewal refused", "worker status", "A worker answered a renewal with an error."
+)
+NO_ADVICE = Event(
+    "no advice",
+    "request_id occurrence step workers error",
+    "Advice on a step was asked for and not given; it is asked for again.",
+)
--- a/papayapick/pool/forgetting.py
+++ b/papayapick/pool/forgetting.py
@@ -2,16 +2,14 @@
 
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.jobs.state import JobStatus
-from papayapick.observability.logs import get_logger
 from papayapick.platform.exceptions import ConditionFailed
 from papayapick.platform.store import RowWrite
+from papayapick.pool.events import JOBS_KEPT
 from papayapick.pool.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.partitions import job_partition
 
 __all__ = ["forget_jobs"]
 
-_LOG = get_logger(__name__)
-
 # Each job has up to three rows, and a transaction takes 100 entries.
 _JOBS_PER_CALL = 30
 # Callers may ask for a state for so much longer than the platform demands.
@@ -48,7 +46,7 @@
     try:
         host.store.transact([owner.row.expectation], writes, spans_partitions=True)
     except (ConditionFailed, TableUnavailable) as error:
-        _LOG.info("old jobs kept for now", extra={"error": str(error)})
+        JOBS_KEPT.write(pool=owner.pool, jobs=len(old), error=str(error))
         return
     with owner.lock:
         for identifier in old:
--- a/papayapick/pool/journal.py
+++ b/papayapick/pool/journal.py
@@ -5,9 +5,9 @@
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.jobs.records import progress_record
 from papayapick.jobs.state import JobStatus
-from papayapick.observability.logs import get_logger
 from papayapick.platform.exceptions import ConditionFailed
 from papayapick.platform.store import Expectation, RowWrite
+from papayapick.pool.events import COMMIT_PUT_OFF, JOB_ENDED, POOL_LOST
 
 __all__ = [
     "CANCEL_SUFFIX",
@@ -17,8 +17,6 @@
     "PoolJournal",
 ]
 
-_LOG = get_logger(__name__)
-
 JOBS_TABLE = "jobs"
 PROGRESS_TABLE = "progress"
 # Key of the row that puts commits in order; no job has such an id.
@@ -152,14 +150,29 @@
         owner.decisions.send_starts(starts)
         with owner.lock:
             for job, status in zip(changed, statuses, strict=True):
+                is_told = job.durable_status == status
                 job.durable_status = status
                 if status in JobStatus.FINAL:
                     owner.book.news.add(job.identifier)
+                    if not is_told:
+                        self._note_ended(job, status)
             for link, number in ends:
                 link.acknowledge(number)
         owner.wake()
         return True
 
+    def _note_ended(self, job, status):
+        failed = job.failed_task
+        JOB_ENDED.write(
+            request_id=job.identifier,
+            status=status,
+            seconds=round(self._clock.monotonic() - job.arrived, 3),
+            deciding_step=failed and failed.step,
+            deciding_task=failed and failed.index,
+            deciding_worker=job.failed_worker,
+            epoch=self._owner.row.epoch,
+        )
+
     def _take_changed(self):
         book = self._owner.book
         taken = []
@@ -204,15 +217,22 @@
             if self._was_own_write(error.rows):
                 self._is_behind_own_write = True
                 return False
-            _LOG.warning(
-                "pool lost: its row was changed", extra={"epoch": self._owner.row.epoch}
+            POOL_LOST.write(
+                pool=pool,
+                epoch=self._owner.row.epoch,
+                version_seen=self._version_of_pool(error.rows),
             )
             self._owner.note_lost()
             return False
         except TableUnavailable as error:
             # The same records are written again: a write that took effect and is
             # repeated changes nothing.
-            _LOG.info("commit put off", extra={"error": str(error)})
+            COMMIT_PUT_OFF.write(
+                pool=pool,
+                records=len(writes),
+                seconds=round(self._clock.monotonic() - asked_at, 3),
+                error=str(error),
+            )
             self._owner.note_commit(None)
             return False
         self._owner.note_commit(self._clock.monotonic() - asked_at)
@@ -224,9 +244,15 @@
 
         Nobody else writes under this epoch; the records are written once more.
         """
-        versions = {(row.table, row.key): row.version for row in rows}
-        owned = self._owner.row.expectation
-        if versions.get((owned.table, owned.key)) != owned.version:
+        if self._version_of_pool(rows) != self._owner.row.expectation.version:
             return False
+        versions = {(row.table, row.key): row.version for row in rows}
         self._sequence_version = versions.get((PROGRESS_TABLE, SEQUENCE_KEY), 0)
         return True
+
+    def _version_of_pool(self, rows):
+        owned = self._owner.row.expectation
+        for row in rows:
+            if (row.table, row.key) == (owned.table, owned.key):
+                return row.version
+        return None
--- a/papayapick/pool/links.py
+++ b/papayapick/pool/links.py
@@ -2,13 +2,16 @@
 
 import threading
 
-from papayapick.observability.logs import get_logger
 from papayapick.platform.exceptions import CheckFailed, WorkerSilent
+from papayapick.pool.events import (
+    RENEWAL_REFUSED,
+    WORKER_BACK,
+    WORKER_SILENT,
+    WORKER_UNSEEN,
+)
 
 __all__ = ["LEASE_SECONDS", "WorkerLink"]
 
-_LOG = get_logger(__name__)
-
 # Long enough for a takeover (2 s after a freeze) and one lost renewal, short enough
 # that a task of a worker that was cut off is placed again soon.
 LEASE_SECONDS = 3.6
@@ -144,10 +147,7 @@
         try:
             report = self.client.renew(self._epoch, self.acknowledged)
         except (WorkerSilent, CheckFailed) as error:
-            _LOG.info(
-                "worker not looked at",
-                extra={"worker": self.worker, "error": str(error)},
-            )
+            WORKER_UNSEEN.write(worker=self.worker, error=str(error))
             return
         if not self.is_stopped and report.born == self.born:
             self._listener.note_report(self, report, asked_at)
@@ -172,7 +172,7 @@
             self._listener.note_rebirth(self)
             self.acknowledged = self.processed = 0
         self.born = report.born
-        self.failed_since = None
+        self._note_word()
         self._listener.note_report(self, report, asked_at)
         if self.processed > self.acknowledged:
             self._pause(_UNACKNOWLEDGED_SECONDS)
@@ -188,9 +188,17 @@
     def _pause(self, seconds):
         self._clock.wait(self._acknowledgement, seconds)
 
+    def _note_word(self):
+        since, self.failed_since = self.failed_since, None
+        if since is not None:
+            silent = round(self._clock.monotonic() - since, 3)
+            WORKER_BACK.write(worker=self.worker, silent_seconds=silent)
+
     def _note_silence(self):
         if self.failed_since is None:
-            self.failed_since = self._clock.monotonic()
+            now = self.failed_since = self._clock.monotonic()
+            rest = round(self.lapse_at - now, 3)
+            WORKER_SILENT.write(worker=self.worker, lapse_in_seconds=rest)
         self._listener.note_silence(self)
         self._pause(_RETRY_SECONDS)
 
@@ -204,8 +212,5 @@
             self._note_silence()
             return
         else:
-            _LOG.info(
-                "worker refused a renewal",
-                extra={"worker": self.worker, "status": status},
-            )
+            RENEWAL_REFUSED.write(worker=self.worker, status=status)
         self._pause(_RETRY_SECONDS)
--- a/papayapick/pool/lists.py
+++ b/papayapick/pool/lists.py
@@ -1,15 +1,20 @@
 """Take in what workers list: their runs, their ends, and their silence."""
 
 from papayapick.jobs.runs import RunPhase
-from papayapick.observability.logs import get_logger
 from papayapick.placement.pace import Pacer
+from papayapick.pool.events import (
+    RUN_ENDED,
+    RUN_FOUND,
+    RUN_VANISHED,
+    RUNS_LOST,
+    START_FOUND,
+    WORKER_FENCED,
+)
 from papayapick.pool.reports import EndOutcome, run_fields
 from papayapick.pool.settling import QUIET_SECONDS
 
 __all__ = ["WorkerLists"]
 
-_LOG = get_logger(__name__)
-
 
 class WorkerLists:
     """Hear the links to workers, and keep book and rooms in step with their lists.
@@ -78,14 +83,14 @@
 
     def note_fenced(self, link):
         """Ask whether the pool was lost: a worker has seen a newer epoch."""
-        _LOG.warning("fenced by a worker", extra={"worker": link.worker})
+        WORKER_FENCED.write(worker=link.worker, epoch=self._owner.row.epoch)
         self._owner.standing.doubt()
         self._owner.host.look_at_owner(self._owner)
 
     def note_rebirth(self, link):
         """Take note that all that ran on a worker is gone."""
         with self._owner.lock:
-            self.lose_runs(link)
+            self.lose_runs(link, "began anew")
         self._owner.wake()
 
     def open_or_close(self, link):
@@ -100,12 +105,31 @@
 
     def _take_end(self, link, room, end, now):
         run = room.runs.get((end.key, end.attempt))
+        step = self._owner.book.step_of(end.key)
         self._owner.book.end(
             end.key, end.attempt, end.outcome, end.checkpoint, link.worker, now
         )
         if run is not None:
             room.release(run)
         link.processed = end.number
+        if step is not None and end.outcome != EndOutcome.DONE:
+            self._note_end(step, end, run, link.worker, now)
+
+    @staticmethod
+    def _note_end(step, end, run, worker, now):
+        task = step.tasks[end.key.index]
+        RUN_ENDED.write(
+            request_id=end.key.job,
+            step=end.key.step,
+            task=end.key.index,
+            attempt=end.attempt,
+            worker=worker,
+            outcome=end.outcome,
+            failures=task.failures,
+            failure_limit=step.job.queue.failure_limit,
+            seconds=None if run is None else round(now - run.since, 3),
+            is_retried=not (step.job.is_final or task.is_done),
+        )
 
     def _take_runs(self, link, room, report, now):
         for found in report.runs:
@@ -113,9 +137,14 @@
             if run is None:
                 run = self._owner.book.adopt(found, link.worker, now)
                 room.reserve(run)
+                RUN_FOUND.write(
+                    **run_fields(run),
+                    is_needed=run not in self._owner.book.to_stop,
+                    percent=found.percent,
+                )
             if run.phase in (RunPhase.ORDERED, RunPhase.UNSURE):
                 if run.phase == RunPhase.UNSURE:
-                    _LOG.info("late start found", extra=run_fields(run))
+                    START_FOUND.write(**run_fields(run))
                 self._owner.book.note_started(run)
             run.was_seen = True
             run.percent, run.percent_at = found.percent, now
@@ -134,7 +163,7 @@
         listed = {(found.key, found.attempt) for found in report.runs}
         for run in list(room.runs.values()):
             if run.was_seen and run.percent_at < asked_at and run.name not in listed:
-                _LOG.warning("run vanished", extra=run_fields(run))
+                RUN_VANISHED.write(**run_fields(run))
                 room.release(run)
                 self._owner.book.end(
                     run.key, run.attempt, EndOutcome.LAPSED, "", run.worker, now
@@ -154,20 +183,19 @@
             room.release(run)
             self._owner.book.drop(run, now)
 
-    def lose_runs(self, link):
+    def lose_runs(self, link, reason):
         """Take note that no run on a worker can be at work any more."""
         room = self._owner.rooms.get(link.worker)
         if room is None:
             return
         now = self._owner.now()
         if room.runs:
-            _LOG.info(
-                "runs lost with their worker",
-                extra={
-                    "worker": link.worker,
-                    "runs": len(room.runs),
-                    "silent_seconds": round(now - (link.failed_since or now), 3),
-                },
+            RUNS_LOST.write(
+                worker=link.worker,
+                runs=len(room.runs),
+                request_ids=sorted({run.key.job for run in room.runs.values()}),
+                silent_seconds=round(now - (link.failed_since or now), 3),
+                reason=reason,
             )
         for run in list(room.runs.values()):
             room.release(run)
--- a/papayapick/pool/orders.py
+++ b/papayapick/pool/orders.py
@@ -1,14 +1,18 @@
 """Send orders to workers and tell the owner what became of them."""
 
 from papayapick.jobs.runs import RunPhase
-from papayapick.observability.logs import get_logger
 from papayapick.platform.exceptions import CheckFailed, WorkerSilent
+from papayapick.pool.events import (
+    PACE_NOT_SET,
+    PACE_SET,
+    START_REFUSED,
+    START_UNANSWERED,
+    STOP_REFUSED,
+)
 from papayapick.pool.reports import StartOutcome, run_fields
 
 __all__ = ["Orders", "Start"]
 
-_LOG = get_logger(__name__)
-
 
 class Start:
     """Hold a start that is to be ordered.
@@ -78,7 +82,10 @@
             elif outcome == StartOutcome.UNKNOWN:
                 if run.phase == RunPhase.ORDERED:
                     run.phase = RunPhase.UNSURE
-                    _LOG.info("start without an answer", extra=run_fields(run))
+                    rest = link.lapse_at - now
+                    START_UNANSWERED.write(
+                        **run_fields(run), lapse_in_seconds=round(rest, 3)
+                    )
                     self.stop_once(run, now)
             else:
                 self._note_not_started(room, run, outcome, now)
@@ -88,7 +95,12 @@
         self._owner.wake()
 
     def _note_not_started(self, room, run, outcome, now):
-        _LOG.info("start refused", extra={**run_fields(run), "reason": outcome.value})
+        START_REFUSED.write(
+            **run_fields(run),
+            reason=outcome.value,
+            room_processors=room.processors,
+            room_memory=room.memory,
+        )
         room.release(run)
         if outcome == StartOutcome.TICKET_INVALID:
             self._owner.advising.drop_ticket(run)
@@ -156,10 +168,7 @@
             # Ordered again by the next tick.
             return
         except CheckFailed as error:
-            _LOG.info(
-                "stop refused",
-                extra={"worker": link.worker, "status": error.details["status"]},
-            )
+            STOP_REFUSED.write(worker=link.worker, status=error.details["status"])
             return
         self.note_stop_confirmed(run)
         if run.phase == RunPhase.STOPPING and not run.was_seen:
@@ -171,6 +180,7 @@
         try:
             link.client.pace(run.key, run.attempt, percent, self._owner.row.epoch)
         except (WorkerSilent, CheckFailed) as error:
-            _LOG.info("pace not set", extra={"error": str(error)})
+            PACE_NOT_SET.write(worker=link.worker, error=str(error))
             return
+        PACE_SET.write(**run_fields(run), percent=percent, percent_before=run.pace)
         run.pace = percent
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -5,11 +5,17 @@
 
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.jobs import JobBook, RunPhase
-from papayapick.observability.logs import get_logger
 from papayapick.ownership.pools import OwnershipLost, release_pool
 from papayapick.placement.rooms import Rooms
 from papayapick.pool.advising import Advising
 from papayapick.pool.decisions import Decisions
+from papayapick.pool.events import (
+    POOL_LEFT,
+    POOL_LOOP_FAILED,
+    POOL_NOT_RELEASED,
+    POOL_TAKEN,
+    RECORDING_CHANGED,
+)
 from papayapick.pool.forgetting import forget_jobs
 from papayapick.pool.journal import PROGRESS_TABLE, PoolJournal
 from papayapick.pool.lists import WorkerLists
@@ -23,8 +29,6 @@
 
 __all__ = ["PoolOwner"]
 
-_LOG = get_logger(__name__)
-
 # A task for each worker, for each order under way and for each loop; idle ones
 # cost a small stack only.
 _TASKS = 512
@@ -57,6 +61,7 @@
         "_forgotten_at",
         "_order_executor",
         "_wakeup",
+        "_was_unrecorded",
         "advising",
         "book",
         "decisions",
@@ -88,6 +93,7 @@
         self.roster = WorkerRoster(PROGRESS_TABLE, row.pool)
         self.links_by_worker = {}
         self.is_lost = False
+        self._was_unrecorded = False
         self.stopping = threading.Event()
         self.taken_at = host.clock.monotonic()
         self._forgotten_at = self.taken_at
@@ -169,14 +175,13 @@
                 ("journal", self.journal.run),
             ):
                 self.submit(name, step)
-        _LOG.info(
-            "pool taken",
-            extra={
-                "pool": self.pool,
-                "epoch": self.row.epoch,
-                "jobs": len(self.book.jobs()),
-                "workers": len(self.links_by_worker),
-            },
+        POOL_TAKEN.write(
+            pool=self.pool,
+            epoch=self.row.epoch,
+            jobs=len(self.book.jobs()),
+            workers=len(self.links_by_worker),
+            is_journal_exact=self.settling.is_journal_exact,
+            seconds=round(self.now() - self.taken_at, 3),
         )
 
     def stop(self):
@@ -191,14 +196,7 @@
                 link.stop()
             self._executor.shutdown(wait=False, cancel_futures=True)
             self._order_executor.shutdown(wait=False, cancel_futures=True)
-        _LOG.info(
-            "pool left",
-            extra={
-                "pool": self.pool,
-                "epoch": self.row.epoch,
-                "is_lost": self.is_lost,
-            },
-        )
+        POOL_LEFT.write(pool=self.pool, epoch=self.row.epoch, is_lost=self.is_lost)
 
     def leave(self):
         """Ask for a successor, and go on until there is one.
@@ -215,7 +213,9 @@
         try:
             release_pool(self.host.store, self.row)
         except (OwnershipLost, TableUnavailable) as error:
-            _LOG.info("pool not released", extra={"error": str(error)})
+            POOL_NOT_RELEASED.write(
+                pool=self.pool, epoch=self.row.epoch, error=str(error)
+            )
 
     def pause(self, seconds):
         """Wait, but not longer than this owner lasts."""
@@ -231,7 +231,7 @@
         except Exception:
             # Without one of its loops the owner would hold the pool and do
             # nothing: another host does better.
-            _LOG.exception("loop of the pool failed", extra={"loop": name})
+            POOL_LOOP_FAILED.write_failure(pool=self.pool, loop=name)
             self.note_lost()
             self.host.note_owner_failed(self)
 
@@ -267,7 +267,7 @@
         for link in self.links():
             room = self.rooms.get(link.worker)
             if link.is_silent and now > max(link.lapse_at, self._lapse_floor(link)):
-                self.lists.lose_runs(link)
+                self.lists.lose_runs(link, "lease over")
                 if not link.is_listed and self.settling.is_settled:
                     self.sources.drop_link(link)
                 continue
@@ -304,7 +304,18 @@
         if seconds is not None:
             self.recording.note_commit(seconds)
             self.host.store_health.note_word()
-            return
-        self.host.store_health.note_failure()
-        self.recording.note_failure()
-        self.recording.note_outage(self.standing.is_alone_in_charge())
+        else:
+            self.host.store_health.note_failure()
+            self.recording.note_failure()
+            self.recording.note_outage(self.standing.is_alone_in_charge())
+        self._note_recording(seconds)
+
+    def _note_recording(self, seconds):
+        is_wanted = self.recording.is_announced
+        if is_wanted != self._was_unrecorded:
+            self._was_unrecorded = is_wanted
+            RECORDING_CHANGED.write(
+                pool=self.pool,
+                is_before_start=not is_wanted,
+                commit_seconds=None if seconds is None else round(seconds, 4),
+            )
--- a/papayapick/pool/settling.py
+++ b/papayapick/pool/settling.py
@@ -1,13 +1,11 @@
 """Find out, after a takeover, what runs where."""
 
-from papayapick.observability.logs import get_logger
+from papayapick.pool.events import POOL_SETTLED
 from papayapick.pool.links import LEASE_SECONDS
 from papayapick.pool.standing import UNCONFIRMED_SECONDS
 
 __all__ = ["QUIET_SECONDS", "Settling"]
 
-_LOG = get_logger(__name__)
-
 # A worker that did not answer a new owner may run what the old one started there
 # until that lease is over.
 QUIET_SECONDS = UNCONFIRMED_SECONDS + LEASE_SECONDS / 0.98
@@ -33,6 +31,11 @@
         self._is_settled = False
         self._settled_at = None
 
+    @property
+    def is_journal_exact(self):
+        """Return whether each start of before is known to have been recorded."""
+        return self._is_journal_exact
+
     @property
     def is_settled(self):
         """Return whether it is known where all tasks of before run."""
@@ -65,13 +68,11 @@
             self._owner.book.let_all_go(now)
             self._is_settled = True
             self._settled_at = now
-            _LOG.info(
-                "pool settled",
-                extra={
-                    "pool": self._owner.pool,
-                    "seconds": round(now - self._owner.taken_at, 3),
-                    "silent": silent,
-                },
+            POOL_SETTLED.write(
+                pool=self._owner.pool,
+                epoch=self._owner.row.epoch,
+                seconds=round(now - self._owner.taken_at, 3),
+                silent=silent,
             )
 
     def _is_clear(self, task, has_silent):
--- a/papayapick/pool/sources.py
+++ b/papayapick/pool/sources.py
@@ -1,21 +1,19 @@
 """Read the state of a pool, and follow its jobs and workers."""
 
 from papayapick.jobs.documents import JobDocument
-from papayapick.observability.logs import get_logger
 from papayapick.placement.rooms import WorkerRoom
 from papayapick.platform.workers import (
     WORKERS_TABLE,
     WorkerClient,
     decode_registration,
 )
+from papayapick.pool.events import JOB_TAKEN, RECORD_REFUSED, WORKER_GONE
 from papayapick.pool.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.links import WorkerLink
 from papayapick.pool.partitions import job_partitions
 
 __all__ = ["Sources", "check_readable"]
 
-_LOG = get_logger(__name__)
-
 
 def check_readable(host, pool):
     """Read a row of each partition that a new owner of a pool needs.
@@ -115,11 +113,24 @@
         except (KeyError, TypeError, ValueError, IndexError):
             # One record that can't be read must not stop all other jobs, on each
             # host in turn; this job stays as it is until somebody mends it.
-            _LOG.exception("record refused", extra={"request_id": row.key})
+            RECORD_REFUSED.write_failure(request_id=row.key)
             self._owner.book.forget(row.key)
             return
+        if not job.is_final:
+            self._note_taken(job)
         self._owner.advising.want_first(job, now)
 
+    def _note_taken(self, job):
+        JOB_TAKEN.write(
+            request_id=job.identifier,
+            queue=job.queue.name,
+            priority=job.queue.priority,
+            steps=len(job.document.steps),
+            status=job.status,
+            pool=self._owner.pool,
+            epoch=self._owner.row.epoch,
+        )
+
     def follow_workers(self, version):
         """Take in registrations until the owner stops."""
         self._owner.host.follow(
@@ -173,4 +184,4 @@
         del self._owner.links_by_worker[link.worker]
         self._owner.rooms.remove(link.worker)
         self._owner.roster.forget(link.worker)
-        _LOG.info("worker gone", extra={"worker": link.worker})
+        WORKER_GONE.write(worker=link.worker)
