Ask a lost store again and again, so that its return is noticed at once

Callers come back for 3 s at most, five times; the last tries of some twenty were spent on a store that was up. Change: StoreProbe, a task that asks only while the store is lost; on its return the pauses of partitions and of relays end too. Callers of the outage's first second can't be served: their time is over before the store is back.

--- a/papayapick/entry/events.py
+++ b/papayapick/entry/events.py
@@ -33,6 +33,7 @@
     "SETTINGS_READ",
     "STORE_AWAY",
     "STORE_BACK",
+    "STORE_FOUND",
     "STORE_LOST",
     "WRITE_UNSETTLED",
 ]
@@ -84,6 +85,11 @@
 STORE_BACK = Event(
     "store back", "table version away_seconds", "It answers there again."
 )
+STORE_FOUND = Event(
+    "store found again",
+    "away_seconds",
+    "A lost store answers this host; callers are served again from now on.",
+)
 HISTORY_LOST = Event(
     "history lost", "table version", "The table is read whole: its changes are gone."
 )
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -25,6 +25,7 @@
 )
 from papayapick.entry.joining import cell_key, register
 from papayapick.entry.peers import HOSTS_PARTITION, OwnerLine, Peers
+from papayapick.entry.probing import StoreProbe
 from papayapick.entry.relays import RelayedStore, StoreRelay
 from papayapick.entry.servers import FrontServer
 from papayapick.entry.store_health import StoreHealth
@@ -84,6 +85,13 @@
         # Seconds that a short call of the store takes from here.
         self.store_seconds = 0.0
         self.store_health = StoreHealth(self.clock)
+        self._probe = StoreProbe(
+            self.store,
+            self.store_health,
+            self.clock,
+            self.stopping,
+            self.relayed_store.note_return,
+        )
         self._relay = StoreRelay(self)
         self._candidacies = {}
         self._was_ready = False
@@ -171,6 +179,7 @@
             ("configuration", self.configuration.run),
             ("cell", self._follow_cell),
             ("writer", self.writer.run),
+            ("probe", self._probe.run),
         ):
             self.executor.submit(self._run_loop, name, step)
 
--- a/papayapick/entry/relays.py
+++ b/papayapick/entry/relays.py
@@ -68,6 +68,11 @@
             writes[0].partition,
         )
 
+    def note_return(self):
+        """Try the store, and other hosts, at once again: it has come back."""
+        self._paused_partitions = {}
+        self._paused_until = 0.0
+
     def read(self, table, partition, first, end, limit):
         """Return the rows of a range, as a list of StoredRow."""
         call = StoreCall(
--- a/papayapick/platform/store.py
+++ b/papayapick/platform/store.py
@@ -161,7 +161,9 @@
             raise StoreRefused()
         return _json(answer)["ver"]
 
-    def read(self, table, partition, first="", end="", limit=500):
+    def read(
+        self, table, partition, first="", end="", limit=500, seconds=_CALL_SECONDS
+    ):
         """Return a page of rows in order of their keys.
 
         Parameters
@@ -171,6 +173,8 @@
             Keys; the range excludes the second one.
         limit : int
             Rows, at most 500.
+        seconds : float
+            So long an answer is waited for.
 
         Returns
         -------
@@ -181,7 +185,7 @@
             query["from"] = first
         if end:
             query["to"] = end
-        answer = self._call("read", "GET", "/rows-get?" + _query(query))
+        answer = self._call("read", "GET", "/rows-get?" + _query(query), None, seconds)
         if answer.status != 200:
             raise StoreRefused()
         return _page(_json(answer))
--- /dev/null
+++ b/tests/entry/test_probing.py
@@ -0,0 +1,114 @@
+"""The return of the store is noticed at once."""
+
+import threading
+
+import pytest
+
+from papayapick.clients import TableUnavailable
+from papayapick.clock import ManualClock
+from papayapick.entry.probing import StoreProbe
+from papayapick.entry.relays import RelayedStore
+from papayapick.entry.store_health import StoreHealth
+from papayapick.platform.exceptions import StoreRefused
+from papayapick.platform.store import Expectation, Page, RowWrite
+
+EXPECTATION = Expectation("jobs", "pool/1", "j1", 0)
+WRITE = RowWrite("jobs", "pool/1", "j1", {"n": 1})
+
+
+class Store:
+    """Refuse while it is down."""
+
+    def __init__(self):
+        self.is_down = False
+        self.asked = 0
+
+    def read(self, table, partition, first="", end="", limit=500, seconds=1.0):
+        self.asked += 1
+        if self.is_down:
+            raise StoreRefused()
+        return Page([], 1)
+
+    def transact(self, expectations, writes, seconds=1.0):
+        if self.is_down:
+            raise StoreRefused()
+        return 1
+
+
+class StoppingClock:
+    """Stop the process after some waits."""
+
+    def __init__(self, stopping, looks):
+        self._stopping = stopping
+        self._looks = looks
+
+    def wait(self, event, seconds):
+        self._looks -= 1
+        if not self._looks:
+            self._stopping.set()
+
+
+class Host:
+    def __init__(self):
+        self.clock = ManualClock(100.0)
+        self.store = Store()
+        self.store_health = StoreHealth(self.clock)
+        self.stopping = threading.Event()
+        self.peers = self
+
+    def all(self):
+        return []
+
+
+@pytest.fixture
+def host():
+    return Host()
+
+
+@pytest.fixture
+def relayed(host):
+    return RelayedStore(host)
+
+
+@pytest.fixture
+def probe(host, relayed):
+    return StoreProbe(
+        host.store, host.store_health, host.clock, host.stopping, relayed.note_return
+    )
+
+
+def lose(host):
+    host.store_health.note_word()
+    host.clock.advance(0.1)
+    host.store.is_down = True
+    host.store_health.note_failure()
+
+
+def test_callers_are_served_as_soon_as_the_store_answers(host, relayed, probe):
+    # A caller's job is refused while the store is down; it comes back for three
+    # seconds. The store returns, but the calls that follow its tables wait into
+    # their time limits for up to 0.8 s more, and all that time callers were told to
+    # come back: their last tries were spent on a store that was up.
+    lose(host)
+    with pytest.raises(TableUnavailable):
+        relayed.transact([EXPECTATION], [WRITE])
+    host.store.is_down = False
+    assert host.store_health.is_lost()
+    assert probe.ask()
+    assert not host.store_health.is_lost()
+    assert relayed.transact([EXPECTATION], [WRITE]) == 1
+
+
+def test_store_that_stays_away_stays_lost(host, probe):
+    lose(host)
+    assert not probe.ask()
+    assert host.store_health.is_lost()
+
+
+def test_store_that_answers_is_not_asked(host):
+    # The probe must cost nothing while all is well: each call is paid for.
+    host.store_health.note_word()
+    clock = StoppingClock(host.stopping, looks=4)
+    probe = StoreProbe(host.store, host.store_health, clock, host.stopping, int)
+    probe.run()
+    assert host.store.asked == 0
