Ask for advice elsewhere at once when a host has gone; never under the owner's lock

Connecting to one that is cut off held the owner's lock for 0.4 s. Change: a question that did not reach its host goes to the next one at once, and the host that failed is not asked until it has answered a beat since.

--- a/papayapick/entry/advisers.py
+++ b/papayapick/entry/advisers.py
@@ -3,7 +3,9 @@
 import threading
 from concurrent.futures import Future, ThreadPoolExecutor
 
+from papayapick.entry.events import ADVICE_MOVED
 from papayapick.platform.advice import AdviceClient
+from papayapick.wire import PeerDisconnected, PeerUnreachable
 from papayapick.wire.messages import AdviceReply, Ticket
 
 __all__ = ["AdviceDesk", "Adviser"]
@@ -31,6 +33,18 @@
         )
 
 
+class _Question:
+    """Hold what is asked, and the future of its answer."""
+
+    __slots__ = ("answer", "expected", "key", "workers")
+
+    def __init__(self, key, workers, expected, answer):
+        self.key = key
+        self.workers = workers
+        self.expected = expected
+        self.answer = answer
+
+
 class AdviceDesk:
     """Spread an owner's questions over the hosts, and answer those of others.
 
@@ -58,34 +72,60 @@
             Gives the ticket by worker.
         """
         answer = Future()
-        with self._lock:
-            least, peer = self._seconds, None
-            for one in self._host.peers.live():
-                if one.advice_seconds < least:
-                    least, peer = one.advice_seconds, one
-            self._add(peer, expected)
+        question = _Question(key, workers, expected, answer)
+        # As a task: the owner asks under its lock, and a host that is cut off holds
+        # up whoever connects to it for 0.4 s.
+        self._host.executor.submit(self._ask, question)
+        return answer
+
+    def _ask(self, question):
+        peer = self._choose(question.expected)
         try:
-            if peer is None:
-                asked = self._adviser.ask(str(key), workers, expected)
-            else:
-                asked = self._host.peers.ask_advice(peer, key, workers, expected)
+            asked = self._ask_through(peer, question)
         except Exception as error:
-            self._note_done(peer, expected)
-            answer.set_exception(error)
-            return answer
-        asked.add_done_callback(lambda done: self._pass(done, answer, peer, expected))
-        return answer
+            self._note_failure(peer, question, error)
+            return
+        asked.add_done_callback(lambda done: self._pass(done, peer, question))
+
+    def _choose(self, expected):
+        """Return the host with least to ask, or None for this one, and count it."""
+        with self._lock:
+            least, chosen = self._seconds, None
+            for peer in self._host.peers.live():
+                # A host that has just gone has nothing to ask and counts as live for
+                # a moment: each question would be sent to it in turn, 0.2 s apart.
+                is_gone = peer.advice_failed_at >= peer.answered_at
+                if not is_gone and peer.advice_seconds < least:
+                    least, chosen = peer.advice_seconds, peer
+            self._add(chosen, expected)
+        return chosen
+
+    def _ask_through(self, peer, question):
+        key, workers, expected = question.key, question.workers, question.expected
+        if peer is None:
+            return self._adviser.ask(str(key), workers, expected)
+        return self._host.peers.ask_advice(peer, key, workers, expected)
 
-    def _pass(self, done, answer, peer, expected):
-        self._note_done(peer, expected)
+    def _pass(self, done, peer, question):
         error = done.exception()
         if error is not None:
-            answer.set_exception(error)
-        elif peer is None:
-            answer.set_result(done.result())
-        else:
-            tickets = done.result().tickets
-            answer.set_result({one.worker: one.ticket for one in tickets})
+            self._note_failure(peer, question, error)
+            return
+        self._note_done(peer, question.expected)
+        if peer is None:
+            question.answer.set_result(done.result())
+            return
+        tickets = done.result().tickets
+        question.answer.set_result({one.worker: one.ticket for one in tickets})
+
+    def _note_failure(self, peer, question, error):
+        self._note_done(peer, question.expected)
+        if peer is None or not isinstance(error, PeerUnreachable | PeerDisconnected):
+            question.answer.set_exception(error)
+            return
+        ADVICE_MOVED.write(step=str(question.key), peer=peer.name, error=str(error))
+        peer.advice_failed_at = self._host.clock.monotonic()
+        self._ask(question)
 
     def _note_done(self, peer, expected):
         with self._lock:
--- a/papayapick/entry/events.py
+++ b/papayapick/entry/events.py
@@ -5,6 +5,7 @@
 from papayapick.observability.events import Event
 
 __all__ = [
+    "ADVICE_MOVED",
     "CANCEL_STORED",
     "CELL_KEY_FOUND",
     "CONFIGURATION_IN_FORCE",
@@ -190,3 +191,8 @@
     "Its state could not be read; the pool is freed again.",
     level=logging.WARNING,
 )
+ADVICE_MOVED = Event(
+    "advice asked elsewhere",
+    "step peer error",
+    "The host that was to ask for advice is gone; another one is asked at once.",
+)
--- a/papayapick/entry/peers.py
+++ b/papayapick/entry/peers.py
@@ -42,6 +42,7 @@
 
     __slots__ = (
         "address",
+        "advice_failed_at",
         "advice_seconds",
         "answered_at",
         "client",
@@ -60,6 +61,8 @@
         self.client = client
         self.answered_at = 0.0
         self.failed_at = float("-inf")
+        # When it last could not be reached for advice.
+        self.advice_failed_at = float("-inf")
         # Seconds since the store last answered it, as it said.
         self.store_age = float("inf")
         # What the calls of the advice service that it was given still take.
