Serve counters and histograms of the entry host; pages of events and metrics

The stand-in of a worker now lists progress that moves: with a constant 50 percent its runs stood still, and the process test of a frozen owner failed once (a run was replaced).

--- a/papayapick/entry/advisers.py
+++ b/papayapick/entry/advisers.py
@@ -4,6 +4,7 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 
 from papayapick.entry.events import ADVICE_MOVED
+from papayapick.entry.metrics import ADVICE_SECONDS
 from papayapick.platform.advice import AdviceClient
 from papayapick.wire import PeerDisconnected, PeerUnreachable
 from papayapick.wire.messages import AdviceReply, Ticket
@@ -36,13 +37,14 @@
 class _Question:
     """Hold what is asked, and the future of its answer."""
 
-    __slots__ = ("answer", "expected", "key", "workers")
+    __slots__ = ("answer", "asked_at", "expected", "key", "workers")
 
-    def __init__(self, key, workers, expected, answer):
+    def __init__(self, key, workers, expected, answer, asked_at):
         self.key = key
         self.workers = workers
         self.expected = expected
         self.answer = answer
+        self.asked_at = asked_at
 
 
 class AdviceDesk:
@@ -72,7 +74,8 @@
             Gives the ticket by worker.
         """
         answer = Future()
-        question = _Question(key, workers, expected, answer)
+        now = self._host.clock.monotonic()
+        question = _Question(key, workers, expected, answer, now)
         # As a task: the owner asks under its lock, and a host that is cut off holds
         # up whoever connects to it for 0.4 s.
         self._host.executor.submit(self._ask, question)
@@ -112,6 +115,7 @@
             self._note_failure(peer, question, error)
             return
         self._note_done(peer, question.expected)
+        self._observe("answered", question)
         if peer is None:
             question.answer.set_result(done.result())
             return
@@ -121,12 +125,17 @@
     def _note_failure(self, peer, question, error):
         self._note_done(peer, question.expected)
         if peer is None or not isinstance(error, PeerUnreachable | PeerDisconnected):
+            self._observe("failed", question)
             question.answer.set_exception(error)
             return
         ADVICE_MOVED.write(step=str(question.key), peer=peer.name, error=str(error))
         peer.advice_failed_at = self._host.clock.monotonic()
         self._ask(question)
 
+    def _observe(self, outcome, question):
+        took = self._host.clock.monotonic() - question.asked_at
+        ADVICE_SECONDS.labels(outcome).observe(took)
+
     def _note_done(self, peer, expected):
         with self._lock:
             self._add(peer, -expected)
--- a/papayapick/entry/application.py
+++ b/papayapick/entry/application.py
@@ -9,7 +9,9 @@
     REQUEST_REFUSED,
 )
 from papayapick.entry.exceptions import BodyTooLarge, NoSuchQueue, NotAccepted
+from papayapick.entry.metrics import ACCEPTANCE_SECONDS, REFUSALS, REQUESTS
 from papayapick.exceptions import PapayapickError
+from papayapick.observability.registry import metrics_text
 from papayapick.platform.exceptions import BodyInvalid
 from papayapick.platform.requests import (
     decode_job,
@@ -21,6 +23,8 @@
 __all__ = ["Application"]
 
 _JSON = "application/json"
+_TEXT = "text/plain; version=0.0.4; charset=utf-8"
+_METHODS = ("GET", "POST", "DELETE")
 _OK = "200 OK"
 _BAD_REQUEST = "400 Bad Request"
 _NOT_FOUND = "404 Not Found"
@@ -46,19 +50,25 @@
     host : EntryHost
     """
 
-    __slots__ = ("_host", "_readiness_port")
+    __slots__ = ("_host", "_metrics_port", "_readiness_port")
 
     def __init__(self, host):
         self._host = host
         self._readiness_port = str(host.settings.readiness_address[1])
+        self._metrics_port = str(host.settings.metrics_port)
 
     def __call__(self, environ, start_response):
         """Answer one WSGI request."""
-        if environ["SERVER_PORT"] == self._readiness_port:
+        port = environ["SERVER_PORT"]
+        if port == self._metrics_port:
+            status, body = self._metrics(environ)
+        elif port == self._readiness_port:
             status, body = self._health(environ)
         else:
             status, body = self._guarded(environ, self._host.clock.monotonic())
-        headers = [("Content-Type", _JSON), ("Content-Length", str(len(body)))]
+            REQUESTS.labels(_method(environ), status[:3]).inc()
+        kind = _TEXT if port == self._metrics_port else _JSON
+        headers = [("Content-Type", kind), ("Content-Length", str(len(body)))]
         if status == _AWAY:
             headers.append(("Retry-After", str(_RETRY_AFTER_SECONDS)))
         start_response(status, headers)
@@ -69,6 +79,12 @@
             return _NOT_FOUND, b"{}"
         return (_OK if self._host.is_ready() else _AWAY), b"{}"
 
+    def _metrics(self, environ):
+        if environ["PATH_INFO"] != "/metrics":
+            return _NOT_FOUND, b""
+        self._host.refresh_metrics()
+        return _OK, metrics_text()
+
     def _guarded(self, environ, arrived_at):
         try:
             return self._answer(environ, arrived_at)
@@ -81,6 +97,7 @@
             return self._refuse(environ, arrived_at, status, error)
 
     def _refuse(self, environ, arrived_at, status, error):
+        REFUSALS.labels(error.code).inc()
         REQUEST_REFUSED.write(
             **_asked(environ),
             status=int(status.split()[0]),
@@ -132,6 +149,7 @@
         return _NOT_ALLOWED, b"{}"
 
     def _note_accepted(self, document, queue, arrived_at):
+        ACCEPTANCE_SECONDS.observe(self._since(arrived_at))
         JOB_ACCEPTED.write(
             request_id=document.identifier,
             queue=queue.name,
@@ -144,6 +162,12 @@
         )
 
 
+def _method(environ):
+    """Return the method as a label: callers may send any word."""
+    method = environ["REQUEST_METHOD"]
+    return method if method in _METHODS else "other"
+
+
 def _body(environ, limit):
     size = int(environ.get("CONTENT_LENGTH") or 0)
     if size > limit:
--- a/papayapick/entry/board.py
+++ b/papayapick/entry/board.py
@@ -51,6 +51,12 @@
         with self._lock:
             self._loads[pool] = loads
 
+    def all_waiting(self):
+        """Return how many jobs of each queue wait, as last told, where any does."""
+        with self._lock:
+            pools = list(self._loads.values())
+        return {name: n for loads in pools for name, n in loads.items() if n}
+
     def waiting(self, queue):
         """Return how many jobs of a queue have not begun, as last told."""
         with self._lock:
--- a/papayapick/entry/configuration.py
+++ b/papayapick/entry/configuration.py
@@ -21,12 +21,13 @@
     host : EntryHost
     """
 
-    __slots__ = ("_current", "_has_one", "_host")
+    __slots__ = ("_current", "_has_one", "_host", "_in_force_since")
 
     def __init__(self, host):
         self._host = host
         self._current = None
         self._has_one = threading.Event()
+        self._in_force_since = 0.0
 
     @property
     def current(self):
@@ -38,6 +39,12 @@
         """Return the version in force; 0 for none."""
         return 0 if self._current is None else self._current.version
 
+    def age(self):
+        """Return the seconds for which the version has been in force; 0 for none."""
+        if self._current is None:
+            return 0.0
+        return self._host.clock.monotonic() - self._in_force_since
+
     def wait_for_first(self, seconds):
         """Wait for the first configuration and return it, or None.
 
@@ -74,6 +81,7 @@
         if self._current is not None and found.version <= self._current.version:
             return
         version_before, self._current = self.version, found
+        self._in_force_since = self._host.clock.monotonic()
         self._has_one.set()
         CONFIGURATION_IN_FORCE.write(
             version=found.version,
--- /dev/null
+++ b/papayapick/entry/metrics.py
@@ -0,0 +1,47 @@
+"""What an entry host counts and times towards its callers and the platform."""
+
+from papayapick.observability.registry import counter, gauge, histogram
+
+__all__ = [
+    "ACCEPTANCE_SECONDS",
+    "ADVICE_SECONDS",
+    "CONFIGURATION_AGE_SECONDS",
+    "CONFIGURATION_VERSION",
+    "LINES_LEFT_OUT",
+    "REFUSALS",
+    "REQUESTS",
+    "STORE_AGE_SECONDS",
+    "STORE_SECONDS",
+]
+
+REQUESTS = counter(
+    "papayapick_entry_requests", "Requests answered", ("method", "status")
+)
+REFUSALS = counter(
+    "papayapick_entry_refusals", "Requests not answered with success", ("code",)
+)
+ACCEPTANCE_SECONDS = histogram(
+    "papayapick_entry_acceptance_seconds", "From a job's arrival to its being stored"
+)
+STORE_SECONDS = histogram(
+    "papayapick_entry_store_seconds",
+    "Calls of the store; a follow waits for changes",
+    ("operation", "outcome"),
+)
+STORE_AGE_SECONDS = gauge(
+    "papayapick_entry_store_age_seconds", "Since the store last answered this host"
+)
+ADVICE_SECONDS = histogram(
+    "papayapick_entry_advice_seconds",
+    "From wanting advice to having it, the wait for other calls included",
+    ("outcome",),
+)
+CONFIGURATION_VERSION = gauge(
+    "papayapick_entry_configuration_version", "Version in force"
+)
+CONFIGURATION_AGE_SECONDS = gauge(
+    "papayapick_entry_configuration_age_seconds", "Since that version came in force"
+)
+LINES_LEFT_OUT = counter(
+    "papayapick_entry_lines_left_out", "Lines of the log that were not written"
+)
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -24,6 +24,12 @@
     follow_table,
 )
 from papayapick.entry.joining import cell_key, register
+from papayapick.entry.metrics import (
+    CONFIGURATION_AGE_SECONDS,
+    CONFIGURATION_VERSION,
+    STORE_AGE_SECONDS,
+    STORE_SECONDS,
+)
 from papayapick.entry.peers import HOSTS_PARTITION, OwnerLine, Peers
 from papayapick.entry.probing import StoreProbe
 from papayapick.entry.relays import RelayedStore, StoreRelay
@@ -33,6 +39,7 @@
 from papayapick.jobs.queues import Queue
 from papayapick.ownership.pools import CELL_TABLE, pool_row, read_pool
 from papayapick.platform.store import Store
+from papayapick.pool.metrics import OWNED_POOLS, WAITING_JOBS
 from papayapick.wire import CellKeys, PeerServer
 from papayapick.wire.messages import (
     AdviceQuery,
@@ -71,7 +78,12 @@
         self.stopping = threading.Event()
         self.is_draining = False
         self.executor = ThreadPoolExecutor(_TASKS, thread_name_prefix="entry")
-        self.store = Store(settings.store_address, HttpPool(_STORE_CALL_SECONDS))
+        self.store = Store(
+            settings.store_address,
+            HttpPool(_STORE_CALL_SECONDS),
+            self.clock,
+            _observe_store,
+        )
         self.worker_pool = HttpPool(_WORKER_CALL_SECONDS)
         self.board = StateBoard()
         self.configuration = ConfigurationWatcher(self)
@@ -149,6 +161,16 @@
         """Return the names of the pools that this process owns."""
         return [one.pool for one in list(self._candidacies.values()) if one.is_owner]
 
+    def refresh_metrics(self):
+        """Set the gauges, for whoever is about to read them."""
+        STORE_AGE_SECONDS.set(self.store_health.age())
+        CONFIGURATION_VERSION.set(self.configuration.version)
+        CONFIGURATION_AGE_SECONDS.set(self.configuration.age())
+        OWNED_POOLS.set(len(self.owned_pools()))
+        WAITING_JOBS.clear()
+        for queue, count in self.board.all_waiting().items():
+            WAITING_JOBS.labels(queue).set(count)
+
     def _run_loop(self, name, step):
         try:
             step()
@@ -363,3 +385,7 @@
     def _note_peer_end(self, peer):
         for candidacy in list(self._candidacies.values()):
             candidacy.note_end(peer)
+
+
+def _observe_store(operation, outcome, seconds):
+    STORE_SECONDS.labels(operation, outcome).observe(seconds)
--- a/papayapick/entry/program.py
+++ b/papayapick/entry/program.py
@@ -17,6 +17,7 @@
     SETTINGS_KEPT,
     SETTINGS_READ,
 )
+from papayapick.entry.metrics import LINES_LEFT_OUT
 from papayapick.entry.process import EntryHost
 from papayapick.observability.events import EventLog
 from papayapick.platform.exceptions import PlatformSettingsInvalid
@@ -29,19 +30,22 @@
 _STACK_BYTES = 256 << 10
 # Lines that were left out are counted up so often.
 _LEFT_OUT_SECONDS = 5.0
+_PORT_LIMIT = 65535
 
 USAGE = """Run an entry host on the users' platform.
 
 The settings file of the platform is named by its own variable.
 
 Usage:
-  papayapick-entry [--log-level=LEVEL]
+  papayapick-entry [--log-level=LEVEL] [--metrics-port=PORT]
   papayapick-entry --help
   papayapick-entry --version
 
 Options:
   --log-level=LEVEL
       Least level of the lines that are written [default: INFO].
+  --metrics-port=PORT
+      Serve metrics at /metrics there; 0 for not at all [default: 0].
   --help
       Show this page.
   --version
@@ -53,7 +57,7 @@
     """Run the entry host until it is told to stop."""
     try:
         options = docopt(USAGE, argv=arguments, version=f"papayapick {VERSION}")
-        settings = PlatformSettings.from_config()
+        settings = PlatformSettings.from_config(metrics_port=_port(options))
     except DocoptExit as error:
         sys.stderr.write(f"command.usage: {error}\n")
         sys.exit(EXIT_SETTINGS)
@@ -63,7 +67,8 @@
     threading.stack_size(_STACK_BYTES)
     clock = BootClock()
     static = {"host": settings.host_name, "zone": settings.zone}
-    log = EventLog(clock, options["--log-level"], static)
+    level = options["--log-level"]
+    log = EventLog(clock, level, static, on_left_out=LINES_LEFT_OUT.inc)
     log.start()
     wakeup = threading.Event()
     stops = []
@@ -88,7 +93,7 @@
         role_address="{}:{}".format(*settings.frontend_address),
         peer_address="{}:{}".format(*settings.peer_address),
         store_address=settings.store_address,
-        log_level=options["--log-level"],
+        log_level=level,
     )
     while not stops:
         wakeup.wait(_LEFT_OUT_SECONDS)
@@ -107,6 +112,13 @@
     os._exit(0)
 
 
+def _port(options):
+    text = options["--metrics-port"]
+    if not text.isdecimal() or int(text) > _PORT_LIMIT:
+        raise DocoptExit(f"--metrics-port: {text!r} is no port")
+    return int(text)
+
+
 def _reload():
     try:
         PlatformSettings.from_config()
--- a/papayapick/entry/servers.py
+++ b/papayapick/entry/servers.py
@@ -26,7 +26,9 @@
 
     def __init__(self, settings, application):
         logging.getLogger("waitress.queue").setLevel(logging.ERROR)
-        addresses = (settings.frontend_address, settings.readiness_address)
+        addresses = [settings.frontend_address, settings.readiness_address]
+        if settings.metrics_port:
+            addresses.append((settings.peer_address[0], settings.metrics_port))
         self._server = create_server(
             application,
             listen=" ".join(f"{host}:{port}" for host, port in addresses),
--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -164,6 +164,7 @@
         "failed_task",
         "failed_worker",
         "finished_at",
+        "is_begun",
         "occurrences",
         "over",
         "queue",
@@ -179,6 +180,8 @@
         self.failed_task = None
         self.failed_worker = ""
         self.finished_at = None
+        # A task of it was placed by this owner.
+        self.is_begun = False
         self.occurrences = {}
         self.over = set()
 
--- a/papayapick/observability/events.py
+++ b/papayapick/observability/events.py
@@ -174,11 +174,14 @@
         On each line.
     stream : file, optional
         Standard output where none is given.
+    on_left_out : callable, optional
+        Called with the number of lines that were left out, when they are told.
     """
 
-    __slots__ = ("_handler", "_left_out", "_listener")
+    __slots__ = ("_handler", "_left_out", "_listener", "_on_left_out")
 
-    def __init__(self, clock, level, static_fields, stream=None):
+    def __init__(self, clock, level, static_fields, stream=None, on_left_out=None):
+        self._on_left_out = on_left_out or (lambda count: None)
         self._left_out = _LeftOut()
         waiting = queue.Queue(_WAITING_LINES)
         self._handler = _Handler(waiting, self._left_out)
@@ -208,6 +211,7 @@
             # Nobody reads: the counts are kept until somebody does.
             return
         for name, count in sorted(self._left_out.take().items()):
+            self._on_left_out(count)
             LINES_LEFT_OUT.write(of=name, count=count)
 
     def close(self):
--- a/papayapick/observability/queries.py
+++ b/papayapick/observability/queries.py
@@ -1,8 +1,16 @@
-"""Describe the metrics."""
+"""Describe the metrics and the events."""
 
+import importlib
+import logging
+
+from papayapick.observability import events, registry
 from papayapick.observability.metrics import Metrics
 
-__all__ = ["metrics_page"]
+__all__ = ["events_page", "metrics_page"]
+
+# They define the metrics and the events of an entry host.
+for _module in ("entry.metrics", "pool.metrics", "entry.events", "pool.events"):
+    importlib.import_module(f"papayapick.{_module}")
 
 _PAGE_HEAD = """# Metrics
 
@@ -18,13 +26,54 @@
 | --- | --- | --- | --- |
 """
 
+_ENTRY_HEAD = """
+An entry host (`papayapick-entry --metrics-port=PORT`) answers `GET /metrics` on its own
+address. Queues are named as the operator named them, and only while jobs wait in them.
+
+| Metric | Kind | Labels | Meaning |
+| --- | --- | --- | --- |
+"""
+
+_EVENTS_HEAD = """# Events
+
+An entry host writes one JSON object a line to standard output: `time`, `level`,
+`event`, `host` and `zone`, then the fields of the event. Each event may have so many
+lines a second; `lines left out` counts what was not written. For one request:
+[operations](../OPERATIONS.md).
+
+This page is written from `events.py` of `papayapick/entry` and `papayapick/pool` by
+`python -m papayapick.observability.reference events > docs/ref/events.md`.
+
+| Event | Level | A second | Fields | Meaning |
+| --- | --- | --- | --- | --- |
+"""
+
 
 def metrics_page():
     """Return the page of all metrics as Markdown."""
-    rows = [_row(*described) for described in Metrics().describe()]
-    return _PAGE_HEAD + "".join(row + "\n" for row in rows)
+    rows = [_row(*found) for found in Metrics().describe()]
+    entry_rows = [_row(*found) for found in registry.described()]
+    return (
+        _PAGE_HEAD
+        + "".join(row + "\n" for row in rows)
+        + _ENTRY_HEAD
+        + "".join(row + "\n" for row in entry_rows)
+    )
+
+
+def events_page():
+    """Return the page of all events as Markdown."""
+    rows = [_event_row(events.EVENTS[name]) for name in sorted(events.EVENTS)]
+    return _EVENTS_HEAD + "".join(row + "\n" for row in rows)
 
 
 def _row(name, kind, labels, text):
     shown = ", ".join(f"`{label}`" for label in labels) or "none"
     return f"| `{name}` | {kind} | {shown} | {text} |"
+
+
+def _event_row(event):
+    fields = ", ".join(f"`{field}`" for field in event.fields) or "none"
+    level = logging.getLevelName(event.level).lower()
+    meaning = event.meaning
+    return f"| {event.name} | {level} | {event.per_second} | {fields} | {meaning} |"
--- a/papayapick/observability/reference.py
+++ b/papayapick/observability/reference.py
@@ -1,18 +1,24 @@
-"""Write the reference page of the metrics.
+"""Write the reference pages of metrics and events.
 
-Run as ``python -m papayapick.observability.reference > docs/ref/metrics.md``.
+Run as ``python -m papayapick.observability.reference metrics > docs/ref/metrics.md``,
+and with ``events`` for ``docs/ref/events.md``.
 """
 
 import sys
 
-from papayapick.observability.queries import metrics_page
+from papayapick.observability.queries import events_page, metrics_page
 
-__all__ = ["main"]
+__all__ = ["PAGES", "main"]
+
+PAGES = {"events": events_page, "metrics": metrics_page}
 
 
 def main():
-    """Write the page to standard output."""
-    sys.stdout.write(metrics_page())
+    """Write the named page to standard output."""
+    name = sys.argv[1] if len(sys.argv) > 1 else "metrics"
+    if name not in PAGES:
+        sys.exit(f"no page {name}; there are {', '.join(sorted(PAGES))}")
+    sys.stdout.write(PAGES[name]())
 
 
 if __name__ == "__main__":
--- a/papayapick/platform/settings.py
+++ b/papayapick/platform/settings.py
@@ -19,6 +19,8 @@
     ----------
     found : dict
         The decoded file. Fields that are not known are ignored.
+    metrics_port : int
+        On the host's own address; 0 for none.
     """
 
     __slots__ = (
@@ -33,6 +35,7 @@
         "kill_seconds",
         "lease_limit_seconds",
         "machines_address",
+        "metrics_port",
         "peer_address",
         "readiness_address",
         "region",
@@ -41,7 +44,8 @@
         "zone",
     )
 
-    def __init__(self, found):
+    def __init__(self, found, metrics_port=0):
+        self.metrics_port = metrics_port
         bounds = found["bounds"]
         listen = found["listen"]
         self.host_name = _text(found["node"])
@@ -63,7 +67,7 @@
         self.harm_seconds = bounds.get("harm_ms", 0) / 1000
 
     @classmethod
-    def from_config(cls, environment=None):
+    def from_config(cls, environment=None, metrics_port=0):
         """Read the file that the environment names.
 
         Raises
@@ -81,7 +85,7 @@
         except ValueError as error:
             raise PlatformSettingsInvalid(path=path, reason=str(error)) from error
         try:
-            return cls(found)
+            return cls(found, metrics_port)
         except KeyError as error:
             reason = f"field {error.args[0]} is missing"
             raise PlatformSettingsInvalid(path=path, reason=reason) from error
--- a/papayapick/platform/store.py
+++ b/papayapick/platform/store.py
@@ -5,6 +5,7 @@
 import urllib.parse
 
 from papayapick.clients.exceptions import AnswerMissing, NotSent, TableUnavailable
+from papayapick.clock import SystemClock
 from papayapick.platform.exceptions import ConditionFailed, HistoryLost, StoreRefused
 
 __all__ = ["Expectation", "Page", "RowWrite", "Store", "StoredRow"]
@@ -91,8 +92,9 @@
     address : str
         ``IP:PORT``.
     pool : HttpPool
-    count : callable, optional
-        Called with the operation and its outcome for each call.
+    clock : Clock, optional
+    observe : callable, optional
+        Called with operation, outcome and seconds of each call.
 
     Notes
     -----
@@ -100,12 +102,13 @@
     ``TableUnavailable`` where a write may have been done, or may be done later.
     """
 
-    __slots__ = ("_base", "_count", "_pool")
+    __slots__ = ("_base", "_clock", "_observe", "_pool")
 
-    def __init__(self, address, pool, count=None):
+    def __init__(self, address, pool, clock=None, observe=None):
         self._base = "http://" + address
         self._pool = pool
-        self._count = count or (lambda operation, outcome: None)
+        self._clock = clock or SystemClock()
+        self._observe = observe or (lambda operation, outcome, seconds: None)
 
     def transact(
         self, expectations, writes, spans_partitions=False, seconds=_CALL_SECONDS
@@ -236,17 +239,20 @@
         return _page(_json(answer))
 
     def _call(self, operation, method, path, body=None, seconds=_CALL_SECONDS):
+        began = self._clock.monotonic()
+        outcome = "no-answer"
         try:
             answer = self._pool.request(
                 method, self._base + path, body, timeout=seconds
             )
+            outcome = str(answer.status)
         except NotSent as error:
-            self._count(operation, "not-sent")
+            outcome = "not-sent"
             raise StoreRefused() from error
         except AnswerMissing as error:
-            self._count(operation, "no-answer")
             raise TableUnavailable() from error
-        self._count(operation, str(answer.status))
+        finally:
+            self._observe(operation, outcome, self._clock.monotonic() - began)
         return answer
 
 
--- a/papayapick/pool/decisions.py
+++ b/papayapick/pool/decisions.py
@@ -1,5 +1,6 @@
 """Decide what starts where, what is copied, and what makes room."""
 
+from papayapick.jobs.state import JobStatus
 from papayapick.placement.copies import stragglers
 from papayapick.placement.preemption import choose_victims, may_preempt
 from papayapick.placement.progress import REPLACED_LIMIT, SUSPECT_SECONDS, find_laggards
@@ -12,6 +13,7 @@
     STOPPED_FOR_URGENT,
     WORKER_SUSPECTED,
 )
+from papayapick.pool.metrics import FIRST_START_SECONDS
 from papayapick.pool.orders import Start
 from papayapick.pool.reports import run_fields
 
@@ -97,6 +99,9 @@
 
     def _begin(self, step, index, worker, attempt):
         now = self._owner.now()
+        if step.job.status == JobStatus.WAITING and not step.job.is_begun:
+            step.job.is_begun = True
+            FIRST_START_SECONDS.observe(now - step.job.arrived)
         run = self._owner.book.begin(step, index, worker, now, attempt)
         self._owner.rooms.get(worker).reserve(run)
         return run
--- a/papayapick/pool/journal.py
+++ b/papayapick/pool/journal.py
@@ -8,6 +8,7 @@
 from papayapick.platform.exceptions import ConditionFailed
 from papayapick.platform.store import Expectation, RowWrite
 from papayapick.pool.events import COMMIT_PUT_OFF, JOB_ENDED, POOL_LOST
+from papayapick.pool.metrics import COMPLETION_SECONDS
 
 __all__ = [
     "CANCEL_SUFFIX",
@@ -163,6 +164,7 @@
 
     def _note_ended(self, job, status):
         failed = job.failed_task
+        COMPLETION_SECONDS.labels(status).observe(self._clock.monotonic() - job.arrived)
         JOB_ENDED.write(
             request_id=job.identifier,
             status=status,
--- a/papayapick/pool/links.py
+++ b/papayapick/pool/links.py
@@ -9,6 +9,7 @@
     WORKER_SILENT,
     WORKER_UNSEEN,
 )
+from papayapick.pool.metrics import RENEWALS
 
 __all__ = ["LEASE_SECONDS", "WorkerLink"]
 
@@ -138,8 +139,10 @@
             try:
                 self._ask()
             except WorkerSilent:
+                RENEWALS.labels("no-answer").inc()
                 self._note_silence()
             except CheckFailed as error:
+                RENEWALS.labels("refused").inc()
                 self._note_refusal(error)
 
     def look_again(self):
@@ -163,6 +166,7 @@
         # what ran on a worker that is gone would never be placed again.
         lease_end = None if self.is_silent else self.lease_end()
         report = self.client.renew(self._epoch, acknowledged, lease_end, wait)
+        RENEWALS.labels("answered").inc()
         if self.is_stopped:
             return
         self._worker_clock = report.clock
--- a/papayapick/pool/lists.py
+++ b/papayapick/pool/lists.py
@@ -11,6 +11,7 @@
     START_FOUND,
     WORKER_FENCED,
 )
+from papayapick.pool.metrics import ENDS
 from papayapick.pool.reports import EndOutcome, run_fields
 from papayapick.pool.settling import QUIET_SECONDS
 
@@ -120,6 +121,7 @@
         if run is not None:
             room.release(run)
         link.processed = end.number
+        ENDS.labels(end.outcome).inc()
         self._watch_failures(room, end, now)
         if step is not None and end.outcome != EndOutcome.DONE:
             self._note_end(step, end, run, link.worker, now)
--- /dev/null
+++ b/papayapick/pool/metrics.py
@@ -0,0 +1,47 @@
+"""What the owner of a pool counts and times."""
+
+from papayapick.observability.registry import counter, gauge, histogram
+
+__all__ = [
+    "COMPLETION_SECONDS",
+    "ENDS",
+    "FIRST_START_SECONDS",
+    "OWNED_POOLS",
+    "RENEWALS",
+    "STARTS",
+    "TAKEOVERS",
+    "TAKEOVER_SECONDS",
+    "WAITING_JOBS",
+]
+
+# Label values come from fixed sets, but for queues: those are the operator's, and only
+# queues with jobs that wait are shown.
+WAITING_JOBS = gauge(
+    "papayapick_pool_waiting_jobs",
+    "Accepted jobs that have not begun, as the owner last told",
+    ("queue",),
+)
+FIRST_START_SECONDS = histogram(
+    "papayapick_pool_first_start_seconds",
+    "From taking a job in to placing its first task",
+    of_jobs=True,
+)
+COMPLETION_SECONDS = histogram(
+    "papayapick_pool_completion_seconds",
+    "From taking a job in to its final state being durable",
+    ("status",),
+    of_jobs=True,
+)
+STARTS = counter(
+    "papayapick_pool_starts", "Orders to start a task, by what became", ("outcome",)
+)
+ENDS = counter("papayapick_pool_ends", "Ends that workers listed", ("outcome",))
+RENEWALS = counter(
+    "papayapick_pool_renewals", "Renewals of a worker's lease", ("outcome",)
+)
+TAKEOVERS = counter("papayapick_pool_takeovers", "Pools taken by this host")
+TAKEOVER_SECONDS = histogram(
+    "papayapick_pool_takeover_seconds",
+    "From the claim to knowing where all tasks of before run",
+)
+OWNED_POOLS = gauge("papayapick_pool_owned", "Pools that this host owns now")
--- a/papayapick/pool/orders.py
+++ b/papayapick/pool/orders.py
@@ -9,6 +9,7 @@
     START_UNANSWERED,
     STOP_REFUSED,
 )
+from papayapick.pool.metrics import STARTS
 from papayapick.pool.reports import StartOutcome, run_fields
 
 __all__ = ["Orders", "Start"]
@@ -72,6 +73,7 @@
 
     def note_start(self, link, run, outcome):
         """Take note of what became of an order to start."""
+        STARTS.labels(outcome.value).inc()
         with self._owner.lock:
             room = self._owner.rooms.get(link.worker)
             if room is None or run.name not in room.runs:
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -19,6 +19,7 @@
 from papayapick.pool.forgetting import forget_jobs
 from papayapick.pool.journal import PROGRESS_TABLE, PoolJournal
 from papayapick.pool.lists import WorkerLists
+from papayapick.pool.metrics import TAKEOVERS
 from papayapick.pool.news import News
 from papayapick.pool.orders import Orders
 from papayapick.pool.recording import RecordingMode
@@ -175,6 +176,7 @@
                 ("journal", self.journal.run),
             ):
                 self.submit(name, step)
+        TAKEOVERS.inc()
         POOL_TAKEN.write(
             pool=self.pool,
             epoch=self.row.epoch,
--- a/papayapick/pool/settling.py
+++ b/papayapick/pool/settling.py
@@ -2,6 +2,7 @@
 
 from papayapick.pool.events import POOL_SETTLED
 from papayapick.pool.links import LEASE_SECONDS
+from papayapick.pool.metrics import TAKEOVER_SECONDS
 from papayapick.pool.standing import UNCONFIRMED_SECONDS
 
 __all__ = ["QUIET_SECONDS", "Settling"]
@@ -68,6 +69,7 @@
             self._owner.book.let_all_go(now)
             self._is_settled = True
             self._settled_at = now
+            TAKEOVER_SECONDS.observe(now - self._owner.taken_at)
             POOL_SETTLED.write(
                 pool=self._owner.pool,
                 epoch=self._owner.row.epoch,
--- a/tests/entry/cell.py
+++ b/tests/entry/cell.py
@@ -63,7 +63,7 @@
 
     def __init__(self, name, platform, folder):
         self.name = name
-        peer, front, ready = free_ports(3)
+        peer, front, ready, self.metrics = free_ports(4)
         self.front, self.ready = front, ready
         self.path = folder / f"{name}.toml"
         self.log = folder / f"{name}.log"
@@ -82,7 +82,12 @@
         }
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "papayapick.entry.program"],
+                [
+                    sys.executable,
+                    "-m",
+                    "papayapick.entry.program",
+                    f"--metrics-port={self.metrics}",
+                ],
                 cwd=ROOT,
                 env=environment,
                 stdout=log,
@@ -108,6 +113,14 @@
         finally:
             connection.close()
 
+    def metrics_page(self):
+        connection = http.client.HTTPConnection("127.0.0.1", self.metrics, timeout=1)
+        try:
+            connection.request("GET", "/metrics")
+            return connection.getresponse().read().decode()
+        finally:
+            connection.close()
+
     def is_ready(self):
         connection = http.client.HTTPConnection("127.0.0.1", self.ready, timeout=1)
         try:
--- a/tests/entry/test_processes.py
+++ b/tests/entry/test_processes.py
@@ -54,6 +54,26 @@
     assert _runs_once(cluster)
 
 
+def test_metrics_tell_of_a_job(cluster, cell):
+    first, second = cell.hosts[:2]
+    assert _submit(first, IDS[0], job(tasks=2)) == 200
+    wait_for(_completed(second, IDS[:1]))
+    assert second.call("GET", "/nowhere/")[0] == 404
+    page = first.metrics_page()
+    assert 'papayapick_entry_requests_total{method="POST",status="200"} 1.0' in page
+    assert "papayapick_entry_acceptance_seconds_count 1.0" in page
+    assert 'papayapick_entry_store_seconds_count{operation="transact"' in page
+    assert "papayapick_entry_configuration_version 1.0" in page
+    page = second.metrics_page()
+    assert 'papayapick_entry_refusals_total{code="entry.no-queue"} 1.0' in page
+    page = cell.owner().metrics_page()
+    assert "papayapick_pool_owned 1.0" in page
+    assert 'papayapick_pool_starts_total{outcome="started"} 2.0' in page
+    assert 'papayapick_pool_ends_total{outcome="done"} 2.0' in page
+    assert "papayapick_pool_first_start_seconds_count 1.0" in page
+    assert 'papayapick_pool_completion_seconds_count{status="completed"} 1.0' in page
+
+
 def test_same_id_again_is_the_same_job(cluster, cell):
     """Fees are billed twice: a request was sent again, to another host."""
     for host in cell.hosts:
--- a/tests/observability/test_events.py
+++ b/tests/observability/test_events.py
@@ -13,6 +13,7 @@
 from papayapick.clock import ManualClock
 from papayapick.observability.events import EVENTS, Event, EventLog
 from papayapick.observability.logs import get_logger
+from papayapick.observability.queries import events_page
 
 SEEN = Event("seen in a test", "number text", "Only here.", per_second=3)
 SOURCES = [
@@ -170,6 +171,12 @@
         assert unused == []
 
 
+def test_reference_page_is_in_step():
+    page = ROOT.joinpath("docs", "ref", "events.md").read_text()
+    expected = events_page().splitlines()
+    assert page.splitlines() == [line for line in expected if SEEN.name not in line]
+
+
 def test_names_are_unique():
     with pytest.raises(ValueError, match="there already"):
         Event(next(iter(EVENTS)), "", "Twice.")
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -202,9 +202,13 @@
         while not self.finished and time.monotonic() < deadline:
             self.changed.wait(0.01)
             self._advance()
-        running = [[task, attempt, "", 50, 0] for task, attempt in self.running]
+        running = [[*name, "", self._percent(name), 0] for name in self.running]
         return OK, self._body(running=running, finished=list(self.finished))
 
+    def _percent(self, name):
+        rest = self.running[name] - time.monotonic()
+        return max(0, min(99, int(100 * (1 - rest / self.task_seconds))))
+
     def _extend(self, body):
         if "expires_ms" in body:
             limit = self._clock() + LEASE_LIMIT_MS
