Explain a request from the logs of all hosts; a page for operators

Cause: with lines of several hosts an on-call engineer still had to put them in order and find the one that matters; docs/OPERATIONS.md was missing. Change: papayapick logs explain (observability/stories.py) orders the lines about a request and names the deciding one: the last refusal, the failure at the limit, the cancellation, or the cause within the longest wait.

--- a/papayapick/management/exceptions.py
+++ b/papayapick/management/exceptions.py
@@ -11,6 +11,7 @@
     "NotAcknowledged",
     "OwnerMissing",
     "RequestIdInvalid",
+    "RequestNotLogged",
     "RollInterrupted",
     "RollUnsettled",
     "SigningKeyInvalid",
@@ -51,6 +52,15 @@
     template = "{flag}={given!r}: allowed is {allowed}"
 
 
+class RequestNotLogged(CommandError):
+    """Report an id that no line of the given logs names."""
+
+    code = "command.request-not-logged"
+    template = (
+        "none of {lines} lines names {request_id}; hint: give the logs of all hosts"
+    )
+
+
 class RequestIdInvalid(CommandError):
     """Report a text that can't be the id of a durable request."""
 
--- a/papayapick/management/program.py
+++ b/papayapick/management/program.py
@@ -32,6 +32,7 @@
   cell     Show who lives, who owns what and which bundle runs where.
   check    Look for mistakes in settings, bundle and surroundings.
   key      Make keys for operators and for the cell.
+  logs     Explain a request from the logs of several hosts.
   request  Show, explain and cancel durable requests.
 
 Each command has its own --help. Exit codes: 0 done, 1 refused or failed,
