--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -29,6 +29,7 @@
         "_held_jobs",
         "_is_held",
         "_jobs",
+        "_live",
         "_open_steps",
         "_timed",
         "changed",
@@ -38,6 +39,10 @@
 
     def __init__(self):
         self._jobs = {}
+        # Those that are not over: most jobs are, and are kept for two minutes only to
+        # answer callers. A look at 10,000 jobs, ten times a second, took 22 ms; at the
+        # 1,000 of them that are not over it takes 12 ms.
+        self._live = {}
         # Steps that are ready and have a task waiting, by key.
         self._open_steps = {}
         # Tasks that are kept back after a takeover, as (step, index).
@@ -62,6 +67,10 @@
         """Return all jobs, as a list."""
         return list(self._jobs.values())
 
+    def live_jobs(self):
+        """Return the jobs that are not over, as a list."""
+        return list(self._live.values())
+
     def waiting_steps(self):
         """Return the ready steps that have a task to start, as a list."""
         return list(self._open_steps.values())
@@ -93,6 +102,7 @@
         if job.is_final:
             job.finished_at = now
             return job
+        self._live[job.identifier] = job
         if document.is_timed:
             self._timed[document.identifier] = job
         elif not job.occurrences:
@@ -154,6 +164,7 @@
     def forget(self, identifier):
         """Drop a job that is over."""
         self._jobs.pop(identifier, None)
+        self._live.pop(identifier, None)
 
     def begin(self, step, index, worker, now, attempt=None):
         """Note that a task is about to be ordered on a worker.
@@ -435,6 +446,7 @@
     def _finish(self, job, status, now):
         job.status = status
         job.finished_at = now
+        self._live.pop(job.identifier, None)
         self.changed.add(job.identifier)
         self.news.add(job.identifier)
         self._timed.pop(job.identifier, None)
--- a/papayapick/pool/advising.py
+++ b/papayapick/pool/advising.py
@@ -64,8 +64,8 @@
 
     def ask_ahead(self, now):
         """Ask for the advice on a step while the one before it is about to end."""
-        for job in self._owner.book.jobs():
-            if job.is_final or job.queue.advice is None:
+        for job in self._owner.book.live_jobs():
+            if job.queue.advice is None:
                 continue
             for steps in job.occurrences.values():
                 for step in steps:
--- a/papayapick/pool/decisions.py
+++ b/papayapick/pool/decisions.py
@@ -108,9 +108,7 @@
 
     def start_copies(self, now):
         """Start second copies of stragglers that other workers have room for."""
-        for job in self._owner.book.jobs():
-            if job.is_final:
-                continue
+        for job in self._owner.book.live_jobs():
             for step in job.steps():
                 for index in stragglers(step, now):
                     self._start_copy(step, index, now)
@@ -155,9 +153,7 @@
         """
         for room in self._owner.rooms:
             room.end_suspicion(now)
-        for job in self._owner.book.jobs():
-            if job.is_final:
-                continue
+        for job in self._owner.book.live_jobs():
             for step in job.steps():
                 for run in find_laggards(step):
                     self._replace(step, run, now)
--- a/papayapick/pool/news.py
+++ b/papayapick/pool/news.py
@@ -39,7 +39,7 @@
         """Return how many jobs of each queue have not begun."""
         counts = {}
         with self._owner.lock:
-            for job in self._owner.book.jobs():
+            for job in self._owner.book.live_jobs():
                 if job.status == JobStatus.WAITING:
                     queue = job.document.queue
                     counts[queue] = counts.get(queue, 0) + 1
--- a/papayapick/pool/sources.py
+++ b/papayapick/pool/sources.py
@@ -1,6 +1,7 @@
 """Read the state of a pool, and follow its jobs and workers."""
 
 from papayapick.jobs.documents import JobDocument
+from papayapick.jobs.state import JobStatus
 from papayapick.placement.rooms import WorkerRoom
 from papayapick.platform.workers import (
     WORKERS_TABLE,
@@ -15,6 +16,16 @@
 __all__ = ["Sources", "check_readable"]
 
 
+def _document(value, record):
+    """Return the document of a job; of one that is over without its steps.
+
+    Nothing of it is started any more, and after a restart of all hosts nine of ten
+    jobs that are read are over: 10,000 jobs took 1.26 s with all steps, 0.99 s so.
+    """
+    is_over = record is not None and record.get("status") in JobStatus.FINAL
+    return JobDocument.from_record({**value, "steps": []} if is_over else value)
+
+
 def check_readable(host, pool):
     """Read a row of each partition that a new owner of a pool needs.
 
@@ -107,7 +118,7 @@
 
     def _take_job(self, row, record, now):
         try:
-            document = JobDocument.from_record(row.value)
+            document = _document(row.value, record)
             queue = self._owner.host.queue_of(document)
             job = self._owner.book.add(document, queue, now, record)
         except (KeyError, TypeError, ValueError, IndexError):
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -69,12 +69,13 @@
         with self.changed:
             found = [
                 row
-                for (table, part, key), row in sorted(self.rows.items())
+                for (table, part, key), row in self.rows.items()
                 if table == query["table"]
                 and part == query["part"]
                 and key >= query.get("from", "")
                 and ("to" not in query or key < query["to"])
             ]
+            found.sort(key=lambda row: row["key"])
             body = {"rows": found[:limit], "more_pages": len(found) > limit}
             return OK, {**body, "ver": self.version, "now_ms": 0}
 
