Learn of crashed workers from the list of machines, not from the end of their lease

Cause: papayapick logs explain on the crash of a rack: each job with a task there waits 3.7 s for a lease, though its worker is gone. Ruled out: a refused connection as the sign (a cut may reset and refuse too); a shorter lease (it must outlive a takeover). Change: platform/machines.py reads the list; pool/lives.py asks while a worker with runs is silent and gives up what had begun there, if the list names most of the workers that answer. Orders without an answer wait for the lease as before. The stand-in has the list now, spoken to by contract tests.

--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -38,6 +38,7 @@
 from papayapick.entry.writers import GroupWriter
 from papayapick.jobs.queues import Queue
 from papayapick.ownership.pools import CELL_TABLE, pool_row, read_pool
+from papayapick.platform.machines import MachineList
 from papayapick.platform.store import Store
 from papayapick.pool.metrics import OWNED_POOLS, WAITING_JOBS
 from papayapick.wire import CellKeys, PeerServer
@@ -85,6 +86,7 @@
             _observe_store,
         )
         self.worker_pool = HttpPool(_WORKER_CALL_SECONDS)
+        self.machines = MachineList(settings.machines_address, self.worker_pool)
         self.board = StateBoard()
         self.configuration = ConfigurationWatcher(self)
         self.relayed_store = RelayedStore(self)
--- a/papayapick/jobs/runs.py
+++ b/papayapick/jobs/runs.py
@@ -88,6 +88,11 @@
         self.tail_limit = step.tail_limit_seconds if step is not None else 0.0
         self.image = step.image if step is not None else ""
 
+    @property
+    def has_begun(self):
+        """Return whether its worker is known to have begun it."""
+        return self.was_seen or self.phase == RunPhase.RUNNING
+
     @property
     def name(self):
         """Return key and attempt, which name the run on its worker."""
--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -10,6 +10,8 @@
     "JOB_ENDED",
     "JOB_TAKEN",
     "JOBS_KEPT",
+    "MACHINES_DISTRUSTED",
+    "MACHINES_UNREAD",
     "NO_ADVICE",
     "PACE_NOT_SET",
     "PACE_SET",
@@ -188,10 +190,23 @@
     "A worker listed a run once, and lists neither it nor its end.",
     level=logging.WARNING,
 )
+MACHINES_UNREAD = Event(
+    "machines not read",
+    "silent error",
+    "The list of machines could not be read; silent workers are waited for.",
+    per_second=2,
+)
+MACHINES_DISTRUSTED = Event(
+    "machines distrusted",
+    "answering unlisted",
+    "The list of machines lacks workers that answer: it tells nothing of silent ones.",
+    level=logging.WARNING,
+)
 RUNS_LOST = Event(
     "runs lost with their worker",
     "worker runs request_ids silent_seconds reason",
-    "What ran there can't be at work any more: its lease is over, or it began anew.",
+    "What ran there can't be at work any more: its lease is over, its machine has no "
+    "such worker any more, or it began anew.",
 )
 WORKER_SILENT = Event(
     "worker silent",
--- a/papayapick/pool/lists.py
+++ b/papayapick/pool/lists.py
@@ -203,21 +203,33 @@
             room.release(run)
             self._owner.book.drop(run, now)
 
+    def lose_seen_runs(self, link):
+        """Give up what had begun on a worker whose life is over.
+
+        An order without an answer may still be carried out, by the next life under the
+        same id too: what it would start waits until its lease is over, as ever.
+        """
+        self._lose(link, "no such worker", lambda run: run.has_begun)
+
     def lose_runs(self, link, reason):
         """Take note that no run on a worker can be at work any more."""
+        self._lose(link, reason, lambda run: True)
+
+    def _lose(self, link, reason, is_lost):
         room = self._owner.rooms.get(link.worker)
         if room is None:
             return
         now = self._owner.now()
-        if room.runs:
+        lost = [run for run in room.runs.values() if is_lost(run)]
+        if lost:
             RUNS_LOST.write(
                 worker=link.worker,
-                runs=len(room.runs),
-                request_ids=sorted({run.key.job for run in room.runs.values()}),
+                runs=len(lost),
+                request_ids=sorted({run.key.job for run in lost}),
                 silent_seconds=round(now - (link.failed_since or now), 3),
                 reason=reason,
             )
-        for run in list(room.runs.values()):
+        for run in lost:
             room.release(run)
             self._owner.book.end(
                 run.key, run.attempt, EndOutcome.LAPSED, "", link.worker, now
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -19,6 +19,7 @@
 from papayapick.pool.forgetting import forget_jobs
 from papayapick.pool.journal import PROGRESS_TABLE, PoolJournal
 from papayapick.pool.lists import WorkerLists
+from papayapick.pool.lives import LifeCheck
 from papayapick.pool.metrics import TAKEOVERS
 from papayapick.pool.news import News
 from papayapick.pool.orders import Orders
@@ -176,6 +177,8 @@
                 ("journal", self.journal.run),
             ):
                 self.submit(name, step)
+            if self.host.machines.is_there:
+                self.submit("lives", LifeCheck(self, self.host.machines).run)
         TAKEOVERS.inc()
         POOL_TAKEN.write(
             pool=self.pool,
--- a/tests/contracts/test_cluster.py
+++ b/tests/contracts/test_cluster.py
@@ -12,6 +12,7 @@
     StoreRefused,
     WorkerSilent,
 )
+from papayapick.platform.machines import MachineList
 from papayapick.platform.store import Expectation, RowWrite, Store
 from papayapick.platform.workers import WorkerClient, decode_registration
 from papayapick.pool.reports import StartOutcome
@@ -237,3 +238,45 @@
     worker._body = lambda **fields: {"running": 7}
     with pytest.raises(WorkerSilent):
         client.renew(1, 0)
+
+
+# Machines.
+
+
+def test_machines_are_read_page_by_page(cluster, pool):
+    names = [f"w{number}" for number in range(7)]
+    for name in names:
+        cluster.add_worker(name)
+    found = MachineList(cluster.address, pool).fetch()
+    assert [(one.name, one.worker, one.is_up) for one in found] == [
+        (f"m-{name}", name, True) for name in names
+    ]
+
+
+def test_machine_that_is_down_names_no_worker(cluster, pool):
+    cluster.add_worker("w1")
+    cluster.crash("w1")
+    (found,) = MachineList(cluster.address, pool).fetch()
+    assert (found.worker, found.is_up, found.pool) == ("", False, "pool-1")
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        ("503 Service Unavailable", {}),
+        ("200 OK", {}),
+        ("200 OK", {"machines": [7]}),
+        ("200 OK", {"machines": [{"machine": "m"}]}),
+        ("200 OK", {"machines": [], "next_token": "again"}),
+        ("200 OK", []),
+    ],
+)
+def test_part_of_the_list_is_no_list(cluster, pool, answer):
+    """Tasks run twice: a worker that is cut off was taken for gone.
+
+    The page that names it was missing, unreadable, or refused by a service that is
+    overloaded; what the other pages lack tells nothing.
+    """
+    cluster.list_machines = lambda query: answer
+    with pytest.raises(CheckFailed):
+        MachineList(cluster.address, pool).fetch()
--- a/tests/entry/cell.py
+++ b/tests/entry/cell.py
@@ -29,6 +29,8 @@
 readiness = "127.0.0.1:{ready}"
 [platform]
 address = "{platform}"
+[cloud_api]
+address = "{platform}"
 [bounds]
 grace_s = 3
 status_s = 120
--- a/tests/entry/test_processes.py
+++ b/tests/entry/test_processes.py
@@ -237,6 +237,26 @@
     assert [task for task in cluster.starts() if task.startswith(IDS[1])] == []
 
 
+def test_crashed_worker_does_not_keep_its_tasks_to_the_end_of_its_lease(cluster, cell):
+    """A count takes five seconds in place of one: its worker crashed.
+
+    The worker answers nothing, and its lease lasts 3.6 s. The list of machines shows
+    at once that its life is over.
+    """
+    for worker in cluster.workers.values():
+        worker.task_seconds = 1.0
+    host = cell.hosts[0]
+    assert _submit(host, IDS[0], job(4)) == 200
+    wait_for(lambda: len(cluster.starts()) == 4)
+    crashed = next(name for name, one in cluster.workers.items() if one.running)
+    cluster.crash(crashed)
+    wait_for(_completed(host, IDS[:1]))
+    lost = [line for line in cell.owner().events() if "runs lost" in line["event"]]
+    assert [(line["worker"], line["reason"]) for line in lost] == [
+        (crashed, "no such worker")
+    ]
+
+
 def test_lost_history_is_read_again(cluster, cell):
     cluster.rows.forget_history()
     assert _submit(cell.hosts[0], IDS[0], job(2)) == 200
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -20,6 +20,7 @@
 AWAY = "503 Service Unavailable"
 MISDIRECTED = "421 Misdirected Request"
 ROWS_PER_PAGE = 500
+MACHINES_PER_PAGE = 3
 LEASE_LIMIT_MS = 6000
 
 
@@ -246,6 +247,8 @@
     def __init__(self):
         self.rows = Rows()
         self.workers = {}
+        # Those whose machine is down.
+        self.down = set()
         self.advice_seconds = 0.0
         self.advice_calls = 0
         self._server = create_server(
@@ -332,6 +335,34 @@
         start_response(status, headers)
         return [data]
 
+    def list_machines(self, query):
+        """Answer a page of the machines, in the order of their names."""
+        names = sorted(self.workers)
+        first = int(query.get("page_token", 0))
+        page = [
+            {
+                "machine": f"m-{name}",
+                "pool": "pool-1",
+                "state": "down" if name in self.down else "up",
+                "zone": "z1",
+                "labels": ["a", "r1-1"],
+                "capacity": self.workers[name].capacity,
+                "id": "" if name in self.down else name,
+            }
+            for name in names[first : first + MACHINES_PER_PAGE]
+        ]
+        rest = first + MACHINES_PER_PAGE < len(names)
+        token = str(first + MACHINES_PER_PAGE) if rest else ""
+        return OK, {"machines": page, "next_token": token}
+
+    def crash(self, name):
+        """End a worker's life: it answers nothing, and the list shows it."""
+        worker = self.workers[name]
+        with worker.changed:
+            worker.is_silent = True
+            worker.running.clear()
+        self.down.add(name)
+
     def _answer(self, path, body, query, environ):
         if path.startswith("/workers/"):
             _, _, name, call = path.split("/")
@@ -339,6 +370,8 @@
             if worker is None:
                 return MISDIRECTED, {}
             return None if worker.is_silent else worker.call(call, body)
+        if path == "/machines":
+            return self.list_machines(query)
         if path == "/advise":
             self.advice_calls += 1
             time.sleep(self.advice_seconds)
