--- a/papayapick/management/commands/__init__.py
+++ b/papayapick/management/commands/__init__.py
@@ -5,6 +5,7 @@
 from papayapick.management.commands.check import CheckCommand
 from papayapick.management.commands.key import KeyCommand
 from papayapick.management.commands.logs import LogsCommand
+from papayapick.management.commands.pool import PoolCommand
 from papayapick.management.commands.request import RequestCommand
 
 __all__ = ["COMMANDS"]
@@ -15,6 +16,7 @@
     CheckCommand,
     KeyCommand,
     LogsCommand,
+    PoolCommand,
     RequestCommand,
 )
 COMMANDS = {command.name: command for command in _ALL}
--- /dev/null
+++ b/papayapick/management/commands/pool.py
@@ -0,0 +1,122 @@
+"""Show pools, entry hosts and jobs of the users' platform."""
+
+import time
+
+from papayapick.management.base import Command
+from papayapick.management.exceptions import ConfigurationMissing, JobMissing
+from papayapick.management.exit_codes import EXIT_OK, EXIT_PARTLY
+from papayapick.management.pools import PoolsView
+
+__all__ = ["PoolCommand"]
+
+
+class PoolCommand(Command):
+    """Look at the store of the users' platform; nothing is changed."""
+
+    name = "pool"
+    usage = """Show pools, entry hosts and jobs of the users' platform.
+
+Usage:
+  papayapick pool status [--json]
+  papayapick pool job <id> [--json]
+  papayapick pool --help
+
+status shows who owns each pool, at which epoch, which queues it serves, and which
+entry hosts can be reached; job shows how far a job of steps is, as recorded.
+
+Exit code 0 when each pool has an owner that can be reached, 3 when one has not.
+
+Options:
+  --json  Write for programs, one JSON object a line.
+  --help  Show this page.
+
+The platform's settings file is named by its own variable.
+"""
+
+    def handle(self):
+        """Show the named view."""
+        view = PoolsView.from_config()
+        configuration = view.configuration()
+        if configuration is None:
+            raise ConfigurationMissing()
+        if self.options["job"]:
+            return self._job(view, configuration)
+        return self._status(view, configuration)
+
+    def _status(self, view, configuration):
+        hosts = view.hosts()
+        reached = {host.name for host in hosts if host.is_reached}
+        self.output.write(
+            f"configuration {configuration.version}: {len(configuration.queues)} "
+            f"queues, {len(configuration.pools)} pools",
+            configuration=configuration.version,
+            queues=len(configuration.queues),
+        )
+        is_whole = True
+        for pool in view.pools(configuration):
+            queues = [
+                name
+                for name, queue in configuration.queues.items()
+                if queue.pool == pool.pool
+            ]
+            is_served = pool.owner in reached
+            is_whole = is_whole and is_served
+            self.output.write(
+                f"pool {pool.pool}: owner {pool.owner or 'nobody'}"
+                f"{'' if is_served else ' (not reached)'}, epoch {pool.epoch}, "
+                f"queues {', '.join(queues)}",
+                pool=pool.pool,
+                owner=pool.owner,
+                epoch=pool.epoch,
+                is_served=is_served,
+                queues=queues,
+            )
+        for host in hosts:
+            self.output.write(
+                f"host {host.name} {host.zone} {host.address}: "
+                f"{'reached' if host.is_reached else 'not reached'}",
+                host=host.name,
+                zone=host.zone,
+                address=host.address,
+                is_reached=host.is_reached,
+            )
+        return EXIT_OK if is_whole else EXIT_PARTLY
+
+    def _job(self, view, configuration):
+        identifier = self.options["<id>"]
+        job = view.job(identifier, sorted(configuration.pools))
+        if job is None:
+            raise JobMissing(identifier=identifier)
+        accepted = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(job.accepted_at))
+        self.output.write(
+            f"{identifier}: {job.status}{', cancelled' if job.is_cancelled else ''}; "
+            f"queue {job.queue}, pool {job.pool}, accepted {accepted} UTC",
+            job=identifier,
+            status=job.status,
+            is_cancelled=job.is_cancelled,
+            queue=job.queue,
+            pool=job.pool,
+            accepted_at=job.accepted_at,
+        )
+        for step in job.steps:
+            self._step(step)
+        return EXIT_OK
+
+    def _step(self, step):
+        text = (
+            f"  occurrence {step.occurrence} step {step.number}: {step.done} of "
+            f"{step.tasks} tasks done"
+        )
+        for index, worker in sorted(step.places.items()):
+            text += f"\n    task {index} started on {worker}"
+        for index, count in sorted(step.failures.items()):
+            text += f"\n    task {index} failed {count} times"
+        self.output.write(
+            text,
+            occurrence=step.occurrence,
+            step=step.number,
+            done=step.done,
+            tasks=step.tasks,
+            places=step.places,
+            failures=step.failures,
+        )
--- a/papayapick/management/exceptions.py
+++ b/papayapick/management/exceptions.py
@@ -6,8 +6,10 @@
     "ArgumentInvalid",
     "CommandError",
     "CommandUnknown",
+    "ConfigurationMissing",
     "FileUnreadable",
     "FileUnwritable",
+    "JobMissing",
     "NotAcknowledged",
     "OwnerMissing",
     "RequestIdInvalid",
@@ -52,6 +54,20 @@
     template = "{flag}={given!r}: allowed is {allowed}"
 
 
+class ConfigurationMissing(CommandError):
+    """Report that the operator has written no configuration yet."""
+
+    code = "command.configuration-missing"
+    template = "the store holds no configuration"
+
+
+class JobMissing(CommandError):
+    """Report an id under which no pool has a job."""
+
+    code = "command.job-missing"
+    template = "no pool has job {identifier}; it may be over for more than two minutes"
+
+
 class RequestNotLogged(CommandError):
     """Report an id that no line of the given logs names."""
 
--- /dev/null
+++ b/papayapick/management/pools.py
@@ -0,0 +1,220 @@
+"""See pools and jobs of the users' platform, from its store and its hosts."""
+
+import socket
+
+from papayapick.clients.http import HttpPool
+from papayapick.entry.peers import HOSTS_PARTITION
+from papayapick.jobs.documents import JobDocument
+from papayapick.jobs.state import JobStatus
+from papayapick.ownership.pools import CELL_TABLE, read_pool
+from papayapick.platform.configuration import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    decode_configuration,
+)
+from papayapick.platform.settings import PlatformSettings
+from papayapick.platform.store import Store
+from papayapick.pool.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
+from papayapick.pool.partitions import job_partition
+
+__all__ = ["HostView", "JobView", "PoolsView", "StepView"]
+
+_CALL_SECONDS = 2.0
+_PROBE_SECONDS = 0.5
+
+
+class HostView:
+    """Hold one entry host: its row, and whether it can be reached."""
+
+    __slots__ = ("address", "is_reached", "name", "zone")
+
+    def __init__(self, name, address, zone, is_reached):
+        self.name = name
+        self.address = address
+        self.zone = zone
+        self.is_reached = is_reached
+
+
+class StepView:
+    """Hold the progress of one step of one occurrence, as recorded.
+
+    Parameters
+    ----------
+    occurrence, number, tasks, done : int
+    places : dict of str to str
+        Worker of each task that was started and is not done.
+    failures : dict of str to int
+        Of each task that failed.
+    """
+
+    __slots__ = ("done", "failures", "number", "occurrence", "places", "tasks")
+
+    def __init__(self, occurrence, number, tasks, done, places, failures):
+        self.occurrence = occurrence
+        self.number = number
+        self.tasks = tasks
+        self.done = done
+        self.places = places
+        self.failures = failures
+
+    @property
+    def has_begun(self):
+        """Return whether any of its tasks was started."""
+        return bool(self.done or self.places or self.failures)
+
+
+class JobView:
+    """Hold one job as the store has it.
+
+    Parameters
+    ----------
+    identifier, pool, queue, status : str
+    accepted_at : float
+        Unix seconds.
+    is_cancelled : bool
+    steps : list of StepView
+    """
+
+    __slots__ = (
+        "accepted_at",
+        "identifier",
+        "is_cancelled",
+        "pool",
+        "queue",
+        "status",
+        "steps",
+    )
+
+    def __init__(
+        self, identifier, pool, queue, status, accepted_at, is_cancelled, steps
+    ):
+        self.identifier = identifier
+        self.pool = pool
+        self.queue = queue
+        self.status = status
+        self.accepted_at = accepted_at
+        self.is_cancelled = is_cancelled
+        self.steps = steps
+
+
+class PoolsView:
+    """Read the store; nothing is changed.
+
+    Parameters
+    ----------
+    store : Store
+    """
+
+    __slots__ = ("_store",)
+
+    def __init__(self, store):
+        self._store = store
+
+    @classmethod
+    def from_config(cls, environment=None):
+        """Reach the store that the platform's settings file names.
+
+        Raises
+        ------
+        PlatformSettingsInvalid
+        """
+        settings = PlatformSettings.from_config(environment)
+        return cls(Store(settings.store_address, HttpPool(_CALL_SECONDS)))
+
+    def configuration(self):
+        """Return the operator's configuration, or None where there is none.
+
+        Raises
+        ------
+        TableUnavailable, BodyInvalid
+        """
+        page = self._store.read(OPERATOR_TABLE, "", CONFIGURATION_KEY, limit=1)
+        for row in page.rows:
+            if row.key == CONFIGURATION_KEY and row.value is not None:
+                return decode_configuration(row.value)
+        return None
+
+    def pools(self, configuration):
+        """Return the row of each pool that queues use, by name."""
+        return [read_pool(self._store, pool) for pool in sorted(configuration.pools)]
+
+    def hosts(self):
+        """Return all entry hosts that have registered, as a list of HostView.
+
+        Rows of hosts that were removed stay: they are the ones that are not reached.
+        """
+        rows, _ = self._store.read_all(CELL_TABLE, HOSTS_PARTITION)
+        return [
+            HostView(
+                row.key,
+                f"{row.value['address']}:{row.value['port']}",
+                row.value["zone"],
+                _is_reached(row.value["address"], row.value["port"]),
+            )
+            for row in rows
+            if row.value is not None
+        ]
+
+    def job(self, identifier, pools):
+        """Return a job, or None where no pool has it.
+
+        Parameters
+        ----------
+        identifier : str
+        pools : iterable of str
+        """
+        for pool in pools:
+            rows = {
+                row.key: row.value
+                for row in self._store.read(
+                    JOBS_TABLE,
+                    job_partition(pool, identifier),
+                    identifier,
+                    identifier + "~",
+                ).rows
+            }
+            if rows.get(identifier) is not None:
+                document = JobDocument.from_record(rows[identifier])
+                is_cancelled = identifier + CANCEL_SUFFIX in rows
+                return self._job(document, is_cancelled)
+        return None
+
+    def _job(self, document, is_cancelled):
+        identifier, pool = document.identifier, document.pool
+        page = self._store.read(PROGRESS_TABLE, pool, identifier, identifier + "~")
+        record = next((row.value for row in page.rows if row.value is not None), {})
+        steps = [
+            _step(document, int(occurrence), number, step)
+            for occurrence, steps in record.get("occurrences", {}).items()
+            for number, step in enumerate(steps)
+        ]
+        status = record.get("status", JobStatus.WAITING)
+        if status == JobStatus.WAITING and any(one.has_begun for one in steps):
+            # Starts are recorded before they are ordered, and their answer is not.
+            status = JobStatus.RUNNING
+        return JobView(
+            identifier,
+            pool,
+            document.queue,
+            status,
+            document.accepted_at,
+            is_cancelled,
+            steps,
+        )
+
+
+def _step(document, occurrence, number, record):
+    tasks = document.steps[number].tasks
+    done = int(record.get("done", "0"), 16).bit_count()
+    failed = record.get("failed", {})
+    failures = {index: len(attempts) for index, attempts in failed.items()}
+    places = record.get("places", {})
+    return StepView(occurrence, number, tasks, done, places, failures)
+
+
+def _is_reached(address, port):
+    try:
+        socket.create_connection((address, port), _PROBE_SECONDS).close()
+    except OSError:
+        return False
+    return True
--- a/papayapick/management/program.py
+++ b/papayapick/management/program.py
@@ -16,6 +16,7 @@
     RollUnsettled,
 )
 from papayapick.management.exit_codes import EXIT_FAILED, EXIT_SETTINGS, EXIT_UNKNOWN
+from papayapick.platform.exceptions import PlatformSettingsInvalid
 from papayapick.wire import PeerRefused
 
 __all__ = ["USAGE", "main", "run"]
@@ -33,6 +34,7 @@
   check    Look for mistakes in settings, bundle and surroundings.
   key      Make keys for operators and for the cell.
   logs     Explain a request from the logs of several hosts.
+  pool     Show pools, entry hosts and jobs of the users' platform.
   request  Show, explain and cancel durable requests.
 
 Each command has its own --help. Exit codes: 0 done, 1 refused or failed,
@@ -60,7 +62,12 @@
     except DocoptExit as error:
         stderr.write(f"command.usage: {error}\n")
         return EXIT_SETTINGS
-    except (SettingsError, CommandUnknown, ArgumentInvalid) as error:
+    except (
+        SettingsError,
+        PlatformSettingsInvalid,
+        CommandUnknown,
+        ArgumentInvalid,
+    ) as error:
         stderr.write(f"{error.code}: {error}\n")
         return EXIT_SETTINGS
     except RollUnsettled as error:
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -14,7 +14,7 @@
 PAGES = sorted(DOCS.rglob("*.md")) + [ROOT / "README.md"]
 LINK = re.compile(r"\]\(([^)#]+)[^)]*\)")
 CHECK_ID = re.compile(
-    r'"((?:package|settings|keys|bundle|platform|clock|process)\.[EW]\d+)"'
+    r'"((?:package|deployment|settings|keys|bundle|platform|clock|process)\.[EW]\d+)"'
 )
 VARIABLE = re.compile(r"PAPAYAPICK_[A-Z_]+[A-Z]")
 METRIC = re.compile(r"`(papayapick_[a-z_]+)`")
--- /dev/null
+++ b/tests/management/test_pool.py
@@ -0,0 +1,119 @@
+"""Operators see pools, hosts and jobs from the store alone."""
+
+import pytest
+
+from papayapick.management.exit_codes import (
+    EXIT_FAILED,
+    EXIT_OK,
+    EXIT_PARTLY,
+    EXIT_SETTINGS,
+)
+from tests.entry.cell import EntryCell, job, wait_for
+from tests.management.commands import run_command
+from tests.standins.cluster import Cluster
+
+ID = "5c0e7a21d94b36f8"
+
+
+@pytest.fixture(scope="module")
+def cluster():
+    cluster = Cluster()
+    for number in range(1, 3):
+        cluster.add_worker(f"w{number}", task_seconds=60)
+    cluster.configure()
+    yield cluster
+    cluster.close()
+
+
+@pytest.fixture(scope="module")
+def cell(cluster, tmp_path_factory):
+    with EntryCell(cluster, tmp_path_factory.mktemp("cell"), hosts=2) as cell:
+        yield cell
+
+
+def ask(cell, *arguments):
+    environment = {"PAPAYAPICK_CONFIG": str(cell.hosts[0].path)}
+    return run_command("pool", *arguments, "--json", environment=environment)
+
+
+def test_status_names_owner_queues_and_hosts(cell):
+    ran = ask(cell, "status")
+    assert ran.code == EXIT_OK
+    head, pool, *hosts = ran.lines
+    assert head["configuration"] == 1
+    assert pool["owner"] == cell.owner().name
+    assert (pool["pool"], pool["queues"], pool["is_served"]) == (
+        "pool-1",
+        ["quick"],
+        True,
+    )
+    assert [(host["host"], host["is_reached"]) for host in hosts] == [
+        ("host-1", True),
+        ("host-2", True),
+    ]
+
+
+def test_job_tells_how_far_it_is(cell, cluster):
+    assert cell.hosts[0].call("POST", f"/quick/{ID}", job(tasks=2))[0] == 200
+    wait_for(lambda: len(cluster.starts()) == 2)
+    ran = wait_for(lambda: _started(ask(cell, "job", ID)))
+    told, step = ran.lines
+    assert (told["status"], told["queue"], told["pool"]) == (
+        "running",
+        "quick",
+        "pool-1",
+    )
+    assert (step["done"], step["tasks"]) == (0, 2)
+    assert set(step["places"].values()) <= {"w1", "w2"}
+
+
+def _started(ran):
+    return ran if ran.lines[0]["status"] == "running" else None
+
+
+def test_unknown_job_is_told(cell):
+    ran = ask(cell, "job", "0" * 16)
+    assert ran.code == EXIT_FAILED
+    assert "command.job-missing" in ran.err
+
+
+def test_pool_whose_owner_is_gone_is_told(cluster):
+    # Nobody serves the pool: its row names a host that has no row any more.
+    value = {"owner": "h9", "epoch": 4, "address": "127.0.0.1:1"}
+    other = Cluster()
+    try:
+        other.configure()
+        other.rows.write("cell", "pool-1", "owner", value)
+        ran = _ask_store(other)
+        assert ran.code == EXIT_PARTLY
+        assert (ran.lines[1]["owner"], ran.lines[1]["is_served"]) == ("h9", False)
+    finally:
+        other.close()
+
+
+def test_store_without_a_configuration_is_told():
+    other = Cluster()
+    try:
+        ran = _ask_store(other)
+        assert ran.code == EXIT_FAILED
+        assert "command.configuration-missing" in ran.err
+    finally:
+        other.close()
+
+
+def test_settings_file_that_is_missing_is_told(tmp_path):
+    environment = {"PAPAYAPICK_CONFIG": str(tmp_path / "none")}
+    ran = run_command("pool", "status", environment=environment)
+    assert ran.code == EXIT_SETTINGS
+
+
+def _ask_store(cluster):
+    import tempfile
+    from pathlib import Path
+
+    from tests.entry.cell import EntryProcess
+
+    with tempfile.TemporaryDirectory() as folder:
+        host = EntryProcess("h1", cluster.address, Path(folder))
+        environment = {"PAPAYAPICK_CONFIG": str(host.path)}
+        return run_command("pool", "status", "--json", environment=environment)
