--- /dev/null
+++ b/papayapick/entry/answers.py
@@ -0,0 +1,78 @@
+"""Answer the other entry hosts."""
+
+from papayapick.wire.messages import (
+    AdviceQuery,
+    OwnerQuery,
+    PoolBeat,
+    PoolBeatAnswer,
+    StoreCall,
+)
+
+__all__ = ["PeerAnswers"]
+
+
+class PeerAnswers:
+    """Take the messages of other hosts to the parts that they are for.
+
+    Parameters
+    ----------
+    host : EntryHost
+    candidacies : dict of str to Candidacy
+        By pool; grows as pools are configured.
+    relay : StoreRelay
+    """
+
+    __slots__ = ("_candidacies", "_host", "_relay")
+
+    def __init__(self, host, candidacies, relay):
+        self._host = host
+        self._candidacies = candidacies
+        self._relay = relay
+
+    def answer(self, payload, peer, traceparent):
+        """Return the answer to a message, or a future of it.
+
+        Parameters
+        ----------
+        payload : struct
+            One of ``papayapick.wire.messages``.
+        peer : Hello
+        traceparent : str
+        """
+        if isinstance(payload, PoolBeat):
+            return self._answer_beat(payload)
+        if isinstance(payload, AdviceQuery):
+            return self._host.advice.answer(payload)
+        if isinstance(payload, OwnerQuery):
+            return self._answer_owner_query(payload)
+        if isinstance(payload, StoreCall):
+            return self._relay.answer(payload)
+        return None
+
+    def note_end(self, peer):
+        """Look whether a host whose connection has ended was an owner.
+
+        Parameters
+        ----------
+        peer : Hello
+        """
+        for candidacy in list(self._candidacies.values()):
+            candidacy.note_end(peer)
+
+    def _answer_beat(self, beat):
+        board = self._host.board
+        candidacy = self._candidacies.get(beat.pool)
+        epoch = 0
+        if candidacy is not None:
+            if candidacy.note_beat(beat):
+                board.note({one.identifier: one.status for one in beat.news})
+                loads = {one.queue: one.waiting for one in beat.queue_loads}
+                board.note_loads(beat.pool, loads)
+            epoch = candidacy.row.epoch
+        age = self._host.store_health.told_age()
+        return PoolBeatAnswer(epoch=epoch, store_age_milliseconds=int(age * 1000))
+
+    def _answer_owner_query(self, query):
+        candidacy = self._candidacies.get(query.pool)
+        epoch = candidacy.owned_epoch if candidacy is not None else 0
+        return PoolBeatAnswer(epoch=epoch, store_age_milliseconds=0)
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -9,6 +9,7 @@
 from papayapick.clock import BootClock
 from papayapick.entry.acceptance import Acceptance
 from papayapick.entry.advisers import AdviceDesk
+from papayapick.entry.answers import PeerAnswers
 from papayapick.entry.application import Application
 from papayapick.entry.board import StateBoard
 from papayapick.entry.candidacy import Candidacy
@@ -42,14 +43,7 @@
 from papayapick.platform.store import Store
 from papayapick.pool.metrics import OWNED_POOLS, WAITING_JOBS
 from papayapick.wire import CellKeys, PeerServer
-from papayapick.wire.messages import (
-    AdviceQuery,
-    Hello,
-    OwnerQuery,
-    PoolBeat,
-    PoolBeatAnswer,
-    StoreCall,
-)
+from papayapick.wire.messages import Hello
 
 __all__ = ["EntryHost"]
 
@@ -189,13 +183,14 @@
             host=settings.host_name, region=settings.region, zone=settings.zone
         )
         self.peers = Peers(self, keys, identity, self.executor)
+        answers = PeerAnswers(self, self._candidacies, self._relay)
         self._peer_server = PeerServer(
             settings.peer_address,
             keys,
             identity,
-            self._answer,
+            answers.answer,
             self.executor,
-            on_end=self._note_peer_end,
+            on_end=answers.note_end,
         )
         self._peer_server.start()
         register(self)
@@ -354,40 +349,6 @@
                 return self.peers.owned_epoch(peer, row.pool) >= row.epoch
         return False
 
-    # Peers' messages.
-
-    def _answer(self, payload, peer, traceparent):
-        if isinstance(payload, PoolBeat):
-            return self._answer_beat(payload)
-        if isinstance(payload, AdviceQuery):
-            return self.advice.answer(payload)
-        if isinstance(payload, OwnerQuery):
-            return self._answer_owner_query(payload)
-        if isinstance(payload, StoreCall):
-            return self._relay.answer(payload)
-        return None
-
-    def _answer_beat(self, beat):
-        candidacy = self._candidacies.get(beat.pool)
-        epoch = 0
-        if candidacy is not None:
-            if candidacy.note_beat(beat):
-                self.board.note({one.identifier: one.status for one in beat.news})
-                loads = {one.queue: one.waiting for one in beat.queue_loads}
-                self.board.note_loads(beat.pool, loads)
-            epoch = candidacy.row.epoch
-        age = self.store_health.told_age()
-        return PoolBeatAnswer(epoch=epoch, store_age_milliseconds=int(age * 1000))
-
-    def _answer_owner_query(self, query):
-        candidacy = self._candidacies.get(query.pool)
-        epoch = candidacy.owned_epoch if candidacy is not None else 0
-        return PoolBeatAnswer(epoch=epoch, store_age_milliseconds=0)
-
-    def _note_peer_end(self, peer):
-        for candidacy in list(self._candidacies.values()):
-            candidacy.note_end(peer)
-
 
 def _observe_store(operation, outcome, seconds):
     STORE_SECONDS.labels(operation, outcome).observe(seconds)
--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -1,8 +1,10 @@
 """Keep the jobs of a pool: which steps are ready, and what each end means."""
 
 from papayapick.jobs.documents import TaskKey
+from papayapick.jobs.held import HeldTasks
 from papayapick.jobs.records import restore_progress
 from papayapick.jobs.runs import Run, RunPhase
+from papayapick.jobs.schedule import Schedule
 from papayapick.jobs.state import JobState, JobStatus
 
 __all__ = ["JobBook"]
@@ -26,12 +28,10 @@
 
     __slots__ = (
         "_held",
-        "_held_jobs",
-        "_is_held",
         "_jobs",
         "_live",
         "_open_steps",
-        "_timed",
+        "_schedule",
         "changed",
         "news",
         "to_stop",
@@ -45,13 +45,8 @@
         self._live = {}
         # Steps that are ready and have a task waiting, by key.
         self._open_steps = {}
-        # Tasks that are kept back after a takeover, as (step, index).
-        self._held = set()
-        # What is kept back of steps that become ready, and of which jobs; None when
-        # nothing is.
-        self._is_held = None
-        self._held_jobs = frozenset()
-        self._timed = {}
+        self._held = HeldTasks()
+        self._schedule = Schedule()
         self.changed = set()
         self.news = set()
         self.to_stop = []
@@ -104,7 +99,7 @@
             return job
         self._live[job.identifier] = job
         if document.is_timed:
-            self._timed[document.identifier] = job
+            self._schedule.add(job)
         elif not job.occurrences:
             job.open_occurrence(0)
         for number in list(job.occurrences):
@@ -126,25 +121,9 @@
         float or None
             Unix seconds of the next occurrence.
         """
-        soonest = None
-        for job in list(self._timed.values()):
-            due = self._open_due_of(job, wall_now, now)
-            if due is not None and (soonest is None or due < soonest):
-                soonest = due
-        return soonest
-
-    def _open_due_of(self, job, wall_now, now):
-        document = job.document
-        for number in range(document.occurrences):
-            if number in job.over or number in job.occurrences:
-                continue
-            due = document.due_at(number)
-            if due > wall_now:
-                return due
-            job.open_occurrence(number)
-            self._open_ready(job, number, now)
-        self._timed.pop(document.identifier, None)
-        return None
+        return self._schedule.open_due(
+            wall_now, lambda job, number: self._open_ready(job, number, now)
+        )
 
     def cancel(self, identifier, now):
         """Cancel a job; what runs of it is added to ``to_stop``.
@@ -277,13 +256,11 @@
         is_held : callable
             Takes a TaskState; returns whether its task is kept back.
         """
-        self._is_held = is_held
-        self._held_jobs = set(self._jobs)
+        self._held.begin(is_held, self._jobs)
         for step in self.waiting_steps():
             for index in list(step.waiting):
-                if is_held(step.tasks[index]):
+                if self._held.takes(step, index):
                     step.waiting.discard(index)
-                    self._held.add((step, index))
             if not step.waiting:
                 self._open_steps.pop(step.key, None)
 
@@ -296,19 +273,18 @@
             Takes a TaskState; returns whether its task runs nowhere unseen.
         now : float
         """
-        clear = [one for one in self._held if is_clear(one[0].tasks[one[1]])]
-        self._held.difference_update(clear)
+        clear = self._held.let_go(is_clear)
         for step, index in clear:
             task = step.tasks[index]
             if not (task.is_done or task.runs or step.job.is_final):
                 self._wait(step, index)
         for step in {step for step, _ in clear}:
-            if not any(step is held for held, _ in self._held):
+            if not self._held.has_step(step):
                 self._settle_gang(step, now)
 
     def let_all_go(self, now):
         """Keep nothing back any more."""
-        self._is_held = None
+        self._held.end()
         self.let_go(lambda task: True, now)
 
     @property
@@ -449,7 +425,7 @@
         self._live.pop(job.identifier, None)
         self.changed.add(job.identifier)
         self.news.add(job.identifier)
-        self._timed.pop(job.identifier, None)
+        self._schedule.remove(job)
         for step in job.steps():
             step.waiting.clear()
             self._open_steps.pop(step.key, None)
@@ -469,24 +445,13 @@
                         self._wait_again(step, index)
 
     def _wait_again(self, step, index):
-        if (step, index) in self._held:
-            # An old end, of a run before the one for which it is kept back, must
-            # not free it: the later run may be at work unseen.
-            return
-        if self._may_run_unseen(step, index):
-            self._held.add((step, index))
-            return
-        self._wait(step, index)
+        if not self._held.takes(step, index):
+            self._wait(step, index)
 
     def _wait(self, step, index):
         step.waiting.add(index)
         self._open_steps[step.key] = step
 
-    def _may_run_unseen(self, step, index):
-        if self._is_held is None or step.key.job not in self._held_jobs:
-            return False
-        return self._is_held(step.tasks[index])
-
     def _note_running(self, job):
         if job.status == JobStatus.WAITING:
             job.status = JobStatus.RUNNING
--- /dev/null
+++ b/papayapick/membership/asking.py
@@ -0,0 +1,40 @@
+"""Choose which process asks a far placer for its heartbeat."""
+
+from papayapick.membership.relays import crosses
+
+__all__ = ["RELAY_SILENCE_SHARE", "asks"]
+
+# A near placer that missed two heartbeats is no relay any more, though it is
+# not dead yet: another takes the relay's part before far placers seem silent.
+RELAY_SILENCE_SHARE = 1 / 3
+
+
+def asks(peers, settings, peer, now):
+    """Return whether this process exchanges heartbeats with a far placer.
+
+    Parameters
+    ----------
+    peers : Peers
+    settings : Settings
+    peer : Peer
+    now : float
+        Monotonic seconds.
+    """
+    allowed = settings.dead_after_seconds * RELAY_SILENCE_SHARE
+    near, far = [], []
+    for found in peers.peers():
+        if not peers.is_far(found):
+            if found.heard and peers.silence(found) <= allowed:
+                near.append(found.name)
+        elif found.entry.region == peer.entry.region and _answers(
+            peers, settings, found, now
+        ):
+            far.append(found.name)
+    return crosses(settings.host_name, settings.region, near, far, peer.name)
+
+
+def _answers(peers, settings, peer, now):
+    # A partner that left a question unanswered is passed over for a while;
+    # else all of its region would seem silent with it.
+    is_passed_over = now - peer.failed <= settings.dead_after_seconds
+    return peer.heard and not peers.is_silent(peer) and not is_passed_over
--- a/papayapick/membership/peers.py
+++ b/papayapick/membership/peers.py
@@ -5,10 +5,10 @@
 from papayapick.bundle import PeerHead
 from papayapick.clients import HostListUnavailable
 from papayapick.clients.hosts import PLACER_KIND
+from papayapick.membership.asking import RELAY_SILENCE_SHARE, asks
 from papayapick.membership.exceptions import ShardUnserved
 from papayapick.membership.looks import LookGate
 from papayapick.membership.peer import Peer
-from papayapick.membership.relays import crosses
 from papayapick.membership.retelling import Retelling
 from papayapick.observability import get_logger
 from papayapick.wire import PeerClient, WireError
@@ -18,9 +18,6 @@
 
 _LOG = get_logger(__name__)
 _LINK_HEARTBEAT_FACTOR = 2
-# A near placer that missed two heartbeats is no relay any more, though it is
-# not dead yet: another takes the relay's part before far placers seem silent.
-_RELAY_SILENCE_SHARE = 1 / 3
 # What a relay tells is older than what a process hears itself, by one heartbeat
 # over the link and one inside the region, and by a change of relays.
 _FAR_SILENCE_FACTOR = 1.25
@@ -175,20 +172,20 @@
                 else:
                     known.entry = entry
             for name in set(self._peers) - set(placers):
-                if self._is_silent(self._peers[name]):
+                if self.is_silent(self._peers[name]):
                     self._drop(name)
 
     def live(self):
         """Return the placers that answer, this process among them where listed."""
         return [
-            peer for peer in self.peers() if peer.heard and not self._is_silent(peer)
+            peer for peer in self.peers() if peer.heard and not self.is_silent(peer)
         ]
 
     def is_alive(self, name):
         """Return whether a placer answered within the allowed silence."""
         with self._lock:
             peer = self._peers.get(name)
-        return peer is not None and not self._is_silent(peer)
+        return peer is not None and not self.is_silent(peer)
 
     def serving(self):
         """Return, for each shard, the live placer that claims the highest epoch.
@@ -258,7 +255,8 @@
         tags = {peer.heard.list_tag for peer in self.live()}
         return bool(tags - {own, "", None})
 
-    def _is_silent(self, peer):
+    def is_silent(self, peer):
+        """Return whether a placer was not heard for longer than is allowed."""
         allowed = self._settings.dead_after_seconds
         if self.is_far(peer):
             allowed *= _FAR_SILENCE_FACTOR
@@ -289,27 +287,11 @@
 
     def asks(self, peer):
         """Return whether this process exchanges heartbeats with a far placer."""
-        allowed = self._settings.dead_after_seconds * _RELAY_SILENCE_SHARE
-        near, far = [], []
-        for found in self.peers():
-            if not self.is_far(found):
-                if found.heard and self.silence(found) <= allowed:
-                    near.append(found.name)
-            elif found.entry.region == peer.entry.region and self._answers(found):
-                far.append(found.name)
-        settings = self._settings
-        return crosses(settings.host_name, settings.region, near, far, peer.name)
-
-    def _answers(self, peer):
-        # A partner that left a question unanswered is passed over for a while;
-        # else all of its region would seem silent with it.
-        since = self._clock.monotonic() - peer.failed
-        allowed = self._settings.dead_after_seconds
-        return peer.heard and not self._is_silent(peer) and since > allowed
+        return asks(self, self._settings, peer, self._clock.monotonic())
 
     def beat(self, peer):
         """Exchange one heartbeat with a peer; raise WireError."""
-        seconds = self._settings.dead_after_seconds * _RELAY_SILENCE_SHARE
+        seconds = self._settings.dead_after_seconds * RELAY_SILENCE_SHARE
         pauses = self._count_pauses()
         question = self._own_heartbeat()
         # The answerer asks this process itself, if it wants to know.
--- a/papayapick/placer/jobs.py
+++ b/papayapick/placer/jobs.py
@@ -8,7 +8,7 @@
 from papayapick.ledger import Amounts
 from papayapick.observability import get_logger
 from papayapick.placement import Place, RunningJob, WaitingJob
-from papayapick.placer.exceptions import OutcomeUnsettled
+from papayapick.placer.endings import append_ended
 from papayapick.placer.members import JobMembers, in_parallel
 
 __all__ = ["JobRunner"]
@@ -125,26 +125,7 @@
             detail=detail,
         )
         shard.failures.forget(item.request_id)
-        self._append_ended(shard, item, ended)
-
-    def _append_ended(self, shard, item, ended):
-        try:
-            entry = shard.journal.append(ended, must_last=True)
-        except JournalError as error:
-            # A newer owner settles it from its workers; until then this process
-            # can't tell.
-            self._desk.finish_with_error(item, OutcomeUnsettled(cause=error.code))
-            return
-
-        def settled(done):
-            # An outcome whose write was lost is written again: the job holds no
-            # room any more, and nothing else would end it.
-            if done.result():
-                self._desk.finish(item)
-            elif not shard.is_closed:
-                self._append_ended(shard, item, ended)
-
-        entry.settled.add_done_callback(settled)
+        append_ended(self._desk, shard, item, ended)
 
     def _job(self, shard, item):
         policy = self._process.watcher.bundle.jobs.get(item.accepted.name)
--- a/papayapick/placer/requests.py
+++ b/papayapick/placer/requests.py
@@ -9,7 +9,7 @@
 )
 from papayapick.clients.instances import is_leaving
 from papayapick.journal import Ended, JournalError, JournalUnsettled, Started
-from papayapick.placer.exceptions import OutcomeUnsettled
+from papayapick.placer.endings import append_ended
 from papayapick.placer.payloads import inline_or_object, load_inline_or_object
 from papayapick.routing import GrantExpired, RoutingError
 from papayapick.wire import WireError
@@ -101,24 +101,7 @@
             result_object=name,
             detail=detail,
         )
-        self._append_ended(shard, item, ended)
-
-    def _append_ended(self, shard, item, ended):
-        try:
-            entry = shard.journal.append(ended, must_last=True)
-        except JournalError as error:
-            # A newer owner settles it from the start that is journaled; until
-            # then this process can't tell.
-            self._desk.finish_with_error(item, OutcomeUnsettled(cause=error.code))
-            return
-
-        def settled(done):
-            if done.result():
-                self._desk.finish(item)
-            elif not shard.is_closed:
-                self._append_ended(shard, item, ended)
-
-        entry.settled.add_done_callback(settled)
+        append_ended(self._desk, shard, item, ended)
 
     def _acquire(self, item, policy):
         rest = item.accepted.deadline - self._process.clock.time()
