Move what an end means out of the book of jobs

Change: jobs/ends.py decides what the end of a run means for task, step, gang and job; Run.of_task makes a run in one place. No behaviour is changed. Measured: tests of jobs, pool, placement and entry pass.

--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -296,10 +296,6 @@
             self._lines = {}
         self._open_lines()
 
-    def note_owner_failed(self, owner):
-        """Free a pool that this process can't serve."""
-        owner.give_up()
-
     def look_at_owner(self, owner):
         """Look whether the pool is still this host's."""
         self.executor.submit(self._look_at_owner, owner)
--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -1,6 +1,7 @@
 """Keep the jobs of a pool: which steps are ready, and what each end means."""
 
 from papayapick.jobs.documents import TaskKey
+from papayapick.jobs.ends import Ends
 from papayapick.jobs.held import HeldTasks
 from papayapick.jobs.records import restore_progress
 from papayapick.jobs.runs import Run, RunPhase
@@ -9,9 +10,6 @@
 
 __all__ = ["JobBook"]
 
-_DONE = "done"
-_FAILED = "failed"
-
 
 class JobBook:
     """Hold all jobs of one pool; its caller holds the lock.
@@ -27,6 +25,7 @@
     """
 
     __slots__ = (
+        "_ends",
         "_held",
         "_jobs",
         "_live",
@@ -46,6 +45,7 @@
         # Steps that are ready and have a task waiting, by key.
         self._open_steps = {}
         self._held = HeldTasks()
+        self._ends = Ends(self)
         self._schedule = Schedule()
         self.changed = set()
         self.news = set()
@@ -103,26 +103,13 @@
         elif not job.occurrences:
             job.open_occurrence(0)
         for number in list(job.occurrences):
-            self._open_ready(job, number, now)
+            self.open_ready(job, number, now)
         return job
 
     def open_due(self, wall_now, now):
-        """Open the occurrences whose time has come.
-
-        Parameters
-        ----------
-        wall_now : float
-            Unix seconds.
-        now : float
-            Monotonic seconds.
-
-        Returns
-        -------
-        float or None
-            Unix seconds of the next occurrence.
-        """
+        """Open the occurrences whose time has come; see ``Schedule.open_due``."""
         return self._schedule.open_due(
-            wall_now, lambda job, number: self._open_ready(job, number, now)
+            wall_now, lambda job, number: self.open_ready(job, number, now)
         )
 
     def cancel(self, identifier, now):
@@ -137,7 +124,7 @@
         if job is None:
             return False
         if not job.is_final:
-            self._finish(job, JobStatus.CANCELLED, now)
+            self.finish(job, JobStatus.CANCELLED, now)
         return True
 
     def forget(self, identifier):
@@ -166,20 +153,12 @@
         # With a copy beside it, the first one's place stays on record: a successor
         # may start a task that allows copies in any case.
         task.place = worker
-        run = Run(
-            TaskKey(*step.key, index),
-            task.attempt,
-            worker,
-            step.step.room_demand,
-            RunPhase.ORDERED,
-            now,
-            step.step,
-        )
+        run = Run.of_task(step, index, task.attempt, worker, RunPhase.ORDERED, now)
         run.is_resumed = bool(task.checkpoint)
         task.runs.append(run)
         step.waiting.discard(index)
         if not step.waiting:
-            self._open_steps.pop(step.key, None)
+            self.close_step(step)
         self.changed.add(step.job.identifier)
         return run
 
@@ -197,25 +176,17 @@
         Run
             One that nothing needs is added to ``to_stop``.
         """
-        step = self._step(report.key)
+        step = self.step(report.key)
         if step is None:
             run = Run(report.key, report.attempt, worker, None, RunPhase.RUNNING, now)
             self.to_stop.append(run)
             return run
-        demand = step.step.room_demand
-        run = Run(
-            report.key,
-            report.attempt,
-            worker,
-            demand,
-            RunPhase.RUNNING,
-            now,
-            step.step,
-        )
+        index, attempt = report.key.index, report.attempt
+        run = Run.of_task(step, index, attempt, worker, RunPhase.RUNNING, now)
         # What it had done before this owner saw it is not known.
         run.is_resumed = True
-        task = step.tasks[report.key.index]
-        task.attempt = max(task.attempt, report.attempt)
+        task = step.tasks[index]
+        task.attempt = max(task.attempt, attempt)
         task.place = worker
         is_second = bool(task.runs) and not step.step.allows_copies
         task.runs.append(run)
@@ -225,22 +196,22 @@
         if task.is_done or step.job.is_final or is_second:
             self.to_stop.append(run)
         else:
-            step.waiting.discard(report.key.index)
+            step.waiting.discard(index)
             if not step.waiting:
-                self._open_steps.pop(step.key, None)
+                self.close_step(step)
         return run
 
     def note_started(self, run):
         """Note that a worker runs a task."""
         if run.phase in (RunPhase.ORDERED, RunPhase.UNSURE):
             run.phase = RunPhase.RUNNING
-        step = self._step(run.key)
+        step = self.step(run.key)
         if step is not None:
             self._note_running(step.job)
 
     def note_checkpoint(self, run):
         """Keep the newest progress that a run has saved."""
-        step = self._step(run.key)
+        step = self.step(run.key)
         if step is not None and run.checkpoint:
             step.tasks[run.key.index].checkpoint = run.checkpoint
 
@@ -262,7 +233,7 @@
                 if self._held.takes(step, index):
                     step.waiting.discard(index)
             if not step.waiting:
-                self._open_steps.pop(step.key, None)
+                self.close_step(step)
 
     def let_go(self, is_clear, now):
         """Let tasks wait for a worker that were kept back.
@@ -280,7 +251,7 @@
                 self._wait(step, index)
         for step in {step for step, _ in clear}:
             if not self._held.has_step(step):
-                self._settle_gang(step, now)
+                self._ends.settle_gang(step, now)
 
     def let_all_go(self, now):
         """Keep nothing back any more."""
@@ -292,134 +263,18 @@
         """Return whether any task is kept back."""
         return bool(self._held)
 
-    def _settle_gang(self, step, now):
-        """Stop a gang that was taken over without all of its members.
-
-        The owner before may have died between the orders of one gang; its members
-        would wait for the others until their time is over, and hold room.
-        """
-        is_partial = step.waiting and step.active_runs()
-        if step.step.is_gang and is_partial and not step.job.is_final:
-            step.waiting.clear()
-            self._open_steps.pop(step.key, None)
-            self._break_gang(step, now)
-
     def drop(self, run, now):
         """Take back a run that did not start and can't start any more."""
-        self._release(run)
-        step = self._step(run.key)
-        if step is None or step.job.is_final:
-            return
-        task = step.tasks[run.key.index]
-        if task.is_done:
-            # Its first run, or another member of its gang, ended as done while this
-            # order was on its way: placed again, it would run a second time.
-            return
-        if step.step.is_gang:
-            self._break_gang(step, now)
-        elif not task.runs:
-            # With a copy dropped, the first run may be at work.
-            self._wait_again(step, run.key.index)
+        self._ends.drop(run, now)
 
     def end(self, key, attempt, outcome, checkpoint, worker, now):
-        """Take note of the end of a run.
+        """Take note of the end of a run; see ``Ends.end``."""
+        self._ends.end(key, attempt, outcome, checkpoint, worker, now)
 
-        Parameters
-        ----------
-        key : TaskKey
-        attempt : int
-        outcome : str
-            One of ``EndOutcome``.
-        checkpoint : str
-        worker : str
-        now : float
-        """
-        step = self._step(key)
-        if step is None:
-            return
-        task = step.tasks[key.index]
-        # A start may be known from its end only: its number is not used again.
-        task.attempt = max(task.attempt, attempt)
-        ended = [run for run in task.runs if run.name == (key, attempt)]
-        for run in ended:
-            self._release(run)
-        if step.job.is_final or task.is_done:
-            return
-        self.changed.add(step.job.identifier)
-        if checkpoint:
-            task.checkpoint = checkpoint
-        if outcome == _DONE and not step.step.is_lasting:
-            for run in ended:
-                step.note_done_run(now - run.since)
-            self._note_done(step, key.index, now)
-            return
-        if outcome == _FAILED:
-            self._note_failure(step, key, attempt, worker, now)
-        if step.job.is_final:
-            return
-        if step.step.is_gang:
-            self._break_gang(step, now)
-        elif not task.runs:
-            self._wait_again(step, key.index)
-
-    def _note_done(self, step, index, now):
-        indexes = range(len(step.tasks)) if step.step.is_gang else (index,)
-        for number in indexes:
-            task = step.tasks[number]
-            if task.is_done:
-                continue
-            task.is_done = True
-            step.left -= 1
-            step.waiting.discard(number)
-            if not step.step.is_gang:
-                # The members of a gang end together; copies must be told to.
-                self.to_stop += task.runs
-        if not step.waiting:
-            self._open_steps.pop(step.key, None)
-        if step.is_done:
-            self._note_step_done(step, now)
-
-    def _note_step_done(self, step, now):
-        job = step.job
-        occurrence = step.key.occurrence
-        if all(one.is_done for one in job.occurrences[occurrence]):
-            job.over.add(occurrence)
-            if len(job.over) >= max(1, job.document.occurrences):
-                self._finish(job, JobStatus.COMPLETED, now)
-            elif job.document.is_timed:
-                # Steps of an occurrence that is over are not asked for again.
-                job.occurrences.pop(occurrence)
-            return
-        self._open_ready(job, occurrence, now)
-
-    def _note_failure(self, step, key, attempt, worker, now):
-        task = step.tasks[key.index]
-        counted = step.tasks[0] if step.step.is_gang else task
-        task.failed_on.add(worker)
-        counted.failed_attempts.add(attempt)
-        if step.step.is_lasting:
-            return
-        if counted.failures >= step.job.queue.failure_limit:
-            step.job.failed_task, step.job.failed_worker = key, worker
-            self._finish(step.job, JobStatus.FAILED, now)
-
-    def _break_gang(self, step, now):
-        step.is_gang_broken = True
-        active = step.active_runs()
-        self.to_stop += [run for run in active if run.stop_requested is None]
-        if active:
-            return
-        step.is_gang_broken = False
-        # Progress saved by any member is valid for all, and all must carry the
-        # same.
-        checkpoint = max((task.checkpoint for task in step.tasks), default="")
-        attempt = max(task.attempt for task in step.tasks)
-        for index, task in enumerate(step.tasks):
-            task.checkpoint = checkpoint
-            task.attempt = attempt
-            self._wait_again(step, index)
-
-    def _finish(self, job, status, now):
+    # For the modules beside this one.
+
+    def finish(self, job, status, now):
+        """Give a job its final status; what runs of it is to be stopped."""
         job.status = status
         job.finished_at = now
         self._live.pop(job.identifier, None)
@@ -428,11 +283,12 @@
         self._schedule.remove(job)
         for step in job.steps():
             step.waiting.clear()
-            self._open_steps.pop(step.key, None)
+            self.close_step(step)
             if status != JobStatus.COMPLETED or not step.step.is_gang:
                 self.to_stop += step.active_runs()
 
-    def _open_ready(self, job, occurrence, now):
+    def open_ready(self, job, occurrence, now):
+        """Let the steps wait for workers whose earlier steps are done."""
         steps = job.occurrences[occurrence]
         for step in steps:
             if step.is_ready or step.is_done:
@@ -442,12 +298,17 @@
                 step.ready_at = now
                 for index, task in enumerate(step.tasks):
                     if not task.is_done and not task.runs:
-                        self._wait_again(step, index)
+                        self.wait_again(step, index)
 
-    def _wait_again(self, step, index):
+    def wait_again(self, step, index):
+        """Let a task wait for a worker, unless it is kept back."""
         if not self._held.takes(step, index):
             self._wait(step, index)
 
+    def close_step(self, step):
+        """Take a step off those that wait for workers."""
+        self._open_steps.pop(step.key, None)
+
     def _wait(self, step, index):
         step.waiting.add(index)
         self._open_steps[step.key] = step
@@ -457,15 +318,17 @@
             job.status = JobStatus.RUNNING
             self.news.add(job.identifier)
 
-    def _release(self, run):
-        step = self._step(run.key)
+    def release(self, run):
+        """Forget a run that is at work no more."""
+        step = self.step(run.key)
         if step is None:
             return
         runs = step.tasks[run.key.index].runs
         if run in runs:
             runs.remove(run)
 
-    def _step(self, key):
+    def step(self, key):
+        """Return the step of a task, or None where there is none."""
         job = self._jobs.get(key.job)
         if job is None:
             return None
@@ -477,4 +340,4 @@
 
     def step_of(self, key):
         """Return the step of a task or step, or None where it is over."""
-        return self._step(TaskKey(key.job, key.occurrence, key.step, 0))
+        return self.step(TaskKey(key.job, key.occurrence, key.step, 0))
--- /dev/null
+++ b/papayapick/jobs/ends.py
@@ -0,0 +1,150 @@
+"""Decide what the end of a run means for its task, step, gang and job."""
+
+from papayapick.jobs.state import JobStatus
+
+__all__ = ["Ends"]
+
+_DONE = "done"
+_FAILED = "failed"
+
+
+class Ends:
+    """Take in ends and starts that did not come about.
+
+    Parameters
+    ----------
+    book : JobBook
+        Its caller holds the lock.
+    """
+
+    __slots__ = ("_book",)
+
+    def __init__(self, book):
+        self._book = book
+
+    def drop(self, run, now):
+        """Take back a run that did not start and can't start any more."""
+        self._book.release(run)
+        step = self._book.step(run.key)
+        if step is None or step.job.is_final:
+            return
+        task = step.tasks[run.key.index]
+        if task.is_done:
+            # Its first run, or another member of its gang, ended as done while this
+            # order was on its way: placed again, it would run a second time.
+            return
+        if step.step.is_gang:
+            self._break_gang(step, now)
+        elif not task.runs:
+            # With a copy dropped, the first run may be at work.
+            self._book.wait_again(step, run.key.index)
+
+    def end(self, key, attempt, outcome, checkpoint, worker, now):
+        """Take note of the end of a run.
+
+        Parameters
+        ----------
+        key : TaskKey
+        attempt : int
+        outcome : str
+            One of ``EndOutcome``.
+        checkpoint : str
+        worker : str
+        now : float
+        """
+        step = self._book.step(key)
+        if step is None:
+            return
+        task = step.tasks[key.index]
+        # A start may be known from its end only: its number is not used again.
+        task.attempt = max(task.attempt, attempt)
+        ended = [run for run in task.runs if run.name == (key, attempt)]
+        for run in ended:
+            self._book.release(run)
+        if step.job.is_final or task.is_done:
+            return
+        self._book.changed.add(step.job.identifier)
+        if checkpoint:
+            task.checkpoint = checkpoint
+        if outcome == _DONE and not step.step.is_lasting:
+            for run in ended:
+                step.note_done_run(now - run.since)
+            self._note_done(step, key.index, now)
+            return
+        if outcome == _FAILED:
+            self._note_failure(step, key, attempt, worker, now)
+        if step.job.is_final:
+            return
+        if step.step.is_gang:
+            self._break_gang(step, now)
+        elif not task.runs:
+            self._book.wait_again(step, key.index)
+
+    def settle_gang(self, step, now):
+        """Stop a gang that was taken over without all of its members.
+
+        The owner before may have died between the orders of one gang; its members
+        would wait for the others until their time is over, and hold room.
+        """
+        is_partial = step.waiting and step.active_runs()
+        if step.step.is_gang and is_partial and not step.job.is_final:
+            step.waiting.clear()
+            self._book.close_step(step)
+            self._break_gang(step, now)
+
+    def _note_done(self, step, index, now):
+        indexes = range(len(step.tasks)) if step.step.is_gang else (index,)
+        for number in indexes:
+            task = step.tasks[number]
+            if task.is_done:
+                continue
+            task.is_done = True
+            step.left -= 1
+            step.waiting.discard(number)
+            if not step.step.is_gang:
+                # The members of a gang end together; copies must be told to.
+                self._book.to_stop += task.runs
+        if not step.waiting:
+            self._book.close_step(step)
+        if step.is_done:
+            self._note_step_done(step, now)
+
+    def _note_step_done(self, step, now):
+        job = step.job
+        occurrence = step.key.occurrence
+        if all(one.is_done for one in job.occurrences[occurrence]):
+            job.over.add(occurrence)
+            if len(job.over) >= max(1, job.document.occurrences):
+                self._book.finish(job, JobStatus.COMPLETED, now)
+            elif job.document.is_timed:
+                # Steps of an occurrence that is over are not asked for again.
+                job.occurrences.pop(occurrence)
+            return
+        self._book.open_ready(job, occurrence, now)
+
+    def _note_failure(self, step, key, attempt, worker, now):
+        task = step.tasks[key.index]
+        counted = step.tasks[0] if step.step.is_gang else task
+        task.failed_on.add(worker)
+        counted.failed_attempts.add(attempt)
+        if step.step.is_lasting:
+            return
+        if counted.failures >= step.job.queue.failure_limit:
+            step.job.failed_task, step.job.failed_worker = key, worker
+            self._book.finish(step.job, JobStatus.FAILED, now)
+
+    def _break_gang(self, step, now):
+        step.is_gang_broken = True
+        active = step.active_runs()
+        self._book.to_stop += [run for run in active if run.stop_requested is None]
+        if active:
+            return
+        step.is_gang_broken = False
+        # Progress saved by any member is valid for all, and all must carry the
+        # same.
+        checkpoint = max((task.checkpoint for task in step.tasks), default="")
+        attempt = max(task.attempt for task in step.tasks)
+        for index, task in enumerate(step.tasks):
+            task.checkpoint = checkpoint
+            task.attempt = attempt
+            self._book.wait_again(step, index)
--- a/papayapick/jobs/runs.py
+++ b/papayapick/jobs/runs.py
@@ -2,6 +2,8 @@
 
 import enum
 
+from papayapick.jobs.documents import TaskKey
+
 __all__ = ["Run", "RunPhase"]
 
 
@@ -88,6 +90,22 @@
         self.tail_limit = step.tail_limit_seconds if step is not None else 0.0
         self.image = step.image if step is not None else ""
 
+    @classmethod
+    def of_task(cls, step, index, attempt, worker, phase, now):
+        """Return a run of one task.
+
+        Parameters
+        ----------
+        step : StepState
+        index, attempt : int
+        worker : str
+        phase : RunPhase
+        now : float
+        """
+        key = TaskKey(*step.key, index)
+        demand = step.step.room_demand
+        return cls(key, attempt, worker, demand, phase, now, step.step)
+
     @property
     def has_begun(self):
         """Return whether its worker is known to have begun it."""
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -238,7 +238,7 @@
             # nothing: another host does better.
             POOL_LOOP_FAILED.write_failure(pool=self.pool, loop=name)
             self.note_lost()
-            self.host.note_owner_failed(self)
+            self.give_up()
 
     def submit(self, name, step):
         """Run an endless task; if it fails, the pool is given up."""
