Choose a worker with the cheapest test first

Cause: a replay of 1,200 starts on 176 workers spends two thirds of its time in choosing workers, each time through all of them with the most expensive test first. Change: Rooms.choose looks at room before anything else; benchmarks/choosing.py.

--- /dev/null
+++ b/benchmarks/choosing.py
@@ -0,0 +1,41 @@
+"""Processor time of an owner's decisions, by number of workers.
+
+Run as ``python -m benchmarks.choosing [--json]``. A replay hands in 40 jobs of ten
+tasks a second for three seconds, simulated; ``seconds`` is the processor time of all
+of it, the simulated workers included, the least of three.
+"""
+
+import time
+
+from benchmarks.tables import print_rows
+from tests.pool.standins import Replay
+
+SIZES = (24, 176)
+ROUNDS = 3
+STEPS = 60
+
+
+def main():
+    print_rows([measure(workers) for workers in SIZES])
+
+
+def measure(workers):
+    return {
+        "workers": workers,
+        "starts": STEPS * 2 * 10,
+        "seconds": min(replay(workers) for _ in range(ROUNDS)),
+    }
+
+
+def replay(workers):
+    load = Replay(workers=workers, length=0.8)
+    began = time.process_time()
+    for _ in range(STEPS):
+        load.hand_in(tasks=10)
+        load.hand_in(tasks=10)
+        load.run(0.05)
+    return time.process_time() - began
+
+
+if __name__ == "__main__":
+    main()
--- a/papayapick/placement/rooms.py
+++ b/papayapick/placement/rooms.py
@@ -179,46 +179,49 @@
         """
         step = step_state.step
         task = step_state.tasks[index]
-        best = best_rank = None
-        has_other = False
         spared = self._spared()
-        for room in self._fitting(step, allowed, rack):
+        best = best_rank = None
+        for room in self._free(step_state, allowed, rack):
             worker = room.worker
-            if worker not in task.failed_on:
-                has_other = True
-                if room in spared or not self._is_free(room, step_state):
-                    continue
-                is_avoided = worker in task.avoid or room.is_suspected
-                rank = self._rank(step, room, is_avoided)
-                if best_rank is None or rank < best_rank:
-                    best, best_rank = room, rank
-        if best is None and task.failed_on and not has_other:
-            return self._last_resort(step_state, allowed, rack)
+            if worker in task.failed_on or room in spared:
+                continue
+            is_avoided = worker in task.avoid or room.is_suspected
+            rank = self._rank(step, room, is_avoided)
+            if best_rank is None or rank < best_rank:
+                best, best_rank = room, rank
+        if best is None and task.failed_on:
+            return self._last_resort(step_state, task, allowed, rack)
         return best
 
-    def _fitting(self, step, allowed, rack):
-        """Yield the workers that may run a step and could hold a task when empty."""
-        for room in self.able(step):
-            if allowed is not None and room.worker not in allowed:
+    def _free(self, step_state, allowed, rack):
+        """Yield the workers that have room for a task of a step now.
+
+        The cheapest test that leaves out most comes first: with 176 workers and ten
+        tasks a step, 1,200 starts took 0.24 s of the processor in another order
+        and 0.17 s in this one.
+        """
+        step = step_state.step
+        demand = step.room_demand
+        processors, memory = demand.processors, demand.memory
+        for room in self._rooms.values():
+            if room.processors < processors or room.memory < memory:
+                continue
+            if not room.is_open or room.accelerators < demand.accelerators:
                 continue
-            if rack is None or room.rack == rack:
+            if not _may_run(room, step, allowed, rack):
+                continue
+            count = room.step_counts.get(step_state.key, 0)
+            if not step.tasks_per_worker or count < step.tasks_per_worker:
                 yield room
 
-    @staticmethod
-    def _is_free(room, step_state):
-        step = step_state.step
-        if not room.is_open or not room.has_room(step.room_demand):
-            return False
-        count = room.step_counts.get(step_state.key, 0)
-        return not step.tasks_per_worker or count < step.tasks_per_worker
-
-    def _last_resort(self, step_state, allowed, rack):
-        """Return a worker for a task that has failed wherever it may run."""
-        free = [
-            room
-            for room in self._fitting(step_state.step, allowed, rack)
-            if self._is_free(room, step_state)
-        ]
+    def _last_resort(self, step_state, task, allowed, rack):
+        """Return a worker for a task that has failed wherever it may run, or None."""
+        for room in self.able(step_state.step):
+            is_other = room.worker not in task.failed_on
+            if is_other and _may_run(room, step_state.step, allowed, rack):
+                # It is full or closed now; the task waits for it.
+                return None
+        free = self._free(step_state, allowed, rack)
         return min(free, key=lambda room: room.processors, default=None)
 
     def _spared(self):
@@ -246,3 +249,13 @@
         # find room; memory decides between equals.
         left = room.processors - step.demand.processors
         return (is_avoided, is_far, left, room.memory)
+
+
+def _may_run(room, step, allowed, rack):
+    """Return whether a worker may run a step, whatever room it has."""
+    registration = room.registration
+    if allowed is not None and registration.worker not in allowed:
+        return False
+    if step.label and step.label not in registration.labels:
+        return False
+    return rack is None or room.rack == rack
