--- a/papayapick/placement/progress.py
+++ b/papayapick/placement/progress.py
@@ -191,6 +191,11 @@
         since_sound = now - self._sound.get(run.worker, float("-inf"))
         return len(seen) >= _SLOW_RUNS and since_sound > _SOUND_SECONDS
 
+    def forget(self, worker):
+        """Drop what is known of a worker."""
+        self._slow.pop(worker, None)
+        self._sound.pop(worker, None)
+
 
 class FailureWatch:
     """Notice workers that fail what they start, whichever job it is of."""
@@ -214,5 +219,10 @@
             return False
         # A job that can never be done fails everywhere, and counts once here.
         jobs = self._failed_jobs.setdefault(worker, set())
-        jobs.add(job)
+        if len(jobs) < _FAILURES_IN_A_ROW:
+            jobs.add(job)
         return len(jobs) >= _FAILURES_IN_A_ROW
+
+    def forget(self, worker):
+        """Drop what is known of a worker."""
+        self._failed_jobs.pop(worker, None)
--- a/papayapick/pool/decisions.py
+++ b/papayapick/pool/decisions.py
@@ -3,22 +3,12 @@
 from papayapick.jobs.state import JobStatus
 from papayapick.placement.copies import stragglers
 from papayapick.placement.preemption import choose_victims, may_preempt
-from papayapick.placement.progress import (
-    REPLACED_LIMIT,
-    SUSPECT_SECONDS,
-    SlownessWatch,
-    compare_runs,
-    ended_in_time,
-    stalled_runs,
-)
 from papayapick.placement.steps import order_steps, place_step
 from papayapick.pool.events import (
     COPY_STARTED,
-    RUN_REPLACED,
     STEP_PLACED,
     STEP_WAITS,
     STOPPED_FOR_URGENT,
-    WORKER_SUSPECTED,
 )
 from papayapick.pool.metrics import FIRST_START_SECONDS
 from papayapick.pool.orders import Start
@@ -39,12 +29,11 @@
     owner : PoolOwner
     """
 
-    __slots__ = ("_owner", "_slowness", "_unsent")
+    __slots__ = ("_owner", "_unsent")
 
     def __init__(self, owner):
         self._owner = owner
         self._unsent = []
-        self._slowness = SlownessWatch()
 
     def place(self, now):
         """Place what waits, the most urgent first; starts wait for their record."""
@@ -146,68 +135,6 @@
             usual_seconds=round(step.usual_seconds, 3),
         )
 
-    def suspect(self, room, reason, now, is_failing=False):
-        """Use a worker last for a while, or not at all where it fails everything."""
-        if not room.is_suspected:
-            WORKER_SUSPECTED.write(
-                worker=room.worker, reason=reason, seconds=SUSPECT_SECONDS
-            )
-        room.suspect(now, SUSPECT_SECONDS, is_failing)
-
-    def replace_laggards(self, now):
-        """Stop runs that stand still or lag far behind, to start them elsewhere.
-
-        Where the step allows copies, the next copy is started beside instead.
-        """
-        for room in self._owner.rooms:
-            room.end_suspicion(now)
-        for job in self._owner.book.live_jobs():
-            for step in job.steps():
-                for run in stalled_runs(step):
-                    self._replace(step, run, now)
-                slow, sound = compare_runs(step)
-                for run in sound:
-                    self._slowness.note_sound(run, now)
-                for run in slow:
-                    if self._slowness.note_slow(run, now):
-                        self._replace(step, run, now)
-
-    def note_done(self, step, run, now):
-        """Take in that a run has ended as done: its worker may be sound."""
-        if ended_in_time(step, run, now):
-            self._slowness.note_sound(run, now)
-
-    def _replace(self, step, run, now):
-        room = self._owner.rooms.get(run.worker)
-        if room is None:
-            return
-        self.suspect(room, "progress", now)
-        task = step.tasks[run.key.index]
-        task.avoid.add(run.worker)
-        if step.step.allows_copies or task.replaced >= REPLACED_LIMIT:
-            return
-        if not self._has_alternative(step, run):
-            return
-        task.replaced += 1
-        RUN_REPLACED.write(
-            **run_fields(run),
-            percent=run.percent,
-            seconds=round(now - run.since, 3),
-            still_seconds=round(run.percent_at - run.moved_at, 3),
-        )
-        self._owner.orders.stop_once(run, now)
-
-    def _has_alternative(self, step, run):
-        """Return whether another worker has room for the task of a run now."""
-        allowed = None
-        if step.job.queue.advice is not None:
-            allowed = self._owner.advising.tickets(step, now=self._owner.now())
-            if allowed is None:
-                self._owner.advising.want(step, self._owner.now())
-                return False
-        room = self._owner.rooms.choose(step, run.key.index, allowed)
-        return room is not None and not room.is_suspected and room.worker != run.worker
-
     def preempt(self, now):
         """Stop patient tasks for the most urgent step that finds no room."""
         for step in order_steps(self._owner.book.waiting_steps()):
--- /dev/null
+++ b/papayapick/pool/laggards.py
@@ -0,0 +1,115 @@
+"""Move runs off sick workers, and use such workers last."""
+
+from papayapick.placement.progress import (
+    REPLACED_LIMIT,
+    SUSPECT_SECONDS,
+    FailureWatch,
+    SlownessWatch,
+    compare_runs,
+    ended_in_time,
+    stalled_runs,
+)
+from papayapick.pool.events import RUN_REPLACED, WORKER_SUSPECTED
+from papayapick.pool.reports import EndOutcome, run_fields
+
+__all__ = ["Laggards"]
+
+
+class Laggards:
+    """Act on what the progress of runs and their ends tell of workers.
+
+    Parameters
+    ----------
+    owner : PoolOwner
+        Its lock is held by the caller.
+    """
+
+    __slots__ = ("_failures", "_owner", "_slowness")
+
+    def __init__(self, owner):
+        self._owner = owner
+        self._failures = FailureWatch()
+        self._slowness = SlownessWatch()
+
+    def replace(self, now):
+        """Stop runs that stand still or lag far behind, to start them elsewhere.
+
+        Where the step allows copies, the next copy is started beside instead.
+        """
+        for room in self._owner.rooms:
+            room.end_suspicion(now)
+        for job in self._owner.book.live_jobs():
+            for step in job.steps():
+                for run in stalled_runs(step):
+                    self._replace(step, run, now)
+                slow, sound = compare_runs(step)
+                for run in sound:
+                    self._slowness.note_sound(run, now)
+                for run in slow:
+                    if self._slowness.note_slow(run, now):
+                        self._replace(step, run, now)
+
+    def note_end(self, step, run, end, room, now):
+        """Take in an end that a worker has listed.
+
+        Parameters
+        ----------
+        step : StepState or None
+        run : Run or None
+            None where this owner did not know it.
+        end : EndReport
+        room : WorkerRoom
+        now : float
+        """
+        is_failed = end.outcome == EndOutcome.FAILED
+        if end.outcome not in (EndOutcome.DONE, EndOutcome.FAILED):
+            return
+        if self._failures.note_end(room.worker, end.key.job, is_failed):
+            self._suspect(room, "failures", now, is_failing=True)
+        is_known = step is not None and run is not None
+        if is_known and not is_failed and ended_in_time(step, run, now):
+            self._slowness.note_sound(run, now)
+
+    def forget(self, worker):
+        """Drop what is known of a worker that is gone."""
+        self._failures.forget(worker)
+        self._slowness.forget(worker)
+
+    def _replace(self, step, run, now):
+        room = self._owner.rooms.get(run.worker)
+        if room is None:
+            return
+        self._suspect(room, "progress", now)
+        task = step.tasks[run.key.index]
+        task.avoid.add(run.worker)
+        if step.step.allows_copies or task.replaced >= REPLACED_LIMIT:
+            return
+        if not self._has_alternative(step, run):
+            return
+        task.replaced += 1
+        RUN_REPLACED.write(
+            **run_fields(run),
+            percent=run.percent,
+            seconds=round(now - run.since, 3),
+            still_seconds=round(run.percent_at - run.moved_at, 3),
+        )
+        self._owner.orders.stop_once(run, now)
+
+    def _suspect(self, room, reason, now, is_failing=False):
+        """Use a worker last for a while, or not at all where it fails everything."""
+        if not room.is_suspected:
+            WORKER_SUSPECTED.write(
+                worker=room.worker, reason=reason, seconds=SUSPECT_SECONDS
+            )
+        room.suspect(now, SUSPECT_SECONDS, is_failing)
+
+    def _has_alternative(self, step, run):
+        """Return whether another worker has room for the task of a run now."""
+        allowed = None
+        if step.job.queue.advice is not None:
+            allowed = self._owner.advising.tickets(step, now=self._owner.now())
+            if allowed is None:
+                self._owner.advising.want(step, self._owner.now())
+                return False
+        room = self._owner.rooms.choose(step, run.key.index, allowed)
+        return room is not None and not room.is_suspected and room.worker != run.worker
--- a/papayapick/pool/lists.py
+++ b/papayapick/pool/lists.py
@@ -2,7 +2,7 @@
 
 from papayapick.jobs.runs import RunPhase
 from papayapick.placement.pace import Pacer
-from papayapick.placement.progress import FailureWatch, is_doubtful
+from papayapick.placement.progress import is_doubtful
 from papayapick.pool.events import (
     RUN_ENDED,
     RUN_FOUND,
@@ -26,12 +26,11 @@
     owner : PoolOwner
     """
 
-    __slots__ = ("_failures", "_owner", "_pacer")
+    __slots__ = ("_owner", "_pacer")
 
     def __init__(self, owner):
         self._owner = owner
         self._pacer = Pacer()
-        self._failures = FailureWatch()
 
     def may_act(self):
         """Return whether leases may be renewed."""
@@ -122,19 +121,10 @@
             room.release(run)
         link.processed = end.number
         ENDS.labels(end.outcome).inc()
-        self._watch_failures(room, end, now)
-        if step is not None and run is not None and end.outcome == EndOutcome.DONE:
-            self._owner.decisions.note_done(step, run, now)
+        self._owner.laggards.note_end(step, run, end, room, now)
         if step is not None and end.outcome != EndOutcome.DONE:
             self._note_end(step, end, run, link.worker, now)
 
-    def _watch_failures(self, room, end, now):
-        if end.outcome not in (EndOutcome.DONE, EndOutcome.FAILED):
-            return
-        is_failed = end.outcome == EndOutcome.FAILED
-        if self._failures.note_end(room.worker, end.key.job, is_failed):
-            self._owner.decisions.suspect(room, "failures", now, is_failing=True)
-
     @staticmethod
     def _note_end(step, end, run, worker, now):
         task = step.tasks[end.key.index]
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -18,6 +18,7 @@
 )
 from papayapick.pool.forgetting import forget_jobs
 from papayapick.pool.journal import PROGRESS_TABLE, PoolJournal
+from papayapick.pool.laggards import Laggards
 from papayapick.pool.lists import WorkerLists
 from papayapick.pool.lives import LifeCheck
 from papayapick.pool.metrics import TAKEOVERS
@@ -70,6 +71,7 @@
         "host",
         "is_lost",
         "journal",
+        "laggards",
         "links_by_worker",
         "lists",
         "lock",
@@ -113,6 +115,7 @@
         self.lists = WorkerLists(self)
         self.advising = Advising(self)
         self.decisions = Decisions(self)
+        self.laggards = Laggards(self)
         self.news = News(self)
 
     # What it is, and whether it may decide.
@@ -279,7 +282,7 @@
             for run in list(room.runs.values()):
                 self._tick_run(link, run, now)
         self.advising.ask_ahead(now)
-        self.decisions.replace_laggards(now)
+        self.laggards.replace(now)
         self.decisions.start_copies(now)
         self.decisions.preempt(now)
         self.orders.stop_unneeded()
