--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -121,7 +121,10 @@
             self._watched_version = self.row.version
             self._may_lack_records = bool(beat.may_lack_records)
             self._told_at = self._heard_at
-            if beat.host == self.row.owner:
+            # A host that is cut off from the store still holds the row of an owner
+            # before; the beat of a newer epoch is of the one that counts. Else it would
+            # try to take the pool every 0.3 s until the store is back.
+            if beat.epoch > self.row.epoch or beat.host == self.row.owner:
                 self._is_suspected = bool(beat.gives_way)
         if beat.gives_way and not self._host.store_health.is_lost():
             self._wakeup.set()
--- a/tests/entry/test_candidacy.py
+++ b/tests/entry/test_candidacy.py
@@ -247,3 +247,15 @@
     assert candidacy._delay() < 0.07
     candidacy._host.store_seconds = 0.045
     assert candidacy._delay() >= 0.25
+
+
+def test_beat_of_a_newer_owner_ends_the_suspicion_of_the_one_before(candidacy, rows):
+    # An owner that the store turns away asks for a successor, and gets one. A host that
+    # is turned away too can't read the new row; it went on suspecting the old owner and
+    # asked the store again and again, 60 times in eight seconds.
+    rows[0] = PoolRow("pool", "h2", 3, "127.0.0.1:1", 5)
+    candidacy.note_row(rows[0])
+    candidacy.note_beat(_beat(epoch=3, gives_way=True))
+    assert candidacy._is_needed()
+    candidacy.note_beat(_beat(epoch=4, host="h3"))
+    assert not candidacy._is_needed()
