Place nothing beside a run of which nobody knows what it takes

All hosts lose power; a worker still runs a task of a job that was cancelled before. The new owner finds it (run found, not needed), stops it, and since the job is over knows no demand of it: its room was given away while the stop was on its way. Ruled out: the list of machines, laggards (neither acts there), room counted twice. Change: such a run stands in its worker's room without a measure, and nothing is placed beside it until its end is listed; its stop is ordered again like any other.

--- a/papayapick/placement/preemption.py
+++ b/papayapick/placement/preemption.py
@@ -54,7 +54,9 @@
     best = []
     demand = step.step.room_demand
     for room in rooms.able(step.step):
-        if not room.is_open or (allowed is not None and room.worker not in allowed):
+        if not room.is_open or room.has_unmeasured:
+            continue
+        if allowed is not None and room.worker not in allowed:
             continue
         count = room.step_counts.get(step.key, 0)
         if step.step.tasks_per_worker and count >= step.step.tasks_per_worker:
--- a/papayapick/placement/rooms.py
+++ b/papayapick/placement/rooms.py
@@ -28,6 +28,7 @@
 
     __slots__ = (
         "_suspected_until",
+        "_unmeasured",
         "accelerators",
         "filler_processors",
         "is_failing",
@@ -46,6 +47,9 @@
         self.runs = {}
         self.step_counts = {}
         self.filler_processors = 0
+        # Runs of jobs that are over or forgotten: what they take is not known, and
+        # nothing is placed beside them until they have ended.
+        self._unmeasured = 0
         self.is_suspected = False
         self.is_failing = False
         self._suspected_until = float("-inf")
@@ -68,6 +72,11 @@
                 return label
         return ""
 
+    @property
+    def has_unmeasured(self):
+        """Return whether it runs something of which nobody knows what it takes."""
+        return bool(self._unmeasured)
+
     @property
     def serving(self):
         """Return how many of its runs have a response time to keep."""
@@ -87,17 +96,17 @@
     def has_room(self, demand):
         """Return whether a demand fits beside all that is reserved."""
         return (
-            demand.processors <= self.processors
+            not self._unmeasured
+            and demand.processors <= self.processors
             and demand.memory <= self.memory
             and demand.accelerators <= self.accelerators
         )
 
     def reserve(self, run):
         """Take room for a run."""
-        if run.name in self.runs or run.demand is None:
-            return
-        self.runs[run.name] = run
-        self._count(run, 1)
+        if run.name not in self.runs:
+            self.runs[run.name] = run
+            self._count(run, 1)
 
     def release(self, run):
         """Give back the room of a run whose end is sure."""
@@ -105,6 +114,9 @@
             self._count(run, -1)
 
     def _count(self, run, sign):
+        if run.demand is None:
+            self._unmeasured += sign
+            return
         self.processors -= sign * run.demand.processors
         self.memory -= sign * run.demand.memory
         self.accelerators -= sign * run.demand.accelerators
@@ -206,7 +218,7 @@
         for room in self._rooms.values():
             if room.processors < processors or room.memory < memory:
                 continue
-            if not room.is_open or room.accelerators < demand.accelerators:
+            if not (room.is_open and room.has_room(demand)):
                 continue
             if not _may_run(room, step, allowed, rack):
                 continue
--- a/tests/pool/test_owner.py
+++ b/tests/pool/test_owner.py
@@ -17,7 +17,7 @@
     WorkerReport,
 )
 from papayapick.pool.roster import WorkerRoster
-from tests.pool.standins import Host, NoThreads
+from tests.pool.standins import QUEUE, Host, NoThreads
 
 ID = "5c0e7a21d94b36f8"
 KEY = TaskKey(ID, 0, 0, 0)
@@ -504,3 +504,25 @@
     host.put(JOBS_TABLE, "pool/1", other, document.as_record())
     owner = _owner(host)
     assert [job.identifier for job in owner.book.jobs()] == [other]
+
+
+@pytest.mark.parametrize("record", [{"status": "cancelled"}, None])
+def test_run_of_a_job_that_is_over_takes_its_room_until_it_has_ended(host, record):
+    """A worker is given more than it holds after all hosts were restarted.
+
+    It still runs a task of a job that was cancelled before, or that was forgotten. The
+    new owner stops it and does not know what it takes; its room was given away while
+    the stop was on its way.
+    """
+    if record is not None:
+        _store_job(host, _job(), record)
+    owner = _owner(host)
+    _report(owner, "w2")
+    _report(owner, "w1", runs=[(KEY, 1)])
+    (run,) = owner.rooms.get("w1").runs.values()
+    assert run.stop_requested is not None
+    waiting = JobDocument("0" * 16, "q", "pool", "t", [Step(8, Amounts(1000, 10))], 0.0)
+    owner.book.add(waiting, QUEUE, host.clock.monotonic())
+    assert {run.worker for run in _place(owner)} == {"w2"}
+    _report(owner, "w1", ends=[(KEY, 1, "stopped")])
+    assert {run.worker for run in _place(owner)} == {"w1"}
