Go on without metrics where their port is taken; tell when a host answers again

Cause: read in the diff: the port for metrics is the same on every deployment, those for callers and health checks are drawn for each. Where they meet, callers would be answered with metrics; where something else listens there, no host would start. The event of a host that no longer answers had no counterpart. Change: PlatformSettings drops a metrics port that the platform uses; FrontServer goes on without one that is taken; "host reached again".

--- a/papayapick/entry/events.py
+++ b/papayapick/entry/events.py
@@ -12,10 +12,12 @@
     "CONFIGURATION_REFUSED",
     "CONFLICT_UNCLEAR",
     "HISTORY_LOST",
+    "HOST_REACHED",
     "HOST_UNREACHED",
     "JOB_ACCEPTED",
     "JOB_KNOWN",
     "LOOP_FAILED",
+    "METRICS_UNSERVED",
     "OWNER_GONE",
     "OWNER_SILENT",
     "OWNER_UNCONFIRMED",
@@ -44,7 +46,7 @@
 
 PROCESS_STARTED = Event(
     "started",
-    "version role_address peer_address store_address log_level",
+    "version role_address peer_address store_address log_level metrics_port",
     "The process begins to answer health checks.",
 )
 PROCESS_STOPPING = Event(
@@ -106,6 +108,17 @@
     "A version can't be decoded; the one before stays in force.",
     level=logging.ERROR,
 )
+HOST_REACHED = Event(
+    "host reached again",
+    "peer pool silent_seconds",
+    "A host that did not answer beats of the owner here answers again.",
+)
+METRICS_UNSERVED = Event(
+    "metrics unserved",
+    "port error",
+    "Something else listens at the port for metrics; the host goes on without them.",
+    level=logging.WARNING,
+)
 HOST_UNREACHED = Event(
     "host unreached",
     "peer pool error",
--- a/papayapick/entry/peers.py
+++ b/papayapick/entry/peers.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from papayapick.entry.events import HOST_UNREACHED, OWNERSHIP_UNSAID
+from papayapick.entry.events import HOST_REACHED, HOST_UNREACHED, OWNERSHIP_UNSAID
 from papayapick.wire import PeerClient
 from papayapick.wire.exceptions import WireError
 from papayapick.wire.messages import (
@@ -158,7 +158,7 @@
 
     __slots__ = (
         "_host",
-        "_is_missed",
+        "_missed_since",
         "_lock",
         "_news",
         "_owner",
@@ -173,7 +173,7 @@
         self._news = owner.news.all_states()
         self._lock = threading.Lock()
         self._wakeup = threading.Event()
-        self._is_missed = False
+        self._missed_since = None
 
     @property
     def peer(self):
@@ -227,16 +227,26 @@
             with self._lock:
                 self._news = {**told, **self._news}
             return False
-        self._is_missed = False
+        self._note_word()
         self._peer.answered_at = self._host.clock.monotonic()
         self._peer.store_age = answer.store_age_milliseconds / 1000
         self._owner.recording.note_told(self._peer.name, may_lack_records)
         self._owner.note_peer(self._peer, answer.epoch, asked_at)
         return True
 
+    def _note_word(self):
+        since, self._missed_since = self._missed_since, None
+        if since is not None:
+            silent = self._host.clock.monotonic() - since
+            HOST_REACHED.write(
+                peer=self._peer.name,
+                pool=self._owner.pool,
+                silent_seconds=round(silent, 3),
+            )
+
     def _note_miss(self, error):
-        if not self._is_missed:
-            self._is_missed = True
+        if self._missed_since is None:
+            self._missed_since = self._host.clock.monotonic()
             HOST_UNREACHED.write(
                 peer=self._peer.name, pool=self._owner.pool, error=str(error)
             )
--- a/papayapick/entry/program.py
+++ b/papayapick/entry/program.py
@@ -94,6 +94,7 @@
         peer_address="{}:{}".format(*settings.peer_address),
         store_address=settings.store_address,
         log_level=level,
+        metrics_port=settings.metrics_port,
     )
     while not stops:
         wakeup.wait(_LEFT_OUT_SECONDS)
--- a/papayapick/entry/servers.py
+++ b/papayapick/entry/servers.py
@@ -1,9 +1,12 @@
 """Listen for callers and for health checks."""
 
 import logging
+import socket
 
 from waitress.server import create_server
 
+from papayapick.entry.events import METRICS_UNSERVED
+
 __all__ = ["FrontServer"]
 
 _THREADS = 24
@@ -27,8 +30,9 @@
     def __init__(self, settings, application):
         logging.getLogger("waitress.queue").setLevel(logging.ERROR)
         addresses = [settings.frontend_address, settings.readiness_address]
-        if settings.metrics_port:
-            addresses.append((settings.peer_address[0], settings.metrics_port))
+        metrics = (settings.peer_address[0], settings.metrics_port)
+        if settings.metrics_port and _is_free(metrics):
+            addresses.append(metrics)
         self._server = create_server(
             application,
             listen=" ".join(f"{host}:{port}" for host, port in addresses),
@@ -47,3 +51,17 @@
     def close(self):
         """Stop listening."""
         self._server.close()
+
+
+def _is_free(address):
+    """Return whether metrics can be served at an address.
+
+    A host goes on without metrics where something else listens there: one that failed
+    to start for them would serve nobody.
+    """
+    try:
+        socket.create_server(address).close()
+    except OSError as error:
+        METRICS_UNSERVED.write(port=address[1], error=str(error))
+        return False
+    return True
--- a/papayapick/platform/settings.py
+++ b/papayapick/platform/settings.py
@@ -20,7 +20,7 @@
     found : dict
         The decoded file. Fields that are not known are ignored.
     metrics_port : int
-        On the host's own address; 0 for none.
+        On the host's own address; 0 for none, also where the platform uses it.
     """
 
     __slots__ = (
@@ -45,7 +45,6 @@
     )
 
     def __init__(self, found, metrics_port=0):
-        self.metrics_port = metrics_port
         bounds = found["bounds"]
         listen = found["listen"]
         self.host_name = _text(found["node"])
@@ -54,6 +53,11 @@
         self.peer_address = (_text(found["ip"]), int(found["port_range"][0]))
         self.frontend_address = _address(listen["frontend"])
         self.readiness_address = _address(listen["readiness"])
+        # The platform draws the other ports anew for each deployment: callers must not
+        # be answered with metrics where it has drawn this one.
+        drawn = (self.peer_address, self.frontend_address, self.readiness_address)
+        is_drawn = metrics_port in [port for _, port in drawn]
+        self.metrics_port = 0 if is_drawn else metrics_port
         self.store_address = _text(found["platform"]["address"])
         self.advice_address = _text(found.get("advice", ""))
         self.machines_address = _text(found.get("cloud_api", {}).get("address", ""))
--- a/tests/entry/test_processes.py
+++ b/tests/entry/test_processes.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.entry.cell import EntryCell, job, wait_for
+from tests.entry.cell import EntryCell, EntryProcess, job, wait_for
 from tests.standins.cluster import Cluster
 
 IDS = [f"{number:016x}" for number in range(1, 200)]
@@ -74,6 +74,21 @@
     assert 'papayapick_pool_completion_seconds_count{status="completed"} 1.0' in page
 
 
+def test_host_starts_without_metrics_where_their_port_is_taken(cluster, tmp_path):
+    """No host of a cell starts: something else listens where metrics are to be."""
+    with EntryCell(cluster, tmp_path, hosts=1) as first:
+        taken = first.hosts[0].metrics
+        other = EntryProcess("host-9", cluster.address, tmp_path)
+        other.metrics = taken
+        other.start()
+        try:
+            wait_for(other.is_ready)
+        finally:
+            other.end()
+        events = [line["event"] for line in other.events()]
+        assert "metrics unserved" in events
+
+
 def test_same_id_again_is_the_same_job(cluster, cell):
     """Fees are billed twice: a request was sent again, to another host."""
     for host in cell.hosts:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -153,3 +153,23 @@
     missing = {"PAPAYAPICK_CONFIG": str(tmp_path / "none")}
     with pytest.raises(PlatformSettingsInvalid):
         PlatformSettings.from_config(missing)
+
+
+@pytest.mark.parametrize(
+    ("asked", "served"), [(9464, 9464), (0, 0), (8161, 0), (8167, 0), (7720, 0)]
+)
+def test_metrics_give_way_to_the_ports_that_the_platform_has_drawn(
+    tmp_path, asked, served
+):
+    """All callers of a deployment are answered with metrics, or no host starts.
+
+    The ports of callers and health checks are drawn for each deployment, and the port
+    for metrics is the same on all: one day they meet.
+    """
+    path = tmp_path / "settings.toml"
+    path.write_text(
+        SETTINGS.format(name="h", platform="p:1", peer=7720, front=8161, ready=8167)
+    )
+    environment = {"PAPAYAPICK_CONFIG": str(path)}
+    settings = PlatformSettings.from_config(environment, metrics_port=asked)
+    assert settings.metrics_port == served
