--- a/tests/entry/test_processes.py
+++ b/tests/entry/test_processes.py
@@ -83,10 +83,14 @@
         other.start()
         try:
             wait_for(other.is_ready)
+            # Lines are written some 20 ms after they are told.
+            wait_for(lambda: "metrics unserved" in _told(other))
         finally:
             other.end()
-        events = [line["event"] for line in other.events()]
-        assert "metrics unserved" in events
+
+
+def _told(host):
+    return [line["event"] for line in host.events()]
 
 
 def test_same_id_again_is_the_same_job(cluster, cell):
