Tell the truth of what a draining placer could not pass on

Cause: a placer that has handed its shards over passes what still comes to the next owner. Where that one could not be connected to, the connection's error was told on as the placer's own refusal: code wire.peer-unreachable, outcome unknown. A gateway takes such a refusal for final, so a caller heard 503, outcome unknown, of an urgent request that had not run.

Ruled out: a gateway that itself cannot reach a placer: SlotClient turns every WireError into a silent placer and asks the next one, never into that code.

Change: what was not sent on, and a slot in any case, is told as a closed shard (not run, ask again). Work whose answer was lost behind the relay stays unknown there, and the gateway asks again under the same id, as it does for a loss on its own connection. The rule of which refusals mean "moved" stood twice; it is routing/moves.py now.

--- a/papayapick/gateway/durable.py
+++ b/papayapick/gateway/durable.py
@@ -9,10 +9,10 @@
     MOVED_SECONDS,
     MOVED_WAIT_SECONDS,
     Submission,
-    has_moved,
 )
 from papayapick.journal import WorkUnknown
 from papayapick.membership import ShardUnserved
+from papayapick.routing import has_moved
 from papayapick.wire import PeerRefused, PeerUnreachable
 from papayapick.wire.messages import WorkCancel, WorkQuery
 
--- a/papayapick/gateway/submission.py
+++ b/papayapick/gateway/submission.py
@@ -6,6 +6,7 @@
 from papayapick.clients.objects import digest_of
 from papayapick.gateway.exceptions import OwnerMissing
 from papayapick.membership import ShardUnserved
+from papayapick.routing import has_moved
 from papayapick.wire import (
     PeerDisconnected,
     PeerRefused,
@@ -20,7 +21,6 @@
     "MOVED_SECONDS",
     "MOVED_WAIT_SECONDS",
     "Submission",
-    "has_moved",
 ]
 
 ANSWER_SECONDS = 1.5
@@ -30,16 +30,13 @@
 MOVED_WAIT_SECONDS = 0.05
 _LOOK_SECONDS = 0.25
 _WORK_MOVED = "placer.work-moved"
-_MOVED_CODES = ("ownership.", "placer.shard-closed", "journal.fenced", _WORK_MOVED)
+# A draining owner passes work on; what breaks behind it comes as its refusal. Told
+# to the caller, that was 504 with outcome unknown, though asking again settles it.
+_RELAYED_LOSSES = (PeerDisconnected.code, PeerTimeout.code)
 _WAITING = "waiting"
 _NOT_RUN = "not_run"
 
 
-def has_moved(error):
-    """Return whether a refusal says that the shard has another owner."""
-    return error.refusal_code.startswith(_MOVED_CODES)
-
-
 class Submission:
     """Submit work until an owner of its shard has told what became of it.
 
@@ -89,7 +86,7 @@
         Raises
         ------
         PeerRefused
-            The owner's own word.
+            The owner's own word, or a loss behind it (outcome unknown).
         PeerDisconnected, PeerTimeout, OwnerMissing
             Whether it was taken on is unknown.
         ShardUnserved, PeerUnreachable
@@ -105,7 +102,9 @@
             except (ShardUnserved, PeerUnreachable) as error:
                 last = error
             except PeerRefused as error:
-                if not has_moved(error):
+                if error.refusal_code in _RELAYED_LOSSES:
+                    self._lost = error
+                elif not has_moved(error):
                     if self._lost is not None and error.outcome == _NOT_RUN:
                         # The message whose answer was lost may still be read
                         # behind this one and be taken on.
--- a/papayapick/gateway/urgent.py
+++ b/papayapick/gateway/urgent.py
@@ -11,14 +11,18 @@
 from papayapick.gateway.exceptions import BackendFailed, CallAnswerMissing
 from papayapick.gateway.problems import Answer
 from papayapick.observability import note_fields
-from papayapick.routing import DeadlineOver, GrantExpired, NoRoute, PlacerSilent
+from papayapick.routing import (
+    DeadlineOver,
+    GrantExpired,
+    NoRoute,
+    PlacerSilent,
+    has_moved,
+)
 from papayapick.wire import PeerRefused
 
 __all__ = ["UrgentCalls"]
 
 _SERVER_ERROR = 500
-_MOVED = "ownership."
-_CLOSED = "placer.shard-closed"
 _SLOT_TRIES = 4
 _MOVED_WAIT_SECONDS = 0.02
 _SLOT_SHARE = 0.8
@@ -220,7 +224,10 @@
                     self._process.tracing.traceparent(),
                 )
             except (PeerRefused, NoRoute, PlacerSilent) as error:
-                if number + 1 == _SLOT_TRIES or not self._has_moved(error):
+                is_refusal = isinstance(error, PeerRefused)
+                if is_refusal and not has_moved(error):
+                    raise
+                if number + 1 == _SLOT_TRIES:
                     raise
             clock.wait(self._process.is_stopping, _MOVED_WAIT_SECONDS)
             if clock.monotonic() >= attempts.deadline:
@@ -233,10 +240,3 @@
         if usual is None:
             return max(0.0, rest * _SLOT_SHARE)
         return max(0.0, rest - usual)
-
-    @staticmethod
-    def _has_moved(error):
-        if not isinstance(error, PeerRefused):
-            return True
-        code = error.refusal_code
-        return code.startswith(_MOVED) or code == _CLOSED
--- a/papayapick/placer/handover.py
+++ b/papayapick/placer/handover.py
@@ -7,13 +7,16 @@
 from papayapick.clients import PlatformError
 from papayapick.observability import get_logger
 from papayapick.ownership import preferred_owner, read_shard, release
-from papayapick.wire import WireError
-from papayapick.wire.messages import Acknowledgement, Handover, Release
+from papayapick.placer.exceptions import ShardClosed
+from papayapick.wire import PeerRefused, PeerUnreachable, WireError
+from papayapick.wire.messages import Acknowledgement, Handover, Release, SlotRequest
 
 __all__ = ["ShardHandover"]
 
 _LOG = get_logger(__name__)
 _FLUSH_SECONDS = 2.0
+# A handover under way is over within a few heartbeats; as for other moved work.
+_MOVED_RETRY_SECONDS = 0.05
 # Looks at the peers that a better placed owner must have passed in a row.
 _STEADY_LOOKS = 5
 
@@ -162,9 +165,9 @@
                     return
                 asked = found.peer.client.call(payload, traceparent)
             except WireError as error:
-                answer.set_exception(error)
+                answer.set_exception(_passing_error(payload, error))
                 return
-            asked.add_done_callback(lambda done: _copy(done, answer))
+            asked.add_done_callback(lambda done: _copy(done, payload, answer))
 
         found.ready.add_done_callback(ask)
         return answer
@@ -230,9 +233,29 @@
             return [found for found in self._passed.values() if found.until >= now]
 
 
-def _copy(done, answer):
+def _copy(done, payload, answer):
     error = done.exception()
     if error is not None:
-        answer.set_exception(error)
+        answer.set_exception(_passing_error(payload, error))
     else:
         answer.set_result(done.result())
+
+
+def _passing_error(payload, error):
+    """Return what the asker is told of a message that could not be passed on.
+
+    While hosts are replaced in turn, the next owner may be gone as well. Told
+    as it is, the broken connection reached callers as 503 with outcome unknown,
+    of requests that had not run. What was not sent on, and a slot in any case,
+    has run nothing: the asker turns to whoever owns the shard then.
+    """
+    has_not_run = isinstance(error, PeerUnreachable) or (
+        isinstance(error, WireError)
+        and not isinstance(error, PeerRefused)
+        and isinstance(payload, SlotRequest)
+    )
+    if not has_not_run:
+        return error
+    moved = ShardClosed(shard=payload.shard, retry_after=_MOVED_RETRY_SECONDS)
+    moved.__cause__ = error
+    return moved
--- a/papayapick/routing/__init__.py
+++ b/papayapick/routing/__init__.py
@@ -8,9 +8,11 @@
     RoutingError,
 )
 from papayapick.routing.loads import Candidate, LoadView
+from papayapick.routing.moves import has_moved
 from papayapick.routing.slots import Grant, SlotClient
 
 __all__ = [
+    "has_moved",
     "Candidate",
     "DeadlineOver",
     "Grant",
--- /dev/null
+++ b/tests/placer/test_passing_on.py
@@ -0,0 +1,127 @@
+"""A placer passes on what still comes for a shard that it handed over."""
+
+from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
+
+import pytest
+
+from papayapick.clock import ManualClock
+from papayapick.ownership.assignments import preferred_owner
+from papayapick.placer import handover as handovers
+from papayapick.placer.exceptions import ShardClosed
+from papayapick.placer.handover import ShardHandover
+from papayapick.wire import PeerDisconnected, PeerUnreachable
+from papayapick.wire.messages import SlotRequest, Submit
+
+SHARD = "hobart-a.0"
+ADDRESS = ("127.0.0.1", 7000)
+
+
+class FakeClient:
+    """Take the announcement of the handover, then fail in one way."""
+
+    def __init__(self, error, is_sent):
+        self._error = error
+        self._is_sent = is_sent
+
+    def call(self, payload, traceparent=""):
+        future = handovers.Future()
+        if type(payload).__name__ == "Handover":
+            future.set_result(None)
+        elif self._is_sent:
+            future.set_exception(self._error)
+        else:
+            raise self._error
+        return future
+
+
+class FakeShard:
+    """Stand for a shard that runs nothing."""
+
+    name = SHARD
+    epoch = 4
+    row = None
+    journal = SimpleNamespace(flush=lambda: None)
+
+    def summary(self):
+        return SimpleNamespace(shard=SHARD, epoch=4)
+
+    def stop_admission(self):
+        pass
+
+
+def handed_over(monkeypatch, error, is_sent):
+    entry = SimpleNamespace(name="placer-2", zone="hobart-a", region="south-tas")
+    heard = SimpleNamespace(draining=False, bundle_sequence=1)
+    peer = SimpleNamespace(
+        name="placer-2", heard=heard, entry=entry, client=FakeClient(error, is_sent)
+    )
+    assert preferred_owner(SHARD, [entry]) == "placer-2"
+    monkeypatch.setattr(handovers, "release", lambda table, row: None)
+    process = SimpleNamespace(
+        clock=ManualClock(),
+        settings=SimpleNamespace(heartbeat_seconds=0.5, host_name="placer-1"),
+        peers=SimpleNamespace(live=lambda: [peer]),
+        is_draining=True,
+        table=None,
+        executor=ThreadPoolExecutor(1),
+    )
+    owner = SimpleNamespace(forget=lambda shard: None)
+    found = ShardHandover(process, owner, in_hand=lambda shard: 0)
+    assert found.hand_over(FakeShard())
+    return found
+
+
+def slot_request():
+    return SlotRequest(
+        shard=SHARD,
+        service="quick-counts",
+        request_id="r",
+        wait_milliseconds=0,
+        run_milliseconds=20,
+        caller="c",
+        avoid=[],
+    )
+
+
+@pytest.mark.parametrize(
+    ("error", "is_sent"),
+    [
+        (PeerUnreachable(address=ADDRESS), False),
+        (PeerUnreachable(address=ADDRESS), True),
+        (PeerDisconnected(address=ADDRESS), True),
+    ],
+    ids=["not-connected", "not-connected-there", "broken-off"],
+)
+def test_slot_that_cannot_be_passed_on_is_asked_for_again(monkeypatch, error, is_sent):
+    """Hosts are replaced in turn: the next owner of a shard is stopped as well.
+
+    A caller was told 503, outcome unknown, of a request that never ran: the
+    placer before passed its gateway's call on to a process that had just gone,
+    and told the connection's error on as if the work itself might have run. A
+    slot is no run, so the gateway is to ask whoever owns the shard now.
+    """
+    found = handed_over(monkeypatch, error, is_sent).pass_on(slot_request(), "")
+    with pytest.raises(ShardClosed) as raised:
+        found.result(1)
+    assert raised.value.outcome == "not_run"
+
+
+def test_work_that_was_not_sent_on_is_not_called_unknown(monkeypatch):
+    """The next owner can't be connected to, so it can't have taken on the work."""
+    error = PeerUnreachable(address=ADDRESS)
+    passed = handed_over(monkeypatch, error, False).pass_on(_submit(), "")
+    with pytest.raises(ShardClosed):
+        passed.result(1)
+
+
+def test_work_whose_answer_was_lost_stays_unknown(monkeypatch):
+    """The next owner went away with the message: it may have journaled it."""
+    error = PeerDisconnected(address=ADDRESS)
+    passed = handed_over(monkeypatch, error, True).pass_on(_submit(), "")
+    with pytest.raises(PeerDisconnected):
+        passed.result(1)
+
+
+def _submit():
+    return Submit(shard=SHARD, request_id="r", kind="request", name="heatmap-refresh")
