Follow a shard that changes hands when an operator asks for a request

Cause: `papayapick request show|explain|cancel` read the owner's row once and asked that placer once. Between a release and the next claim, or while the owner has just gone, it ended with an error though nothing was wrong.

A shard that never had an owner is told at once.

--- a/papayapick/management/commands/request.py
+++ b/papayapick/management/commands/request.py
@@ -3,11 +3,11 @@
 import base64
 import json
 
+from papayapick.management.asking import OwnerAsking
 from papayapick.management.base import Command
-from papayapick.management.exceptions import OwnerMissing, RequestIdInvalid
+from papayapick.management.exceptions import RequestIdInvalid
 from papayapick.management.exit_codes import EXIT_OK
 from papayapick.management.peers import OperatorPeers
-from papayapick.ownership import read_shard
 from papayapick.wire.messages import WorkCancel, WorkQuery
 
 __all__ = ["RequestCommand"]
@@ -44,15 +44,13 @@
             raise RequestIdInvalid(request_id=request_id)
         settings = self.settings()
         table, _, hosts = self.platform(settings)
-        owner = read_shard(table, shard).owner
-        with OperatorPeers.from_config(
-            settings, hosts.fetch(), self.operator()
-        ) as peers:
-            try:
-                state = peers.ask(owner, self._message(shard, request_id))
-            except KeyError:
-                raise OwnerMissing(shard=shard, owner=owner or "nobody") from None
-        self._show(state)
+
+        def connect():
+            return OperatorPeers.from_config(settings, hosts.fetch(), self.operator())
+
+        message = self._message(shard, request_id)
+        asking = OwnerAsking(table, connect, self.clock)
+        self._show(asking.ask(shard, message))
         return EXIT_OK
 
     def _message(self, shard, request_id):
--- a/tests/management/commands.py
+++ b/tests/management/commands.py
@@ -18,6 +18,7 @@
 
     @property
     def lines(self):
+        assert self.code == 0 or self.out, f"exit code {self.code}: {self.err}"
         return [json.loads(line) for line in self.out.splitlines()]
 
 
--- /dev/null
+++ b/tests/management/test_asking.py
@@ -0,0 +1,102 @@
+"""Operators' questions find the owner of a shard that is changing hands."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from papayapick.clock import ManualClock
+from papayapick.management.asking import OwnerAsking
+from papayapick.management.exceptions import OwnerMissing
+from papayapick.wire import PeerRefused, PeerTimeout, PeerUnreachable
+from papayapick.wire.messages import WorkCancel, WorkState
+
+ADDRESS = ("127.0.0.1", 7000)
+DONE = WorkState(request_id="hobart-a.0.r", state="ended", outcome="done")
+
+
+class SteppingClock(ManualClock):
+    """Let each wait take its time at once."""
+
+    def wait(self, event, seconds):
+        self.advance(seconds)
+
+
+class FakeTable:
+    """Name the owners of a shard in turn, the last one for good."""
+
+    def __init__(self, *owners):
+        self._owners = list(owners)
+
+    def read(self, key):
+        owner = self._owners.pop(0) if len(self._owners) > 1 else self._owners[0]
+        if owner is None:
+            return None
+        return SimpleNamespace(value={"owner": owner, "epoch": 3}, version=9)
+
+
+class FakePeers:
+    """Answer for each placer with what it is to say."""
+
+    def __init__(self, answers):
+        self._answers = answers
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *ignored):
+        pass
+
+    def ask(self, name, message):
+        found = self._answers[name]
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+
+def ask(owners, answers):
+    asking = OwnerAsking(
+        FakeTable(*owners), lambda: FakePeers(answers), SteppingClock()
+    )
+    message = WorkCancel(shard="hobart-a.0", request_id="hobart-a.0.r")
+    return asking.ask("hobart-a.0", message)
+
+
+def refused(code):
+    return PeerRefused(refusal_code=code, detail="", outcome="not_run", retry_after=0)
+
+
+@pytest.mark.parametrize(
+    ("owners", "first"),
+    [
+        (["", "b"], None),
+        (["gone", "b"], None),
+        (["a", "b"], refused("ownership.not-owned")),
+        (["a", "b"], refused("placer.shard-closed")),
+        (["a", "b"], PeerUnreachable(address=ADDRESS)),
+        (["a", "b"], PeerTimeout(address=ADDRESS, seconds=1.0)),
+    ],
+    ids=["released", "unlisted", "moved", "closed", "unreachable", "silent"],
+)
+def test_question_follows_a_shard_that_changes_hands(owners, first):
+    """An operator cancels a request while its shard is handed over.
+
+    The command ended with an error though nothing was wrong: it read the
+    owner's row once, between the release by one placer and the claim by the
+    next, or asked the one that had just given the shard away.
+    """
+    assert ask(owners, {"a": first, "b": DONE}) is DONE
+
+
+@pytest.mark.parametrize(
+    ("owner", "answers", "error"),
+    [
+        (None, {}, OwnerMissing),
+        ("", {}, OwnerMissing),
+        ("a", {"a": PeerUnreachable(address=ADDRESS)}, PeerUnreachable),
+        ("a", {"a": refused("journal.work-unknown")}, PeerRefused),
+    ],
+    ids=["never owned", "released for good", "gone for good", "unknown work"],
+)
+def test_error_that_stays_is_told(owner, answers, error):
+    with pytest.raises(error):
+        ask([owner], answers)
