Wait for the segment that is being written before a shard is given away

The end of a run that was done was lost, and its successor told the caller "unknown" (504, work.owner-lost). Seen in 5 of some 70 runs of test_placer_told_to_stop_hands_over_and_cuts_nothing_off at a load average of 20 to 38; the placers' lines show "shard lost" 7 ms before "shard handed over", by the same placer, with nobody else near.

Ruled out: an owner taken for dead (no other placer took the shard before the release), a handover with a run in hand (is_leaving is set before the runs are counted).

Change: flush goes on until nothing is queued or being written. Before: the new test fails; after: it passes.

--- a/papayapick/journal/writer.py
+++ b/papayapick/journal/writer.py
@@ -229,8 +229,13 @@
             entry.fail(JournalFenced(shard=self._owned.shard))
 
     def flush(self):
-        """Write all that is queued, in the calling thread."""
-        while self._entries and not self._is_fenced:
+        """Write all that is queued, in the calling thread.
+
+        A segment that the journal's task is writing is waited for: its records are
+        not queued any more, and a shard that was released under it lost the end of
+        work that was done.
+        """
+        while not (self.is_idle or self._is_fenced or self._stop.is_set()):
             self.write_segment()
 
     def write_segment(self):
--- a/tests/journal/test_writer.py
+++ b/tests/journal/test_writer.py
@@ -1,6 +1,9 @@
 """Segments, lost answers, snapshots: what the journal holds is what was said."""
 
 import random
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import TimeoutError as FutureTimeout
 
 import pytest
 
@@ -247,3 +250,42 @@
     owner.book.forget_before(15.0)
     owner.compact()
     assert set(states(Owner(*store, "b").book)) == {"new", "open"}
+
+
+class SlowTable(MemoryTable):
+    """Hold a transaction until the test lets it through."""
+
+    def __init__(self, board):
+        super().__init__(board)
+        self.is_slow = False
+        self.is_entered, self.may_go = threading.Event(), threading.Event()
+
+    def transact(self, conditions, writes):
+        if self.is_slow:
+            self.is_entered.set()
+            assert self.may_go.wait(10)
+        super().transact(conditions, writes)
+
+
+def test_flush_waits_for_the_segment_that_is_being_written():
+    """A placer is told to stop while a slow request ends, on a busy machine.
+
+    The end was queued and its run counted as over; the journal's task was writing
+    it, so the queue was empty and the flush of the handover returned at once. The
+    shard was released under the write, the write failed as if by a newer owner, and
+    the caller heard "unknown" of a request that was done.
+    """
+    table = SlowTable(FaultBoard())
+    owner = Owner(table, MemoryObjects(table.board), "h1")
+    owner.journal.append(accepted("r1"))
+    table.is_slow = True
+    with ThreadPoolExecutor(2) as executor:
+        written = executor.submit(owner.journal.write_segment)
+        assert table.is_entered.wait(10)
+        flushed = executor.submit(owner.journal.flush)
+        with pytest.raises(FutureTimeout):
+            flushed.result(0.2)
+        table.may_go.set()
+        written.result(10)
+        flushed.result(10)
+    assert "r1" in [item.request_id for item in owner.book.items]
