Close HTTP servers without writing into other connections

Cause: a thread of waitress that answers a request wakes the server's loop by a byte on a pipe, by the pipe's number. After the server was closed that number belongs to whatever the process opened next, and a connection gets a stray "x" in front of a request. In the tests a stand-in is closed while its long calls are under way; the next command then ends with "table.unavailable". The product closes such servers when it stops, with answers under way.

--- a/papayapick/daemon/health.py
+++ b/papayapick/daemon/health.py
@@ -1,6 +1,6 @@
 """Serve health and metrics of a process over HTTP."""
 
-from waitress.server import create_server
+from papayapick.listening import create_listener
 
 __all__ = ["HealthServer", "health_answer"]
 
@@ -42,7 +42,7 @@
         self._process = process
         self._is_ready = is_ready
         host, port = process.settings.listen_http
-        self._server = create_server(self._answer, host=host, port=port, threads=1)
+        self._server = create_listener(self._answer, host=host, port=port, threads=1)
 
     @property
     def address(self):
--- a/papayapick/entry/servers.py
+++ b/papayapick/entry/servers.py
@@ -3,9 +3,8 @@
 import logging
 import socket
 
-from waitress.server import create_server
-
 from papayapick.entry.events import METRICS_UNSERVED
+from papayapick.listening import create_listener
 
 __all__ = ["FrontServer"]
 
@@ -33,7 +32,7 @@
         metrics = (settings.peer_address[0], settings.metrics_port)
         if settings.metrics_port and _is_free(metrics):
             addresses.append(metrics)
-        self._server = create_server(
+        self._server = create_listener(
             application,
             listen=" ".join(f"{host}:{port}" for host, port in addresses),
             threads=_THREADS,
--- a/papayapick/gateway/process.py
+++ b/papayapick/gateway/process.py
@@ -3,8 +3,6 @@
 import logging
 import threading
 
-from waitress.server import create_server
-
 from papayapick.clients import HttpPool, InstanceClient
 from papayapick.clients.hosts import GATEWAY_KIND
 from papayapick.daemon import Process
@@ -13,6 +11,7 @@
 from papayapick.gateway.durable import DurableWork
 from papayapick.gateway.urgent import UrgentCalls
 from papayapick.limits import AttemptTimeouts, CallerLimits, RetryBudgets
+from papayapick.listening import create_listener
 from papayapick.observability import get_logger
 from papayapick.routing import SlotClient
 
@@ -129,7 +128,7 @@
         dispatcher.set_thread_count(settings.http_threads)
         # The server takes another dispatcher by this argument only; the version is
         # pinned, and tests/gateway/test_dispatcher.py tells when it goes.
-        return create_server(
+        return create_listener(
             self._application,
             host=host,
             port=port,
--- a/tests/contracts/test_store.py
+++ b/tests/contracts/test_store.py
@@ -8,7 +8,6 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-from waitress.server import create_server
 
 from papayapick.clients import (
     Condition,
@@ -22,6 +21,7 @@
     Write,
 )
 from papayapick.clients.commands import transact_settled
+from papayapick.listening import create_listener
 from tests.standins.server import Platform
 
 KINDS = ("in process", "over HTTP")
@@ -59,7 +59,7 @@
 
     def __init__(self):
         self.platform = None
-        server = create_server(self._serve, host="127.0.0.1", port=0)
+        server = create_listener(self._serve, host="127.0.0.1", port=0)
         self.url = f"http://127.0.0.1:{server.effective_port}"
         threading.Thread(target=server.run, daemon=True).start()
 
--- a/tests/gateway/test_dispatcher.py
+++ b/tests/gateway/test_dispatcher.py
@@ -4,11 +4,11 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
-from waitress.server import create_server
 
 from demo.cells import http_call
 from papayapick.clock import ManualClock
 from papayapick.gateway.dispatcher import BoundedDispatcher, arrived_at, is_refused
+from papayapick.listening import create_listener
 
 SECONDS = 5
 
@@ -39,7 +39,7 @@
         self.clock = ManualClock(7.0)
         self.dispatcher = BoundedDispatcher(1, self.clock)
         self.dispatcher.set_thread_count(1)
-        self._server = create_server(
+        self._server = create_listener(
             application, host="127.0.0.1", port=0, _dispatcher=self.dispatcher
         )
         self.address = f"127.0.0.1:{self._server.effective_port}"
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -10,7 +10,7 @@
 import time
 import urllib.parse
 
-from waitress.server import create_server
+from papayapick.listening import create_listener
 
 THREADS = 96
 GONE = "410 Gone"
@@ -251,7 +251,7 @@
         self.down = set()
         self.advice_seconds = 0.0
         self.advice_calls = 0
-        self._server = create_server(
+        self._server = create_listener(
             self, host="127.0.0.1", port=0, threads=THREADS, connection_limit=500
         )
         self._thread = threading.Thread(target=self._server.run, daemon=True)
