Serve first what can still be done in time

Cause: waiting steps of one priority were served in the order of arrival. Above what the pool can do, each job then waits as long as the backlog is old, and nearly all are finished late or when they are of no use any more.

Ruled out: order by the latest start alone (above capacity it serves first what has the least chance).

--- a/papayapick/jobs/documents.py
+++ b/papayapick/jobs/documents.py
@@ -4,7 +4,7 @@
 
 from papayapick.ledger.amounts import Amounts
 
-__all__ = ["JobDocument", "Step", "StepKey", "TaskKey"]
+__all__ = ["JobDocument", "Step", "StepKey", "TaskKey", "remaining_chains"]
 
 
 class TaskKey(NamedTuple):
@@ -229,3 +229,29 @@
         fields = dict(record)
         fields["steps"] = [Step.from_record(step) for step in fields["steps"]]
         return cls(**fields)
+
+
+def remaining_chains(steps):
+    """Return, for each step, the estimated seconds from its start to the job's end.
+
+    Parameters
+    ----------
+    steps : list of Step
+
+    Returns
+    -------
+    list of float
+
+    Examples
+    --------
+    >>> one = Amounts(1000, 64)
+    >>> steps = [Step(1, one, 2.0), Step(1, one, 3.0, [0]), Step(1, one, 0.5, [0])]
+    >>> remaining_chains(steps)
+    [5.0, 3.0, 0.5]
+    """
+    chains = [step.estimate_seconds for step in steps]
+    for number in reversed(range(len(steps))):
+        for earlier in steps[number].after:
+            longest = steps[earlier].estimate_seconds + chains[number]
+            chains[earlier] = max(chains[earlier], longest)
+    return chains
--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -1,6 +1,6 @@
 """Hold what is known of a job, its steps and tasks while it is not over."""
 
-from papayapick.jobs.documents import StepKey
+from papayapick.jobs.documents import StepKey, remaining_chains
 
 __all__ = ["JobState", "JobStatus", "StepState", "TaskState"]
 
@@ -159,10 +159,13 @@
         Those that are due and not over.
     over : set of int
         Occurrences that are over.
+    chains : list of float
+        For each step, the estimated seconds from its start to the job's end.
     """
 
     __slots__ = (
         "arrived",
+        "chains",
         "document",
         "durable_status",
         "failed_task",
@@ -188,6 +191,7 @@
         self.is_begun = False
         self.occurrences = {}
         self.over = set()
+        self.chains = remaining_chains(document.steps)
 
     @property
     def identifier(self):
--- a/papayapick/placement/steps.py
+++ b/papayapick/placement/steps.py
@@ -1,19 +1,27 @@
 """Decide which waiting step is served next, and place its tasks."""
 
 from papayapick.jobs.documents import TaskKey
+from papayapick.placement.timeliness import latest_start
 
 __all__ = ["order_steps", "place_step"]
 
 
-def order_steps(steps):
+def order_steps(steps, now):
     """Return waiting steps in the order in which they are served.
 
     Parameters
     ----------
     steps : list of StepState
+    now : float
+        Monotonic seconds.
     """
     return sorted(
-        steps, key=lambda step: (step.job.queue.priority, step.job.arrived, step.key)
+        steps,
+        key=lambda step: (
+            step.job.queue.priority,
+            *latest_start(step, now),
+            step.key,
+        ),
     )
 
 
--- a/papayapick/pool/decisions.py
+++ b/papayapick/pool/decisions.py
@@ -37,7 +37,7 @@
 
     def place(self, now):
         """Place what waits, the most urgent first; starts wait for their record."""
-        for step in order_steps(self._owner.book.waiting_steps()):
+        for step in order_steps(self._owner.book.waiting_steps(), now):
             allowed = None
             if step.job.queue.advice is not None:
                 allowed = self._owner.advising.tickets(step, now)
@@ -137,7 +137,7 @@
 
     def preempt(self, now):
         """Stop patient tasks for the most urgent step that finds no room."""
-        for step in order_steps(self._owner.book.waiting_steps()):
+        for step in order_steps(self._owner.book.waiting_steps(), now):
             if step.step.is_gang or not may_preempt(step, now):
                 continue
             policy, allowed = step.job.queue.advice, None
--- a/tests/placement/test_rooms.py
+++ b/tests/placement/test_rooms.py
@@ -119,7 +119,7 @@
     patient = Queue("p", "h", "/p/", "pool", 2, 2, 1.5, 0.5, 3.0, False, None)
     _, late = _waiting(Step(1, Amounts(1, 1)), "1" * 16, urgent, 5.0)
     _, early = _waiting(Step(1, Amounts(1, 1)), "2" * 16, patient, 1.0)
-    assert order_steps([early, late]) == [late, early]
+    assert order_steps([early, late], 6.0) == [late, early]
 
 
 def test_fillers_are_slowed_until_the_tail_is_kept(rooms):
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -159,14 +159,13 @@
     def now(self):
         return self.host.clock.monotonic()
 
-    def hand_in(self, tasks):
+    def hand_in(self, tasks, estimate=0.0, queue=QUEUE):
         """Hand in an urgent job of one step."""
         identifier = f"{len(self.handed_in) + 1:016x}"
-        document = JobDocument(
-            identifier, "q", "pool", "t", [Step(tasks, Amounts(1000, 10))], 0.0
-        )
+        step = Step(tasks, Amounts(1000, 10), estimate)
+        document = JobDocument(identifier, "q", "pool", "t", [step], 0.0)
         with self.owner.lock:
-            self.owner.book.add(document, QUEUE, self.now)
+            self.owner.book.add(document, queue, self.now)
         self.handed_in[identifier] = self.now
 
     def run(self, seconds):
