Ask for advice on no more steps than the pool has room for

Each of some hundred waiting steps asked as soon as a task of it would fit; the first answers took the room, the others aged unused (2.5 s) and were asked for again: 5,443 calls, 345 of some 450 seconds that nine hosts have for them.

Change: placement/lookahead.py: in each round, in the order of service, advice is asked for as many steps as the free room and a tenth of the pool can take; a job that arrives while more wait has its turn in that order.

The test fails without the change (200 steps asked for, not 44).

--- a/papayapick/pool/advising.py
+++ b/papayapick/pool/advising.py
@@ -15,13 +15,20 @@
     Parameters
     ----------
     owner : PoolOwner
+
+    Attributes
+    ----------
+    is_short : bool
+        More steps wait for advice than the pool has room for: a new one waits for
+        its turn.
     """
 
-    __slots__ = ("_book", "_owner")
+    __slots__ = ("_book", "_owner", "is_short")
 
     def __init__(self, owner):
         self._owner = owner
         self._book = AdviceBook(self._ask)
+        self.is_short = False
 
     def tickets(self, step, now):
         """Return the valid tickets of a step by worker, or None."""
@@ -37,7 +44,7 @@
 
     def want_first(self, job, now):
         """Ask for advice on the steps of a job that are ready."""
-        if job.is_final:
+        if job.is_final or self.is_short:
             return
         for step in job.steps():
             if step.is_ready and not step.is_done:
--- a/papayapick/pool/decisions.py
+++ b/papayapick/pool/decisions.py
@@ -2,6 +2,7 @@
 
 from papayapick.jobs.state import JobStatus
 from papayapick.placement.copies import stragglers
+from papayapick.placement.lookahead import Lookahead
 from papayapick.placement.preemption import choose_victims, may_preempt
 from papayapick.placement.steps import order_steps, place_step
 from papayapick.pool.events import (
@@ -37,12 +38,14 @@
 
     def place(self, now):
         """Place what waits, the most urgent first; starts wait for their record."""
+        lookahead = Lookahead(self._owner.rooms)
         for step in order_steps(self._owner.book.waiting_steps(), now):
             allowed = None
             if step.job.queue.advice is not None:
                 allowed = self._owner.advising.tickets(step, now)
                 if allowed is None:
-                    self._owner.advising.want(step, now)
+                    if lookahead.takes(step):
+                        self._owner.advising.want(step, now)
                     self._note_wait(step, "advice", now)
                     continue
             runs = place_step(step, self._owner.rooms, allowed, self._begin)
@@ -58,6 +61,7 @@
                 self._note_placed(step, runs, now)
             if step.waiting:
                 self._note_wait(step, "room", now)
+        self._owner.advising.is_short = lookahead.is_used_up
         if self._unsent and self._owner.recording.may_send(
             self._owner.host.peers.all()
         ):
--- a/tests/pool/test_overload.py
+++ b/tests/pool/test_overload.py
@@ -2,13 +2,16 @@
 
 import pytest
 
-from papayapick.jobs import JobDocument, Step
+from papayapick.jobs import AdvicePolicy, JobDocument, Queue, Step
 from papayapick.ledger import Amounts
 from papayapick.placement.timeliness import Timeliness, latest_start
 from tests.pool.standins import QUEUE, Replay
 
 SECONDS = 0.8
 OBJECTIVE = QUEUE.stretch * SECONDS + QUEUE.objective_seconds
+ADVISED = Queue(
+    "q", "h", "/q/", "pool", 0, 2, 1.5, 0.5, 3.0, False, AdvicePolicy(0.02, 0, 2.5)
+)
 
 
 def test_jobs_are_done_in_time_while_more_come_than_the_pool_can_do():
@@ -57,3 +60,30 @@
     (state,) = job.open_occurrence(1)
     found, _ = latest_start(state, load.now + 1000.0)
     assert found == Timeliness.IN_TIME
+
+
+def test_advice_is_asked_for_what_has_room_and_in_the_order_of_service():
+    """A burst leaves 200 steps waiting, and room comes free a task at a time.
+
+    Each step asked for advice as soon as one task of it would fit. The hosts spent
+    their time with the advice service on steps that found no room before the answer
+    had aged, and urgent steps waited for seconds behind those calls.
+    """
+    load = Replay(workers=40, length=SECONDS)
+    owner = load.owner
+    asked = []
+    owner.advising._book._ask = lambda key, workers, expected: asked.append(key.job)
+    owner.host.queue_of = lambda document: ADVISED
+    for _ in range(200):
+        load.hand_in(tasks=4, estimate=SECONDS, queue=ADVISED)
+    # Room for 160 tasks, and for 16 that come free soon.
+    owner.decisions.place(load.now)
+    assert asked == sorted(load.handed_in)[: len(asked)]
+    assert len(asked) == 44
+    assert owner.advising.is_short
+
+
+def test_advice_is_asked_at_once_while_there_is_room():
+    load = Replay(workers=4, length=SECONDS)
+    load.owner.decisions.place(load.now)
+    assert not load.owner.advising.is_short
