Turn jobs away at once where the backlog of their queue takes over a minute

Cause: nothing was ever refused for load. A load above what the pool can do that lasts grew the backlog without bound, in memory and in each round of decisions, and Retry-After was a constant second, told only while the store was away.

Ruled out: refusing by a job's own objective.

Change: placement/backlog.py: the owner observes at which rate the jobs of a queue begin, and tells in its beats when a queue takes jobs again: once 200 wait and they take over 60 s to begin. Hosts answer 429 with that Retry-After, unless the job is known or stored already, and 503 where that can't be read. The answer of the front server is a type of its own.

Before: a queue with 400 jobs waiting that begin one in 0.8 s takes more; after: it is told to be full, 30 s.

--- a/papayapick/entry/acceptance.py
+++ b/papayapick/entry/acceptance.py
@@ -4,7 +4,12 @@
 
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.entry.events import JOB_KNOWN
-from papayapick.entry.exceptions import AcceptanceUnknown, JobUnknown, StateUnknown
+from papayapick.entry.exceptions import (
+    AcceptanceUnknown,
+    JobUnknown,
+    QueueFull,
+    StateUnknown,
+)
 from papayapick.jobs.state import JobStatus
 from papayapick.platform.store import Expectation, RowWrite
 from papayapick.pool.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
@@ -42,13 +47,16 @@
 
         Raises
         ------
-        NotAccepted, AcceptanceUnknown
+        QueueFull, NotAccepted, AcceptanceUnknown, StateUnknown
         """
         identifier = document.identifier
         if self._board.state(identifier) is not None:
             JOB_KNOWN.write(request_id=identifier, queue=document.queue, source="board")
             return False
         partition = job_partition(document.pool, identifier)
+        retry_after = self._board.retry_after(document.pool, document.queue)
+        if retry_after and not self._is_stored(partition, identifier):
+            raise QueueFull(queue=document.queue, retry_after=retry_after)
         expectation = Expectation(JOBS_TABLE, partition, identifier, 0)
         write = RowWrite(JOBS_TABLE, partition, identifier, document.as_record())
         is_new = _wait(self._writer.submit(expectation, write))
@@ -110,6 +118,15 @@
         self._board.note({identifier: status})
         return status
 
+    def _is_stored(self, partition, identifier):
+        """Return whether a job of this id was accepted.
+
+        A caller whose first try had no answer comes again: turned away as not
+        accepted, its job would run all the same.
+        """
+        rows = self._read(JOBS_TABLE, partition, identifier, "~")
+        return any(row.key == identifier for row in rows)
+
     def _read(self, table, partition, identifier, end):
         try:
             return self._store.read(table, partition, identifier, identifier + end, 3)
--- a/papayapick/entry/answers.py
+++ b/papayapick/entry/answers.py
@@ -1,5 +1,6 @@
 """Answer the other entry hosts."""
 
+from papayapick.placement.backlog import QueueBacklog
 from papayapick.wire.messages import (
     AdviceQuery,
     OwnerQuery,
@@ -66,8 +67,11 @@
         if candidacy is not None:
             if candidacy.note_beat(beat):
                 board.note({one.identifier: one.status for one in beat.news})
-                loads = {one.queue: one.waiting for one in beat.queue_loads}
-                board.note_loads(beat.pool, loads)
+                backlogs = {
+                    one.queue: QueueBacklog(one.waiting, one.retry_after_seconds)
+                    for one in beat.queue_loads
+                }
+                board.note_backlogs(beat.pool, backlogs)
             epoch = candidacy.row.epoch
         age = self._host.store_health.told_age()
         return PoolBeatAnswer(epoch=epoch, store_age_milliseconds=int(age * 1000))
--- a/papayapick/entry/application.py
+++ b/papayapick/entry/application.py
@@ -31,9 +31,6 @@
 _NOT_ALLOWED = "405 Method Not Allowed"
 _FAILED = "500 Internal Server Error"
 _AWAY = "503 Service Unavailable"
-# When to come back: outages of the store last seconds, and a host that has no
-# configuration yet reads it within one.
-_RETRY_AFTER_SECONDS = 1
 # A host that has just started has its configuration 0.03 to 0.2 s later. A caller who
 # is refused meanwhile comes back after a second: after a restart of all hosts, that
 # was the second in which most were turned away.
@@ -42,6 +39,39 @@
 _PATH_CHARACTERS = 128
 
 
+class _Reply:
+    """Hold the answer to one request.
+
+    Parameters
+    ----------
+    status : str
+    body : bytes
+    kind : str
+        Of the body's content.
+    retry_after : int or None
+        Seconds after which the caller may come back.
+    """
+
+    __slots__ = ("_kind", "_retry_after", "body", "status")
+
+    def __init__(self, status, body=b"{}", kind=_JSON, retry_after=None):
+        self._kind = kind
+        self._retry_after = retry_after
+        self.body = body
+        self.status = status
+
+    @property
+    def headers(self):
+        """Return the header fields, as WSGI takes them."""
+        found = [
+            ("Content-Type", self._kind),
+            ("Content-Length", str(len(self.body))),
+        ]
+        if self._retry_after is not None:
+            found.append(("Retry-After", str(self._retry_after)))
+        return found
+
+
 class Application:
     """Serve the front address and the readiness address.
 
@@ -61,29 +91,25 @@
         """Answer one WSGI request."""
         port = environ["SERVER_PORT"]
         if port == self._metrics_port:
-            status, body = self._metrics(environ)
+            reply = self._metrics(environ)
         elif port == self._readiness_port:
-            status, body = self._health(environ)
+            reply = self._health(environ)
         else:
-            status, body = self._guarded(environ, self._host.clock.monotonic())
-            REQUESTS.labels(_method(environ), status[:3]).inc()
-        kind = _TEXT if port == self._metrics_port else _JSON
-        headers = [("Content-Type", kind), ("Content-Length", str(len(body)))]
-        if status == _AWAY:
-            headers.append(("Retry-After", str(_RETRY_AFTER_SECONDS)))
-        start_response(status, headers)
-        return [body]
+            reply = self._guarded(environ, self._host.clock.monotonic())
+            REQUESTS.labels(_method(environ), reply.status[:3]).inc()
+        start_response(reply.status, reply.headers)
+        return [reply.body]
 
     def _health(self, environ):
         if environ["PATH_INFO"] != "/readyz":
-            return _NOT_FOUND, b"{}"
-        return (_OK if self._host.is_ready() else _AWAY), b"{}"
+            return _Reply(_NOT_FOUND)
+        return _Reply(_OK) if self._host.is_ready() else _Reply(_AWAY)
 
     def _metrics(self, environ):
         if environ["PATH_INFO"] != "/metrics":
-            return _NOT_FOUND, b""
+            return _Reply(_NOT_FOUND, b"", _TEXT)
         self._host.refresh_metrics()
-        return _OK, metrics_text()
+        return _Reply(_OK, metrics_text(), _TEXT)
 
     def _guarded(self, environ, arrived_at):
         try:
@@ -98,6 +124,7 @@
 
     def _refuse(self, environ, arrived_at, status, error):
         REFUSALS.labels(error.code).inc()
+        retry_after = getattr(error, "retry_after", None)
         REQUEST_REFUSED.write(
             **_asked(environ),
             status=int(status.split()[0]),
@@ -106,9 +133,9 @@
             seconds=self._since(arrived_at),
             store_age_seconds=self._host.store_health.shown_age(),
             configuration_version=self._host.configuration.version,
-            retry_after_seconds=_RETRY_AFTER_SECONDS if status == _AWAY else None,
+            retry_after_seconds=retry_after,
         )
-        return status, _problem(error)
+        return _Reply(status, _problem(error), retry_after=retry_after)
 
     def _since(self, arrived_at):
         return round(self._host.clock.monotonic() - arrived_at, 4)
@@ -126,18 +153,18 @@
         method = environ["REQUEST_METHOD"]
         if not identifier:
             if method != "GET":
-                return _NOT_ALLOWED, b"{}"
-            return _OK, encode_waiting(host.board.waiting(queue))
+                return _Reply(_NOT_ALLOWED)
+            return _Reply(_OK, encode_waiting(host.board.waiting(queue)))
         if not is_identifier(identifier):
-            return _NOT_FOUND, b"{}"
+            return _Reply(_NOT_FOUND)
         if method == "POST":
             body = _body(environ, configuration.body_limit_bytes)
             document = decode_job(identifier, queue, body, host.clock.time())
             if host.acceptance.submit(document):
                 self._note_accepted(document, queue, arrived_at)
-            return _OK, b"{}"
+            return _Reply(_OK)
         if method == "GET":
-            return _OK, encode_state(host.acceptance.status(queue, identifier))
+            return _Reply(_OK, encode_state(host.acceptance.status(queue, identifier)))
         if method == "DELETE":
             if host.acceptance.cancel(queue, identifier):
                 CANCEL_STORED.write(
@@ -145,8 +172,8 @@
                     queue=queue.name,
                     seconds=self._since(arrived_at),
                 )
-            return _OK, b"{}"
-        return _NOT_ALLOWED, b"{}"
+            return _Reply(_OK)
+        return _Reply(_NOT_ALLOWED)
 
     def _note_accepted(self, document, queue, arrived_at):
         ACCEPTANCE_SECONDS.observe(self._since(arrived_at))
--- a/papayapick/entry/board.py
+++ b/papayapick/entry/board.py
@@ -14,11 +14,11 @@
 class StateBoard:
     """Hold the newest known state of jobs and the number that wait by queue."""
 
-    __slots__ = ("_lock", "_loads", "_states")
+    __slots__ = ("_lock", "_backlogs", "_states")
 
     def __init__(self):
         self._states = OrderedDict()
-        self._loads = {}
+        self._backlogs = {}
         self._lock = threading.Lock()
 
     def state(self, identifier):
@@ -46,18 +46,37 @@
         with self._lock:
             self._states.setdefault(identifier, JobStatus.WAITING)
 
-    def note_loads(self, pool, loads):
-        """Take in how many jobs of each queue of a pool wait."""
+    def note_backlogs(self, pool, backlogs):
+        """Take in what waits in the queues of a pool.
+
+        Parameters
+        ----------
+        pool : str
+        backlogs : dict of str to QueueBacklog
+            By queue; of those where nothing waits, nothing.
+        """
         with self._lock:
-            self._loads[pool] = loads
+            self._backlogs[pool] = backlogs
 
     def all_waiting(self):
         """Return how many jobs of each queue wait, as last told, where any does."""
         with self._lock:
-            pools = list(self._loads.values())
-        return {name: n for loads in pools for name, n in loads.items() if n}
+            pools = list(self._backlogs.values())
+        return {
+            name: backlog.waiting
+            for backlogs in pools
+            for name, backlog in backlogs.items()
+            if backlog.waiting
+        }
 
     def waiting(self, queue):
         """Return how many jobs of a queue have not begun, as last told."""
         with self._lock:
-            return self._loads.get(queue.pool, {}).get(queue.name, 0)
+            backlog = self._backlogs.get(queue.pool, {}).get(queue.name)
+        return backlog.waiting if backlog is not None else 0
+
+    def retry_after(self, pool, queue):
+        """Return the seconds for which a queue takes no new jobs; 0 where it does."""
+        with self._lock:
+            backlog = self._backlogs.get(pool, {}).get(queue)
+        return backlog.retry_after if backlog is not None else 0
--- a/papayapick/entry/exceptions.py
+++ b/papayapick/entry/exceptions.py
@@ -8,10 +8,16 @@
     "JobUnknown",
     "NoSuchQueue",
     "NotAccepted",
+    "QueueFull",
     "StateUnknown",
 ]
 
 
+# When to come back: outages of the store last seconds, and a host that has no
+# configuration yet reads it within one.
+_RETRY_AFTER_SECONDS = 1
+
+
 class NoSuchQueue(PapayapickError):
     """Report a path that no queue serves."""
 
@@ -42,6 +48,20 @@
     code = "entry.not-accepted"
     template = "not accepted: {reason}"
     status = "503 Service Unavailable"
+    retry_after = _RETRY_AFTER_SECONDS
+
+
+class QueueFull(PapayapickError):
+    """Report a queue whose backlog takes too long; the job was not accepted."""
+
+    code = "entry.queue-full"
+    template = "queue {queue} takes no new jobs for {retry_after} s"
+    status = "429 Too Many Requests"
+
+    @property
+    def retry_after(self):
+        """Return the seconds after which the job may be handed in again."""
+        return self._details["retry_after"]
 
 
 class StateUnknown(PapayapickError):
@@ -50,6 +70,7 @@
     code = "entry.state-unknown"
     template = "the store can't be read"
     status = "503 Service Unavailable"
+    retry_after = _RETRY_AFTER_SECONDS
 
 
 class AcceptanceUnknown(PapayapickError):
--- a/papayapick/entry/peers.py
+++ b/papayapick/entry/peers.py
@@ -204,7 +204,7 @@
                 del self._news[identifier]
             if self._news:
                 self._wakeup.set()
-        loads = self._owner.news.waiting_jobs()
+        backlogs = self._owner.news.backlogs()
         may_lack_records = self._owner.may_lack_records()
         beat = PoolBeat(
             pool=self._owner.pool,
@@ -212,7 +212,12 @@
             host=self._host.settings.host_name,
             news=[JobNews(identifier=key, status=told[key]) for key in told],
             queue_loads=[
-                QueueLoad(queue=queue, waiting=count) for queue, count in loads.items()
+                QueueLoad(
+                    queue=queue,
+                    waiting=backlog.waiting,
+                    retry_after_seconds=backlog.retry_after,
+                )
+                for queue, backlog in backlogs.items()
             ],
             gives_way=self._owner.standing.gives_way(),
             may_lack_records=may_lack_records,
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -331,7 +331,7 @@
         if not news:
             return
         self.board.note(news)
-        self.board.note_loads(owner.pool, owner.news.waiting_jobs())
+        self.board.note_backlogs(owner.pool, owner.news.backlogs())
         with self._lock:
             lines = list(self._lines.values())
         for line in lines:
--- /dev/null
+++ b/papayapick/placement/backlog.py
@@ -0,0 +1,95 @@
+"""Decide whether a queue still takes jobs, and when those turned away may return.
+
+Answers a load above what the pool can do that lasts. What waits then grows without
+bound: each job costs memory and a look in every round, and those handed in last would
+begin when their callers have long given up. A queue whose backlog takes longer to begin
+than the limit turns new jobs away at once, with the time after which, at the rate at
+which jobs begin, it has shrunk below the limit.
+"""
+
+import collections
+import math
+
+__all__ = ["BacklogGauge", "QueueBacklog"]
+
+# Jobs that began within this time give the rate: long enough for some jobs of a slow
+# queue, short enough to follow a pool that shrinks.
+_WINDOW_SECONDS = 10.0
+# A backlog that takes longer is not added to. Work that callers wait for is of use for
+# seconds, at three times its objective for half a minute; patient work may wait longer
+# than that, and is handed in again.
+_LIMIT_SECONDS = 60.0
+# Fewer waiting jobs are no load, however slowly they begin: after a start, or while one
+# wide job fills the pool, nothing has begun yet.
+_LEAST_JOBS = 200
+# Nobody is sent away for longer: the rate changes meanwhile.
+_LONGEST_PAUSE_SECONDS = 30
+# Holds 300 starts of jobs a second for the window.
+_TIMES_KEPT = 3000
+
+
+class QueueBacklog:
+    """Hold what other hosts are told of one queue.
+
+    Parameters
+    ----------
+    waiting : int
+        Jobs that have not begun.
+    retry_after : int
+        Seconds after which a new job may be handed in; 0 where it may now.
+    """
+
+    __slots__ = ("retry_after", "waiting")
+
+    def __init__(self, waiting, retry_after=0):
+        self.waiting = waiting
+        self.retry_after = retry_after
+
+
+class BacklogGauge:
+    """Observe how fast the jobs of each queue begin."""
+
+    __slots__ = ("_begun",)
+
+    def __init__(self):
+        self._begun = {}
+
+    def note_begun(self, queue, now):
+        """Note that a job of a queue has its first task placed."""
+        times = self._begun.setdefault(queue, collections.deque(maxlen=_TIMES_KEPT))
+        times.append(now)
+
+    def backlog(self, queue, waiting, now):
+        """Return what is to be told of a queue.
+
+        Parameters
+        ----------
+        queue : str
+        waiting : int
+            Its jobs that could begin and have not.
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        QueueBacklog
+        """
+        return QueueBacklog(waiting, self._retry_after(queue, waiting, now))
+
+    def _retry_after(self, queue, waiting, now):
+        if waiting < _LEAST_JOBS:
+            return 0
+        rate = self._rate(queue, now)
+        if waiting <= _LIMIT_SECONDS * rate:
+            return 0
+        if not rate:
+            return _LONGEST_PAUSE_SECONDS
+        seconds = waiting / rate - _LIMIT_SECONDS
+        return min(_LONGEST_PAUSE_SECONDS, math.ceil(seconds))
+
+    def _rate(self, queue, now):
+        """Return the jobs of a queue that begin in a second."""
+        times = self._begun.get(queue, ())
+        while times and now - times[0] > _WINDOW_SECONDS:
+            times.popleft()
+        return len(times) / _WINDOW_SECONDS
--- a/papayapick/pool/decisions.py
+++ b/papayapick/pool/decisions.py
@@ -1,6 +1,7 @@
 """Decide what starts where, what is copied, and what makes room."""
 
 from papayapick.jobs.state import JobStatus
+from papayapick.placement.backlog import BacklogGauge
 from papayapick.placement.copies import stragglers
 from papayapick.placement.lookahead import Lookahead
 from papayapick.placement.preemption import choose_victims, may_preempt
@@ -28,13 +29,18 @@
     Parameters
     ----------
     owner : PoolOwner
+
+    Attributes
+    ----------
+    backlog : BacklogGauge
     """
 
-    __slots__ = ("_owner", "_unsent")
+    __slots__ = ("_owner", "_unsent", "backlog")
 
     def __init__(self, owner):
         self._owner = owner
         self._unsent = []
+        self.backlog = BacklogGauge()
 
     def place(self, now):
         """Place what waits, the most urgent first; starts wait for their record."""
@@ -103,6 +109,7 @@
         if step.job.status == JobStatus.WAITING and not step.job.is_begun:
             step.job.is_begun = True
             FIRST_START_SECONDS.observe(now - step.job.arrived)
+            self.backlog.note_begun(step.job.document.queue, now)
         run = self._owner.book.begin(step, index, worker, now, attempt)
         self._owner.rooms.get(worker).reserve(run)
         return run
--- a/papayapick/pool/news.py
+++ b/papayapick/pool/news.py
@@ -1,5 +1,7 @@
 """Tell what callers may know of the jobs of a pool."""
 
+import collections
+
 from papayapick.jobs.state import JobStatus
 
 __all__ = ["News"]
@@ -35,15 +37,26 @@
         with self._owner.lock:
             return {job.identifier: _shown(job) for job in self._owner.book.jobs()}
 
-    def waiting_jobs(self):
-        """Return how many jobs of each queue have not begun."""
-        counts = {}
+    def backlogs(self):
+        """Return what is to be told of each queue with jobs that have not begun.
+
+        Returns
+        -------
+        dict of str to QueueBacklog
+        """
+        counts, ready = collections.Counter(), collections.Counter()
         with self._owner.lock:
             for job in self._owner.book.live_jobs():
                 if job.status == JobStatus.WAITING:
                     queue = job.document.queue
-                    counts[queue] = counts.get(queue, 0) + 1
-        return counts
+                    counts[queue] += 1
+                    # One that waits for its due time is no load.
+                    ready[queue] += not job.document.is_timed
+            gauge, now = self._owner.decisions.backlog, self._owner.now()
+            found = {queue: gauge.backlog(queue, ready[queue], now) for queue in counts}
+        for queue, backlog in found.items():
+            backlog.waiting = counts[queue]
+        return found
 
 
 def _shown(job):
--- a/papayapick/wire/messages.capnp
+++ b/papayapick/wire/messages.capnp
@@ -171,6 +171,7 @@
 struct QueueLoad {
   queue @0 :Text;
   waiting @1 :UInt32;
+  retryAfterSeconds @2 :UInt32;
 }
 
 struct PoolBeatAnswer {
--- a/papayapick/wire/messages.py
+++ b/papayapick/wire/messages.py
@@ -214,9 +214,9 @@
 
 
 class QueueLoad(Payload):
-    """Tell how many jobs of a queue have not begun."""
+    """Tell how many jobs of a queue have not begun, and when it takes more."""
 
-    __slots__ = ("queue", "waiting")
+    __slots__ = ("queue", "retry_after_seconds", "waiting")
 
 
 class PoolBeat(Payload):
--- a/tests/entry/test_application.py
+++ b/tests/entry/test_application.py
@@ -9,6 +9,7 @@
 from papayapick.clock import SystemClock
 from papayapick.entry.application import Application
 from papayapick.entry.configuration import ConfigurationWatcher
+from papayapick.entry.exceptions import QueueFull
 from papayapick.platform.configuration import CONFIGURATION_KEY
 from papayapick.platform.store import StoredRow
 
@@ -92,3 +93,14 @@
     assert status == "503 Service Unavailable"
     assert dict(headers)["Retry-After"] == "1"
     assert host.accepted == []
+
+
+def test_caller_is_told_at_once_when_a_full_queue_takes_jobs_again(host):
+    def submit(document):
+        raise QueueFull(queue=document.queue, retry_after=7)
+
+    host.submit = submit
+    configure(host)
+    status, headers = post(host)
+    assert status == "429 Too Many Requests"
+    assert dict(headers)["Retry-After"] == "7"
--- a/tests/pool/test_overload.py
+++ b/tests/pool/test_overload.py
@@ -87,3 +87,14 @@
     load = Replay(workers=4, length=SECONDS)
     load.owner.decisions.place(load.now)
     assert not load.owner.advising.is_short
+
+
+def test_queue_is_closed_by_the_rate_at_which_its_jobs_begin():
+    load = Replay(workers=1, length=SECONDS)
+    for _ in range(400):
+        load.hand_in(tasks=4, estimate=SECONDS)
+    load.run(10.0)
+    # One job in 0.8 s begins: 387 or so wait for over five minutes.
+    backlog = load.owner.news.backlogs()["q"]
+    assert 380 < backlog.waiting < 395
+    assert backlog.retry_after == 30
