Explain jobs of steps and show the platform's cell with the commands of before

Cause: request explain and cell status knew the product's own interface only; on the users' platform an operator had to know that pool job and pool status stand for them.

Change: where the platform's settings file is named, cell status shows its pools and hosts, and request explain tells from the store why a job of steps waits (its owner is gone, no worker is able, not due yet, else its turn) or where its tasks were placed.

--- a/papayapick/management/commands/cell.py
+++ b/papayapick/management/commands/cell.py
@@ -3,8 +3,10 @@
 from collections import Counter
 
 from papayapick.management.base import Command
+from papayapick.management.commands.pool import PoolCommand, current_configuration
 from papayapick.management.exit_codes import EXIT_OK, EXIT_PARTLY
 from papayapick.management.peers import OperatorPeers, process_entries
+from papayapick.management.pools import PoolsView
 from papayapick.management.views import read_cell
 
 __all__ = ["CellCommand"]
@@ -31,11 +33,16 @@
   --json  Write for programs, one JSON object a line.
   --help  Show this page.
 
-Addresses and keys come from the PAPAYAPICK_ variables.
+Addresses and keys come from the PAPAYAPICK_ variables. Where the settings file of the
+users' platform is named, status shows its pools, as pool status does.
 """
 
     def handle(self):
-        """Show the named view."""
+        """Show the named view; on the users' platform, its pools and hosts."""
+        if self.options["status"] and PoolsView.is_configured():
+            view = PoolsView.from_config()
+            pools = PoolCommand(self.options, self.output, self.clock)
+            return pools.show_status(view, current_configuration(view))
         settings = self.settings()
         table, _, hosts = self.platform(settings)
         view = read_cell(
--- a/papayapick/management/commands/pool.py
+++ b/papayapick/management/commands/pool.py
@@ -7,7 +7,23 @@
 from papayapick.management.exit_codes import EXIT_OK, EXIT_PARTLY
 from papayapick.management.pools import PoolsView
 
-__all__ = ["PoolCommand"]
+__all__ = ["PoolCommand", "current_configuration", "find_job"]
+
+
+def current_configuration(view):
+    """Return the operator's configuration; raise ConfigurationMissing."""
+    configuration = view.configuration()
+    if configuration is None:
+        raise ConfigurationMissing()
+    return configuration
+
+
+def find_job(view, configuration, identifier):
+    """Return the JobView of an id; raise JobMissing."""
+    job = view.job(identifier, sorted(configuration.pools))
+    if job is None:
+        raise JobMissing(identifier=identifier)
+    return job
 
 
 class PoolCommand(Command):
@@ -36,14 +52,24 @@
     def handle(self):
         """Show the named view."""
         view = PoolsView.from_config()
-        configuration = view.configuration()
-        if configuration is None:
-            raise ConfigurationMissing()
+        configuration = current_configuration(view)
         if self.options["job"]:
             return self._job(view, configuration)
-        return self._status(view, configuration)
+        return self.show_status(view, configuration)
+
+    def show_status(self, view, configuration):
+        """Show owner, epoch and queues of each pool, and the entry hosts.
+
+        Parameters
+        ----------
+        view : PoolsView
+        configuration : CellConfiguration
 
-    def _status(self, view, configuration):
+        Returns
+        -------
+        int
+            Exit code.
+        """
         hosts = view.hosts()
         reached = {host.name for host in hosts if host.is_reached}
         self.output.write(
@@ -84,9 +110,7 @@
 
     def _job(self, view, configuration):
         identifier = self.options["<id>"]
-        job = view.job(identifier, sorted(configuration.pools))
-        if job is None:
-            raise JobMissing(identifier=identifier)
+        job = find_job(view, configuration, identifier)
         accepted = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(job.accepted_at))
         self.output.write(
             f"{identifier}: {job.status}{', cancelled' if job.is_cancelled else ''}; "
--- a/papayapick/management/commands/request.py
+++ b/papayapick/management/commands/request.py
@@ -5,9 +5,12 @@
 
 from papayapick.management.asking import OwnerAsking
 from papayapick.management.base import Command
+from papayapick.management.commands.pool import current_configuration, find_job
 from papayapick.management.exceptions import RequestIdInvalid
 from papayapick.management.exit_codes import EXIT_OK
 from papayapick.management.peers import OperatorPeers
+from papayapick.management.pools import PoolsView
+from papayapick.management.reasons import job_reasons
 from papayapick.wire.messages import WorkCancel, WorkQuery
 
 __all__ = ["RequestCommand"]
@@ -33,12 +36,15 @@
   --json     Write for programs.
   --help     Show this page.
 
-Addresses and keys come from the PAPAYAPICK_ variables.
+Addresses and keys come from the PAPAYAPICK_ variables. Where the settings file of the
+users' platform is named, explain takes the id of a job of steps.
 """
 
     def handle(self):
         """Ask for the request, or for its end."""
         request_id = self.options["<id>"]
+        if self.options["explain"] and PoolsView.is_configured():
+            return self._explain_job(request_id)
         shard = request_id.rpartition(".")[0]
         if not shard:
             raise RequestIdInvalid(request_id=request_id)
@@ -53,6 +59,20 @@
         self._show(asking.ask(shard, message))
         return EXIT_OK
 
+    def _explain_job(self, identifier):
+        view = PoolsView.from_config()
+        job = find_job(view, current_configuration(view), identifier)
+        owner = view.pool(job.pool)
+        is_reached = any(
+            host.is_reached for host in view.hosts() if host.name == owner.owner
+        )
+        reasons = job_reasons(job, owner, is_reached, view.workers(job.pool))
+        told = [reason.as_mapping() for reason in reasons]
+        values = {"request": identifier, "state": job.status, "reasons": told}
+        text = f"{identifier}: {job.status}" + _as_lines(told)
+        self.output.write(text, **values)
+        return EXIT_OK
+
     def _message(self, shard, request_id):
         if self.options["cancel"] and not self.options["--dry-run"]:
             return WorkCancel(shard=shard, request_id=request_id)
@@ -69,8 +89,7 @@
         if self.options["explain"] and state.detail:
             reasons = json.loads(state.detail)
             values["reasons"] = reasons
-            for reason in reasons:
-                text += f"\n  {reason['code']}: {reason['text']}"
+            text += _as_lines(reasons)
         elif state.detail:
             values["detail"] = state.detail
             text += f" ({state.detail})"
@@ -79,3 +98,7 @@
             values["would_cancel"] = is_cancellable
             text += "\n  would be cancelled" if is_cancellable else "\n  has begun"
         self.output.write(text, **values)
+
+
+def _as_lines(reasons):
+    return "".join(f"\n  {one['code']}: {one['text']}" for one in reasons)
--- a/papayapick/management/pools.py
+++ b/papayapick/management/pools.py
@@ -1,5 +1,6 @@
 """See pools and jobs of the users' platform, from its store and its hosts."""
 
+import os
 import socket
 
 from papayapick.clients.http import HttpPool
@@ -12,8 +13,9 @@
     OPERATOR_TABLE,
     decode_configuration,
 )
-from papayapick.platform.settings import PlatformSettings
+from papayapick.platform.settings import SETTINGS_VARIABLE, PlatformSettings
 from papayapick.platform.store import Store
+from papayapick.platform.workers import WORKERS_TABLE, decode_registration
 from papayapick.pool.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.partitions import job_partition
 
@@ -68,34 +70,40 @@
 
     Parameters
     ----------
-    identifier, pool, queue, status : str
-    accepted_at : float
-        Unix seconds.
+    document : JobDocument
+    status : str
     is_cancelled : bool
     steps : list of StepView
     """
 
-    __slots__ = (
-        "accepted_at",
-        "identifier",
-        "is_cancelled",
-        "pool",
-        "queue",
-        "status",
-        "steps",
-    )
-
-    def __init__(
-        self, identifier, pool, queue, status, accepted_at, is_cancelled, steps
-    ):
-        self.identifier = identifier
-        self.pool = pool
-        self.queue = queue
+    __slots__ = ("document", "is_cancelled", "status", "steps")
+
+    def __init__(self, document, status, is_cancelled, steps):
+        self.document = document
         self.status = status
-        self.accepted_at = accepted_at
         self.is_cancelled = is_cancelled
         self.steps = steps
 
+    @property
+    def identifier(self):
+        """Return the id that the caller chose."""
+        return self.document.identifier
+
+    @property
+    def pool(self):
+        """Return the name of its pool."""
+        return self.document.pool
+
+    @property
+    def queue(self):
+        """Return the name of its queue."""
+        return self.document.queue
+
+    @property
+    def accepted_at(self):
+        """Return when it was accepted, in Unix seconds."""
+        return self.document.accepted_at
+
 
 class PoolsView:
     """Read the store; nothing is changed.
@@ -110,6 +118,12 @@
     def __init__(self, store):
         self._store = store
 
+    @staticmethod
+    def is_configured(environment=None):
+        """Return whether the environment names the platform's settings file."""
+        environment = os.environ if environment is None else environment
+        return bool(environment.get(SETTINGS_VARIABLE))
+
     @classmethod
     def from_config(cls, environment=None):
         """Reach the store that the platform's settings file names.
@@ -138,6 +152,10 @@
         """Return the row of each pool that queues use, by name."""
         return [read_pool(self._store, pool) for pool in sorted(configuration.pools)]
 
+    def pool(self, name):
+        """Return the row of one pool."""
+        return read_pool(self._store, name)
+
     def hosts(self):
         """Return all entry hosts that have registered, as a list of HostView.
 
@@ -155,6 +173,12 @@
             if row.value is not None
         ]
 
+    def workers(self, pool):
+        """Return what the workers of a pool have registered, as a list."""
+        rows, _ = self._store.read_all(WORKERS_TABLE, "")
+        found = (decode_registration(row.key, row.value) for row in rows)
+        return [one for one in found if one is not None and one.pool == pool]
+
     def job(self, identifier, pools):
         """Return a job, or None where no pool has it.
 
@@ -192,15 +216,7 @@
         if status == JobStatus.WAITING and any(one.has_begun for one in steps):
             # Starts are recorded before they are ordered, and their answer is not.
             status = JobStatus.RUNNING
-        return JobView(
-            identifier,
-            pool,
-            document.queue,
-            status,
-            document.accepted_at,
-            is_cancelled,
-            steps,
-        )
+        return JobView(document, status, is_cancelled, steps)
 
 
 def _step(document, occurrence, number, record):
--- a/tests/management/test_pool.py
+++ b/tests/management/test_pool.py
@@ -117,3 +117,33 @@
         host = EntryProcess("h1", cluster.address, Path(folder))
         environment = {"PAPAYAPICK_CONFIG": str(host.path)}
         return run_command("pool", "status", "--json", environment=environment)
+
+
+def run_on_platform(cell, *arguments):
+    environment = {"PAPAYAPICK_CONFIG": str(cell.hosts[0].path)}
+    return run_command(*arguments, "--json", environment=environment)
+
+
+def test_cell_status_shows_the_pools_of_the_platform(cell):
+    ran = run_on_platform(cell, "cell", "status")
+    assert ran.code == EXIT_OK
+    assert ran.lines == ask(cell, "status").lines
+
+
+def test_explain_names_where_a_job_was_placed(cell, cluster):
+    identifier = "1" * 16
+    assert cell.hosts[0].call("POST", f"/quick/{identifier}", job(tasks=1))[0] == 200
+
+    def placed():
+        (line,) = run_on_platform(cell, "request", "explain", identifier).lines
+        return line if line["reasons"][0]["code"] == "placed.on" else None
+
+    line = wait_for(placed)
+    assert line["state"] == "running"
+    assert "task 0 on w" in line["reasons"][0]["text"]
+
+
+def test_explain_tells_of_an_unknown_job(cell):
+    ran = run_on_platform(cell, "request", "explain", "2" * 16)
+    assert ran.code == EXIT_FAILED
+    assert "command.job-missing" in ran.err
