--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -4,6 +4,7 @@
 import zlib
 
 from papayapick.clock import ManualClock
+from papayapick.entry.board import StateBoard
 from papayapick.jobs import JobDocument, Queue, Step
 from papayapick.ledger import Amounts
 from papayapick.ownership.pools import PoolRow
@@ -41,6 +42,7 @@
         self.stopping = threading.Event()
         self.executor = NoThreads()
         self.rows = {}
+        self.board = StateBoard()
         self.lost_since = None
         self.live_peers = []
 
