Measure the drain rate of a queue only while it has a backlog

Cause: in a flood of 45 times the usual door counts, the queue was closed for 30 s as soon as 420 jobs waited: the rate was that of the ten seconds before, in which jobs began as they were handed in, seven a second, and not what the pool can do (60).

Change: the rate is that of the time since the backlog came, and is believed after 5 s. Before: the test of a burst after a quiet time is told 30 s; after: 0.

--- a/papayapick/placement/backlog.py
+++ b/papayapick/placement/backlog.py
@@ -15,6 +15,9 @@
 # Jobs that began within this time give the rate: long enough for some jobs of a slow
 # queue, short enough to follow a pool that shrinks.
 _WINDOW_SECONDS = 10.0
+# Before a backlog came, jobs began as they were handed in, which is no sign of what the
+# pool can do: the rate is that of the time since, and is believed only after this.
+_SETTLE_SECONDS = 5.0
 # A backlog that takes longer is not added to. Work that callers wait for is of use for
 # seconds, at three times its objective for half a minute; patient work may wait longer
 # than that, and is handed in again.
@@ -49,10 +52,12 @@
 class BacklogGauge:
     """Observe how fast the jobs of each queue begin."""
 
-    __slots__ = ("_begun",)
+    __slots__ = ("_begun", "_since")
 
     def __init__(self):
         self._begun = {}
+        # Since when a queue has had a backlog, in monotonic seconds.
+        self._since = {}
 
     def note_begun(self, queue, now):
         """Note that a job of a queue has its first task placed."""
@@ -78,8 +83,12 @@
 
     def _retry_after(self, queue, waiting, now):
         if waiting < _LEAST_JOBS:
+            self._since.pop(queue, None)
             return 0
-        rate = self._rate(queue, now)
+        elapsed = now - self._since.setdefault(queue, now)
+        if elapsed < _SETTLE_SECONDS:
+            return 0
+        rate = self._rate(queue, now, min(elapsed, _WINDOW_SECONDS))
         if waiting <= _LIMIT_SECONDS * rate:
             return 0
         if not rate:
@@ -87,9 +96,9 @@
         seconds = waiting / rate - _LIMIT_SECONDS
         return min(_LONGEST_PAUSE_SECONDS, math.ceil(seconds))
 
-    def _rate(self, queue, now):
-        """Return the jobs of a queue that begin in a second."""
+    def _rate(self, queue, now, window):
+        """Return the jobs of a queue that began in a second, of so many seconds."""
         times = self._begun.get(queue, ())
         while times and now - times[0] > _WINDOW_SECONDS:
             times.popleft()
-        return len(times) / _WINDOW_SECONDS
+        return sum(now - one <= window for one in times) / window
--- a/tests/placement/test_backlog.py
+++ b/tests/placement/test_backlog.py
@@ -4,9 +4,13 @@
 
 from papayapick.placement.backlog import BacklogGauge
 
+BACKLOG = 10_000
+
 
 def gauge(jobs_a_second, seconds=20):
+    """Return a gauge of a queue that had a backlog for so long."""
     found = BacklogGauge()
+    found.backlog("counts", BACKLOG, 0.0)
     for number in range(int(jobs_a_second * seconds)):
         found.note_begun("counts", number / jobs_a_second)
     return found
@@ -30,7 +34,30 @@
     All were accepted: the backlog grew without bound, and who came last waited for
     work that nobody had a use for when it began.
     """
-    assert gauge(rate).backlog("counts", waiting, 20.0).retry_after == retry_after
+    found = gauge(rate).backlog("counts", waiting, 20.0)
+    assert (found.waiting, found.retry_after) == (waiting, retry_after)
+
+
+def test_burst_after_a_quiet_time_is_taken():
+    """Jobs came at seven a second and all began; then 300 come in one second.
+
+    The rate of the quiet time was taken for what the pool can do: callers were sent
+    away for half a minute, and the pool had room for all of them.
+    """
+    found = BacklogGauge()
+    for number in range(70):
+        found.note_begun("counts", number / 7)
+    assert found.backlog("counts", 300, 10.0).retry_after == 0
+    for number in range(300):
+        found.note_begun("counts", 10.0 + number / 60)
+    assert found.backlog("counts", 600, 15.0).retry_after == 0
+
+
+def test_backlog_that_ended_is_measured_anew():
+    found = gauge(1)
+    assert found.backlog("counts", 300, 20.0).retry_after == 30
+    assert found.backlog("counts", 10, 21.0).retry_after == 0
+    assert found.backlog("counts", 300, 22.0).retry_after == 0
 
 
 def test_rate_of_a_while_ago_does_not_count():
@@ -38,4 +65,7 @@
 
 
 def test_queues_are_told_apart():
-    assert gauge(100).backlog("comparisons", 300, 20.0).retry_after == 30
+    found = gauge(100)
+    found.backlog("comparisons", 300, 0.0)
+    assert found.backlog("comparisons", 300, 20.0).retry_after == 30
+    assert found.backlog("counts", 300, 20.0).retry_after == 0
--- a/tests/pool/test_overload.py
+++ b/tests/pool/test_overload.py
@@ -93,6 +93,7 @@
     load = Replay(workers=1, length=SECONDS)
     for _ in range(400):
         load.hand_in(tasks=4, estimate=SECONDS)
+    assert load.owner.news.backlogs()["q"].retry_after == 0
     load.run(10.0)
     # One job in 0.8 s begins: 387 or so wait for over five minutes.
     backlog = load.owner.news.backlogs()["q"]
