--- a/papayapick/entry/exceptions.py
+++ b/papayapick/entry/exceptions.py
@@ -1,6 +1,6 @@
 """Errors of an entry host towards its callers."""
 
-from papayapick.exceptions import PapayapickError
+from papayapick.exceptions import PapayapickError, RetryAfter
 
 __all__ = [
     "AcceptanceUnknown",
@@ -51,18 +51,13 @@
     retry_after = _RETRY_AFTER_SECONDS
 
 
-class QueueFull(PapayapickError):
+class QueueFull(RetryAfter, PapayapickError):
     """Report a queue whose backlog takes too long; the job was not accepted."""
 
     code = "entry.queue-full"
     template = "queue {queue} takes no new jobs for {retry_after} s"
     status = "429 Too Many Requests"
 
-    @property
-    def retry_after(self):
-        """Return the seconds after which the job may be handed in again."""
-        return self._details["retry_after"]
-
 
 class StateUnknown(PapayapickError):
     """Report that a state can't be told now; nothing was changed."""
--- a/papayapick/exceptions.py
+++ b/papayapick/exceptions.py
@@ -1,6 +1,6 @@
 """Define the root of the exception tree."""
 
-__all__ = ["PapayapickError"]
+__all__ = ["PapayapickError", "RetryAfter"]
 
 
 class PapayapickError(Exception):
@@ -39,3 +39,24 @@
         dict
         """
         return dict(self._details)
+
+
+class RetryAfter:
+    """Mix into an error the time after which coming back helps.
+
+    Examples
+    --------
+    >>> class HostBusy(RetryAfter, PapayapickError):
+    ...     code = "ledger.host-busy"
+    ...     template = "host {host} is busy"
+    >>> HostBusy(host="h", retry_after=0.2).retry_after, HostBusy(host="h").retry_after
+    (0.2, 1.0)
+    """
+
+    # Seconds, where the error's details don't say.
+    usual_retry_after = 1.0
+
+    @property
+    def retry_after(self):
+        """Return the seconds after which coming back helps."""
+        return self._details.get("retry_after", self.usual_retry_after)
--- a/papayapick/gateway/exceptions.py
+++ b/papayapick/gateway/exceptions.py
@@ -1,6 +1,6 @@
 """Errors that callers meet."""
 
-from papayapick.exceptions import PapayapickError
+from papayapick.exceptions import PapayapickError, RetryAfter
 
 __all__ = [
     "BackendFailed",
@@ -67,17 +67,12 @@
     template = "{members} members, allowed are {limit}"
 
 
-class GatewayFull(GatewayError):
+class GatewayFull(RetryAfter, GatewayError):
     """Report a gateway at which too many requests wait already."""
 
     code = "request.gateway-full"
     template = "this gateway has no thread free; come back in {retry_after:.3f} s"
 
-    @property
-    def retry_after(self):
-        """Return the seconds after which coming back helps."""
-        return self._details["retry_after"]
-
 
 class PathUnknown(GatewayError):
     """Report a path or method that the interface does not have."""
--- a/papayapick/limits/exceptions.py
+++ b/papayapick/limits/exceptions.py
@@ -1,6 +1,6 @@
 """Errors of the limits."""
 
-from papayapick.exceptions import PapayapickError
+from papayapick.exceptions import PapayapickError, RetryAfter
 
 __all__ = ["CallerOverLimit", "LimitError"]
 
@@ -12,13 +12,8 @@
     outcome = "not_run"
 
 
-class CallerOverLimit(LimitError):
+class CallerOverLimit(RetryAfter, LimitError):
     """Report a caller that sends more than its rate."""
 
     code = "limits.caller-over-limit"
     template = "caller {caller} is over its rate; come back in {retry_after:.3f} s"
-
-    @property
-    def retry_after(self):
-        """Return the seconds until the caller has a token again."""
-        return self._details["retry_after"]
--- a/papayapick/placer/exceptions.py
+++ b/papayapick/placer/exceptions.py
@@ -1,6 +1,6 @@
 """Errors of the placer."""
 
-from papayapick.exceptions import PapayapickError
+from papayapick.exceptions import PapayapickError, RetryAfter
 
 __all__ = [
     "OutcomeUnsettled",
@@ -15,17 +15,12 @@
 ]
 
 
-class PlacerError(PapayapickError):
+class PlacerError(RetryAfter, PapayapickError):
     """Stand for any refusal by a placer; the work did not run."""
 
     code = "placer.error"
     outcome = "not_run"
 
-    @property
-    def retry_after(self):
-        """Return the seconds after which coming back helps."""
-        return self._details.get("retry_after", 1.0)
-
 
 class WaitingFull(PlacerError):
     """Report a service whose queue is full."""
--- a/papayapick/wire/exceptions.py
+++ b/papayapick/wire/exceptions.py
@@ -1,6 +1,6 @@
 """Errors between the processes of a cell."""
 
-from papayapick.exceptions import PapayapickError
+from papayapick.exceptions import PapayapickError, RetryAfter
 
 __all__ = [
     "CellKeyInvalid",
@@ -62,7 +62,7 @@
     template = "peer {address} did not answer within {seconds} s"
 
 
-class PeerRefused(WireError):
+class PeerRefused(RetryAfter, WireError):
     """Carry a peer's typed refusal.
 
     ``outcome`` is one of ``not_run``, ``unknown`` and ``failed``;
@@ -77,11 +77,6 @@
         """Return what became of the work."""
         return self._details["outcome"]
 
-    @property
-    def retry_after(self):
-        """Return the seconds after which coming back helps."""
-        return self._details["retry_after"]
-
     @property
     def refusal_code(self):
         """Return the code of the error at the peer."""
