Give the store's types a home outside the adapter; embed the ownership of a pool

Leftover: rows, conditions and their errors stood in platform/store.py and platform/exceptions.py, so ownership/pools.py, and whoever embeds it, imported the users' platform.

--- a/papayapick/clients/exceptions.py
+++ b/papayapick/clients/exceptions.py
@@ -5,6 +5,8 @@
 __all__ = [
     "AnswerInvalid",
     "AnswerMissing",
+    "ConditionFailed",
+    "HistoryLost",
     "HostLeaving",
     "HostListUnavailable",
     "NotSent",
@@ -12,6 +14,7 @@
     "ObjectsUnavailable",
     "PlatformError",
     "StaleEpoch",
+    "StoreRefused",
     "TableUnavailable",
     "TaskRefused",
     "TransactionConflict",
@@ -107,3 +110,34 @@
 
     code = "worker.task-refused"
     template = "worker {worker} refused the task: {reason}"
+
+
+class StoreRefused(TableUnavailable):
+    """Report a call of the store that took no effect."""
+
+    code = "store.refused"
+    template = "the store refused a call"
+
+
+class ConditionFailed(PlatformError):
+    """Report a transaction of which a condition did not hold; nothing was written.
+
+    Parameters
+    ----------
+    rows : list of StoredRow
+        The rows of the conditions as they are now, those that exist.
+    """
+
+    code = "store.condition-failed"
+    template = "a condition of the transaction did not hold"
+
+    def __init__(self, rows):
+        super().__init__()
+        self.rows = rows
+
+
+class HistoryLost(PlatformError):
+    """Report that changes since a version can't be told any more."""
+
+    code = "store.history-lost"
+    template = "the history of table {table} is gone; read it again"
--- a/papayapick/entry/acceptance.py
+++ b/papayapick/entry/acceptance.py
@@ -3,6 +3,7 @@
 from concurrent.futures import TimeoutError as FutureTimeout
 
 from papayapick.clients.exceptions import TableUnavailable
+from papayapick.clients.rows import Expectation, RowWrite
 from papayapick.entry.events import JOB_KNOWN
 from papayapick.entry.exceptions import (
     AcceptanceUnknown,
@@ -11,7 +12,6 @@
     StateUnknown,
 )
 from papayapick.jobs.state import JobStatus
-from papayapick.platform.store import Expectation, RowWrite
 from papayapick.pool.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.partitions import job_partition
 
--- a/papayapick/entry/followers.py
+++ b/papayapick/entry/followers.py
@@ -1,8 +1,7 @@
 """Follow a table of the store: read it whole, then take its changes."""
 
-from papayapick.clients.exceptions import TableUnavailable
+from papayapick.clients.exceptions import HistoryLost, TableUnavailable
 from papayapick.entry.events import HISTORY_LOST, STORE_BACK, STORE_LOST
-from papayapick.platform.exceptions import HistoryLost
 
 __all__ = ["FOLLOW_WAIT_SECONDS", "OWNER_WAIT_SECONDS", "follow_table"]
 
--- a/papayapick/entry/joining.py
+++ b/papayapick/entry/joining.py
@@ -3,12 +3,11 @@
 import base64
 import os
 
-from papayapick.clients.exceptions import TableUnavailable
+from papayapick.clients.exceptions import ConditionFailed, TableUnavailable
+from papayapick.clients.rows import Expectation, RowWrite
 from papayapick.entry.events import CELL_KEY_FOUND, STORE_AWAY
 from papayapick.entry.peers import HOSTS_PARTITION
 from papayapick.ownership.pools import CELL_TABLE
-from papayapick.platform.exceptions import ConditionFailed
-from papayapick.platform.store import Expectation, RowWrite
 
 __all__ = ["cell_key", "register"]
 
--- a/papayapick/entry/relays.py
+++ b/papayapick/entry/relays.py
@@ -4,10 +4,13 @@
 import random
 from concurrent.futures import Future
 
-from papayapick.clients.exceptions import TableUnavailable
+from papayapick.clients.exceptions import (
+    ConditionFailed,
+    StoreRefused,
+    TableUnavailable,
+)
+from papayapick.clients.rows import Expectation, RowWrite, StoredRow
 from papayapick.entry.events import RELAY_UNANSWERED
-from papayapick.platform.exceptions import ConditionFailed, StoreRefused
-from papayapick.platform.store import Expectation, RowWrite, StoredRow
 from papayapick.wire.exceptions import PeerUnreachable, WireError
 from papayapick.wire.messages import StoreCall, StoreResult
 
--- a/papayapick/entry/writers.py
+++ b/papayapick/entry/writers.py
@@ -4,10 +4,13 @@
 import threading
 from concurrent.futures import Future
 
-from papayapick.clients.exceptions import TableUnavailable
+from papayapick.clients.exceptions import (
+    ConditionFailed,
+    StoreRefused,
+    TableUnavailable,
+)
 from papayapick.entry.events import CONFLICT_UNCLEAR, WRITE_FAILED, WRITE_UNSETTLED
 from papayapick.entry.exceptions import AcceptanceUnknown, NotAccepted
-from papayapick.platform.exceptions import ConditionFailed, StoreRefused
 
 __all__ = ["Entry", "GroupWriter"]
 
--- a/papayapick/ownership/pools.py
+++ b/papayapick/ownership/pools.py
@@ -5,10 +5,9 @@
 by the store, where each of its writes demands that the row is unchanged.
 """
 
-from papayapick.clients.exceptions import TableUnavailable
+from papayapick.clients.exceptions import ConditionFailed, TableUnavailable
+from papayapick.clients.rows import Expectation, RowWrite
 from papayapick.exceptions import PapayapickError
-from papayapick.platform.exceptions import ConditionFailed
-from papayapick.platform.store import Expectation, RowWrite
 
 __all__ = [
     "CELL_TABLE",
--- a/papayapick/pool/forgetting.py
+++ b/papayapick/pool/forgetting.py
@@ -1,9 +1,8 @@
 """Drop finished jobs from the store when their time is over."""
 
-from papayapick.clients.exceptions import TableUnavailable
+from papayapick.clients.exceptions import ConditionFailed, TableUnavailable
+from papayapick.clients.rows import RowWrite
 from papayapick.jobs.state import JobStatus
-from papayapick.platform.exceptions import ConditionFailed
-from papayapick.platform.store import RowWrite
 from papayapick.pool.events import JOBS_KEPT
 from papayapick.pool.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.partitions import job_partition
--- a/papayapick/pool/journal.py
+++ b/papayapick/pool/journal.py
@@ -2,11 +2,10 @@
 
 import threading
 
-from papayapick.clients.exceptions import TableUnavailable
+from papayapick.clients.exceptions import ConditionFailed, TableUnavailable
+from papayapick.clients.rows import Expectation, RowWrite
 from papayapick.jobs.records import progress_record
 from papayapick.jobs.state import JobStatus
-from papayapick.platform.exceptions import ConditionFailed
-from papayapick.platform.store import Expectation, RowWrite
 from papayapick.pool.events import COMMIT_PUT_OFF, JOB_ENDED, POOL_LOST
 from papayapick.pool.metrics import COMPLETION_SECONDS
 
--- a/papayapick/pool/roster.py
+++ b/papayapick/pool/roster.py
@@ -7,8 +7,8 @@
 
 import zlib
 
+from papayapick.clients.rows import RowWrite
 from papayapick.ledger.amounts import Amounts
-from papayapick.platform.store import RowWrite
 from papayapick.pool.reports import Registration
 
 __all__ = ["WorkerRoster"]
--- a/papayapick/pool/upkeep.py
+++ b/papayapick/pool/upkeep.py
@@ -1,15 +1,15 @@
 """Bring the machines of a pool to their upkeep, wave by wave."""
 
-from papayapick.clients.exceptions import TableUnavailable
+from papayapick.clients.exceptions import ConditionFailed, TableUnavailable
+from papayapick.clients.rows import Expectation, RowWrite
 from papayapick.placement.waves import (
     WaveRecord,
     choose_machines,
     patience_seconds,
     runs_to_move,
 )
-from papayapick.platform.exceptions import CheckFailed, ConditionFailed
+from papayapick.platform.exceptions import CheckFailed
 from papayapick.platform.machines import UpkeepOutcome
-from papayapick.platform.store import Expectation, RowWrite
 from papayapick.platform.waves import (
     STATUS_TABLE,
     encode_wave_status,
--- a/tests/contracts/test_cluster.py
+++ b/tests/contracts/test_cluster.py
@@ -3,17 +3,13 @@
 import pytest
 
 from papayapick.clients import AnswerMissing, HttpPool, TableUnavailable
+from papayapick.clients.exceptions import ConditionFailed, HistoryLost, StoreRefused
+from papayapick.clients.rows import Expectation, RowWrite
 from papayapick.jobs import Run, RunPhase, TaskKey
 from papayapick.ledger import Amounts
-from papayapick.platform.exceptions import (
-    CheckFailed,
-    ConditionFailed,
-    HistoryLost,
-    StoreRefused,
-    WorkerSilent,
-)
+from papayapick.platform.exceptions import CheckFailed, WorkerSilent
 from papayapick.platform.machines import MachineList, UpkeepOutcome
-from papayapick.platform.store import Expectation, RowWrite, Store
+from papayapick.platform.store import Store
 from papayapick.platform.workers import WorkerClient, decode_registration
 from papayapick.pool.reports import StartOutcome
 from tests.standins.cluster import Cluster
--- a/tests/entry/test_acceptance.py
+++ b/tests/entry/test_acceptance.py
@@ -5,6 +5,7 @@
 import pytest
 
 from papayapick.clients.exceptions import TableUnavailable
+from papayapick.clients.rows import StoredRow
 from papayapick.entry.acceptance import Acceptance
 from papayapick.entry.board import StateBoard
 from papayapick.entry.exceptions import QueueFull, StateUnknown
@@ -12,7 +13,6 @@
 from papayapick.jobs.state import JobStatus
 from papayapick.ledger import Amounts
 from papayapick.placement.backlog import QueueBacklog
-from papayapick.platform.store import StoredRow
 
 ID = "5c0e7a21d94b36f8"
 JOB = JobDocument(ID, "counts", "pool", "t", [Step(1, Amounts(100, 10))], 0.0)
--- a/tests/entry/test_application.py
+++ b/tests/entry/test_application.py
@@ -6,12 +6,12 @@
 
 import pytest
 
+from papayapick.clients.rows import StoredRow
 from papayapick.clock import SystemClock
 from papayapick.entry.application import Application
 from papayapick.entry.configuration import ConfigurationWatcher
 from papayapick.entry.exceptions import QueueFull
 from papayapick.platform.configuration import CONFIGURATION_KEY
-from papayapick.platform.store import StoredRow
 
 PATH = "/quick/5c0e7a21d94b36f8"
 CONFIGURATION = {
--- a/tests/entry/test_probing.py
+++ b/tests/entry/test_probing.py
@@ -5,12 +5,12 @@
 import pytest
 
 from papayapick.clients import TableUnavailable
+from papayapick.clients.exceptions import StoreRefused
+from papayapick.clients.rows import Expectation, Page, RowWrite
 from papayapick.clock import ManualClock
 from papayapick.entry.probing import StoreProbe
 from papayapick.entry.relays import RelayedStore
 from papayapick.entry.store_health import StoreHealth
-from papayapick.platform.exceptions import StoreRefused
-from papayapick.platform.store import Expectation, Page, RowWrite
 
 EXPECTATION = Expectation("jobs", "pool/1", "j1", 0)
 WRITE = RowWrite("jobs", "pool/1", "j1", {"n": 1})
--- a/tests/entry/test_relays.py
+++ b/tests/entry/test_relays.py
@@ -5,10 +5,10 @@
 import pytest
 
 from papayapick.clients import TableUnavailable
+from papayapick.clients.exceptions import ConditionFailed, StoreRefused
+from papayapick.clients.rows import Expectation, Page, RowWrite, StoredRow
 from papayapick.clock import ManualClock
 from papayapick.entry.relays import RelayedStore, StoreRelay
-from papayapick.platform.exceptions import ConditionFailed, StoreRefused
-from papayapick.platform.store import Expectation, Page, RowWrite, StoredRow
 from papayapick.wire.exceptions import PeerTimeout, PeerUnreachable
 
 EXPECTATION = Expectation("jobs", "pool", "j1", 0)
--- a/tests/entry/test_writers.py
+++ b/tests/entry/test_writers.py
@@ -5,11 +5,11 @@
 import pytest
 
 from papayapick.clients import TableUnavailable
+from papayapick.clients.exceptions import ConditionFailed, StoreRefused
+from papayapick.clients.rows import Expectation, RowWrite, StoredRow
 from papayapick.clock import ManualClock
 from papayapick.entry.exceptions import AcceptanceUnknown, NotAccepted
 from papayapick.entry.writers import GroupWriter
-from papayapick.platform.exceptions import ConditionFailed, StoreRefused
-from papayapick.platform.store import Expectation, RowWrite, StoredRow
 
 
 class Store:
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -3,12 +3,12 @@
 import threading
 import zlib
 
+from papayapick.clients.rows import StoredRow
 from papayapick.clock import ManualClock
 from papayapick.entry.board import StateBoard
 from papayapick.jobs import JobDocument, Queue, Step
 from papayapick.ledger import Amounts
 from papayapick.ownership.pools import PoolRow
-from papayapick.platform.store import StoredRow
 from papayapick.pool.owner import PoolOwner
 from papayapick.pool.reports import EndReport, RunReport, WorkerReport
 
--- a/tests/pool/test_journal.py
+++ b/tests/pool/test_journal.py
@@ -5,12 +5,12 @@
 import pytest
 
 from papayapick.clients import TableUnavailable
+from papayapick.clients.exceptions import ConditionFailed
+from papayapick.clients.rows import RowWrite, StoredRow
 from papayapick.clock import ManualClock
 from papayapick.jobs import JobBook, JobDocument, JobStatus, Queue, Step
 from papayapick.ledger import Amounts
 from papayapick.ownership.pools import CELL_TABLE, PoolRow
-from papayapick.platform.exceptions import ConditionFailed
-from papayapick.platform.store import RowWrite, StoredRow
 from papayapick.pool.journal import PROGRESS_TABLE, PoolJournal
 from papayapick.pool.reports import Registration
 from papayapick.pool.roster import WorkerRoster
--- a/tests/pool/test_owner.py
+++ b/tests/pool/test_owner.py
@@ -2,10 +2,10 @@
 
 import pytest
 
+from papayapick.clients.rows import StoredRow
 from papayapick.jobs import JobDocument, JobStatus, Step, TaskKey
 from papayapick.ledger import Amounts
 from papayapick.ownership.pools import PoolRow
-from papayapick.platform.store import StoredRow
 from papayapick.pool.journal import JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.links import LEASE_SECONDS
 from papayapick.pool.owner import PoolOwner
--- a/tests/pool/test_upkeep.py
+++ b/tests/pool/test_upkeep.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from papayapick.clients.exceptions import TableUnavailable
+from papayapick.clients.exceptions import ConditionFailed, TableUnavailable
+from papayapick.clients.rows import Page, StoredRow
 from papayapick.jobs import JobDocument, Step
 from papayapick.ledger import Amounts
 from papayapick.placement.waves import Wave
-from papayapick.platform.exceptions import CheckFailed, ConditionFailed
+from papayapick.platform.exceptions import CheckFailed
 from papayapick.platform.machines import Machine, UpkeepOutcome
-from papayapick.platform.store import Page, StoredRow
 from papayapick.pool.upkeep import WAVES_TABLE, Upkeep
 from tests.pool.standins import QUEUE, Replay, Worker, _registration
 
