Show operators how a request refused under load leads to its cause

Cause: nothing was refused for load before, so the first way of OPERATIONS.md was a refusal while the store was away.

--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -1,4 +1,4 @@
-"""The three ways of the page for operators lead to the causes that it names."""
+"""The four ways of the page for operators lead to the causes that it names."""
 
 import io
 import json
@@ -28,21 +28,22 @@
 @pytest.mark.parametrize(
     ("number", "status", "event", "told"),
     [
-        (0, "refused", "request refused", {"code": "entry.not-accepted"}),
+        (0, "refused", "request refused", {"code": "entry.queue-full"}),
+        (1, "refused", "request refused", {"code": "entry.not-accepted"}),
         (
-            1,
+            2,
             "completed",
             "runs lost with their worker",
             {"worker": "i-5d6e546e11", "reason": "lease over"},
         ),
         (
-            2,
+            3,
             "failed",
             "run ended",
             {"outcome": "failed", "failures": 2, "failure_limit": 2},
         ),
     ],
-    ids=["refused", "late", "failed"],
+    ids=["full", "refused", "late", "failed"],
 )
 def test_page_leads_from_an_id_to_its_cause(tmp_path, number, status, event, told):
     code, output, _ = explain(tmp_path, IDS[number], BLOCKS[number], "--json")
@@ -65,10 +66,10 @@
 
 
 def test_lines_of_others_and_broken_ones_are_left_out(tmp_path):
-    lines = 'no json\n{"event": "cut o\n{"n": 1}\n[1]\n' + BLOCKS[1]
-    code, output, _ = explain(tmp_path, IDS[1], lines)
+    lines = 'no json\n{"event": "cut o\n{"n": 1}\n[1]\n' + BLOCKS[2]
+    code, output, _ = explain(tmp_path, IDS[2], lines)
     assert code == EXIT_OK
-    assert len(output.splitlines()) == len(BLOCKS[1].splitlines()) + 1
+    assert len(output.splitlines()) == len(BLOCKS[2].splitlines()) + 1
 
 
 def test_name_of_a_host_may_stand_before_a_line(tmp_path):
@@ -80,10 +81,10 @@
 
 def test_owner_that_was_lost_is_shown_around(tmp_path):
     taken = {"time": "2026-03-11 10:49:10,000", "event": "pool taken", "host": "h2"}
-    lines = BLOCKS[1] + json.dumps(taken)
-    _, output, _ = explain(tmp_path, IDS[1], lines, "--around")
+    lines = BLOCKS[2] + json.dumps(taken)
+    _, output, _ = explain(tmp_path, IDS[2], lines, "--around")
     assert "pool taken" in output
-    _, output, _ = explain(tmp_path, IDS[1], lines)
+    _, output, _ = explain(tmp_path, IDS[2], lines)
     assert "pool taken" not in output
 
 
