Let the largest host near the store own a pool

Change: hosts tell their processors in their rows; a smaller one waits longer before it takes a pool, at most 0.3 s; an owner whose process has just started gives way to a host of its region that is half as large again, has the store and answers its beats.

Tests: the larger host is first, equal hosts wait no longer than before, and six cases of giving way.

--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -33,6 +33,10 @@
 _DISTANCE_WEIGHT = 10
 _NEAR_SECONDS = 0.02
 _RETRY_SECONDS = 0.3
+# One owner decides for the whole pool, and a small host can't keep up: where hosts have
+# 0.5 to 2.2 cores, the largest is to be first. It waits for nobody; one of no size at
+# all would wait so long, five times the spread above.
+_SMALLNESS_SECONDS = 0.3
 
 
 class Candidacy:
@@ -170,7 +174,17 @@
 
     def _delay(self):
         distance = max(0.0, self._host.store_seconds - _NEAR_SECONDS)
-        return _DISTANCE_WEIGHT * distance + random.uniform(0, _SPREAD_SECONDS)
+        return (
+            _DISTANCE_WEIGHT * distance
+            + _SMALLNESS_SECONDS * self._smallness()
+            + random.uniform(0, _SPREAD_SECONDS)
+        )
+
+    def _smallness(self):
+        """Return what this host lacks of the largest one, as a share of it."""
+        own = self._host.settings.processors
+        others = [peer.processors for peer in self._host.peers.all()]
+        return 1 - own / max(own, *others, own)
 
     def _try(self, suspected):
         """Take the pool if its owner is still the one that was suspected."""
--- a/papayapick/entry/joining.py
+++ b/papayapick/entry/joining.py
@@ -50,6 +50,7 @@
         "port": port,
         "zone": settings.zone,
         "region": settings.region,
+        "processors": settings.processors,
     }
     write = RowWrite(CELL_TABLE, HOSTS_PARTITION, settings.host_name, value)
     _persist(host, "register", lambda: host.store.transact([], [write]))
--- a/papayapick/entry/peers.py
+++ b/papayapick/entry/peers.py
@@ -38,6 +38,8 @@
     name, zone, region : str
     address : tuple of (str, int)
     client : PeerClient
+    processors : float
+        Cores that the host has.
     """
 
     __slots__ = (
@@ -48,13 +50,15 @@
         "client",
         "failed_at",
         "name",
+        "processors",
         "region",
         "store_age",
         "zone",
     )
 
-    def __init__(self, name, address, zone, region, client):
+    def __init__(self, name, address, zone, region, client, processors=1.0):
         self.name = name
+        self.processors = processors
         self.address = address
         self.zone = zone
         self.region = region
@@ -124,7 +128,14 @@
         client = PeerClient(
             address, self._cell_key, self._identity, self._executor, _CONNECT_SECONDS
         )
-        return Peer(row.key, address, row.value["zone"], row.value["region"], client)
+        return Peer(
+            row.key,
+            address,
+            row.value["zone"],
+            row.value["region"],
+            client,
+            row.value.get("processors", 1.0),
+        )
 
     def owned_epoch(self, peer, pool):
         """Return the epoch under which a host owns a pool now; 0 for none."""
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -70,6 +70,7 @@
     def __init__(self, settings, clock=None):
         self.settings = settings
         self.clock = clock or BootClock()
+        self.started_at = self.clock.monotonic()
         self.stopping = threading.Event()
         self.is_draining = False
         self.executor = ThreadPoolExecutor(_TASKS, thread_name_prefix="entry")
--- a/papayapick/platform/settings.py
+++ b/papayapick/platform/settings.py
@@ -37,6 +37,7 @@
         "machines_address",
         "metrics_port",
         "peer_address",
+        "processors",
         "readiness_address",
         "region",
         "status_seconds",
@@ -62,6 +63,9 @@
         self.store_address = _text(found["platform"]["address"])
         self.advice_address = _text(found.get("advice", ""))
         self.machines_address = _text(found.get("cloud_api", {}).get("address", ""))
+        limits = found.get("limits", {})
+        # A share of a core, and how fast that core is.
+        self.processors = float(limits.get("cpu_share", 1)) * limits.get("cores", 1)
         self.grace_seconds = float(bounds["grace_s"])
         self.status_seconds = float(bounds["status_s"])
         self.lease_limit_seconds = bounds["hold_max_ms"] / 1000
--- a/papayapick/pool/standing.py
+++ b/papayapick/pool/standing.py
@@ -5,6 +5,12 @@
 # An owner that had no word for so long whether it still owns the pool orders
 # nothing. Leases last longer, so what runs is not lost by a short pause.
 UNCONFIRMED_SECONDS = 2.0
+# An owner that has just started gives way to a host that is so much larger: the first
+# one to start is not the best, and later the largest is first to notice.
+_LARGER_FACTOR = 1.5
+_FIRST_SECONDS = 10.0
+# The others have answered a beat by then.
+_ACQUAINTED_SECONDS = 1.0
 # Another host had an answer so long after this one had none: then the store is not
 # down for all. Hosts notice an outage within tenths of a second of each other.
 _STORE_MARGIN_SECONDS = 0.4
@@ -23,11 +29,11 @@
         The owner was told to stop, and asks for a successor.
     """
 
-    __slots__ = ("_confirmed_at", "_host", "is_leaving")
+    __slots__ = ("_confirmed_at", "_host", "_since", "is_leaving")
 
     def __init__(self, host):
         self._host = host
-        self._confirmed_at = host.clock.monotonic()
+        self._confirmed_at = self._since = host.clock.monotonic()
         self.is_leaving = False
 
     def is_confirmed(self):
@@ -68,7 +74,7 @@
         goes on until it is replaced: if the store is down for all, nobody else can
         do more.
         """
-        if self.is_leaving:
+        if self.is_leaving or self._has_larger_peer():
             return True
         lost_at = self._host.store_health.lost_at()
         if lost_at is None:
@@ -78,6 +84,24 @@
             for peer in self._host.peers.live()
         )
 
+    def _has_larger_peer(self):
+        """Return whether a much larger host of this region should own the pool.
+
+        Only shortly after this process has started, so that hosts that can't agree on
+        who is best hand the pool on for seconds only.
+        """
+        now = self._host.clock.monotonic()
+        is_acquainted = now - self._since > _ACQUAINTED_SECONDS
+        if not is_acquainted or now - self._host.started_at > _FIRST_SECONDS:
+            return False
+        settings = self._host.settings
+        return any(
+            peer.region == settings.region
+            and peer.processors > _LARGER_FACTOR * settings.processors
+            and peer.store_age < UNCONFIRMED_SECONDS
+            for peer in self._host.peers.live()
+        )
+
     def is_alone_in_charge(self):
         """Return whether most hosts are heard, and none of them has the store."""
         peers, live = self._host.peers.all(), self._host.peers.live()
--- a/tests/entry/test_candidacy.py
+++ b/tests/entry/test_candidacy.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+from types import SimpleNamespace
 
 import pytest
 
@@ -22,6 +23,7 @@
 class Settings:
     host_name = "h1"
     peer_address = ("127.0.0.1", 1)
+    processors = 1.0
 
 
 class Host:
@@ -33,6 +35,8 @@
         self.store_seconds = 0.01
         self.is_draining = False
         self.asked = 0
+        self.peers = SimpleNamespace(all=lambda: self.others)
+        self.others = []
         # Addresses at which nobody owns the pool, though a process may listen.
         self.not_owning = set()
 
@@ -259,3 +263,21 @@
     assert candidacy._is_needed()
     candidacy.note_beat(_beat(epoch=4, host="h3"))
     assert not candidacy._is_needed()
+
+
+def test_larger_host_is_first_to_take_a_pool(candidacy):
+    """Hosts have from half a core to two, and the smallest took the pool.
+
+    It could not decide as fast as jobs came, while larger hosts idled.
+    """
+    host = candidacy._host
+    host.others = [SimpleNamespace(processors=2.0), SimpleNamespace(processors=0.5)]
+    small = [candidacy._delay() for _ in range(50)]
+    host.settings = SimpleNamespace(processors=2.0)
+    large = [candidacy._delay() for _ in range(50)]
+    assert max(large) < min(small)
+
+
+def test_hosts_of_one_size_wait_for_each_other_no_longer_than_before(candidacy):
+    candidacy._host.others = [SimpleNamespace(processors=1.0)] * 8
+    assert max(candidacy._delay() for _ in range(50)) <= module._SPREAD_SECONDS
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -2,6 +2,7 @@
 
 import threading
 import zlib
+from types import SimpleNamespace
 
 from papayapick.clients.rows import StoredRow
 from papayapick.clock import ManualClock
@@ -36,6 +37,8 @@
 
     def __init__(self):
         self.clock = ManualClock(1000.0)
+        self.started_at = self.clock.monotonic()
+        self.settings = SimpleNamespace(processors=1.0, region="south")
         self.store = self
         self.worker_pool = None
         self.peers = self
--- a/tests/pool/test_owner.py
+++ b/tests/pool/test_owner.py
@@ -298,8 +298,11 @@
 
 
 class _Peer:
-    def __init__(self, answered_at, store_age):
+    region = "south"
+
+    def __init__(self, answered_at, store_age, processors=1.0):
         self.name = "h2"
+        self.processors = processors
         self.answered_at = answered_at
         self.store_age = store_age
 
@@ -318,6 +321,30 @@
     assert owner.standing.gives_way()
 
 
+@pytest.mark.parametrize(
+    ("processors", "region", "store_age", "since_start", "gives_way"),
+    [
+        (2.0, "south", 0.1, 2.0, True),
+        (1.4, "south", 0.1, 2.0, False),
+        (2.0, "north", 0.1, 2.0, False),
+        (2.0, "south", 5.0, 2.0, False),
+        (2.0, "south", 0.1, 0.5, False),
+        (2.0, "south", 0.1, 11.0, False),
+    ],
+    ids=["larger", "like", "far", "without store", "unheard", "later"],
+)
+def test_owner_gives_way_to_a_much_larger_host_at_the_start(
+    host, processors, region, store_age, since_start, gives_way
+):
+    """The smallest host started first and owned the pool for the rest of the day."""
+    owner = _owner(host)
+    host.clock.advance(since_start)
+    peer = _Peer(host.clock.monotonic(), store_age, processors)
+    peer.region = region
+    host.live_peers = [peer]
+    assert owner.standing.gives_way() is gives_way
+
+
 def test_owner_that_heard_nothing_for_long_orders_nothing(host):
     owner = _owner(host)
     assert owner.may_act()
