Order upkeep under a token that no other pool has

Cause, found by reading: orders for a machine carried the epoch of its pool's owner. Epochs count for each pool by itself, so after a move of the machine two owners could order under one number.

Change: the token is the version of the owner's row, of one counter for all rows.

--- a/papayapick/platform/machines.py
+++ b/papayapick/platform/machines.py
@@ -108,7 +108,7 @@
                 return found
         raise CheckFailed(address=self._address, status=200)
 
-    def begin_upkeep(self, machine, wave, holder, epoch):
+    def begin_upkeep(self, machine, wave, holder, token):
         """Order the upkeep of a machine; all that runs there ends at once.
 
         The same order again has the same answer and no other effect.
@@ -119,7 +119,7 @@
         wave : int
         holder : str
             Host that orders it.
-        epoch : int
+        token : int
             Fencing token: a machine takes no order under a lower one.
 
         Returns
@@ -130,7 +130,7 @@
         headers = {
             "Content-Type": "application/json",
             "X-Lease-Holder": holder,
-            "X-Fencing-Token": str(epoch),
+            "X-Fencing-Token": str(token),
         }
         url = f"http://{self._address}/machine-upkeep"
         try:
--- a/papayapick/pool/upkeep.py
+++ b/papayapick/pool/upkeep.py
@@ -213,9 +213,14 @@
         # The record may have taken long.
         if not owner.may_act():
             return
-        host = owner.host.settings.host_name
+        # Epochs count for each pool by itself, and a machine may have been in another
+        # pool before. The version of the owner's row is of one counter for all rows:
+        # no two owners ever have the same, and a later one has a higher.
         outcome = self._machines.begin_upkeep(
-            machine.name, found.wave.number, host, owner.row.epoch
+            machine.name,
+            found.wave.number,
+            owner.host.settings.host_name,
+            owner.row.version,
         )
         fields = {"machine": machine.name, "wave": found.wave.number}
         if outcome == UpkeepOutcome.BEGUN:
--- a/tests/pool/test_upkeep.py
+++ b/tests/pool/test_upkeep.py
@@ -67,6 +67,7 @@
         self._workers = {f"m-{name}": name for name in load.workers}
         self._until = {}
         self.begun = {}
+        self.tokens = []
         self.most_away = 0
         self.is_away = False
         # So many orders are carried out without an answer.
@@ -82,7 +83,8 @@
             for name, worker in self._workers.items()
         ]
 
-    def begin_upkeep(self, machine, wave, holder, epoch):
+    def begin_upkeep(self, machine, wave, holder, token):
+        self.tokens.append(token)
         if self.orders_to_delay:
             self.orders_to_delay -= 1
             return UpkeepOutcome.UNKNOWN
@@ -294,3 +296,15 @@
     cell.take_over()
     cell.run(5.0)
     assert cell.machines.begun == {}
+
+
+def test_orders_carry_a_token_that_no_other_pool_has():
+    """Two pools are owned at epoch 3, and a machine has moved from one to the other.
+
+    Both owners' orders for it carried token 3: the platform can't tell a late one of
+    the owner before from one of the owner of now.
+    """
+    cell = Cell()
+    cell.run(1.0)
+    assert set(cell.machines.tokens) == {cell.load.owner.row.version}
+    assert cell.load.owner.row.version != cell.load.owner.row.epoch
