--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -35,9 +35,9 @@
 _RETRY_SECONDS = 0.3
 # One owner decides for the whole pool and keeps in touch with all of its workers. With
 # 176 of them, an owner of half a core on a link of 10 Mbit/s left 148 renewals and 91
-# starts unanswered in 11 s; on a host of 2.2 cores and 200 Mbit/s the same day went from
-# 0.53 to 0.81 of what it can earn (one play each). The largest host waits for nobody; one
-# of no size at all would wait so long, five times the spread above.
+# starts unanswered in 11 s; on a host of 2.2 cores and 200 Mbit/s the same load went
+# from 0.53 to 0.81 of what it can earn (one play each). The largest host waits for
+# nobody; one of no size at all would wait so long, five times the spread above.
 _SMALLNESS_SECONDS = 0.3
 
 
