Order the upkeep of machines whose pool nobody owns

Cause, found by reading: a wave with machines of a pool that no queue uses, such as a reserve, would never be over, since such a pool has no owner. Change: the owner of the first pool orders it; a pool's owner waits for the pools before its own, as before. Before: the new test of a machine in reserve can't end; after: it and two on the order of pools pass.

--- a/papayapick/placement/waves.py
+++ b/papayapick/placement/waves.py
@@ -102,8 +102,8 @@
                 del self.ordered[name]
 
 
-def choose_machines(wave, record, machines, pool, loads):
-    """Return the machines of a pool that are emptied and have their upkeep now.
+def choose_machines(wave, record, machines, is_own, loads):
+    """Return the machines of an owner that are emptied and have their upkeep now.
 
     Parameters
     ----------
@@ -111,7 +111,8 @@
     record : WaveRecord
     machines : dict of str to Machine
         All of the platform, by name.
-    pool : str
+    is_own : callable
+        Takes a machine; returns whether its upkeep is this owner's part.
     loads : dict of str to int
         For each worker, millicores of what runs there.
 
@@ -128,7 +129,7 @@
     left = [
         name
         for name in wave.machines
-        if name in machines and machines[name].pool == pool and name not in record.begun
+        if name in machines and is_own(machines[name]) and name not in record.begun
     ]
     again = [name for name in left if name in record.ordered]
     # Where the least runs, the least is moved, and it is ready soonest.
--- a/papayapick/pool/upkeep.py
+++ b/papayapick/pool/upkeep.py
@@ -132,8 +132,7 @@
             self._read_records(key, found)
             return
         loads = self._loads()
-        pool = self._owner.pool
-        chosen = choose_machines(wave, record, machines, pool, loads)
+        chosen = choose_machines(wave, record, machines, self._is_own, loads)
         self._empty_only(found, {machines[name].worker for name in chosen})
         left = [
             name
@@ -158,10 +157,24 @@
     def _is_of_earlier_pool(self, found, machines, name):
         return (
             name in found.wave.machines
-            and machines[name].pool < self._owner.pool
+            and self._caring_pool(machines[name]) < self._owner.pool
             and name not in found.others
         )
 
+    def _is_own(self, machine):
+        return self._caring_pool(machine) == self._owner.pool
+
+    def _caring_pool(self, machine):
+        """Return the pool whose owner cares for a machine.
+
+        A pool that no queue uses has no owner; its machines run nothing of ours, and
+        the first pool's owner orders their upkeep. A wave with such machines would
+        else never be over.
+        """
+        current = self._owner.host.configuration.current
+        pools = current.pools if current is not None else {self._owner.pool}
+        return machine.pool if machine.pool in pools else min(pools)
+
     # Emptying machines.
 
     def _loads(self):
--- a/tests/pool/test_upkeep.py
+++ b/tests/pool/test_upkeep.py
@@ -5,7 +5,7 @@
 import pytest
 
 from papayapick.clients.exceptions import ConditionFailed, TableUnavailable
-from papayapick.clients.rows import Page, StoredRow
+from papayapick.clients.rows import Page, RowWrite, StoredRow
 from papayapick.jobs import JobDocument, Step
 from papayapick.ledger import Amounts
 from papayapick.placement.waves import Wave
@@ -67,6 +67,8 @@
         self._workers = {f"m-{name}": name for name in load.workers}
         self._until = {}
         self.begun = {}
+        # Of machines that are in another pool than the load's.
+        self.pools = {}
         self.tokens = []
         self.most_away = 0
         self.is_away = False
@@ -79,7 +81,13 @@
         if self.is_away:
             raise CheckFailed(address="machines", status=0)
         return [
-            Machine(name, "pool", not self._is_off(name), worker, self._is_off(name))
+            Machine(
+                name,
+                self.pools.get(name, "pool"),
+                not self._is_off(name),
+                worker,
+                self._is_off(name),
+            )
             for name, worker in self._workers.items()
         ]
 
@@ -308,3 +316,38 @@
     cell.run(1.0)
     assert set(cell.machines.tokens) == {cell.load.owner.row.version}
     assert cell.load.owner.row.version != cell.load.owner.row.epoch
+
+
+def test_machine_of_a_pool_that_nobody_owns_has_its_upkeep_too():
+    """A wave names a machine that waits in reserve, in a pool without queues."""
+    cell = Cell()
+    cell.machines.pools["m-w3"] = "reserve"
+    cell.run(25.0)
+    assert cell.is_over
+    assert "m-w3" in cell.machines.begun
+
+
+def test_machine_of_another_owner_is_left_to_it():
+    cell = Cell()
+    cell.machines.pools["m-w3"] = "quick"
+    cell.load.host.configuration.current.pools = {"pool", "quick"}
+    cell.run(25.0)
+    # "quick" comes behind "pool" and has not begun its part.
+    assert not cell.is_over
+    assert set(cell.machines.begun) == {f"m-w{n}" for n in (0, 1, 2, 4, 5)}
+    record = {"since": 0.0, "ordered": {}, "begun": ["m-w3"]}
+    cell.rows.transact([], [RowWrite(WAVES_TABLE, "quick", KEY, record)])
+    cell.run(2.0)
+    assert cell.is_over
+
+
+def test_owner_waits_for_the_pools_before_its_own():
+    cell = Cell()
+    cell.machines.pools["m-w3"] = "a-pool"
+    cell.load.host.configuration.current.pools = {"pool", "a-pool"}
+    cell.run(5.0)
+    assert cell.machines.begun == {}
+    record = {"since": 0.0, "ordered": {}, "begun": ["m-w3"]}
+    cell.rows.transact([], [RowWrite(WAVES_TABLE, "a-pool", KEY, record)])
+    cell.run(25.0)
+    assert cell.is_over
