--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -161,10 +161,13 @@
         Occurrences that are over.
     chains : list of float
         For each step, the estimated seconds from its start to the job's end.
+    chain_seconds : float
+        The longest of them.
     """
 
     __slots__ = (
         "arrived",
+        "chain_seconds",
         "chains",
         "document",
         "durable_status",
@@ -192,6 +195,7 @@
         self.occurrences = {}
         self.over = set()
         self.chains = remaining_chains(document.steps)
+        self.chain_seconds = max(self.chains, default=0.0)
 
     @property
     def identifier(self):
--- a/papayapick/placement/timeliness.py
+++ b/papayapick/placement/timeliness.py
@@ -45,7 +45,7 @@
     if job.document.is_timed or step.step.is_lasting:
         return Timeliness.IN_TIME, job.arrived
     queue = job.queue
-    objective = queue.stretch * max(job.chains, default=0.0) + queue.objective_seconds
+    objective = queue.stretch * job.chain_seconds + queue.objective_seconds
     rest = job.chains[step.key.step]
     for kind, factor in ((Timeliness.IN_TIME, 1.0), (Timeliness.LATE, _LATE_FACTOR)):
         latest = job.arrived + factor * objective - rest
