Keep steps that can't use advice from holding back those behind them

Cause, found by reading: a step whose tickets have aged is asked about again only where a worker that may run it has room, but it counted against the room that advice is asked for in any case. Urgent steps bound to a full worker so kept all steps behind them from being asked about, beside empty workers.

Change: whether advice can be used is looked at first. Before: the new test asks about nothing (20 urgent steps bound to one full worker, one more step behind them); after: about the one behind.

--- a/papayapick/pool/advising.py
+++ b/papayapick/pool/advising.py
@@ -52,22 +52,35 @@
 
     def want(self, step, now):
         """Ask for advice on a step where it can be used."""
-        policy = step.job.queue.advice
-        if policy is None:
-            return
-        able = [
+        if step.job.queue.advice is not None and self.is_useful(step):
+            self.ask(step, now)
+
+    def is_useful(self, step):
+        """Return whether advice on a step can be used now.
+
+        A ticket ages: once the workers are known that may not run the step, it is
+        asked for again only where one of the others has room.
+        """
+        unfit = self._book.unfit(step.key)
+        if not unfit:
+            return True
+        demand = step.step.room_demand
+        return any(
+            room.worker not in unfit and room.has_room(demand)
+            for room in self._able(step)
+        )
+
+    def ask(self, step, now):
+        """Ask for advice on a step unless that is under way."""
+        names = [room.worker for room in self._able(step)]
+        self._book.want(step.key, step.job.queue.advice, names, now)
+
+    def _able(self, step):
+        return [
             room
             for room in self._owner.rooms.able(step.step)
             if not room.registration.is_leaving
         ]
-        unfit = self._book.unfit(step.key)
-        # A ticket ages: it is asked for again only where it can be used.
-        demand = step.step.room_demand
-        if not unfit or any(
-            room.worker not in unfit and room.has_room(demand) for room in able
-        ):
-            names = [room.worker for room in able]
-            self._book.want(step.key, policy, names, now)
 
     def ask_ahead(self, now):
         """Ask for the advice on a step while the one before it is about to end."""
--- a/papayapick/pool/decisions.py
+++ b/papayapick/pool/decisions.py
@@ -50,8 +50,10 @@
             if step.job.queue.advice is not None:
                 allowed = self._owner.advising.tickets(step, now)
                 if allowed is None:
-                    if lookahead.takes(step):
-                        self._owner.advising.want(step, now)
+                    # In this order: a step that can't use advice must not keep
+                    # those behind it from being asked about.
+                    if self._owner.advising.is_useful(step) and lookahead.takes(step):
+                        self._owner.advising.ask(step, now)
                     self._note_wait(step, "advice", now)
                     continue
             runs = place_step(step, self._owner.rooms, allowed, self._begin)
--- a/tests/pool/test_overload.py
+++ b/tests/pool/test_overload.py
@@ -89,6 +89,31 @@
     assert not load.owner.advising.is_short
 
 
+def test_steps_that_cannot_use_advice_keep_nobody_from_it():
+    """Twenty urgent steps may run on one worker only, and it is full.
+
+    Their tickets had aged. They were not asked about again, and still took up all the
+    room that advice is asked for: steps behind them waited beside empty workers.
+    """
+    load = Replay(workers=8, length=SECONDS)
+    owner = load.owner
+    asked = []
+    owner.advising._book._ask = lambda key, workers, expected: asked.append(key.job)
+    for _ in range(20):
+        load.hand_in(tasks=4, estimate=SECONDS, queue=ADVISED)
+    full, *others = load.workers
+    for step in owner.book.waiting_steps():
+        owner.advising.want(step, load.now)
+        policy = ADVISED.advice
+        tickets = {full: "t"}
+        owner.advising._book.note_answer(step.key, tickets, policy, load.now - 60)
+    owner.rooms.get(full).processors = 0
+    load.hand_in(tasks=4, estimate=SECONDS, queue=ADVISED)
+    asked.clear()
+    owner.decisions.place(load.now)
+    assert asked == [f"{21:016x}"]
+
+
 def test_queue_is_closed_by_the_rate_at_which_its_jobs_begin():
     load = Replay(workers=1, length=SECONDS)
     for _ in range(400):
