Forget hosts that were silent for ten minutes

Change: the owner removes the row of a host that did not answer its beats for ten minutes, if it has not changed; a host that sees its own row go registers again.

Before: the tests of removal and of registering again fail; after: they pass, with a row that has changed and a host that answers in between kept.

--- a/papayapick/entry/events.py
+++ b/papayapick/entry/events.py
@@ -12,6 +12,8 @@
     "CONFIGURATION_REFUSED",
     "CONFLICT_UNCLEAR",
     "HISTORY_LOST",
+    "HOST_FORGOTTEN",
+    "HOST_KEPT",
     "HOST_REACHED",
     "HOST_UNREACHED",
     "JOB_ACCEPTED",
@@ -113,6 +115,14 @@
     "peer pool silent_seconds",
     "A host that did not answer beats of the owner here answers again.",
 )
+HOST_FORGOTTEN = Event(
+    "host forgotten", "peer", "It was silent for long, and its row was removed."
+)
+HOST_KEPT = Event(
+    "host not forgotten",
+    "peer error",
+    "The row of a silent host has changed, or the store did not take its removal.",
+)
 METRICS_UNSERVED = Event(
     "metrics unserved",
     "port error",
--- a/papayapick/entry/lines.py
+++ b/papayapick/entry/lines.py
@@ -15,6 +15,9 @@
 _GATHER_SECONDS = 0.015
 _NEWS_PER_BEAT = 500
 _ANSWER_SECONDS = 0.6
+# Longer than any restart, and than most cuts between regions; one that lasts longer
+# costs the hosts behind it a registration.
+_FORGET_SECONDS = 600.0
 
 
 class OwnerLines:
@@ -79,6 +82,7 @@
     """
 
     __slots__ = (
+        "_forgotten_at",
         "_host",
         "_missed_since",
         "_lock",
@@ -96,6 +100,7 @@
         self._lock = threading.Lock()
         self._wakeup = threading.Event()
         self._missed_since = None
+        self._forgotten_at = None
 
     @property
     def peer(self):
@@ -163,6 +168,7 @@
 
     def _note_word(self):
         since, self._missed_since = self._missed_since, None
+        self._forgotten_at = None
         if since is not None:
             silent = self._host.clock.monotonic() - since
             HOST_REACHED.write(
@@ -172,8 +178,12 @@
             )
 
     def _note_miss(self, error):
+        now = self._host.clock.monotonic()
         if self._missed_since is None:
-            self._missed_since = self._host.clock.monotonic()
+            self._missed_since = self._forgotten_at = now
             HOST_UNREACHED.write(
                 peer=self._peer.name, pool=self._owner.pool, error=str(error)
             )
+        elif now - self._forgotten_at > _FORGET_SECONDS:
+            self._forgotten_at = now
+            self._host.peers.forget(self._peer)
--- a/papayapick/entry/peers.py
+++ b/papayapick/entry/peers.py
@@ -2,7 +2,10 @@
 
 import threading
 
-from papayapick.entry.events import OWNERSHIP_UNSAID
+from papayapick.clients.exceptions import ConditionFailed, TableUnavailable
+from papayapick.clients.rows import Expectation, RowWrite
+from papayapick.entry.events import HOST_FORGOTTEN, HOST_KEPT, OWNERSHIP_UNSAID
+from papayapick.ownership.pools import CELL_TABLE
 from papayapick.wire import PeerClient
 from papayapick.wire.exceptions import WireError
 from papayapick.wire.messages import (
@@ -30,6 +33,8 @@
     client : PeerClient
     processors : float
         Cores that the host has.
+    version : int
+        Of the row that names it.
     """
 
     __slots__ = (
@@ -43,11 +48,13 @@
         "processors",
         "region",
         "store_age",
+        "version",
         "zone",
     )
 
-    def __init__(self, name, address, zone, region, client, processors=1.0):
+    def __init__(self, name, address, zone, region, client, processors=1.0, version=0):
         self.name = name
+        self.version = version
         self.processors = processors
         self.address = address
         self.zone = zone
@@ -108,12 +115,29 @@
             if row.value is not None:
                 address = (row.value["address"], row.value["port"])
                 if known is not None and known.address == address:
+                    known.version = row.version
                     self._peers[row.key] = known
                     return
                 self._peers[row.key] = self._peer(row, address)
         if known is not None:
             known.client.close()
 
+    def forget(self, peer):
+        """Remove the row of a host that was silent for long.
+
+        Hosts are replaced for good by the dozen a day; each row that stayed had every
+        owner keep a task and try to connect for ever. A host that was only cut off
+        sees that its row is gone, and registers again.
+        """
+        expectation = Expectation(CELL_TABLE, HOSTS_PARTITION, peer.name, peer.version)
+        write = RowWrite(CELL_TABLE, HOSTS_PARTITION, peer.name, None)
+        try:
+            self._host.store.transact([expectation], [write])
+        except (ConditionFailed, TableUnavailable) as error:
+            HOST_KEPT.write(peer=peer.name, error=str(error))
+            return
+        HOST_FORGOTTEN.write(peer=peer.name)
+
     def _peer(self, row, address):
         client = PeerClient(
             address, self._cell_key, self._identity, self._executor, _CONNECT_SECONDS
@@ -125,6 +149,7 @@
             row.value["region"],
             client,
             row.value.get("processors", 1.0),
+            row.version,
         )
 
     def owned_epoch(self, peer, pool):
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -250,6 +250,10 @@
         for row in rows:
             if row.partition == HOSTS_PARTITION:
                 self.peers.note_row(row)
+                is_own = row.key == self.settings.host_name
+                if is_own and row.value is None and not self.is_draining:
+                    # An owner that did not hear this host for long took it for gone.
+                    self.executor.submit(register, self)
                 continue
             found = pool_row(row)
             if found is not None and found.pool in self._candidacies:
--- /dev/null
+++ b/tests/entry/test_lines.py
@@ -0,0 +1,102 @@
+"""An owner's beats to a host that does not answer any more."""
+
+import threading
+from types import SimpleNamespace
+
+import pytest
+
+from papayapick.clients.exceptions import ConditionFailed
+from papayapick.clients.rows import StoredRow
+from papayapick.clock import ManualClock
+from papayapick.entry.lines import _FORGET_SECONDS, OwnerLine
+from papayapick.entry.peers import HOSTS_PARTITION, Peers
+from papayapick.ownership.pools import CELL_TABLE
+from papayapick.wire.exceptions import PeerUnreachable
+
+
+class FakeStore:
+    """Hold the version of one row; record what is removed."""
+
+    def __init__(self, version):
+        self.version = version
+        self.removed = []
+
+    def transact(self, expectations, writes):
+        if expectations[0].version != self.version:
+            raise ConditionFailed([])
+        self.removed += [write.key for write in writes if write.value is None]
+
+
+class FakeClient:
+    """Be connected to nothing, or answer."""
+
+    def __init__(self):
+        self.is_there = False
+
+    def ask(self, payload, seconds):
+        if not self.is_there:
+            raise PeerUnreachable(address=("10.0.0.2", 7720))
+        return SimpleNamespace(store_age_milliseconds=0, epoch=0)
+
+    def close(self):
+        pass
+
+
+@pytest.fixture
+def line():
+    clock = ManualClock()
+    host = SimpleNamespace(
+        clock=clock,
+        store=FakeStore(version=4),
+        settings=SimpleNamespace(host_name="h1"),
+    )
+    host.peers = Peers(host, None, SimpleNamespace(host="h1"), None)
+    value = {"address": "10.0.0.2", "port": 7720, "zone": "z", "region": "r"}
+    host.peers.note_row(StoredRow(CELL_TABLE, HOSTS_PARTITION, "h2", value, 4))
+    (peer,) = host.peers.all()
+    peer.client = FakeClient()
+    owner = SimpleNamespace(
+        pool="pool",
+        row=SimpleNamespace(epoch=1),
+        news=SimpleNamespace(all_states=dict, backlogs=dict),
+        may_lack_records=lambda: False,
+        standing=SimpleNamespace(gives_way=lambda: False),
+        recording=SimpleNamespace(note_told=lambda name, told: None),
+        note_peer=lambda peer, epoch, asked_at: None,
+        lock=threading.RLock(),
+    )
+    return OwnerLine(host, owner, peer)
+
+
+def beats(line, seconds, step=30.0):
+    for _ in range(int(seconds / step)):
+        line._beat()
+        line._host.clock.advance(step)
+
+
+def test_row_of_a_host_that_is_silent_for_long_is_removed(line):
+    """Hosts are replaced for good every day.
+
+    Their rows stayed, and every owner kept a task for each and tried to connect to
+    all of them for ever.
+    """
+    beats(line, _FORGET_SECONDS)
+    assert line._host.store.removed == []
+    beats(line, 90.0)
+    assert line._host.store.removed == ["h2"]
+
+
+def test_row_that_has_changed_is_kept(line):
+    line._host.store.version = 5
+    beats(line, 3 * _FORGET_SECONDS)
+    assert line._host.store.removed == []
+
+
+def test_host_that_answers_in_between_is_kept(line):
+    client = line.peer.client
+    for _ in range(4):
+        beats(line, _FORGET_SECONDS - 60.0)
+        client.is_there = True
+        line._beat()
+        client.is_there = False
+    assert line._host.store.removed == []
--- a/tests/entry/test_processes.py
+++ b/tests/entry/test_processes.py
@@ -321,3 +321,16 @@
     assert cluster.machines.most_away == 1
     assert _submit(others[0], IDS[1], job(tasks=4)) == 200
     wait_for(_completed(others[1], IDS[:2]))
+
+
+def test_host_whose_row_was_removed_registers_again(cluster, cell):
+    """A host is cut off for ten minutes; the owner takes it for gone.
+
+    Its row was removed, and no owner told it anything any more once it was back.
+    """
+    place = ("cell", "hosts", "host-2")
+    wait_for(lambda: place in cluster.rows.rows)
+    cluster.rows.remove(*place)
+    wait_for(lambda: place in cluster.rows.rows)
+    assert _submit(cell.hosts[0], IDS[0], job()) == 200
+    wait_for(_completed(cell.hosts[1], IDS[:1]))
