Keep emptying the machine that is being emptied

Cause, found by reading: the machines of a wave that are next were chosen anew at each look, by what runs on them then. Loads change with each end, so two machines could be taken by turns, and neither would be empty before its time was over.

Change: a machine that is being emptied stays chosen. Before: the new test fails (mutation seen), after: it passes.

--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -186,7 +186,7 @@
         """Return what this host lacks of the largest one, as a share of it."""
         own = self._host.settings.processors
         others = [peer.processors for peer in self._host.peers.all()]
-        return 1 - own / max(own, *others, own)
+        return 1 - own / max([own, *others])
 
     def _try(self, suspected):
         """Take the pool if its owner is still the one that was suspected."""
--- a/papayapick/placement/waves.py
+++ b/papayapick/placement/waves.py
@@ -102,7 +102,7 @@
                 del self.ordered[name]
 
 
-def choose_machines(wave, record, machines, is_own, loads):
+def choose_machines(wave, record, machines, is_own, loads, emptied=()):
     """Return the machines of an owner that are emptied and have their upkeep now.
 
     Parameters
@@ -115,6 +115,8 @@
         Takes a machine; returns whether its upkeep is this owner's part.
     loads : dict of str to int
         For each worker, millicores of what runs there.
+    emptied : container of str
+        Workers that are being emptied already.
 
     Returns
     -------
@@ -132,10 +134,17 @@
         if name in machines and is_own(machines[name]) and name not in record.begun
     ]
     again = [name for name in left if name in record.ordered]
-    # Where the least runs, the least is moved, and it is ready soonest.
+
+    def rank(name):
+        # One that is being emptied stays: loads change with each end, and two machines
+        # taken by turns would never be empty. Else where the least runs, the least is
+        # moved, and it is ready soonest.
+        worker = machines[name].worker
+        return worker not in emptied, loads.get(worker, 0), name
+
     fresh = sorted(
         (name for name in left if name not in record.ordered and machines[name].is_up),
-        key=lambda name: (loads.get(machines[name].worker, 0), name),
+        key=rank,
     )
     away = in_upkeep | set(record.ordered)
     return again + fresh[: max(0, wave.at_once - len(away))]
--- a/papayapick/pool/upkeep.py
+++ b/papayapick/pool/upkeep.py
@@ -131,8 +131,9 @@
         if any(self._is_of_earlier_pool(found, machines, name) for name in machines):
             self._read_records(key, found)
             return
-        loads = self._loads()
-        chosen = choose_machines(wave, record, machines, self._is_own, loads)
+        chosen = choose_machines(
+            wave, record, machines, self._is_own, self._loads(), found.emptied_since
+        )
         self._empty_only(found, {machines[name].worker for name in chosen})
         left = [
             name
--- a/tests/pool/test_upkeep.py
+++ b/tests/pool/test_upkeep.py
@@ -8,7 +8,7 @@
 from papayapick.clients.rows import Page, RowWrite, StoredRow
 from papayapick.jobs import JobDocument, Step
 from papayapick.ledger import Amounts
-from papayapick.placement.waves import Wave
+from papayapick.placement.waves import Wave, WaveRecord, choose_machines
 from papayapick.platform.exceptions import CheckFailed
 from papayapick.platform.machines import Machine, UpkeepOutcome
 from papayapick.pool.upkeep import WAVES_TABLE, Upkeep
@@ -351,3 +351,19 @@
     cell.rows.transact([], [RowWrite(WAVES_TABLE, "a-pool", KEY, record)])
     cell.run(25.0)
     assert cell.is_over
+
+
+def test_machine_that_is_being_emptied_stays_chosen():
+    """What runs changes while a machine is emptied, and another has less to move.
+
+    The other one was taken in its place, and the first took new work again: by turns,
+    neither was ever empty.
+    """
+    machines = {name: Machine(name, "pool", True, "w" + name) for name in ("a", "b")}
+    wave, record = Wave(1, ["a", "b"], 60.0, 1), WaveRecord(0.0)
+
+    def choose(loads, emptied=()):
+        return choose_machines(wave, record, machines, bool, loads, emptied)
+
+    assert choose({"wa": 1000, "wb": 2000}) == ["a"]
+    assert choose({"wa": 1000, "wb": 0}, emptied={"wa"}) == ["a"]
