Acknowledge no ends of a life that is over

A worker that crashes and is back under its id meanwhile numbers its ends anew; the number of the life before was taken for the new one, whose ends were then forgotten by the worker as soon as they were listed, also before they were recorded.

Change: an acknowledgement names the life of the worker; a new life begins under the owner's lock. Before: the new test fails (57 ends acknowledged in the new life); after: it passes.

--- a/papayapick/pool/journal.py
+++ b/papayapick/pool/journal.py
@@ -132,7 +132,7 @@
             # Ends whose jobs are in a later batch must not be acknowledged yet.
             is_all = not owner.book.changed
             ends = [
-                (link, link.processed)
+                (link, link.processed, link.born)
                 for link in owner.links()
                 if is_all and link.processed > link.acknowledged
             ]
@@ -158,8 +158,8 @@
                     owner.book.news.add(job.identifier)
                     if not is_told:
                         self._note_ended(job, status)
-            for link, number in ends:
-                link.acknowledge(number)
+            for link, number, born in ends:
+                link.acknowledge(number, born)
         owner.wake()
         return True
 
--- a/papayapick/pool/links.py
+++ b/papayapick/pool/links.py
@@ -120,10 +120,26 @@
         self.lapse_at = max(self.lapse_at, lapse)
         return end
 
-    def acknowledge(self, number):
-        """Let the worker forget ends up to a number: their record is durable."""
-        self.acknowledged = max(self.acknowledged, number)
-        self._acknowledgement.set()
+    def acknowledge(self, number, born):
+        """Let the worker forget ends up to a number: their record is durable.
+
+        Parameters
+        ----------
+        number : int
+        born : int or None
+            Life of the worker whose ends were recorded. Ends are numbered anew in each
+            life: an acknowledgement of the life before, whose record took longer than
+            the worker's restart, would have the ends of the new one forgotten before
+            they are recorded, and their tasks run again after a takeover.
+        """
+        if born == self.born:
+            self.acknowledged = max(self.acknowledged, number)
+            self._acknowledgement.set()
+
+    def begin_life(self, born):
+        """Count the ends of a new life; the caller holds the owner's lock."""
+        self.born = born
+        self.acknowledged = self.processed = 0
 
     def stop(self):
         """End the task that asks the worker, after its present call."""
@@ -174,8 +190,7 @@
         if self.born is not None and report.born != self.born:
             # It crashed and started again under its id: nothing of before runs,
             # and its ends are numbered anew.
-            self._listener.note_rebirth(self)
-            self.acknowledged = self.processed = 0
+            self._listener.note_rebirth(self, report.born)
         self.born = report.born
         self._note_word()
         self._listener.note_report(self, report, asked_at)
@@ -216,7 +231,7 @@
             self._listener.note_fenced(self)
         elif status == _OTHER_LIFE:
             # Another worker answers at its address: this life is over.
-            self._listener.note_rebirth(self)
+            self._listener.note_rebirth(self, None)
             self._note_silence()
             return
         else:
--- a/papayapick/pool/lists.py
+++ b/papayapick/pool/lists.py
@@ -95,10 +95,11 @@
         self._owner.standing.doubt()
         self._owner.host.look_at_owner(self._owner)
 
-    def note_rebirth(self, link):
-        """Take note that all that ran on a worker is gone."""
+    def note_rebirth(self, link, born):
+        """Take note that all that ran on a worker is gone, and of its new life."""
         with self._owner.lock:
             self.lose_runs(link, "began anew")
+            link.begin_life(born)
         self._owner.wake()
 
     def open_or_close(self, link):
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -216,7 +216,7 @@
         link = self.owner.links_by_worker[worker.name]
         link._worker_clock = 50.0
         self.owner.lists.note_report(link, worker.report(self._length_of), self.now)
-        link.acknowledge(link.processed)
+        link.acknowledge(link.processed, link.born)
 
     def _carry_out(self):
         orders = self.owner.orders
--- a/tests/pool/test_journal.py
+++ b/tests/pool/test_journal.py
@@ -59,8 +59,9 @@
 class Link:
     def __init__(self):
         self.processed = self.acknowledged = 0
+        self.born = None
 
-    def acknowledge(self, number):
+    def acknowledge(self, number, born):
         self.acknowledged = number
 
 
--- a/tests/pool/test_links.py
+++ b/tests/pool/test_links.py
@@ -51,7 +51,8 @@
     def note_silence(self, link):
         self.events.append("silence")
 
-    def note_rebirth(self, link):
+    def note_rebirth(self, link, born):
+        link.begin_life(born)
         self.events.append("rebirth")
 
     def note_fenced(self, link):
@@ -152,3 +153,24 @@
     link.client.answers = [CheckFailed(address="w1", status=status)]
     _run(link, 1)
     assert event in link._listener.events
+
+
+def test_acknowledgement_of_the_life_before_reaches_no_later_one():
+    """A worker crashes and is back under its id while a commit is on its way.
+
+    The commit acknowledged 57 ends of the life before. Taken for the new one, whose
+    ends are numbered from 1, the worker forgot each end as soon as it had listed it;
+    while the store was away none of them was recorded, and after a power loss of all
+    hosts tasks that were done ran again.
+    """
+    clock = ManualClock()
+    registration = Registration("w1", "pool", "a:1", "z", Amounts(4000, 4096))
+    link = WorkerLink(registration, Client(clock), 1, clock, Listener())
+    link.begin_life(1)
+    link.processed = 57
+    number, born = link.processed, link.born
+    link.begin_life(2)
+    link.acknowledge(number, born)
+    assert (link.processed, link.acknowledged) == (0, 0)
+    link.acknowledge(3, 2)
+    assert link.acknowledged == 3
