--- a/papayapick/pool/journal.py
+++ b/papayapick/pool/journal.py
@@ -143,8 +143,6 @@
                 owner.book.changed.update(job.identifier for job in changed)
                 owner.decisions.put_back_unsent(starts)
                 owner.roster.put_back(roster)
-                owner.news.tell_completed(changed)
-            owner.wake()
             owner.pause(_RETRY_SECONDS)
             return True
         # A start is ordered only now: whoever takes over knows where each task may
--- a/papayapick/pool/news.py
+++ b/papayapick/pool/news.py
@@ -30,12 +30,12 @@
         with self._owner.lock:
             news, self._owner.book.news = self._owner.book.news, set()
             jobs = [self._owner.book.get(identifier) for identifier in news]
-            return {job.identifier: self._shown(job) for job in jobs if job is not None}
+            return {job.identifier: _shown(job) for job in jobs if job is not None}
 
     def all_states(self):
         """Return what callers may be told of each job."""
         with self._owner.lock:
-            return {job.identifier: self._shown(job) for job in self._owner.book.jobs()}
+            return {job.identifier: _shown(job) for job in self._owner.book.jobs()}
 
     def backlogs(self):
         """Return what is to be told of each queue with jobs that have not begun.
@@ -58,29 +58,14 @@
             backlog.waiting = counts[queue]
         return found
 
-    def tell_completed(self, jobs):
-        """Tell callers of jobs that are completed, and whose record was not taken.
 
-        Parameters
-        ----------
-        jobs : list of JobState
-        """
-        if self._owner.recording.is_announced:
-            self._owner.book.news.update(
-                job.identifier for job in jobs if job.status == JobStatus.COMPLETED
-            )
-
-    def _shown(self, job):
-        """Return the status that callers may be told.
-
-        A final one once it is stored; a completed one also while the store takes no
-        records. Callers waited for their answer until the store was back, up to 4.9 s,
-        though all tasks were done. What says so lasts without the store: the ends stand
-        in the workers' lists until they are acknowledged, and each host keeps what it
-        was told, also for the case that it is the next owner (``Sources``).
-        """
-        if job.status not in JobStatus.FINAL or job.durable_status == job.status:
-            return job.status
-        if job.status == JobStatus.COMPLETED and self._owner.recording.is_announced:
-            return job.status
+def _shown(job):
+    """Return the status that callers may be told: a final one once it is stored.
+
+    Told before, while the store was away, a completed job ran again: all hosts lost
+    power in the outage, and the worker that had listed the end was replaced, so that
+    nobody knew of it any more. Callers wait until the store is back instead.
+    """
+    if job.status in JobStatus.FINAL and job.durable_status != job.status:
         return JobStatus.RUNNING
+    return job.status
--- a/papayapick/pool/sources.py
+++ b/papayapick/pool/sources.py
@@ -127,12 +127,6 @@
             RECORD_REFUSED.write_failure(request_id=row.key)
             self._owner.book.forget(row.key)
             return
-        told = self._owner.host.board.state(row.key)
-        if told == JobStatus.COMPLETED and not job.is_final:
-            # Its owner of before has told callers so while the store was away, and
-            # this host heard it. Should the worker that listed an end be gone too,
-            # the task must not run again.
-            self._owner.book.finish(job, JobStatus.COMPLETED, now)
         if not job.is_final:
             self._note_taken(job)
         self._owner.advising.want_first(job, now)
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -6,7 +6,6 @@
 
 from papayapick.clients.rows import StoredRow
 from papayapick.clock import ManualClock
-from papayapick.entry.board import StateBoard
 from papayapick.jobs import JobDocument, Queue, Step
 from papayapick.ledger import Amounts
 from papayapick.ownership.pools import PoolRow
@@ -45,7 +44,6 @@
         self.stopping = threading.Event()
         self.executor = NoThreads()
         self.rows = {}
-        self.board = StateBoard()
         self.lost_since = None
         self.live_peers = []
 
--- a/tests/pool/test_journal.py
+++ b/tests/pool/test_journal.py
@@ -69,8 +69,6 @@
     """Hold what the journal asks of an owner."""
 
     def __init__(self, store):
-        self.told = []
-        self.news = self
         self.lock = threading.RLock()
         self.book = JobBook()
         self.link = Link()
@@ -83,9 +81,6 @@
         self.unsent = []
         self.is_lost = self.is_stopped = False
 
-    def tell_completed(self, jobs):
-        self.told += [job.identifier for job in jobs]
-
     def links(self):
         return [self.link]
 
