Tell what a waiting step waits for as long as it waits

Change: four reasons, told again every two seconds, with the workers that are advised, those known unfit and the seconds since the question; a line for a question that counts as lost. No decision changes.

--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -96,6 +96,7 @@
         "step",
         "tasks",
         "told_wait",
+        "told_wait_at",
         "usual_seconds",
         "waiting",
     )
@@ -111,8 +112,9 @@
         self.ready_at = 0.0
         # When others were last stopped for its sake.
         self.preempted_at = float("-inf")
-        # What its wait was last logged to be for; empty for nothing.
-        self.told_wait = ""
+        # What its wait was last logged to be for, and when; None for nothing.
+        self.told_wait = None
+        self.told_wait_at = 0.0
         # What a run of it took that ended as done: the longest, and the last few.
         self.usual_seconds = 0.0
         self.done_seconds = []
--- a/papayapick/pool/advice.py
+++ b/papayapick/pool/advice.py
@@ -1,6 +1,6 @@
 """Keep advice on which workers may run a step, asked ahead of need."""
 
-__all__ = ["AdviceBook"]
+__all__ = ["AdviceBook", "AdviceStatus"]
 
 # A ticket is used only if it is valid so much longer: an order over the link
 # between regions takes up to 50 ms, and may wait for a thread.
@@ -32,6 +32,28 @@
         self.valid_until = 0.0
 
 
+class AdviceStatus:
+    """Tell how far the advice on a step is.
+
+    Parameters
+    ----------
+    advised, unfit : int
+        Workers with a valid ticket, and those that may not run the step.
+    asked_seconds : float or None
+        Since the question under way was asked; None where there is none.
+    is_lost : bool
+        The question had no answer for longer than it can take.
+    """
+
+    __slots__ = ("advised", "asked_seconds", "is_lost", "unfit")
+
+    def __init__(self, advised=0, unfit=0, asked_seconds=None, is_lost=False):
+        self.advised = advised
+        self.unfit = unfit
+        self.asked_seconds = asked_seconds
+        self.is_lost = is_lost
+
+
 class AdviceBook:
     """Hold advice by step; its caller holds the owner's lock.
 
@@ -74,6 +96,18 @@
         advice = self._by_step.get(key)
         return advice.unfit if advice is not None else frozenset()
 
+    def status(self, key, now):
+        """Return an AdviceStatus of a step."""
+        advice = self._by_step.get(key)
+        if advice is None:
+            return AdviceStatus()
+        return AdviceStatus(
+            advised=0 if now > advice.valid_until else len(advice.tickets),
+            unfit=len(advice.unfit),
+            asked_seconds=now - advice.asked_at if advice.asked else None,
+            is_lost=bool(advice.asked) and now >= advice.lost_at,
+        )
+
     def want(self, key, policy, candidates, now):
         """Ask for advice on a step unless that is under way.
 
--- a/papayapick/pool/advising.py
+++ b/papayapick/pool/advising.py
@@ -1,7 +1,7 @@
 """Ask for advice on steps, ahead of need, through the hosts that have time."""
 
 from papayapick.pool.advice import AdviceBook
-from papayapick.pool.events import NO_ADVICE
+from papayapick.pool.events import ADVICE_LOST, NO_ADVICE
 
 __all__ = ["Advising"]
 
@@ -70,8 +70,20 @@
             for room in self._able(step)
         )
 
+    def status(self, step, now):
+        """Return how far the advice on a step is."""
+        return self._book.status(step.key, now)
+
     def ask(self, step, now):
         """Ask for advice on a step unless that is under way."""
+        status = self.status(step, now)
+        if status.is_lost:
+            ADVICE_LOST.write(
+                request_id=step.key.job,
+                occurrence=step.key.occurrence,
+                step=step.key.step,
+                asked_seconds=round(status.asked_seconds, 3),
+            )
         names = [room.worker for room in self._able(step)]
         self._book.want(step.key, step.job.queue.advice, names, now)
 
--- a/papayapick/pool/decisions.py
+++ b/papayapick/pool/decisions.py
@@ -1,5 +1,7 @@
 """Decide what starts where, what is copied, and what makes room."""
 
+import enum
+
 from papayapick.jobs.state import JobStatus
 from papayapick.placement.backlog import BacklogGauge
 from papayapick.placement.copies import stragglers
@@ -16,11 +18,25 @@
 from papayapick.pool.orders import Start
 from papayapick.pool.reports import run_fields
 
-__all__ = ["Decisions"]
+__all__ = ["Decisions", "WaitReason"]
 
 
 # Advice and room are found within this time as a rule; a longer wait is worth a line.
 _TOLD_WAIT_SECONDS = 0.5
+# A log that reaches back some seconds only must still show what a step waits for.
+_TELL_AGAIN_SECONDS = 2.0
+
+
+class WaitReason(enum.Enum):
+    """Tell what a ready step waits for."""
+
+    # Advice was asked for.
+    ADVICE = "advice"
+    # Steps before it use up the room for which advice is asked.
+    TURN = "turn"
+    # No worker that may run it has room: advice would age unused.
+    NO_FIT = "no-fit"
+    ROOM = "room"
 
 
 class Decisions:
@@ -50,11 +66,7 @@
             if step.job.queue.advice is not None:
                 allowed = self._owner.advising.tickets(step, now)
                 if allowed is None:
-                    # In this order: a step that can't use advice must not keep
-                    # those behind it from being asked about.
-                    if self._owner.advising.is_useful(step) and lookahead.takes(step):
-                        self._owner.advising.ask(step, now)
-                    self._note_wait(step, "advice", now)
+                    self._note_wait(step, self._ask(step, lookahead, now), now)
                     continue
             runs = place_step(step, self._owner.rooms, allowed, self._begin)
             for run in runs:
@@ -68,15 +80,28 @@
             if runs:
                 self._note_placed(step, runs, now)
             if step.waiting:
-                self._note_wait(step, "room", now)
+                self._note_wait(step, WaitReason.ROOM, now)
         self._owner.advising.is_short = lookahead.is_used_up
         if self._unsent and self._owner.recording.may_send(
             self._owner.host.peers.all()
         ):
             self.send_starts(self.take_unsent())
 
+    def _ask(self, step, lookahead, now):
+        """Ask for advice on a step if it is its turn; return what it waits for.
+
+        In this order: a step that can't use advice must not keep those behind it from
+        being asked about.
+        """
+        if not self._owner.advising.is_useful(step):
+            return WaitReason.NO_FIT
+        if not lookahead.takes(step):
+            return WaitReason.TURN
+        self._owner.advising.ask(step, now)
+        return WaitReason.ADVICE
+
     def _note_placed(self, step, runs, now):
-        step.told_wait = ""
+        step.told_wait = None
         STEP_PLACED.write(
             request_id=step.key.job,
             occurrence=step.key.occurrence,
@@ -90,20 +115,28 @@
         )
 
     def _note_wait(self, step, reason, now):
-        """Tell once what a step waits for, when it has waited long."""
+        """Tell what a step waits for, when it has waited long."""
         waited = now - step.ready_at
-        if waited < _TOLD_WAIT_SECONDS or step.told_wait == reason:
+        is_told = (
+            step.told_wait == reason and now < step.told_wait_at + _TELL_AGAIN_SECONDS
+        )
+        if waited < _TOLD_WAIT_SECONDS or is_told:
             return
-        step.told_wait = reason
+        step.told_wait, step.told_wait_at = reason, now
+        status = self._owner.advising.status(step, now)
+        asked = status.asked_seconds
         STEP_WAITS.write(
             request_id=step.key.job,
             occurrence=step.key.occurrence,
             step=step.key.step,
             tasks=len(step.waiting),
-            reason=reason,
+            reason=reason.value,
             waited_seconds=round(waited, 3),
             open_workers=sum(room.is_open for room in self._owner.rooms),
             able_workers=len(self._owner.rooms.able(step.step)),
+            advised_workers=status.advised,
+            unfit_workers=status.unfit,
+            asked_seconds=None if asked is None else round(asked, 3),
         )
 
     def _begin(self, step, index, worker, attempt):
--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -5,6 +5,7 @@
 from papayapick.observability.events import Event
 
 __all__ = [
+    "ADVICE_LOST",
     "COMMIT_PUT_OFF",
     "COPY_STARTED",
     "JOB_ENDED",
@@ -117,8 +118,11 @@
 )
 STEP_WAITS = Event(
     "step waits",
-    "request_id occurrence step tasks reason waited_seconds open_workers able_workers",
-    "A ready step was not placed whole. Reasons: advice, room.",
+    "request_id occurrence step tasks reason waited_seconds open_workers able_workers "
+    "advised_workers unfit_workers asked_seconds",
+    "A ready step was not placed whole; told again every two seconds. Reasons: advice "
+    "(it was asked for), turn (others come first to be asked about), no-fit (no worker "
+    "that may run it has room), room. Seconds since advice was last asked for.",
 )
 COPY_STARTED = Event(
     "second copy",
@@ -235,6 +239,11 @@
 RENEWAL_REFUSED = Event(
     "renewal refused", "worker status", "A worker answered a renewal with an error."
 )
+ADVICE_LOST = Event(
+    "advice lost",
+    "request_id occurrence step asked_seconds",
+    "A question had no answer for longer than it can take; it is asked again.",
+)
 NO_ADVICE = Event(
     "no advice",
     "request_id occurrence step workers error",
