Ask for urgent advice before patient advice that waits

An urgent step waited behind questions of up to a second each that large jobs, or steps that do not wait yet, had asked before it.

Cause: questions were given out in the order in which they were asked.

Change: a question has a time by which it is due: 0.5 s later for each lower priority, and 1 s later for a step that does not wait yet. A bound and no rank: a rank would keep lasting tasks from advice as long as urgent jobs come.

Tests in tests/entry/test_advisers.py: fails before (no order), passes after.

--- a/papayapick/entry/advisers.py
+++ b/papayapick/entry/advisers.py
@@ -44,13 +44,13 @@
 
     __slots__ = ("answer", "asked_at", "due", "expected", "key", "workers")
 
-    def __init__(self, key, workers, expected, asked_at):
+    def __init__(self, key, workers, expected, asked_at, delay):
         self.key = key
         self.workers = workers
         self.expected = expected
         self.asked_at = asked_at
         # The least is given out first.
-        self.due = asked_at
+        self.due = asked_at + delay
         self.answer = Future()
 
     def __lt__(self, other):
@@ -81,7 +81,7 @@
         # A heap.
         self._waiting = []
 
-    def ask(self, key, workers, expected):
+    def ask(self, key, workers, expected, delay=0.0):
         """Ask for advice through the host that has least to ask.
 
         Parameters
@@ -90,6 +90,9 @@
         workers : list of str
         expected : float
             Seconds that the call takes.
+        delay : float
+            Seconds by which others may be asked later and still go first. A bound and
+            no rank: however many urgent ones come, a patient one has its turn.
 
         Returns
         -------
@@ -97,7 +100,7 @@
             Gives the ticket by worker.
         """
         now = self._host.clock.monotonic()
-        question = _Question(key, workers, expected, now)
+        question = _Question(key, workers, expected, now, delay)
         with self._lock:
             self._replace(question)
             heapq.heappush(self._waiting, question)
--- a/papayapick/pool/advising.py
+++ b/papayapick/pool/advising.py
@@ -7,6 +7,11 @@
 
 # An order is sent and carried out within this time of the decision.
 _AHEAD_SECONDS = 0.3
+# A question on a step of the next lower priority lets others go first for so long, and
+# one on a step that does not wait yet for so much longer: an urgent step would wait
+# behind questions of a second each, and a patient one has its turn all the same.
+_PRIORITY_SECONDS = 0.5
+_ASKED_AHEAD_SECONDS = 1.0
 # Less progress than this share tells nothing of how long a run takes.
 _LEAST_PROGRESS = 0.05
 
@@ -125,7 +130,8 @@
         return max((_run_rest_seconds(step, run, now) for run in runs), default=0.0)
 
     def _ask(self, key, workers, expected):
-        future = self._owner.host.advice.ask(key, workers, expected)
+        delay = _delay_seconds(self._owner.book.step_of(key))
+        future = self._owner.host.advice.ask(key, workers, expected, delay)
         future.add_done_callback(lambda done: self._note(key, len(workers), done))
 
     def _note(self, key, workers, done):
@@ -148,6 +154,12 @@
         self._owner.wake()
 
 
+def _delay_seconds(step):
+    """Return by how much later other questions may go before one on a step."""
+    patience = step.job.queue.priority * _PRIORITY_SECONDS
+    return patience if step.waiting else patience + _ASKED_AHEAD_SECONDS
+
+
 def _run_rest_seconds(step, run, now):
     """Return how long a run may still take.
 
--- a/tests/entry/test_advisers.py
+++ b/tests/entry/test_advisers.py
@@ -96,3 +96,69 @@
     with pytest.raises(ValueError, match="no advice"):
         desk.ask(KEY, ["w1"], 0.1).result(1)
     assert peer.asked == 1
+
+
+class Turns:
+    """Ask one question at a time, and end it when the test says so."""
+
+    def __init__(self):
+        self.asked = []
+        self._answers = []
+
+    def ask(self, step_name, workers, expected_seconds):
+        self.asked.append(step_name)
+        self._answers.append(Future())
+        return self._answers[-1]
+
+    def end_one(self):
+        self._answers.pop(0).set_result({})
+
+
+def key_of(number):
+    return StepKey(f"{number:016x}", 0, 0)
+
+
+def alone():
+    """Return a desk without other hosts, and who asks for it."""
+    host = Host()
+    desk = AdviceDesk(host, pool=None)
+    desk._adviser = Turns()
+    return host, desk, desk._adviser
+
+
+def test_urgent_question_goes_before_patient_ones_that_wait():
+    """An urgent step waited for seconds behind questions of a second each.
+
+    A burst of large jobs had asked first. What is urgent is asked next, and what is
+    patient not later than its own delay says, however many urgent ones come.
+    """
+    host, desk, turns = alone()
+    for number in range(3):
+        desk.ask(key_of(number), ["w1"], 1.0, delay=1.0)
+    host.clock.advance(0.1)
+    desk.ask(key_of(9), ["w1"], 0.05)
+    for _ in range(2):
+        turns.end_one()
+    assert turns.asked[1] == str(key_of(9))
+    host.clock.advance(1.0)
+    desk.ask(key_of(8), ["w1"], 0.05)
+    turns.end_one()
+    assert str(key_of(8)) not in turns.asked
+
+
+def test_question_that_is_asked_again_keeps_its_place():
+    host, desk, turns = alone()
+    for number in range(4):
+        desk.ask(key_of(number), ["w1"], 1.0)
+        host.clock.advance(0.1)
+    desk.ask(key_of(1), ["w1", "w2"], 1.0)
+    for _ in range(3):
+        turns.end_one()
+    assert turns.asked == [str(key_of(number)) for number in range(4)]
+
+
+def test_short_questions_follow_each_other_without_a_pause():
+    _, desk, turns = alone()
+    for number in range(6):
+        desk.ask(key_of(number), ["w1"], 0.04)
+    assert len(turns.asked) == 4
