Judge workers by the question that they were named in

A task waited beside workers that may run its step: they were taken for unfit, and never asked about again under that owner.

Cause: an answer was compared with the workers of the newest question.

Change: an answer is compared with the workers of its own question, and ends only that. Tests in tests/pool/test_advice.py: fail before (the answer has no question), pass after.

--- a/papayapick/pool/advice.py
+++ b/papayapick/pool/advice.py
@@ -31,6 +31,11 @@
         self.tickets = {}
         self.valid_until = 0.0
 
+    def end_question(self, asked):
+        """Note that the question on some workers is over, if it is the newest."""
+        if asked == self.asked:
+            self.asked = ()
+
 
 class AdviceStatus:
     """Tell how far the advice on a step is.
@@ -134,21 +139,35 @@
         advice.lost_at = now + _LOST_FACTOR * expected + _LOST_SECONDS
         self._ask(key, candidates, expected)
 
-    def note_answer(self, key, tickets, policy, now):
-        """Keep the tickets that an answer has brought."""
+    def note_answer(self, key, tickets, policy, now, asked=None):
+        """Keep the tickets that an answer has brought.
+
+        Parameters
+        ----------
+        key : StepKey
+        tickets : dict of str to str
+            By worker.
+        policy : AdvicePolicy
+        now : float
+        asked : list of str, optional
+            Workers of the question; those of the newest one where left out. An answer
+            to an older one, which counted as lost, says nothing of the others: they
+            would be taken for unfit and never asked about again.
+        """
         advice = self._by_step.get(key)
         if advice is None:
             return
-        advice.unfit.update(one for one in advice.asked if one not in tickets)
-        advice.asked = ()
+        asked = advice.asked if asked is None else asked
+        advice.unfit.update(one for one in asked if one not in tickets)
+        advice.end_question(asked)
         advice.tickets = tickets
         advice.valid_until = now + policy.valid_seconds - _TICKET_SLACK_SECONDS
 
-    def note_failure(self, key):
-        """Let the step be asked for again."""
+    def note_failure(self, key, asked=None):
+        """Let the step be asked for again; see ``note_answer``."""
         advice = self._by_step.get(key)
         if advice is not None:
-            advice.asked = ()
+            advice.end_question(advice.asked if asked is None else asked)
 
     def drop_ticket(self, key, worker):
         """Forget a ticket that its worker refused."""
--- a/papayapick/pool/advising.py
+++ b/papayapick/pool/advising.py
@@ -132,7 +132,7 @@
     def _ask(self, key, workers, expected):
         delay = _delay_seconds(self._owner.book.step_of(key))
         future = self._owner.host.advice.ask(key, workers, expected, delay)
-        future.add_done_callback(lambda done: self._note(key, len(workers), done))
+        future.add_done_callback(lambda done: self._note(key, workers, done))
 
     def _note(self, key, workers, done):
         error = done.exception()
@@ -143,14 +143,14 @@
                     request_id=key.job,
                     occurrence=key.occurrence,
                     step=key.step,
-                    workers=workers,
+                    workers=len(workers),
                     error=str(error),
                 )
-                self._book.note_failure(key)
+                self._book.note_failure(key, workers)
             elif step is not None:
                 now = self._owner.now()
                 policy = step.job.queue.advice
-                self._book.note_answer(key, done.result(), policy, now)
+                self._book.note_answer(key, done.result(), policy, now, workers)
         self._owner.wake()
 
 
--- a/tests/pool/test_advice.py
+++ b/tests/pool/test_advice.py
@@ -82,3 +82,31 @@
     book.note_answer(KEY, {"w1": "t1", "w2": "t2"}, POLICY, 10.6)
     book.drop_ticket(KEY, "w1")
     assert book.tickets(KEY, POLICY, 11.0) == {"w2": "t2"}
+
+
+def test_late_answer_tells_nothing_of_workers_it_was_not_asked_about(book, asked):
+    """A step's task waits beside a worker that may run it.
+
+    A question counted as lost, and another one asked about more workers. Then the
+    answer to the first arrived: those that it did not name were taken for unfit, also
+    the ones it was not asked about, and never asked about again.
+    """
+    first, second = ["w1", "w2"], ["w1", "w2", "w3"]
+    book.want(KEY, POLICY, first, 10.0)
+    book.want(KEY, POLICY, second, 20.0)
+    book.note_answer(KEY, {"w1": "t1"}, POLICY, 20.1, asked=first)
+    assert book.unfit(KEY) == {"w2"}
+    # The second question is still under way.
+    book.want(KEY, POLICY, second, 20.5)
+    assert len(asked.calls) == 2
+    book.note_answer(KEY, {"w1": "t1", "w3": "t3"}, POLICY, 20.6, asked=second)
+    assert book.tickets(KEY, POLICY, 20.7) == {"w1": "t1", "w3": "t3"}
+
+
+def test_late_failure_does_not_end_the_newer_question(book, asked):
+    first, second = ["w1"], ["w1", "w2"]
+    book.want(KEY, POLICY, first, 10.0)
+    book.want(KEY, POLICY, second, 20.0)
+    book.note_failure(KEY, asked=first)
+    book.want(KEY, POLICY, second, 20.5)
+    assert len(asked.calls) == 2
