Do not learn a step's usual time from runs that were taken over

A run that was half done at a takeover, or went on from saved progress, seemed to have taken no time, and sound runs of its step that were started since then were judged slow, stopped and moved: work thrown away, and their workers used last.

Change: the usual time of a step is taken from runs that this owner started from nothing. Test in tests/pool/test_takeover_progress.py: two sound runs are judged slow before, none after. Ruled out for stalled runs and second copies: these compare with the last change of progress, and with the longest run, which an overly short one does not shorten.

--- a/papayapick/jobs/ends.py
+++ b/papayapick/jobs/ends.py
@@ -68,7 +68,10 @@
             task.checkpoint = checkpoint
         if outcome == _DONE and not step.step.is_lasting:
             for run in ended:
-                step.note_done_run(now - run.since)
+                # One that was taken over, or went on from saved progress, took longer
+                # than this owner saw: sound runs beside it would seem slow.
+                if not run.is_resumed:
+                    step.note_done_run(now - run.since)
             self._note_done(step, key.index, now)
             return
         if outcome == _FAILED:
