Let jobs count from their acceptance after a takeover

It took all jobs for handed in at the takeover. Those that were too late for their callers seemed fresh and went before jobs that could still be done in time, takeover after takeover.

Change: jobs read at a takeover count from the time at which they were accepted; what comes by the feed counts from now, as before, since the clock of the accepting host may differ, and a clock that is ahead makes no job younger than the takeover. Tests in tests/pool/test_takeover_progress.py: a job of twenty seconds is in time before, overdue after.

--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -70,7 +70,7 @@
         """Return the ready steps that have a task to start, as a list."""
         return list(self._open_steps.values())
 
-    def add(self, document, queue, now, record=None):
+    def add(self, document, queue, now, record=None, age=0.0):
         """Add a job that was accepted.
 
         Parameters
@@ -81,6 +81,8 @@
             Monotonic seconds.
         record : dict, optional
             Its progress under an earlier owner.
+        age : float, optional
+            Seconds since it was accepted.
 
         Returns
         -------
@@ -89,7 +91,7 @@
         job = self._jobs.get(document.identifier)
         if job is not None:
             return job
-        job = JobState(document, queue, now)
+        job = JobState(document, queue, now - age)
         self._jobs[document.identifier] = job
         if record is not None:
             restore_progress(job, record)
--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -145,7 +145,8 @@
     document : JobDocument
     queue : Queue
     arrived : float
-        Monotonic seconds at which its owner learned of it.
+        Monotonic seconds at which its owner learned of it, or at which it was accepted
+        under an earlier owner.
 
     Attributes
     ----------
--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -155,7 +155,8 @@
 JOB_ENDED = Event(
     "job ended",
     "request_id status seconds deciding_step deciding_task deciding_worker epoch",
-    "A final state; seconds since the owner took the job in.",
+    "A final state; seconds since the owner took the job in, or since it was accepted "
+    "under an earlier one.",
     per_second=60,
 )
 
--- a/papayapick/pool/sources.py
+++ b/papayapick/pool/sources.py
@@ -65,7 +65,7 @@
         records = {row.key: row.value or {} for row in progress}
         self._owner.journal.resume(progress)
         with self._owner.lock:
-            self._take_jobs(jobs, records)
+            self._take_jobs(jobs, records, self._owner.host.clock.time())
             for row in workers:
                 self._take_registration(row)
             for registration in self._owner.roster.restore(progress):
@@ -103,7 +103,20 @@
             self._owner.orders.stop_unneeded()
         self._owner.wake()
 
-    def _take_jobs(self, rows, records):
+    def _take_jobs(self, rows, records, taken_over_at=None):
+        """Take in jobs and cancellations.
+
+        Parameters
+        ----------
+        rows : list of StoredRow
+        records : dict of str to dict
+            Progress by job.
+        taken_over_at : float, optional
+            Unix seconds. What was there at a takeover counts from its acceptance: else
+            jobs that nobody has a use for any more would seem fresh after each takeover
+            and keep others waiting. What comes by the feed counts from now, as the
+            clock of the host that accepted it may differ.
+        """
         now = self._owner.now()
         cancelled = []
         for row in rows:
@@ -112,15 +125,18 @@
             if row.key.endswith(CANCEL_SUFFIX):
                 cancelled.append(row.key.removesuffix(CANCEL_SUFFIX))
             elif row.key not in self._owner.book:
-                self._take_job(row, records.get(row.key), now)
+                self._take_job(row, records.get(row.key), now, taken_over_at)
         for identifier in cancelled:
             self._owner.book.cancel(identifier, now)
 
-    def _take_job(self, row, record, now):
+    def _take_job(self, row, record, now, taken_over_at):
         try:
             document = _document(row.value, record)
             queue = self._owner.host.queue_of(document)
-            job = self._owner.book.add(document, queue, now, record)
+            age = 0.0
+            if taken_over_at is not None:
+                age = max(0.0, taken_over_at - document.accepted_at)
+            job = self._owner.book.add(document, queue, now, record, age)
         except (KeyError, TypeError, ValueError, IndexError):
             # One record that can't be read must not stop all other jobs, on each
             # host in turn; this job stays as it is until somebody mends it.
--- a/tests/pool/test_takeover_progress.py
+++ b/tests/pool/test_takeover_progress.py
@@ -2,6 +2,7 @@
 
 from papayapick.jobs import TaskKey
 from papayapick.placement.progress import compare_runs
+from papayapick.placement.timeliness import Timeliness, latest_start
 from tests.pool.owners import (
     ID,
     host_with_two_workers,
@@ -39,3 +40,29 @@
     slow, _ = compare_runs(owner.book.step_of(keys[2]))
     assert len(started) == 2
     assert slow == []
+
+
+def test_job_that_was_late_before_a_takeover_is_late_after_it():
+    """After each takeover, old jobs went before those that could still be in time.
+
+    A new owner took all jobs for handed in just then, so that those that nobody had a
+    use for any more kept fresh ones waiting, takeover after takeover.
+    """
+    host = host_with_two_workers()
+    host.clock.advance(60.0)
+    document = job(estimate_seconds=1.0)
+    document.accepted_at = host.clock.time() - 20.0
+    store_job(host, document)
+    owner = owner_of(host)
+    (step,) = owner.book.waiting_steps()
+    found, _ = latest_start(step, host.clock.monotonic())
+    assert found == Timeliness.OVERDUE
+
+
+def test_job_that_a_clock_ahead_accepted_counts_from_the_takeover():
+    host = host_with_two_workers()
+    document = job(estimate_seconds=1.0)
+    document.accepted_at = host.clock.time() + 20.0
+    store_job(host, document)
+    owner = owner_of(host)
+    assert owner.book.get(ID).arrived == host.clock.monotonic()
