Do not ask for advice that nobody needs any more

Hosts went on asking for an owner that had been replaced, and on jobs that were cancelled meanwhile, before those that somebody waits for: questions that wait at the desk stayed there until their turn.

Change: a question is left out at its turn if its owner has stopped, or its job or step is over, and its step may be asked about again at once. Questions are given out as a task of their own: the reader of one host's answers was held up for 0.4 s by a connection to another host that is cut off. Test in tests/entry/test_advisers.py: fails before (all are asked), passes after.

--- a/papayapick/entry/advisers.py
+++ b/papayapick/entry/advisers.py
@@ -7,6 +7,7 @@
 from papayapick.entry.events import ADVICE_MOVED
 from papayapick.entry.metrics import ADVICE_SECONDS
 from papayapick.platform.advice import AdviceClient
+from papayapick.pool.exceptions import AdviceNotNeeded
 from papayapick.wire import PeerDisconnected, PeerUnreachable
 from papayapick.wire.messages import AdviceReply, Ticket
 
@@ -39,18 +40,31 @@
         )
 
 
+def _is_always_needed():
+    return True
+
+
 class _Question:
     """Hold what is asked, and the future of its answer."""
 
-    __slots__ = ("answer", "asked_at", "due", "expected", "key", "workers")
-
-    def __init__(self, key, workers, expected, asked_at, delay):
+    __slots__ = (
+        "answer",
+        "asked_at",
+        "due",
+        "expected",
+        "is_needed",
+        "key",
+        "workers",
+    )
+
+    def __init__(self, key, workers, expected, asked_at, delay, is_needed):
         self.key = key
         self.workers = workers
         self.expected = expected
         self.asked_at = asked_at
         # The least is given out first.
         self.due = asked_at + delay
+        self.is_needed = is_needed
         self.answer = Future()
 
     def __lt__(self, other):
@@ -81,7 +95,7 @@
         # A heap.
         self._waiting = []
 
-    def ask(self, key, workers, expected, delay=0.0):
+    def ask(self, key, workers, expected, delay=0.0, is_needed=None):
         """Ask for advice through the host that has least to ask.
 
         Parameters
@@ -93,20 +107,22 @@
         delay : float
             Seconds by which others may be asked later and still go first. A bound and
             no rank: however many urgent ones come, a patient one has its turn.
+        is_needed : callable, optional
+            Returns whether the answer is still of use when a host has time for it.
 
         Returns
         -------
         concurrent.futures.Future
-            Gives the ticket by worker.
+            Gives the ticket by worker, or raises ``AdviceNotNeeded``.
         """
         now = self._host.clock.monotonic()
-        question = _Question(key, workers, expected, now, delay)
+        question = _Question(
+            key, workers, expected, now, delay, is_needed or _is_always_needed
+        )
         with self._lock:
             self._replace(question)
             heapq.heappush(self._waiting, question)
-        # As a task: the owner asks under its lock, and a host that is cut off holds
-        # up whoever connects to it for 0.4 s.
-        self._host.executor.submit(self.give_out)
+        self._give_out_soon()
         return question.answer
 
     def _replace(self, question):
@@ -119,22 +135,42 @@
 
     def note_heard(self):
         """Give out what waits: another host was heard, and may have time."""
+        self._give_out_soon()
+
+    def _give_out_soon(self):
+        # As a task: whoever connects to a host that is cut off is held up for 0.4 s,
+        # and here that would be the reader of another host's answers.
         if self._waiting:
-            self._host.executor.submit(self.give_out)
+            self._host.executor.submit(self._give_out)
 
-    def give_out(self):
+    def _give_out(self):
         """Give what waits to the hosts that have time for it."""
         while True:
             with self._lock:
-                if not self._waiting:
+                question = self._next_needed()
+                if question is None:
                     return
                 peer, load = self._least_loaded()
                 if load > _LOAD_SECONDS:
+                    heapq.heappush(self._waiting, question)
                     return
-                question = heapq.heappop(self._waiting)
                 self._add(peer, question.expected)
             self._send(peer, question)
 
+    def _next_needed(self):
+        """Take the question that is due first; None where none is left.
+
+        Those of an owner that was replaced, or on jobs that are over, would go before
+        those that somebody waits for.
+        """
+        while self._waiting:
+            question = heapq.heappop(self._waiting)
+            if question.is_needed():
+                return question
+            error = AdviceNotNeeded(step=str(question.key))
+            self._host.executor.submit(question.answer.set_exception, error)
+        return None
+
     def _send(self, peer, question):
         try:
             asked = self._ask_through(peer, question)
@@ -172,7 +208,7 @@
         else:
             tickets = done.result().tickets
             question.answer.set_result({one.worker: one.ticket for one in tickets})
-        self.give_out()
+        self._give_out_soon()
 
     def _note_failure(self, peer, question, error):
         self._note_done(peer, question.expected)
@@ -184,7 +220,7 @@
             peer.advice_failed_at = self._host.clock.monotonic()
             with self._lock:
                 heapq.heappush(self._waiting, question)
-        self.give_out()
+        self._give_out_soon()
 
     def _observe(self, outcome, question):
         took = self._host.clock.monotonic() - question.asked_at
--- a/papayapick/pool/advising.py
+++ b/papayapick/pool/advising.py
@@ -2,6 +2,7 @@
 
 from papayapick.pool.advice import AdviceBook
 from papayapick.pool.events import ADVICE_LOST, NO_ADVICE
+from papayapick.pool.exceptions import AdviceNotNeeded
 
 __all__ = ["Advising"]
 
@@ -130,15 +131,26 @@
         return max((_run_rest_seconds(step, run, now) for run in runs), default=0.0)
 
     def _ask(self, key, workers, expected):
-        delay = _delay_seconds(self._owner.book.step_of(key))
-        future = self._owner.host.advice.ask(key, workers, expected, delay)
+        step = self._owner.book.step_of(key)
+        future = self._owner.host.advice.ask(
+            key,
+            workers,
+            expected,
+            _delay_seconds(step),
+            lambda: self._is_needed(step),
+        )
         future.add_done_callback(lambda done: self._note(key, workers, done))
 
+    def _is_needed(self, step):
+        return not (self._owner.is_stopped or step.job.is_final or step.is_done)
+
     def _note(self, key, workers, done):
         error = done.exception()
         with self._owner.lock:
             step = self._owner.book.step_of(key)
-            if error is not None:
+            if isinstance(error, AdviceNotNeeded):
+                self._book.note_failure(key, workers)
+            elif error is not None:
                 NO_ADVICE.write(
                     request_id=key.job,
                     occurrence=key.occurrence,
--- a/tests/entry/test_advisers.py
+++ b/tests/entry/test_advisers.py
@@ -7,6 +7,7 @@
 from papayapick.clock import ManualClock
 from papayapick.entry.advisers import AdviceDesk
 from papayapick.jobs.documents import StepKey
+from papayapick.pool.exceptions import AdviceNotNeeded
 from papayapick.wire import PeerDisconnected, PeerUnreachable
 from papayapick.wire.messages import AdviceReply, Ticket
 
@@ -162,3 +163,23 @@
     for number in range(6):
         desk.ask(key_of(number), ["w1"], 0.04)
     assert len(turns.asked) == 4
+
+
+def test_question_that_nobody_needs_any_more_is_not_asked():
+    """Hosts went on asking for an owner that had been replaced.
+
+    Its questions stood before those of its successor at each host, and those on jobs
+    that were cancelled before those on jobs that wait.
+    """
+    host, desk, turns = alone()
+    is_wanted = {0: True, 1: True, 2: True}
+    answers = [
+        desk.ask(key_of(n), ["w1"], 1.0, is_needed=lambda n=n: is_wanted[n])
+        for n in range(3)
+    ]
+    is_wanted[1] = False
+    turns.end_one()
+    assert turns.asked == [str(key_of(0)), str(key_of(2))]
+    # The step may be asked about again at once.
+    with pytest.raises(AdviceNotNeeded):
+        answers[1].result(1)
