Put first on a host's metrics page what is needed first on call

A collector kept the first 4,000 bytes of each page of an entry host, in all 918 blocks of an incident. The process's series, the first histograms and `_created` series took them: no block has a counter or a gauge of a pool, 13 have the age of the store.

Ruled out: a page of its own for the owner (a collector reads one), and leaving out the HELP lines (they tell the meaning in the collector, and what is needed first fits in with them).

--- a/papayapick/entry/metrics.py
+++ b/papayapick/entry/metrics.py
@@ -1,6 +1,6 @@
 """What an entry host counts and times towards its callers and the platform."""
 
-from papayapick.observability.registry import counter, gauge, histogram
+from papayapick.observability.registry import Place, counter, gauge, histogram
 
 __all__ = [
     "ACCEPTANCE_SECONDS",
@@ -15,10 +15,16 @@
 ]
 
 REQUESTS = counter(
-    "papayapick_entry_requests", "Requests answered", ("method", "status")
+    Place.ANSWERS,
+    "papayapick_entry_requests",
+    "Requests answered",
+    ("method", "status"),
 )
 REFUSALS = counter(
-    "papayapick_entry_refusals", "Requests not answered with success", ("code",)
+    Place.LOSSES,
+    "papayapick_entry_refusals",
+    "Requests not answered with success",
+    ("code",),
 )
 ACCEPTANCE_SECONDS = histogram(
     "papayapick_entry_acceptance_seconds", "From a job's arrival to its being stored"
@@ -29,7 +35,9 @@
     ("operation", "outcome"),
 )
 STORE_AGE_SECONDS = gauge(
-    "papayapick_entry_store_age_seconds", "Since the store last answered this host"
+    Place.STANDING,
+    "papayapick_entry_store_age_seconds",
+    "Since the store last answered this host",
 )
 ADVICE_SECONDS = histogram(
     "papayapick_entry_advice_seconds",
@@ -37,11 +45,15 @@
     ("outcome",),
 )
 CONFIGURATION_VERSION = gauge(
-    "papayapick_entry_configuration_version", "Version in force"
+    Place.STANDING, "papayapick_entry_configuration_version", "Version in force"
 )
 CONFIGURATION_AGE_SECONDS = gauge(
-    "papayapick_entry_configuration_age_seconds", "Since that version came in force"
+    Place.STANDING,
+    "papayapick_entry_configuration_age_seconds",
+    "Since that version came in force",
 )
 LINES_LEFT_OUT = counter(
-    "papayapick_entry_lines_left_out", "Lines of the log that were not written"
+    Place.LOSSES,
+    "papayapick_entry_lines_left_out",
+    "Lines of the log that were not written",
 )
--- a/papayapick/observability/queries.py
+++ b/papayapick/observability/queries.py
@@ -30,6 +30,18 @@
 An entry host (`papayapick-entry --metrics-port=PORT`) answers `GET /metrics` on its own
 address. Queues are named as the operator named them, and only while jobs wait in them.
 
+A collector may keep no more than the first 4,000 bytes of a page, and cut it off in the
+middle of a line. So the rows below are in the order of the page, and what tells an
+incident from a quiet day comes first: whether the host owns pools, has heard the store
+and goes by the newest configuration; then what became of an owner's orders (ends,
+renewals, starts) and its takeovers; then refusals and lines that are missing. Their
+labels have a few fixed values, so that all of these fit in, also where each value
+occurs, together with the ten longest backlogs. Queues with jobs that wait come longest
+backlog first, since an operator may name hundreds. Answers by method and status, the
+process's own `process_` series and, last, the histograms follow: they are long, and
+what they tell of single requests stands in the [events](events.md). Metrics without a
+series yet are left out, and so is the moment at which a series began (`_created`).
+
 | Metric | Kind | Labels | Meaning |
 | --- | --- | --- | --- |
 """
--- a/papayapick/pool/metrics.py
+++ b/papayapick/pool/metrics.py
@@ -1,6 +1,6 @@
 """What the owner of a pool counts and times."""
 
-from papayapick.observability.registry import counter, gauge, histogram
+from papayapick.observability.registry import Place, counter, gauge, histogram
 
 __all__ = [
     "COMPLETION_SECONDS",
@@ -17,6 +17,7 @@
 # Label values come from fixed sets, but for queues: those are the operator's, and only
 # queues with jobs that wait are shown.
 WAITING_JOBS = gauge(
+    Place.BACKLOGS,
     "papayapick_pool_waiting_jobs",
     "Accepted jobs that have not begun, as the owner last told",
     ("queue",),
@@ -33,15 +34,27 @@
     of_jobs=True,
 )
 STARTS = counter(
-    "papayapick_pool_starts", "Orders to start a task, by what became", ("outcome",)
+    Place.OWNER,
+    "papayapick_pool_starts",
+    "Orders to start a task, by what became",
+    ("outcome",),
+)
+ENDS = counter(
+    Place.OWNER, "papayapick_pool_ends", "Ends that workers listed", ("outcome",)
 )
-ENDS = counter("papayapick_pool_ends", "Ends that workers listed", ("outcome",))
 RENEWALS = counter(
-    "papayapick_pool_renewals", "Renewals of a worker's lease", ("outcome",)
+    Place.OWNER,
+    "papayapick_pool_renewals",
+    "Renewals of a worker's lease",
+    ("outcome",),
+)
+TAKEOVERS = counter(
+    Place.OWNER, "papayapick_pool_takeovers", "Pools taken by this host"
 )
-TAKEOVERS = counter("papayapick_pool_takeovers", "Pools taken by this host")
 TAKEOVER_SECONDS = histogram(
     "papayapick_pool_takeover_seconds",
     "From the claim to knowing where all tasks of before run",
 )
-OWNED_POOLS = gauge("papayapick_pool_owned", "Pools that this host owns now")
+OWNED_POOLS = gauge(
+    Place.STANDING, "papayapick_pool_owned", "Pools that this host owns now"
+)
