Build the client for slots in one place

Gateway and placer each took the same five parts out of their shared process to build a `SlotClient`; a sixth part would have to be added twice.

Ruled out: giving the client the whole process, since the benchmark of urgent requests and the tests build it from parts of their own.

`SlotClient.from_process` does it now, and the constructor stays as it was.

--- a/papayapick/gateway/process.py
+++ b/papayapick/gateway/process.py
@@ -48,13 +48,7 @@
         )
         process = self._process
         self._limits = CallerLimits(process.clock, self._live_gateways)
-        slots = SlotClient(
-            process.peers,
-            settings,
-            process.clock,
-            process.generator,
-            lambda: process.watcher.bundle.zones(),
-        )
+        slots = SlotClient.from_process(process)
         instances = InstanceClient(HttpPool(_CALL_SECONDS))
         urgent = UrgentCalls(
             process, slots, instances, RetryBudgets(), AttemptTimeouts()
--- a/papayapick/placer/process.py
+++ b/papayapick/placer/process.py
@@ -83,13 +83,7 @@
         )
         self._loop = WorkLoop(process, self._work, self._runner)
         self._handover = ShardHandover(process, self._owner, self._loop.in_hand)
-        slots = SlotClient(
-            process.peers,
-            settings,
-            process.clock,
-            process.generator,
-            lambda: process.watcher.bundle.zones(),
-        )
+        slots = SlotClient.from_process(process)
         self._requests = RequestRunner(process, slots, instances, self._work)
         self._jobs = JobRunner(process, workers, self._work)
         process.metrics.owned_shards.set_function(lambda: len(self.shards))
--- a/papayapick/routing/slots.py
+++ b/papayapick/routing/slots.py
@@ -91,6 +91,22 @@
         self._zones = zones
         self._loads = LoadView(clock)
 
+    @classmethod
+    def from_process(cls, process):
+        """Build the client of a gateway or placer from its shared parts.
+
+        Parameters
+        ----------
+        process : Process
+        """
+        return cls(
+            process.peers,
+            process.settings,
+            process.clock,
+            process.generator,
+            lambda: process.watcher.bundle.zones(),
+        )
+
     def acquire(
         self, policy, request_id, wait_seconds, caller="", avoid=(), traceparent=""
     ):
