Look up the policy of a request in one place

Requests for services and for jobs were checked by the same five lines: is the name in the bundle, and does work that must not run twice carry a key. A rule that is added to one of them only would let the other kind of work through.

Ruled out: one function for all of both kinds; the rest differs, a job has members and is always durable.

`_policy` does the lookup and both refusals, in the same order as before: 10 lines away, 12 added. The 86 tests of tests/gateway pass after it.

--- a/papayapick/gateway/admission.py
+++ b/papayapick/gateway/admission.py
@@ -121,11 +121,7 @@
 
 def _admit_service(environ, bundle, found, caller, key):
     name = _name(found, "service")
-    policy = bundle.services.get(name)
-    if policy is None:
-        raise ServiceNotInBundle(name=name)
-    if not policy.repeatable and not key:
-        raise KeyMissing(name=name)
+    policy = _policy(bundle.services, name, key)
     payload = json.dumps(found.get("payload")).encode()
     timeout = _timeout(environ, policy.timeout_seconds, policy.longest_timeout_seconds)
     request_id, shard = uuid.uuid4().hex, ""
@@ -136,11 +132,7 @@
 
 def _admit_job(environ, bundle, found, caller, key):
     name = _name(found, "job")
-    policy = bundle.jobs.get(name)
-    if policy is None:
-        raise ServiceNotInBundle(name=name)
-    if not policy.repeatable and not key:
-        raise KeyMissing(name=name)
+    policy = _policy(bundle.jobs, name, key)
     members = found.get("members", 1)
     if not isinstance(members, int) or isinstance(members, bool) or members < 1:
         raise RequestInvalid(place="members", reason="a whole number from 1")
@@ -157,6 +149,16 @@
     return Admitted(request_id, shard, name, policy, caller, payload, timeout, job)
 
 
+def _policy(policies, name, key):
+    """Return the policy of a name; work that must not run twice needs a key."""
+    policy = policies.get(name)
+    if policy is None:
+        raise ServiceNotInBundle(name=name)
+    if not policy.repeatable and not key:
+        raise KeyMissing(name=name)
+    return policy
+
+
 def _durable_identity(bundle, caller, name, key):
     key = key or uuid.uuid4().hex
     shard = shard_for_key(bundle, caller, name, key)
