Wait for durable work in one place of the benchmarks

The benchmarks of the path and of processes each had the loop that hands in a durable request or job and looks at it until it has ended well.

Ruled out: one time between two looks; the benchmark of processes counts processor time and looks every 0.5 s, that of the path every 0.01 s.

`benchmarks/durable.py` has the loop, each benchmark names its time.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -3,11 +3,10 @@
 Run as ``python -m benchmarks.path [--json]``.
 """
 
-import json
-import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 
+from benchmarks.durable import run_durable
 from benchmarks.tables import percentile, print_rows
 from demo.cells import Cell, http_call
 
@@ -77,7 +76,7 @@
 
 def _deferred(cell, number, address):
     body = {"service": _service(cell, "deferred", True), "payload": number}
-    _wait_for(address, http_call(address, "POST", PATH, body))
+    run_durable(address, PATH, body, LOOK_SECONDS)
 
 
 def _job(cell, number, address):
@@ -87,18 +86,7 @@
         "processors": 1000,
         "payload": {"run_seconds": 0.01},
     }
-    _wait_for(address, http_call(address, "POST", PATH, body))
-
-
-def _wait_for(address, accepted):
-    status, headers, _ = accepted
-    assert status == 202
-    while True:
-        found = json.loads(http_call(address, "GET", headers["Location"])[2])
-        if found["state"] == "ended":
-            assert found["outcome"] == "done", found
-            return
-        threading.Event().wait(LOOK_SECONDS)
+    run_durable(address, PATH, body, LOOK_SECONDS)
 
 
 if __name__ == "__main__":
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -11,6 +11,7 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 
+from benchmarks.durable import run_durable
 from benchmarks.tables import percentile, print_rows
 from demo.cells import Cell, http_call
 from papayapick.clients import HttpPool, Table
@@ -90,24 +91,13 @@
 
 def _deferred(address, number):
     body = {"service": "tenant-comparisons", "payload": {"week": number}}
-    _wait_for(address, http_call(address, "POST", PATH, body))
+    run_durable(address, PATH, body, LOOK_SECONDS)
 
 
 def _job(address, number):
     body = {"job": "season-model", "members": 3, "processors": 1000}
     body["payload"] = {"run_seconds": 0.01}
-    _wait_for(address, http_call(address, "POST", PATH, body))
-
-
-def _wait_for(address, accepted):
-    status, headers, _ = accepted
-    assert status == 202
-    while True:
-        found = json.loads(http_call(address, "GET", headers["Location"])[2])
-        if found["state"] == "ended":
-            assert found["outcome"] == "done", found
-            return
-        _pass(LOOK_SECONDS)
+    run_durable(address, PATH, body, LOOK_SECONDS)
 
 
 LOADS = {
