Let a lasting task go back to a worker where it failed

Callers saw a lasting task stay away although a worker that may run it had room.

Cause: a task is not placed where it failed while any other worker may run it, even when those are full for long. That keeps jobs from using up their attempts on a sick worker. A lasting task has no attempts to use up, fails at any time by its nature, and where advice allows a third of 24 workers the others are soon full of tasks that last as well.

Change: for a lasting task, workers where it failed come last, but count. Tests in tests/placement/test_rooms.py: the task is not placed before, and is after; where another worker has room it goes there.

--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -39,7 +39,8 @@
     avoid : set of str
         Workers that are used for it last: it lagged or was refused there.
     failed_on : set of str
-        Workers on which it failed: used only where no other may run it.
+        Workers on which it failed: used only where no other may run it, or last for
+        one that lasts.
     place : str
         Worker of its last start; empty before the first. After a takeover the
         task may still run there.
--- a/papayapick/placement/rooms.py
+++ b/papayapick/placement/rooms.py
@@ -199,13 +199,17 @@
         best = best_rank = None
         for room in self._free(step_state, allowed, rack):
             worker = room.worker
-            if worker in task.failed_on or room in spared:
+            has_failed_there = worker in task.failed_on
+            # A lasting task may fail anywhere at any time, and nothing counts how
+            # often: where it has failed is used last, but it does not stay away while
+            # the others that may run it are full.
+            if has_failed_there and not step.is_lasting or room in spared:
                 continue
-            is_avoided = worker in task.avoid or room.is_suspected
+            is_avoided = has_failed_there or worker in task.avoid or room.is_suspected
             rank = self._rank(step, room, is_avoided)
             if best_rank is None or rank < best_rank:
                 best, best_rank = room, rank
-        if best is None and task.failed_on:
+        if best is None and task.failed_on and not step.is_lasting:
             return self._last_resort(step_state, task, allowed, rack)
         return best
 
--- a/tests/placement/test_rooms.py
+++ b/tests/placement/test_rooms.py
@@ -259,3 +259,28 @@
     book, state = _waiting(Step(1, Amounts(1500, 100)))
     (run,) = _place(book, state, rooms)
     assert run.worker == worker
+
+
+def test_lasting_task_goes_back_rather_than_stay_away(rooms):
+    """A watcher stays away though a worker that may run it has room.
+
+    It failed there once, as lasting tasks may at any time; the other workers that may
+    run it are full of tasks that last as well, and it waited for one of them.
+    """
+    book, state = _waiting(Step(1, Amounts(1500, 100), is_lasting=True))
+    (run,) = _place(book, state, rooms)
+    rooms.get(run.worker).release(run)
+    _fail_once(book, state, run)
+    other = "w2" if run.worker == "w1" else "w1"
+    _fill(rooms, other, 4, is_lasting=True)
+    (again,) = _place(book, state, rooms)
+    assert again.worker == run.worker
+
+
+def test_lasting_task_goes_elsewhere_where_it_can(rooms):
+    book, state = _waiting(Step(1, Amounts(1500, 100), is_lasting=True))
+    (run,) = _place(book, state, rooms)
+    rooms.get(run.worker).release(run)
+    _fail_once(book, state, run)
+    (again,) = _place(book, state, rooms)
+    assert again.worker != run.worker
