Place the tasks behind one that waits for another worker

Tasks of a step waited beside a worker with room. Cause: placing a step ended at its first task that found no room. That task may only have failed on the worker that has room, and wait for another one; the tasks behind it, which may go there, were not looked at, however long it waited.

Change: a task that has failed somewhere holds up only itself; one that has failed nowhere finds no room where the others could, and still ends the search. Test in tests/placement/test_rooms.py: no task placed before, the second one after.

--- a/papayapick/placement/steps.py
+++ b/papayapick/placement/steps.py
@@ -47,6 +47,9 @@
     for index in sorted(step.waiting):
         room = rooms.choose(step, index, allowed)
         if room is None:
+            if step.tasks[index].failed_on:
+                # It may wait for a worker where it has not failed; the others need not.
+                continue
             break
         runs.append(begin(step, index, room.worker, None))
     return runs
--- a/tests/placement/test_rooms.py
+++ b/tests/placement/test_rooms.py
@@ -284,3 +284,21 @@
     _fail_once(book, state, run)
     (again,) = _place(book, state, rooms)
     assert again.worker != run.worker
+
+
+def test_task_that_waits_for_another_worker_keeps_no_other_task_waiting(rooms):
+    """One task of a step failed on the only worker with room, and the others waited.
+
+    Its turn came first, it found no room where it had not failed, and the tasks behind
+    it, which had failed nowhere, were not looked at.
+    """
+    book, state = _waiting(Step(2, Amounts(1500, 100)))
+    first, second = _place(book, state, rooms)
+    for run in (first, second):
+        rooms.get(run.worker).release(run)
+    _fail_once(book, state, first)
+    book.drop(second, 2.0)
+    other = "w2" if first.worker == "w1" else "w1"
+    _fill(rooms, other, 4)
+    (again,) = _place(book, state, rooms)
+    assert (again.key.index, again.worker) == (second.key.index, first.worker)
