Send starts while hundreds of other orders have no answer

All orders shared 48 threads. With a third of the calls to workers left without an answer, a start holds its thread for 0.35 s, a stop and the look after it for up to 1.2 s, and each stop that was not confirmed was ordered anew every 0.4 s, whether or not the last had left. Starts waited 7 s behind 2,300 other orders, past the time of their tickets, were dropped, placed and recorded again, and held the room of 1,500 tasks meanwhile; so it went on after the fault.

Stops have threads of their own now, one stop at a time is under way for a run and none for a run that is over, there are 128 threads for each kind, and nothing is placed while as many starts wait for a thread: so a start waits no longer than a call may take, whatever the workers do.

The line "orders held up" tells when placing waits for threads.

--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -13,6 +13,7 @@
     "MACHINES_DISTRUSTED",
     "MACHINES_UNREAD",
     "NO_ADVICE",
+    "ORDERS_HELD_UP",
     "PACE_NOT_SET",
     "PACE_SET",
     "POOL_LEFT",
@@ -157,6 +158,14 @@
 
 # Orders and workers.
 
+ORDERS_HELD_UP = Event(
+    "orders held up",
+    "pool starts stops",
+    "So many starts wait for a thread, and stops for a thread or an answer: nothing is "
+    "placed until some have left.",
+    level=logging.WARNING,
+    per_second=2,
+)
 START_REFUSED = Event(
     "start refused",
     _RUN + " reason room_processors room_memory",
--- a/papayapick/pool/orders.py
+++ b/papayapick/pool/orders.py
@@ -3,6 +3,7 @@
 from papayapick.jobs.runs import RunPhase
 from papayapick.platform.exceptions import CheckFailed, WorkerSilent
 from papayapick.pool.events import (
+    ORDERS_HELD_UP,
     PACE_NOT_SET,
     PACE_SET,
     START_REFUSED,
@@ -45,13 +46,45 @@
     ----------
     owner : PoolOwner
     executor : concurrent.futures.Executor
+        For starts.
+    stop_executor : concurrent.futures.Executor
+        For all other orders.
+    threads : int
+        Of the first.
     """
 
-    __slots__ = ("_executor", "_owner")
+    __slots__ = (
+        "_executor",
+        "_owner",
+        "_starts_waiting",
+        "_stop_executor",
+        "_stops_under_way",
+        "_threads",
+    )
 
-    def __init__(self, owner, executor):
+    def __init__(self, owner, executor, stop_executor, threads):
         self._owner = owner
         self._executor = executor
+        self._stop_executor = stop_executor
+        self._threads = threads
+        # Starts that no thread has taken up yet.
+        self._starts_waiting = 0
+        # Runs with a stop that waits for a thread or for its answer.
+        self._stops_under_way = set()
+
+    def are_held_up(self):
+        """Return whether as many starts wait for a thread as there are threads.
+
+        What is placed then could not leave, and what waits leaves after one call.
+        """
+        if self._starts_waiting < self._threads:
+            return False
+        ORDERS_HELD_UP.write(
+            pool=self._owner.pool,
+            starts=self._starts_waiting,
+            stops=len(self._stops_under_way),
+        )
+        return True
 
     def start(self, link, start):
         """Order a start.
@@ -61,15 +94,22 @@
         link : WorkerLink
         start : Start
         """
-        self._submit(self._start, link, start)
+        with self._owner.lock:
+            self._starts_waiting += 1
+            self._submit(self._executor, self._start, link, start)
 
     def stop(self, link, run):
-        """Order a stop."""
-        self._submit(self._stop, link, run)
+        """Order a stop, unless one of this run is under way."""
+        with self._owner.lock:
+            # Ordered anew before the last was sent, stops would pile up faster than
+            # threads can send them.
+            if run not in self._stops_under_way:
+                self._stops_under_way.add(run)
+                self._submit(self._stop_executor, self._stop, link, run)
 
     def pace(self, link, run, percent):
         """Order the share of its processors at which a run works."""
-        self._submit(self._pace, link, run, percent)
+        self._submit(self._stop_executor, self._pace, link, run, percent)
 
     def note_start(self, link, run, outcome):
         """Take note of what became of an order to start."""
@@ -134,15 +174,16 @@
         if link is not None:
             self.stop(link, run)
 
-    def _submit(self, step, *args):
+    def _submit(self, executor, step, *args):
         with self._owner.lock:
             # Nothing is ordered once the pool was left.
             if not self._owner.is_stopped:
-                self._executor.submit(step, *args)
+                executor.submit(step, *args)
 
     def _start(self, link, start):
         owner, run = self._owner, start.run
         with owner.lock:
+            self._starts_waiting -= 1
             # Stopped before it was sent, or this process is not sure any more
             # that it owns the pool: the order must not leave.
             may_send = run.phase == RunPhase.ORDERED and owner.may_act()
@@ -163,6 +204,20 @@
         self.note_start(link, run, outcome)
 
     def _stop(self, link, run):
+        try:
+            if self._is_there(link, run):
+                self._send_stop(link, run)
+        finally:
+            with self._owner.lock:
+                self._stops_under_way.discard(run)
+
+    def _is_there(self, link, run):
+        """Return whether the end of a run is not sure yet."""
+        with self._owner.lock:
+            room = self._owner.rooms.get(link.worker)
+            return room is not None and room.runs.get(run.name) is run
+
+    def _send_stop(self, link, run):
         owner = self._owner
         try:
             link.client.stop(run.key, run.attempt, owner.row.epoch)
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -36,7 +36,11 @@
 # A task for each worker, for each order under way and for each loop; idle ones
 # cost a small stack only.
 _TASKS = 512
-_ORDER_TASKS = 48
+# An order without an answer takes its thread for 0.35 s, a stop and the look after it
+# up to 1.2 s. Stops have threads of their own: those to workers that are cut off would
+# keep all starts from leaving until their tickets are too old.
+_START_TASKS = 128
+_STOP_TASKS = 128
 _TICK_SECONDS = 0.1
 _STOP_AGAIN_SECONDS = 0.4
 _FORGET_EVERY_SECONDS = 5.0
@@ -64,6 +68,7 @@
         "_executor",
         "_forgotten_at",
         "_order_executor",
+        "_stop_executor",
         "_wakeup",
         "_was_unrecorded",
         "advising",
@@ -105,9 +110,14 @@
         self._wakeup = threading.Event()
         self._executor = ThreadPoolExecutor(_TASKS, thread_name_prefix="pool")
         self._order_executor = ThreadPoolExecutor(
-            _ORDER_TASKS, thread_name_prefix="orders"
+            _START_TASKS, thread_name_prefix="starts"
+        )
+        self._stop_executor = ThreadPoolExecutor(
+            _STOP_TASKS, thread_name_prefix="stops"
+        )
+        self.orders = Orders(
+            self, self._order_executor, self._stop_executor, _START_TASKS
         )
-        self.orders = Orders(self, self._order_executor)
         self.journal = PoolJournal(host.store, self, host.clock)
         self.recording = RecordingMode(host.clock)
         self.standing = Standing(host)
@@ -206,6 +216,7 @@
                 link.stop()
             self._executor.shutdown(wait=False, cancel_futures=True)
             self._order_executor.shutdown(wait=False, cancel_futures=True)
+            self._stop_executor.shutdown(wait=False, cancel_futures=True)
         POOL_LEFT.write(pool=self.pool, epoch=self.row.epoch, is_lost=self.is_lost)
 
     def leave(self):
@@ -265,7 +276,10 @@
                 if now - ticked_at >= _TICK_SECONDS:
                     ticked_at = now
                     self.tick(now)
-                self.decisions.place(now)
+                # What is placed and can't leave holds room until its ticket is too old:
+                # the pool would stand still with hardly a task at work.
+                if not self.orders.are_held_up():
+                    self.decisions.place(now)
             self.host.tell(self)
             if self.book.changed:
                 self.journal.wake()
--- a/tests/pool/owners.py
+++ b/tests/pool/owners.py
@@ -37,7 +37,9 @@
     owner = PoolOwner(host, PoolRow("pool", "h1", 3, "a:1", 9), is_journal_exact)
     owner._executor.shutdown()
     owner._order_executor.shutdown()
+    owner._stop_executor.shutdown()
     owner._executor, owner.orders._executor = NoThreads(), NoThreads()
+    owner.orders._stop_executor = NoThreads()
     owner.sources.load()
     return owner
 
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -153,7 +153,9 @@
         self.owner = PoolOwner(self.host, PoolRow("pool", "h1", 3, "a:1", 9), True)
         self.owner._executor.shutdown()
         self.owner._order_executor.shutdown()
+        self.owner._stop_executor.shutdown()
         self.owner._executor, self.owner.orders._executor = NoThreads(), NoThreads()
+        self.owner.orders._stop_executor = NoThreads()
         self.owner.sources.load()
         self._looked_at = dict.fromkeys(self.workers, 0.0)
         self.handed_in = {}
@@ -222,7 +224,7 @@
             run = start.run
             self.workers[run.worker].runs[run.name] = 0.0
             self.owner.book.note_started(run)
-        tasks, orders._executor.tasks = orders._executor.tasks, []
+        tasks, orders._stop_executor.tasks = orders._stop_executor.tasks, []
         for step, args in tasks:
             if step == orders._stop:
                 self.stops += 1
--- a/tests/pool/test_orders.py
+++ b/tests/pool/test_orders.py
@@ -162,6 +162,21 @@
     assert wait_until(is_ordered_again)
 
 
+def test_stop_of_a_run_that_is_over_is_not_sent(pool_of):
+    """Threads wait for workers that are gone, to stop what ended with them."""
+    pool = pool_of(workers=1, cut={"w0"})
+    owner = pool.owner
+    runs = [ordered_run(number) for number in range(1000)]
+    with owner.lock:
+        for run in runs:
+            owner.rooms.get("w0").reserve(run)
+            owner.orders.stop_once(run, owner.now())
+        owner.lists.lose_runs(owner.links_by_worker["w0"], "lease over")
+    client = pool.clients["w0"]
+    pool.let_go()
+    assert not wait_until(lambda: client.stops > len(runs) / 2, NEVER_SECONDS)
+
+
 def test_no_more_is_placed_than_can_be_sent(pool_of):
     """The pool stands still, with room free, after 30 s of orders without answers.
 
