Let no stand-in machine return to a cluster that was reset or closed

Cause: the contract tests made one stand-in anew for each test by calling __init__ on its parts. "upkeep begins once and is told again" left a timer of 60 s behind; when it fired, the stand-in knew of no machine in upkeep, and the timer's thread died with KeyError 'w1' in whatever test ran by then. A machine of the same name in a later upkeep would have come back early without a word, and a machine whose cluster was closed meanwhile got a worker that nobody can reach.

Ruled out: a worker that crashed or was taken off during its upkeep (crash and removal leave in_upkeep alone), and two timers of one machine (an order for a machine that was served begins nothing). In the contract tests only that one test begins an upkeep.

Change: Cluster.reset() in place of the calls of __init__; reset and close close the list of machines, which cancels its timers, and one that has fired already changes nothing. The worker of a machine that returns is added under the lock of the list.

--- a/tests/contracts/test_cluster.py
+++ b/tests/contracts/test_cluster.py
@@ -27,10 +27,7 @@
 
 @pytest.fixture
 def cluster(server):
-    server.rows.__init__()
-    server.workers.clear()
-    server.down.clear()
-    server.machines.__init__(server)
+    server.reset()
     # None of them returns within a test.
     server.machines.upkeep_seconds = 60.0
     return server
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -262,7 +262,16 @@
     def address(self):
         return f"127.0.0.1:{self._server.effective_port}"
 
+    def reset(self):
+        """Forget all rows, workers and machines; no machine returns any more."""
+        self.machines.close()
+        self.rows.__init__()
+        self.workers.clear()
+        self.down.clear()
+        self.machines = MachinesStandin(self)
+
     def close(self):
+        self.machines.close()
         self._server.close()
 
     def add_worker(self, name, **settings):
--- a/tests/standins/machines.py
+++ b/tests/standins/machines.py
@@ -33,6 +33,15 @@
         self.waves = {}
         self.orders = []
         self.most_away = 0
+        self._timers = []
+        self._is_closed = False
+
+    def close(self):
+        """Let no machine return any more."""
+        with self._lock:
+            self._is_closed = True
+            for timer in self._timers:
+                timer.cancel()
 
     def list(self, query):
         """Answer a page of the machines, in the order of their names."""
@@ -98,11 +107,15 @@
         timer = threading.Timer(self.upkeep_seconds, self._return, (name,))
         timer.daemon = True
         timer.start()
+        self._timers.append(timer)
 
     def _return(self, name):
         with self._lock:
+            # It may have waited for the lock of one that closes.
+            if self._is_closed:
+                return
             del self.in_upkeep[name]
-        self._cluster.add_worker(name + ".2", task_seconds=0.15)
+            self._cluster.add_worker(name + ".2", task_seconds=0.15)
 
 
 def machine_of(name):
