Do not take tasks that are kept back for ended

After a takeover the tasks of a step at work neither wait nor have a run that is known until their worker has answered, and a step without either counted as ended. The first answer wakes the owner, so the next step of every other job was asked about, before a lasting task that fails a second later.

Change: a step with a task that is not done and has no run is not about to end. The set-up of a takeover is in tests/pool/takeovers.py now.

--- a/papayapick/pool/advising.py
+++ b/papayapick/pool/advising.py
@@ -127,8 +127,17 @@
             return 0.0
         if not step.is_ready or step.waiting:
             return float("inf")
-        runs = [run for task in step.tasks for run in task.runs]
-        return max((_run_rest_seconds(step, run, now) for run in runs), default=0.0)
+        rest = 0.0
+        for task in step.tasks:
+            if task.is_done:
+                continue
+            if not task.runs:
+                # Kept back after a takeover: it may run at a worker that has not
+                # answered yet, and is no sign that its step is about to end.
+                return float("inf")
+            rests = [_run_rest_seconds(step, run, now) for run in task.runs]
+            rest = max(rest, *rests)
+        return rest
 
     def _ask(self, key, workers, expected):
         step = self._owner.book.step_of(key)
--- /dev/null
+++ b/tests/pool/takeovers.py
@@ -0,0 +1,110 @@
+"""Set up a pool that a new owner has just taken over, and let it decide."""
+
+from papayapick.jobs import AdvicePolicy, JobDocument, Queue, Step, TaskKey
+from papayapick.ledger import Amounts
+from papayapick.pool.journal import JOBS_TABLE, PROGRESS_TABLE
+from tests.pool.advisers import AdvisedHost
+from tests.pool.owners import owner_of, register, report
+
+WORKERS = 24
+PEERS = 8
+# Of a patient queue: nearly a second for a question about all workers.
+POLICY = AdvicePolicy(0.45, 0.02, 2.0)
+QUEUE = Queue("q", "h", "/q/", "pool", 1, 4, 2.2, 3.0, 3.0, False, POLICY)
+# Other hosts answer a new owner's first beats within this time.
+ACQUAINTED_SECONDS = 0.3
+
+
+def identifier_of(number):
+    return f"{number:016x}"
+
+
+def store(host, number, steps, record):
+    identifier = identifier_of(number)
+    document = JobDocument(identifier, "q", "pool", "t", steps, 0.0)
+    partition = f"pool/{int(identifier, 16) % 8}"
+    host.put(JOBS_TABLE, partition, identifier, document.as_record())
+    if record is not None:
+        found = {"status": "running", "occurrences": {"0": record}}
+        host.put(PROGRESS_TABLE, "pool", identifier, found)
+
+
+def store_lasting_task_that_failed(host, number):
+    step = Step(1, Amounts(1000, 10), is_lasting=True)
+    store(host, number, [step], [{"attempts": {"0": 1}, "failed": {"0": [1]}}])
+
+
+def store_job_at_work(host, number, worker):
+    steps = [
+        Step(1, Amounts(1000, 10), 6.0),
+        Step(1, Amounts(1000, 10), 6.0, after=[0]),
+    ]
+    started = {"attempts": {"0": 1}, "places": {"0": worker}}
+    store(host, number, steps, [started, {}])
+
+
+def taken_over(at_work):
+    """Return a host and the owner that has just taken the pool over.
+
+    Parameters
+    ----------
+    at_work : int
+        Jobs whose first step is half done.
+    """
+    host = AdvisedHost(PEERS, lambda document: QUEUE)
+    runs = {f"w{number}": [] for number in range(WORKERS)}
+    for worker in runs:
+        register(host, worker)
+    for number in range(at_work):
+        worker = f"w{number % WORKERS}"
+        store_job_at_work(host, number, worker)
+        runs[worker].append((TaskKey(identifier_of(number), 0, 0, 0), 1))
+    store_lasting_task_that_failed(host, at_work)
+    owner = owner_of(host)
+    for worker, listed in runs.items():
+        report(owner, worker, listed, percent=50)
+    return host, owner
+
+
+def run_until(host, owner, is_over, most):
+    """Let the owner decide until something is so; return the seconds it took."""
+    began = host.clock.monotonic()
+    while not is_over() and host.clock.monotonic() - began < most:
+        now = host.clock.monotonic()
+        if now - began >= ACQUAINTED_SECONDS:
+            host.hear_peers()
+        host.advise()
+        with owner.lock:
+            owner.standing.note_confirmed(now)
+            owner.tick(now)
+            owner.decisions.place(now)
+        host.clock.advance(0.05)
+    return host.clock.monotonic() - began
+
+
+def is_placed(owner, number):
+    def is_over():
+        step = owner.book.step_of(TaskKey(identifier_of(number), 0, 0, 0))
+        return bool(step.tasks[0].runs)
+
+    return is_over
+
+
+def taken_over_unheard(at_work):
+    """Return a host, its new owner that no worker has answered yet, and their runs."""
+    host = AdvisedHost(PEERS, lambda document: QUEUE)
+    runs = {f"w{number}": [] for number in range(WORKERS)}
+    for worker in runs:
+        register(host, worker)
+    for number in range(at_work):
+        worker = f"w{number % WORKERS}"
+        store_job_at_work(host, number, worker)
+        runs[worker].append((TaskKey(identifier_of(number), 0, 0, 0), 1))
+    return host, owner_of(host), runs
+
+
+def hand_in(host, owner, number, step, queue):
+    """Let the owner know of a new job of one step."""
+    document = JobDocument(identifier_of(number), "q", "pool", "t", [step], 0.0)
+    with owner.lock:
+        owner.book.add(document, queue, host.clock.monotonic())
--- a/tests/pool/test_takeover_advice.py
+++ b/tests/pool/test_takeover_advice.py
@@ -2,99 +2,27 @@
 
 import pytest
 
-from papayapick.jobs import AdvicePolicy, JobDocument, Queue, Step, TaskKey
+from papayapick.jobs import JobDocument, Step, TaskKey
 from papayapick.ledger import Amounts
-from papayapick.pool.journal import JOBS_TABLE, PROGRESS_TABLE
-from tests.pool.advisers import AdvisedHost
-from tests.pool.owners import owner_of, register, report
-
-WORKERS = 24
-PEERS = 8
-# Of a patient queue: nearly a second for a question about all workers.
-POLICY = AdvicePolicy(0.45, 0.02, 2.0)
-QUEUE = Queue("q", "h", "/q/", "pool", 1, 4, 2.2, 3.0, 3.0, False, POLICY)
-# Other hosts answer a new owner's first beats within this time.
-ACQUAINTED_SECONDS = 0.3
+from tests.pool.owners import report
+from tests.pool.takeovers import (
+    ACQUAINTED_SECONDS,
+    POLICY,
+    QUEUE,
+    WORKERS,
+    hand_in,
+    identifier_of,
+    is_placed,
+    run_until,
+    taken_over,
+    taken_over_unheard,
+)
+
 # A lasting task counts as away for its users from 6 s after its last run; with so many
 # seconds it is back in time after two takeovers in a row.
 BACK_SECONDS = 3.0
 
 
-def _identifier(number):
-    return f"{number:016x}"
-
-
-def _store(host, number, steps, record):
-    identifier = _identifier(number)
-    document = JobDocument(identifier, "q", "pool", "t", steps, 0.0)
-    partition = f"pool/{int(identifier, 16) % 8}"
-    host.put(JOBS_TABLE, partition, identifier, document.as_record())
-    if record is not None:
-        found = {"status": "running", "occurrences": {"0": record}}
-        host.put(PROGRESS_TABLE, "pool", identifier, found)
-
-
-def _store_lasting_task_that_failed(host, number):
-    step = Step(1, Amounts(1000, 10), is_lasting=True)
-    _store(host, number, [step], [{"attempts": {"0": 1}, "failed": {"0": [1]}}])
-
-
-def _store_job_at_work(host, number, worker):
-    steps = [
-        Step(1, Amounts(1000, 10), 6.0),
-        Step(1, Amounts(1000, 10), 6.0, after=[0]),
-    ]
-    started = {"attempts": {"0": 1}, "places": {"0": worker}}
-    _store(host, number, steps, [started, {}])
-
-
-def _taken_over(at_work):
-    """Return a host and the owner that has just taken the pool over.
-
-    Parameters
-    ----------
-    at_work : int
-        Jobs whose first step is half done.
-    """
-    host = AdvisedHost(PEERS, lambda document: QUEUE)
-    runs = {f"w{number}": [] for number in range(WORKERS)}
-    for worker in runs:
-        register(host, worker)
-    for number in range(at_work):
-        worker = f"w{number % WORKERS}"
-        _store_job_at_work(host, number, worker)
-        runs[worker].append((TaskKey(_identifier(number), 0, 0, 0), 1))
-    _store_lasting_task_that_failed(host, at_work)
-    owner = owner_of(host)
-    for worker, listed in runs.items():
-        report(owner, worker, listed, percent=50)
-    return host, owner
-
-
-def _run_until(host, owner, is_over, most):
-    """Let the owner decide until something is so; return the seconds it took."""
-    began = host.clock.monotonic()
-    while not is_over() and host.clock.monotonic() - began < most:
-        now = host.clock.monotonic()
-        if now - began >= ACQUAINTED_SECONDS:
-            host.hear_peers()
-        host.advise()
-        with owner.lock:
-            owner.standing.note_confirmed(now)
-            owner.tick(now)
-            owner.decisions.place(now)
-        host.clock.advance(0.05)
-    return host.clock.monotonic() - began
-
-
-def _is_placed(owner, number):
-    def is_over():
-        step = owner.book.step_of(TaskKey(_identifier(number), 0, 0, 0))
-        return bool(step.tasks[0].runs)
-
-    return is_over
-
-
 def test_lasting_task_that_is_down_at_a_takeover_is_back_within_seconds():
     """A watcher was away for ten seconds beside free workers, all hosts restarting.
 
@@ -105,8 +33,8 @@
     began anew. `pool settled` after 0.19 s, `step waits` with reason advice and
     `asked_seconds` 2.45 for 20 steps at once, `advice lost` for 16 next steps.
     """
-    host, owner = _taken_over(at_work=60)
-    took = _run_until(host, owner, _is_placed(owner, 60), 10.0)
+    host, owner = taken_over(at_work=60)
+    took = run_until(host, owner, is_placed(owner, 60), 10.0)
     assert took < BACK_SECONDS
 
 
@@ -117,13 +45,13 @@
     been heard, and it asks one at a time; the others, heard 0.3 s later, had nothing to
     ask. 19 questions of 0.93 s took 7.2 s, until they counted as lost.
     """
-    host, owner = _taken_over(at_work=0)
+    host, owner = taken_over(at_work=0)
     for number in range(1, 19):
         step = Step(1, Amounts(1000, 10), 6.0)
-        document = JobDocument(_identifier(number), "q", "pool", "t", [step], 0.0)
+        document = JobDocument(identifier_of(number), "q", "pool", "t", [step], 0.0)
         owner.book.add(document, QUEUE, host.clock.monotonic())
     most = ACQUAINTED_SECONDS + 3 * POLICY.expected_seconds(WORKERS) + 0.2
-    took = _run_until(host, owner, lambda: not owner.book.waiting_steps(), 20.0)
+    took = run_until(host, owner, lambda: not owner.book.waiting_steps(), 20.0)
     assert took < most
 
 
@@ -134,10 +62,46 @@
     Their tasks were half done when the new owner first saw them; taken as done within
     no time, they seemed to be about to end. A task of six seconds has three left.
     """
-    host, owner = _taken_over(at_work=4)
+    host, owner = taken_over(at_work=4)
     host.clock.advance(seconds)
     with owner.lock:
         owner.advising.ask_ahead(host.clock.monotonic())
-    next_steps = [owner.book.step(TaskKey(_identifier(n), 0, 1, 0)) for n in range(4)]
+    next_steps = [owner.book.step(TaskKey(identifier_of(n), 0, 1, 0)) for n in range(4)]
     asked = [owner.advising.status(one, host.clock.monotonic()) for one in next_steps]
     assert [one.asked_seconds for one in asked] == [None] * 4
+
+
+def test_jobs_whose_workers_have_not_answered_are_not_taken_for_about_to_end():
+    """After a takeover advice was still wanted on the next step of running jobs.
+
+    The first worker's answer wakes the owner, and it looks ahead. Tasks at all other
+    workers are kept back: they neither wait nor have a run that is known, and a step
+    without either counted as ended. Each of its jobs' next steps was asked about.
+    """
+    host, owner, runs = taken_over_unheard(at_work=60)
+    report(owner, "w0", runs["w0"], percent=50)
+    now = host.clock.monotonic()
+    with owner.lock:
+        owner.tick(now)
+    next_steps = [
+        owner.book.step(TaskKey(identifier_of(n), 0, 1, 0)) for n in range(60)
+    ]
+    asked = [owner.advising.status(one, now).asked_seconds for one in next_steps]
+    assert sum(one is not None for one in asked) == 0
+
+
+def test_lasting_task_that_fails_soon_after_a_takeover_is_back_within_seconds():
+    """A watcher fails a second and a half after a takeover beside free workers.
+
+    Its question is due after those that were asked as the owner took kept back tasks
+    for ended: dozens of them, of nearly a second each, on nine hosts.
+    """
+    host, owner, runs = taken_over_unheard(at_work=90)
+    report(owner, "w0", runs["w0"], percent=50)
+    with owner.lock:
+        owner.tick(host.clock.monotonic())
+    for worker, listed in runs.items():
+        report(owner, worker, listed, percent=50)
+    run_until(host, owner, lambda: False, 1.5)
+    hand_in(host, owner, 90, Step(1, Amounts(1000, 10), is_lasting=True), QUEUE)
+    assert run_until(host, owner, is_placed(owner, 90), 10.0) < BACK_SECONDS
