Vouch for records that were vouched for at the takeover

Cause: until all workers have answered or 5.7 s are over, an owner said that starts may lack records, also one that was told that none does. Its successor then kept back all tasks of before, had not settled itself when the next one came, and so on.

Why it holds: an owner that took over with complete records orders no start before its record but where it says so by itself (recording mode), so that its successor may trust them as much as it did. One that took over without still vouches for nothing before it has heard all workers and recorded what it found. Test in tests/pool/test_settling.py, two successors of 3.5 s each: not placed before, placed by the first after. The tests of what may run unseen pass unchanged.

--- a/papayapick/pool/settling.py
+++ b/papayapick/pool/settling.py
@@ -98,7 +98,11 @@
 
         An owner that took over from one that ordered starts without records knows
         them only when all workers have answered, and records what it found then.
+        One that found all starts recorded has nothing to find out: its successor would
+        else keep back all tasks beside one dead worker, and so would the next.
         """
+        if self._is_journal_exact:
+            return False
         if self._settled_at is None:
             return True
         return self._owner.now() - self._settled_at < _RECORDED_SECONDS
--- /dev/null
+++ b/tests/pool/test_settling.py
@@ -0,0 +1,55 @@
+"""What is kept back as one owner follows another."""
+
+from papayapick.jobs import JobDocument, Step
+from papayapick.ledger import Amounts
+from tests.pool.owners import (
+    ID,
+    host_with_two_workers,
+    owner_of,
+    place,
+    register,
+    report,
+    store_job,
+)
+
+# A lasting task counts as away from 6 s after its last run.
+AWAY_SECONDS = 6.0
+
+
+def _decide(host, owner, seconds, workers):
+    """Let an owner decide as its workers answer; return the runs it placed."""
+    placed = []
+    for _ in range(round(seconds / 0.1)):
+        host.clock.advance(0.1)
+        with owner.lock:
+            owner.standing.note_confirmed(host.clock.monotonic())
+            owner.tick(host.clock.monotonic())
+        for worker in workers:
+            report(owner, worker)
+        placed += place(owner)
+    return placed
+
+
+def test_lasting_task_is_not_kept_back_by_a_dead_worker_takeover_after_takeover():
+    """A watcher stays away as all hosts are restarted, though no record is missing.
+
+    One worker crashed before the first takeover and never answers a new owner. Each
+    owner recorded all its starts, yet it says that records may be missing until it
+    knows all workers. So its successor keeps back all tasks of before, also one that
+    runs nowhere on record, and has not settled when the next one takes the pool.
+    """
+    host = host_with_two_workers()
+    register(host, "w3")
+    first = owner_of(host, is_journal_exact=True)
+    _decide(host, first, 4.0, ("w1", "w2"))
+    step = Step(1, Amounts(1000, 10), is_lasting=True)
+    failed = {"attempts": {"0": 1}, "failed": {"0": [1]}}
+    record = {"status": "running", "occurrences": {"0": [failed]}}
+    store_job(host, JobDocument(ID, "q", "pool", "t", [step], 0.0), record)
+    owner, seconds = first, 0.0
+    while seconds <= AWAY_SECONDS:
+        owner = owner_of(host, is_journal_exact=not owner.may_lack_records())
+        if _decide(host, owner, 3.5, ("w1", "w2")):
+            break
+        seconds += 3.5
+    assert seconds < AWAY_SECONDS
