Ask for advice again only where a task can be placed

Cause: advice counted as useful as long as no worker was known to be unfit, also for a step whose workers are all fit and all too full; its question counted as if it would take a tenth of the pool. And a worker with room counted though it has as many tasks of the step as may run there, or takes nothing now.

Change: once answered, a step is asked about again only if a worker that may run it, or that was not asked about, can take a task of it now, by the same test as placing uses.

--- a/papayapick/placement/rooms.py
+++ b/papayapick/placement/rooms.py
@@ -213,6 +213,18 @@
             return self._last_resort(step_state, task, allowed, rack)
         return best
 
+    def has_free(self, step_state, excluded):
+        """Return whether a worker has room for a task of a step now.
+
+        Parameters
+        ----------
+        step_state : StepState
+        excluded : container of str
+            Workers that do not count.
+        """
+        free = self._free(step_state, None, None)
+        return any(room.worker not in excluded for room in free)
+
     def _free(self, step_state, allowed, rack):
         """Yield the workers that have room for a task of a step now.
 
--- a/papayapick/pool/advice.py
+++ b/papayapick/pool/advice.py
@@ -96,6 +96,11 @@
             return float("inf")
         return advice.valid_until + _TICKET_SLACK_SECONDS / 2
 
+    def is_answered(self, key):
+        """Return whether a question on a step had an answer."""
+        advice = self._by_step.get(key)
+        return advice is not None and advice.valid_until > 0
+
     def unfit(self, key):
         """Return the workers known not to be allowed a step."""
         advice = self._by_step.get(key)
--- a/papayapick/pool/advising.py
+++ b/papayapick/pool/advising.py
@@ -67,16 +67,12 @@
         """Return whether advice on a step can be used now.
 
         A ticket ages: once the workers are known that may not run the step, it is
-        asked for again only where one of the others has room.
+        asked for again only where one of the others can take a task of it. Steps that
+        fit nowhere would be asked about for ever, and use up the turns of those behind.
         """
-        unfit = self._book.unfit(step.key)
-        if not unfit:
+        if not self._book.is_answered(step.key):
             return True
-        demand = step.step.room_demand
-        return any(
-            room.worker not in unfit and room.has_room(demand)
-            for room in self._able(step)
-        )
+        return self._owner.rooms.has_free(step, self._book.unfit(step.key))
 
     def status(self, step, now):
         """Return how far the advice on a step is."""
