Let a task return where it failed if no other worker can take it

Cause: a task that failed somewhere waits for another worker that may run it. Workers that are leaving counted as such, and those that have as many tasks of the step as may run there. Making room for an urgent task did not know where it has failed.

Change: a worker that is leaving does not count; with the others barred by tasks of the same step, the task returns where it failed unless that worker is suspected; nobody is stopped on a worker that no waiting task of the step would go to.

--- a/papayapick/placement/preemption.py
+++ b/papayapick/placement/preemption.py
@@ -56,6 +56,8 @@
     for room in rooms.able(step.step):
         if not room.is_open or room.has_unmeasured:
             continue
+        if _has_failed_there(step, room.worker):
+            continue
         if allowed is not None and room.worker not in allowed:
             continue
         count = room.step_counts.get(step.key, 0)
@@ -67,6 +69,16 @@
     return best
 
 
+def _has_failed_there(step, worker):
+    """Return whether no waiting task of a step would go to a worker.
+
+    What makes room for one that failed there is stopped in vain, round after round.
+    """
+    if step.step.is_lasting:
+        return False
+    return all(worker in step.tasks[index].failed_on for index in step.waiting)
+
+
 def _victims(room, demand, priority, priority_of):
     candidates = [
         run
--- a/papayapick/placement/rooms.py
+++ b/papayapick/placement/rooms.py
@@ -242,18 +242,30 @@
                 continue
             if not _may_run(room, step, allowed, rack):
                 continue
-            count = room.step_counts.get(step_state.key, 0)
-            if not step.tasks_per_worker or count < step.tasks_per_worker:
+            if _may_take_more(room, step_state):
                 yield room
 
     def _last_resort(self, step_state, task, allowed, rack):
-        """Return a worker for a task that has failed wherever it may run, or None."""
+        """Return a worker for a task that has failed wherever it may run, or None.
+
+        None too where it waits for another worker, which is full or closed now. One
+        that is leaving takes nothing more, and one with as many tasks of the step as
+        may run there none until these end: a task that waited for such a worker would
+        stay away beside a free one. Rather than at a suspected worker it waits.
+        """
+        is_barred = False
         for room in self.able(step_state.step):
-            is_other = room.worker not in task.failed_on
-            if is_other and _may_run(room, step_state.step, allowed, rack):
-                # It is full or closed now; the task waits for it.
-                return None
-        free = self._free(step_state, allowed, rack)
+            if room.worker in task.failed_on or room.registration.is_leaving:
+                continue
+            if _may_run(room, step_state.step, allowed, rack):
+                if _may_take_more(room, step_state):
+                    return None
+                is_barred = True
+        free = [
+            room
+            for room in self._free(step_state, allowed, rack)
+            if not (is_barred and room.is_suspected)
+        ]
         return min(free, key=lambda room: room.processors, default=None)
 
     def _spared(self):
@@ -291,3 +303,9 @@
     if step.label and step.label not in registration.labels:
         return False
     return rack is None or room.rack == rack
+
+
+def _may_take_more(room, step_state):
+    """Return whether fewer tasks of a step run on a worker than may run there."""
+    limit = step_state.step.tasks_per_worker
+    return not limit or room.step_counts.get(step_state.key, 0) < limit
