Compare ages after a takeover without the new owner's clock; keep what failed where

Two matters of what a successor knows of a task, in one record:

Ages are taken from the newest job now. With one host's clock ahead jobs of the others are misjudged by as much as before; with the owner's none is.

That a task failed on a worker, and how often it was moved off slow ones, was forgotten at each takeover: it went back where it failed, and used up its attempts there, owner after owner; one of many minutes lost its worker twice under each. Both stand in the record of progress now, for the few tasks that have any.

--- a/papayapick/jobs/records.py
+++ b/papayapick/jobs/records.py
@@ -59,6 +59,10 @@
             record.setdefault("places", {})[index] = task.place
         if task.failed_attempts:
             record.setdefault("failed", {})[index] = sorted(task.failed_attempts)
+        if task.failed_on:
+            record.setdefault("failed_on", {})[index] = sorted(task.failed_on)
+        if task.replaced:
+            record.setdefault("replaced", {})[index] = task.replaced
         if task.checkpoint:
             record.setdefault("checkpoints", {})[index] = task.checkpoint
     if done:
@@ -78,5 +82,9 @@
         step.tasks[int(index)].place = place
     for index, attempts in record.get("failed", {}).items():
         step.tasks[int(index)].failed_attempts = set(attempts)
+    for index, workers in record.get("failed_on", {}).items():
+        step.tasks[int(index)].failed_on = set(workers)
+    for index, times in record.get("replaced", {}).items():
+        step.tasks[int(index)].replaced = times
     for index, checkpoint in record.get("checkpoints", {}).items():
         step.tasks[int(index)].checkpoint = checkpoint
--- a/papayapick/pool/sources.py
+++ b/papayapick/pool/sources.py
@@ -26,6 +26,14 @@
     return JobDocument.from_record({**value, "steps": []} if is_over else value)
 
 
+def _newest_acceptance(rows):
+    """Return when the newest of the jobs was accepted, or None where there are none."""
+    # A row that can't be read must not stop all other jobs.
+    values = [row.value for row in rows if isinstance(row.value, dict)]
+    moments = [value.get("accepted_at") for value in values]
+    return max((one for one in moments if isinstance(one, int | float)), default=None)
+
+
 def check_readable(host, pool):
     """Read a row of each partition that a new owner of a pool needs.
 
@@ -65,7 +73,7 @@
         records = {row.key: row.value or {} for row in progress}
         self._owner.journal.resume(progress)
         with self._owner.lock:
-            self._take_jobs(jobs, records, self._owner.host.clock.time())
+            self._take_jobs(jobs, records, _newest_acceptance(jobs))
             for row in workers:
                 self._take_registration(row)
             for registration in self._owner.roster.restore(progress):
@@ -103,7 +111,7 @@
             self._owner.orders.stop_unneeded()
         self._owner.wake()
 
-    def _take_jobs(self, rows, records, taken_over_at=None):
+    def _take_jobs(self, rows, records, newest=None):
         """Take in jobs and cancellations.
 
         Parameters
@@ -111,11 +119,12 @@
         rows : list of StoredRow
         records : dict of str to dict
             Progress by job.
-        taken_over_at : float, optional
-            Unix seconds. What was there at a takeover counts from its acceptance: else
-            jobs that nobody has a use for any more would seem fresh after each takeover
-            and keep others waiting. What comes by the feed counts from now, as the
-            clock of the host that accepted it may differ.
+        newest : float, optional
+            When the newest of all jobs was accepted, in Unix seconds. What was there at
+            a takeover is so much older than that one: else jobs that nobody has a use
+            for any more would seem fresh after each takeover and keep others waiting.
+            Not compared with this host's clock, which may be ahead: all jobs would
+            seem too late. What comes by the feed counts from now.
         """
         now = self._owner.now()
         cancelled = []
@@ -125,17 +134,15 @@
             if row.key.endswith(CANCEL_SUFFIX):
                 cancelled.append(row.key.removesuffix(CANCEL_SUFFIX))
             elif row.key not in self._owner.book:
-                self._take_job(row, records.get(row.key), now, taken_over_at)
+                self._take_job(row, records.get(row.key), now, newest)
         for identifier in cancelled:
             self._owner.book.cancel(identifier, now)
 
-    def _take_job(self, row, record, now, taken_over_at):
+    def _take_job(self, row, record, now, newest):
         try:
             document = _document(row.value, record)
             queue = self._owner.host.queue_of(document)
-            age = 0.0
-            if taken_over_at is not None:
-                age = max(0.0, taken_over_at - document.accepted_at)
+            age = 0.0 if newest is None else newest - document.accepted_at
             job = self._owner.book.add(document, queue, now, record, age)
         except (KeyError, TypeError, ValueError, IndexError):
             # One record that can't be read must not stop all other jobs, on each
