Test how questions for advice reach the desk and leave it

Each has a test now; the test of a question that keeps its place could not fail for a second copy of it.

--- a/tests/entry/test_advisers.py
+++ b/tests/entry/test_advisers.py
@@ -114,6 +114,9 @@
     def end_one(self):
         self._answers.pop(0).set_result({})
 
+    def fail_one(self):
+        self._answers.pop(0).set_exception(ValueError("no advice"))
+
 
 def key_of(number):
     return StepKey(f"{number:016x}", 0, 0)
@@ -153,8 +156,9 @@
         desk.ask(key_of(number), ["w1"], 1.0)
         host.clock.advance(0.1)
     desk.ask(key_of(1), ["w1", "w2"], 1.0)
-    for _ in range(3):
+    for _ in range(4):
         turns.end_one()
+    # And it is asked once.
     assert turns.asked == [str(key_of(number)) for number in range(4)]
 
 
@@ -183,3 +187,11 @@
     # The step may be asked about again at once.
     with pytest.raises(AdviceNotNeeded):
         answers[1].result(1)
+
+
+def test_question_that_failed_lets_the_next_one_go():
+    _, desk, turns = alone()
+    for number in range(2):
+        desk.ask(key_of(number), ["w1"], 1.0)
+    turns.fail_one()
+    assert turns.asked == [str(key_of(0)), str(key_of(1))]
--- a/tests/entry/test_lines.py
+++ b/tests/entry/test_lines.py
@@ -49,7 +49,8 @@
         clock=clock,
         store=FakeStore(version=4),
         settings=SimpleNamespace(host_name="h1"),
-        advice=SimpleNamespace(note_heard=lambda: None),
+        advice=SimpleNamespace(note_heard=lambda: host.heard.append(clock.monotonic())),
+        heard=[],
     )
     host.peers = Peers(host, None, SimpleNamespace(host="h1"), None)
     value = {"address": "10.0.0.2", "port": 7720, "zone": "z", "region": "r"}
@@ -101,3 +102,13 @@
         line._beat()
         client.is_there = False
     assert line._host.store.removed == []
+
+
+def test_host_that_answers_may_be_asked_for_advice_at_once(line):
+    client = line.peer.client
+    client.is_there = False
+    line._beat()
+    assert line._host.heard == []
+    client.is_there = True
+    line._beat()
+    assert len(line._host.heard) == 1
--- a/tests/pool/test_takeover_advice.py
+++ b/tests/pool/test_takeover_advice.py
@@ -1,5 +1,8 @@
 """Advice that waiting tasks need after a takeover."""
 
+from concurrent.futures import Future
+from types import SimpleNamespace
+
 import pytest
 
 from papayapick.jobs import JobDocument, Step, TaskKey
@@ -105,3 +108,45 @@
     run_until(host, owner, lambda: False, 1.5)
     hand_in(host, owner, 90, Step(1, Amounts(1000, 10), is_lasting=True), QUEUE)
     assert run_until(host, owner, is_placed(owner, 90), 10.0) < BACK_SECONDS
+
+
+def _questions(monkeypatch, host):
+    """Return the questions that reach the desk, as (key, delay, is_needed)."""
+    found = []
+
+    def ask(key, workers, expected, delay, is_needed):
+        found.append((key, delay, is_needed))
+        return Future()
+
+    monkeypatch.setattr(host.advice, "ask", ask, raising=False)
+    return found
+
+
+@pytest.fixture
+def asked(monkeypatch):
+    """Return an owner with a patient step and the one after it, and its questions."""
+    host, owner = taken_over(at_work=0)
+    host.advice = SimpleNamespace(ask=None)
+    found = _questions(monkeypatch, host)
+    steps = [Step(1, Amounts(1000, 10), 6.0), Step(1, Amounts(1000, 10), after=[0])]
+    document = JobDocument(identifier_of(5), "q", "pool", "t", steps, 0.0)
+    job = owner.book.add(document, QUEUE, owner.now())
+    for step in job.steps():
+        owner.advising.ask(step, owner.now())
+    return owner, job, found
+
+
+def test_questions_ahead_of_need_and_of_patient_queues_let_others_go_first(asked):
+    owner, job, ((_, waiting, _), (_, ahead, _)) = asked
+    assert 0 < waiting < ahead
+
+
+@pytest.mark.parametrize("end", ["owner", "job"])
+def test_question_is_of_no_need_once_its_owner_or_job_is_over(asked, end):
+    owner, job, ((_, _, is_needed), _) = asked
+    assert is_needed()
+    if end == "owner":
+        owner.stop()
+    else:
+        owner.book.cancel(job.identifier, owner.now())
+    assert not is_needed()
