--- a/papayapick/pool/advising.py
+++ b/papayapick/pool/advising.py
@@ -67,16 +67,12 @@
         """Return whether advice on a step can be used now.
 
         A ticket ages: once the workers are known that may not run the step, it is
-        asked for again only where one of the others has room.
+        asked for again only where one of the others can take a task of it. Steps that
+        fit nowhere would be asked about for ever, and use up the turns of those behind.
         """
-        unfit = self._book.unfit(step.key)
-        if not unfit:
+        if not self._book.is_answered(step.key):
             return True
-        demand = step.step.room_demand
-        return any(
-            room.worker not in unfit and room.has_room(demand)
-            for room in self._able(step)
-        )
+        return self._owner.rooms.has_free(step, self._book.unfit(step.key))
 
     def status(self, step, now):
         """Return how far the advice on a step is."""
@@ -127,8 +123,17 @@
             return 0.0
         if not step.is_ready or step.waiting:
             return float("inf")
-        runs = [run for task in step.tasks for run in task.runs]
-        return max((_run_rest_seconds(step, run, now) for run in runs), default=0.0)
+        rest = 0.0
+        for task in step.tasks:
+            if task.is_done:
+                continue
+            if not task.runs:
+                # Kept back after a takeover: it may run at a worker that has not
+                # answered yet, and is no sign that its step is about to end.
+                return float("inf")
+            rests = [_run_rest_seconds(step, run, now) for run in task.runs]
+            rest = max(rest, *rests)
+        return rest
 
     def _ask(self, key, workers, expected):
         step = self._owner.book.step_of(key)
--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -14,6 +14,7 @@
     "MACHINES_DISTRUSTED",
     "MACHINES_UNREAD",
     "NO_ADVICE",
+    "ORDERS_HELD_UP",
     "PACE_NOT_SET",
     "PACE_SET",
     "POOL_LEFT",
@@ -162,6 +163,14 @@
 
 # Orders and workers.
 
+ORDERS_HELD_UP = Event(
+    "orders held up",
+    "pool starts stops",
+    "So many starts wait for a thread, and stops for a thread or an answer: nothing is "
+    "placed until some have left.",
+    level=logging.WARNING,
+    per_second=2,
+)
 START_REFUSED = Event(
     "start refused",
     _RUN + " reason room_processors room_memory",
@@ -243,7 +252,7 @@
 ADVICE_LOST = Event(
     "advice lost",
     "request_id occurrence step asked_seconds",
-    "A question had no answer for longer than it can take; it is asked again.",
+    "A question had no answer for a second and twice what it takes; it is asked again.",
 )
 NO_ADVICE = Event(
     "no advice",
