Leave an owner alone that was heard while its row was read

Cause, from the logs of the second failure: a host that has just started suspects the owner until it has heard it. The owner's first beat came between that and the claim; it made the row one whose owner is expected to beat, and only the owner of another row is asked whether it is at work. So the host took the pool of an owner that it had just heard.

Ruled out: a host that can't be reached (no line says so) and one that says that it does not own the pool (its claim is told before its answer has come).

Change: right before the claim a host looks once more whether one is needed. Why it holds: whatever a beat changes is seen there; one that comes later finds the claim made, as ever. The test in tests/entry/test_candidacy.py has the beat come during each of the two readings: the pool is taken before, and is not after.

--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -202,6 +202,9 @@
                 self._expect_beats()
                 return
             check_readable(host, self.pool)
+            if not self._is_needed():
+                # The owner's beat came meanwhile: it is at work after all.
+                return
             name = host.settings.host_name
             address = "{}:{}".format(*host.settings.peer_address)
             self._claimed_epoch = row.epoch + 1
--- a/tests/entry/test_candidacy.py
+++ b/tests/entry/test_candidacy.py
@@ -131,6 +131,30 @@
     assert taken == []
 
 
+@pytest.mark.parametrize("read", ["read_pool", "check_readable"])
+def test_beat_that_comes_during_the_look_ends_it(
+    monkeypatch, candidacy, rows, taken, read
+):
+    """A host that had just started took the pool from an owner that it had just heard.
+
+    Its suspicion was of the row that it read first. The owner's first beat came while
+    it read the row again, and made that row one whose owner is expected to beat: it was
+    not asked any more whether it is at work. `owner suspected` 0.1 s after the start
+    with `is_reported`, no `host unreached`, and `pool left` at the owner 0.04 s later.
+    """
+    rows[0] = PoolRow("pool", "h2", 3, "127.0.0.1:9", 7)
+    candidacy.note_row(rows[0])
+    candidacy._host.not_owning.add("127.0.0.1:9")
+
+    def read_and_hear(*args):
+        candidacy.note_beat(_beat())
+        return rows[0]
+
+    monkeypatch.setattr(module, read, read_and_hear)
+    _look(candidacy)
+    assert taken == []
+
+
 def test_restarted_host_takes_the_pool_of_a_dead_owner_at_once(candidacy, rows, taken):
     """After a power loss of all hosts, callers wait for beats that never come."""
     rows[0] = PoolRow("pool", "h2", 3, "127.0.0.1:9", 7)
