Let no host claim a pool before it knows the others

Change: no pool is claimed before the rows of the cell were read once. In the cold start of a cell that is one call of the store, beside the reading of the configuration.

--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -161,6 +161,10 @@
                 self._try(suspected)
 
     def _is_needed(self):
+        if not self._host.knows_cell:
+            # A host that has just started and can't ask the owner yet, as it does not
+            # know its address, would take the pool from an owner that works.
+            return False
         silence = self._host.clock.monotonic() - self._heard_at
         return not self.row.owner or self._is_suspected or silence > _SILENCE_SECONDS
 
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -74,6 +74,8 @@
         self.started_at = self.clock.monotonic()
         self.stopping = threading.Event()
         self.is_draining = False
+        # Whether the rows of the other hosts were read.
+        self.knows_cell = False
         self.executor = ThreadPoolExecutor(_TASKS, thread_name_prefix="entry")
         self.store = Store(
             settings.store_address,
@@ -261,6 +263,7 @@
             found = pool_row(row)
             if found is not None and found.pool in self._candidacies:
                 self._candidacies[found.pool].note_row(found)
+        self.knows_cell = True
         self._lines.open()
 
     def _note_cell_answer(self, asked_at):
--- a/tests/entry/test_candidacy.py
+++ b/tests/entry/test_candidacy.py
@@ -34,6 +34,7 @@
         self.store = object()
         self.store_seconds = 0.01
         self.is_draining = False
+        self.knows_cell = True
         self.asked = 0
         self.peers = SimpleNamespace(all=lambda: self.others)
         self.others = []
@@ -155,6 +156,23 @@
     assert taken == []
 
 
+def test_host_that_does_not_know_the_others_takes_no_pool(candidacy, rows, taken):
+    """A host that has just started takes the pool from a working owner.
+
+    It has read the pool's row, and not yet the rows of the other hosts: it can't ask
+    the owner, and takes that for an owner that is gone.
+    """
+    host = candidacy._host
+    host.knows_cell = False
+    rows[0] = PoolRow("pool", "h2", 3, "127.0.0.1:9", 7)
+    host.not_owning.add("127.0.0.1:9")
+    _look(candidacy, times=5)
+    assert taken == []
+    host.knows_cell = True
+    _look(candidacy)
+    assert taken == [4]
+
+
 def test_restarted_host_takes_the_pool_of_a_dead_owner_at_once(candidacy, rows, taken):
     """After a power loss of all hosts, callers wait for beats that never come."""
     rows[0] = PoolRow("pool", "h2", 3, "127.0.0.1:9", 7)
