Fail a test in which a finalizer raises or a bare thread dies

Cause: a thread that is started without the class Thread, or the finalizer of an object, raises where there is no caller; the interpreter hands it to sys.unraisablehook, and pytest only warned. So "a thread that dies fails its test" held for the class Thread alone.

Ruled out as unsound: that the collector of garbage fails tests without a fault. As with threads, the test that runs by then fails, and the trace tells whose finalizer it was.

--- a/tests/test_threads.py
+++ b/tests/test_threads.py
@@ -1,4 +1,4 @@
-"""A thread that dies fails the test in which it dies."""
+"""What fails where nobody can catch it fails the test that runs by then."""
 
 import pytest
 
@@ -29,6 +29,29 @@
     pass
 """
 
+BARE_THREAD = """
+import _thread, sys, threading
+
+def test_thread(monkeypatch):
+    is_noted, hook = threading.Event(), sys.unraisablehook
+
+    def note(found):
+        hook(found)
+        is_noted.set()
+
+    monkeypatch.setattr(sys, "unraisablehook", note)
+    _thread.start_new_thread([].pop, ())
+    assert is_noted.wait(10)
+"""
+FINALIZER = """
+class Held:
+    def __del__(self):
+        [].pop()
+
+def test_finalizer():
+    Held()
+"""
+
 
 @pytest.mark.parametrize(
     ("source", "outcomes"),
@@ -36,6 +59,7 @@
         (DIES_IN_THE_TEST, {"failed": 1}),
         (DIES_IN_THE_TEARDOWN, {"passed": 1, "errors": 1}),
     ],
+    ids=["test", "teardown"],
 )
 def test_thread_that_dies_fails_its_test(pytester, source, outcomes):
     """All tests pass while a thread of a stand-in dies in one of them.
@@ -43,9 +67,28 @@
     Nobody waits for the thread, so its exception goes nowhere; pytest only warns, and
     what the thread would have done is missing, in this test or in a later one.
     """
+    ran = _run(pytester, source)
+    ran.assert_outcomes(**outcomes)
+    ran.stdout.fnmatch_lines(["*PytestUnhandledThreadExceptionWarning*"])
+
+
+@pytest.mark.parametrize(
+    "source", [BARE_THREAD, FINALIZER], ids=["thread", "finalizer"]
+)
+def test_exception_that_nobody_can_catch_fails_its_test(pytester, source):
+    """All tests pass while something dies where there is no caller.
+
+    It is raised by an object's finalizer, or by a thread that was started without
+    the class Thread; the interpreter writes a line and goes on.
+    """
+    ran = _run(pytester, source)
+    ran.assert_outcomes(failed=1)
+    ran.stdout.fnmatch_lines(["*PytestUnraisableExceptionWarning*"])
+
+
+def _run(pytester, source):
+    """Run the tests of a source under the settings of this project."""
     path = pytester.makepyfile(source)
-    ran = pytester.runpytest_inprocess(
+    return pytester.runpytest_inprocess(
         "-c", ROOT / "pyproject.toml", "--rootdir", pytester.path, path
     )
-    ran.assert_outcomes(**outcomes)
-    ran.stdout.fnmatch_lines(["*PytestUnhandledThreadExceptionWarning*"])
