Forget the advice on a job's steps with the job

Change: it goes when the job is removed from the store. The test in tests/pool/test_waits.py fails before and passes after.

--- a/papayapick/pool/advising.py
+++ b/papayapick/pool/advising.py
@@ -50,6 +50,10 @@
         """Forget the ticket of a start that its worker refused for it."""
         self._book.drop_ticket(run.key.step_key, run.worker)
 
+    def forget(self, identifier):
+        """Drop what is known of the steps of a job that is over."""
+        self._book.forget(identifier)
+
     def want_first(self, job, now):
         """Ask for advice on the steps of a job that are ready."""
         if job.is_final or self.is_short:
--- a/tests/pool/test_waits.py
+++ b/tests/pool/test_waits.py
@@ -1,10 +1,13 @@
 """What the log tells of a step that waits."""
 
+from types import SimpleNamespace
+
 import pytest
 
 from papayapick.jobs import AdvicePolicy, Queue
 from papayapick.pool import decisions
 from papayapick.pool.decisions import WaitReason
+from papayapick.pool.forgetting import forget_jobs
 from tests.pool.standins import Replay
 
 ADVISED = Queue(
@@ -90,3 +93,28 @@
 def test_reasons_are_those_of_the_reference_page():
     described = decisions.STEP_WAITS.meaning
     assert all(reason.value in described for reason in WaitReason)
+
+
+def test_what_is_known_of_a_step_goes_with_its_job():
+    """An owner grows for as long as it lasts.
+
+    The advice on each step that was ever asked about stayed, with up to a hundred
+    workers each, when the job was long removed from the store.
+    """
+    load = load_of()
+    load.hand_in(tasks=1, queue=ADVISED)
+    place_again(load, 0.5)
+    (identifier,) = load.handed_in
+    (step,) = load.owner.book.waiting_steps()
+    assert load.owner.advising.status(step, load.now).asked_seconds is not None
+    host = SimpleNamespace(
+        settings=SimpleNamespace(status_seconds=120.0),
+        store=SimpleNamespace(transact=lambda *args, **options: 1),
+    )
+    job = load.owner.book.get(identifier)
+    with load.owner.lock:
+        load.owner.book.cancel(identifier, load.now)
+        job.durable_status = job.status
+    forget_jobs(load.owner, host, load.now + 200.0)
+    assert load.owner.book.get(identifier) is None
+    assert load.owner.advising.status(step, load.now).asked_seconds is None
