Set up owners and takeovers once in the tests of a pool

Two test files made an owner with one job and two workers in the same words, and two functions of the set-up of a takeover differed by what the workers have answered.

--- a/tests/pool/owners.py
+++ b/tests/pool/owners.py
@@ -85,3 +85,13 @@
     for worker in ("w1", "w2"):
         register(host, worker)
     return host
+
+
+def owner_with(document):
+    """Return a host, and the owner of one job whose two workers have answered."""
+    host = host_with_two_workers()
+    store_job(host, document)
+    owner = owner_of(host)
+    for worker in ("w1", "w2"):
+        report(owner, worker)
+    return host, owner
--- a/tests/pool/takeovers.py
+++ b/tests/pool/takeovers.py
@@ -43,13 +43,15 @@
     store(host, number, steps, [started, {}])
 
 
-def taken_over(at_work):
-    """Return a host and the owner that has just taken the pool over.
+def taken_over_unheard(at_work, down=()):
+    """Return a host, its new owner that no worker has answered yet, and their runs.
 
     Parameters
     ----------
     at_work : int
-        Jobs whose first step is half done.
+        Jobs whose first step is at work.
+    down : iterable of int
+        Numbers of jobs of a lasting task that failed.
     """
     host = AdvisedHost(PEERS, lambda document: QUEUE)
     runs = {f"w{number}": [] for number in range(WORKERS)}
@@ -59,8 +61,20 @@
         worker = f"w{number % WORKERS}"
         store_job_at_work(host, number, worker)
         runs[worker].append((TaskKey(identifier_of(number), 0, 0, 0), 1))
-    store_lasting_task_that_failed(host, at_work)
-    owner = owner_of(host)
+    for number in down:
+        store_lasting_task_that_failed(host, number)
+    return host, owner_of(host), runs
+
+
+def taken_over(at_work):
+    """Return a host and its new owner, with a lasting task that is down.
+
+    Parameters
+    ----------
+    at_work : int
+        Jobs whose first step is half done; the lasting one has the next number.
+    """
+    host, owner, runs = taken_over_unheard(at_work, down=[at_work])
     for worker, listed in runs.items():
         report(owner, worker, listed, percent=50)
     return host, owner
@@ -90,19 +104,6 @@
     return is_over
 
 
-def taken_over_unheard(at_work):
-    """Return a host, its new owner that no worker has answered yet, and their runs."""
-    host = AdvisedHost(PEERS, lambda document: QUEUE)
-    runs = {f"w{number}": [] for number in range(WORKERS)}
-    for worker in runs:
-        register(host, worker)
-    for number in range(at_work):
-        worker = f"w{number % WORKERS}"
-        store_job_at_work(host, number, worker)
-        runs[worker].append((TaskKey(identifier_of(number), 0, 0, 0), 1))
-    return host, owner_of(host), runs
-
-
 def hand_in(host, owner, number, step, queue):
     """Let the owner know of a new job of one step."""
     document = JobDocument(identifier_of(number), "q", "pool", "t", [step], 0.0)
--- a/tests/pool/test_last_resort.py
+++ b/tests/pool/test_last_resort.py
@@ -4,12 +4,10 @@
 from papayapick.ledger import Amounts
 from papayapick.placement.preemption import choose_victims
 from tests.pool.owners import (
-    host_with_two_workers,
     job,
-    owner_of,
+    owner_with,
     place,
     report,
-    store_job,
 )
 from tests.pool.standins import QUEUE
 
@@ -17,22 +15,13 @@
 AWAY_SECONDS = 6.0
 
 
-def _owner_with(document, workers=("w1", "w2")):
-    host = host_with_two_workers()
-    store_job(host, document)
-    owner = owner_of(host)
-    for worker in workers:
-        report(owner, worker)
-    return host, owner
-
-
 def test_task_returns_where_it_failed_if_its_siblings_bar_the_others():
     """A job takes twice its time beside a free worker that may run its last task.
 
     One task of its step may run on each worker. It failed on one; the other worker has
     its sibling, and counted as one that may run it and is only full.
     """
-    host, owner = _owner_with(job(tasks=2, tasks_per_worker=1))
+    host, owner = owner_with(job(tasks=2, tasks_per_worker=1))
     runs = place(owner)
     assert len(runs) == 2
     by_worker = {run.worker: run.name for run in runs}
@@ -48,7 +37,7 @@
     Nothing new is placed on a worker that is leaving, but it counted as one that will
     have room for the task some time.
     """
-    host, owner = _owner_with(job())
+    host, owner = owner_with(job())
     (run,) = place(owner)
     other = ({"w1", "w2"} - {run.worker}).pop()
     owner.links_by_worker[other].registration.is_leaving = True
@@ -63,7 +52,7 @@
 
     It had failed on their worker, and waited for another one that was full.
     """
-    host, owner = _owner_with(job())
+    host, owner = owner_with(job())
     (step,) = owner.book.waiting_steps()
     step.tasks[0].failed_on.add("w1")
     owner.rooms.get("w2").processors = 0
--- a/tests/pool/test_usefulness.py
+++ b/tests/pool/test_usefulness.py
@@ -4,13 +4,12 @@
 from papayapick.ledger import Amounts
 from tests.pool.advisers import AdvisedHost
 from tests.pool.owners import (
-    host_with_two_workers,
     job,
     owner_of,
+    owner_with,
     place,
     register,
     report,
-    store_job,
 )
 from tests.pool.takeovers import (
     PEERS,
@@ -26,15 +25,6 @@
 AWAY_SECONDS = 6.0
 
 
-def _owner_with(document, workers=("w1", "w2")):
-    host = host_with_two_workers()
-    store_job(host, document)
-    owner = owner_of(host)
-    for worker in workers:
-        report(owner, worker)
-    return host, owner
-
-
 def test_advice_is_of_no_use_where_no_more_tasks_of_the_step_may_run():
     """Hosts asked in vain for a step that has all the workers it may have.
 
@@ -42,7 +32,7 @@
     left, so that its other tasks wait. Its advice aged and was asked for again, nearly
     a second every three, before the questions of those that could be placed.
     """
-    host, owner = _owner_with(job(tasks=3, tasks_per_worker=1))
+    host, owner = owner_with(job(tasks=3, tasks_per_worker=1))
     assert len(place(owner)) == 2
     (step,) = owner.book.waiting_steps()
     now = host.clock.monotonic()
