Let servers wait with poll, which has no largest descriptor

Two faults with one cause, the library's loop on select:

A server's loop ended with a ValueError once a connection had a descriptor over 1023, and nobody looked at it: the process went on and answered no caller, nor its health check. Found while tracing the other; the owner of a large pool has several hundred connections.

Answers that were not written yet may be lost as a process ends; that was not seen.

Ruled out: handing the close to the loop, as the stand-in does: it mends the second only. Change: poll in place of select. It knows no largest descriptor, and passes over one that is closed.

--- a/papayapick/listening.py
+++ b/papayapick/listening.py
@@ -21,7 +21,9 @@
     -------
     waitress.server.BaseWSGIServer or waitress.server.MultiSocketServer
     """
-    server = create_server(application, **options)
+    # With select, the loop ends at a descriptor over 1023, and at one that another
+    # thread has closed: the process would go on and answer nobody.
+    server = create_server(application, asyncore_use_poll=True, **options)
     listeners = (
         [server]
         if isinstance(server, BaseWSGIServer)
