Say what the bound on waiting starts holds, and no more

One round of placing may add any number of starts at once, so what waits is bounded by the threads and one such round.

--- a/papayapick/pool/orders.py
+++ b/papayapick/pool/orders.py
@@ -75,7 +75,7 @@
     def are_held_up(self):
         """Return whether as many starts wait for a thread as there are threads.
 
-        What is placed then could not leave, and what waits leaves after one call.
+        What is placed then could not leave before calls under way have ended.
         """
         if self._starts_waiting < self._threads:
             return False
