Let a new owner's beats tell of queues only once it has read its state

Cause: a new owner beats before it has read its state, so that no other host takes the pool in turn. Those beats name no queue, and hosts took that for queues in which nothing waits. Ruled out: beats that come out of order, since the answering host checks epochs. Change: a beat says whether its owner has read its state (a new field of the message); until then hosts keep what they were told last.

--- a/papayapick/entry/answers.py
+++ b/papayapick/entry/answers.py
@@ -67,15 +67,22 @@
         if candidacy is not None:
             if candidacy.note_beat(beat):
                 board.note({one.identifier: one.status for one in beat.news})
-                backlogs = {
-                    one.queue: QueueBacklog(one.waiting, one.retry_after_seconds)
-                    for one in beat.queue_loads
-                }
-                board.note_backlogs(beat.pool, backlogs)
+                self._note_backlogs(beat)
             epoch = candidacy.row.epoch
         age = self._host.store_health.told_age()
         return PoolBeatAnswer(epoch=epoch, store_age_milliseconds=int(age * 1000))
 
+    def _note_backlogs(self, beat):
+        if not beat.has_read_state:
+            # A new owner beats before it has read its state: it names no queue, which
+            # would be told to callers as queues in which nothing waits.
+            return
+        backlogs = {
+            one.queue: QueueBacklog(one.waiting, one.retry_after_seconds)
+            for one in beat.queue_loads
+        }
+        self._host.board.note_backlogs(beat.pool, backlogs)
+
     def _answer_owner_query(self, query):
         candidacy = self._candidacies.get(query.pool)
         epoch = candidacy.owned_epoch if candidacy is not None else 0
--- a/papayapick/entry/lines.py
+++ b/papayapick/entry/lines.py
@@ -159,6 +159,7 @@
             ],
             gives_way=self._owner.standing.gives_way(),
             may_lack_records=may_lack_records,
+            has_read_state=self._owner.has_read_state,
         )
         asked_at = self._host.clock.monotonic()
         try:
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -60,6 +60,8 @@
 
     Attributes
     ----------
+    has_read_state : bool
+        Whether jobs, progress and workers were read from the store.
     lock : threading.RLock
         Held by whoever reads or changes book, rooms or links.
     """
@@ -74,6 +76,7 @@
         "advising",
         "book",
         "decisions",
+        "has_read_state",
         "host",
         "is_lost",
         "journal",
@@ -103,6 +106,7 @@
         self.roster = WorkerRoster(PROGRESS_TABLE, row.pool)
         self.links_by_worker = {}
         self.is_lost = False
+        self.has_read_state = False
         self._was_unrecorded = False
         self.stopping = threading.Event()
         self.taken_at = host.clock.monotonic()
@@ -184,6 +188,7 @@
             if self.is_stopped:
                 # Another host took the pool while its state was read here.
                 return
+            self.has_read_state = True
             for name, step in (
                 ("jobs", lambda: self.sources.follow_jobs(version)),
                 ("workers", lambda: self.sources.follow_workers(version)),
--- a/papayapick/wire/messages.capnp
+++ b/papayapick/wire/messages.capnp
@@ -161,6 +161,7 @@
   queueLoads @4 :List(QueueLoad);
   givesWay @5 :Bool;
   mayLackRecords @6 :Bool;
+  hasReadState @7 :Bool;
 }
 
 struct JobNews {
--- a/papayapick/wire/messages.py
+++ b/papayapick/wire/messages.py
@@ -225,6 +225,7 @@
     __slots__ = (
         "epoch",
         "gives_way",
+        "has_read_state",
         "host",
         "may_lack_records",
         "news",
--- a/tests/entry/test_lines.py
+++ b/tests/entry/test_lines.py
@@ -63,6 +63,7 @@
         row=SimpleNamespace(epoch=1),
         news=SimpleNamespace(all_states=dict, backlogs=dict),
         may_lack_records=lambda: False,
+        has_read_state=True,
         standing=SimpleNamespace(gives_way=lambda: False),
         recording=SimpleNamespace(note_told=lambda name, told: None),
         note_peer=lambda peer, epoch, asked_at: None,
