Sum up from the logs what ready steps waited for

On-call engineers could follow one request only; where many complain at once nothing told which queue waited for what, in which seconds. Change: papayapick logs waits, by queue, reason and span of time, from the lines that are written already. What reads lines moves from stories.py to logged.py, for both commands. Tests: tests/management/test_waits.py.

--- a/papayapick/management/commands/logs.py
+++ b/papayapick/management/commands/logs.py
@@ -1,40 +1,89 @@
-"""Explain a request from the logs of several hosts."""
+"""Explain requests and waits from the logs of several hosts."""
 
 from papayapick.management.base import Command
-from papayapick.management.exceptions import FileUnreadable, RequestNotLogged
+from papayapick.management.exceptions import (
+    FileUnreadable,
+    NoWaitLogged,
+    RequestNotLogged,
+    SpanInvalid,
+)
 from papayapick.management.exit_codes import EXIT_OK
-from papayapick.observability.stories import Story, read_lines
+from papayapick.observability.logged import clock_time, read_lines
+from papayapick.observability.stories import Story
+from papayapick.observability.waits import read_waits, sum_waits
 
 __all__ = ["LogsCommand"]
 
 _MARKS = {True: "*", False: " "}
+_LEAST_SECONDS = 0.05
 
 
 class LogsCommand(Command):
     """Read logs of entry hosts; nothing is asked of the cell."""
 
     name = "logs"
-    usage = """Explain a request from the logs of several entry hosts.
+    usage = """Explain requests and waits from the logs of several entry hosts.
 
 Usage:
   papayapick logs explain <id> <file>... [--around] [--json]
+  papayapick logs waits <file>... [--every=<s>] [--json]
   papayapick logs --help
 
-The lines about the request are put in order; the one that decided its outcome, or
-its longest wait, is marked with a star and repeated at the end. Clocks of hosts may
-differ by seconds.
+explain: the lines about the request are put in order; the one that decided its
+outcome, or its longest wait, is marked with a star and repeated at the end. Clocks of
+hosts may differ by seconds.
 
-Exit code 0 when the request was found, 1 when no line names it.
+waits: the seconds that ready steps waited, by queue and by what they waited for, first
+in all, then for each span of time.
+
+Exit code 0 when the request or any wait was found, 1 when no line names one.
 
 Options:
-  --around  Show owners and store around it too.
-  --json    Write for programs, one JSON object a line.
-  --help    Show this page.
+  --around     Show owners and store around it too.
+  --every=<s>  Length of a span in whole seconds [default: 1].
+  --json       Write for programs, one JSON object a line.
+  --help       Show this page.
 """
 
     def handle(self):
-        """Print the lines in order, then what decided."""
+        """Print what was asked for."""
         lines = read_lines(self._texts())
+        if self.options["waits"]:
+            return self._show_waits(lines)
+        return self._explain(lines)
+
+    def _show_waits(self, lines):
+        every = self._every()
+        waits = read_waits(lines)
+        if not waits:
+            raise NoWaitLogged(lines=len(lines))
+        self._show_sums("in all", sum_waits(waits))
+        begin = min(wait.begin for wait in waits) // every * every
+        end = max(wait.end for wait in waits)
+        while begin < end:
+            self._show_sums(clock_time(begin), sum_waits(waits, begin, begin + every))
+            begin += every
+        return EXIT_OK
+
+    def _every(self):
+        given = self.options["--every"]
+        if not given.isdecimal() or int(given) == 0:
+            raise SpanInvalid(given=given)
+        return int(given)
+
+    def _show_sums(self, span, sums):
+        for (queue, reason), (seconds, steps) in sorted(sums.items()):
+            if seconds >= _LEAST_SECONDS:
+                self.output.write(
+                    f"{span}  {queue}  {reason}: {seconds:.2f} s, {steps} steps",
+                    span=span,
+                    queue=queue,
+                    reason=reason,
+                    seconds=round(seconds, 3),
+                    steps=steps,
+                )
+
+    def _explain(self, lines):
         story = Story(self.options["<id>"], lines)
         if not story.own:
             raise RequestNotLogged(request_id=story.request_id, lines=len(lines))
--- a/papayapick/management/exceptions.py
+++ b/papayapick/management/exceptions.py
@@ -10,10 +10,12 @@
     "FileUnreadable",
     "FileUnwritable",
     "JobMissing",
+    "NoWaitLogged",
     "NotAcknowledged",
     "OwnerMissing",
     "RequestIdInvalid",
     "RequestNotLogged",
+    "SpanInvalid",
     "RollInterrupted",
     "RollUnsettled",
     "SigningKeyInvalid",
@@ -77,6 +79,20 @@
     )
 
 
+class NoWaitLogged(CommandError):
+    """Report logs that tell of no step that waited."""
+
+    code = "command.no-wait-logged"
+    template = "none of {lines} lines tells of a wait; hint: give the owner's log"
+
+
+class SpanInvalid(CommandError):
+    """Report a length of time that is no whole number of seconds above 0."""
+
+    code = "command.span-invalid"
+    template = "--every must be a whole number of seconds above 0, not {given!r}"
+
+
 class RequestIdInvalid(CommandError):
     """Report a text that can't be the id of a durable request."""
 
--- a/papayapick/observability/stories.py
+++ b/papayapick/observability/stories.py
@@ -1,8 +1,8 @@
 """Put the lines that several hosts wrote about one request in order, and explain it."""
 
-import json
+from papayapick.observability.logged import seconds_of_day
 
-__all__ = ["Line", "Story", "read_lines"]
+__all__ = ["Story"]
 
 # Most telling first: what made a request fail or wait.
 _CAUSES = (
@@ -43,65 +43,6 @@
 _ACCEPTED = ("job accepted", "job known already")
 
 
-class Line:
-    """Hold one line of a log.
-
-    Parameters
-    ----------
-    fields : dict
-        As decoded; ``event`` and ``time`` are there.
-    """
-
-    __slots__ = ("event", "fields", "host", "time")
-
-    def __init__(self, fields):
-        self.fields = fields
-        self.event = fields["event"]
-        self.host = fields.get("host", "")
-        self.time = fields["time"]
-
-    def names(self, request_id):
-        """Return whether the line is about a request."""
-        named = self.fields.get("request_ids") or ()
-        return self.fields.get("request_id") == request_id or request_id in named
-
-    def shown(self):
-        """Return its own fields as text, without those that each line has."""
-        common = ("time", "level", "event", "host", "zone", "request_id")
-        own = {key: one for key, one in self.fields.items() if key not in common}
-        return " ".join(f"{key}={json.dumps(one)}" for key, one in own.items())
-
-
-def read_lines(texts):
-    """Return the lines of several logs, in the order of their times.
-
-    Parameters
-    ----------
-    texts : iterable of str
-        Lines; those that are no JSON object of this project are left out. Something
-        may stand before the object, such as the name of a host.
-
-    Returns
-    -------
-    list of Line
-        Clocks of hosts may differ by seconds: lines of different hosts that are close
-        to each other may stand in the wrong order.
-    """
-    found = []
-    for text in texts:
-        begin = text.find("{")
-        if begin < 0:
-            continue
-        try:
-            fields = json.loads(text[begin:])
-        except ValueError:
-            # A line that was cut off, or one of another program.
-            continue
-        if isinstance(fields, dict) and {"event", "time"} <= fields.keys():
-            found.append(Line(fields))
-    return sorted(found, key=lambda line: line.time)
-
-
 class Story:
     """Hold what the logs say of one request.
 
@@ -189,7 +130,7 @@
         if len(stages) < 2:
             return self.own[-1]
         waits = [
-            (_seconds(after.time) - _seconds(before.time), before, after)
+            (seconds_of_day(after.time) - seconds_of_day(before.time), before, after)
             for before, after in zip(stages, stages[1:], strict=False)
         ]
         _, before, after = max(waits, key=lambda wait: wait[0])
@@ -203,16 +144,3 @@
                 if line.event == event:
                     return line
         return after
-
-
-def _seconds(text):
-    """Return a time of day as seconds.
-
-    Examples
-    --------
-    >>> _seconds("2026-03-08 00:01:02,500")
-    62.5
-    """
-    clock = text.split(" ")[-1].replace(",", ".")
-    hours, minutes, seconds = clock.split(":")
-    return 3600 * int(hours) + 60 * int(minutes) + float(seconds)
--- /dev/null
+++ b/papayapick/observability/waits.py
@@ -0,0 +1,165 @@
+"""Sum up from logs how long ready steps waited, by queue and reason."""
+
+import collections
+
+from papayapick.observability.logged import seconds_of_day
+
+__all__ = ["Wait", "read_waits", "sum_waits"]
+
+# Beside the reasons that a waiting step is logged with.
+_TAKING_IN = "owner"
+_BRIEF = "brief"
+_ROOM = "room"
+_UNKNOWN_QUEUE = "unknown"
+
+
+class Wait:
+    """Hold a span of time in which a step waited for one thing.
+
+    Parameters
+    ----------
+    queue : str
+    step : tuple of (str, int, int)
+        Request id, occurrence and number.
+    reason : str
+        Of the line ``step waits``; ``owner`` from acceptance until an owner took the
+        job in, ``brief`` for a wait that was too short to be logged by itself.
+    begin, end : float
+        Seconds of the day.
+    """
+
+    __slots__ = ("begin", "end", "queue", "reason", "step")
+
+    def __init__(self, queue, step, reason, begin, end):
+        self.queue = queue
+        self.step = step
+        self.reason = reason
+        self.begin = begin
+        self.end = end
+
+
+class _Reader:
+    """Follow the lines about each step."""
+
+    __slots__ = ("_accepted", "_looked_at", "_open", "_queues", "waits")
+
+    def __init__(self):
+        self.waits = []
+        self._accepted = {}
+        self._queues = {}
+        # Reason and begin of the wait that goes on, by step.
+        self._open = {}
+        # When a step was last placed, or a run of it ended: it was not waiting before.
+        self._looked_at = {}
+
+    def take(self, line):
+        """Take in one line."""
+        now = seconds_of_day(line.time)
+        fields = line.fields
+        request = fields.get("request_id")
+        step = (request, fields.get("occurrence", 0), fields.get("step"))
+        if line.event == "job accepted":
+            self._accepted[request] = now
+        elif line.event == "job taken in":
+            self._queues[request] = fields["queue"]
+            if request in self._accepted:
+                self._add((request, 0, 0), _TAKING_IN, self._accepted.pop(request), now)
+        elif line.event == "step waits":
+            self._accepted.pop(request, None)
+            self._change(step, fields["reason"], fields["waited_seconds"], now)
+        elif line.event == "step placed":
+            self._place(step, fields, now)
+        elif line.event == "run ended":
+            self._looked_at[step] = now
+        elif line.event == "job ended":
+            self._end_job(request, now)
+
+    def end(self, now):
+        """Close what still waits at the end of the logs."""
+        for step in list(self._open):
+            self._close(step, now)
+
+    def _change(self, step, reason, waited, now):
+        if step in self._open:
+            self._close(step, now)
+            self._open[step] = (reason, now)
+        else:
+            self._open[step] = (reason, self._begin(step, waited, now))
+
+    def _place(self, step, fields, now):
+        # The line that an owner took it in may have been left out: too many came.
+        self._accepted.pop(step[0], None)
+        if step in self._open:
+            self._close(step, now)
+        else:
+            begin = self._begin(step, fields["waited_seconds"], now)
+            self._add(step, _BRIEF, begin, now)
+        self._looked_at[step] = now
+        if fields["left"]:
+            self._open[step] = (_ROOM, now)
+
+    def _end_job(self, request, now):
+        for step in [step for step in self._open if step[0] == request]:
+            self._close(step, now)
+
+    def _begin(self, step, waited, now):
+        """Return since when a step waits; lines count from when it became ready."""
+        return max(now - waited, self._looked_at.get(step, float("-inf")))
+
+    def _close(self, step, now):
+        reason, begin = self._open.pop(step)
+        self._add(step, reason, begin, now)
+
+    def _add(self, step, reason, begin, end):
+        if end > begin:
+            queue = self._queues.get(step[0], _UNKNOWN_QUEUE)
+            self.waits.append(Wait(queue, step, reason, begin, end))
+
+
+def read_waits(lines):
+    """Return the waits that lines tell of.
+
+    Parameters
+    ----------
+    lines : list of Line
+        In the order of their times, of one day.
+
+    Returns
+    -------
+    list of Wait
+    """
+    reader = _Reader()
+    for line in lines:
+        reader.take(line)
+    if lines:
+        reader.end(seconds_of_day(lines[-1].time))
+    return reader.waits
+
+
+def sum_waits(waits, begin=float("-inf"), end=float("inf")):
+    """Return the seconds of waits within a span, by queue and reason.
+
+    Parameters
+    ----------
+    waits : list of Wait
+    begin, end : float, optional
+        Seconds of the day.
+
+    Returns
+    -------
+    dict of (str, str) to (float, int)
+        Seconds, and how many steps waited.
+
+    Examples
+    --------
+    >>> sum_waits([Wait("q", ("a", 0, 0), "room", 1.0, 4.0)], 2.0, 3.5)
+    {('q', 'room'): (1.5, 1)}
+    """
+    seconds, steps = collections.Counter(), collections.defaultdict(set)
+    for wait in waits:
+        within = min(end, wait.end) - max(begin, wait.begin)
+        if within > 0:
+            key = (wait.queue, wait.reason)
+            seconds[key] += within
+            steps[key].add(wait.step)
+    return {key: (seconds[key], len(steps[key])) for key in seconds}
--- /dev/null
+++ b/tests/management/test_waits.py
@@ -0,0 +1,82 @@
+"""``logs waits`` sums up what steps waited for."""
+
+import io
+import json
+
+import pytest
+
+from papayapick.management.exit_codes import EXIT_FAILED, EXIT_OK
+from papayapick.management.program import run
+
+JOB = "5c0e7a21d94b36f8"
+
+
+def _line(second, event, **fields):
+    time = f"2026-03-11 10:49:{second:06.3f}".replace(".", ",")
+    return json.dumps({"time": time, "event": event, "request_id": JOB, **fields})
+
+
+def _step(number=0, **fields):
+    return {"occurrence": 0, "step": number, **fields}
+
+
+LINES = [
+    _line(1.0, "job accepted"),
+    _line(3.0, "job taken in", queue="reports"),
+    _line(3.6, "step waits", **_step(reason="advice", waited_seconds=0.6)),
+    _line(4.0, "step waits", **_step(reason="room", waited_seconds=1.0)),
+    _line(6.0, "step placed", **_step(left=0, waited_seconds=3.0)),
+    # A run failed two seconds later; what it waits from then on counts.
+    _line(8.0, "run ended", **_step(outcome="failed")),
+    _line(8.5, "step placed", **_step(left=0, waited_seconds=5.5)),
+    _line(9.0, "step placed", **_step(1, left=1, waited_seconds=0.2)),
+    _line(11.0, "job ended", status="cancelled"),
+]
+
+
+def _waits(tmp_path, lines, *options):
+    path = tmp_path / "host.log"
+    path.write_text("\n".join(lines))
+    stdout, stderr = io.StringIO(), io.StringIO()
+    code = run(["logs", "waits", str(path), *options], stdout, stderr)
+    return code, stdout.getvalue(), stderr.getvalue()
+
+
+def test_seconds_are_summed_by_queue_and_reason(tmp_path):
+    code, output, _ = _waits(tmp_path, LINES, "--json")
+    found = [json.loads(line) for line in output.splitlines()]
+    sums = {one["reason"]: one["seconds"] for one in found if one["span"] == "in all"}
+    assert code == EXIT_OK
+    assert {one["queue"] for one in found} == {"reports"}
+    assert sums == {"owner": 2.0, "advice": 1.0, "room": 4.0, "brief": 0.7}
+
+
+def test_spans_add_up_to_the_whole(tmp_path):
+    _, output, _ = _waits(tmp_path, LINES, "--json", "--every=3")
+    found = [json.loads(line) for line in output.splitlines()]
+    spans = [one for one in found if one["span"] != "in all"]
+    whole = sum(one["seconds"] for one in found if one["span"] == "in all")
+    assert sum(one["seconds"] for one in spans) == pytest.approx(whole)
+    assert [one["span"] for one in spans][:2] == ["10:49:00", "10:49:03"]
+
+
+def test_wait_that_goes_on_at_the_end_of_the_logs_counts(tmp_path):
+    lines = [
+        _line(1.0, "step waits", **_step(reason="turn", waited_seconds=0.5)),
+        _line(3.0, "step waits", **_step(1, reason="room", waited_seconds=0.5)),
+    ]
+    _, output, _ = _waits(tmp_path, lines)
+    assert "in all  unknown  turn: 2.50 s, 1 steps" in output
+
+
+def test_logs_without_a_wait_are_told(tmp_path):
+    code, _, problem = _waits(tmp_path, LINES[:1])
+    assert code == EXIT_FAILED
+    assert "command.no-wait-logged" in problem
+
+
+@pytest.mark.parametrize("given", ["0", "-1", "half"])
+def test_span_that_is_no_length_is_refused(tmp_path, given):
+    code, _, problem = _waits(tmp_path, LINES, f"--every={given}")
+    assert code == EXIT_FAILED
+    assert "command.span-invalid" in problem
