Let a new owner not wait for workers that the list of machines lacks

Cause: a worker that has not answered the new owner counted as cut off, however it was gone; the list of machines was asked only about workers with known runs. Change: while a pool is not settled the list is read for silent workers too; one whose life is not on it keeps nothing back. One that is cut off stays on the list, and is waited for as before. Measured: tests/pool/test_lives.py, five cases failed before.

--- a/papayapick/pool/lives.py
+++ b/papayapick/pool/lives.py
@@ -1,8 +1,8 @@
 """Learn from the list of machines that a silent worker is gone, not cut off.
 
 What runs on a worker that does not answer may run on until its lease is over, 3.7 s
-later. The list of machines tells at once when a worker has crashed or was taken away;
-one that is cut off stays on it.
+later; a new owner that knows nothing of it waits 5.7 s. The list of machines tells at
+once when a worker has crashed or was taken away; one that is cut off stays on it.
 """
 
 from papayapick.platform.exceptions import CheckFailed
@@ -57,20 +57,30 @@
             for link in silent:
                 # It may have answered, or begun anew, while the list was read.
                 if link.is_silent and link.worker not in alive:
-                    self._owner.lists.lose_seen_runs(link)
+                    self._give_up(link)
         self._owner.wake()
 
+    def _give_up(self, link):
+        if link.is_inventoried:
+            self._owner.lists.lose_seen_runs(link)
+        else:
+            self._owner.settling.note_gone(link.worker, self._owner.now())
+
     def _silent_links(self):
         with self._owner.lock:
-            rooms = self._owner.rooms
             return [
                 link
                 for link in self._owner.links()
-                if link.is_silent
-                and link.is_inventoried
-                and any(run.has_begun for run in rooms.get(link.worker).runs.values())
+                if link.is_silent and self._is_of_interest(link)
             ]
 
+    def _is_of_interest(self, link):
+        """Return whether something may run on a worker that does not answer."""
+        if not link.is_inventoried:
+            return self._owner.settling.waits_for(link.worker)
+        runs = self._owner.rooms.get(link.worker).runs.values()
+        return any(run.has_begun for run in runs)
+
     def _is_trusted(self, alive):
         """Return whether the list names most of the workers that answer.
 
--- a/papayapick/pool/settling.py
+++ b/papayapick/pool/settling.py
@@ -24,13 +24,15 @@
         Whether each start of before is known to have been recorded.
     """
 
-    __slots__ = ("_is_journal_exact", "_is_settled", "_owner", "_settled_at")
+    __slots__ = ("_gone", "_is_journal_exact", "_is_settled", "_owner", "_settled_at")
 
     def __init__(self, owner, is_journal_exact):
         self._owner = owner
         self._is_journal_exact = is_journal_exact
         self._is_settled = False
         self._settled_at = None
+        # Workers that have crashed or left, as the list of machines tells.
+        self._gone = set()
 
     @property
     def is_journal_exact(self):
@@ -52,6 +54,19 @@
             lambda task: bool(task.place) or not self._is_journal_exact
         )
 
+    def waits_for(self, worker):
+        """Return whether tasks are kept back for a worker that has not answered."""
+        return not self._is_settled and worker not in self._gone
+
+    def note_gone(self, worker, now):
+        """Keep nothing back for a worker that has crashed or left.
+
+        Waited for as if it were cut off, it had all tasks of before stand still for
+        the longest lease that it may have, beside workers that are free.
+        """
+        self._gone.add(worker)
+        self.note_inventory(now)
+
     def note_inventory(self, now):
         """Let go what no worker that is still silent can run."""
         if self._is_settled:
@@ -59,7 +74,7 @@
         silent = sorted(
             link.worker
             for link in self._owner.links_by_worker.values()
-            if not link.is_inventoried
+            if not (link.is_inventoried or link.worker in self._gone)
         )
         is_over = now > self._owner.taken_at + QUIET_SECONDS
         self._owner.book.let_go(
@@ -85,7 +100,8 @@
         """
         if task.place:
             link = self._owner.links_by_worker.get(task.place)
-            if link is None or not link.is_inventoried:
+            is_known = link is not None and link.is_inventoried
+            if not (is_known or task.place in self._gone):
                 return False
             if self._is_journal_exact:
                 return True
--- a/tests/pool/test_lives.py
+++ b/tests/pool/test_lives.py
@@ -6,6 +6,15 @@
 from papayapick.platform.exceptions import CheckFailed
 from papayapick.platform.machines import Machine
 from papayapick.pool.lives import LifeCheck
+from tests.pool.owners import (
+    host_with_two_workers,
+    job,
+    owner_of,
+    place,
+    report,
+    started_record,
+    store_job,
+)
 from tests.pool.standins import Replay
 
 
@@ -93,3 +102,44 @@
 
     machines.fetch = fetch_slowly
     assert look(load, machines) == 0
+
+
+def _taken_over(place, is_journal_exact):
+    """Return an owner that one of two workers does not answer, after a takeover."""
+    host = host_with_two_workers()
+    store_job(host, job(), started_record(place))
+    owner = owner_of(host, is_journal_exact=is_journal_exact)
+    report(owner, "w1")
+    link = owner.links_by_worker["w2"]
+    link.failed_since = host.clock.monotonic()
+    owner.lists.note_silence(link)
+    return owner
+
+
+@pytest.mark.parametrize("is_journal_exact", [True, False])
+@pytest.mark.parametrize("recorded_at", ["w1", "w2"])
+def test_new_owner_does_not_wait_for_a_worker_that_has_crashed(
+    recorded_at, is_journal_exact
+):
+    """Guards against a standstill after each takeover beside one crashed worker."""
+    owner = _taken_over(recorded_at, is_journal_exact)
+    LifeCheck(owner, Machines("w1", "")).look()
+    assert [run.worker for run in place(owner)] == ["w1"]
+    assert owner.settling.is_settled
+
+
+def test_new_owner_waits_for_a_worker_that_is_cut_off():
+    """Guards against a second run of what goes on behind a cut."""
+    owner = _taken_over("w2", is_journal_exact=False)
+    LifeCheck(owner, Machines("w1", "w2")).look()
+    assert place(owner) == []
+    assert not owner.settling.is_settled
+
+
+def test_new_owner_reads_no_machines_once_it_knows_all_workers():
+    """Guards against paid calls that nobody needs."""
+    owner = _taken_over("w2", is_journal_exact=False)
+    check = LifeCheck(owner, Machines("w1", ""))
+    assert check._silent_links()
+    check.look()
+    assert not check._silent_links()
