Keep the hosts that own pools for short questions for advice

Cause: all that waits asks anew, and the service takes one call at a time from each host; questions of 0.5 to 0.7 s for patient steps took up every host, the new owner's own first, and a long question at the head of the line kept the short ones behind it from hosts that had time. Change: which host asks is decided in entry/advice_turns.py: long questions go to hosts that own no pool, short ones to the nearest that has time; each kind has its own line. A new owner waits 0.4 s at most for the first other host before it asks a long one itself. What a host asks for others counts as its load.

--- a/papayapick/entry/advisers.py
+++ b/papayapick/entry/advisers.py
@@ -4,6 +4,7 @@
 import threading
 from concurrent.futures import Future, ThreadPoolExecutor
 
+from papayapick.entry.advice_turns import HostLoad, choose_host, is_long
 from papayapick.entry.events import ADVICE_MOVED
 from papayapick.entry.metrics import ADVICE_SECONDS
 from papayapick.platform.advice import AdviceClient
@@ -13,9 +14,8 @@
 
 __all__ = ["AdviceDesk", "Adviser"]
 
-# A host is given the next question while what it was given takes no longer than this:
-# short ones follow each other without a pause, a long one is asked by itself.
-_LOAD_SECONDS = 0.15
+# Hosts answer a new owner's first beats within this time.
+_ACQUAINTED_SECONDS = 0.4
 
 
 class Adviser:
@@ -84,7 +84,7 @@
     pool : HttpPool
     """
 
-    __slots__ = ("_adviser", "_host", "_lock", "_seconds", "_waiting")
+    __slots__ = ("_adviser", "_alone_since", "_host", "_lock", "_seconds", "_waiting")
 
     def __init__(self, host, pool):
         self._host = host
@@ -94,6 +94,8 @@
         self._seconds = 0.0
         # A heap.
         self._waiting = []
+        # Since when no other host is heard, in monotonic seconds.
+        self._alone_since = None
 
     def ask(self, key, workers, expected, delay=0.0, is_needed=None):
         """Ask for advice through the host that has least to ask.
@@ -145,17 +147,31 @@
 
     def _give_out(self):
         """Give what waits to the hosts that have time for it."""
+        kept = []
         while True:
             with self._lock:
                 question = self._next_needed()
                 if question is None:
-                    return
-                peer, load = self._least_loaded()
-                if load > _LOAD_SECONDS:
-                    heapq.heappush(self._waiting, question)
-                    return
-                self._add(peer, question.expected)
-            self._send(peer, question)
+                    break
+                host = self._host_for(question, kept)
+                if host is None:
+                    # Those behind it may be shorter, and find a host.
+                    kept.append(question)
+                    continue
+                self._add(host.peer, question.expected)
+            self._send(host.peer, question)
+        with self._lock:
+            for question in kept:
+                heapq.heappush(self._waiting, question)
+
+    def _host_for(self, question, kept):
+        """Return the host for a question; None behind one of its length that waits."""
+        is_long_one = is_long(question.expected)
+        if any(is_long(one.expected) == is_long_one for one in kept):
+            return None
+        if is_long_one and self._waits_for_others():
+            return None
+        return choose_host(question.expected, self._loads())
 
     def _next_needed(self):
         """Take the question that is due first; None where none is left.
@@ -179,16 +195,33 @@
             return
         asked.add_done_callback(lambda done: self._pass(done, peer, question))
 
-    def _least_loaded(self):
-        """Return the host with least to ask, None for this one, and its seconds."""
-        load, chosen = self._seconds, None
+    def _waits_for_others(self):
+        """Return whether other hosts are there, and about to be heard.
+
+        As a pool is taken over its new owner has heard none yet. The first long
+        question would take up its own turn, and urgent steps wait behind it.
+        """
+        peers = self._host.peers
+        if peers.live() or not peers.all():
+            self._alone_since = None
+            return False
+        now = self._host.clock.monotonic()
+        if self._alone_since is None:
+            self._alone_since = now
+        return now - self._alone_since < _ACQUAINTED_SECONDS
+
+    def _loads(self):
+        owners = self._host.owner_names()
+        settings = self._host.settings
+        loads = [HostLoad(None, self._seconds, settings.host_name in owners)]
         for peer in self._host.peers.live():
             # A host that has just gone has nothing to ask and counts as live for
             # a moment: each question would be sent to it in turn, 0.2 s apart.
-            is_gone = peer.advice_failed_at >= peer.answered_at
-            if not is_gone and peer.advice_seconds < load:
-                load, chosen = peer.advice_seconds, peer
-        return chosen, load
+            if peer.advice_failed_at < peer.answered_at:
+                is_far = peer.region != settings.region
+                load = HostLoad(peer, peer.advice_seconds, peer.name in owners, is_far)
+                loads.append(load)
+        return loads
 
     def _ask_through(self, peer, question):
         key, workers, expected = question.key, question.workers, question.expected
@@ -240,9 +273,12 @@
         """Return a future of the reply to another host's question."""
         answer = Future()
         expected = query.expected_milliseconds / 1000
+        with self._lock:
+            self._add(None, expected)
         asked = self._adviser.ask(query.step, list(query.workers), expected)
 
         def note(done):
+            self._note_done(None, expected)
             if done.exception() is not None:
                 answer.set_exception(done.exception())
                 return
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -163,6 +163,10 @@
         """Return the names of the pools that this process owns."""
         return [one.pool for one in list(self._candidacies.values()) if one.is_owner]
 
+    def owner_names(self):
+        """Return the names of the hosts that own pools, as far as is known here."""
+        return {one.row.owner for one in list(self._candidacies.values())}
+
     def refresh_metrics(self):
         """Set the gauges, for whoever is about to read them."""
         STORE_AGE_SECONDS.set(self.store_health.age())
--- /dev/null
+++ b/tests/entry/test_advice_turns.py
@@ -0,0 +1,66 @@
+"""Short questions for advice do not wait behind long ones."""
+
+import pytest
+
+from papayapick.entry.advice_turns import HostLoad, choose_host
+from papayapick.jobs.documents import StepKey
+from tests.pool.advisers import AdvisedHost
+
+SHORT_SECONDS = 0.02
+LONG_SECONDS = 0.6
+
+
+def _ask(host, number, seconds, delay=0.0):
+    key = StepKey(f"{number:016x}", 0, 0)
+    return host.advice.ask(key, ["w1"], seconds, delay)
+
+
+def _seconds_until(host, answer):
+    begin = host.clock.monotonic()
+    while not answer.done():
+        host.clock.advance(0.01)
+        host.advise()
+    return host.clock.monotonic() - begin
+
+
+def test_urgent_step_does_not_wait_while_patient_ones_ask_for_long():
+    """Guards against hosts that are all busy with long questions at a takeover."""
+    host = AdvisedHost(peers=7, queue_of=None)
+    host.hear_peers()
+    for number in range(30):
+        _ask(host, number, LONG_SECONDS, delay=0.5)
+    took = [_seconds_until(host, _ask(host, 100 + n, SHORT_SECONDS)) for n in range(10)]
+    assert max(took) < 0.1
+
+
+def test_new_owner_that_has_heard_nobody_keeps_its_own_turn_for_urgent_steps():
+    """Guards against a first long question that is asked before others are heard."""
+    host = AdvisedHost(peers=7, queue_of=None)
+    long = _ask(host, 1, LONG_SECONDS)
+    assert _seconds_until(host, _ask(host, 2, SHORT_SECONDS)) < 0.1
+    host.hear_peers()
+    assert _seconds_until(host, long) <= LONG_SECONDS + 0.02
+
+
+def test_host_that_is_alone_asks_long_questions_too():
+    """Guards against questions that are never asked."""
+    host = AdvisedHost(peers=0, queue_of=None)
+    assert _seconds_until(host, _ask(host, 1, LONG_SECONDS)) <= LONG_SECONDS + 0.02
+
+
+@pytest.mark.parametrize(
+    ("expected", "loads", "chosen"),
+    [
+        (SHORT_SECONDS, [(0.0, True, False), (0.0, False, False)], 0),
+        (SHORT_SECONDS, [(0.1, True, False), (0.0, False, False)], 1),
+        (SHORT_SECONDS, [(0.05, True, False), (0.0, False, True)], 0),
+        (SHORT_SECONDS, [(0.2, True, False), (0.6, False, False)], None),
+        (LONG_SECONDS, [(0.0, True, False), (0.1, False, False)], 1),
+        (LONG_SECONDS, [(0.0, True, False), (0.6, False, False)], None),
+        (LONG_SECONDS, [(0.0, True, False)], 0),
+    ],
+)
+def test_host_with_the_least_delay_is_chosen(expected, loads, chosen):
+    hosts = [HostLoad(None, *load) for load in loads]
+    found = choose_host(expected, hosts)
+    assert (None if found is None else hosts.index(found)) == chosen
--- a/tests/entry/test_advisers.py
+++ b/tests/entry/test_advisers.py
@@ -28,11 +28,14 @@
         self.answered_at = 99.5
         self.advice_failed_at = float("-inf")
         self.advice_seconds = -1.0
+        self.region = "south"
         self.asked = 0
 
 
 class Settings:
     advice_address = "127.0.0.1:1"
+    host_name = "h1"
+    region = "south"
 
 
 class Host:
@@ -48,6 +51,11 @@
     def live(self):
         return self._peers
 
+    all = live
+
+    def owner_names(self):
+        return {"h1"}
+
     def ask_advice(self, peer, key, workers, expected):
         peer.asked += 1
         if isinstance(peer.error, PeerUnreachable):
--- a/tests/pool/advisers.py
+++ b/tests/pool/advisers.py
@@ -48,6 +48,7 @@
         super().__init__()
         self.queue_of = queue_of
         self.settings.advice_address = "a:1"
+        self.settings.host_name = "h1"
         self.executor = SimpleNamespace(
             submit=lambda step, *args: step(*args),
             map=lambda step, items: [step(item) for item in items],
@@ -63,6 +64,12 @@
         asked.add_done_callback(lambda done: answer.set_result(_reply(done.result())))
         return answer
 
+    def all(self):
+        return self._all
+
+    def owner_names(self):
+        return {self.settings.host_name}
+
     def hear_peers(self):
         """Let the other hosts have answered a beat just now."""
         self.live_peers = self._all
