Notice within a second that the feed of an owner's jobs is silent

Cause: the feed's connection went silent, and a waiting call was given up 2.2 s after it was sent (1.2 s of waiting, 1.0 s of slack); an owner that is cut off noticed as late. Ruled out: the hosts' acceptance (answered within 0.05 s), the takeover (none near). Change: an owner's feeds wait 0.4 s, as its feed of the cell did; the slack is 0.6 s, more than twice what the slowest store takes. Two to three calls a second more for each pool. Measured: tests/entry/test_followers.py failed before.

--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -225,6 +225,8 @@
             stopping,
             self._note_store_answer,
             self.store_health.note_failure,
+            # Jobs that were accepted wait until a feed that fell silent is noticed.
+            lambda: OWNER_WAIT_SECONDS,
         )
 
     def _note_store_answer(self, asked_at):
--- a/papayapick/platform/store.py
+++ b/papayapick/platform/store.py
@@ -21,7 +21,7 @@
 # second; past this, the way to it is cut or it is down.
 _CALL_SECONDS = 1.2
 # What the answer of a waiting call may take beyond its wait.
-_FEED_SLACK_SECONDS = 1.0
+_FEED_SLACK_SECONDS = 0.6
 
 
 class Store:
