Look for dead workers before a new owner's first call to them is given up

Cause: the list of machines was read for workers that count as silent only, and a worker counts so once its first call was given up. Change: 0.2 s after the claim the list is read for all that have not answered. Measured: tests/pool/test_lives.py, the new case failed before.

--- a/papayapick/pool/lives.py
+++ b/papayapick/pool/lives.py
@@ -14,6 +14,9 @@
 # The list is read so often at most while a worker with runs is silent; each call is
 # paid for, and the service takes 60 a second.
 _READ_SECONDS = 0.25
+# Workers answer a new owner's first call within this time. One that has crashed lets it
+# wait 0.8 s, and all tasks of before with it.
+_FIRST_ANSWER_SECONDS = 0.2
 # A list that names fewer of the workers that answer is not of them.
 _TRUSTED_SHARE = 0.5
 
@@ -56,7 +59,7 @@
                 return
             for link in silent:
                 # It may have answered, or begun anew, while the list was read.
-                if link.is_silent and link.worker not in alive:
+                if link.worker not in alive and self._is_quiet(link):
                     self._give_up(link)
         self._owner.wake()
 
@@ -71,9 +74,15 @@
             return [
                 link
                 for link in self._owner.links()
-                if link.is_silent and self._is_of_interest(link)
+                if self._is_quiet(link) and self._is_of_interest(link)
             ]
 
+    def _is_quiet(self, link):
+        """Return whether a worker does not answer, or has not in time."""
+        if link.is_inventoried or link.is_silent:
+            return link.is_silent
+        return self._owner.now() - self._owner.taken_at > _FIRST_ANSWER_SECONDS
+
     def _is_of_interest(self, link):
         """Return whether something may run on a worker that does not answer."""
         if not link.is_inventoried:
--- a/tests/pool/test_lives.py
+++ b/tests/pool/test_lives.py
@@ -143,3 +143,17 @@
     assert check._silent_links()
     check.look()
     assert not check._silent_links()
+
+
+def test_new_owner_does_not_wait_until_its_first_call_is_given_up():
+    """Guards against a call of 0.8 s to a dead worker that all tasks wait for."""
+    host = host_with_two_workers()
+    store_job(host, job(), started_record("w2"))
+    owner = owner_of(host, is_journal_exact=False)
+    report(owner, "w1")
+    check = LifeCheck(owner, Machines("w1", ""))
+    assert not check._silent_links()
+    host.clock.advance(0.3)
+    assert [link.worker for link in check._silent_links()] == ["w2"]
+    check.look()
+    assert [run.worker for run in place(owner)] == ["w1"]
