Open a connection anew when its opening packet is lost

Cause: the system sends a lost opening packet again after a second, and the one turn of a host at the advice service was held up by it. Ruled out: other questions (the host had none), the store (pool taken after 0.02 s). Change: a connection that is not open after 0.25 s is opened anew, with twice the time at each try, within the time of the call.

--- a/papayapick/clients/http.py
+++ b/papayapick/clients/http.py
@@ -12,6 +12,10 @@
 
 _KEPT_PER_ADDRESS = 32
 _PART_BYTES = 64 << 10
+# A lost opening packet is sent again by the system after a second; a new connection has
+# another chance sooner. Several times what it takes between regions; doubled each time,
+# since the way may be slow.
+_CONNECT_SECONDS = 0.25
 
 
 class HttpAnswer:
@@ -84,12 +88,11 @@
         parts = urllib.parse.urlsplit(url)
         timeout = self._timeout if timeout is None else timeout
         deadline = self._clock.monotonic() + timeout
-        connection = self._take(parts.netloc, timeout, fresh)
+        connection = None if fresh else self._take(parts.netloc)
         try:
-            if connection.sock is None:
-                connection.connect()
+            if connection is None:
+                connection = self._connect(parts.netloc, deadline)
         except OSError as error:
-            connection.close()
             raise NotSent(url=url) from error
         path = parts.path or "/"
         if parts.query:
@@ -153,18 +156,35 @@
             raise TimeoutError
         sock.settimeout(rest)
 
-    def _take(self, netloc, timeout, fresh):
-        while not fresh:
+    def _take(self, netloc):
+        """Return a kept connection, or None."""
+        while True:
             with self._lock:
                 kept = self._idle.get(netloc)
                 connection = kept.pop() if kept else None
-            if connection is None:
-                break
-            if not _is_readable(connection.sock):
+            if connection is None or not _is_readable(connection.sock):
                 return connection
             # Closed by the other side, or bytes that nobody asked for.
             connection.close()
-        return http.client.HTTPConnection(netloc, timeout=timeout)
+
+    def _connect(self, netloc, deadline):
+        """Open a connection; raise OSError where none can be opened in time."""
+        seconds = _CONNECT_SECONDS
+        while True:
+            rest = deadline - self._clock.monotonic()
+            if rest <= 0:
+                raise TimeoutError
+            connection = http.client.HTTPConnection(netloc, timeout=min(seconds, rest))
+            try:
+                connection.connect()
+            except TimeoutError:
+                connection.close()
+                seconds *= 2
+            except OSError:
+                connection.close()
+                raise
+            else:
+                return connection
 
     def _keep(self, netloc, connection):
         with self._lock:
