Let starts leave while a host restarts and the store is slow

Cause: starts leave before their record only when every host was told so; a host whose process has just ended can't be told, and was waited for until it had been silent for 3 s. Ruled out: advice and room (waits by second), commits (0.34 s each, as the store is). Change: an address where no process listens is told apart from one that can't be reached; its process has ended, and the next one there trusts no record before it was told. Measured: tests/pool/test_recording.py, tests/wire/test_server.py.

--- a/papayapick/entry/lines.py
+++ b/papayapick/entry/lines.py
@@ -3,7 +3,7 @@
 import threading
 
 from papayapick.entry.events import HOST_REACHED, HOST_UNREACHED
-from papayapick.wire.exceptions import WireError
+from papayapick.wire.exceptions import PeerNotListening, WireError
 from papayapick.wire.messages import JobNews, PoolBeat, QueueLoad
 
 __all__ = ["OwnerLine", "OwnerLines"]
@@ -166,6 +166,8 @@
             answer = self._peer.client.ask(beat, _ANSWER_SECONDS)
         except WireError as error:
             self._note_miss(error)
+            if isinstance(error, PeerNotListening):
+                self._owner.recording.note_gone(self._peer.name)
             if not isinstance(error, OSError):
                 self._peer.client.close()
             with self._lock:
--- a/papayapick/pool/recording.py
+++ b/papayapick/pool/recording.py
@@ -31,6 +31,7 @@
 
     __slots__ = (
         "_clock",
+        "_gone",
         "_is_lost",
         "_is_slow",
         "_lock",
@@ -47,6 +48,9 @@
         self._quick = 0
         # Hosts that have taken the word that records may be missing.
         self._told = set()
+        # Hosts whose process has ended. The next one there trusts no record before it
+        # was told.
+        self._gone = set()
         self._used_at = None
 
     def note_commit(self, seconds):
@@ -87,11 +91,22 @@
     def note_told(self, host, was_announced):
         """Note that a host has answered a beat with or without the announcement."""
         with self._lock:
+            self._gone.discard(host)
             if was_announced:
                 self._told.add(host)
             else:
                 self._told.discard(host)
 
+    def note_gone(self, host):
+        """Note that the process of a host has ended: it need not be told.
+
+        Waited for until it is silent for long, each host that restarts would have all
+        starts wait for their record while the store is slow.
+        """
+        with self._lock:
+            self._told.discard(host)
+            self._gone.add(host)
+
     def may_send(self, peers):
         """Return whether a start may leave now without a record.
 
@@ -104,9 +119,11 @@
         with self._lock:
             if not self._is_wanted():
                 return False
+            need_not_be_told = self._told | self._gone
             if any(
-                peer.name not in self._told and now - peer.answered_at < _SILENT_SECONDS
+                now - peer.answered_at < _SILENT_SECONDS
                 for peer in peers
+                if peer.name not in need_not_be_told
             ):
                 return False
             self._used_at = now
--- a/papayapick/wire/client.py
+++ b/papayapick/wire/client.py
@@ -8,6 +8,7 @@
 
 from papayapick.wire.exceptions import (
     PeerDisconnected,
+    PeerNotListening,
     PeerRefused,
     PeerTimeout,
     PeerUnreachable,
@@ -134,6 +135,8 @@
             sock = socket.create_connection(self._address, self._connect_seconds)
             connection = Connection(sock, self._cell_key, self._identity, self._meter)
             connection.greet(self._connect_seconds)
+        except ConnectionRefusedError as error:
+            raise PeerNotListening(address=self._address) from error
         except (OSError, WireError) as error:
             raise PeerUnreachable(address=self._address) from error
         return connection
--- a/papayapick/wire/exceptions.py
+++ b/papayapick/wire/exceptions.py
@@ -7,6 +7,7 @@
     "FrameInvalid",
     "GreetingOverdue",
     "PeerDisconnected",
+    "PeerNotListening",
     "PeerRefused",
     "PeerTimeout",
     "PeerUnreachable",
@@ -48,6 +49,13 @@
     template = "peer {address} cannot be reached"
 
 
+class PeerNotListening(PeerUnreachable):
+    """Report that no process listens at the address: the one of before has ended."""
+
+    code = "wire.peer-not-listening"
+    template = "no process listens at {address}"
+
+
 class PeerDisconnected(WireError):
     """Report a connection that broke with the answer outstanding."""
 
--- a/tests/pool/test_recording.py
+++ b/tests/pool/test_recording.py
@@ -85,3 +85,22 @@
     mode.note_failure()
     _tell(mode, "h2", "h3")
     assert mode.may_send(PEERS)
+
+
+def test_host_whose_process_has_ended_need_not_be_told(mode):
+    """Guards against starts that wait for a slow store as hosts restart in turn."""
+    mode.note_commit(0.3)
+    _tell(mode, "h2")
+    mode.note_gone("h3")
+    assert mode.may_send(PEERS)
+
+
+def test_process_that_follows_is_told_before_a_start_leaves(mode):
+    """Guards against a successor that trusts records which are not there."""
+    mode.note_gone("h3")
+    mode.note_told("h3", was_announced=False)
+    mode.note_commit(0.3)
+    _tell(mode, "h2")
+    assert not mode.may_send(PEERS)
+    _tell(mode, "h3")
+    assert mode.may_send(PEERS)
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -7,6 +7,7 @@
 
 from papayapick.wire import PeerClient, PeerRefused, PeerUnreachable
 from papayapick.wire import server as wire_server
+from papayapick.wire.exceptions import PeerNotListening
 from papayapick.wire.messages import WorkQuery
 from tests.wire.links import WAIT_SECONDS, identity, is_closed_by_peer, serving
 
@@ -76,3 +77,14 @@
             _ask(server, b"k" * 32, executor)
     assert caught.value.outcome == "unknown"
     assert "secret" not in str(caught.value)
+
+
+def test_address_where_no_process_listens_is_told_apart(executor):
+    """Guards against an ended process that is taken for one that is cut off."""
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        client = PeerClient(
+            unused.getsockname(), b"k" * 32, identity("caller"), executor
+        )
+        with pytest.raises(PeerNotListening):
+            client.call(QUERY)
