Gather the changes of workers before the next call of the store

An owner's feed of workers returned for each entry that any worker wrote: some 17 calls a second for 25 workers and each pool, and in proportion with 176. Cause: workers write their entry every 1.5 s; the feed returns with the first change. Change: the owner waits 0.4 s before it asks again; a worker that leaves stays for seconds.

--- a/papayapick/entry/followers.py
+++ b/papayapick/entry/followers.py
@@ -3,7 +3,11 @@
 from papayapick.clients.exceptions import HistoryLost, TableUnavailable
 from papayapick.entry.events import HISTORY_LOST, STORE_BACK, STORE_LOST
 
-__all__ = ["FOLLOW_WAIT_SECONDS", "OWNER_WAIT_SECONDS", "follow_table"]
+__all__ = [
+    "FOLLOW_WAIT_SECONDS",
+    "OWNER_WAIT_SECONDS",
+    "follow_table",
+]
 
 # One waiting call a second and a half: a connection that went silent is noticed
 # soon after, well within the bound for a change of the configuration.
@@ -23,6 +27,7 @@
     on_answer,
     on_failure=lambda: None,
     wait_seconds=lambda: FOLLOW_WAIT_SECONDS,
+    gather_seconds=0.0,
 ):
     """Hand on the changes of a table until told to stop.
 
@@ -44,6 +49,8 @@
         Called when a call was refused or had no answer.
     wait_seconds : callable, optional
         Returns how long a call waits for changes.
+    gather_seconds : float, optional
+        So long more changes are gathered before the next call.
     """
     away_since = None
     answered_at = clock.monotonic()
@@ -75,3 +82,5 @@
         on_answer(asked_at)
         if rows and not stopping.is_set():
             on_rows(rows)
+            if gather_seconds:
+                clock.wait(stopping, gather_seconds)
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -213,7 +213,7 @@
 
     # What the store says.
 
-    def follow(self, table, version, on_rows, read_all, stopping):
+    def follow(self, table, version, on_rows, read_all, stopping, gather=0.0):
         """Follow a table; see ``follow_table``."""
         follow_table(
             self.store,
@@ -227,6 +227,7 @@
             self.store_health.note_failure,
             # Jobs that were accepted wait until a feed that fell silent is noticed.
             lambda: OWNER_WAIT_SECONDS,
+            gather,
         )
 
     def _note_store_answer(self, asked_at):
--- a/papayapick/pool/sources.py
+++ b/papayapick/pool/sources.py
@@ -15,6 +15,11 @@
 
 __all__ = ["Sources", "check_readable"]
 
+# Each worker writes its entry every second or so, and hardly any has news: a call for
+# each change would be most of what an owner asks of the store. A worker that leaves is
+# given nothing new well within the seconds that it stays.
+_GATHER_SECONDS = 0.4
+
 
 def _document(value, record):
     """Return the document of a job; of one that is over without its steps.
@@ -173,6 +178,7 @@
             self.note_worker_rows,
             lambda: self._owner.host.store.read_all(WORKERS_TABLE, ""),
             self._owner.stopping,
+            _GATHER_SECONDS,
         )
 
     def note_worker_rows(self, rows):
