Bound rounds of decisions, and backlogs by what is of use

Cause, from a profile of one round (176 workers, 1,442 waiting steps): each waiting step looks at each worker, twice with holds (94 ms a round; 27 ms before holds), each report asks for a round, and each of 34 beats counts all jobs. What is accepted can't be looked after, and most of it begins when nobody has a use for it. A lasting task that failed waits behind all of it. Change: steps that fit nowhere, and those too small to hold room, are passed by without a look at the workers; 32 large steps at most try to hold; a round of over 5 ms is followed by a rest of twice its length; queues are counted ten times a second at most. A backlog is bounded by how long its jobs are of use (three times their objective, 5 to 60 s), and the rate is believed after a third of that. A lasting task that is down for 2 s goes first.

--- /dev/null
+++ b/benchmarks/rounds.py
@@ -0,0 +1,64 @@
+"""Time one round of decisions by workers and waiting steps.
+
+Run as ``python -m benchmarks.rounds [--json]``. All workers are full; half of the
+waiting steps have tickets, a quarter had some that are too old. ``round_ms`` is the
+least of five rounds, ``tick_ms`` what is done by time ten times a second beside them.
+"""
+
+import time
+
+from benchmarks.tables import print_rows
+from papayapick.jobs import AdvicePolicy, Queue
+from tests.pool.standins import Replay
+
+SIZES = ((25, 100), (176, 300), (176, 1500))
+ROUNDS = 5
+TASKS = 6
+QUEUE = Queue(
+    "q", "h", "/q/", "pool", 0, 2, 1.5, 0.5, 3.0, False, AdvicePolicy(0.02, 0, 2.5)
+)
+
+
+def main():
+    print_rows([measure(workers, steps) for workers, steps in SIZES])
+
+
+def measure(workers, steps):
+    load = Replay(workers=workers, length=1.0)
+    owner = load.owner
+    owner.host.queue_of = lambda document: QUEUE
+    owner.advising._book._ask = lambda key, names, expected: None
+    for _ in range(steps):
+        load.hand_in(tasks=TASKS, estimate=1.0, queue=QUEUE)
+    names = list(load.workers)
+    for number, step in enumerate(owner.book.waiting_steps()):
+        if number % 2:
+            _advise(owner, step, names[: workers // 2], load.now)
+        elif number % 4 == 0:
+            _advise(owner, step, names[:3], load.now - 5.0)
+    owner.decisions.place(load.now)
+    return {
+        "workers": workers,
+        "waiting": len(owner.book.waiting_steps()),
+        "round_ms": _milliseconds(owner.decisions.place, load.now),
+        "tick_ms": _milliseconds(owner.tick, load.now),
+    }
+
+
+def _advise(owner, step, names, now):
+    owner.advising.ask(step, owner.now())
+    tickets = dict.fromkeys(names, "t")
+    owner.advising._book.note_answer(step.key, tickets, QUEUE.advice, now)
+
+
+def _milliseconds(step, now):
+    took = []
+    for _ in range(ROUNDS):
+        begin = time.perf_counter()
+        step(now)
+        took.append(time.perf_counter() - begin)
+    return 1000 * min(took)
+
+
+if __name__ == "__main__":
+    main()
--- a/papayapick/placement/backlog.py
+++ b/papayapick/placement/backlog.py
@@ -18,10 +18,14 @@
 # Before a backlog came, jobs began as they were handed in, which is no sign of what the
 # pool can do: the rate is that of the time since, and is believed only after this.
 _SETTLE_SECONDS = 5.0
-# A backlog that takes longer is not added to. Work that callers wait for is of use for
-# seconds, at three times its objective for half a minute; patient work may wait longer
-# than that, and is handed in again.
+# A backlog that takes longer is not added to, however patient its work is: it is handed
+# in again.
 _LIMIT_SECONDS = 60.0
+# Nor one that takes longer than its jobs are of use to their callers, which for urgent
+# ones is some seconds: what is accepted then takes the owner's time for nothing.
+_LEAST_LIMIT_SECONDS = 5.0
+# The sooner work is of no use, the sooner the rate must be believed.
+_SETTLE_SHARE = 1 / 3
 # Fewer waiting jobs are no load, however slowly they begin: after a start, or while one
 # wide job fills the pool, nothing has begun yet.
 _LEAST_JOBS = 200
@@ -64,7 +68,7 @@
         times = self._begun.setdefault(queue, collections.deque(maxlen=_TIMES_KEPT))
         times.append(now)
 
-    def backlog(self, queue, waiting, now):
+    def backlog(self, queue, waiting, now, useful_seconds=_LIMIT_SECONDS):
         """Return what is to be told of a queue.
 
         Parameters
@@ -74,26 +78,29 @@
             Its jobs that could begin and have not.
         now : float
             Monotonic seconds.
+        useful_seconds : float, optional
+            So long after it was accepted a job of the queue is of use to its caller.
 
         Returns
         -------
         QueueBacklog
         """
-        return QueueBacklog(waiting, self._retry_after(queue, waiting, now))
+        limit = min(_LIMIT_SECONDS, max(_LEAST_LIMIT_SECONDS, useful_seconds))
+        return QueueBacklog(waiting, self._retry_after(queue, waiting, now, limit))
 
-    def _retry_after(self, queue, waiting, now):
+    def _retry_after(self, queue, waiting, now, limit):
         if waiting < _LEAST_JOBS:
             self._since.pop(queue, None)
             return 0
         elapsed = now - self._since.setdefault(queue, now)
-        if elapsed < _SETTLE_SECONDS:
+        if elapsed < min(_SETTLE_SECONDS, _SETTLE_SHARE * limit):
             return 0
         rate = self._rate(queue, now, min(elapsed, _WINDOW_SECONDS))
-        if waiting <= _LIMIT_SECONDS * rate:
+        if waiting <= limit * rate:
             return 0
         if not rate:
             return _LONGEST_PAUSE_SECONDS
-        seconds = waiting / rate - _LIMIT_SECONDS
+        seconds = waiting / rate - limit
         return min(_LONGEST_PAUSE_SECONDS, math.ceil(seconds))
 
     def _rate(self, queue, now, window):
--- a/papayapick/placement/holds.py
+++ b/papayapick/placement/holds.py
@@ -21,6 +21,9 @@
 # A step of single tasks holds room for so many at a time; the others follow as these
 # are placed.
 _TASKS_HELD = 2
+# With more large steps waiting than that, those behind would hold hardly any room: the
+# first ones hold what there is.
+_STEPS_TRIED = 32
 # Another worker must be free in less than this share of the time to be held instead:
 # estimates change with each look, and a hold that moves to and fro empties no worker.
 _SOONER_SHARE = 0.5
@@ -71,12 +74,14 @@
         Monotonic seconds.
     """
 
-    __slots__ = ("_now", "_rooms", "_step_of")
+    __slots__ = ("_least", "_now", "_rooms", "_step_of", "_tries_left")
 
     def __init__(self, rooms, step_of, now):
         self._rooms = rooms
         self._step_of = step_of
         self._now = now
+        self._tries_left = _STEPS_TRIED
+        self._least = _least_capacity(rooms)
         for room in rooms:
             room.hold = None
 
@@ -94,12 +99,10 @@
         float or None
             Seconds until the room that is held for it is free; None where none is.
         """
+        if not self._is_worth_a_try(step_state):
+            return None
         indexes = sorted(step_state.waiting)
         is_gang = step_state.step.is_gang
-        if step_state.step.is_filler or (
-            is_gang and len(indexes) < len(step_state.tasks)
-        ):
-            return None
         candidates = self._candidates(step_state, allowed)
         if not is_gang:
             indexes = indexes[:_TASKS_HELD]
@@ -112,9 +115,26 @@
                 return None
         return self._set(step_state, planned)
 
+    def _is_worth_a_try(self, step_state):
+        """Return whether a step may hold room; without a look at each worker.
+
+        Hundreds of steps of small tasks wait in a burst, and none of them does.
+        """
+        step = step_state.step
+        if step.is_filler or self._tries_left <= 0:
+            return False
+        if step.is_gang and len(step_state.waiting) < len(step_state.tasks):
+            return False
+        if not _needs_several(step_state) and not _is_large(
+            step.room_demand, self._least
+        ):
+            return False
+        self._tries_left -= 1
+        return True
+
     def _candidates(self, step_state, allowed):
         step = step_state.step
-        is_gang = step.is_gang and len(step_state.tasks) > 1
+        is_gang = _needs_several(step_state)
         return [
             room
             for room in self._rooms.able(step)
@@ -122,7 +142,7 @@
             and room.hold is None
             and not room.has_unmeasured
             and (allowed is None or room.worker in allowed)
-            and (is_gang or _is_large(step.room_demand, room))
+            and (is_gang or _is_large(step.room_demand, room.registration.capacity))
         ]
 
     def _soonest(self, step_state, index, candidates, planned):
@@ -194,9 +214,23 @@
     return free.processors >= 0 and free.memory >= 0 and free.accelerators >= 0
 
 
-def _is_large(demand, room):
+def _needs_several(step_state):
+    """Return whether room for several tasks is needed at once."""
+    return step_state.step.is_gang and len(step_state.tasks) > 1
+
+
+def _least_capacity(rooms):
+    """Return the least of each amount that any worker has."""
+    capacities = [room.registration.capacity for room in rooms]
+    return Amounts(
+        min((one.processors for one in capacities), default=0),
+        min((one.memory for one in capacities), default=0),
+        min((one.accelerators for one in capacities), default=0),
+    )
+
+
+def _is_large(demand, capacity):
     """Return whether a task takes a good part of a worker."""
-    capacity = room.registration.capacity
     return (
         demand.processors >= _LARGE_SHARE * capacity.processors
         or demand.memory >= _LARGE_SHARE * capacity.memory
--- a/papayapick/placement/rooms.py
+++ b/papayapick/placement/rooms.py
@@ -1,5 +1,7 @@
 """Hold what each worker of a pool has room for, and choose among them."""
 
+from papayapick.ledger import Amounts
+
 __all__ = ["Rooms", "WorkerRoom"]
 
 _RACK = "r"
@@ -181,6 +183,20 @@
             and (not step.label or step.label in room.registration.labels)
         ]
 
+    def most_free(self):
+        """Return the most of each amount that any open worker has free.
+
+        What does not fit in it fits on no worker, which many steps need not find out
+        one worker after the other.
+        """
+        processors = memory = accelerators = 0
+        for room in self._rooms.values():
+            if room.is_open:
+                processors = max(processors, room.processors)
+                memory = max(memory, room.memory)
+                accelerators = max(accelerators, room.accelerators)
+        return Amounts(processors, memory, accelerators)
+
     def choose(self, step_state, index, allowed=None, rack=None):
         """Return the best worker for a task, or None where it fits nowhere now.
 
--- a/papayapick/placement/steps.py
+++ b/papayapick/placement/steps.py
@@ -5,6 +5,11 @@
 
 __all__ = ["order_steps", "place_step"]
 
+# A task that lasts and is down serves nobody; it is started before all else once it
+# has waited so long. Such tasks are few, and take the same room as before.
+_DOWN_SECONDS = 2.0
+_FIRST = -1
+
 
 def order_steps(steps, now):
     """Return waiting steps in the order in which they are served.
@@ -21,7 +26,7 @@
     return sorted(
         steps,
         key=lambda step: (
-            step.job.queue.priority,
+            _rank(step, now),
             not step.held_on,
             *latest_start(step, now),
             step.key,
@@ -29,6 +34,12 @@
     )
 
 
+def _rank(step, now):
+    """Return the priority of a step; the least is served first."""
+    is_down = step.step.is_lasting and now - step.ready_at > _DOWN_SECONDS
+    return _FIRST if is_down else step.job.queue.priority
+
+
 def place_step(step, rooms, allowed, begin):
     """Place as many tasks of a step as find room; all or none of a gang.
 
--- a/papayapick/placement/timeliness.py
+++ b/papayapick/placement/timeliness.py
@@ -9,7 +9,7 @@
 
 import enum
 
-__all__ = ["Timeliness", "latest_start"]
+__all__ = ["Timeliness", "latest_start", "useful_seconds"]
 
 # A job that takes up to so many times its objective is late, but of use (the users'
 # rules for what a job earns).
@@ -44,11 +44,26 @@
     job = step.job
     if job.document.is_timed or step.step.is_lasting:
         return Timeliness.IN_TIME, job.arrived
-    queue = job.queue
-    objective = queue.stretch * job.chain_seconds + queue.objective_seconds
+    objective = _objective(job)
     rest = job.chains[step.key.step]
     for kind, factor in ((Timeliness.IN_TIME, 1.0), (Timeliness.LATE, _LATE_FACTOR)):
         latest = job.arrived + factor * objective - rest
         if now <= latest:
             return kind, latest
     return Timeliness.OVERDUE, job.arrived
+
+
+def useful_seconds(job):
+    """Return how long after it was accepted a job is of use; endless for some.
+
+    Parameters
+    ----------
+    job : JobState
+    """
+    if job.document.is_timed or job.document.is_lasting:
+        return float("inf")
+    return _LATE_FACTOR * _objective(job)
+
+
+def _objective(job):
+    return job.queue.stretch * job.chain_seconds + job.queue.objective_seconds
--- a/papayapick/pool/advising.py
+++ b/papayapick/pool/advising.py
@@ -66,7 +66,7 @@
         if step.job.queue.advice is not None and self.is_useful(step):
             self.ask(step, now)
 
-    def is_useful(self, step):
+    def is_useful(self, step, may_fit=True):
         """Return whether advice on a step can be used now.
 
         A ticket ages: once the workers are known that may not run the step, it is
@@ -75,6 +75,8 @@
         """
         if not self._book.is_answered(step.key):
             return True
+        if not may_fit:
+            return False
         return self._owner.rooms.has_free(step, self._book.unfit(step.key))
 
     def known_fit(self, step):
--- a/papayapick/pool/decisions.py
+++ b/papayapick/pool/decisions.py
@@ -41,6 +41,23 @@
     ROOM = "room"
 
 
+class _Round:
+    """Hold what one round of placing has left to give."""
+
+    __slots__ = ("_most_free", "holds", "lookahead", "now")
+
+    def __init__(self, owner, now):
+        self.now = now
+        self.lookahead = Lookahead(owner.rooms)
+        self.holds = Holds(owner.rooms, owner.book.step_of, now)
+        # As the round begins; there is less as it goes on.
+        self._most_free = owner.rooms.most_free()
+
+    def may_fit(self, step):
+        """Return whether a task of a step may fit anywhere."""
+        return step.step.room_demand.fits_in(self._most_free)
+
+
 class Decisions:
     """Place waiting tasks, and keep their starts until their record is durable.
 
@@ -62,54 +79,73 @@
 
     def place(self, now):
         """Place what waits, the most urgent first; starts wait for their record."""
-        lookahead = Lookahead(self._owner.rooms)
-        holds = Holds(self._owner.rooms, self._owner.book.step_of, now)
-        for step in order_steps(self._owner.book.waiting_steps(), now):
+        owner = self._owner
+        turn = _Round(owner, now)
+        for step in order_steps(owner.book.waiting_steps(), now):
             allowed = None
             if step.job.queue.advice is not None:
-                allowed = self._owner.advising.tickets(step, now)
+                allowed = owner.advising.tickets(step, now)
                 if allowed is None:
-                    known = self._owner.advising.known_fit(step)
-                    held = holds.take(step, known) if known else None
-                    reason = self._ask(step, lookahead, held is not None, now)
-                    self._note_wait(step, reason, now)
+                    self._wait_for_advice(step, turn)
                     continue
-            runs = place_step(step, self._owner.rooms, allowed, self._begin)
-            for run in runs:
-                ticket = allowed.get(run.worker, "") if allowed else ""
-                checkpoint = step.tasks[run.key.index].checkpoint
-                payload = step.job.document.payload
-                usable_until = self._owner.advising.usable_until(step)
-                self._unsent.append(
-                    Start(run, payload, checkpoint, ticket, usable_until)
-                )
-            if runs:
-                self._note_placed(step, runs, now)
-            if step.waiting:
-                self._note_wait(step, WaitReason.ROOM, now)
-                forgive_stuck(step, now)
-                held = holds.take(step, allowed)
-                if held is not None:
-                    self._owner.advising.renew(step, held, now)
-        self._owner.advising.is_short = lookahead.is_used_up
-        if self._unsent and self._owner.recording.may_send(
-            self._owner.host.peers.all()
-        ):
+            self._place_step(step, allowed, turn)
+        owner.advising.is_short = turn.lookahead.is_used_up
+        if self._unsent and owner.recording.may_send(owner.host.peers.all()):
             self.send_starts(self.take_unsent())
 
-    def _ask(self, step, lookahead, is_held, now):
+    def _wait_for_advice(self, step, turn):
+        known = self._owner.advising.known_fit(step)
+        is_held = bool(known) and turn.holds.take(step, known) is not None
+        reason = self._ask(step, turn, is_held)
+        self._note_wait(step, reason, turn.now)
+
+    def _ask(self, step, turn, is_held):
         """Ask for advice on a step if it is its turn; return what it waits for.
 
         In this order: a step that can't use advice must not keep those behind it from
         being asked about.
         """
-        if not (is_held or self._owner.advising.is_useful(step)):
+        advising = self._owner.advising
+        if not is_held and not advising.is_useful(step, turn.may_fit(step)):
             return WaitReason.NO_FIT
-        if not lookahead.takes(step):
+        if not turn.lookahead.takes(step):
             return WaitReason.TURN
-        self._owner.advising.ask(step, now)
+        advising.ask(step, turn.now)
         return WaitReason.ADVICE
 
+    def _place_step(self, step, allowed, turn):
+        if turn.may_fit(step):
+            runs = place_step(step, self._owner.rooms, allowed, self._begin)
+            self._keep_starts(step, runs, allowed or {})
+            if runs:
+                self._note_placed(step, runs, turn.now)
+        if not step.waiting:
+            return
+        self._note_wait(step, WaitReason.ROOM, turn.now)
+        forgive_stuck(step, turn.now)
+        free_in = turn.holds.take(step, allowed)
+        if free_in is not None:
+            self._owner.advising.renew(step, free_in, turn.now)
+
+    def _keep_starts(self, step, runs, tickets, is_resumed=True):
+        """Keep starts until their record is durable.
+
+        Parameters
+        ----------
+        step : StepState
+        runs : list of Run
+        tickets : dict of str to str
+            By worker; empty where none is needed.
+        is_resumed : bool, optional
+            Whether they go on from saved progress; a second copy begins anew.
+        """
+        usable_until = self._owner.advising.usable_until(step)
+        payload = step.job.document.payload
+        for run in runs:
+            checkpoint = step.tasks[run.key.index].checkpoint if is_resumed else ""
+            ticket = tickets.get(run.worker, "")
+            self._unsent.append(Start(run, payload, checkpoint, ticket, usable_until))
+
     def _note_placed(self, step, runs, now):
         step.told_wait = None
         STEP_PLACED.write(
@@ -183,10 +219,7 @@
         if room is None or room.worker == slow:
             return
         run = self._begin(step, index, room.worker, None)
-        ticket = allowed.get(run.worker, "") if allowed else ""
-        usable_until = self._owner.advising.usable_until(step)
-        payload = step.job.document.payload
-        self._unsent.append(Start(run, payload, "", ticket, usable_until))
+        self._keep_starts(step, [run], allowed or {}, is_resumed=False)
         COPY_STARTED.write(
             **run_fields(run),
             slow_worker=slow,
--- a/papayapick/pool/news.py
+++ b/papayapick/pool/news.py
@@ -3,9 +3,13 @@
 import collections
 
 from papayapick.jobs.state import JobStatus
+from papayapick.placement.timeliness import useful_seconds
 
 __all__ = ["News"]
 
+# Callers may be told a number that is two seconds old.
+_COUNT_SECONDS = 0.1
+
 
 class News:
     """Read an owner's book for the hosts that answer callers.
@@ -15,10 +19,12 @@
     owner : PoolOwner
     """
 
-    __slots__ = ("_owner",)
+    __slots__ = ("_backlogs", "_counted_at", "_owner")
 
     def __init__(self, owner):
         self._owner = owner
+        self._backlogs = {}
+        self._counted_at = float("-inf")
 
     def take(self):
         """Return what callers may be told now, by job.
@@ -40,22 +46,36 @@
     def backlogs(self):
         """Return what is to be told of each queue with jobs that have not begun.
 
+        Counted anew some times a second only, however many hosts are told: each count
+        looks at all jobs.
+
         Returns
         -------
         dict of str to QueueBacklog
         """
-        counts, ready = collections.Counter(), collections.Counter()
         with self._owner.lock:
-            for job in self._owner.book.live_jobs():
-                if job.status == JobStatus.WAITING:
-                    queue = job.document.queue
-                    counts[queue] += 1
-                    # One that waits for its due time is no load.
-                    ready[queue] += not job.document.is_timed
-            gauge, now = self._owner.decisions.backlog, self._owner.now()
-            found = {queue: gauge.backlog(queue, ready[queue], now) for queue in counts}
-        for queue, backlog in found.items():
-            backlog.waiting = counts[queue]
+            now = self._owner.now()
+            if now - self._counted_at >= _COUNT_SECONDS:
+                self._counted_at = now
+                self._backlogs = self._count(now)
+            return self._backlogs
+
+    def _count(self, now):
+        counts, ready = collections.Counter(), collections.Counter()
+        useful = collections.Counter()
+        for job in self._owner.book.live_jobs():
+            if job.status == JobStatus.WAITING:
+                queue = job.document.queue
+                counts[queue] += 1
+                useful[queue] += useful_seconds(job)
+                # One that waits for its due time is no load.
+                ready[queue] += not job.document.is_timed
+        gauge = self._owner.decisions.backlog
+        found = {}
+        for queue, count in counts.items():
+            backlog = gauge.backlog(queue, ready[queue], now, useful[queue] / count)
+            backlog.waiting = count
+            found[queue] = backlog
         return found
 
 
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -43,6 +43,9 @@
 _STOP_TASKS = 128
 _TICK_SECONDS = 0.1
 _STOP_AGAIN_SECONDS = 0.4
+# A round that takes longer is followed by a rest of so many times its length.
+_LONG_ROUND_SECONDS = 0.005
+_REST_FACTOR = 2.0
 _FORGET_EVERY_SECONDS = 5.0
 
 
@@ -285,10 +288,21 @@
                 # the pool would stand still with hardly a task at work.
                 if not self.orders.are_held_up():
                     self.decisions.place(now)
+            self._rest_after(clock.monotonic() - now)
             self.host.tell(self)
             if self.book.changed:
                 self.journal.wake()
 
+    def _rest_after(self, seconds):
+        """Leave time for all else after a long round of decisions.
+
+        Each report of a worker asks for a round. With a thousand steps waiting, rounds
+        without a pause would take the whole processor and the lock: beats come late,
+        and another host takes the pool.
+        """
+        if seconds > _LONG_ROUND_SECONDS:
+            self.pause(min(_REST_FACTOR * seconds, _TICK_SECONDS))
+
     def tick(self, now):
         """Do what is due by time; the caller holds the lock."""
         self.book.open_due(self.host.clock.time(), now)
--- a/tests/placement/test_backlog.py
+++ b/tests/placement/test_backlog.py
@@ -69,3 +69,20 @@
     found.backlog("comparisons", 300, 0.0)
     assert found.backlog("comparisons", 300, 20.0).retry_after == 30
     assert found.backlog("counts", 300, 20.0).retry_after == 0
+
+
+@pytest.mark.parametrize(
+    ("useful_seconds", "retry_after"), [(6.0, 14), (1.0, 15), (1000.0, 0)]
+)
+def test_queue_whose_jobs_are_soon_of_no_use_takes_fewer(useful_seconds, retry_after):
+    """Guards against urgent jobs that are accepted and begin when nobody needs them."""
+    found = gauge(20).backlog("counts", 400, 20.0, useful_seconds)
+    assert found.retry_after == retry_after
+
+
+def test_rate_of_an_urgent_queue_is_believed_sooner():
+    found = BacklogGauge()
+    found.backlog("counts", 300, 0.0, 6.0)
+    assert found.backlog("counts", 300, 1.9, 6.0).retry_after == 0
+    assert found.backlog("counts", 300, 2.1, 6.0).retry_after == 30
+    assert found.backlog("counts", 300, 2.2).retry_after == 0
--- a/tests/pool/test_overload.py
+++ b/tests/pool/test_overload.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from papayapick.jobs import AdvicePolicy, JobDocument, Queue, Step
+from papayapick.jobs import AdvicePolicy, JobDocument, JobStatus, Queue, Step
 from papayapick.ledger import Amounts
 from papayapick.placement.timeliness import Timeliness, latest_start
 from tests.pool.standins import QUEUE, Replay
@@ -124,3 +124,69 @@
     backlog = load.owner.news.backlogs()["q"]
     assert 380 < backlog.waiting < 395
     assert backlog.retry_after == 30
+
+
+def test_round_does_not_look_at_each_worker_for_steps_that_fit_nowhere():
+    """Guards against rounds that take the whole processor while hundreds wait."""
+    load = Replay(workers=40, length=SECONDS)
+    owner = load.owner
+    owner.host.queue_of = lambda document: ADVISED
+    owner.advising._book._ask = lambda key, workers, expected: None
+    for _ in range(400):
+        load.hand_in(tasks=4, estimate=SECONDS, queue=ADVISED)
+    for step in owner.book.waiting_steps():
+        owner.advising.ask(step, load.now)
+        tickets = dict.fromkeys(load.workers, "t")
+        owner.advising._book.note_answer(step.key, tickets, ADVISED.advice, load.now)
+    owner.decisions.place(load.now)
+    looks = []
+    owner.rooms = CountedRooms(owner.rooms, looks)
+    owner.decisions.place(load.now)
+    assert len(owner.book.waiting_steps()) > 300
+    assert len(looks) < 10
+
+
+class CountedRooms:
+    """Count how often all workers are looked at."""
+
+    def __init__(self, rooms, looks):
+        self._rooms = rooms
+        self._looks = looks
+
+    def __iter__(self):
+        self._looks.append("all")
+        return iter(self._rooms)
+
+    def __getattr__(self, name):
+        self._looks.append(name)
+        return getattr(self._rooms, name)
+
+
+def test_lasting_task_that_is_down_is_started_before_urgent_work():
+    """Guards against a watcher that stays away for as long as an overload lasts."""
+    load = Replay(workers=2, length=SECONDS)
+    patient = Queue("w", "h", "/w/", "pool", 1, 2, 2.2, 3.0, 3.0, False, None)
+    load.hand_in(tasks=8, estimate=SECONDS)
+    watcher = load.hand_in_step(Step(1, Amounts(1000, 10), is_lasting=True), patient)
+    for _ in range(16):
+        load.hand_in(tasks=4, estimate=SECONDS)
+        load.run(0.25)
+    assert load.owner.book.get(watcher).status == JobStatus.RUNNING
+
+
+def test_urgent_queue_turns_away_what_would_be_of_no_use():
+    """Guards against thousands of jobs that are accepted and come to nothing."""
+    load = Replay(workers=8, length=SECONDS)
+    owner = load.owner
+    refused = 0
+    for _ in range(80):
+        for _ in range(8):
+            backlog = owner.news.backlogs().get("q")
+            if backlog is not None and backlog.retry_after:
+                refused += 1
+            else:
+                load.hand_in(tasks=5, estimate=SECONDS)
+        load.run(0.1)
+    # 40 tasks a second are done; what can be of use is of the next 5 s.
+    assert owner.news.backlogs()["q"].waiting < 400
+    assert refused > 200
