Take the loop of decisions out of the owner of a pool

Change: pool/loop.py holds both; the owner keeps what it is and when it may act. The test that ran the owner's method runs the loop.

--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -4,7 +4,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from papayapick.clients.exceptions import TableUnavailable
-from papayapick.jobs import JobBook, RunPhase
+from papayapick.jobs import JobBook
 from papayapick.ownership.pools import OwnershipLost, release_pool
 from papayapick.placement.rooms import Rooms
 from papayapick.pool.advising import Advising
@@ -21,12 +21,13 @@
 from papayapick.pool.laggards import Laggards
 from papayapick.pool.lists import WorkerLists
 from papayapick.pool.lives import LifeCheck
+from papayapick.pool.loop import DecisionLoop
 from papayapick.pool.metrics import TAKEOVERS
 from papayapick.pool.news import News
 from papayapick.pool.orders import Orders
 from papayapick.pool.recording import RecordingMode
 from papayapick.pool.roster import WorkerRoster
-from papayapick.pool.settling import QUIET_SECONDS, Settling
+from papayapick.pool.settling import Settling
 from papayapick.pool.sources import Sources
 from papayapick.pool.standing import Standing
 from papayapick.pool.upkeep import Upkeep
@@ -41,12 +42,6 @@
 # keep all starts from leaving until their tickets are too old.
 _START_TASKS = 128
 _STOP_TASKS = 128
-_TICK_SECONDS = 0.1
-_STOP_AGAIN_SECONDS = 0.4
-# A round that takes longer is followed by a rest of so many times its length.
-_LONG_ROUND_SECONDS = 0.005
-_REST_FACTOR = 2.0
-_FORGET_EVERY_SECONDS = 5.0
 
 
 class PoolOwner:
@@ -71,7 +66,6 @@
 
     __slots__ = (
         "_executor",
-        "_forgotten_at",
         "_order_executor",
         "_stop_executor",
         "_wakeup",
@@ -87,6 +81,7 @@
         "links_by_worker",
         "lists",
         "lock",
+        "loop",
         "news",
         "orders",
         "recording",
@@ -113,7 +108,6 @@
         self._was_unrecorded = False
         self.stopping = threading.Event()
         self.taken_at = host.clock.monotonic()
-        self._forgotten_at = self.taken_at
         self._wakeup = threading.Event()
         self._executor = ThreadPoolExecutor(_TASKS, thread_name_prefix="pool")
         self._order_executor = ThreadPoolExecutor(
@@ -135,6 +129,7 @@
         self.decisions = Decisions(self)
         self.laggards = Laggards(self)
         self.news = News(self)
+        self.loop = DecisionLoop(self)
 
     # What it is, and whether it may decide.
 
@@ -195,7 +190,7 @@
             for name, step in (
                 ("jobs", lambda: self.sources.follow_jobs(version)),
                 ("workers", lambda: self.sources.follow_workers(version)),
-                ("schedule", self._schedule),
+                ("decisions", self.loop.run),
                 ("journal", self.journal.run),
             ):
                 self.submit(name, step)
@@ -268,80 +263,21 @@
         """Run an endless task; if it fails, the pool is given up."""
         self._executor.submit(self._guarded, name, step)
 
-    # The loop of decisions.
-
-    def _schedule(self):
-        ticked_at = 0.0
-        clock = self.host.clock
-        while not self.is_stopped:
-            clock.wait(self._wakeup, _TICK_SECONDS)
-            self._wakeup.clear()
-            if not self.may_act():
-                self.pause(_TICK_SECONDS)
-                continue
-            now = clock.monotonic()
-            with self.lock:
-                if now - ticked_at >= _TICK_SECONDS:
-                    ticked_at = now
-                    self.tick(now)
-                # What is placed and can't leave holds room until its ticket is too old:
-                # the pool would stand still with hardly a task at work.
-                if not self.orders.are_held_up():
-                    self.decisions.place(now)
-            self._rest_after(clock.monotonic() - now)
-            self.host.tell(self)
-            if self.book.changed:
-                self.journal.wake()
-
-    def _rest_after(self, seconds):
-        """Leave time for all else after a long round of decisions.
-
-        Each report of a worker asks for a round. With a thousand steps waiting, rounds
-        without a pause would take the whole processor and the lock: beats come late,
-        and another host takes the pool.
-        """
-        if seconds > _LONG_ROUND_SECONDS:
-            self.pause(min(_REST_FACTOR * seconds, _TICK_SECONDS))
+    # For the loop of decisions.
+
+    def wait_for_work(self, seconds):
+        """Wait until there is work to place, but not longer than so many seconds."""
+        self.host.clock.wait(self._wakeup, seconds)
+        self._wakeup.clear()
 
     def tick(self, now):
         """Do what is due by time; the caller holds the lock."""
-        self.book.open_due(self.host.clock.time(), now)
-        self.settling.note_inventory(now)
-        for link in self.links():
-            room = self.rooms.get(link.worker)
-            if link.is_silent and now > max(link.lapse_at, self._lapse_floor(link)):
-                self.lists.lose_runs(link, "lease over")
-                if not link.is_listed and self.settling.is_settled:
-                    self.sources.drop_link(link)
-                continue
-            for run in list(room.runs.values()):
-                self._tick_run(link, run, now)
-        self.advising.ask_ahead(now)
-        self.laggards.replace(now)
-        self.decisions.start_copies(now)
-        self.decisions.preempt(now)
-        self.orders.stop_unneeded()
-        if now - self._forgotten_at > _FORGET_EVERY_SECONDS:
-            self._forgotten_at = now
-            if not self.is_stopped:
-                self._executor.submit(forget_jobs, self, self.host, now)
-
-    def _lapse_floor(self, link):
-        # What an earlier owner started there is under a lease that it gave.
-        return 0.0 if link.is_inventoried else self.taken_at + QUIET_SECONDS
-
-    def _tick_run(self, link, run, now):
-        if run.phase == RunPhase.UNSURE:
-            run.phase = RunPhase.STOPPING
-            run.stop_requested = now
-            self.orders.stop(link, run)
-        elif (
-            run.phase == RunPhase.STOPPING
-            and run.stop_confirmed is None
-            and now - run.stop_requested > _STOP_AGAIN_SECONDS
-        ):
-            run.stop_requested = now
-            self.orders.stop(link, run)
+        self.loop.tick(now)
+
+    def forget_old_jobs(self, now):
+        """Let jobs that have been over for long be dropped from store and memory."""
+        if not self.is_stopped:
+            self._executor.submit(forget_jobs, self, self.host, now)
 
     def note_commit(self, seconds):
         """Take in a commit, or with None one that the store did not take."""
--- a/tests/pool/test_orders.py
+++ b/tests/pool/test_orders.py
@@ -187,7 +187,7 @@
     workers = [f"w{number}" for number in range(400)]
     pool = pool_of(len(workers), cut=set(workers))
     owner = pool.owner
-    decider = threading.Thread(target=owner._schedule, daemon=True)
+    decider = threading.Thread(target=owner.loop.run, daemon=True)
     decider.start()
     for number in range(100):
         pool.hand_in(number, tasks=10, queue=PATIENT)
