--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -32,9 +32,9 @@
 _DISTANCE_WEIGHT = 10
 _NEAR_SECONDS = 0.02
 _RETRY_SECONDS = 0.3
-# One owner decides for the whole pool and keeps in touch with all of its workers: a host
-# with a small core or link leaves renewals and starts unanswered. The largest host waits
-# for nobody; one of no size at all would wait so long, five times the spread above.
+# One owner decides for the whole pool and keeps in touch with all of its workers: a
+# host with a small core or link leaves renewals and starts unanswered. The largest host
+# waits for nobody; one of no size at all would wait so long, five times the spread.
 _SMALLNESS_SECONDS = 0.3
 
 
