Keep questions in two lines, and end a hold with its step

While a question was being sent to a host that is cut off (0.4 s), those that had found no host stood in a local list: other threads saw an empty line, and nothing looked at them again until the next answer. And a step that was placed kept its holds: it went before its equals for good, and a later hold on the same worker let nothing run before it. Ruled out: a lost question, since the owner asks again after a second and twice its time. Change: short and long questions wait in a heap each; whoever gives out takes one question with its host under the lock, the earlier due of the two heads first. A hold ends as its task is placed or its step waits no more. Measured: tests/entry/test_advice_turns.py and tests/pool/test_large_tasks.py, a case each that failed before.

--- a/papayapick/entry/advisers.py
+++ b/papayapick/entry/advisers.py
@@ -84,7 +84,7 @@
     pool : HttpPool
     """
 
-    __slots__ = ("_adviser", "_alone_since", "_host", "_lock", "_seconds", "_waiting")
+    __slots__ = ("_adviser", "_alone_since", "_host", "_lines", "_lock", "_seconds")
 
     def __init__(self, host, pool):
         self._host = host
@@ -92,8 +92,9 @@
         self._lock = threading.Lock()
         # What the calls that this host was given still take.
         self._seconds = 0.0
-        # A heap.
-        self._waiting = []
+        # Heaps of the short questions and of the long ones: a long one that finds no
+        # host must not keep the short ones behind it from theirs.
+        self._lines = {False: [], True: []}
         # Since when no other host is heard, in monotonic seconds.
         self._alone_since = None
 
@@ -123,17 +124,21 @@
         )
         with self._lock:
             self._replace(question)
-            heapq.heappush(self._waiting, question)
+            self._put(question)
         self._give_out_soon()
         return question.answer
 
+    def _put(self, question):
+        heapq.heappush(self._lines[is_long(question.expected)], question)
+
     def _replace(self, question):
         """Drop an older question on the same step, and keep its place."""
-        older = [one for one in self._waiting if one.key == question.key]
-        if older:
-            question.due = min(one.due for one in older)
-            self._waiting = [one for one in self._waiting if one.key != question.key]
-            heapq.heapify(self._waiting)
+        for line in self._lines.values():
+            older = [one for one in line if one.key == question.key]
+            if older:
+                question.due = min(one.due for one in older)
+                line[:] = [one for one in line if one.key != question.key]
+                heapq.heapify(line)
 
     def note_heard(self):
         """Give out what waits: another host was heard, and may have time."""
@@ -142,50 +147,49 @@
     def _give_out_soon(self):
         # As a task: whoever connects to a host that is cut off is held up for 0.4 s,
         # and here that would be the reader of another host's answers.
-        if self._waiting:
+        if any(self._lines.values()):
             self._host.executor.submit(self._give_out)
 
     def _give_out(self):
         """Give what waits to the hosts that have time for it."""
-        kept = []
-        while True:
-            with self._lock:
-                question = self._next_needed()
-                if question is None:
-                    break
-                host = self._host_for(question, kept)
-                if host is None:
-                    # Those behind it may be shorter, and find a host.
-                    kept.append(question)
-                    continue
-                self._add(host.peer, question.expected)
-            self._send(host.peer, question)
+        while (taken := self._take()) is not None:
+            self._send(*taken)
+
+    def _take(self):
+        """Take the question that is due first of those that find a host.
+
+        Returns
+        -------
+        tuple of (Peer or None, _Question) or None
+        """
         with self._lock:
-            for question in kept:
-                heapq.heappush(self._waiting, question)
+            for line in self._lines.values():
+                self._drop_needless(line)
+            heads = [line[0] for line in self._lines.values() if line]
+            for question in sorted(heads):
+                host = self._host_for(question)
+                if host is not None:
+                    heapq.heappop(self._lines[is_long(question.expected)])
+                    self._add(host.peer, question.expected)
+                    return host.peer, question
+        return None
 
-    def _host_for(self, question, kept):
-        """Return the host for a question; None behind one of its length that waits."""
-        is_long_one = is_long(question.expected)
-        if any(is_long(one.expected) == is_long_one for one in kept):
-            return None
-        if is_long_one and self._waits_for_others():
+    def _host_for(self, question):
+        """Return the host that is to ask a question, or None where none has time."""
+        if is_long(question.expected) and self._waits_for_others():
             return None
         return choose_host(question.expected, self._loads())
 
-    def _next_needed(self):
-        """Take the question that is due first; None where none is left.
+    def _drop_needless(self, line):
+        """Drop the first questions of a line that nobody needs any more.
 
         Those of an owner that was replaced, or on jobs that are over, would go before
         those that somebody waits for.
         """
-        while self._waiting:
-            question = heapq.heappop(self._waiting)
-            if question.is_needed():
-                return question
+        while line and not line[0].is_needed():
+            question = heapq.heappop(line)
             error = AdviceNotNeeded(step=str(question.key))
             self._host.executor.submit(question.answer.set_exception, error)
-        return None
 
     def _send(self, peer, question):
         try:
@@ -252,7 +256,7 @@
             ADVICE_MOVED.write(step=str(question.key), peer=peer.name, error=str(error))
             peer.advice_failed_at = self._host.clock.monotonic()
             with self._lock:
-                heapq.heappush(self._waiting, question)
+                self._put(question)
         self._give_out_soon()
 
     def _observe(self, outcome, question):
--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -159,6 +159,8 @@
         run.is_resumed = bool(task.checkpoint)
         task.runs.append(run)
         step.waiting.discard(index)
+        # What was held for it is taken; a later hold has a time of its own.
+        step.held_on.pop(worker, None)
         if not step.waiting:
             self.close_step(step)
         self.changed.add(step.job.identifier)
@@ -309,6 +311,7 @@
 
     def close_step(self, step):
         """Take a step off those that wait for workers."""
+        step.held_on.clear()
         self._open_steps.pop(step.key, None)
 
     def _wait(self, step, index):
--- a/papayapick/placement/holds.py
+++ b/papayapick/placement/holds.py
@@ -112,7 +112,8 @@
             if room is not None:
                 planned.setdefault(room, []).append(index)
             elif is_gang:
-                return None
+                planned = {}
+                break
         return self._set(step_state, planned)
 
     def _is_worth_a_try(self, step_state):
--- a/tests/entry/test_advice_turns.py
+++ b/tests/entry/test_advice_turns.py
@@ -64,3 +64,28 @@
     hosts = [HostLoad(None, *load) for load in loads]
     found = choose_host(expected, hosts)
     assert (None if found is None else hosts.index(found)) == chosen
+
+
+def test_question_is_not_hidden_while_another_one_is_being_sent():
+    """Guards against a question that waits for whoever connects to a dead host."""
+    host = AdvisedHost(peers=3, queue_of=None)
+    host.hear_peers()
+    asked = []
+    through, own = host.ask_advice, host.advice._adviser.ask
+
+    def ask_through(peer, key, workers, expected):
+        asked.append(key)
+        return through(peer, key, workers, expected)
+
+    def ask_slowly(*question):
+        # The calls of the other hosts end while this one is still being sent.
+        host.clock.advance(LONG_SECONDS)
+        host.advise()
+        return own(*question)
+
+    host.ask_advice, host.advice._adviser.ask = ask_through, ask_slowly
+    for number in range(4):
+        _ask(host, number, LONG_SECONDS)
+    assert len(asked) == 3
+    _ask(host, 50, SHORT_SECONDS)
+    assert len(asked) == 4
--- a/tests/pool/test_large_tasks.py
+++ b/tests/pool/test_large_tasks.py
@@ -124,3 +124,17 @@
         step.tasks[1].failed_on.add("w0")
     load.run(0.2)
     assert [run.worker for run in step.active_runs()] == ["w0", "w1"]
+
+
+def test_hold_is_over_once_its_step_was_placed():
+    """Guards against a step that goes before its equals for good, once it was held."""
+    load = Replay(workers=1, length=SECONDS, accelerators=8)
+    load.hand_in_step(_small(8), URGENT)
+    load.run(0.5)
+    load.hand_in_step(_whole(), URGENT)
+    load.run(0.5)
+    (step,) = load.owner.book.waiting_steps()
+    assert step.held_on
+    load.run(2 * SECONDS)
+    assert not step.waiting
+    assert not step.held_on
