Log for how long a candidate waits before it tries to take a pool

Change: the event 'candidate waits', written as the wait begins, with its length and the two figures that decide it, the seconds a call of the store took and what the host lacks in size. A cell that is not known gives no such line; a refused take gives one, then a short wait.

--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -6,6 +6,7 @@
 
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.entry.events import (
+    CANDIDATE_WAITS,
     OWNER_GONE,
     OWNER_SILENT,
     POOL_LOST_RACE,
@@ -152,11 +153,24 @@
             suspected = self.row
             if self.is_owner or host.is_draining or not self._is_needed():
                 continue
-            host.clock.wait(host.stopping, self._delay())
+            self._await_turn()
             if self._is_needed() and not host.is_draining:
                 self._note_suspicion()
                 self._try(suspected)
 
+    def _await_turn(self):
+        """Let hosts that are nearer to the store, or larger, try first."""
+        delay = self._delay()
+        CANDIDATE_WAITS.write(
+            pool=self.pool,
+            epoch=self.row.epoch,
+            owner=self.row.owner,
+            delay_seconds=round(delay, 3),
+            store_seconds=round(self._host.store_seconds, 4),
+            smallness=round(self._smallness(), 2),
+        )
+        self._host.clock.wait(self._host.stopping, delay)
+
     def _is_needed(self):
         if not self._host.knows_cell:
             # A host that has just started and can't ask the owner yet, as it does not
--- a/papayapick/entry/events.py
+++ b/papayapick/entry/events.py
@@ -7,6 +7,7 @@
 __all__ = [
     "ADVICE_MOVED",
     "CANCEL_STORED",
+    "CANDIDATE_WAITS",
     "CELL_KEY_FOUND",
     "CONFIGURATION_IN_FORCE",
     "CONFIGURATION_REFUSED",
@@ -192,6 +193,12 @@
 
 # Ownership, as candidates see it.
 
+CANDIDATE_WAITS = Event(
+    "candidate waits",
+    "pool epoch owner delay_seconds store_seconds smallness",
+    "The pool needs an owner; this host tries to take it so much later, by its "
+    "distance from the store and by its size.",
+)
 OWNER_SILENT = Event(
     "owner suspected",
     "pool epoch owner silent_seconds is_reported",
