Show that a pool stays without an owner ten times as long as an outage lasted

What callers saw: after a restart of all hosts while the store was away, jobs were accepted and none was placed for twelve seconds; in them, counts of 0 were told.

--- a/tests/entry/test_processes.py
+++ b/tests/entry/test_processes.py
@@ -334,3 +334,20 @@
     wait_for(lambda: place in cluster.rows.rows)
     assert _submit(cell.hosts[0], IDS[0], job()) == 200
     wait_for(_completed(cell.hosts[1], IDS[:1]))
+
+
+def test_jobs_are_placed_soon_after_an_outage_in_which_all_hosts_restarted(
+    cluster, cell
+):
+    """Nobody took the pool for ten times the rest of the outage; jobs waited."""
+    cluster.rows.is_down = True
+    for host in cell.hosts:
+        host.signal(signal.SIGKILL)
+    for host in cell.hosts:
+        host.process.wait()
+        host.start()
+    time.sleep(1.5)
+    cluster.rows.is_down = False
+    wait_for(lambda: all(host.is_ready() for host in cell.hosts))
+    assert _submit(cell.hosts[0], IDS[0], job(1)) == 200
+    wait_for(_completed(cell.hosts[1], IDS[:1]), seconds=6)
