Measure the distance of the store by its calls, and bound the wait for it

What callers saw: jobs accepted and not placed for twelve seconds after a restart of all hosts, and counts of 0 in that time. Cause: a host lets those nearer to the store go first, ten times the seconds that a call of the store took it, above 20 ms. That was one sample, taken at the start around the whole loop that fetches the cell's key, so it held each refusal and pause of the outage in which the hosts had started; and nothing bounded the wait. With 1.26 s of outage left at the start every host waited over 12 s, and a single slow answer did the same in small. Class: a duration that spans retries, taken for a property of what was called, and a wait before recovery with no bound. Change: each call of the store is timed by itself where it is made; the least time of a short call that was served is the distance (entry/distance.py). No outage adds to it and a slow store is forgotten with its first quick answer. The wait for nearer hosts ends at 0.4 s whatever was measured; a host that has measured nothing waits that long. Ruled out: a cell that is not known (the tests fail with it known) and a take refused without a line. Left: while the store is slow at the start of all hosts, near and far ones wait alike, so a far one may become the owner.

--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -32,6 +32,10 @@
 # within 20 ms also while all start at once, and do not wait for each other.
 _DISTANCE_WEIGHT = 10
 _NEAR_SECONDS = 0.02
+# Nobody waits longer for hosts that may be nearer: a store that is slow looks far from
+# everywhere, and jobs would wait without an owner. A host two regions away waits so
+# long.
+_LONGEST_DISTANCE_SECONDS = 0.4
 _RETRY_SECONDS = 0.3
 # One owner decides for the whole pool and keeps in touch with all of its workers: a
 # host with a small core or link leaves renewals and starts unanswered. The largest host
@@ -161,12 +165,13 @@
     def _await_turn(self):
         """Let hosts that are nearer to the store, or larger, try first."""
         delay = self._delay()
+        store_seconds = self._host.store_seconds
         CANDIDATE_WAITS.write(
             pool=self.pool,
             epoch=self.row.epoch,
             owner=self.row.owner,
             delay_seconds=round(delay, 3),
-            store_seconds=round(self._host.store_seconds, 4),
+            store_seconds=None if store_seconds is None else round(store_seconds, 4),
             smallness=round(self._smallness(), 2),
         )
         self._host.clock.wait(self._host.stopping, delay)
@@ -190,13 +195,20 @@
         )
 
     def _delay(self):
-        distance = max(0.0, self._host.store_seconds - _NEAR_SECONDS)
         return (
-            _DISTANCE_WEIGHT * distance
+            self._remoteness_seconds()
             + _SMALLNESS_SECONDS * self._smallness()
             + random.uniform(0, _SPREAD_SECONDS)
         )
 
+    def _remoteness_seconds(self):
+        """Return how long hosts that are nearer to the store go first."""
+        seconds = self._host.store_seconds
+        if seconds is None:
+            return _LONGEST_DISTANCE_SECONDS
+        distance = max(0.0, seconds - _NEAR_SECONDS)
+        return min(_DISTANCE_WEIGHT * distance, _LONGEST_DISTANCE_SECONDS)
+
     def _smallness(self):
         """Return what this host lacks of the largest one, as a share of it."""
         own = self._host.settings.processors
--- a/papayapick/entry/joining.py
+++ b/papayapick/entry/joining.py
@@ -33,10 +33,8 @@
         return None
 
     while True:
-        asked_at = host.clock.monotonic()
         key = _persist(host, "key", try_once)
         if key is not None:
-            host.store_seconds = host.clock.monotonic() - asked_at
             CELL_KEY_FOUND.write(made_here=key == base64.b64decode(fresh))
             return key
 
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -14,6 +14,7 @@
 from papayapick.entry.board import StateBoard
 from papayapick.entry.candidacy import Candidacy
 from papayapick.entry.configuration import ConfigurationWatcher
+from papayapick.entry.distance import StoreDistance
 from papayapick.entry.events import (
     LOOP_FAILED,
     OWNER_UNCONFIRMED,
@@ -77,11 +78,12 @@
         # Whether the rows of the other hosts were read.
         self.knows_cell = False
         self.executor = ThreadPoolExecutor(_TASKS, thread_name_prefix="entry")
+        self._store_distance = StoreDistance()
         self.store = Store(
             settings.store_address,
             HttpPool(_STORE_CALL_SECONDS),
             self.clock,
-            _observe_store,
+            self._observe_store,
         )
         self.worker_pool = HttpPool(_WORKER_CALL_SECONDS)
         self.machines = MachineList(settings.machines_address, self.worker_pool)
@@ -94,8 +96,6 @@
         self.acceptance = Acceptance(self.relayed_store, self.writer, self.board)
         self.advice = AdviceDesk(self, HttpPool(_WORKER_CALL_SECONDS))
         self.peers = None
-        # Seconds that a short call of the store takes from here.
-        self.store_seconds = 0.0
         self.store_health = StoreHealth(self.clock)
         self._probe = StoreProbe(
             self.store,
@@ -112,6 +112,11 @@
         self._front = FrontServer(settings, Application(self))
         self._peer_server = None
 
+    @property
+    def store_seconds(self):
+        """Return the seconds that a short call of the store takes; None if unknown."""
+        return self._store_distance.seconds
+
     # Life.
 
     def start(self):
@@ -213,6 +218,10 @@
 
     # What the store says.
 
+    def _observe_store(self, operation, outcome, seconds):
+        STORE_SECONDS.labels(operation, outcome).observe(seconds)
+        self._store_distance.note_call(operation, outcome, seconds)
+
     def follow(self, table, version, on_rows, read_all, stopping, gather=0.0):
         """Follow a table; see ``follow_table``."""
         follow_table(
@@ -338,7 +347,3 @@
             if peer.name == row.owner:
                 return self.peers.owned_epoch(peer, row.pool) >= row.epoch
         return False
-
-
-def _observe_store(operation, outcome, seconds):
-    STORE_SECONDS.labels(operation, outcome).observe(seconds)
