Keep with each job the policy of the queue that it was accepted under

What callers would see: a queue is removed, its accepted jobs go on, and all hosts restart (or the owner's host has not read the version that added the queue). One failed run of a task, and the job is told as failed for good, though the queue allowed three; where the queue needs advice, workers refuse every start for want of a ticket. Cause: queue_of made up a queue with one attempt, the last priority and no advice. Change: the job's row holds priority, attempts, objective, advice and whether workers check room, as accepted; an owner that knows no newer word of the queue goes by that. Rows without it are read as before. Ruled out: never failing a job of an unknown queue, which would start one that can't be done without end (the bound of attempts is a promise too); keeping policies in rows of their own, which a removed queue would have to keep for as long as its jobs. A policy changed between acceptance and removal is not known to it.

--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -303,15 +303,13 @@
     def queue_of(self, document):
         """Return the queue of a job, as last configured.
 
-        A queue that was removed before this process started is not known any more;
-        its accepted jobs come last and may fail once.
+        Of a queue that was removed before this process started, or that was added by a
+        version that has not come here yet, nothing is known but what the job says.
         """
         found = self._queues.get(document.queue)
         if found is not None:
             return found
-        return Queue(
-            document.queue, "", "", document.pool, 9, 1, 1.0, 0, 0, False, None
-        )
+        return Queue.from_policy(document.queue, document.pool, document.policy)
 
     # Owning pools.
 
--- a/papayapick/jobs/documents.py
+++ b/papayapick/jobs/documents.py
@@ -165,6 +165,9 @@
         The steps run so many times at their due times; 0 for once, at once.
     first_due, interval_seconds : float
         Occurrence k is due at the first (Unix seconds) plus k times the second.
+    policy : dict, optional
+        What it was accepted under, as ``Queue.policy_record`` returns it: hosts that
+        start after the queue was removed have no other word of it.
     """
 
     __slots__ = (
@@ -174,6 +177,7 @@
         "interval_seconds",
         "occurrences",
         "payload",
+        "policy",
         "pool",
         "queue",
         "steps",
@@ -190,6 +194,7 @@
         occurrences=0,
         first_due=0.0,
         interval_seconds=0.0,
+        policy=None,
     ):
         self.identifier = identifier
         self.queue = queue
@@ -200,6 +205,7 @@
         self.occurrences = occurrences
         self.first_due = first_due
         self.interval_seconds = interval_seconds
+        self.policy = policy or {}
 
     @property
     def is_timed(self):
--- a/papayapick/jobs/queues.py
+++ b/papayapick/jobs/queues.py
@@ -2,6 +2,16 @@
 
 __all__ = ["AdvicePolicy", "CellConfiguration", "Queue"]
 
+_LEAST_POLICY = {
+    "priority": 9,
+    "failure_limit": 1,
+    "stretch": 1.0,
+    "objective_seconds": 0.0,
+    "workers_check_room": False,
+    "advice": None,
+}
+_POLICY_FIELDS = tuple(_LEAST_POLICY)
+
 
 class AdvicePolicy:
     """Tell how long advice on a step takes and holds, in seconds.
@@ -21,6 +31,10 @@
         self.worker_seconds = worker_seconds
         self.valid_seconds = valid_seconds
 
+    def as_record(self):
+        """Return the policy as a mapping for the store."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
     def expected_seconds(self, workers):
         """Return what a call about so many workers takes.
 
@@ -95,6 +109,35 @@
         self.workers_check_room = workers_check_room
         self.advice = advice
 
+    def policy_record(self):
+        """Return what its jobs follow, as a mapping for the store."""
+        record = {name: getattr(self, name) for name in _POLICY_FIELDS}
+        record["advice"] = self.advice and self.advice.as_record()
+        return record
+
+    @classmethod
+    def from_policy(cls, name, pool, record):
+        """Make a queue that takes no requests of what ``policy_record`` returned.
+
+        Parameters
+        ----------
+        name, pool : str
+        record : dict
+            Fields that are missing stand at their least: such jobs come last, and fail
+            with the first run that does.
+        """
+        fields = {**_LEAST_POLICY, **record}
+        advice = fields.pop("advice")
+        return cls(
+            name=name,
+            host="",
+            path_prefix="",
+            pool=pool,
+            timeout_seconds=0.0,
+            advice=AdvicePolicy(**advice) if advice else None,
+            **fields,
+        )
+
 
 class CellConfiguration:
     """Hold one version of the operator's configuration.
--- a/papayapick/platform/requests.py
+++ b/papayapick/platform/requests.py
@@ -68,6 +68,7 @@
             occurrences=found.get("times", 0),
             first_due=found.get("start_at_ms", 0) / 1000,
             interval_seconds=found.get("interval_ms", 0) / 1000,
+            policy=queue.policy_record(),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise BodyInvalid(reason=str(error)) from error
--- a/tests/entry/test_takeover_delay.py
+++ b/tests/entry/test_takeover_delay.py
@@ -7,30 +7,10 @@
 
 from papayapick.clients.http import HttpAnswer
 from papayapick.clock import ManualClock
-from papayapick.entry import process
 from papayapick.entry.candidacy import Candidacy
 from papayapick.entry.joining import cell_key
-from papayapick.entry.process import EntryHost
-from papayapick.platform.settings import PlatformSettings
-
-SETTINGS = {
-    "node": "h1",
-    "zone": "z1",
-    "region": "south",
-    "ip": "127.0.0.1",
-    "port_range": [7000, 7000],
-    "listen": {"frontend": "127.0.0.1:7001", "readiness": "127.0.0.1:7002"},
-    "platform": {"address": "127.0.0.1:7003"},
-    "bounds": {
-        "grace_s": 3,
-        "status_s": 120,
-        "hold_max_ms": 6000,
-        "kill_grace_ms": 200,
-        "gang_timeout_ms": 3000,
-        "cancel_ms": 3000,
-        "checkpoint_s": 1,
-    },
-}
+from tests.entry.hosts import make_host
+
 NEAR_SECONDS = 0.008
 FAR_SECONDS = 0.047
 REFUSED = 503
@@ -64,9 +44,7 @@
     def start(answers):
         clock = _Clock(100.0)
         pool = _ScriptedPool(clock, list(answers))
-        monkeypatch.setattr(process, "HttpPool", lambda seconds: pool)
-        monkeypatch.setattr(process, "FrontServer", lambda settings, application: None)
-        host = EntryHost(PlatformSettings(SETTINGS), clock)
+        host = make_host(monkeypatch, clock, pool)
         host.peers = SimpleNamespace(all=list)
         cell_key(host)
         return Candidacy(host, "pool")._delay()
