Count the silence of other hosts from when this owner took the pool

What users would see: a task runs twice. The store is slow, an owner dies, another host takes the pool and lets starts leave without a record; a third host, cut off from the new owner, heard the old one half a second ago say that all starts are recorded, trusts that for 2.5 s, takes the pool, and places a task anew that runs on a worker it can't hear. Cause: a host that never answered this process had answered_at 0, which stood for a silence of hours: it need not be told that records may be missing. The same for one last heard while this process owned the pool before. Found by the review of the incident: its class, a default that stands for 'not told' and decides. Evidence: two cases in tests/pool/test_recording.py that failed before: a start could leave at once with a host not heard yet. The order of events as a whole was not played. Change: silence counts from the later of the last answer and the taking of the pool. A host whose process has ended is told apart already, so only one that is dark or cut off delays such starts, by 3 s at most. The test of a host that is long silent had a silence from before its owner existed, which is what was wrong; it now holds the same with a silence that the owner has seen. Measured: tests/pool passes.

--- a/papayapick/pool/recording.py
+++ b/papayapick/pool/recording.py
@@ -36,12 +36,14 @@
         "_is_slow",
         "_lock",
         "_quick",
+        "_since",
         "_told",
         "_used_at",
     )
 
     def __init__(self, clock):
         self._clock = clock
+        self._since = clock.monotonic()
         self._lock = threading.Lock()
         self._is_slow = False
         self._is_lost = False
@@ -121,10 +123,18 @@
                 return False
             need_not_be_told = self._told | self._gone
             if any(
-                now - peer.answered_at < _SILENT_SECONDS
+                now - self._heard_at(peer) < _SILENT_SECONDS
                 for peer in peers
                 if peer.name not in need_not_be_told
             ):
                 return False
             self._used_at = now
             return True
+
+    def _heard_at(self, peer):
+        """Return the time from which on a host's silence counts.
+
+        One that has not answered this owner yet may have heard the owner before it
+        just now, and trusts that one's word: that it never answered here is no silence.
+        """
+        return max(peer.answered_at, self._since)
--- a/tests/pool/test_recording.py
+++ b/tests/pool/test_recording.py
@@ -49,10 +49,26 @@
     assert mode.may_send(PEERS)
 
 
-def test_host_that_is_long_silent_need_not_be_told(mode):
+def test_host_that_is_long_silent_need_not_be_told(mode, clock):
     mode.note_commit(0.3)
     _tell(mode, "h2")
-    assert mode.may_send([PEERS[0], Peer("h3", 96.0)])
+    clock.advance(4.0)
+    assert mode.may_send([Peer("h2", 103.9), Peer("h3", 100.0)])
+
+
+@pytest.mark.parametrize("answered_at", [0.0, 96.0], ids=["never", "long ago"])
+def test_host_that_a_new_owner_has_not_heard_yet_is_not_silent(
+    mode, clock, answered_at
+):
+    """A task ran twice: a host trusted the word of the owner before this one."""
+    peers = [Peer("h2", 100.0), Peer("h3", answered_at)]
+    mode.note_commit(0.3)
+    _tell(mode, "h2")
+    assert not mode.may_send(peers)
+    clock.advance(2.9)
+    assert not mode.may_send(peers)
+    clock.advance(0.2)
+    assert mode.may_send(peers)
 
 
 def test_outage_counts_as_slow(mode):
