Tell no number of waiting jobs that is not known to be true

What callers saw: 0 jobs wait, where 58 had waited for five seconds; all hosts had just started and nobody owned the pool. Cause: "not told" stood for "none waits" on each host's board, and what was told had neither age nor epoch. Further ways to a wrong number by the same cause: the last word of an owner that is gone stays; an owner whose feed of jobs is silent counts too few; one that was replaced without knowing, or took over without complete records, counts jobs that have begun; a closed queue stays closed after its owner. One more was found on the way: an owner's own host noted the count only with news, from a cache of 0.1 s, and kept a wrong one on a quiet pool. Change: what an owner tells is held with its epoch and the time as of which it is true. That is the earlier of two times: when the last call of the feed of jobs was sent whose rows are all in its book, and when the pool was last known to be its own; none before it has read its state, nor while starts of before may be unknown. A host tells a number for 2 s from then and refuses after, with 503, entry.count-unknown, pool and age, Retry-After 1 s. The owner's own host is told each round; the gauge leaves out what is too old. Why it holds: each source of the number has a time that is never later than what it stands for. A beat carries it by the clock of the host that is told, which its answers tell, and not as an age: an age told by a beat that was held up on its way would seem fresh. The first beat after a connection therefore tells no number, and the next follows at once. Ruled out: asking the owner or counting rows at each question (both wait on what is away); turning jobs away at a host that was told nothing (accepting is truthful: they are stored). Taken for granted: an answer of the feed holds all that was stored before its call. A job counts as begun from when its start is decided. Hosts of before this change tell no time and get none: until all run it, those that are told by an older one refuse to count. Changed tests: test_acceptance.py, test_backlog_news.py and test_lines.py name clock, epoch and time where they build a board or stand for a peer; test_backlog_news.py beats twice, as the first beat tells no number. The fixture of wrong requests waits for the first count, which a host that has just started refuses (it did: 503); its cases ask as before.

--- a/papayapick/entry/answers.py
+++ b/papayapick/entry/answers.py
@@ -70,7 +70,11 @@
                 self._note_backlogs(beat)
             epoch = candidacy.row.epoch
         age = self._host.store_health.told_age()
-        return PoolBeatAnswer(epoch=epoch, store_age_milliseconds=int(age * 1000))
+        return PoolBeatAnswer(
+            epoch=epoch,
+            store_age_milliseconds=int(age * 1000),
+            clock_milliseconds=int(self._host.clock.monotonic() * 1000),
+        )
 
     def _note_backlogs(self, beat):
         if not beat.has_read_state:
@@ -81,7 +85,17 @@
             one.queue: QueueBacklog(one.waiting, one.retry_after_seconds)
             for one in beat.queue_loads
         }
-        self._host.board.note_backlogs(beat.pool, backlogs)
+        self._host.board.note_backlogs(
+            beat.pool, beat.epoch, backlogs, self._known_at(beat)
+        )
+
+    def _known_at(self, beat):
+        """Return the time as of which the numbers of a beat are true, or None."""
+        known_at = beat.known_at_milliseconds / 1000
+        # A machine that took the place of another has another clock; the owner knows
+        # it with the answer to this beat.
+        is_ahead = known_at > self._host.clock.monotonic()
+        return None if is_ahead or not known_at else known_at
 
     def _answer_owner_query(self, query):
         candidacy = self._candidacies.get(query.pool)
--- a/papayapick/entry/exceptions.py
+++ b/papayapick/entry/exceptions.py
@@ -5,6 +5,7 @@
 __all__ = [
     "AcceptanceUnknown",
     "BodyTooLarge",
+    "CountUnknown",
     "JobUnknown",
     "NoSuchQueue",
     "NotAccepted",
@@ -68,6 +69,15 @@
     retry_after = _RETRY_AFTER_SECONDS
 
 
+class CountUnknown(PapayapickError):
+    """Report that it isn't known here how many jobs of a queue wait."""
+
+    code = "entry.count-unknown"
+    template = "no fresh count of pool {pool}; seconds old: {age_seconds}"
+    status = "503 Service Unavailable"
+    retry_after = _RETRY_AFTER_SECONDS
+
+
 class AcceptanceUnknown(PapayapickError):
     """Report a request whose effect is not known; it may be sent again."""
 
--- a/papayapick/entry/followers.py
+++ b/papayapick/entry/followers.py
@@ -28,6 +28,7 @@
     on_failure=lambda: None,
     wait_seconds=lambda: FOLLOW_WAIT_SECONDS,
     gather_seconds=0.0,
+    on_complete=None,
 ):
     """Hand on the changes of a table until told to stop.
 
@@ -51,6 +52,9 @@
         Returns how long a call waits for changes.
     gather_seconds : float, optional
         So long more changes are gathered before the next call.
+    on_complete : callable, optional
+        Called with the time at which a call was sent once all changes of before were
+        handed on.
     """
     away_since = None
     answered_at = clock.monotonic()
@@ -59,9 +63,10 @@
         try:
             if version is None:
                 rows, version = read_all()
+                has_more = False
             else:
                 page = store.follow(table, version, wait_seconds())
-                rows, version = page.rows, page.version
+                rows, version, has_more = page.rows, page.version, page.has_more
         except HistoryLost:
             HISTORY_LOST.write(table=table, version=version)
             version = None
@@ -80,7 +85,11 @@
             STORE_BACK.write(table=table, version=version, away_seconds=away)
             away_since = None
         on_answer(asked_at)
-        if rows and not stopping.is_set():
+        if stopping.is_set():
+            return
+        if rows:
             on_rows(rows)
-            if gather_seconds:
-                clock.wait(stopping, gather_seconds)
+        if on_complete is not None and not has_more:
+            on_complete(asked_at)
+        if rows and gather_seconds:
+            clock.wait(stopping, gather_seconds)
--- a/papayapick/entry/lines.py
+++ b/papayapick/entry/lines.py
@@ -67,16 +67,23 @@
 
     def tell(self, owner):
         """Tell all hosts what has changed in an owner's pool."""
+        self._note_backlogs(owner)
         news = owner.news.take()
         if not news:
             return
         self._host.board.note(news)
-        self._host.board.note_backlogs(owner.pool, owner.news.backlogs())
         with self._lock:
             lines = list(self._lines.values())
         for line in lines:
             line.put(news)
 
+    def _note_backlogs(self, owner):
+        # Also without news: on a quiet pool the count would else be too old to tell.
+        if not owner.has_read_state:
+            return
+        backlogs, known_at = _counted(owner)
+        self._host.board.note_backlogs(owner.pool, owner.row.epoch, backlogs, known_at)
+
 
 class OwnerLine:
     """Tell one host what an owner knows, as a task of its own.
@@ -96,6 +103,7 @@
         "_news",
         "_owner",
         "_peer",
+        "_peer_clock_lead",
         "_wakeup",
     )
 
@@ -108,6 +116,9 @@
         self._wakeup = threading.Event()
         self._missed_since = None
         self._forgotten_at = None
+        # Seconds, at least, by which the clock of the host that is told is ahead of
+        # this one's; None before its first answer.
+        self._peer_clock_lead = None
 
     @property
     def peer(self):
@@ -142,7 +153,7 @@
                 del self._news[identifier]
             if self._news:
                 self._wakeup.set()
-        backlogs = self._owner.news.backlogs()
+        backlogs, known_at = _counted(self._owner)
         may_lack_records = self._owner.may_lack_records()
         beat = PoolBeat(
             pool=self._owner.pool,
@@ -160,6 +171,7 @@
             gives_way=self._owner.standing.gives_way(),
             may_lack_records=may_lack_records,
             has_read_state=self._owner.has_read_state,
+            known_at_milliseconds=self._by_peer_clock(known_at),
         )
         asked_at = self._host.clock.monotonic()
         try:
@@ -174,6 +186,7 @@
                 self._news = {**told, **self._news}
             return False
         self._note_word()
+        self._note_peer_clock(answer.clock_milliseconds)
         self._peer.answered_at = self._host.clock.monotonic()
         self._peer.store_age = answer.store_age_milliseconds / 1000
         self._host.advice.note_heard()
@@ -181,6 +194,24 @@
         self._owner.note_peer(self._peer, answer.epoch, asked_at)
         return True
 
+    def _by_peer_clock(self, moment):
+        """Return a time in milliseconds of the peer's clock, 0 where it isn't known.
+
+        A message may be held up on its way for seconds; told as an age, what it holds
+        would seem fresh when it arrives.
+        """
+        if moment is None or self._peer_clock_lead is None:
+            return 0
+        return max(0, int((moment + self._peer_clock_lead) * 1000))
+
+    def _note_peer_clock(self, milliseconds):
+        is_first = self._peer_clock_lead is None
+        # It was read before the answer came here: what is told is never made newer.
+        self._peer_clock_lead = milliseconds / 1000 - self._host.clock.monotonic()
+        if is_first:
+            # The beat that was answered told of no numbers.
+            self.wake()
+
     def _note_word(self):
         since, self._missed_since = self._missed_since, None
         self._forgotten_at = None
@@ -194,6 +225,7 @@
 
     def _note_miss(self, error):
         now = self._host.clock.monotonic()
+        self._peer_clock_lead = None
         if self._missed_since is None:
             self._missed_since = self._forgotten_at = now
             HOST_UNREACHED.write(
@@ -202,3 +234,9 @@
         elif now - self._forgotten_at > _FORGET_SECONDS:
             self._forgotten_at = now
             self._host.peers.forget(self._peer)
+
+
+def _counted(owner):
+    """Return what waits in the queues of an owner, and as of when that is true."""
+    with owner.lock:
+        return owner.news.backlogs(), owner.news.known_at
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -85,7 +85,7 @@
         )
         self.worker_pool = HttpPool(_WORKER_CALL_SECONDS)
         self.machines = MachineList(settings.machines_address, self.worker_pool)
-        self.board = StateBoard()
+        self.board = StateBoard(self.clock)
         self.configuration = ConfigurationWatcher(self)
         self.relayed_store = RelayedStore(self)
         self.writer = GroupWriter(
@@ -213,7 +213,9 @@
 
     # What the store says.
 
-    def follow(self, table, version, on_rows, read_all, stopping, gather=0.0):
+    def follow(
+        self, table, version, on_rows, read_all, stopping, gather=0.0, on_complete=None
+    ):
         """Follow a table; see ``follow_table``."""
         follow_table(
             self.store,
@@ -228,6 +230,7 @@
             # Jobs that were accepted wait until a feed that fell silent is noticed.
             lambda: OWNER_WAIT_SECONDS,
             gather,
+            on_complete,
         )
 
     def _note_store_answer(self, asked_at):
--- a/papayapick/pool/metrics.py
+++ b/papayapick/pool/metrics.py
@@ -19,7 +19,7 @@
 WAITING_JOBS = gauge(
     Place.BACKLOGS,
     "papayapick_pool_waiting_jobs",
-    "Accepted jobs that have not begun, as the owner last told",
+    "Accepted jobs that have not begun, as the owner told in the last 2 s",
     ("queue",),
 )
 FIRST_START_SECONDS = histogram(
--- a/papayapick/pool/news.py
+++ b/papayapick/pool/news.py
@@ -1,6 +1,7 @@
 """Tell what callers may know of the jobs of a pool."""
 
 import collections
+import math
 
 from papayapick.jobs.state import JobStatus
 from papayapick.placement.timeliness import useful_seconds
@@ -19,12 +20,21 @@
     owner : PoolOwner
     """
 
-    __slots__ = ("_backlogs", "_counted_at", "_owner")
+    __slots__ = ("_backlogs", "_counted_at", "_known_at", "_owner")
 
     def __init__(self, owner):
         self._owner = owner
         self._backlogs = {}
         self._counted_at = float("-inf")
+        self._known_at = None
+
+    @property
+    def known_at(self):
+        """Return the monotonic time as of which the last count is true, or None.
+
+        Read beside ``backlogs``, under the owner's lock.
+        """
+        return self._known_at
 
     def take(self):
         """Return what callers may be told now, by job.
@@ -58,8 +68,22 @@
             if now - self._counted_at >= _COUNT_SECONDS:
                 self._counted_at = now
                 self._backlogs = self._count(now)
+                self._known_at = self._now_known_at()
             return self._backlogs
 
+    def _now_known_at(self):
+        """Return the time as of which the book holds who waits, or None.
+
+        An owner whose feed of jobs is silent counts too few, one that was replaced
+        without knowing counts jobs that another one has begun, and one that took over
+        without records counts jobs that may run at a worker not heard yet.
+        """
+        owner = self._owner
+        if not (owner.has_read_state and owner.settling.knows_starts):
+            return None
+        known_at = min(owner.sources.complete_at, owner.standing.confirmed_at)
+        return None if math.isinf(known_at) else known_at
+
     def _count(self, now):
         counts, ready = collections.Counter(), collections.Counter()
         useful = collections.Counter()
--- a/papayapick/pool/settling.py
+++ b/papayapick/pool/settling.py
@@ -44,6 +44,11 @@
         """Return whether it is known where all tasks of before run."""
         return self._is_settled
 
+    @property
+    def knows_starts(self):
+        """Return whether it is known of each job of before that it has begun."""
+        return self._is_journal_exact or self._is_settled
+
     def begin(self):
         """Keep back what may run unseen.
 
--- a/papayapick/pool/sources.py
+++ b/papayapick/pool/sources.py
@@ -62,16 +62,23 @@
     owner : PoolOwner
     """
 
-    __slots__ = ("_job_partitions", "_owner")
+    __slots__ = ("_complete_at", "_job_partitions", "_owner")
 
     def __init__(self, owner):
         self._owner = owner
         self._job_partitions = job_partitions(owner.pool)
+        self._complete_at = float("-inf")
+
+    @property
+    def complete_at(self):
+        """Return the monotonic time as of which all accepted jobs were taken in."""
+        return self._complete_at
 
     def load(self):
         """Read the whole state; return the version after which to follow jobs."""
         store = self._owner.host.store
         progress, _ = store.read_all(PROGRESS_TABLE, self._owner.pool)
+        asked_at = self._owner.now()
         jobs, version = self._read_jobs()
         workers, _ = store.read_all(WORKERS_TABLE, "")
         # A row that can't be read is no sign that the job has not begun.
@@ -79,6 +86,7 @@
         self._owner.journal.resume(progress)
         with self._owner.lock:
             self._take_jobs(jobs, records, _newest_acceptance(jobs))
+            self._complete_at = asked_at
             for row in workers:
                 self._take_registration(row)
             for registration in self._owner.roster.restore(progress):
@@ -107,8 +115,13 @@
             self._note_job_rows,
             self._read_jobs,
             self._owner.stopping,
+            on_complete=self._note_complete,
         )
 
+    def _note_complete(self, asked_at):
+        with self._owner.lock:
+            self._complete_at = asked_at
+
     def _note_job_rows(self, rows):
         with self._owner.lock:
             own = self._job_partitions
--- a/papayapick/pool/standing.py
+++ b/papayapick/pool/standing.py
@@ -36,6 +36,11 @@
         self._confirmed_at = self._since = host.clock.monotonic()
         self.is_leaving = False
 
+    @property
+    def confirmed_at(self):
+        """Return the monotonic time at which the pool was last known to be its own."""
+        return self._confirmed_at
+
     def is_confirmed(self):
         """Return whether the last word is recent enough to act upon.
 
--- a/papayapick/wire/messages.capnp
+++ b/papayapick/wire/messages.capnp
@@ -162,6 +162,7 @@
   givesWay @5 :Bool;
   mayLackRecords @6 :Bool;
   hasReadState @7 :Bool;
+  knownAtMilliseconds @8 :UInt64;
 }
 
 struct JobNews {
@@ -178,6 +179,7 @@
 struct PoolBeatAnswer {
   epoch @0 :UInt64;
   storeAgeMilliseconds @1 :UInt32;
+  clockMilliseconds @2 :UInt64;
 }
 
 struct AdviceQuery {
--- a/papayapick/wire/messages.py
+++ b/papayapick/wire/messages.py
@@ -220,13 +220,18 @@
 
 
 class PoolBeat(Payload):
-    """Tell who owns a pool, and what has changed there."""
+    """Tell who owns a pool, and what has changed there.
+
+    ``known_at_milliseconds`` is the time as of which the numbers of ``queue_loads`` are
+    true, by the clock of the host that is told; 0 where they are not known to be.
+    """
 
     __slots__ = (
         "epoch",
         "gives_way",
         "has_read_state",
         "host",
+        "known_at_milliseconds",
         "may_lack_records",
         "news",
         "pool",
@@ -235,9 +240,12 @@
 
 
 class PoolBeatAnswer(Payload):
-    """Tell the newest epoch a host knows, and how old its word from the store is."""
+    """Tell the newest epoch a host knows, and how old its word from the store is.
+
+    ``clock_milliseconds`` is the monotonic time of the host that answers.
+    """
 
-    __slots__ = ("epoch", "store_age_milliseconds")
+    __slots__ = ("clock_milliseconds", "epoch", "store_age_milliseconds")
 
 
 class AdviceQuery(Payload):
--- a/tests/entry/test_acceptance.py
+++ b/tests/entry/test_acceptance.py
@@ -6,6 +6,7 @@
 
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.clients.rows import StoredRow
+from papayapick.clock import ManualClock
 from papayapick.entry.acceptance import Acceptance
 from papayapick.entry.board import StateBoard
 from papayapick.entry.exceptions import QueueFull, StateUnknown
@@ -39,8 +40,8 @@
 
 
 def acceptance(store, retry_after):
-    board = StateBoard()
-    board.note_backlogs("pool", {"counts": QueueBacklog(500, retry_after)})
+    board = StateBoard(ManualClock(100.0))
+    board.note_backlogs("pool", 3, {"counts": QueueBacklog(500, retry_after)})
     return Acceptance(store, store, board), board
 
 
--- a/tests/entry/test_backlog_news.py
+++ b/tests/entry/test_backlog_news.py
@@ -36,21 +36,25 @@
     pool, so that no other host takes the pool in turn. Those beats tell of no queue,
     and that was taken for queues in which nothing waits.
     """
-    board = StateBoard()
-    board.note_backlogs("pool", {"q": QueueBacklog(waiting=393, retry_after=0)})
+    clock = ManualClock(100.0)
+    board = StateBoard(clock)
+    board.note_backlogs("pool", 2, {"q": QueueBacklog(393, 0)}, known_at=100.0)
     candidacy = SimpleNamespace(note_beat=lambda beat: True, row=PoolRow("pool"))
     told = SimpleNamespace(
-        board=board, store_health=SimpleNamespace(told_age=lambda: 0.0)
+        board=board,
+        clock=clock,
+        store_health=SimpleNamespace(told_age=lambda: 0.0),
     )
     answers = PeerAnswers(told, {"pool": candidacy}, None)
     host = Host()
-    host.clock = ManualClock(100.0)
+    host.clock = clock
     host.settings.host_name = "h1"
     host.advice = SimpleNamespace(note_heard=lambda: None)
     owner = PoolOwner(host, PoolRow("pool", "h1", 3, "a:1", 9))
     try:
         line = OwnerLine(host, owner, Peer(answers))
         assert line._beat()
+        assert line._beat()
         assert board.waiting(QUEUE) == 393
     finally:
         owner.stop()
--- a/tests/entry/test_followers.py
+++ b/tests/entry/test_followers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from papayapick.clients.exceptions import AnswerMissing
+from papayapick.clients.exceptions import AnswerMissing, StoreRefused, TableUnavailable
 from papayapick.clients.rows import Page
 from papayapick.clock import ManualClock
 from papayapick.entry.process import EntryHost
@@ -98,3 +98,85 @@
     sources.follow_workers(1)
     assert len(sources.seen) == store.calls - 1
     assert store.calls < 30
+
+
+class ScriptedTable:
+    """Answer each call as a script says, a second after it was sent."""
+
+    def __init__(self, clock, stopping, answers):
+        self._clock = clock
+        self._stopping = stopping
+        self._answers = list(answers)
+
+    def follow(self, table, version, wait_seconds):
+        self._clock.advance(1.0)
+        answer = self._answers.pop(0)
+        if not self._answers:
+            self._stopping.set()
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def followed(answers):
+    """Follow a table; return the rows and the times of completeness, in order."""
+    clock, stopping = AdvancingClock(100.0), threading.Event()
+    seen = []
+    host = SimpleNamespace(
+        clock=clock,
+        store=ScriptedTable(clock, stopping, answers),
+        store_health=SimpleNamespace(note_failure=lambda: None),
+        _note_store_answer=lambda asked_at: None,
+    )
+    EntryHost.follow(
+        host, "jobs", 7, seen.extend, pytest.fail, stopping, on_complete=seen.append
+    )
+    return seen
+
+
+LAST = Page([], 9)
+
+
+def test_table_is_complete_as_of_a_call_only_once_its_rows_were_handed_on():
+    """An owner vouched for a count before the jobs of the answer were in its book."""
+    assert followed([Page(["row"], 8), LAST]) == ["row", 100.0]
+
+
+def test_table_without_changes_is_complete_as_of_the_call():
+    """The count of a quiet pool grew too old to be told."""
+    assert followed([Page([], 7), Page([], 7), LAST]) == [100.0, 101.0]
+
+
+def test_page_with_more_to_come_completes_nothing():
+    """After an outage the first page of a burst was taken for all of it."""
+    answers = [Page(["a"], 8, has_more=True), Page(["b"], 9), LAST]
+    assert followed(answers) == ["a", "b", 101.0]
+
+
+def test_call_without_an_answer_completes_nothing():
+    """An owner that was cut off from the store vouched for its count."""
+    assert followed([TableUnavailable(), StoreRefused(), LAST]) == []
+
+
+def test_whole_reading_completes_as_of_when_it_began():
+    """Jobs accepted while a table was read were taken for counted."""
+    clock, stopping, seen = AdvancingClock(100.0), threading.Event(), []
+
+    def read_all():
+        clock.advance(1.0)
+        return ["row"], 8
+
+    def note(asked_at):
+        stopping.set()
+        seen.append(asked_at)
+
+    host = SimpleNamespace(
+        clock=clock,
+        store=None,
+        store_health=SimpleNamespace(note_failure=pytest.fail),
+        _note_store_answer=lambda asked_at: None,
+    )
+    EntryHost.follow(
+        host, "jobs", None, seen.extend, read_all, stopping, on_complete=note
+    )
+    assert seen == ["row", 100.0]
--- a/tests/entry/test_lines.py
+++ b/tests/entry/test_lines.py
@@ -37,7 +37,7 @@
     def ask(self, payload, seconds):
         if not self.is_there:
             raise PeerUnreachable(address=("10.0.0.2", 7720))
-        return SimpleNamespace(store_age_milliseconds=0, epoch=0)
+        return SimpleNamespace(store_age_milliseconds=0, epoch=0, clock_milliseconds=0)
 
     def close(self):
         pass
@@ -61,7 +61,7 @@
     owner = SimpleNamespace(
         pool="pool",
         row=SimpleNamespace(epoch=1),
-        news=SimpleNamespace(all_states=dict, backlogs=dict),
+        news=SimpleNamespace(all_states=dict, backlogs=dict, known_at=None),
         may_lack_records=lambda: False,
         has_read_state=True,
         standing=SimpleNamespace(gives_way=lambda: False),
--- a/tests/entry/test_processes.py
+++ b/tests/entry/test_processes.py
@@ -124,6 +124,8 @@
     cluster = Cluster()
     cluster.configure()
     with EntryCell(cluster, tmp_path_factory.mktemp("cell"), hosts=1) as cell:
+        # A host that has just started does not know yet how many jobs wait.
+        wait_for(lambda: cell.hosts[0].call("GET", "/quick/")[0] == 200)
         yield cell.hosts[0]
     cluster.close()
 
@@ -225,6 +227,35 @@
     assert _runs_once(cluster)
 
 
+def _told_count(host):
+    """Return the number of waiting jobs that a host tells, or the status without."""
+    try:
+        status, body = host.call("GET", "/quick/")
+    except OSError:
+        return 503
+    return body["queued_jobs"] if status == 200 else status
+
+
+def test_hosts_that_have_just_started_tell_the_right_count_or_none(cluster, cell):
+    """All hosts lost power; one that was told nothing yet said that nothing waits."""
+    too_large = job(tasks=1, cpu=1_000_000)
+    for identifier in IDS[:3]:
+        assert _submit(cell.hosts[0], identifier, too_large) == 200
+    wait_for(lambda: all(_told_count(host) == 3 for host in cell.hosts))
+    for host in cell.hosts:
+        host.end()
+    for host in cell.hosts:
+        host.start()
+    told = []
+
+    def are_all_told():
+        told.append([_told_count(host) for host in cell.hosts])
+        return told[-1] == [3, 3, 3]
+
+    wait_for(are_all_told, 20)
+    assert {count for counts in told for count in counts} <= {3, 503}
+
+
 def test_order_carried_out_late_runs_nothing_twice(cluster, cell):
     """A refresh is counted twice: its first order was carried out seconds late."""
     for worker in cluster.workers.values():
