Order a definite pace where that of a filling task is not known

What callers saw: after a takeover a filling task that an owner before had slowed to 0 or 10 percent stood still or crept for good, though nobody beside it needed that; beside a tail near its limit it was sped up, and users waited longer. Cause: a run is at pace 100 as long as its owner has set no other, which holds for those it has started. For one that it took over, 100 stood for 'not told'. While the tail was low there was nothing to raise; with a tail at 90% it was "slowed" to 50. An order whose answer was lost is the same: carried out, and believed not to be. Nothing else notices: fillers are not judged for standing still. Evidence: seven of the eleven tests of tests/pool/test_pace.py failed before: left at 0 and 10 after eight lists with a low tail, at 0 beside nobody, set to 50 from 0, 10 and 40 beside a high tail, left at 50 after a lost answer. The other four hold what must stay. Class: a default that stands for 'not told'. Change: the pace of a run that was taken over, or whose order had no answer, is None until an order was answered. The first order for such a run is definite, and no guess of the present pace goes into it: 0 beside a high tail, 50 beside a low one, 100 where nobody is served, none between the bounds, where a known pace stays too. An order that was refused leaves the pace as it was. Ruled out: 100 for all that is not known (full pace beside somebody served, in one step) and the halving of 100 beside a high tail (raises what was at 0, 10 or 40). Measured: tests/pool, tests/placement, tests/docs and the doctests of placement pass. Conclusion: None is the only value of a pace that is not known. Left: an order without an answer that is carried out seconds later, after a newer one; two orders for one run under way at once.

--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -187,8 +187,9 @@
             return run
         index, attempt = report.key.index, report.attempt
         run = Run.of_task(step, index, attempt, worker, RunPhase.RUNNING, now)
-        # What it had done before this owner saw it is not known.
+        # What it had done before this owner saw it is not known, nor how it was paced.
         run.is_resumed = True
+        run.pace = None
         task = step.tasks[index]
         task.attempt = max(task.attempt, attempt)
         task.place = worker
--- a/papayapick/jobs/runs.py
+++ b/papayapick/jobs/runs.py
@@ -6,6 +6,8 @@
 
 __all__ = ["Run", "RunPhase"]
 
+_PACE_AT_START = 100
+
 
 class RunPhase(enum.Enum):
     """Tell how far a run is, as far as its owner knows."""
@@ -74,7 +76,9 @@
         # from nothing when this owner first saw it.
         self.is_resumed = False
         self.figure = 0.0
-        self.pace = 100
+        # Percent of its processors that it may use, as ordered; None where that is not
+        # known: another owner may have set it, or an order had no answer.
+        self.pace = _PACE_AT_START
         # A worker has listed it.
         self.was_seen = False
         # Monotonic seconds of the stop's order, or None.
--- a/papayapick/placement/pace.py
+++ b/papayapick/placement/pace.py
@@ -10,6 +10,8 @@
 _FASTER = 1.3
 _LEAST_STEP_SECONDS = 0.45
 _FULL = 100
+# Where a pace that is not known may be raised: three steps from full, and from none.
+_MIDDLE = 50
 
 
 class Pacer:
@@ -42,7 +44,10 @@
         for run in room.runs.values():
             if not run.is_filler or run.percent is None:
                 continue
-            pace = _next_pace(run.pace, load)
+            if run.pace is None:
+                pace = _first_pace(load, bool(room.serving))
+            else:
+                pace = _next_pace(run.pace, load)
             if pace != run.pace:
                 changes.append((run, pace))
         if changes:
@@ -60,6 +65,25 @@
         return max(shares, default=0.0)
 
 
+def _first_pace(load, is_serving):
+    """Return the percent for a run whose pace is not known, or None to leave it.
+
+    Beside a high tail only the least is sure not to raise it.
+
+    Examples
+    --------
+    >>> _first_pace(0.0, False), _first_pace(0.3, True), _first_pace(0.9, True)
+    (100, 50, 0)
+    >>> _first_pace(0.6, True) is None
+    True
+    """
+    if not is_serving:
+        return _FULL
+    if load > _SLOW_SHARE:
+        return 0
+    return _MIDDLE if load < _FAST_SHARE else None
+
+
 def _next_pace(pace, load):
     """Return the next percent.
 
--- a/papayapick/pool/orders.py
+++ b/papayapick/pool/orders.py
@@ -236,7 +236,12 @@
     def _pace(self, link, run, percent):
         try:
             link.client.pace(run.key, run.attempt, percent, self._owner.row.epoch)
-        except (WorkerSilent, CheckFailed) as error:
+        except WorkerSilent as error:
+            # It may have been carried out.
+            run.pace = None
+            PACE_NOT_SET.write(worker=link.worker, error=str(error))
+            return
+        except CheckFailed as error:
             PACE_NOT_SET.write(worker=link.worker, error=str(error))
             return
         PACE_SET.write(**run_fields(run), percent=percent, percent_before=run.pace)
