Leave paces as they are while a tail beside them is not measured

What callers saw: users of a lasting task that has just begun, or whose worker tells no figure, wait longer, as the fillers beside it are sped up. Cause: the fifth entry of a listed run is of the last half second. A missing one was decoded to 0, a run began with 0, and the figure of a task that is at work for less than half a second counted as a whole one. A load of 0 speeds fillers up. Evidence: seven of the new tests failed before: from 20 to 26 percent beside a task first listed with 0, and beside one first listed with a low tail; a missing entry, and null, came out as 0 of the decoder; the three tests with None in a list ended with a TypeError, as nothing could hold it. Class: a default that stands for 'not told'. Change: a figure that is missing is None, from the decoder on. The tail of a run counts once the run was seen at work for half a second; a high one counts at once, as it is true of any part of that time. While one tail is not known and no other is high, paces stay as they are. 0 stays a figure: the tail is in whole milliseconds, and a task that nobody calls has none. Ruled out: 0 as 'not measured' for good, with which a filler beside a task that nobody calls would stay slowed (a test holds that). A task that is not at work yet still counts for nobody served. Test changed: test_fillers_are_slowed_until_the_tail_is_kept set a tail of a run with no time at work; for its second half the run is now listed until then. It asks for the same paces. Measured: tests/pool, placement, platform, jobs, docs pass. Conclusion: unknown tails lead to no order.

--- a/papayapick/jobs/runs.py
+++ b/papayapick/jobs/runs.py
@@ -75,7 +75,8 @@
         # It began with saved progress, or was taken over: its percent did not start
         # from nothing when this owner first saw it.
         self.is_resumed = False
-        self.figure = 0.0
+        # What its worker told of the half second before, or None.
+        self.figure = None
         # Percent of its processors that it may use, as ordered; None where that is not
         # known: another owner may have set it, or an order had no answer.
         self.pace = _PACE_AT_START
--- a/papayapick/placement/pace.py
+++ b/papayapick/placement/pace.py
@@ -9,6 +9,8 @@
 _SLOWER = 0.5
 _FASTER = 1.3
 _LEAST_STEP_SECONDS = 0.45
+# What a tail is measured over.
+_FIGURE_SECONDS = 0.5
 _FULL = 100
 # Where a pace that is not known may be raised: three steps from full, and from none.
 _MIDDLE = 50
@@ -56,29 +58,50 @@
 
     @staticmethod
     def _load(room):
-        """Return the worst tail as a share of its limit; 0 where none serves."""
+        """Return the worst tail as a share of its limit; 0 where none serves.
+
+        None where it is not known, as a tail was not measured and no other is high.
+        """
         shares = [
-            run.figure / 1000 / run.tail_limit
+            _tail_share(run)
             for run in room.runs.values()
             if run.tail_limit and run.percent == _FULL
         ]
-        return max(shares, default=0.0)
+        worst = max((share for share in shares if share is not None), default=0.0)
+        return None if None in shares and worst <= _SLOW_SHARE else worst
+
+
+def _tail_share(run):
+    """Return the tail of a run at work as a share of its limit, or None.
+
+    None where it was not measured. In the first half second at work a figure tells of a
+    part of it only: a low one, or 0, would have fillers sped up beside a task of which
+    nothing is known. A high one is true of any part.
+    """
+    if run.figure is None:
+        return None
+    share = run.figure / 1000 / run.tail_limit
+    is_whole = run.percent_at - run.moved_at >= _FIGURE_SECONDS
+    return share if is_whole or share > _SLOW_SHARE else None
 
 
 def _first_pace(load, is_serving):
     """Return the percent for a run whose pace is not known, or None to leave it.
 
-    Beside a high tail only the least is sure not to raise it.
+    A load of None leaves each pace as it is. Beside a high tail only the least is sure
+    not to raise it.
 
     Examples
     --------
     >>> _first_pace(0.0, False), _first_pace(0.3, True), _first_pace(0.9, True)
     (100, 50, 0)
-    >>> _first_pace(0.6, True) is None
+    >>> _first_pace(0.6, True) is None and _first_pace(None, True) is None
     True
     """
     if not is_serving:
         return _FULL
+    if load is None:
+        return None
     if load > _SLOW_SHARE:
         return 0
     return _MIDDLE if load < _FAST_SHARE else None
@@ -91,9 +114,11 @@
     --------
     >>> _next_pace(100, 1.2), _next_pace(10, 1.2), _next_pace(100, 0.6)
     (50, 0, 100)
-    >>> _next_pace(0, 0.3), _next_pace(50, 0.3)
-    (10, 65)
+    >>> _next_pace(0, 0.3), _next_pace(50, 0.3), _next_pace(50, None)
+    (10, 65, 50)
     """
+    if load is None:
+        return pace
     if load > _SLOW_SHARE:
         slower = int(pace * _SLOWER)
         return slower if slower >= 10 else 0
--- a/papayapick/platform/workers.py
+++ b/papayapick/platform/workers.py
@@ -224,9 +224,9 @@
 def _run(row):
     key = _task_key(row[0])
     # The fifth entry is the tail in milliseconds for a task that serves, and
-    # the processors in use, in thousandths, for any other.
-    figure = row[4] if len(row) > 4 else 0
-    return RunReport(key, row[1], row[2], row[3], figure or 0)
+    # the processors in use, in thousandths, for any other. A worker may have none yet.
+    figure = row[4] if len(row) > 4 else None
+    return RunReport(key, row[1], row[2], row[3], figure)
 
 
 def _end(row):
--- a/papayapick/pool/reports.py
+++ b/papayapick/pool/reports.py
@@ -107,14 +107,14 @@
     checkpoint : str
     percent : int
         Of its work that is done; of a lasting task, 100 when it is at work.
-    figure : float
+    figure : float or None
         Tail of the response time in milliseconds for a task that serves,
-        processors in use in millicores for any other.
+        processors in use in millicores for any other; None where there is none.
     """
 
     __slots__ = ("attempt", "checkpoint", "figure", "key", "percent")
 
-    def __init__(self, key, attempt, checkpoint="", percent=0, figure=0.0):
+    def __init__(self, key, attempt, checkpoint="", percent=0, figure=None):
         self.key = key
         self.attempt = attempt
         self.checkpoint = checkpoint
--- a/tests/placement/test_rooms.py
+++ b/tests/placement/test_rooms.py
@@ -141,7 +141,7 @@
             run.pace = percent
             paces.append(percent)
     assert paces == [50, 25, 12, 0]
-    serving.figure = 20.0
+    serving.figure, serving.percent_at = 20.0, 20.0
     ((_, percent),) = pacer.decide(room, 20.0)
     assert percent > 0
 
--- a/tests/pool/test_pace.py
+++ b/tests/pool/test_pace.py
@@ -5,7 +5,7 @@
 from papayapick.jobs import JobDocument, Step, TaskKey
 from papayapick.ledger import Amounts
 from papayapick.platform.exceptions import CheckFailed, WorkerSilent
-from papayapick.pool.reports import RunReport, WorkerReport
+from papayapick.pool.reports import EndReport, RunReport, WorkerReport
 from tests.pool.owners import ID, host_with_two_workers, owner_of, report, store_job
 
 SERVING = TaskKey(ID, 0, 0, 0)
@@ -51,7 +51,7 @@
         self.is_serving = is_serving
         self.host = host_with_two_workers()
         lasting = Step(
-            1,
+            2,
             Amounts(1000, 10),
             is_lasting=True,
             tail_limit_seconds=TAIL_LIMIT_SECONDS,
@@ -76,16 +76,32 @@
         self.filler.pace = self.client.pace_there = percent
         self.client.ordered.clear()
 
-    def look(self, tail, looks=1):
-        """Take in lists with a tail, each followed by the orders it led to."""
+    def look(self, tail, looks=1, attempt=1, others=()):
+        """Take in lists with a tail, each followed by the orders it led to.
+
+        Parameters
+        ----------
+        tail : int or None
+            Of the task that serves, in milliseconds.
+        looks : int
+        attempt : int
+            Of the task that serves; those before have failed.
+        others : sequence of RunReport
+            Listed beside it.
+        """
         for _ in range(looks):
             self.host.clock.advance(LOOK_SECONDS)
-            runs = [RunReport(FILLER, 1, percent=10, figure=500)]
+            runs = [RunReport(FILLER, 1, percent=10, figure=500), *others]
             if self.is_serving:
-                runs.append(RunReport(SERVING, 1, percent=100, figure=tail))
+                runs.append(RunReport(SERVING, attempt, percent=100, figure=tail))
             link = self.owner.links_by_worker["w1"]
             now = self.host.clock.monotonic()
-            self.owner.lists.note_report(link, WorkerReport(50.0, 1, runs, []), now)
+            ended = [
+                EndReport(number, SERVING, number, "failed")
+                for number in range(1, attempt)
+            ]
+            found = WorkerReport(50.0, 1, runs, ended)
+            self.owner.lists.note_report(link, found, now)
             self._carry_out()
 
     def _carry_out(self):
@@ -168,3 +184,59 @@
     pool.client.refuses = False
     pool.look(HIGH)
     assert pool.client.ordered == [40, 40]
+
+
+# Figures that are not there yet.
+
+
+@pytest.mark.parametrize("figure", [0, None])
+def test_filler_is_not_sped_up_by_a_tail_that_was_not_measured(figure):
+    """Users of a lasting task wait too long just after it has begun.
+
+    Its worker had no half second of figures yet, which was taken for a tail of
+    nothing, so that the filler beside it was sped up.
+    """
+    pool = Pool(pace_there=20)
+    pool.know_pace(20)
+    pool.look(figure, attempt=2)
+    assert pool.client.ordered == []
+
+
+def test_filler_is_not_sped_up_by_a_tail_of_less_than_its_time():
+    """A tail that grows in its first half second was taken for a low one."""
+    pool = Pool(pace_there=20)
+    pool.know_pace(20)
+    pool.look(LOW, attempt=2)
+    assert pool.client.ordered == []
+
+
+def test_filler_is_slowed_by_a_high_tail_of_less_than_its_time():
+    """What users waited too long for in a part of the time is late in any case."""
+    pool = Pool(pace_there=20)
+    pool.know_pace(20)
+    pool.look(HIGH, attempt=2)
+    assert pool.client.ordered == [10]
+
+
+def test_filler_is_left_alone_while_its_worker_tells_no_tail():
+    pool = Pool(pace_there=20)
+    pool.know_pace(20)
+    pool.look(None, looks=4)
+    assert pool.client.ordered == []
+
+
+def test_filler_is_sped_up_beside_a_task_that_nobody_calls():
+    """A tail of nothing is a true figure once the task was at work for its time."""
+    pool = Pool(pace_there=20)
+    pool.know_pace(20)
+    pool.look(0, looks=12)
+    assert pool.client.pace_there == 100
+
+
+def test_filler_is_slowed_beside_a_high_tail_though_another_is_not_measured():
+    """One task whose tail is not known must not hide that another's is high."""
+    pool = Pool(pace_there=20)
+    pool.know_pace(20)
+    other = TaskKey(ID, 0, 0, 1)
+    pool.look(HIGH, others=[RunReport(other, 1, percent=100, figure=None)])
+    assert pool.client.ordered == [10]
