Count a run from when its order left, not from its placing

What callers saw: while the store is slow, sound runs are stopped just after their start and lose their place, sound workers are used last, second copies of sound tasks take room, and runs that really are slow are left alone. Cause: Run.since was the time of placing, and all that reads it (progress, copies, the usual time of a step, the rest of a run, the lines of the log) took it for the time since which the run is at work. Between the two lies the record of the start in the store. Evidence: five tests of tests/pool/test_run_times.py failed before, with a record that takes 2 s: a run on its second list, 0.1 s after its order, was stalled; one at 40% after 0.4 s was slow beside four that took 1 s; a copy was started 0.1 s after the order; the usual time of a step was 3.0 s for a run of 1.0 s; a run that had not left had 1.0 s of its 3.0 s to go. Class: a time of one event, taken for that of another. Change: since is set when the order leaves (Orders._start), with the times from which progress is judged, and is None before; the time of placing is the constructor's placed_at, and nothing else needs it. worked_seconds is 0 before the order left. A run that was taken over counts from its takeover, as before. Ruled out: a second attribute for the time of placing; each reader of since meant work. Measured: tests/pool, placement, jobs, contracts, docs pass. Conclusion: the wait for a record is in no figure of a run any more.

--- a/papayapick/jobs/ends.py
+++ b/papayapick/jobs/ends.py
@@ -71,7 +71,7 @@
                 # One that was taken over, or went on from saved progress, took longer
                 # than this owner saw: sound runs beside it would seem slow.
                 if not run.is_resumed:
-                    step.note_done_run(now - run.since)
+                    step.note_done_run(run.worked_seconds(now))
             self._note_done(step, key.index, now)
             return
         if outcome == _FAILED:
--- a/papayapick/jobs/runs.py
+++ b/papayapick/jobs/runs.py
@@ -33,8 +33,14 @@
     demand : Amounts
         What it takes of its worker's room.
     phase : RunPhase
-    since : float
-        Monotonic seconds of the order.
+    placed_at : float
+        Monotonic seconds at which its worker was chosen, or at which it was taken over.
+
+    Attributes
+    ----------
+    since : float or None
+        Monotonic seconds at which its order left, or at which it was taken over; None
+        while it waits for its record.
     """
 
     __slots__ = (
@@ -60,18 +66,18 @@
         "worker",
     )
 
-    def __init__(self, key, attempt, worker, demand, phase, since, step=None):
+    def __init__(self, key, attempt, worker, demand, phase, placed_at, step=None):
         self.key = key
         self.attempt = attempt
         self.worker = worker
         self.demand = demand
         self.phase = phase
-        self.since = since
+        self.since = None if phase == RunPhase.ORDERED else placed_at
         self.checkpoint = ""
         self.percent = 0
-        self.percent_at = since
+        self.percent_at = placed_at
         # When its percent was last seen to change.
-        self.moved_at = since
+        self.moved_at = placed_at
         # It began with saved progress, or was taken over: its percent did not start
         # from nothing when this owner first saw it.
         self.is_resumed = False
@@ -121,3 +127,11 @@
     def name(self):
         """Return key and attempt, which name the run on its worker."""
         return (self.key, self.attempt)
+
+    def worked_seconds(self, now):
+        """Return how long it may have been at work: 0 before its order left."""
+        return 0.0 if self.since is None else now - self.since
+
+    def note_sent(self, now):
+        """Note that its order leaves now: before, it could not move."""
+        self.since = self.percent_at = self.moved_at = now
--- a/papayapick/placement/copies.py
+++ b/papayapick/placement/copies.py
@@ -35,7 +35,7 @@
         return []
     limit = _SLOW_FACTOR * usual + _SLACK_SECONDS
     slow = [
-        (now - task.runs[0].since, index)
+        (task.runs[0].worked_seconds(now), index)
         for index, task in enumerate(step.tasks)
         if len(task.runs) == 1 and _is_slow(task.runs[0], now, limit)
     ]
@@ -43,4 +43,4 @@
 
 
 def _is_slow(run, now, limit):
-    return run.phase == RunPhase.RUNNING and now - run.since > limit
+    return run.phase == RunPhase.RUNNING and run.worked_seconds(now) > limit
--- a/papayapick/placement/progress.py
+++ b/papayapick/placement/progress.py
@@ -113,7 +113,7 @@
     known = step.done_seconds
     if run.is_resumed or len(known) < _LEAST_KNOWN:
         return False
-    return now - run.since < _SOUND_FACTOR * statistics.median(known)
+    return run.worked_seconds(now) < _SOUND_FACTOR * statistics.median(known)
 
 
 def _judged_runs(step):
@@ -157,7 +157,7 @@
 
 def _projected_seconds(run):
     """Return what a run will have taken in all, going by its progress, or None."""
-    elapsed = run.percent_at - run.since
+    elapsed = run.worked_seconds(run.percent_at)
     is_early = elapsed < _LEAST_SECONDS or run.percent < _LEAST_PERCENT
     if run.is_resumed or is_early:
         return None
@@ -182,12 +182,14 @@
     float
         Seconds; negative where it should have ended.
     """
+    if run.since is None:
+        return step.step.estimate_seconds
     done = run.percent / _FULL
     if run.is_resumed:
         return step.step.estimate_seconds * (1 - done) - (now - run.percent_at)
     if done <= _LEAST_PROGRESS:
-        return step.step.estimate_seconds - (now - run.since)
-    return (run.percent_at - run.since) / done - (now - run.since)
+        return step.step.estimate_seconds - run.worked_seconds(now)
+    return run.worked_seconds(run.percent_at) / done - run.worked_seconds(now)
 
 
 def rest_seconds(step, run, now):
--- a/papayapick/pool/decisions.py
+++ b/papayapick/pool/decisions.py
@@ -223,7 +223,7 @@
         COPY_STARTED.write(
             **run_fields(run),
             slow_worker=slow,
-            slow_seconds=round(now - first.since, 3),
+            slow_seconds=round(first.worked_seconds(now), 3),
             usual_seconds=round(step.usual_seconds, 3),
         )
 
--- a/papayapick/pool/laggards.py
+++ b/papayapick/pool/laggards.py
@@ -90,7 +90,7 @@
         RUN_REPLACED.write(
             **run_fields(run),
             percent=run.percent,
-            seconds=round(now - run.since, 3),
+            seconds=round(run.worked_seconds(now), 3),
             still_seconds=round(run.percent_at - run.moved_at, 3),
         )
         self._owner.orders.stop_once(run, now)
--- a/papayapick/pool/lists.py
+++ b/papayapick/pool/lists.py
@@ -139,7 +139,7 @@
             outcome=end.outcome,
             failures=task.failures,
             failure_limit=step.job.queue.failure_limit,
-            seconds=None if run is None else round(now - run.since, 3),
+            seconds=None if run is None else round(run.worked_seconds(now), 3),
             is_retried=not (step.job.is_final or task.is_done),
         )
 
--- a/papayapick/pool/orders.py
+++ b/papayapick/pool/orders.py
@@ -190,6 +190,8 @@
             # The record took longer than the ticket lasts.
             may_send = may_send and owner.now() < start.usable_until
             lease_end = link.lease_end() if may_send else None
+            if lease_end is not None:
+                run.note_sent(owner.now())
         if lease_end is None:
             outcome = StartOutcome.NOT_SENT
         else:
--- a/tests/placement/test_rooms.py
+++ b/tests/placement/test_rooms.py
@@ -198,6 +198,7 @@
     book, state = _waiting(step)
     runs = _place(book, state, rooms)
     for run in runs:
+        run.note_sent(1.0)
         run.phase = RunPhase.RUNNING
     for run in runs[:2]:
         book.end(run.key, run.attempt, "done", "", run.worker, 1.8)
@@ -210,6 +211,7 @@
 def test_no_copy_where_the_step_does_not_allow_it(rooms):
     book, state = _waiting(Step(1, Amounts(100, 100), estimate_seconds=1.0))
     (run,) = _place(book, state, rooms)
+    run.note_sent(1.0)
     run.phase = RunPhase.RUNNING
     assert stragglers(state, 60.0) == []
 
--- a/tests/pool/owners.py
+++ b/tests/pool/owners.py
@@ -75,9 +75,14 @@
 
 
 def place(owner):
+    """Let tasks be placed and their orders leave; return their runs."""
+    now = owner.host.clock.monotonic()
     with owner.lock:
-        owner.decisions.place(owner.host.clock.monotonic())
-    return [start.run for start in owner.decisions.take_unsent()]
+        owner.decisions.place(now)
+    runs = [start.run for start in owner.decisions.take_unsent()]
+    for run in runs:
+        run.note_sent(now)
+    return runs
 
 
 def host_with_two_workers():
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -230,6 +230,7 @@
         orders = self.owner.orders
         for start in self.owner.decisions.take_unsent():
             run = start.run
+            run.note_sent(self.now)
             self.workers[run.worker].runs[run.name] = 0.0
             self.owner.book.note_started(run)
         tasks, orders._stop_executor.tasks = orders._stop_executor.tasks, []
--- /dev/null
+++ b/tests/pool/test_run_times.py
@@ -0,0 +1,123 @@
+"""From when a run counts: not from its placing, but from when its order left."""
+
+import pytest
+
+from papayapick.jobs import TaskKey
+from papayapick.placement.copies import stragglers
+from papayapick.placement.progress import compare_runs, projected_rest, stalled_runs
+from papayapick.pool.reports import StartOutcome
+from tests.pool.owners import ID, job, owner_with, report
+
+# The record of a start takes so long while the store is slow.
+RECORD_SECONDS = 2.0
+# A list is answered, and the next asked for, within this.
+LOOK_SECONDS = 0.05
+
+
+class Client:
+    """Carry out each start."""
+
+    def start(self, *order):
+        return StartOutcome.STARTED
+
+
+class Pool:
+    """Hold an owner whose placed tasks wait for their record."""
+
+    def __init__(self, **step):
+        self.host, self.owner = owner_with(job(**step))
+        for link in self.owner.links():
+            link.client = Client()
+            link._worker_clock, link._clock_read_at = 50.0, self.now
+        with self.owner.lock:
+            self.owner.decisions.place(self.now)
+        self.starts = self.owner.decisions.take_unsent()
+
+    @property
+    def now(self):
+        return self.host.clock.monotonic()
+
+    @property
+    def step(self):
+        return self.owner.book.step_of(TaskKey(ID, 0, 0, 0))
+
+    def send(self, *starts):
+        for start in starts:
+            self.owner.standing.note_confirmed(self.now)
+            link = self.owner.links_by_worker[start.run.worker]
+            self.owner.orders._start(link, start)
+
+    def list(self, percent, *starts, seconds=LOOK_SECONDS):
+        """Let all workers list their runs after some time."""
+        self.host.clock.advance(seconds)
+        for worker in ("w1", "w2"):
+            runs = [start.run.name for start in starts if start.run.worker == worker]
+            report(self.owner, worker, runs, percent=percent)
+
+    def end(self, seconds, *starts):
+        """Let runs end as done after some time."""
+        self.host.clock.advance(seconds)
+        for worker in ("w1", "w2"):
+            runs = [start.run.name for start in starts if start.run.worker == worker]
+            report(self.owner, worker, ends=[(*name, "done") for name in runs])
+
+
+def test_run_is_not_stalled_as_its_record_took_long():
+    """Sound runs are stopped just after their start, and their workers used last.
+
+    What had waited for its record without moving counted as standing still, 50 ms
+    after its order had left.
+    """
+    pool = Pool()
+    pool.host.clock.advance(RECORD_SECONDS)
+    pool.send(*pool.starts)
+    pool.list(0, *pool.starts)
+    pool.list(0, *pool.starts)
+    assert stalled_runs(pool.step) == []
+
+
+def test_run_is_not_slow_as_its_record_took_long():
+    """A run that waited for its record seemed to work at a fraction of the speed."""
+    pool = Pool(tasks=5)
+    first, *quick = pool.starts
+    pool.send(*quick)
+    pool.end(1.0, *quick)
+    pool.host.clock.advance(RECORD_SECONDS)
+    pool.send(first)
+    pool.list(40, first, seconds=0.4)
+    slow, _ = compare_runs(pool.step)
+    assert slow == []
+
+
+def test_no_copy_is_started_as_a_record_took_long():
+    """Second copies of sound tasks take room from others."""
+    pool = Pool(allows_copies=True, estimate_seconds=0.6)
+    pool.host.clock.advance(RECORD_SECONDS)
+    pool.send(*pool.starts)
+    pool.host.clock.advance(0.1)
+    assert stragglers(pool.step, pool.now) == []
+    pool.host.clock.advance(2.0)
+    assert stragglers(pool.step, pool.now) == [0]
+
+
+def test_usual_time_of_a_step_is_without_the_wait_for_records():
+    """Slow runs are left alone: what is usual held the wait for records."""
+    pool = Pool()
+    (start,) = pool.starts
+    pool.host.clock.advance(RECORD_SECONDS)
+    pool.send(start)
+    pool.list(50, start, seconds=0.5)
+    pool.end(0.5, start)
+    assert pool.step.usual_seconds == pytest.approx(1.0)
+    assert pool.step.done_seconds == pytest.approx([1.0])
+
+
+def test_run_that_has_not_left_has_all_its_work_before_it():
+    """Advice on the next step is asked for too early, and is too old when needed."""
+    pool = Pool(estimate_seconds=3.0)
+    pool.host.clock.advance(RECORD_SECONDS)
+    run = pool.starts[0].run
+    assert projected_rest(pool.step, run, pool.now) == pytest.approx(3.0)
+    pool.send(*pool.starts)
+    pool.host.clock.advance(0.5)
+    assert projected_rest(pool.step, run, pool.now) == pytest.approx(2.5)
