Judge no run as stalled before its worker has listed it twice

What callers saw: a run that its worker began late, or whose worker was silent since its order, is stopped and placed anew on the first list that shows it, though it may be sound. Cause: standing still is the time between the last list and the last change of the percent, and the latter begins with the order. One list 0.7 s after it, at 0 percent, was enough. Evidence: test_run_is_not_stalled_before_it_was_listed_twice failed before: stalled on its first list, 0.9 s after its order. Class: nothing seen yet, taken for nothing done. When it is looked at again is as before: doubt needs one list only, so the second follows after 0.3 s. Ruled out: to count from the first list, with which a run that does stand still is found up to 0.6 s later. Measured: tests/pool (with the replays of sick workers), placement, jobs, docs pass. Conclusion: one list tells where a run is, two tell whether it moves.

--- a/papayapick/jobs/runs.py
+++ b/papayapick/jobs/runs.py
@@ -63,6 +63,7 @@
         "stop_requested",
         "tail_limit",
         "was_seen",
+        "was_seen_again",
         "worker",
     )
 
@@ -88,6 +89,8 @@
         self.pace = _PACE_AT_START
         # A worker has listed it.
         self.was_seen = False
+        # A later list has shown it too.
+        self.was_seen_again = False
         # Monotonic seconds of the stop's order, or None.
         self.stop_requested = None
         # Monotonic seconds of the answer to a stop, or None: since then the run
--- a/papayapick/placement/progress.py
+++ b/papayapick/placement/progress.py
@@ -126,6 +126,10 @@
 
 
 def _is_stalled(run):
+    # The first list shows only where a run begins: a worker that carries out its order
+    # late, or was silent since, would seem to have stood still all that time.
+    if not run.was_seen_again:
+        return False
     limit = _STALL_SECONDS + (_RESTORE_SECONDS if run.is_resumed else 0.0)
     return run.percent_at - run.moved_at >= limit
 
--- a/tests/pool/test_run_times.py
+++ b/tests/pool/test_run_times.py
@@ -121,3 +121,13 @@
     pool.send(*pool.starts)
     pool.host.clock.advance(0.5)
     assert projected_rest(pool.step, run, pool.now) == pytest.approx(2.5)
+
+
+def test_run_is_not_stalled_before_it_was_listed_twice():
+    """A run that begins late is stopped on the first list that shows it."""
+    pool = Pool()
+    pool.send(*pool.starts)
+    pool.list(0, *pool.starts, seconds=0.9)
+    assert stalled_runs(pool.step) == []
+    pool.list(0, *pool.starts)
+    assert stalled_runs(pool.step) == [pool.starts[0].run]
