Repeat the pace of a filling task after an order without an answer

What callers saw: an order on pace without an answer that is carried out seconds later sets a pace that nobody knows of: a filling task creeps for good, or works on beside users who wait too long. Cause: after a lost answer the next order was taken for the last that is carried out, though the page of the platform says that one without an answer may come after newer ones. Class: an order without an answer, taken for one that is over. Change: Run.has_lost_pace, set with the first order without an answer, for as long as the run is; its pace is ordered again each 2 s though it stays as it is. Of runs that lost none nothing is repeated (a test holds that). The pacer reads a pace once a round: it is set without the owner's lock, and since None is a pace, a change between two reads would end the task that keeps in touch with a worker. Ruled out: an end of the repetition, for which the pages name no bound. Conclusion: a late order holds for 2 s and the wait for a list. Left: two orders for one run under way at once, where threads for orders are held up.

--- a/papayapick/jobs/runs.py
+++ b/papayapick/jobs/runs.py
@@ -48,6 +48,7 @@
         "checkpoint",
         "demand",
         "figure",
+        "has_lost_pace",
         "image",
         "is_filler",
         "is_measured",
@@ -87,6 +88,8 @@
         # Percent of its processors that it may use, as ordered; None where that is not
         # known: another owner may have set it, or an order had no answer.
         self.pace = _PACE_AT_START
+        # An order on its pace had no answer: it may be carried out at any time.
+        self.has_lost_pace = False
         # A worker has listed it.
         self.was_seen = False
         # A later list has shown it too.
--- a/papayapick/placement/pace.py
+++ b/papayapick/placement/pace.py
@@ -9,6 +9,9 @@
 _SLOWER = 0.5
 _FASTER = 1.3
 _LEAST_STEP_SECONDS = 0.45
+# An order without an answer may be carried out after newer ones, nobody knows when:
+# such a run's pace is ordered again and again.
+_REPEAT_SECONDS = 2.0
 # What a tail is measured over.
 _FIGURE_SECONDS = 0.5
 _FULL = 100
@@ -19,10 +22,11 @@
 class Pacer:
     """Choose the share of its processors at which each filling task works."""
 
-    __slots__ = ("_changed_at",)
+    __slots__ = ("_changed_at", "_repeated_at")
 
     def __init__(self):
         self._changed_at = {}
+        self._repeated_at = {}
 
     def decide(self, room, now):
         """Return new paces for the fillers of a worker.
@@ -41,19 +45,27 @@
             return []
         if now - self._changed_at.get(room.worker, 0.0) < _LEAST_STEP_SECONDS:
             return []
-        load = self._load(room)
+        last_repeat = self._repeated_at.get(room.worker, float("-inf"))
+        is_repeat_due = now - last_repeat >= _REPEAT_SECONDS
+        changes = self._changes(room, is_repeat_due)
+        if is_repeat_due:
+            self._repeated_at[room.worker] = now
+        if changes:
+            self._changed_at[room.worker] = now
+        return changes
+
+    def _changes(self, room, is_repeat_due):
+        load, is_serving = self._load(room), bool(room.serving)
         changes = []
         for run in room.runs.values():
             if not run.is_filler or run.percent is None:
                 continue
-            if run.pace is None:
-                pace = _first_pace(load, bool(room.serving))
-            else:
-                pace = _next_pace(run.pace, load)
-            if pace != run.pace:
+            # Read once: answers to orders change it without the owner's lock.
+            before = run.pace
+            pace = _wanted_pace(before, load, is_serving)
+            is_repeated = is_repeat_due and run.has_lost_pace
+            if pace is not None and (pace != before or is_repeated):
                 changes.append((run, pace))
-        if changes:
-            self._changed_at[room.worker] = now
         return changes
 
     @staticmethod
@@ -85,6 +97,13 @@
     return share if is_whole or share > _SLOW_SHARE else None
 
 
+def _wanted_pace(pace, load, is_serving):
+    """Return the percent to order, or None where there is nothing to order yet."""
+    if pace is None:
+        return _first_pace(load, is_serving)
+    return _next_pace(pace, load)
+
+
 def _first_pace(load, is_serving):
     """Return the percent for a run whose pace is not known, or None to leave it.
 
--- a/papayapick/pool/orders.py
+++ b/papayapick/pool/orders.py
@@ -239,8 +239,8 @@
         try:
             link.client.pace(run.key, run.attempt, percent, self._owner.row.epoch)
         except WorkerSilent as error:
-            # It may have been carried out.
-            run.pace = None
+            # It may have been carried out, or may be later.
+            run.pace, run.has_lost_pace = None, True
             PACE_NOT_SET.write(worker=link.worker, error=str(error))
             return
         except CheckFailed as error:
--- a/tests/pool/test_pace.py
+++ b/tests/pool/test_pace.py
@@ -240,3 +240,25 @@
     other = TaskKey(ID, 0, 0, 1)
     pool.look(HIGH, others=[RunReport(other, 1, percent=100, figure=None)])
     assert pool.client.ordered == [10]
+
+
+def test_filler_is_not_held_down_by_a_lost_order_that_is_carried_out_late():
+    """A filler creeps for good: a lost order was carried out after newer ones."""
+    pool = Pool(pace_there=100)
+    pool.know_pace(20)
+    pool.client.loses_answers = True
+    pool.look(HIGH)
+    pool.client.loses_answers = False
+    late = pool.client.pace_there
+    pool.look(LOW, looks=8)
+    assert pool.client.pace_there == 100
+    pool.client.pace_there = late
+    pool.look(LOW, looks=5)
+    assert pool.client.pace_there == 100
+
+
+def test_orders_are_not_repeated_where_each_had_its_answer():
+    pool = Pool(pace_there=100)
+    pool.know_pace(100)
+    pool.look(LOW, looks=12)
+    assert pool.client.ordered == []
