--- a/papayapick/jobs/runs.py
+++ b/papayapick/jobs/runs.py
@@ -6,6 +6,8 @@
 
 __all__ = ["Run", "RunPhase"]
 
+_PACE_AT_START = 100
+
 
 class RunPhase(enum.Enum):
     """Tell how far a run is, as far as its owner knows."""
@@ -31,8 +33,14 @@
     demand : Amounts
         What it takes of its worker's room.
     phase : RunPhase
-    since : float
-        Monotonic seconds of the order.
+    placed_at : float
+        Monotonic seconds at which its worker was chosen, or at which it was taken over.
+
+    Attributes
+    ----------
+    since : float or None
+        Monotonic seconds at which its order left, or at which it was taken over; None
+        while it waits for its record.
     """
 
     __slots__ = (
@@ -40,6 +48,7 @@
         "checkpoint",
         "demand",
         "figure",
+        "has_lost_pace",
         "image",
         "is_filler",
         "is_measured",
@@ -55,28 +64,36 @@
         "stop_requested",
         "tail_limit",
         "was_seen",
+        "was_seen_again",
         "worker",
     )
 
-    def __init__(self, key, attempt, worker, demand, phase, since, step=None):
+    def __init__(self, key, attempt, worker, demand, phase, placed_at, step=None):
         self.key = key
         self.attempt = attempt
         self.worker = worker
         self.demand = demand
         self.phase = phase
-        self.since = since
+        self.since = None if phase == RunPhase.ORDERED else placed_at
         self.checkpoint = ""
         self.percent = 0
-        self.percent_at = since
+        self.percent_at = placed_at
         # When its percent was last seen to change.
-        self.moved_at = since
+        self.moved_at = placed_at
         # It began with saved progress, or was taken over: its percent did not start
         # from nothing when this owner first saw it.
         self.is_resumed = False
-        self.figure = 0.0
-        self.pace = 100
+        # What its worker told of the half second before, or None.
+        self.figure = None
+        # Percent of its processors that it may use, as ordered; None where that is not
+        # known: another owner may have set it, or an order had no answer.
+        self.pace = _PACE_AT_START
+        # An order on its pace had no answer: it may be carried out at any time.
+        self.has_lost_pace = False
         # A worker has listed it.
         self.was_seen = False
+        # A later list has shown it too.
+        self.was_seen_again = False
         # Monotonic seconds of the stop's order, or None.
         self.stop_requested = None
         # Monotonic seconds of the answer to a stop, or None: since then the run
@@ -116,3 +133,11 @@
     def name(self):
         """Return key and attempt, which name the run on its worker."""
         return (self.key, self.attempt)
+
+    def worked_seconds(self, now):
+        """Return how long it may have been at work: 0 before its order left."""
+        return 0.0 if self.since is None else now - self.since
+
+    def note_sent(self, now):
+        """Note that its order leaves now: before, it could not move."""
+        self.since = self.percent_at = self.moved_at = now
--- a/papayapick/pool/lists.py
+++ b/papayapick/pool/lists.py
@@ -139,7 +139,7 @@
             outcome=end.outcome,
             failures=task.failures,
             failure_limit=step.job.queue.failure_limit,
-            seconds=None if run is None else round(now - run.since, 3),
+            seconds=None if run is None else round(run.worked_seconds(now), 3),
             is_retried=not (step.job.is_final or task.is_done),
         )
 
@@ -158,7 +158,7 @@
                 if run.phase == RunPhase.UNSURE:
                     START_FOUND.write(**run_fields(run))
                 self._owner.book.note_started(run)
-            run.was_seen = True
+            run.was_seen, run.was_seen_again = True, run.was_seen
             if run.percent != found.percent:
                 run.moved_at = now
             run.percent, run.percent_at = found.percent, now
--- a/papayapick/pool/orders.py
+++ b/papayapick/pool/orders.py
@@ -190,6 +190,8 @@
             # The record took longer than the ticket lasts.
             may_send = may_send and owner.now() < start.usable_until
             lease_end = link.lease_end() if may_send else None
+            if lease_end is not None:
+                run.note_sent(owner.now())
         if lease_end is None:
             outcome = StartOutcome.NOT_SENT
         else:
@@ -236,7 +238,12 @@
     def _pace(self, link, run, percent):
         try:
             link.client.pace(run.key, run.attempt, percent, self._owner.row.epoch)
-        except (WorkerSilent, CheckFailed) as error:
+        except WorkerSilent as error:
+            # It may have been carried out, or may be later.
+            run.pace, run.has_lost_pace = None, True
+            PACE_NOT_SET.write(worker=link.worker, error=str(error))
+            return
+        except CheckFailed as error:
             PACE_NOT_SET.write(worker=link.worker, error=str(error))
             return
         PACE_SET.write(**run_fields(run), percent=percent, percent_before=run.pace)
