--- a/papayapick/management/commands/logs.py
+++ b/papayapick/management/commands/logs.py
@@ -90,7 +90,7 @@
         deciding = story.deciding()
         shown = story.own
         if self.options["--around"]:
-            shown = sorted([*shown, *story.around()], key=lambda line: line.time)
+            shown = sorted([*shown, *story.around()], key=lambda line: line.seconds)
         for line in shown:
             self._show(line, line is deciding)
         self.output.write(
--- a/papayapick/observability/logged.py
+++ b/papayapick/observability/logged.py
@@ -1,8 +1,9 @@
 """Read the lines that the programs have logged."""
 
 import json
+from datetime import UTC, datetime
 
-__all__ = ["Line", "clock_time", "read_lines", "seconds_of_day"]
+__all__ = ["Line", "clock_time", "read_lines"]
 
 
 class Line:
@@ -12,15 +13,27 @@
     ----------
     fields : dict
         As decoded; ``event`` and ``time`` are there.
+
+    Attributes
+    ----------
+    seconds : float
+        Its time, counted from one moment for all days. Clocks are taken for UTC where
+        the time names no zone.
+
+    Raises
+    ------
+    ValueError
+        Where its time is none.
     """
 
-    __slots__ = ("event", "fields", "host", "time")
+    __slots__ = ("event", "fields", "host", "seconds", "time")
 
     def __init__(self, fields):
         self.fields = fields
         self.event = fields["event"]
         self.host = fields.get("host", "")
         self.time = fields["time"]
+        self.seconds = _seconds(self.time)
 
     def names(self, request_id):
         """Return whether the line is about a request."""
@@ -40,8 +53,8 @@
     Parameters
     ----------
     texts : iterable of str
-        Lines; those that are no JSON object of this project are left out. Something
-        may stand before the object, such as the name of a host.
+        Lines; those that are no JSON object of this project, with event and time, are
+        left out. Something may stand before the object, such as the name of a host.
 
     Returns
     -------
@@ -56,35 +69,27 @@
             continue
         try:
             fields = json.loads(text[begin:])
-        except ValueError:
+            if isinstance(fields, dict) and {"event", "time"} <= fields.keys():
+                found.append(Line(fields))
+        except (TypeError, ValueError):
             # A line that was cut off, or one of another program.
             continue
-        if isinstance(fields, dict) and {"event", "time"} <= fields.keys():
-            found.append(Line(fields))
-    return sorted(found, key=lambda line: line.time)
+    return sorted(found, key=lambda line: line.seconds)
 
 
-def seconds_of_day(text):
-    """Return the time of day of a line as seconds.
+def clock_time(seconds):
+    """Return the seconds of a line as date and time.
 
     Examples
     --------
-    >>> seconds_of_day("2026-03-08 00:01:02,500")
-    62.5
+    >>> clock_time(1772928062.5)
+    '2026-03-08 00:01:02'
     """
-    clock = text.split(" ")[-1].replace(",", ".")
-    hours, minutes, seconds = clock.split(":")
-    return 3600 * int(hours) + 60 * int(minutes) + float(seconds)
-
+    return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%d %H:%M:%S")
 
-def clock_time(seconds):
-    """Return seconds of the day as a time of day.
 
-    Examples
-    --------
-    >>> clock_time(3723)
-    '01:02:03'
-    """
-    minutes, second = divmod(int(seconds), 60)
-    hour, minute = divmod(minutes, 60)
-    return f"{hour:02}:{minute:02}:{second:02}"
+def _seconds(text):
+    moment = datetime.fromisoformat(text)
+    if moment.tzinfo is None:
+        moment = moment.replace(tzinfo=UTC)
+    return moment.timestamp()
--- a/papayapick/observability/stories.py
+++ b/papayapick/observability/stories.py
@@ -1,7 +1,5 @@
 """Put the lines that several hosts wrote about one request in order, and explain it."""
 
-from papayapick.observability.logged import seconds_of_day
-
 __all__ = ["Story"]
 
 # Most telling first: what made a request fail or wait.
@@ -79,12 +77,12 @@
         """Return the lines between its first and last that tell of its surroundings."""
         if not self.own:
             return []
-        first, last = self.own[0].time, self.own[-1].time
+        first, last = self.own[0].seconds, self.own[-1].seconds
         return [
             line
             for line in self._lines
             if line.event in _AROUND
-            and first <= line.time <= last
+            and first <= line.seconds <= last
             and not line.names(self.request_id)
         ]
 
@@ -130,14 +128,14 @@
         if len(stages) < 2:
             return self.own[-1]
         waits = [
-            (seconds_of_day(after.time) - seconds_of_day(before.time), before, after)
+            (after.seconds - before.seconds, before, after)
             for before, after in zip(stages, stages[1:], strict=False)
         ]
         _, before, after = max(waits, key=lambda wait: wait[0])
         within = [
             line
             for line in [*self.own, *self.around()]
-            if before.time <= line.time <= after.time
+            if before.seconds <= line.seconds <= after.seconds
         ]
         for event in _CAUSES:
             for line in within:
--- a/papayapick/observability/waits.py
+++ b/papayapick/observability/waits.py
@@ -2,8 +2,6 @@
 
 import collections
 
-from papayapick.observability.logged import seconds_of_day
-
 __all__ = ["Wait", "read_waits", "sum_waits"]
 
 # Beside the reasons that a waiting step is logged with.
@@ -25,7 +23,7 @@
         Of the line ``step waits``; ``owner`` from acceptance until an owner took the
         job in, ``brief`` for a wait that was too short to be logged by itself.
     begin, end : float
-        Seconds of the day.
+        As the seconds of lines.
     """
 
     __slots__ = ("begin", "end", "queue", "reason", "step")
@@ -54,7 +52,7 @@
 
     def take(self, line):
         """Take in one line."""
-        now = seconds_of_day(line.time)
+        now = line.seconds
         fields = line.fields
         request = fields.get("request_id")
         step = (request, fields.get("occurrence", 0), fields.get("step"))
@@ -122,7 +120,7 @@
     Parameters
     ----------
     lines : list of Line
-        In the order of their times, of one day.
+        In the order of their times.
 
     Returns
     -------
@@ -132,7 +130,7 @@
     for line in lines:
         reader.take(line)
     if lines:
-        reader.end(seconds_of_day(lines[-1].time))
+        reader.end(lines[-1].seconds)
     return reader.waits
 
 
@@ -143,7 +141,7 @@
     ----------
     waits : list of Wait
     begin, end : float, optional
-        Seconds of the day.
+        As the seconds of lines.
 
     Returns
     -------
--- a/tests/management/test_waits.py
+++ b/tests/management/test_waits.py
@@ -12,7 +12,11 @@
 
 
 def _line(second, event, **fields):
-    time = f"2026-03-11 10:49:{second:06.3f}".replace(".", ",")
+    return _line_at(f"2026-03-11 10:49:{second:06.3f}", event, **fields)
+
+
+def _line_at(time, event, **fields):
+    time = time.replace(".", ",")
     return json.dumps({"time": time, "event": event, "request_id": JOB, **fields})
 
 
@@ -20,6 +24,8 @@
     return {"occurrence": 0, "step": number, **fields}
 
 
+_PLACED = _step(left=0, waited_seconds=0.5)
+
 LINES = [
     _line(1.0, "job accepted"),
     _line(3.0, "job taken in", queue="reports"),
@@ -42,6 +48,23 @@
     return code, stdout.getvalue(), stderr.getvalue()
 
 
+def _found(tmp_path, lines, *options):
+    code, output, _ = _waits(tmp_path, lines, "--json", *options)
+    return code, [json.loads(line) for line in output.splitlines()]
+
+
+def _sums(found):
+    return {one["reason"]: one["seconds"] for one in found if one["span"] == "in all"}
+
+
+def _spans(found, reason):
+    return [
+        (one["span"], one["seconds"])
+        for one in found
+        if one["span"] != "in all" and one["reason"] == reason
+    ]
+
+
 def test_seconds_are_summed_by_queue_and_reason(tmp_path):
     code, output, _ = _waits(tmp_path, LINES, "--json")
     found = [json.loads(line) for line in output.splitlines()]
@@ -57,7 +80,10 @@
     spans = [one for one in found if one["span"] != "in all"]
     whole = sum(one["seconds"] for one in found if one["span"] == "in all")
     assert sum(one["seconds"] for one in spans) == pytest.approx(whole)
-    assert [one["span"] for one in spans][:2] == ["10:49:00", "10:49:03"]
+    assert [one["span"] for one in spans][:2] == [
+        "2026-03-11 10:49:00",
+        "2026-03-11 10:49:03",
+    ]
 
 
 def test_wait_that_goes_on_at_the_end_of_the_logs_counts(tmp_path):
@@ -69,6 +95,50 @@
     assert "in all  unknown  turn: 2.50 s, 1 steps" in output
 
 
+def test_wait_over_midnight_has_its_length(tmp_path):
+    """A wait that ends on the next day must not be dropped as a negative one."""
+    lines = [
+        _line_at("2026-03-11 23:59:58.000", "job accepted"),
+        _line_at("2026-03-12 00:00:01.500", "job taken in", queue="reports"),
+        _line_at("2026-03-12 00:00:02.000", "step placed", **_PLACED),
+    ]
+    code, found = _found(tmp_path, lines, "--every=2")
+    assert code == EXIT_OK
+    assert _sums(found) == {"owner": 3.5, "brief": 0.5}
+    assert _spans(found, "owner") == [
+        ("2026-03-11 23:59:58", 2.0),
+        ("2026-03-12 00:00:00", 1.5),
+    ]
+
+
+def test_wait_over_several_days_has_its_length(tmp_path):
+    """Days that pass within one wait must not fall out of its length."""
+    lines = [
+        _line_at("2026-02-27 18:00:00.000", "job accepted"),
+        _line_at("2026-03-01 06:00:00.000", "job taken in", queue="reports"),
+    ]
+    _, found = _found(tmp_path, lines, "--every=86400")
+    assert _sums(found) == {"owner": 36 * 3600.0}
+    assert _spans(found, "owner") == [
+        ("2026-02-27 00:00:00", 6 * 3600.0),
+        ("2026-02-28 00:00:00", 24 * 3600.0),
+        ("2026-03-01 00:00:00", 6 * 3600.0),
+    ]
+
+
+def test_same_time_of_two_days_is_two_spans(tmp_path):
+    """Waits of two days must not be added up under one time of day."""
+    lines = [
+        _line_at("2026-03-11 10:49:01.000", "step placed", **_PLACED),
+        _line_at("2026-03-12 10:49:01.000", "step placed", **_PLACED),
+    ]
+    _, found = _found(tmp_path, lines, "--every=60")
+    assert _spans(found, "brief") == [
+        ("2026-03-11 10:49:00", 0.5),
+        ("2026-03-12 10:49:00", 0.5),
+    ]
+
+
 def test_logs_without_a_wait_are_told(tmp_path):
     code, _, problem = _waits(tmp_path, LINES[:1])
     assert code == EXIT_FAILED
