Sum up waits by span in one pass over them

Cause: for each second from the first wait to the last, all waits were looked at, also where none was under way.

Evidence: `test_quiet_year_between_two_waits_is_skipped` was still running when it was ended after 60 s.

Change: spans are taken in order of time with the waits that are under way in them; what has no wait is skipped.

--- a/papayapick/management/commands/logs.py
+++ b/papayapick/management/commands/logs.py
@@ -10,7 +10,7 @@
 from papayapick.management.exit_codes import EXIT_OK
 from papayapick.observability.logged import clock_time, read_lines
 from papayapick.observability.stories import Story
-from papayapick.observability.waits import read_waits, sum_waits
+from papayapick.observability.waits import read_waits, sum_spans, sum_waits
 
 __all__ = ["LogsCommand"]
 
@@ -58,11 +58,8 @@
         if not waits:
             raise NoWaitLogged(lines=len(lines))
         self._show_sums("in all", sum_waits(waits))
-        begin = min(wait.begin for wait in waits) // every * every
-        end = max(wait.end for wait in waits)
-        while begin < end:
-            self._show_sums(clock_time(begin), sum_waits(waits, begin, begin + every))
-            begin += every
+        for begin, sums in sum_spans(waits, every):
+            self._show_sums(clock_time(begin), sums)
         return EXIT_OK
 
     def _every(self):
--- a/papayapick/observability/waits.py
+++ b/papayapick/observability/waits.py
@@ -2,7 +2,7 @@
 
 import collections
 
-__all__ = ["Wait", "read_waits", "sum_waits"]
+__all__ = ["Wait", "read_waits", "sum_spans", "sum_waits"]
 
 # Beside the reasons that a waiting step is logged with.
 _TAKING_IN = "owner"
@@ -161,3 +161,34 @@
             seconds[key] += within
             steps[key].add(wait.step)
     return {key: (seconds[key], len(steps[key])) for key in seconds}
+
+
+def sum_spans(waits, every):
+    """Yield the sums of each span in which a step waited.
+
+    Parameters
+    ----------
+    waits : list of Wait
+    every : int
+        Length of a span in seconds.
+
+    Yields
+    ------
+    (float, dict)
+        Begin of the span, and its sums as of `sum_waits`.
+
+    Examples
+    --------
+    >>> list(sum_spans([Wait("q", ("a", 0, 0), "room", 1.0, 2.5)], 2))
+    [(0.0, {('q', 'room'): (1.0, 1)}), (2.0, {('q', 'room'): (0.5, 1)})]
+    """
+    later = sorted(waits, key=lambda wait: wait.begin, reverse=True)
+    current = []
+    end = float("-inf")
+    while later or current:
+        begin = end if current else later[-1].begin // every * every
+        end = begin + every
+        while later and later[-1].begin < end:
+            current.append(later.pop())
+        yield begin, sum_waits(current, begin, end)
+        current = [wait for wait in current if wait.end > end]
--- a/tests/management/test_waits.py
+++ b/tests/management/test_waits.py
@@ -139,6 +139,19 @@
     ]
 
 
+def test_quiet_year_between_two_waits_is_skipped(tmp_path):
+    """Logs of several days must not be summed up for each second without a wait."""
+    lines = [
+        _line_at("2025-03-11 10:49:01.000", "step placed", **_PLACED),
+        _line_at("2026-03-11 10:49:01.000", "step placed", **_PLACED),
+    ]
+    _, found = _found(tmp_path, lines)
+    assert _spans(found, "brief") == [
+        ("2025-03-11 10:49:00", 0.5),
+        ("2026-03-11 10:49:00", 0.5),
+    ]
+
+
 def test_logs_without_a_wait_are_told(tmp_path):
     code, _, problem = _waits(tmp_path, LINES[:1])
     assert code == EXIT_FAILED
