Tell how far lines of a job stand in reverse order

Seen: where the clock of an owner was behind, or an accepting host wrote its line late, `logs waits` dropped the negative span without a word. The job then counted as waiting for an owner until the next takeover (7.7 s in the test, of a job that was taken in before), and a line of a clock that was ahead let a step wait from its job's end to the end of the logs.

Cause: lines were taken to stand in the order of what happened. Those of several hosts don't: `job accepted` may follow `job taken in`, and `step waits` or `step placed` may follow `job ended`.

Change: an acceptance after an owner's line opens no wait, and no step waits after its job's end; the command ends with how many jobs have such lines and by how many seconds.

Ruled out: skipping lines of a host that is no owner any more. `step waits` has no epoch, and the line of the new owner may be among those left out, so its waits would be dropped. Putting clocks right by the reversals: they bound the difference of two hosts from below only.

--- a/papayapick/management/commands/logs.py
+++ b/papayapick/management/commands/logs.py
@@ -34,7 +34,8 @@
 hosts may differ by seconds.
 
 waits: the seconds that ready steps waited, by queue and by what they waited for, first
-in all, then for each span of time.
+in all, then for each span of time. Where lines of a job stand in reverse order, since
+clocks of hosts differ or a line was written late, the last line tells by how much.
 
 Exit code 0 when the request or any wait was found, 1 when no line names one.
 
@@ -54,12 +55,14 @@
 
     def _show_waits(self, lines):
         every = self._every()
-        waits = read_waits(lines)
-        if not waits:
+        waits, reversals = read_waits(lines)
+        if not (waits or reversals):
             raise NoWaitLogged(lines=len(lines))
         self._show_sums("in all", sum_waits(waits))
         for begin, sums in sum_spans(waits, every):
             self._show_sums(clock_time(begin), sums)
+        if reversals:
+            self._show_reversals(reversals)
         return EXIT_OK
 
     def _every(self):
@@ -80,6 +83,15 @@
                     steps=steps,
                 )
 
+    def _show_reversals(self, reversals):
+        longest = max(reversals.values())
+        self.output.write(
+            f"lines of {len(reversals)} jobs stand in reverse order, by up to "
+            f"{longest:.2f} s: no wait is counted between them",
+            reversed_jobs=len(reversals),
+            longest_reversed_seconds=round(longest, 3),
+        )
+
     def _explain(self, lines):
         story = Story(self.options["<id>"], lines)
         if not story.own:
--- a/papayapick/observability/waits.py
+++ b/papayapick/observability/waits.py
@@ -9,6 +9,8 @@
 _BRIEF = "brief"
 _ROOM = "room"
 _UNKNOWN_QUEUE = "unknown"
+_WAITING = ("step waits", "step placed")
+_OF_OWNERS = ("job taken in", *_WAITING, "run ended", "job ended")
 
 
 class Wait:
@@ -39,11 +41,25 @@
 class _Reader:
     """Follow the lines about each step."""
 
-    __slots__ = ("_accepted", "_looked_at", "_open", "_queues", "waits")
+    __slots__ = (
+        "_accepted",
+        "_ended",
+        "_looked_at",
+        "_open",
+        "_owned",
+        "_queues",
+        "reversals",
+        "waits",
+    )
 
     def __init__(self):
         self.waits = []
+        # Seconds by which lines stand in reverse order, by request.
+        self.reversals = {}
         self._accepted = {}
+        # When an owner first wrote of a job, and when one wrote that it ended.
+        self._owned = {}
+        self._ended = {}
         self._queues = {}
         # Reason and begin of the wait that goes on, by step.
         self._open = {}
@@ -57,26 +73,45 @@
         request = fields.get("request_id")
         step = (request, fields.get("occurrence", 0), fields.get("step"))
         if line.event == "job accepted":
-            self._accepted[request] = now
-        elif line.event == "job taken in":
-            self._queues[request] = fields["queue"]
-            if request in self._accepted:
-                self._add((request, 0, 0), _TAKING_IN, self._accepted.pop(request), now)
+            self._accept(request, now)
+            return
+        if line.event in _OF_OWNERS:
+            self._owned.setdefault(request, now)
+        if line.event == "job taken in":
+            self._take_in(request, fields["queue"], now)
+        elif line.event == "run ended":
+            self._looked_at[step] = now
+        elif line.event == "job ended":
+            self._end_job(request, now)
+        elif line.event in _WAITING and request in self._ended:
+            # It would wait until the end of the logs.
+            self._note_reversal(request, now - self._ended[request])
         elif line.event == "step waits":
             self._accepted.pop(request, None)
             self._change(step, fields["reason"], fields["waited_seconds"], now)
         elif line.event == "step placed":
             self._place(step, fields, now)
-        elif line.event == "run ended":
-            self._looked_at[step] = now
-        elif line.event == "job ended":
-            self._end_job(request, now)
 
     def end(self, now):
         """Close what still waits at the end of the logs."""
         for step in list(self._open):
             self._close(step, now)
 
+    def _accept(self, request, now):
+        if request in self._owned:
+            self._note_reversal(request, now - self._owned[request])
+        else:
+            self._accepted[request] = now
+
+    def _take_in(self, request, queue, now):
+        self._queues[request] = queue
+        if request in self._accepted:
+            self._add((request, 0, 0), _TAKING_IN, self._accepted.pop(request), now)
+
+    def _note_reversal(self, request, seconds):
+        if seconds > 0:
+            self.reversals[request] = max(seconds, self.reversals.get(request, 0.0))
+
     def _change(self, step, reason, waited, now):
         if step in self._open:
             self._close(step, now)
@@ -97,6 +132,7 @@
             self._open[step] = (_ROOM, now)
 
     def _end_job(self, request, now):
+        self._ended.setdefault(request, now)
         for step in [step for step in self._open if step[0] == request]:
             self._close(step, now)
 
@@ -124,14 +160,18 @@
 
     Returns
     -------
-    list of Wait
+    waits : list of Wait
+    reversals : dict of str to float
+        Seconds by which lines of a request stand in reverse order, such as taken in
+        before it was accepted: clocks of hosts differ, or a line was written late.
+        What lies between them is no wait.
     """
     reader = _Reader()
     for line in lines:
         reader.take(line)
     if lines:
         reader.end(lines[-1].seconds)
-    return reader.waits
+    return reader.waits, reader.reversals
 
 
 def sum_waits(waits, begin=float("-inf"), end=float("inf")):
--- a/tests/management/test_waits.py
+++ b/tests/management/test_waits.py
@@ -152,6 +152,69 @@
     ]
 
 
+def test_job_taken_in_before_it_was_accepted_is_told(tmp_path):
+    """A clock that is behind must not hide a wait of less than nothing."""
+    lines = [
+        _line(1.0, "job taken in", queue="reports"),
+        _line(1.3, "job accepted"),
+        _line(2.0, "step placed", **_PLACED),
+    ]
+    _, found = _found(tmp_path, lines)
+    assert found[-1] == {"reversed_jobs": 1, "longest_reversed_seconds": 0.3}
+    assert _sums(found[:-1]) == {"brief": 0.5}
+    _, output, _ = _waits(tmp_path, lines)
+    assert "lines of 1 jobs stand in reverse order, by up to 0.30 s" in output
+
+
+def test_only_reversed_waits_are_told(tmp_path):
+    """Logs whose waits are all reversed must not be called logs without a wait."""
+    lines = [_line(1.0, "job taken in", queue="reports"), _line(1.3, "job accepted")]
+    code, found = _found(tmp_path, lines)
+    assert code == EXIT_OK
+    assert found == [{"reversed_jobs": 1, "longest_reversed_seconds": 0.3}]
+
+
+def test_lines_of_the_same_millisecond_are_not_reversed(tmp_path):
+    """Which of two files was named first must not be taken for a clock's fault."""
+    lines = [
+        _line(1.0, "job taken in", queue="reports"),
+        _line(1.0, "job accepted"),
+        _line(2.0, "step placed", **_PLACED),
+    ]
+    _, found = _found(tmp_path, lines)
+    assert {one["span"] for one in found} == {"in all", "2026-03-11 10:49:01"}
+
+
+def test_late_acceptance_begins_no_wait_for_a_later_owner(tmp_path):
+    """A job taken in already must not wait for an owner until the next takeover."""
+    lines = [
+        _line(1.0, "job taken in", queue="reports"),
+        _line(1.3, "job accepted"),
+        _line(9.0, "job taken in", queue="reports"),
+        _line(9.5, "step placed", **_PLACED),
+    ]
+    _, found = _found(tmp_path, lines)
+    assert _sums(found[:-1]) == {"brief": 0.5}
+
+
+def test_late_lines_of_a_job_that_ended_open_no_wait(tmp_path):
+    """A line of a clock that is ahead must not make a job wait after its end."""
+    lines = [
+        *LINES,
+        _line(11.2, "step waits", **_step(1, reason="room", waited_seconds=2.0)),
+        _line(30.0, "step placed", **_PLACED).replace(JOB, "0" * 16),
+    ]
+    _, found = _found(tmp_path, lines)
+    assert found[-1] == {"reversed_jobs": 1, "longest_reversed_seconds": 0.2}
+    assert _sums(found[:-1])["room"] == 4.0
+
+
+def test_lines_out_of_order_give_the_same_sums(tmp_path):
+    """Lines that stand in a file in another order must not change a wait."""
+    in_order = _found(tmp_path, LINES, "--every=3")
+    assert _found(tmp_path, LINES[::-1], "--every=3") == in_order
+
+
 def test_logs_without_a_wait_are_told(tmp_path):
     code, _, problem = _waits(tmp_path, LINES[:1])
     assert code == EXIT_FAILED
