Name only the request's own pool for its wait

Seen: `logs explain` named `pool taken` of another pool as what decided a request, where one was taken over within its longest wait; `--around` showed owners of all pools.

Cause: lines about owners were taken in by their time only.

Evidence: `test_takeover_of_another_pool_is_no_cause` failed before: it got `pool taken` of p2 for a request of p1, where `store lost` was the cause.

Change: a line that names another pool than the request's lines do is no part of its surroundings. Where the request's lines name none, all stay, as before.

Ruled out: leaving out lines without a pool; store and workers concern all pools.

--- a/papayapick/observability/stories.py
+++ b/papayapick/observability/stories.py
@@ -54,14 +54,18 @@
     ----------
     own : list of Line
         Those that name the request.
+    pool : str or None
+        None where no line tells it.
     """
 
-    __slots__ = ("_lines", "own", "request_id")
+    __slots__ = ("_lines", "own", "pool", "request_id")
 
     def __init__(self, request_id, lines):
         self.request_id = request_id
         self._lines = lines
         self.own = [line for line in lines if line.names(request_id)]
+        named = (line.fields.get("pool") for line in self.own)
+        self.pool = next(filter(None, named), None)
 
     @property
     def status(self):
@@ -84,6 +88,7 @@
             if line.event in _AROUND
             and first <= line.seconds <= last
             and not line.names(self.request_id)
+            and not self._is_of_another_pool(line)
         ]
 
     def deciding(self):
@@ -107,6 +112,10 @@
             return self._last("cancel stored") or self._last("job ended")
         return self._cause_of_longest_wait()
 
+    def _is_of_another_pool(self, line):
+        named = line.fields.get("pool")
+        return None not in (named, self.pool) and named != self.pool
+
     def _last(self, event):
         found = [line for line in self.own if line.event == event]
         return found[-1] if found else None
--- a/tests/observability/test_stories.py
+++ b/tests/observability/test_stories.py
@@ -41,3 +41,17 @@
         _own("2026-03-12 11:00:01,000", "job ended", status="completed"),
     )
     assert story.deciding().event == "step placed"
+
+
+def test_takeover_of_another_pool_is_no_cause():
+    """A pool that the request isn't of must not be named for its wait."""
+    story = _story(
+        _own("2026-03-11 10:00:00,000", "job accepted", pool="p1"),
+        _line("2026-03-11 10:00:02,000", "pool taken", pool="p2", epoch=4),
+        _line("2026-03-11 10:00:03,000", "store lost"),
+        _own("2026-03-11 10:00:05,000", "job taken in", pool="p1", epoch=1),
+        _own("2026-03-11 10:00:05,100", "step placed"),
+        _own("2026-03-11 10:00:06,000", "job ended", status="completed"),
+    )
+    assert story.deciding().event == "store lost"
+    assert [line.event for line in story.around()] == ["store lost"]
