Tell how long a request's pool had no working owner

`logs explain` said `job accepted` of a job that still waited, and of a placed one `pool taken` with the seconds of the take alone, so that on call nobody could see for how long the pool had been without an owner.

Cause: what happens around a request was looked for between its first and last line only; a job that waits on has one line, or none after `job taken in`. The silence that `owner suspected` tells was not counted from when it began.

Evidence: of the first six new tests of stories all failed: two by the wrong deciding line, one by what the command shows, three since stories knew no vacancies. An eighth (a running job) passed before and is a guard. The tests of vacancies were written with their module; one more failed after a trial on a cell of three hosts whose owner was killed showed that a new owner writes `job taken in` before `pool taken`, which hid the vacancy (`test_new_owner_that_takes_jobs_in_first_ends_the_vacancy`).

Change: `vacancies.py` tells when a pool had no working owner: from the first `candidate waits`, `pool left`, or begin of the silence of `owner suspected`, until an owner of a higher epoch works or the end of the logs; one of the same epoch that works later was suspected wrongly, and lines of an earlier epoch count for nothing. The explanation ends with the part between acceptance and first placement. For a job that isn't placed, its surroundings and its longest wait go on to the end of the logs. `pool not taken`, `owner suspected` and `candidate waits` can be what decided, after `pool taken`.

Ruled out: a number that is 0 where no line tells of a vacancy; the list is empty then. Counting a suspicion that lasts beyond a placement: whoever placed the job was at work.

Result: tests of observability, waits and docs pass.

--- a/papayapick/management/commands/logs.py
+++ b/papayapick/management/commands/logs.py
@@ -15,6 +15,7 @@
 __all__ = ["LogsCommand"]
 
 _MARKS = {True: "*", False: " "}
+_TAKEN_THEN = {True: "", False: "; the logs end before a host took it"}
 _LEAST_SECONDS = 0.05
 
 
@@ -31,7 +32,8 @@
 
 explain: the lines about the request are put in order; the one that decided its
 outcome, or its longest wait, is marked with a star and repeated at the end. Clocks of
-hosts may differ by seconds.
+hosts may differ by seconds. At the very end stands for how long its pool had no working
+owner between its acceptance and its first placement, as far as the logs tell.
 
 waits: the seconds that ready steps waited, by queue and by what they waited for, first
 in all, then for each span of time. Where lines of a job stand in reverse order, since
@@ -102,12 +104,14 @@
             shown = sorted([*shown, *story.around()], key=lambda line: line.seconds)
         for line in shown:
             self._show(line, line is deciding)
+        vacancies = [_as_mapping(vacancy) for vacancy in story.vacancies()]
         self.output.write(
             f"{story.request_id}: {story.status}; decided by: {deciding.event} at "
-            f"{deciding.host}, {deciding.shown()}",
+            f"{deciding.host}, {deciding.shown()}" + _as_text(vacancies),
             request=story.request_id,
             status=story.status,
             deciding=deciding.fields,
+            vacancies=vacancies,
         )
         return EXIT_OK
 
@@ -126,3 +130,20 @@
             is_deciding=is_deciding,
             **line.fields,
         )
+
+
+def _as_mapping(vacancy):
+    return {
+        "pool": vacancy.pool,
+        "begin": clock_time(vacancy.begin),
+        "seconds": round(vacancy.seconds, 3),
+        "is_over": vacancy.is_over,
+    }
+
+
+def _as_text(vacancies):
+    return "".join(
+        f"\n  pool {one['pool']} had no working owner for {one['seconds']:.2f} s of "
+        f"its wait, from {one['begin']}{_TAKEN_THEN[one['is_over']]}"
+        for one in vacancies
+    )
--- a/papayapick/observability/stories.py
+++ b/papayapick/observability/stories.py
@@ -1,5 +1,7 @@
 """Put the lines that several hosts wrote about one request in order, and explain it."""
 
+from papayapick.observability.vacancies import read_vacancies
+
 __all__ = ["Story"]
 
 # Most telling first: what made a request fail or wait.
@@ -14,6 +16,9 @@
     "no advice",
     "write unsettled",
     "pool taken",
+    "pool not taken",
+    "owner suspected",
+    "candidate waits",
     "commit put off",
     "store lost",
 )
@@ -22,7 +27,9 @@
     "pool taken",
     "pool left",
     "pool settled",
+    "pool not taken",
     "owner suspected",
+    "candidate waits",
     "store lost",
     "store found again",
     "recording changed",
@@ -39,6 +46,8 @@
 )
 _REFUSED = "request refused"
 _ACCEPTED = ("job accepted", "job known already")
+# The line of the first placement may have been left out.
+_PLACED = ("step placed", "run ended", "job ended")
 
 
 class Story:
@@ -77,11 +86,49 @@
             return "accepted"
         return "refused" if self._last(_REFUSED) is not None else "unknown"
 
+    @property
+    def _placed(self):
+        found = [line for line in self.own if line.event in _PLACED]
+        return found[0] if found else None
+
+    @property
+    def _is_unplaced(self):
+        return self.status == "accepted" and self._placed is None
+
+    def vacancies(self):
+        """Return when its pool had no working owner before it was first placed.
+
+        Returns
+        -------
+        list of Vacancy
+            Their parts after its acceptance; none where no line tells of any.
+        """
+        accepted = [line for line in self.own if line.event in _ACCEPTED]
+        if self.pool is None or not accepted:
+            return []
+        end = (self._placed or self._lines[-1]).seconds
+        # Whoever placed it was an owner at work: a vacancy that would last beyond its
+        # placement was suspected wrongly.
+        parts = [
+            vacancy.within(accepted[0].seconds, end)
+            for vacancy in read_vacancies(self._lines, self.pool)
+            if vacancy.end <= end
+        ]
+        return [part for part in parts if part is not None]
+
     def around(self):
-        """Return the lines between its first and last that tell of its surroundings."""
+        """Return the lines that tell of its surroundings.
+
+        Returns
+        -------
+        list of Line
+            Between its first and last; of one that was accepted and is not placed,
+            until the end of the logs.
+        """
         if not self.own:
             return []
-        first, last = self.own[0].seconds, self.own[-1].seconds
+        first = self.own[0].seconds
+        last = self._lines[-1].seconds if self._is_unplaced else self.own[-1].seconds
         return [
             line
             for line in self._lines
@@ -99,7 +146,8 @@
         Line or None
             Of a refused request its last refusal; of a failed job the failure that
             reached the limit; of a cancelled one its cancellation. Of any other job
-            the most telling line within the longest time between two of its steps.
+            the most telling line within the longest time between two of its steps,
+            or from the last one to the end of the logs while it is not placed.
         """
         if not self.own:
             return None
@@ -134,6 +182,9 @@
 
     def _cause_of_longest_wait(self):
         stages = [line for line in self.own if line.event in _MILESTONES]
+        if self._is_unplaced:
+            # It waits on after its last line.
+            stages.append(self._lines[-1])
         if len(stages) < 2:
             return self.own[-1]
         waits = [
@@ -150,4 +201,4 @@
             for line in within:
                 if line.event == event:
                     return line
-        return after
+        return after if after in self.own else self.own[-1]
