Show moments in one way in all commands

Seen: `request explain`, `pool job` and `logs` each wrote out date and time by themselves, two of them by the same call; a change of one would have passed the others by.

Change: `management/times.py` holds the one function; only commands show moments, so it leaves the module that reads logs. What is shown stays the same.

Evidence: no test failed before; the doctest moves with the function, tests of management, observability and docs pass.

Result: one place instead of three.

--- a/papayapick/management/commands/logs.py
+++ b/papayapick/management/commands/logs.py
@@ -8,7 +8,8 @@
     SpanInvalid,
 )
 from papayapick.management.exit_codes import EXIT_OK
-from papayapick.observability.logged import clock_time, read_lines
+from papayapick.management.times import clock_time
+from papayapick.observability.logged import read_lines
 from papayapick.observability.stories import Story
 from papayapick.observability.waits import read_waits, sum_spans, sum_waits
 
--- a/papayapick/management/commands/pool.py
+++ b/papayapick/management/commands/pool.py
@@ -1,11 +1,10 @@
 """Show pools, entry hosts and jobs of the users' platform."""
 
-import time
-
 from papayapick.management.base import Command
 from papayapick.management.exceptions import ConfigurationMissing, JobMissing
 from papayapick.management.exit_codes import EXIT_OK, EXIT_PARTLY
 from papayapick.management.pools import PoolsView
+from papayapick.management.times import clock_time
 
 __all__ = ["PoolCommand", "current_configuration", "find_job"]
 
@@ -111,7 +110,7 @@
     def _job(self, view, configuration):
         identifier = self.options["<id>"]
         job = find_job(view, configuration, identifier)
-        accepted = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(job.accepted_at))
+        accepted = clock_time(job.accepted_at)
         self.output.write(
             f"{identifier}: {job.status}{', cancelled' if job.is_cancelled else ''}; "
             f"queue {job.queue}, pool {job.pool}, accepted {accepted} UTC",
--- a/papayapick/observability/logged.py
+++ b/papayapick/observability/logged.py
@@ -3,7 +3,7 @@
 import json
 from datetime import UTC, datetime
 
-__all__ = ["Line", "clock_time", "read_lines"]
+__all__ = ["Line", "read_lines"]
 
 
 class Line:
@@ -77,17 +77,6 @@
     return sorted(found, key=lambda line: line.seconds)
 
 
-def clock_time(seconds):
-    """Return the seconds of a line as date and time.
-
-    Examples
-    --------
-    >>> clock_time(1772928062.5)
-    '2026-03-08 00:01:02'
-    """
-    return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%d %H:%M:%S")
-
-
 def _seconds(text):
     moment = datetime.fromisoformat(text)
     if moment.tzinfo is None:
