Share the lines and the runner of the tests of waits

Seen: the tests of `logs waits` ran the command in a way of their own beside `run_command`, and wrote the same reversed lines and sums several times.

Change: they use `run_command`, `_found`, `_sums` and `_REVERSED`. Each assertion stays as it was.

Evidence: tests of management and observability pass.

Result: less to read; nothing else.

--- a/tests/management/test_waits.py
+++ b/tests/management/test_waits.py
@@ -1,12 +1,11 @@
 """``logs waits`` sums up what steps waited for."""
 
-import io
 import json
 
 import pytest
 
 from papayapick.management.exit_codes import EXIT_FAILED, EXIT_OK
-from papayapick.management.program import run
+from tests.management.commands import run_command
 
 JOB = "5c0e7a21d94b36f8"
 
@@ -25,6 +24,10 @@
 
 
 _PLACED = _step(left=0, waited_seconds=0.5)
+_REVERSED = [
+    _line(1.0, "job taken in", queue="reports"),
+    _line(1.3, "job accepted"),
+]
 
 LINES = [
     _line(1.0, "job accepted"),
@@ -43,9 +46,8 @@
 def _waits(tmp_path, lines, *options):
     path = tmp_path / "host.log"
     path.write_text("\n".join(lines))
-    stdout, stderr = io.StringIO(), io.StringIO()
-    code = run(["logs", "waits", str(path), *options], stdout, stderr)
-    return code, stdout.getvalue(), stderr.getvalue()
+    ran = run_command("logs", "waits", path, *options)
+    return ran.code, ran.out, ran.err
 
 
 def _found(tmp_path, lines, *options):
@@ -66,17 +68,14 @@
 
 
 def test_seconds_are_summed_by_queue_and_reason(tmp_path):
-    code, output, _ = _waits(tmp_path, LINES, "--json")
-    found = [json.loads(line) for line in output.splitlines()]
-    sums = {one["reason"]: one["seconds"] for one in found if one["span"] == "in all"}
+    code, found = _found(tmp_path, LINES)
     assert code == EXIT_OK
     assert {one["queue"] for one in found} == {"reports"}
-    assert sums == {"owner": 2.0, "advice": 1.0, "room": 4.0, "brief": 0.7}
+    assert _sums(found) == {"owner": 2.0, "advice": 1.0, "room": 4.0, "brief": 0.7}
 
 
 def test_spans_add_up_to_the_whole(tmp_path):
-    _, output, _ = _waits(tmp_path, LINES, "--json", "--every=3")
-    found = [json.loads(line) for line in output.splitlines()]
+    _, found = _found(tmp_path, LINES, "--every=3")
     spans = [one for one in found if one["span"] != "in all"]
     whole = sum(one["seconds"] for one in found if one["span"] == "in all")
     assert sum(one["seconds"] for one in spans) == pytest.approx(whole)
@@ -154,11 +153,7 @@
 
 def test_job_taken_in_before_it_was_accepted_is_told(tmp_path):
     """A clock that is behind must not hide a wait of less than nothing."""
-    lines = [
-        _line(1.0, "job taken in", queue="reports"),
-        _line(1.3, "job accepted"),
-        _line(2.0, "step placed", **_PLACED),
-    ]
+    lines = [*_REVERSED, _line(2.0, "step placed", **_PLACED)]
     _, found = _found(tmp_path, lines)
     assert found[-1] == {"reversed_jobs": 1, "longest_reversed_seconds": 0.3}
     assert _sums(found[:-1]) == {"brief": 0.5}
@@ -168,8 +163,7 @@
 
 def test_only_reversed_waits_are_told(tmp_path):
     """Logs whose waits are all reversed must not be called logs without a wait."""
-    lines = [_line(1.0, "job taken in", queue="reports"), _line(1.3, "job accepted")]
-    code, found = _found(tmp_path, lines)
+    code, found = _found(tmp_path, _REVERSED)
     assert code == EXIT_OK
     assert found == [{"reversed_jobs": 1, "longest_reversed_seconds": 0.3}]
 
@@ -188,8 +182,7 @@
 def test_late_acceptance_begins_no_wait_for_a_later_owner(tmp_path):
     """A job taken in already must not wait for an owner until the next takeover."""
     lines = [
-        _line(1.0, "job taken in", queue="reports"),
-        _line(1.3, "job accepted"),
+        *_REVERSED,
         _line(9.0, "job taken in", queue="reports"),
         _line(9.5, "step placed", **_PLACED),
     ]
