--- a/papayapick/management/commands/logs.py
+++ b/papayapick/management/commands/logs.py
@@ -8,13 +8,15 @@
     SpanInvalid,
 )
 from papayapick.management.exit_codes import EXIT_OK
-from papayapick.observability.logged import clock_time, read_lines
+from papayapick.management.times import clock_time
+from papayapick.observability.logged import read_lines
 from papayapick.observability.stories import Story
-from papayapick.observability.waits import read_waits, sum_waits
+from papayapick.observability.waits import read_waits, sum_spans, sum_waits
 
 __all__ = ["LogsCommand"]
 
 _MARKS = {True: "*", False: " "}
+_TAKEN_THEN = {True: "", False: "; the logs end before a host took it"}
 _LEAST_SECONDS = 0.05
 
 
@@ -31,10 +33,12 @@
 
 explain: the lines about the request are put in order; the one that decided its
 outcome, or its longest wait, is marked with a star and repeated at the end. Clocks of
-hosts may differ by seconds.
+hosts may differ by seconds. At the very end stands for how long its pool had no working
+owner between its acceptance and its first placement, as far as the logs tell.
 
 waits: the seconds that ready steps waited, by queue and by what they waited for, first
-in all, then for each span of time.
+in all, then for each span of time. Where lines of a job stand in reverse order, since
+clocks of hosts differ or a line was written late, the last line tells by how much.
 
 Exit code 0 when the request or any wait was found, 1 when no line names one.
 
@@ -54,15 +58,14 @@
 
     def _show_waits(self, lines):
         every = self._every()
-        waits = read_waits(lines)
-        if not waits:
+        waits, reversals = read_waits(lines)
+        if not (waits or reversals):
             raise NoWaitLogged(lines=len(lines))
         self._show_sums("in all", sum_waits(waits))
-        begin = min(wait.begin for wait in waits) // every * every
-        end = max(wait.end for wait in waits)
-        while begin < end:
-            self._show_sums(clock_time(begin), sum_waits(waits, begin, begin + every))
-            begin += every
+        for begin, sums in sum_spans(waits, every):
+            self._show_sums(clock_time(begin), sums)
+        if reversals:
+            self._show_reversals(reversals)
         return EXIT_OK
 
     def _every(self):
@@ -83,6 +86,15 @@
                     steps=steps,
                 )
 
+    def _show_reversals(self, reversals):
+        longest = max(reversals.values())
+        self.output.write(
+            f"lines of {len(reversals)} jobs stand in reverse order, by up to "
+            f"{longest:.2f} s: no wait is counted between them",
+            reversed_jobs=len(reversals),
+            longest_reversed_seconds=round(longest, 3),
+        )
+
     def _explain(self, lines):
         story = Story(self.options["<id>"], lines)
         if not story.own:
@@ -90,15 +102,17 @@
         deciding = story.deciding()
         shown = story.own
         if self.options["--around"]:
-            shown = sorted([*shown, *story.around()], key=lambda line: line.time)
+            shown = sorted([*shown, *story.around()], key=lambda line: line.seconds)
         for line in shown:
             self._show(line, line is deciding)
+        vacancies = [_as_mapping(vacancy) for vacancy in story.vacancies()]
         self.output.write(
             f"{story.request_id}: {story.status}; decided by: {deciding.event} at "
-            f"{deciding.host}, {deciding.shown()}",
+            f"{deciding.host}, {deciding.shown()}" + _as_text(vacancies),
             request=story.request_id,
             status=story.status,
             deciding=deciding.fields,
+            vacancies=vacancies,
         )
         return EXIT_OK
 
@@ -117,3 +131,20 @@
             is_deciding=is_deciding,
             **line.fields,
         )
+
+
+def _as_mapping(vacancy):
+    return {
+        "pool": vacancy.pool,
+        "begin": clock_time(vacancy.begin),
+        "seconds": round(vacancy.seconds, 3),
+        "is_over": vacancy.is_over,
+    }
+
+
+def _as_text(vacancies):
+    return "".join(
+        f"\n  pool {one['pool']} had no working owner for {one['seconds']:.2f} s of "
+        f"its wait, from {one['begin']}{_TAKEN_THEN[one['is_over']]}"
+        for one in vacancies
+    )
--- a/papayapick/observability/waits.py
+++ b/papayapick/observability/waits.py
@@ -2,15 +2,15 @@
 
 import collections
 
-from papayapick.observability.logged import seconds_of_day
-
-__all__ = ["Wait", "read_waits", "sum_waits"]
+__all__ = ["Wait", "read_waits", "sum_spans", "sum_waits"]
 
 # Beside the reasons that a waiting step is logged with.
 _TAKING_IN = "owner"
 _BRIEF = "brief"
 _ROOM = "room"
 _UNKNOWN_QUEUE = "unknown"
+_WAITING = ("step waits", "step placed")
+_OF_OWNERS = ("job taken in", *_WAITING, "run ended", "job ended")
 
 
 class Wait:
@@ -25,7 +25,7 @@
         Of the line ``step waits``; ``owner`` from acceptance until an owner took the
         job in, ``brief`` for a wait that was too short to be logged by itself.
     begin, end : float
-        Seconds of the day.
+        As the seconds of lines.
     """
 
     __slots__ = ("begin", "end", "queue", "reason", "step")
@@ -41,11 +41,25 @@
 class _Reader:
     """Follow the lines about each step."""
 
-    __slots__ = ("_accepted", "_looked_at", "_open", "_queues", "waits")
+    __slots__ = (
+        "_accepted",
+        "_ended",
+        "_looked_at",
+        "_open",
+        "_owned",
+        "_queues",
+        "reversals",
+        "waits",
+    )
 
     def __init__(self):
         self.waits = []
+        # Seconds by which lines stand in reverse order, by request.
+        self.reversals = {}
         self._accepted = {}
+        # When an owner first wrote of a job, and when one wrote that it ended.
+        self._owned = {}
+        self._ended = {}
         self._queues = {}
         # Reason and begin of the wait that goes on, by step.
         self._open = {}
@@ -54,31 +68,50 @@
 
     def take(self, line):
         """Take in one line."""
-        now = seconds_of_day(line.time)
+        now = line.seconds
         fields = line.fields
         request = fields.get("request_id")
         step = (request, fields.get("occurrence", 0), fields.get("step"))
         if line.event == "job accepted":
-            self._accepted[request] = now
-        elif line.event == "job taken in":
-            self._queues[request] = fields["queue"]
-            if request in self._accepted:
-                self._add((request, 0, 0), _TAKING_IN, self._accepted.pop(request), now)
+            self._accept(request, now)
+            return
+        if line.event in _OF_OWNERS:
+            self._owned.setdefault(request, now)
+        if line.event == "job taken in":
+            self._take_in(request, fields["queue"], now)
+        elif line.event == "run ended":
+            self._looked_at[step] = now
+        elif line.event == "job ended":
+            self._end_job(request, now)
+        elif line.event in _WAITING and request in self._ended:
+            # It would wait until the end of the logs.
+            self._note_reversal(request, now - self._ended[request])
         elif line.event == "step waits":
             self._accepted.pop(request, None)
             self._change(step, fields["reason"], fields["waited_seconds"], now)
         elif line.event == "step placed":
             self._place(step, fields, now)
-        elif line.event == "run ended":
-            self._looked_at[step] = now
-        elif line.event == "job ended":
-            self._end_job(request, now)
 
     def end(self, now):
         """Close what still waits at the end of the logs."""
         for step in list(self._open):
             self._close(step, now)
 
+    def _accept(self, request, now):
+        if request in self._owned:
+            self._note_reversal(request, now - self._owned[request])
+        else:
+            self._accepted[request] = now
+
+    def _take_in(self, request, queue, now):
+        self._queues[request] = queue
+        if request in self._accepted:
+            self._add((request, 0, 0), _TAKING_IN, self._accepted.pop(request), now)
+
+    def _note_reversal(self, request, seconds):
+        if seconds > 0:
+            self.reversals[request] = max(seconds, self.reversals.get(request, 0.0))
+
     def _change(self, step, reason, waited, now):
         if step in self._open:
             self._close(step, now)
@@ -99,6 +132,7 @@
             self._open[step] = (_ROOM, now)
 
     def _end_job(self, request, now):
+        self._ended.setdefault(request, now)
         for step in [step for step in self._open if step[0] == request]:
             self._close(step, now)
 
@@ -122,18 +156,22 @@
     Parameters
     ----------
     lines : list of Line
-        In the order of their times, of one day.
+        In the order of their times.
 
     Returns
     -------
-    list of Wait
+    waits : list of Wait
+    reversals : dict of str to float
+        Seconds by which lines of a request stand in reverse order, such as taken in
+        before it was accepted: clocks of hosts differ, or a line was written late.
+        What lies between them is no wait.
     """
     reader = _Reader()
     for line in lines:
         reader.take(line)
     if lines:
-        reader.end(seconds_of_day(lines[-1].time))
-    return reader.waits
+        reader.end(lines[-1].seconds)
+    return reader.waits, reader.reversals
 
 
 def sum_waits(waits, begin=float("-inf"), end=float("inf")):
@@ -143,7 +181,7 @@
     ----------
     waits : list of Wait
     begin, end : float, optional
-        Seconds of the day.
+        As the seconds of lines.
 
     Returns
     -------
@@ -163,3 +201,34 @@
             seconds[key] += within
             steps[key].add(wait.step)
     return {key: (seconds[key], len(steps[key])) for key in seconds}
+
+
+def sum_spans(waits, every):
+    """Yield the sums of each span in which a step waited.
+
+    Parameters
+    ----------
+    waits : list of Wait
+    every : int
+        Length of a span in seconds.
+
+    Yields
+    ------
+    (float, dict)
+        Begin of the span, and its sums as of `sum_waits`.
+
+    Examples
+    --------
+    >>> list(sum_spans([Wait("q", ("a", 0, 0), "room", 1.0, 2.5)], 2))
+    [(0.0, {('q', 'room'): (1.0, 1)}), (2.0, {('q', 'room'): (0.5, 1)})]
+    """
+    later = sorted(waits, key=lambda wait: wait.begin, reverse=True)
+    current = []
+    end = float("-inf")
+    while later or current:
+        begin = end if current else later[-1].begin // every * every
+        end = begin + every
+        while later and later[-1].begin < end:
+            current.append(later.pop())
+        yield begin, sum_waits(current, begin, end)
+        current = [wait for wait in current if wait.end > end]
