Keep one line for each pool and each host that is told of it

Cause: lines stood in one register by pool, epoch, name and address that a take cleared whole, while their tasks ran on; a host that came back found its key taken by a line that had ended; and news of a pool went into all lines. Evidence: four cases of tests/entry/test_lines.py, all of which failed before. Change: a line stands under its owner and its peer, both as objects, so a new life of either has a line of its own; each look for missing lines drops those that have ended; news goes over the lines of its own pool. Ruled out as the incident's cause: one pool, no host cut off. Found beside it. Measured: tests/entry passes. What it saves on the link was not measured.

--- a/papayapick/entry/lines.py
+++ b/papayapick/entry/lines.py
@@ -41,22 +41,35 @@
     def renew(self, owner):
         """Tell all that is known of a pool that this host has taken."""
         self._host.board.note(owner.news.all_states())
-        with self._lock:
-            self._lines = {}
         self.open()
 
     def open(self):
         """Open the lines that are missing: to hosts that came, of pools taken."""
         with self._lock:
+            peers = self._host.peers.all()
+            self._forget_ended(peers)
             for candidacy in list(self._candidacies.values()):
                 if not candidacy.is_owner:
                     continue
-                for peer in self._host.peers.all():
-                    key = (candidacy.pool, candidacy.row.epoch, peer.name, peer.address)
-                    if key not in self._lines:
-                        line = OwnerLine(self._host, candidacy.owner, peer)
-                        self._lines[key] = line
-                        self._host.executor.submit(line.run)
+                for peer in peers:
+                    self._open_line(candidacy.owner, peer)
+
+    def _forget_ended(self, peers):
+        """Drop the lines whose task has ended, or ends with its next look."""
+        self._lines = {
+            (owner, peer): line
+            for (owner, peer), line in self._lines.items()
+            if peer in peers and not owner.is_stopped
+        }
+
+    def _open_line(self, owner, peer):
+        # By the objects: a host that registered again is another peer at the same
+        # address, and the line of the one before has ended.
+        if (owner, peer) in self._lines:
+            return
+        line = OwnerLine(self._host, owner, peer)
+        self._lines[owner, peer] = line
+        self._host.executor.submit(line.run)
 
     def beat_now(self):
         """Let all lines beat at once, each without waiting for its turn."""
@@ -73,7 +86,7 @@
             return
         self._host.board.note(news)
         with self._lock:
-            lines = list(self._lines.values())
+            lines = [line for (one, _), line in self._lines.items() if one is owner]
         for line in lines:
             line.put(news)
 
--- a/tests/entry/test_lines.py
+++ b/tests/entry/test_lines.py
@@ -131,6 +131,91 @@
     assert all(one._wakeup.is_set() for one in lines._lines.values())
 
 
+class TaskList:
+    """Keep the tasks that would run."""
+
+    def __init__(self):
+        self.tasks = []
+
+    def submit(self, task):
+        self.tasks.append(task)
+
+
+class Owner:
+    """Stand for the owner of a pool that has news of one job."""
+
+    is_stopped = False
+    has_read_state = False
+
+    def __init__(self, pool):
+        self.pool = pool
+        self.row = SimpleNamespace(epoch=1)
+        self.news = SimpleNamespace(
+            all_states=dict, take=lambda: {pool + "-job": "running"}, backlogs=dict
+        )
+
+
+class Owned:
+    """Stand for the candidacy of a pool that this host owns."""
+
+    is_owner = True
+
+    def __init__(self, pool):
+        self.pool = pool
+        self.owner = Owner(pool)
+        self.row = self.owner.row
+
+
+@pytest.fixture
+def two_pools(line):
+    """The lines of a host that owns two pools, and their candidacies."""
+    host = line._host
+    host.executor = TaskList()
+    host.board = SimpleNamespace(note=lambda states: None)
+    candidacies = {name: Owned(name) for name in ("a", "b")}
+    lines = OwnerLines(host, candidacies)
+    for candidacy in candidacies.values():
+        lines.renew(candidacy.owner)
+    return lines, candidacies
+
+
+def test_pool_that_is_taken_opens_no_second_line_of_another(two_pools):
+    """A host with many pools ran out of tasks: each take doubled its lines."""
+    lines, _ = two_pools
+    assert len(lines._host.executor.tasks) == 2
+
+
+def test_host_that_registers_again_hears_the_owner_again(two_pools):
+    """It heard no beat any more, and took the pool from an owner at work."""
+    lines, _ = two_pools
+    host = lines._host
+    (peer,) = host.peers.all()
+    value = {"address": "10.0.0.2", "port": 7720, "zone": "z", "region": "r"}
+    for number, found in ((5, None), (6, value)):
+        host.peers.note_row(StoredRow(CELL_TABLE, HOSTS_PARTITION, "h2", found, number))
+    lines.open()
+    assert len(host.executor.tasks) == 4
+    assert {one.peer for one in lines._lines.values()} == set(host.peers.all())
+    assert peer not in host.peers.all()
+
+
+def test_news_of_a_pool_goes_over_its_own_lines_only(two_pools):
+    """Each status crossed the link between regions once for each pool of its host."""
+    lines, candidacies = two_pools
+    lines.tell(candidacies["a"].owner)
+    told = {one._owner.pool: one._news for one in lines._lines.values()}
+    assert told == {"a": {"a-job": "running"}, "b": {}}
+
+
+def test_lines_of_an_owner_that_has_stopped_are_forgotten(two_pools):
+    """Statuses were kept for ever for lines that nobody ran any more."""
+    lines, candidacies = two_pools
+    candidacies["a"].owner.is_stopped = True
+    candidacies["a"].is_owner = False
+    lines.open()
+    assert [one._owner.pool for one in lines._lines.values()] == ["b"]
+
+
 def test_host_that_hands_over_tells_all_others_at_once():
     calls = []
     host = SimpleNamespace(
