Let only hosts that know who owns a pool confirm an owner

What users would see: an owner that was replaced and does not know it, cut off from the store and from the new owner, orders on for two more seconds, and where it is the only one that a worker hears, a task may run twice. Cause: an owner goes on by the answers of other hosts to its beats, which tell the newest epoch they know and how old their word from the store is. A host that had read no row of the pool answered epoch 0 with a fresh age; one that had heard a newer owner's beat and not read its row answered the old epoch. That a task runs twice by it was not played; it needs several cuts at once. Change: the epoch that is told is the newest read or heard, and beats of an older one count for nothing; a host that has not read the row tells an age that confirms nobody. Set-up of two tests: their stand-in of a candidacy tells what the answers ask for now. Left: the age told is that of any answer of the store, not of the row's feed, so a host whose feed is silent may still confirm by an old row.

--- a/papayapick/entry/answers.py
+++ b/papayapick/entry/answers.py
@@ -1,5 +1,6 @@
 """Answer the other entry hosts."""
 
+from papayapick.entry.store_health import LOST_AGE_SECONDS
 from papayapick.placement.backlog import QueueBacklog
 from papayapick.wire.messages import (
     AdviceQuery,
@@ -64,12 +65,16 @@
         board = self._host.board
         candidacy = self._candidacies.get(beat.pool)
         epoch = 0
+        # A host that has not read the row yet can't tell who owns the pool: with the
+        # age of its word from the store, its answer would confirm a replaced owner.
+        age = LOST_AGE_SECONDS
         if candidacy is not None:
             if candidacy.note_beat(beat):
                 board.note({one.identifier: one.status for one in beat.news})
                 self._note_backlogs(beat)
-            epoch = candidacy.row.epoch
-        age = self._host.store_health.told_age()
+            epoch = candidacy.known_epoch
+            if candidacy.has_read_row:
+                age = self._host.store_health.told_age()
         return PoolBeatAnswer(
             epoch=epoch,
             store_age_milliseconds=int(age * 1000),
--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -55,6 +55,7 @@
     __slots__ = (
         "_claimed_epoch",
         "_heard_at",
+        "_heard_epoch",
         "_host",
         "_is_suspected",
         "_lock",
@@ -74,6 +75,7 @@
         self.owner = None
         self._claimed_epoch = 0
         self._heard_at = host.clock.monotonic()
+        self._heard_epoch = 0
         self._is_suspected = True
         self._may_lack_records = True
         self._told_at = 0.0
@@ -92,6 +94,16 @@
         """
         return self.owner.row.epoch if self.is_owner else self._claimed_epoch
 
+    @property
+    def known_epoch(self):
+        """Return the newest epoch that this host has read or heard of."""
+        return max(self.row.epoch, self._heard_epoch)
+
+    @property
+    def has_read_row(self):
+        """Return whether the store has told this process of the pool."""
+        return self.row.version > 0
+
     @property
     def is_owner(self):
         """Return whether this process owns the pool."""
@@ -123,7 +135,8 @@
     def note_beat(self, beat):
         """Take in the word of an owner; return whether it is the newest known."""
         with self._lock:
-            if beat.epoch < self.row.epoch:
+            self._heard_epoch = max(self._heard_epoch, beat.epoch)
+            if beat.epoch < self.known_epoch:
                 return False
             self._heard_at = self._host.clock.monotonic()
             self._watched_version = self.row.version
--- a/papayapick/entry/store_health.py
+++ b/papayapick/entry/store_health.py
@@ -1,11 +1,11 @@
 """Hold whether the store answers this host."""
 
-__all__ = ["StoreHealth"]
+__all__ = ["LOST_AGE_SECONDS", "StoreHealth"]
 
 # Followers have an answer each 1.2 s when nothing changes.
 _OVERDUE_SECONDS = 1.7
 # Stands for "not at all" where the age of its last answer is told.
-_LOST_AGE_SECONDS = 1000.0
+LOST_AGE_SECONDS = 1000.0
 
 
 class StoreHealth:
@@ -65,4 +65,4 @@
         Long where the last call failed: what the store said before is no sign that
         it would answer now.
         """
-        return _LOST_AGE_SECONDS if self.is_lost() else self.age()
+        return LOST_AGE_SECONDS if self.is_lost() else self.age()
--- a/tests/entry/test_backlog_news.py
+++ b/tests/entry/test_backlog_news.py
@@ -39,7 +39,9 @@
     clock = ManualClock(100.0)
     board = StateBoard(clock)
     board.note_backlogs("pool", 2, {"q": QueueBacklog(393, 0)}, known_at=100.0)
-    candidacy = SimpleNamespace(note_beat=lambda beat: True, row=PoolRow("pool"))
+    candidacy = SimpleNamespace(
+        note_beat=lambda beat: True, known_epoch=0, has_read_row=True
+    )
     told = SimpleNamespace(
         board=board,
         clock=clock,
--- a/tests/entry/test_counts.py
+++ b/tests/entry/test_counts.py
@@ -11,7 +11,6 @@
 from papayapick.entry.board import StateBoard
 from papayapick.entry.lines import OwnerLine, OwnerLines
 from papayapick.jobs import AdvicePolicy, Queue
-from papayapick.ownership.pools import PoolRow
 from papayapick.placement.backlog import QueueBacklog
 from papayapick.wire.exceptions import PeerTimeout
 from tests.pool.owners import job, owner_with
@@ -73,7 +72,9 @@
         self.told = told
         self.is_cut_off = False
         self.beats = []
-        candidacy = SimpleNamespace(note_beat=lambda beat: True, row=PoolRow("pool"))
+        candidacy = SimpleNamespace(
+            note_beat=lambda beat: True, known_epoch=0, has_read_row=True
+        )
         self.answers = PeerAnswers(told, {"pool": candidacy}, None)
         self.name, self.client = "h2", self
         self.lines = OwnerLines(self.host, {})
