Place a task again whose start ended in an error

Callers would see a task that stands still for ever beside free workers.

Cause: orders are tasks of an executor whose futures nobody reads. A start that ended in an error of this program, as in reading an answer, ended without a line and without an outcome. Its run stayed ordered; it is on no worker's list and was never seen there, so neither an end, nor a list that lacks it, nor the tick takes it up, and its task waits for it.

Why it holds: such a start counts as one without an answer. It is stopped, its room stays taken until a list asked for after the stop lacks it, and then its task waits again. All three kinds of orders write the line "order failed" with the error.

--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -15,6 +15,7 @@
     "MACHINES_UNREAD",
     "NO_ADVICE",
     "ORDERS_HELD_UP",
+    "ORDER_FAILED",
     "PACE_NOT_SET",
     "PACE_SET",
     "POOL_LEFT",
@@ -171,6 +172,14 @@
     level=logging.WARNING,
     per_second=2,
 )
+ORDER_FAILED = Event(
+    "order failed",
+    "worker",
+    "Sending an order, or reading its answer, ended in an error of this program. A "
+    "start counts as one without an answer.",
+    level=logging.ERROR,
+    per_second=2,
+)
 START_REFUSED = Event(
     "start refused",
     _RUN + " reason room_processors room_memory",
--- a/papayapick/pool/orders.py
+++ b/papayapick/pool/orders.py
@@ -1,8 +1,11 @@
 """Send orders to workers and tell the owner what became of them."""
 
+import functools
+
 from papayapick.jobs.runs import RunPhase
 from papayapick.platform.exceptions import CheckFailed, WorkerSilent
 from papayapick.pool.events import (
+    ORDER_FAILED,
     ORDERS_HELD_UP,
     PACE_NOT_SET,
     PACE_SET,
@@ -16,6 +19,19 @@
 __all__ = ["Orders", "Start"]
 
 
+def _logged(send):
+    """Write a line for an error that nobody foresaw, as nobody reads the future."""
+
+    @functools.wraps(send)
+    def run(self, link, *args):
+        try:
+            send(self, link, *args)
+        except Exception:
+            ORDER_FAILED.write_failure(worker=link.worker)
+
+    return run
+
+
 class Start:
     """Hold a start that is to be ordered.
 
@@ -180,6 +196,7 @@
             if not self._owner.is_stopped:
                 executor.submit(step, *args)
 
+    @_logged
     def _start(self, link, start):
         owner, run = self._owner, start.run
         with owner.lock:
@@ -193,16 +210,27 @@
         if lease_end is None:
             outcome = StartOutcome.NOT_SENT
         else:
-            outcome = link.client.start(
-                run,
+            outcome = self._send_start(link, start, lease_end)
+        self.note_start(link, run, outcome)
+
+    def _send_start(self, link, start, lease_end):
+        try:
+            return link.client.start(
+                start.run,
                 start.payload,
                 lease_end,
-                owner.row.epoch,
+                self._owner.row.epoch,
                 start.checkpoint,
                 start.ticket,
             )
-        self.note_start(link, run, outcome)
+        except Exception:
+            # A failure that nobody foresaw, as in reading the answer. Without an
+            # outcome the run would stay ordered for ever: it is on no list, and its
+            # task waits for its end. As one without an answer it is stopped first.
+            ORDER_FAILED.write_failure(worker=link.worker)
+            return StartOutcome.UNKNOWN
 
+    @_logged
     def _stop(self, link, run):
         try:
             if self._is_there(link, run):
@@ -233,6 +261,7 @@
             # list asked for from now on shows that its room is free.
             link.look_again()
 
+    @_logged
     def _pace(self, link, run, percent):
         try:
             link.client.pace(run.key, run.attempt, percent, self._owner.row.epoch)
--- a/tests/pool/test_orders.py
+++ b/tests/pool/test_orders.py
@@ -206,3 +206,32 @@
     assert wait_until(lambda: pool.decide() or not owner.book.waiting_steps())
     owner.stop()
     decider.join(SOON_SECONDS)
+
+
+class Startling(Client):
+    """Stand for a client that ends in an error which nobody foresaw."""
+
+    def start(self, run, *rest):
+        raise AttributeError("reason")
+
+
+def test_start_that_ends_in_an_error_is_placed_again(pool_of):
+    """A task stands still for ever, beside free workers, and no line tells why.
+
+    Reading the answer to its start failed, and the error ended with the task that had
+    sent it: the run counted as ordered, and was on no list.
+    """
+    pool = pool_of(workers=1)
+    owner = pool.owner
+    pool.owner.links_by_worker["w0"].client = Startling(is_cut=False)
+    job = pool.hand_in(1, tasks=1)
+    with owner.lock:
+        owner.decisions.place(owner.now())
+        owner.decisions.send_starts(owner.decisions.take_unsent())
+    (task,) = job.occurrences[0][0].tasks
+    (run,) = task.runs
+    assert wait_until(lambda: run.phase == RunPhase.STOPPING)
+    owner.orders.note_stop_confirmed(run)
+    report(owner, "w0")
+    assert not task.runs
+    assert job.occurrences[0][0].waiting == {0}
