Read a refusal whose reason is no text

Cause: the answer 409 to a start was read as an object with a text as its reason. With a body that is another JSON value (a list, null) or a reason that is a list, reading it ended in an error in place of an outcome.

Evidence: five of seven cases of test_refusal_without_a_reason_that_can_be_read failed, with AttributeError or TypeError.

Why it holds: a refusal is sure from its status alone; only a text is looked up as a reason, and all else counts as refused, after which another worker is chosen.

--- a/papayapick/platform/workers.py
+++ b/papayapick/platform/workers.py
@@ -131,7 +131,7 @@
         if answer.status == 200:
             return StartOutcome.STARTED
         if answer.status == 409:
-            return _REASONS.get(_json(answer).get("reason"), StartOutcome.REFUSED)
+            return _REASONS.get(_reason(answer), StartOutcome.REFUSED)
         return StartOutcome.REFUSED
 
     def stop(self, key, attempt, epoch):
@@ -242,6 +242,13 @@
     return TaskKey(job, int(occurrence), int(step), int(index))
 
 
+def _reason(answer):
+    """Return the reason of a refusal; empty where there is none that can be read."""
+    found = _json(answer)
+    reason = found.get("reason") if isinstance(found, dict) else None
+    return reason if isinstance(reason, str) else ""
+
+
 def _json(answer):
     try:
         return json.loads(answer.body)
