Take no run for vanished while its worker holds back ends

Callers would see a task that is done run again.

Cause: a worker lists at most 500 ends that are not acknowledged, and the first ones again and again while the store takes no records. A run that ended after these is in neither part of the list, and was taken for one that vanished, or for a stopped one that never began: its task was placed again, though it may have ended as done.

Evidence: test_run_whose_end_is_held_back_is_not_started_again failed in both cases, for a run that was listed once and for one that was stopped before it was seen.

Why it holds: a list with as many ends as there may be says nothing of what it lacks. As soon as the first ends are acknowledged the others are listed, and are taken in as ends. Until then such a run keeps its room.

The tests' report() takes has_more_ends, false where left out, so all other tests see the lists that they saw.

--- a/papayapick/platform/workers.py
+++ b/papayapick/platform/workers.py
@@ -28,6 +28,8 @@
 # no answer is given up this long after its wait: while one renewal in thirty had none,
 # the ends of steps were seen up to 1.6 s late with the time above.
 _WAIT_SLACK_SECONDS = 0.35
+# A worker lists at most so many ends at a time.
+_ENDS_PER_ANSWER = 500
 _REASONS = {
     "fence": StartOutcome.FENCED,
     "old": StartOutcome.OUTDATED,
@@ -213,11 +215,13 @@
 
 
 def _report(found):
+    ends = [_end(row) for row in found.get("finished", ())]
     return WorkerReport(
         clock=found["clock_ms"] / 1000,
         born=found.get("born"),
         runs=[_run(row) for row in found.get("running", ())],
-        ends=[_end(row) for row in found.get("finished", ())],
+        ends=ends,
+        has_more_ends=len(ends) >= _ENDS_PER_ANSWER,
     )
 
 
--- a/papayapick/pool/lists.py
+++ b/papayapick/pool/lists.py
@@ -68,14 +68,16 @@
             if asked_at >= link.newest_asked_at:
                 link.newest_asked_at = asked_at
                 self._take_runs(link, room, report, now)
-                self._drop_vanished(room, report, asked_at, now)
+                if not report.has_more_ends:
+                    self._drop_vanished(room, report, asked_at, now)
             if not link.is_inventoried:
                 link.is_inventoried = True
                 # What an earlier owner started there is under a lease that it gave.
                 link.lapse_at = max(link.lapse_at, self._owner.taken_at + QUIET_SECONDS)
                 self._owner.settling.note_inventory(now)
             self.open_or_close(link)
-            self._drop_stopped(room, report, asked_at, now)
+            if not report.has_more_ends:
+                self._drop_stopped(room, report, asked_at, now)
             for run, percent in self._pacer.decide(room, now):
                 self._owner.orders.pace(link, run, percent)
             self._owner.orders.stop_unneeded()
@@ -172,7 +174,8 @@
 
         Lists asked for on two connections may overtake each other: an old one
         shows a run whose end was taken note of, and nothing more is heard of it.
-        Its task would wait for that end for ever.
+        Its task would wait for that end for ever. Not where the worker holds back
+        ends: that of a run which is done may be among them, and it would run again.
         """
         listed = {(found.key, found.attempt) for found in report.runs}
         for run in list(room.runs.values()):
@@ -187,7 +190,8 @@
         """Give back what was stopped before it started.
 
         A stop that was answered makes a later start of the run fail; a list asked
-        for after that, with the run in neither part, shows that it never ran.
+        for after that, with the run in neither part, shows that it never ran, unless
+        the worker holds back ends: then it may have ended as done.
         """
         listed = {(found.key, found.attempt) for found in report.runs}
         for run in list(room.runs.values()):
--- a/papayapick/pool/reports.py
+++ b/papayapick/pool/reports.py
@@ -156,12 +156,15 @@
     born : int or None
     runs : list of RunReport
     ends : list of EndReport
-        Those that are not acknowledged, at most 500.
+        Those that are not acknowledged.
+    has_more_ends : bool, optional
+        The worker may hold back later ones until some of these are acknowledged.
     """
 
-    __slots__ = ("born", "clock", "ends", "runs")
+    __slots__ = ("born", "clock", "ends", "has_more_ends", "runs")
 
-    def __init__(self, clock, born, runs, ends):
+    def __init__(self, clock, born, runs, ends, has_more_ends=False):
+        self.has_more_ends = has_more_ends
         self.clock = clock
         self.born = born
         self.runs = runs
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -1,5 +1,7 @@
 """What workers answer to orders, whoever speaks for them."""
 
+import json
+
 import pytest
 
 from papayapick.clients.http import HttpAnswer
@@ -36,3 +38,12 @@
 
 def test_refusal_with_a_reason():
     assert _start(409, b'{"clock_ms":1,"reason":"room"}') == StartOutcome.NO_ROOM
+
+
+@pytest.mark.parametrize(("count", "has_more"), [(0, False), (499, False), (500, True)])
+def test_list_of_as_many_ends_as_there_may_be_is_taken_for_cut(count, has_more):
+    """Guards against a run that seems to be over without an end."""
+    ends = [[number, f"{'f' * 16}.0.0.0", 1, "done", ""] for number in range(count)]
+    body = json.dumps({"clock_ms": 5, "running": [], "finished": ends}).encode()
+    report = WorkerClient("w1", "a:1", Answering(200, body)).renew(3, 0)
+    assert (len(report.ends), report.has_more_ends) == (count, has_more)
--- a/tests/pool/owners.py
+++ b/tests/pool/owners.py
@@ -51,7 +51,9 @@
         host.put(PROGRESS_TABLE, "pool", ID, record)
 
 
-def report(owner, worker, runs=(), ends=(), asked_at=None, percent=0):
+def report(
+    owner, worker, runs=(), ends=(), asked_at=None, percent=0, has_more_ends=False
+):
     link = owner.links_by_worker[worker]
     now = owner.host.clock.monotonic()
     found = WorkerReport(
@@ -59,6 +61,7 @@
         1,
         [RunReport(key, attempt, percent=percent) for key, attempt in runs],
         [EndReport(number, *end) for number, end in enumerate(ends, 1)],
+        has_more_ends,
     )
     owner.lists.note_report(link, found, now if asked_at is None else asked_at)
     return link
--- a/tests/pool/test_owner.py
+++ b/tests/pool/test_owner.py
@@ -171,6 +171,29 @@
     assert waiting_tasks(owner) == 1
 
 
+@pytest.mark.parametrize("is_stopped", [False, True])
+def test_run_whose_end_is_held_back_is_not_started_again(host, is_stopped):
+    """A task that is done runs again while the store takes no records.
+
+    Ends can't be acknowledged, and a worker lists the first 500 of them each time. A
+    run that ended after these is in neither part of the list.
+    """
+    store_job(host, job())
+    owner = owner_of(host)
+    report(owner, "w2")
+    report(owner, "w1")
+    (run,) = place(owner)
+    if is_stopped:
+        owner.orders.note_stop_confirmed(run)
+    else:
+        report(owner, run.worker, runs=[(KEY, 1)])
+    host.clock.advance(0.5)
+    report(owner, run.worker, has_more_ends=True)
+    assert waiting_tasks(owner) == 0
+    report(owner, run.worker, ends=[(KEY, 1, "done")])
+    assert owner.book.get(ID).status == JobStatus.COMPLETED
+
+
 def test_order_without_an_answer_keeps_its_room_until_it_is_sure(host):
     """A worker is given more than it holds, or a task runs twice.
 
