Place a task again whose run was answered and is on no list

Found by reading, while looking for what can leave a task neither waiting nor running; not seen in a play. Callers would see a task that stands still for ever beside free workers.

Cause: a run whose start was answered counted as over only with its end, or once it had been listed and was listed no more. A run that begins and ends between two lists is seen by its end alone. Where the worker forgets that end unheard, nothing ever takes the run up. Calls without an answer may be carried out seconds later; one that acknowledges 57 ends of a worker's life does that in its next life too, if that has the same id, where ends are numbered from 1 again.

Evidence: test_run_whose_end_a_late_call_has_forgotten_is_placed_again plays this order of calls; before, the task did not wait and the run was kept.

Why it holds: a worker that has answered a start runs it by then, so a list asked for after that answer shows the run or its end. If it shows neither, with no ends held back, the run is over, as for one that was listed. How it ended is lost with the end.

--- a/papayapick/jobs/runs.py
+++ b/papayapick/jobs/runs.py
@@ -36,6 +36,7 @@
     """
 
     __slots__ = (
+        "answered_at",
         "attempt",
         "checkpoint",
         "demand",
@@ -75,6 +76,8 @@
         self.is_resumed = False
         self.figure = 0.0
         self.pace = 100
+        # Monotonic seconds of its worker's answer that it runs, or None.
+        self.answered_at = None
         # A worker has listed it.
         self.was_seen = False
         # Monotonic seconds of the stop's order, or None.
@@ -112,6 +115,17 @@
         """Return whether its worker is known to have begun it."""
         return self.was_seen or self.phase == RunPhase.RUNNING
 
+    def was_there(self, asked_at):
+        """Return whether its worker ran it before a list was asked for.
+
+        Parameters
+        ----------
+        asked_at : float
+            Monotonic seconds.
+        """
+        known_at = self.percent_at if self.was_seen else self.answered_at
+        return known_at is not None and known_at < asked_at
+
     @property
     def name(self):
         """Return key and attempt, which name the run on its worker."""
--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -214,7 +214,7 @@
 RUN_VANISHED = Event(
     "run vanished",
     _RUN,
-    "A worker listed a run once, and lists neither it nor its end.",
+    "A worker listed a run or answered its start, and lists neither it nor its end.",
     level=logging.WARNING,
 )
 MACHINES_UNREAD = Event(
--- a/papayapick/pool/lists.py
+++ b/papayapick/pool/lists.py
@@ -170,7 +170,7 @@
                 self._owner.book.note_checkpoint(run)
 
     def _drop_vanished(self, room, report, asked_at, now):
-        """Give up runs that a worker listed once and lists no more.
+        """Give up runs that a worker said it runs, and lists no more.
 
         Lists asked for on two connections may overtake each other: an old one
         shows a run whose end was taken note of, and nothing more is heard of it.
@@ -179,7 +179,7 @@
         """
         listed = {(found.key, found.attempt) for found in report.runs}
         for run in list(room.runs.values()):
-            if run.was_seen and run.percent_at < asked_at and run.name not in listed:
+            if run.was_there(asked_at) and run.name not in listed:
                 RUN_VANISHED.write(**run_fields(run))
                 room.release(run)
                 self._owner.book.end(
--- a/papayapick/pool/orders.py
+++ b/papayapick/pool/orders.py
@@ -136,6 +136,7 @@
                 return
             now = self._owner.now()
             if outcome == StartOutcome.STARTED:
+                run.answered_at = now
                 self._owner.book.note_started(run)
             elif outcome == StartOutcome.UNKNOWN:
                 if run.phase == RunPhase.ORDERED:
--- a/tests/pool/test_links.py
+++ b/tests/pool/test_links.py
@@ -6,7 +6,13 @@
 from papayapick.ledger import Amounts
 from papayapick.platform.exceptions import CheckFailed, WorkerSilent
 from papayapick.pool.links import LEASE_SECONDS, WorkerLink
-from papayapick.pool.reports import Registration, WorkerReport
+from papayapick.pool.reports import (
+    EndReport,
+    Registration,
+    StartOutcome,
+    WorkerReport,
+)
+from tests.pool.owners import KEY, job, owner_with, waiting_tasks
 
 OTHER_LIFE = 421
 FENCED = 409
@@ -174,3 +180,63 @@
     assert (link.processed, link.acknowledged) == (0, 0)
     link.acknowledge(3, 2)
     assert link.acknowledged == 3
+
+
+class LateWorker:
+    """Stand for a worker that carries out a call late, in its next life too."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.born = 1
+        self.ends = []
+        self.is_late = False
+        self._forgets_late = 0
+
+    def renew(self, epoch, acknowledged, lease_end=None, wait_seconds=0.0):
+        if self.is_late:
+            self._forgets_late = max(self._forgets_late, acknowledged)
+            raise WorkerSilent(worker="w1")
+        self._forget(acknowledged)
+        return WorkerReport(self._clock.monotonic(), self.born, [], list(self.ends))
+
+    def start(self, run, *rest):
+        return StartOutcome.STARTED
+
+    def begin_again(self):
+        self.born += 1
+        self.ends = []
+        self.is_late = False
+
+    def carry_out_late(self):
+        self._forget(self._forgets_late)
+
+    def _forget(self, acknowledged):
+        self.ends = [end for end in self.ends if end.number > acknowledged]
+
+
+def test_run_whose_end_a_late_call_has_forgotten_is_placed_again():
+    """A task stands still for ever: its run is over, and its end is on no list.
+
+    A call without an answer acknowledged 57 ends of one life of a worker. It was
+    carried out in the next, under the same id, whose ends are numbered from 1 again.
+    """
+    host, owner = owner_with(job())
+    link = owner.links_by_worker["w1"]
+    link.client = worker = LateWorker(host.clock)
+    owner.rooms.get("w2").is_open = False
+    link._ask()
+    link.processed = link.acknowledged = 57
+    worker.is_late = True
+    with pytest.raises(WorkerSilent):
+        link._ask()
+    worker.begin_again()
+    link._ask()
+    with owner.lock:
+        owner.decisions.place(host.clock.monotonic())
+    (start,) = owner.decisions.take_unsent()
+    owner.orders._start(link, start)
+    worker.ends = [EndReport(1, KEY, 1, "failed")]
+    worker.carry_out_late()
+    host.clock.advance(0.1)
+    link._ask()
+    assert waiting_tasks(owner) == 1
