Send no start of a run that was given up meanwhile

Callers would see a task run twice at a time.

Cause: a start waits for its record, and for a thread. When its worker begins a new life under the same id, or its lease is over, the run is given up and its task placed again; the run itself stayed "ordered", which was all that was asked before the order left. So both starts left, and the first one was found and stopped only with the worker's next list.

Evidence: test_start_of_a_run_that_was_given_up_is_not_sent; before, the start was sent.

Why it holds: under the lock under which a run is given up, the order is sent only if the worker's room still holds this very run.

--- a/papayapick/pool/orders.py
+++ b/papayapick/pool/orders.py
@@ -202,9 +202,11 @@
         owner, run = self._owner, start.run
         with owner.lock:
             self._starts_waiting -= 1
-            # Stopped before it was sent, or this process is not sure any more
-            # that it owns the pool: the order must not leave.
-            may_send = run.phase == RunPhase.ORDERED and owner.may_act()
+            # Stopped before it was sent, given up with its worker's life, or this
+            # process is not sure any more that it owns the pool: the order must not
+            # leave. A run that was given up has been placed again, and would run twice.
+            is_wanted = run.phase == RunPhase.ORDERED and self._is_there(link, run)
+            may_send = is_wanted and owner.may_act()
             # The record took longer than the ticket lasts.
             may_send = may_send and owner.now() < start.usable_until
             lease_end = link.lease_end() if may_send else None
--- a/tests/pool/test_owner.py
+++ b/tests/pool/test_owner.py
@@ -29,6 +29,17 @@
 from tests.pool.standins import QUEUE
 
 
+class Starting:
+    """Stand for a worker that starts whatever it is told to."""
+
+    def __init__(self):
+        self.started = []
+
+    def start(self, run, *rest):
+        self.started.append(run)
+        return StartOutcome.STARTED
+
+
 @pytest.fixture
 def host():
     return host_with_two_workers()
@@ -315,6 +326,30 @@
     assert waiting_tasks(owner) == 1
 
 
+def test_start_of_a_run_that_was_given_up_is_not_sent(host):
+    """A task runs twice beside a worker that has just begun a new life.
+
+    Its start waited for a record, or a thread, as the worker crashed and was back under
+    its id. The task was placed again, and both starts left.
+    """
+    store_job(host, job())
+    owner = owner_of(host)
+    report(owner, "w2")
+    report(owner, "w1")
+    with owner.lock:
+        owner.decisions.place(host.clock.monotonic())
+    (start,) = owner.decisions.take_unsent()
+    link = owner.links_by_worker[start.run.worker]
+    link._worker_clock = 50.0
+    link.client = client = Starting()
+    owner.lists.note_rebirth(link, 2)
+    (second,) = place(owner)
+    assert second.attempt == 2
+    owner.orders._start(link, start)
+    assert client.started == []
+    assert owner.book.step_of(KEY).tasks[0].runs == [second]
+
+
 def test_records_are_not_vouched_for_before_all_workers_answered(host):
     """A refresh runs twice after two takeovers in a row.
 
