Let a late end of an earlier run leave a gang alone

Callers would see a gang stopped and started again, once for each worker that is back after a cut, with what it had done since lost.

Cause: each end of a member that was not "done" broke the gang, whichever run it was of. A worker that was cut off past its lease lists the ends of the run that was given up there when it is back, and lists that overtake each other show a run once more after its end; by then the gang has been started again, on other workers.

Evidence: test_late_end_leaves_a_gang_alone_that_was_started_again; before, with each of the five outcomes both members of the second run were to be stopped.

Why it holds: the members of one run share the number of its start, and numbers rise. While members at work all have a higher number, the end is of a run that was given up whole. It is taken note of as before (a failure counts), and breaks nothing. With no member at work, or one of the same run or an earlier one, the gang is broken as before: a second test holds that a broken gang still waits for the members of all its runs.

--- a/papayapick/jobs/ends.py
+++ b/papayapick/jobs/ends.py
@@ -79,10 +79,22 @@
         if step.job.is_final:
             return
         if step.step.is_gang:
-            self._break_gang(step, now)
+            if not self._is_of_earlier_run(step, attempt):
+                self._break_gang(step, now)
         elif not task.runs:
             self._book.wait_again(step, key.index)
 
+    @staticmethod
+    def _is_of_earlier_run(step, attempt):
+        """Return whether a gang is at work that was started after a run of it.
+
+        An end may come long after its run was given up, as its worker is back, and a
+        list that was overtaken shows a run once more. It says nothing of the members at
+        work, which would all be stopped, and lose what they have done.
+        """
+        active = step.active_runs()
+        return bool(active) and all(run.attempt > attempt for run in active)
+
     def settle_gang(self, step, now):
         """Stop a gang that was taken over without all of its members.
 
--- a/tests/jobs/test_book.py
+++ b/tests/jobs/test_book.py
@@ -191,6 +191,42 @@
     assert set(book.to_stop) >= set(again)
 
 
+@pytest.mark.parametrize("outcome", ["lapsed", "failed", "stopped", "broken", "alone"])
+def test_late_end_leaves_a_gang_alone_that_was_started_again(book, outcome):
+    """A gang is stopped and started again each time that a worker is back.
+
+    Its workers were cut off past their leases, so all members were given up and placed
+    again. Each that was back listed the end of the first run, which broke the second.
+    """
+    job = book.add(_document(_step(2, is_gang=True)), QUEUE, 0.0)
+    runs = _begin_all(book, attempt=1)
+    for run in runs:
+        _end(book, run, "lapsed")
+    _begin_all(book, worker="w2", attempt=2)
+    book.to_stop.clear()
+    book.end(runs[0].key, 1, outcome, "", "w1", 3.0)
+    assert book.to_stop == []
+    assert _waiting(book) == set()
+    failures = job.occurrences[0][0].tasks[0].failures
+    assert failures == (1 if outcome == "failed" else 0)
+
+
+def test_gang_that_is_broken_waits_for_members_of_all_its_runs(book):
+    """Two runs of a gang overlap: an order that was carried out late joined them."""
+    book.add(_document(_step(2, is_gang=True)), QUEUE, 0.0)
+    runs = _begin_all(book, attempt=1)
+    for run in runs:
+        _end(book, run, "lapsed")
+    first, second = _begin_all(book, worker="w2", attempt=2)
+    late = book.adopt(RunReport(runs[0].key, 1), "w1", 2.0)
+    assert late in book.to_stop
+    _end(book, first, "failed")
+    _end(book, second, "broken")
+    assert _waiting(book) == set()
+    _end(book, late, "stopped")
+    assert _waiting(book) == {(0, 0, 0), (0, 0, 1)}
+
+
 def test_failures_of_a_gang_count_once_each_run(book):
     job = book.add(_document(_step(2, is_gang=True)), QUEUE, 0.0)
     for attempt in (1, 2):
