Stop a member of a gang that was started late, while the gang waits

Callers would see a gang stand still beside free workers until the platform ends the member that waits alone.

Cause: an order without an answer may be carried out after its run was given up. If the gang then waited to be placed, the run was taken for its member: the other members waited, and a gang is placed only as a whole. Only a takeover looked for gangs at work in part.

Evidence: test_member_that_was_started_late_does_not_keep_its_gang_from_starting; before, the late run was not to be stopped.

Why it holds: a run that is taken over leads to the same check as the end of a takeover. A gang with a member that waits and one that works is broken, and waits as a whole once the late run has ended. Members that are kept back after a takeover do not wait, so a gang that is being found member by member is left alone.

--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -203,6 +203,7 @@
             step.waiting.discard(index)
             if not step.waiting:
                 self.close_step(step)
+            self._ends.settle_gang(step, now)
         return run
 
     def note_started(self, run):
--- a/papayapick/jobs/ends.py
+++ b/papayapick/jobs/ends.py
@@ -96,13 +96,15 @@
         return bool(active) and all(run.attempt > attempt for run in active)
 
     def settle_gang(self, step, now):
-        """Stop a gang that was taken over without all of its members.
+        """Stop a gang that is at work without all of its members.
 
-        The owner before may have died between the orders of one gang; its members
-        would wait for the others until their time is over, and hold room.
+        The owner before may have died between the orders of one gang, or an order was
+        carried out late. Its members would wait for the others until their time is
+        over, and hold room, and the gang is not started without them.
         """
-        is_partial = step.waiting and step.active_runs()
-        if step.step.is_gang and is_partial and not step.job.is_final:
+        if not step.step.is_gang or step.job.is_final:
+            return
+        if step.waiting and step.active_runs():
             step.waiting.clear()
             self._book.close_step(step)
             self._break_gang(step, now)
--- a/tests/jobs/test_book.py
+++ b/tests/jobs/test_book.py
@@ -343,6 +343,22 @@
     assert _waiting(successor) == {(0, 0, 0), (0, 0, 1)}
 
 
+def test_member_that_was_started_late_does_not_keep_its_gang_from_starting(book):
+    """A gang stands still beside free workers until one member has waited in vain.
+
+    The order of that member had no answer and was carried out after its run had been
+    given up, while the whole gang waited to be placed. It was taken for the member.
+    """
+    book.add(_document(_step(2, is_gang=True)), QUEUE, 0.0)
+    runs = _begin_all(book, attempt=1)
+    for run in runs:
+        _end(book, run, "lapsed")
+    late = book.adopt(RunReport(runs[0].key, 1), "w1", 2.0)
+    assert late in book.to_stop
+    _end(book, late, "stopped")
+    assert _waiting(book) == {(0, 0, 0), (0, 0, 1)}
+
+
 def test_final_status_is_restored(book):
     job = book.add(_document(_step()), QUEUE, 0.0)
     book.cancel(ID, 1.0)
