Acknowledge no ends to a worker that may be in its next life

Cause: a worker that crashed and is back under its id numbers its ends from 1. Until a call was answered, its link acknowledged the ends of the life before. Such a call, without an answer, may be carried out seconds later, when the new life has ended tasks: it forgets ends that were never read. So did the look after a stop, whose answer then counts for nothing.

Evidence: test_silent_worker_is_told_to_forget_nothing and test_look_beside_the_waiting_call_has_nothing_forgotten; before, both acknowledged 57.

Why it holds: a worker remembers what it was told to forget, so a call that acknowledges nothing only lists ends once more that were taken note of. The link acknowledges again with the first call after an answer, whose life it knows. What is left: the one call by which the link finds the silence acknowledges as before, as nothing tells it of a crash.

--- a/papayapick/pool/links.py
+++ b/papayapick/pool/links.py
@@ -27,6 +27,8 @@
 # While the store is away ends can't be acknowledged, and a waiting call would
 # return at once with the same ends.
 _UNACKNOWLEDGED_SECONDS = 0.3
+# Acknowledges no end: they are numbered from 1.
+_NOTHING = 0
 _FENCED = 409
 _OTHER_LIFE = 421
 
@@ -165,7 +167,7 @@
         """Read both lists now, beside the call that waits for an end."""
         asked_at = self._clock.monotonic()
         try:
-            report = self.client.renew(self._epoch, self.acknowledged)
+            report = self.client.renew(self._epoch, _NOTHING)
         except (WorkerSilent, CheckFailed) as error:
             WORKER_UNSEEN.write(worker=self.worker, error=str(error))
             return
@@ -174,7 +176,10 @@
 
     def _ask(self):
         wait = self._wait_seconds()
-        acknowledged = self.acknowledged
+        # A worker that is silent may be in its next life, whose ends are numbered anew:
+        # it would forget ends that were never read. In the same life it is told again
+        # as soon as it answers.
+        acknowledged = _NOTHING if self.is_silent else self.acknowledged
         self._acknowledgement.clear()
         asked_at = self._clock.monotonic()
         # A call that gets no answer may still renew the lease. While the worker is
--- a/tests/pool/test_links.py
+++ b/tests/pool/test_links.py
@@ -24,6 +24,7 @@
     def __init__(self, clock):
         self.clock = clock
         self.leases = []
+        self.acknowledged = []
         self.answers = []
         self.calls_left = 0
 
@@ -32,6 +33,7 @@
             raise _EnoughCalls
         self.calls_left -= 1
         self.leases.append(lease_end)
+        self.acknowledged.append(acknowledged)
         answer = self.answers.pop(0) if self.answers else _report(self.clock)
         if isinstance(answer, Exception):
             raise answer
@@ -124,6 +126,32 @@
     assert link.client.leases[-1] is not None
 
 
+def test_silent_worker_is_told_to_forget_nothing(link):
+    """The next life of a worker forgets ends that nobody has read.
+
+    It crashed and is back under its id. Calls without an answer may be carried out
+    seconds later; those of its silence acknowledged the ends of the life before.
+    """
+    _run(link, 1)
+    link.processed = link.acknowledged = 57
+    link.client.answers = [WorkerSilent(worker="w1") for _ in range(3)]
+    _run(link, 5)
+    assert link.client.acknowledged == [0, 57, 0, 0, 0, 57]
+
+
+def test_look_beside_the_waiting_call_has_nothing_forgotten(link):
+    """The next life of a worker forgets ends that nobody has read.
+
+    A stop was answered by it before the link knew of it. The look after the stop
+    acknowledged the ends of the life before, and its answer counts for nothing.
+    """
+    _run(link, 1)
+    link.processed = link.acknowledged = 57
+    link.client.calls_left = 1
+    link.look_again()
+    assert link.client.acknowledged[-1] == 0
+
+
 def test_first_look_gives_no_lease_for_want_of_a_clock(link):
     _run(link, 1)
     assert link.client.leases == [None]
