Keep no task back for a worker whose life is over by its own address

Cause: a worker that was started anew under another id refuses calls for the old one. A new owner that had not heard the old one yet took note that nothing runs there any more, but went on keeping back what may run on a worker that has not answered, until the list of machines lacked it or the longest lease was over.

Evidence: test_task_is_not_kept_back_for_a_worker_whose_life_is_over; before, the task was not placed, with exact records and without.

Why it holds: the refusal names the life that was asked for as over, which is as sure as the list of machines that is trusted with the same. Orders to that life are refused there too, also those that are carried out late.

--- a/papayapick/pool/lists.py
+++ b/papayapick/pool/lists.py
@@ -102,6 +102,8 @@
         with self._owner.lock:
             self.lose_runs(link, "began anew")
             link.begin_life(born)
+            if not link.is_inventoried:
+                self._owner.settling.note_gone(link.worker, self._owner.now())
         self._owner.wake()
 
     def open_or_close(self, link):
--- a/tests/pool/test_settling.py
+++ b/tests/pool/test_settling.py
@@ -1,14 +1,18 @@
 """What is kept back as one owner follows another."""
 
+import pytest
+
 from papayapick.jobs import JobDocument, Step
 from papayapick.ledger import Amounts
 from tests.pool.owners import (
     ID,
     host_with_two_workers,
+    job,
     owner_of,
     place,
     register,
     report,
+    started_record,
     store_job,
 )
 
@@ -53,3 +57,19 @@
             break
         seconds += 3.5
     assert seconds < AWAY_SECONDS
+
+
+@pytest.mark.parametrize("is_journal_exact", [True, False])
+def test_task_is_not_kept_back_for_a_worker_whose_life_is_over(is_journal_exact):
+    """A count stands still after a takeover, though all workers have answered.
+
+    Another life answers at the address of the worker that ran it, and says so. The new
+    owner waited all the same, as for a worker that is cut off.
+    """
+    host = host_with_two_workers()
+    store_job(host, job(), started_record("w2"))
+    owner = owner_of(host, is_journal_exact=is_journal_exact)
+    report(owner, "w1")
+    assert place(owner) == []
+    owner.lists.note_rebirth(owner.links_by_worker["w2"], None)
+    assert [run.worker for run in place(owner)] == ["w1"]
