Ask all workers of a pool of more than 500

Found by reading: a task of a worker's link lasts as long as the link, and there were 512 for all links and loops of an owner.

Callers would see tasks of before stand still for 5.7 s after each takeover, and some workers of a large pool do nothing, without a line that tells why.

Evidence: test_all_workers_of_a_large_pool_are_asked, with 800 workers; before, it waited in vain for the last ones to be called.

Why it holds: threads are started as links are added, so a small pool has as many as before, and one of up to some 4,090 workers has one for each. What that many links cost in memory and processor time was not measured, and a larger pool meets the same bound.

--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -34,9 +34,9 @@
 
 __all__ = ["PoolOwner"]
 
-# A task for each worker, for each order under way and for each loop; idle ones
-# cost a small stack only.
-_TASKS = 512
+# A task for each worker, which lasts as long as its link, and for each loop. A worker
+# that finds none is never asked, nor used. Idle ones cost a small stack only.
+_TASKS = 4096
 # An order without an answer takes its thread for 0.35 s, a stop and the look after it
 # up to 1.2 s. Stops have threads of their own: those to workers that are cut off would
 # keep all starts from leaving until their tickets are too old.
--- a/tests/pool/test_orders.py
+++ b/tests/pool/test_orders.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from papayapick.clients.exceptions import AnswerMissing
 from papayapick.jobs import JobDocument, Queue, Run, RunPhase, Step, TaskKey
 from papayapick.ledger import Amounts
 from papayapick.ownership.pools import PoolRow
@@ -19,6 +20,7 @@
 SOON_SECONDS = 5.0
 # What is not done after this is not done at all: threads that are free begin at once.
 NEVER_SECONDS = 0.6
+LARGE_POOL = 800
 
 
 class Client:
@@ -235,3 +237,35 @@
     report(owner, "w0")
     assert not task.runs
     assert job.occurrences[0][0].waiting == {0}
+
+
+class Unanswering:
+    """Leave every call to a worker without an answer; note who was called."""
+
+    def __init__(self):
+        self.called = set()
+        self.let_go = threading.Event()
+
+    def request(self, method, url, *args, **options):
+        self.called.add(url)
+        self.let_go.wait(SOON_SECONDS)
+        raise AnswerMissing(url=url)
+
+
+def test_all_workers_of_a_large_pool_are_asked():
+    """Workers of a large pool are never used, and no line tells why.
+
+    Each worker takes a thread, and the last ones found none. Until the longest lease
+    was over, a new owner kept back all tasks that may run there.
+    """
+    host = Host()
+    host.worker_pool = Unanswering()
+    for number in range(LARGE_POOL):
+        register(host, f"w{number}")
+    owner = PoolOwner(host, PoolRow("pool", "h1", 3, "a:1", 9), True)
+    owner.sources.load()
+    try:
+        assert wait_until(lambda: len(host.worker_pool.called) == LARGE_POOL)
+    finally:
+        owner.stop()
+        host.worker_pool.let_go.set()
