Take in no list of another life than the worker's link knows

Callers would see a task stand still for ever, or one that is done run again.

Cause: a stop is followed by a look at its worker beside the link's own call. Whether the answer is of the worker's present life was asked before the lock was taken. If the link found a new life under the same id in between, the ends of the one before were taken in after it: the number of the last one stood for the new life, whose ends are numbered from 1, and all of these up to that number were taken for known.

Evidence: test_list_of_the_life_before_hides_no_end_of_the_next plays that order; before, the end as done of the new life was passed over.

Why it holds: the life is compared under the lock under which a new one begins.

--- a/papayapick/pool/lists.py
+++ b/papayapick/pool/lists.py
@@ -59,7 +59,7 @@
         """
         with self._owner.lock:
             room = self._owner.rooms.get(link.worker)
-            if room is None:
+            if room is None or self._is_of_other_life(link, report):
                 return
             now = self._owner.now()
             for end in report.ends:
@@ -86,6 +86,16 @@
         if has_ends or self._owner.book.changed:
             self._owner.journal.wake()
 
+    @staticmethod
+    def _is_of_other_life(link, report):
+        """Return whether a list is not of the life that its worker is known to be in.
+
+        One that was asked for beside the link's own call may wait for the lock while a
+        new life begins. The number of its last end would have the ends of the new life,
+        which are numbered anew, taken for known.
+        """
+        return link.born is not None and report.born != link.born
+
     def note_silence(self, link):
         """Close a worker that did not answer."""
         with self._owner.lock:
--- a/tests/pool/test_links.py
+++ b/tests/pool/test_links.py
@@ -3,6 +3,7 @@
 import pytest
 
 from papayapick.clock import ManualClock
+from papayapick.jobs import JobStatus, TaskKey
 from papayapick.ledger import Amounts
 from papayapick.platform.exceptions import CheckFailed, WorkerSilent
 from papayapick.pool.links import LEASE_SECONDS, WorkerLink
@@ -12,7 +13,7 @@
     StartOutcome,
     WorkerReport,
 )
-from tests.pool.owners import KEY, job, owner_with, waiting_tasks
+from tests.pool.owners import ID, KEY, job, owner_with, place, waiting_tasks
 
 OTHER_LIFE = 421
 FENCED = 409
@@ -268,3 +269,23 @@
     host.clock.advance(0.1)
     link._ask()
     assert waiting_tasks(owner) == 1
+
+
+def test_list_of_the_life_before_hides_no_end_of_the_next():
+    """A task stands still for ever: its end was listed, and taken for known.
+
+    A list that was asked for after a stop waited for the lock while the worker was
+    found to be in a new life. It brought 57 ends; the new life numbers its own anew.
+    """
+    host, owner = owner_with(job())
+    owner.rooms.get("w2").is_open = False
+    link = owner.links_by_worker["w1"]
+    now = host.clock.monotonic()
+    owner.lists.note_rebirth(link, 2)
+    other = TaskKey("0" * 16, 0, 0, 0)
+    ends = [EndReport(number, other, 1, "done") for number in range(1, 58)]
+    owner.lists.note_report(link, WorkerReport(50.0, 1, [], ends), now)
+    (run,) = place(owner)
+    ends = [EndReport(1, KEY, run.attempt, "done")]
+    owner.lists.note_report(link, WorkerReport(50.0, 2, [], ends), now)
+    assert owner.book.get(ID).status == JobStatus.COMPLETED
