Do not give up a run that the next life of its worker lists

Callers would see a task run twice at a time.

Cause: a start can reach a worker that has crashed and is back under its id before the link knows of it, as one that is carried out late does. The link then gave up all runs of the worker, let go of the lock and woke the loop of decisions, and only after that took in the list by which it had found the new life. In between the task could be placed elsewhere; the run that was listed then was a second one.

Evidence: test_run_that_the_next_life_has_begun_is_not_placed_again lets the owner decide whenever it is woken; before, the task was placed again, for a run that was listed and for one whose end as done was.

Why it holds: what the list that shows the new life names, as running or as ended, was begun in that life, so it is not given up. All else is, as before. What is left: a start that reaches the new life after that list was made, before it was read.

--- a/papayapick/pool/links.py
+++ b/papayapick/pool/links.py
@@ -194,8 +194,10 @@
         self._clock_read_at = self._clock.monotonic()
         if self.born is not None and report.born != self.born:
             # It crashed and started again under its id: nothing of before runs,
-            # and its ends are numbered anew.
-            self._listener.note_rebirth(self, report.born)
+            # and its ends are numbered anew. What it lists it was given since.
+            listed = report.runs + report.ends
+            names = {(one.key, one.attempt) for one in listed}
+            self._listener.note_rebirth(self, report.born, names)
         self.born = report.born
         self._note_word()
         self._listener.note_report(self, report, asked_at)
--- a/papayapick/pool/lists.py
+++ b/papayapick/pool/lists.py
@@ -107,10 +107,19 @@
         self._owner.standing.doubt()
         self._owner.host.look_at_owner(self._owner)
 
-    def note_rebirth(self, link, born):
-        """Take note that all that ran on a worker is gone, and of its new life."""
+    def note_rebirth(self, link, born, listed=frozenset()):
+        """Take note that what ran on a worker is gone, and of its new life.
+
+        Parameters
+        ----------
+        link : WorkerLink
+        born : int or None
+        listed : set of tuple, optional
+            Names of the runs that the new life has begun, ended ones too. Given up
+            until its list is taken in, they would be placed again, and run twice.
+        """
         with self._owner.lock:
-            self.lose_runs(link, "began anew")
+            self._lose(link, "began anew", lambda run: run.name not in listed)
             link.begin_life(born)
             if not link.is_inventoried:
                 self._owner.settling.note_gone(link.worker, self._owner.now())
--- a/tests/pool/test_links.py
+++ b/tests/pool/test_links.py
@@ -10,6 +10,7 @@
 from papayapick.pool.reports import (
     EndReport,
     Registration,
+    RunReport,
     StartOutcome,
     WorkerReport,
 )
@@ -60,7 +61,7 @@
     def note_silence(self, link):
         self.events.append("silence")
 
-    def note_rebirth(self, link, born):
+    def note_rebirth(self, link, born, listed=frozenset()):
         link.begin_life(born)
         self.events.append("rebirth")
 
@@ -218,6 +219,7 @@
         self._clock = clock
         self.born = 1
         self.ends = []
+        self.runs = []
         self.is_late = False
         self._forgets_late = 0
 
@@ -226,7 +228,8 @@
             self._forgets_late = max(self._forgets_late, acknowledged)
             raise WorkerSilent(worker="w1")
         self._forget(acknowledged)
-        return WorkerReport(self._clock.monotonic(), self.born, [], list(self.ends))
+        clock = self._clock.monotonic()
+        return WorkerReport(clock, self.born, list(self.runs), list(self.ends))
 
     def start(self, run, *rest):
         return StartOutcome.STARTED
@@ -289,3 +292,40 @@
     ends = [EndReport(1, KEY, run.attempt, "done")]
     owner.lists.note_report(link, WorkerReport(50.0, 2, [], ends), now)
     assert owner.book.get(ID).status == JobStatus.COMPLETED
+
+
+class PlacingAtOnce:
+    """Let the owner decide each time that it is woken."""
+
+    def __init__(self, owner):
+        self._owner = owner
+        self.placed = []
+
+    def set(self):
+        self.placed += place(self._owner)
+
+
+@pytest.mark.parametrize("has_ended", [False, True])
+def test_run_that_the_next_life_has_begun_is_not_placed_again(has_ended):
+    """A task runs twice: its order reached a worker that had crashed and was back.
+
+    Its link found the new life and gave up all runs of the worker, then took in the
+    list that showed this one. In between the task was placed on another worker.
+    """
+    host, owner = owner_with(job())
+    link = owner.links_by_worker["w1"]
+    link.client = worker = LateWorker(host.clock)
+    link._ask()
+    owner.rooms.get("w2").is_open = False
+    (run,) = place(owner)
+    owner.rooms.get("w2").is_open = True
+    worker.begin_again()
+    if has_ended:
+        worker.ends = [EndReport(1, *run.name, "done")]
+    else:
+        worker.runs = [RunReport(*run.name)]
+    owner._wakeup = decider = PlacingAtOnce(owner)
+    link._clock = host.clock = _NoWait(host.clock.monotonic())
+    link._ask()
+    assert decider.placed == []
+    assert owner.book.step_of(KEY).tasks[0].is_done == has_ended
