Keep on record where a task may run that is kept back

Cause: a new owner keeps back a task that may run at a worker which has not answered. It has no run of it, and the worker of a start was recorded only for tasks with a run. So as soon as anything else of the job was recorded, the record said that the task ran nowhere. With records that are vouched for, the next owner placed it at once, while it ran on behind the cut.

Evidence: test_task_that_is_kept_back_stays_on_record_for_the_next_owner; before, the second owner placed the task.

Why it holds: the worker of the last start stays with a task until the task is known to run nowhere (its end, a start that did not come about, or the end of its being kept back), and is recorded as long as it is there. A member of a gang that has ended before the others keeps it too: a successor may wait for a worker in vain, never place what runs.

--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -253,6 +253,7 @@
         for step, index in clear:
             task = step.tasks[index]
             if not (task.is_done or task.runs or step.job.is_final):
+                task.place = ""
                 self._wait(step, index)
         for step in {step for step, _ in clear}:
             if not self._held.has_step(step):
@@ -302,12 +303,13 @@
                 step.is_ready = True
                 step.ready_at = now
                 for index, task in enumerate(step.tasks):
-                    if not task.is_done and not task.runs:
-                        self.wait_again(step, index)
+                    if not (task.is_done or task.runs or self._held.takes(step, index)):
+                        self._wait(step, index)
 
     def wait_again(self, step, index):
-        """Let a task wait for a worker, unless it is kept back."""
+        """Let a task wait that runs nowhere any more, unless it is kept back."""
         if not self._held.takes(step, index):
+            step.tasks[index].place = ""
             self._wait(step, index)
 
     def close_step(self, step):
--- a/papayapick/jobs/records.py
+++ b/papayapick/jobs/records.py
@@ -55,7 +55,7 @@
             continue
         if task.attempt:
             record.setdefault("attempts", {})[index] = task.attempt
-        if task.runs:
+        if task.place:
             record.setdefault("places", {})[index] = task.place
         if task.failed_attempts:
             record.setdefault("failed", {})[index] = sorted(task.failed_attempts)
--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -44,8 +44,8 @@
     stuck_since : float or None
         Monotonic seconds since when it finds no room but where it has failed.
     place : str
-        Worker of its last start; empty before the first. After a takeover the
-        task may still run there.
+        Worker of its last start; empty while it waits for one. It may run there, also
+        where it is kept back after a takeover, so a successor must know of it.
     """
 
     __slots__ = (
--- a/tests/pool/test_settling.py
+++ b/tests/pool/test_settling.py
@@ -1,11 +1,15 @@
 """What is kept back as one owner follows another."""
 
+import json
+
 import pytest
 
-from papayapick.jobs import JobDocument, Step
+from papayapick.jobs import JobDocument, Step, progress_record
 from papayapick.ledger import Amounts
+from papayapick.pool.journal import PROGRESS_TABLE
 from tests.pool.owners import (
     ID,
+    KEY,
     host_with_two_workers,
     job,
     owner_of,
@@ -73,3 +77,27 @@
     assert place(owner) == []
     owner.lists.note_rebirth(owner.links_by_worker["w2"], None)
     assert [run.worker for run in place(owner)] == ["w1"]
+
+
+def test_task_that_is_kept_back_stays_on_record_for_the_next_owner():
+    """A task runs twice after two takeovers beside a worker that is cut off.
+
+    The first new owner kept the task back, and recorded the progress of another task of
+    the job without the worker of this one. The next owner placed it at once.
+    """
+    host = host_with_two_workers()
+    register(host, "w3")
+    record = started_record("w1", attempts={"0": 1, "1": 1})
+    record["occurrences"]["0"][0]["places"] = {"0": "w1", "1": "w2"}
+    store_job(host, job(tasks=2), record)
+    first = owner_of(host)
+    report(first, "w2", ends=[(KEY._replace(index=1), 1, "done")])
+    state = first.book.get(ID)
+    host.rows[(PROGRESS_TABLE, "pool")].clear()
+    host.put(PROGRESS_TABLE, "pool", ID, json.loads(json.dumps(progress_record(state))))
+    second = owner_of(host)
+    report(second, "w2")
+    report(second, "w3")
+    assert place(second) == []
+    report(second, "w1", runs=[(KEY, 1)])
+    assert place(second) == []
