Keep a late run from hiding where a task is at work

Callers would see the same.

Cause: a run that a worker lists and this owner did not start became the place of its task, also where the task ran on another worker, or was kept back for one: a start that is carried out late makes such a run. It was stopped; but the next owner, or this one while it kept the task back, looked for the task at that worker only, and placed it while it ran on behind the cut of the other.

Evidence: test_late_run_beside_another_does_not_hide_where_that_one_is and test_older_run_does_not_free_a_task_that_is_kept_back failed before.

Why it holds: the place of a task is the worker of its run, or of its last start on record while it has none. A run beside another, or older than the start on record, changes it only when it is the only one left.

--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -190,8 +190,11 @@
         # What it had done before this owner saw it is not known.
         run.is_resumed = True
         task = step.tasks[index]
+        if not task.runs and (attempt >= task.attempt or not task.place):
+            # A run beside another, or older than the start on record, is found where an
+            # order came late; a successor must look for the one that it came beside.
+            task.place = worker
         task.attempt = max(task.attempt, attempt)
-        task.place = worker
         is_second = bool(task.runs) and not step.step.allows_copies
         task.runs.append(run)
         # Its start may have left without a record.
@@ -252,7 +255,9 @@
         clear = self._held.let_go(is_clear)
         for step, index in clear:
             task = step.tasks[index]
-            if not (task.is_done or task.runs or step.job.is_final):
+            if task.runs:
+                task.place = task.runs[0].worker
+            elif not (task.is_done or step.job.is_final):
                 task.place = ""
                 self._wait(step, index)
         for step in {step for step, _ in clear}:
@@ -331,9 +336,12 @@
         step = self.step(run.key)
         if step is None:
             return
-        runs = step.tasks[run.key.index].runs
-        if run in runs:
-            runs.remove(run)
+        task = step.tasks[run.key.index]
+        if run not in task.runs:
+            return
+        task.runs.remove(run)
+        if task.runs and task.place == run.worker:
+            task.place = task.runs[0].worker
 
     def step(self, key):
         """Return the step of a task, or None where there is none."""
--- a/tests/jobs/test_book.py
+++ b/tests/jobs/test_book.py
@@ -326,6 +326,35 @@
     assert book.to_stop == [late]
 
 
+def _places(job):
+    (step,) = progress_record(job)["occurrences"]["0"]
+    return step.get("places", {})
+
+
+def test_late_run_beside_another_does_not_hide_where_that_one_is(book):
+    """A task runs twice after a takeover beside a worker that is cut off.
+
+    An order that was carried out late had begun it on a second worker. That one stood
+    on record from then on, and the next owner placed the task while the first was cut.
+    """
+    job = book.add(_document(_step()), QUEUE, 0.0)
+    (run,) = _begin_all(book)
+    late = book.adopt(RunReport(TaskKey(ID, 0, 0, 0), 9), "w2", 2.0)
+    assert _places(job) == {0: "w1"}
+    _end(book, late, "stopped")
+    assert _places(job) == {0: "w1"}
+    _end(book, run, "failed")
+    assert _places(job) == {}
+
+
+def test_late_run_is_on_record_once_it_is_the_only_one(book):
+    job = book.add(_document(_step()), QUEUE, 0.0)
+    (run,) = _begin_all(book)
+    book.adopt(RunReport(TaskKey(ID, 0, 0, 0), 9), "w2", 2.0)
+    _end(book, run, "failed")
+    assert _places(job) == {0: "w2"}
+
+
 def test_gang_taken_over_in_part_is_stopped(book):
     """Members of a gang hold room until their time is over.
 
--- a/tests/pool/test_settling.py
+++ b/tests/pool/test_settling.py
@@ -101,3 +101,21 @@
     assert place(second) == []
     report(second, "w1", runs=[(KEY, 1)])
     assert place(second) == []
+
+
+def test_older_run_does_not_free_a_task_that_is_kept_back():
+    """A task runs twice after a takeover beside a worker that is cut off.
+
+    An order that was carried out late had begun an older run of it on a second worker,
+    which answered the new owner; the run on record went on behind the cut.
+    """
+    host = host_with_two_workers()
+    store_job(host, job(), started_record("w1", attempts={"0": 2}))
+    owner = owner_of(host)
+    report(owner, "w2", runs=[(KEY, 1)])
+    host.clock.advance(0.1)
+    report(owner, "w2", ends=[(KEY, 1, "stopped")])
+    owner.tick(host.clock.monotonic())
+    assert place(owner) == []
+    report(owner, "w1", runs=[(KEY, 2)])
+    assert place(owner) == []
