--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -43,8 +43,8 @@
         self._live = {}
         # Steps that are ready and have a task waiting, by key.
         self._open_steps = {}
-        self._held = HeldTasks()
         self._ends = Ends(self)
+        self._held = HeldTasks(self, self._ends)
         self._schedule = Schedule()
         self.changed = set()
         self.news = set()
@@ -191,8 +191,11 @@
         run.is_resumed = True
         run.pace = None
         task = step.tasks[index]
+        if not task.runs and (attempt >= task.attempt or not task.place):
+            # A run beside another, or older than the start on record, is found where an
+            # order came late; a successor must look for the one that it came beside.
+            task.place = worker
         task.attempt = max(task.attempt, attempt)
-        task.place = worker
         is_second = bool(task.runs) and not step.step.allows_copies
         task.runs.append(run)
         # Its start may have left without a record.
@@ -204,6 +207,7 @@
             step.waiting.discard(index)
             if not step.waiting:
                 self.close_step(step)
+            self._ends.settle_gang(step, now)
         return run
 
     def note_started(self, run):
@@ -233,12 +237,6 @@
             Takes a TaskState; returns whether its task is kept back.
         """
         self._held.begin(is_held, self._jobs)
-        for step in self.waiting_steps():
-            for index in list(step.waiting):
-                if self._held.takes(step, index):
-                    step.waiting.discard(index)
-            if not step.waiting:
-                self.close_step(step)
 
     def let_go(self, is_clear, now):
         """Let tasks wait for a worker that were kept back.
@@ -249,14 +247,7 @@
             Takes a TaskState; returns whether its task runs nowhere unseen.
         now : float
         """
-        clear = self._held.let_go(is_clear)
-        for step, index in clear:
-            task = step.tasks[index]
-            if not (task.is_done or task.runs or step.job.is_final):
-                self._wait(step, index)
-        for step in {step for step, _ in clear}:
-            if not self._held.has_step(step):
-                self._ends.settle_gang(step, now)
+        self._held.let_go(is_clear, now)
 
     def let_all_go(self, now):
         """Keep nothing back any more."""
@@ -302,20 +293,22 @@
                 step.is_ready = True
                 step.ready_at = now
                 for index, task in enumerate(step.tasks):
-                    if not task.is_done and not task.runs:
-                        self.wait_again(step, index)
+                    if not (task.is_done or task.runs or self._held.takes(step, index)):
+                        self.wait(step, index)
 
     def wait_again(self, step, index):
-        """Let a task wait for a worker, unless it is kept back."""
+        """Let a task wait that runs nowhere any more, unless it is kept back."""
         if not self._held.takes(step, index):
-            self._wait(step, index)
+            step.tasks[index].place = ""
+            self.wait(step, index)
 
     def close_step(self, step):
         """Take a step off those that wait for workers."""
         step.held_on.clear()
         self._open_steps.pop(step.key, None)
 
-    def _wait(self, step, index):
+    def wait(self, step, index):
+        """Let a task wait for a worker, whatever is kept back."""
         step.waiting.add(index)
         self._open_steps[step.key] = step
 
@@ -329,9 +322,12 @@
         step = self.step(run.key)
         if step is None:
             return
-        runs = step.tasks[run.key.index].runs
-        if run in runs:
-            runs.remove(run)
+        task = step.tasks[run.key.index]
+        if run not in task.runs:
+            return
+        task.runs.remove(run)
+        if task.runs and task.place == run.worker:
+            task.place = task.runs[0].worker
 
     def step(self, key):
         """Return the step of a task, or None where there is none."""
--- a/papayapick/jobs/ends.py
+++ b/papayapick/jobs/ends.py
@@ -72,30 +72,44 @@
                 # than this owner saw: sound runs beside it would seem slow.
                 if not run.is_resumed:
                     step.note_done_run(run.worked_seconds(now))
-            self._note_done(step, key.index, now)
+            self._note_done(step, key.index, attempt, now)
             return
         if outcome == _FAILED:
             self._note_failure(step, key, attempt, worker, now)
         if step.job.is_final:
             return
         if step.step.is_gang:
-            self._break_gang(step, now)
+            if not self._is_of_earlier_run(step, attempt):
+                self._break_gang(step, now)
         elif not task.runs:
             self._book.wait_again(step, key.index)
 
+    @staticmethod
+    def _is_of_earlier_run(step, attempt):
+        """Return whether a gang is at work that was started after a run of it.
+
+        An end may come long after its run was given up, as its worker is back, and a
+        list that was overtaken shows a run once more. It says nothing of the members at
+        work, which would all be stopped, and lose what they have done.
+        """
+        active = step.active_runs()
+        return bool(active) and all(run.attempt > attempt for run in active)
+
     def settle_gang(self, step, now):
-        """Stop a gang that was taken over without all of its members.
+        """Stop a gang that is at work without all of its members.
 
-        The owner before may have died between the orders of one gang; its members
-        would wait for the others until their time is over, and hold room.
+        The owner before may have died between the orders of one gang, or an order was
+        carried out late. Its members would wait for the others until their time is
+        over, and hold room, and the gang is not started without them.
         """
-        is_partial = step.waiting and step.active_runs()
-        if step.step.is_gang and is_partial and not step.job.is_final:
+        if not step.step.is_gang or step.job.is_final:
+            return
+        if step.waiting and step.active_runs():
             step.waiting.clear()
             self._book.close_step(step)
             self._break_gang(step, now)
 
-    def _note_done(self, step, index, now):
+    def _note_done(self, step, index, attempt, now):
         indexes = range(len(step.tasks)) if step.step.is_gang else (index,)
         for number in indexes:
             task = step.tasks[number]
@@ -104,9 +118,13 @@
             task.is_done = True
             step.left -= 1
             step.waiting.discard(number)
-            if not step.step.is_gang:
-                # The members of a gang end together; copies must be told to.
-                self._book.to_stop += task.runs
+            # The members of a gang end together. Copies must be told to, and so must
+            # a gang that was started again before this end came.
+            self._book.to_stop += [
+                run
+                for run in task.runs
+                if run.attempt != attempt or not step.step.is_gang
+            ]
         if not step.waiting:
             self._book.close_step(step)
         if step.is_done:
--- a/papayapick/jobs/held.py
+++ b/papayapick/jobs/held.py
@@ -4,11 +4,19 @@
 
 
 class HeldTasks:
-    """Keep back tasks that an earlier owner may have started."""
+    """Keep back tasks that an earlier owner may have started.
 
-    __slots__ = ("_is_held", "_jobs", "_tasks")
+    Parameters
+    ----------
+    book : JobBook
+    ends : Ends
+    """
 
-    def __init__(self):
+    __slots__ = ("_book", "_ends", "_is_held", "_jobs", "_tasks")
+
+    def __init__(self, book, ends):
+        self._book = book
+        self._ends = ends
         # As (step, index).
         self._tasks = set()
         # What is kept back of steps that become ready, and of which jobs; None when
@@ -31,6 +39,12 @@
         """
         self._is_held = is_held
         self._jobs = set(jobs)
+        for step in self._book.waiting_steps():
+            for index in list(step.waiting):
+                if self.takes(step, index):
+                    step.waiting.discard(index)
+            if not step.waiting:
+                self._book.close_step(step)
 
     def end(self):
         """Keep back no more; what is kept back stays so until it is let go."""
@@ -49,24 +63,29 @@
         self._tasks.add((step, index))
         return True
 
-    def let_go(self, is_clear):
-        """Return the tasks that need not be kept back any more, and forget them.
+    def let_go(self, is_clear, now):
+        """Let tasks wait for a worker that need not be kept back any more.
 
         Parameters
         ----------
         is_clear : callable
             Takes a TaskState.
-
-        Returns
-        -------
-        list of tuple of (StepState, int)
+        now : float
         """
         clear = [
             (step, index) for step, index in self._tasks if is_clear(step.tasks[index])
         ]
         self._tasks.difference_update(clear)
-        return clear
+        for step, index in clear:
+            self._free(step, index)
+        for step in {step for step, _ in clear}:
+            if not any(held is step for held, _ in self._tasks):
+                self._ends.settle_gang(step, now)
 
-    def has_step(self, step):
-        """Return whether any task of a step is kept back."""
-        return any(held is step for held, _ in self._tasks)
+    def _free(self, step, index):
+        task = step.tasks[index]
+        if task.runs:
+            task.place = task.runs[0].worker
+        elif not (task.is_done or step.job.is_final):
+            task.place = ""
+            self._book.wait(step, index)
--- a/papayapick/jobs/runs.py
+++ b/papayapick/jobs/runs.py
@@ -44,6 +44,7 @@
     """
 
     __slots__ = (
+        "answered_at",
         "attempt",
         "checkpoint",
         "demand",
@@ -90,6 +91,8 @@
         self.pace = _PACE_AT_START
         # An order on its pace had no answer: it may be carried out at any time.
         self.has_lost_pace = False
+        # Monotonic seconds of its worker's answer that it runs, or None.
+        self.answered_at = None
         # A worker has listed it.
         self.was_seen = False
         # A later list has shown it too.
@@ -129,6 +132,17 @@
         """Return whether its worker is known to have begun it."""
         return self.was_seen or self.phase == RunPhase.RUNNING
 
+    def was_there(self, asked_at):
+        """Return whether its worker ran it before a list was asked for.
+
+        Parameters
+        ----------
+        asked_at : float
+            Monotonic seconds.
+        """
+        known_at = self.percent_at if self.was_seen else self.answered_at
+        return known_at is not None and known_at < asked_at
+
     @property
     def name(self):
         """Return key and attempt, which name the run on its worker."""
--- a/papayapick/pool/lists.py
+++ b/papayapick/pool/lists.py
@@ -59,7 +59,7 @@
         """
         with self._owner.lock:
             room = self._owner.rooms.get(link.worker)
-            if room is None:
+            if room is None or self._is_of_other_life(link, report):
                 return
             now = self._owner.now()
             for end in report.ends:
@@ -68,14 +68,16 @@
             if asked_at >= link.newest_asked_at:
                 link.newest_asked_at = asked_at
                 self._take_runs(link, room, report, now)
-                self._drop_vanished(room, report, asked_at, now)
+                if not report.has_more_ends:
+                    self._drop_vanished(room, report, asked_at, now)
             if not link.is_inventoried:
                 link.is_inventoried = True
                 # What an earlier owner started there is under a lease that it gave.
                 link.lapse_at = max(link.lapse_at, self._owner.taken_at + QUIET_SECONDS)
                 self._owner.settling.note_inventory(now)
             self.open_or_close(link)
-            self._drop_stopped(room, report, asked_at, now)
+            if not report.has_more_ends:
+                self._drop_stopped(room, report, asked_at, now)
             for run, percent in self._pacer.decide(room, now):
                 self._owner.orders.pace(link, run, percent)
             self._owner.orders.stop_unneeded()
@@ -84,6 +86,16 @@
         if has_ends or self._owner.book.changed:
             self._owner.journal.wake()
 
+    @staticmethod
+    def _is_of_other_life(link, report):
+        """Return whether a list is not of the life that its worker is known to be in.
+
+        One that was asked for beside the link's own call may wait for the lock while a
+        new life begins. The number of its last end would have the ends of the new life,
+        which are numbered anew, taken for known.
+        """
+        return link.born is not None and report.born != link.born
+
     def note_silence(self, link):
         """Close a worker that did not answer."""
         with self._owner.lock:
@@ -95,11 +107,22 @@
         self._owner.standing.doubt()
         self._owner.host.look_at_owner(self._owner)
 
-    def note_rebirth(self, link, born):
-        """Take note that all that ran on a worker is gone, and of its new life."""
+    def note_rebirth(self, link, born, listed=frozenset()):
+        """Take note that what ran on a worker is gone, and of its new life.
+
+        Parameters
+        ----------
+        link : WorkerLink
+        born : int or None
+        listed : set of tuple, optional
+            Names of the runs that the new life has begun, ended ones too. Given up
+            until its list is taken in, they would be placed again, and run twice.
+        """
         with self._owner.lock:
-            self.lose_runs(link, "began anew")
+            self._lose(link, "began anew", lambda run: run.name not in listed)
             link.begin_life(born)
+            if not link.is_inventoried:
+                self._owner.settling.note_gone(link.worker, self._owner.now())
         self._owner.wake()
 
     def open_or_close(self, link):
@@ -168,15 +191,16 @@
                 self._owner.book.note_checkpoint(run)
 
     def _drop_vanished(self, room, report, asked_at, now):
-        """Give up runs that a worker listed once and lists no more.
+        """Give up runs that a worker said it runs, and lists no more.
 
         Lists asked for on two connections may overtake each other: an old one
         shows a run whose end was taken note of, and nothing more is heard of it.
-        Its task would wait for that end for ever.
+        Its task would wait for that end for ever. Not where the worker holds back
+        ends: that of a run which is done may be among them, and it would run again.
         """
         listed = {(found.key, found.attempt) for found in report.runs}
         for run in list(room.runs.values()):
-            if run.was_seen and run.percent_at < asked_at and run.name not in listed:
+            if run.was_there(asked_at) and run.name not in listed:
                 RUN_VANISHED.write(**run_fields(run))
                 room.release(run)
                 self._owner.book.end(
@@ -187,7 +211,8 @@
         """Give back what was stopped before it started.
 
         A stop that was answered makes a later start of the run fail; a list asked
-        for after that, with the run in neither part, shows that it never ran.
+        for after that, with the run in neither part, shows that it never ran, unless
+        the worker holds back ends: then it may have ended as done.
         """
         listed = {(found.key, found.attempt) for found in report.runs}
         for run in list(room.runs.values()):
--- a/papayapick/pool/orders.py
+++ b/papayapick/pool/orders.py
@@ -1,8 +1,11 @@
 """Send orders to workers and tell the owner what became of them."""
 
+import functools
+
 from papayapick.jobs.runs import RunPhase
 from papayapick.platform.exceptions import CheckFailed, WorkerSilent
 from papayapick.pool.events import (
+    ORDER_FAILED,
     ORDERS_HELD_UP,
     PACE_NOT_SET,
     PACE_SET,
@@ -16,6 +19,19 @@
 __all__ = ["Orders", "Start"]
 
 
+def _logged(send):
+    """Write a line for an error that nobody foresaw, as nobody reads the future."""
+
+    @functools.wraps(send)
+    def run(self, link, *args):
+        try:
+            send(self, link, *args)
+        except Exception:
+            ORDER_FAILED.write_failure(worker=link.worker)
+
+    return run
+
+
 class Start:
     """Hold a start that is to be ordered.
 
@@ -120,6 +136,7 @@
                 return
             now = self._owner.now()
             if outcome == StartOutcome.STARTED:
+                run.answered_at = now
                 self._owner.book.note_started(run)
             elif outcome == StartOutcome.UNKNOWN:
                 if run.phase == RunPhase.ORDERED:
@@ -180,13 +197,16 @@
             if not self._owner.is_stopped:
                 executor.submit(step, *args)
 
+    @_logged
     def _start(self, link, start):
         owner, run = self._owner, start.run
         with owner.lock:
             self._starts_waiting -= 1
-            # Stopped before it was sent, or this process is not sure any more
-            # that it owns the pool: the order must not leave.
-            may_send = run.phase == RunPhase.ORDERED and owner.may_act()
+            # Stopped before it was sent, given up with its worker's life, or this
+            # process is not sure any more that it owns the pool: the order must not
+            # leave. A run that was given up has been placed again, and would run twice.
+            is_wanted = run.phase == RunPhase.ORDERED and self._is_there(link, run)
+            may_send = is_wanted and owner.may_act()
             # The record took longer than the ticket lasts.
             may_send = may_send and owner.now() < start.usable_until
             lease_end = link.lease_end() if may_send else None
@@ -195,16 +215,27 @@
         if lease_end is None:
             outcome = StartOutcome.NOT_SENT
         else:
-            outcome = link.client.start(
-                run,
+            outcome = self._send_start(link, start, lease_end)
+        self.note_start(link, run, outcome)
+
+    def _send_start(self, link, start, lease_end):
+        try:
+            return link.client.start(
+                start.run,
                 start.payload,
                 lease_end,
-                owner.row.epoch,
+                self._owner.row.epoch,
                 start.checkpoint,
                 start.ticket,
             )
-        self.note_start(link, run, outcome)
+        except Exception:
+            # A failure that nobody foresaw, as in reading the answer. Without an
+            # outcome the run would stay ordered for ever: it is on no list, and its
+            # task waits for its end. As one without an answer it is stopped first.
+            ORDER_FAILED.write_failure(worker=link.worker)
+            return StartOutcome.UNKNOWN
 
+    @_logged
     def _stop(self, link, run):
         try:
             if self._is_there(link, run):
@@ -235,6 +266,7 @@
             # list asked for from now on shows that its room is free.
             link.look_again()
 
+    @_logged
     def _pace(self, link, run, percent):
         try:
             link.client.pace(run.key, run.attempt, percent, self._owner.row.epoch)
--- a/tests/jobs/test_book.py
+++ b/tests/jobs/test_book.py
@@ -175,6 +175,58 @@
     assert {task.attempt for task in tasks} == {1}
 
 
+def test_late_end_as_done_stops_a_gang_that_was_started_again(book):
+    """A gang that is done is started again, and works on with nobody to need it.
+
+    Its worker was cut off past its lease, so all members were given up and placed
+    again; then the worker was back, with the end of the first run as done.
+    """
+    job = book.add(_document(_step(2, is_gang=True)), QUEUE, 0.0)
+    runs = _begin_all(book, attempt=1)
+    for run in runs:
+        _end(book, run, "lapsed")
+    again = _begin_all(book, worker="w2", attempt=2)
+    book.end(runs[0].key, 1, "done", "", "w1", 3.0)
+    assert job.status == JobStatus.COMPLETED
+    assert set(book.to_stop) >= set(again)
+
+
+@pytest.mark.parametrize("outcome", ["lapsed", "failed", "stopped", "broken", "alone"])
+def test_late_end_leaves_a_gang_alone_that_was_started_again(book, outcome):
+    """A gang is stopped and started again each time that a worker is back.
+
+    Its workers were cut off past their leases, so all members were given up and placed
+    again. Each that was back listed the end of the first run, which broke the second.
+    """
+    job = book.add(_document(_step(2, is_gang=True)), QUEUE, 0.0)
+    runs = _begin_all(book, attempt=1)
+    for run in runs:
+        _end(book, run, "lapsed")
+    _begin_all(book, worker="w2", attempt=2)
+    book.to_stop.clear()
+    book.end(runs[0].key, 1, outcome, "", "w1", 3.0)
+    assert book.to_stop == []
+    assert _waiting(book) == set()
+    failures = job.occurrences[0][0].tasks[0].failures
+    assert failures == (1 if outcome == "failed" else 0)
+
+
+def test_gang_that_is_broken_waits_for_members_of_all_its_runs(book):
+    """Two runs of a gang overlap: an order that was carried out late joined them."""
+    book.add(_document(_step(2, is_gang=True)), QUEUE, 0.0)
+    runs = _begin_all(book, attempt=1)
+    for run in runs:
+        _end(book, run, "lapsed")
+    first, second = _begin_all(book, worker="w2", attempt=2)
+    late = book.adopt(RunReport(runs[0].key, 1), "w1", 2.0)
+    assert late in book.to_stop
+    _end(book, first, "failed")
+    _end(book, second, "broken")
+    assert _waiting(book) == set()
+    _end(book, late, "stopped")
+    assert _waiting(book) == {(0, 0, 0), (0, 0, 1)}
+
+
 def test_failures_of_a_gang_count_once_each_run(book):
     job = book.add(_document(_step(2, is_gang=True)), QUEUE, 0.0)
     for attempt in (1, 2):
@@ -274,6 +326,35 @@
     assert book.to_stop == [late]
 
 
+def _places(job):
+    (step,) = progress_record(job)["occurrences"]["0"]
+    return step.get("places", {})
+
+
+def test_late_run_beside_another_does_not_hide_where_that_one_is(book):
+    """A task runs twice after a takeover beside a worker that is cut off.
+
+    An order that was carried out late had begun it on a second worker. That one stood
+    on record from then on, and the next owner placed the task while the first was cut.
+    """
+    job = book.add(_document(_step()), QUEUE, 0.0)
+    (run,) = _begin_all(book)
+    late = book.adopt(RunReport(TaskKey(ID, 0, 0, 0), 9), "w2", 2.0)
+    assert _places(job) == {0: "w1"}
+    _end(book, late, "stopped")
+    assert _places(job) == {0: "w1"}
+    _end(book, run, "failed")
+    assert _places(job) == {}
+
+
+def test_late_run_is_on_record_once_it_is_the_only_one(book):
+    job = book.add(_document(_step()), QUEUE, 0.0)
+    (run,) = _begin_all(book)
+    book.adopt(RunReport(TaskKey(ID, 0, 0, 0), 9), "w2", 2.0)
+    _end(book, run, "failed")
+    assert _places(job) == {0: "w2"}
+
+
 def test_gang_taken_over_in_part_is_stopped(book):
     """Members of a gang hold room until their time is over.
 
@@ -291,6 +372,22 @@
     assert _waiting(successor) == {(0, 0, 0), (0, 0, 1)}
 
 
+def test_member_that_was_started_late_does_not_keep_its_gang_from_starting(book):
+    """A gang stands still beside free workers until one member has waited in vain.
+
+    The order of that member had no answer and was carried out after its run had been
+    given up, while the whole gang waited to be placed. It was taken for the member.
+    """
+    book.add(_document(_step(2, is_gang=True)), QUEUE, 0.0)
+    runs = _begin_all(book, attempt=1)
+    for run in runs:
+        _end(book, run, "lapsed")
+    late = book.adopt(RunReport(runs[0].key, 1), "w1", 2.0)
+    assert late in book.to_stop
+    _end(book, late, "stopped")
+    assert _waiting(book) == {(0, 0, 0), (0, 0, 1)}
+
+
 def test_final_status_is_restored(book):
     job = book.add(_document(_step()), QUEUE, 0.0)
     book.cancel(ID, 1.0)
--- a/tests/pool/test_settling.py
+++ b/tests/pool/test_settling.py
@@ -1,14 +1,22 @@
 """What is kept back as one owner follows another."""
 
-from papayapick.jobs import JobDocument, Step
+import json
+
+import pytest
+
+from papayapick.jobs import JobDocument, Step, progress_record
 from papayapick.ledger import Amounts
+from papayapick.pool.journal import PROGRESS_TABLE
 from tests.pool.owners import (
     ID,
+    KEY,
     host_with_two_workers,
+    job,
     owner_of,
     place,
     register,
     report,
+    started_record,
     store_job,
 )
 
@@ -53,3 +61,61 @@
             break
         seconds += 3.5
     assert seconds < AWAY_SECONDS
+
+
+@pytest.mark.parametrize("is_journal_exact", [True, False])
+def test_task_is_not_kept_back_for_a_worker_whose_life_is_over(is_journal_exact):
+    """A count stands still after a takeover, though all workers have answered.
+
+    Another life answers at the address of the worker that ran it, and says so. The new
+    owner waited all the same, as for a worker that is cut off.
+    """
+    host = host_with_two_workers()
+    store_job(host, job(), started_record("w2"))
+    owner = owner_of(host, is_journal_exact=is_journal_exact)
+    report(owner, "w1")
+    assert place(owner) == []
+    owner.lists.note_rebirth(owner.links_by_worker["w2"], None)
+    assert [run.worker for run in place(owner)] == ["w1"]
+
+
+def test_task_that_is_kept_back_stays_on_record_for_the_next_owner():
+    """A task runs twice after two takeovers beside a worker that is cut off.
+
+    The first new owner kept the task back, and recorded the progress of another task of
+    the job without the worker of this one. The next owner placed it at once.
+    """
+    host = host_with_two_workers()
+    register(host, "w3")
+    record = started_record("w1", attempts={"0": 1, "1": 1})
+    record["occurrences"]["0"][0]["places"] = {"0": "w1", "1": "w2"}
+    store_job(host, job(tasks=2), record)
+    first = owner_of(host)
+    report(first, "w2", ends=[(KEY._replace(index=1), 1, "done")])
+    state = first.book.get(ID)
+    host.rows[(PROGRESS_TABLE, "pool")].clear()
+    host.put(PROGRESS_TABLE, "pool", ID, json.loads(json.dumps(progress_record(state))))
+    second = owner_of(host)
+    report(second, "w2")
+    report(second, "w3")
+    assert place(second) == []
+    report(second, "w1", runs=[(KEY, 1)])
+    assert place(second) == []
+
+
+def test_older_run_does_not_free_a_task_that_is_kept_back():
+    """A task runs twice after a takeover beside a worker that is cut off.
+
+    An order that was carried out late had begun an older run of it on a second worker,
+    which answered the new owner; the run on record went on behind the cut.
+    """
+    host = host_with_two_workers()
+    store_job(host, job(), started_record("w1", attempts={"0": 2}))
+    owner = owner_of(host)
+    report(owner, "w2", runs=[(KEY, 1)])
+    host.clock.advance(0.1)
+    report(owner, "w2", ends=[(KEY, 1, "stopped")])
+    owner.tick(host.clock.monotonic())
+    assert place(owner) == []
+    report(owner, "w1", runs=[(KEY, 2)])
+    assert place(owner) == []
