Look for runs to stop once for all steps that wait

Cause: ten times a second, under the owner's lock, each ready step that had waited a quarter of a second looked at all runs of all workers for some that could be stopped for it, most often in vain: in an overload the patient tasks are soon stopped or not to be used.

Change: what may be stopped is gathered once for a look, by worker and priority. Steps of a priority below which there is nothing are left out before they are put in order, and a single task looks at the other workers only where stops help at all.

Ruled out: able() by a method of each room, lazily (2.6 times as slow under the profiler, and all steps that ask for advice use it); only workers with runs to stop as candidates of a step (stops where another worker has room already, which the comparison fails on).

The calls of choose_victims in test_rooms.py and test_last_resort.py hand over StoppableRuns with the same priorities; what they assert is as before.

Conclusion: a look for stops no longer grows with steps times runs. What grows now is placing, by steps times workers, for steps with tickets.

--- a/benchmarks/rounds.py
+++ b/benchmarks/rounds.py
@@ -2,7 +2,8 @@
 
 Run as ``python -m benchmarks.rounds [--json]``. All workers are full; half of the
 waiting steps have tickets, a quarter had some that are too old. ``round_ms`` is the
-least of five rounds, ``tick_ms`` what is done by time ten times a second beside them.
+least of five rounds, ``tick_ms`` what is done by time ten times a second beside them,
+``stops_ms`` the part of that which looks for tasks to stop for steps that have waited.
 """
 
 import time
@@ -11,9 +12,10 @@
 from papayapick.jobs import AdvicePolicy, Queue
 from tests.pool.standins import Replay
 
-SIZES = ((25, 100), (176, 300), (176, 1500))
+SIZES = ((25, 100), (176, 300), (176, 1500), (176, 3000))
 ROUNDS = 5
 TASKS = 6
+WAITED_SECONDS = 1.0
 QUEUE = Queue(
     "q", "h", "/q/", "pool", 0, 2, 1.5, 0.5, 3.0, False, AdvicePolicy(0.02, 0, 2.5)
 )
@@ -42,6 +44,7 @@
         "waiting": len(owner.book.waiting_steps()),
         "round_ms": _milliseconds(owner.decisions.place, load.now),
         "tick_ms": _milliseconds(owner.tick, load.now),
+        "stops_ms": _milliseconds(owner.decisions.preempt, load.now + WAITED_SECONDS),
     }
 
 
--- a/papayapick/placement/preemption.py
+++ b/papayapick/placement/preemption.py
@@ -9,8 +9,9 @@
 
 from papayapick.jobs.runs import RunPhase
 from papayapick.ledger import Amounts
+from papayapick.placement.rooms import may_run
 
-__all__ = ["choose_victims", "may_preempt"]
+__all__ = ["StoppableRuns", "choose_victims", "may_preempt"]
 
 # Room that is about to be free is waited for; a stop itself takes a few tenths.
 _PATIENCE_SECONDS = 0.25
@@ -38,7 +39,72 @@
     return now >= since
 
 
-def choose_victims(step, rooms, allowed, priority_of):
+class StoppableRuns:
+    """Hold which runs may be stopped, for one look at all steps that wait.
+
+    Found anew for each step, they would cost a look at all runs of all workers for
+    each of the thousands of steps that wait in an overload, ten times a second.
+
+    Parameters
+    ----------
+    rooms : Rooms
+    priority_of : callable
+        Takes a run; returns the priority of its queue where the run may be
+        stopped, or None.
+    """
+
+    __slots__ = ("_below", "_by_room")
+
+    def __init__(self, rooms, priority_of):
+        # Those of each worker with their priorities, the largest first: fewer are
+        # stopped.
+        self._by_room = {}
+        # Those below a priority, by worker.
+        self._below = {}
+        for room in rooms:
+            found = [] if room.has_unmeasured else _stoppable(room, priority_of)
+            if found:
+                self._by_room[room] = found
+
+    def below(self, priority):
+        """Return the runs of less urgent queues.
+
+        Parameters
+        ----------
+        priority : int
+
+        Returns
+        -------
+        dict of WorkerRoom to list of Run
+            Without the workers that have none.
+        """
+        if priority not in self._below:
+            self._below[priority] = self._find_below(priority)
+        return self._below[priority]
+
+    def _find_below(self, priority):
+        found = {
+            room: [run for run, other in runs if other > priority]
+            for room, runs in self._by_room.items()
+        }
+        return {room: runs for room, runs in found.items() if runs}
+
+
+def _stoppable(room, priority_of):
+    found = [
+        (run, priority_of(run))
+        for run in room.runs.values()
+        if run.phase == RunPhase.RUNNING
+    ]
+    found = [(run, priority) for run, priority in found if priority is not None]
+    found.sort(
+        key=lambda one: (one[0].demand.accelerators, one[0].demand.processors),
+        reverse=True,
+    )
+    return found
+
+
+def choose_victims(step, rooms, allowed, stoppable):
     """Return runs whose end makes room for one waiting task, or for a whole gang.
 
     Only tasks that save their progress are stopped, and a stop saves it too, so that
@@ -49,18 +115,21 @@
     step : StepState
     rooms : Rooms
     allowed : container of str or None
-    priority_of : callable
-        Takes a run; returns the priority of its queue where the run may be
-        stopped, or None.
+    stoppable : StoppableRuns
 
     Returns
     -------
     list of Run
         Empty where room can't be made so.
     """
-    plan = _Plan(step, priority_of)
-    eligible = [room for room in rooms.able(step.step) if plan.may_use(room, allowed)]
-    for _ in range(len(step.tasks) if step.step.is_gang else 1):
+    plan = _Plan(step, allowed, stoppable.below(step.job.queue.priority))
+    if not plan.may_stop_any():
+        return []
+    members, eligible = 1, plan.eligible(rooms)
+    if step.step.is_gang:
+        # Each member looks at all of them.
+        members, eligible = len(step.tasks), list(eligible)
+    for _ in range(members):
         if not plan.add_task(eligible):
             return []
     return plan.victims
@@ -69,32 +138,51 @@
 class _Plan:
     """Hold which runs are to be stopped, and where tasks of the step are to go."""
 
-    __slots__ = ("_priority_of", "_step", "_tasks", "victims")
+    __slots__ = ("_allowed", "_step", "_stoppable", "_tasks", "victims")
 
-    def __init__(self, step, priority_of):
+    def __init__(self, step, allowed, stoppable):
         self._step = step
-        self._priority_of = priority_of
+        self._allowed = allowed
+        self._stoppable = stoppable
         self._tasks = collections.Counter()
         self.victims = []
 
-    def may_use(self, room, allowed):
-        """Return whether a task of the step may go to a worker once it has room."""
+    def may_stop_any(self):
+        """Return whether a stop may help; without a look at all other workers.
+
+        For a single task that is so only where a worker has room after some stops.
+        """
+        useful = (room for room in self._stoppable if self._may_use(room))
+        if self._step.step.is_gang:
+            return any(True for _ in useful)
+        return any(self._victims(room) for room in useful)
+
+    def eligible(self, rooms):
+        """Yield the workers to which a task of the step may go once they have room."""
+        able = rooms.able(self._step.step)
+        return (room for room in able if self._may_use(room))
+
+    def _may_use(self, room):
         if not room.is_open or room.has_unmeasured or room.is_failing:
             return False
         if room.hold is not None and room.hold.step_key != self._step.key:
             # Its room goes to another step, however much is made.
             return False
-        if _has_failed_there(self._step, room.worker):
+        if not may_run(room, self._step.step, self._allowed):
             return False
-        return allowed is None or room.worker in allowed
+        return not _has_failed_there(self._step, room.worker)
 
     def add_task(self, eligible):
         """Find room for one task more; return whether there is any."""
         best = chosen = None
         for room in eligible:
             victims = self._victims(room)
-            if victims is not None and (best is None or len(victims) < len(best)):
-                best, chosen = victims, room
+            if victims is None or (best is not None and len(victims) >= len(best)):
+                continue
+            best, chosen = victims, room
+            if not victims:
+                # Nothing is better than no stop at all.
+                break
         if best is None:
             return False
         self._tasks[chosen] += 1
@@ -123,19 +211,8 @@
         return victims if demand.fits_in(free) else None
 
     def _candidates(self, room, demand):
-        """Return the runs that may be stopped, the largest first: fewer are stopped."""
-        priority = self._step.job.queue.priority
-        found = [
-            run
-            for run in room.runs.values()
-            if run.phase == RunPhase.RUNNING
-            and run not in self.victims
-            and (self._priority_of(run) or 0) > priority
-        ]
-        found.sort(
-            key=lambda run: (run.demand.accelerators, run.demand.processors),
-            reverse=True,
-        )
+        found = self._stoppable.get(room, ())
+        found = [run for run in found if run not in self.victims]
         return found[: max(_VICTIMS_LIMIT, demand.accelerators)]
 
 
--- a/papayapick/placement/rooms.py
+++ b/papayapick/placement/rooms.py
@@ -2,7 +2,7 @@
 
 from papayapick.ledger import Amounts
 
-__all__ = ["Rooms", "WorkerRoom"]
+__all__ = ["Rooms", "WorkerRoom", "may_run"]
 
 _RACK = "r"
 # At most so many of the workers are left out because they fail what they start.
@@ -259,7 +259,7 @@
                 continue
             if not (room.is_open and room.has_room(demand)):
                 continue
-            if not _may_run(room, step, allowed, rack):
+            if not may_run(room, step, allowed, rack):
                 continue
             if room.hold is not None and not room.hold.admits(step_state):
                 continue
@@ -278,7 +278,7 @@
         for room in self.able(step_state.step):
             if room.worker in task.failed_on or room.registration.is_leaving:
                 continue
-            if _may_run(room, step_state.step, allowed, rack):
+            if may_run(room, step_state.step, allowed, rack):
                 if _may_take_more(room, step_state):
                     return None
                 is_barred = True
@@ -317,7 +317,7 @@
         return (is_avoided, is_far, room.accelerators, left, room.memory)
 
 
-def _may_run(room, step, allowed, rack):
+def may_run(room, step, allowed, rack=None):
     """Return whether a worker may run a step, whatever room it has."""
     registration = room.registration
     if allowed is not None and registration.worker not in allowed:
--- a/papayapick/pool/decisions.py
+++ b/papayapick/pool/decisions.py
@@ -8,7 +8,11 @@
 from papayapick.placement.forgiveness import forgive_stuck
 from papayapick.placement.holds import Holds
 from papayapick.placement.lookahead import Lookahead
-from papayapick.placement.preemption import choose_victims, may_preempt
+from papayapick.placement.preemption import (
+    StoppableRuns,
+    choose_victims,
+    may_preempt,
+)
 from papayapick.placement.steps import order_steps, place_step
 from papayapick.pool.events import (
     COPY_STARTED,
@@ -229,17 +233,20 @@
 
     def preempt(self, now):
         """Stop patient tasks for the most urgent step that finds no room."""
-        for step in order_steps(self._owner.book.waiting_steps(), now):
-            if not may_preempt(step, now):
-                continue
+        overdue = [
+            step for step in self._owner.book.waiting_steps() if may_preempt(step, now)
+        ]
+        if not overdue:
+            return
+        stoppable = StoppableRuns(self._owner.rooms, self._victim_priority)
+        useful = [step for step in overdue if stoppable.below(step.job.queue.priority)]
+        for step in order_steps(useful, now):
             allowed = None
             if step.job.queue.advice is not None:
                 allowed = self._owner.advising.known_fit(step)
                 if not allowed:
                     continue
-            victims = choose_victims(
-                step, self._owner.rooms, allowed, self._victim_priority
-            )
+            victims = choose_victims(step, self._owner.rooms, allowed, stoppable)
             if not victims:
                 continue
             step.preempted_at = now
--- a/tests/placement/test_rooms.py
+++ b/tests/placement/test_rooms.py
@@ -6,7 +6,11 @@
 from papayapick.ledger import Amounts
 from papayapick.placement.copies import stragglers
 from papayapick.placement.pace import Pacer
-from papayapick.placement.preemption import choose_victims, may_preempt
+from papayapick.placement.preemption import (
+    StoppableRuns,
+    choose_victims,
+    may_preempt,
+)
 from papayapick.placement.rooms import Rooms, WorkerRoom
 from papayapick.placement.steps import order_steps, place_step
 from papayapick.pool.reports import Registration
@@ -174,10 +178,11 @@
     def priority(run):
         return 2 if run in saving else None
 
-    (victim,) = choose_victims(state, rooms, None, priority)
+    stoppable = StoppableRuns(rooms, priority)
+    (victim,) = choose_victims(state, rooms, None, stoppable)
     assert victim in saving
     assert victim not in kept
-    assert choose_victims(state, rooms, {"w1"}, priority) == []
+    assert choose_victims(state, rooms, {"w1"}, stoppable) == []
     state.preempted_at = 0.3
     assert not may_preempt(state, 0.9)
 
@@ -186,7 +191,8 @@
     _fill(rooms, "w1", 2, has_checkpoints=True)
     _fill(rooms, "w2", 2, has_checkpoints=True)
     _, state = _waiting(Step(1, Amounts(1500, 100)), "1" * 16)
-    assert choose_victims(state, rooms, None, lambda run: 0) == []
+    stoppable = StoppableRuns(rooms, lambda run: 0)
+    assert choose_victims(state, rooms, None, stoppable) == []
 
 
 # Copies.
--- a/tests/pool/test_last_resort.py
+++ b/tests/pool/test_last_resort.py
@@ -2,7 +2,7 @@
 
 from papayapick.jobs import JobDocument, Step
 from papayapick.ledger import Amounts
-from papayapick.placement.preemption import choose_victims
+from papayapick.placement.preemption import StoppableRuns, choose_victims
 from tests.pool.owners import (
     job,
     owner_with,
@@ -63,4 +63,5 @@
         run = owner.decisions._begin(other, index, "w1", None)
         owner.book.note_started(run)
     assert place(owner) == []
-    assert choose_victims(step, owner.rooms, None, lambda run: 1) == []
+    stoppable = StoppableRuns(owner.rooms, lambda run: 1)
+    assert choose_victims(step, owner.rooms, None, stoppable) == []
