--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -190,13 +190,8 @@
         # What it had done before this owner saw it is not known.
         run.is_resumed = True
         task = step.tasks[index]
-        if not task.runs and (attempt >= task.attempt or not task.place):
-            # A run beside another, or older than the start on record, is found where an
-            # order came late; a successor must look for the one that it came beside.
-            task.place = worker
-        task.attempt = max(task.attempt, attempt)
         is_second = bool(task.runs) and not step.step.allows_copies
-        task.runs.append(run)
+        task.add_found(run)
         # Its start may have left without a record.
         self.changed.add(step.job.identifier)
         self._note_running(step.job)
@@ -255,10 +250,8 @@
         clear = self._held.let_go(is_clear)
         for step, index in clear:
             task = step.tasks[index]
-            if task.runs:
-                task.place = task.runs[0].worker
-            elif not (task.is_done or step.job.is_final):
-                task.place = ""
+            task.note_found()
+            if not (task.is_done or task.runs or step.job.is_final):
                 self._wait(step, index)
         for step in {step for step, _ in clear}:
             if not self._held.has_step(step):
@@ -314,7 +307,7 @@
     def wait_again(self, step, index):
         """Let a task wait that runs nowhere any more, unless it is kept back."""
         if not self._held.takes(step, index):
-            step.tasks[index].place = ""
+            step.tasks[index].note_found()
             self._wait(step, index)
 
     def close_step(self, step):
@@ -334,14 +327,8 @@
     def release(self, run):
         """Forget a run that is at work no more."""
         step = self.step(run.key)
-        if step is None:
-            return
-        task = step.tasks[run.key.index]
-        if run not in task.runs:
-            return
-        task.runs.remove(run)
-        if task.runs and task.place == run.worker:
-            task.place = task.runs[0].worker
+        if step is not None:
+            step.tasks[run.key.index].remove(run)
 
     def step(self, key):
         """Return the step of a task, or None where there is none."""
--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -79,6 +79,29 @@
         """Return how many of its starts ended as failed."""
         return len(self.failed_attempts)
 
+    def add_found(self, run):
+        """Take over a run that a worker lists.
+
+        One beside another, or older than the start on record, is found where an order
+        came late; a successor must look for the one that it came beside.
+        """
+        if not self.runs and (run.attempt >= self.attempt or not self.place):
+            self.place = run.worker
+        self.attempt = max(self.attempt, run.attempt)
+        self.runs.append(run)
+
+    def remove(self, run):
+        """Forget a run that is at work no more."""
+        if run not in self.runs:
+            return
+        self.runs.remove(run)
+        if self.runs and self.place == run.worker:
+            self.place = self.runs[0].worker
+
+    def note_found(self):
+        """Take note that it runs nowhere but where its runs are known to be."""
+        self.place = self.runs[0].worker if self.runs else ""
+
 
 class StepState:
     """Hold one step of one occurrence.
