--- a/papayapick/jobs/book.py
+++ b/papayapick/jobs/book.py
@@ -191,13 +191,8 @@
         run.is_resumed = True
         run.pace = None
         task = step.tasks[index]
-        if not task.runs and (attempt >= task.attempt or not task.place):
-            # A run beside another, or older than the start on record, is found where an
-            # order came late; a successor must look for the one that it came beside.
-            task.place = worker
-        task.attempt = max(task.attempt, attempt)
         is_second = bool(task.runs) and not step.step.allows_copies
-        task.runs.append(run)
+        task.add_found(run)
         # Its start may have left without a record.
         self.changed.add(step.job.identifier)
         self._note_running(step.job)
@@ -299,7 +294,7 @@
     def wait_again(self, step, index):
         """Let a task wait that runs nowhere any more, unless it is kept back."""
         if not self._held.takes(step, index):
-            step.tasks[index].place = ""
+            step.tasks[index].note_found()
             self.wait(step, index)
 
     def close_step(self, step):
@@ -320,14 +315,8 @@
     def release(self, run):
         """Forget a run that is at work no more."""
         step = self.step(run.key)
-        if step is None:
-            return
-        task = step.tasks[run.key.index]
-        if run not in task.runs:
-            return
-        task.runs.remove(run)
-        if task.runs and task.place == run.worker:
-            task.place = task.runs[0].worker
+        if step is not None:
+            step.tasks[run.key.index].remove(run)
 
     def step(self, key):
         """Return the step of a task, or None where there is none."""
--- a/papayapick/jobs/held.py
+++ b/papayapick/jobs/held.py
@@ -84,8 +84,6 @@
 
     def _free(self, step, index):
         task = step.tasks[index]
-        if task.runs:
-            task.place = task.runs[0].worker
-        elif not (task.is_done or step.job.is_final):
-            task.place = ""
+        task.note_found()
+        if not (task.is_done or task.runs or step.job.is_final):
             self._book.wait(step, index)
