--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -35,11 +35,11 @@
 )
 from papayapick.entry.peers import HOSTS_PARTITION, Peers
 from papayapick.entry.probing import StoreProbe
+from papayapick.entry.queues import KnownQueues
 from papayapick.entry.relays import RelayedStore, StoreRelay
 from papayapick.entry.servers import FrontServer
 from papayapick.entry.store_health import StoreHealth
 from papayapick.entry.writers import GroupWriter
-from papayapick.jobs.queues import Queue
 from papayapick.ownership.pools import CELL_TABLE, pool_row, read_pool
 from papayapick.platform.machines import MachineList
 from papayapick.platform.store import Store
@@ -108,7 +108,7 @@
         self._candidacies = {}
         self._was_ready = False
         self._lines = OwnerLines(self, self._candidacies)
-        self._queues = {}
+        self._queues = KnownQueues()
         self._front = FrontServer(settings, Application(self))
         self._peer_server = None
 
@@ -293,7 +293,7 @@
 
     def note_configuration(self, configuration):
         """Watch the pools of a new configuration, and renew queues' policies."""
-        self._queues.update(configuration.queues)
+        self._queues.note(configuration)
         for pool in configuration.pools:
             if pool not in self._candidacies:
                 candidacy = Candidacy(self, pool)
@@ -304,15 +304,8 @@
                 candidacy.owner.renew_queues()
 
     def queue_of(self, document):
-        """Return the queue of a job, as last configured.
-
-        Of a queue that was removed before this process started, or that was added by a
-        version that has not come here yet, nothing is known but what the job says.
-        """
-        found = self._queues.get(document.queue)
-        if found is not None:
-            return found
-        return Queue.from_policy(document.queue, document.pool, document.policy)
+        """Return the queue of a job; see ``KnownQueues.queue_of``."""
+        return self._queues.queue_of(document)
 
     # Owning pools.
 
