Order the full pace for a taken-over filler beside a low tail

Cause: with the pace of a run that was taken over not known, the first order beside a low tail was 50 percent. Change: full there, 0 beside a high tail as before. A filler that its former owner had slowed jumps to full once; if the tail then rises, it is halved in the same steps as any other.

--- a/papayapick/placement/pace.py
+++ b/papayapick/placement/pace.py
@@ -15,8 +15,6 @@
 # What a tail is measured over.
 _FIGURE_SECONDS = 0.5
 _FULL = 100
-# Where a pace that is not known may be raised: three steps from full, and from none.
-_MIDDLE = 50
 
 
 class Pacer:
@@ -113,7 +111,7 @@
     Examples
     --------
     >>> _first_pace(0.0, False), _first_pace(0.3, True), _first_pace(0.9, True)
-    (100, 50, 0)
+    (100, 100, 0)
     >>> _first_pace(0.6, True) is None and _first_pace(None, True) is None
     True
     """
@@ -123,7 +121,8 @@
         return None
     if load > _SLOW_SHARE:
         return 0
-    return _MIDDLE if load < _FAST_SHARE else None
+    # Most fillers are at full when their owner dies: anything less would slow them all.
+    return _FULL if load < _FAST_SHARE else None
 
 
 def _next_pace(pace, load):
