Ask for advice about workers with room first

What callers see: in a pool of 176 workers a step waits for advice on, or for room at, the same first hundred of the list, while those behind them stand idle. Cause: a call of the advice service names at most a hundred workers, and questions named them in the order of the list. Change: questions name open workers first, and of these the ones with most processors free. Ruled out: several calls for one step, which would take the hosts' time with the service. Pools of a hundred workers or fewer are asked about whole, as before.

--- a/papayapick/pool/advising.py
+++ b/papayapick/pool/advising.py
@@ -117,15 +117,21 @@
                 step=step.key.step,
                 asked_seconds=round(status.asked_seconds, 3),
             )
-        names = [room.worker for room in self._able(step)]
-        self._book.want(step.key, step.job.queue.advice, names, now)
+        self._book.want(step.key, step.job.queue.advice, self._candidates(step), now)
 
-    def _able(self, step):
-        return [
+    def _candidates(self, step):
+        """Return the workers to ask about, those that can take a task soonest first.
+
+        A pool may have more workers than one call names. In the order of the list, each
+        step would wait for the same first ones while the others stand idle.
+        """
+        rooms = [
             room
             for room in self._owner.rooms.able(step.step)
             if not room.registration.is_leaving
         ]
+        rooms.sort(key=lambda room: (not room.is_open, -room.processors))
+        return [room.worker for room in rooms]
 
     def ask_ahead(self, now):
         """Ask for the advice on a step while the one before it is about to end."""
