Identify teams by their keys, and show jobs to their own team only

Change: a configuration holds a directory of teams; keys are kept and looked up as digests and compared in constant time. Every call of a queue that is not public needs a key of a team; without one it is answered 401 before its body, the store or the owner are touched. A job carries its team in its row and in the states that hosts tell each other. Wrong shapes raise an error that names the field, and leave the version in force. A host that the store refuses reads the configuration through other hosts each second, since it goes on serving by way of them. Records of jobs without a team are written as before, for hosts of an earlier version. Ruled out: asking the store for a job's team at each poll, which adds a read a poll and fails while the store is away.

--- a/papayapick/entry/acceptance.py
+++ b/papayapick/entry/acceptance.py
@@ -8,6 +8,7 @@
 from papayapick.entry.exceptions import (
     AcceptanceUnknown,
     JobUnknown,
+    NotAccepted,
     QueueFull,
     StateUnknown,
 )
@@ -51,23 +52,54 @@
         """
         identifier = document.identifier
         if self._job_states.state(identifier) is not None:
+            self._check_resubmission(document, self._job_states.team(identifier))
             JOB_KNOWN.write(request_id=identifier, queue=document.queue, source="board")
             return False
         partition = job_partition(document.pool, identifier)
         retry_after = self._job_states.retry_after(document.pool, document.queue)
-        if retry_after and not self._is_stored(partition, identifier):
+        if retry_after and self._stored_team(partition, identifier) is None:
             raise QueueFull(queue=document.queue, retry_after=retry_after)
         expectation = Expectation(JOBS_TABLE, partition, identifier, 0)
         write = RowWrite(JOBS_TABLE, partition, identifier, document.as_record())
         is_new = _wait_for(self._writer.submit(expectation, write))
         if not is_new:
+            self._check_stored_job(document, partition)
             JOB_KNOWN.write(request_id=identifier, queue=document.queue, source="store")
-        self._job_states.note_accepted(identifier)
+        self._job_states.note_accepted(identifier, document.team)
         return is_new
 
-    def cancel(self, queue, identifier):
+    def _check_stored_job(self, document, partition):
+        """Raise NotAccepted if the job that is stored belongs to another team."""
+        if not document.team:
+            return
+        try:
+            stored_team = self._stored_team(partition, document.identifier)
+        except StateUnknown as error:
+            # A refusal would say that the job never runs, which holds only if it is
+            # another team's.
+            raise AcceptanceUnknown() from error
+        self._check_resubmission(document, stored_team)
+
+    @staticmethod
+    def _check_resubmission(document, stored_team):
+        """Raise NotAccepted if a job of another team has the same id.
+
+        The error is that of any job that was not accepted, and tells nothing of the
+        other team's job.
+        """
+        if not may_access(document.team, stored_team):
+            raise NotAccepted(reason="the id can't be used")
+
+    def cancel(self, queue, identifier, team=""):
         """Store the cancellation of a job.
 
+        Parameters
+        ----------
+        queue : Queue
+        identifier : str
+        team : str, optional
+            Team of the caller; empty if there is none.
+
         Returns
         -------
         bool
@@ -78,11 +110,12 @@
         JobUnknown, StateUnknown, NotAccepted, AcceptanceUnknown
         """
         if self._job_states.state(identifier) in JobStatus.FINAL:
+            self._check_access(queue, identifier, team)
             return False
         partition = job_partition(queue.pool, identifier)
         rows = self._read(JOBS_TABLE, partition, identifier, CANCEL_SUFFIX + "~")
         versions = {row.key: row.version for row in rows}
-        if identifier not in versions:
+        if identifier not in versions or not _is_accessible(queue, team, rows):
             raise JobUnknown(identifier=identifier)
         if identifier + CANCEL_SUFFIX in versions:
             return False
@@ -94,19 +127,28 @@
         write = RowWrite(JOBS_TABLE, partition, identifier + CANCEL_SUFFIX, {})
         return _wait_for(self._writer.submit(expectation, write))
 
-    def status(self, queue, identifier):
+    def status(self, queue, identifier, team=""):
         """Return the status of a job.
 
+        Parameters
+        ----------
+        queue : Queue
+        identifier : str
+        team : str, optional
+            Team of the caller; empty if there is none.
+
         Raises
         ------
         JobUnknown, StateUnknown
         """
         status = self._job_states.state(identifier)
         if status is not None:
+            self._check_access(queue, identifier, team)
             return status
         partition = job_partition(queue.pool, identifier)
         jobs = self._read(JOBS_TABLE, partition, identifier, "~")
-        if not any(row.key == identifier for row in jobs):
+        job_team = _team_of(jobs)
+        if job_team is None or not _is_accessible(queue, team, jobs):
             raise JobUnknown(identifier=identifier)
         status = JobStatus.WAITING
         for row in self._read(PROGRESS_TABLE, queue.pool, identifier, "~"):
@@ -115,17 +157,27 @@
         is_cancelled = any(row.key != identifier for row in jobs)
         if is_cancelled and status not in JobStatus.FINAL:
             status = JobStatus.CANCELLED
-        self._job_states.note_statuses({identifier: status})
+        self._job_states.note_statuses({identifier: status}, {identifier: job_team})
         return status
 
-    def _is_stored(self, partition, identifier):
-        """Return whether a job with this id was accepted.
+    def _check_access(self, queue, identifier, team):
+        """Raise JobUnknown if a job whose state is cached belongs to another team.
+
+        It is the answer for a job that does not exist, so a caller does not learn
+        whether another team has a job with this id.
+        """
+        if queue.is_public:
+            return
+        if not may_access(team, self._job_states.team(identifier)):
+            raise JobUnknown(identifier=identifier)
+
+    def _stored_team(self, partition, identifier):
+        """Return the team of the job that was accepted with this id, or None.
 
         A caller whose first attempt had no answer repeats the request. If it were
         refused as not accepted, its job would run nevertheless.
         """
-        rows = self._read(JOBS_TABLE, partition, identifier, "~")
-        return any(row.key == identifier for row in rows)
+        return _team_of(self._read(JOBS_TABLE, partition, identifier, "~"))
 
     def _read(self, table, partition, identifier, end):
         try:
@@ -134,6 +186,32 @@
             raise StateUnknown() from error
 
 
+def may_access(team, job_team):
+    """Return whether callers of a team may see and cancel a job.
+
+    Parameters
+    ----------
+    team : str
+        Team of the caller.
+    job_team : str
+        Team of the job. It is empty for jobs that were accepted while their queue was
+        public, which belong to no team.
+    """
+    return not job_team or team == job_team
+
+
+def _team_of(rows):
+    """Return the team of the job among the rows of one id, or None without a job."""
+    for row in rows:
+        if not row.key.endswith(CANCEL_SUFFIX):
+            return row.value.get("team", "")
+    return None
+
+
+def _is_accessible(queue, team, rows):
+    return queue.is_public or may_access(team, _team_of(rows) or "")
+
+
 def _wait_for(future):
     try:
         return future.result(_ANSWER_TIMEOUT_SECONDS)
--- a/papayapick/entry/application.py
+++ b/papayapick/entry/application.py
@@ -8,7 +8,12 @@
     REQUEST_FAILED,
     REQUEST_REFUSED,
 )
-from papayapick.entry.exceptions import BodyTooLarge, NoSuchQueue, NotAccepted
+from papayapick.entry.exceptions import (
+    BodyTooLarge,
+    KeyUnknown,
+    NoSuchQueue,
+    NotAccepted,
+)
 from papayapick.entry.metrics import ACCEPTANCE_SECONDS, REFUSALS, REQUESTS
 from papayapick.exceptions import PapayapickError
 from papayapick.observability.registry import metrics_text
@@ -35,6 +40,8 @@
 # that would retry after a whole second; after a restart of all hosts, most refusals
 # fell into this second.
 _CONFIGURATION_WAIT_SECONDS = 0.3
+# Where WSGI puts the header with the key of the caller's team.
+_KEY_VARIABLE = "HTTP_API_KEY"
 # Longest part of a path or host name that is written to log events.
 _LOGGED_CHARACTERS = 128
 
@@ -149,6 +156,7 @@
         queue = configuration.find(host_name, path)
         if queue is None:
             raise NoSuchQueue(host=host_name, path=path)
+        team = _identify_team(environ, queue, configuration.teams)
         identifier = path[len(queue.path_prefix) :]
         method = environ["REQUEST_METHOD"]
         if not identifier:
@@ -159,14 +167,15 @@
             return _Reply(_NOT_FOUND)
         if method == "POST":
             body = _read_body(environ, configuration.body_limit_bytes)
-            document = decode_job(identifier, queue, body, host.clock.time())
+            document = decode_job(identifier, queue, body, host.clock.time(), team)
             if host.acceptance.submit(document):
                 self._note_accepted(document, queue, arrived_at)
             return _Reply(_OK)
         if method == "GET":
-            return _Reply(_OK, encode_state(host.acceptance.status(queue, identifier)))
+            status = host.acceptance.status(queue, identifier, team)
+            return _Reply(_OK, encode_state(status))
         if method == "DELETE":
-            if host.acceptance.cancel(queue, identifier):
+            if host.acceptance.cancel(queue, identifier, team):
                 CANCEL_STORED.write(
                     request_id=identifier,
                     queue=queue.name,
@@ -180,6 +189,7 @@
         JOB_ACCEPTED.write(
             request_id=document.identifier,
             queue=queue.name,
+            team=document.team,
             pool=queue.pool,
             priority=queue.priority,
             steps=len(document.steps),
@@ -189,6 +199,23 @@
         )
 
 
+def _identify_team(environ, queue, teams):
+    """Return the name of the team that calls, or an empty string if there is none.
+
+    Raises
+    ------
+    KeyUnknown
+        The queue is not public and the request has no key of a team. Neither the error
+        nor a log event contains the key.
+    """
+    key = environ.get(_KEY_VARIABLE, "")
+    team = teams.find_by_key(key) if key else None
+    if team is None and not queue.is_public:
+        found = "the key is of no team" if key else "there is no key"
+        raise KeyUnknown(queue=queue.name, found=found)
+    return "" if team is None else team.name
+
+
 def _method_label(environ):
     """Return the method as a label of a metric; methods not served are "other"."""
     method = environ["REQUEST_METHOD"]
--- a/papayapick/entry/beats.py
+++ b/papayapick/entry/beats.py
@@ -6,10 +6,11 @@
 from papayapick.entry.state_relays import (
     STATES_PER_MESSAGE,
     ZoneSender,
+    job_news,
     relayed_zones,
 )
 from papayapick.wire.exceptions import PeerNotListening, WireError
-from papayapick.wire.messages import JobNews, PoolBeat, QueueLoad
+from papayapick.wire.messages import PoolBeat, QueueLoad
 
 __all__ = ["BeatBroadcaster", "BeatSender"]
 
@@ -51,7 +52,8 @@
 
     def announce(self, owner):
         """Start to send heartbeats and all job states of a pool just taken over."""
-        self._host.job_states.note_statuses(owner.status_feed.all_states())
+        states = owner.status_feed.all_states()
+        self._host.job_states.note_statuses(states, owner.status_feed.teams(states))
         self.start_missing_senders()
 
     def start_missing_senders(self):
@@ -120,7 +122,7 @@
         states = owner.status_feed.take_changes()
         if not states:
             return
-        self._host.job_states.note_statuses(states)
+        self._host.job_states.note_statuses(states, owner.status_feed.teams(states))
         with self._lock:
             relays = {
                 zone: sender
@@ -252,7 +254,7 @@
             pool=self._owner.pool,
             epoch=self._owner.row.epoch,
             host=self._host.settings.host_name,
-            news=[JobNews(identifier=key, status=sent[key]) for key in sent],
+            news=job_news(self._owner, sent),
             queue_loads=[
                 QueueLoad(
                     queue=queue,
--- a/papayapick/entry/configuration.py
+++ b/papayapick/entry/configuration.py
@@ -1,7 +1,9 @@
 """Follow the operator's configuration and keep the newest version in force."""
 
+import contextlib
 import threading
 
+from papayapick.clients.exceptions import TableUnavailable
 from papayapick.entry.events import CONFIGURATION_IN_FORCE, CONFIGURATION_REFUSED
 from papayapick.platform.configuration import (
     CONFIGURATION_KEY,
@@ -13,6 +15,11 @@
 
 __all__ = ["ConfigurationWatcher"]
 
+# Well below the bound for a configuration change.
+_RELAYED_READ_SECONDS = 1.0
+# End of the range of keys that holds the configuration only.
+_AFTER_CONFIGURATION = CONFIGURATION_KEY + "~"
+
 
 class ConfigurationWatcher:
     """Hold the newest configuration that this process has read.
@@ -69,6 +76,26 @@
             OPERATOR_TABLE, None, self._note_rows, self._read, self._host.stopping
         )
 
+    def run_relayed(self):
+        """Read the configuration by way of other hosts while the store is lost.
+
+        Guards against a host that serves callers by way of others, while the store
+        refuses it, and still accepts keys and queues that the operator has removed.
+        """
+        host = self._host
+        while not host.stopping.is_set():
+            host.clock.wait(host.stopping, _RELAYED_READ_SECONDS)
+            if not host.store_health.is_lost():
+                continue
+            with contextlib.suppress(TableUnavailable):
+                # The store may be unavailable to all hosts; the events of the
+                # followed tables tell so.
+                self._note_rows(
+                    host.relayed_store.read(
+                        OPERATOR_TABLE, "", CONFIGURATION_KEY, _AFTER_CONFIGURATION, 1
+                    )
+                )
+
     def _read(self):
         return self._host.store.read_all(OPERATOR_TABLE, "")
 
@@ -90,7 +117,7 @@
 
     def _apply(self, value):
         try:
-            configuration = decode_configuration(value)
+            configuration = decode_configuration(value, self._host.settings.has_teams)
         except BodyInvalid as error:
             CONFIGURATION_REFUSED.write(version_in_force=self.version, error=str(error))
             return
--- a/papayapick/entry/events.py
+++ b/papayapick/entry/events.py
@@ -164,7 +164,7 @@
 
 JOB_ACCEPTED = Event(
     "job accepted",
-    "request_id queue pool priority steps tasks seconds configuration_version",
+    "request_id queue team pool priority steps tasks seconds configuration_version",
     "The job is stored and its caller was informed; seconds since its arrival.",
 )
 JOB_KNOWN = Event(
--- a/papayapick/entry/exceptions.py
+++ b/papayapick/entry/exceptions.py
@@ -7,6 +7,7 @@
     "BodyTooLarge",
     "CountUnknown",
     "JobUnknown",
+    "KeyUnknown",
     "NoSuchQueue",
     "NotAccepted",
     "QueueFull",
@@ -27,6 +28,14 @@
     status = "404 Not Found"
 
 
+class KeyUnknown(PapayapickError):
+    """Report a request without the key of a team, where its queue requires one."""
+
+    code = "entry.key-unknown"
+    template = "queue {queue} requires a key of a team; {found}"
+    status = "401 Unauthorized"
+
+
 class JobUnknown(PapayapickError):
     """Report an id under which no job was accepted."""
 
--- a/papayapick/entry/job_states.py
+++ b/papayapick/entry/job_states.py
@@ -50,11 +50,13 @@
     clock : Clock
     """
 
-    __slots__ = ("_clock", "_lock", "_pools", "_states")
+    __slots__ = ("_clock", "_lock", "_pools", "_states", "_teams")
 
     def __init__(self, clock):
         self._clock = clock
         self._states = OrderedDict()
+        # Team by job; jobs without a team are left out.
+        self._teams = {}
         self._pools = {}
         self._lock = threading.Lock()
 
@@ -63,15 +65,29 @@
         with self._lock:
             return self._states.get(identifier)
 
-    def note_statuses(self, states):
+    def team(self, identifier):
+        """Return the team of a job whose state is cached; empty if it has none."""
+        with self._lock:
+            return self._teams.get(identifier, "")
+
+    def note_statuses(self, states, teams):
         """Store statuses by job, unless an earlier message was newer.
 
         Messages of a replaced owner can arrive late, and those that a relay passes on
         may overtake direct ones. A status that callers may have received as final must
         not change afterwards, and a job that has begun does not wait again.
+
+        Parameters
+        ----------
+        states : dict of str to str
+            Status by job id.
+        teams : dict of str to str
+            Team by job id; empty or missing for a job without a team.
         """
         with self._lock:
             for identifier, status in states.items():
+                if teams.get(identifier):
+                    self._teams[identifier] = teams[identifier]
                 known = self._states.get(identifier)
                 if known in JobStatus.FINAL:
                     continue
@@ -80,12 +96,15 @@
                 self._states[identifier] = status
                 self._states.move_to_end(identifier)
             while len(self._states) > _STATES_LIMIT:
-                self._states.popitem(last=False)
+                removed, _ = self._states.popitem(last=False)
+                self._teams.pop(removed, None)
 
-    def note_accepted(self, identifier):
+    def note_accepted(self, identifier, team=""):
         """Record a job that was just stored."""
         with self._lock:
             self._states.setdefault(identifier, JobStatus.WAITING)
+            if team:
+                self._teams[identifier] = team
 
     def note_backlogs(self, pool, epoch, backlogs, known_at=None):
         """Store an owner's report about the queues of its pool.
--- a/papayapick/entry/peer_requests.py
+++ b/papayapick/entry/peer_requests.py
@@ -76,7 +76,7 @@
         age = LOST_AGE_SECONDS
         if candidacy is not None:
             if candidacy.note_beat(beat):
-                job_states.note_statuses(_statuses(beat.news))
+                job_states.note_statuses(*_statuses_and_teams(beat.news))
                 self._note_backlogs(beat)
             epoch = candidacy.known_epoch
             if candidacy.has_read_row:
@@ -92,7 +92,7 @@
         if candidacy is None or batch.epoch < candidacy.known_epoch:
             # The states of a replaced owner may be older than those already cached.
             return StateBatchAnswer(missed=batch.hosts)
-        self._host.job_states.note_statuses(_statuses(batch.news))
+        self._host.job_states.note_statuses(*_statuses_and_teams(batch.news))
         if not batch.hosts:
             return StateBatchAnswer(missed=[])
         return self._forwarder.forward(batch)
@@ -125,5 +125,7 @@
         return PoolBeatAnswer(epoch=epoch, store_age_milliseconds=0)
 
 
-def _statuses(news):
-    return {one.identifier: one.status for one in news}
+def _statuses_and_teams(news):
+    """Return the statuses and the teams of jobs, each as a dict by job id."""
+    statuses = {one.identifier: one.status for one in news}
+    return statuses, {one.identifier: one.team for one in news if one.team}
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -218,6 +218,7 @@
         register(self)
         for name, step in (
             ("configuration", self.configuration.run),
+            ("relayed configuration", self.configuration.run_relayed),
             ("cell", self._follow_cell),
             ("probe", self._probe.run),
         ):
--- a/papayapick/entry/state_relays.py
+++ b/papayapick/entry/state_relays.py
@@ -20,6 +20,7 @@
     "STATES_PER_MESSAGE",
     "StateForwarder",
     "ZoneSender",
+    "job_news",
     "relayed_zones",
 ]
 
@@ -52,6 +53,22 @@
     return {zone for zone, count in counts.items() if count >= _MIN_RELAYED_HOSTS}
 
 
+def job_news(owner, states):
+    """Return the states of an owner's jobs as a list of JobNews, with their teams.
+
+    Parameters
+    ----------
+    owner : PoolOwner
+    states : dict of str to str
+        Status by job id.
+    """
+    teams = owner.status_feed.teams(states)
+    return [
+        JobNews(identifier=key, status=states[key], team=teams.get(key, ""))
+        for key in states
+    ]
+
+
 class ZoneSender:
     """Send the changed job states of a pool to one zone, as a task of its own.
 
@@ -118,7 +135,7 @@
         batch = StateBatch(
             pool=self._owner.pool,
             epoch=self._owner.row.epoch,
-            news=[JobNews(identifier=key, status=states[key]) for key in states],
+            news=job_news(self._owner, states),
             hosts=[peer.name for peer in others],
         )
         try:
--- a/papayapick/jobs/documents.py
+++ b/papayapick/jobs/documents.py
@@ -180,6 +180,8 @@
         Policy under which the job was accepted, as returned by
         ``Queue.policy_record``. A host that starts after the queue was removed from
         the configuration has no other source for it.
+    team : str, optional
+        Team of the caller; empty if the queue is public.
     """
 
     __slots__ = (
@@ -193,6 +195,7 @@
         "pool",
         "queue",
         "steps",
+        "team",
     )
 
     def __init__(
@@ -207,6 +210,7 @@
         first_due=0.0,
         interval_seconds=0.0,
         policy=None,
+        team="",
     ):
         self.identifier = identifier
         self.queue = queue
@@ -218,6 +222,7 @@
         self.first_due = first_due
         self.interval_seconds = interval_seconds
         self.policy = policy or {}
+        self.team = team
 
     @property
     def is_timed(self):
@@ -239,6 +244,9 @@
         """Return the job as a mapping for the store."""
         record = {name: getattr(self, name) for name in self.__slots__}
         record["steps"] = [step.as_record() for step in self.steps]
+        if not self.team:
+            # Hosts of an earlier version can't read records with a team.
+            del record["team"]
         return record
 
     @classmethod
--- a/papayapick/jobs/queues.py
+++ b/papayapick/jobs/queues.py
@@ -1,5 +1,7 @@
 """Describe queues and the policies of their jobs."""
 
+from papayapick.quotas.teams import TeamDirectory
+
 __all__ = ["AdvicePolicy", "CellConfiguration", "Queue"]
 
 _DEFAULT_POLICY = {
@@ -71,12 +73,15 @@
         Whether workers of the pool refuse tasks that do not fit.
     advice : AdvicePolicy or None
         None if any worker of the pool may run any step.
+    is_public : bool, optional
+        Whether callers need no key of a team.
     """
 
     __slots__ = (
         "advice",
         "failure_limit",
         "host",
+        "is_public",
         "name",
         "objective_seconds",
         "path_prefix",
@@ -100,6 +105,7 @@
         timeout_seconds,
         workers_check_room,
         advice,
+        is_public=True,
     ):
         self.name = name
         self.host = host
@@ -112,6 +118,7 @@
         self.timeout_seconds = timeout_seconds
         self.workers_check_room = workers_check_room
         self.advice = advice
+        self.is_public = is_public
 
     def policy_record(self):
         """Return the policy of the queue's jobs as a mapping for the store."""
@@ -152,12 +159,14 @@
     version : int
     queues : list of Queue
     body_limit_bytes : int
+    teams : TeamDirectory, optional
     """
 
-    __slots__ = ("_by_host", "body_limit_bytes", "queues", "version")
+    __slots__ = ("_by_host", "body_limit_bytes", "queues", "teams", "version")
 
-    def __init__(self, version, queues, body_limit_bytes):
+    def __init__(self, version, queues, body_limit_bytes, teams=None):
         self.version = version
+        self.teams = TeamDirectory() if teams is None else teams
         self.queues = {queue.name: queue for queue in queues}
         self.body_limit_bytes = body_limit_bytes
         # Sorted by descending length of the prefix, so that the first match is the
--- a/papayapick/platform/requests.py
+++ b/papayapick/platform/requests.py
@@ -31,7 +31,7 @@
     return _IDENTIFIER.fullmatch(text) is not None
 
 
-def decode_job(identifier, queue, body, now):
+def decode_job(identifier, queue, body, now, team=""):
     """Decode and validate the body of a submission.
 
     Parameters
@@ -41,6 +41,8 @@
     body : bytes
     now : float
         Time of acceptance, in Unix seconds.
+    team : str, optional
+        Team of the caller; empty if there is none.
 
     Returns
     -------
@@ -69,6 +71,7 @@
             first_due=document.get("start_at_ms", 0) / 1000,
             interval_seconds=document.get("interval_ms", 0) / 1000,
             policy=queue.policy_record(),
+            team=team,
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise BodyInvalid(reason=str(error)) from error
--- a/papayapick/platform/settings.py
+++ b/papayapick/platform/settings.py
@@ -32,6 +32,7 @@
         "gang_seconds",
         "grace_seconds",
         "harm_seconds",
+        "has_teams",
         "host_name",
         "kill_seconds",
         "lease_limit_seconds",
@@ -64,6 +65,8 @@
         self.store_address = _text(document["platform"]["address"])
         self.advice_address = _text(document.get("advice", ""))
         self.machines_address = _text(document.get("cloud_api", {}).get("address", ""))
+        # Whether callers identify themselves by keys of teams.
+        self.has_teams = "tenants" in document.get("contracts", ())
         limits = document.get("limits", {})
         # The share of a core that the process may use, times the speed of that core.
         self.processors = float(limits.get("cpu_share", 1)) * limits.get("cores", 1)
--- a/papayapick/pool/status_feed.py
+++ b/papayapick/pool/status_feed.py
@@ -62,6 +62,16 @@
                 for job in self._owner.job_registry.jobs()
             }
 
+    def teams(self, identifiers):
+        """Return the teams of jobs by id; jobs without a team are left out."""
+        with self._owner.lock:
+            jobs = [self._owner.job_registry.get(one) for one in identifiers]
+            return {
+                job.identifier: job.document.team
+                for job in jobs
+                if job is not None and job.document.team
+            }
+
     def backlogs(self):
         """Return the backlog of each queue with jobs that have not started.
 
--- a/papayapick/quotas/__init__.py
+++ b/papayapick/quotas/__init__.py
@@ -2,5 +2,12 @@
 
 from papayapick.quotas.queries import fairness_index
 from papayapick.quotas.shares import QuotaTracker
+from papayapick.quotas.teams import Team, TeamDirectory, key_digest
 
-__all__ = ["QuotaTracker", "fairness_index"]
+__all__ = [
+    "QuotaTracker",
+    "Team",
+    "TeamDirectory",
+    "fairness_index",
+    "key_digest",
+]
--- a/papayapick/wire/messages.capnp
+++ b/papayapick/wire/messages.capnp
@@ -170,6 +170,7 @@
 struct JobNews {
   identifier @0 :Text;
   status @1 :Text;
+  team @2 :Text;
 }
 
 struct QueueLoad {
--- a/papayapick/wire/messages.py
+++ b/papayapick/wire/messages.py
@@ -210,9 +210,9 @@
 
 
 class JobNews(Payload):
-    """Report the status of one job."""
+    """Report the status of one job, and its team, which is empty if it has none."""
 
-    __slots__ = ("identifier", "status")
+    __slots__ = ("identifier", "status", "team")
 
 
 class QueueLoad(Payload):
--- a/tests/entry/cell.py
+++ b/tests/entry/cell.py
@@ -63,14 +63,16 @@
 class EntryProcess:
     """Run one entry host as a process."""
 
-    def __init__(self, name, platform, folder):
+    def __init__(self, name, platform, folder, has_teams=False):
         self.name = name
         peer, front, ready, self.metrics = free_ports(4)
         self.front, self.ready = front, ready
         self.path = folder / f"{name}.toml"
         self.log = folder / f"{name}.log"
+        contracts = 'contracts = ["tenants"]\n' if has_teams else ""
         self.path.write_text(
-            SETTINGS.format(
+            contracts
+            + SETTINGS.format(
                 name=name, platform=platform, peer=peer, front=front, ready=ready
             )
         )
@@ -105,11 +107,12 @@
             self.process.kill()
             self.process.wait()
 
-    def call(self, method, path, body=None, host="jobs.example", timeout=4.0):
+    def call(self, method, path, body=None, host="jobs.example", timeout=4.0, key=None):
         connection = http.client.HTTPConnection("127.0.0.1", self.front, timeout)
         connection.timeout = timeout
         try:
-            connection.request(method, path, body, {"Host": host})
+            headers = {"Host": host} if key is None else {"Host": host, "Api-Key": key}
+            connection.request(method, path, body, headers)
             answer = connection.getresponse()
             return answer.status, json.loads(answer.read() or b"{}")
         finally:
@@ -141,10 +144,10 @@
 class EntryCell:
     """Run several entry hosts of one platform."""
 
-    def __init__(self, cluster, folder, hosts=3):
+    def __init__(self, cluster, folder, hosts=3, has_teams=False):
         self.cluster = cluster
         self.hosts = [
-            EntryProcess(f"host-{number}", cluster.address, folder)
+            EntryProcess(f"host-{number}", cluster.address, folder, has_teams)
             for number in range(1, hosts + 1)
         ]
 
--- a/tests/entry/test_acceptance.py
+++ b/tests/entry/test_acceptance.py
@@ -64,7 +64,7 @@
 
 def test_full_queue_recognizes_jobs_with_a_cached_state():
     found, job_states = acceptance(FakeStore(is_away=True), 9)
-    job_states.note_statuses({ID: JobStatus.RUNNING})
+    job_states.note_statuses({ID: JobStatus.RUNNING}, {})
     assert found.submit(JOB) is False
 
 
--- a/tests/entry/test_application.py
+++ b/tests/entry/test_application.py
@@ -28,6 +28,7 @@
 class Settings:
     readiness_address = ("127.0.0.1", 1)
     metrics_port = 0
+    has_teams = False
 
 
 class Host:
--- a/tests/entry/test_beats.py
+++ b/tests/entry/test_beats.py
@@ -63,7 +63,12 @@
     owner = SimpleNamespace(
         pool="pool",
         row=SimpleNamespace(epoch=1),
-        status_feed=SimpleNamespace(all_states=dict, backlogs=dict, known_at=None),
+        status_feed=SimpleNamespace(
+            all_states=dict,
+            teams=lambda identifiers: {},
+            backlogs=dict,
+            known_at=None,
+        ),
         may_lack_records=lambda: False,
         has_read_state=True,
         ownership_status=SimpleNamespace(gives_way=lambda: False),
@@ -155,6 +160,7 @@
         self.row = SimpleNamespace(epoch=1)
         self.status_feed = SimpleNamespace(
             all_states=dict,
+            teams=lambda identifiers: {},
             take_changes=lambda: {pool + "-job": "running"},
             backlogs=dict,
         )
@@ -176,7 +182,7 @@
     """The broadcaster of a host that owns two pools, and their candidacies."""
     host = sender._host
     host.executor = RecordingExecutor()
-    host.job_states = SimpleNamespace(note_statuses=lambda states: None)
+    host.job_states = SimpleNamespace(note_statuses=lambda states, teams: None)
     candidacies = {name: OwnedCandidacy(name) for name in ("a", "b")}
     broadcaster = BeatBroadcaster(host, candidacies)
     for candidacy in candidacies.values():
--- a/tests/entry/test_counts.py
+++ b/tests/entry/test_counts.py
@@ -12,6 +12,7 @@
 from papayapick.entry.peer_requests import PeerRequestHandler
 from papayapick.jobs import AdvicePolicy, Queue
 from papayapick.placement.backlog import QueueBacklog
+from papayapick.quotas import TeamDirectory
 from papayapick.wire.exceptions import PeerTimeout
 from tests.pool.owners import job, owner_with
 
@@ -36,7 +37,7 @@
         self.configuration = SimpleNamespace(
             version=1,
             wait_for_first=lambda seconds: SimpleNamespace(
-                find=lambda name, path: QUEUE
+                find=lambda name, path: QUEUE, teams=TeamDirectory()
             ),
         )
         self.store_health = SimpleNamespace(
--- a/tests/entry/test_state_relays.py
+++ b/tests/entry/test_state_relays.py
@@ -106,7 +106,11 @@
             has_read_state=False,
             lock=threading.RLock(),
             status_feed=SimpleNamespace(
-                all_states=dict, take_changes=dict, backlogs=dict, known_at=None
+                all_states=dict,
+                take_changes=dict,
+                teams=lambda identifiers: {},
+                backlogs=dict,
+                known_at=None,
             ),
             may_lack_records=lambda: False,
             ownership_status=SimpleNamespace(gives_way=lambda: False),
@@ -286,7 +290,7 @@
 def test_state_that_was_overtaken_does_not_replace_a_newer_one(cell):
     """Guards against a job that a caller sees running, and then waiting again."""
     for status in ("waiting", "running", "waiting"):
-        cell.job_states.note_statuses({"job-1": status})
+        cell.job_states.note_statuses({"job-1": status}, {})
     assert cell.job_states.state("job-1") == "running"
 
 
