Start no more of a team's tasks than its maximum allows

Change: quotas/usage.py counts, with the arithmetic of quotas/shares.py, what workers may be running for each team: from the decision to start until the end is certain, so with starts without an answer, stops on their way, second copies and fillers (with their processors). After a takeover a task that an earlier owner may have started counts until its run is found or can't exist, and a run whose job is over, so that its demand isn't read, lets its team start nothing until it is gone. A gang starts whole or waits. A step whose team is at its maximum asks for no advice, holds no room, preempts nothing; later steps of the team wait behind it for 10 s at most, and only while the team uses half of its maximum. A lowered maximum stops nothing; a raised one is used in the same round. A job that could not start if its team ran nothing is refused at once. Not covered: after a takeover, a second copy and a run of a cancelled job on a worker that stays silent are not counted until it reports or its lease ends.

--- a/papayapick/entry/application.py
+++ b/papayapick/entry/application.py
@@ -10,6 +10,7 @@
 )
 from papayapick.entry.exceptions import (
     BodyTooLarge,
+    ExceedsMaximum,
     KeyUnknown,
     NoSuchQueue,
     NotAccepted,
@@ -24,6 +25,7 @@
     encode_waiting,
     is_identifier,
 )
+from papayapick.quotas.usage import fits_maximum
 
 __all__ = ["Application"]
 
@@ -168,6 +170,7 @@
         if method == "POST":
             body = _read_body(environ, configuration.body_limit_bytes)
             document = decode_job(identifier, queue, body, host.clock.time(), team)
+            _check_maximum(document, configuration.teams)
             if host.acceptance.submit(document):
                 self._note_accepted(document, queue, arrived_at)
             return _Reply(_OK)
@@ -216,6 +219,16 @@
     return "" if team is None else team.name
 
 
+def _check_maximum(document, teams):
+    """Raise ExceedsMaximum if a step could never start under its team's maximum."""
+    team = teams.get(document.team)
+    if team is None:
+        return
+    for number, step in enumerate(document.steps):
+        if not fits_maximum(step, team.maximum):
+            raise ExceedsMaximum(step=number, team=team.name)
+
+
 def _method_label(environ):
     """Return the method as a label of a metric; methods not served are "other"."""
     method = environ["REQUEST_METHOD"]
--- a/papayapick/entry/exceptions.py
+++ b/papayapick/entry/exceptions.py
@@ -6,6 +6,7 @@
     "AcceptanceUnknown",
     "BodyTooLarge",
     "CountUnknown",
+    "ExceedsMaximum",
     "JobUnknown",
     "KeyUnknown",
     "NoSuchQueue",
@@ -69,6 +70,14 @@
     status = "429 Too Many Requests"
 
 
+class ExceedsMaximum(PapayapickError):
+    """Report a job that could not start if its team had nothing else running."""
+
+    code = "entry.exceeds-maximum"
+    template = "step {step} needs more than team {team} may have running"
+    status = "429 Too Many Requests"
+
+
 class StateUnknown(PapayapickError):
     """Report that the state of a job cannot be read now; nothing was changed."""
 
--- a/papayapick/jobs/documents.py
+++ b/papayapick/jobs/documents.py
@@ -135,6 +135,11 @@
             return self.demand
         return Amounts(0, self.demand.memory, self.demand.accelerators)
 
+    @property
+    def members_at_once(self):
+        """Return how many tasks are started together: all of a gang, otherwise one."""
+        return self.tasks if self.is_gang else 1
+
     def as_record(self):
         """Return the fields that differ from their defaults, for the store."""
         record = {"tasks": self.tasks, "demand": self.demand.as_mapping()}
--- a/papayapick/jobs/held_tasks.py
+++ b/papayapick/jobs/held_tasks.py
@@ -13,15 +13,28 @@
     ----------
     registry : JobRegistry
     outcomes : OutcomeHandler
+    team_usage : TeamUsage
     """
 
-    __slots__ = ("_jobs", "_must_hold", "_outcomes", "_registry", "_tasks")
+    __slots__ = (
+        "_counted",
+        "_jobs",
+        "_must_hold",
+        "_outcomes",
+        "_registry",
+        "_tasks",
+        "_team_usage",
+    )
 
-    def __init__(self, registry, outcomes):
+    def __init__(self, registry, outcomes, team_usage):
         self._registry = registry
         self._outcomes = outcomes
+        self._team_usage = team_usage
         # Held tasks as (step, index).
         self._tasks = set()
+        # Those that count as running in the usage of their team, since their run has
+        # not been found.
+        self._counted = set()
         # Condition for holding tasks of these jobs; None while none are added.
         self._must_hold = None
         self._jobs = frozenset()
@@ -63,8 +76,16 @@
         if not self._must_hold(step.tasks[index]):
             return False
         self._tasks.add((step, index))
+        self._counted.add((step, index))
+        self._team_usage.add(step.job.document.team, step.step.demand)
         return True
 
+    def note_found(self, step, index):
+        """Record that the run of a task was found, which its worker's room counts."""
+        if (step, index) in self._counted:
+            self._counted.discard((step, index))
+            self._team_usage.remove(step.job.document.team, step.step.demand)
+
     def release_tasks(self, may_release, now):
         """Release the tasks that need not be held any more.
 
@@ -82,6 +103,7 @@
         ]
         self._tasks.difference_update(released)
         for step, index in released:
+            self.note_found(step, index)
             self._release(step, index)
         for step in {step for step, _ in released}:
             if not any(held is step for held, _ in self._tasks):
--- a/papayapick/jobs/registry.py
+++ b/papayapick/jobs/registry.py
@@ -8,6 +8,7 @@
 from papayapick.jobs.schedule import Schedule
 from papayapick.jobs.state import JobState, JobStatus
 from papayapick.jobs.step_queue import StepQueue
+from papayapick.quotas.usage import TeamUsage
 
 __all__ = ["JobRegistry"]
 
@@ -18,6 +19,11 @@
     The registry has no lock of its own: the caller holds the pool's lock during each
     call.
 
+    Parameters
+    ----------
+    team_usage : TeamUsage, optional
+        Counts the tasks that may run unknown to this owner.
+
     Attributes
     ----------
     changed : set of str
@@ -42,7 +48,7 @@
         "to_stop",
     )
 
-    def __init__(self):
+    def __init__(self, team_usage=None):
         self._jobs = {}
         # Jobs without a final status. Most jobs have one: they are retained for two
         # minutes to answer queries of callers. The decision round, which runs ten
@@ -50,7 +56,7 @@
         self._live = {}
         self.step_queue = StepQueue()
         self._outcomes = OutcomeHandler(self)
-        self._held = HeldTasks(self, self._outcomes)
+        self._held = HeldTasks(self, self._outcomes, team_usage or TeamUsage())
         self._schedule = Schedule()
         self.changed = set()
         self.status_changes = set()
@@ -193,9 +199,20 @@
         """
         step = self.step(report.key)
         if step is None:
-            run = Run(report.key, report.attempt, worker, None, RunPhase.RUNNING, now)
+            job = self._jobs.get(report.key.job)
+            team = "" if job is None else job.document.team
+            run = Run(
+                report.key,
+                report.attempt,
+                worker,
+                None,
+                RunPhase.RUNNING,
+                now,
+                team=team,
+            )
             self.to_stop.append(run)
             return run
+        self._held.note_found(step, report.key.index)
         index, attempt = report.key.index, report.attempt
         run = Run.of_task(step, index, attempt, worker, RunPhase.RUNNING, now)
         # Neither its progress before this owner first saw it nor its pace is known.
--- a/papayapick/jobs/runs.py
+++ b/papayapick/jobs/runs.py
@@ -37,6 +37,8 @@
         Monotonic seconds at which the worker was chosen or the run was adopted.
     step : Step, optional
         Not given for a run of an unknown job.
+    team : str, optional
+        Team of its job; empty if it has none or the job is unknown.
 
     Attributes
     ----------
@@ -66,16 +68,24 @@
         "stop_confirmed",
         "stop_requested",
         "tail_limit",
+        "team",
+        "team_demand",
         "was_listed",
         "was_listed_again",
         "worker",
     )
 
-    def __init__(self, key, attempt, worker, demand, phase, placed_at, step=None):
+    def __init__(
+        self, key, attempt, worker, demand, phase, placed_at, step=None, team=""
+    ):
         self.key = key
         self.attempt = attempt
         self.worker = worker
         self.demand = demand
+        self.team = team
+        # What it uses of its team's maximum, None if unknown. This includes the
+        # processors of fillers, which reserve none on their worker.
+        self.team_demand = None if step is None else step.demand
         self.phase = phase
         self.since = None if phase == RunPhase.ORDERED else placed_at
         self.checkpoint = ""
@@ -129,7 +139,8 @@
         """
         key = TaskKey(*step.key, index)
         demand = step.step.room_demand
-        return cls(key, attempt, worker, demand, phase, now, step.step)
+        team = step.job.document.team
+        return cls(key, attempt, worker, demand, phase, now, step.step, team)
 
     @property
     def has_begun(self):
--- a/papayapick/placement/rooms.py
+++ b/papayapick/placement/rooms.py
@@ -4,6 +4,7 @@
 from papayapick.placement.headroom import Headroom
 from papayapick.placement.room_index import RoomIndex
 from papayapick.placement.worker_rooms import WorkerRoom
+from papayapick.quotas.usage import TeamUsage
 
 __all__ = ["Rooms", "WorkerRoom", "allows_another", "may_run"]
 
@@ -17,8 +18,14 @@
 class Rooms:
     """Rooms of all workers of a pool.
 
+    Parameters
+    ----------
+    team_usage : TeamUsage, optional
+
     Attributes
     ----------
+    team_usage : TeamUsage
+        Counts what the teams have running against their maxima.
     headroom : Headroom
         What is kept free for urgent steps.
     """
@@ -31,9 +38,11 @@
         "_next_number",
         "_rooms",
         "headroom",
+        "team_usage",
     )
 
-    def __init__(self):
+    def __init__(self, team_usage=None):
+        self.team_usage = team_usage or TeamUsage()
         self.headroom = Headroom(self)
         self._rooms = {}
         # Results of ``able_count``.
@@ -76,7 +85,7 @@
         self._by_rack.setdefault(room.rack, {})[room.worker] = room
         self._capacity += room.registration.capacity.processors
         self._able_counts.clear()
-        room.join(self._index, number)
+        room.join(self._index, number, self.team_usage)
 
     def remove(self, worker):
         """Remove the room of a worker."""
--- a/papayapick/placement/steps.py
+++ b/papayapick/placement/steps.py
@@ -64,7 +64,9 @@
 
 
 def place_step(step, rooms, allowed, start_run):
-    """Place as many tasks of a step as fit; of a gang, all or none.
+    """Place as many tasks of a step as fit and its team may start.
+
+    Of a gang, all tasks are placed or none.
 
     Parameters
     ----------
@@ -82,7 +84,10 @@
     if step.step.is_gang:
         return _place_gang(step, rooms, allowed, start_run)
     runs = []
+    team_usage = rooms.team_usage
     for index in sorted(step.waiting):
+        if not team_usage.admits(step):
+            break
         room = rooms.choose(step, index, allowed)
         if room is None:
             if step.tasks[index].failed_on:
@@ -97,6 +102,8 @@
 def _place_gang(step, rooms, allowed, start_run):
     if len(step.waiting) < len(step.tasks):
         return []
+    if not rooms.team_usage.admits(step):
+        return []
     racks = [None]
     if step.step.is_rack_bound:
         # Prefer a single rack. A gang spread over racks is slower, but that is still
@@ -116,11 +123,22 @@
 class _TrialReservation:
     """Temporary reservation, released again before the gang is started."""
 
-    __slots__ = ("demand", "is_filler", "key", "name", "tail_limit")
+    __slots__ = (
+        "demand",
+        "is_filler",
+        "key",
+        "name",
+        "tail_limit",
+        "team",
+        "team_demand",
+    )
 
     def __init__(self, key, demand, is_filler):
         self.key = key
         self.demand = demand
+        # The team's maximum was checked for the whole gang.
+        self.team = ""
+        self.team_demand = None
         self.name = (key, "probe")
         self.is_filler = is_filler
         self.tail_limit = 0.0
--- a/papayapick/placement/worker_rooms.py
+++ b/papayapick/placement/worker_rooms.py
@@ -42,6 +42,7 @@
         "_memory",
         "_processors",
         "_suspected_until",
+        "_team_usage",
         "_unknown_demands",
         "filler_runs",
         "hold",
@@ -61,6 +62,7 @@
         self.rack = _rack(registration.labels)
         self.number = 0
         self._index = None
+        self._team_usage = None
         self._is_open = False
         self.is_draining = False
         self.runs = {}
@@ -131,16 +133,21 @@
         """Return the number of its runs that have a limit on their tail latency."""
         return sum(1 for run in self.runs.values() if run.tail_limit)
 
-    def join(self, index, number):
-        """Report all changes to an index from now on.
+    def join(self, index, number, team_usage):
+        """Report all changes from now on.
 
         Parameters
         ----------
         index : RoomIndex
         number : int
+        team_usage : TeamUsage
+            Counts the runs by team.
         """
         self._index = index
+        self._team_usage = team_usage
         self.number = number
+        for run in self.runs.values():
+            team_usage.add(run.team, run.team_demand)
         index.note_freed(self)
         if self._is_failing:
             index.note_failing(self)
@@ -150,6 +157,9 @@
         if self._index is not None:
             self._index.discard(self)
             self._index = None
+            for run in self.runs.values():
+                self._team_usage.remove(run.team, run.team_demand)
+            self._team_usage = None
 
     def drop_hold(self):
         """Drop the hold of the room; tasks that it kept away may fit now."""
@@ -191,12 +201,15 @@
             self._count(run, 1)
             if self._index is not None:
                 self._index.note_change(self)
+                self._team_usage.add(run.team, run.team_demand)
 
     def release(self, run):
         """Release the room of a run whose end is certain."""
         if self.runs.pop(run.name, None) is not None:
             self._count(run, -1)
             self._note_freed()
+            if self._index is not None:
+                self._team_usage.remove(run.team, run.team_demand)
 
     def _note_freed(self):
         if self._index is not None:
--- a/papayapick/pool/advice_manager.py
+++ b/papayapick/pool/advice_manager.py
@@ -64,7 +64,8 @@
         if job.is_final or self.is_saturated:
             return
         for step in job.steps():
-            if step.is_ready and not step.is_done:
+            may_start = self._owner.team_usage.admits(step)
+            if step.is_ready and not step.is_done and may_start:
                 self.request_if_useful(step, now)
 
     def request_if_useful(self, step, now):
--- a/papayapick/pool/decisions.py
+++ b/papayapick/pool/decisions.py
@@ -14,6 +14,7 @@
 from papayapick.pool.orders import StartOrder
 from papayapick.pool.placement_rounds import PlacementRounds
 from papayapick.pool.reports import run_fields
+from papayapick.pool.waiting import WaitReason
 
 __all__ = ["Decisions"]
 
@@ -87,6 +88,8 @@
                     self._start_copy(step, index, now)
 
     def _start_copy(self, step, index, now):
+        if not self._owner.team_usage.admits(step):
+            return
         policy, allowed = step.job.queue.advice, None
         if policy is not None:
             allowed = self._owner.advice_manager.tickets(step, now)
@@ -113,7 +116,7 @@
         overdue = [
             step
             for step in self._owner.job_registry.waiting_steps()
-            if may_preempt(step, now)
+            if may_preempt(step, now) and step.wait_reason != WaitReason.QUOTA
         ]
         if not overdue:
             return
--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -128,11 +128,12 @@
 STEP_WAITS = Event(
     "step waits",
     "request_id occurrence step tasks reason waited_seconds open_workers able_workers "
-    "advised_workers unfit_workers asked_seconds",
+    "advised_workers unfit_workers asked_seconds team",
     "A ready step was not placed completely; repeated every two seconds. Reasons: "
     "advice (requested, no answer yet), turn (requests for other steps come first), "
-    "no-fit (no worker that may run it has room), room. Seconds since the last request "
-    "for advice.",
+    "no-fit (no worker that may run it has room), room, quota (its team has as much "
+    "running as it may, or earlier steps of the team come first). Seconds since the "
+    "last request for advice.",
 )
 COPY_STARTED = Event(
     "second copy",
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -31,6 +31,7 @@
 from papayapick.pool.status_feed import StatusFeed
 from papayapick.pool.store_sync import StoreSync
 from papayapick.pool.upkeep import UpkeepCoordinator
+from papayapick.quotas import TeamUsage
 
 __all__ = ["PoolOwner"]
 
@@ -98,14 +99,17 @@
         "stopping",
         "store_sync",
         "taken_at",
+        "team_usage",
     )
 
     def __init__(self, host, row, is_journal_exact=False):
         self.host = host
         self.row = row
         self.lock = threading.RLock()
-        self.job_registry = JobRegistry()
-        self.rooms = Rooms()
+        self.team_usage = TeamUsage()
+        self._apply_maxima()
+        self.job_registry = JobRegistry(self.team_usage)
+        self.rooms = Rooms(self.team_usage)
         self.roster = WorkerRoster(PROGRESS_TABLE, row.pool)
         self.links_by_worker = {}
         self.is_lost = False
@@ -180,9 +184,16 @@
         else:
             self.ownership_status.note_peer_answer(peer, asked_at)
 
+    def _apply_maxima(self):
+        configuration = self.host.configuration.current
+        if configuration is not None:
+            maxima = {team.name: team.maximum for team in configuration.teams}
+            self.team_usage.set_maxima(configuration.version, maxima)
+
     def refresh_queues(self):
-        """Apply the queue policies of a new configuration to all jobs."""
+        """Apply the policies of a new configuration to all jobs and teams."""
         with self.lock:
+            self._apply_maxima()
             for job in self.job_registry.jobs():
                 job.queue = self.host.queue_of(job.document)
             self.job_registry.step_queue.note_policy_change()
--- a/papayapick/pool/placement_rounds.py
+++ b/papayapick/pool/placement_rounds.py
@@ -18,6 +18,10 @@
 __all__ = ["PlacementRounds"]
 
 _FULL_ROUND_SECONDS = 0.1
+# Most tasks of patient queues end within this time.
+_RESERVE_SECONDS = 10.0
+# A team that uses less of its maximum must not wait while the pool has room.
+_RESERVE_SHARE = 0.5
 
 
 class PlacementRounds:
@@ -35,6 +39,7 @@
 
     __slots__ = (
         "_begin_run",
+        "_blocked_teams",
         "_budget",
         "_freed",
         "_full_at",
@@ -51,6 +56,8 @@
         self._queue_starts = queue_starts
         self._order = ServiceOrder()
         self._holds = Holds(owner.rooms, owner.job_registry.step_of)
+        # Teams with a step that may not start, for the rest of this round.
+        self._blocked_teams = set()
         self._budget = None
         self._freed = set()
         self._full_at = float("-inf")
@@ -63,7 +70,8 @@
         is_full = now - self._full_at >= _FULL_ROUND_SECONDS
         changed = queue.take_changes() | owner.advice_manager.take_changes()
         self._freed = owner.rooms.take_freed()
-        if not (is_full or changed or self._freed):
+        is_maximum_freed = self._is_maximum_freed()
+        if not (is_full or changed or self._freed or is_maximum_freed):
             return
         self._now = now
         self._begin(changed, is_full)
@@ -75,6 +83,8 @@
                 self._update_headroom()
                 is_update_due = False
             most_urgent = min(most_urgent, priority)
+            if self._waits_for_quota(step):
+                continue
             if is_full or step.wait_reason is None:
                 self._examine(step)
             elif step.wait_reason == WaitReason.ADVICE:
@@ -87,6 +97,13 @@
             self._update_headroom()
         self._end(queue)
 
+    def _is_maximum_freed(self):
+        """Return whether a team may start more than in the last round."""
+        freed = self._owner.team_usage.freed
+        is_freed = bool(freed)
+        freed.clear()
+        return is_freed
+
     def _begin(self, changed, is_full):
         rooms, queue = self._owner.rooms, self._owner.job_registry.step_queue
         if is_full:
@@ -101,6 +118,7 @@
         self._freed |= rooms.take_freed()
         self._freed |= rooms.headroom.lift()
         self._order.update(changed, queue.get, self._now)
+        self._blocked_teams = set()
         self._budget = AdviceBudget(rooms.capacity_processors, rooms.free_processors)
 
     def _update_headroom(self):
@@ -119,6 +137,37 @@
         self._owner.rooms.take_freed()
         self._owner.rooms.headroom.lift()
 
+    def _waits_for_quota(self, step):
+        """Return whether a step waits until its team has less running.
+
+        Steps of the team that are served later wait as well. Otherwise small tasks
+        would take what is returned bit by bit, and a large task or a gang would never
+        start. Neither advice nor room is asked for: both would be wasted.
+        """
+        team = step.job.document.team
+        if not team:
+            return False
+        if team not in self._blocked_teams and self._owner.team_usage.admits(step):
+            if step.wait_reason == WaitReason.QUOTA:
+                step.wait_reason = None
+            return False
+        if self._reserves(step, team):
+            self._blocked_teams.add(team)
+        if step.wait_reason != WaitReason.QUOTA:
+            self._holds.drop(step.key)
+            step.wait_reason = WaitReason.QUOTA
+        log_wait(self._owner, step, WaitReason.QUOTA, self._now)
+        return True
+
+    def _reserves(self, step, team):
+        """Return whether later steps of a team wait for a step that may not start.
+
+        They do for a limited time, since lasting tasks may use what the step needs for
+        ever, and only while the team uses much of its maximum.
+        """
+        is_recent = self._now - step.ready_at < _RESERVE_SECONDS
+        return is_recent and self._owner.team_usage.ratio(team) >= _RESERVE_SHARE
+
     def _may_have_changed(self, step):
         """Return whether a step that waits may be served better than a round ago."""
         if step.wait_reason == WaitReason.TURN:
@@ -149,7 +198,7 @@
         is_as_before = step.wait_reason == WaitReason.ROOM
         if not is_as_before or self._fits_on_freed(step, allowed):
             self._place(step, allowed)
-        if step.waiting:
+        if step.waiting and not self._waits_for_quota(step):
             self._wait_for_room(step, allowed)
 
     def _place(self, step, allowed):
--- a/papayapick/pool/waiting.py
+++ b/papayapick/pool/waiting.py
@@ -23,6 +23,8 @@
     NO_FIT = "no-fit"
     # No worker that may run it has room left in this round.
     ROOM = "room"
+    # Its team has as much running as it may.
+    QUOTA = "quota"
 
 
 def log_placed(owner, step, runs, now):
@@ -82,4 +84,5 @@
         advised_workers=status.advised,
         unfit_workers=status.unfit,
         asked_seconds=None if asked is None else round(asked, 3),
+        team=step.job.document.team,
     )
--- a/papayapick/quotas/__init__.py
+++ b/papayapick/quotas/__init__.py
@@ -3,11 +3,13 @@
 from papayapick.quotas.queries import fairness_index
 from papayapick.quotas.shares import QuotaTracker
 from papayapick.quotas.teams import Team, TeamDirectory, key_digest
+from papayapick.quotas.usage import TeamUsage
 
 __all__ = [
     "QuotaTracker",
     "Team",
     "TeamDirectory",
+    "TeamUsage",
     "fairness_index",
     "key_digest",
 ]
--- a/papayapick/quotas/shares.py
+++ b/papayapick/quotas/shares.py
@@ -82,6 +82,34 @@
             or used.accelerators + demand.accelerators * members > quota[2]
         )
 
+    def fitting(self, team, demand, wanted):
+        """Return how many of the wanted members fit into the team's quota.
+
+        Parameters
+        ----------
+        team : str
+        demand : Amounts
+            Of one member.
+        wanted : int
+
+        Returns
+        -------
+        int
+            0 to ``wanted``.
+        """
+        quota = self._quotas.get(team)
+        if quota is None:
+            return wanted
+        used = self.used(team)
+        for limit, taken, each in (
+            (quota[0], used.processors, demand.processors),
+            (quota[1], used.memory, demand.memory),
+            (quota[2], used.accelerators, demand.accelerators),
+        ):
+            if each and limit < math.inf:
+                wanted = min(wanted, int((limit - taken) // each))
+        return max(0, wanted)
+
     def is_over_quota(self, team, returned=_ZERO):
         """Return whether the usage of a team exceeds its quota.
 
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -16,8 +16,10 @@
 from papayapick.jobs import JobDocument, Queue, Step
 from papayapick.ledger import Amounts
 from papayapick.platform.configuration import CONFIGURATION_KEY, OPERATOR_TABLE
+from tests.entry.cell import EntryCell, job, wait_for
 from tests.entry.test_acceptance import FakeStore
 from tests.entry.test_application import Host
+from tests.standins.cluster import Cluster
 
 ID = "5c0e7a21d94b36f8"
 QUEUE = Queue("q", "h", "/q/", "pool", 0, 2, 1.5, 0.5, 3.0, False, None, False)
@@ -151,6 +153,14 @@
     assert host.ask("POST", "key-a1")[0] == 200
 
 
+def test_job_that_exceeds_its_teams_maximum_is_refused_at_once(host):
+    """Guards against jobs that wait for ever, as their team can never start them."""
+    host.configure(configuration(version=2, cpu=50))
+    status, body = host.ask("POST", "key-a1")
+    assert (status, body["error"]) == (429, "entry.exceeds-maximum")
+    assert host.calls == []
+
+
 def test_configuration_is_read_through_another_host_while_the_store_is_lost(host):
     """Guards against a host that accepts removed keys as long as the store refuses it.
 
@@ -277,6 +287,52 @@
     assert states.team(ID) == "accounts"
 
 
+# Real processes.
+
+
+@pytest.fixture
+def cluster():
+    cluster = Cluster()
+    cluster.add_worker("w1", cpu=2000, task_seconds=0.3)
+    cluster.add_worker("w2", cpu=2000, task_seconds=0.3)
+    yield cluster
+    cluster.close()
+
+
+def test_processes_keep_keys_teams_and_maxima(cluster, tmp_path):
+    """Guards against hosts that accept unknown keys or start more than a team may.
+
+    Neither rows nor logs nor metrics of the played hosts contain a key.
+    """
+    maximum = {"cpu": 1000, "mem_mb": 0, "gpu": 0}
+    teams = [team("accounts", maximum=maximum), team("leasing")]
+    cluster.configure(teams=teams)
+    with EntryCell(cluster, tmp_path, hosts=2, has_teams=True) as cell:
+        first, second = cell.hosts
+        path = f"/quick/{ID}"
+        assert first.call("POST", path, job(6))[0] == 401
+        assert first.call("POST", path, job(6), key="key-x")[0] == 401
+        assert first.call("POST", path, job(6), key="key-a1")[0] == 200
+        assert second.call("POST", path, job(6), key="key-l1")[0] == 503
+        other = "/quick/" + "1" * 16
+        assert second.call("POST", other, job(4), key="key-l1")[0] == 200
+        wait_for(lambda: second.call("GET", other, key="key-l1")[1] == DONE)
+        assert second.call("GET", path, key="key-l1")[0] == 410
+        assert first.call("GET", other, key="key-a2")[0] == 410
+        assert first.call("DELETE", other, key="key-a2")[0] == 410
+        wait_for(lambda: second.call("GET", path, key="key-a2")[1] == DONE)
+        outputs = [host.metrics_page() for host in cell.hosts]
+    outputs += [host.log.read_text() for host in cell.hosts]
+    outputs += [
+        json.dumps(row)
+        for (table, _, _), row in cluster.rows.rows.items()
+        if table != OPERATOR_TABLE
+    ]
+    assert not [key for keys in KEYS.values() for key in keys if key in str(outputs)]
+    assert cluster.most_running(ID) == 2
+    assert cluster.most_running("1" * 16) > 2
+
+
 def test_watcher_applies_no_older_version(host):
     host.configure(configuration(version=3))
     host.configure(configuration(version=2, teams=["leasing"]))
--- a/tests/pool/fault_simulation.py
+++ b/tests/pool/fault_simulation.py
@@ -10,12 +10,14 @@
 from papayapick.clients.rows import StoredRow
 from papayapick.clock import ManualClock
 from papayapick.jobs import JobDocument, Queue, Step, TaskKey
+from papayapick.jobs.queues import CellConfiguration
 from papayapick.ledger import Amounts
 from papayapick.ownership.pools import PoolRow
 from papayapick.platform.exceptions import CallFailed, WorkerSilent
 from papayapick.pool.journal import JOBS_TABLE
 from papayapick.pool.owner import PoolOwner
 from papayapick.pool.reports import EndReport, RunReport, StartOutcome, WorkerReport
+from papayapick.quotas import Team, TeamDirectory
 from tests.pool.owners import register
 from tests.pool.standins import Host, ManualExecutor
 
@@ -33,6 +35,7 @@
 MAX_DELAY_SECONDS = 12.0
 JOB_LIMIT = 120
 FENCED = 409
+TEAMS = ("accounts", "leasing")
 
 
 class NonBlockingClock(ManualClock):
@@ -292,17 +295,25 @@
     ----------
     seed : int
         Determines all random choices.
+    maxima : list of int, optional
+        Processors that each of two teams may have running, in millicores; one of them
+        is in force at a time. Without them, jobs belong to no team.
 
     Attributes
     ----------
+    excesses : list of tuple
+        Teams that had more running after a start than allowed, and the millicores.
     duplicate_runs : list of TaskKey
         Tasks of which a run started while another one was active on another worker.
         Runs of stray orders do not count.
     """
 
-    def __init__(self, seed):
+    def __init__(self, seed, maxima=()):
         self.rng = random.Random(seed)
         self.duplicate_runs = []
+        self.excesses = []
+        self._maxima = list(maxima)
+        self._teams = {}
         self._host = WritableHost()
         self._loss_probability = self.rng.choice([0.05, 0.15, 0.3])
         self._has_faults_ended = False
@@ -318,6 +329,8 @@
             name = f"w{number}"
             register(self._host, name)
             self._workers[name] = SimulatedWorker(self, name)
+        if self._maxima:
+            self._configure()
         self._take_over()
 
     @property
@@ -346,6 +359,30 @@
         }
         if worker.name in active and len(active) > 1:
             self.duplicate_runs.append(key)
+        if self._maxima:
+            self._check_maximum(self._teams[key.job])
+
+    def _check_maximum(self, team):
+        used = sum(
+            self.step_of(key).demand.processors
+            for worker in self._workers.values()
+            for (key, _), run in worker.runs.items()
+            if self._teams[key.job] == team and not run.is_stray
+        )
+        # An order that was sent before the maximum was lowered may be carried out
+        # later.
+        if used > max(self._maxima[0], self._maxima[-1]):
+            self.excesses.append((team, used))
+
+    def _configure(self):
+        """Put the next of the maxima into force for both teams."""
+        self._maxima = self._maxima[1:] + self._maxima[:1]
+        teams = [Team(name, maximum={"processors": self._maxima[0]}) for name in TEAMS]
+        self._host.configuration.current = CellConfiguration(
+            self._event_count + 1, [], 1000, TeamDirectory(teams)
+        )
+        if self._owner is not None:
+            self._owner.refresh_queues()
 
     def loses_answer(self):
         return not self._has_faults_ended and self.rng.random() < self._loss_probability
@@ -387,6 +424,8 @@
             self._partition(self.rng.choice(list(self._workers.values())))
         if self.rng.random() < 0.004:
             self._take_over()
+        if self._maxima and self.rng.random() < 0.01:
+            self._configure()
 
     def _partition(self, worker):
         if not worker.is_reached:
@@ -407,7 +446,9 @@
         steps = self._draw_steps()
         for number, step in enumerate(steps):
             self._steps[(identifier, number)] = step
-        document = JobDocument(identifier, "q", "pool", "t", steps, 0.0)
+        team = self.rng.choice(TEAMS) if self._maxima else ""
+        self._teams[identifier] = team
+        document = JobDocument(identifier, "q", "pool", "t", steps, 0.0, team=team)
         partition = f"pool/{int(identifier, 16) % 8}"
         self._host.put(JOBS_TABLE, partition, identifier, document.as_record())
         self._owner.job_registry.add(document, QUEUE, self.now)
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -46,6 +46,7 @@
         self.rows = {}
         self.lost_since = None
         self.live_peers = []
+        self.configuration = SimpleNamespace(current=None)
 
     def read_all(self, table, partition):
         return list(self.rows.get((table, partition), [])), 1
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -133,6 +133,8 @@
         self.finished = []
         self.last_attempts = {}
         self.starts = []
+        # Time, 1 for a start or -1 for an end, and task.
+        self.changes = []
         self.overlaps = []
         self.number = 0
         self.failing = set()
@@ -169,6 +171,7 @@
         self._extend(body)
         self.running[(task, attempt)] = time.monotonic() + self.task_seconds
         self.starts.append((task, attempt))
+        self.changes.append((time.monotonic(), 1, task))
         self.changed.notify_all()
         if self.starts_to_lose:
             self.starts_to_lose -= 1
@@ -229,6 +232,7 @@
 
     def _end(self, name, how):
         self.running.pop(name)
+        self.changes.append((time.monotonic(), -1, name[0]))
         self.number += 1
         task, attempt = name
         self.last_attempts[task] = max(attempt, self.last_attempts.get(task, 0))
@@ -306,7 +310,7 @@
             },
         )
 
-    def configure(self, version=1, **route):
+    def configure(self, version=1, teams=(), **route):
         queue = {
             "name": "quick",
             "host": "jobs.example",
@@ -324,6 +328,7 @@
             "routes": [queue],
             "services": [{"name": "pool-1"}],
             "limits": {"max_body_bytes": 262144},
+            "tenants": list(teams),
         }
         self.rows.write("op", "", "config", value)
 
@@ -335,6 +340,16 @@
                 found.setdefault(task, []).append((worker.name, attempt))
         return found
 
+    def most_running(self, identifier):
+        """Return how many tasks of a job ran at the same time at most."""
+        changes = [one for worker in self.workers.values() for one in worker.changes]
+        running = most = 0
+        for _, change, task in sorted(changes):
+            if task.startswith(identifier):
+                running += change
+                most = max(most, running)
+        return most
+
     def __call__(self, environ, start_response):
         path = environ["PATH_INFO"]
         size = int(environ.get("CONTENT_LENGTH") or 0)
