Show teams and what they use with `papayapick team`

Cause: operators could not see which team is at its maximum, or whose jobs wait, without reading rows. Change: `team list` (rate, maximum, number of keys) and `team status` (usage of started tasks, share of the maximum, jobs that wait and run), both from the store alone; the pool view reads jobs of all pools for it. Rejections are in the metrics and logs of hosts, not in the store, and are not shown. Result: tests with a real host and two teams; usage equals what the stand-in workers run, no key in the output.

--- a/papayapick/management/commands/__init__.py
+++ b/papayapick/management/commands/__init__.py
@@ -7,6 +7,7 @@
 from papayapick.management.commands.logs import LogsCommand
 from papayapick.management.commands.pool import PoolCommand
 from papayapick.management.commands.request import RequestCommand
+from papayapick.management.commands.team import TeamCommand
 
 __all__ = ["COMMANDS"]
 
@@ -18,5 +19,6 @@
     LogsCommand,
     PoolCommand,
     RequestCommand,
+    TeamCommand,
 )
 COMMANDS = {command.name: command for command in _COMMAND_CLASSES}
--- a/papayapick/management/exceptions.py
+++ b/papayapick/management/exceptions.py
@@ -15,10 +15,11 @@
     "OwnerMissing",
     "RequestIdInvalid",
     "RequestNotLogged",
-    "SpanInvalid",
     "RollInterrupted",
     "RollUnsettled",
     "SigningKeyInvalid",
+    "SpanInvalid",
+    "TeamMissing",
 ]
 
 
@@ -63,6 +64,13 @@
     template = "the store holds no configuration"
 
 
+class TeamMissing(CommandError):
+    """Report a name that the configuration has no team of."""
+
+    code = "command.team-missing"
+    template = "the configuration has no team {name}"
+
+
 class JobMissing(CommandError):
     """Report an id under which no pool has a job."""
 
--- a/papayapick/management/pools.py
+++ b/papayapick/management/pools.py
@@ -17,7 +17,7 @@
 from papayapick.platform.store import Store
 from papayapick.platform.workers import WORKERS_TABLE, decode_registration
 from papayapick.pool.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
-from papayapick.pool.partitions import job_partition
+from papayapick.pool.partitions import job_partition, job_partitions
 
 __all__ = ["HostView", "JobView", "PoolsView", "StepView"]
 
@@ -111,12 +111,15 @@
     Parameters
     ----------
     store : Store
+    has_teams : bool, optional
+        Whether callers identify themselves by keys of teams.
     """
 
-    __slots__ = ("_store",)
+    __slots__ = ("_has_teams", "_store")
 
-    def __init__(self, store):
+    def __init__(self, store, has_teams=False):
         self._store = store
+        self._has_teams = has_teams
 
     @staticmethod
     def is_configured(environment=None):
@@ -133,7 +136,8 @@
         PlatformSettingsInvalid
         """
         settings = PlatformSettings.from_config(environment)
-        return cls(Store(settings.store_address, HttpPool(_CALL_TIMEOUT_SECONDS)))
+        store = Store(settings.store_address, HttpPool(_CALL_TIMEOUT_SECONDS))
+        return cls(store, settings.has_teams)
 
     def configuration(self):
         """Return the operator's configuration, or None if the store has none.
@@ -145,7 +149,7 @@
         page = self._store.read(OPERATOR_TABLE, "", CONFIGURATION_KEY, limit=1)
         for row in page.rows:
             if row.key == CONFIGURATION_KEY and row.value is not None:
-                return decode_configuration(row.value)
+                return decode_configuration(row.value, self._has_teams)
         return None
 
     def pools(self, configuration):
@@ -180,6 +184,20 @@
         found = (decode_registration(row.key, row.value) for row in rows)
         return [one for one in found if one is not None and one.pool == pool]
 
+    def jobs(self, configuration):
+        """Yield all recorded jobs of the pools that queues use, as JobView."""
+        for pool in sorted(configuration.pools):
+            progress, _ = self._store.read_all(PROGRESS_TABLE, pool)
+            records = {row.key: row.value for row in progress if row.value is not None}
+            for partition in job_partitions(pool):
+                rows, _ = self._store.read_all(JOBS_TABLE, partition)
+                found = {row.key: row.value for row in rows if row.value is not None}
+                for key in found:
+                    if not key.endswith(CANCEL_SUFFIX):
+                        document = JobDocument.from_record(found[key])
+                        is_cancelled = key + CANCEL_SUFFIX in found
+                        yield _job_view(document, is_cancelled, records.get(key, {}))
+
     def job(self, identifier, pools):
         """Return a job, or None where no pool has it.
 
@@ -208,16 +226,20 @@
         identifier, pool = document.identifier, document.pool
         page = self._store.read(PROGRESS_TABLE, pool, identifier, identifier + "~")
         record = next((row.value for row in page.rows if row.value is not None), {})
-        steps = [
-            _decode_step(document, int(occurrence), number, step)
-            for occurrence, steps in record.get("occurrences", {}).items()
-            for number, step in enumerate(steps)
-        ]
-        status = record.get("status", JobStatus.WAITING)
-        if status == JobStatus.WAITING and any(one.has_begun for one in steps):
-            # A start is recorded before it is ordered, and its answer is not recorded.
-            status = JobStatus.RUNNING
-        return JobView(document, status, is_cancelled, steps)
+        return _job_view(document, is_cancelled, record)
+
+
+def _job_view(document, is_cancelled, record):
+    steps = [
+        _decode_step(document, int(occurrence), number, step)
+        for occurrence, steps in record.get("occurrences", {}).items()
+        for number, step in enumerate(steps)
+    ]
+    status = record.get("status", JobStatus.WAITING)
+    if status == JobStatus.WAITING and any(one.has_begun for one in steps):
+        # A start is recorded before it is ordered, and its answer is not recorded.
+        status = JobStatus.RUNNING
+    return JobView(document, status, is_cancelled, steps)
 
 
 def _decode_step(document, occurrence, number, record):
