Keep an owner among hundreds of hosts: threads, descriptors, heartbeats

Any exception in a loop ended the process, and its reason was lost with the lines still queued. Change: an executor whose idle threads end, and whose tasks wait when no thread can be started, with an event; loops that are run again and end the process only after repeated failures, with the log flushed; a pool released when its owner can't be started; idle connections to workers bounded by a quarter of the descriptors; from 134 hosts on fewer heartbeats to each and a longer silence before a takeover, and candidates spread further; a new owner polls its workers in groups of 200, so that its heartbeats go out in between. One test now advances the paused clock, as the groups need it to pass; it asks for every worker as before.

--- a/papayapick/clients/http.py
+++ b/papayapick/clients/http.py
@@ -1,5 +1,6 @@
 """Send HTTP requests over pooled connections; errors say whether one was sent."""
 
+import collections
 import http.client
 import select
 import threading
@@ -11,6 +12,7 @@
 __all__ = ["HttpAnswer", "HttpPool"]
 
 _MAX_IDLE_PER_ADDRESS = 32
+_MAX_IDLE = 10_000
 _PART_BYTES = 64 << 10
 # The operating system repeats a lost SYN packet only after a second; opening another
 # connection is faster. The first limit is several times the time that connecting takes
@@ -37,16 +39,27 @@
     timeout : float
         Time limit of a request in seconds, from connecting to the last byte.
     clock : Clock, optional
+    max_idle : int, optional
+        Most idle connections to keep in all; those idle for longest are closed.
     """
 
-    __slots__ = ("_clock", "_idle", "_lock", "_timeout")
+    __slots__ = ("_clock", "_idle", "_lock", "_max_idle", "_order", "_timeout")
 
-    def __init__(self, timeout, clock=None):
+    def __init__(self, timeout, clock=None, max_idle=_MAX_IDLE):
         self._timeout = timeout
         self._clock = clock or SystemClock()
+        self._max_idle = max_idle
+        # Idle connections by address.
         self._idle = {}
+        # Their addresses, by connection, in the order in which they became idle.
+        self._order = collections.OrderedDict()
         self._lock = threading.Lock()
 
+    @property
+    def idle_connections(self):
+        """Return the number of idle connections."""
+        return len(self._order)
+
     def request(
         self,
         method,
@@ -118,10 +131,11 @@
     def close(self):
         """Close the idle connections."""
         with self._lock:
-            idle, self._idle = self._idle, {}
-        for connections in idle.values():
-            for connection in connections:
-                connection.close()
+            idle = list(self._order)
+            self._order.clear()
+            self._idle = {}
+        for connection in idle:
+            connection.close()
 
     def _exchange(self, connection, method, path, body, headers, deadline):
         sock = connection.sock
@@ -160,13 +174,23 @@
         """Return an idle connection that is still usable, or None."""
         while True:
             with self._lock:
-                kept = self._idle.get(netloc)
-                connection = kept.pop() if kept else None
+                connection = self._pop_idle(netloc)
             if connection is None or not _is_readable(connection.sock):
                 return connection
             # Readable without a request: the server closed it or sent unexpected bytes.
             connection.close()
 
+    def _pop_idle(self, netloc, position=-1):
+        """Remove an idle connection of an address, the latest by default."""
+        kept = self._idle.get(netloc)
+        if not kept:
+            return None
+        connection = kept.pop(position)
+        del self._order[connection]
+        if not kept:
+            del self._idle[netloc]
+        return connection
+
     def _connect(self, netloc, deadline):
         """Open a connection; raise OSError if that fails or takes too long."""
         seconds = _CONNECT_SECONDS
@@ -189,12 +213,17 @@
                 return connection
 
     def _keep(self, netloc, connection):
+        surplus = None
         with self._lock:
             kept = self._idle.setdefault(netloc, [])
-            if len(kept) < _MAX_IDLE_PER_ADDRESS:
-                kept.append(connection)
-                return
-        connection.close()
+            kept.append(connection)
+            self._order[connection] = netloc
+            if len(kept) > _MAX_IDLE_PER_ADDRESS:
+                surplus = self._pop_idle(netloc, 0)
+            elif len(self._order) > self._max_idle:
+                surplus = self._pop_idle(next(iter(self._order.values())), 0)
+        if surplus is not None:
+            surplus.close()
 
 
 def _is_readable(sock):
--- a/papayapick/entry/beats.py
+++ b/papayapick/entry/beats.py
@@ -12,10 +12,12 @@
 from papayapick.wire.exceptions import PeerNotListening, WireError
 from papayapick.wire.messages import PoolBeat, QueueLoad
 
-__all__ = ["BeatBroadcaster", "BeatSender"]
+__all__ = ["BeatBroadcaster", "BeatSender", "beat_seconds"]
 
-# Other hosts consider an owner silent after three missed heartbeats.
-BEAT_SECONDS = 0.2
+_MIN_BEAT_SECONDS = 0.2
+# An owner sends no more heartbeats a second than to this many hosts at that interval:
+# beyond, they would take the processor time in which it decides.
+_MIN_BEAT_HOSTS = 133
 _RETRY_SECONDS = 0.3
 # Changes within this time are sent in one message.
 _BATCH_SECONDS = 0.015
@@ -28,6 +30,17 @@
 _REMOVE_AFTER_SECONDS = 600.0
 
 
+def beat_seconds(hosts):
+    """Return the interval of an owner's heartbeats among a number of hosts.
+
+    Examples
+    --------
+    >>> beat_seconds(40), round(beat_seconds(300), 3)
+    (0.2, 0.451)
+    """
+    return _MIN_BEAT_SECONDS * max(1.0, hosts / _MIN_BEAT_HOSTS)
+
+
 class BeatBroadcaster:
     """Run the senders for each pair of a pool that this host owns and another host.
 
@@ -238,7 +251,8 @@
         """Send heartbeats until the owner stops or the row of the host is removed."""
         clock = self._host.clock
         while not self._owner.is_stopped and self._peer in self._host.peers.all():
-            is_woken = clock.wait(self._wakeup, BEAT_SECONDS)
+            interval = beat_seconds(len(self._host.peers.all()))
+            is_woken = clock.wait(self._wakeup, interval)
             if is_woken:
                 self._owner.pause(_BATCH_SECONDS)
             self._wakeup.clear()
--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -5,6 +5,7 @@
 import threading
 
 from papayapick.clients.exceptions import TableUnavailable
+from papayapick.entry.beats import beat_seconds
 from papayapick.entry.events import (
     CANDIDATE_WAITS,
     OWNER_GONE,
@@ -21,12 +22,14 @@
 __all__ = ["Candidacy"]
 
 # Three missed heartbeats, so that a host that lost power is replaced within a second.
-_SILENT_AFTER_SECONDS = 0.65
+_SILENT_AFTER_BEATS = 3.25
 _CHECK_INTERVAL_SECONDS = 0.05
 _CONNECT_TIMEOUT_SECONDS = 0.2
 # Hosts that detect a silent owner at the same time try one after the other, those
 # nearest to the store first; the later ones find the pool taken.
 _JITTER_SECONDS = 0.06
+# Each candidate reads a dozen rows first, which takes the store longer than this.
+_JITTER_SECONDS_PER_HOST = 0.0006
 # An owner in the other region has a latency of 45 ms to the store and to most workers
 # at each call; waiting 0.25 s for a nearer candidate costs less. Hosts near the store
 # measure less than 20 ms even while all hosts start at once, and are not delayed.
@@ -196,9 +199,14 @@
             return False
         silence = self._host.clock.monotonic() - self._last_beat_at
         return (
-            not self.row.owner or self._is_suspected or silence > _SILENT_AFTER_SECONDS
+            not self.row.owner
+            or self._is_suspected
+            or silence > _SILENT_AFTER_BEATS * beat_seconds(self._other_hosts())
         )
 
+    def _other_hosts(self):
+        return len(self._host.peers.all())
+
     def _log_suspicion(self):
         silent = self._host.clock.monotonic() - self._last_beat_at
         OWNER_SILENT.write(
@@ -213,9 +221,12 @@
         return (
             self._latency_delay()
             + _MAX_SIZE_DELAY_SECONDS * self._size_deficit()
-            + random.uniform(0, _JITTER_SECONDS)
+            + random.uniform(0, self._jitter())
         )
 
+    def _jitter(self):
+        return max(_JITTER_SECONDS, _JITTER_SECONDS_PER_HOST * self._other_hosts())
+
     def _latency_delay(self):
         """Return the seconds to wait for hosts that are nearer to the store."""
         seconds = self._host.store_seconds
@@ -292,15 +303,19 @@
         # answered.
         self.owner = owner
         self._claimed_epoch = 0
-        # Heartbeats begin before the state is read, which takes a second while the
-        # store is slow: otherwise other hosts would take the pool in the meantime.
-        self._host.note_owner(owner)
         try:
+            # Heartbeats begin before the state is read, which takes a second while the
+            # store is slow: otherwise other hosts would take the pool in the meantime.
+            self._host.note_owner(owner)
             owner.start()
         except TableUnavailable as error:
             POOL_UNREAD.write(pool=self.pool, epoch=row.epoch, error=str(error))
             owner.release()
             return
+        except Exception:
+            # The pool would stay without a working owner until its row has expired.
+            owner.release()
+            raise
         self._host.broadcast(owner)
 
 
--- a/papayapick/entry/events.py
+++ b/papayapick/entry/events.py
@@ -74,8 +74,8 @@
 LOOP_FAILED = Event(
     "loop failed",
     "loop",
-    "A task that must never end raised an exception; the process exits and must be "
-    "restarted.",
+    "A task that must never end raised an exception. It is run again; if it fails "
+    "repeatedly, the process exits and must be restarted.",
     level=logging.ERROR,
 )
 READINESS_CHANGED = Event(
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -2,7 +2,6 @@
 
 import os
 import threading
-from concurrent.futures import ThreadPoolExecutor
 
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.clients.http import HttpPool
@@ -40,9 +39,11 @@
 from papayapick.entry.store_health import StoreHealth
 from papayapick.entry.store_latency import StoreLatency
 from papayapick.entry.writers import GroupWriter
+from papayapick.executors import ElasticExecutor
 from papayapick.ownership.pools import CELL_TABLE, pool_row, read_pool
 from papayapick.platform.machines import MachineClient
 from papayapick.platform.store import Store
+from papayapick.pool.events import THREADS_SHORT
 from papayapick.pool.metrics import OWNED_POOLS, WAITING_JOBS
 from papayapick.wire import CellKeys, PeerServer
 from papayapick.wire.messages import Hello
@@ -51,8 +52,11 @@
 
 # The owner of a pool uses three threads for each other host: one sends heartbeats, one
 # reads the answers, one serves the connection from there. With too few, some hosts get
-# no heartbeats and take the pool again and again. An idle thread costs a small stack.
+# no heartbeats and take the pool again and again.
 _THREADS = 4096
+# Idle connections to workers may take this share of the descriptors. The others are for
+# calls in progress, callers, the store and other hosts.
+_IDLE_DESCRIPTORS_SHARE = 0.25
 _STORE_TIMEOUT_SECONDS = 2.0
 _WORKER_TIMEOUT_SECONDS = 1.0
 # A host to which the store last answered longer ago is not ready for callers.
@@ -60,6 +64,11 @@
 # Changes of hosts within this time are read together. When a hundred hosts start at
 # once, each would else read every other row by a call of its own, 9,000 calls in all.
 _CELL_GATHER_SECONDS = 0.15
+# A loop that fails more often than this, without running for long in between, ends the
+# process.
+_MAX_LOOP_FAILURES = 5
+_LOOP_RETRY_SECONDS = 0.5
+_LOOP_RECOVERED_SECONDS = 10.0
 # Requests in progress end this long before the platform kills the process.
 _GRACE_SLACK_SECONDS = 1.5
 # If no other host takes a pool over, this time is left to record the last ends of tasks
@@ -74,9 +83,12 @@
     ----------
     settings : PlatformSettings
     clock : Clock, optional
+    flush_log : callable, optional
+        Writes the queued log lines; called before the process exits by itself.
     """
 
-    def __init__(self, settings, clock=None):
+    def __init__(self, settings, clock=None, flush_log=lambda: None):
+        self._flush_log = flush_log
         self.settings = settings
         self.clock = clock or BootClock()
         self.started_at = self.clock.monotonic()
@@ -84,7 +96,7 @@
         self.is_draining = False
         # Whether the rows of the other hosts have been read.
         self.has_read_hosts = False
-        self.executor = ThreadPoolExecutor(_THREADS, thread_name_prefix="entry")
+        self.executor = ElasticExecutor(_THREADS, "entry", THREADS_SHORT.write)
         self._store_latency = StoreLatency()
         self.store = Store(
             settings.store_address,
@@ -92,7 +104,10 @@
             self.clock,
             self._observe_store,
         )
-        self.worker_pool = HttpPool(_WORKER_TIMEOUT_SECONDS)
+        self.worker_pool = HttpPool(
+            _WORKER_TIMEOUT_SECONDS,
+            max_idle=int(_IDLE_DESCRIPTORS_SHARE * settings.descriptor_limit),
+        )
         self.machines = MachineClient(settings.machines_address, self.worker_pool)
         self.job_states = JobStateCache(self.clock)
         self.configuration = ConfigurationWatcher(self)
@@ -129,7 +144,7 @@
     def start(self):
         """Start to answer health checks, and join the cell in the background."""
         self.executor.submit(self._frontend_server.run)
-        self.executor.submit(self._run_loop, "join", self._join)
+        self.executor.submit(self._run_loop, "join", self._join, max_failures=0)
 
     def stop(self):
         """Hand over the owned pools, finish requests in progress, and stop."""
@@ -189,14 +204,30 @@
         for queue, count in self.job_states.all_waiting().items():
             WAITING_JOBS.labels(queue).set(count)
 
-    def _run_loop(self, name, step):
-        try:
-            step()
-        except Exception:
-            # Without one of its loops a host would serve callers incorrectly. It
-            # exits, and the platform restarts it.
-            LOOP_FAILED.write_failure(loop=name)
-            os._exit(1)
+    def _run_loop(self, name, step, max_failures=_MAX_LOOP_FAILURES):
+        """Run a loop until the process stops; run it again if it raises.
+
+        Guards against hosts that end one after the other, as each tries to take a pool
+        for which the machine lacks threads or memory.
+        """
+        failures = 0
+        while not self.stopping.is_set():
+            began_at = self.clock.monotonic()
+            try:
+                step()
+                return
+            except Exception:
+                LOOP_FAILED.write_failure(loop=name)
+            if self.clock.monotonic() - began_at > _LOOP_RECOVERED_SECONDS:
+                failures = 0
+            failures += 1
+            if failures > max_failures:
+                # Without one of its loops a host would serve callers incorrectly. It
+                # exits, and the platform restarts it. The reason would be lost with
+                # the lines that are still queued.
+                self._flush_log()
+                os._exit(1)
+            self.clock.wait(self.stopping, _LOOP_RETRY_SECONDS)
 
     def _join(self):
         keys = CellKeys([cell_key(self)])
--- a/papayapick/entry/program.py
+++ b/papayapick/entry/program.py
@@ -83,7 +83,7 @@
     signal.signal(signal.SIGTERM, request_stop)
     signal.signal(signal.SIGINT, request_stop)
     signal.signal(signal.SIGHUP, request_reload)
-    host = EntryHost(settings, clock)
+    host = EntryHost(settings, clock, log.close)
     # The objects loaded so far live as long as the process. Freezing them keeps the
     # garbage collector from traversing them again.
     gc.collect()
--- a/papayapick/platform/settings.py
+++ b/papayapick/platform/settings.py
@@ -9,6 +9,9 @@
 
 SETTINGS_VARIABLE = "PAPAYAPICK_CONFIG"
 
+# Where the platform sets no limit.
+_DESCRIPTOR_LIMIT = 4096
+
 
 class PlatformSettings:
     """Hold the platform's settings of an entry host.
@@ -36,6 +39,7 @@
         "host_name",
         "kill_seconds",
         "lease_limit_seconds",
+        "descriptor_limit",
         "machines_address",
         "metrics_port",
         "peer_address",
@@ -70,6 +74,8 @@
         limits = document.get("limits", {})
         # The share of a core that the process may use, times the speed of that core.
         self.processors = float(limits.get("cpu_share", 1)) * limits.get("cores", 1)
+        # Open sockets and files that the process may have.
+        self.descriptor_limit = int(limits.get("max_fds", _DESCRIPTOR_LIMIT))
         self.grace_seconds = float(bounds["grace_s"])
         self.status_seconds = float(bounds["status_s"])
         self.lease_limit_seconds = bounds["hold_max_ms"] / 1000
--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -39,6 +39,7 @@
     "STEP_WAITS",
     "STOP_REFUSED",
     "STOPPED_FOR_URGENT",
+    "THREADS_SHORT",
     "UPKEEP_BEGUN",
     "UPKEEP_NOT_BEGUN",
     "WAVE_PUT_OFF",
@@ -53,6 +54,16 @@
 
 _RUN = "request_id step task attempt worker"
 
+# Threads.
+
+THREADS_SHORT = Event(
+    "threads short",
+    "executor threads queued error",
+    "No thread could be started for a task. The task waits until another one ends.",
+    level=logging.WARNING,
+    per_second=1,
+)
+
 # Ownership.
 
 POOL_TAKEN = Event(
--- a/papayapick/pool/links.py
+++ b/papayapick/pool/links.py
@@ -160,8 +160,16 @@
         self.is_stopped = True
         self._acknowledgement.set()
 
-    def run(self):
-        """Poll the worker until the link is stopped."""
+    def run(self, delay_seconds=0.0):
+        """Poll the worker until the link is stopped.
+
+        Parameters
+        ----------
+        delay_seconds : float, optional
+            Time until the first poll.
+        """
+        if delay_seconds:
+            self._pause(delay_seconds)
         while not self.is_stopped:
             if not self._listener.may_act():
                 self._pause(_RETRY_SECONDS)
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -1,9 +1,9 @@
 """The owner of a pool: takes it over, schedules its jobs and releases it."""
 
 import threading
-from concurrent.futures import ThreadPoolExecutor
 
 from papayapick.clients.exceptions import TableUnavailable
+from papayapick.executors import ElasticExecutor
 from papayapick.jobs import JobRegistry
 from papayapick.ownership.pools import OwnershipLost, release_pool
 from papayapick.placement.rooms import Rooms
@@ -15,6 +15,7 @@
     POOL_NOT_RELEASED,
     POOL_TAKEN,
     RECORDING_CHANGED,
+    THREADS_SHORT,
 )
 from papayapick.pool.journal import PROGRESS_TABLE, PoolJournal
 from papayapick.pool.liveness import LivenessCheck
@@ -36,8 +37,7 @@
 __all__ = ["PoolOwner"]
 
 # Each worker's link and each loop occupies one thread for as long as it exists. A
-# worker whose link finds no free thread is never contacted and gets no tasks. An idle
-# thread costs only a small stack.
+# worker whose link finds no free thread is never contacted and gets no tasks.
 _LOOP_THREADS = 4096
 # An unanswered start occupies its thread for 0.35 s; a stop and the report requested
 # after it take up to 1.2 s. Stops have a thread pool of their own: stops to silent
@@ -107,7 +107,7 @@
         self.row = row
         self.lock = threading.RLock()
         self.team_usage = TeamUsage()
-        self._apply_maxima()
+        self._apply_teams()
         self.job_registry = JobRegistry(self.team_usage)
         self.rooms = Rooms(self.team_usage)
         self.roster = WorkerRoster(PROGRESS_TABLE, row.pool)
@@ -118,13 +118,11 @@
         self.stopping = threading.Event()
         self.taken_at = host.clock.monotonic()
         self._wakeup = threading.Event()
-        self._executor = ThreadPoolExecutor(_LOOP_THREADS, thread_name_prefix="pool")
-        self._order_executor = ThreadPoolExecutor(
-            _START_THREADS, thread_name_prefix="starts"
-        )
-        self._stop_executor = ThreadPoolExecutor(
-            _STOP_THREADS, thread_name_prefix="stops"
+        self._executor = ElasticExecutor(_LOOP_THREADS, "pool", THREADS_SHORT.write)
+        self._order_executor = ElasticExecutor(
+            _START_THREADS, "starts", THREADS_SHORT.write
         )
+        self._stop_executor = ElasticExecutor(_STOP_THREADS, thread_name_prefix="stops")
         self.orders = OrderSender(
             self, self._order_executor, self._stop_executor, _START_THREADS
         )
@@ -184,7 +182,7 @@
         else:
             self.ownership_status.note_peer_answer(peer, asked_at)
 
-    def _apply_maxima(self):
+    def _apply_teams(self):
         configuration = self.host.configuration.current
         if configuration is not None:
             maxima = {team.name: team.maximum for team in configuration.teams}
@@ -193,7 +191,7 @@
     def refresh_queues(self):
         """Apply the policies of a new configuration to all jobs and teams."""
         with self.lock:
-            self._apply_maxima()
+            self._apply_teams()
             for job in self.job_registry.jobs():
                 job.queue = self.host.queue_of(job.document)
             self.job_registry.step_queue.note_policy_change()
--- a/papayapick/pool/store_sync.py
+++ b/papayapick/pool/store_sync.py
@@ -19,6 +19,9 @@
 # change would be most of an owner's load on the store. A leaving worker stays for some
 # seconds, so a delayed change still ends new tasks well before it exits.
 _WORKERS_GATHER_SECONDS = 0.4
+# A new owner begins to poll its workers in groups of this size, one after the other.
+_POLLED_AT_ONCE = 200
+_POLL_DELAY_SECONDS = 0.1
 
 
 def _document(value, record):
@@ -230,7 +233,18 @@
         link.is_listed = is_listed
         self._owner.links_by_worker[worker] = link
         self._owner.rooms.add(WorkerRoom(registration))
-        self._owner.submit(worker, link.run)
+        delay = self._first_poll_delay()
+        self._owner.submit(worker, lambda: link.run(delay))
+
+    def _first_poll_delay(self):
+        """Return the seconds after which a worker just added is polled.
+
+        Guards against a new owner whose heartbeats come too late while it connects to
+        a thousand workers at once: other hosts would take the pool, and the next ones.
+        """
+        if self._owner.has_read_state:
+            return 0.0
+        return len(self._owner.links_by_worker) // _POLLED_AT_ONCE * _POLL_DELAY_SECONDS
 
     def drop_link(self, link):
         """Remove a worker that is silent, no longer listed, and past its lease."""
--- a/tests/entry/hosts.py
+++ b/tests/entry/hosts.py
@@ -38,6 +38,6 @@
     -------
     EntryHost
     """
-    monkeypatch.setattr(process, "HttpPool", lambda seconds: pool)
+    monkeypatch.setattr(process, "HttpPool", lambda seconds, **options: pool)
     monkeypatch.setattr(process, "FrontendServer", lambda settings, application: None)
     return EntryHost(PlatformSettings(SETTINGS), clock)
--- a/tests/entry/test_candidacy.py
+++ b/tests/entry/test_candidacy.py
@@ -9,6 +9,7 @@
 from papayapick.clients import TableUnavailable
 from papayapick.clock import ManualClock
 from papayapick.entry import candidacy as module
+from papayapick.entry.beats import beat_seconds
 from papayapick.entry.candidacy import Candidacy
 from papayapick.ownership.pools import PoolRow
 from papayapick.wire.messages import Hello, PoolBeat
@@ -332,3 +333,15 @@
 def test_hosts_of_equal_size_are_delayed_by_the_jitter_only(candidacy):
     candidacy._host.others = [SimpleNamespace(processors=1.0)] * 8
     assert max(candidacy._delay() for _ in range(50)) <= module._JITTER_SECONDS
+
+
+@pytest.mark.parametrize("hosts", [0, 40, 133, 300, 1000])
+def test_owner_is_given_time_for_three_heartbeats(hosts):
+    """Guards against hundreds of hosts that replace a working owner again and again.
+
+    It sends fewer heartbeats to each of them, and they take it for silent.
+    """
+    seconds = module._SILENT_AFTER_BEATS * beat_seconds(hosts)
+    assert seconds >= 3 * beat_seconds(hosts)
+    assert seconds == pytest.approx(0.65) or hosts > 133
+    assert hosts / beat_seconds(hosts) <= 670
--- a/tests/pool/test_orders.py
+++ b/tests/pool/test_orders.py
@@ -273,8 +273,36 @@
         register(host, f"w{number}")
     owner = PoolOwner(host, PoolRow("pool", "h1", 3, "a:1", 9), True)
     owner.store_sync.load()
+
+    def are_all_contacted():
+        host.clock.advance(0.1)
+        return len(host.worker_pool.called) == LARGE_POOL
+
+    try:
+        assert wait_until(are_all_contacted)
+    finally:
+        owner.stop()
+        host.worker_pool.may_answer.set()
+
+
+def test_new_owner_polls_its_workers_in_groups():
+    """Guards against heartbeats that come too late as all workers are called at once.
+
+    Other hosts take such an owner for silent, and so they do with the next one.
+    """
+    host = Host()
+    host.worker_pool = UnansweredConnections()
+    for number in range(LARGE_POOL):
+        register(host, f"w{number}")
+    owner = PoolOwner(host, PoolRow("pool", "h1", 3, "a:1", 9), True)
+    owner.store_sync.load()
     try:
-        assert wait_until(lambda: len(host.worker_pool.called) == LARGE_POOL)
+        assert wait_until(lambda: len(host.worker_pool.called) >= 199)
+        assert len(host.worker_pool.called) <= 200
+        owner.has_read_state = True
+        register(host, "late")
+        owner.store_sync.note_worker_rows(host.rows[("servers", "")][-1:])
+        assert wait_until(lambda: any("late" in url for url in host.worker_pool.called))
     finally:
         owner.stop()
         host.worker_pool.may_answer.set()
--- /dev/null
+++ b/tests/test_executors.py
@@ -0,0 +1,113 @@
+"""Threads of an executor follow the tasks at work, and their shortage ends no task."""
+
+import threading
+
+import pytest
+
+from papayapick.executors import ElasticExecutor
+
+WAIT_SECONDS = 10.0
+
+
+@pytest.fixture
+def executor():
+    executor = ElasticExecutor(8, "test", idle_seconds=0.05)
+    yield executor
+    executor.shutdown()
+
+
+def occupy(executor, count):
+    """Submit tasks that wait; return the event that ends them, once all have begun."""
+    begun, end = threading.Semaphore(0), threading.Event()
+
+    def task():
+        begun.release()
+        end.wait(WAIT_SECONDS)
+
+    for _ in range(count):
+        executor.submit(task)
+    for _ in range(count):
+        assert begun.acquire(timeout=WAIT_SECONDS)
+    return end
+
+
+def test_each_task_finds_a_thread(executor):
+    end = occupy(executor, 8)
+    assert executor.threads == 8
+    end.set()
+
+
+def test_idle_threads_end():
+    """Guards against hosts that keep thousands of threads after they owned a pool.
+
+    The machine could then start no more threads for the next owner.
+    """
+    executor = ElasticExecutor(8, "test", idle_seconds=0.0)
+    occupy(executor, 8).set()
+    threads = [one for one in threading.enumerate() if one.name.startswith("test-")]
+    for thread in threads:
+        thread.join(WAIT_SECONDS)
+    assert executor.threads == 0
+    assert executor.submit(lambda: 7).result(WAIT_SECONDS) == 7
+
+
+def test_idle_thread_takes_the_next_task():
+    executor = ElasticExecutor(8, "test", idle_seconds=WAIT_SECONDS)
+    idents = {
+        executor.submit(threading.get_ident).result(WAIT_SECONDS) for _ in range(20)
+    }
+    assert len(idents) <= 2
+    executor.shutdown()
+
+
+def test_task_without_a_thread_waits_for_one(executor):
+    end = occupy(executor, 8)
+    late = executor.submit(lambda: "done")
+    assert not late.done()
+    end.set()
+    assert late.result(WAIT_SECONDS) == "done"
+
+
+def test_shortage_of_the_machine_raises_nothing(monkeypatch):
+    """Guards against a process that ends as its machine starts no more threads.
+
+    A new owner has a thread for each worker and host; the error ended its process,
+    and then the next owner's.
+    """
+    shortages = []
+    executor = ElasticExecutor(8, "test", lambda **fields: shortages.append(fields))
+    end = occupy(executor, 1)
+
+    def refuse(thread):
+        raise RuntimeError("can't start new thread")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(threading.Thread, "start", refuse)
+        queued = [executor.submit(lambda: 1) for _ in range(3)]
+    assert [one["queued"] for one in shortages] == [1, 2, 3]
+    end.set()
+    assert [one.result(WAIT_SECONDS) for one in queued] == [1, 1, 1]
+    executor.shutdown()
+
+
+def test_error_of_a_task_is_its_result(executor):
+    with pytest.raises(ZeroDivisionError):
+        executor.submit(lambda: 1 / 0).result(WAIT_SECONDS)
+    assert executor.submit(lambda: 1).result(WAIT_SECONDS) == 1
+
+
+def test_shutdown_cancels_what_has_not_begun(executor):
+    end = occupy(executor, 8)
+    late = executor.submit(lambda: 1)
+    executor.shutdown(wait=False, cancel_futures=True)
+    assert late.cancelled()
+    with pytest.raises(RuntimeError):
+        executor.submit(lambda: 1)
+    end.set()
+
+
+def test_shutdown_runs_what_is_queued():
+    executor = ElasticExecutor(1, "test")
+    futures = [executor.submit(lambda n=number: n) for number in range(9)]
+    executor.shutdown()
+    assert [one.result(0) for one in futures] == list(range(9))
