Specify the maximum of a team, and show operators what teams use

Cause: the promise that a team has no more running than its maximum, across takeovers and frozen owners, had tests but no specification; operators had no metric and no page. Change: spec/maxima.py (two tasks of a team of which one may run, two owners, orders carried out late): holds with all guards, and without each of the five the checker finds two running. A step that waits for its team is logged in full rounds only. A round does not grow with the number of teams; that there are teams costs one look at each waiting step.

--- a/benchmarks/rounds.py
+++ b/benchmarks/rounds.py
@@ -6,7 +6,8 @@
 ``idle_ms`` a round in which nothing has changed, ``one_ms`` a round that places the one
 task of a job that has just got its advice, ``full_ms`` a round a tenth of a second
 later, ``tick_ms`` the periodic work done ten times a second, ``stops_ms`` the part of
-it that selects tasks to stop for steps that have waited.
+it that selects tasks to stop for steps that have waited. With teams, the jobs belong
+to them in turn, and every second team has as much running as it may.
 """
 
 import itertools
@@ -14,10 +15,14 @@
 
 from benchmarks.tables import print_rows
 from papayapick.jobs import AdvicePolicy, Queue
+from papayapick.ledger import Amounts
 from tests.pool.standins import PoolSimulation
 
 WORKERS = (100, 270, 540, 1000)
 STEPS = (100, 400, 1500)
+TEAM_WORKERS = 540
+TEAM_STEPS = (400, 20_000)
+TEAMS = (0, 20, 670)
 ROUNDS = 9
 TASKS = 6
 WAITED_SECONDS = 1.0
@@ -29,17 +34,20 @@
 
 
 def main():
-    sizes = itertools.product(WORKERS, STEPS)
-    print_rows([measure(workers, steps) for workers, steps in sizes])
+    sizes = [(*size, 0) for size in itertools.product(WORKERS, STEPS)]
+    sizes += itertools.product([TEAM_WORKERS], TEAM_STEPS, TEAMS)
+    print_rows([measure(*size) for size in sizes])
 
 
-def measure(workers, steps):
+def measure(workers, steps, teams):
     load = PoolSimulation(workers=workers, length=1.0)
     owner = load.owner
+    names = _configure(owner, teams)
     owner.host.queue_of = lambda document: QUEUE
     owner.advice_manager._cache._ask = lambda key, names, expected: None
-    for _ in range(steps):
-        load.submit_job(tasks=TASKS, estimate=1.0, queue=QUEUE)
+    for number in range(steps):
+        team = names[number % teams] if teams else ""
+        load.submit_job(tasks=TASKS, estimate=1.0, queue=QUEUE, team=team)
     names = list(load.workers)
     full = names[: min(workers // 2, WORKERS_PER_CALL)]
     for number, step in enumerate(owner.job_registry.waiting_steps()):
@@ -52,6 +60,7 @@
         owner.decisions.place(load.now)
     return {
         "workers": workers,
+        "teams": teams,
         "waiting": len(owner.job_registry.waiting_steps()),
         "idle_ms": _milliseconds(owner.decisions.place, load.now),
         "one_ms": _place_one(load, names[-len(full) :]),
@@ -61,6 +70,16 @@
     }
 
 
+def _configure(owner, teams):
+    """Give every second team a maximum below one task; return the names of all."""
+    names = [f"team-{number}" for number in range(teams)]
+    maxima = {name: {"processors": 10**9 * (n % 2)} for n, name in enumerate(names)}
+    owner.team_usage.set_maxima(1, maxima)
+    for name in names[::2]:
+        owner.team_usage.add(name, Amounts(1))
+    return names
+
+
 def _place_one(load, names):
     """Return the milliseconds of a round that places one task."""
     took = []
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -44,7 +44,7 @@
 from papayapick.platform.machines import MachineClient
 from papayapick.platform.store import Store
 from papayapick.pool.events import THREADS_SHORT
-from papayapick.pool.metrics import OWNED_POOLS, WAITING_JOBS
+from papayapick.pool.metrics import OWNED_POOLS, TEAM_SHARES, WAITING_JOBS
 from papayapick.wire import CellKeys, PeerServer
 from papayapick.wire.messages import Hello
 
@@ -64,6 +64,8 @@
 # Changes of hosts within this time are read together. When a hundred hosts start at
 # once, each would else read every other row by a call of its own, 9,000 calls in all.
 _CELL_GATHER_SECONDS = 0.15
+# Bounds the number of time series.
+_SHOWN_TEAMS = 20
 # A loop that fails more often than this, without running for long in between, ends the
 # process.
 _MAX_LOOP_FAILURES = 5
@@ -200,6 +202,11 @@
         CONFIGURATION_VERSION.set(self.configuration.version)
         CONFIGURATION_AGE_SECONDS.set(self.configuration.age())
         OWNED_POOLS.set(len(self.owned_pools()))
+        TEAM_SHARES.clear()
+        for candidacy in list(self._candidacies.values()):
+            if candidacy.is_owner:
+                for team, share in candidacy.owner.team_shares(_SHOWN_TEAMS).items():
+                    TEAM_SHARES.labels(team).set(share)
         WAITING_JOBS.clear()
         for queue, count in self.job_states.all_waiting().items():
             WAITING_JOBS.labels(queue).set(count)
--- a/papayapick/pool/metrics.py
+++ b/papayapick/pool/metrics.py
@@ -58,3 +58,9 @@
 OWNED_POOLS = gauge(
     PageSection.HOST_STATE, "papayapick_pool_owned", "Pools that this host owns now"
 )
+TEAM_SHARES = gauge(
+    PageSection.HOST_STATE,
+    "papayapick_pool_team_share",
+    "Share of its maximum that a team uses, of the teams with the largest shares",
+    ("team",),
+)
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -196,6 +196,11 @@
                 job.queue = self.host.queue_of(job.document)
             self.job_registry.step_queue.note_policy_change()
 
+    def team_shares(self, count):
+        """Return the largest shares of their maxima that teams use, by team."""
+        with self.lock:
+            return self.team_usage.largest_shares(count)
+
     def note_lost(self):
         """Stop at once, because another host owns the pool."""
         self.is_lost = True
--- a/papayapick/pool/placement_rounds.py
+++ b/papayapick/pool/placement_rounds.py
@@ -151,12 +151,13 @@
             if step.wait_reason == WaitReason.QUOTA:
                 step.wait_reason = None
             return False
-        if self._reserves(step, team):
+        if team not in self._blocked_teams and self._reserves(step, team):
             self._blocked_teams.add(team)
         if step.wait_reason != WaitReason.QUOTA:
             self._holds.drop(step.key)
             step.wait_reason = WaitReason.QUOTA
-        log_wait(self._owner, step, WaitReason.QUOTA, self._now)
+        if self._full_at == self._now:
+            log_wait(self._owner, step, WaitReason.QUOTA, self._now)
         return True
 
     def _reserves(self, step, team):
--- a/papayapick/quotas/usage.py
+++ b/papayapick/quotas/usage.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import heapq
 
 from papayapick.quotas.shares import QuotaTracker
 
@@ -71,13 +72,21 @@
         """Return the usage of a team relative to its maximum, by dominant resource."""
         return self._tracker.ratio(team)
 
-    def maximum(self, team):
-        """Return the amounts that a team may use; a missing one is not limited."""
-        return self._maxima.get(team, {})
+    def largest_shares(self, count):
+        """Return the shares of their maxima that teams use, the largest ones.
 
-    def teams(self):
-        """Return the names of the teams that have a maximum, sorted."""
-        return sorted(self._maxima)
+        Parameters
+        ----------
+        count : int
+            Number of teams at most.
+
+        Returns
+        -------
+        dict of str to float
+            By team.
+        """
+        shares = ((self.ratio(team), team) for team in self._maxima)
+        return {team: share for share, team in heapq.nlargest(count, shares)}
 
     def add(self, team, demand):
         """Add a run, or a task that may be running.
--- a/spec/__main__.py
+++ b/spec/__main__.py
@@ -2,11 +2,12 @@
 
 import sys
 
-from spec import bundle, grants, journal, leases, ownership
+from spec import bundle, grants, journal, leases, maxima, ownership
 from spec.checking import examine
 
 SPECIFICATIONS = tuple(
-    module.SPECIFICATION for module in (ownership, leases, grants, journal, bundle)
+    module.SPECIFICATION
+    for module in (ownership, leases, grants, maxima, journal, bundle)
 )
 
 
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -175,15 +175,15 @@
     def now(self):
         return self.host.clock.monotonic()
 
-    def submit_job(self, tasks, estimate=0.0, queue=QUEUE):
+    def submit_job(self, tasks, estimate=0.0, queue=QUEUE, team=""):
         """Submit a job of one step by its number of tasks; return its id."""
         step = Step(tasks, Amounts(1000, 10), estimate)
-        return self.submit_step(step, queue)
+        return self.submit_step(step, queue, team)
 
-    def submit_step(self, step, queue=QUEUE):
+    def submit_step(self, step, queue=QUEUE, team=""):
         """Submit a job of one step; return its id."""
         identifier = f"{len(self.submitted_at) + 1:016x}"
-        document = JobDocument(identifier, "q", "pool", "t", [step], 0.0)
+        document = JobDocument(identifier, "q", "pool", "t", [step], 0.0, team=team)
         with self.owner.lock:
             self.owner.job_registry.add(document, queue, self.now)
         self.submitted_at[identifier] = self.now
