Serve jobs beyond a team's rate last

Cause: a team that sends several times its usual load delayed all others, as its jobs were served in the order of lateness beside theirs; nothing is owed beyond `weight` jobs a second. Change: a token bucket a team at the owner (quotas/entitlements.py), in the order of acceptance and by the stored time, so that a new owner finds the same jobs within the rate. Jobs beyond it come after all others, preempt nothing and may be preempted first; lasting jobs keep their priority.

--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -6,6 +6,8 @@
 
 # Number of the latest done runs of a step with which its active runs are compared.
 _DONE_RUNS = 9
+# More than any two queues differ by.
+_NOT_OWED_LEVELS = 1000
 
 
 class JobStatus:
@@ -206,6 +208,8 @@
         For each step, the estimated seconds from its start to the job's end.
     critical_path_seconds : float
         The longest of these times.
+    is_owed : bool
+        Whether the job is within the rate of its team. Other jobs are served last.
     """
 
     __slots__ = (
@@ -219,6 +223,7 @@
         "finished_at",
         "finished_occurrences",
         "has_placed_task",
+        "is_owed",
         "occurrences",
         "queue",
         "status",
@@ -233,6 +238,7 @@
         self.failed_task = None
         self.failed_worker = ""
         self.finished_at = None
+        self.is_owed = True
         # Whether this owner has placed a task of the job.
         self.has_placed_task = False
         self.occurrences = {}
@@ -245,6 +251,16 @@
         """Return the identifier that the caller chose."""
         return self.document.identifier
 
+    @property
+    def priority(self):
+        """Return the priority at which the job is served; 0 is the most urgent.
+
+        Lasting jobs keep that of their queue, since their tasks must always run.
+        """
+        if self.is_owed or self.document.is_lasting:
+            return self.queue.priority
+        return self.queue.priority + _NOT_OWED_LEVELS
+
     @property
     def is_final(self):
         """Return whether no further task of the job is to be started."""
--- a/papayapick/placement/headroom.py
+++ b/papayapick/placement/headroom.py
@@ -125,7 +125,7 @@
         if not self._kept and not self._is_short:
             return True
         step = step_state.step
-        if step.is_lasting or step_state.job.queue.priority <= self._priority:
+        if step.is_lasting or step_state.job.priority <= self._priority:
             return True
         if room.hold is not None and room.hold.step_key == step_state.key:
             return True
@@ -149,7 +149,7 @@
         for job in jobs:
             if job.document.is_lasting or job.document.is_timed:
                 continue
-            usage = found.setdefault(job.queue.priority, _Usage())
+            usage = found.setdefault(job.priority, _Usage())
             for step in job.steps():
                 if step.is_ready and not step.is_done:
                     usage.add(step)
--- a/papayapick/placement/preemption.py
+++ b/papayapick/placement/preemption.py
@@ -127,7 +127,7 @@
     list of Run
         Empty if stops cannot make room.
     """
-    plan = _PreemptionPlan(step, allowed, stoppable.below(step.job.queue.priority))
+    plan = _PreemptionPlan(step, allowed, stoppable.below(step.job.priority))
     if not plan.may_stop_any():
         return []
     members, eligible = 1, plan.eligible(rooms)
--- a/papayapick/placement/steps.py
+++ b/papayapick/placement/steps.py
@@ -58,8 +58,8 @@
     """Return the priority of a step, the lowest first, and until when it holds."""
     down_at = step.ready_at + _DOWN_SECONDS
     if step.step.is_lasting and now <= down_at:
-        return step.job.queue.priority, down_at
-    rank = _TOP_PRIORITY if step.step.is_lasting else step.job.queue.priority
+        return step.job.priority, down_at
+    rank = _TOP_PRIORITY if step.step.is_lasting else step.job.priority
     return rank, float("inf")
 
 
--- a/papayapick/pool/decisions.py
+++ b/papayapick/pool/decisions.py
@@ -121,7 +121,7 @@
         if not overdue:
             return
         stoppable = StoppableRuns(self._owner.rooms, self._victim_priority)
-        useful = [step for step in overdue if stoppable.below(step.job.queue.priority)]
+        useful = [step for step in overdue if stoppable.below(step.job.priority)]
         for step in order_steps(useful, now):
             allowed = None
             if step.job.queue.advice is not None:
@@ -146,7 +146,7 @@
         found = step.step
         if not found.has_checkpoints or found.is_gang or found.is_lasting:
             return None
-        return step.job.queue.priority
+        return step.job.priority
 
     def take_unsent(self, identifiers=None):
         """Remove and return the starts that have not been sent yet.
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -32,7 +32,7 @@
 from papayapick.pool.status_feed import StatusFeed
 from papayapick.pool.store_sync import StoreSync
 from papayapick.pool.upkeep import UpkeepCoordinator
-from papayapick.quotas import TeamUsage
+from papayapick.quotas import Entitlements, TeamUsage
 
 __all__ = ["PoolOwner"]
 
@@ -78,6 +78,7 @@
         "_was_announced",
         "advice_manager",
         "decisions",
+        "entitlements",
         "has_read_state",
         "host",
         "is_lost",
@@ -107,6 +108,7 @@
         self.row = row
         self.lock = threading.RLock()
         self.team_usage = TeamUsage()
+        self.entitlements = Entitlements()
         self._apply_teams()
         self.job_registry = JobRegistry(self.team_usage)
         self.rooms = Rooms(self.team_usage)
@@ -185,6 +187,7 @@
     def _apply_teams(self):
         configuration = self.host.configuration.current
         if configuration is not None:
+            self.entitlements.set_teams(configuration.teams)
             maxima = {team.name: team.maximum for team in configuration.teams}
             self.team_usage.set_maxima(configuration.version, maxima)
 
--- a/papayapick/pool/placement_rounds.py
+++ b/papayapick/pool/placement_rounds.py
@@ -77,7 +77,7 @@
         self._begin(changed, is_full)
         is_update_due, most_urgent = is_full, owner.rooms.headroom.priority
         for step in list(self._order):
-            priority = step.job.queue.priority
+            priority = step.job.priority
             if is_update_due and priority > most_urgent:
                 # The urgent steps have taken their room: what remains is for others.
                 self._update_headroom()
--- a/papayapick/pool/store_sync.py
+++ b/papayapick/pool/store_sync.py
@@ -42,6 +42,13 @@
     return max((time for time in times if isinstance(time, int | float)), default=None)
 
 
+def _accepted_at(row):
+    """Return when the job of a row was accepted, or 0.0 for other rows."""
+    value = row.value if isinstance(row.value, dict) else {}
+    found = value.get("accepted_at")
+    return found if isinstance(found, int | float) else 0.0
+
+
 def check_readable(host, pool):
     """Read one row of each partition that a new owner of a pool needs.
 
@@ -150,7 +157,9 @@
         """
         now = self._owner.now()
         cancelled = []
-        for row in rows:
+        # In this order, so that a new owner finds the same jobs within the rates of
+        # their teams as the last one did.
+        for row in sorted(rows, key=_accepted_at):
             if row.value is None:
                 continue
             if row.key.endswith(CANCEL_SUFFIX):
@@ -166,6 +175,9 @@
             queue = self._owner.host.queue_of(document)
             age = 0.0 if newest is None else newest - document.accepted_at
             job = self._owner.job_registry.add(document, queue, now, record, age)
+            job.is_owed = self._owner.entitlements.is_owed(
+                document.team, document.accepted_at
+            )
         except (KeyError, TypeError, ValueError, IndexError):
             # One unreadable record must not stop all other jobs, on one host after
             # another. This job stays in the store until an operator repairs it.
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -322,6 +322,7 @@
         assert first.call("DELETE", other, key="key-a2")[0] == 410
         wait_for(lambda: second.call("GET", path, key="key-a2")[1] == DONE)
         outputs = [host.metrics_page() for host in cell.hosts]
+        assert 'papayapick_pool_team_share{team="accounts"}' in str(outputs)
     outputs += [host.log.read_text() for host in cell.hosts]
     outputs += [
         json.dumps(row)
