Share threads among the links to more than 700 workers

Change: up to 700 workers each link has a thread as before. Beyond, links take turns in 700 threads, and each poll waits for its share of the usual time, so that each worker is polled as often as before. An end at 1,500 workers is then noticed 0.2 s later on average, by the length of the turns. Ruled out: one thread for all connections, which needs a parser of HTTP of our own; polls by other hosts, which is the issue on an owner of thousands.

--- a/papayapick/pool/links.py
+++ b/papayapick/pool/links.py
@@ -35,7 +35,7 @@
 
 
 class WorkerLink:
-    """Track the state of one worker and run the loop that polls it.
+    """Track the state of one worker, and poll it.
 
     Parameters
     ----------
@@ -59,6 +59,8 @@
         Monotonic seconds after which no lease granted by this owner is in force.
     has_reported : bool
         Whether the worker has answered this owner and so refuses earlier ones.
+    due_at : float
+        Monotonic seconds at which the worker is to be polled next.
     is_listed : bool
         Whether the platform's list of workers contains it now.
     last_report_requested_at : float
@@ -75,6 +77,7 @@
         "acknowledged",
         "born",
         "client",
+        "due_at",
         "failed_since",
         "has_reported",
         "is_listed",
@@ -101,6 +104,7 @@
         self.has_reported = False
         self.is_listed = True
         self.is_stopped = False
+        self.due_at = 0.0
         self.lapse_at = 0.0
         self.last_report_requested_at = float("-inf")
 
@@ -156,32 +160,45 @@
         self.acknowledged = self.processed = 0
 
     def stop(self):
-        """Stop the polling loop after its current call."""
+        """Stop polling after the current call."""
         self.is_stopped = True
         self._acknowledgement.set()
 
-    def run(self, delay_seconds=0.0):
-        """Poll the worker until the link is stopped.
+    def is_due(self):
+        """Return whether the worker is to be polled now."""
+        is_acknowledged = self._acknowledgement.is_set()
+        return is_acknowledged or self._clock.monotonic() >= self.due_at
+
+    def pause(self, seconds):
+        """Let the next poll be due after some seconds, or after an acknowledgement."""
+        self.due_at = self._clock.monotonic() + seconds
+
+    def wait_until_due(self):
+        """Wait until the worker is to be polled or the link is stopped."""
+        seconds = self.due_at - self._clock.monotonic()
+        if seconds > 0:
+            self._clock.wait(self._acknowledgement, seconds)
+
+    def poll_once(self, share=1.0):
+        """Poll the worker once, and set when the next poll is due.
 
         Parameters
         ----------
-        delay_seconds : float, optional
-            Time until the first poll.
+        share : float, optional
+            Part of the usual time for which the worker may hold back its answer.
         """
-        if delay_seconds:
-            self._pause(delay_seconds)
-        while not self.is_stopped:
-            if not self._listener.may_act():
-                self._pause(_RETRY_SECONDS)
-                continue
-            try:
-                self._poll()
-            except WorkerSilent:
-                RENEWALS.labels("no-answer").inc()
-                self._note_no_answer()
-            except CallFailed as error:
-                RENEWALS.labels("refused").inc()
-                self._note_refusal(error)
+        if not self._listener.may_act():
+            self._acknowledgement.clear()
+            self.pause(_RETRY_SECONDS)
+            return
+        try:
+            self._poll(share)
+        except WorkerSilent:
+            RENEWALS.labels("no-answer").inc()
+            self._note_no_answer()
+        except CallFailed as error:
+            RENEWALS.labels("refused").inc()
+            self._note_refusal(error)
 
     def refresh(self):
         """Read the lists of runs and ends now, beside the pending long poll."""
@@ -194,8 +211,8 @@
         if not self.is_stopped and report.born == self.born:
             self._listener.note_report(self, report, requested_at)
 
-    def _poll(self):
-        wait_seconds = self._poll_seconds()
+    def _poll(self, share=1.0):
+        wait_seconds = share * self._poll_seconds()
         # A silent worker may have restarted and numbered its ends from the start: it
         # would discard ends that were never read. If it has not restarted, the
         # acknowledgement is sent again as soon as it answers.
@@ -222,7 +239,7 @@
         self._note_answer()
         self._listener.note_report(self, report, requested_at)
         if self.processed > self.acknowledged:
-            self._pause(_UNACKNOWLEDGED_SECONDS)
+            self.pause(_UNACKNOWLEDGED_SECONDS)
 
     def _poll_seconds(self):
         """Return how long the worker may hold back its answer until a run ends."""
@@ -236,9 +253,6 @@
             return _POLL_STALLED_SECONDS
         return _POLL_SECONDS
 
-    def _pause(self, seconds):
-        self._clock.wait(self._acknowledgement, seconds)
-
     def _note_answer(self):
         since, self.failed_since = self.failed_since, None
         if since is not None:
@@ -251,7 +265,7 @@
             remaining = round(self.lapse_at - now, 3) if self.lapse_at else None
             WORKER_SILENT.write(worker=self.worker, lapse_in_seconds=remaining)
         self._listener.note_silence(self)
-        self._pause(_RETRY_SECONDS)
+        self.pause(_RETRY_SECONDS)
 
     def _note_refusal(self, error):
         status = error.details["status"]
@@ -264,4 +278,4 @@
             return
         else:
             RENEWAL_REFUSED.write(worker=self.worker, status=status)
-        self._pause(_RETRY_SECONDS)
+        self.pause(_RETRY_SECONDS)
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -18,6 +18,7 @@
     THREADS_SHORT,
 )
 from papayapick.pool.journal import PROGRESS_TABLE, PoolJournal
+from papayapick.pool.link_threads import LinkThreads
 from papayapick.pool.liveness import LivenessCheck
 from papayapick.pool.loop import DecisionLoop
 from papayapick.pool.metrics import TAKEOVERS
@@ -36,9 +37,8 @@
 
 __all__ = ["PoolOwner"]
 
-# Each worker's link and each loop occupies one thread for as long as it exists. A
-# worker whose link finds no free thread is never contacted and gets no tasks.
-_LOOP_THREADS = 4096
+# Each loop, and each thread that polls workers, exists as long as this owner.
+_LOOP_THREADS = 1024
 # An unanswered start occupies its thread for 0.35 s; a stop and the report requested
 # after it take up to 1.2 s. Stops have a thread pool of their own: stops to silent
 # workers would otherwise delay all starts until their tickets expire.
@@ -84,6 +84,7 @@
         "is_lost",
         "job_registry",
         "journal",
+        "link_threads",
         "links_by_worker",
         "lock",
         "loop",
@@ -114,6 +115,7 @@
         self.rooms = Rooms(self.team_usage)
         self.roster = WorkerRoster(PROGRESS_TABLE, row.pool)
         self.links_by_worker = {}
+        self.link_threads = LinkThreads(host.clock, self.submit)
         self.is_lost = False
         self.has_read_state = False
         self._was_announced = False
--- a/papayapick/pool/store_sync.py
+++ b/papayapick/pool/store_sync.py
@@ -245,8 +245,7 @@
         link.is_listed = is_listed
         self._owner.links_by_worker[worker] = link
         self._owner.rooms.add(WorkerRoom(registration))
-        delay = self._first_poll_delay()
-        self._owner.submit(worker, lambda: link.run(delay))
+        self._owner.link_threads.add(link, self._first_poll_delay())
 
     def _first_poll_delay(self):
         """Return the seconds after which a worker just added is polled.
