Log how long a refused caller still waits

Cause: whether callers lose jobs in an outage of the store because they are told the wrong time to return could not be read from the logs. Change: `request refused` has the caller's remaining time as it sent it.

--- a/papayapick/entry/application.py
+++ b/papayapick/entry/application.py
@@ -44,6 +44,8 @@
 _CONFIGURATION_WAIT_SECONDS = 0.3
 # Where WSGI puts the header with the key of the caller's team.
 _KEY_VARIABLE = "HTTP_API_KEY"
+# How long the caller waits for an answer, in milliseconds.
+_DEADLINE_VARIABLE = "HTTP_X_DEADLINE_MS"
 # Longest part of a path or host name that is written to log events.
 _LOGGED_CHARACTERS = 128
 
@@ -143,6 +145,7 @@
             store_age_seconds=self._host.store_health.logged_age(),
             configuration_version=self._host.configuration.version,
             retry_after_seconds=retry_after,
+            caller_waits_ms=environ.get(_DEADLINE_VARIABLE, "")[:_LOGGED_CHARACTERS],
         )
         return _Reply(status, _error_body(error), retry_after=retry_after)
 
--- a/papayapick/entry/events.py
+++ b/papayapick/entry/events.py
@@ -181,7 +181,7 @@
 REQUEST_REFUSED = Event(
     "request refused",
     "request_id method asked_host path status code detail seconds store_age_seconds "
-    "configuration_version retry_after_seconds",
+    "configuration_version retry_after_seconds caller_waits_ms",
     "A request was not answered with success; code names the reason.",
     per_second=60,
 )
