Average a team's rate over five seconds

Change: a team may send at once what its rate allows in five seconds, the time over which the platform's settings average quotas.

--- a/papayapick/quotas/entitlements.py
+++ b/papayapick/quotas/entitlements.py
@@ -8,22 +8,24 @@
 __all__ = ["Entitlements"]
 
 # Jobs that a team may send at once, as the seconds in which its rate allows as many.
-_BURST_SECONDS = 1.0
+# Arrivals of a small team within its rate are often closer together than its mean.
+_BURST_SECONDS = 5.0
 
 
 class _Bucket:
     """Tokens of one team; the time is given by the caller."""
 
-    __slots__ = ("_tokens", "_updated_at", "rate")
+    __slots__ = ("_burst_seconds", "_tokens", "_updated_at", "rate")
 
-    def __init__(self, rate):
+    def __init__(self, rate, burst_seconds):
+        self._burst_seconds = burst_seconds
         self.rate = rate
         self._tokens = self._burst
         self._updated_at = None
 
     @property
     def _burst(self):
-        return max(1.0, self.rate * _BURST_SECONDS)
+        return max(1.0, self.rate * self._burst_seconds)
 
     def take(self, at):
         """Take a token if there is one; return whether there was."""
@@ -41,10 +43,15 @@
 class Entitlements:
     """Decide for each job in the order of acceptance whether it is owed to its team.
 
+    Parameters
+    ----------
+    burst_seconds : float, optional
+        Time over which the rate is averaged.
+
     Examples
     --------
     >>> from papayapick.quotas import Team
-    >>> entitlements = Entitlements()
+    >>> entitlements = Entitlements(burst_seconds=1.0)
     >>> entitlements.set_teams([Team("accounts", jobs_per_second=2)])
     >>> [entitlements.is_owed("accounts", 100.0) for _ in range(3)]
     [True, True, False]
@@ -52,9 +59,10 @@
     True
     """
 
-    __slots__ = ("_buckets",)
+    __slots__ = ("_buckets", "_burst_seconds")
 
-    def __init__(self):
+    def __init__(self, burst_seconds=_BURST_SECONDS):
+        self._burst_seconds = burst_seconds
         self._buckets = {}
 
     def set_teams(self, teams):
@@ -63,7 +71,7 @@
         for team in teams:
             bucket = self._buckets.get(team.name)
             if bucket is None:
-                bucket = _Bucket(team.jobs_per_second)
+                bucket = _Bucket(team.jobs_per_second, self._burst_seconds)
             bucket.rate = team.jobs_per_second
             buckets[team.name] = bucket
         self._buckets = buckets
