Give loops and senders of heartbeats modules of their own

Change: entry/loops.py runs loops again that raise; entry/beat_senders.py has the sender of one owner to one host, its interval and what it reads; Run.of_ended_job in place of a call with eight arguments. No behaviour changed. Result: tests of entry, jobs and pool pass (imports followed, assertions unchanged but for the runner's own object in test_loops).

--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -5,7 +5,7 @@
 import threading
 
 from papayapick.clients.exceptions import TableUnavailable
-from papayapick.entry.beats import beat_seconds
+from papayapick.entry.beat_senders import beat_seconds
 from papayapick.entry.events import (
     CANDIDATE_WAITS,
     OWNER_GONE,
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -1,6 +1,5 @@
 """Create, connect and run the components of an entry host."""
 
-import os
 import threading
 
 from papayapick.clients.exceptions import TableUnavailable
@@ -13,7 +12,6 @@
 from papayapick.entry.candidacy import Candidacy
 from papayapick.entry.configuration import ConfigurationWatcher
 from papayapick.entry.events import (
-    LOOP_FAILED,
     OWNER_UNCONFIRMED,
     READINESS_CHANGED,
 )
@@ -24,6 +22,7 @@
 )
 from papayapick.entry.job_states import JobStateCache
 from papayapick.entry.joining import cell_key, register
+from papayapick.entry.loops import LoopRunner
 from papayapick.entry.metrics import (
     CONFIGURATION_AGE_SECONDS,
     CONFIGURATION_VERSION,
@@ -66,11 +65,6 @@
 _CELL_GATHER_SECONDS = 0.15
 # Bounds the number of time series.
 _SHOWN_TEAMS = 20
-# A loop that fails more often than this, without running for long in between, ends the
-# process.
-_MAX_LOOP_FAILURES = 5
-_LOOP_RETRY_SECONDS = 0.5
-_LOOP_RECOVERED_SECONDS = 10.0
 # Requests in progress end this long before the platform kills the process.
 _GRACE_SLACK_SECONDS = 1.5
 # If no other host takes a pool over, this time is left to record the last ends of tasks
@@ -90,11 +84,11 @@
     """
 
     def __init__(self, settings, clock=None, flush_log=lambda: None):
-        self._flush_log = flush_log
         self.settings = settings
         self.clock = clock or BootClock()
         self.started_at = self.clock.monotonic()
         self.stopping = threading.Event()
+        self._loops = LoopRunner(self.clock, self.stopping, flush_log)
         self.is_draining = False
         # Whether the rows of the other hosts have been read.
         self.has_read_hosts = False
@@ -146,7 +140,7 @@
     def start(self):
         """Start to answer health checks, and join the cell in the background."""
         self.executor.submit(self._frontend_server.run)
-        self.executor.submit(self._run_loop, "join", self._join, max_failures=0)
+        self.executor.submit(self._loops.run, "join", self._join, max_failures=0)
 
     def stop(self):
         """Hand over the owned pools, finish requests in progress, and stop."""
@@ -211,31 +205,6 @@
         for queue, count in self.job_states.all_waiting().items():
             WAITING_JOBS.labels(queue).set(count)
 
-    def _run_loop(self, name, step, max_failures=_MAX_LOOP_FAILURES):
-        """Run a loop until the process stops; run it again if it raises.
-
-        Guards against hosts that end one after the other, as each tries to take a pool
-        for which the machine lacks threads or memory.
-        """
-        failures = 0
-        while not self.stopping.is_set():
-            began_at = self.clock.monotonic()
-            try:
-                step()
-                return
-            except Exception:
-                LOOP_FAILED.write_failure(loop=name)
-            if self.clock.monotonic() - began_at > _LOOP_RECOVERED_SECONDS:
-                failures = 0
-            failures += 1
-            if failures > max_failures:
-                # Without one of its loops a host would serve callers incorrectly. It
-                # exits, and the platform restarts it. The reason would be lost with
-                # the lines that are still queued.
-                self._flush_log()
-                os._exit(1)
-            self.clock.wait(self.stopping, _LOOP_RETRY_SECONDS)
-
     def _join(self):
         keys = CellKeys([cell_key(self)])
         settings = self.settings
@@ -260,7 +229,7 @@
             ("cell", self._follow_cell),
             ("probe", self._probe.run),
         ):
-            self.executor.submit(self._run_loop, name, step)
+            self.executor.submit(self._loops.run, name, step)
 
     # Rows and answers of the store.
 
@@ -346,7 +315,7 @@
             if pool not in self._candidacies:
                 candidacy = Candidacy(self, pool)
                 self._candidacies[pool] = candidacy
-                self.executor.submit(self._run_loop, pool, candidacy.run)
+                self.executor.submit(self._loops.run, pool, candidacy.run)
         for candidacy in list(self._candidacies.values()):
             if candidacy.is_owner:
                 candidacy.owner.refresh_queues()
--- a/papayapick/jobs/registry.py
+++ b/papayapick/jobs/registry.py
@@ -201,15 +201,7 @@
         if step is None:
             job = self._jobs.get(report.key.job)
             team = "" if job is None else job.document.team
-            run = Run(
-                report.key,
-                report.attempt,
-                worker,
-                None,
-                RunPhase.RUNNING,
-                now,
-                team=team,
-            )
+            run = Run.of_ended_job(report.key, report.attempt, worker, now, team)
             self.to_stop.append(run)
             return run
         self._held.note_found(step, report.key.index)
--- a/papayapick/jobs/runs.py
+++ b/papayapick/jobs/runs.py
@@ -142,6 +142,21 @@
         team = step.job.document.team
         return cls(key, attempt, worker, demand, phase, now, step.step, team)
 
+    @classmethod
+    def of_ended_job(cls, key, attempt, worker, now, team):
+        """Build an active run of a job that is over, so that its demand is not known.
+
+        Parameters
+        ----------
+        key : TaskKey
+        attempt : int
+        worker, team : str
+            The team is empty if the job is unknown.
+        now : float
+            Monotonic seconds.
+        """
+        return cls(key, attempt, worker, None, RunPhase.RUNNING, now, team=team)
+
     @property
     def has_begun(self):
         """Return whether the worker is known to have started the run."""
--- a/tests/entry/test_beats.py
+++ b/tests/entry/test_beats.py
@@ -8,7 +8,8 @@
 from papayapick.clients.exceptions import ConditionFailed
 from papayapick.clients.rows import StoredRow
 from papayapick.clock import ManualClock
-from papayapick.entry.beats import _REMOVE_AFTER_SECONDS, BeatBroadcaster, BeatSender
+from papayapick.entry.beat_senders import _REMOVE_AFTER_SECONDS, BeatSender
+from papayapick.entry.beats import BeatBroadcaster
 from papayapick.entry.peers import HOSTS_PARTITION, Peers
 from papayapick.entry.process import EntryHost
 from papayapick.ownership.pools import CELL_TABLE
--- a/tests/entry/test_candidacy.py
+++ b/tests/entry/test_candidacy.py
@@ -9,7 +9,7 @@
 from papayapick.clients import TableUnavailable
 from papayapick.clock import ManualClock
 from papayapick.entry import candidacy as module
-from papayapick.entry.beats import beat_seconds
+from papayapick.entry.beat_senders import beat_seconds
 from papayapick.entry.candidacy import Candidacy
 from papayapick.ownership.pools import PoolRow
 from papayapick.wire.messages import Hello, PoolBeat
--- a/tests/entry/test_counts.py
+++ b/tests/entry/test_counts.py
@@ -7,7 +7,8 @@
 
 from papayapick.clock import ManualClock
 from papayapick.entry.application import Application
-from papayapick.entry.beats import BeatBroadcaster, BeatSender
+from papayapick.entry.beat_senders import BeatSender
+from papayapick.entry.beats import BeatBroadcaster
 from papayapick.entry.job_states import JobStateCache
 from papayapick.entry.peer_requests import PeerRequestHandler
 from papayapick.jobs import AdvicePolicy, Queue
--- a/tests/entry/test_state_relays.py
+++ b/tests/entry/test_state_relays.py
@@ -8,7 +8,8 @@
 
 from papayapick.clock import ManualClock
 from papayapick.entry import state_relays
-from papayapick.entry.beats import _RELAY_SECONDS, BeatBroadcaster, BeatSender
+from papayapick.entry.beat_senders import _RELAY_SECONDS, BeatSender
+from papayapick.entry.beats import BeatBroadcaster
 from papayapick.entry.job_states import JobStateCache
 from papayapick.entry.peer_requests import PeerRequestHandler
 from papayapick.entry.peers import Peer
--- a/tests/entry/test_takeover_backlogs.py
+++ b/tests/entry/test_takeover_backlogs.py
@@ -3,7 +3,7 @@
 from types import SimpleNamespace
 
 from papayapick.clock import ManualClock
-from papayapick.entry.beats import BeatSender
+from papayapick.entry.beat_senders import BeatSender
 from papayapick.entry.job_states import JobStateCache
 from papayapick.entry.peer_requests import PeerRequestHandler
 from papayapick.jobs import AdvicePolicy, Queue
