Show shares of teams behind the metrics that must not be cut off

Cause: a whole run of the tests found papayapick_pool_team_share missing from the test of the metrics page, and it stood in the section that collectors which cut a page off must still get. Change: a section of its own after the backlogs; the test's page has a series for each of twenty teams. No check eased: the page's first bytes hold what they held.

--- a/papayapick/observability/registry.py
+++ b/papayapick/observability/registry.py
@@ -41,10 +41,12 @@
     REFUSALS_AND_DROPS = 3
     # One series per queue.
     BACKLOGS = 4
+    # One series per team, for a bounded number of teams.
+    TEAMS = 5
     # One series per method and status.
-    RESPONSES = 5
-    PROCESS = 6
-    HISTOGRAMS = 7
+    RESPONSES = 6
+    PROCESS = 7
+    HISTOGRAMS = 8
 
 
 class _MetricsPage:
--- a/papayapick/pool/metrics.py
+++ b/papayapick/pool/metrics.py
@@ -11,11 +11,12 @@
     "STARTS",
     "TAKEOVERS",
     "TAKEOVER_SECONDS",
+    "TEAM_SHARES",
     "WAITING_JOBS",
 ]
 
-# All label values come from fixed sets, except the names of queues, which operators
-# choose. Only queues with waiting jobs are exported.
+# All label values come from fixed sets, except the names of queues and teams, which
+# operators choose. Only queues with waiting jobs are exported, and twenty teams.
 WAITING_JOBS = gauge(
     PageSection.BACKLOGS,
     "papayapick_pool_waiting_jobs",
@@ -59,7 +60,7 @@
     PageSection.HOST_STATE, "papayapick_pool_owned", "Pools that this host owns now"
 )
 TEAM_SHARES = gauge(
-    PageSection.HOST_STATE,
+    PageSection.TEAMS,
     "papayapick_pool_team_share",
     "Share of its maximum that a team uses, of the teams with the largest shares",
     ("team",),
--- a/tests/observability/test_registry.py
+++ b/tests/observability/test_registry.py
@@ -14,6 +14,7 @@
 # Collectors may cut a page off after this many bytes, also within a line.
 PAGE_LIMIT_BYTES = 4000
 QUEUES = 45
+TEAMS = 20
 LONGEST_BACKLOGS = 10
 METHODS = ("GET", "POST", "DELETE")
 STATUSES = ("200", "400", "404", "410", "429", "503", "504")
@@ -61,6 +62,8 @@
         pool_metrics.COMPLETION_SECONDS.labels(status).observe(12.3)
     for number in range(QUEUES):
         pool_metrics.WAITING_JOBS.labels(f"r-queue{number:02}").set(number + 1)
+    for number in range(TEAMS):
+        pool_metrics.TEAM_SHARES.labels(f"team{number:02}").set(number / TEAMS)
     yield metrics_text().decode()
     for metric in (
         metrics.REFUSALS,
@@ -71,6 +74,7 @@
         pool_metrics.ENDS,
         pool_metrics.RENEWALS,
         pool_metrics.COMPLETION_SECONDS,
+        pool_metrics.TEAM_SHARES,
         pool_metrics.WAITING_JOBS,
     ):
         metric.clear()
