Decode every answer and row of the platform with a typed error

Cause: JSON of a wrong shape in an answer of the store, a worker's report or a wave of the operator raised AttributeError or OverflowError past the guards, and an answer longer than announced AnswerInvalid; the loop or thread that met it ended. Change: store and waves read fields by name and type, workers' reports and settings are guarded against all that a wrong shape raises; gauges have a module, held tasks are reached through their own object.

--- /dev/null
+++ b/papayapick/entry/gauges.py
@@ -0,0 +1,41 @@
+"""Set the gauges of an entry host to their present values."""
+
+from papayapick.entry.metrics import (
+    CONFIGURATION_AGE_SECONDS,
+    CONFIGURATION_VERSION,
+    STORE_AGE_SECONDS,
+)
+from papayapick.pool.metrics import OWNED_POOLS, TEAM_SHARES, WAITING_JOBS
+
+__all__ = ["refresh_gauges"]
+
+# Bounds the number of time series.
+_SHOWN_TEAMS = 20
+
+
+def refresh_gauges(host, owners):
+    """Set the gauges, before the metrics are served.
+
+    Parameters
+    ----------
+    host : EntryHost
+    owners : list of PoolOwner
+        Of the pools that the host owns.
+    """
+    STORE_AGE_SECONDS.set(host.store_health.age())
+    CONFIGURATION_VERSION.set(host.configuration.version)
+    CONFIGURATION_AGE_SECONDS.set(host.configuration.age())
+    OWNED_POOLS.set(len(owners))
+    _refresh_teams(owners)
+    WAITING_JOBS.clear()
+    for queue, count in host.job_states.all_waiting().items():
+        WAITING_JOBS.labels(queue).set(count)
+
+
+def _refresh_teams(owners):
+    TEAM_SHARES.clear()
+    for owner in owners:
+        with owner.lock:
+            shares = owner.team_usage.largest_shares(_SHOWN_TEAMS)
+        for team, share in shares.items():
+            TEAM_SHARES.labels(team).set(share)
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -20,13 +20,11 @@
     OWNER_WAIT_SECONDS,
     follow_table,
 )
+from papayapick.entry.gauges import refresh_gauges
 from papayapick.entry.job_states import JobStateCache
 from papayapick.entry.joining import cell_key, register
 from papayapick.entry.loops import LoopRunner
 from papayapick.entry.metrics import (
-    CONFIGURATION_AGE_SECONDS,
-    CONFIGURATION_VERSION,
-    STORE_AGE_SECONDS,
     STORE_SECONDS,
 )
 from papayapick.entry.peer_requests import PeerRequestHandler
@@ -43,7 +41,6 @@
 from papayapick.platform.machines import MachineClient
 from papayapick.platform.store import Store
 from papayapick.pool.events import THREADS_SHORT
-from papayapick.pool.metrics import OWNED_POOLS, TEAM_SHARES, WAITING_JOBS
 from papayapick.wire import CellKeys, PeerServer
 from papayapick.wire.messages import Hello
 
@@ -63,8 +60,6 @@
 # Changes of hosts within this time are read together. When a hundred hosts start at
 # once, each would else read every other row by a call of its own, 9,000 calls in all.
 _CELL_GATHER_SECONDS = 0.15
-# Bounds the number of time series.
-_SHOWN_TEAMS = 20
 # Requests in progress end this long before the platform kills the process.
 _GRACE_SLACK_SECONDS = 1.5
 # If no other host takes a pool over, this time is left to record the last ends of tasks
@@ -192,18 +187,8 @@
 
     def refresh_metrics(self):
         """Set the gauges to their present values, before the metrics are served."""
-        STORE_AGE_SECONDS.set(self.store_health.age())
-        CONFIGURATION_VERSION.set(self.configuration.version)
-        CONFIGURATION_AGE_SECONDS.set(self.configuration.age())
-        OWNED_POOLS.set(len(self.owned_pools()))
-        TEAM_SHARES.clear()
-        for candidacy in list(self._candidacies.values()):
-            if candidacy.is_owner:
-                for team, share in candidacy.owner.team_shares(_SHOWN_TEAMS).items():
-                    TEAM_SHARES.labels(team).set(share)
-        WAITING_JOBS.clear()
-        for queue, count in self.job_states.all_waiting().items():
-            WAITING_JOBS.labels(queue).set(count)
+        owners = [one.owner for one in list(self._candidacies.values()) if one.is_owner]
+        refresh_gauges(self, owners)
 
     def _join(self):
         keys = CellKeys([cell_key(self)])
--- a/papayapick/jobs/held_tasks.py
+++ b/papayapick/jobs/held_tasks.py
@@ -42,18 +42,20 @@
     def __bool__(self):
         return bool(self._tasks)
 
-    def activate(self, must_hold, jobs):
-        """Hold waiting tasks, and tasks of steps that become ready later.
+    def activate(self, must_hold):
+        """Hold tasks of the present jobs that an earlier owner may have started.
+
+        Until ``release_all``, this covers steps that become ready later too: the
+        outcome that makes a step ready may be read before the worker's list that shows
+        a run of that step.
 
         Parameters
         ----------
         must_hold : callable
-            Takes a TaskState and returns whether the task must be held.
-        jobs : iterable of str
-            Identifiers of the jobs that existed under the earlier owner.
+            Takes a TaskState and returns whether the task must not be started yet.
         """
         self._must_hold = must_hold
-        self._jobs = set(jobs)
+        self._jobs = {job.identifier for job in self._registry.jobs()}
         for step in self._registry.waiting_steps():
             for index in list(step.waiting):
                 if self.hold_if_required(step, index):
@@ -61,9 +63,10 @@
             if not step.waiting:
                 self._registry.dequeue_step(step)
 
-    def deactivate(self):
-        """Hold no further tasks; those that are held stay so until released."""
+    def release_all(self, now):
+        """Release all held tasks and hold no further ones."""
         self._must_hold = None
+        self.release_tasks(lambda task: True, now)
 
     def hold_if_required(self, step, index):
         """Hold a task if the condition requires it; return whether it is held."""
--- a/papayapick/jobs/registry.py
+++ b/papayapick/jobs/registry.py
@@ -28,6 +28,8 @@
     ----------
     changed : set of str
         Identifiers of jobs whose progress must be journaled.
+    held : HeldTasks
+        Tasks that an earlier owner may have started, until their run is found.
     status_changes : set of str
         Identifiers of jobs whose status has changed since it was last published.
     to_stop : list of Run
@@ -37,12 +39,12 @@
     """
 
     __slots__ = (
-        "_held",
         "_jobs",
         "_live",
         "_outcomes",
         "_schedule",
         "changed",
+        "held",
         "status_changes",
         "step_queue",
         "to_stop",
@@ -56,7 +58,7 @@
         self._live = {}
         self.step_queue = StepQueue()
         self._outcomes = OutcomeHandler(self)
-        self._held = HeldTasks(self, self._outcomes, team_usage or TeamUsage())
+        self.held = HeldTasks(self, self._outcomes, team_usage or TeamUsage())
         self._schedule = Schedule()
         self.changed = set()
         self.status_changes = set()
@@ -204,7 +206,7 @@
             run = Run.of_ended_job(report.key, report.attempt, worker, now, team)
             self.to_stop.append(run)
             return run
-        self._held.note_found(step, report.key.index)
+        self.held.note_found(step, report.key.index)
         index, attempt = report.key.index, report.attempt
         run = Run.of_task(step, index, attempt, worker, RunPhase.RUNNING, now)
         # Neither its progress before this owner first saw it nor its pace is known.
@@ -239,42 +241,6 @@
         if step is not None and run.checkpoint:
             step.tasks[run.key.index].checkpoint = run.checkpoint
 
-    def hold_tasks(self, must_hold):
-        """Hold tasks that an earlier owner may have started already.
-
-        Until ``release_all_tasks``, this covers steps that become ready later too: the
-        outcome that makes a step ready may be read before the worker's list that shows
-        a run of that step.
-
-        Parameters
-        ----------
-        must_hold : callable
-            Takes a TaskState and returns whether the task must not be started yet.
-        """
-        self._held.activate(must_hold, self._jobs)
-
-    def release_tasks(self, may_release, now):
-        """Release held tasks, which then wait for a worker.
-
-        Parameters
-        ----------
-        may_release : callable
-            Takes a TaskState and returns whether no unknown run of it can exist.
-        now : float
-            Monotonic seconds.
-        """
-        self._held.release_tasks(may_release, now)
-
-    def release_all_tasks(self, now):
-        """Release all held tasks and hold no further ones."""
-        self._held.deactivate()
-        self.release_tasks(lambda task: True, now)
-
-    @property
-    def has_held_tasks(self):
-        """Return whether any task is held."""
-        return bool(self._held)
-
     def drop_run(self, run, now):
         """Remove a run that did not start and can no longer start."""
         self._outcomes.drop_run(run, now)
@@ -312,13 +278,13 @@
                     if not (
                         task.is_done
                         or task.runs
-                        or self._held.hold_if_required(step, index)
+                        or self.held.hold_if_required(step, index)
                     ):
                         self.enqueue_task(step, index)
 
     def requeue_task(self, step, index):
         """Queue a task that has no run any more, unless it is held."""
-        if not self._held.hold_if_required(step, index):
+        if not self.held.hold_if_required(step, index):
             step.tasks[index].refresh_place()
             self.enqueue_task(step, index)
 
--- a/papayapick/platform/settings.py
+++ b/papayapick/platform/settings.py
@@ -105,12 +105,36 @@
             raise PlatformSettingsInvalid(path=path, reason=error.strerror) from error
         except ValueError as error:
             raise PlatformSettingsInvalid(path=path, reason=str(error)) from error
+        return cls.from_document(document, path, metrics_port)
+
+    @classmethod
+    def from_document(cls, document, path, metrics_port=0):
+        """Build the settings from a decoded file.
+
+        Parameters
+        ----------
+        document : dict
+        path : str
+            Of the file, for errors.
+        metrics_port : int, optional
+
+        Raises
+        ------
+        PlatformSettingsInvalid
+            See ``from_config``.
+        """
         try:
             return cls(document, metrics_port)
         except KeyError as error:
             reason = f"field {error.args[0]} is missing"
             raise PlatformSettingsInvalid(path=path, reason=reason) from error
-        except (TypeError, ValueError, IndexError) as error:
+        except (
+            AttributeError,
+            IndexError,
+            OverflowError,
+            TypeError,
+            ValueError,
+        ) as error:
             raise PlatformSettingsInvalid(path=path, reason=str(error)) from error
 
 
--- a/papayapick/platform/store.py
+++ b/papayapick/platform/store.py
@@ -5,6 +5,7 @@
 import urllib.parse
 
 from papayapick.clients.exceptions import (
+    AnswerInvalid,
     AnswerMissing,
     ConditionFailed,
     HistoryLost,
@@ -14,6 +15,8 @@
 )
 from papayapick.clients.rows import Page, StoredRow
 from papayapick.clock import SystemClock
+from papayapick.platform.exceptions import BodyInvalid
+from papayapick.platform.fields import optional_field, required_field
 
 __all__ = ["Store"]
 
@@ -99,11 +102,10 @@
         data = json.dumps(body, separators=(",", ":")).encode()
         answer = self._call("transact", "POST", "/rows-tx", data, seconds)
         if answer.status == 412:
-            body = _json(answer)
-            raise ConditionFailed([_row(row) for row in body.get("rows", ())])
+            raise ConditionFailed(_rows(_json(answer)))
         if answer.status != 200:
             raise StoreRefused()
-        return _json(answer)["ver"]
+        return _version(_json(answer))
 
     def read(
         self, table, partition, first="", end="", limit=500, seconds=_CALL_SECONDS
@@ -191,7 +193,7 @@
         except NotSent as error:
             outcome = "not-sent"
             raise StoreRefused() from error
-        except AnswerMissing as error:
+        except (AnswerMissing, AnswerInvalid) as error:
             raise TableUnavailable() from error
         finally:
             self._observe(operation, outcome, self._clock.monotonic() - began)
@@ -208,23 +210,42 @@
 
 
 def _json(answer):
+    """Return the object in an answer; one of another shape counts as missing."""
     try:
-        return json.loads(answer.body)
-    except ValueError as error:
+        body = json.loads(answer.body)
+    except (ValueError, RecursionError) as error:
         raise TableUnavailable() from error
+    if not isinstance(body, dict):
+        raise TableUnavailable()
+    return body
 
 
 def _page(body):
-    rows = [_row(row) for row in body.get("rows", ())]
-    return Page(rows, body["ver"], bool(body.get("more_pages")))
+    return Page(_rows(body), _version(body), bool(body.get("more_pages")))
+
+
+def _version(body):
+    try:
+        return required_field(body, "ver", int)
+    except BodyInvalid as error:
+        raise TableUnavailable() from error
+
+
+def _rows(body):
+    try:
+        return [_row(row) for row in optional_field(body, "rows", list, [])]
+    except BodyInvalid as error:
+        raise TableUnavailable() from error
 
 
 def _row(entry):
-    is_deleted = bool(entry.get("deleted"))
+    is_deleted = optional_field(entry, "deleted", bool, False, "row")
     value = None if is_deleted else _decoded(entry.get("value", ""))
-    return StoredRow(
-        entry["table"], entry["part"], entry["key"], value, entry["ver"], is_deleted
+    table, partition, key = (
+        required_field(entry, name, str, "row") for name in ("table", "part", "key")
     )
+    version = required_field(entry, "ver", int, "row")
+    return StoredRow(table, partition, key, value, version, is_deleted)
 
 
 def _decoded(text):
--- a/papayapick/platform/waves.py
+++ b/papayapick/platform/waves.py
@@ -2,6 +2,7 @@
 
 from papayapick.placement.waves import Wave
 from papayapick.platform.exceptions import BodyInvalid
+from papayapick.platform.fields import required_field
 
 __all__ = [
     "STATUS_TABLE",
@@ -34,17 +35,17 @@
     Raises
     ------
     BodyInvalid
-        A field is missing or has a wrong type.
+        A field, which the error names, is missing or has a wrong type.
     """
-    try:
-        return Wave(
-            number=int(value["wave"]),
-            machines=[str(machine) for machine in value["machines"]],
-            seconds=float(value["duration_s"]),
-            at_once=int(value["maximum"]),
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        raise BodyInvalid(reason=f"wave: {error!r}") from error
+    machines = required_field(value, "machines", list, "wave")
+    if not all(isinstance(machine, str) for machine in machines):
+        raise BodyInvalid(reason="wave.machines is not a list of strings")
+    return Wave(
+        number=required_field(value, "wave", int, "wave"),
+        machines=machines,
+        seconds=required_field(value, "duration_s", float, "wave"),
+        at_once=required_field(value, "maximum", int, "wave"),
+    )
 
 
 def encode_wave_status(is_over):
--- a/papayapick/platform/workers.py
+++ b/papayapick/platform/workers.py
@@ -76,10 +76,21 @@
             leaves_in=value.get("remaining_ms", 0) / 1000,
             born=value.get("born"),
         )
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError):
+    except _WRONG_SHAPE:
         return None
 
 
+# Raised by JSON of another shape than expected.
+_WRONG_SHAPE = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
+
+
 class WorkerClient:
     """Call one worker.
 
@@ -198,7 +209,7 @@
         answer = self._checked("/hold", body, wait_seconds + slack)
         try:
             return _report(_json(answer))
-        except (KeyError, TypeError, ValueError, IndexError) as error:
+        except _WRONG_SHAPE as error:
             # An invalid answer is handled like a missing one: any other error would end
             # the loop that polls this worker.
             raise WorkerSilent(worker=self._worker) from error
@@ -263,7 +274,7 @@
 def _json(answer):
     try:
         return json.loads(answer.body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return {}
 
 
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -187,8 +187,7 @@
             self.ownership_status.note_peer_answer(peer, asked_at)
 
     def _apply_teams(self):
-        configuration = self.host.configuration.current
-        if configuration is not None:
+        if (configuration := self.host.configuration.current) is not None:
             self.entitlements.set_teams(configuration.teams)
             maxima = {team.name: team.maximum for team in configuration.teams}
             self.team_usage.set_maxima(configuration.version, maxima)
@@ -201,11 +200,6 @@
                 job.queue = self.host.queue_of(job.document)
             self.job_registry.step_queue.note_policy_change()
 
-    def team_shares(self, count):
-        """Return the largest shares of their maxima that teams use, by team."""
-        with self.lock:
-            return self.team_usage.largest_shares(count)
-
     def note_lost(self):
         """Stop at once, because another host owns the pool."""
         self.is_lost = True
--- a/papayapick/pool/reconciliation.py
+++ b/papayapick/pool/reconciliation.py
@@ -65,7 +65,7 @@
         An exact journal names the worker of each start before the start is sent.
         Without one, any task may run on any worker that has not reported.
         """
-        self._owner.job_registry.hold_tasks(
+        self._owner.job_registry.held.activate(
             lambda task: bool(task.place) or not self._is_journal_exact
         )
 
@@ -96,11 +96,11 @@
             if not (link.has_reported or link.worker in self._gone_workers)
         )
         is_over = now > self._owner.taken_at + PREDECESSOR_LEASE_SECONDS
-        self._owner.job_registry.release_tasks(
+        self._owner.job_registry.held.release_tasks(
             lambda task: is_over or self._is_safe_to_place(task, bool(silent)), now
         )
-        if is_over or not (silent or self._owner.job_registry.has_held_tasks):
-            self._owner.job_registry.release_all_tasks(now)
+        if is_over or not (silent or self._owner.job_registry.held):
+            self._owner.job_registry.held.release_all(now)
             self._is_complete = True
             self._completed_at = now
             TAKEOVER_SECONDS.observe(now - self._owner.taken_at)
--- a/tests/jobs/test_registry.py
+++ b/tests/jobs/test_registry.py
@@ -298,11 +298,11 @@
     job = registry.add(_document(_step(2)), QUEUE, 0.0)
     registry.begin_run(registry.waiting_steps()[0], 0, "w1", 1.0)
     successor, _ = _restored(job)
-    successor.hold_tasks(lambda task: bool(task.place))
+    successor.held.activate(lambda task: bool(task.place))
     assert _waiting(successor) == {(0, 0, 1)}
-    successor.release_tasks(lambda task: False, 2.0)
+    successor.held.release_tasks(lambda task: False, 2.0)
     assert _waiting(successor) == {(0, 0, 1)}
-    successor.release_tasks(lambda task: task.place == "w1", 3.0)
+    successor.held.release_tasks(lambda task: task.place == "w1", 3.0)
     assert _waiting(successor) == {(0, 0, 0), (0, 0, 1)}
 
 
@@ -310,9 +310,9 @@
     job = registry.add(_document(_step()), QUEUE, 0.0)
     _begin_all(registry)
     successor, again = _restored(job)
-    successor.hold_tasks(lambda task: bool(task.place))
+    successor.held.activate(lambda task: bool(task.place))
     run = successor.adopt_run(RunReport(TaskKey(ID, 0, 0, 0), 1), "w1", 2.0)
-    successor.release_tasks(lambda task: True, 3.0)
+    successor.held.release_tasks(lambda task: True, 3.0)
     assert run.phase == RunPhase.RUNNING
     assert _waiting(successor) == set()
     assert again.status == JobStatus.RUNNING
@@ -369,9 +369,9 @@
     job = registry.add(_document(_step(2, is_gang=True)), QUEUE, 0.0)
     _begin_all(registry, attempt=1)
     successor, _ = _restored(job)
-    successor.hold_tasks(lambda task: bool(task.place))
+    successor.held.activate(lambda task: bool(task.place))
     run = successor.adopt_run(RunReport(TaskKey(ID, 0, 0, 0), 1), "w1", 2.0)
-    successor.release_all_tasks(3.0)
+    successor.held.release_all(3.0)
     assert successor.to_stop == [run]
     assert _waiting(successor) == set()
     _end(successor, run, "stopped")
