Let heartbeats of a new owner wait for no lock

Cause: a new owner holds its lock while it reads its state, and started a thread for each worker meanwhile: 0.29 to 0.32 s at 200 workers on loopback (four hosts as processes, stand-ins), of which next to nothing was reading. Change: heartbeats of an owner that has not read its state, and those without states, take no lock; workers are polled after the state was read, without the lock, in groups of 50.

--- a/papayapick/entry/beat_senders.py
+++ b/papayapick/entry/beat_senders.py
@@ -234,6 +234,12 @@
 
 
 def read_backlogs(owner):
-    """Return the backlogs of an owner's queues and the time as of which they hold."""
+    """Return the backlogs of an owner's queues and the time as of which they hold.
+
+    A new owner holds its lock while it reads its state. If heartbeats waited for that,
+    other hosts would take the pool from it.
+    """
+    if not owner.has_read_state:
+        return {}, None
     with owner.lock:
         return owner.status_feed.backlogs(), owner.status_feed.known_at
--- a/papayapick/entry/state_relays.py
+++ b/papayapick/entry/state_relays.py
@@ -62,7 +62,8 @@
     states : dict of str to str
         Status by job id.
     """
-    teams = owner.status_feed.teams(states)
+    # Without states, the owner's lock must not delay a heartbeat.
+    teams = owner.status_feed.teams(states) if states else {}
     return [
         JobNews(identifier=key, status=states[key], team=teams.get(key, ""))
         for key in states
--- a/papayapick/pool/link_threads.py
+++ b/papayapick/pool/link_threads.py
@@ -36,14 +36,12 @@
         self._lock = threading.Lock()
         self._loops = []
 
-    def add(self, link, delay_seconds=0.0):
+    def add(self, link):
         """Poll a worker until its link is stopped.
 
         Parameters
         ----------
         link : WorkerLink
-        delay_seconds : float, optional
-            Time until the first poll, if the link gets a thread of its own.
         """
         with self._lock:
             self._loops = [loop for loop in self._loops if loop.is_active]
@@ -53,7 +51,7 @@
                     return
             loop = LinkLoop(self._clock, link)
             self._loops.append(loop)
-        self._submit(link.worker, lambda: loop.run(delay_seconds))
+        self._submit(link.worker, loop.run)
 
 
 class LinkLoop:
@@ -85,11 +83,8 @@
                 self._links.append(link)
             return self.is_active
 
-    def run(self, delay_seconds):
+    def run(self):
         """Poll until all links are stopped."""
-        if delay_seconds:
-            self._links[0].pause(delay_seconds)
-            self._links[0].wait_until_due()
         while links := self._drop_stopped():
             polled = [link for link in links if link.is_due()]
             for link in polled:
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -223,6 +223,7 @@
                 return
             self.has_read_state = True
             for name, step in (
+                ("polls", self.store_sync.begin_polls),
                 ("jobs", lambda: self.store_sync.follow_jobs(version)),
                 ("workers", lambda: self.store_sync.follow_workers(version)),
                 ("decisions", self.loop.run),
--- a/papayapick/pool/store_sync.py
+++ b/papayapick/pool/store_sync.py
@@ -20,8 +20,8 @@
 # seconds, so a delayed change still ends new tasks well before it exits.
 _WORKERS_GATHER_SECONDS = 0.4
 # A new owner begins to poll its workers in groups of this size, one after the other.
-_POLLED_AT_ONCE = 200
-_POLL_DELAY_SECONDS = 0.1
+_POLLED_AT_ONCE = 50
+_POLL_DELAY_SECONDS = 0.02
 
 
 def _document(value, record):
@@ -73,12 +73,14 @@
     owner : PoolOwner
     """
 
-    __slots__ = ("_complete_at", "_job_partitions", "_owner")
+    __slots__ = ("_complete_at", "_job_partitions", "_owner", "_unpolled")
 
     def __init__(self, owner):
         self._owner = owner
         self._job_partitions = job_partitions(owner.pool)
         self._complete_at = float("-inf")
+        # Links of the loaded workers that have not been polled yet.
+        self._unpolled = []
 
     @property
     def complete_at(self):
@@ -245,17 +247,26 @@
         link.is_listed = is_listed
         self._owner.links_by_worker[worker] = link
         self._owner.rooms.add(WorkerRoom(registration))
-        self._owner.link_threads.add(link, self._first_poll_delay())
+        if self._owner.has_read_state:
+            self._owner.link_threads.add(link)
+        else:
+            self._unpolled.append(link)
 
-    def _first_poll_delay(self):
-        """Return the seconds after which a worker just added is polled.
+    def begin_polls(self):
+        """Begin to poll the workers that the loaded state has, in groups.
 
-        Guards against a new owner whose heartbeats come too late while it connects to
-        a thousand workers at once: other hosts would take the pool, and the next ones.
+        Guards against a new owner whose heartbeats come too late, while it starts a
+        thread for each of a thousand workers and all of them connect: other hosts
+        would take the pool, and the next ones again. The caller must not hold the
+        lock, which reports of workers need.
         """
-        if self._owner.has_read_state:
-            return 0.0
-        return len(self._owner.links_by_worker) // _POLLED_AT_ONCE * _POLL_DELAY_SECONDS
+        while self._unpolled and not self._owner.is_stopped:
+            group = self._unpolled[:_POLLED_AT_ONCE]
+            del self._unpolled[:_POLLED_AT_ONCE]
+            for link in group:
+                self._owner.link_threads.add(link)
+            if self._unpolled:
+                self._owner.pause(_POLL_DELAY_SECONDS)
 
     def drop_link(self, link):
         """Remove a worker that is silent, no longer listed, and past its lease."""
--- a/tests/entry/test_beats.py
+++ b/tests/entry/test_beats.py
@@ -8,10 +8,15 @@
 from papayapick.clients.exceptions import ConditionFailed
 from papayapick.clients.rows import StoredRow
 from papayapick.clock import ManualClock
-from papayapick.entry.beat_senders import _REMOVE_AFTER_SECONDS, BeatSender
+from papayapick.entry.beat_senders import (
+    _REMOVE_AFTER_SECONDS,
+    BeatSender,
+    read_backlogs,
+)
 from papayapick.entry.beats import BeatBroadcaster
 from papayapick.entry.peers import HOSTS_PARTITION, Peers
 from papayapick.entry.process import EntryHost
+from papayapick.entry.state_relays import job_news
 from papayapick.ownership.pools import CELL_TABLE
 from papayapick.wire.exceptions import PeerUnreachable
 
@@ -253,3 +258,20 @@
     )
     EntryHost._hand_over(host, owner)
     assert calls == ["leave", "beat", "pause"]
+
+
+def test_heartbeats_do_not_wait_for_an_owner_that_reads_its_state():
+    """Guards against a new owner that other hosts take for silent.
+
+    It held its lock while it read the jobs and began to poll a thousand workers, and
+    each heartbeat waited for the lock. So the next host took the pool, and the next.
+    """
+    lock = threading.Lock()
+    owner = SimpleNamespace(
+        has_read_state=False,
+        lock=lock,
+        status_feed=SimpleNamespace(teams=lambda identifiers: lock.acquire()),
+    )
+    with lock:
+        assert read_backlogs(owner) == ({}, None)
+        assert job_news(owner, {}) == []
