Refuse no accepted job for its team's maximum, tell no state without its team

A repeated submission of a job that was accepted under a higher maximum got 429, which says that it never runs, although it does. The state of a job that the owner had just removed was told without its team, and a host that caches a state without a team shows it to all. A task that needs no processors was admitted beyond a maximum of memory again and again, as the check whether the team runs nothing looked at processors only. Change: the maximum is looked at where it is known whether the job is stored (504 while that is unknown); removed jobs are left out of what hosts tell each other; a team runs nothing only if all amounts are zero.

--- a/papayapick/entry/acceptance.py
+++ b/papayapick/entry/acceptance.py
@@ -7,6 +7,7 @@
 from papayapick.entry.events import JOB_KNOWN
 from papayapick.entry.exceptions import (
     AcceptanceUnknown,
+    ExceedsMaximum,
     JobUnknown,
     NotAccepted,
     QueueFull,
@@ -38,9 +39,16 @@
         self._writer = writer
         self._job_states = job_states
 
-    def submit(self, document):
+    def submit(self, document, unfit_step=None):
         """Store a job; a repeated id denotes the same job.
 
+        Parameters
+        ----------
+        document : JobDocument
+        unfit_step : int, optional
+            Number of a step that exceeds its team's maximum, so that a new job is
+            refused. One that was accepted under a higher maximum still runs.
+
         Returns
         -------
         bool
@@ -48,7 +56,7 @@
 
         Raises
         ------
-        QueueFull, NotAccepted, AcceptanceUnknown, StateUnknown
+        QueueFull, ExceedsMaximum, NotAccepted, AcceptanceUnknown, StateUnknown
         """
         identifier = document.identifier
         if self._job_states.state(identifier) is not None:
@@ -56,6 +64,8 @@
             JOB_KNOWN.write(request_id=identifier, queue=document.queue, source="board")
             return False
         partition = job_partition(document.pool, identifier)
+        if unfit_step is not None and not self._may_be_stored(partition, identifier):
+            raise ExceedsMaximum(step=unfit_step, team=document.team)
         retry_after = self._job_states.retry_after(document.pool, document.queue)
         if retry_after and self._stored_team(partition, identifier) is None:
             raise QueueFull(queue=document.queue, retry_after=retry_after)
@@ -68,6 +78,16 @@
         self._job_states.note_accepted(identifier, document.team)
         return is_new
 
+    def _may_be_stored(self, partition, identifier):
+        """Return whether a job has this id; raise AcceptanceUnknown if it is unknown.
+
+        The job of a caller that repeats its request must not be refused as not run.
+        """
+        try:
+            return self._stored_team(partition, identifier) is not None
+        except StateUnknown as error:
+            raise AcceptanceUnknown() from error
+
     def _check_stored_job(self, document, partition):
         """Raise NotAccepted if the job that is stored belongs to another team."""
         if not document.team:
@@ -87,7 +107,7 @@
         The error is that of any job that was not accepted, and tells nothing of the
         other team's job.
         """
-        if not may_access(document.team, stored_team):
+        if not _may_access(document.team, stored_team):
             raise NotAccepted(reason="the id can't be used")
 
     def cancel(self, queue, identifier, team=""):
@@ -168,7 +188,7 @@
         """
         if queue.is_public:
             return
-        if not may_access(team, self._job_states.team(identifier)):
+        if not _may_access(team, self._job_states.team(identifier)):
             raise JobUnknown(identifier=identifier)
 
     def _stored_team(self, partition, identifier):
@@ -186,7 +206,7 @@
             raise StateUnknown() from error
 
 
-def may_access(team, job_team):
+def _may_access(team, job_team):
     """Return whether callers of a team may see and cancel a job.
 
     Parameters
@@ -209,7 +229,7 @@
 
 
 def _is_accessible(queue, team, rows):
-    return queue.is_public or may_access(team, _team_of(rows) or "")
+    return queue.is_public or _may_access(team, _team_of(rows) or "")
 
 
 def _wait_for(future):
--- a/papayapick/entry/application.py
+++ b/papayapick/entry/application.py
@@ -10,7 +10,6 @@
 )
 from papayapick.entry.exceptions import (
     BodyTooLarge,
-    ExceedsMaximum,
     KeyUnknown,
     NoSuchQueue,
     NotAccepted,
@@ -173,8 +172,8 @@
         if method == "POST":
             body = _read_body(environ, configuration.body_limit_bytes)
             document = decode_job(identifier, queue, body, host.clock.time(), team)
-            _check_maximum(document, configuration.teams)
-            if host.acceptance.submit(document):
+            unfit_step = _find_unfit_step(document, configuration.teams)
+            if host.acceptance.submit(document, unfit_step):
                 self._note_accepted(document, queue, arrived_at)
             return _Reply(_OK)
         if method == "GET":
@@ -222,14 +221,17 @@
     return "" if team is None else team.name
 
 
-def _check_maximum(document, teams):
-    """Raise ExceedsMaximum if a step could never start under its team's maximum."""
+def _find_unfit_step(document, teams):
+    """Return the number of a step that its team could never start, or None."""
     team = teams.get(document.team)
     if team is None:
-        return
-    for number, step in enumerate(document.steps):
-        if not fits_maximum(step, team.maximum):
-            raise ExceedsMaximum(step=number, team=team.name)
+        return None
+    unfit = (
+        number
+        for number, step in enumerate(document.steps)
+        if not fits_maximum(step, team.maximum)
+    )
+    return next(unfit, None)
 
 
 def _method_label(environ):
--- a/papayapick/entry/state_relays.py
+++ b/papayapick/entry/state_relays.py
@@ -56,6 +56,9 @@
 def job_news(owner, states):
     """Return the states of an owner's jobs as a list of JobNews, with their teams.
 
+    Jobs that were removed meanwhile are left out: without their team, another host
+    would show them to callers of any team.
+
     Parameters
     ----------
     owner : PoolOwner
@@ -65,8 +68,8 @@
     # Without states, the owner's lock must not delay a heartbeat.
     teams = owner.status_feed.teams(states) if states else {}
     return [
-        JobNews(identifier=key, status=states[key], team=teams.get(key, ""))
-        for key in states
+        JobNews(identifier=key, status=states[key], team=team)
+        for key, team in teams.items()
     ]
 
 
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -116,8 +116,7 @@
         self.roster = WorkerRoster(PROGRESS_TABLE, row.pool)
         self.links_by_worker = {}
         self.link_threads = LinkThreads(host.clock, self.submit)
-        self.is_lost = False
-        self.has_read_state = False
+        self.is_lost = self.has_read_state = False
         self._was_announced = False
         self.stopping = threading.Event()
         self.taken_at = host.clock.monotonic()
--- a/papayapick/pool/status_feed.py
+++ b/papayapick/pool/status_feed.py
@@ -63,13 +63,11 @@
             }
 
     def teams(self, identifiers):
-        """Return the teams of jobs by id; jobs without a team are left out."""
+        """Return the teams of jobs by id; jobs that were removed are left out."""
         with self._owner.lock:
             jobs = [self._owner.job_registry.get(one) for one in identifiers]
             return {
-                job.identifier: job.document.team
-                for job in jobs
-                if job is not None and job.document.team
+                job.identifier: job.document.team for job in jobs if job is not None
             }
 
     def backlogs(self):
--- a/papayapick/quotas/usage.py
+++ b/papayapick/quotas/usage.py
@@ -10,6 +10,7 @@
 import collections
 import heapq
 
+from papayapick.ledger import Amounts
 from papayapick.quotas.shares import QuotaTracker
 
 __all__ = ["TeamUsage", "fits_maximum"]
@@ -131,7 +132,7 @@
         if self._unknown_runs[team]:
             return 0
         fitting = self._tracker.fitting(team, demand, wanted)
-        if not fitting and wanted == 1 and not self._tracker.used(team).processors:
+        if not fitting and wanted == 1 and self._tracker.used(team) == Amounts():
             # A maximum that was lowered below a single task would keep an accepted job
             # waiting for ever, so such a task is run alone.
             return 1
--- a/tests/quotas/test_usage.py
+++ b/tests/quotas/test_usage.py
@@ -83,6 +83,15 @@
     assert usage.admissible("accounts", TASK, 1) == 0
 
 
+def test_only_one_task_is_run_beyond_a_maximum_of_memory():
+    """Guards against tasks that need no processors and pass as if nothing ran."""
+    usage = usage_with(memory=50)
+    task = Amounts(0, 100)
+    assert usage.admissible("accounts", task, 1) == 1
+    usage.add("accounts", task)
+    assert usage.admissible("accounts", task, 1) == 0
+
+
 def test_gang_must_fit_as_a_whole():
     gang = Step(4, TASK, is_gang=True)
     assert fits_maximum(gang, {"processors": 4000})
