Take the tolerance of a team's rate from the settings

Change: the platform's settings give a window and a slack for rates; a team may send at once what its rate allows in the window, and the slack.

--- a/papayapick/platform/settings.py
+++ b/papayapick/platform/settings.py
@@ -44,6 +44,8 @@
         "metrics_port",
         "peer_address",
         "processors",
+        "rate_slack_jobs",
+        "rate_window_seconds",
         "readiness_address",
         "region",
         "status_seconds",
@@ -84,6 +86,10 @@
         self.cancel_seconds = bounds["cancel_ms"] / 1000
         self.checkpoint_seconds = float(bounds["checkpoint_s"])
         self.harm_seconds = bounds.get("harm_ms", 0) / 1000
+        # Jobs of a team are within its rate if no more of them come in any window than
+        # the rate allows, and the slack.
+        self.rate_window_seconds = float(bounds.get("quota_window_s", 1))
+        self.rate_slack_jobs = int(bounds.get("quota_slack", 0))
         self.upkeep_seconds = float(bounds.get("upkeep_s", 0))
 
     @classmethod
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -109,7 +109,7 @@
         self.row = row
         self.lock = threading.RLock()
         self.team_usage = TeamUsage()
-        self.entitlements = Entitlements()
+        self.entitlements = Entitlements.from_settings(host.settings)
         self._apply_teams()
         self.job_registry = JobRegistry(self.team_usage)
         self.rooms = Rooms(self.team_usage)
--- a/papayapick/quotas/entitlements.py
+++ b/papayapick/quotas/entitlements.py
@@ -7,25 +7,22 @@
 
 __all__ = ["Entitlements"]
 
-# Jobs that a team may send at once, as the seconds in which its rate allows as many.
-# Arrivals of a small team within its rate are often closer together than its mean.
-_BURST_SECONDS = 5.0
-
 
 class _Bucket:
     """Tokens of one team; the time is given by the caller."""
 
-    __slots__ = ("_burst_seconds", "_tokens", "_updated_at", "rate")
+    __slots__ = ("_slack_jobs", "_tokens", "_updated_at", "_window_seconds", "rate")
 
-    def __init__(self, rate, burst_seconds):
-        self._burst_seconds = burst_seconds
+    def __init__(self, rate, window_seconds, slack_jobs):
+        self._window_seconds = window_seconds
+        self._slack_jobs = slack_jobs
         self.rate = rate
         self._tokens = self._burst
         self._updated_at = None
 
     @property
     def _burst(self):
-        return max(1.0, self.rate * self._burst_seconds)
+        return max(1.0, self.rate * self._window_seconds + self._slack_jobs)
 
     def take(self, at):
         """Take a token if there is one; return whether there was."""
@@ -45,13 +42,16 @@
 
     Parameters
     ----------
-    burst_seconds : float, optional
-        Time over which the rate is averaged.
+    window_seconds : float
+        Time over which the rate is averaged: jobs of a small team within its rate are
+        often closer together than its mean.
+    slack_jobs : int, optional
+        Jobs that a team may send beyond what its rate allows in this time.
 
     Examples
     --------
     >>> from papayapick.quotas import Team
-    >>> entitlements = Entitlements(burst_seconds=1.0)
+    >>> entitlements = Entitlements(window_seconds=1.0)
     >>> entitlements.set_teams([Team("accounts", jobs_per_second=2)])
     >>> [entitlements.is_owed("accounts", 100.0) for _ in range(3)]
     [True, True, False]
@@ -59,19 +59,32 @@
     True
     """
 
-    __slots__ = ("_buckets", "_burst_seconds")
+    __slots__ = ("_buckets", "_slack_jobs", "_window_seconds")
 
-    def __init__(self, burst_seconds=_BURST_SECONDS):
-        self._burst_seconds = burst_seconds
+    def __init__(self, window_seconds, slack_jobs=0):
+        self._window_seconds = window_seconds
+        self._slack_jobs = slack_jobs
         self._buckets = {}
 
+    @classmethod
+    def from_settings(cls, settings):
+        """Build it with the tolerance that the platform's settings give.
+
+        Parameters
+        ----------
+        settings : PlatformSettings
+        """
+        return cls(settings.rate_window_seconds, settings.rate_slack_jobs)
+
     def set_teams(self, teams):
         """Set the rates of the teams of a configuration; tokens are kept."""
         buckets = {}
         for team in teams:
             bucket = self._buckets.get(team.name)
             if bucket is None:
-                bucket = _Bucket(team.jobs_per_second, self._burst_seconds)
+                bucket = _Bucket(
+                    team.jobs_per_second, self._window_seconds, self._slack_jobs
+                )
             bucket.rate = team.jobs_per_second
             buckets[team.name] = bucket
         self._buckets = buckets
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -37,7 +37,12 @@
     def __init__(self):
         self.clock = ManualClock(1000.0)
         self.started_at = self.clock.monotonic()
-        self.settings = SimpleNamespace(processors=1.0, region="south")
+        self.settings = SimpleNamespace(
+            processors=1.0,
+            region="south",
+            rate_window_seconds=5.0,
+            rate_slack_jobs=0,
+        )
         self.store = self
         self.worker_pool = None
         self.peers = self
--- a/tests/quotas/test_entitlements.py
+++ b/tests/quotas/test_entitlements.py
@@ -14,7 +14,7 @@
 
 
 def entitlements_of(rate):
-    found = Entitlements(burst_seconds=1.0)
+    found = Entitlements(window_seconds=1.0)
     found.set_teams([Team("accounts", jobs_per_second=rate)])
     return found
 
@@ -43,11 +43,17 @@
 
     A team of one job a second sends two within a tenth of a second every now and then.
     """
-    found = Entitlements()
+    found = Entitlements(window_seconds=5.0)
     found.set_teams([Team("accounts", jobs_per_second=1)])
     assert owed(found, [0.0, 0.05, 0.1, 4.0, 4.1]) == [True] * 5
 
 
+def test_slack_is_allowed_beyond_the_rate():
+    found = Entitlements(window_seconds=5.0, slack_jobs=20)
+    found.set_teams([Team("accounts", jobs_per_second=1)])
+    assert sum(owed(found, [0.0] * 40)) == 25
+
+
 def test_jobs_without_a_team_are_owed():
     assert entitlements_of(0.1).is_owed("", 0.0)
     assert entitlements_of(0.1).is_owed("removed", 0.0)
