Log how much of a store's answer had arrived when it was given up

Cause: in the incident of the large configuration hosts wrote 'store lost ... the table did not answer'. That fits a silent store, one that refuses and an answer that is under way on a slow link; how long a version takes to decode was not logged either, so the three hypotheses could not be told apart.

Change: AnswerCut and TableAnswerCut carry the bytes received and missing, 'store lost' shows them as its error, store calls are counted with the outcome 'cut', and 'configuration in force' tells how long decoding and applying took. No time limit and no decision changes.

--- a/papayapick/clients/exceptions.py
+++ b/papayapick/clients/exceptions.py
@@ -3,6 +3,7 @@
 from papayapick.exceptions import PapayapickError
 
 __all__ = [
+    "AnswerCut",
     "AnswerInvalid",
     "AnswerMissing",
     "ConditionFailed",
@@ -15,6 +16,7 @@
     "PlatformError",
     "StaleEpoch",
     "StoreRefused",
+    "TableAnswerCut",
     "TableUnavailable",
     "TaskRefused",
     "TransactionConflict",
@@ -42,6 +44,16 @@
     template = "no complete answer from {url}"
 
 
+class AnswerCut(AnswerMissing):
+    """Report an answer of which only a part arrived in time."""
+
+    code = "platform.answer-cut"
+    template = (
+        "answer from {url} cut off after {received_bytes} bytes, {missing_bytes} more "
+        "were expected"
+    )
+
+
 class AnswerInvalid(PlatformError):
     """Report an answer that is malformed or belongs to another request."""
 
@@ -56,6 +68,16 @@
     template = "the table did not answer"
 
 
+class TableAnswerCut(TableUnavailable):
+    """Report an answer of a table of which only a part arrived in time."""
+
+    code = "table.answer-cut"
+    template = (
+        "the table's answer was cut off after {received_bytes} bytes, {missing_bytes} "
+        "more were expected"
+    )
+
+
 class TransactionConflict(PlatformError):
     """Report a condition that did not hold; nothing was written."""
 
--- a/papayapick/clients/http.py
+++ b/papayapick/clients/http.py
@@ -6,7 +6,12 @@
 import threading
 import urllib.parse
 
-from papayapick.clients.exceptions import AnswerInvalid, AnswerMissing, NotSent
+from papayapick.clients.exceptions import (
+    AnswerCut,
+    AnswerInvalid,
+    AnswerMissing,
+    NotSent,
+)
 from papayapick.clock import SystemClock
 
 __all__ = ["HttpAnswer", "HttpPool"]
@@ -96,7 +101,8 @@
         NotSent
             No connection could be opened, so the request had no effect.
         AnswerMissing, AnswerInvalid
-            The request may have had an effect.
+            The request may have had an effect. ``AnswerCut`` if a part of the answer
+            arrived.
         """
         parts = urllib.parse.urlsplit(url)
         timeout = self._timeout if timeout is None else timeout
@@ -143,13 +149,7 @@
         connection.request(method, path, body=body, headers=headers)
         self._apply_deadline(sock, deadline)
         response = connection.getresponse()
-        parts = []
-        while part := self._read_part(sock, response, deadline):
-            parts.append(part)
-        data = b"".join(parts)
-        if response.length:
-            # The connection was closed in the middle of the body.
-            raise http.client.IncompleteRead(data, response.length)
+        data = self._read_body(sock, response, path, deadline)
         if _has_more(sock, response):
             # A Content-Length that is too small makes a truncated answer look complete,
             # and the remaining bytes would be read as the next answer.
@@ -158,6 +158,25 @@
         response.close()
         return HttpAnswer(response.status, response.headers, data), is_reusable
 
+    def _read_body(self, sock, response, path, deadline):
+        parts = []
+        failure = None
+        try:
+            while part := self._read_part(sock, response, deadline):
+                parts.append(part)
+        except (OSError, http.client.HTTPException) as error:
+            failure = error
+        data = b"".join(parts)
+        # A length that remains at the end of the data: the connection was closed in
+        # the middle of the body.
+        if failure is not None or response.length:
+            raise AnswerCut(
+                url=path,
+                received_bytes=len(data),
+                missing_bytes=response.length,
+            ) from failure
+        return data
+
     def _read_part(self, sock, response, deadline):
         # The remaining time is applied before each read: a server that sends single
         # bytes slowly would never exceed a timeout between two reads.
--- a/papayapick/entry/configuration.py
+++ b/papayapick/entry/configuration.py
@@ -116,6 +116,7 @@
             CONFIGURATION_REFUSED.write(version_in_force=self.version, error=str(error))
 
     def _apply(self, value):
+        began_at = self._host.clock.monotonic()
         try:
             configuration = decode_configuration(value, self._host.settings.has_teams)
         except BodyInvalid as error:
@@ -128,10 +129,11 @@
         version_before, self._current = self.version, configuration
         self._in_force_since = self._host.clock.monotonic()
         self._is_loaded.set()
+        self._host.note_configuration(configuration)
         CONFIGURATION_IN_FORCE.write(
             version=configuration.version,
             version_before=version_before,
             queues=len(configuration.queues),
             pools=sorted(configuration.pools),
+            apply_seconds=round(self._host.clock.monotonic() - began_at, 4),
         )
-        self._host.note_configuration(configuration)
--- a/papayapick/entry/events.py
+++ b/papayapick/entry/events.py
@@ -115,8 +115,9 @@
 )
 CONFIGURATION_IN_FORCE = Event(
     "configuration in force",
-    "version version_before queues pools",
-    "Requests from now on are handled by this version.",
+    "version version_before queues pools apply_seconds",
+    "Requests from now on are handled by this version, which took so long to decode "
+    "and to apply.",
 )
 CONFIGURATION_REFUSED = Event(
     "configuration refused",
--- a/papayapick/platform/store.py
+++ b/papayapick/platform/store.py
@@ -5,12 +5,14 @@
 import urllib.parse
 
 from papayapick.clients.exceptions import (
+    AnswerCut,
     AnswerInvalid,
     AnswerMissing,
     ConditionFailed,
     HistoryLost,
     NotSent,
     StoreRefused,
+    TableAnswerCut,
     TableUnavailable,
 )
 from papayapick.clients.rows import Page, StoredRow
@@ -193,6 +195,9 @@
         except NotSent as error:
             outcome = "not-sent"
             raise StoreRefused() from error
+        except AnswerCut as error:
+            outcome = "cut"
+            raise TableAnswerCut(**error.details) from error
         except (AnswerMissing, AnswerInvalid) as error:
             raise TableUnavailable() from error
         finally:
