Add a failing test: a large configuration never comes into force behind a slow link

The test runs two hosts beside the platform and six behind a link of 700 KB/s that they share (tests/standins/links.py), and has the operator add 1,400 routes. On the current code it fails after 20 s: each host behind the link logs 'store lost' with 'the table's answer was cut off after' 94,026 to 138,939 of 338,352 bytes, 1.0 s after its call, and the next call begins with the first byte again. The two other hosts have the version in force at once.

--- a/tests/entry/cell.py
+++ b/tests/entry/cell.py
@@ -18,8 +18,8 @@
 
 SETTINGS = """
 node = "{name}"
-zone = "z1"
-region = "south"
+zone = "{zone}"
+region = "{region}"
 ip = "127.0.0.1"
 port_range = [{peer}, {peer}]
 advice = "{platform}"
@@ -63,7 +63,16 @@
 class EntryProcess:
     """Run one entry host as a process."""
 
-    def __init__(self, name, platform, folder, has_teams=False):
+    def __init__(
+        self,
+        name,
+        platform,
+        folder,
+        has_teams=False,
+        zone="z1",
+        region="south",
+        bandwidth_mbps=1000,
+    ):
         self.name = name
         peer, front, ready, self.metrics = free_ports(4)
         self.front, self.ready = front, ready
@@ -73,8 +82,15 @@
         self.path.write_text(
             contracts
             + SETTINGS.format(
-                name=name, platform=platform, peer=peer, front=front, ready=ready
+                name=name,
+                platform=platform,
+                peer=peer,
+                front=front,
+                ready=ready,
+                zone=zone,
+                region=region,
             )
+            + f"[limits]\nbandwidth_mbps = {bandwidth_mbps}\n"
         )
         self.process = None
 
@@ -144,12 +160,18 @@
 class EntryCell:
     """Run several entry hosts of one platform."""
 
-    def __init__(self, cluster, folder, hosts=3, has_teams=False):
+    def __init__(self, cluster, folder, hosts=3, has_teams=False, remote=0, link=None):
         self.cluster = cluster
         self.hosts = [
             EntryProcess(f"host-{number}", cluster.address, folder, has_teams)
             for number in range(1, hosts + 1)
         ]
+        # Hosts of another region, which reach the platform through a shared link.
+        self.remote_hosts = [
+            EntryProcess(f"remote-{number}", link, folder, has_teams, "z2", "north", 5)
+            for number in range(1, remote + 1)
+        ]
+        self.hosts += self.remote_hosts
 
     def __enter__(self):
         for host in self.hosts:
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -9,6 +9,7 @@
 import threading
 import time
 import urllib.parse
+from random import Random
 
 from papayapick.listening import create_listener
 from tests.standins.machines import MachinesStandin, machine_of
@@ -119,6 +120,16 @@
     return (one["table"], one["part"], one["key"])
 
 
+def _other_routes(queue, count):
+    """Return routes of other queues, whose names hardly compress."""
+    random = Random(count)
+    names = [f"{random.randrange(16**8):08x}" for _ in range(count)]
+    return [
+        {**queue, "name": name, "host": f"{name}.example", "path_prefix": f"/{name}/"}
+        for name in names
+    ]
+
+
 class WorkerStandin:
     """Run tasks for ``task_seconds`` under a lease; refuse lower fencing tokens."""
 
@@ -310,7 +321,7 @@
             },
         )
 
-    def configure(self, version=1, teams=(), **route):
+    def configure(self, version=1, teams=(), more_routes=0, **route):
         queue = {
             "name": "quick",
             "host": "jobs.example",
@@ -325,7 +336,7 @@
         }
         value = {
             "version": version,
-            "routes": [queue],
+            "routes": [queue, *_other_routes(queue, more_routes)],
             "services": [{"name": "pool-1"}],
             "limits": {"max_body_bytes": 262144},
             "tenants": list(teams),
