Read a long answer of the store to its end while it keeps arriving

Cause: each call of the store had to end within a fixed time whatever its size: 1.0 s for the operator's table, as EntryHost.follow polls as briefly as an owner. A configuration of 1,400 routes has 500 KB on the wire, which 17 hosts of a region fetch at once over 30 Mbit/s in 2.2 s, a host with 5 Mbit/s alone in 0.8 s. Each answer was cut off and the next call began with its first byte: no transfer ever ended, and the link stayed full.

Change: a time limit that grows with the bytes received, as long as they come at 64 KB/s and no pause is longer than the limit itself. A silent connection is noticed as fast as before.

Calls of workers and instances keep their whole time limit: their callers have deadlines.

--- a/papayapick/clients/http.py
+++ b/papayapick/clients/http.py
@@ -10,6 +10,7 @@
     AnswerCut,
     AnswerInvalid,
     AnswerMissing,
+    AnswerTooLarge,
     NotSent,
 )
 from papayapick.clock import SystemClock
@@ -36,13 +37,61 @@
         self.body = body
 
 
+class _TimeLimit:
+    """Limit how long an exchange takes, and how long it makes no progress.
+
+    Parameters
+    ----------
+    clock : Clock
+    timeout : float
+        Seconds for an exchange without a body, and for a pause between two parts.
+    min_bytes_per_second : float or None
+        A body of many bytes may take longer, as long as it arrives at this rate. With
+        None the timeout is for the whole exchange, whatever its size.
+    """
+
+    __slots__ = ("_clock", "_min_rate", "_paused_since", "_timeout", "_until")
+
+    def __init__(self, clock, timeout, min_bytes_per_second):
+        self._clock = clock
+        self._timeout = timeout
+        self._min_rate = min_bytes_per_second
+        self._paused_since = clock.monotonic()
+        self._until = self._paused_since + timeout
+
+    def remaining(self):
+        """Return the seconds that are left for the next step.
+
+        Raises
+        ------
+        TimeoutError
+            If none are left.
+        """
+        until = min(self._until, self._paused_since + self._timeout)
+        remaining = until - self._clock.monotonic()
+        if remaining <= 0:
+            raise TimeoutError
+        return remaining
+
+    def apply(self, sock):
+        """Set the remaining time as the time limit of a socket."""
+        sock.settimeout(self.remaining())
+
+    def note_received(self, size):
+        """Extend the limit by the time that a number of bytes may take."""
+        if self._min_rate is not None:
+            self._until += size / self._min_rate
+            self._paused_since = self._clock.monotonic()
+
+
 class HttpPool:
     """Send requests over idle connections that are kept per address.
 
     Parameters
     ----------
     timeout : float
-        Time limit of a request in seconds, from connecting to the last byte.
+        Time limit of a request in seconds, from connecting to the last byte, unless
+        the request allows a long answer more.
     clock : Clock, optional
     max_idle : int, optional
         Most idle connections to keep in all; those idle for longest are closed.
@@ -74,6 +123,8 @@
         timeout=None,
         fresh=False,
         check=None,
+        min_bytes_per_second=None,
+        max_body_bytes=None,
     ):
         """Send a request and read the whole answer.
 
@@ -91,6 +142,12 @@
         check : callable, optional
             Raises an error for an answer to another request. The connection is then
             closed, since later answers would be out of step as well.
+        min_bytes_per_second : float, optional
+            Allow an answer more time as long as its body arrives at this rate.
+            Otherwise a body that takes longer than the timeout on a slow link is
+            discarded, and requested again from its first byte, for ever.
+        max_body_bytes : int, optional
+            Do not read a longer answer.
 
         Returns
         -------
@@ -103,14 +160,16 @@
         AnswerMissing, AnswerInvalid
             The request may have had an effect. ``AnswerCut`` if a part of the answer
             arrived.
+        AnswerTooLarge
+            The body is longer than ``max_body_bytes``.
         """
         parts = urllib.parse.urlsplit(url)
         timeout = self._timeout if timeout is None else timeout
-        deadline = self._clock.monotonic() + timeout
+        limit = _TimeLimit(self._clock, timeout, min_bytes_per_second)
         connection = None if fresh else self._take_idle(parts.netloc)
         try:
             if connection is None:
-                connection = self._connect(parts.netloc, deadline)
+                connection = self._connect(parts.netloc, limit)
         except OSError as error:
             raise NotSent(url=url) from error
         path = parts.path or "/"
@@ -118,7 +177,7 @@
             path += "?" + parts.query
         try:
             answer, is_reusable = self._exchange(
-                connection, method, path, body, headers or {}, deadline
+                connection, method, path, body, headers or {}, limit, max_body_bytes
             )
             if check is not None:
                 check(answer)
@@ -143,13 +202,16 @@
         for connection in idle:
             connection.close()
 
-    def _exchange(self, connection, method, path, body, headers, deadline):
+    def _exchange(self, connection, method, path, body, headers, limit, max_body_bytes):
         sock = connection.sock
-        self._apply_deadline(sock, deadline)
+        limit.apply(sock)
         connection.request(method, path, body=body, headers=headers)
-        self._apply_deadline(sock, deadline)
+        limit.apply(sock)
         response = connection.getresponse()
-        data = self._read_body(sock, response, path, deadline)
+        expected = response.length or 0
+        if max_body_bytes is not None and expected > max_body_bytes:
+            raise AnswerTooLarge(url=path, body_bytes=expected)
+        data = self._read_body(sock, response, path, limit)
         if _has_more(sock, response):
             # A Content-Length that is too small makes a truncated answer look complete,
             # and the remaining bytes would be read as the next answer.
@@ -158,11 +220,11 @@
         response.close()
         return HttpAnswer(response.status, response.headers, data), is_reusable
 
-    def _read_body(self, sock, response, path, deadline):
+    def _read_body(self, sock, response, path, limit):
         parts = []
         failure = None
         try:
-            while part := self._read_part(sock, response, deadline):
+            while part := self._read_part(sock, response, limit):
                 parts.append(part)
         except (OSError, http.client.HTTPException) as error:
             failure = error
@@ -177,17 +239,13 @@
             ) from failure
         return data
 
-    def _read_part(self, sock, response, deadline):
+    def _read_part(self, sock, response, limit):
         # The remaining time is applied before each read: a server that sends single
         # bytes slowly would never exceed a timeout between two reads.
-        self._apply_deadline(sock, deadline)
-        return response.read1(_PART_BYTES)
-
-    def _apply_deadline(self, sock, deadline):
-        remaining = deadline - self._clock.monotonic()
-        if remaining <= 0:
-            raise TimeoutError
-        sock.settimeout(remaining)
+        limit.apply(sock)
+        part = response.read1(_PART_BYTES)
+        limit.note_received(len(part))
+        return part
 
     def _take_idle(self, netloc):
         """Return an idle connection that is still usable, or None."""
@@ -210,15 +268,12 @@
             del self._idle[netloc]
         return connection
 
-    def _connect(self, netloc, deadline):
+    def _connect(self, netloc, limit):
         """Open a connection; raise OSError if that fails or takes too long."""
         seconds = _CONNECT_SECONDS
         while True:
-            remaining = deadline - self._clock.monotonic()
-            if remaining <= 0:
-                raise TimeoutError
             connection = http.client.HTTPConnection(
-                netloc, timeout=min(seconds, remaining)
+                netloc, timeout=min(seconds, limit.remaining())
             )
             try:
                 connection.connect()
--- /dev/null
+++ b/tests/clients/test_long_answers.py
@@ -0,0 +1,97 @@
+"""Answers that are long for the link over which they come."""
+
+import socketserver
+import threading
+
+import pytest
+
+from papayapick.clients.exceptions import AnswerCut, AnswerTooLarge
+from papayapick.clients.http import HttpPool
+from papayapick.clock import ManualClock
+
+BODY = b"x" * 600_000
+TIMEOUT_SECONDS = 1.0
+MIN_BYTES_PER_SECOND = 64_000
+
+
+class WholeAnswer(socketserver.BaseRequestHandler):
+    """Send a long body at once; the pool makes the link slow."""
+
+    def handle(self):
+        self.request.recv(4096)
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(BODY)}\r\n\r\n".encode()
+        self.request.sendall(head + BODY)
+
+
+class SlowLinkPool(HttpPool):
+    """Advance the clock by the time that a link needs for each part of a body."""
+
+    def __init__(self, clock, bytes_per_second):
+        super().__init__(TIMEOUT_SECONDS, clock)
+        self._bytes_per_second = bytes_per_second
+        self.received = 0
+
+    def _read_part(self, sock, response, limit):
+        part = super()._read_part(sock, response, limit)
+        self.received += len(part)
+        self._clock.advance(len(part) / self._bytes_per_second)
+        return part
+
+
+class StallingPool(SlowLinkPool):
+    """Let nothing arrive for longer than the timeout after half of the body."""
+
+    def _read_part(self, sock, response, limit):
+        if self.received > len(BODY) / 2:
+            self._clock.advance(TIMEOUT_SECONDS + 0.01)
+        return super()._read_part(sock, response, limit)
+
+
+@pytest.fixture
+def url():
+    with socketserver.ThreadingTCPServer(("127.0.0.1", 0), WholeAnswer) as server:
+        thread = threading.Thread(target=server.serve_forever, daemon=True)
+        thread.start()
+        yield "http://{}:{}/rows".format(*server.server_address)
+        server.shutdown()
+
+
+def fetch(pool, url, **options):
+    return pool.request("GET", url, **options).body
+
+
+def test_long_answer_that_keeps_arriving_is_read_to_its_end(url):
+    """Guards against a transfer that is cut off and repeated for ever."""
+    clock = ManualClock()
+    pool = SlowLinkPool(clock, bytes_per_second=100_000)
+    assert fetch(pool, url, min_bytes_per_second=MIN_BYTES_PER_SECOND) == BODY
+    assert clock.monotonic() == pytest.approx(6.0)
+
+
+def test_call_without_a_minimum_rate_ends_within_its_timeout(url):
+    """Guards against callers that wait past their deadline for a slow instance."""
+    with pytest.raises(AnswerCut):
+        fetch(SlowLinkPool(ManualClock(), bytes_per_second=100_000), url)
+
+
+def test_answer_below_the_minimum_rate_is_cut_off(url):
+    """Guards against a server that sends single bytes slowly for ever."""
+    pool = SlowLinkPool(ManualClock(), bytes_per_second=MIN_BYTES_PER_SECOND / 2)
+    with pytest.raises(AnswerCut):
+        fetch(pool, url, min_bytes_per_second=MIN_BYTES_PER_SECOND)
+
+
+def test_connection_that_goes_silent_in_a_long_answer_is_noticed_in_the_timeout(url):
+    """Guards against a dead connection that is kept for the time of a whole answer."""
+    pool = StallingPool(ManualClock(), bytes_per_second=1e9)
+    with pytest.raises(AnswerCut):
+        fetch(pool, url, min_bytes_per_second=MIN_BYTES_PER_SECOND)
+
+
+def test_answer_that_is_too_large_is_not_read(url):
+    pool = SlowLinkPool(ManualClock(), bytes_per_second=1e9)
+    with pytest.raises(AnswerTooLarge) as caught:
+        fetch(pool, url, max_body_bytes=len(BODY) - 1)
+    assert caught.value.body_bytes == len(BODY)
+    assert pool.received == 0
+    assert pool.idle_connections == 0
