Pass a long configuration on between hosts, compressed, instead of each reading it

A host whose store was lost read all of it again each second by way of another host.

Change: a host reads an answer of the operator's table from the store if its way to the store is short and its own link needs no longer than 0.15 s for it, or if the answer has no more than 64 KB. Otherwise it reads no more than the head of the answer and asks other hosts for the rows changed since the version it has: one of its region each 0.1 s, and one of another region so seldom that a few copies pass the link. After 1.3 s at most without success it reads the answer from the store itself, so nothing depends on another host, as without one. Each host asks the same few others, 7 at most, large ones more often. Hosts that lost the store ask in the same way for what has changed, and take a confirmation only from a host that reaches the store. A row that was deleted while the history was lost is now passed on as deleted.

Ways weighed: a compressed copy in a table of our own (an election of who writes it, and every version later by a write and a read), the owner's heartbeats telling the version (a version waits while an owner is replaced, 1 s and more of a bound of 2.5 s), and this one, in which the store itself still tells each host of each change.

The test of removed keys on a host without the store asks other hosts now, and demands the same of them.

--- a/papayapick/entry/configuration.py
+++ b/papayapick/entry/configuration.py
@@ -1,10 +1,12 @@
 """Follow the operator's configuration and keep the newest version in force."""
 
-import contextlib
 import threading
 
-from papayapick.clients.exceptions import TableUnavailable
+from papayapick.entry.configuration_exchange import ConfigurationExchange
 from papayapick.entry.events import CONFIGURATION_IN_FORCE, CONFIGURATION_REFUSED
+from papayapick.entry.followers import OWNER_WAIT_SECONDS, follow_table
+from papayapick.entry.operator_rows import OperatorRows
+from papayapick.entry.operator_source import OperatorSource
 from papayapick.platform.configuration import (
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
@@ -17,8 +19,6 @@
 
 # Well below the bound for a configuration change.
 _RELAYED_READ_SECONDS = 1.0
-# End of the range of keys that holds the configuration only.
-_AFTER_CONFIGURATION = CONFIGURATION_KEY + "~"
 
 
 class ConfigurationWatcher:
@@ -29,7 +29,15 @@
     host : EntryHost
     """
 
-    __slots__ = ("_current", "_is_loaded", "_host", "_in_force_since", "_waves")
+    __slots__ = (
+        "_current",
+        "_host",
+        "_in_force_since",
+        "_is_loaded",
+        "_rows",
+        "_waves",
+        "exchange",
+    )
 
     def __init__(self, host):
         self._host = host
@@ -37,6 +45,8 @@
         self._is_loaded = threading.Event()
         self._in_force_since = 0.0
         self._waves = {}
+        self._rows = OperatorRows()
+        self.exchange = ConfigurationExchange(host, self._rows)
 
     @property
     def current(self):
@@ -72,12 +82,24 @@
 
     def run(self):
         """Follow the operator's rows until the process stops."""
-        self._host.follow(
-            OPERATOR_TABLE, None, self._note_rows, self._read, self._host.stopping
+        host = self._host
+        source = OperatorSource(host, self._rows, self.exchange)
+        follow_table(
+            source,
+            host.clock,
+            OPERATOR_TABLE,
+            None,
+            self._note_rows,
+            source.read_all,
+            host.stopping,
+            # The source notes answers of the store itself: other hosts answer too.
+            lambda asked_at: None,
+            host.store_health.note_failure,
+            lambda: OWNER_WAIT_SECONDS,
         )
 
     def run_relayed(self):
-        """Read the configuration by way of other hosts while the store is lost.
+        """Read the operator's rows by way of other hosts while the store is lost.
 
         Guards against a host that serves callers by way of others, while the store
         refuses it, and still accepts keys and queues that the operator has removed.
@@ -87,17 +109,12 @@
             host.clock.wait(host.stopping, _RELAYED_READ_SECONDS)
             if not host.store_health.is_lost():
                 continue
-            with contextlib.suppress(TableUnavailable):
-                # The store may be unavailable to all hosts; the events of the
-                # followed tables tell so.
-                self._note_rows(
-                    host.relayed_store.read(
-                        OPERATOR_TABLE, "", CONFIGURATION_KEY, _AFTER_CONFIGURATION, 1
-                    )
-                )
-
-    def _read(self):
-        return self._host.store.read_all(OPERATOR_TABLE, "")
+            page = self.exchange.fetch_current(self._rows.version)
+            # None if the store is unavailable to all hosts; the events of the followed
+            # tables tell so.
+            if page is not None:
+                self._rows.update(page.rows, page.version)
+                self._note_rows(page.rows)
 
     def _note_rows(self, rows):
         for row in rows:
--- a/papayapick/entry/events.py
+++ b/papayapick/entry/events.py
@@ -10,6 +10,9 @@
     "CANDIDATE_WAITS",
     "CELL_KEY_FOUND",
     "CONFIGURATION_IN_FORCE",
+    "CONFIGURATION_NOT_RECEIVED",
+    "CONFIGURATION_READ_DIRECTLY",
+    "CONFIGURATION_RECEIVED",
     "CONFIGURATION_REFUSED",
     "CONFLICT_UNCLEAR",
     "HISTORY_LOST",
@@ -119,6 +122,23 @@
     "Requests from now on are handled by this version, which took so long to decode "
     "and to apply.",
 )
+CONFIGURATION_RECEIVED = Event(
+    "configuration received",
+    "peer rows bytes seconds",
+    "Another host has sent newer rows of the operator, of so many compressed bytes.",
+)
+CONFIGURATION_NOT_RECEIVED = Event(
+    "configuration not received",
+    "peer error",
+    "A host that was asked for newer rows of the operator did not send its answer.",
+    level=logging.WARNING,
+)
+CONFIGURATION_READ_DIRECTLY = Event(
+    "configuration read directly",
+    "bytes",
+    "None of the hosts that were asked had the newer rows of the operator in time: "
+    "they are read from the store, although they are long.",
+)
 CONFIGURATION_REFUSED = Event(
     "configuration refused",
     "version_in_force error",
--- a/papayapick/entry/peer_requests.py
+++ b/papayapick/entry/peer_requests.py
@@ -5,6 +5,7 @@
 from papayapick.placement.backlog import QueueBacklog
 from papayapick.wire.messages import (
     AdviceQuery,
+    ConfigurationQuery,
     OwnerQuery,
     PoolBeat,
     PoolBeatAnswer,
@@ -53,6 +54,8 @@
             return self._host.advice.answer(payload)
         if isinstance(payload, OwnerQuery):
             return self._answer_owner_query(payload)
+        if isinstance(payload, ConfigurationQuery):
+            return self._host.configuration.exchange.answer(payload)
         if isinstance(payload, StoreCall):
             return self._relay.answer(payload)
         return None
--- a/papayapick/platform/settings.py
+++ b/papayapick/platform/settings.py
@@ -11,6 +11,7 @@
 
 # Where the platform sets no limit.
 _DESCRIPTOR_LIMIT = 4096
+_BANDWIDTH_MBPS = 1000
 
 
 class PlatformSettings:
@@ -29,6 +30,7 @@
 
     __slots__ = (
         "advice_address",
+        "bytes_per_second",
         "cancel_seconds",
         "checkpoint_seconds",
         "frontend_address",
@@ -78,6 +80,9 @@
         self.processors = float(limits.get("cpu_share", 1)) * limits.get("cores", 1)
         # Open sockets and files that the process may have.
         self.descriptor_limit = int(limits.get("max_fds", _DESCRIPTOR_LIMIT))
+        # That the host's own link carries in each direction.
+        bandwidth = float(limits.get("bandwidth_mbps") or _BANDWIDTH_MBPS)
+        self.bytes_per_second = bandwidth * 1e6 / 8
         self.grace_seconds = float(bounds["grace_s"])
         self.status_seconds = float(bounds["status_s"])
         self.lease_limit_seconds = bounds["hold_max_ms"] / 1000
--- a/papayapick/wire/messages.capnp
+++ b/papayapick/wire/messages.capnp
@@ -28,6 +28,8 @@
     ownerQuery @22 :OwnerQuery;
     stateBatch @23 :StateBatch;
     stateBatchAnswer @24 :StateBatchAnswer;
+    configurationQuery @25 :ConfigurationQuery;
+    configurationReply @26 :ConfigurationReply;
   }
 }
 
@@ -225,3 +227,13 @@
 struct StateBatchAnswer {
   missed @0 :List(Text);
 }
+
+struct ConfigurationQuery {
+  knownVersion @0 :UInt64;
+}
+
+struct ConfigurationReply {
+  version @0 :UInt64;
+  rows @1 :Data;
+  isCurrent @2 :Bool;
+}
--- a/papayapick/wire/messages.py
+++ b/papayapick/wire/messages.py
@@ -6,6 +6,8 @@
     "AdviceReply",
     "BundleBody",
     "BundleQuery",
+    "ConfigurationQuery",
+    "ConfigurationReply",
     "Handover",
     "Heartbeat",
     "Hello",
@@ -296,3 +298,19 @@
     """Ask a host whether it owns a pool; answered with ``PoolBeatAnswer``."""
 
     __slots__ = ("pool",)
+
+
+class ConfigurationQuery(Payload):
+    """Request the operator's rows that have changed since a version of the store."""
+
+    __slots__ = ("known_version",)
+
+
+class ConfigurationReply(Payload):
+    """Report the changed rows, and the version up to which the sender has them all.
+
+    ``rows`` is empty if the sender knows of no change. ``is_current`` says whether the
+    store answers the sender.
+    """
+
+    __slots__ = ("is_current", "rows", "version")
--- a/tests/entry/test_application.py
+++ b/tests/entry/test_application.py
@@ -26,6 +26,8 @@
 
 
 class Settings:
+    host_name = "h1"
+    region = "south"
     readiness_address = ("127.0.0.1", 1)
     metrics_port = 0
     has_teams = False
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -19,10 +19,14 @@
     NotAccepted,
 )
 from papayapick.entry.job_states import JobStateCache
+from papayapick.entry.operator_rows import encode_rows
+from papayapick.entry.peers import Peer
 from papayapick.entry.state_relays import job_news
 from papayapick.jobs import JobDocument, Queue, Step
 from papayapick.ledger import Amounts
 from papayapick.platform.configuration import CONFIGURATION_KEY, OPERATOR_TABLE
+from papayapick.wire.exceptions import PeerTimeout
+from papayapick.wire.messages import ConfigurationReply
 from tests.entry.cell import EntryCell, job, wait_for
 from tests.entry.test_acceptance import FakeStore
 from tests.entry.test_application import Host
@@ -178,23 +182,28 @@
     host.stopping = StopsAfter(2)
     host.clock = WaitlessClock()
     host.is_lost = lambda: True
-    host.relayed_store = host
     later = configuration(version=2, teams=["leasing"])
-    answers = [
-        TableUnavailable(),
-        [StoredRow(OPERATOR_TABLE, "", CONFIGURATION_KEY, later, 2)],
-    ]
+    rows = [StoredRow(OPERATOR_TABLE, "", CONFIGURATION_KEY, later, 2)]
+    silent = other_host("h2", PeerTimeout(address="h2", seconds=1))
+    reached = other_host(
+        "h3", ConfigurationReply(version=2, rows=encode_rows(rows), is_current=True)
+    )
+    host.peers = SimpleNamespace(all=lambda: [silent, reached])
+    host.configuration.run_relayed()
+    assert host.configuration.version == 2
+    assert host.ask("GET", "key-a1")[0] == 401
+
 
-    def read(table, partition, first, end, limit):
-        answer = answers.pop(0)
+def other_host(name, answer):
+    """Return another host that gives one answer, or raises it."""
+
+    def ask(query, seconds):
         if isinstance(answer, Exception):
             raise answer
         return answer
 
-    host.read = read
-    host.configuration.run_relayed()
-    assert host.configuration.version == 2
-    assert host.ask("GET", "key-a1")[0] == 401
+    client = SimpleNamespace(ask=ask, close=lambda: None)
+    return Peer(name, "a:1", "z1", "south", client)
 
 
 class WaitlessClock(SystemClock):
--- a/tests/standins/links.py
+++ b/tests/standins/links.py
@@ -27,6 +27,7 @@
         self._seconds_per_byte = 1 / bytes_per_second
         self._lock = threading.Lock()
         self._free_at = 0.0
+        self._carried_bytes = 0
         # The sizes are inherited by the accepted connections.
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _BUFFER_BYTES)
@@ -40,6 +41,11 @@
         """Return the address for callers, as ``IP:PORT``."""
         return "{}:{}".format(*self._listener.getsockname())
 
+    @property
+    def carried_bytes(self):
+        """Return how many bytes were carried to the callers so far."""
+        return self._carried_bytes
+
     def close(self):
         """Close the listener and all connections."""
         with self._lock:
@@ -73,6 +79,7 @@
 
     def _wait_for_turn(self, size):
         with self._lock:
+            self._carried_bytes += size
             begin = max(self._free_at, time.monotonic())
             self._free_at = begin + size * self._seconds_per_byte
             wait = self._free_at - time.monotonic()
