--- a/papayapick/clock.py
+++ b/papayapick/clock.py
@@ -7,6 +7,10 @@
 __all__ = ["BootClock", "Clock", "ManualClock", "SystemClock"]
 
 
+_MIN_POLL_SECONDS = 0.01
+_MAX_POLL_SECONDS = 0.16
+
+
 class Clock(Protocol):
     """Provide monotonic and wall-clock time, and wait for events."""
 
@@ -91,9 +95,12 @@
     def wait(self, event, seconds):
         """Return whether the event is set, once it is or the time has passed."""
         deadline = self._now + seconds
+        interval = _MIN_POLL_SECONDS
         with self._condition:
             while self._now < deadline and not event.is_set():
                 # Setting the event does not notify this condition, so the event is
-                # polled.
-                self._condition.wait(0.01)
+                # polled, less and less often: a thousand waiting threads would else
+                # take the processor time of the one that is to advance time.
+                self._condition.wait(interval)
+                interval = min(2 * interval, _MAX_POLL_SECONDS)
         return event.is_set()
