Announce a changed configuration by a short row, and request it only where that is quick

Cause: a host that has read the head of a long answer and stops is too late: the store has sent a window of it into the link by then. Hosts of the near region had the version after 0.1 to 0.4 s; those behind the link could reach nobody for three seconds ('configuration not received ... cannot be reached', 'host unreached' from 0.4 s after the change on), as 20 windows of some 200 KB passed it at once.

Change: only hosts with a short way to the store and a link of over 32 Mbit/s wait at the store for the operator's rows. Whoever reads a change there writes its version, and whether it is long, into a row of the cell's table, which all hosts follow. The others read a short change from the store at once, and ask hosts for a long one. They ask the store itself for changes that nobody has announced each 0.24 to 0.40 of the time in which a version has to be in force, and for a long one that no host has sent after 0.3 to 0.7 of it, so a cell without such hosts, or with all of them gone, is served as well. A host that starts reads the announcement first. Stopping in the middle of an answer is gone.

--- a/papayapick/clients/exceptions.py
+++ b/papayapick/clients/exceptions.py
@@ -6,7 +6,6 @@
     "AnswerCut",
     "AnswerInvalid",
     "AnswerMissing",
-    "AnswerTooLarge",
     "ConditionFailed",
     "HistoryLost",
     "HostLeaving",
@@ -62,18 +61,6 @@
     template = "answer from {url} refused: {reason}"
 
 
-class AnswerTooLarge(PlatformError):
-    """Report an answer that is longer than the caller wants to read."""
-
-    code = "platform.answer-too-large"
-    template = "answer from {url} has {body_bytes} bytes, more than requested"
-
-    @property
-    def body_bytes(self):
-        """Return the length of the answer."""
-        return self._details["body_bytes"]
-
-
 class TableUnavailable(PlatformError):
     """Report a table that did not answer; a write may have been applied."""
 
--- a/papayapick/clients/http.py
+++ b/papayapick/clients/http.py
@@ -10,7 +10,6 @@
     AnswerCut,
     AnswerInvalid,
     AnswerMissing,
-    AnswerTooLarge,
     NotSent,
 )
 from papayapick.clock import SystemClock
@@ -124,7 +123,6 @@
         fresh=False,
         check=None,
         min_bytes_per_second=None,
-        max_body_bytes=None,
     ):
         """Send a request and read the whole answer.
 
@@ -146,8 +144,6 @@
             Allow an answer more time as long as its body arrives at this rate.
             Otherwise a body that takes longer than the timeout on a slow link is
             discarded, and requested again from its first byte, for ever.
-        max_body_bytes : int, optional
-            Do not read a longer answer.
 
         Returns
         -------
@@ -160,8 +156,6 @@
         AnswerMissing, AnswerInvalid
             The request may have had an effect. ``AnswerCut`` if a part of the answer
             arrived.
-        AnswerTooLarge
-            The body is longer than ``max_body_bytes``.
         """
         parts = urllib.parse.urlsplit(url)
         timeout = self._timeout if timeout is None else timeout
@@ -177,7 +171,7 @@
             path += "?" + parts.query
         try:
             answer, is_reusable = self._exchange(
-                connection, method, path, body, headers or {}, limit, max_body_bytes
+                connection, method, path, body, headers or {}, limit
             )
             if check is not None:
                 check(answer)
@@ -202,15 +196,12 @@
         for connection in idle:
             connection.close()
 
-    def _exchange(self, connection, method, path, body, headers, limit, max_body_bytes):
+    def _exchange(self, connection, method, path, body, headers, limit):
         sock = connection.sock
         limit.apply(sock)
         connection.request(method, path, body=body, headers=headers)
         limit.apply(sock)
         response = connection.getresponse()
-        expected = response.length or 0
-        if max_body_bytes is not None and expected > max_body_bytes:
-            raise AnswerTooLarge(url=path, body_bytes=expected)
         data = self._read_body(sock, response, path, limit)
         if _has_more(sock, response):
             # A Content-Length that is too small makes a truncated answer look complete,
--- a/papayapick/entry/configuration.py
+++ b/papayapick/entry/configuration.py
@@ -2,6 +2,7 @@
 
 import threading
 
+from papayapick.entry.announcements import Announcements
 from papayapick.entry.configuration_exchange import ConfigurationExchange
 from papayapick.entry.events import CONFIGURATION_IN_FORCE, CONFIGURATION_REFUSED
 from papayapick.entry.followers import OWNER_WAIT_SECONDS, follow_table
@@ -36,6 +37,7 @@
         "_is_loaded",
         "_rows",
         "_waves",
+        "announcements",
         "exchange",
     )
 
@@ -46,6 +48,7 @@
         self._in_force_since = 0.0
         self._waves = {}
         self._rows = OperatorRows()
+        self.announcements = Announcements(host)
         self.exchange = ConfigurationExchange(host, self._rows)
 
     @property
@@ -83,7 +86,7 @@
     def run(self):
         """Follow the operator's rows until the process stops."""
         host = self._host
-        source = OperatorSource(host, self._rows, self.exchange)
+        source = OperatorSource(host, self._rows, self.exchange, self.announcements)
         follow_table(
             source,
             host.clock,
--- a/papayapick/entry/events.py
+++ b/papayapick/entry/events.py
@@ -10,6 +10,7 @@
     "CANDIDATE_WAITS",
     "CELL_KEY_FOUND",
     "CONFIGURATION_IN_FORCE",
+    "CONFIGURATION_NOT_ANNOUNCED",
     "CONFIGURATION_NOT_RECEIVED",
     "CONFIGURATION_READ_DIRECTLY",
     "CONFIGURATION_RECEIVED",
@@ -135,10 +136,17 @@
 )
 CONFIGURATION_READ_DIRECTLY = Event(
     "configuration read directly",
-    "bytes",
+    "version",
     "None of the hosts that were asked had the newer rows of the operator in time: "
     "they are read from the store, although they are long.",
 )
+CONFIGURATION_NOT_ANNOUNCED = Event(
+    "configuration not announced",
+    "version error",
+    "This host has read newer rows of the operator, and could not tell the others: "
+    "they look for themselves later.",
+    level=logging.WARNING,
+)
 CONFIGURATION_REFUSED = Event(
     "configuration refused",
     "version_in_force error",
--- a/papayapick/entry/operator_rows.py
+++ b/papayapick/entry/operator_rows.py
@@ -38,6 +38,12 @@
         """Return the version up to which all rows are known, or 0 before any is."""
         return self._version
 
+    @property
+    def newest(self):
+        """Return the version of the row that changed last, or 0 without rows."""
+        with self._lock:
+            return max((row.version for row in self._rows.values()), default=0)
+
     def update(self, rows, version):
         """Apply all changes up to a version.
 
--- a/papayapick/entry/operator_source.py
+++ b/papayapick/entry/operator_source.py
@@ -3,30 +3,28 @@
 Guards against links that are full for seconds because each host reads thousands of
 routes, 350 bytes a route, from the store: heartbeats and calls of the store wait behind
 them, working owners are replaced, and the version comes into force too late. The hosts
-that read it quickly do so, and pass it on compressed to a tenth.
+that read them quickly do so, and pass them on compressed to a tenth.
 """
 
 import random
 
-from papayapick.clients.exceptions import AnswerTooLarge
 from papayapick.clients.rows import Page
 from papayapick.entry.events import CONFIGURATION_READ_DIRECTLY
 from papayapick.platform.configuration import OPERATOR_TABLE
 
 __all__ = ["OperatorSource"]
 
-# A shorter answer is read from the store by every host: asking others would not be
-# faster.
-_SHORT_ANSWER_BYTES = 64_000
-# A host reads an answer from the store if its own link needs no longer than this.
-_QUICK_SECONDS = 0.15
-# A host with a longer round trip to the store shares the way to it with its region.
+# Hosts with a longer round trip to the store share the way to it with their region.
 _NEAR_ROUND_TRIP_SECONDS = 0.02
-# How much longer such a host asks others before it reads a long answer from the store.
-_REMOTE_EXTRA_SECONDS = 0.5
-_MAX_ASKING_SECONDS = 1.0
-# Spreads the hosts that found nobody to ask, so that the later ones do.
-_JITTER_SHARE = 0.3
+# A quick host reads a configuration of 2,500 routes in 0.25 s.
+_QUICK_BYTES_PER_SECOND = 4_000_000
+# Compressed; about as many routes as a narrow link carries in a tenth of a second.
+_LONG_BYTES = 5_000
+# Shares of the time in which a version is to be in force. The store is asked for
+# changes that nobody has announced after the first, and for long ones that nobody has
+# sent after one between the others. Spread, so that one host reads them first.
+_CHECK_SHARE = 0.4
+_ASKING_SHARES = (0.3, 0.7)
 _PAUSE_SECONDS = 0.1
 
 
@@ -39,77 +37,96 @@
     rows : OperatorRows
         Holds the rows read last.
     exchange : ConfigurationExchange
+    announcements : Announcements
     """
 
-    __slots__ = ("_exchange", "_host", "_rows")
+    __slots__ = ("_announcements", "_exchange", "_host", "_rows")
 
-    def __init__(self, host, rows, exchange):
+    def __init__(self, host, rows, exchange, announcements):
         self._host = host
         self._rows = rows
         self._exchange = exchange
+        self._announcements = announcements
 
     def follow(self, table, version, wait_seconds):
-        """Wait for changes; see ``Store.follow``."""
+        """Wait for changes; see ``Store.follow``.
+
+        On a host without a quick way to the store the call may take longer than
+        ``wait_seconds``, without calling the store meanwhile.
+        """
         # Other hosts may have told about changes beyond the last page.
         version = max(version, self._rows.version)
-        store = self._host.store
-        page = self._read(
-            version,
-            lambda max_bytes=None: store.follow(
-                table, version, wait_seconds, max_bytes
-            ),
-        )
+        page = None
+        if not self._is_quick():
+            page = self._wait_for_others(version)
+            wait_seconds = 0.0
+        if page is None:
+            page = self._host.store.follow(table, version, wait_seconds)
+            self._host.store_health.note_answer()
+            self._announce(page.rows, version)
         self._rows.update(page.rows, page.version)
         return page
 
     def read_all(self):
         """Return all rows and the version from which to follow them."""
-        store = self._host.store
-        page = self._read(
-            0,
-            lambda max_bytes=None: Page(*store.read_all(OPERATOR_TABLE, "", max_bytes)),
-        )
+        self._announcements.read()
+        page = None
+        if not self._is_quick() and self._announcements.long_version:
+            page = self._ask_others(0)
+        if page is None:
+            page = Page(*self._host.store.read_all(OPERATOR_TABLE, ""))
+            self._host.store_health.note_answer()
+            self._announce(page.rows, 0)
         return self._rows.replace(page.rows, page.version), page.version
 
-    def _read(self, version, read):
-        try:
-            page = read(self._max_direct_bytes())
-        except AnswerTooLarge as error:
-            self._host.store_health.note_answer()
-            page = self._ask_others(version, error.body_bytes)
-            if page is not None:
-                return page
-            CONFIGURATION_READ_DIRECTLY.write(bytes=error.body_bytes)
-            page = read()
-        self._host.store_health.note_answer()
-        return page
+    def _is_quick(self):
+        """Return whether this host reads long rows from the store in little time."""
+        seconds = self._host.store_seconds
+        is_near = seconds is not None and seconds < _NEAR_ROUND_TRIP_SECONDS
+        return (
+            is_near and self._host.settings.bytes_per_second > _QUICK_BYTES_PER_SECOND
+        )
 
-    def _ask_others(self, version, body_bytes):
+    def _wait_for_others(self, version):
+        """Wait for an announcement; return a Page of long rows that others sent.
+
+        Returns None if the store is to be asked: for short rows that were announced,
+        for long ones that no other host has, and now and then for unannounced ones.
+        """
+        interval = _CHECK_SHARE * self._host.settings.configuration_seconds
+        # Spread, so that one host finds an unannounced change before all others look.
+        interval *= random.uniform(0.6, 1.0)
+        newest = self._rows.newest
+        if not self._announcements.wait_for_newer(newest, interval):
+            return None
+        if self._announcements.long_version <= newest:
+            return None
+        return self._ask_others(version)
+
+    def _ask_others(self, version):
         """Ask other hosts for a while; return a Page of newer rows, or None."""
         host = self._host
-        until = host.clock.monotonic() + self._asking_seconds(body_bytes)
-        while host.clock.monotonic() < until and host.peers.all():
+        share = random.uniform(*_ASKING_SHARES)
+        until = host.clock.monotonic() + share * host.settings.configuration_seconds
+        while host.clock.monotonic() < until and not self._is_alone():
             page = self._exchange.fetch(version)
             if page is not None or host.stopping.is_set():
                 return page
             host.clock.wait(host.stopping, _PAUSE_SECONDS)
+        CONFIGURATION_READ_DIRECTLY.write(version=self._announcements.version)
         return None
 
-    def _max_direct_bytes(self):
-        """Return the length up to which an answer is read from the store at once."""
-        if not self._is_near():
-            return _SHORT_ANSWER_BYTES
-        quick = _QUICK_SECONDS * self._host.settings.bytes_per_second
-        return max(_SHORT_ANSWER_BYTES, int(quick))
-
-    def _asking_seconds(self, body_bytes):
-        """Return for how long to ask others, the less the faster this host reads."""
-        seconds = body_bytes / self._host.settings.bytes_per_second
-        if not self._is_near():
-            seconds += _REMOTE_EXTRA_SECONDS
-        jitter = 1 + random.uniform(0, _JITTER_SHARE)
-        return min(_MAX_ASKING_SECONDS, seconds) * jitter
-
-    def _is_near(self):
-        seconds = self._host.store_seconds
-        return seconds is not None and seconds < _NEAR_ROUND_TRIP_SECONDS
+    def _is_alone(self):
+        return self._host.has_read_hosts and not self._host.peers.all()
+
+    def _announce(self, rows, version):
+        """Announce rows just read from the store."""
+        newest = max((row.version for row in rows), default=0)
+        if newest <= self._announcements.version:
+            return
+        self._rows.update(rows, version)
+        encoded, _ = self._rows.changed_since(version)
+        # In the background: without an answer it would delay the version here.
+        self._host.executor.submit(
+            self._announcements.announce, newest, len(encoded) > _LONG_BYTES
+        )
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -7,6 +7,7 @@
 from papayapick.clock import BootClock
 from papayapick.entry.acceptance import Acceptance
 from papayapick.entry.advice_dispatch import AdviceDispatcher
+from papayapick.entry.announcements import ANNOUNCEMENT_PARTITION
 from papayapick.entry.application import Application
 from papayapick.entry.beats import BeatBroadcaster
 from papayapick.entry.candidacy import Candidacy
@@ -267,8 +268,8 @@
 
     def _read_cell(self):
         rows, version = self.store.read_all(CELL_TABLE, HOSTS_PARTITION)
-        for pool in list(self._candidacies):
-            rows += self.store.read_all(CELL_TABLE, pool)[0]
+        for partition in (ANNOUNCEMENT_PARTITION, *list(self._candidacies)):
+            rows += self.store.read_all(CELL_TABLE, partition)[0]
         return rows, version
 
     def _note_cell_rows(self, rows):
@@ -281,6 +282,9 @@
                     # long time.
                     self.executor.submit(register, self)
                 continue
+            if row.partition == ANNOUNCEMENT_PARTITION:
+                self.configuration.announcements.note_row(row)
+                continue
             pool_state = pool_row(row)
             if pool_state is not None and pool_state.pool in self._candidacies:
                 self._candidacies[pool_state.pool].note_row(pool_state)
--- a/papayapick/platform/store.py
+++ b/papayapick/platform/store.py
@@ -8,7 +8,6 @@
     AnswerCut,
     AnswerInvalid,
     AnswerMissing,
-    AnswerTooLarge,
     ConditionFailed,
     HistoryLost,
     NotSent,
@@ -114,14 +113,7 @@
         return _version(_json(answer))
 
     def read(
-        self,
-        table,
-        partition,
-        first="",
-        end="",
-        limit=500,
-        seconds=_CALL_SECONDS,
-        max_bytes=None,
+        self, table, partition, first="", end="", limit=500, seconds=_CALL_SECONDS
     ):
         """Return a page of rows, ordered by key.
 
@@ -134,38 +126,24 @@
             Maximum number of rows, at most 500.
         seconds : float
             Time limit for the answer; a long one may take more.
-        max_bytes : int, optional
-            Do not read a longer answer.
 
         Returns
         -------
         Page
-
-        Raises
-        ------
-        AnswerTooLarge
         """
         query = {"table": table, "part": partition, "limit": limit}
         if first:
             query["from"] = first
         if end:
             query["to"] = end
-        answer = self._call(
-            "read", "GET", "/rows-get?" + _query(query), None, seconds, max_bytes
-        )
+        answer = self._call("read", "GET", "/rows-get?" + _query(query), None, seconds)
         if answer.status != 200:
             raise StoreRefused()
         return _page(_json(answer))
 
-    def read_all(self, table, partition, max_bytes=None):
+    def read_all(self, table, partition):
         """Return every row of a partition.
 
-        Parameters
-        ----------
-        table, partition : str
-        max_bytes : int, optional
-            Do not read a longer page; ``AnswerTooLarge`` is raised instead.
-
         Returns
         -------
         rows : list of StoredRow
@@ -175,24 +153,16 @@
         """
         rows, first, version = [], "", None
         while True:
-            page = self.read(table, partition, first, max_bytes=max_bytes)
+            page = self.read(table, partition, first)
             rows += page.rows
             version = page.version if version is None else version
             if not page.has_more or not page.rows:
                 return rows, version
             first = page.rows[-1].key + "\0"
 
-    def follow(self, table, version, wait_seconds, max_bytes=None):
+    def follow(self, table, version, wait_seconds):
         """Wait for changes to a table since a version.
 
-        Parameters
-        ----------
-        table : str
-        version : int
-        wait_seconds : float
-        max_bytes : int, optional
-            Do not read longer changes.
-
         Returns
         -------
         Page
@@ -202,7 +172,6 @@
         ------
         HistoryLost
             The store no longer has these changes; the table must be read again.
-        AnswerTooLarge
         """
         wait = int(wait_seconds * 1000)
         query = _query({"table": table, "after": version, "wait_ms": wait})
@@ -211,7 +180,6 @@
             "GET",
             "/rows-feed?" + query,
             seconds=wait_seconds + _FEED_SLACK_SECONDS,
-            max_bytes=max_bytes,
         )
         if answer.status == 410:
             raise HistoryLost(table=table)
@@ -219,15 +187,7 @@
             raise StoreRefused()
         return _page(_json(answer))
 
-    def _call(
-        self,
-        operation,
-        method,
-        path,
-        body=None,
-        seconds=_CALL_SECONDS,
-        max_bytes=None,
-    ):
+    def _call(self, operation, method, path, body=None, seconds=_CALL_SECONDS):
         began = self._clock.monotonic()
         outcome = "no-answer"
         try:
@@ -237,15 +197,11 @@
                 body,
                 timeout=seconds,
                 min_bytes_per_second=_MIN_BYTES_PER_SECOND,
-                max_body_bytes=max_bytes,
             )
             outcome = str(answer.status)
         except NotSent as error:
             outcome = "not-sent"
             raise StoreRefused() from error
-        except AnswerTooLarge:
-            outcome = "too-large"
-            raise
         except AnswerCut as error:
             outcome = "cut"
             raise TableAnswerCut(**error.details) from error
--- a/tests/clients/test_long_answers.py
+++ b/tests/clients/test_long_answers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from papayapick.clients.exceptions import AnswerCut, AnswerTooLarge
+from papayapick.clients.exceptions import AnswerCut
 from papayapick.clients.http import HttpPool
 from papayapick.clock import ManualClock
 
@@ -86,12 +86,3 @@
     pool = StallingPool(ManualClock(), bytes_per_second=1e9)
     with pytest.raises(AnswerCut):
         fetch(pool, url, min_bytes_per_second=MIN_BYTES_PER_SECOND)
-
-
-def test_answer_that_is_too_large_is_not_read(url):
-    pool = SlowLinkPool(ManualClock(), bytes_per_second=1e9)
-    with pytest.raises(AnswerTooLarge) as caught:
-        fetch(pool, url, max_body_bytes=len(BODY) - 1)
-    assert caught.value.body_bytes == len(BODY)
-    assert pool.received == 0
-    assert pool.idle_connections == 0
--- a/tests/entry/test_operator_rows.py
+++ b/tests/entry/test_operator_rows.py
@@ -1,15 +1,17 @@
 """The operator's rows: read quickly, shared between hosts, or read alone."""
 
 import random
+import threading
 from types import SimpleNamespace
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from papayapick.clients.exceptions import AnswerTooLarge
+from papayapick.clients.exceptions import ConditionFailed
 from papayapick.clients.rows import Page, StoredRow
 from papayapick.clock import ManualClock
+from papayapick.entry.announcements import Announcements
 from papayapick.entry.configuration_exchange import (
     ConfigurationExchange,
     preferred_peers,
@@ -21,8 +23,6 @@
 from papayapick.wire.exceptions import FrameInvalid, PeerTimeout
 from papayapick.wire.messages import ConfigurationQuery, ConfigurationReply
 
-LONG_BYTES = 1_000_000
-
 
 def row(key, version, value=None):
     return StoredRow("op", "", key, value, version, value is None)
@@ -93,39 +93,61 @@
 
 
 class Store:
-    """Hold the configuration in an answer of some length."""
+    """Hold one row of the operator, and the announcement of its version."""
+
+    def __init__(self, change):
+        self._change = change
+        self.calls = 0
+        self.announced = None
+
+    def follow(self, table, version, wait_seconds):
+        self.calls += 1
+        return Page([self._change], self._change.version)
+
+    def read(self, table, partition):
+        return Page([self.announced] if self.announced else [], 1)
+
+    def read_all(self, table, partition):
+        self.calls += 1
+        return [self._change], self._change.version
+
+    def transact(self, expectations, writes):
+        version = self.announced.version if self.announced else 0
+        if expectations[0].version != version:
+            raise ConditionFailed([self.announced] if self.announced else [])
+        self.announced = announcement(writes[0].value, version + 1)
 
-    def __init__(self, body_bytes):
-        self._body_bytes = body_bytes
-        self.read_bytes = 0
 
-    def follow(self, table, version, wait_seconds, max_bytes=None):
-        if max_bytes is not None and self._body_bytes > max_bytes:
-            raise AnswerTooLarge(url=table, body_bytes=self._body_bytes)
-        self.read_bytes += self._body_bytes
-        return Page([CONFIG], 7)
+def announcement(value, version):
+    return StoredRow("cell", "configuration", "newest", value, version)
 
 
 class AdvancingClock(ManualClock):
     """Advance by the time to wait instead of waiting."""
 
     def wait(self, event, seconds):
-        self.advance(seconds)
+        if not event.is_set():
+            self.advance(seconds)
         return event.is_set()
 
 
 class Host:
     """Stand in for an entry host with other hosts beside it."""
 
-    def __init__(self, body_bytes, replies=(), mbps=1000, store_seconds=0.005):
+    has_read_hosts = True
+
+    def __init__(self, replies=(), mbps=1000, store_seconds=0.005, change=None):
         self.clock = AdvancingClock(100.0)
-        self.store = Store(body_bytes)
+        self.store = Store(change or LONG)
         self.store_seconds = store_seconds
         self.settings = SimpleNamespace(
-            host_name="h1", region="south", bytes_per_second=mbps * 1e6 / 8
+            host_name="h1",
+            region="south",
+            bytes_per_second=mbps * 1e6 / 8,
+            configuration_seconds=4.0,
         )
         self.executor = ElasticExecutor(8, "test")
-        self.stopping = SimpleNamespace(is_set=lambda: False)
+        self.stopping = threading.Event()
         self.store_health = SimpleNamespace(
             note_answer=lambda: None, is_lost=lambda: False
         )
@@ -136,52 +158,119 @@
         self.peers = SimpleNamespace(all=lambda: self.others)
         self.rows = OperatorRows()
         self.exchange = ConfigurationExchange(self, self.rows)
-        self.source = OperatorSource(self, self.rows, self.exchange)
+        self.announcements = Announcements(self)
+        self.source = OperatorSource(self, self.rows, self.exchange, self.announcements)
+
+    def announce(self, version, long_version):
+        value = {"version": version, "long": long_version}
+        self.announcements.note_row(announcement(value, 1))
 
     def follow(self):
-        return self.source.follow("op", 3, 0.4)
+        page = self.source.follow("op", 3, 0.4)
+        return [(one.key, one.version) for one in page.rows]
 
+    def asked(self):
+        return sum(other.client.asked for other in self.others)
 
-NEWER = ConfigurationReply(version=7, rows=encode_rows([CONFIG]), is_current=True)
-NOTHING = ConfigurationReply(version=3, rows=b"", is_current=True)
 
+def routes(count):
+    names = random.Random(count)
+    return {"routes": [f"{names.randrange(16**8):08x}" for _ in range(count)]}
 
-def test_host_with_a_wide_link_reads_a_long_answer_at_once():
-    host = Host(LONG_BYTES, [NEWER])
-    assert host.follow().rows == [CONFIG]
-    assert host.others[0].client.asked == 0
+
+LONG = row("config", 7, routes(1400))
+SHORT = row("config", 7, routes(40))
+NEWER = ConfigurationReply(version=7, rows=encode_rows([LONG]), is_current=True)
+NOTHING = ConfigurationReply(version=3, rows=b"", is_current=True)
+SLOW = [{"mbps": 5}, {"store_seconds": 0.045}, {"store_seconds": None}]
 
 
-@pytest.mark.parametrize("place", [{"mbps": 5}, {"store_seconds": 0.045}])
-def test_host_with_a_slow_way_gets_a_long_answer_from_another_host(place):
-    host = Host(LONG_BYTES, [NEWER], **place)
-    page = host.follow()
-    assert [(one.key, one.version) for one in page.rows] == [("config", 7)]
-    assert page.version == host.rows.version == 7
-    assert host.store.read_bytes == 0
+def test_host_with_a_quick_way_waits_at_the_store_and_announces_what_it_reads():
+    host = Host([NEWER])
+    assert host.follow() == [("config", 7)]
+    assert host.asked() == 0
+    host.executor.shutdown(wait=True)
+    assert host.store.announced.value == {"version": 7, "long": 7}
 
 
-@pytest.mark.parametrize("place", [{"mbps": 5}, {"store_seconds": 0.045}])
-def test_short_answer_is_read_from_the_store_by_every_host(place):
-    host = Host(10_000, [NEWER], **place)
+def test_short_change_is_not_announced_as_long():
+    host = Host(change=SHORT)
+    host.announce(4, 2)
+    host.store.announced = announcement({"version": 4, "long": 2}, 1)
     host.follow()
-    assert host.others[0].client.asked == 0
+    host.executor.shutdown(wait=True)
+    assert host.store.announced.value == {"version": 7, "long": 2}
+
+
+@pytest.mark.parametrize("place", SLOW)
+def test_host_with_a_slow_way_gets_a_long_change_from_another_host(place):
+    """Guards against a link that is full, as each host behind it reads all routes."""
+    host = Host([NEWER], **place)
+    host.announce(7, 7)
+    assert host.follow() == [("config", 7)]
+    assert host.store.calls == 0
+    assert host.rows.version == 7
+
+
+@pytest.mark.parametrize("place", SLOW)
+def test_host_with_a_slow_way_reads_a_short_change_from_the_store(place):
+    """Guards against small changes that depend on other hosts."""
+    host = Host([NEWER], change=SHORT, **place)
+    host.rows.update([row("config", 3, routes(30))], 3)
+    host.announce(7, 2)
+    assert host.follow() == [("config", 7)]
+    assert host.asked() == 0
+    assert host.clock.monotonic() == 100.0
 
 
 @pytest.mark.parametrize(
     "replies", [[], [NOTHING], [PeerTimeout(address="a", seconds=1), NOTHING]]
 )
-def test_host_reads_alone_what_no_other_host_has(replies):
+def test_host_reads_from_the_store_what_no_other_host_sends(replies):
     """Guards against a version that no host reads, as each waits for the others."""
-    host = Host(LONG_BYTES, replies, mbps=5)
-    host.follow()
-    assert host.store.read_bytes == LONG_BYTES
-    assert host.clock.monotonic() - 100.0 < 2.0
+    host = Host(replies, mbps=5)
+    host.announce(7, 7)
+    assert host.follow() == [("config", 7)]
+    assert host.store.calls == 1
+    assert host.clock.monotonic() - 100.0 < 0.75 * 4.0
+
+
+def test_change_that_nobody_announces_is_found_in_less_than_half_of_its_time():
+    """Guards against a version that comes too late where no host has a quick way."""
+    host = Host([NOTHING], mbps=5)
+    assert host.follow() == [("config", 7)]
+    assert host.clock.monotonic() - 100.0 < 0.5 * 4.0
+    host.executor.shutdown(wait=True)
+    assert host.store.announced.value["version"] == 7
+
+
+def test_restarted_host_with_a_slow_way_gets_long_rows_from_another_host():
+    """Guards against a link that is full after all hosts have restarted."""
+    host = Host([NEWER], mbps=5)
+    host.store.announced = announcement({"version": 7, "long": 7}, 4)
+    rows, version = host.source.read_all()
+    assert [(one.key, one.version) for one in rows] == [("config", 7)]
+    assert (version, host.store.calls) == (7, 0)
+
+
+def test_first_start_reads_the_store_at_once():
+    host = Host([NOTHING], mbps=5)
+    host.source.read_all()
+    assert host.clock.monotonic() == 100.0
+
+
+def test_announcement_never_goes_back():
+    """Guards against a slow host that reads a version which has been replaced."""
+    host = Host()
+    host.store.announced = announcement({"version": 9, "long": 5}, 6)
+    host.announcements.announce(7, True)
+    assert host.store.announced.value == {"version": 9, "long": 5}
+    assert (host.announcements.version, host.announcements.long_version) == (9, 5)
 
 
 def test_reply_tells_whether_its_sender_reaches_the_store():
     """Guards against a host cut off from the store that confirms removed keys."""
-    host = Host(0)
+    host = Host()
     host.rows.update([CONFIG], 7)
     query = ConfigurationQuery(known_version=7)
     assert host.exchange.answer(query).is_current
@@ -192,7 +281,7 @@
 
 def test_host_without_the_store_asks_on_until_a_host_that_reaches_it_answers():
     stale = ConfigurationReply(version=3, rows=b"", is_current=False)
-    host = Host(0, [stale, stale, NEWER, stale])
+    host = Host([stale, stale, NEWER, stale])
     page = host.exchange.fetch_current(3)
     assert [one.key for one in page.rows] == ["config"]
 
