Send a long batch of records to its end while it keeps being sent

Callers would see jobs that start and end late, and 504 in place of an acceptance.

Change: a body of over 32 KB is sent in parts, and each part extends the time limit as a part of an answer does. The send buffer is kept as small as a part: otherwise the body is in the operating system at once, and its way over the link looks like a silent store. Calls without a minimum rate, those of workers and instances, are as before.

Looked at and left: worker lists of the platform and answers of workers (some tens of KB), messages between hosts (500 states, some 30 KB).

--- a/papayapick/clients/http.py
+++ b/papayapick/clients/http.py
@@ -3,6 +3,7 @@
 import collections
 import http.client
 import select
+import socket
 import threading
 import urllib.parse
 
@@ -19,6 +20,9 @@
 _MAX_IDLE_PER_ADDRESS = 32
 _MAX_IDLE = 10_000
 _PART_BYTES = 64 << 10
+# A longer body is sent in parts of this size, and the operating system keeps little
+# more than that: what it has not sent yet looks like a pause before the answer.
+_SENT_PART_BYTES = 32 << 10
 # The operating system repeats a lost SYN packet only after a second; opening another
 # connection is faster. The first limit is several times the time that connecting takes
 # between regions. It is doubled for each further attempt in case the route is slow.
@@ -76,7 +80,12 @@
         """Set the remaining time as the time limit of a socket."""
         sock.settimeout(self.remaining())
 
-    def note_received(self, size):
+    @property
+    def allows_more_for_long_bodies(self):
+        """Return whether a body of many bytes may take longer than the timeout."""
+        return self._min_rate is not None
+
+    def note_progress(self, size):
         """Extend the limit by the time that a number of bytes may take."""
         if self._min_rate is not None:
             self._until += size / self._min_rate
@@ -141,9 +150,9 @@
             Raises an error for an answer to another request. The connection is then
             closed, since later answers would be out of step as well.
         min_bytes_per_second : float, optional
-            Allow an answer more time as long as its body arrives at this rate.
-            Otherwise a body that takes longer than the timeout on a slow link is
-            discarded, and requested again from its first byte, for ever.
+            Allow a request or an answer more time as long as its body is sent or
+            arrives at this rate. Otherwise a body that takes longer than the timeout
+            on a slow link is cut off, and repeated from its first byte, for ever.
 
         Returns
         -------
@@ -199,6 +208,10 @@
     def _exchange(self, connection, method, path, body, headers, limit):
         sock = connection.sock
         limit.apply(sock)
+        if body and len(body) > _SENT_PART_BYTES and limit.allows_more_for_long_bodies:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SENT_PART_BYTES)
+            headers = {**headers, "Content-Length": str(len(body))}
+            body = _sent_parts(sock, body, limit)
         connection.request(method, path, body=body, headers=headers)
         limit.apply(sock)
         response = connection.getresponse()
@@ -235,7 +248,7 @@
         # bytes slowly would never exceed a timeout between two reads.
         limit.apply(sock)
         part = response.read1(_PART_BYTES)
-        limit.note_received(len(part))
+        limit.note_progress(len(part))
         return part
 
     def _take_idle(self, netloc):
@@ -291,6 +304,15 @@
             surplus.close()
 
 
+def _sent_parts(sock, body, limit):
+    """Yield the parts of a body; each is sent before the next one is requested."""
+    for start in range(0, len(body), _SENT_PART_BYTES):
+        limit.apply(sock)
+        part = body[start : start + _SENT_PART_BYTES]
+        yield part
+        limit.note_progress(len(part))
+
+
 def _is_readable(sock):
     poller = select.poll()
     poller.register(sock, select.POLLIN)
