--- a/tests/clients/test_cut_answers.py
+++ b/tests/clients/test_cut_answers.py
@@ -1,13 +1,13 @@
 """Answers of which only a part arrives."""
 
 import socketserver
-import threading
 
 import pytest
 
 from papayapick.clients.exceptions import AnswerCut, TableAnswerCut
 from papayapick.clients.http import HttpPool
 from papayapick.platform.store import Store
+from tests.clients.servers import serving
 
 BODY = b"x" * 1000
 
@@ -23,11 +23,8 @@
 
 @pytest.fixture
 def address():
-    with socketserver.ThreadingTCPServer(("127.0.0.1", 0), HalfAnswer) as server:
-        thread = threading.Thread(target=server.serve_forever, daemon=True)
-        thread.start()
-        yield "{}:{}".format(*server.server_address)
-        server.shutdown()
+    with serving(HalfAnswer) as address:
+        yield address
 
 
 def test_cut_answer_tells_how_much_of_it_arrived(address):
--- a/tests/clients/test_long_answers.py
+++ b/tests/clients/test_long_answers.py
@@ -1,13 +1,13 @@
 """Answers and requests that are long for the link over which they are sent."""
 
 import socketserver
-import threading
 
 import pytest
 
 from papayapick.clients.exceptions import AnswerCut, AnswerMissing
 from papayapick.clients.http import HttpPool
 from papayapick.clock import ManualClock
+from tests.clients.servers import serving
 from tests.standins.links import SharedLink
 
 BODY = b"x" * 600_000
@@ -50,11 +50,8 @@
 
 @pytest.fixture
 def url():
-    with socketserver.ThreadingTCPServer(("127.0.0.1", 0), WholeAnswer) as server:
-        thread = threading.Thread(target=server.serve_forever, daemon=True)
-        thread.start()
-        yield "http://{}:{}/rows".format(*server.server_address)
-        server.shutdown()
+    with serving(WholeAnswer) as address:
+        yield f"http://{address}/rows"
 
 
 def fetch(pool, url, **options):
@@ -103,15 +100,11 @@
 
 @pytest.fixture
 def upload_url():
-    with socketserver.ThreadingTCPServer(("127.0.0.1", 0), Receiver) as server:
-        thread = threading.Thread(target=server.serve_forever, daemon=True)
-        thread.start()
-        target = "{}:{}".format(*server.server_address)
+    with serving(Receiver) as target:
         # The body takes 2 s, and no pause is longer than a few milliseconds.
         link = SharedLink(target, bytes_per_second=300_000, is_upload=True)
         yield f"http://{link.address}/rows"
         link.close()
-        server.shutdown()
 
 
 def test_long_request_that_keeps_being_sent_is_sent_to_its_end(upload_url):
