Queue work that is accepted during a takeover once

Cause, by reading: a placer serves a shard before it has fenced and opened the shard's hosts, and queued 'the work of the shard' after that. Work accepted in between was in that list and had been queued by its acceptance as well, so two threads could take it; each journals its own start and sends it, unless the other's start was journaled between. Work that had been started meanwhile would even have been ended as unknown.

Evidence: test_request_accepted_while_hosts_are_fenced_is_queued_once finds the item twice in the queue before and once now.

Change: the items to resume are taken before the shard is served.

--- a/papayapick/placer/owners.py
+++ b/papayapick/placer/owners.py
@@ -32,7 +32,8 @@
     bucket : TokenBucket
         Limits the journal writes of the process.
     on_taken : callable
-        Called with a shard after its work was loaded and its hosts were refreshed.
+        Called with a shard, and the list of the work items that were loaded, after its
+        hosts were refreshed.
     on_lost : callable
         Called with a shard after it was closed.
     """
@@ -137,6 +138,12 @@
             self._takeovers.add(row.shard)
         try:
             shard = self._claim_and_load(row)
+            # Taken before the shard is served. Work that is accepted while its hosts
+            # are opened is queued by its acceptance; queued again as loaded work, it
+            # would be sent by two threads.
+            loaded = [] if shard is None else shard.work_index.items
+            if shard is not None:
+                self._serve(shard)
         finally:
             with self._lock:
                 self._takeovers.discard(row.shard)
@@ -146,7 +153,7 @@
             self._host_reconciler.refresh(
                 shard, self._process.peers.entries, self._shards_per_zone()
             )
-            self._on_taken(shard)
+            self._on_taken(shard, loaded)
         return shard
 
     def lose(self, shard):
@@ -172,12 +179,14 @@
         self._host_reconciler.add_listed(
             shard, process.peers.entries, self._shards_per_zone()
         )
+        return shard
+
+    def _serve(self, shard):
         with self._lock:
             self._shards[shard.name] = shard
             self._claimed.pop(shard.name, None)
-        process.executor.submit(shard.journal.run)
+        self._process.executor.submit(shard.journal.run)
         _LOG.info("shard taken", extra={"shard": shard.name, "epoch": shard.epoch})
-        return shard
 
     def _shards_per_zone(self):
         document = self._process.watcher.bundle.document
--- a/papayapick/placer/process.py
+++ b/papayapick/placer/process.py
@@ -213,8 +213,8 @@
         document = self._process.watcher.bundle.document
         return document["topology"]["shards_per_zone"]
 
-    def _resume(self, shard):
-        for item in shard.work_index.items:
+    def _resume(self, shard, loaded):
+        for item in loaded:
             runner = self._runner_of(item)
             if item.state == "waiting":
                 self._dispatcher.enqueue(shard, item)
--- a/tests/failures/simulation.py
+++ b/tests/failures/simulation.py
@@ -334,8 +334,8 @@
             except queue.Empty:
                 self.clock.advance(0.3)
 
-    def _resume(self, shard):
-        for item in shard.work_index.items:
+    def _resume(self, shard, loaded):
+        for item in loaded:
             if item.state == "waiting":
                 self.dispatcher.enqueue(shard, item)
             elif item.state == "running":
--- a/tests/failures/test_takeover.py
+++ b/tests/failures/test_takeover.py
@@ -118,6 +118,30 @@
     assert len(shard.work_index) == 70
 
 
+class SubmittingReconciler:
+    """Let a request arrive while the hosts of a shard that is served are fenced."""
+
+    def __init__(self, placer):
+        self._placer = placer
+        self.add_listed = placer.reconciler.add_listed
+
+    def refresh(self, shard, entries, shards_per_zone):
+        self._placer.shard = shard
+        self._placer.submit(ONCE, wait=0)
+        self._placer.settle()
+        self._placer.reconciler.refresh(shard, entries, shards_per_zone)
+
+
+def test_request_accepted_while_hosts_are_fenced_is_queued_once(cell):
+    """Guards against a request that may run once only and is sent by two threads."""
+    placer = add_placer(cell, "placer-1")
+    placer.owner._host_reconciler = SubmittingReconciler(placer)
+    placer.take_shard(SHARD, {})
+    _, item = placer.dispatcher.take(0)
+    assert item.request_id == f"{SHARD}.k1"
+    assert placer.dispatcher.take(0) is None
+
+
 def records_of(placer):
     return [one for item in placer.shard.work_index.items for one in item.records()]
 
