Wait for announcements by the version read, and apply no row twice

A host compared the announced version with its newest row: had the operator removed that row (an upkeep wave) before the host read the table, the announcement stayed newer for ever, and the host called the store without a pause. It compares with the version of the store up to which it has all rows.

Rows that another host sent were applied even if the same host had read newer ones meanwhile; for the configuration its version guards, for waves nothing did. Only rows that are newer than those known are applied now.

--- a/papayapick/entry/configuration.py
+++ b/papayapick/entry/configuration.py
@@ -116,8 +116,7 @@
             # None if the store is unavailable to all hosts; the events of the followed
             # tables tell so.
             if page is not None:
-                self._rows.update(page.rows, page.version)
-                self._note_rows(page.rows)
+                self._note_rows(self._rows.update(page.rows, page.version))
 
     def _note_rows(self, rows):
         for row in rows:
--- a/papayapick/entry/operator_rows.py
+++ b/papayapick/entry/operator_rows.py
@@ -38,12 +38,6 @@
         """Return the version up to which all rows are known, or 0 before any is."""
         return self._version
 
-    @property
-    def newest(self):
-        """Return the version of the row that changed last, or 0 without rows."""
-        with self._lock:
-            return max((row.version for row in self._rows.values()), default=0)
-
     def update(self, rows, version):
         """Apply all changes up to a version.
 
@@ -51,13 +45,22 @@
         ----------
         rows : list of StoredRow
         version : int
+
+        Returns
+        -------
+        list of StoredRow
+            Those that were not known yet. The others must not be applied again: they
+            may have been replaced by newer ones, which came on another way.
         """
         with self._lock:
-            for row in rows:
-                known = self._rows.get(row.key)
-                if known is None or known.version < row.version:
-                    self._rows[row.key] = row
+            fresh = [row for row in rows if self._is_newer(row)]
+            self._rows.update({row.key: row for row in fresh})
             self._version = max(self._version, version)
+        return fresh
+
+    def _is_newer(self, row):
+        known = self._rows.get(row.key)
+        return known is None or known.version < row.version
 
     def replace(self, rows, version):
         """Replace all rows by those of a whole read.
--- a/papayapick/entry/operator_source.py
+++ b/papayapick/entry/operator_source.py
@@ -63,9 +63,9 @@
         if page is None:
             page = self._host.store.follow(table, version, wait_seconds)
             self._host.store_health.note_answer()
-            self._announce(page.rows, version)
-        self._rows.update(page.rows, page.version)
-        return page
+        fresh = self._rows.update(page.rows, page.version)
+        self._announce(fresh, version)
+        return Page(fresh, page.version)
 
     def read_all(self):
         """Return all rows and the version from which to follow them."""
@@ -76,8 +76,9 @@
         if page is None:
             page = Page(*self._host.store.read_all(OPERATOR_TABLE, ""))
             self._host.store_health.note_answer()
-            self._announce(page.rows, 0)
-        return self._rows.replace(page.rows, page.version), page.version
+        rows = self._rows.replace(page.rows, page.version)
+        self._announce(page.rows, 0)
+        return rows, page.version
 
     def _is_quick(self):
         """Return whether this host reads long rows from the store in little time."""
@@ -96,10 +97,9 @@
         interval = _CHECK_SHARE * self._host.settings.configuration_seconds
         # Spread, so that one host finds an unannounced change before all others look.
         interval *= random.uniform(0.6, 1.0)
-        newest = self._rows.newest
-        if not self._announcements.wait_for_newer(newest, interval):
+        if not self._announcements.wait_for_newer(version, interval):
             return None
-        if self._announcements.long_version <= newest:
+        if self._announcements.long_version <= version:
             return None
         return self._ask_others(version)
 
@@ -120,11 +120,10 @@
         return self._host.has_read_hosts and not self._host.peers.all()
 
     def _announce(self, rows, version):
-        """Announce rows just read from the store."""
+        """Announce changes since a version, unless another host has done so."""
         newest = max((row.version for row in rows), default=0)
         if newest <= self._announcements.version:
             return
-        self._rows.update(rows, version)
         encoded, _ = self._rows.changed_since(version)
         # In the background: without an answer it would delay the version here.
         self._host.executor.submit(
--- a/tests/entry/test_operator_rows.py
+++ b/tests/entry/test_operator_rows.py
@@ -29,6 +29,7 @@
 
 
 CONFIG = row("config", 7, {"version": 2})
+STORE_VERSION = 7
 
 
 def keys_and_versions(encoded):
@@ -49,8 +50,8 @@
 def test_older_row_that_arrives_later_replaces_no_newer_one():
     """Guards against a version that comes back, by way of a host that is behind."""
     rows = OperatorRows()
-    rows.update([row("config", 8, {"version": 3})], 8)
-    rows.update([CONFIG], 7)
+    assert rows.update([row("config", 8, {"version": 3})], 8)
+    assert rows.update([CONFIG], 7) == []
     assert keys_and_versions(rows.changed_since(0)[0]) == [("config", 8)]
     assert rows.version == 8
 
@@ -102,14 +103,15 @@
 
     def follow(self, table, version, wait_seconds):
         self.calls += 1
-        return Page([self._change], self._change.version)
+        rows = [self._change] if self._change.version > version else []
+        return Page(rows, STORE_VERSION)
 
     def read(self, table, partition):
         return Page([self.announced] if self.announced else [], 1)
 
     def read_all(self, table, partition):
         self.calls += 1
-        return [self._change], self._change.version
+        return [self._change], STORE_VERSION
 
     def transact(self, expectations, writes):
         version = self.announced.version if self.announced else 0
@@ -253,6 +255,20 @@
     assert (version, host.store.calls) == (7, 0)
 
 
+def test_announced_row_that_is_gone_again_is_not_looked_for_for_ever():
+    """Guards against a host that calls the store without a pause.
+
+    The operator removed an upkeep wave before the host read the rows, which are then
+    all older than the announcement.
+    """
+    host = Host([NOTHING], mbps=5, change=row("config", 3, routes(30)))
+    host.store.announced = announcement({"version": 6, "long": 2}, 4)
+    host.source.read_all()
+    began_at = host.clock.monotonic()
+    host.follow()
+    assert host.clock.monotonic() > began_at
+
+
 def test_first_start_reads_the_store_at_once():
     host = Host([NOTHING], mbps=5)
     host.source.read_all()
