--- a/papayapick/platform/settings.py
+++ b/papayapick/platform/settings.py
@@ -92,7 +92,7 @@
         self.cancel_seconds = bounds["cancel_ms"] / 1000
         self.checkpoint_seconds = float(bounds["checkpoint_s"])
         # By which a new configuration is to be in force on every host.
-        self.configuration_seconds = bounds.get("config_apply_ms", 4000) / 1000
+        self.configuration_seconds = (bounds.get("config_apply_ms") or 4000) / 1000
         self.harm_seconds = bounds.get("harm_ms", 0) / 1000
         # Jobs of a team are within its rate if no more of them come in any window than
         # the rate allows, and the slack.
