Read long objects and tables of the other engine to their end as well

Change: both clients allow more time while bytes arrive or are sent, as the client of the users' platform does; the rate stands in one place. Fakes of the pool take the option.

Result: test_long_object_that_keeps_arriving_is_read_to_its_end fails before (cut off after 139,221 of 600,000 bytes) and passes.

--- a/papayapick/clients/objects.py
+++ b/papayapick/clients/objects.py
@@ -9,6 +9,7 @@
     ObjectMissing,
     ObjectsUnavailable,
 )
+from papayapick.clients.time_limits import MIN_BYTES_PER_SECOND
 
 __all__ = ["ObjectStore", "digest_of"]
 
@@ -60,6 +61,8 @@
     def _call(self, method, name, data=None):
         url = f"{self._url}/{urllib.parse.quote(name)}"
         try:
-            return self._pool.request(method, url, data)
+            return self._pool.request(
+                method, url, data, min_bytes_per_second=MIN_BYTES_PER_SECOND
+            )
         except (NotSent, AnswerMissing) as error:
             raise ObjectsUnavailable() from error
--- a/papayapick/clients/table.py
+++ b/papayapick/clients/table.py
@@ -9,6 +9,7 @@
     TableUnavailable,
     TransactionConflict,
 )
+from papayapick.clients.time_limits import MIN_BYTES_PER_SECOND
 from papayapick.clients.types import Row
 
 __all__ = ["Row", "Table"]
@@ -74,7 +75,9 @@
 
     def _call(self, method, url, body=None):
         try:
-            return self._pool.request(method, url, body)
+            return self._pool.request(
+                method, url, body, min_bytes_per_second=MIN_BYTES_PER_SECOND
+            )
         except (NotSent, AnswerMissing) as error:
             raise TableUnavailable() from error
 
--- a/papayapick/clients/time_limits.py
+++ b/papayapick/clients/time_limits.py
@@ -4,7 +4,11 @@
 would be repeated from their first byte for ever, and keep the link full meanwhile.
 """
 
-__all__ = ["TimeLimit"]
+__all__ = ["MIN_BYTES_PER_SECOND", "TimeLimit"]
+
+# Answers of up to megabytes come over links that many hosts share. They get more time,
+# as long as they arrive at the rate that each of 200 hosts has behind 30 Mbit/s.
+MIN_BYTES_PER_SECOND = 18_000
 
 
 class TimeLimit:
--- a/papayapick/platform/store.py
+++ b/papayapick/platform/store.py
@@ -16,6 +16,7 @@
     TableUnavailable,
 )
 from papayapick.clients.rows import Page, StoredRow
+from papayapick.clients.time_limits import MIN_BYTES_PER_SECOND
 from papayapick.clock import SystemClock
 from papayapick.platform.exceptions import BodyInvalid
 from papayapick.platform.fields import optional_field, required_field
@@ -27,9 +28,6 @@
 _CALL_SECONDS = 1.2
 # Time that the answer of a long poll may take beyond the requested wait.
 _FEED_SLACK_SECONDS = 0.6
-# Answers of up to 1 MB come over links that many hosts share. They get more time, as
-# long as they arrive at the rate that each of 200 hosts has behind 30 Mbit/s.
-_MIN_BYTES_PER_SECOND = 18_000
 
 
 class Store:
@@ -196,7 +194,7 @@
                 self._base + path,
                 body,
                 timeout=seconds,
-                min_bytes_per_second=_MIN_BYTES_PER_SECOND,
+                min_bytes_per_second=MIN_BYTES_PER_SECOND,
             )
             outcome = str(answer.status)
         except NotSent as error:
--- a/tests/clients/test_long_answers.py
+++ b/tests/clients/test_long_answers.py
@@ -6,6 +6,7 @@
 
 from papayapick.clients.exceptions import AnswerCut, AnswerMissing
 from papayapick.clients.http import HttpPool
+from papayapick.clients.objects import ObjectStore
 from papayapick.clock import ManualClock
 from tests.clients.servers import serving
 from tests.standins.links import SharedLink
@@ -72,6 +73,12 @@
         fetch(SlowLinkPool(ManualClock(), bytes_per_second=100_000), url)
 
 
+def test_long_object_that_keeps_arriving_is_read_to_its_end(url):
+    """Guards against a bundle or journal that no host behind a slow link can read."""
+    pool = SlowLinkPool(ManualClock(), bytes_per_second=100_000)
+    assert ObjectStore(url, pool).get("journal") == BODY
+
+
 def test_answer_below_the_minimum_rate_is_cut_off(url):
     """Guards against a server that sends single bytes slowly for ever."""
     pool = SlowLinkPool(ManualClock(), bytes_per_second=MIN_BYTES_PER_SECOND / 2)
--- a/tests/failures/simulation.py
+++ b/tests/failures/simulation.py
@@ -71,7 +71,9 @@
         self.faults = dict(faults)
         self.is_armed = True
 
-    def request(self, method, url, body=None, headers=None, *unused, check=None):
+    def request(
+        self, method, url, body=None, headers=None, *unused, check=None, **options
+    ):
         answer = self._request(method, url, body, headers)
         if check is not None:
             check(answer)
--- a/tests/fakes/pool.py
+++ b/tests/fakes/pool.py
@@ -30,6 +30,7 @@
         timeout=None,
         fresh=False,
         check=None,
+        min_bytes_per_second=None,
     ):
         parts = urllib.parse.urlsplit(url)
         data = body or b""
--- a/tests/placer/jobcells.py
+++ b/tests/placer/jobcells.py
@@ -47,7 +47,7 @@
         self.workers = workers
         self.cut = set()
 
-    def request(self, method, url, data):
+    def request(self, method, url, data, **options):
         name, _, path = url.rpartition("/")
         if name in self.cut:
             raise WorkerUnreachable(worker=name)
--- a/tests/placer/test_jobs.py
+++ b/tests/placer/test_jobs.py
@@ -281,7 +281,7 @@
         self.first = None
         self.other = threading.Event()
 
-    def request(self, method, url, data):
+    def request(self, method, url, data, **options):
         if not url.endswith("/leases"):
             return self.pool.request(method, url, data)
         self.first = self.first or url
