Sort the modules of pool/ and entry/ into packages by concern

Cause: 28 and 31 modules on one level; a newcomer could not tell what decides from what reads and writes. Change: pool/ into workers, records, advice, rounds and takeover; entry/ into callers, configuration, cell, store and advice. Names of events, metrics and settings stay.

--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -17,9 +17,9 @@
 from papayapick.ledger import Amounts
 from papayapick.ownership.pools import PoolRow
 from papayapick.platform.store import Store
-from papayapick.pool.journal import JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.owner import PoolOwner
-from papayapick.pool.partitions import job_partition
+from papayapick.pool.records.journal import JOBS_TABLE, PROGRESS_TABLE
+from papayapick.pool.records.partitions import job_partition
 from tests.pool.standins import Host, ManualExecutor
 from tests.standins.cluster import Cluster
 
--- a/papayapick/entry/advice_dispatch.py
+++ b/papayapick/entry/advice/dispatch.py
@@ -4,7 +4,7 @@
 import threading
 from concurrent.futures import Future, ThreadPoolExecutor
 
-from papayapick.entry.advice_balancing import HostLoad, choose_host, is_long
+from papayapick.entry.advice.balancing import HostLoad, choose_host, is_long
 from papayapick.entry.events import ADVICE_MOVED
 from papayapick.entry.metrics import ADVICE_SECONDS
 from papayapick.platform.advice import AdviceClient
--- /dev/null
+++ b/papayapick/entry/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Answers to callers."""
--- a/papayapick/entry/acceptance.py
+++ b/papayapick/entry/callers/acceptance.py
@@ -14,8 +14,8 @@
     StateUnknown,
 )
 from papayapick.jobs.state import JobStatus
-from papayapick.pool.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
-from papayapick.pool.partitions import job_partition
+from papayapick.pool.records.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
+from papayapick.pool.records.partitions import job_partition
 
 __all__ = ["Acceptance"]
 
--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -5,7 +5,7 @@
 import threading
 
 from papayapick.clients.exceptions import TableUnavailable
-from papayapick.entry.beat_senders import beat_seconds
+from papayapick.entry.cell.beat_senders import beat_seconds
 from papayapick.entry.events import (
     CANDIDATE_WAITS,
     OWNER_GONE,
@@ -16,8 +16,8 @@
 )
 from papayapick.ownership.pools import OwnershipLost, PoolRow, claim_pool, read_pool
 from papayapick.pool.owner import PoolOwner
-from papayapick.pool.recording import RECORDS_TRUSTED_SECONDS
-from papayapick.pool.store_sync import check_readable
+from papayapick.pool.records.recording import RECORDS_TRUSTED_SECONDS
+from papayapick.pool.records.store_sync import check_readable
 
 __all__ = ["Candidacy"]
 
--- /dev/null
+++ b/papayapick/entry/cell/__init__.py
@@ -0,0 +1,1 @@
+"""The other hosts of the cell: who they are, heartbeats and requests."""
--- a/papayapick/entry/beat_senders.py
+++ b/papayapick/entry/cell/beat_senders.py
@@ -2,8 +2,8 @@
 
 import threading
 
+from papayapick.entry.cell.state_relays import STATES_PER_MESSAGE, job_news
 from papayapick.entry.events import HOST_REACHED, HOST_UNREACHED
-from papayapick.entry.state_relays import STATES_PER_MESSAGE, job_news
 from papayapick.wire.exceptions import PeerNotListening, WireError
 from papayapick.wire.messages import PoolBeat, QueueLoad
 
--- a/papayapick/entry/beats.py
+++ b/papayapick/entry/cell/beats.py
@@ -2,8 +2,8 @@
 
 import threading
 
-from papayapick.entry.beat_senders import BeatSender, read_backlogs
-from papayapick.entry.state_relays import ZoneSender, relayed_zones
+from papayapick.entry.cell.beat_senders import BeatSender, read_backlogs
+from papayapick.entry.cell.state_relays import ZoneSender, relayed_zones
 
 __all__ = ["BeatBroadcaster"]
 
--- a/papayapick/entry/joining.py
+++ b/papayapick/entry/cell/joining.py
@@ -5,8 +5,8 @@
 
 from papayapick.clients.exceptions import ConditionFailed, TableUnavailable
 from papayapick.clients.rows import Expectation, RowWrite
+from papayapick.entry.cell.peers import HOSTS_PARTITION
 from papayapick.entry.events import CELL_KEY_FOUND, STORE_AWAY
-from papayapick.entry.peers import HOSTS_PARTITION
 from papayapick.ownership.pools import CELL_TABLE
 
 __all__ = ["cell_key", "register"]
--- a/papayapick/entry/peer_requests.py
+++ b/papayapick/entry/cell/peer_requests.py
@@ -1,7 +1,7 @@
 """Answer the requests of the other entry hosts."""
 
-from papayapick.entry.state_relays import StateForwarder
-from papayapick.entry.store_health import LOST_AGE_SECONDS
+from papayapick.entry.cell.state_relays import StateForwarder
+from papayapick.entry.store.health import LOST_AGE_SECONDS
 from papayapick.placement.backlog import QueueBacklog
 from papayapick.wire.messages import (
     AdviceQuery,
--- /dev/null
+++ b/papayapick/entry/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration of the operator, as followed by an entry host."""
--- a/papayapick/entry/configuration_exchange.py
+++ b/papayapick/entry/configuration/exchange.py
@@ -5,8 +5,8 @@
 from concurrent.futures import as_completed
 
 from papayapick.clients.rows import Page
+from papayapick.entry.configuration.operator_rows import decode_rows
 from papayapick.entry.events import CONFIGURATION_NOT_RECEIVED, CONFIGURATION_RECEIVED
-from papayapick.entry.operator_rows import decode_rows
 from papayapick.wire.exceptions import PeerUnreachable, WireError
 from papayapick.wire.messages import ConfigurationQuery, ConfigurationReply
 
--- a/papayapick/entry/configuration.py
+++ b/papayapick/entry/configuration/follower.py
@@ -2,12 +2,12 @@
 
 import threading
 
-from papayapick.entry.announcements import Announcements
-from papayapick.entry.configuration_exchange import ConfigurationExchange
+from papayapick.entry.cell.followers import OWNER_WAIT_SECONDS, follow_table
+from papayapick.entry.configuration.announcements import Announcements
+from papayapick.entry.configuration.exchange import ConfigurationExchange
+from papayapick.entry.configuration.operator_rows import OperatorRows
+from papayapick.entry.configuration.operator_source import OperatorSource
 from papayapick.entry.events import CONFIGURATION_IN_FORCE, CONFIGURATION_REFUSED
-from papayapick.entry.followers import OWNER_WAIT_SECONDS, follow_table
-from papayapick.entry.operator_rows import OperatorRows
-from papayapick.entry.operator_source import OperatorSource
 from papayapick.platform.configuration import (
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -5,38 +5,38 @@
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.clients.http import HttpPool
 from papayapick.clock import BootClock
-from papayapick.entry.acceptance import Acceptance
-from papayapick.entry.advice_dispatch import AdviceDispatcher
-from papayapick.entry.announcements import ANNOUNCEMENT_PARTITION
-from papayapick.entry.application import Application
-from papayapick.entry.beats import BeatBroadcaster
+from papayapick.entry.advice.dispatch import AdviceDispatcher
+from papayapick.entry.callers.acceptance import Acceptance
+from papayapick.entry.callers.application import Application
+from papayapick.entry.callers.job_states import JobStateCache
+from papayapick.entry.callers.queues import KnownQueues
+from papayapick.entry.callers.servers import FrontendServer
+from papayapick.entry.callers.writers import GroupWriter
 from papayapick.entry.candidacy import Candidacy
-from papayapick.entry.configuration import ConfigurationWatcher
-from papayapick.entry.events import (
-    OWNER_UNCONFIRMED,
-    READINESS_CHANGED,
-)
-from papayapick.entry.followers import (
+from papayapick.entry.cell.beats import BeatBroadcaster
+from papayapick.entry.cell.followers import (
     FOLLOW_WAIT_SECONDS,
     OWNER_WAIT_SECONDS,
     follow_table,
 )
+from papayapick.entry.cell.joining import cell_key, register
+from papayapick.entry.cell.peer_requests import PeerRequestHandler
+from papayapick.entry.cell.peers import HOSTS_PARTITION, Peers
+from papayapick.entry.configuration.announcements import ANNOUNCEMENT_PARTITION
+from papayapick.entry.configuration.follower import ConfigurationWatcher
+from papayapick.entry.events import (
+    OWNER_UNCONFIRMED,
+    READINESS_CHANGED,
+)
 from papayapick.entry.gauges import refresh_gauges
-from papayapick.entry.job_states import JobStateCache
-from papayapick.entry.joining import cell_key, register
 from papayapick.entry.loops import LoopRunner
 from papayapick.entry.metrics import (
     STORE_SECONDS,
 )
-from papayapick.entry.peer_requests import PeerRequestHandler
-from papayapick.entry.peers import HOSTS_PARTITION, Peers
-from papayapick.entry.probing import StoreProbe
-from papayapick.entry.queues import KnownQueues
-from papayapick.entry.relays import RelayedStore, StoreRelay
-from papayapick.entry.servers import FrontendServer
-from papayapick.entry.store_health import StoreHealth
-from papayapick.entry.store_latency import StoreLatency
-from papayapick.entry.writers import GroupWriter
+from papayapick.entry.store.health import StoreHealth
+from papayapick.entry.store.latency import StoreLatency
+from papayapick.entry.store.probing import StoreProbe
+from papayapick.entry.store.relays import RelayedStore, StoreRelay
 from papayapick.executors import ElasticExecutor
 from papayapick.ownership.pools import CELL_TABLE, pool_row, read_pool
 from papayapick.platform.machines import MachineClient
--- /dev/null
+++ b/papayapick/entry/store/__init__.py
@@ -0,0 +1,1 @@
+"""The way to the store, and whether it answers."""
--- a/papayapick/entry/probing.py
+++ b/papayapick/entry/store/probing.py
@@ -1,8 +1,8 @@
 """Detect quickly that a lost store is available again."""
 
 from papayapick.clients.exceptions import TableUnavailable
+from papayapick.entry.cell.peers import HOSTS_PARTITION
 from papayapick.entry.events import STORE_FOUND
-from papayapick.entry.peers import HOSTS_PARTITION
 from papayapick.ownership.pools import CELL_TABLE
 
 __all__ = ["StoreProbe"]
--- a/papayapick/management/pools.py
+++ b/papayapick/management/pools.py
@@ -4,7 +4,7 @@
 import socket
 
 from papayapick.clients.http import HttpPool
-from papayapick.entry.peers import HOSTS_PARTITION
+from papayapick.entry.cell.peers import HOSTS_PARTITION
 from papayapick.jobs.documents import JobDocument
 from papayapick.jobs.state import JobStatus
 from papayapick.ownership.pools import CELL_TABLE, read_pool
@@ -16,8 +16,8 @@
 from papayapick.platform.settings import SETTINGS_VARIABLE, PlatformSettings
 from papayapick.platform.store import Store
 from papayapick.platform.workers import WORKERS_TABLE, decode_registration
-from papayapick.pool.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
-from papayapick.pool.partitions import job_partition, job_partitions
+from papayapick.pool.records.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
+from papayapick.pool.records.partitions import job_partition, job_partitions
 
 __all__ = ["HostView", "JobView", "PoolsView", "StepView"]
 
--- a/papayapick/platform/workers.py
+++ b/papayapick/platform/workers.py
@@ -7,7 +7,7 @@
 from papayapick.jobs.documents import TaskKey
 from papayapick.ledger.amounts import Amounts
 from papayapick.platform.exceptions import CallFailed, WorkerSilent
-from papayapick.pool.reports import (
+from papayapick.pool.workers.reports import (
     EndReport,
     Registration,
     RunReport,
--- /dev/null
+++ b/papayapick/pool/advice/__init__.py
@@ -0,0 +1,1 @@
+"""Advice on which workers may run a step."""
--- a/papayapick/pool/advice_manager.py
+++ b/papayapick/pool/advice/manager.py
@@ -2,7 +2,7 @@
 
 from papayapick.placement.progress import projected_remaining_seconds
 from papayapick.placement.rooms import allows_another
-from papayapick.pool.advice_cache import AdviceCache
+from papayapick.pool.advice.cache import AdviceCache
 from papayapick.pool.events import ADVICE_LOST, NO_ADVICE
 from papayapick.pool.exceptions import AdviceNotNeeded
 
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -7,32 +7,32 @@
 from papayapick.jobs import JobRegistry
 from papayapick.ownership.pools import OwnershipLost, release_pool
 from papayapick.placement.rooms import Rooms
-from papayapick.pool.advice_manager import AdviceManager
-from papayapick.pool.decisions import Decisions
+from papayapick.pool.advice.manager import AdviceManager
 from papayapick.pool.events import (
     POOL_LEFT,
     POOL_LOOP_FAILED,
     POOL_NOT_RELEASED,
     POOL_TAKEN,
-    RECORDING_CHANGED,
     THREADS_SHORT,
 )
-from papayapick.pool.journal import PROGRESS_TABLE, PoolJournal
-from papayapick.pool.link_threads import LinkThreads
-from papayapick.pool.liveness import LivenessCheck
-from papayapick.pool.loop import DecisionLoop
 from papayapick.pool.metrics import TAKEOVERS
-from papayapick.pool.orders import OrderSender
-from papayapick.pool.ownership_status import OwnershipStatus
-from papayapick.pool.reconciliation import Reconciliation
-from papayapick.pool.recording import RecordingMode
-from papayapick.pool.report_handler import WorkerReportHandler
-from papayapick.pool.retention import delete_expired_jobs
-from papayapick.pool.roster import WorkerRoster
-from papayapick.pool.run_monitor import RunMonitor
-from papayapick.pool.status_feed import StatusFeed
-from papayapick.pool.store_sync import StoreSync
-from papayapick.pool.upkeep import UpkeepCoordinator
+from papayapick.pool.records.commits import CommitMonitor
+from papayapick.pool.records.journal import PROGRESS_TABLE, PoolJournal
+from papayapick.pool.records.recording import RecordingMode
+from papayapick.pool.records.retention import delete_expired_jobs
+from papayapick.pool.records.status_feed import StatusFeed
+from papayapick.pool.records.store_sync import StoreSync
+from papayapick.pool.rounds.decisions import Decisions
+from papayapick.pool.rounds.loop import DecisionLoop
+from papayapick.pool.rounds.upkeep import UpkeepCoordinator
+from papayapick.pool.takeover.ownership_status import OwnershipStatus
+from papayapick.pool.takeover.reconciliation import Reconciliation
+from papayapick.pool.workers.link_threads import LinkThreads
+from papayapick.pool.workers.liveness import LivenessCheck
+from papayapick.pool.workers.orders import OrderSender
+from papayapick.pool.workers.report_handler import WorkerReportHandler
+from papayapick.pool.workers.roster import WorkerRoster
+from papayapick.pool.workers.run_monitor import RunMonitor
 from papayapick.quotas import Entitlements, TeamUsage
 
 __all__ = ["PoolOwner"]
@@ -75,8 +75,8 @@
         "_order_executor",
         "_stop_executor",
         "_wakeup",
-        "_was_announced",
         "advice_manager",
+        "commits",
         "decisions",
         "entitlements",
         "has_read_state",
@@ -117,7 +117,6 @@
         self.links_by_worker = {}
         self.link_threads = LinkThreads(host.clock, self.submit)
         self.is_lost = self.has_read_state = False
-        self._was_announced = False
         self.stopping = threading.Event()
         self.taken_at = host.clock.monotonic()
         self._wakeup = threading.Event()
@@ -131,6 +130,7 @@
         )
         self.journal = PoolJournal(host.store, self, host.clock)
         self.recording = RecordingMode(host.clock)
+        self.commits = CommitMonitor(self)
         self.ownership_status = OwnershipStatus(host)
         self.reconciliation = Reconciliation(self, is_journal_exact)
         self.store_sync = StoreSync(self)
@@ -321,30 +321,3 @@
         """Remove jobs that ended long ago from the store and from memory."""
         if not self.is_stopped:
             self._executor.submit(delete_expired_jobs, self, self.host, now)
-
-    def note_commit(self, seconds):
-        """Update the recording mode and the store's health after a commit.
-
-        Parameters
-        ----------
-        seconds : float or None
-            Duration of the commit; None if the store was unavailable.
-        """
-        if seconds is not None:
-            self.recording.note_commit(seconds)
-            self.host.store_health.note_answer()
-        else:
-            self.host.store_health.note_failure()
-            self.recording.note_failure()
-            self.recording.note_outage(self.ownership_status.is_store_down_for_all())
-        self._log_recording_change(seconds)
-
-    def _log_recording_change(self, seconds):
-        is_announced = self.recording.is_announced
-        if is_announced != self._was_announced:
-            self._was_announced = is_announced
-            RECORDING_CHANGED.write(
-                pool=self.pool,
-                is_before_start=not is_announced,
-                commit_seconds=None if seconds is None else round(seconds, 4),
-            )
--- a/papayapick/pool/journal.py
+++ b/papayapick/pool/records/journal.py
@@ -238,9 +238,9 @@
                 seconds=round(self._clock.monotonic() - asked_at, 3),
                 error=str(error),
             )
-            self._owner.note_commit(None)
+            self._owner.commits.note_commit(None)
             return False
-        self._owner.note_commit(self._clock.monotonic() - asked_at)
+        self._owner.commits.note_commit(self._clock.monotonic() - asked_at)
         self._owner.ownership_status.note_confirmed(asked_at)
         return True
 
--- a/papayapick/pool/retention.py
+++ b/papayapick/pool/records/retention.py
@@ -4,8 +4,8 @@
 from papayapick.clients.rows import RowWrite
 from papayapick.jobs.state import JobStatus
 from papayapick.pool.events import JOBS_KEPT
-from papayapick.pool.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
-from papayapick.pool.partitions import job_partition
+from papayapick.pool.records.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
+from papayapick.pool.records.partitions import job_partition
 
 __all__ = ["delete_expired_jobs"]
 
--- a/papayapick/pool/store_sync.py
+++ b/papayapick/pool/records/store_sync.py
@@ -9,9 +9,9 @@
     decode_registration,
 )
 from papayapick.pool.events import JOB_TAKEN, RECORD_REFUSED, WORKER_GONE
-from papayapick.pool.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
-from papayapick.pool.links import WorkerLink
-from papayapick.pool.partitions import job_partitions
+from papayapick.pool.records.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
+from papayapick.pool.records.partitions import job_partitions
+from papayapick.pool.workers.links import WorkerLink
 
 __all__ = ["StoreSync", "check_readable"]
 
--- /dev/null
+++ b/papayapick/pool/rounds/__init__.py
@@ -0,0 +1,1 @@
+"""Rounds in which the owner of a pool decides."""
--- a/papayapick/pool/decisions.py
+++ b/papayapick/pool/rounds/decisions.py
@@ -11,10 +11,10 @@
 from papayapick.placement.steps import order_steps
 from papayapick.pool.events import COPY_STARTED, STOPPED_FOR_URGENT
 from papayapick.pool.metrics import FIRST_START_SECONDS
-from papayapick.pool.orders import StartOrder
-from papayapick.pool.placement_rounds import PlacementRounds
-from papayapick.pool.reports import run_fields
-from papayapick.pool.waiting import WaitReason
+from papayapick.pool.rounds.placement_rounds import PlacementRounds
+from papayapick.pool.rounds.waiting import WaitReason
+from papayapick.pool.workers.orders import StartOrder
+from papayapick.pool.workers.reports import run_fields
 
 __all__ = ["Decisions"]
 
--- a/papayapick/pool/loop.py
+++ b/papayapick/pool/rounds/loop.py
@@ -1,7 +1,7 @@
 """The loop that runs scheduling rounds, on worker reports and at fixed intervals."""
 
 from papayapick.jobs import RunPhase
-from papayapick.pool.reconciliation import PREDECESSOR_LEASE_SECONDS
+from papayapick.pool.takeover.reconciliation import PREDECESSOR_LEASE_SECONDS
 
 __all__ = ["DecisionLoop"]
 
--- a/papayapick/pool/placement_rounds.py
+++ b/papayapick/pool/rounds/placement_rounds.py
@@ -13,7 +13,7 @@
 from papayapick.placement.holds import Holds
 from papayapick.placement.service_order import ServiceOrder
 from papayapick.placement.steps import place_step
-from papayapick.pool.waiting import WaitReason, log_placed, log_wait
+from papayapick.pool.rounds.waiting import WaitReason, log_placed, log_wait
 
 __all__ = ["PlacementRounds"]
 
--- a/papayapick/pool/reconciliation.py
+++ b/papayapick/pool/takeover/reconciliation.py
@@ -1,9 +1,9 @@
 """Reconciliation after a takeover: which tasks may still run, and on which worker."""
 
 from papayapick.pool.events import POOL_SETTLED
-from papayapick.pool.links import LEASE_SECONDS
 from papayapick.pool.metrics import TAKEOVER_SECONDS
-from papayapick.pool.ownership_status import CONFIRMATION_VALID_SECONDS
+from papayapick.pool.takeover.ownership_status import CONFIRMATION_VALID_SECONDS
+from papayapick.pool.workers.links import LEASE_SECONDS
 
 __all__ = ["PREDECESSOR_LEASE_SECONDS", "Reconciliation"]
 
--- /dev/null
+++ b/papayapick/pool/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Links to the workers of a pool: polls, reports and orders."""
--- a/papayapick/pool/orders.py
+++ b/papayapick/pool/workers/orders.py
@@ -14,7 +14,7 @@
     STOP_REFUSED,
 )
 from papayapick.pool.metrics import STARTS
-from papayapick.pool.reports import StartOutcome, run_fields
+from papayapick.pool.workers.reports import StartOutcome, run_fields
 
 __all__ = ["OrderSender", "StartOrder"]
 
--- a/papayapick/pool/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -12,8 +12,8 @@
     WORKER_FENCED,
 )
 from papayapick.pool.metrics import ENDS
-from papayapick.pool.reconciliation import PREDECESSOR_LEASE_SECONDS
-from papayapick.pool.reports import EndOutcome, run_fields
+from papayapick.pool.takeover.reconciliation import PREDECESSOR_LEASE_SECONDS
+from papayapick.pool.workers.reports import EndOutcome, run_fields
 
 __all__ = ["WorkerReportHandler"]
 
--- a/papayapick/pool/roster.py
+++ b/papayapick/pool/workers/roster.py
@@ -9,7 +9,7 @@
 
 from papayapick.clients.rows import RowWrite
 from papayapick.ledger.amounts import Amounts
-from papayapick.pool.reports import Registration
+from papayapick.pool.workers.reports import Registration
 
 __all__ = ["WorkerRoster"]
 
--- a/papayapick/pool/run_monitor.py
+++ b/papayapick/pool/workers/run_monitor.py
@@ -14,7 +14,7 @@
     stalled_runs,
 )
 from papayapick.pool.events import RUN_REPLACED, WORKER_SUSPECTED
-from papayapick.pool.reports import EndOutcome, run_fields
+from papayapick.pool.workers.reports import EndOutcome, run_fields
 
 __all__ = ["RunMonitor"]
 
--- a/tests/contracts/test_cluster.py
+++ b/tests/contracts/test_cluster.py
@@ -11,7 +11,7 @@
 from papayapick.platform.machines import MachineClient, UpkeepOutcome
 from papayapick.platform.store import Store
 from papayapick.platform.workers import WorkerClient, decode_registration
-from papayapick.pool.reports import StartOutcome
+from papayapick.pool.workers.reports import StartOutcome
 from tests.standins.cluster import Cluster
 
 TABLE, PART = "jobs", "pool-1"
--- a/tests/entry/test_acceptance.py
+++ b/tests/entry/test_acceptance.py
@@ -7,9 +7,9 @@
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.clients.rows import StoredRow
 from papayapick.clock import ManualClock
-from papayapick.entry.acceptance import Acceptance
+from papayapick.entry.callers.acceptance import Acceptance
+from papayapick.entry.callers.job_states import JobStateCache
 from papayapick.entry.exceptions import QueueFull, StateUnknown
-from papayapick.entry.job_states import JobStateCache
 from papayapick.jobs import JobDocument, Step
 from papayapick.jobs.state import JobStatus
 from papayapick.ledger import Amounts
--- a/tests/entry/test_advice_balancing.py
+++ b/tests/entry/test_advice_balancing.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from papayapick.entry.advice_balancing import HostLoad, choose_host
+from papayapick.entry.advice.balancing import HostLoad, choose_host
 from papayapick.jobs.documents import StepKey
 from tests.pool.advisers import AdvisedHost
 
--- a/tests/entry/test_advice_dispatch.py
+++ b/tests/entry/test_advice_dispatch.py
@@ -5,7 +5,7 @@
 import pytest
 
 from papayapick.clock import ManualClock
-from papayapick.entry.advice_dispatch import AdviceDispatcher
+from papayapick.entry.advice.dispatch import AdviceDispatcher
 from papayapick.jobs.documents import StepKey
 from papayapick.pool.exceptions import AdviceNotNeeded
 from papayapick.wire import PeerDisconnected, PeerUnreachable
--- a/tests/entry/test_application.py
+++ b/tests/entry/test_application.py
@@ -8,8 +8,8 @@
 
 from papayapick.clients.rows import StoredRow
 from papayapick.clock import SystemClock
-from papayapick.entry.application import Application
-from papayapick.entry.configuration import ConfigurationWatcher
+from papayapick.entry.callers.application import Application
+from papayapick.entry.configuration.follower import ConfigurationWatcher
 from papayapick.entry.exceptions import QueueFull
 from papayapick.platform.configuration import CONFIGURATION_KEY
 
--- a/tests/entry/test_beats.py
+++ b/tests/entry/test_beats.py
@@ -8,15 +8,15 @@
 from papayapick.clients.exceptions import ConditionFailed
 from papayapick.clients.rows import StoredRow
 from papayapick.clock import ManualClock
-from papayapick.entry.beat_senders import (
+from papayapick.entry.cell.beat_senders import (
     _REMOVE_AFTER_SECONDS,
     BeatSender,
     read_backlogs,
 )
-from papayapick.entry.beats import BeatBroadcaster
-from papayapick.entry.peers import HOSTS_PARTITION, Peers
+from papayapick.entry.cell.beats import BeatBroadcaster
+from papayapick.entry.cell.peers import HOSTS_PARTITION, Peers
+from papayapick.entry.cell.state_relays import job_news
 from papayapick.entry.process import EntryHost
-from papayapick.entry.state_relays import job_news
 from papayapick.ownership.pools import CELL_TABLE
 from papayapick.wire.exceptions import PeerUnreachable
 
--- a/tests/entry/test_candidacy.py
+++ b/tests/entry/test_candidacy.py
@@ -9,8 +9,8 @@
 from papayapick.clients import TableUnavailable
 from papayapick.clock import ManualClock
 from papayapick.entry import candidacy as module
-from papayapick.entry.beat_senders import beat_seconds
 from papayapick.entry.candidacy import Candidacy
+from papayapick.entry.cell.beat_senders import beat_seconds
 from papayapick.ownership.pools import PoolRow
 from papayapick.wire.messages import Hello, PoolBeat
 
--- a/tests/entry/test_counts.py
+++ b/tests/entry/test_counts.py
@@ -6,11 +6,11 @@
 import pytest
 
 from papayapick.clock import ManualClock
-from papayapick.entry.application import Application
-from papayapick.entry.beat_senders import BeatSender
-from papayapick.entry.beats import BeatBroadcaster
-from papayapick.entry.job_states import JobStateCache
-from papayapick.entry.peer_requests import PeerRequestHandler
+from papayapick.entry.callers.application import Application
+from papayapick.entry.callers.job_states import JobStateCache
+from papayapick.entry.cell.beat_senders import BeatSender
+from papayapick.entry.cell.beats import BeatBroadcaster
+from papayapick.entry.cell.peer_requests import PeerRequestHandler
 from papayapick.jobs import AdvicePolicy, Queue
 from papayapick.placement.backlog import QueueBacklog
 from papayapick.quotas import TeamDirectory
--- a/tests/entry/test_followers.py
+++ b/tests/entry/test_followers.py
@@ -10,7 +10,7 @@
 from papayapick.clock import ManualClock
 from papayapick.entry.process import EntryHost
 from papayapick.platform.store import Store
-from papayapick.pool.store_sync import StoreSync
+from papayapick.pool.records.store_sync import StoreSync
 
 # Accepted jobs wait at most this long before their owner repeats the call.
 NOTICED_SECONDS = 1.0
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -9,19 +9,19 @@
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.clients.rows import StoredRow
 from papayapick.clock import ManualClock, SystemClock
-from papayapick.entry.acceptance import Acceptance
-from papayapick.entry.application import Application
-from papayapick.entry.configuration import ConfigurationWatcher
+from papayapick.entry.callers.acceptance import Acceptance
+from papayapick.entry.callers.application import Application
+from papayapick.entry.callers.job_states import JobStateCache
+from papayapick.entry.cell.peers import Peer
+from papayapick.entry.cell.state_relays import job_news
+from papayapick.entry.configuration.follower import ConfigurationWatcher
+from papayapick.entry.configuration.operator_rows import encode_rows
 from papayapick.entry.exceptions import (
     AcceptanceUnknown,
     ExceedsMaximum,
     JobUnknown,
     NotAccepted,
 )
-from papayapick.entry.job_states import JobStateCache
-from papayapick.entry.operator_rows import encode_rows
-from papayapick.entry.peers import Peer
-from papayapick.entry.state_relays import job_news
 from papayapick.jobs import JobDocument, Queue, Step
 from papayapick.ledger import Amounts
 from papayapick.platform.configuration import CONFIGURATION_KEY, OPERATOR_TABLE
--- a/tests/entry/test_operator_rows.py
+++ b/tests/entry/test_operator_rows.py
@@ -11,14 +11,18 @@
 from papayapick.clients.exceptions import ConditionFailed
 from papayapick.clients.rows import Page, StoredRow
 from papayapick.clock import ManualClock
-from papayapick.entry.announcements import Announcements
-from papayapick.entry.configuration_exchange import (
+from papayapick.entry.cell.peers import Peer
+from papayapick.entry.configuration.announcements import Announcements
+from papayapick.entry.configuration.exchange import (
     ConfigurationExchange,
     preferred_peers,
 )
-from papayapick.entry.operator_rows import OperatorRows, decode_rows, encode_rows
-from papayapick.entry.operator_source import OperatorSource
-from papayapick.entry.peers import Peer
+from papayapick.entry.configuration.operator_rows import (
+    OperatorRows,
+    decode_rows,
+    encode_rows,
+)
+from papayapick.entry.configuration.operator_source import OperatorSource
 from papayapick.executors import ElasticExecutor
 from papayapick.wire.exceptions import FrameInvalid, PeerTimeout
 from papayapick.wire.messages import ConfigurationQuery, ConfigurationReply
--- a/tests/entry/test_peer_requests.py
+++ b/tests/entry/test_peer_requests.py
@@ -5,12 +5,12 @@
 import pytest
 
 from papayapick.clock import ManualClock
+from papayapick.entry.callers.job_states import JobStateCache
 from papayapick.entry.candidacy import Candidacy
-from papayapick.entry.job_states import JobStateCache
-from papayapick.entry.peer_requests import PeerRequestHandler
-from papayapick.entry.store_health import StoreHealth
+from papayapick.entry.cell.peer_requests import PeerRequestHandler
+from papayapick.entry.store.health import StoreHealth
 from papayapick.ownership.pools import PoolRow
-from papayapick.pool.ownership_status import CONFIRMATION_VALID_SECONDS
+from papayapick.pool.takeover.ownership_status import CONFIRMATION_VALID_SECONDS
 from papayapick.wire.messages import PoolBeat
 
 
--- a/tests/entry/test_probing.py
+++ b/tests/entry/test_probing.py
@@ -8,9 +8,9 @@
 from papayapick.clients.exceptions import StoreRefused
 from papayapick.clients.rows import Expectation, Page, RowWrite
 from papayapick.clock import ManualClock
-from papayapick.entry.probing import StoreProbe
-from papayapick.entry.relays import RelayedStore
-from papayapick.entry.store_health import StoreHealth
+from papayapick.entry.store.health import StoreHealth
+from papayapick.entry.store.probing import StoreProbe
+from papayapick.entry.store.relays import RelayedStore
 
 EXPECTATION = Expectation("jobs", "pool/1", "j1", 0)
 WRITE = RowWrite("jobs", "pool/1", "j1", {"n": 1})
--- a/tests/entry/test_relays.py
+++ b/tests/entry/test_relays.py
@@ -8,7 +8,7 @@
 from papayapick.clients.exceptions import ConditionFailed, StoreRefused
 from papayapick.clients.rows import Expectation, Page, RowWrite, StoredRow
 from papayapick.clock import ManualClock
-from papayapick.entry.relays import RelayedStore, StoreRelay
+from papayapick.entry.store.relays import RelayedStore, StoreRelay
 from papayapick.wire.exceptions import PeerTimeout, PeerUnreachable
 
 EXPECTATION = Expectation("jobs", "pool", "j1", 0)
--- a/tests/entry/test_removed_queue.py
+++ b/tests/entry/test_removed_queue.py
@@ -8,7 +8,7 @@
 from papayapick.jobs import AdvicePolicy, JobDocument, JobRegistry, JobStatus, Queue
 from papayapick.jobs.documents import TaskKey
 from papayapick.platform.requests import decode_job
-from papayapick.pool.reports import EndOutcome
+from papayapick.pool.workers.reports import EndOutcome
 from tests.entry.hosts import make_host
 
 ID = "f" * 16
--- a/tests/entry/test_state_relays.py
+++ b/tests/entry/test_state_relays.py
@@ -7,13 +7,13 @@
 import pytest
 
 from papayapick.clock import ManualClock
-from papayapick.entry import state_relays
-from papayapick.entry.beat_senders import _RELAY_SECONDS, BeatSender
-from papayapick.entry.beats import BeatBroadcaster
-from papayapick.entry.job_states import JobStateCache
-from papayapick.entry.peer_requests import PeerRequestHandler
-from papayapick.entry.peers import Peer
-from papayapick.entry.state_relays import StateForwarder, relayed_zones
+from papayapick.entry.callers.job_states import JobStateCache
+from papayapick.entry.cell import state_relays
+from papayapick.entry.cell.beat_senders import _RELAY_SECONDS, BeatSender
+from papayapick.entry.cell.beats import BeatBroadcaster
+from papayapick.entry.cell.peer_requests import PeerRequestHandler
+from papayapick.entry.cell.peers import Peer
+from papayapick.entry.cell.state_relays import StateForwarder, relayed_zones
 from papayapick.wire.exceptions import PeerTimeout, PeerUnreachable
 from papayapick.wire.messages import JobNews, StateBatch, StateBatchAnswer
 
--- a/tests/entry/test_store_latency.py
+++ b/tests/entry/test_store_latency.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from papayapick.entry.store_latency import StoreLatency
+from papayapick.entry.store.latency import StoreLatency
 
 
 @pytest.fixture
--- a/tests/entry/test_takeover_backlogs.py
+++ b/tests/entry/test_takeover_backlogs.py
@@ -3,9 +3,9 @@
 from types import SimpleNamespace
 
 from papayapick.clock import ManualClock
-from papayapick.entry.beat_senders import BeatSender
-from papayapick.entry.job_states import JobStateCache
-from papayapick.entry.peer_requests import PeerRequestHandler
+from papayapick.entry.callers.job_states import JobStateCache
+from papayapick.entry.cell.beat_senders import BeatSender
+from papayapick.entry.cell.peer_requests import PeerRequestHandler
 from papayapick.jobs import AdvicePolicy, Queue
 from papayapick.ownership.pools import PoolRow
 from papayapick.placement.backlog import QueueBacklog
--- a/tests/entry/test_takeover_delay.py
+++ b/tests/entry/test_takeover_delay.py
@@ -8,7 +8,7 @@
 from papayapick.clients.http import HttpAnswer
 from papayapick.clock import ManualClock
 from papayapick.entry.candidacy import Candidacy
-from papayapick.entry.joining import cell_key
+from papayapick.entry.cell.joining import cell_key
 from tests.entry.hosts import make_host
 
 NEAR_SECONDS = 0.008
--- a/tests/entry/test_writers.py
+++ b/tests/entry/test_writers.py
@@ -8,8 +8,8 @@
 from papayapick.clients.exceptions import ConditionFailed, StoreRefused
 from papayapick.clients.rows import Expectation, RowWrite, StoredRow
 from papayapick.clock import ManualClock
+from papayapick.entry.callers.writers import GroupWriter
 from papayapick.entry.exceptions import AcceptanceUnknown, NotAccepted
-from papayapick.entry.writers import GroupWriter
 
 
 class Store:
--- a/tests/jobs/test_registry.py
+++ b/tests/jobs/test_registry.py
@@ -13,7 +13,7 @@
     progress_record,
 )
 from papayapick.ledger import Amounts
-from papayapick.pool.reports import RunReport
+from papayapick.pool.workers.reports import RunReport
 
 ID = "5c0e7a21d94b36f8"
 QUEUE = Queue("quick", "h", "/q/", "pool", 0, 2, 1.5, 0.5, 3.0, False, None)
--- a/tests/management/test_reasons.py
+++ b/tests/management/test_reasons.py
@@ -8,7 +8,7 @@
 from papayapick.management.pools import JobView, StepView
 from papayapick.management.reasons import explain_job
 from papayapick.ownership.pools import PoolRow
-from papayapick.pool.reports import Registration
+from papayapick.pool.workers.reports import Registration
 
 OWNER = PoolRow("pool", "host-1", 3, "a:1", 9)
 WORKER = Registration("w1", "pool", "a:1", "z", Amounts(4000, 4096), ("a",), False)
--- a/tests/observability/test_events.py
+++ b/tests/observability/test_events.py
@@ -19,7 +19,7 @@
 SOURCES = [
     path
     for package in ("entry", "pool")
-    for path in sorted(ROOT.joinpath("papayapick", package).glob("*.py"))
+    for path in sorted(ROOT.joinpath("papayapick", package).rglob("*.py"))
 ]
 
 
--- a/tests/observability/test_registry.py
+++ b/tests/observability/test_registry.py
@@ -9,7 +9,7 @@
 from papayapick.jobs.state import JobStatus
 from papayapick.observability.registry import describe_metrics, metrics_text
 from papayapick.pool import metrics as pool_metrics
-from papayapick.pool.reports import EndOutcome, StartOutcome
+from papayapick.pool.workers.reports import EndOutcome, StartOutcome
 
 # Collectors may cut a page off after this many bytes, also within a line.
 PAGE_LIMIT_BYTES = 4000
--- a/tests/placement/test_preemption.py
+++ b/tests/placement/test_preemption.py
@@ -8,7 +8,7 @@
 from papayapick.placement.holds import Hold
 from papayapick.placement.preemption import StoppableRuns, choose_victims
 from papayapick.placement.rooms import Rooms, WorkerRoom
-from papayapick.pool.reports import Registration
+from papayapick.pool.workers.reports import Registration
 
 PRIORITIES = (0, 1, 2)
 WORKERS = 6
--- a/tests/placement/test_room_index.py
+++ b/tests/placement/test_room_index.py
@@ -10,7 +10,7 @@
 from papayapick.placement.holds import Hold
 from papayapick.placement.rooms import Rooms, WorkerRoom
 from papayapick.placement.service_order import ServiceOrder
-from papayapick.pool.reports import Registration
+from papayapick.pool.workers.reports import Registration
 from tests.placement import reference
 
 SEEDS = range(60)
--- a/tests/placement/test_rooms.py
+++ b/tests/placement/test_rooms.py
@@ -13,7 +13,7 @@
 )
 from papayapick.placement.rooms import Rooms, WorkerRoom
 from papayapick.placement.steps import order_steps, place_step
-from papayapick.pool.reports import Registration
+from papayapick.pool.workers.reports import Registration
 
 QUEUE = Queue("quick", "h", "/q/", "pool", 0, 2, 1.5, 0.5, 3.0, False, None)
 
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -8,7 +8,7 @@
 from papayapick.jobs import Run, RunPhase, TaskKey
 from papayapick.ledger import Amounts
 from papayapick.platform.workers import WorkerClient
-from papayapick.pool.reports import StartOutcome
+from papayapick.pool.workers.reports import StartOutcome
 
 RUN = Run(TaskKey("f" * 16, 0, 0, 0), 1, "w1", Amounts(10, 1), RunPhase.ORDERED, 0.0)
 
--- a/tests/pool/advisers.py
+++ b/tests/pool/advisers.py
@@ -3,7 +3,7 @@
 from concurrent.futures import Future
 from types import SimpleNamespace
 
-from papayapick.entry.advice_dispatch import AdviceDispatcher
+from papayapick.entry.advice.dispatch import AdviceDispatcher
 from papayapick.wire.messages import AdviceReply, Ticket
 from tests.pool.standins import Host
 
--- a/tests/pool/fault_simulation.py
+++ b/tests/pool/fault_simulation.py
@@ -14,9 +14,14 @@
 from papayapick.ledger import Amounts
 from papayapick.ownership.pools import PoolRow
 from papayapick.platform.exceptions import CallFailed, WorkerSilent
-from papayapick.pool.journal import JOBS_TABLE
 from papayapick.pool.owner import PoolOwner
-from papayapick.pool.reports import EndReport, RunReport, StartOutcome, WorkerReport
+from papayapick.pool.records.journal import JOBS_TABLE
+from papayapick.pool.workers.reports import (
+    EndReport,
+    RunReport,
+    StartOutcome,
+    WorkerReport,
+)
 from papayapick.quotas import Team, TeamDirectory
 from tests.pool.owners import register
 from tests.pool.standins import Host, ManualExecutor
--- a/tests/pool/owners.py
+++ b/tests/pool/owners.py
@@ -3,9 +3,9 @@
 from papayapick.jobs import JobDocument, Step, TaskKey
 from papayapick.ledger import Amounts
 from papayapick.ownership.pools import PoolRow
-from papayapick.pool.journal import JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.owner import PoolOwner
-from papayapick.pool.reports import EndReport, RunReport, WorkerReport
+from papayapick.pool.records.journal import JOBS_TABLE, PROGRESS_TABLE
+from papayapick.pool.workers.reports import EndReport, RunReport, WorkerReport
 from tests.pool.standins import Host, ManualExecutor
 
 ID = "5c0e7a21d94b36f8"
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -10,7 +10,7 @@
 from papayapick.ledger import Amounts
 from papayapick.ownership.pools import PoolRow
 from papayapick.pool.owner import PoolOwner
-from papayapick.pool.reports import EndReport, RunReport, WorkerReport
+from papayapick.pool.workers.reports import EndReport, RunReport, WorkerReport
 
 QUEUE = Queue("q", "h", "/q/", "pool", 0, 2, 1.5, 0.5, 3.0, False, None)
 
--- a/tests/pool/takeovers.py
+++ b/tests/pool/takeovers.py
@@ -2,7 +2,7 @@
 
 from papayapick.jobs import AdvicePolicy, JobDocument, Queue, Step, TaskKey
 from papayapick.ledger import Amounts
-from papayapick.pool.journal import JOBS_TABLE, PROGRESS_TABLE
+from papayapick.pool.records.journal import JOBS_TABLE, PROGRESS_TABLE
 from tests.pool.advisers import AdvisedHost
 from tests.pool.owners import owner_of, register, report
 
--- a/tests/pool/test_advice_cache.py
+++ b/tests/pool/test_advice_cache.py
@@ -3,7 +3,7 @@
 import pytest
 
 from papayapick.jobs import AdvicePolicy, StepKey
-from papayapick.pool.advice_cache import AdviceCache
+from papayapick.pool.advice.cache import AdviceCache
 
 KEY = StepKey("0" * 16, 0, 0)
 POLICY = AdvicePolicy(0.5, 0.01, 2.5)
--- a/tests/pool/test_journal.py
+++ b/tests/pool/test_journal.py
@@ -11,9 +11,9 @@
 from papayapick.jobs import JobDocument, JobRegistry, JobStatus, Queue, Step
 from papayapick.ledger import Amounts
 from papayapick.ownership.pools import CELL_TABLE, PoolRow
-from papayapick.pool.journal import PROGRESS_TABLE, PoolJournal
-from papayapick.pool.reports import Registration
-from papayapick.pool.roster import WorkerRoster
+from papayapick.pool.records.journal import PROGRESS_TABLE, PoolJournal
+from papayapick.pool.workers.reports import Registration
+from papayapick.pool.workers.roster import WorkerRoster
 
 QUEUE = Queue("q", "h", "/q/", "pool", 0, 2, 1.5, 0.5, 3.0, False, None)
 IDS = [f"{number:016x}" for number in range(200)]
@@ -80,7 +80,7 @@
         version = store.apply([], [RowWrite(CELL_TABLE, "pool", "owner", {})])
         self.row = PoolRow("pool", "h1", 1, "a:1", version)
         self.pool = "pool"
-        self.decisions = self.ownership_status = self
+        self.decisions = self.ownership_status = self.commits = self
         self.sent = []
         self.unsent = []
         self.is_lost = self.is_stopped = False
--- a/tests/pool/test_links.py
+++ b/tests/pool/test_links.py
@@ -6,9 +6,9 @@
 from papayapick.jobs import JobStatus, TaskKey
 from papayapick.ledger import Amounts
 from papayapick.platform.exceptions import CallFailed, WorkerSilent
-from papayapick.pool.link_threads import LinkLoop
-from papayapick.pool.links import LEASE_SECONDS, WorkerLink
-from papayapick.pool.reports import (
+from papayapick.pool.workers.link_threads import LinkLoop
+from papayapick.pool.workers.links import LEASE_SECONDS, WorkerLink
+from papayapick.pool.workers.reports import (
     EndReport,
     Registration,
     RunReport,
--- a/tests/pool/test_liveness.py
+++ b/tests/pool/test_liveness.py
@@ -5,7 +5,7 @@
 from papayapick.jobs import RunPhase
 from papayapick.platform.exceptions import CallFailed
 from papayapick.platform.machines import Machine
-from papayapick.pool.liveness import LivenessCheck
+from papayapick.pool.workers.liveness import LivenessCheck
 from tests.pool.owners import (
     host_with_two_workers,
     job,
--- a/tests/pool/test_orders.py
+++ b/tests/pool/test_orders.py
@@ -12,8 +12,8 @@
 from papayapick.ownership.pools import PoolRow
 from papayapick.platform.exceptions import WorkerSilent
 from papayapick.pool.owner import PoolOwner
-from papayapick.pool.reports import StartOutcome
-from papayapick.pool.store_sync import _POLLED_AT_ONCE
+from papayapick.pool.records.store_sync import _POLLED_AT_ONCE
+from papayapick.pool.workers.reports import StartOutcome
 from tests.pool.owners import register, report
 from tests.pool.standins import QUEUE, Host, ManualExecutor
 
--- a/tests/pool/test_owner.py
+++ b/tests/pool/test_owner.py
@@ -6,14 +6,14 @@
 from papayapick.jobs import JobDocument, JobStatus, Step, TaskKey
 from papayapick.ledger import Amounts
 from papayapick.ownership.pools import PoolRow
-from papayapick.pool.journal import JOBS_TABLE, PROGRESS_TABLE
-from papayapick.pool.links import LEASE_SECONDS
 from papayapick.pool.owner import PoolOwner
-from papayapick.pool.reports import (
+from papayapick.pool.records.journal import JOBS_TABLE, PROGRESS_TABLE
+from papayapick.pool.workers.links import LEASE_SECONDS
+from papayapick.pool.workers.reports import (
     Registration,
     StartOutcome,
 )
-from papayapick.pool.roster import WorkerRoster
+from papayapick.pool.workers.roster import WorkerRoster
 from tests.pool.owners import (
     ID,
     KEY,
--- a/tests/pool/test_pace.py
+++ b/tests/pool/test_pace.py
@@ -5,7 +5,7 @@
 from papayapick.jobs import JobDocument, Step, TaskKey
 from papayapick.ledger import Amounts
 from papayapick.platform.exceptions import CallFailed, WorkerSilent
-from papayapick.pool.reports import EndReport, RunReport, WorkerReport
+from papayapick.pool.workers.reports import EndReport, RunReport, WorkerReport
 from tests.pool.owners import ID, host_with_two_workers, owner_of, report, store_job
 
 SERVING = TaskKey(ID, 0, 0, 0)
--- a/tests/pool/test_placement_rounds.py
+++ b/tests/pool/test_placement_rounds.py
@@ -6,7 +6,7 @@
 
 from papayapick.jobs import AdvicePolicy, Queue, Step
 from papayapick.ledger import Amounts
-from papayapick.pool.placement_rounds import PlacementRounds
+from papayapick.pool.rounds.placement_rounds import PlacementRounds
 from tests.pool.standins import PoolSimulation
 
 WORKERS = 12
--- a/tests/pool/test_reconciliation.py
+++ b/tests/pool/test_reconciliation.py
@@ -6,7 +6,7 @@
 
 from papayapick.jobs import JobDocument, Step, progress_record
 from papayapick.ledger import Amounts
-from papayapick.pool.journal import PROGRESS_TABLE
+from papayapick.pool.records.journal import PROGRESS_TABLE
 from tests.pool.owners import (
     ID,
     KEY,
--- a/tests/pool/test_recording.py
+++ b/tests/pool/test_recording.py
@@ -3,7 +3,7 @@
 import pytest
 
 from papayapick.clock import ManualClock
-from papayapick.pool.recording import RecordingMode
+from papayapick.pool.records.recording import RecordingMode
 
 
 class Peer:
--- a/tests/pool/test_run_times.py
+++ b/tests/pool/test_run_times.py
@@ -9,7 +9,7 @@
     projected_remaining_seconds,
     stalled_runs,
 )
-from papayapick.pool.reports import StartOutcome
+from papayapick.pool.workers.reports import StartOutcome
 from tests.pool.owners import ID, job, owner_with, report
 
 # Time until the record of a start is durable while the store is slow.
--- a/tests/pool/test_takeover_progress.py
+++ b/tests/pool/test_takeover_progress.py
@@ -6,7 +6,7 @@
 from papayapick.ledger import Amounts
 from papayapick.placement.progress import compare_runs
 from papayapick.placement.timeliness import Timeliness, latest_start
-from papayapick.pool.journal import JOBS_TABLE, PROGRESS_TABLE
+from papayapick.pool.records.journal import JOBS_TABLE, PROGRESS_TABLE
 from tests.pool.owners import (
     ID,
     host_with_two_workers,
--- a/tests/pool/test_team_maxima.py
+++ b/tests/pool/test_team_maxima.py
@@ -7,10 +7,10 @@
 from papayapick.jobs import JobDocument, Step, TaskKey
 from papayapick.jobs.queues import AdvicePolicy, CellConfiguration, Queue
 from papayapick.ledger import Amounts
-from papayapick.pool.advice_manager import AdviceManager
-from papayapick.pool.journal import JOBS_TABLE, PROGRESS_TABLE
-from papayapick.pool.reports import StartOutcome
-from papayapick.pool.waiting import WaitReason
+from papayapick.pool.advice.manager import AdviceManager
+from papayapick.pool.records.journal import JOBS_TABLE, PROGRESS_TABLE
+from papayapick.pool.rounds.waiting import WaitReason
+from papayapick.pool.workers.reports import StartOutcome
 from papayapick.quotas import Team, TeamDirectory
 from tests.pool.fault_simulation import FaultSimulation
 from tests.pool.owners import ID, KEY, host_with_two_workers, owner_of, place, report
--- a/tests/pool/test_upkeep.py
+++ b/tests/pool/test_upkeep.py
@@ -11,7 +11,7 @@
 from papayapick.placement.waves import Wave, WaveRecord, choose_machines
 from papayapick.platform.exceptions import CallFailed
 from papayapick.platform.machines import Machine, UpkeepOutcome
-from papayapick.pool.upkeep import WAVES_TABLE, UpkeepCoordinator
+from papayapick.pool.rounds.upkeep import WAVES_TABLE, UpkeepCoordinator
 from tests.pool.standins import QUEUE, PoolSimulation, Worker, _registration
 
 UPKEEP_SECONDS = 2.0
--- a/tests/pool/test_waits.py
+++ b/tests/pool/test_waits.py
@@ -5,9 +5,9 @@
 import pytest
 
 from papayapick.jobs import AdvicePolicy, Queue
-from papayapick.pool import waiting
-from papayapick.pool.retention import delete_expired_jobs
-from papayapick.pool.waiting import WaitReason
+from papayapick.pool.records.retention import delete_expired_jobs
+from papayapick.pool.rounds import waiting
+from papayapick.pool.rounds.waiting import WaitReason
 from tests.pool.standins import PoolSimulation
 
 ADVISED = Queue(
