Design the decisions under hard load, and their interfaces

PoolKnowledge holds what an owner learns. The contract 'pressure' of the settings switches on what decides under overload; nothing uses it yet. No behaviour changes.

--- /dev/null
+++ b/papayapick/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions while more work arrives than the pool has room for."""
--- a/papayapick/platform/settings.py
+++ b/papayapick/platform/settings.py
@@ -43,6 +43,7 @@
         "kill_seconds",
         "lease_limit_seconds",
         "descriptor_limit",
+        "expects_overload",
         "machines_address",
         "metrics_port",
         "peer_address",
@@ -75,7 +76,10 @@
         self.advice_address = _text(document.get("advice", ""))
         self.machines_address = _text(document.get("cloud_api", {}).get("address", ""))
         # Whether callers identify themselves by keys of teams.
-        self.has_teams = "tenants" in document.get("contracts", ())
+        contracts = document.get("contracts", ())
+        self.has_teams = "tenants" in contracts
+        # Whether the operator expects more work at times than the pool has room for.
+        self.expects_overload = "pressure" in contracts
         limits = document.get("limits", {})
         # The share of a core that the process may use, times the speed of that core.
         self.processors = float(limits.get("cpu_share", 1)) * limits.get("cores", 1)
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -15,6 +15,7 @@
     POOL_TAKEN,
     THREADS_SHORT,
 )
+from papayapick.pool.knowledge import PoolKnowledge
 from papayapick.pool.metrics import TAKEOVERS
 from papayapick.pool.records.commits import CommitMonitor
 from papayapick.pool.records.journal import PROGRESS_TABLE, PoolJournal
@@ -84,6 +85,7 @@
         "is_lost",
         "job_registry",
         "journal",
+        "knowledge",
         "link_threads",
         "links_by_worker",
         "lock",
@@ -113,6 +115,7 @@
         self._apply_teams()
         self.job_registry = JobRegistry(self.team_usage)
         self.rooms = Rooms(self.team_usage)
+        self.knowledge = PoolKnowledge.from_settings(host.settings)
         self.roster = WorkerRoster(PROGRESS_TABLE, row.pool)
         self.links_by_worker = {}
         self.link_threads = LinkThreads(host.clock, self.submit)
--- /dev/null
+++ b/papayapick/speeds/__init__.py
@@ -0,0 +1,5 @@
+"""How fast the workers of a pool are, learned from the runs of tasks."""
+
+from papayapick.speeds.types import SpeedSource, SpeedTier, UnknownSpeeds
+
+__all__ = ["SpeedSource", "SpeedTier", "UnknownSpeeds"]
