Learn the speeds of workers from the runs of each step

The owner knew no speed of any worker: two thirds of them may take 2.4 times as long as the others, estimates are wrong by nine tenths, and one task in thirty takes seven times as long.

--- a/papayapick/jobs/outcomes.py
+++ b/papayapick/jobs/outcomes.py
@@ -75,7 +75,7 @@
                 # this owner has observed. Its short duration would make normal runs of
                 # the step look slow.
                 if not run.is_resumed:
-                    step.note_done_run(run.worked_seconds(now))
+                    step.note_done_run(run.worked_seconds(now), worker)
             self._note_done(step, key.index, attempt, now)
             return
         if outcome == _FAILED:
--- a/papayapick/jobs/runs.py
+++ b/papayapick/jobs/runs.py
@@ -53,8 +53,10 @@
         "demand",
         "image",
         "is_filler",
+        "is_long",
         "is_pace_unconfirmed",
         "is_resumed",
+        "is_speed_noted",
         "key",
         "measurement",
         "pace",
@@ -96,6 +98,10 @@
         # Whether the run resumed from a checkpoint or was adopted. Its percent may then
         # have been above 0 when this owner first saw it.
         self.is_resumed = False
+        # Whether it is known that its task takes longer than others of its step.
+        self.is_long = False
+        # Whether its progress has told of the speed of its worker.
+        self.is_speed_noted = False
         # Value that the worker measured over the last half second, or None.
         self.measurement = None
         # Percent of its processors that the run may use, as ordered. None if unknown:
--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -119,7 +119,9 @@
     """
 
     __slots__ = (
+        "comparison",
         "done_seconds",
+        "done_workers",
         "held_on",
         "is_gang_broken",
         "is_ready",
@@ -160,6 +162,10 @@
         # Durations of the runs that ended as done: the longest, and the latest ones.
         self.usual_seconds = 0.0
         self.done_seconds = []
+        # Worker of each of these runs.
+        self.done_workers = []
+        # Comparison of the workers by the runs of this step, kept by ``WorkerSpeeds``.
+        self.comparison = None
         # Whether a member ended before the gang was done. All others must end before
         # the gang is started again.
         self.is_gang_broken = False
@@ -169,10 +175,11 @@
         """Return whether all tasks have ended as done."""
         return self.unfinished_tasks == 0
 
-    def note_done_run(self, seconds):
-        """Record the duration of a run that ended as done."""
+    def note_done_run(self, seconds, worker):
+        """Record the duration and the worker of a run that ended as done."""
         self.usual_seconds = max(self.usual_seconds, seconds)
         self.done_seconds = [*self.done_seconds[1 - _DONE_RUNS :], seconds]
+        self.done_workers = [*self.done_workers[1 - _DONE_RUNS :], worker]
 
     def active_runs(self):
         """Return the runs without a known outcome."""
--- a/papayapick/placement/worker_rooms.py
+++ b/papayapick/placement/worker_rooms.py
@@ -1,8 +1,8 @@
 """Room of one worker: the part of its capacity that no run has reserved."""
 
-__all__ = ["WorkerRoom"]
+from papayapick.jobs.labels import rack_label
 
-_RACK_LABEL_PREFIX = "r"
+__all__ = ["WorkerRoom"]
 
 
 class WorkerRoom:
@@ -59,7 +59,7 @@
     def __init__(self, registration):
         self.registration = registration
         self.worker = registration.worker
-        self.rack = _rack(registration.labels)
+        self.rack = rack_label(registration.labels)
         self.number = 0
         self._index = None
         self._team_usage = None
@@ -228,10 +228,3 @@
             del self.step_counts[key]
         if run.is_filler:
             self.filler_runs += sign
-
-
-def _rack(labels):
-    for label in labels:
-        if label.startswith(_RACK_LABEL_PREFIX) and "-" in label:
-            return label
-    return ""
--- a/papayapick/speeds/types.py
+++ b/papayapick/speeds/types.py
@@ -1,9 +1,9 @@
 """Interface to the speeds of workers, and the baseline that knows none."""
 
 import enum
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
-__all__ = ["SpeedSource", "SpeedTier", "UnknownSpeeds"]
+__all__ = ["Deviation", "SpeedSource", "SpeedTier", "UnknownSpeeds"]
 
 
 class SpeedTier(enum.IntEnum):
@@ -14,6 +14,23 @@
     FAST = 2
 
 
+class Deviation(NamedTuple):
+    """What one run tells of its worker.
+
+    Parameters
+    ----------
+    worker : str
+    log_speed : float
+        Logarithm of the speed that the run indicates.
+    weight : float
+        From 0 to 1.
+    """
+
+    worker: str
+    log_speed: float
+    weight: float
+
+
 class SpeedSource(Protocol):
     """Provide the speeds of the workers of one pool.
 
@@ -36,7 +53,7 @@
 
 
 class UnknownSpeeds:
-    """Know no speeds: all workers count as equal.
+    """Know no speeds, and learn none: all workers count as equal.
 
     Examples
     --------
@@ -59,3 +76,30 @@
     def tier(self, worker):
         """Return NORMAL for every worker."""
         return SpeedTier.NORMAL
+
+    def tier_counts(self):
+        """Return an empty mapping, as there are no classes."""
+        return {}
+
+    def set_stretch(self, stretch):
+        """Ignore the tightest stretch of the queues."""
+
+    def add_worker(self, registration):
+        """Ignore a worker."""
+
+    def note_incarnation(self, worker, born):
+        """Ignore which incarnation of a worker has reported."""
+
+    def forget(self, worker):
+        """Ignore that a worker has left."""
+
+    def note_done(self, step, run, now):
+        """Learn nothing from a run; return that no error was seen."""
+        return ()
+
+    def note_progress(self, step, projections, now):
+        """Learn nothing from the progress of runs."""
+
+    def refresh(self, now):
+        """Return that nothing has changed."""
+        return False
