Compare runs by the speeds of their workers, and hand the speeds on

Where speeds differ, runs are compared as if each were on a worker of speed 1; a worker counts as slow with three slow runs, those left out that a normal run on it has shown to be long; a task is moved for it once, and only if what is left takes longer than elsewhere even if the task may be long. Elsewhere decisions are as before.

OwnerMemory writes what parts have learned, each 5 s if it changed, in rows learned-NAME-N beside the roster; the next owner reads them with the progress. A record that has not changed is written again after 30 s, as one of more than 60 s is left out.

--- a/papayapick/observability/queries.py
+++ b/papayapick/observability/queries.py
@@ -9,7 +9,15 @@
 __all__ = ["events_page", "metrics_page"]
 
 # Importing these modules defines the metrics and the events of an entry host.
-for _module in ("entry.metrics", "pool.metrics", "entry.events", "pool.events"):
+for _module in (
+    "entry.metrics",
+    "pool.metrics",
+    "speeds.metrics",
+    "entry.events",
+    "pool.events",
+    "pool.records.events",
+    "speeds.events",
+):
     importlib.import_module(f"papayapick.{_module}")
 
 _METRICS_HEAD = """# Metrics
@@ -54,7 +62,8 @@
 event are limited; `lines left out` counts the dropped ones. To follow one request:
 [operations](../OPERATIONS.md).
 
-This page is written from `events.py` of `papayapick/entry` and `papayapick/pool` by
+This page is written from `events.py` of `papayapick/entry`, `papayapick/pool` and
+`papayapick/speeds` by
 `python -m papayapick.observability.reference events > docs/ref/events.md`.
 
 | Event | Level | A second | Fields | Meaning |
--- a/papayapick/observability/registry.py
+++ b/papayapick/observability/registry.py
@@ -43,10 +43,12 @@
     BACKLOGS = 4
     # One series per team, for a bounded number of teams.
     TEAMS = 5
+    # One series per pool and class of speed.
+    SPEEDS = 6
     # One series per method and status.
-    RESPONSES = 6
-    PROCESS = 7
-    HISTOGRAMS = 8
+    RESPONSES = 7
+    PROCESS = 8
+    HISTOGRAMS = 9
 
 
 class _MetricsPage:
@@ -106,9 +108,12 @@
     return _METRICS_PAGE.add(Gauge, section, name, text, labels)
 
 
-def histogram(name, text, labels=(), of_jobs=False):
-    """Return a new histogram of seconds, of calls or, with ``of_jobs``, of jobs."""
-    buckets = _JOB_BUCKETS if of_jobs else _REQUEST_BUCKETS
+def histogram(name, text, labels=(), of_jobs=False, buckets=None):
+    """Return a new histogram of seconds, of calls or, with ``of_jobs``, of jobs.
+
+    With ``buckets``, a tuple of float, it is one of other values.
+    """
+    buckets = buckets or (_JOB_BUCKETS if of_jobs else _REQUEST_BUCKETS)
     return _METRICS_PAGE.add(
         Histogram, PageSection.HISTOGRAMS, name, text, labels, buckets=buckets
     )
--- a/papayapick/placement/progress.py
+++ b/papayapick/placement/progress.py
@@ -2,21 +2,23 @@
 
 Guards against workers that stall, slow down or fail the tasks they start while they
 report good health. The slack of a short urgent task is half its run time: a task left
-on such a worker is certainly late, and best fit would place more tasks there.
+on such a worker is certainly late, and best fit would place more tasks there. Runs are
+compared by what they would take on a worker of speed 1, where speeds are known to
+differ: otherwise each task on a worker of the slow kind would seem to be slow, and a
+task without checkpoints would begin anew elsewhere.
 """
 
 import statistics
 
 from papayapick.jobs.runs import RunPhase
+from papayapick.speeds.types import UnknownSpeeds
 
 __all__ = [
     "REPLACED_LIMIT",
-    "SUSPECT_SECONDS",
-    "FailingWorkerDetector",
-    "SlowWorkerDetector",
     "compare_runs",
     "ended_within_usual_time",
     "may_be_stalled",
+    "project_runs",
     "projected_remaining_seconds",
     "remaining_seconds",
     "stalled_runs",
@@ -36,9 +38,6 @@
 _SLOW_FACTOR = 2.5
 # A run within this factor of the usual time shows that its worker is not slow.
 _NORMAL_FACTOR = 1.6
-# A worker is slow with this number of slow runs and no normal run for this time.
-_MIN_SLOW_RUNS = 2
-_NO_NORMAL_SECONDS = 0.8
 # Minimum number of runs of a step from which the usual time is derived.
 _MIN_KNOWN_RUNS = 2
 # With less elapsed time or progress the projection is too inaccurate: reports are 10 ms
@@ -47,39 +46,67 @@
 _MIN_PERCENT = 2
 # Duration of a stop, the report of its end, and the new start.
 _MOVE_SECONDS = 0.4
-# A worker on which a stalled or slow run was found is used last for this time.
-SUSPECT_SECONDS = 3.0
-# Consecutive failed runs, of different jobs, after which a worker is suspected. On
-# healthy workers one run in fifty fails.
-_FAILURES_IN_A_ROW = 2
 # With a smaller share done, progress does not indicate how long a run takes.
 _MIN_DONE_SHARE = 0.05
 # Time within which a stop is carried out and its end reported.
 _STOP_SECONDS = 0.25
 _FULL = 100
+# Probability that a run which seems slow is a long task, wherever it runs. It counts
+# where speeds are known to differ.
+_LONG_TASK_CHANCE = 1 / 3
+# A run has stalled if it gained no percent in this many times its usual time for one.
+_STALL_PERCENTS = 3.0
+_NO_SPEEDS = UnknownSpeeds()
 
 
-def stalled_runs(step):
+def stalled_runs(step, speeds=_NO_SPEEDS):
     """Return the runs of a step that have stalled.
 
     Parameters
     ----------
     step : StepState
+    speeds : SpeedSource, optional
 
     Returns
     -------
     list of Run
         Empty for a gang, whose members wait for each other and end together.
     """
-    return [run for run in _runs_reporting_progress(step) if _is_stalled(run)]
+    return [
+        run
+        for run in _runs_reporting_progress(step)
+        if _is_stalled(run) and not (speeds.differ and _gains_slowly(run))
+    ]
+
 
+def project_runs(step):
+    """Project the whole run times of the active runs of a step.
 
-def compare_runs(step):
+    Parameters
+    ----------
+    step : StepState
+
+    Returns
+    -------
+    list of tuple of Run and float
+        Runs whose progress indicates how long they take, and that time in seconds.
+    """
+    projections = [
+        (run, _projected_seconds(run)) for run in _runs_reporting_progress(step)
+    ]
+    return [(run, whole) for run, whole in projections if whole is not None]
+
+
+def compare_runs(step, speeds=_NO_SPEEDS, projections=None):
     """Compare the runs of a step with those on other workers.
 
     Parameters
     ----------
     step : StepState
+    speeds : SpeedSource, optional
+        If its speeds differ, runs are compared as if each were on a worker of speed 1.
+    projections : list of tuple of Run and float, optional
+        What ``project_runs`` returns for the step, if it is known.
 
     Returns
     -------
@@ -89,24 +116,50 @@
         see ``SlowWorkerDetector``.
     """
     slow, normal = [], []
-    # Projected once for each run, although each is compared with all others.
-    projections = [
-        (run, _projected_seconds(run)) for run in _runs_reporting_progress(step)
+    if projections is None:
+        projections = project_runs(step)
+    # Corrected once for each run, although each is compared with all others.
+    corrected = [
+        (run, whole * _speed(speeds, run.worker)) for run, whole in projections
     ]
-    projections = [(run, whole) for run, whole in projections if whole is not None]
-    for run, whole in projections:
-        usual = _usual_seconds(step, run, projections)
+    done = _done_seconds(step, speeds)
+    for (run, whole), (_, length) in zip(projections, corrected, strict=True):
+        usual = _usual_seconds(run, corrected, done)
         if usual is None:
             continue
         remaining = whole * (_FULL - run.percent) / _FULL
-        if whole < _NORMAL_FACTOR * usual:
+        if length < _NORMAL_FACTOR * usual:
             normal.append(run)
-        elif whole > _SLOW_FACTOR * usual and remaining > usual + _MOVE_SECONDS:
-            slow.append(run)
+        elif length > _SLOW_FACTOR * usual:
+            elsewhere = _seconds_elsewhere(run, length, usual, speeds)
+            if remaining > elsewhere + _MOVE_SECONDS:
+                slow.append(run)
     return slow, normal
 
 
-def ended_within_usual_time(step, run, now):
+def _speed(speeds, worker):
+    return speeds.speed(worker) if speeds.differ else 1.0
+
+
+def _done_seconds(step, speeds):
+    """Return the durations of the latest done runs, as on workers of speed 1."""
+    if not speeds.differ:
+        return step.done_seconds
+    return [
+        seconds * speeds.speed(worker)
+        for seconds, worker in zip(step.done_seconds, step.done_workers, strict=True)
+    ]
+
+
+def _seconds_elsewhere(run, length, usual, speeds):
+    """Return what a run that seems slow is expected to take on another worker."""
+    if not speeds.differ:
+        return usual
+    seconds = usual + _LONG_TASK_CHANCE * (length - usual)
+    return seconds * (_FULL - run.percent) / _FULL if run.checkpoint else seconds
+
+
+def ended_within_usual_time(step, run, now, speeds=_NO_SPEEDS):
     """Return whether a run that has just ended took about the usual time or less.
 
     Parameters
@@ -114,11 +167,13 @@
     step : StepState
     run : Run
     now : float
+    speeds : SpeedSource, optional
     """
-    known = step.done_seconds
+    known = _done_seconds(step, speeds)
     if run.is_resumed or len(known) < _MIN_KNOWN_RUNS:
         return False
-    return run.worked_seconds(now) < _NORMAL_FACTOR * statistics.median(known)
+    length = run.worked_seconds(now) * _speed(speeds, run.worker)
+    return length < _NORMAL_FACTOR * statistics.median(known)
 
 
 def _runs_reporting_progress(step):
@@ -139,6 +194,17 @@
     return run.percent_at - run.progressed_at >= limit
 
 
+def _gains_slowly(run):
+    """Return whether the time without progress is usual for a run.
+
+    A long task on a slow worker takes more than the time of a stall for one percent.
+    """
+    if run.is_resumed or run.percent < 1:
+        return False
+    per_percent = run.worked_seconds(run.progressed_at) / run.percent
+    return run.percent_at - run.progressed_at < _STALL_PERCENTS * per_percent
+
+
 def may_be_stalled(runs):
     """Return whether one of a worker's runs may have stalled.
 
@@ -157,10 +223,10 @@
     )
 
 
-def _usual_seconds(step, run, projections):
+def _usual_seconds(run, projections, done):
     """Return the median time of a step's runs on other workers, or None."""
     others = [whole for one, whole in projections if one.worker != run.worker]
-    known = others + step.done_seconds
+    known = others + done
     return statistics.median(known) if len(known) >= _MIN_KNOWN_RUNS else None
 
 
@@ -217,74 +283,3 @@
     if step.step.is_lasting or run.demand is None:
         return None
     return max(0.0, projected_remaining_seconds(step, run, now))
-
-
-class SlowWorkerDetector:
-    """Distinguish a slow worker, on which all runs are slow, from a long task.
-
-    If a single slow run were enough to move it, a task three times as long as others of
-    its step would lose its progress, and its caller would wait longer.
-    """
-
-    __slots__ = ("_normal", "_slow")
-
-    def __init__(self):
-        # By worker: the last time at which each slow run was seen, and the last time at
-        # which any normal run was.
-        self._slow = {}
-        self._normal = {}
-
-    def note_normal(self, run, now):
-        """Record a run at the usual speed."""
-        self._normal[run.worker] = now
-
-    def note_slow(self, run, now):
-        """Record a slow run; return whether its worker is slow.
-
-        Parameters
-        ----------
-        run : Run
-        now : float
-        """
-        seen = self._slow.setdefault(run.worker, {})
-        seen[run.name] = now
-        for name in [name for name, at in seen.items() if now - at > SUSPECT_SECONDS]:
-            del seen[name]
-        since_normal = now - self._normal.get(run.worker, float("-inf"))
-        return len(seen) >= _MIN_SLOW_RUNS and since_normal > _NO_NORMAL_SECONDS
-
-    def forget(self, worker):
-        """Delete the records of a worker."""
-        self._slow.pop(worker, None)
-        self._normal.pop(worker, None)
-
-
-class FailingWorkerDetector:
-    """Detect workers on which runs of different jobs fail one after the other."""
-
-    __slots__ = ("_failed_jobs",)
-
-    def __init__(self):
-        self._failed_jobs = {}
-
-    def note_end(self, worker, job, is_failed):
-        """Record the end of a run; return whether its worker is to be suspected.
-
-        Parameters
-        ----------
-        worker, job : str
-        is_failed : bool
-            False for a run that ended as done.
-        """
-        if not is_failed:
-            self._failed_jobs.pop(worker, None)
-            return False
-        # A job that fails on every worker counts once here.
-        jobs = self._failed_jobs.setdefault(worker, set())
-        if len(jobs) < _FAILURES_IN_A_ROW:
-            jobs.add(job)
-        return len(jobs) >= _FAILURES_IN_A_ROW
-
-    def forget(self, worker):
-        """Delete the record of a worker."""
-        self._failed_jobs.pop(worker, None)
--- a/papayapick/pool/knowledge.py
+++ b/papayapick/pool/knowledge.py
@@ -2,7 +2,7 @@
 
 from papayapick.forecasts import DeclaredTimes
 from papayapick.overload.features import OverloadFeatures
-from papayapick.speeds import UnknownSpeeds
+from papayapick.speeds import WorkerSpeeds
 
 __all__ = ["PoolKnowledge"]
 
@@ -33,5 +33,18 @@
         settings : PlatformSettings
         """
         return cls(
-            OverloadFeatures.from_settings(settings), UnknownSpeeds(), DeclaredTimes()
+            OverloadFeatures.from_settings(settings), WorkerSpeeds(), DeclaredTimes()
         )
+
+    def apply_queues(self, pool, queues):
+        """Apply the policies of the queues of a new configuration.
+
+        Parameters
+        ----------
+        pool : str
+            Name of the owner's pool.
+        queues : iterable of Queue
+            Of all pools.
+        """
+        stretches = [queue.stretch for queue in queues if queue.pool == pool]
+        self.speeds.set_stretch(min(stretches, default=None))
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -19,6 +19,7 @@
 from papayapick.pool.metrics import TAKEOVERS
 from papayapick.pool.records.commits import CommitMonitor
 from papayapick.pool.records.journal import PROGRESS_TABLE, PoolJournal
+from papayapick.pool.records.memory import OwnerMemory
 from papayapick.pool.records.recording import RecordingMode
 from papayapick.pool.records.retention import delete_expired_jobs
 from papayapick.pool.records.status_feed import StatusFeed
@@ -90,6 +91,7 @@
         "links_by_worker",
         "lock",
         "loop",
+        "memory",
         "orders",
         "ownership_status",
         "reconciliation",
@@ -112,10 +114,12 @@
         self.lock = threading.RLock()
         self.team_usage = TeamUsage()
         self.entitlements = Entitlements.from_settings(host.settings)
-        self._apply_teams()
+        self.knowledge = PoolKnowledge.from_settings(host.settings)
+        self.memory = OwnerMemory(PROGRESS_TABLE, row.pool, host.clock)
+        self.memory.register(self.knowledge.speeds)
+        self._apply_configuration()
         self.job_registry = JobRegistry(self.team_usage)
         self.rooms = Rooms(self.team_usage)
-        self.knowledge = PoolKnowledge.from_settings(host.settings)
         self.roster = WorkerRoster(PROGRESS_TABLE, row.pool)
         self.links_by_worker = {}
         self.link_threads = LinkThreads(host.clock, self.submit)
@@ -188,16 +192,17 @@
         else:
             self.ownership_status.note_peer_answer(peer, asked_at)
 
-    def _apply_teams(self):
+    def _apply_configuration(self):
         if (configuration := self.host.configuration.current) is not None:
             self.entitlements.set_teams(configuration.teams)
             maxima = {team.name: team.maximum for team in configuration.teams}
             self.team_usage.set_maxima(configuration.version, maxima)
+            self.knowledge.apply_queues(self.pool, configuration.queues.values())
 
     def refresh_queues(self):
         """Apply the policies of a new configuration to all jobs and teams."""
         with self.lock:
-            self._apply_teams()
+            self._apply_configuration()
             for job in self.job_registry.jobs():
                 job.queue = self.host.queue_of(job.document)
             self.job_registry.step_queue.note_policy_change()
@@ -253,6 +258,7 @@
             self.stopping.set()
             self._wakeup.set()
             self.journal.wake()
+            self.run_monitor.stop()
             for link in self.links():
                 link.stop()
             self._executor.shutdown(wait=False, cancel_futures=True)
--- a/papayapick/pool/records/journal.py
+++ b/papayapick/pool/records/journal.py
@@ -127,7 +127,11 @@
         with owner.lock:
             changed = self._take_changed()
             roster = owner.roster.take_changed()
-            writes = roster + [self._write(job) for job in changed]
+            # Not beside a large roster: a transaction holds a limited number of rows.
+            memory = (
+                [] if roster else owner.memory.take_changed(self._clock.monotonic())
+            )
+            writes = roster + memory + [self._write(job) for job in changed]
             statuses = [job.status for job in changed]
             starts = owner.decisions.take_unsent({job.identifier for job in changed})
             # The jobs of some ends may be in a later batch; these ends must not be
@@ -145,6 +149,7 @@
                 owner.job_registry.changed.update(job.identifier for job in changed)
                 owner.decisions.requeue_unsent(starts)
                 owner.roster.requeue(roster)
+                owner.memory.requeue(memory)
             owner.pause(_RETRY_SECONDS)
             return True
         # Starts are sent only once they are recorded: a successor then knows where each
--- a/papayapick/pool/records/store_sync.py
+++ b/papayapick/pool/records/store_sync.py
@@ -105,6 +105,7 @@
             for registration in self._owner.roster.restore(progress):
                 if registration.worker not in self._owner.links_by_worker:
                     self._add_link(registration, is_listed=False)
+            self._owner.memory.restore(progress)
             self._owner.reconciliation.hold_tasks()
         return version
 
@@ -228,6 +229,7 @@
                 link.registration.is_leaving = True
                 self._owner.report_handler.update_availability(link)
             return
+        self._owner.knowledge.speeds.add_worker(registration)
         if link is not None:
             link.is_listed = True
             link.registration.is_leaving = registration.is_leaving
@@ -247,6 +249,7 @@
         link.is_listed = is_listed
         self._owner.links_by_worker[worker] = link
         self._owner.rooms.add(WorkerRoom(registration))
+        self._owner.knowledge.speeds.add_worker(registration)
         if self._owner.has_read_state:
             self._owner.link_threads.add(link)
         else:
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -76,6 +76,7 @@
                     self._drop_vanished(room, report, requested_at, now)
             if not link.has_reported:
                 link.has_reported = True
+                self._owner.knowledge.speeds.note_incarnation(link.worker, report.born)
                 # Runs that an earlier owner started there are covered by its lease.
                 link.lapse_at = max(
                     link.lapse_at, self._owner.taken_at + PREDECESSOR_LEASE_SECONDS
@@ -129,6 +130,7 @@
         with self._owner.lock:
             self._mark_lost(link, "began anew", lambda run: run.name not in listed)
             link.begin_incarnation(born)
+            self._owner.knowledge.speeds.note_incarnation(link.worker, born)
             if not link.has_reported:
                 self._owner.reconciliation.note_worker_gone(
                     link.worker, self._owner.now()
--- a/tests/observability/test_registry.py
+++ b/tests/observability/test_registry.py
@@ -10,6 +10,8 @@
 from papayapick.observability.registry import describe_metrics, metrics_text
 from papayapick.pool import metrics as pool_metrics
 from papayapick.pool.workers.reports import EndOutcome, StartOutcome
+from papayapick.speeds import SpeedTier
+from papayapick.speeds import metrics as speed_metrics
 
 # Collectors may cut a page off after this many bytes, also within a line.
 PAGE_LIMIT_BYTES = 4000
@@ -56,6 +58,8 @@
         pool_metrics.STARTS.labels(outcome.value).inc(12345)
     for outcome in constant_values(EndOutcome):
         pool_metrics.ENDS.labels(outcome).inc(12345)
+    for tier in SpeedTier:
+        speed_metrics.WORKERS_BY_TIER.labels("pool-1", tier.name.lower()).set(176)
     for outcome in ("answered", "refused", "no-answer"):
         pool_metrics.RENEWALS.labels(outcome).inc(123456)
     for status in JobStatus.FINAL:
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -6,7 +6,7 @@
 
 from papayapick.clients.rows import StoredRow
 from papayapick.clock import ManualClock
-from papayapick.jobs import JobDocument, Queue, Step
+from papayapick.jobs import CellConfiguration, JobDocument, Queue, Step
 from papayapick.ledger import Amounts
 from papayapick.ownership.pools import PoolRow
 from papayapick.pool.owner import PoolOwner
@@ -146,19 +146,43 @@
         Share of the tasks, chosen by their names, that take three times as long.
     accelerators : int
         Number for each worker.
+    speeds : dict of str to float
+        Speed by kind; if given, the workers have these kinds in turn as their labels,
+        and the operator's configuration has the queue of the jobs.
+    variation : float
+        Share by which lengths of tasks are above or below that of their step.
+    long_factor : float
+        How much longer a long task takes.
     """
 
     STEP_SECONDS = 0.05
     POLL_SECONDS = 0.8
 
-    def __init__(self, workers, length, long_share=0.0, accelerators=0):
+    def __init__(
+        self,
+        workers,
+        length,
+        long_share=0.0,
+        accelerators=0,
+        speeds=None,
+        variation=0.0,
+        long_factor=LONG_FACTOR,
+    ):
         self._length = length
         self._long_share = long_share
+        self._variation = variation
+        self._long_factor = long_factor
         self.host = Host()
         self.workers = {f"w{number}": Worker(f"w{number}") for number in range(workers)}
-        for name in self.workers:
+        for number, (name, worker) in enumerate(self.workers.items()):
             row = _registration(name, accelerators)
+            if speeds:
+                kind = list(speeds)[number % len(speeds)]
+                worker.speed = speeds[kind]
+                row["labels"] = [kind]
             self.host.put("servers", "", name, row)
+        if speeds:
+            self.host.configuration.current = CellConfiguration(1, [QUEUE], 1000)
         self.owner = PoolOwner(self.host, PoolRow("pool", "h1", 3, "a:1", 9), True)
         self.owner._executor.shutdown()
         self.owner._order_executor.shutdown()
@@ -225,8 +249,10 @@
 
     def _length_of(self, name):
         key, _ = name
-        is_long = zlib.crc32(str(key).encode()) % 100 < 100 * self._long_share
-        return self._length * (LONG_FACTOR if is_long else 1)
+        number = zlib.crc32(str(key).encode())
+        is_long = number % 100 < 100 * self._long_share
+        variation = self._variation * (2 * (number // 100 % 101) / 100 - 1)
+        return self._length * (1 + variation) * (self._long_factor if is_long else 1)
 
     def _poll(self, worker):
         self._polled_at[worker.name] = self.now
--- a/tests/pool/test_journal.py
+++ b/tests/pool/test_journal.py
@@ -12,6 +12,7 @@
 from papayapick.ledger import Amounts
 from papayapick.ownership.pools import CELL_TABLE, PoolRow
 from papayapick.pool.records.journal import PROGRESS_TABLE, PoolJournal
+from papayapick.pool.records.memory import OwnerMemory
 from papayapick.pool.workers.reports import Registration
 from papayapick.pool.workers.roster import WorkerRoster
 
@@ -77,6 +78,7 @@
         self.job_registry = JobRegistry()
         self.link = FakeLink()
         self.roster = WorkerRoster(PROGRESS_TABLE, "pool")
+        self.memory = OwnerMemory(PROGRESS_TABLE, "pool", ManualClock(50.0))
         version = store.apply([], [RowWrite(CELL_TABLE, "pool", "owner", {})])
         self.row = PoolRow("pool", "h1", 1, "a:1", version)
         self.pool = "pool"
