Show the learned speeds of workers to operators

Cause: an operator saw neither which workers are slow nor how sure the owner of their pool is of it.

The configuration tells the tightest stretch of a pool's queues.

--- a/papayapick/jobs/queues.py
+++ b/papayapick/jobs/queues.py
@@ -180,6 +180,13 @@
         """Return the names of the pools that the queues use."""
         return {queue.pool for queue in self.queues.values()}
 
+    def tightest_stretch(self, pool):
+        """Return the least stretch of the queues of a pool; None if it has none."""
+        return min(
+            (queue.stretch for queue in self.queues.values() if queue.pool == pool),
+            default=None,
+        )
+
     def find(self, host, path):
         """Return the queue of a request, or None.
 
--- a/papayapick/management/commands/__init__.py
+++ b/papayapick/management/commands/__init__.py
@@ -8,6 +8,7 @@
 from papayapick.management.commands.pool import PoolCommand
 from papayapick.management.commands.request import RequestCommand
 from papayapick.management.commands.team import TeamCommand
+from papayapick.management.commands.worker import WorkerCommand
 
 __all__ = ["COMMANDS"]
 
@@ -20,5 +21,6 @@
     PoolCommand,
     RequestCommand,
     TeamCommand,
+    WorkerCommand,
 )
 COMMANDS = {command.name: command for command in _COMMAND_CLASSES}
--- a/papayapick/management/pools.py
+++ b/papayapick/management/pools.py
@@ -17,6 +17,7 @@
 from papayapick.platform.store import Store
 from papayapick.platform.workers import WORKERS_TABLE, decode_registration
 from papayapick.pool.records.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
+from papayapick.pool.records.memory import LEARNED_PREFIX
 from papayapick.pool.records.partitions import job_partition, job_partitions
 
 __all__ = ["HostView", "JobView", "PoolsView", "StepView"]
@@ -184,6 +185,19 @@
         found = (decode_registration(row.key, row.value) for row in rows)
         return [one for one in found if one is not None and one.pool == pool]
 
+    def learned(self, pool, part):
+        """Return the rows of what the owner of a pool has learned, as a list of dict.
+
+        Parameters
+        ----------
+        pool : str
+        part : str
+            Name of the part of the owner's memory.
+        """
+        prefix = f"{LEARNED_PREFIX}{part}-"
+        page = self._store.read(PROGRESS_TABLE, pool, prefix, prefix + "~")
+        return [row.value for row in page.rows if row.value is not None]
+
     def jobs(self, configuration):
         """Yield all recorded jobs of the pools that queues use, as JobView."""
         for pool in sorted(configuration.pools):
--- a/papayapick/management/program.py
+++ b/papayapick/management/program.py
@@ -36,6 +36,7 @@
   logs     Explain a request from the logs of several hosts.
   pool     Show pools, entry hosts and jobs of the users' platform.
   request  Show, explain and cancel durable requests.
+  worker   Show the workers of the users' platform and their speeds.
 
 Each command has its own --help. Exit codes: 0 done, 1 refused or failed,
 2 wrong settings or arguments, 3 done but something did not answer, 4 not known.
--- a/papayapick/pool/knowledge.py
+++ b/papayapick/pool/knowledge.py
@@ -35,16 +35,3 @@
         return cls(
             OverloadFeatures.from_settings(settings), WorkerSpeeds(), DeclaredTimes()
         )
-
-    def apply_queues(self, pool, queues):
-        """Apply the policies of the queues of a new configuration.
-
-        Parameters
-        ----------
-        pool : str
-            Name of the owner's pool.
-        queues : iterable of Queue
-            Of all pools.
-        """
-        stretches = [queue.stretch for queue in queues if queue.pool == pool]
-        self.speeds.set_stretch(min(stretches, default=None))
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -197,7 +197,8 @@
             self.entitlements.set_teams(configuration.teams)
             maxima = {team.name: team.maximum for team in configuration.teams}
             self.team_usage.set_maxima(configuration.version, maxima)
-            self.knowledge.apply_queues(self.pool, configuration.queues.values())
+            stretch = configuration.tightest_stretch(self.pool)
+            self.knowledge.speeds.set_stretch(stretch)
 
     def refresh_queues(self):
         """Apply the policies of a new configuration to all jobs and teams."""
--- a/papayapick/pool/records/memory.py
+++ b/papayapick/pool/records/memory.py
@@ -10,7 +10,7 @@
 from papayapick.clients.rows import RowWrite
 from papayapick.pool.records.events import MEMORY_LEFT_OUT, MEMORY_RESTORED
 
-__all__ = ["LEARNED_PREFIX", "OwnerMemory", "Remembered", "join_rows"]
+__all__ = ["LEARNED_PREFIX", "OwnerMemory", "UNREADABLE", "Remembered", "join_rows"]
 
 # Beginning of the keys of its rows, which lie beside the records of progress.
 LEARNED_PREFIX = "learned-"
@@ -20,6 +20,8 @@
 # left out.
 _REPEAT_SECONDS = 30.0
 _MAX_AGE_SECONDS = 60.0
+# Raised by a record of another form than expected.
+UNREADABLE = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
 # The limit of a row is 64 KB.
 _ROW_BYTES = 40_000
 
@@ -192,7 +194,7 @@
                 self._leave_out(part, age, f"version {version}")
                 return
             part.restore(record, max(0.0, age))
-        except _UNREADABLE as error:
+        except UNREADABLE as error:
             # The next owner must take the pool whatever the record holds.
             self._leave_out(part, age, f"unreadable: {error!r}"[:200])
             return
@@ -204,10 +206,6 @@
         )
 
 
-# Raised by a record of another form than expected.
-_UNREADABLE = (ArithmeticError, AttributeError, LookupError, TypeError, ValueError)
-
-
 def join_rows(values):
     """Return the newest whole record among the rows of one part.
 
