--- a/papayapick/pool/workers/run_monitor.py
+++ b/papayapick/pool/workers/run_monitor.py
@@ -78,6 +78,8 @@
 
     def _refresh_speeds(self, now):
         """Derive the speeds of workers from what was learned, and count classes."""
+        if self._owner.is_stopped:
+            return
         speeds = self._owner.knowledge.speeds
         has_changed = speeds.refresh(now)
         if has_changed:
--- a/papayapick/speeds/workers.py
+++ b/papayapick/speeds/workers.py
@@ -32,8 +32,10 @@
 _MIN_PROGRESS_PERCENT = 20
 # Weight with which a speed is as certain as not.
 _TRUST_WEIGHT = 2.0
-# Interval at which speeds and classes are derived from what was learned.
+# Least interval at which speeds and classes are derived from what was learned, and what
+# it grows by for each worker: the owner's lock is held for 4 us a worker.
 _REFRESH_SECONDS = 0.5
+_REFRESH_WORKER_SECONDS = 0.001
 _MAX_KINDS = 100
 
 
@@ -266,7 +268,8 @@
         bool
             Whether ``differ`` has changed.
         """
-        if not self._is_changed or now - self._refreshed_at < _REFRESH_SECONDS:
+        interval = max(_REFRESH_SECONDS, _REFRESH_WORKER_SECONDS * len(self._workers))
+        if not self._is_changed or now - self._refreshed_at < interval:
             return False
         self._refreshed_at = now
         self._is_changed = False
--- a/tests/speeds/test_workers.py
+++ b/tests/speeds/test_workers.py
@@ -261,3 +261,14 @@
     record = speeds.as_record(load.now)
     size = sum(len(str(key)) + len(str(value)) for key, value in record.items())
     assert size / len(load.true_speeds) < 48
+
+
+def test_large_pool_derives_its_speeds_less_often():
+    """Guards against an owner of thousands of workers that holds its lock for this."""
+    speeds = speeds_of([f"w{number}" for number in range(2000)])
+    speeds.refresh(10.0)
+    speeds.set_stretch(1.5)
+    speeds.refresh(11.9)
+    assert speeds._is_changed
+    speeds.refresh(12.1)
+    assert not speeds._is_changed
