--- a/tests/speeds/test_workers.py
+++ b/tests/speeds/test_workers.py
@@ -106,7 +106,7 @@
     speeds = speeds_of()
     now = learn(speeds, dict.fromkeys(WORKERS, 1.0), steps=6)
     learn(speeds, {**dict.fromkeys(WORKERS, 1.0), "w0": 7.0}, 1, begin=now)
-    assert speeds.speed("w0") > 0.85
+    assert speeds.speed("w0") > 0.94
     assert speeds.tier("w0") == SpeedTier.NORMAL
 
 
@@ -186,8 +186,8 @@
     known = speeds.certainty("w0")
     speeds.set_stretch(1.5)
     speeds.refresh(now + 60.0)
-    # Each of its weights has halved.
-    assert speeds.certainty("w0") < known
+    # Each of its weights has halved, so that a new run counts twice as much.
+    assert speeds.certainty("w0") < known - 0.04
     assert speeds.speed("w0") < 0.8
 
 
