--- a/papayapick/pool/knowledge.py
+++ b/papayapick/pool/knowledge.py
@@ -2,7 +2,7 @@
 
 from papayapick.forecasts import DeclaredTimes
 from papayapick.overload.features import OverloadFeatures
-from papayapick.speeds import UnknownSpeeds
+from papayapick.speeds import WorkerSpeeds
 
 __all__ = ["PoolKnowledge"]
 
@@ -33,5 +33,5 @@
         settings : PlatformSettings
         """
         return cls(
-            OverloadFeatures.from_settings(settings), UnknownSpeeds(), DeclaredTimes()
+            OverloadFeatures.from_settings(settings), WorkerSpeeds(), DeclaredTimes()
         )
