--- a/papayapick/forecasts/types.py
+++ b/papayapick/forecasts/types.py
@@ -8,6 +8,17 @@
 class TaskTimeSource(Protocol):
     """Provide the expected durations of the tasks of steps on a worker of speed 1."""
 
+    def note_done(self, step_state, run, now: float):
+        """Record a run that has just ended as done.
+
+        Parameters
+        ----------
+        step_state : StepState
+        run : Run
+        now : float
+            Monotonic seconds.
+        """
+
     def expected_seconds(self, step_state) -> float:
         """Return the mean duration of a task of a step; 0 if nothing is known.
 
@@ -40,6 +51,9 @@
 
     __slots__ = ()
 
+    def note_done(self, step_state, run, now):
+        """Learn nothing from a run."""
+
     def expected_seconds(self, step_state):
         """Return the caller's estimate."""
         return step_state.step.estimate_seconds
--- a/papayapick/pool/knowledge.py
+++ b/papayapick/pool/knowledge.py
@@ -1,6 +1,6 @@
 """What the owner of a pool has learned, for the decisions that use it."""
 
-from papayapick.forecasts import DeclaredTimes
+from papayapick.forecasts import TaskTimes
 from papayapick.overload.features import OverloadFeatures
 from papayapick.speeds import UnknownSpeeds
 
@@ -32,6 +32,6 @@
         ----------
         settings : PlatformSettings
         """
-        return cls(
-            OverloadFeatures.from_settings(settings), UnknownSpeeds(), DeclaredTimes()
-        )
+        knowledge = cls(OverloadFeatures.from_settings(settings), UnknownSpeeds(), None)
+        knowledge.task_times = TaskTimes(knowledge)
+        return knowledge
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -154,6 +154,8 @@
         )
         if run is not None:
             room.release(run)
+            if step is not None and end.outcome == EndOutcome.DONE:
+                self._owner.knowledge.task_times.note_done(step, run, now)
         link.processed = end.number
         ENDS.labels(end.outcome).inc()
         self._owner.run_monitor.note_end(step, run, end, room, now)
