Place steps by class of speed and slack

Two thirds of the workers take 2.4 times as long as the others, and best fit does not know: a wide urgent step ends with its last task on a slow worker, while patient tasks with slack hold the fast ones. TierPreference orders the classes for each step: first the slowest ones on which its job would still be in time with a margin, then the others from fast to slow; fastest first if it would be late on all, slowest first once it is of no use. Lasting tasks, fillers, timed jobs and steps without an estimate are placed as before.

RoomIndex files rooms by class too, so best fit within the preferred classes scans no other workers. Candidates for advice come in the same order, those with room first. The owner's tick files rooms by the learned classes each half second while speeds differ.

With one class the choices are those of before: the random comparisons with the plain search (tests/placement/reference.py) pass unchanged, and with random classes and preferences. No preference leaves a task without a worker that has one without it (60 random pools). Seen to fail: the comparison by class, with the class setter not filing the room anew, and with the search stopped at a near worker of a later class.

--- a/papayapick/placement/room_index.py
+++ b/papayapick/placement/room_index.py
@@ -2,8 +2,14 @@
 
 Guards against decisions whose cost grows with the size of the pool: without an index,
 each task that is placed and each step that looks for a worker examines all workers.
+
+Load pattern: workers whose speeds differ, and steps for which only the fast ones are in
+time. The rooms are filed by class of speed too, so that the best fit among fast workers
+is found without a look at the slow ones.
 """
 
+import heapq
+
 from sortedcontainers import SortedDict, SortedList
 
 __all__ = ["RoomIndex"]
@@ -12,10 +18,11 @@
 class _Entry:
     """Hold the values under which a room is filed."""
 
-    __slots__ = ("accelerators", "by_fit", "by_free", "free_processors")
+    __slots__ = ("accelerators", "by_fit", "by_free", "free_processors", "tier")
 
     def __init__(self, room):
         self.accelerators = room.accelerators
+        self.tier = room.tier
         # Room numbers are unique, so that rooms are never compared.
         self.by_fit = (room.processors, room.memory, room.number, room)
         self.by_free = (-room.processors, room.number, room)
@@ -47,7 +54,7 @@
     )
 
     def __init__(self):
-        # Lists of rooms, those with the least room first, by free accelerators.
+        # By free accelerators and SpeedTier: rooms, those with the least room first.
         self._by_fit = SortedDict()
         self._by_free = SortedList()
         self._entries = {}
@@ -96,7 +103,7 @@
         self._refresh()
         return len(self._by_free)
 
-    def best_fit(self, demand):
+    def best_fit(self, demand, tiers=()):
         """Yield the open rooms that a demand fits in, those with the least left first.
 
         Fewer free accelerators come first, then fewer processors, then less memory.
@@ -104,20 +111,33 @@
         Parameters
         ----------
         demand : Amounts
+        tiers : sequence of SpeedTier, optional
+            Order of the classes of workers, all rooms of a class before the next ones.
+            If empty, the speed of a worker does not matter.
+
+        Yields
+        ------
+        WorkerRoom
         """
         self._refresh()
-        for accelerators in self._by_fit.irange(demand.accelerators):
-            for _, _, _, room in self._by_fit[accelerators].irange(
-                (demand.processors,)
-            ):
-                if room.has_room(demand):
-                    yield room
+        for tier in tiers or (None,):
+            for accelerators in self._by_fit.irange(demand.accelerators):
+                groups = self._by_fit[accelerators]
+                if tier is not None:
+                    groups = {tier: groups[tier]} if tier in groups else {}
+                found = [
+                    group.irange((demand.processors,)) for group in groups.values()
+                ]
+                for _, _, _, room in _merged(found):
+                    if room.has_room(demand):
+                        yield room
 
     def worst_fit(self):
         """Yield the open rooms in the reverse order of ``best_fit``."""
         self._refresh()
-        for group in reversed(self._by_fit.values()):
-            for _, _, _, room in reversed(group):
+        for groups in reversed(self._by_fit.values()):
+            found = [reversed(group) for group in groups.values()]
+            for _, _, _, room in _merged(found, reverse=True):
                 yield room
 
     def most_free(self):
@@ -134,8 +154,8 @@
 
     def _file(self, room):
         entry = self._entries[room] = _Entry(room)
-        group = self._by_fit.setdefault(entry.accelerators, SortedList())
-        group.add(entry.by_fit)
+        groups = self._by_fit.setdefault(entry.accelerators, {})
+        groups.setdefault(entry.tier, SortedList()).add(entry.by_fit)
         self._by_free.add(entry.by_free)
         self._free_processors += entry.free_processors
 
@@ -143,9 +163,18 @@
         entry = self._entries.pop(room, None)
         if entry is None:
             return
-        group = self._by_fit[entry.accelerators]
-        group.remove(entry.by_fit)
-        if not group:
+        groups = self._by_fit[entry.accelerators]
+        groups[entry.tier].remove(entry.by_fit)
+        if not groups[entry.tier]:
+            del groups[entry.tier]
+        if not groups:
             del self._by_fit[entry.accelerators]
         self._by_free.remove(entry.by_free)
         self._free_processors -= entry.free_processors
+
+
+def _merged(groups, reverse=False):
+    """Return one iterator over groups that are sorted; most pools have one group."""
+    if len(groups) == 1:
+        return groups[0]
+    return heapq.merge(*groups, reverse=reverse)
--- a/papayapick/placement/rooms.py
+++ b/papayapick/placement/rooms.py
@@ -3,6 +3,7 @@
 from papayapick.placement.choices import Choice
 from papayapick.placement.headroom import Headroom
 from papayapick.placement.room_index import RoomIndex
+from papayapick.placement.tier_preference import AnyTier
 from papayapick.placement.worker_rooms import WorkerRoom
 from papayapick.quotas.usage import TeamUsage
 
@@ -28,6 +29,8 @@
         Counts what the teams have running against their maxima.
     headroom : Headroom
         What is kept free for urgent steps.
+    preference : AnyTier or TierPreference
+        In which order steps use workers of unlike speed.
     """
 
     __slots__ = (
@@ -38,12 +41,14 @@
         "_next_number",
         "_rooms",
         "headroom",
+        "preference",
         "team_usage",
     )
 
     def __init__(self, team_usage=None):
         self.team_usage = team_usage or TeamUsage()
         self.headroom = Headroom(self)
+        self.preference = AnyTier()
         self._rooms = {}
         # Results of ``able_count``.
         self._able_counts = {}
@@ -153,20 +158,26 @@
         """Return the number of open workers."""
         return self._index.open_count
 
-    def most_free(self, step):
+    def most_free(self, step, tiers=()):
         """Yield the workers that could run a task of a step if they were empty.
 
-        Open workers come first, and among them those with most free processors.
+        Open workers come first, and among them those with most free processors. With an
+        order of classes, those that have room for a task come first, in that order.
 
         Parameters
         ----------
         step : Step
+        tiers : sequence of SpeedTier, optional
 
         Yields
         ------
         WorkerRoom
         """
-        for room in self._index.most_free():
+        rooms = self._index.most_free()
+        if tiers:
+            # The sort keeps the order within a class.
+            rooms = sorted(rooms, key=lambda room: _class_rank(room, step, tiers))
+        for room in rooms:
             if _is_able(room, step):
                 yield room
         closed = [room for room in self.able(step) if not room.is_open]
@@ -190,8 +201,9 @@
         """
         step = step_state.step
         task = step_state.tasks[index]
-        choice = Choice(step, task, self._excluded_failing())
-        free = self._with_room(step_state, allowed, rack)
+        tiers = self.preference.tiers(step_state)
+        choice = Choice(step, task, self._excluded_failing(), tiers)
+        free = self._with_room(step_state, allowed, rack, tiers)
         if rack is not None or step.is_filler or self._are_few(allowed):
             for room in free:
                 choice.consider(room)
@@ -199,13 +211,13 @@
             if step.preferred_rack:
                 for room in self._with_room(step_state, allowed, step.preferred_rack):
                     choice.consider(room)
-            # These rooms come best fit first, so the first one that need not be avoided
-            # is the best of all that are not near the data.
-            while not choice.is_unavoided:
-                room = next(free, None)
-                if room is None:
-                    break
-                choice.consider(room)
+            # These rooms come best fit first, class by class, so the first one that
+            # need not be avoided is the best of all that are not near the data. One
+            # near the data may be of a class that comes later.
+            if tiers or not choice.is_unavoided:
+                for room in free:
+                    if choice.consider(room):
+                        break
         if choice.room is None and task.failed_on and not step.is_lasting:
             return self._choose_failed_on(step_state, task, allowed, rack)
         return choice.room
@@ -242,7 +254,7 @@
     def _are_few(self, allowed):
         return allowed is not None and len(allowed) < _FEW_SHARE * len(self._rooms)
 
-    def _with_room(self, step_state, allowed, rack):
+    def _with_room(self, step_state, allowed, rack, tiers=()):
         """Yield the workers that have room for a task of a step now.
 
         They come best fit first, unless the choice is limited to a rack or to a few
@@ -253,7 +265,7 @@
         elif self._are_few(allowed):
             rooms = (self._rooms[one] for one in allowed if one in self._rooms)
         else:
-            rooms = self._index.best_fit(step_state.step.room_demand)
+            rooms = self._index.best_fit(step_state.step.room_demand, tiers)
         return (room for room in rooms if self._admits(room, step_state, allowed))
 
     def _choose_failed_on(self, step_state, task, allowed, rack):
@@ -303,6 +315,12 @@
     return rack is None or room.rack == rack
 
 
+def _class_rank(room, step, tiers):
+    if not room.has_room(step.room_demand):
+        return len(tiers)
+    return tiers.index(room.tier)
+
+
 def _is_able(room, step):
     registration = room.registration
     return step.room_demand.fits_in(registration.capacity) and (
--- a/papayapick/placement/worker_rooms.py
+++ b/papayapick/placement/worker_rooms.py
@@ -1,5 +1,7 @@
 """Room of one worker: the part of its capacity that no run has reserved."""
 
+from papayapick.speeds import SpeedTier
+
 __all__ = ["WorkerRoom"]
 
 _RACK_LABEL_PREFIX = "r"
@@ -43,6 +45,7 @@
         "_processors",
         "_suspected_until",
         "_team_usage",
+        "_tier",
         "_unknown_demands",
         "filler_runs",
         "hold",
@@ -64,6 +67,7 @@
         self._index = None
         self._team_usage = None
         self._is_open = False
+        self._tier = SpeedTier.NORMAL
         self.is_draining = False
         self.runs = {}
         self.step_counts = {}
@@ -123,6 +127,18 @@
             if self._index is not None:
                 self._index.note_failing(self)
 
+    @property
+    def tier(self):
+        """Class of the worker's speed, a SpeedTier."""
+        return self._tier
+
+    @tier.setter
+    def tier(self, tier):
+        if tier != self._tier:
+            self._tier = tier
+            if self._index is not None:
+                self._index.note_change(self)
+
     @property
     def has_unknown_demand(self):
         """Return whether the demand of one of its runs is not known."""
--- a/papayapick/pool/advice/manager.py
+++ b/papayapick/pool/advice/manager.py
@@ -136,12 +136,15 @@
     def _candidates(self, step):
         """Yield the workers to include in a request, those with most room first.
 
+        Where speeds differ, those on which the step would be placed come first.
+
         A pool may have more workers than one call accepts. In the order of the list,
         every step would wait for the same first workers while the others are idle.
         Workers that run as many tasks of the step as allowed are left out: a wide step
         with such a limit would ask about them in each request, and never get enough.
         """
-        for room in self._owner.rooms.most_free(step.step):
+        rooms = self._owner.rooms
+        for room in rooms.most_free(step.step, rooms.preference.tiers(step)):
             if not room.registration.is_leaving and allows_another(room, step):
                 yield room.worker
 
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -7,6 +7,7 @@
 from papayapick.jobs import JobRegistry
 from papayapick.ownership.pools import OwnershipLost, release_pool
 from papayapick.placement.rooms import Rooms
+from papayapick.placement.tier_preference import TierPreference
 from papayapick.pool.advice.manager import AdviceManager
 from papayapick.pool.events import (
     POOL_LEFT,
@@ -116,6 +117,7 @@
         self.job_registry = JobRegistry(self.team_usage)
         self.rooms = Rooms(self.team_usage)
         self.knowledge = PoolKnowledge.from_settings(host.settings)
+        self.rooms.preference = TierPreference(self.knowledge)
         self.roster = WorkerRoster(PROGRESS_TABLE, row.pool)
         self.links_by_worker = {}
         self.link_threads = LinkThreads(host.clock, self.submit)
--- a/papayapick/pool/rounds/loop.py
+++ b/papayapick/pool/rounds/loop.py
@@ -68,6 +68,7 @@
     def tick(self, now):
         """Run all periodic actions that are due; the caller holds the lock."""
         owner = self._owner
+        owner.rooms.preference.refresh(owner.rooms, now)
         owner.job_registry.open_due(owner.host.clock.time(), now)
         owner.reconciliation.release_safe_tasks(now)
         for link in owner.links():
--- a/papayapick/pool/rounds/placement_rounds.py
+++ b/papayapick/pool/rounds/placement_rounds.py
@@ -108,6 +108,7 @@
         rooms, queue = self._owner.rooms, self._owner.job_registry.step_queue
         if is_full:
             self._full_at = self._now
+        rooms.preference.begin_round(self._now)
         self._holds.begin_round(self._now, is_full)
         for key in changed:
             self._holds.drop(key)
--- a/tests/placement/reference.py
+++ b/tests/placement/reference.py
@@ -37,7 +37,7 @@
         if has_failed_there and not step.is_lasting or room in excluded:
             continue
         is_avoided = has_failed_there or room.worker in task.avoid or room.is_suspected
-        rank = _rank(step, room, is_avoided)
+        rank = _rank(step, room, is_avoided, rooms.preference.tiers(step_state))
         if best_rank is None or rank < best_rank:
             best, best_rank = room, rank
     if best is None and task.failed_on and not step.is_lasting:
@@ -51,10 +51,18 @@
     return any(room.worker not in excluded for room in free)
 
 
-def most_free(rooms, step):
-    """Return the workers that could run a step, open ones with most room first."""
-    able = rooms.able(step)
-    return sorted(able, key=lambda room: (not room.is_open, -room.processors))
+def most_free(rooms, step, tiers=()):
+    """Return the workers that could run a step, open ones with most room first.
+
+    With an order of classes, open ones with room for a task come first, in that order.
+    """
+
+    def rank(room):
+        has_room = room.is_open and room.has_room(step.room_demand)
+        class_rank = tiers.index(room.tier) if tiers and has_room else len(tiers)
+        return (not room.is_open, class_rank, -room.processors)
+
+    return sorted(rooms.able(step), key=rank)
 
 
 def free_processors(rooms):
@@ -96,10 +104,18 @@
     return not limit or room.step_counts.get(step_state.key, 0) < limit
 
 
-def _rank(step, room, is_avoided):
+def _rank(step, room, is_avoided, tiers):
     is_far = bool(step.preferred_rack) and step.preferred_rack != room.rack
     if step.is_filler:
         unused_processors = room.processors - 4000 * room.filler_runs
         return (is_avoided, is_far, room.serving_runs > 0, -unused_processors)
     processors_left = room.processors - step.demand.processors
-    return (is_avoided, is_far, room.accelerators, processors_left, room.memory)
+    class_rank = tiers.index(room.tier) if tiers else 0
+    return (
+        is_avoided,
+        class_rank,
+        is_far,
+        room.accelerators,
+        processors_left,
+        room.memory,
+    )
--- a/tests/placement/test_room_index.py
+++ b/tests/placement/test_room_index.py
@@ -10,7 +10,9 @@
 from papayapick.placement.holds import Hold
 from papayapick.placement.rooms import Rooms, WorkerRoom
 from papayapick.placement.service_order import ServiceOrder
+from papayapick.placement.tier_preference import AnyTier
 from papayapick.pool.workers.reports import Registration
+from papayapick.speeds import SpeedTier
 from tests.placement import reference
 
 SEEDS = range(60)
@@ -22,6 +24,16 @@
     return Queue("q", "h", "/q/", "pool", priority, 2, 1.5, 0.5, 3.0, False, None)
 
 
+class RandomPreference(AnyTier):
+    """Prefer the classes of workers in a random order, the same for a step."""
+
+    def tiers(self, step_state):
+        if step_state.step.is_filler or step_state.step.is_lasting:
+            return ()
+        draw = random.Random(str(step_state.key))
+        return tuple(draw.sample(list(SpeedTier), len(SpeedTier)))
+
+
 class RandomPool:
     """Workers of unlike size whose runs, marks and holds change at random."""
 
@@ -134,6 +146,64 @@
         assert found is reference.choose(pool.rooms, state, 0, allowed, rack)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_worker_of_the_first_class_is_the_one_that_a_search_finds(seed):
+    """Guards against an index by class of speed that loses a worker.
+
+    A worker whose class changes would be filed under both classes, or under none.
+    """
+    pool = RandomPool(seed)
+    pool.rooms.preference = RandomPreference()
+    for _ in range(CHANGES):
+        pool.change()
+        pool.draw.choice(list(pool.rooms)).tier = pool.draw.choice(list(SpeedTier))
+        rooms, state, allowed = pool.rooms, pool.waiting_step(), pool.allowed()
+        rack = pool.draw.choice((None, None, *RACKS))
+        found = rooms.choose(state, 0, allowed, rack)
+        assert found is reference.choose(rooms, state, 0, allowed, rack)
+        tiers = rooms.preference.tiers(state)
+        expected = reference.most_free(rooms, state.step, tiers)
+        assert list(rooms.most_free(state.step, tiers)) == expected
+        assert rooms.free_processors == reference.free_processors(rooms)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_classes_of_workers_do_not_matter_without_a_preference(seed):
+    """Guards against lasting tasks and fillers placed differently by speed."""
+    pool = RandomPool(seed)
+    for _ in range(CHANGES):
+        pool.change()
+        pool.draw.choice(list(pool.rooms)).tier = pool.draw.choice(list(SpeedTier))
+        state = pool.waiting_step()
+        expected = reference.choose(pool.rooms, state, 0)
+        assert pool.rooms.choose(state, 0) is expected
+        worst = sorted(
+            (room for room in pool.rooms if room.is_open),
+            key=lambda one: (
+                -one.accelerators,
+                -one.processors,
+                -one.memory,
+                -one.number,
+            ),
+        )
+        assert list(pool.rooms.worst_fit()) == worst
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_preference_leaves_a_task_without_a_worker(seed):
+    """Guards against a step that waits for a fast worker while a slow one has room."""
+    pool = RandomPool(seed)
+    for _ in range(CHANGES):
+        pool.change()
+        pool.draw.choice(list(pool.rooms)).tier = pool.draw.choice(list(SpeedTier))
+        state, allowed = pool.waiting_step(), pool.allowed()
+        pool.rooms.preference = AnyTier()
+        before = pool.rooms.choose(state, 0, allowed)
+        pool.rooms.preference = RandomPreference()
+        found = pool.rooms.choose(state, 0, allowed)
+        assert (found is None) == (before is None)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_free_room_is_what_a_search_of_all_workers_finds(seed):
     """Guards against totals that drift from the workers as these change."""
