Replay urgent and patient jobs on workers of unlike speed

PoolSimulation takes the workers' millicores, the seconds an order takes, jobs of several steps and their own lengths of tasks.

--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -146,18 +146,39 @@
         Share of the tasks, chosen by their names, that take three times as long.
     accelerators : int
         Number for each worker.
+    long_factor : float
+        How many times as long these tasks take.
+    processors : int
+        Millicores of each worker.
+    order_seconds : float
+        Seconds from a decision to the start, as for a record and an order.
     """
 
     STEP_SECONDS = 0.05
     POLL_SECONDS = 0.8
 
-    def __init__(self, workers, length, long_share=0.0, accelerators=0):
+    def __init__(
+        self,
+        workers,
+        length,
+        long_share=0.0,
+        accelerators=0,
+        long_factor=LONG_FACTOR,
+        processors=4000,
+        order_seconds=0.0,
+    ):
         self._length = length
         self._long_share = long_share
+        self._long_factor = long_factor
+        self._order_seconds = order_seconds
+        # Start orders on their way, with the times at which they arrive.
+        self._ordered = []
+        # Seconds that a task takes on a normal worker, by job, if not ``length``.
+        self._lengths = {}
         self.host = Host()
         self.workers = {f"w{number}": Worker(f"w{number}") for number in range(workers)}
         for name in self.workers:
-            row = _registration(name, accelerators)
+            row = _registration(name, accelerators, processors)
             self.host.put("servers", "", name, row)
         self.owner = PoolOwner(self.host, PoolRow("pool", "h1", 3, "a:1", 9), True)
         self.owner._executor.shutdown()
@@ -187,8 +208,15 @@
 
     def submit_step(self, step, queue=QUEUE, team=""):
         """Submit a job of one step; return its id."""
+        return self.submit_steps([step], queue, team)
+
+    def submit_steps(self, steps, queue=QUEUE, team="", length=None):
+        """Submit a job whose tasks take ``length`` seconds each; return its id."""
         identifier = f"{len(self.submitted_at) + 1:016x}"
-        document = JobDocument(identifier, "q", "pool", "t", [step], 0.0, team=team)
+        name = queue.name
+        document = JobDocument(identifier, name, "pool", "t", steps, 0.0, team=team)
+        if length is not None:
+            self._lengths[identifier] = length
         with self.owner.lock:
             self.owner.job_registry.add(document, queue, self.now)
         self.submitted_at[identifier] = self.now
@@ -223,10 +251,14 @@
             if job.is_final:
                 self.finished.setdefault(job.identifier, self.now)
 
-    def _length_of(self, name):
-        key, _ = name
+    def length_of(self, key):
+        """Return the seconds that a task takes on a normal worker."""
         is_long = zlib.crc32(str(key).encode()) % 100 < 100 * self._long_share
-        return self._length * (LONG_FACTOR if is_long else 1)
+        length = self._lengths.get(key.job, self._length)
+        return length * (self._long_factor if is_long else 1)
+
+    def _length_of(self, name):
+        return self.length_of(name[0])
 
     def _poll(self, worker):
         self._polled_at[worker.name] = self.now
@@ -239,8 +271,11 @@
 
     def _execute_orders(self):
         orders = self.owner.orders
-        for start in self.owner.decisions.take_unsent():
-            run = start.run
+        due = self.now + self._order_seconds
+        starts = self.owner.decisions.take_unsent()
+        self._ordered += [(due, start.run) for start in starts]
+        while self._ordered and self._ordered[0][0] <= self.now:
+            _, run = self._ordered.pop(0)
             run.note_sent(self.now)
             self.workers[run.worker].runs[run.name] = 0.0
             self.owner.job_registry.note_started(run)
@@ -252,11 +287,11 @@
                 orders.note_stop_confirmed(args[1])
 
 
-def _registration(worker, accelerators=0):
+def _registration(worker, accelerators=0, processors=4000):
     return {
         "service": "pool",
         "address": f"{worker}:1",
         "zone": "z",
         "state": "ready",
-        "capacity": {"cpu": 4000, "mem_mb": 4000, "gpu": accelerators},
+        "capacity": {"cpu": processors, "mem_mb": 4000, "gpu": accelerators},
     }
