Merge the parts on speeds of workers and on finish times

Both changed PoolKnowledge and the simulated pool of the tests: an owner now learns speeds and task times, and both replays use one simulation.

--- a/papayapick/pool/knowledge.py
+++ b/papayapick/pool/knowledge.py
@@ -1,6 +1,6 @@
 """What the owner of a pool has learned, for the decisions that use it."""
 
-from papayapick.forecasts import DeclaredTimes
+from papayapick.forecasts import TaskTimes
 from papayapick.overload.features import OverloadFeatures
 from papayapick.speeds import WorkerSpeeds
 
@@ -32,6 +32,7 @@
         ----------
         settings : PlatformSettings
         """
-        return cls(
-            OverloadFeatures.from_settings(settings), WorkerSpeeds(), DeclaredTimes()
-        )
+        features = OverloadFeatures.from_settings(settings)
+        knowledge = cls(features, WorkerSpeeds(), None)
+        knowledge.task_times = TaskTimes(knowledge)
+        return knowledge
