Learn nothing from a run whose end was read late

Cause: the end of a run on a worker that could not be reached for some seconds is read when it answers again. The run seemed long, and its worker slow.

Change: a run counts only if its last report is at most a second, or a fifth of its duration, before its end was read.

--- a/papayapick/speeds/workers.py
+++ b/papayapick/speeds/workers.py
@@ -7,6 +7,7 @@
 import math
 
 from papayapick.speeds.comparisons import StepComparison
+from papayapick.speeds.durations import known_duration
 from papayapick.speeds.kinds import WorkerKind, kind_of
 from papayapick.speeds.records import decode_speeds, encode_speeds
 from papayapick.speeds.spread import SpeedSpread
@@ -15,8 +16,6 @@
 
 __all__ = ["WorkerSpeeds"]
 
-# Durations are known to some 10 ms; of shorter runs the start is a large part.
-_MIN_SECONDS = 0.2
 # One task in thirty takes seven times as long as the others of its step, which tells
 # nothing of its worker. The better a speed is known, the less a run may differ from it.
 _MAX_LOG_ERROR = math.log(4.0)
@@ -189,10 +188,8 @@
             Error of the known speed against each run that was compared: the logarithm
             of the ratio, without its sign.
         """
-        seconds = run.worked_seconds(now)
-        if run.is_resumed or not run.shows_worker_speed:
-            return []
-        if not _MIN_SECONDS <= seconds < math.inf:
+        seconds = known_duration(run, now)
+        if seconds is None:
             return []
         if step.comparison is None:
             step.comparison = StepComparison()
--- a/tests/speeds/replay.py
+++ b/tests/speeds/replay.py
@@ -37,8 +37,12 @@
     return run
 
 
-def end_run(speeds, step, run, now):
-    """Tell of the end of a run, as the owner of a pool does."""
+def end_run(speeds, step, run, now, unseen=0.0):
+    """Tell of the end of a run, as the owner of a pool does.
+
+    Its last report was read the unseen seconds before.
+    """
+    run.percent_at = now - unseen
     task = step.tasks[run.key.index]
     task.runs.remove(run)
     task.is_done = True
--- a/tests/speeds/test_workers.py
+++ b/tests/speeds/test_workers.py
@@ -110,6 +110,22 @@
     assert speeds.tier("w0") == SpeedTier.NORMAL
 
 
+def test_end_that_is_read_late_tells_nothing():
+    """Guards against a worker that counts as slow as it could not be reached."""
+    speeds = speeds_of()
+    now = learn(speeds, dict.fromkeys(WORKERS, 1.0), steps=6)
+    known = speeds.speed("w0")
+    for number in range(6):
+        step = step_of(f"{100 + number:016x}", len(WORKERS))
+        runs = [run_of(step, index, name, now) for index, name in enumerate(WORKERS)]
+        for run in reversed(runs):
+            is_late = run.worker == "w0"
+            end_run(speeds, step, run, now + 1.0 + 3.0 * is_late, 3.0 * is_late)
+        now += 4.0
+        speeds.refresh(now)
+    assert speeds.speed("w0") == pytest.approx(known, abs=0.01)
+
+
 def test_worker_that_reports_wrong_progress_is_known_by_its_ends():
     """Guards against a worker that claims to be five times as fast as it is.
 
