--- a/tests/pool/test_journal.py
+++ b/tests/pool/test_journal.py
@@ -248,3 +248,43 @@
     journal.commit()
     rows = [row for (table, _), row in store.rows.items() if table == PROGRESS_TABLE]
     assert WorkerRoster(PROGRESS_TABLE, "pool").restore(rows) == []
+
+
+class LearnedPart:
+    """Part of an owner's memory with a fixed record."""
+
+    name, version = "part", 1
+
+    def __init__(self):
+        self.restored = None
+
+    def as_record(self, now):
+        return {"a": [1, 2]}
+
+    def restore(self, record, age_seconds):
+        self.restored = record
+
+
+def test_what_is_learned_is_recorded_with_a_batch_for_a_successor(store, owner):
+    """Guards against an owner that learns anew as a commit had no answer."""
+    clock = ManualClock(50.0)
+    journal = PoolJournal(store, owner, clock)
+    owner.memory.register(LearnedPart())
+    journal.commit()
+    clock.advance(5.0)
+    job, runs = _job(owner)
+    _done(owner, runs[0])
+    store.script = ["later"]
+    journal.commit()
+    assert (PROGRESS_TABLE, "learned-part-0") not in store.rows
+    version = store.version
+    journal.commit()
+    assert store.version == version + 1
+    assert store.record(job.identifier)
+    rows = [row for (table, _), row in store.rows.items() if table == PROGRESS_TABLE]
+    successor = OwnerMemory(PROGRESS_TABLE, "pool", ManualClock(60.0))
+    part = LearnedPart()
+    successor.register(part)
+    successor.restore(rows)
+    assert part.restored == {"a": [1, 2]}
+    assert not journal.commit()
