Start the threads of an executor without waiting until they run

Cause: threading.Thread.start returns only once the new thread runs. Beside one thread that computes each start took two switch intervals of the interpreter, under the lock of the executor, so that all other submissions waited too. A new owner that decodes the state of its pool starts a thread and a reader for each of 300 hosts and one for each worker, and serves the hosts that ask whether it owns the pool.

Change: threads are started at the lower level, with their first task. Log lines no longer look up the thread that wrote them (no format uses it): that would keep an object for each such thread. Two tests looked for threading.Thread; they now count the threads of the process and refuse the lower call, with the same assertions.

A host without an answer takes the pool.

--- a/papayapick/executors.py
+++ b/papayapick/executors.py
@@ -3,8 +3,14 @@
 Guards against a host that keeps a thread for each task that ever ran at the same time.
 An owner of a pool has thousands of them; if former owners and hosts that only tried to
 become one kept theirs, the machine could start no more threads for the present owner.
+
+Also guards against an owner whose first heartbeats to hundreds of hosts come too late:
+``threading.Thread.start`` waits until the new thread runs, and beside a thread that
+decodes the state of the pool each such wait takes several switch intervals of the
+interpreter. Threads are started without that wait.
 """
 
+import _thread
 import collections
 import threading
 from concurrent.futures import Executor, Future
@@ -45,13 +51,13 @@
         self._condition = threading.Condition()
         self._queue = collections.deque()
         self._idle = 0
-        self._threads = set()
+        self._threads = 0
         self._is_shut_down = False
 
     @property
     def threads(self):
         """Return the number of threads."""
-        return len(self._threads)
+        return self._threads
 
     def submit(self, fn, /, *args, **kwargs):
         """Run a function in a thread; return a Future of its result.
@@ -67,7 +73,9 @@
                 raise RuntimeError("the executor is shut down")
             self._queue.append((future, fn, args, kwargs))
             if len(self._queue) > self._idle:
-                self._start_thread()
+                # With its task: a new thread that had to take the lock first would hold
+                # it for a switch interval, and the next submission would wait for it.
+                self._start_thread(self._queue.popleft())
             else:
                 self._condition.notify()
         return future
@@ -88,55 +96,48 @@
                 for future, *_ in self._queue:
                     future.cancel()
                 self._queue.clear()
-            threads = list(self._threads)
             self._condition.notify_all()
-        if wait:
-            for thread in threads:
-                thread.join()
-
-    def _start_thread(self):
-        if len(self._threads) >= self._max_threads:
-            self._note_shortage("as many threads as allowed")
-            return
-        thread = threading.Thread(
-            target=self._work, name=f"{self._prefix}-{len(self._threads)}", daemon=True
-        )
-        self._threads.add(thread)
-        try:
-            thread.start()
-        except RuntimeError as error:
-            # The machine has no threads or memory left.
-            self._threads.discard(thread)
-            self._note_shortage(str(error))
+            while wait and self._threads:
+                self._condition.wait()
+
+    def _start_thread(self, task):
+        error = "as many threads as allowed"
+        if self._threads < self._max_threads:
+            try:
+                _thread.start_new_thread(self._work, (task,))
+            except RuntimeError as shortage:
+                # The machine has no threads or memory left.
+                error = str(shortage)
+            else:
+                self._threads += 1
+                return
+        self._queue.appendleft(task)
+        self._note_shortage(error)
 
     def _note_shortage(self, error):
         self._on_shortage(
             executor=self._prefix,
-            threads=len(self._threads),
+            threads=self._threads,
             queued=len(self._queue),
             error=error,
         )
 
-    def _work(self):
-        while (task := self._next_task()) is not None:
+    def _work(self, task):
+        while task is not None:
             future, fn, args, kwargs = task
-            if not future.set_running_or_notify_cancel():
-                continue
-            try:
-                result = fn(*args, **kwargs)
-            except BaseException as error:
-                future.set_exception(error)
-            else:
-                future.set_result(result)
+            if future.set_running_or_notify_cancel():
+                _run(future, fn, args, kwargs)
             # The thread may stay idle for long: it must not keep the task's objects.
             del task, future, fn, args, kwargs
+            task = self._next_task()
 
     def _next_task(self):
         """Return the next task, or None if the thread is to end."""
         with self._condition:
             while not self._queue:
                 if self._is_shut_down or not self._wait_for_task():
-                    self._threads.discard(threading.current_thread())
+                    self._threads -= 1
+                    self._condition.notify_all()
                     return None
             return self._queue.popleft()
 
@@ -148,3 +149,12 @@
         finally:
             self._idle -= 1
         return is_notified or bool(self._queue)
+
+
+def _run(future, fn, args, kwargs):
+    try:
+        result = fn(*args, **kwargs)
+    except BaseException as error:
+        future.set_exception(error)
+    else:
+        future.set_result(result)
--- a/papayapick/observability/events.py
+++ b/papayapick/observability/events.py
@@ -259,6 +259,9 @@
         self._thread = threading.Thread(
             target=self._writer.run, name="events", daemon=True
         )
+        # Looking up the thread of a line makes the interpreter keep an object for each
+        # thread that was started without one, even after it has ended.
+        logging.logThreads = False
         root = logging.getLogger("papayapick")
         root.handlers = [self._handler]
         root.setLevel(level.upper())
--- a/tests/observability/test_events.py
+++ b/tests/observability/test_events.py
@@ -11,6 +11,7 @@
 
 from demo.cells import ROOT
 from papayapick.clock import ManualClock
+from papayapick.executors import ElasticExecutor
 from papayapick.observability.events import EVENTS, Event, EventLog
 from papayapick.observability.logs import get_logger
 from papayapick.observability.queries import events_page
@@ -31,9 +32,9 @@
 @pytest.fixture(autouse=True)
 def restored_logging():
     root = logging.getLogger("papayapick")
-    before = root.handlers, root.level, root.propagate
+    before = root.handlers, root.level, root.propagate, logging.logThreads
     yield
-    root.handlers, root.level, root.propagate = before
+    root.handlers, root.level, root.propagate, logging.logThreads = before
 
 
 def lines_of(stream):
@@ -62,6 +63,20 @@
     }
 
 
+def test_lines_keep_no_object_of_the_threads_that_wrote_them(clock):
+    """Guards against memory that grows with the threads of an executor that have ended.
+
+    The interpreter keeps an object for each thread of which a line gave the name.
+    """
+    log = open_log(clock, io.StringIO())
+    before = threading.active_count()
+    executor = ElasticExecutor(1, "test")
+    executor.submit(SAMPLE.write, number=3, text="x").result(10)
+    executor.shutdown()
+    assert threading.active_count() == before
+    log.close()
+
+
 def test_failure_carries_its_exception(clock):
     stream = io.StringIO()
     log = open_log(clock, stream)
--- a/tests/test_executors.py
+++ b/tests/test_executors.py
@@ -1,12 +1,26 @@
 """Threads of an executor follow the tasks at work, and their shortage ends no task."""
 
+import _thread
+import os
+import sys
 import threading
+import time
 
 import pytest
 
 from papayapick.executors import ElasticExecutor
 
 WAIT_SECONDS = 10.0
+# Lists the threads of this process, also those that the threading module doesn't know.
+_THREADS_PATH = "/proc/self/task"
+
+
+def wait_for(condition):
+    """Wait until a condition holds; fail after ten seconds."""
+    deadline = time.monotonic() + WAIT_SECONDS
+    while not condition():
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
 
 
 @pytest.fixture
@@ -42,11 +56,13 @@
 
     The machine could then start no more threads for the next owner.
     """
+    before = set(os.listdir(_THREADS_PATH))
     executor = ElasticExecutor(8, "test", idle_seconds=0.0)
-    occupy(executor, 8).set()
-    threads = [one for one in threading.enumerate() if one.name.startswith("test-")]
-    for thread in threads:
-        thread.join(WAIT_SECONDS)
+    end = occupy(executor, 8)
+    started = set(os.listdir(_THREADS_PATH)) - before
+    assert len(started) >= 8
+    end.set()
+    wait_for(lambda: started.isdisjoint(os.listdir(_THREADS_PATH)))
     assert executor.threads == 0
     assert executor.submit(lambda: 7).result(WAIT_SECONDS) == 7
 
@@ -78,11 +94,11 @@
     executor = ElasticExecutor(8, "test", lambda **fields: shortages.append(fields))
     end = occupy(executor, 1)
 
-    def refuse(thread):
+    def refuse(function, arguments):
         raise RuntimeError("can't start new thread")
 
     with monkeypatch.context() as patched:
-        patched.setattr(threading.Thread, "start", refuse)
+        patched.setattr(_thread, "start_new_thread", refuse)
         queued = [executor.submit(lambda: 1) for _ in range(3)]
     assert [one["queued"] for one in shortages] == [1, 2, 3]
     end.set()
@@ -90,6 +106,29 @@
     executor.shutdown()
 
 
+def test_submitting_does_not_wait_until_the_thread_runs():
+    """Guards against a new owner whose heartbeats to hundreds of hosts come too late.
+
+    Beside a thread that computes, each start of a thread that is waited for takes
+    several switch intervals, and one after the other they took seconds. Here no thread
+    can begin before all tasks are submitted.
+    """
+    executor = ElasticExecutor(8, "test", idle_seconds=0.0)
+    interval = sys.getswitchinterval()
+    began = []
+    try:
+        # The interpreter switches threads only where this one waits.
+        sys.setswitchinterval(1000.0)
+        futures = [executor.submit(began.append, number) for number in range(4)]
+        began_meanwhile = list(began)
+    finally:
+        sys.setswitchinterval(interval)
+    for future in futures:
+        future.result(WAIT_SECONDS)
+    assert began_meanwhile == []
+    executor.shutdown()
+
+
 def test_error_of_a_task_is_its_result(executor):
     with pytest.raises(ZeroDivisionError):
         executor.submit(lambda: 1 / 0).result(WAIT_SECONDS)
