Let few of hundreds of hosts claim a pool at once

Cause: at 300 hosts some 75 began to read the store and claim the pool in the 0.2 s until they could read that it was taken; each of them then asked the new owner whether it works, and took the pool from it if the answer took longer than 0.2 s. So a host that lost the race for a pool did, too.

Change: beyond the forty largest hosts each waits 5 ms longer than the next larger one (nothing at up to 40 hosts; 1.3 s for the smallest of 300). An owner whose row was written while this host checked is given the time for its heartbeats without a query (a call less in small cells, too); likewise the winner of a lost race. Other queries wait as long as an interval of heartbeats: 0.2 s up to 133 hosts, 0.45 s at 300. Claims stay a compare-and-set on the row.

Tests: test_candidacy, test_crowds, of which those new failed before.

--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -6,6 +6,7 @@
 
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.entry.cell.beat_senders import beat_seconds
+from papayapick.entry.crowds import crowd_delay
 from papayapick.entry.events import (
     CANDIDATE_WAITS,
     OWNER_GONE,
@@ -221,6 +222,7 @@
         return (
             self._latency_delay()
             + _MAX_SIZE_DELAY_SECONDS * self._size_deficit()
+            + crowd_delay(self._host.settings, self._host.peers.all())
             + random.uniform(0, self._jitter())
         )
 
@@ -251,7 +253,7 @@
             # arrived through the followed table during this call.
             is_other = row.version != suspected.version
             is_unexpected = row.version != self._expected_version
-            if (is_other or is_unexpected) and self._has_working_owner(row):
+            if (is_other or is_unexpected) and self._has_working_owner(row, suspected):
                 self._expect_beats()
                 return
             check_readable(host, self.pool)
@@ -265,7 +267,7 @@
         except OwnershipLost:
             self._claimed_epoch = 0
             POOL_LOST_RACE.write(pool=self.pool, epoch=self.row.epoch)
-            self._last_beat_at = host.clock.monotonic()
+            self._expect_winner()
             return
         except TableUnavailable as error:
             self._claimed_epoch = 0
@@ -274,14 +276,25 @@
             return
         self._start_owner(taken)
 
+    def _expect_winner(self):
+        """Give the host that has just taken the pool time for its first heartbeats."""
+        self._last_beat_at = self._host.clock.monotonic()
+        try:
+            row = read_pool(self._host.store, self.pool)
+        except TableUnavailable as error:
+            POOL_NOT_TAKEN.write(pool=self.pool, epoch=self.row.epoch, error=str(error))
+            return
+        self.note_row(row)
+        self._expect_beats()
+
     def _expect_beats(self):
         with self._lock:
             self._expected_version = self.row.version
             self._last_beat_at = self._host.clock.monotonic()
             self._is_suspected = False
 
-    def _has_working_owner(self, row):
-        """Return whether the owner that a row names confirms that it owns the pool.
+    def _has_working_owner(self, row, suspected):
+        """Return whether the owner that a row names has just taken it, or confirms it.
 
         After a power loss of all hosts the row names a process that no longer exists,
         or one that has restarted and owns nothing. Waiting for its heartbeats
@@ -289,7 +302,10 @@
         """
         if not row.owner or row.owner == self._host.settings.host_name:
             return False
-        return self._host.is_owned_by(row)
+        # The row was written while this host waited and checked. Hundreds of hosts
+        # that ask the new owner would keep it from its first heartbeats.
+        is_fresh = row.version > suspected.version > 0
+        return is_fresh or self._host.is_owned_by(row)
 
     def _trusts_records(self):
         """Return whether every start so far was recorded before it was ordered."""
--- a/papayapick/entry/cell/peers.py
+++ b/papayapick/entry/cell/peers.py
@@ -4,6 +4,7 @@
 
 from papayapick.clients.exceptions import ConditionFailed, TableUnavailable
 from papayapick.clients.rows import Expectation, RowWrite
+from papayapick.entry.cell.beat_senders import beat_seconds
 from papayapick.entry.events import HOST_FORGOTTEN, HOST_KEPT, OWNERSHIP_UNSAID
 from papayapick.ownership.pools import CELL_TABLE
 from papayapick.wire import PeerClient
@@ -17,7 +18,6 @@
 
 HOSTS_PARTITION = "hosts"
 _CONNECT_TIMEOUT_SECONDS = 0.4
-_QUERY_TIMEOUT_SECONDS = 0.2
 _QUERY_ATTEMPTS = 2
 # A host counts as live for this long after an answer.
 _LIVE_WINDOW_SECONDS = 0.8
@@ -171,12 +171,15 @@
         )
 
     def owned_epoch(self, peer, pool):
-        """Return the epoch under which a host owns a pool, or 0 if it does not."""
+        """Return the epoch under which a host owns a pool, or 0 if it does not.
+
+        Hundreds of hosts may ask a new owner at the same moment, so they wait longer
+        for its answer, as they do for its heartbeats.
+        """
+        seconds = beat_seconds(len(self.all()))
         for _ in range(_QUERY_ATTEMPTS):
             try:
-                return peer.client.ask(
-                    OwnerQuery(pool=pool), _QUERY_TIMEOUT_SECONDS
-                ).epoch
+                return peer.client.ask(OwnerQuery(pool=pool), seconds).epoch
             except WireError as error:
                 # An open connection may be to an earlier process of that host.
                 OWNERSHIP_UNSAID.write(peer=peer.name, pool=pool, error=str(error))
--- a/tests/entry/test_candidacy.py
+++ b/tests/entry/test_candidacy.py
@@ -11,7 +11,7 @@
 from papayapick.entry import candidacy as module
 from papayapick.entry.candidacy import Candidacy
 from papayapick.entry.cell.beat_senders import beat_seconds
-from papayapick.ownership.pools import PoolRow
+from papayapick.ownership.pools import OwnershipLost, PoolRow
 from papayapick.wire.messages import Hello, PoolBeat
 
 
@@ -345,3 +345,60 @@
     assert seconds >= 3 * beat_seconds(hosts)
     assert seconds == pytest.approx(0.65) or hosts > 133
     assert hosts / beat_seconds(hosts) <= 670
+
+
+def test_owner_that_took_the_pool_during_the_check_is_not_asked(candidacy, rows, taken):
+    """Guards against a new owner that answers queries in place of its heartbeats.
+
+    Hundreds of hosts suspected the same owner, found the pool taken and asked the new
+    one whether it works. Those that it did not answer in time took the pool from it.
+    """
+    host = candidacy._host
+    suspected = PoolRow("pool", "h2", 3, "127.0.0.1:9", 7)
+    candidacy.note_row(suspected)
+    rows[0] = PoolRow("pool", "h3", 4, "127.0.0.1:8", 8)
+    host.not_owning.add("127.0.0.1:8")
+    candidacy._try_takeover(suspected)
+    assert (host.asked, taken) == (0, [])
+    host.clock.advance(0.6)
+    assert not candidacy._needs_owner()
+    host.clock.advance(0.1)
+    assert candidacy._needs_owner()
+
+
+def test_host_that_lost_the_race_for_a_pool_expects_the_winners_heartbeats(
+    monkeypatch, candidacy, rows, taken
+):
+    """Guards against the same when all hosts of a new cell claim its pool at once."""
+    host = candidacy._host
+
+    def lose(store, seen, owner, address):
+        rows[0] = PoolRow("pool", "h3", 1, "127.0.0.1:8", 1)
+        raise OwnershipLost(pool="pool")
+
+    monkeypatch.setattr(module, "claim_pool", lose)
+    host.not_owning.add("127.0.0.1:8")
+    _check_owner(candidacy)
+    assert candidacy.row.owner == "h3"
+    host.clock.advance(0.6)
+    assert not candidacy._needs_owner()
+    host.clock.advance(0.1)
+    assert candidacy._needs_owner()
+    assert (host.asked, taken) == (0, [])
+
+
+def test_released_pool_is_taken_at_once_by_a_host_that_lost_a_race(
+    monkeypatch, candidacy, rows, taken
+):
+    claim = module.claim_pool
+
+    def lose(store, seen, owner, address):
+        rows[0] = PoolRow("pool", "", 4, "", 8)
+        raise OwnershipLost(pool="pool")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(module, "claim_pool", lose)
+        _check_owner(candidacy)
+    assert module.claim_pool is claim
+    _check_owner(candidacy)
+    assert taken == [5]
