Register again when a whole read of the cell lacks the own row

Cause: a host registered again only when the change that removed its row was passed on. If the removal came before its first read of the cell, or while the store forgot the changes since its last one, no change told of it, and the host stayed without heartbeats for ever.

Change: a whole read without the own row registers it again, unless the host drains.

--- a/papayapick/entry/cell/joining.py
+++ b/papayapick/entry/cell/joining.py
@@ -9,7 +9,7 @@
 from papayapick.entry.events import CELL_KEY_FOUND, STORE_AWAY
 from papayapick.ownership.pools import CELL_TABLE
 
-__all__ = ["cell_key", "register"]
+__all__ = ["cell_key", "register", "register_again"]
 
 _KEY_PARTITION = "key"
 _KEY_BYTES = 32
@@ -55,6 +55,16 @@
     _retry_while_unavailable(host, "register", lambda: host.store.transact([], [write]))
 
 
+def register_again(host):
+    """Store this host's row again, in the background, unless the host is draining.
+
+    An owner removed the row because this host did not answer for a long time, and sends
+    heartbeats to registered hosts only.
+    """
+    if not host.is_draining:
+        host.executor.submit(register, host)
+
+
 def _retry_while_unavailable(host, name, call):
     """Repeat a call until the store answers it, and return its result."""
     while True:
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -19,7 +19,7 @@
     OWNER_WAIT_SECONDS,
     follow_table,
 )
-from papayapick.entry.cell.joining import cell_key, register
+from papayapick.entry.cell.joining import cell_key, register, register_again
 from papayapick.entry.cell.peer_requests import PeerRequestHandler
 from papayapick.entry.cell.peers import HOSTS_PARTITION, Peers
 from papayapick.entry.configuration.announcements import ANNOUNCEMENT_PARTITION
@@ -268,6 +268,9 @@
 
     def _read_cell(self):
         rows, version = self.store.read_all(CELL_TABLE, HOSTS_PARTITION)
+        if all(row.key != self.settings.host_name for row in rows):
+            # Removed before this read, so that no change will tell of it.
+            register_again(self)
         for partition in (ANNOUNCEMENT_PARTITION, *list(self._candidacies)):
             rows += self.store.read_all(CELL_TABLE, partition)[0]
         return rows, version
@@ -276,11 +279,8 @@
         for row in rows:
             if row.partition == HOSTS_PARTITION:
                 self.peers.note_row(row)
-                is_own = row.key == self.settings.host_name
-                if is_own and row.value is None and not self.is_draining:
-                    # An owner removed the row because this host did not answer for a
-                    # long time.
-                    self.executor.submit(register, self)
+                if row.key == self.settings.host_name and row.value is None:
+                    register_again(self)
                 continue
             if row.partition == ANNOUNCEMENT_PARTITION:
                 self.configuration.announcements.note_row(row)
