Let relays tell hundreds of hosts what a new owner knows

Cause: a new owner's first heartbeats to all hosts were sent together, an interval after the takeover (0.45 s at 300 hosts).

Change, at more than 40 other hosts: first heartbeats are spread over the interval from the moment of the takeover, own zone first, own region next; once one host of a zone has answered, it is sent the states for all hosts of the zone that were not tried yet. States are left to a relay for an interval and 0.1 s (0.3 s up to 133 hosts, as before; 0.55 s at 300). At all sizes: no second heartbeat at once after the first answer while there are no counts yet that it could carry; senders look their host up instead of searching two copies of the list of hosts each time.

Tests: test_state_relays, test_beats, test_crowds, test_imports.

--- a/papayapick/entry/cell/beat_senders.py
+++ b/papayapick/entry/cell/beat_senders.py
@@ -17,7 +17,8 @@
 # Changes within this time are sent in one message.
 _BATCH_SECONDS = 0.015
 # A heartbeat to a host of a zone with a relay carries the states that have not been
-# passed on to it for this long. A relay that has ended is noticed in that time.
+# passed on to it for this long, longer where the interval of heartbeats is longer. A
+# relay that has ended is noticed in that time.
 _RELAY_SECONDS = 0.3
 _ANSWER_TIMEOUT_SECONDS = 0.6
 # Longer than any restart and than most network partitions between regions. After a
@@ -44,9 +45,12 @@
     host : EntryHost
     owner : PoolOwner
     peer : Peer
+    first_delay : float, optional
+        Seconds until the first heartbeat.
     """
 
     __slots__ = (
+        "_first_delay",
         "_host",
         "_lock",
         "_owner",
@@ -59,7 +63,8 @@
         "_wakeup",
     )
 
-    def __init__(self, host, owner, peer):
+    def __init__(self, host, owner, peer, first_delay=_MIN_BEAT_SECONDS):
+        self._first_delay = first_delay
         self._host = host
         self._owner = owner
         self._peer = peer
@@ -79,6 +84,11 @@
         """Return the host that receives the heartbeats."""
         return self._peer
 
+    @property
+    def is_untried(self):
+        """Return whether no heartbeat has been answered or has failed yet."""
+        return self._peer_clock_lead is None and self._unanswered_since is None
+
     def enqueue(self, states, is_relayed=False):
         """Add changed job states to the next heartbeat, and send it at once.
 
@@ -116,7 +126,10 @@
         self.wake()
 
     def _expect_relay(self):
-        self._relayed_until = self._host.clock.monotonic() + _RELAY_SECONDS
+        interval = beat_seconds(self._host.peers.count)
+        self._relayed_until = (
+            self._host.clock.monotonic() + _RELAY_SECONDS + interval - _MIN_BEAT_SECONDS
+        )
 
     def wake(self):
         """Wake the task before the end of the heartbeat interval."""
@@ -124,15 +137,16 @@
 
     def run(self):
         """Send heartbeats until the owner stops or the row of the host is removed."""
-        clock = self._host.clock
-        while not self._owner.is_stopped and self._peer in self._host.peers.all():
-            interval = beat_seconds(len(self._host.peers.all()))
+        clock, peers = self._host.clock, self._host.peers
+        interval = self._first_delay
+        while not self._owner.is_stopped and peers.get(self._peer.name) is self._peer:
             is_woken = clock.wait(self._wakeup, interval)
             if is_woken:
                 self._owner.pause(_BATCH_SECONDS)
             self._wakeup.clear()
             if not self._beat():
                 self._owner.pause(_RETRY_SECONDS)
+            interval = beat_seconds(peers.count)
 
     def _beat(self):
         """Send one heartbeat; return whether the peer answered."""
@@ -205,7 +219,7 @@
         # The peer read its clock before its answer arrived here, so the difference is
         # underestimated and no count is reported as newer than it is.
         self._peer_clock_lead = milliseconds / 1000 - self._host.clock.monotonic()
-        if is_first:
+        if is_first and self._owner.has_read_state:
             # The heartbeat just answered carried no time of its counts.
             self.wake()
 
--- a/papayapick/entry/cell/beats.py
+++ b/papayapick/entry/cell/beats.py
@@ -2,7 +2,8 @@
 
 import threading
 
-from papayapick.entry.cell.beat_senders import BeatSender, read_backlogs
+from papayapick.entry.cell.beat_senders import BeatSender, beat_seconds, read_backlogs
+from papayapick.entry.cell.fan_out import first_delays
 from papayapick.entry.cell.state_relays import ZoneSender, relayed_zones
 
 __all__ = ["BeatBroadcaster"]
@@ -45,8 +46,7 @@
             for candidacy in list(self._candidacies.values()):
                 if not candidacy.is_owner:
                     continue
-                for peer in peers:
-                    self._start_sender(candidacy.owner, peer)
+                self._start_senders(candidacy.owner, peers)
                 for zone in zones:
                     self._start_zone_sender(candidacy.owner, zone)
 
@@ -62,14 +62,16 @@
                 sender.stop()
                 del self._zone_senders[owner, zone]
 
-    def _start_sender(self, owner, peer):
+    def _start_senders(self, owner, peers):
         # Keyed by object, not by name: a host that registered again is a new peer at
         # the same address, and the sender to the previous one has ended.
-        if (owner, peer) in self._senders:
-            return
-        sender = BeatSender(self._host, owner, peer)
-        self._senders[owner, peer] = sender
-        self._host.executor.submit(sender.run)
+        missing = [peer for peer in peers if (owner, peer) not in self._senders]
+        interval = beat_seconds(len(peers))
+        delays = first_delays(self._host.settings, missing, interval)
+        for peer, delay in delays.items():
+            sender = BeatSender(self._host, owner, peer, delay)
+            self._senders[owner, peer] = sender
+            self._host.executor.submit(sender.run)
 
     def _start_zone_sender(self, owner, zone):
         if (owner, zone) in self._zone_senders:
--- a/papayapick/entry/cell/peers.py
+++ b/papayapick/entry/cell/peers.py
@@ -98,6 +98,11 @@
         self._peers = {}
         self._lock = threading.Lock()
 
+    @property
+    def count(self):
+        """Return the number of other hosts."""
+        return len(self._peers)
+
     def all(self):
         """Return the other hosts, as a list."""
         with self._lock:
@@ -176,7 +181,7 @@
         Hundreds of hosts may ask a new owner at the same moment, so they wait longer
         for its answer, as they do for its heartbeats.
         """
-        seconds = beat_seconds(len(self.all()))
+        seconds = beat_seconds(self.count)
         for _ in range(_QUERY_ATTEMPTS):
             try:
                 return peer.client.ask(OwnerQuery(pool=pool), seconds).epoch
--- a/papayapick/entry/cell/state_relays.py
+++ b/papayapick/entry/cell/state_relays.py
@@ -12,6 +12,7 @@
 import threading
 from concurrent.futures import wait
 
+from papayapick.entry.cell.fan_out import is_large
 from papayapick.entry.events import STATES_UNRELAYED
 from papayapick.wire.exceptions import PeerUnreachable, WireError
 from papayapick.wire.messages import JobNews, StateBatch, StateBatchAnswer
@@ -165,7 +166,11 @@
             return states
 
     def _choose_relay(self):
-        """Return the largest live host of the zone, and the others that are live."""
+        """Return the largest live host of the zone, and the others to pass states to.
+
+        These are the live ones. Among hundreds of hosts a new owner has not asked all
+        of them yet when it knows the states, and would send them to each by itself.
+        """
         live = [peer for peer in self._host.peers.live() if peer.zone == self._zone]
         now = self._host.clock.monotonic()
         able = [
@@ -174,7 +179,11 @@
             if now - peer.state_relay_failed_at > _RELAY_PAUSE_SECONDS
         ]
         relay = max(able, key=lambda peer: (peer.processors, peer.name), default=None)
-        return relay, [peer for peer in live if peer is not relay]
+        others = dict.fromkeys(live)
+        if is_large(self._host.peers.count):
+            senders = self._direct_senders()
+            others.update((one.peer, None) for one in senders if one.is_untried)
+        return relay, [peer for peer in others if peer is not relay]
 
     def _note_failure(self, relay, error):
         """Have each host of the zone told directly, and choose another relay."""
--- a/tests/entry/test_state_relays.py
+++ b/tests/entry/test_state_relays.py
@@ -1,5 +1,6 @@
 """Job states that one host of a zone passes on to the others."""
 
+import itertools
 import threading
 from concurrent.futures import Future
 from types import SimpleNamespace
@@ -9,7 +10,7 @@
 from papayapick.clock import ManualClock
 from papayapick.entry.callers.job_states import JobStateCache
 from papayapick.entry.cell import state_relays
-from papayapick.entry.cell.beat_senders import _RELAY_SECONDS, BeatSender
+from papayapick.entry.cell.beat_senders import _RELAY_SECONDS, BeatSender, beat_seconds
 from papayapick.entry.cell.beats import BeatBroadcaster
 from papayapick.entry.cell.peer_requests import PeerRequestHandler
 from papayapick.entry.cell.peers import Peer
@@ -18,6 +19,7 @@
 from papayapick.wire.messages import JobNews, StateBatch, StateBatchAnswer
 
 HOSTS_PER_ZONE = 16
+ZONES = {"a": HOSTS_PER_ZONE, "b": HOSTS_PER_ZONE, "c": 3}
 STATES = {"job-1": "running"}
 
 
@@ -85,20 +87,26 @@
 
 
 class Cell:
-    """The owner of a pool in zone a, and hosts in the zones a, b and c."""
+    """The owner of a pool in zone a, and hosts in the zones a, b and c.
 
-    def __init__(self):
+    Parameters
+    ----------
+    zones : dict of str to int
+        Hosts of each zone.
+    """
+
+    def __init__(self, zones=ZONES):
         self.clock = ManualClock(100.0)
         self.list = [
             Peer(f"{zone}{number:02}", ("h", 1), zone, "r", Client(), 1.0 + number % 2)
-            for zone, count in (("a", HOSTS_PER_ZONE), ("b", HOSTS_PER_ZONE), ("c", 3))
+            for zone, count in zones.items()
             for number in range(count)
         ]
         for peer in self.list:
             peer.answered_at = self.clock.monotonic()
         self.job_states = JobStateCache(self.clock)
         self.executor = InlineExecutor()
-        self.settings = SimpleNamespace(host_name="a99")
+        self.settings = SimpleNamespace(host_name="a99", zone="a", region="r")
         self.advice = SimpleNamespace(note_peer_answer=lambda: None)
         self.owner = Owner(
             pool="pool",
@@ -128,6 +136,10 @@
     def peers(self):
         return self
 
+    @property
+    def count(self):
+        return len(self.list)
+
     def all(self):
         return self.list
 
@@ -302,3 +314,67 @@
     sender = BeatSender(cell, cell.owner, late)
     sender._beat()
     assert late.client.states() == ["job-1"]
+
+
+def first_second(zones, jobs):
+    """Take a pool over, read its state after 0.1 s; return the cell after a second.
+
+    Heartbeats are sent when they are due, and zones are looked at each 0.2 s.
+    """
+    cell = Cell(zones)
+    for peer in cell.list:
+        peer.answered_at = 0.0
+    began_at, step = cell.clock.monotonic(), 0.01
+    senders = list(cell.broadcaster._senders.values())
+    due = {one: began_at + one._first_delay for one in senders}
+    for number in range(100):
+        now = cell.clock.monotonic()
+        if number == 10:
+            cell.owner.has_read_state = True
+            cell.change({f"job-{index}": "running" for index in range(jobs)})
+        if number % 20 == 0:
+            cell.relay()
+        for sender in senders:
+            if due[sender] <= now or sender._wakeup.is_set():
+                sender._wakeup.clear()
+                sender._beat()
+                due[sender] = now + beat_seconds(len(senders))
+        cell.clock.advance(step)
+    return cell
+
+
+def test_new_owner_of_hundreds_of_hosts_sends_all_states_once_a_zone():
+    """Guards against a new owner that is replaced, as its heartbeats come too late.
+
+    The first ones went to all hosts before any relay had answered, so each of them
+    carried the states of all jobs.
+    """
+    cell = first_second(dict.fromkeys("abcdef", 50), 400)
+    beats = [
+        len(message.news)
+        for peer in cell.list
+        for message in peer.client.sent
+        if not isinstance(message, StateBatch)
+    ]
+    assert len(beats) >= 300
+    assert sum(beats) == 0
+    batches = cell.batches()
+    assert len(batches) == 6
+    assert {len(batch.hosts) for batch in batches} == {49}
+
+
+def test_first_heartbeats_to_hundreds_of_hosts_are_spread_near_ones_first():
+    """Guards against hundreds of connections that are opened at the same moment."""
+    cell = Cell(dict.fromkeys("bcaefg", 50))
+    senders = cell.broadcaster._senders.values()
+    delays = sorted((one._first_delay, one.peer.zone) for one in senders)
+    assert {zone for _, zone in delays[:50]} == {"a"}
+    steps = [later - one for (one, _), (later, _) in itertools.pairwise(delays)]
+    assert delays[0][0] == 0.0
+    assert delays[-1][0] < beat_seconds(300)
+    assert min(steps) == pytest.approx(max(steps))
+
+
+def test_first_heartbeats_to_few_hosts_are_sent_together(cell):
+    delays = {one._first_delay for one in cell.broadcaster._senders.values()}
+    assert delays == {beat_seconds(1)}
