Find out once for many heartbeats whether an owner gives way

Cause: each heartbeat of an owner's process that is younger than ten seconds went over all hosts to find a much larger one: of 300 heartbeats most of the work, growing with the square of the hosts. So did each while the store is away.

Change: with more than 40 other hosts the answer holds for 0.1 s; that of an owner that leaves stays immediate.

Tests: tests/pool/test_ownership_status.py; the new case of 300 failed before (300 looks, not 2).

--- a/papayapick/pool/takeover/ownership_status.py
+++ b/papayapick/pool/takeover/ownership_status.py
@@ -16,6 +16,11 @@
 # it, then the store is not down for all: hosts notice an outage within tenths of a
 # second of each other.
 _STORE_MARGIN_SECONDS = 0.4
+# Each heartbeat says whether this owner gives way. Finding that out goes over all
+# hosts, which among hundreds of them was most of the work of a heartbeat, so that it is
+# then found out for the heartbeats of this time together.
+_MAX_HOSTS_EACH_TIME = 40
+_FOUND_VALID_SECONDS = 0.1
 
 
 class OwnershipStatus:
@@ -31,11 +36,20 @@
         Whether the owner is shutting down and asks for a successor.
     """
 
-    __slots__ = ("_confirmed_at", "_host", "_since", "is_leaving")
+    __slots__ = (
+        "_confirmed_at",
+        "_found_at",
+        "_host",
+        "_is_found_worse",
+        "_since",
+        "is_leaving",
+    )
 
     def __init__(self, host):
         self._host = host
         self._confirmed_at = self._since = host.clock.monotonic()
+        self._found_at = float("-inf")
+        self._is_found_worse = False
         self.is_leaving = False
 
     @property
@@ -86,7 +100,17 @@
         ends of tasks, so a host that has access should replace it. This owner
         continues until then: if the store is down for all, no host can do better.
         """
-        if self.is_leaving or self._has_larger_peer():
+        if self.is_leaving:
+            return True
+        now = self._host.clock.monotonic()
+        is_large = len(self._host.peers.all()) > _MAX_HOSTS_EACH_TIME
+        if not is_large or now - self._found_at >= _FOUND_VALID_SECONDS:
+            self._found_at = now
+            self._is_found_worse = self._is_worse_than_a_peer()
+        return self._is_found_worse
+
+    def _is_worse_than_a_peer(self):
+        if self._has_larger_peer():
             return True
         lost_at = self._host.store_health.lost_at()
         if lost_at is None:
--- a/tests/pool/test_ownership_status.py
+++ b/tests/pool/test_ownership_status.py
@@ -1,5 +1,7 @@
 """Whether an owner may act, and whether it should be replaced."""
 
+from types import SimpleNamespace
+
 import pytest
 
 from tests.pool.owners import (
@@ -61,6 +63,33 @@
     assert owner.ownership_status.gives_way() is gives_way
 
 
+@pytest.mark.parametrize(("others", "looks"), [(40, 300), (300, 2)])
+def test_heartbeats_to_hundreds_of_hosts_share_a_look_at_all_hosts(
+    host, monkeypatch, others, looks
+):
+    """Guards against heartbeats whose work grows with the square of the hosts.
+
+    Each of them went over all hosts to say whether the owner gives way.
+    """
+    owner = owner_of(host)
+    host.clock.advance(2.0)
+    peers = [FakePeer(host.clock.monotonic(), 0.1) for _ in range(others)]
+    seen = []
+
+    def live():
+        seen.append(host.clock.monotonic())
+        return peers
+
+    monkeypatch.setattr(host, "peers", SimpleNamespace(all=lambda: peers, live=live))
+    for _ in range(150):
+        assert not owner.ownership_status.gives_way()
+    peers[-1].processors = 2.0
+    host.clock.advance(0.1)
+    for _ in range(150):
+        assert owner.ownership_status.gives_way()
+    assert len(seen) == looks
+
+
 def test_owner_without_a_recent_confirmation_sends_no_orders(host):
     owner = owner_of(host)
     assert owner.may_act()
