Let hundreds of hosts connect to a new owner at the same moment

Cause: a host closed connections beyond 64 that were in their handshake, and the system those beyond 128 that waited to be accepted. Hosts that ask a new owner whether it works took the pool from it when their connection was closed twice.

Change: 512 handshakes at an entry host, 1,024 waiting connections. Other programs keep their bound on handshakes.

Tests: tests/wire, of which the new one failed before; test_imports, test_loops.

--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -24,15 +24,10 @@
 from papayapick.entry.cell.peers import HOSTS_PARTITION, Peers
 from papayapick.entry.configuration.announcements import ANNOUNCEMENT_PARTITION
 from papayapick.entry.configuration.follower import ConfigurationWatcher
-from papayapick.entry.events import (
-    OWNER_UNCONFIRMED,
-    READINESS_CHANGED,
-)
+from papayapick.entry.events import OWNER_UNCONFIRMED, READINESS_CHANGED
 from papayapick.entry.gauges import refresh_gauges
 from papayapick.entry.loops import LoopRunner
-from papayapick.entry.metrics import (
-    STORE_SECONDS,
-)
+from papayapick.entry.metrics import STORE_SECONDS
 from papayapick.entry.store.health import StoreHealth
 from papayapick.entry.store.latency import StoreLatency
 from papayapick.entry.store.probing import StoreProbe
@@ -51,6 +46,9 @@
 # reads the answers, one serves the connection from there. With too few, some hosts get
 # no heartbeats and take the pool again and again.
 _THREADS = 4096
+# Hundreds of hosts may connect to a new owner at the same moment, and take the pool
+# from it if it closes their connections. Leaves threads for all else.
+_MAX_HANDSHAKES = 512
 # Idle connections to workers may take this share of the descriptors. The others are for
 # calls in progress, callers, the store and other hosts.
 _IDLE_DESCRIPTORS_SHARE = 0.25
@@ -206,6 +204,7 @@
             handler.answer,
             self.executor,
             on_disconnect=handler.note_disconnect,
+            max_handshakes=_MAX_HANDSHAKES,
         )
         self._peer_server.start()
         register(self)
--- a/papayapick/wire/server.py
+++ b/papayapick/wire/server.py
@@ -14,7 +14,9 @@
 __all__ = ["PeerServer"]
 
 _LOG = get_logger(__name__)
-_BACKLOG = 128
+# As many connections wait to be accepted while the accepting thread does not run;
+# others would be tried again only after a second. The system may allow fewer.
+_BACKLOG = 1024
 _HANDSHAKE_SECONDS = 2.0
 # A hundred peers that reconnect at once complete their handshakes within milliseconds.
 _MAX_CONCURRENT_HANDSHAKES = 64
@@ -41,6 +43,8 @@
     on_disconnect : callable, optional
         Called with the ``Hello`` of a peer whose connection has ended, so that a
         killed process is detected before its heartbeats are missed.
+    max_handshakes : int, optional
+        Connections that may be in their handshake at a time; more are closed.
     """
 
     __slots__ = (
@@ -68,6 +72,7 @@
         meter=None,
         clock=None,
         on_disconnect=None,
+        max_handshakes=None,
     ):
         self._on_disconnect = on_disconnect or (lambda peer: None)
         self._listener = socket.create_server(address, backlog=_BACKLOG)
@@ -77,7 +82,9 @@
         self._executor = executor
         self._meter = meter
         self._clock = clock
-        self._handshakes = threading.BoundedSemaphore(_MAX_CONCURRENT_HANDSHAKES)
+        self._handshakes = threading.BoundedSemaphore(
+            max_handshakes or _MAX_CONCURRENT_HANDSHAKES
+        )
         self._connections = set()
         self._lock = threading.Lock()
         self._stopping = False
--- a/tests/wire/connections.py
+++ b/tests/wire/connections.py
@@ -43,7 +43,7 @@
 
 
 @contextlib.contextmanager
-def serving(keys=KEY, handler=None, clock=None, tasks=8):
+def serving(keys=KEY, handler=None, clock=None, tasks=8, **options):
     """Yield a running PeerServer and the list of messages that it received."""
     received = []
 
@@ -53,7 +53,7 @@
 
     executor = ThreadPoolExecutor(tasks)
     server = PeerServer(
-        ("127.0.0.1", 0), keys, identity(), answer, executor, clock=clock
+        ("127.0.0.1", 0), keys, identity(), answer, executor, clock=clock, **options
     )
     server.start()
     try:
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -5,11 +5,18 @@
 
 import pytest
 
+from papayapick.entry import process
 from papayapick.wire import PeerClient, PeerRefused, PeerUnreachable
 from papayapick.wire import server as wire_server
 from papayapick.wire.exceptions import PeerNotListening
 from papayapick.wire.messages import WorkQuery
-from tests.wire.connections import WAIT_SECONDS, identity, is_closed_by_peer, serving
+from tests.wire.connections import (
+    KEY,
+    WAIT_SECONDS,
+    identity,
+    is_closed_by_peer,
+    serving,
+)
 
 QUERY = WorkQuery(shard="hobart-a.0", request_id="r1")
 
@@ -43,6 +50,21 @@
         assert received == []
 
 
+def test_hundreds_of_hosts_may_be_in_their_handshake_at_once(executor):
+    """Guards against a new owner that closes the connections of hosts that ask it.
+
+    A host whose connection was closed took the pool from it.
+    """
+    with serving(tasks=310, max_handshakes=process._MAX_HANDSHAKES) as (server, _):
+        silent = [socket.create_connection(server.address) for _ in range(300)]
+        assert _call(server, KEY, executor) is not None
+        for sock in silent:
+            sock.setblocking(False)
+            with pytest.raises(BlockingIOError):
+                sock.recv(1)
+            sock.close()
+
+
 def test_silent_connections_leave_tasks_for_peers(executor, monkeypatch):
     """Guards against peers that can't connect while silent connections are open.
 
