Read a short frame from a connection at once

Cause: each received frame took three reads (length, code, message), and a thread waits for the interpreter's lock after each. Beside a thread that computes, the handshakes of a new owner with 300 hosts came too late.

Change: up to 4 KB are read at a time and kept for the next frame. Limits, codes and the deadline of a handshake are as before.

Tests: tests/wire; test_short_messages_are_read_at_once failed before.

--- a/papayapick/wire/frames.py
+++ b/papayapick/wire/frames.py
@@ -30,6 +30,9 @@
 _TIMEVAL = struct.Struct("@ll")
 _MAC_BYTES = 16
 _NONCE_BYTES = 16
+# A frame is read whole, with any that follow it, where it is no longer than this. In
+# three reads, each received message would wait three times for the interpreter's lock.
+_RECEIVED_AT_ONCE_BYTES = 4096
 _HEADER = struct.Struct(">I")
 _COUNTER = struct.Struct(">Q")
 
@@ -66,6 +69,7 @@
         "_identity",
         "_meter",
         "_peer",
+        "_receive_buffer",
         "_receive_counter",
         "_receive_key",
         "_send_counter",
@@ -83,6 +87,7 @@
         self._deadline = None
         self._send_key = self._receive_key = self._cell_key
         self._send_counter = self._receive_counter = 0
+        self._receive_buffer = bytearray()
         self._send_lock = threading.Lock()
         self._identity = identity
         self._meter = meter or (lambda *ignored: None)
@@ -245,17 +250,20 @@
         self._send_counter = self._receive_counter = 0
 
     def _read(self, size):
-        parts = bytearray()
-        while len(parts) < size:
+        received = self._receive_buffer
+        while len(received) < size:
             self._apply_deadline()
+            missing = size - len(received)
             try:
-                part = self._socket.recv(size - len(parts))
+                part = self._socket.recv(max(missing, _RECEIVED_AT_ONCE_BYTES))
             except OSError as error:
                 raise PeerDisconnected(address=self._address()) from error
             if not part:
                 raise PeerDisconnected(address=self._address())
-            parts += part
-        return bytes(parts)
+            received += part
+        found = bytes(received[:size])
+        del received[:size]
+        return found
 
     def _apply_deadline(self):
         # With a timeout per read only, an unauthenticated peer that sends single bytes
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -234,3 +234,44 @@
         Connection(far, KEY, identity()).accept_handshake()
     near.close()
     far.close()
+
+
+class CountingSocket:
+    """Count the reads from a socket."""
+
+    def __init__(self, sock):
+        self._socket = sock
+        self.reads = 0
+
+    def recv(self, size):
+        self.reads += 1
+        return self._socket.recv(size)
+
+    def __getattr__(self, name):
+        return getattr(self._socket, name)
+
+
+def test_short_messages_are_read_at_once():
+    """Guards against threads that wait for the interpreter's lock three times a frame.
+
+    Beside a thread that computes, a new owner's connections to hundreds of hosts then
+    took so long that the hosts took the pool from it.
+    """
+    with connected_pair() as (caller, listener, _, _):
+        listener._socket = counting = CountingSocket(listener._socket)
+        for number in range(5):
+            caller.send(number, QUERY)
+        received = [listener.receive() for _ in range(5)]
+        assert [identifier for identifier, *_ in received] == list(range(5))
+        assert {payload.request_id for _, payload, _ in received} == {"r1"}
+        assert counting.reads <= 5
+
+
+def test_long_message_between_short_ones_is_read_whole():
+    long_query = WorkQuery(shard="hobart-a.0", request_id="r" * 300_000)
+    with connected_pair() as (caller, listener, _, _), ThreadPoolExecutor(1) as pool:
+        sent = (QUERY, long_query, QUERY)
+        sending = pool.submit(lambda: [caller.send(1, query) for query in sent])
+        received = [listener.receive()[1].request_id for _ in sent]
+        sending.result(WAIT_SECONDS)
+        assert received == [query.request_id for query in sent]
