Start second copies where they end before a late run does

Where speeds differ, a copy was started for any run 2.5 times as long as the step's longest one: for tasks that are long on any worker, and, at 2.4 times between workers, nearly for each run on a slow one. Now, while speeds differ, a run is copied only if by its own progress it makes its job late and the job is still useful, and if a copy on the chosen worker, of known speed, would end clearly before it. A run that has stalled says nothing about its task; if the other runs on its worker lag as well, the worker is slow at present; else the task is long by itself. Copies use 3% of the pool at most, and none starts while a step waits for room. With equal speeds nothing changes.

--- a/papayapick/pool/rounds/decisions.py
+++ b/papayapick/pool/rounds/decisions.py
@@ -2,7 +2,7 @@
 
 from papayapick.jobs.state import JobStatus
 from papayapick.placement.backlog import BacklogMonitor
-from papayapick.placement.copies import stragglers
+from papayapick.placement.copies import copy_allowance, late_runs, stragglers
 from papayapick.placement.preemption import (
     StoppableRuns,
     choose_victims,
@@ -18,6 +18,8 @@
 
 __all__ = ["Decisions"]
 
+_LACKS_ROOM = (WaitReason.ROOM, WaitReason.NO_FIT)
+
 
 class Decisions:
     """Place waiting tasks, and queue their starts until their record is durable.
@@ -82,26 +84,78 @@
 
     def start_copies(self, now):
         """Start second copies of stragglers on other workers with room."""
-        for job in self._owner.job_registry.live_jobs():
-            for step in job.steps():
-                for index in stragglers(step, now):
-                    self._start_copy(step, index, now)
+        steps = [
+            step for job in self._owner.job_registry.live_jobs() for step in job.steps()
+        ]
+        if self._owner.knowledge.speeds.differ:
+            self._start_useful_copies(steps, now)
+            return
+        for step in steps:
+            for index in stragglers(step, now):
+                self._start_copy(step, index, now)
 
-    def _start_copy(self, step, index, now):
-        if not self._owner.team_usage.admits(step):
+    def _start_useful_copies(self, steps, now):
+        """Start copies that end clearly before runs that make their jobs late.
+
+        They must not take room from work that is in time, so none is started while a
+        step waits for room.
+        """
+        owner, knowledge = self._owner, self._owner.knowledge
+        waiting = owner.job_registry.waiting_steps()
+        if any(step.wait_reason in _LACKS_ROOM for step in waiting):
             return
+        allowance = copy_allowance(steps, owner.rooms.capacity_processors)
+        for step in steps:
+            for late in late_runs(step, now, knowledge, self._runs_beside):
+                demand = step.step.room_demand.processors
+                if demand <= allowance and self._start_copy(
+                    step,
+                    late.index,
+                    now,
+                    lambda worker, late=late: late.is_worth_copy(
+                        worker, knowledge.speeds
+                    ),
+                ):
+                    allowance -= demand
+
+    def _runs_beside(self, run):
+        """Return the runs on the worker of a run, with the steps of live jobs."""
+        room = self._owner.rooms.get(run.worker)
+        runs = () if room is None else room.runs.values()
+        pairs = [(one, self._owner.job_registry.step_of(one.key)) for one in runs]
+        return [(one, step) for one, step in pairs if step is not None]
+
+    def _start_copy(self, step, index, now, is_worth=None):
+        """Start a second copy of a task if possible; return whether it was.
+
+        Parameters
+        ----------
+        step : StepState
+        index : int
+        now : float
+        is_worth : callable, optional
+            Takes the name of a worker; returns whether to start a copy there.
+
+        Returns
+        -------
+        bool
+        """
+        if not self._owner.team_usage.admits(step):
+            return False
         policy, allowed = step.job.queue.advice, None
         if policy is not None:
             allowed = self._owner.advice_manager.tickets(step, now)
             if allowed is None:
                 self._owner.advice_manager.request_if_useful(step, now)
-                return
+                return False
         first = step.tasks[index].runs[0]
         slow = first.worker
         step.tasks[index].avoid.add(slow)
         room = self._owner.rooms.choose(step, index, allowed)
         if room is None or room.worker == slow:
-            return
+            return False
+        if is_worth is not None and not is_worth(room.worker):
+            return False
         run = self._begin_run(step, index, room.worker, None)
         self._queue_starts(step, [run], allowed or {}, is_resumed=False)
         COPY_STARTED.write(
@@ -110,6 +164,7 @@
             slow_seconds=round(first.worked_seconds(now), 3),
             usual_seconds=round(step.usual_seconds, 3),
         )
+        return True
 
     def preempt(self, now):
         """Stop tasks of lower priority for the most urgent step without room."""
--- a/tests/forecasts/test_unequal_load.py
+++ b/tests/forecasts/test_unequal_load.py
@@ -3,6 +3,8 @@
 import statistics
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from tests.forecasts.unequal import UnequalPool
 
@@ -46,3 +48,52 @@
     print(found)
     assert found["by slack"][0] > found["fastest first"][0]
     assert found["by slack"][1] == 1.0
+
+
+def test_copies_are_started_where_they_end_earlier():
+    """Guards against copies of tasks that are long on any worker.
+
+    They take room, and end no earlier. Where speeds differ, a run that takes 2.4 times
+    as long as another is no straggler either.
+    """
+    found = {}
+    for way in ("best fit", "by slack"):
+        pools = [
+            UnequalPool(way, seed, long_share=0.03, allows_copies=True)
+            for seed in SEEDS
+        ]
+        shares = statistics.mean(pool.play()["urgent"] for pool in pools)
+        found[way] = shares, sum(pool.load.copies for pool in pools)
+    print("urgent jobs in time, copies:", found)
+    assert found["by slack"][0] > found["best fit"][0]
+    assert 0 < found["by slack"][1] < found["best fit"][1]
+
+
+@settings(max_examples=15, deadline=None)
+@given(st.integers(0, 10**6), st.sampled_from([0, 1, 3]), st.booleans())
+def test_copies_keep_all_limits(seed, tasks_per_worker, allows_copies):
+    """Guards against copies that a step or a worker does not allow, or without end."""
+    pool = UnequalPool(
+        "by slack",
+        seed,
+        long_share=0.2,
+        allows_copies=allows_copies,
+        tasks_per_worker=tasks_per_worker,
+    )
+    owner = pool.load.owner
+    for _ in range(40):
+        slow = pool.draw.choice(list(pool.load.workers.values()))
+        slow.speed = pool.draw.choice((0.0, 0.1, 0.7, 1.7))
+        pool.advance()
+        copies = 0
+        for job in owner.job_registry.live_jobs():
+            for step in job.steps():
+                runs = [len(task.runs) for task in step.tasks]
+                assert max(runs) <= 1 + allows_copies
+                extra = sum(count - 1 for count in runs if count > 1)
+                copies += extra * step.step.room_demand.processors
+        assert copies <= 0.03 * owner.rooms.capacity_processors
+        for room in owner.rooms:
+            assert room.processors >= 0
+            counts = room.step_counts.values()
+            assert not tasks_per_worker or max(counts, default=0) <= tasks_per_worker
--- a/tests/forecasts/unequal.py
+++ b/tests/forecasts/unequal.py
@@ -72,16 +72,20 @@
             load.owner.rooms.preference = FastestFirst(self.speeds)
 
     def play(self):
-        """Run the load; return the share of jobs in time by queue, and of all."""
+        """Run the load; return the share of jobs in time by queue."""
         for _ in range(round(LOAD_SECONDS * 10)):
-            if self.draw.random() < URGENT_A_SECOND / 10:
-                self._submit_urgent()
-            if self.draw.random() < PATIENT_A_SECOND / 10:
-                self._submit_patient()
-            self.load.run(0.1)
+            self.advance()
         self.load.run(DRAIN_SECONDS)
         return {queue: self._share_in_time(queue) for queue in ("urgent", "patient")}
 
+    def advance(self):
+        """Run a tenth of a second of the load."""
+        if self.draw.random() < URGENT_A_SECOND / 10:
+            self._submit_urgent()
+        if self.draw.random() < PATIENT_A_SECOND / 10:
+            self._submit_patient()
+        self.load.run(0.1)
+
     def mean_seconds(self, queue):
         """Return the mean duration of the jobs of a queue."""
         took = [seconds for seconds, _ in self._durations(queue)]
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -152,6 +152,11 @@
         Millicores of each worker.
     order_seconds : float
         Seconds from a decision to the start, as for a record and an order.
+
+    Attributes
+    ----------
+    stops, copies : int
+        Numbers of runs stopped and of second copies started.
     """
 
     STEP_SECONDS = 0.05
@@ -193,7 +198,7 @@
         self._polled_at = dict.fromkeys(self.workers, 0.0)
         self.submitted_at = {}
         self.finished = {}
-        self.stops = 0
+        self.stops = self.copies = 0
         for worker in self.workers.values():
             self._poll(worker)
 
@@ -274,6 +279,11 @@
         due = self.now + self._order_seconds
         starts = self.owner.decisions.take_unsent()
         self._ordered += [(due, start.run) for start in starts]
+        for start in starts:
+            step = self.owner.job_registry.step(start.run.key)
+            self.copies += (
+                step is not None and len(step.tasks[start.run.key.index].runs) > 1
+            )
         while self._ordered and self._ordered[0][0] <= self.now:
             _, run = self._ordered.pop(0)
             run.note_sent(self.now)
