Log when placed tasks are expected to end, and count the error

"step placed" has expected_seconds, of the run on the slowest of the chosen workers, so that request explain shows it beside the real end. The histogram papayapick_pool_forecast_error_seconds counts by how much tasks took more or less than expected, only while speeds differ.

--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -132,8 +132,11 @@
 )
 STEP_PLACED = Event(
     "step placed",
-    "request_id occurrence step tasks attempts workers left waited_seconds epoch",
-    "Workers were chosen for tasks of a step; left is the number that wait for room.",
+    "request_id occurrence step tasks attempts workers left waited_seconds "
+    "expected_seconds epoch",
+    "Workers were chosen for tasks of a step; left is the number that wait for room. "
+    "The last of these tasks is expected to take expected_seconds: the caller's "
+    "estimate, corrected where speeds of workers differ; 0 if there is none.",
     per_second=60,
 )
 STEP_WAITS = Event(
--- a/papayapick/pool/metrics.py
+++ b/papayapick/pool/metrics.py
@@ -6,6 +6,7 @@
     "COMPLETION_SECONDS",
     "ENDS",
     "FIRST_START_SECONDS",
+    "FORECAST_ERROR_SECONDS",
     "OWNED_POOLS",
     "RENEWALS",
     "STARTS",
@@ -34,6 +35,10 @@
     ("status",),
     of_jobs=True,
 )
+FORECAST_ERROR_SECONDS = histogram(
+    "papayapick_pool_forecast_error_seconds",
+    "By how much a task took more or less than expected, where speeds differ",
+)
 STARTS = counter(
     PageSection.OWNER,
     "papayapick_pool_starts",
--- a/papayapick/pool/rounds/waiting.py
+++ b/papayapick/pool/rounds/waiting.py
@@ -48,10 +48,17 @@
         workers=[run.worker for run in runs],
         left=len(step.waiting),
         waited_seconds=round(now - step.ready_at, 3),
+        expected_seconds=round(_expected_seconds(owner.knowledge, step, runs), 3),
         epoch=owner.row.epoch,
     )
 
 
+def _expected_seconds(knowledge, step, runs):
+    """Return how long the run on the slowest worker is expected to take."""
+    slowest = min(knowledge.speeds.speed(run.worker) for run in runs)
+    return knowledge.task_times.expected_seconds(step) / slowest
+
+
 def log_wait(owner, step, reason, now):
     """Log what a step waits for, once it has waited long.
 
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -11,7 +11,7 @@
     START_FOUND,
     WORKER_FENCED,
 )
-from papayapick.pool.metrics import ENDS
+from papayapick.pool.metrics import ENDS, FORECAST_ERROR_SECONDS
 from papayapick.pool.takeover.reconciliation import PREDECESSOR_LEASE_SECONDS
 from papayapick.pool.workers.reports import EndOutcome, run_fields
 
@@ -155,13 +155,23 @@
         if run is not None:
             room.release(run)
             if step is not None and end.outcome == EndOutcome.DONE:
-                self._owner.knowledge.task_times.note_done(step, run, now)
+                self._note_done(step, run, now)
         link.processed = end.number
         ENDS.labels(end.outcome).inc()
         self._owner.run_monitor.note_end(step, run, end, room, now)
         if step is not None and end.outcome != EndOutcome.DONE:
             self._log_run_end(step, end, run, link.worker, now)
 
+    def _note_done(self, step, run, now):
+        """Compare a run that is done with what was expected, and learn from it."""
+        knowledge = self._owner.knowledge
+        expected = knowledge.task_times.expected_seconds(step)
+        is_whole = run.shows_worker_speed and not run.is_resumed
+        if knowledge.speeds.differ and is_whole and expected:
+            expected /= knowledge.speeds.speed(run.worker)
+            FORECAST_ERROR_SECONDS.observe(abs(run.worked_seconds(now) - expected))
+        knowledge.task_times.note_done(step, run, now)
+
     @staticmethod
     def _log_run_end(step, end, run, worker, now):
         task = step.tasks[end.key.index]
