Name the teams that are beyond their rate, and until when

Cause: a host can't tell a caller when its team is owed jobs again; the owner alone counts. Change: Entitlements.beyond_rate, at most a given number of teams; the count of one team is a type of its own (TokenBucket as before, SlidingWindow as another reading). The token bucket stays the default, so nothing changes for jobs. Measured: tests/quotas pass.

--- a/papayapick/quotas/entitlements.py
+++ b/papayapick/quotas/entitlements.py
@@ -5,20 +5,32 @@
 rate is therefore served last, from room that no other job wants.
 """
 
-__all__ = ["Entitlements"]
+import collections
+import heapq
+import math
 
+__all__ = ["Entitlements", "SlidingWindow", "TokenBucket"]
 
-class _Bucket:
-    """Tokens of one team; the time is given by the caller."""
 
-    __slots__ = ("_slack_jobs", "_tokens", "_updated_at", "_window_seconds", "rate")
+class TokenBucket:
+    """Tokens of one team, which return with its rate; the time is an argument.
+
+    Parameters
+    ----------
+    rate : float
+        Jobs a second.
+    window_seconds : float
+    slack_jobs : int
+    """
+
+    __slots__ = ("_slack_jobs", "_tokens", "_window_seconds", "rate", "updated_at")
 
     def __init__(self, rate, window_seconds, slack_jobs):
         self._window_seconds = window_seconds
         self._slack_jobs = slack_jobs
         self.rate = rate
         self._tokens = self._burst
-        self._updated_at = None
+        self.updated_at = None
 
     @property
     def _burst(self):
@@ -26,16 +38,71 @@
 
     def take(self, at):
         """Take a token if there is one; return whether there was."""
-        if self._updated_at is not None and at > self._updated_at:
-            self._tokens += (at - self._updated_at) * self.rate
+        if self.updated_at is not None and at > self.updated_at:
+            self._tokens += (at - self.updated_at) * self.rate
             self._tokens = min(self._tokens, self._burst)
         # Hosts whose clocks differ accept jobs in turn: an earlier time adds nothing.
-        self._updated_at = max(at, self._updated_at or at)
+        self.updated_at = max(at, self.updated_at or at)
         if self._tokens < 1:
             return False
         self._tokens -= 1
         return True
 
+    def seconds_until_owed(self):
+        """Return the time from ``updated_at`` until a job is owed; may be infinite."""
+        lacking = max(0.0, 1 - self._tokens)
+        if not lacking:
+            return 0.0
+        return lacking / self.rate if self.rate > 0 else math.inf
+
+
+class SlidingWindow:
+    """Times of the jobs of one team that were owed within the last window.
+
+    A job is owed if fewer than the rate allows in a window, and the slack, were owed in
+    the window that ends with it. After a burst, the whole number is owed again as soon
+    as the window has passed, where a bucket has to be filled first.
+
+    Parameters
+    ----------
+    rate : float
+        Jobs a second.
+    window_seconds : float
+    slack_jobs : int
+    """
+
+    __slots__ = ("_slack_jobs", "_times", "_window_seconds", "rate", "updated_at")
+
+    def __init__(self, rate, window_seconds, slack_jobs):
+        self._window_seconds = window_seconds
+        self._slack_jobs = slack_jobs
+        self.rate = rate
+        self._times = collections.deque()
+        self.updated_at = None
+
+    @property
+    def _limit(self):
+        return max(1, math.floor(self.rate * self._window_seconds + self._slack_jobs))
+
+    def take(self, at):
+        """Count a job if it is owed; return whether it is."""
+        # Hosts whose clocks differ accept jobs in turn: an earlier time frees nothing.
+        at = self.updated_at = max(at, self.updated_at or at)
+        while self._times and at - self._times[0] >= self._window_seconds:
+            self._times.popleft()
+        if len(self._times) >= self._limit:
+            return False
+        self._times.append(at)
+        return True
+
+    def seconds_until_owed(self):
+        """Return the time from ``updated_at`` until a job is owed."""
+        excess = len(self._times) - self._limit
+        if excess < 0:
+            return 0.0
+        ends_at = self._times[excess] + self._window_seconds
+        return max(0.0, ends_at - self.updated_at)
+
 
 class Entitlements:
     """Decide for each job in the order of acceptance whether it is owed to its team.
@@ -47,6 +114,8 @@
         often closer together than its mean.
     slack_jobs : int, optional
         Jobs that a team may send beyond what its rate allows in this time.
+    count_type : type, optional
+        How the jobs of one team are counted: TokenBucket or SlidingWindow.
 
     Examples
     --------
@@ -59,12 +128,16 @@
     True
     """
 
-    __slots__ = ("_buckets", "_slack_jobs", "_window_seconds")
+    __slots__ = ("_count_type", "_counts", "_seen", "_slack_jobs", "_window_seconds")
 
-    def __init__(self, window_seconds, slack_jobs=0):
+    def __init__(self, window_seconds, slack_jobs=0, count_type=TokenBucket):
         self._window_seconds = window_seconds
         self._slack_jobs = slack_jobs
-        self._buckets = {}
+        self._count_type = count_type
+        self._counts = {}
+        # For each team, when its count was last updated, and the monotonic time at
+        # which that was first seen.
+        self._seen = {}
 
     @classmethod
     def from_settings(cls, settings):
@@ -77,17 +150,18 @@
         return cls(settings.rate_window_seconds, settings.rate_slack_jobs)
 
     def set_teams(self, teams):
-        """Set the rates of the teams of a configuration; tokens are kept."""
-        buckets = {}
+        """Set the rates of the teams of a configuration; what was counted is kept."""
+        counts = {}
         for team in teams:
-            bucket = self._buckets.get(team.name)
-            if bucket is None:
-                bucket = _Bucket(
+            count = self._counts.get(team.name)
+            if count is None:
+                count = self._count_type(
                     team.jobs_per_second, self._window_seconds, self._slack_jobs
                 )
-            bucket.rate = team.jobs_per_second
-            buckets[team.name] = bucket
-        self._buckets = buckets
+            count.rate = team.jobs_per_second
+            counts[team.name] = count
+        self._counts = counts
+        self._seen = {name: self._seen[name] for name in counts if name in self._seen}
 
     def is_owed(self, team, accepted_at):
         """Return whether a job is within its team's rate, and count it.
@@ -100,5 +174,38 @@
         accepted_at : float
             Unix seconds.
         """
-        bucket = self._buckets.get(team)
-        return bucket is None or bucket.take(accepted_at)
+        count = self._counts.get(team)
+        return count is None or count.take(accepted_at)
+
+    def beyond_rate(self, now, limit):
+        """Return the teams whose next job is not owed, with the seconds until one is.
+
+        The clocks of the hosts that accept jobs may differ by seconds from this one's.
+        A team whose last job bears a time ahead of this clock would stay beyond its
+        rate until the clock has caught up, and all its jobs would be refused meanwhile.
+        So the time since its last job is measured here.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        limit : int
+            Number of teams at most; those that wait longest are kept.
+
+        Returns
+        -------
+        dict of str to float
+            By team; infinite for a team to which nothing is owed.
+        """
+        found = []
+        for team, count in self._counts.items():
+            if count.updated_at is None:
+                continue
+            updated_at, seen_at = self._seen.get(team, (None, now))
+            if updated_at != count.updated_at:
+                self._seen[team] = (count.updated_at, now)
+                seen_at = now
+            seconds = count.seconds_until_owed() - (now - seen_at)
+            if seconds > 0:
+                found.append((seconds, team))
+        return {team: seconds for seconds, team in heapq.nlargest(limit, found)}
