--- a/papayapick/placement/timeliness.py
+++ b/papayapick/placement/timeliness.py
@@ -9,7 +9,14 @@
 
 import enum
 
-__all__ = ["Timeliness", "has_deadline", "latest_start", "useful_seconds"]
+__all__ = [
+    "Timeliness",
+    "has_deadline",
+    "latest_start",
+    "least_patience",
+    "useful_seconds",
+    "useful_seconds_of",
+]
 
 # A job that takes up to this multiple of its objective is late, but useful, by the
 # users' rules for the value of a job.
@@ -73,8 +80,38 @@
     """
     if job.document.is_timed or job.document.is_lasting:
         return float("inf")
-    return _LATE_FACTOR * _objective(job)
+    return useful_seconds_of(job.queue, job.critical_path_seconds)
+
+
+def useful_seconds_of(queue, critical_path_seconds):
+    """Return for how long a job of a queue with a critical path is useful.
+
+    Parameters
+    ----------
+    queue : Queue
+    critical_path_seconds : float
+    """
+    return _LATE_FACTOR * _objective_of(queue, critical_path_seconds)
+
+
+def least_patience(queue):
+    """Return the seconds that any job of a queue may wait and still be useful.
+
+    The longer its critical path, the longer a job may wait, unless the queue allows
+    less time than the path takes.
+
+    Parameters
+    ----------
+    queue : Queue
+    """
+    if _LATE_FACTOR * queue.stretch < 1:
+        return 0.0
+    return useful_seconds_of(queue, 0.0)
 
 
 def _objective(job):
-    return job.queue.stretch * job.critical_path_seconds + job.queue.objective_seconds
+    return _objective_of(job.queue, job.critical_path_seconds)
+
+
+def _objective_of(queue, critical_path_seconds):
+    return queue.stretch * critical_path_seconds + queue.objective_seconds
