Send the forecast with heartbeats, and refuse by it before a job is stored

Cause: only the owner can count work ahead, and any host may get a new job. Change: fields at the end of PoolBeat, dated on the clock of the receiver as the backlogs are; the newest epoch counts, and after a second without one hosts accept. An id that is stored is never refused. Errors entry.too-late and entry.beyond-rate, the event 'job refused', the gauge of predicted waits and the count of missed promises. All of it only where the settings expect overload; elsewhere the count of waiting jobs stays. tests/wire: a strategy for signed numbers, which the schema now has. The stand-ins for status feeds in tests/entry have no forecast. tests/observability: the package overload is checked too, and the page has predicted waits.

--- a/papayapick/entry/callers/acceptance.py
+++ b/papayapick/entry/callers/acceptance.py
@@ -4,6 +4,7 @@
 
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.clients.rows import Expectation, RowWrite
+from papayapick.entry.callers.admission import JobAdmission
 from papayapick.entry.events import JOB_KNOWN
 from papayapick.entry.exceptions import (
     AcceptanceUnknown,
@@ -14,6 +15,7 @@
     StateUnknown,
 )
 from papayapick.jobs.state import JobStatus
+from papayapick.overload.features import OverloadFeatures
 from papayapick.pool.records.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.records.partitions import job_partition
 
@@ -30,14 +32,30 @@
     store : RelayedStore
     writer : GroupWriter
     job_states : JobStateCache
+    admission : JobAdmission, optional
+        Not given where jobs are admitted without a forecast.
     """
 
-    __slots__ = ("_job_states", "_store", "_writer")
+    __slots__ = ("_admission", "_job_states", "_store", "_writer")
 
-    def __init__(self, store, writer, job_states):
+    def __init__(self, store, writer, job_states, admission=None):
         self._store = store
         self._writer = writer
         self._job_states = job_states
+        self._admission = admission
+
+    @classmethod
+    def from_host(cls, host):
+        """Build it for an entry host.
+
+        Parameters
+        ----------
+        host : EntryHost
+        """
+        admission = None
+        if OverloadFeatures.from_settings(host.settings).is_in_use:
+            admission = JobAdmission(host.job_states, host.clock)
+        return cls(host.relayed_store, host.writer, host.job_states, admission)
 
     def submit(self, document, unfit_step=None):
         """Store a job; a repeated id denotes the same job.
@@ -56,7 +74,8 @@
 
         Raises
         ------
-        QueueFull, ExceedsMaximum, NotAccepted, AcceptanceUnknown, StateUnknown
+        QueueFull, TooLate, BeyondRate, ExceedsMaximum, NotAccepted,
+        AcceptanceUnknown, StateUnknown
         """
         identifier = document.identifier
         if self._job_states.state(identifier) is not None:
@@ -66,18 +85,41 @@
         partition = job_partition(document.pool, identifier)
         if unfit_step is not None and not self._may_be_stored(partition, identifier):
             raise ExceedsMaximum(step=unfit_step, team=document.team)
-        retry_after = self._job_states.retry_after(document.pool, document.queue)
-        if retry_after and self._stored_team(partition, identifier) is None:
-            raise QueueFull(queue=document.queue, retry_after=retry_after)
+        decided_at = self._check_admission(document, partition)
         expectation = Expectation(JOBS_TABLE, partition, identifier, 0)
         write = RowWrite(JOBS_TABLE, partition, identifier, document.as_record())
         is_new = _wait_for(self._writer.submit(expectation, write))
         if not is_new:
             self._check_stored_job(document, partition)
             JOB_KNOWN.write(request_id=identifier, queue=document.queue, source="store")
+        elif decided_at is not None:
+            self._admission.note_accepted(document, decided_at)
         self._job_states.note_accepted(identifier, document.team)
         return is_new
 
+    def _check_admission(self, document, partition):
+        """Raise an error if a new job is refused; a stored one never is.
+
+        Returns
+        -------
+        float or None
+            Monotonic seconds of the decision; None if no forecast is used.
+        """
+        if self._admission is None:
+            retry_after = self._job_states.retry_after(document.pool, document.queue)
+            if retry_after and not self._is_stored(partition, document):
+                raise QueueFull(queue=document.queue, retry_after=retry_after)
+            return None
+        now = self._admission.now()
+        error = self._admission.refusal(document, now)
+        if error is not None and not self._is_stored(partition, document):
+            self._admission.note_refused(document, error, now)
+            raise error
+        return now
+
+    def _is_stored(self, partition, document):
+        return self._stored_team(partition, document.identifier) is not None
+
     def _may_be_stored(self, partition, identifier):
         """Return whether a job has this id; raise AcceptanceUnknown if it is unknown.
 
--- a/papayapick/entry/callers/job_states.py
+++ b/papayapick/entry/callers/job_states.py
@@ -30,12 +30,26 @@
         By queue, as received at ``received_at``.
     received_at : float
         Monotonic seconds.
+    forecast : PoolForecast or None
+        Of the newest owner that was received.
+    forecast_epoch : int
+        Newest epoch from which a forecast, or none, was received.
     """
 
-    __slots__ = ("counts", "epoch", "known_at", "received_at", "refusals")
+    __slots__ = (
+        "counts",
+        "epoch",
+        "forecast",
+        "forecast_epoch",
+        "known_at",
+        "received_at",
+        "refusals",
+    )
 
     def __init__(self):
         self.epoch = 0
+        self.forecast = None
+        self.forecast_epoch = 0
         self.counts = {}
         self.known_at = float("-inf")
         self.refusals = {}
@@ -134,6 +148,49 @@
                 latest.counts = backlogs
                 latest.known_at = known_at
 
+    def note_forecast(self, pool, epoch, forecast):
+        """Store an owner's forecast for its pool.
+
+        A delayed message never replaces a later count, and a new owner's heartbeat
+        ends the forecast of the one before, even if it has none yet.
+
+        Parameters
+        ----------
+        pool : str
+        epoch : int
+            Of the owner.
+        forecast : PoolForecast or None
+        """
+        with self._lock:
+            latest = self._pools.setdefault(pool, _PoolBacklogs())
+            if epoch < latest.forecast_epoch:
+                return
+            if epoch > latest.forecast_epoch:
+                latest.forecast_epoch, latest.forecast = epoch, None
+            if forecast is None:
+                return
+            known = latest.forecast
+            if known is None or forecast.counted_at >= known.counted_at:
+                latest.forecast = forecast
+
+    def forecast(self, pool):
+        """Return the forecast of a pool that was received last, or None."""
+        with self._lock:
+            latest = self._pools.get(pool)
+            return None if latest is None else latest.forecast
+
+    def recent_forecasts(self):
+        """Return the QueueForecast by queue of all pools with a recent forecast."""
+        now = self._clock.monotonic()
+        with self._lock:
+            found = [latest.forecast for latest in self._pools.values()]
+        return {
+            name: one
+            for forecast in found
+            if forecast is not None and forecast.is_recent(now)
+            for name, one in forecast.queues.items()
+        }
+
     def all_waiting(self):
         """Return the recent, non-zero counts of waiting jobs by queue."""
         now = self._clock.monotonic()
--- a/papayapick/entry/cell/beat_senders.py
+++ b/papayapick/entry/cell/beat_senders.py
@@ -2,6 +2,7 @@
 
 import threading
 
+from papayapick.entry.cell.forecast_messages import encode_forecast
 from papayapick.entry.cell.state_relays import STATES_PER_MESSAGE, job_news
 from papayapick.entry.events import HOST_REACHED, HOST_UNREACHED
 from papayapick.wire.exceptions import PeerNotListening, WireError
@@ -156,6 +157,7 @@
             may_lack_records=may_lack_records,
             has_read_state=self._owner.has_read_state,
             known_at_milliseconds=self._to_peer_clock(known_at),
+            **encode_forecast(self._owner.status_feed.forecast, self._to_peer_clock),
         )
         sent_at = self._host.clock.monotonic()
         try:
--- a/papayapick/entry/cell/beats.py
+++ b/papayapick/entry/cell/beats.py
@@ -126,3 +126,6 @@
         self._host.job_states.note_backlogs(
             owner.pool, owner.row.epoch, backlogs, known_at
         )
+        self._host.job_states.note_forecast(
+            owner.pool, owner.row.epoch, owner.status_feed.forecast
+        )
--- a/papayapick/entry/cell/peer_requests.py
+++ b/papayapick/entry/cell/peer_requests.py
@@ -1,5 +1,6 @@
 """Answer the requests of the other entry hosts."""
 
+from papayapick.entry.cell.forecast_messages import decode_forecast
 from papayapick.entry.cell.state_relays import StateForwarder
 from papayapick.entry.store.health import LOST_AGE_SECONDS
 from papayapick.placement.backlog import QueueBacklog
@@ -101,6 +102,10 @@
         return self._forwarder.forward(batch)
 
     def _note_backlogs(self, beat):
+        now = self._host.clock.monotonic()
+        self._host.job_states.note_forecast(
+            beat.pool, beat.epoch, decode_forecast(beat, now)
+        )
         if not beat.has_read_state:
             # A new owner sends heartbeats before it has read its state. These list
             # no queue, which callers would see as queues without waiting jobs.
--- a/papayapick/entry/exceptions.py
+++ b/papayapick/entry/exceptions.py
@@ -1,9 +1,11 @@
 """Errors that an entry host returns to its callers."""
 
 from papayapick.exceptions import PapayapickError, RetryAfter
+from papayapick.overload.types import RefusalReason
 
 __all__ = [
     "AcceptanceUnknown",
+    "BeyondRate",
     "BodyTooLarge",
     "CountUnknown",
     "ExceedsMaximum",
@@ -13,6 +15,7 @@
     "NotAccepted",
     "QueueFull",
     "StateUnknown",
+    "TooLate",
 ]
 
 
@@ -70,6 +73,24 @@
     status = "429 Too Many Requests"
 
 
+class TooLate(RetryAfter, PapayapickError):
+    """Report a job that would be done when its caller has no more use for it."""
+
+    code = "entry.too-late"
+    template = "queue {queue} has too much work before it to do the job in time"
+    status = "429 Too Many Requests"
+    reason = RefusalReason.TOO_LATE
+
+
+class BeyondRate(RetryAfter, PapayapickError):
+    """Report a job beyond its team's rate that would wait in vain."""
+
+    code = "entry.beyond-rate"
+    template = "team {team} is beyond its rate, and queue {queue} has no room to spare"
+    status = "429 Too Many Requests"
+    reason = RefusalReason.BEYOND_RATE
+
+
 class ExceedsMaximum(PapayapickError):
     """Report a job that could not start if its team had nothing else running."""
 
--- a/papayapick/entry/gauges.py
+++ b/papayapick/entry/gauges.py
@@ -5,7 +5,12 @@
     CONFIGURATION_VERSION,
     STORE_AGE_SECONDS,
 )
-from papayapick.pool.metrics import OWNED_POOLS, TEAM_SHARES, WAITING_JOBS
+from papayapick.pool.metrics import (
+    OWNED_POOLS,
+    PREDICTED_WAIT_SECONDS,
+    TEAM_SHARES,
+    WAITING_JOBS,
+)
 
 __all__ = ["refresh_gauges"]
 
@@ -30,6 +35,10 @@
     WAITING_JOBS.clear()
     for queue, count in host.job_states.all_waiting().items():
         WAITING_JOBS.labels(queue).set(count)
+    PREDICTED_WAIT_SECONDS.clear()
+    for queue, one in host.job_states.recent_forecasts().items():
+        PREDICTED_WAIT_SECONDS.labels(queue, "earliest").set(max(0.0, one.earliest))
+        PREDICTED_WAIT_SECONDS.labels(queue, "latest").set(one.latest)
 
 
 def _refresh_teams(owners):
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -107,7 +107,7 @@
         self.writer = GroupWriter(
             self.relayed_store, self.clock, self.stopping, self.executor
         )
-        self.acceptance = Acceptance(self.relayed_store, self.writer, self.job_states)
+        self.acceptance = Acceptance.from_host(self)
         self.advice = AdviceDispatcher(self, HttpPool(_WORKER_TIMEOUT_SECONDS))
         self.peers = None
         self.store_health = StoreHealth(self.clock)
--- a/papayapick/observability/queries.py
+++ b/papayapick/observability/queries.py
@@ -9,7 +9,13 @@
 __all__ = ["events_page", "metrics_page"]
 
 # Importing these modules defines the metrics and the events of an entry host.
-for _module in ("entry.metrics", "pool.metrics", "entry.events", "pool.events"):
+for _module in (
+    "entry.metrics",
+    "pool.metrics",
+    "entry.events",
+    "pool.events",
+    "overload.events",
+):
     importlib.import_module(f"papayapick.{_module}")
 
 _METRICS_HEAD = """# Metrics
--- a/papayapick/pool/metrics.py
+++ b/papayapick/pool/metrics.py
@@ -7,6 +7,8 @@
     "ENDS",
     "FIRST_START_SECONDS",
     "OWNED_POOLS",
+    "PREDICTED_WAIT_SECONDS",
+    "PROMISES_MISSED",
     "RENEWALS",
     "STARTS",
     "TAKEOVERS",
@@ -59,6 +61,17 @@
 OWNED_POOLS = gauge(
     PageSection.HOST_STATE, "papayapick_pool_owned", "Pools that this host owns now"
 )
+PROMISES_MISSED = counter(
+    PageSection.PROMISES,
+    "papayapick_pool_promises_missed",
+    "Jobs expected to be of use at the latest forecast time, and not done while so",
+)
+PREDICTED_WAIT_SECONDS = gauge(
+    PageSection.PROMISES,
+    "papayapick_pool_predicted_wait_seconds",
+    "Seconds until work that comes now would begin, as the owner told in the last 1 s",
+    ("queue", "bound"),
+)
 TEAM_SHARES = gauge(
     PageSection.TEAMS,
     "papayapick_pool_team_share",
--- a/papayapick/pool/records/status_feed.py
+++ b/papayapick/pool/records/status_feed.py
@@ -4,12 +4,18 @@
 import math
 
 from papayapick.jobs.state import JobStatus
+from papayapick.overload.forecaster import Forecaster
 from papayapick.placement.timeliness import useful_seconds
+from papayapick.pool.metrics import PROMISES_MISSED
+from papayapick.pool.rounds.waiting import WaitReason
 
 __all__ = ["StatusFeed"]
 
 # Well below the two seconds that a number may be old when a caller reads it.
 _COUNT_INTERVAL_SECONDS = 0.1
+# Steps that wait for these keep no room from others.
+_REASONS_APART = frozenset((WaitReason.ADVICE, WaitReason.QUOTA))
+_MILLICORES = 1000
 
 
 class StatusFeed:
@@ -20,13 +26,29 @@
     owner : PoolOwner
     """
 
-    __slots__ = ("_backlogs", "_counted_at", "_known_at", "_owner")
+    __slots__ = (
+        "_backlogs",
+        "_counted_at",
+        "_forecast",
+        "_forecaster",
+        "_known_at",
+        "_owner",
+    )
 
     def __init__(self, owner):
         self._owner = owner
         self._backlogs = {}
         self._counted_at = float("-inf")
         self._known_at = None
+        self._forecast = None
+        self._forecaster = None
+        if owner.knowledge.features.is_in_use:
+            self._forecaster = Forecaster(_REASONS_APART)
+
+    @property
+    def forecast(self):
+        """Return the forecast made with the last count, or None if there is none."""
+        return self._forecast
 
     @property
     def known_at(self):
@@ -87,6 +109,8 @@
                 self._counted_at = now
                 self._backlogs = self._count_backlogs(now)
                 self._known_at = self._compute_known_at()
+                if self._forecaster is not None:
+                    self._forecast = self._make_forecast(now)
             return self._backlogs
 
     def _compute_known_at(self):
@@ -105,6 +129,33 @@
         )
         return None if math.isinf(known_at) else known_at
 
+    def _make_forecast(self, now):
+        """Return the forecast, or None as long as not all jobs are known."""
+        owner = self._owner
+        if self._known_at is None:
+            return None
+        configuration = owner.host.configuration.current
+        queues = () if configuration is None else configuration.queues.values()
+        missed_before = self._forecaster.missed
+        forecast = self._forecaster.forecast(
+            owner.job_registry.live_jobs(),
+            [queue for queue in queues if queue.pool == owner.pool],
+            self._open_processors() / _MILLICORES,
+            owner.knowledge.task_times,
+            lambda limit: owner.entitlements.beyond_rate(now, limit),
+            now,
+        )
+        PROMISES_MISSED.inc(self._forecaster.missed - missed_before)
+        forecast.known_at = min(self._known_at, now)
+        return forecast
+
+    def _open_processors(self):
+        return sum(
+            room.registration.capacity.processors
+            for room in self._owner.rooms
+            if room.is_open
+        )
+
     def _count_backlogs(self, now):
         counts, ready = collections.Counter(), collections.Counter()
         useful = collections.Counter()
--- a/papayapick/wire/codec.py
+++ b/papayapick/wire/codec.py
@@ -18,6 +18,8 @@
     "placers": messages.PlacerSummary,
     "news": messages.JobNews,
     "queue_loads": messages.QueueLoad,
+    "queue_outlooks": messages.QueueOutlook,
+    "teams_beyond_rate": messages.TeamBeyondRate,
     "tickets": messages.Ticket,
 }
 _TEXT_LISTS = frozenset(("avoid", "hosts", "missed", "workers"))
--- a/papayapick/wire/messages.capnp
+++ b/papayapick/wire/messages.capnp
@@ -167,6 +167,27 @@
   mayLackRecords @6 :Bool;
   hasReadState @7 :Bool;
   knownAtMilliseconds @8 :UInt64;
+  queueOutlooks @9 :List(QueueOutlook);
+  teamsBeyondRate @10 :List(TeamBeyondRate);
+  outlookMillicores @11 :UInt32;
+  countedAtMilliseconds @12 :UInt64;
+  outlookKnownAtMilliseconds @13 :UInt64;
+}
+
+struct QueueOutlook {
+  queue @0 :Text;
+  earliestMilliseconds @1 :Int32;
+  patientEarliestMilliseconds @2 :Int32;
+  patienceMilliseconds @3 :Int32;
+  latestMilliseconds @4 :Int32;
+  surplusEarliestMilliseconds @5 :Int32;
+  surplusLatestMilliseconds @6 :Int32;
+  surplusPatientEarliestMilliseconds @7 :Int32;
+}
+
+struct TeamBeyondRate {
+  team @0 :Text;
+  owedAgainMilliseconds @1 :UInt32;
 }
 
 struct JobNews {
--- a/papayapick/wire/messages.py
+++ b/papayapick/wire/messages.py
@@ -18,6 +18,7 @@
     "PoolBeat",
     "PoolBeatAnswer",
     "QueueLoad",
+    "QueueOutlook",
     "Refusal",
     "Release",
     "ServiceLoad",
@@ -29,6 +30,7 @@
     "StoreCall",
     "StoreResult",
     "Submit",
+    "TeamBeyondRate",
     "Ticket",
     "WorkCancel",
     "WorkQuery",
@@ -223,14 +225,41 @@
     __slots__ = ("queue", "retry_after_seconds", "waiting")
 
 
+class QueueOutlook(Payload):
+    """Forecast when work of a queue that comes now would begin, after the count.
+
+    Negative times are those that the room lasts.
+    """
+
+    __slots__ = (
+        "earliest_milliseconds",
+        "latest_milliseconds",
+        "patience_milliseconds",
+        "patient_earliest_milliseconds",
+        "queue",
+        "surplus_earliest_milliseconds",
+        "surplus_latest_milliseconds",
+        "surplus_patient_earliest_milliseconds",
+    )
+
+
+class TeamBeyondRate(Payload):
+    """Name a team beyond its rate, and when jobs are owed to it again."""
+
+    __slots__ = ("owed_again_milliseconds", "team")
+
+
 class PoolBeat(Payload):
     """Report the owner of a pool and the changes of its jobs and queues.
 
     ``known_at_milliseconds`` is the time at which the numbers of ``queue_loads`` were
     valid, on the monotonic clock of the receiving host, or 0 if it is unknown.
+    ``outlook_known_at_milliseconds`` is that of the forecast, which was made at
+    ``counted_at_milliseconds``, on the same clock.
     """
 
     __slots__ = (
+        "counted_at_milliseconds",
         "epoch",
         "gives_way",
         "has_read_state",
@@ -238,8 +267,12 @@
         "known_at_milliseconds",
         "may_lack_records",
         "news",
+        "outlook_known_at_milliseconds",
+        "outlook_millicores",
         "pool",
         "queue_loads",
+        "queue_outlooks",
+        "teams_beyond_rate",
     )
 
 
--- a/tests/entry/test_beats.py
+++ b/tests/entry/test_beats.py
@@ -73,6 +73,7 @@
             all_states=dict,
             teams=lambda identifiers: dict.fromkeys(identifiers, ""),
             backlogs=dict,
+            forecast=None,
             known_at=None,
         ),
         may_lack_records=lambda: False,
--- a/tests/entry/test_state_relays.py
+++ b/tests/entry/test_state_relays.py
@@ -111,6 +111,7 @@
                 take_changes=dict,
                 teams=lambda identifiers: dict.fromkeys(identifiers, ""),
                 backlogs=dict,
+                forecast=None,
                 known_at=None,
             ),
             may_lack_records=lambda: False,
--- a/tests/observability/test_events.py
+++ b/tests/observability/test_events.py
@@ -18,7 +18,7 @@
 SAMPLE = Event("seen in a test", "number text", "Only here.", per_second=3)
 SOURCES = [
     path
-    for package in ("entry", "pool")
+    for package in ("entry", "overload", "pool")
     for path in sorted(ROOT.joinpath("papayapick", package).rglob("*.py"))
 ]
 
@@ -142,7 +142,7 @@
 def test_events_are_written_with_the_fields_that_they_declare(path):
     declared = {
         name: event
-        for module in ("entry", "pool")
+        for module in ("entry", "overload", "pool")
         for name, event in vars(
             __import__(f"papayapick.{module}.events", fromlist=["events"])
         ).items()
@@ -165,7 +165,7 @@
 
 def test_each_event_is_written_somewhere():
     text = "".join(path.read_text() for path in SOURCES if path.stem != "events")
-    for module in ("entry", "pool"):
+    for module in ("entry", "overload", "pool"):
         events = __import__(f"papayapick.{module}.events", fromlist=["events"])
         unused = [name for name in events.__all__ if f"{name}.write" not in text]
         assert unused == []
--- a/tests/observability/test_registry.py
+++ b/tests/observability/test_registry.py
@@ -64,6 +64,10 @@
         pool_metrics.WAITING_JOBS.labels(f"r-queue{number:02}").set(number + 1)
     for number in range(TEAMS):
         pool_metrics.TEAM_SHARES.labels(f"team{number:02}").set(number / TEAMS)
+    for number in range(QUEUES):
+        for bound in ("earliest", "latest"):
+            labels = (f"r-queue{number:02}", bound)
+            pool_metrics.PREDICTED_WAIT_SECONDS.labels(*labels).set(number + 1)
     yield metrics_text().decode()
     for metric in (
         metrics.REFUSALS,
@@ -74,6 +78,7 @@
         pool_metrics.ENDS,
         pool_metrics.RENEWALS,
         pool_metrics.COMPLETION_SECONDS,
+        pool_metrics.PREDICTED_WAIT_SECONDS,
         pool_metrics.TEAM_SHARES,
         pool_metrics.WAITING_JOBS,
     ):
--- a/tests/wire/test_messages.py
+++ b/tests/wire/test_messages.py
@@ -11,6 +11,7 @@
 SCALARS = {
     "bool": st.booleans(),
     "data": st.binary(max_size=100),
+    "int32": st.integers(-(2**31), 2**31 - 1),
     "text": TEXT,
     "uint16": st.integers(0, 2**16 - 1),
     "uint32": st.integers(0, 2**32 - 1),
