Count what is owed to a team by the token bucket alone

The type SlidingWindow, which nothing used, is removed together with the two tests that were of it alone; the test of the time until a job is owed keeps its case of the bucket. Measured: tests/quotas pass.

--- a/papayapick/quotas/entitlements.py
+++ b/papayapick/quotas/entitlements.py
@@ -5,14 +5,13 @@
 rate is therefore served last, from room that no other job wants.
 """
 
-import collections
 import heapq
 import math
 
-__all__ = ["Entitlements", "SlidingWindow", "TokenBucket"]
+__all__ = ["Entitlements"]
 
 
-class TokenBucket:
+class _Bucket:
     """Tokens of one team, which return with its rate; the time is an argument.
 
     Parameters
@@ -56,54 +55,6 @@
         return lacking / self.rate if self.rate > 0 else math.inf
 
 
-class SlidingWindow:
-    """Times of the jobs of one team that were owed within the last window.
-
-    A job is owed if fewer than the rate allows in a window, and the slack, were owed in
-    the window that ends with it. After a burst, the whole number is owed again as soon
-    as the window has passed, where a bucket has to be filled first.
-
-    Parameters
-    ----------
-    rate : float
-        Jobs a second.
-    window_seconds : float
-    slack_jobs : int
-    """
-
-    __slots__ = ("_slack_jobs", "_times", "_window_seconds", "rate", "updated_at")
-
-    def __init__(self, rate, window_seconds, slack_jobs):
-        self._window_seconds = window_seconds
-        self._slack_jobs = slack_jobs
-        self.rate = rate
-        self._times = collections.deque()
-        self.updated_at = None
-
-    @property
-    def _limit(self):
-        return max(1, math.floor(self.rate * self._window_seconds + self._slack_jobs))
-
-    def take(self, at):
-        """Count a job if it is owed; return whether it is."""
-        # Hosts whose clocks differ accept jobs in turn: an earlier time frees nothing.
-        at = self.updated_at = max(at, self.updated_at or at)
-        while self._times and at - self._times[0] >= self._window_seconds:
-            self._times.popleft()
-        if len(self._times) >= self._limit:
-            return False
-        self._times.append(at)
-        return True
-
-    def seconds_until_owed(self):
-        """Return the time from ``updated_at`` until a job is owed."""
-        excess = len(self._times) - self._limit
-        if excess < 0:
-            return 0.0
-        ends_at = self._times[excess] + self._window_seconds
-        return max(0.0, ends_at - self.updated_at)
-
-
 class Entitlements:
     """Decide for each job in the order of acceptance whether it is owed to its team.
 
@@ -114,8 +65,6 @@
         often closer together than its mean.
     slack_jobs : int, optional
         Jobs that a team may send beyond what its rate allows in this time.
-    count_type : type, optional
-        How the jobs of one team are counted: TokenBucket or SlidingWindow.
 
     Examples
     --------
@@ -128,12 +77,11 @@
     True
     """
 
-    __slots__ = ("_count_type", "_counts", "_seen", "_slack_jobs", "_window_seconds")
+    __slots__ = ("_counts", "_seen", "_slack_jobs", "_window_seconds")
 
-    def __init__(self, window_seconds, slack_jobs=0, count_type=TokenBucket):
+    def __init__(self, window_seconds, slack_jobs=0):
         self._window_seconds = window_seconds
         self._slack_jobs = slack_jobs
-        self._count_type = count_type
         self._counts = {}
         # For each team, when its count was last updated, and the monotonic time at
         # which that was first seen.
@@ -155,7 +103,7 @@
         for team in teams:
             count = self._counts.get(team.name)
             if count is None:
-                count = self._count_type(
+                count = _Bucket(
                     team.jobs_per_second, self._window_seconds, self._slack_jobs
                 )
             count.rate = team.jobs_per_second
--- a/tests/quotas/test_entitlements.py
+++ b/tests/quotas/test_entitlements.py
@@ -7,7 +7,6 @@
 from papayapick.placement.preemption import may_preempt
 from papayapick.pool.records.journal import JOBS_TABLE
 from papayapick.quotas import Entitlements, Team, TeamDirectory
-from papayapick.quotas.entitlements import SlidingWindow, TokenBucket
 from tests.pool.owners import host_with_two_workers, owner_of, place, report
 from tests.pool.test_team_maxima import CellConfiguration, JobDocument
 
@@ -123,26 +122,21 @@
     assert job.priority > max(j.queue.priority for j in owner.job_registry.jobs())
 
 
-def hot_team(count_type, rate=2, window=1.0):
+def hot_team(rate=2, window=1.0):
     """Return the entitlements of a team that has just used up what is owed to it."""
-    found = Entitlements(window, count_type=count_type)
+    found = Entitlements(window)
     found.set_teams([Team("accounts", jobs_per_second=rate), Team("idle")])
     while found.is_owed("accounts", 50.0):
         pass
     return found
 
 
-@pytest.mark.parametrize(
-    ("count_type", "expected"), [(TokenBucket, 0.5), (SlidingWindow, 1.0)]
-)
-def test_team_beyond_its_rate_is_named_with_the_time_until_a_job_is_owed(
-    count_type, expected
-):
-    found = hot_team(count_type)
-    assert found.beyond_rate(900.0, 20) == {"accounts": pytest.approx(expected)}
-    assert found.beyond_rate(900.2, 20) == {"accounts": pytest.approx(expected - 0.2)}
-    assert found.beyond_rate(900.0 + expected, 20) == {}
-    assert found.is_owed("accounts", 50.0 + expected)
+def test_team_beyond_its_rate_is_named_with_the_time_until_a_job_is_owed():
+    found = hot_team()
+    assert found.beyond_rate(900.0, 20) == {"accounts": pytest.approx(0.5)}
+    assert found.beyond_rate(900.2, 20) == {"accounts": pytest.approx(0.3)}
+    assert found.beyond_rate(900.5, 20) == {}
+    assert found.is_owed("accounts", 50.5)
 
 
 def test_team_is_owed_again_though_the_clock_of_its_host_is_ahead():
@@ -150,23 +144,11 @@
 
     No refused job is counted, so nothing else would tell the owner of the time.
     """
-    found = hot_team(TokenBucket)
+    found = hot_team()
     assert found.beyond_rate(10.0, 20)
     assert not found.beyond_rate(10.6, 20)
 
 
-def test_sliding_window_owes_the_whole_number_again_after_a_burst():
-    times = [0.0] * 4 + [1.0] * 4
-    assert sum(owed(entitlements_of(2), times)) == 4
-    found = Entitlements(1.0, count_type=SlidingWindow)
-    found.set_teams([Team("accounts", jobs_per_second=2)])
-    assert sum(owed(found, times)) == 4
-    times = [number / 4 for number in range(8)] + [3.0] * 3
-    found = Entitlements(1.0, count_type=SlidingWindow)
-    found.set_teams([Team("accounts", jobs_per_second=2)])
-    assert owed(found, times) == [True, True, False, False] * 2 + [True, True, False]
-
-
 def test_team_to_which_nothing_is_owed_is_never_owed_again():
     found = Entitlements(1.0)
     found.set_teams([Team("accounts")])
