Expect owed work to go on coming before a surplus is served

Cause: on a pool that owed work just fills, little waits at any moment, so a job beyond its team's rate seemed to begin soon; each core that became free went to owed work that had come meanwhile. Change: while the surplus of a level was not served for two seconds, its earliest time is that of the work before it and of what comes at least (three standard deviations below the mean of ten seconds, for ten seconds). Steps that become ready in that time count too.

--- a/papayapick/overload/arrivals.py
+++ b/papayapick/overload/arrivals.py
@@ -7,14 +7,14 @@
 import collections
 import math
 
-__all__ = ["Arrivals"]
+__all__ = ["WINDOW_SECONDS", "Arrivals"]
 
 # Contains some jobs of a slow queue, and follows the day's load.
-_WINDOW_SECONDS = 10.0
+WINDOW_SECONDS = 10.0
 # Before, the work that came says nothing of what will come.
 _MIN_SECONDS = 2.0
 # Standard deviations between the mean and each bound.
-_BOUND_DEVIATIONS = 2.0
+_BOUND_DEVIATIONS = 3.0
 # In the low bound a job counts for this multiple of the mean at most: a single very
 # large one makes the next ones no likelier.
 _CLIP_FACTOR = 2.0
@@ -51,7 +51,7 @@
             self._since = now
             return
         self._jobs.extend((now, level, work) for level, work in jobs)
-        while self._jobs and now - self._jobs[0][0] > _WINDOW_SECONDS:
+        while self._jobs and now - self._jobs[0][0] > WINDOW_SECONDS:
             self._jobs.popleft()
 
     def work_since(self, time):
@@ -75,7 +75,7 @@
         """
         if self._since is None or now - self._since < _MIN_SECONDS:
             return 0.0, 0.0
-        seconds = min(_WINDOW_SECONDS, now - self._since)
+        seconds = min(WINDOW_SECONDS, now - self._since)
         works = [work for _, level, work in self._jobs if is_counted(level)]
         limit = _CLIP_FACTOR * sum(works) / max(1, len(works))
         clipped = [min(work, limit) for work in works]
--- a/papayapick/overload/forecaster.py
+++ b/papayapick/overload/forecaster.py
@@ -8,8 +8,9 @@
 
 import math
 
-from papayapick.overload.arrivals import Arrivals
+from papayapick.overload.arrivals import WINDOW_SECONDS, Arrivals
 from papayapick.overload.forecast import PoolForecast, QueueForecast
+from papayapick.overload.surplus import SurplusRoom
 from papayapick.overload.throughput import Throughput
 from papayapick.overload.work_ahead import Level, WorkAhead
 from papayapick.placement.timeliness import least_patience, useful_seconds
@@ -18,6 +19,8 @@
 
 # Bounds the messages; the teams that wait longest are named.
 _MAX_TEAMS = 20
+# Work that will be ready makes the time found longer, by which more is ready.
+_MAX_ROUNDS = 3
 
 
 class Forecaster:
@@ -35,12 +38,20 @@
         done while they were of use.
     """
 
-    __slots__ = ("_arrivals", "_known", "_reasons_apart", "_throughput", "missed")
+    __slots__ = (
+        "_arrivals",
+        "_known",
+        "_reasons_apart",
+        "_room",
+        "_throughput",
+        "missed",
+    )
 
     def __init__(self, reasons_apart=()):
         self._reasons_apart = reasons_apart
         self._arrivals = Arrivals()
         self._throughput = Throughput()
+        self._room = SurplusRoom()
         # For each live job the time until which it is of use, if it was expected to be
         # done by then, or else None.
         self._known = {}
@@ -73,12 +84,13 @@
             work.add(job, now)
         new = [job for job in jobs if job.identifier not in self._known]
         self._arrivals.note((work.jobs[job.identifier] for job in new), now)
+        self._room.note(work.surplus_waiting, now)
         cores = max(0.0, pool_cores - work.lasting)
         self._note_throughput(work, cores, now)
         bounds = self._processors(cores, now)
         by_name = {job.queue.name: job.queue for job in jobs}
         by_name.update((queue.name, queue) for queue in queues)
-        estimate = _Estimate(work, self._arrivals, bounds, now)
+        estimate = _Estimate(work, self._arrivals, self._room, bounds, now)
         found = {name: estimate.queue(queue) for name, queue in by_name.items()}
         self._note_promises(jobs, found, now)
         return PoolForecast(found, owed_again(_MAX_TEAMS), bounds[1], now)
@@ -118,15 +130,17 @@
     ----------
     work : WorkAhead
     arrivals : Arrivals
+    room : SurplusRoom
     processors : tuple of float
         Low and high bound of the work that the pool gets through, in cores.
     now : float
         Monotonic seconds.
     """
 
-    __slots__ = ("_arrivals", "_bounds", "_now", "_processors", "_work")
+    __slots__ = ("_arrivals", "_bounds", "_now", "_processors", "_room", "_work")
 
-    def __init__(self, work, arrivals, processors, now):
+    def __init__(self, work, arrivals, room, processors, now):
+        self._room = room
         self._work = work
         self._arrivals = arrivals
         self._processors = processors
@@ -158,6 +172,19 @@
         takes longer than the longest. That holds for the more urgent ones by themselves
         too, whose tasks may be shorter.
         """
+        found = self._begin(level, patience, -math.inf)
+        for _ in range(_MAX_ROUNDS):
+            # What is ready by the time that was found is served first as well.
+            later = self._begin(level, patience, found)
+            if later <= found:
+                break
+            found = later
+        if level.is_surplus and self._room.is_closed(level, self._now):
+            return max(found, self._opening(level, patience))
+        return found
+
+    def _begin(self, level, patience, within):
+        """Return when work of a level may begin, with what is ready by some time."""
         _, processors = self._processors
         coming = self._coming(level)[0] if level.is_surplus else 0.0
         ahead = longest = 0.0
@@ -169,20 +196,37 @@
             longest = max(longest, work.longest)
             ahead += work.running_least
             if other < level:
-                ahead += work.ready
+                longest = max(longest, work.longest_within(within))
+                ahead += work.ready + work.ready_within(within)
             else:
                 ahead += work.ready_before(self._now + patience)
-            seconds = _seconds(ahead - processors * longest, processors - coming)
+            seconds = _optimistic(ahead - processors * longest, processors, coming)
             found = max(found, seconds)
         return found if found > -math.inf else 0.0
 
+    def _opening(self, level, patience):
+        """Return when a surplus that gets no room now may get some.
+
+        The pool is full and stays so, with as much running then as now. What waits
+        before the surplus is begun at the rate at which room becomes free, less what
+        comes at least.
+        """
+        ahead = 0.0
+        for other, work in self._work.levels.items():
+            if other < level:
+                ahead += work.ready + work.soon
+            elif other == level:
+                ahead += work.ready_before(self._now + patience)
+        _, processors = self._processors
+        return _optimistic(ahead, processors, self._coming(level)[0])
+
     def _latest(self, level):
         ahead = 0.0
         for other, work in self._work.levels.items():
             # What runs ends before its room is free, however urgent the others are.
             ahead += work.running_most
             if other <= level:
-                ahead += work.ready + work.other
+                ahead += work.ready + work.soon + work.other
         processors, _ = self._processors
         return max(0.0, _seconds(ahead, processors - self._coming(level)[1]))
 
@@ -194,6 +238,16 @@
         return self._bounds[level]
 
 
+def _optimistic(work, processors, coming):
+    """Return how long some work takes while more comes for no longer than it has."""
+    if work <= 0:
+        return _seconds(work, processors)
+    seconds = _seconds(work, processors - coming)
+    if seconds <= WINDOW_SECONDS:
+        return seconds
+    return _seconds(work + coming * WINDOW_SECONDS, processors)
+
+
 def _seconds(work, processors):
     """Return how long some work takes; infinite if nothing is left to do it."""
     if work <= 0:
--- a/papayapick/overload/work_ahead.py
+++ b/papayapick/overload/work_ahead.py
@@ -40,9 +40,12 @@
     ----------
     ready : float
         Of waiting tasks that could start and still be of use.
+    soon : float
+        Of tasks that wait for earlier steps of which all tasks run, and could then be
+        of use.
     other : float
-        Of tasks that wait for earlier steps, for their team, for advice or for workers
-        with a label, and of jobs that are of no use any more.
+        Of all other tasks: those that wait for earlier steps, for their team, for
+        advice or for workers with a label, and of jobs that are of no use any more.
     running_least, running_most : float
         Bounds of what is left of running tasks.
     longest : float
@@ -51,17 +54,21 @@
 
     __slots__ = (
         "_latest_starts",
+        "_soon",
         "_sums",
         "longest",
         "other",
         "ready",
         "running_least",
         "running_most",
+        "soon",
     )
 
     def __init__(self):
         self.ready = self.other = self.running_least = self.running_most = 0.0
-        self.longest = 0.0
+        self.soon = self.longest = 0.0
+        # Seconds until a step is ready, seconds of a task, and work.
+        self._soon = []
         # Pairs of the latest useful start of a step and its ready work.
         self._latest_starts = []
         self._sums = None
@@ -69,7 +76,7 @@
     @property
     def total(self):
         """Return all work that is left, without credit for the progress of tasks."""
-        return self.ready + self.other + self.running_most
+        return self.ready + self.soon + self.other + self.running_most
 
     def add_ready(self, latest_start, work):
         """Add waiting tasks of a step that should start by a time to be of use."""
@@ -77,6 +84,20 @@
         self._latest_starts.append((latest_start, work))
         self._sums = None
 
+    def add_soon(self, seconds, task_seconds, work):
+        """Add the tasks of a step that will be ready within some seconds."""
+        self.soon += work
+        self._soon.append((seconds, task_seconds, work))
+
+    def ready_within(self, seconds):
+        """Return the work that is not ready, but will be within some seconds."""
+        return sum(work for within, _, work in self._soon if within <= seconds)
+
+    def longest_within(self, seconds):
+        """Return the seconds of the longest task that will be ready by then."""
+        found = (task for within, task, _ in self._soon if within <= seconds)
+        return max(found, default=0.0)
+
     def ready_before(self, latest_start):
         """Return the ready work that has to start by a time."""
         if self._sums is None:
@@ -108,6 +129,8 @@
         Seconds that whole jobs of each queue may wait, by queue.
     jobs : dict of str to tuple
         Level and total work of each job by its identifier.
+    surplus_waiting : dict of str to tuple
+        Level and number of the waiting tasks of each job beyond its team's rate.
     """
 
     __slots__ = (
@@ -118,6 +141,7 @@
         "levels",
         "patiences",
         "running",
+        "surplus_waiting",
     )
 
     def __init__(self, task_times, reasons_apart=()):
@@ -127,6 +151,7 @@
         self.lasting = self.running = 0.0
         self.patiences = collections.defaultdict(list)
         self.jobs = {}
+        self.surplus_waiting = {}
 
     def add(self, job, now):
         """Add a job.
@@ -147,6 +172,9 @@
             if step.unfinished_tasks:
                 self._add_step(work, step, useful_until, now)
         self.jobs[job.identifier] = level, work.total - before
+        if is_surplus:
+            waiting = sum(len(step.waiting) for step in job.steps())
+            self.surplus_waiting[job.identifier] = level, waiting
         if useful_until != float("inf"):
             patience = useful_until - job.arrived_at - job.critical_path_seconds
             self.patiences[job.document.queue].append(patience)
@@ -167,17 +195,34 @@
         left = max(0.0, seconds - max(0.0, now - step.ready_at))
         work.running_least += running * cores * left
         if not step.is_ready:
-            work.other += step.unfinished_tasks * cores * seconds
+            amount = step.unfinished_tasks * cores * seconds
+            self._add_later(work, step, amount, useful_until, now)
         elif waiting:
             self._add_waiting(work, step, waiting * cores * seconds, useful_until, now)
 
+    def _add_later(self, work, step, amount, useful_until, now):
+        steps = step.job.occurrences[step.key.occurrence]
+        earlier = [steps[number] for number in step.step.after]
+        unfinished = [one for one in earlier if one.unfinished_tasks]
+        is_soon = all(one.is_ready and not one.waiting for one in unfinished)
+        seconds = max(map(self._task_times.expected_seconds, unfinished), default=0.0)
+        latest_start = self._latest_start(step, useful_until)
+        if is_soon and not step.step.label and latest_start >= now + seconds:
+            task_seconds = self._task_times.expected_seconds(step)
+            work.add_soon(seconds, task_seconds, amount)
+        else:
+            work.other += amount
+
+    def _latest_start(self, step, useful_until):
+        left = self._task_times.critical_path_seconds(step.job, step.key.step)
+        return useful_until - left
+
     def _add_waiting(self, work, step, amount, useful_until, now):
         if useful_until == float("inf"):
             # Served by its arrival, before all that have a time to be done by.
             latest_start = float("-inf")
         else:
-            left = self._task_times.critical_path_seconds(step.job, step.key.step)
-            latest_start = useful_until - left
+            latest_start = self._latest_start(step, useful_until)
             if latest_start < now:
                 work.other += amount
                 return
