Forecast each 0.2 s, as often as it is sent

Cause: a forecast goes over the steps of all live jobs, which a count does not. Change: it is made with every second count, and steps that wait are handled without the sums of running ones. Tests of overload and entry/test_admission pass.

--- a/papayapick/overload/work_ahead.py
+++ b/papayapick/overload/work_ahead.py
@@ -168,12 +168,13 @@
         useful_until = job.arrived_at + useful_seconds(job)
         work = self.levels[level]
         before = work.total
-        for step in job.steps():
+        steps = job.steps()
+        for step in steps:
             if step.unfinished_tasks:
                 self._add_step(work, step, useful_until, now)
         self.jobs[job.identifier] = level, work.total - before
         if is_surplus:
-            waiting = sum(len(step.waiting) for step in job.steps())
+            waiting = sum(len(step.waiting) for step in steps)
             self.surplus_waiting[job.identifier] = level, waiting
         if useful_until != float("inf"):
             patience = useful_until - job.arrived_at - job.critical_path_seconds
@@ -182,36 +183,39 @@
     def _add_step(self, work, step, useful_until, now):
         cores = step.step.room_demand.processors / _MILLICORES
         waiting = len(step.waiting)
-        running = step.unfinished_tasks - waiting if step.is_ready else 0
+        used = (step.unfinished_tasks - waiting) * cores
         if step.step.is_lasting:
-            self.lasting += running * cores
+            self.lasting += used if step.is_ready else 0.0
             return
         seconds = self._task_times.expected_seconds(step)
-        if step.is_ready:
-            work.longest = max(work.longest, seconds)
-        self.running += running * cores
-        work.running_most += running * cores * seconds
-        # No task of the step began before the step was ready.
-        left = max(0.0, seconds - max(0.0, now - step.ready_at))
-        work.running_least += running * cores * left
         if not step.is_ready:
             amount = step.unfinished_tasks * cores * seconds
             self._add_later(work, step, amount, useful_until, now)
-        elif waiting:
+            return
+        work.longest = max(work.longest, seconds)
+        if used:
+            self.running += used
+            work.running_most += used * seconds
+            # No task of the step began before the step was ready.
+            left = seconds - max(0.0, now - step.ready_at)
+            work.running_least += used * max(0.0, left)
+        if waiting:
             self._add_waiting(work, step, waiting * cores * seconds, useful_until, now)
 
     def _add_later(self, work, step, amount, useful_until, now):
         steps = step.job.occurrences[step.key.occurrence]
         earlier = [steps[number] for number in step.step.after]
         unfinished = [one for one in earlier if one.unfinished_tasks]
-        is_soon = all(one.is_ready and not one.waiting for one in unfinished)
+        if step.step.label or any(
+            one.waiting or not one.is_ready for one in unfinished
+        ):
+            work.other += amount
+            return
         seconds = max(map(self._task_times.expected_seconds, unfinished), default=0.0)
-        latest_start = self._latest_start(step, useful_until)
-        if is_soon and not step.step.label and latest_start >= now + seconds:
-            task_seconds = self._task_times.expected_seconds(step)
-            work.add_soon(seconds, task_seconds, amount)
-        else:
+        if self._latest_start(step, useful_until) < now + seconds:
             work.other += amount
+            return
+        work.add_soon(seconds, self._task_times.expected_seconds(step), amount)
 
     def _latest_start(self, step, useful_until):
         left = self._task_times.critical_path_seconds(step.job, step.key.step)
--- a/papayapick/pool/records/status_feed.py
+++ b/papayapick/pool/records/status_feed.py
@@ -13,6 +13,8 @@
 
 # Well below the two seconds that a number may be old when a caller reads it.
 _COUNT_INTERVAL_SECONDS = 0.1
+# A forecast costs several times a count, and is sent no more often than this.
+_FORECAST_INTERVAL_SECONDS = 0.2
 # Steps that wait for these keep no room from others.
 _REASONS_APART = frozenset((WaitReason.ADVICE, WaitReason.QUOTA))
 _MILLICORES = 1000
@@ -109,8 +111,7 @@
                 self._counted_at = now
                 self._backlogs = self._count_backlogs(now)
                 self._known_at = self._compute_known_at()
-                if self._forecaster is not None:
-                    self._forecast = self._make_forecast(now)
+                self._refresh_forecast(now)
             return self._backlogs
 
     def _compute_known_at(self):
@@ -129,6 +130,14 @@
         )
         return None if math.isinf(known_at) else known_at
 
+    def _refresh_forecast(self, now):
+        if self._forecaster is None:
+            return
+        latest = self._forecast
+        age = math.inf if latest is None else now - latest.counted_at
+        if self._known_at is None or age >= _FORECAST_INTERVAL_SECONDS:
+            self._forecast = self._make_forecast(now)
+
     def _make_forecast(self, now):
         """Return the forecast, or None as long as not all jobs are known."""
         owner = self._owner
