--- a/papayapick/management/commands/__init__.py
+++ b/papayapick/management/commands/__init__.py
@@ -6,6 +6,7 @@
 from papayapick.management.commands.key import KeyCommand
 from papayapick.management.commands.logs import LogsCommand
 from papayapick.management.commands.pool import PoolCommand
+from papayapick.management.commands.queue import QueueCommand
 from papayapick.management.commands.request import RequestCommand
 from papayapick.management.commands.team import TeamCommand
 
@@ -18,6 +19,7 @@
     KeyCommand,
     LogsCommand,
     PoolCommand,
+    QueueCommand,
     RequestCommand,
     TeamCommand,
 )
--- a/papayapick/management/exceptions.py
+++ b/papayapick/management/exceptions.py
@@ -10,6 +10,7 @@
     "FileUnreadable",
     "FileUnwritable",
     "JobMissing",
+    "MetricsUnreadable",
     "NoWaitLogged",
     "NotAcknowledged",
     "OwnerMissing",
@@ -36,6 +37,13 @@
     template = "unknown command {name}; the commands are {known}"
 
 
+class MetricsUnreadable(CommandError):
+    """Report metrics of an entry host that cannot be read."""
+
+    code = "command.metrics-unreadable"
+    template = "can't read the metrics at {address}: {reason}"
+
+
 class FileUnreadable(CommandError):
     """Report a file that cannot be read."""
 
--- a/papayapick/observability/timelines.py
+++ b/papayapick/observability/timelines.py
@@ -45,6 +45,9 @@
     "job ended",
 )
 _REFUSED_EVENT = "request refused"
+# It says by which forecast a job was refused; the codes of such refusals follow.
+_JOB_REFUSED_EVENT = "job refused"
+_JOB_REFUSED_CODES = ("entry.too-late", "entry.beyond-rate")
 _ACCEPTED_EVENTS = ("job accepted", "job known already")
 # Events that show that a request was placed; the line of its first placement may have
 # been dropped.
@@ -151,7 +154,8 @@
         Returns
         -------
         Line or None
-            The last refusal of a refused request, the failure that reached the limit
+            The last refusal of a refused request, or the line that tells by which
+            forecast its job was refused, the failure that reached the limit
             of a failed job, or the cancellation of a cancelled one. For any other job,
             the line of the most specific cause within the longest time between two of
             its milestones, or from the last one to the end of the logs while it is not
@@ -161,7 +165,7 @@
             return None
         status = self.status
         if status == "refused":
-            return self._last(_REFUSED_EVENT)
+            return self._refusal()
         if status == "failed":
             return self._last_failure() or self.request_lines[-1]
         if status == "cancelled":
@@ -172,6 +176,12 @@
         pool = line.fields.get("pool")
         return None not in (pool, self.pool) and pool != self.pool
 
+    def _refusal(self):
+        refused = self._last(_REFUSED_EVENT)
+        if refused.fields.get("code") in _JOB_REFUSED_CODES:
+            return self._last(_JOB_REFUSED_EVENT) or refused
+        return refused
+
     def _last(self, event):
         found = [line for line in self.request_lines if line.event == event]
         return found[-1] if found else None
--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -42,8 +42,9 @@
             "run ended",
             {"outcome": "failed", "failures": 2, "failure_limit": 2},
         ),
+        (4, "refused", "job refused", {"reason": "beyond-rate"}),
     ],
-    ids=["full", "refused", "late", "failed"],
+    ids=["full", "refused", "late", "failed", "beyond rate"],
 )
 def test_page_leads_from_an_id_to_its_cause(tmp_path, number, status, event, told):
     code, output, _ = explain(tmp_path, IDS[number], BLOCKS[number], "--json")
