Keep heartbeats encodable whatever a forecast says

Cause: cancelled jobs count as completed work, so a few with absurd estimates exceed the field of the pool's cores, and the thread that sends heartbeats ends. Change: the number is limited. Tests also of missed promises in the metric and of predicted waits of an owner that is gone.

--- a/papayapick/entry/cell/forecast_messages.py
+++ b/papayapick/entry/cell/forecast_messages.py
@@ -9,6 +9,9 @@
 
 # A time that is not finite is sent as this one, and is no more use to a caller.
 _MAX_MILLISECONDS = 3_600_000
+# Largest number of the field. Cancelled jobs count as completed work, so a few of them
+# with absurd estimates could exceed it, and no heartbeat could be encoded.
+_MAX_MILLICORES = 2**32 - 1
 # More queues of one pool than any operator has; bounds the message.
 _MAX_QUEUES = 200
 
@@ -37,7 +40,7 @@
             TeamBeyondRate(team=team, owed_again_milliseconds=_milliseconds(seconds))
             for team, seconds in forecast.owed_again.items()
         ],
-        "outlook_millicores": int(forecast.processors * 1000),
+        "outlook_millicores": int(min(_MAX_MILLICORES, forecast.processors * 1000)),
         "counted_at_milliseconds": to_peer_clock(forecast.counted_at),
         "outlook_known_at_milliseconds": to_peer_clock(forecast.known_at),
     }
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -21,6 +21,7 @@
 from papayapick.entry.exceptions import BeyondRate, StateUnknown, TooLate
 from papayapick.jobs import Queue
 from papayapick.overload.forecast import PoolForecast, QueueForecast
+from papayapick.pool.metrics import PROMISES_MISSED
 from papayapick.quotas import Team, TeamDirectory
 from papayapick.wire import codec, decode, encode, messages
 from papayapick.wire.messages import PoolBeat
@@ -311,6 +312,35 @@
         assert getattr(found.queues["q"], name) == getattr(one, name), name
 
 
+def test_absurd_numbers_can_be_sent():
+    """Guards against an owner without heartbeats, as it can't encode its forecast."""
+    one = QueueForecast(*[-1e300, 1e300, float("-inf"), float("inf"), 0.0, -0.0, 1e30])
+    sent = PoolForecast({"q": one}, {"t": 1e300}, 1e300, 9.5, 9.25)
+    fields = encode_forecast(sent, lambda at: int(at * 1000))
+    _, beat, _ = decode(encode(1, PoolBeat(pool="p", **fields)))
+    found = decode_forecast(beat, 10.0)
+    assert found.processors > 4_000_000
+    assert found.queues["q"].patient_earliest == float("inf")
+
+
+def test_predicted_waits_of_an_owner_that_is_gone_are_not_shown(host):
+    host.receive(2.0)
+    assert host.job_states.recent_forecasts()["rush"].earliest == 2.0
+    host.clock.advance(1.1)
+    assert host.job_states.recent_forecasts() == {}
+
+
+def test_missed_promise_of_the_owner_is_counted(owning):
+    """Guards against a count that no metric shows."""
+    before = PROMISES_MISSED._value.get()
+    owning.beat()
+    owning.add(1)
+    for _ in range(10):
+        owning.advance(1.0)
+        owning.beat()
+    assert PROMISES_MISSED._value.get() == before + 1
+
+
 def test_beat_of_a_process_before_the_forecast_is_understood():
     beat = PoolBeat(pool="p", epoch=3, host="h", has_read_state=True)
     _, received, _ = decode(encode(1, beat))
