--- a/papayapick/observability/queries.py
+++ b/papayapick/observability/queries.py
@@ -16,6 +16,7 @@
     "entry.events",
     "pool.events",
     "pool.records.events",
+    "overload.events",
     "speeds.events",
 ):
     importlib.import_module(f"papayapick.{_module}")
--- a/papayapick/observability/registry.py
+++ b/papayapick/observability/registry.py
@@ -45,10 +45,12 @@
     TEAMS = 5
     # One series per pool and class of speed.
     SPEEDS = 6
+    # Missed promises, and two series for each queue with a predicted wait.
+    PROMISES = 7
     # One series per method and status.
-    RESPONSES = 7
-    PROCESS = 8
-    HISTOGRAMS = 9
+    RESPONSES = 8
+    PROCESS = 9
+    HISTOGRAMS = 10
 
 
 class _MetricsPage:
--- a/tests/observability/test_events.py
+++ b/tests/observability/test_events.py
@@ -19,11 +19,11 @@
 SAMPLE = Event("seen in a test", "number text", "Only here.", per_second=3)
 SOURCES = [
     path
-    for package in ("entry", "pool", "speeds")
+    for package in ("entry", "overload", "pool", "speeds")
     for path in sorted(ROOT.joinpath("papayapick", package).rglob("*.py"))
 ]
 
-MODULES = ("entry", "pool", "pool.records", "speeds")
+MODULES = ("entry", "overload", "pool", "pool.records", "speeds")
 
 
 @pytest.fixture
