--- a/papayapick/overload/types.py
+++ b/papayapick/overload/types.py
@@ -79,17 +79,19 @@
     has_begun : bool
         Whether a task of it runs or is done.
     size : float
-        Core-seconds of the whole job relative to the mean of its queue.
+        Core-seconds of the whole job, compared only with jobs of its queue.
+    queue : str, optional
     """
 
-    __slots__ = ("finish_by", "has_begun", "identifier", "size", "work")
+    __slots__ = ("finish_by", "has_begun", "identifier", "queue", "size", "work")
 
-    def __init__(self, identifier, work, finish_by, has_begun, size):
+    def __init__(self, identifier, work, finish_by, has_begun, size, queue=""):
         self.identifier = identifier
         self.work = work
         self.finish_by = finish_by
         self.has_begun = has_begun
         self.size = size
+        self.queue = queue
 
 
 class OverloadPlan(Protocol):
