Serve jobs that yield after those in time

Their steps sort between those in time and those that are late; only steps of jobs whose standing has changed are filed again.

--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -210,6 +210,8 @@
         The longest of these times.
     is_owed : bool
         Whether the job is within the rate of its team. Other jobs are served last.
+    is_yielding : bool
+        Whether it is served after the others of its priority that can be in time.
     """
 
     __slots__ = (
@@ -224,6 +226,7 @@
         "finished_occurrences",
         "has_placed_task",
         "is_owed",
+        "is_yielding",
         "occurrences",
         "queue",
         "status",
@@ -239,6 +242,7 @@
         self.failed_worker = ""
         self.finished_at = None
         self.is_owed = True
+        self.is_yielding = False
         # Whether this owner has placed a task of the job.
         self.has_placed_task = False
         self.occurrences = {}
--- a/papayapick/placement/timeliness.py
+++ b/papayapick/placement/timeliness.py
@@ -9,7 +9,7 @@
 
 import enum
 
-__all__ = ["Timeliness", "has_deadline", "latest_start", "useful_seconds"]
+__all__ = ["Timeliness", "due_at", "has_deadline", "latest_start", "useful_seconds"]
 
 # A job that takes up to this multiple of its objective is late, but useful, by the
 # users' rules for the value of a job.
@@ -20,8 +20,10 @@
     """Whether a job can be completed in time if its step starts now."""
 
     IN_TIME = 0
-    LATE = 1
-    OVERDUE = 2
+    # It can, but others would be late then that cost less.
+    YIELDING = 1
+    LATE = 2
+    OVERDUE = 3
 
 
 def latest_start(step, now):
@@ -53,6 +55,8 @@
     ):
         latest = job.arrived_at + factor * objective - remaining
         if now <= latest:
+            if job.is_yielding and timeliness == Timeliness.IN_TIME:
+                return Timeliness.YIELDING, latest
             return timeliness, latest
     return Timeliness.OVERDUE, job.arrived_at
 
@@ -62,6 +66,17 @@
     return not (step.job.document.is_timed or step.step.is_lasting)
 
 
+def due_at(job):
+    """Return the monotonic seconds by which a job should be completed.
+
+    Parameters
+    ----------
+    job : JobState
+        Neither lasting nor with due times.
+    """
+    return job.arrived_at + _objective(job)
+
+
 def useful_seconds(job):
     """Return for how long after its acceptance a job is useful to its caller.
 
--- a/papayapick/pool/rounds/placement_rounds.py
+++ b/papayapick/pool/rounds/placement_rounds.py
@@ -14,6 +14,7 @@
 from papayapick.placement.service_order import ServiceOrder
 from papayapick.placement.steps import place_step
 from papayapick.pool.rounds.waiting import WaitReason, log_placed, log_wait
+from papayapick.pool.rounds.yielding import YieldingJobs
 
 __all__ = ["PlacementRounds"]
 
@@ -48,6 +49,7 @@
         "_order",
         "_owner",
         "_queue_starts",
+        "_yielding",
     )
 
     def __init__(self, owner, begin_run, queue_starts):
@@ -56,6 +58,7 @@
         self._queue_starts = queue_starts
         self._order = ServiceOrder()
         self._holds = Holds(owner.rooms, owner.job_registry.step_of)
+        self._yielding = YieldingJobs(owner)
         # Teams with a step that may not start, for the rest of this round.
         self._blocked_teams = set()
         self._budget = None
@@ -117,7 +120,8 @@
         # Rooms whose holds were dropped may admit other steps.
         self._freed |= rooms.take_freed()
         self._freed |= rooms.headroom.lift()
-        self._order.update(changed, queue.get, self._now)
+        refiled = self._yielding.renew(self._now) if is_full else set()
+        self._order.update(changed | refiled, queue.get, self._now)
         self._blocked_teams = set()
         self._budget = AdviceBudget(rooms.capacity_processors, rooms.free_processors)
 
