Stop for the whole need of urgent steps, by what is lost

Today one task for one step is stopped each tenth of a second, chosen by the number of stops: in a burst of wide urgent jobs the others wait until they can't be in time. Victims: first runs beyond their team's rate or share, then those whose stop makes or delays the fewest jobs late, then by core-seconds lost.

A stopped task has saved its work; its latest start now takes that into account (only there), or its job would be taken for late and be served last.

The test simulation saves checkpoints at stops where asked to, and loses answers.

--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -129,6 +129,7 @@
         "logged_wait_at",
         "preempted_at",
         "ready_at",
+        "saved_shares",
         "step",
         "tasks",
         "unfinished_tasks",
@@ -148,6 +149,9 @@
         self.ready_at = 0.0
         # Monotonic seconds at which other runs were last preempted for this step.
         self.preempted_at = float("-inf")
+        # Share of the work that tasks had done when they were stopped for others, by
+        # index; only where overload is expected.
+        self.saved_shares = {}
         # Workers on which room is held for this step, with the monotonic seconds at
         # which the hold begins.
         self.held_on = {}
--- a/papayapick/placement/preemption.py
+++ b/papayapick/placement/preemption.py
@@ -11,7 +11,13 @@
 from papayapick.ledger import Amounts
 from papayapick.placement.rooms import may_run
 
-__all__ = ["StoppableRuns", "choose_victims", "may_preempt"]
+__all__ = [
+    "StoppableRuns",
+    "choose_victims",
+    "may_preempt",
+    "may_use",
+    "victim_priority",
+]
 
 # A step first waits this long for room that is about to become free, since a stop
 # itself takes a few tenths of a second.
@@ -168,14 +174,7 @@
         return (room for room in able if self._may_use(room))
 
     def _may_use(self, room):
-        if not room.is_open or room.has_unknown_demand or room.is_failing:
-            return False
-        if room.hold is not None and room.hold.step_key != self._step.key:
-            # The room of this worker is held for another step.
-            return False
-        if not may_run(room, self._step.step, self._allowed):
-            return False
-        return not _all_failed_on(self._step, room.worker)
+        return may_use(room, self._step, self._allowed)
 
     def add_task(self, eligible):
         """Plan a worker for one more task; return whether there is one."""
@@ -221,6 +220,41 @@
         return candidates[: max(_MAX_VICTIMS, demand.accelerators)]
 
 
+def victim_priority(step):
+    """Return the priority of a step whose runs may be stopped, else None.
+
+    Parameters
+    ----------
+    step : StepState or None
+        None if its job is no longer known.
+    """
+    if step is None or step.job.is_final:
+        return None
+    found = step.step
+    if not found.has_checkpoints or found.is_gang or found.is_lasting:
+        return None
+    return step.job.priority
+
+
+def may_use(room, step, allowed):
+    """Return whether a waiting task of a step may run on a worker that gets room.
+
+    Parameters
+    ----------
+    room : WorkerRoom
+    step : StepState
+    allowed : container of str or None
+    """
+    if not room.is_open or room.has_unknown_demand or room.is_failing:
+        return False
+    if room.hold is not None and room.hold.step_key != step.key:
+        # The room of this worker is held for another step.
+        return False
+    if not may_run(room, step.step, allowed):
+        return False
+    return not _all_failed_on(step, room.worker)
+
+
 def _all_failed_on(step, worker):
     """Return whether all waiting tasks of a step are excluded from a worker.
 
--- a/papayapick/placement/timeliness.py
+++ b/papayapick/placement/timeliness.py
@@ -9,7 +9,14 @@
 
 import enum
 
-__all__ = ["Timeliness", "due_at", "has_deadline", "latest_start", "useful_seconds"]
+__all__ = [
+    "Timeliness",
+    "due_at",
+    "has_deadline",
+    "latest_start",
+    "saved_seconds",
+    "useful_seconds",
+]
 
 # A job that takes up to this multiple of its objective is late, but useful, by the
 # users' rules for the value of a job.
@@ -48,7 +55,7 @@
     if not has_deadline(step):
         return Timeliness.IN_TIME, job.arrived_at
     objective = _objective(job)
-    remaining = job.critical_paths[step.key.step]
+    remaining = job.critical_paths[step.key.step] - saved_seconds(step)
     for timeliness, factor in (
         (Timeliness.IN_TIME, 1.0),
         (Timeliness.LATE, _LATE_FACTOR),
@@ -61,6 +68,18 @@
     return Timeliness.OVERDUE, job.arrived_at
 
 
+def saved_seconds(step):
+    """Return the time that all waiting tasks of a step need not run again.
+
+    A task that was stopped for urgent work resumes from its checkpoint. Were its job
+    taken for late because its step began late, it would be served last.
+    """
+    if not step.saved_shares or not step.waiting:
+        return 0.0
+    shares = (step.saved_shares.get(index, 0.0) for index in step.waiting)
+    return step.step.estimate_seconds * min(shares)
+
+
 def has_deadline(step):
     """Return whether the job of a step has a time by which it should be completed."""
     return not (step.job.document.is_timed or step.step.is_lasting)
--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -165,8 +165,10 @@
 )
 STOPPED_FOR_URGENT = Event(
     "stopped for an urgent task",
-    _RUN + " percent urgent",
-    "A less urgent task was preempted; it resumes from its checkpoint later.",
+    _RUN + " percent urgent is_owed becomes_late lost_core_seconds",
+    "A less urgent task was preempted; it resumes from its checkpoint later. Where "
+    "overload is expected, also why this one: whether its job is within its team's "
+    "rate and share, whether it becomes late by the stop, and what is lost.",
 )
 RUN_ENDED = Event(
     "run ended",
--- a/papayapick/pool/rounds/decisions.py
+++ b/papayapick/pool/rounds/decisions.py
@@ -7,11 +7,13 @@
     StoppableRuns,
     choose_victims,
     may_preempt,
+    victim_priority,
 )
 from papayapick.placement.steps import order_steps
 from papayapick.pool.events import COPY_STARTED, STOPPED_FOR_URGENT
 from papayapick.pool.metrics import FIRST_START_SECONDS
 from papayapick.pool.rounds.placement_rounds import PlacementRounds
+from papayapick.pool.rounds.urgent_stops import UrgentStops
 from papayapick.pool.rounds.waiting import WaitReason
 from papayapick.pool.workers.orders import StartOrder
 from papayapick.pool.workers.reports import run_fields
@@ -31,11 +33,12 @@
     backlog : BacklogMonitor
     """
 
-    __slots__ = ("_owner", "_rounds", "_unsent", "backlog")
+    __slots__ = ("_owner", "_rounds", "_stops", "_unsent", "backlog")
 
     def __init__(self, owner):
         self._owner = owner
         self._rounds = PlacementRounds(owner, self._begin_run, self._queue_starts)
+        self._stops = UrgentStops(owner)
         self._unsent = []
         self.backlog = BacklogMonitor()
 
@@ -112,7 +115,13 @@
         )
 
     def preempt(self, now):
-        """Stop tasks of lower priority for the most urgent step without room."""
+        """Stop tasks of lower priority for the most urgent step without room.
+
+        Where overload is expected, for the most urgent steps together.
+        """
+        if self._owner.knowledge.features.is_in_use:
+            self._stops.run(now)
+            return
         overdue = [
             step
             for step in self._owner.job_registry.waiting_steps()
@@ -140,13 +149,7 @@
             return
 
     def _victim_priority(self, run):
-        step = self._owner.job_registry.step_of(run.key)
-        if step is None or step.job.is_final:
-            return None
-        found = step.step
-        if not found.has_checkpoints or found.is_gang or found.is_lasting:
-            return None
-        return step.job.priority
+        return victim_priority(self._owner.job_registry.step_of(run.key))
 
     def take_unsent(self, identifiers=None):
         """Remove and return the starts that have not been sent yet.
--- a/papayapick/pool/rounds/yielding.py
+++ b/papayapick/pool/rounds/yielding.py
@@ -9,7 +9,7 @@
 from papayapick.jobs.state import JobStatus
 from papayapick.overload.plan import YieldPlan
 from papayapick.overload.types import DelayedJob
-from papayapick.placement.timeliness import due_at
+from papayapick.placement.timeliness import due_at, saved_seconds
 
 __all__ = ["YieldingJobs"]
 
@@ -148,7 +148,7 @@
     """
     tail = max(
         (
-            job.critical_paths[step.key.step]
+            job.critical_paths[step.key.step] - saved_seconds(step)
             for step in job.steps()
             if step.waiting or not step.is_ready
         ),
@@ -180,5 +180,7 @@
     if not step.is_ready:
         return step.unfinished_tasks
     done = sum(run.percent for run in step.active_runs()) / _FULL
+    if step.saved_shares:
+        done += sum(step.saved_shares.get(index, 0.0) for index in step.waiting)
     # A second copy of a task counts as well.
     return max(0.0, step.unfinished_tasks - done)
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -116,23 +116,28 @@
                 self._end(name, "done")
         return len(self.ends) > before
 
-    def stop(self, name):
+    def stop(self, name, saves_checkpoint=False):
         if name in self.runs:
-            self._end(name, "stopped")
+            done = max(0.0, self.runs[name])
+            self._end(name, "stopped", str(done) if saves_checkpoint else "")
 
-    def _end(self, name, outcome):
+    def _end(self, name, outcome, checkpoint=""):
         del self.runs[name]
-        self.ends.append(EndReport(len(self.ends) + 1, *name, outcome))
+        self.ends.append(EndReport(len(self.ends) + 1, *name, outcome, checkpoint))
 
     def report(self, length_of):
         highest = 100 if self.is_endless else 99
         runs = [
-            RunReport(*name, percent=int(min(highest, 100 * done / length_of(name))))
+            RunReport(*name, percent=_percent(highest, done / length_of(name)))
             for name, done in self.runs.items()
         ]
         return WorkerReport(50.0, 1, runs, list(self.ends))
 
 
+def _percent(highest, share):
+    return int(max(0, min(highest, 100 * share)))
+
+
 class PoolSimulation:
     """Simulate the workers of a pool under a real owner, without threads.
 
@@ -146,12 +151,24 @@
         Share of the tasks, chosen by their names, that take three times as long.
     accelerators : int
         Number for each worker.
+    restore_seconds : float, optional
+        Time that a run takes to resume from the checkpoint of a stop; by default stops
+        save none.
+
+    Attributes
+    ----------
+    answers_stops : bool
+        Whether stops are carried out, rather than lost.
     """
 
     STEP_SECONDS = 0.05
     POLL_SECONDS = 0.8
 
-    def __init__(self, workers, length, long_share=0.0, accelerators=0):
+    def __init__(
+        self, workers, length, long_share=0.0, accelerators=0, restore_seconds=None
+    ):
+        self._restore_seconds = restore_seconds
+        self.answers_stops = True
         self._length = length
         self._long_share = long_share
         self.host = Host()
@@ -242,14 +259,26 @@
         for start in self.owner.decisions.take_unsent():
             run = start.run
             run.note_sent(self.now)
-            self.workers[run.worker].runs[run.name] = 0.0
+            self.workers[run.worker].runs[run.name] = self._progress(start)
             self.owner.job_registry.note_started(run)
         tasks, orders._stop_executor.tasks = orders._stop_executor.tasks, []
         for step, args in tasks:
             if step == orders._stop:
                 self.stops += 1
-                self.workers[args[1].worker].stop(args[1].name)
-                orders.note_stop_confirmed(args[1])
+                orders._stops_in_progress.discard(args[1])
+                if self.answers_stops:
+                    self._stop(args[1])
+
+    def _progress(self, start):
+        """Return the seconds of progress with which a run begins."""
+        if not start.checkpoint or self._restore_seconds is None:
+            return 0.0
+        return float(start.checkpoint) - self._restore_seconds
+
+    def _stop(self, run):
+        saves = self._restore_seconds is not None
+        self.workers[run.worker].stop(run.name, saves)
+        self.owner.orders.note_stop_confirmed(run)
 
 
 def _registration(worker, accelerators=0):
