Lend the room kept for urgent work, and hand on its peak

Where overload is expected, tasks with checkpoints may use the room kept for urgent work, as they are stopped for it in time; others leave it free as before. The peak by which room is kept can be recorded and restored, so that a new owner keeps room from its first round; without one it decides as before.

--- a/papayapick/placement/headroom.py
+++ b/papayapick/placement/headroom.py
@@ -45,20 +45,36 @@
     Parameters
     ----------
     rooms : Rooms
+
+    Attributes
+    ----------
+    lends : bool
+        Whether tasks with checkpoints may use what is kept, since they are stopped for
+        urgent ones that need it. The others leave it free.
     """
 
+    # For the record that the next owner of the pool continues from.
+    name = "urgent-peak"
+    version = 1
+
     __slots__ = (
         "_is_short",
         "_kept",
         "_limits",
         "_peaks",
         "_priority",
+        "_restored",
         "_rooms",
         "_task_processors",
+        "lends",
     )
 
     def __init__(self, rooms):
         self._rooms = rooms
+        self.lends = False
+        # Age and millicores of the peak that an earlier owner saw, until the next
+        # update.
+        self._restored = None
         # Priority of the queue for which room is kept.
         self._priority = None
         # Millicores to keep by room.
@@ -77,6 +93,53 @@
         """Priority of the queue for which room is kept; infinite if there is none."""
         return float("inf") if self._priority is None else self._priority
 
+    def as_record(self, now):
+        """Return the recent peak for the next owner of the pool.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        dict of str to float, or None
+            None if no room is kept, or none is lent: room is then kept as without a
+            record.
+        """
+        if not self.lends or self._priority is None or not self._peaks:
+            return None
+        at, wanted = max(self._peaks, key=lambda peak: (peak[1], peak[0]))
+        return {
+            "priority": self._priority,
+            "task_processors": self._task_processors,
+            "wanted": wanted,
+            "age_seconds": now - at,
+        }
+
+    def restore(self, record, age_seconds):
+        """Continue from the record of an earlier owner.
+
+        Parameters
+        ----------
+        record : dict of str to float
+        age_seconds : float
+            Since the record was made.
+
+        Raises
+        ------
+        LookupError, TypeError, ValueError
+            If the record can't be read; nothing is changed then.
+        """
+        priority, processors = int(record["priority"]), int(record["task_processors"])
+        age = float(record["age_seconds"]) + age_seconds
+        wanted = int(record["wanted"])
+        if processors <= 0 or wanted < 0:
+            raise ValueError(record)
+        if age <= _WINDOW_SECONDS and self._priority is None:
+            self._priority, self._task_processors = priority, processors
+            self._restored = age, wanted
+
     def update(self, jobs, now):
         """Choose anew what is kept; return the rooms of which less is kept now.
 
@@ -91,6 +154,10 @@
         -------
         set of WorkerRoom
         """
+        if self._restored is not None:
+            age, wanted = self._restored
+            self._restored = None
+            self._peaks.append((now - age, wanted))
         usage = self._measure(jobs, now)
         before, was_short = self._kept, self._is_short
         self._kept, self._is_short = {}, False
@@ -127,6 +194,8 @@
         step = step_state.step
         if step.is_lasting or step_state.job.priority <= self._priority:
             return True
+        if self.lends and step.has_checkpoints and not step.is_gang:
+            return True
         if room.hold is not None and room.hold.step_key == step_state.key:
             return True
         if self._is_ample():
--- a/papayapick/pool/rounds/placement_rounds.py
+++ b/papayapick/pool/rounds/placement_rounds.py
@@ -127,7 +127,9 @@
 
     def _update_headroom(self):
         jobs = self._owner.job_registry.live_jobs()
-        self._freed |= self._owner.rooms.headroom.update(jobs, self._now)
+        headroom = self._owner.rooms.headroom
+        headroom.lends = self._owner.knowledge.features.is_in_use
+        self._freed |= headroom.update(jobs, self._now)
 
     def _end(self, queue):
         """File the steps again that this round has changed.
--- a/tests/pool/test_headroom.py
+++ b/tests/pool/test_headroom.py
@@ -1,7 +1,10 @@
 """Room kept free for urgent steps while patient work exceeds the pool."""
 
+import pytest
+
 from papayapick.jobs import Queue, Step
 from papayapick.ledger import Amounts
+from papayapick.overload.features import OverloadFeatures
 from tests.pool.standins import PoolSimulation
 
 WORKERS = 20
@@ -123,3 +126,89 @@
     mixed.load.run(0.2)
     (step,) = mixed.load.owner.job_registry.get(large).steps()
     assert len(step.active_runs()) == 4
+
+
+def _after_burst(is_in_use=True):
+    """Return a pool in which a burst of urgent jobs has just ended."""
+    mixed = MixedLoad()
+    mixed.load.owner.knowledge.features = OverloadFeatures(is_in_use)
+    for _ in range(30):
+        mixed.submit_urgent(4)
+    mixed.load.run(4.0)
+    return mixed
+
+
+def _submit_with_checkpoints(mixed):
+    step = Step(200, Amounts(1000, 10), 8.0, has_checkpoints=True)
+    mixed._patient.add(mixed.load.submit_step(step, PATIENT))
+
+
+@pytest.mark.parametrize("is_in_use", [False, True])
+def test_room_is_lent_to_tasks_that_can_be_stopped_for_urgent_ones(is_in_use):
+    """Guards against room that is idle although a stop would make it free in time."""
+    mixed = _after_burst(is_in_use)
+    _submit_with_checkpoints(mixed)
+    mixed.load.run(1.0)
+    free = mixed.load.owner.rooms.free_processors
+    assert free == (0 if is_in_use else KEPT)
+
+
+def test_tasks_that_cannot_be_stopped_are_lent_no_room():
+    mixed = _after_burst()
+    mixed.submit_patient(200)
+    mixed.load.run(1.0)
+    assert mixed.load.owner.rooms.free_processors == KEPT
+
+
+def test_new_owner_keeps_room_for_the_peak_that_the_earlier_one_saw():
+    """Guards against a pool that patient tasks fill in the second after a takeover."""
+    earlier = _after_burst()
+    record = earlier.load.owner.rooms.headroom.as_record(earlier.load.now)
+    later = MixedLoad()
+    later.load.owner.knowledge.features = OverloadFeatures(expects_overload=True)
+    later.load.owner.rooms.headroom.restore(record, 2.0)
+    later.submit_patient(200)
+    later.load.run(1.0)
+    assert later.load.owner.rooms.free_processors == KEPT
+    later.load.run(10.0)
+    assert later.load.owner.rooms.free_processors == 0
+
+
+def test_old_peak_and_none_are_left_out():
+    """Guards against an owner without a peak that keeps room, or fails."""
+    earlier = _after_burst()
+    record = earlier.load.owner.rooms.headroom.as_record(earlier.load.now)
+    later = MixedLoad()
+    headroom = later.load.owner.rooms.headroom
+    assert headroom.as_record(later.load.now) is None
+    headroom.restore(record, 10.0)
+    later.submit_patient(200)
+    later.load.run(1.0)
+    assert later.load.owner.rooms.free_processors == 0
+
+
+@pytest.mark.parametrize(
+    ("record", "error"),
+    [
+        ({}, LookupError),
+        ([], TypeError),
+        (
+            {"priority": 0, "task_processors": 0, "wanted": 1, "age_seconds": 1.0},
+            ValueError,
+        ),
+        (
+            {"priority": "x", "task_processors": 1, "wanted": 1, "age_seconds": 1.0},
+            ValueError,
+        ),
+    ],
+)
+def test_unreadable_peak_changes_nothing(record, error):
+    headroom = MixedLoad().load.owner.rooms.headroom
+    with pytest.raises(error):
+        headroom.restore(record, 0.0)
+    assert headroom.priority == float("inf")
+
+
+def test_nothing_is_recorded_unless_overload_is_expected():
+    mixed = _after_burst(is_in_use=False)
+    assert mixed.load.owner.rooms.headroom.as_record(mixed.load.now) is None
