Count what a stopped task has saved only with its checkpoint

If the worker is lost before it tells of the stop, the task begins anew, and its latest start must not be later than that of a new task. The two cases are tested.

--- a/papayapick/placement/timeliness.py
+++ b/papayapick/placement/timeliness.py
@@ -15,6 +15,7 @@
     "has_deadline",
     "latest_start",
     "saved_seconds",
+    "saved_share",
     "useful_seconds",
 ]
 
@@ -76,8 +77,21 @@
     """
     if not step.saved_shares or not step.waiting:
         return 0.0
-    shares = (step.saved_shares.get(index, 0.0) for index in step.waiting)
-    return step.step.estimate_seconds * min(shares)
+    least = min(saved_share(step, index) for index in step.waiting)
+    return step.step.estimate_seconds * least
+
+
+def saved_share(step, index):
+    """Return the share of a task's work that it had done when it was stopped.
+
+    It is 0 without a checkpoint: the worker was lost before it told of the stop.
+
+    Parameters
+    ----------
+    step : StepState
+    index : int
+    """
+    return step.saved_shares.get(index, 0.0) if step.tasks[index].checkpoint else 0.0
 
 
 def has_deadline(step):
--- a/tests/pool/test_urgent_stops.py
+++ b/tests/pool/test_urgent_stops.py
@@ -9,6 +9,7 @@
 from papayapick.ledger import Amounts
 from papayapick.overload.features import OverloadFeatures
 from papayapick.overload.stops import FewestStops
+from papayapick.placement.timeliness import latest_start, saved_seconds
 from papayapick.pool.rounds import urgent_stops
 from papayapick.pool.rounds.urgent_stops import UrgentStops
 from tests.pool.standins import PoolSimulation
@@ -240,3 +241,32 @@
     burst.submit_urgent(4)
     burst.load.run(1.0)
     assert burst.load.stops == 0
+
+
+def _stopped_step(burst, has_checkpoint):
+    """Stop a task that is half done, and return its step once it waits."""
+    burst.load._restore_seconds = RESTORE_SECONDS if has_checkpoint else None
+    patient = burst.submit_patient(4)
+    burst.load.run(PATIENT_SECONDS / 2)
+    burst.submit_urgent(3)
+    burst.load.run(0.6)
+    (step,) = burst.load.owner.job_registry.get(patient).steps()
+    assert step.waiting
+    return step
+
+
+@pytest.mark.parametrize(("has_checkpoint", "share"), [(True, 0.5), (False, 0.0)])
+def test_stopped_task_counts_with_what_it_has_saved(has_checkpoint, share):
+    """Guards against a job that is taken for late since its task waits once more.
+
+    The task resumes with half its work done. If its worker is lost before the stop is
+    answered, there is no checkpoint, and it begins anew.
+    """
+    burst = BurstLoad(workers=1)
+    step = _stopped_step(burst, has_checkpoint)
+    found = saved_seconds(step) / PATIENT_SECONDS
+    assert found == pytest.approx(share, abs=0.1)
+    _, latest = latest_start(step, burst.load.now)
+    objective = PATIENT.stretch * PATIENT_SECONDS + PATIENT.objective_seconds
+    expected = step.job.arrived_at + objective - PATIENT_SECONDS * (1 - found)
+    assert latest == pytest.approx(expected)
