--- a/papayapick/entry/gauges.py
+++ b/papayapick/entry/gauges.py
@@ -5,7 +5,12 @@
     CONFIGURATION_VERSION,
     STORE_AGE_SECONDS,
 )
-from papayapick.pool.metrics import OWNED_POOLS, TEAM_SHARES, WAITING_JOBS
+from papayapick.pool.metrics import (
+    OWNED_POOLS,
+    PLANNED_JOBS,
+    TEAM_SHARES,
+    WAITING_JOBS,
+)
 
 __all__ = ["refresh_gauges"]
 
@@ -27,6 +32,7 @@
     CONFIGURATION_AGE_SECONDS.set(host.configuration.age())
     OWNED_POOLS.set(len(owners))
     _refresh_teams(owners)
+    _refresh_plans(owners)
     WAITING_JOBS.clear()
     for queue, count in host.job_states.all_waiting().items():
         WAITING_JOBS.labels(queue).set(count)
@@ -39,3 +45,13 @@
             shares = owner.team_usage.largest_shares(_SHOWN_TEAMS)
         for team, share in shares.items():
             TEAM_SHARES.labels(team).set(share)
+
+
+def _refresh_plans(owners):
+    PLANNED_JOBS.clear()
+    for owner in owners:
+        with owner.lock:
+            counts = owner.decisions.planned_jobs
+        for queue, count in counts.items():
+            for standing, jobs in count.items():
+                PLANNED_JOBS.labels(queue, standing.value).set(jobs)
--- a/papayapick/observability/registry.py
+++ b/papayapick/observability/registry.py
@@ -43,10 +43,12 @@
     BACKLOGS = 4
     # One series per team, for a bounded number of teams.
     TEAMS = 5
+    # Three series per queue with jobs, while more waits than the pool has room for.
+    PLANS = 6
     # One series per method and status.
-    RESPONSES = 6
-    PROCESS = 7
-    HISTOGRAMS = 8
+    RESPONSES = 7
+    PROCESS = 8
+    HISTOGRAMS = 9
 
 
 class _MetricsPage:
--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -11,6 +11,7 @@
     "JOB_ENDED",
     "JOB_TAKEN",
     "JOBS_KEPT",
+    "JOBS_YIELD",
     "MACHINES_DISTRUSTED",
     "MACHINES_UNREAD",
     "NO_ADVICE",
@@ -125,6 +126,14 @@
 
 # Jobs and steps.
 
+JOBS_YIELD = Event(
+    "jobs yield",
+    "pool queue in_time yielding late",
+    "More waits than can be in time: the numbers of a queue's jobs that can be, that "
+    "are served after those, and that are late or beyond the plan. At most each second "
+    "for each queue.",
+    per_second=20,
+)
 JOB_TAKEN = Event(
     "job taken in",
     "request_id queue priority steps status pool epoch",
--- a/papayapick/pool/metrics.py
+++ b/papayapick/pool/metrics.py
@@ -7,6 +7,7 @@
     "ENDS",
     "FIRST_START_SECONDS",
     "OWNED_POOLS",
+    "PLANNED_JOBS",
     "RENEWALS",
     "STARTS",
     "TAKEOVERS",
@@ -59,6 +60,12 @@
 OWNED_POOLS = gauge(
     PageSection.HOST_STATE, "papayapick_pool_owned", "Pools that this host owns now"
 )
+PLANNED_JOBS = gauge(
+    PageSection.PLANS,
+    "papayapick_pool_planned_jobs",
+    "Jobs in the last plan while more waits than fits: in-time, yielding or late",
+    ("queue", "standing"),
+)
 TEAM_SHARES = gauge(
     PageSection.TEAMS,
     "papayapick_pool_team_share",
--- a/papayapick/pool/rounds/decisions.py
+++ b/papayapick/pool/rounds/decisions.py
@@ -42,6 +42,17 @@
         self._unsent = []
         self.backlog = BacklogMonitor()
 
+    @property
+    def planned_jobs(self):
+        """Return how many jobs of each queue are in time, yield or are late.
+
+        Returns
+        -------
+        dict of str to collections.Counter
+            By queue and ``Standing``; empty while the pool has room for all.
+        """
+        return self._rounds.planned_jobs
+
     def place(self, now):
         """Place waiting tasks, the most urgent first, and queue their starts."""
         owner = self._owner
--- a/papayapick/pool/rounds/placement_rounds.py
+++ b/papayapick/pool/rounds/placement_rounds.py
@@ -66,6 +66,11 @@
         self._full_at = float("-inf")
         self._now = 0.0
 
+    @property
+    def planned_jobs(self):
+        """Return the counts of the last plan; see ``YieldingJobs``."""
+        return self._yielding.counts
+
     def run(self, now):
         """Place waiting tasks, the most urgent first, unless nothing has changed."""
         owner = self._owner
--- a/papayapick/pool/rounds/yielding.py
+++ b/papayapick/pool/rounds/yielding.py
@@ -4,14 +4,17 @@
 the processors that are left to their priority.
 """
 
+import collections
+import enum
 import heapq
 
 from papayapick.jobs.state import JobStatus
 from papayapick.overload.plan import YieldPlan
 from papayapick.overload.types import DelayedJob
-from papayapick.placement.timeliness import due_at, saved_seconds
+from papayapick.placement.timeliness import due_at, saved_seconds, saved_share
+from papayapick.pool.events import JOBS_YIELD
 
-__all__ = ["YieldingJobs"]
+__all__ = ["Standing", "YieldingJobs"]
 
 # A plan for hundreds of jobs takes milliseconds under the owner's lock, and a burst
 # lasts seconds.
@@ -19,27 +22,44 @@
 # Jobs of one priority in a plan, the most urgent ones: the others would wait for
 # longer than they are useful.
 _MAX_JOBS = 1000
+_LOG_INTERVAL_SECONDS = 1.0
 _MILLICORES = 1000
 _FULL = 100
 
 
+class Standing(enum.StrEnum):
+    """How a job stands in a plan; values of a label of a metric."""
+
+    IN_TIME = "in-time"
+    YIELDING = "yielding"
+    # Also a job beyond the most urgent ones that a plan considers.
+    LATE = "late"
+
+
 class YieldingJobs:
     """Set ``is_yielding`` of the jobs of an owner.
 
     Parameters
     ----------
     owner : PoolOwner
+
+    Attributes
+    ----------
+    counts : dict of str to collections.Counter
+        By queue, how many jobs are in time, late or yield in the last plan; empty
+        while the pool has room for all that waits.
     """
 
-    __slots__ = ("_made_at", "_owner", "_plans", "_yielding")
+    __slots__ = ("_logged_at", "_made_at", "_owner", "_plans", "_yielding", "counts")
 
     def __init__(self, owner):
         self._owner = owner
-        self._made_at = float("-inf")
+        self._made_at = self._logged_at = float("-inf")
         # By priority; there are two for each priority of a queue.
         self._plans = {}
         # Identifiers of the jobs that yield.
         self._yielding = set()
+        self.counts = {}
 
     def renew(self, now):
         """Make the plan anew if it is due.
@@ -60,7 +80,10 @@
         if now - self._made_at < _INTERVAL_SECONDS:
             return set()
         self._made_at = now
-        return self._apply(self._choose(now))
+        self.counts = {}
+        changed = self._apply(self._choose(now))
+        self._log(now)
+        return changed
 
     def _choose(self, now):
         rooms = self._owner.rooms
@@ -73,9 +96,12 @@
         available -= load.lasting
         yielding = set()
         for priority in sorted(load.jobs):
-            delayed = self._delayed(load.jobs[priority], now)
+            jobs = load.jobs[priority]
+            delayed = self._delayed(jobs, now)
             plan = self._plans.setdefault(priority, YieldPlan())
-            yielding |= plan.yielding(delayed, max(0, available), now)
+            chosen = plan.yielding(delayed, max(0, available), now)
+            self._count(jobs, {one.identifier for one in delayed}, chosen)
+            yielding |= chosen
             available -= load.used[priority]
         return yielding
 
@@ -89,6 +115,29 @@
             for finish_by, _, job in heapq.nsmallest(_MAX_JOBS, in_time)
         ]
 
+    def _count(self, jobs, in_time, yielding):
+        for job in jobs:
+            count = self.counts.setdefault(job.document.queue, collections.Counter())
+            if job.identifier in yielding:
+                count[Standing.YIELDING] += 1
+            elif job.identifier in in_time:
+                count[Standing.IN_TIME] += 1
+            else:
+                count[Standing.LATE] += 1
+
+    def _log(self, now):
+        if not self._yielding or now - self._logged_at < _LOG_INTERVAL_SECONDS:
+            return
+        self._logged_at = now
+        for queue, count in self.counts.items():
+            JOBS_YIELD.write(
+                pool=self._owner.pool,
+                queue=queue,
+                in_time=count[Standing.IN_TIME],
+                yielding=count[Standing.YIELDING],
+                late=count[Standing.LATE],
+            )
+
     def _apply(self, yielding):
         registry = self._owner.job_registry
         changed = set()
@@ -181,6 +230,6 @@
         return step.unfinished_tasks
     done = sum(run.percent for run in step.active_runs()) / _FULL
     if step.saved_shares:
-        done += sum(step.saved_shares.get(index, 0.0) for index in step.waiting)
+        done += sum(saved_share(step, index) for index in step.waiting)
     # A second copy of a task counts as well.
     return max(0.0, step.unfinished_tasks - done)
--- a/tests/observability/test_registry.py
+++ b/tests/observability/test_registry.py
@@ -9,6 +9,7 @@
 from papayapick.jobs.state import JobStatus
 from papayapick.observability.registry import describe_metrics, metrics_text
 from papayapick.pool import metrics as pool_metrics
+from papayapick.pool.rounds.yielding import Standing
 from papayapick.pool.workers.reports import EndOutcome, StartOutcome
 
 # Collectors may cut a page off after this many bytes, also within a line.
@@ -62,6 +63,9 @@
         pool_metrics.COMPLETION_SECONDS.labels(status).observe(12.3)
     for number in range(QUEUES):
         pool_metrics.WAITING_JOBS.labels(f"r-queue{number:02}").set(number + 1)
+        for standing in Standing:
+            labels = f"r-queue{number:02}", standing.value
+            pool_metrics.PLANNED_JOBS.labels(*labels).set(number)
     for number in range(TEAMS):
         pool_metrics.TEAM_SHARES.labels(f"team{number:02}").set(number / TEAMS)
     yield metrics_text().decode()
@@ -74,6 +78,7 @@
         pool_metrics.ENDS,
         pool_metrics.RENEWALS,
         pool_metrics.COMPLETION_SECONDS,
+        pool_metrics.PLANNED_JOBS,
         pool_metrics.TEAM_SHARES,
         pool_metrics.WAITING_JOBS,
     ):
--- a/tests/pool/test_yielding.py
+++ b/tests/pool/test_yielding.py
@@ -2,10 +2,13 @@
 
 import pytest
 
+from papayapick.entry.gauges import _refresh_plans
 from papayapick.jobs import JobDocument, JobStatus, Queue, Step
 from papayapick.ledger import Amounts
 from papayapick.overload.features import OverloadFeatures
 from papayapick.placement.timeliness import Timeliness, latest_start
+from papayapick.pool.metrics import PLANNED_JOBS
+from papayapick.pool.rounds.yielding import Standing
 from tests.pool.standins import QUEUE, PoolSimulation
 
 SECONDS = 0.8
@@ -122,3 +125,32 @@
     load.run(20.0)
     assert load.owner.job_registry.get(large).status == JobStatus.COMPLETED
     assert len(load.finished) == 61
+
+
+def test_plan_is_counted_by_queue_and_logged_at_most_each_second(caplog):
+    caplog.set_level("INFO", logger="papayapick")
+    load = _load()
+    for _ in range(40):
+        load.submit_job(tasks=8, estimate=SECONDS)
+    load.run(0.2)
+    counts = load.owner.decisions.planned_jobs["q"]
+    assert sum(counts.values()) == len(load.owner.job_registry.live_jobs()) == 40
+    assert counts[Standing.YIELDING] == len(_yielding(load))
+    load.run(0.7)
+    (line,) = [one for one in caplog.records if one.msg == "jobs yield"]
+    assert line.fields["queue"] == "q"
+    load.run(30.0)
+    assert load.owner.decisions.planned_jobs == {}
+
+
+def test_gauge_shows_the_plan_only_while_there_is_one():
+    load = _load()
+    for _ in range(40):
+        load.submit_job(tasks=8, estimate=SECONDS)
+    load.run(0.2)
+    _refresh_plans([load.owner])
+    samples = [one for family in PLANNED_JOBS.collect() for one in family.samples]
+    assert {one.labels["standing"] for one in samples} <= set(Standing)
+    assert sum(one.value for one in samples) == 40
+    _refresh_plans([])
+    assert not [one for family in PLANNED_JOBS.collect() for one in family.samples]
