--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -131,6 +131,7 @@
         "logged_wait_at",
         "preempted_at",
         "ready_at",
+        "saved_shares",
         "step",
         "tasks",
         "unfinished_tasks",
@@ -150,6 +151,9 @@
         self.ready_at = 0.0
         # Monotonic seconds at which other runs were last preempted for this step.
         self.preempted_at = float("-inf")
+        # Share of the work that tasks had done when they were stopped for others, by
+        # index; only where overload is expected.
+        self.saved_shares = {}
         # Workers on which room is held for this step, with the monotonic seconds at
         # which the hold begins.
         self.held_on = {}
@@ -217,6 +221,8 @@
         The longest of these times.
     is_owed : bool
         Whether the job is within the rate of its team. Other jobs are served last.
+    is_yielding : bool
+        Whether it is served after the others of its priority that can be in time.
     """
 
     __slots__ = (
@@ -231,6 +237,7 @@
         "finished_occurrences",
         "has_placed_task",
         "is_owed",
+        "is_yielding",
         "occurrences",
         "queue",
         "status",
@@ -246,6 +253,7 @@
         self.failed_worker = ""
         self.finished_at = None
         self.is_owed = True
+        self.is_yielding = False
         # Whether this owner has placed a task of the job.
         self.has_placed_task = False
         self.occurrences = {}
--- a/papayapick/observability/registry.py
+++ b/papayapick/observability/registry.py
@@ -47,10 +47,12 @@
     SPEEDS = 6
     # Missed promises, and two series for each queue with a predicted wait.
     PROMISES = 7
+    # Three series per queue with jobs, while more waits than the pool has room for.
+    PLANS = 8
     # One series per method and status.
-    RESPONSES = 8
-    PROCESS = 9
-    HISTOGRAMS = 10
+    RESPONSES = 9
+    PROCESS = 10
+    HISTOGRAMS = 11
 
 
 class _MetricsPage:
--- a/papayapick/placement/timeliness.py
+++ b/papayapick/placement/timeliness.py
@@ -11,9 +11,12 @@
 
 __all__ = [
     "Timeliness",
+    "due_at",
     "has_deadline",
     "latest_start",
     "least_patience",
+    "saved_seconds",
+    "saved_share",
     "useful_seconds",
     "useful_seconds_of",
 ]
@@ -27,8 +30,10 @@
     """Whether a job can be completed in time if its step starts now."""
 
     IN_TIME = 0
-    LATE = 1
-    OVERDUE = 2
+    # It can, but others would be late then that cost less.
+    YIELDING = 1
+    LATE = 2
+    OVERDUE = 3
 
 
 def latest_start(step, now):
@@ -53,22 +58,60 @@
     if not has_deadline(step):
         return Timeliness.IN_TIME, job.arrived_at
     objective = _objective(job)
-    remaining = job.critical_paths[step.key.step]
+    remaining = job.critical_paths[step.key.step] - saved_seconds(step)
     for timeliness, factor in (
         (Timeliness.IN_TIME, 1.0),
         (Timeliness.LATE, _LATE_FACTOR),
     ):
         latest = job.arrived_at + factor * objective - remaining
         if now <= latest:
+            if job.is_yielding and timeliness == Timeliness.IN_TIME:
+                return Timeliness.YIELDING, latest
             return timeliness, latest
     return Timeliness.OVERDUE, job.arrived_at
 
 
+def saved_seconds(step):
+    """Return the time that all waiting tasks of a step need not run again.
+
+    A task that was stopped for urgent work resumes from its checkpoint. Were its job
+    taken for late because its step began late, it would be served last.
+    """
+    if not step.saved_shares or not step.waiting:
+        return 0.0
+    least = min(saved_share(step, index) for index in step.waiting)
+    return step.step.estimate_seconds * least
+
+
+def saved_share(step, index):
+    """Return the share of a task's work that it had done when it was stopped.
+
+    It is 0 without a checkpoint: the worker was lost before it told of the stop.
+
+    Parameters
+    ----------
+    step : StepState
+    index : int
+    """
+    return step.saved_shares.get(index, 0.0) if step.tasks[index].checkpoint else 0.0
+
+
 def has_deadline(step):
     """Return whether the job of a step has a time by which it should be completed."""
     return not (step.job.document.is_timed or step.step.is_lasting)
 
 
+def due_at(job):
+    """Return the monotonic seconds by which a job should be completed.
+
+    Parameters
+    ----------
+    job : JobState
+        Neither lasting nor with due times.
+    """
+    return job.arrived_at + _objective(job)
+
+
 def useful_seconds(job):
     """Return for how long after its acceptance a job is useful to its caller.
 
--- a/papayapick/pool/metrics.py
+++ b/papayapick/pool/metrics.py
@@ -8,6 +8,7 @@
     "FIRST_START_SECONDS",
     "FORECAST_ERROR_SECONDS",
     "OWNED_POOLS",
+    "PLANNED_JOBS",
     "PREDICTED_WAIT_SECONDS",
     "PROMISES_MISSED",
     "RENEWALS",
@@ -77,6 +78,12 @@
     "Seconds until work that comes now would begin, as the owner told in the last 1 s",
     ("queue", "bound"),
 )
+PLANNED_JOBS = gauge(
+    PageSection.PLANS,
+    "papayapick_pool_planned_jobs",
+    "Jobs in the last plan while more waits than fits: in-time, yielding or late",
+    ("queue", "standing"),
+)
 TEAM_SHARES = gauge(
     PageSection.TEAMS,
     "papayapick_pool_team_share",
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -116,23 +116,28 @@
                 self._end(name, "done")
         return len(self.ends) > before
 
-    def stop(self, name):
+    def stop(self, name, saves_checkpoint=False):
         if name in self.runs:
-            self._end(name, "stopped")
+            done = max(0.0, self.runs[name])
+            self._end(name, "stopped", str(done) if saves_checkpoint else "")
 
-    def _end(self, name, outcome):
+    def _end(self, name, outcome, checkpoint=""):
         del self.runs[name]
-        self.ends.append(EndReport(len(self.ends) + 1, *name, outcome))
+        self.ends.append(EndReport(len(self.ends) + 1, *name, outcome, checkpoint))
 
     def report(self, length_of):
         highest = 100 if self.is_endless else 99
         runs = [
-            RunReport(*name, percent=int(min(highest, 100 * done / length_of(name))))
+            RunReport(*name, percent=_percent(highest, done / length_of(name)))
             for name, done in self.runs.items()
         ]
         return WorkerReport(50.0, 1, runs, list(self.ends))
 
 
+def _percent(highest, share):
+    return int(max(0, min(highest, 100 * share)))
+
+
 class PoolSimulation:
     """Simulate the workers of a pool under a real owner, without threads.
 
@@ -157,11 +162,16 @@
         Millicores of each worker.
     order_seconds : float
         Seconds from a decision to the start, as for a record and an order.
+    restore_seconds : float, optional
+        Time that a run takes to resume from the checkpoint of a stop; by default stops
+        save none.
 
     Attributes
     ----------
     stops, copies : int
         Numbers of runs stopped and of second copies started.
+    answers_stops : bool
+        Whether stops are carried out, rather than lost.
     """
 
     STEP_SECONDS = 0.05
@@ -178,7 +188,10 @@
         long_factor=LONG_FACTOR,
         processors=4000,
         order_seconds=0.0,
+        restore_seconds=None,
     ):
+        self._restore_seconds = restore_seconds
+        self.answers_stops = True
         self._length = length
         self._long_share = long_share
         self._variation = variation
@@ -294,23 +307,36 @@
         orders = self.owner.orders
         due = self.now + self._order_seconds
         starts = self.owner.decisions.take_unsent()
-        self._ordered += [(due, start.run) for start in starts]
+        self._ordered += [(due, start) for start in starts]
         for start in starts:
             step = self.owner.job_registry.step(start.run.key)
             self.copies += (
                 step is not None and len(step.tasks[start.run.key.index].runs) > 1
             )
         while self._ordered and self._ordered[0][0] <= self.now:
-            _, run = self._ordered.pop(0)
+            _, start = self._ordered.pop(0)
+            run = start.run
             run.note_sent(self.now)
-            self.workers[run.worker].runs[run.name] = 0.0
+            self.workers[run.worker].runs[run.name] = self._progress(start)
             self.owner.job_registry.note_started(run)
         tasks, orders._stop_executor.tasks = orders._stop_executor.tasks, []
         for step, args in tasks:
             if step == orders._stop:
                 self.stops += 1
-                self.workers[args[1].worker].stop(args[1].name)
-                orders.note_stop_confirmed(args[1])
+                orders._stops_in_progress.discard(args[1])
+                if self.answers_stops:
+                    self._stop(args[1])
+
+    def _progress(self, start):
+        """Return the seconds of progress with which a run begins."""
+        if not start.checkpoint or self._restore_seconds is None:
+            return 0.0
+        return float(start.checkpoint) - self._restore_seconds
+
+    def _stop(self, run):
+        saves = self._restore_seconds is not None
+        self.workers[run.worker].stop(run.name, saves)
+        self.owner.orders.note_stop_confirmed(run)
 
 
 def _registration(worker, accelerators=0, processors=4000):
