Replay delayed stops for urgent work with crashes and takeovers

The fault simulation gets a load on which an owner is expected to be short of room: a small pool, and every second job patient, with checkpoints. Its draws without that are as before.

--- a/tests/pool/fault_simulation.py
+++ b/tests/pool/fault_simulation.py
@@ -29,10 +29,15 @@
 __all__ = ["FaultSimulation"]
 
 QUEUE = Queue("q", "h", "/q/", "pool", 0, 1000, 1.5, 0.5, 3.0, True, None)
+PATIENT = Queue("p", "h", "/p/", "pool", 2, 1000, 2.2, 1.2, 3.0, True, None)
+# Enough for the lasting tasks and one gang beside them.
+OVERLOAD_WORKERS = 8
 WORKERS = 14
 CAPACITY = 4000
 FAULT_SECONDS = 20.0
 RECOVERY_SECONDS = 25.0
+# With a backlog of patient tasks.
+OVERLOAD_RECOVERY_SECONDS = 75.0
 STEP_SECONDS = 0.05
 MAX_LEASE_SECONDS = 6.0
 GANG_TIMEOUT_SECONDS = 4.0
@@ -59,7 +64,7 @@
         self._version = 10
 
     def queue_of(self, document):
-        return QUEUE
+        return PATIENT if document.queue == PATIENT.name else QUEUE
 
     def broadcast(self, owner):
         pass
@@ -303,6 +308,9 @@
     maxima : list of int, optional
         Processors that each of two teams may have running, in millicores; one of them
         is in force at a time. Without them, jobs belong to no team.
+    expects_overload : bool, optional
+        Whether the pool is small, and every second job patient, so that jobs yield and
+        tasks are stopped for urgent ones.
 
     Attributes
     ----------
@@ -313,13 +321,14 @@
         Runs of stray orders do not count.
     """
 
-    def __init__(self, seed, maxima=()):
+    def __init__(self, seed, maxima=(), expects_overload=False):
         self.rng = random.Random(seed)
         self.duplicate_runs = []
         self.excesses = []
         self._maxima = list(maxima)
         self._teams = {}
         self._host = WritableHost()
+        self._host.settings.expects_overload = expects_overload
         self._loss_probability = self.rng.choice([0.05, 0.15, 0.3])
         self._has_faults_ended = False
         self._events = []
@@ -330,7 +339,7 @@
         self._owner = None
         self._poll_at = {}
         self._workers = {}
-        for number in range(WORKERS):
+        for number in range(OVERLOAD_WORKERS if expects_overload else WORKERS):
             name = f"w{number}"
             register(self._host, name)
             self._workers[name] = SimulatedWorker(self, name)
@@ -407,7 +416,9 @@
         self._has_faults_ended = True
         for worker in self._workers.values():
             self._recover(worker)
-        end_at = self.now + RECOVERY_SECONDS
+        expects_overload = self._host.settings.expects_overload
+        seconds = OVERLOAD_RECOVERY_SECONDS if expects_overload else RECOVERY_SECONDS
+        end_at = self.now + seconds
         while self.now < end_at:
             self._advance()
 
@@ -453,12 +464,24 @@
             self._steps[(identifier, number)] = step
         team = self.rng.choice(TEAMS) if self._maxima else ""
         self._teams[identifier] = team
-        document = JobDocument(identifier, "q", "pool", "t", steps, 0.0, team=team)
+        queue = self._queue(steps)
+        document = JobDocument(
+            identifier, queue.name, "pool", "t", steps, 0.0, team=team
+        )
         partition = f"pool/{int(identifier, 16) % 8}"
         self._host.put(JOBS_TABLE, partition, identifier, document.as_record())
-        self._owner.job_registry.add(document, QUEUE, self.now)
+        self._owner.job_registry.add(document, queue, self.now)
         self._identifiers.append(identifier)
 
+    def _queue(self, steps):
+        if not self._host.settings.expects_overload or len(self._identifiers) % 2:
+            return QUEUE
+        for step in steps:
+            step.has_checkpoints = not step.is_gang and not step.is_lasting
+            # Far above the time that they take, so that their room is not expected.
+            step.estimate_seconds = 6.0
+        return PATIENT
+
     def _draw_steps(self):
         demand = Amounts(1000, 10)
         kind = self.rng.choice(["plain", "plain", "gang", "lasting", "chain"])
--- a/tests/pool/test_late_orders.py
+++ b/tests/pool/test_late_orders.py
@@ -8,6 +8,8 @@
 # the next one discard an end, or a task has a delayed run beside its current one when
 # the pool's owner changes.
 SEEDS = (9, 17, 19, 26, 27, 33, 42, 48, 74)
+# With these, most tasks are stopped for urgent ones.
+STOP_SEEDS = (7, 8, 22, 31, 44, 46)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -17,3 +19,12 @@
     simulation.run()
     assert simulation.stuck_tasks() == []
     assert simulation.duplicate_runs == []
+
+
+@pytest.mark.parametrize("seed", SEEDS + STOP_SEEDS)
+def test_delayed_stops_for_urgent_work_leave_no_task_stuck_or_running_twice(seed):
+    """Guards against room that is used while a run that was stopped for it goes on."""
+    simulation = FaultSimulation(seed, expects_overload=True)
+    simulation.run()
+    assert simulation.stuck_tasks() == []
+    assert simulation.duplicate_runs == []
