Give back what failed connections and unanswered calls held

Cause, by reading: a call that timed out stayed among the pending ones until its connection ended; the socket of a failed handshake was left to the collector; a connection accepted while the server closed was served on; a process without descriptors tried to accept without a pause, on a core of its own.

Change: each is dropped or closed at once, and accepting pauses 0.05 s after an error.

Tests: tests/wire/test_server.py, four new ones, each seen to fail before; tests/wire, entry, membership and gateway pass. Calls sent without a time limit (PeerClient.call) still stay pending until their connection ends.

--- a/papayapick/wire/client.py
+++ b/papayapick/wire/client.py
@@ -95,15 +95,7 @@
         PeerUnreachable
             Nothing was sent.
         """
-        connection = self._connected()
-        identifier = next(self._identifiers)
-        future = Future()
-        with self._lock:
-            self._pending[identifier] = (connection, future)
-        try:
-            connection.send(identifier, payload, traceparent)
-        except PeerDisconnected as error:
-            self._fail(connection, error)
+        _, future = self._call(payload, traceparent)
         return future
 
     def ask(self, payload, seconds, traceparent=""):
@@ -113,10 +105,13 @@
         ------
         PeerUnreachable, PeerDisconnected, PeerTimeout, PeerRefused
         """
-        future = self.call(payload, traceparent)
+        identifier, future = self._call(payload, traceparent)
         try:
             return future.result(seconds)
         except FutureTimeout as error:
+            # A peer that reads and never answers would make them pile up.
+            with self._lock:
+                self._pending.pop(identifier, None)
             raise PeerTimeout(address=self._address, seconds=seconds) from error
 
     def tell(self, payload):
@@ -137,6 +132,18 @@
         if connection is not None:
             connection.close()
 
+    def _call(self, payload, traceparent):
+        connection = self._connected()
+        identifier = next(self._identifiers)
+        future = Future()
+        with self._lock:
+            self._pending[identifier] = (connection, future)
+        try:
+            connection.send(identifier, payload, traceparent)
+        except PeerDisconnected as error:
+            self._fail(connection, error)
+        return identifier, future
+
     def _connected(self):
         with self._lock:
             if self._connection is not None:
@@ -148,11 +155,15 @@
     def _connect(self):
         try:
             sock = socket.create_connection(self._address, self._connect_seconds)
-            connection = Connection(sock, self._cell_key, self._identity, self._meter)
-            connection.initiate_handshake(self._connect_seconds)
         except ConnectionRefusedError as error:
             raise PeerNotListening(address=self._address) from error
+        except OSError as error:
+            raise PeerUnreachable(address=self._address) from error
+        try:
+            connection = Connection(sock, self._cell_key, self._identity, self._meter)
+            connection.initiate_handshake(self._connect_seconds)
         except (OSError, WireError) as error:
+            sock.close()
             raise PeerUnreachable(address=self._address) from error
         return connection
 
--- a/papayapick/wire/server.py
+++ b/papayapick/wire/server.py
@@ -5,9 +5,10 @@
 import threading
 from concurrent.futures import Future
 
+from papayapick.clock import SystemClock
 from papayapick.exceptions import PapayapickError
 from papayapick.observability import get_logger
-from papayapick.wire.exceptions import PeerRefused, WireError
+from papayapick.wire.exceptions import PeerDisconnected, PeerRefused, WireError
 from papayapick.wire.frames import Connection
 from papayapick.wire.messages import Refusal
 
@@ -18,6 +19,8 @@
 # others would be tried again only after a second. The system may allow fewer.
 _BACKLOG = 1024
 _HANDSHAKE_SECONDS = 2.0
+# Accepting fails for as long as the process has no descriptor left.
+_ACCEPT_RETRY_SECONDS = 0.05
 # A hundred peers that reconnect at once complete their handshakes within milliseconds.
 _MAX_CONCURRENT_HANDSHAKES = 64
 
@@ -81,13 +84,13 @@
         self._handler = handler
         self._executor = executor
         self._meter = meter
-        self._clock = clock
+        self._clock = clock or SystemClock()
         self._handshakes = threading.BoundedSemaphore(
             max_handshakes or _MAX_CONCURRENT_HANDSHAKES
         )
         self._connections = set()
         self._lock = threading.Lock()
-        self._stopping = False
+        self._stopping = threading.Event()
 
     @property
     def address(self):
@@ -100,7 +103,7 @@
 
     def close(self):
         """Stop accepting connections and close the open ones."""
-        self._stopping = True
+        self._stopping.set()
         # Some systems refuse to shut down a listening socket.
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
@@ -111,10 +114,11 @@
             connection.close()
 
     def _accept(self):
-        while not self._stopping:
+        while not self._stopping.is_set():
             try:
                 sock, _ = self._listener.accept()
             except OSError:
+                self._clock.wait(self._stopping, _ACCEPT_RETRY_SECONDS)
                 continue
             # A connection that sends nothing occupies a task until its handshake
             # times out. Without this bound, such connections would leave no tasks
@@ -141,11 +145,14 @@
             connection.close()
             with self._lock:
                 self._connections.discard(connection)
-            if connection.peer is not None and not self._stopping:
+            if connection.peer is not None and not self._stopping.is_set():
                 self._on_disconnect(connection.peer)
 
     def _accept_handshake(self, connection):
         try:
+            if self._stopping.is_set():
+                # ``close`` may have looked for connections before this one was added.
+                raise PeerDisconnected(address="a peer, as this server closes")
             connection.accept_handshake(_HANDSHAKE_SECONDS)
         finally:
             self._handshakes.release()
--- a/tests/wire/test_server.py
+++ b/tests/wire/test_server.py
@@ -1,14 +1,17 @@
 """The server answers peers with the cell key and withstands unauthenticated ones."""
 
+import errno
 import socket
-from concurrent.futures import ThreadPoolExecutor
+import threading
+from concurrent.futures import Future, ThreadPoolExecutor
 
 import pytest
 
+from papayapick.clock import ManualClock
 from papayapick.entry import process
-from papayapick.wire import PeerClient, PeerRefused, PeerUnreachable
+from papayapick.wire import Connection, PeerClient, PeerRefused, PeerUnreachable
 from papayapick.wire import server as wire_server
-from papayapick.wire.exceptions import PeerNotListening
+from papayapick.wire.exceptions import PeerNotListening, PeerTimeout
 from papayapick.wire.messages import WorkQuery
 from tests.wire.connections import (
     KEY,
@@ -16,6 +19,7 @@
     identity,
     is_closed_by_peer,
     serving,
+    socket_pair,
 )
 
 QUERY = WorkQuery(shard="hobart-a.0", request_id="r1")
@@ -110,3 +114,83 @@
         )
         with pytest.raises(PeerNotListening):
             client.call(QUERY)
+
+
+def test_calls_that_timed_out_are_forgotten(executor):
+    """Guards against memory that grows with calls to a peer that never answers them."""
+    with serving(handler=lambda payload: Future()) as (server, _):
+        client = PeerClient(server.address, KEY, identity("caller"), executor)
+        for _ in range(3):
+            with pytest.raises(PeerTimeout):
+                client.ask(QUERY, 0.01)
+        assert client._pending == {}
+        client.close()
+
+
+def test_socket_of_a_failed_handshake_is_closed(executor, monkeypatch):
+    """Guards against a host that runs out of descriptors beside one with another key.
+
+    The sockets were kept for as long as the errors that named them.
+    """
+    opened, connect = [], socket.create_connection
+
+    def record(*arguments):
+        opened.append(connect(*arguments))
+        return opened[-1]
+
+    monkeypatch.setattr(socket, "create_connection", record)
+    with serving() as (server, _):
+        with pytest.raises(PeerUnreachable):
+            _call(server, b"x" * 32, executor)
+    assert [sock.fileno() for sock in opened] == [-1]
+
+
+def test_connection_accepted_while_the_server_closes_is_closed(monkeypatch):
+    """Guards against a closed server that answers on one more connection."""
+    monkeypatch.setattr(wire_server, "_HANDSHAKE_SECONDS", 3600.0)
+    near, far = socket_pair()
+    with serving() as (server, _):
+        pass
+    connection = Connection(far, KEY, identity())
+    server._handshakes.acquire()
+    serve = threading.Thread(target=server._serve, args=(connection,), daemon=True)
+    serve.start()
+    assert is_closed_by_peer(near)
+    serve.join(WAIT_SECONDS)
+    near.close()
+
+
+class CountingClock(ManualClock):
+    """Count the waits; set the event at the third."""
+
+    waits = 0
+
+    def wait(self, event, seconds):
+        self.waits += 1
+        if self.waits == 3:
+            event.set()
+        return event.is_set()
+
+
+class FailingListener:
+    """Fail to accept, as a process without descriptors does."""
+
+    accepts = 0
+
+    def accept(self):
+        self.accepts += 1
+        if self.accepts > 99:
+            raise ValueError("accepted without a pause")
+        raise OSError(errno.EMFILE, "too many open files")
+
+
+def test_server_without_descriptors_pauses_before_it_accepts_again(executor):
+    """Guards against a thread that takes a whole core while accepting fails."""
+    clock = CountingClock()
+    with serving(clock=clock) as (server, _):
+        pass
+    server._stopping = threading.Event()
+    server._listener = FailingListener()
+    clock.waits = 0
+    server._accept()
+    assert (clock.waits, server._listener.accepts) == (3, 3)
