End the attempts to join a cell once a host stops

Cause, by reading: with the store away, reading the key and registering were repeated until the store answered. Once the stop was requested the wait in between ended at once, so that the store was called without a pause.

Change: both return once the host stops; a host without a key does not listen.

Tests: tests/entry/test_joining.py, three new cases, seen to fail before.

--- a/papayapick/entry/cell/joining.py
+++ b/papayapick/entry/cell/joining.py
@@ -17,7 +17,13 @@
 
 
 def cell_key(host):
-    """Return the key of the cell; the first process to ask for it creates it."""
+    """Return the key of the cell; the first process to ask for it creates it.
+
+    Returns
+    -------
+    bytes or None
+        None if this process stops before the store has answered.
+    """
     expectation = Expectation(CELL_TABLE, _KEY_PARTITION, "key", 0)
     new_key = base64.b64encode(os.urandom(_KEY_BYTES)).decode()
     write = RowWrite(CELL_TABLE, _KEY_PARTITION, "key", {"key": new_key})
@@ -33,11 +39,12 @@
             return None
         return None
 
-    while True:
+    while not host.stopping.is_set():
         key = _retry_while_unavailable(host, "key", try_once)
         if key is not None:
             CELL_KEY_FOUND.write(made_here=key == base64.b64decode(new_key))
             return key
+    return None
 
 
 def register(host):
@@ -66,10 +73,15 @@
 
 
 def _retry_while_unavailable(host, name, call):
-    """Repeat a call until the store answers it, and return its result."""
-    while True:
+    """Repeat a call until the store answers it, and return its result.
+
+    Return None if this process stops first: the wait between two calls ends at once
+    then, and the loop would take a core and the store's calls.
+    """
+    while not host.stopping.is_set():
         try:
             return call()
         except TableUnavailable as error:
             STORE_AWAY.write(step=name, error=str(error))
             host.clock.wait(host.stopping, _RETRY_SECONDS)
+    return None
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -190,7 +190,10 @@
         refresh_gauges(self, owners)
 
     def _join(self):
-        keys = CellKeys([cell_key(self)])
+        key = cell_key(self)
+        if key is None:
+            return
+        keys = CellKeys([key])
         settings = self.settings
         identity = Hello(
             host=settings.host_name, region=settings.region, zone=settings.zone
--- a/tests/entry/test_joining.py
+++ b/tests/entry/test_joining.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from papayapick.clients.exceptions import TableUnavailable
 from papayapick.clients.rows import StoredRow
 from papayapick.clock import ManualClock
+from papayapick.entry.cell.joining import cell_key, register
 from papayapick.entry.cell.peers import HOSTS_PARTITION
 from papayapick.ownership.pools import CELL_TABLE
 from tests.entry.hosts import SETTINGS, make_host
@@ -85,3 +87,47 @@
     host.peers = NoPeers()
     host._note_cell_rows([_row(OWN_NAME, None)])
     assert host.store.registered == [OWN_NAME]
+
+
+class UnavailableStore:
+    """Refuse each call; request the stop of the host at the third."""
+
+    def __init__(self, host):
+        self._host = host
+        self.calls = 0
+
+    def transact(self, expectations, writes):
+        self.calls += 1
+        if self.calls == 3:
+            self._host.stopping.set()
+        if self.calls > 9:
+            raise ValueError("called without a pause")
+        raise TableUnavailable()
+
+    def read(self, table, partition):
+        self.transact([], [])
+
+
+class AdvancingClock(ManualClock):
+    """Advance by the time to wait instead of waiting."""
+
+    def wait(self, event, seconds):
+        if not event.is_set():
+            self.advance(seconds)
+        return event.is_set()
+
+
+@pytest.mark.parametrize("step", [register, cell_key])
+def test_host_that_stops_while_the_store_is_away_calls_it_no_more(host, step):
+    """Guards against a stopping host that calls the store without a pause."""
+    host.clock = AdvancingClock(100.0)
+    host.store = UnavailableStore(host)
+    assert step(host) is None
+    assert host.store.calls == 3
+
+
+def test_host_that_stops_before_it_has_the_key_listens_nowhere(host):
+    host.store = UnavailableStore(host)
+    host.clock = AdvancingClock(100.0)
+    host._join()
+    assert host.peers is None
