Ask for advice on a copy only if one could end earlier

A run of a task that is long on any worker makes its job late, and was a candidate for a copy in each tick; only after advice had been requested, and paid for, did the chosen worker turn out to be no faster. Now the fastest open worker is considered first.

Seen to fail on a scratch copy without the change: tests/pool/test_forecasts.py:: test_no_advice_is_requested_for_a_copy_that_would_end_no_earlier.

--- a/papayapick/pool/rounds/decisions.py
+++ b/papayapick/pool/rounds/decisions.py
@@ -105,18 +105,29 @@
         if any(step.wait_reason in _LACKS_ROOM for step in waiting):
             return
         allowance = copy_allowance(steps, owner.rooms.capacity_processors)
-        for step in steps:
-            for late in late_runs(step, now, knowledge, self._runs_beside):
-                demand = step.step.room_demand.processors
-                if demand <= allowance and self._start_copy(
-                    step,
-                    late.index,
-                    now,
-                    lambda worker, late=late: late.is_worth_copy(
-                        worker, knowledge.speeds
-                    ),
-                ):
-                    allowance -= demand
+        late_of_steps = [
+            (step, late)
+            for step in steps
+            for late in late_runs(step, now, knowledge, self._runs_beside)
+        ]
+        if not late_of_steps:
+            return
+        # Without a worker on which the copy would end earlier, advice is not needed.
+        fastest = max(
+            (room.worker for room in owner.rooms if room.is_open),
+            key=knowledge.speeds.speed,
+            default="",
+        )
+        for step, late in late_of_steps:
+
+            def is_worth(worker, late=late):
+                return late.is_worth_copy(worker, knowledge.speeds)
+
+            demand = step.step.room_demand.processors
+            if demand > allowance or not is_worth(fastest):
+                continue
+            if self._start_copy(step, late.index, now, is_worth):
+                allowance -= demand
 
     def _runs_beside(self, run):
         """Return the runs on the worker of a run, with the steps of live jobs."""
--- a/tests/pool/test_forecasts.py
+++ b/tests/pool/test_forecasts.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from papayapick.jobs import Step
+from papayapick.jobs import AdvicePolicy, Queue, Step
 from papayapick.ledger import Amounts
 from papayapick.pool.metrics import FORECAST_ERROR_SECONDS
 from papayapick.pool.rounds import waiting
@@ -65,3 +65,23 @@
     before = _errors()
     _play(UnknownSpeeds())
     assert _errors() == before
+
+
+def test_no_advice_is_requested_for_a_copy_that_would_end_no_earlier():
+    """Guards against a call for advice every few seconds for each long task."""
+    policy = AdvicePolicy(0.02, 0, 0.3)
+    queue = Queue("q", "h", "/q/", "pool", 0, 2, 1.5, 0.5, 3.0, False, policy)
+    load = PoolSimulation(workers=40, length=8.0)
+    for worker in load.workers.values():
+        worker.speed = 1.7
+    load.owner.knowledge.speeds = KnownSpeeds(dict.fromkeys(load.workers, 1.7))
+    requests = []
+    cache = load.owner.advice_manager._cache
+    cache._ask = lambda key, names, expected: requests.append((key, names))
+    step = Step(1, Amounts(1000, 10), 1.0, allows_copies=True)
+    load.submit_step(step, queue)
+    load.run(0.2)
+    ((key, names),) = requests
+    cache.note_answer(key, dict.fromkeys(names, "t"), policy, load.now, names)
+    load.run(3.0)
+    assert len(requests) == 1
