Refuse nobody for an estimate that is far too low

Cause: an estimate of a tenth makes a job seem of use for a tenth of its time, and it would be refused though it could be served. Change: no job is taken to be less patient than usual in its queue; a time to come again must be of use by its own estimate too. Measured: tests of overload and entry/test_admission pass.

--- a/papayapick/entry/callers/admission.py
+++ b/papayapick/entry/callers/admission.py
@@ -4,7 +4,7 @@
 
 from papayapick.entry.exceptions import BeyondRate, TooLate
 from papayapick.jobs.queues import Queue
-from papayapick.overload.admission import ForecastAdmission, JobShape
+from papayapick.overload.admission import ForecastAdmission, JobShape, useful_for
 from papayapick.overload.events import JOB_REFUSED
 from papayapick.overload.types import RefusalReason
 
@@ -81,7 +81,7 @@
             earliest_seconds=round(one.earliest_for(shape.patience), 3),
             surplus_earliest_seconds=_finite(one.earliest_for(shape.patience, True)),
             owed_again_seconds=_finite(forecast.owed_again.get(document.team)),
-            useful_seconds=round(shape.useful, 3),
+            useful_seconds=round(useful_for(shape, one), 3),
             path_seconds=round(shape.path, 3),
             pool_cores=round(forecast.processors, 1),
             forecast_age_seconds=round(now - forecast.known_at, 3),
--- a/papayapick/overload/admission.py
+++ b/papayapick/overload/admission.py
@@ -17,7 +17,7 @@
 from papayapick.overload.work_ahead import Level
 from papayapick.placement.timeliness import useful_seconds_of
 
-__all__ = ["AcceptedWork", "ForecastAdmission", "JobShape"]
+__all__ = ["AcceptedWork", "ForecastAdmission", "JobShape", "retry_after", "useful_for"]
 
 # Bounds the memory; more than a host stores in the time that a forecast holds.
 _MAX_ACCEPTED = 1000
@@ -147,16 +147,18 @@
         if forecast is None or queue.name not in forecast.queues:
             return AdmissionDecision()
         shape = JobShape(document, queue)
+        useful = useful_for(shape, forecast.queues[queue.name])
         again = forecast.owed_again.get(document.team, 0.0) if document.team else 0.0
         owed_done = self._earliest_done(shape, False, queue, forecast, now)
         again -= now - forecast.counted_at
         if again <= 0:
-            if owed_done <= shape.useful:
+            if owed_done <= useful:
                 return AdmissionDecision()
             # Its caller's time runs as fast as the work ahead is done.
             return AdmissionDecision(RefusalReason.TOO_LATE)
-        if self._earliest_done(shape, True, queue, forecast, now) <= shape.useful:
+        if self._earliest_done(shape, True, queue, forecast, now) <= useful:
             return AdmissionDecision()
+        # Told to come again, it has to be of use by its own estimate too.
         last = shape.useful - owed_done
         return AdmissionDecision(
             RefusalReason.BEYOND_RATE, retry_after(document.identifier, again, last)
@@ -203,6 +205,21 @@
         return max(max(0.0, begin) + shape.path, shape.work / forecast.processors)
 
 
+def useful_for(shape, forecast):
+    """Return the seconds for which a job may be of use.
+
+    An estimate that is far too low makes a job seem of use for a short time only, and
+    it would be refused wrongly. So none is taken to be less patient than usual.
+
+    Parameters
+    ----------
+    shape : JobShape
+    forecast : QueueForecast
+        Of its queue.
+    """
+    return shape.path + max(shape.patience, forecast.patience)
+
+
 def retry_after(identifier, first, last):
     """Return after how many seconds a refused job may come again, or None.
 
--- a/tests/overload/test_admission.py
+++ b/tests/overload/test_admission.py
@@ -41,6 +41,20 @@
     assert decision.retry_after is None
 
 
+def test_estimate_that_is_far_too_low_refuses_nobody():
+    """Guards against refusing a job that is of use for longer than it seems.
+
+    The caller's estimate is a tenth of what the job takes, and so is the time for
+    which the job would be of use.
+    """
+    forecast = forecast_of(PATIENCE - 0.1)
+    forecast.queues["rush"].patience = PATIENCE
+    assert decide(forecast, [(1, 2.0, 0.1)]).is_accepted
+    forecast = forecast_of(PATIENCE + 0.1)
+    forecast.queues["rush"].patience = PATIENCE
+    assert not decide(forecast, [(1, 2.0, 0.1)]).is_accepted
+
+
 def test_age_of_a_forecast_counts_for_the_caller():
     assert decide(forecast_of(PATIENCE + 0.4, age=0.5)).is_accepted
     assert not decide(forecast_of(PATIENCE + 0.6, age=0.5)).is_accepted
