Let idle threads of an executor end in their own time

Each thread that ended woke all others that were idle, so that each of these waited its whole idle time anew: threads that became idle at different moments ended one wave after the other, and an owner with thousands of them was woken for each. An ending thread now wakes others only after a shutdown.

tests/test_executors.py: the new test fails without the change, as the eight threads had not ended after 1.4 s of an idle time of 0.6 s; with it, 10 passed in each of three runs.

--- a/papayapick/executors.py
+++ b/papayapick/executors.py
@@ -137,7 +137,9 @@
             while not self._queue:
                 if self._is_shut_down or not self._wait_for_task():
                     self._threads -= 1
-                    self._condition.notify_all()
+                    # Otherwise only idle threads wait, and each would wait anew.
+                    if self._is_shut_down:
+                        self._condition.notify_all()
                     return None
             return self._queue.popleft()
 
--- a/tests/test_executors.py
+++ b/tests/test_executors.py
@@ -106,6 +106,25 @@
     executor.shutdown()
 
 
+def test_thread_that_ends_leaves_others_to_end_in_their_time():
+    """Guards against idle threads that wait anew, one after the other, as each ends.
+
+    They became idle at different moments. Each end woke all others, and a host kept
+    the threads of its bursts for minutes.
+    """
+    executor = ElasticExecutor(8, "test", idle_seconds=0.6)
+    ends = [threading.Event() for _ in range(8)]
+    futures = [executor.submit(end.wait, WAIT_SECONDS) for end in ends]
+    for end, future in zip(ends, futures, strict=True):
+        end.set()
+        future.result(WAIT_SECONDS)
+        time.sleep(0.05)
+    idle_since = time.monotonic()
+    wait_for(lambda: executor.threads == 0)
+    assert time.monotonic() - idle_since < 1.4
+    executor.shutdown()
+
+
 def test_submitting_does_not_wait_until_the_thread_runs():
     """Guards against a new owner whose heartbeats to hundreds of hosts come too late.
 
