Find the longest chain of steps without a search of all chains

The search doubled with each step that follows all earlier ones, under the owner's lock, and the number of steps of a job is not limited: 0.08 s for 16 such steps, 0.31 s for 18, 3.55 s for 22 (measured by a loop over the function); less than a millisecond each now, in one pass backwards.

tests/placement/test_tier_preference.py passes; the way of before was not run on its 40 steps, which would not end.

--- a/papayapick/placement/tier_preference.py
+++ b/papayapick/placement/tier_preference.py
@@ -201,9 +201,8 @@
 
 def _chain_length(steps, number):
     """Return the number of steps of the longest chain that begins with a step."""
-    following = [
-        _chain_length(steps, later)
-        for later in range(number + 1, len(steps))
-        if number in steps[later].after
-    ]
-    return 1 + max(following, default=0)
+    lengths = [1] * len(steps)
+    for later in range(len(steps) - 1, number, -1):
+        for earlier in steps[later].after:
+            lengths[earlier] = max(lengths[earlier], 1 + lengths[later])
+    return lengths[number]
--- a/tests/placement/test_tier_preference.py
+++ b/tests/placement/test_tier_preference.py
@@ -1,5 +1,6 @@
 """The order in which steps use workers of unlike speed."""
 
+import time
 from types import SimpleNamespace
 
 import pytest
@@ -10,7 +11,11 @@
 from papayapick.jobs import JobDocument, JobRegistry, Queue, Step
 from papayapick.ledger import Amounts
 from papayapick.placement.rooms import Rooms, WorkerRoom
-from papayapick.placement.tier_preference import TierPreference, order_tiers
+from papayapick.placement.tier_preference import (
+    TierPreference,
+    _chain_length,
+    order_tiers,
+)
 from papayapick.pool.workers.reports import Registration
 from papayapick.speeds import SpeedTier, UnknownSpeeds
 from tests.forecasts.speeds import KnownSpeeds
@@ -137,6 +142,29 @@
     assert names == ["normal", "slow", "fast"]
 
 
+def test_step_that_many_others_follow_is_judged_at_once(preference):
+    """Guards against an owner that holds its lock until another host takes the pool.
+
+    The time to find the longest chain doubled with each step that follows all others:
+    3.5 s for 22 of them, in each round.
+    """
+    steps = [Step(1, TASK, 0.05, range(number)) for number in range(40)]
+    step = _step(*steps)
+    began_at = time.process_time()
+    assert _tiers(preference, step, 0.0) == FAST_FIRST
+    assert time.process_time() - began_at < 1.0
+
+
+@pytest.mark.parametrize(
+    ("after", "length"),
+    [([[], [0], [0], [1, 2], [2]], 3), ([[], [], [1], [0]], 2), ([[], [], [1]], 1)],
+)
+def test_each_step_of_the_longest_chain_takes_time(preference, after, length):
+    """Guards against a job that is late by what the starts of its steps take."""
+    step = _step(*(Step(1, TASK, 0.0, one) for one in after))
+    assert _chain_length(step.job.document.steps, 0) == length
+
+
 @given(st.sets(st.sampled_from(list(SpeedTier))))
 def test_every_class_is_in_the_order_once(in_time):
     """Guards against a step that waits although a worker of some class has room."""
