--- a/papayapick/forecasts/task_times.py
+++ b/papayapick/forecasts/task_times.py
@@ -8,10 +8,12 @@
 that it really has, so a wrong estimate makes no job late, and a long task does.
 """
 
+import math
 from collections import OrderedDict, deque
 
 from papayapick.forecasts.ratios import RatioHistogram
 from papayapick.forecasts.types import DeclaredTimes
+from papayapick.speeds.durations import is_read_late
 
 __all__ = ["TaskTimes"]
 
@@ -73,9 +75,13 @@
             return
         estimate = step_state.step.estimate_seconds
         work = run.worked_seconds(now) * speeds.speed(run.worker)
-        if estimate <= 0 or work <= 0:
+        if estimate <= 0 or is_read_late(run, now):
             return
         ratio = work / estimate
+        # Callers may give any number as an estimate. An error here would keep the end
+        # of the run, and all later ones of its worker, from being processed.
+        if not 0.0 < ratio < math.inf:
+            return
         name = step_state.job.document.queue
         queue = _latest(self._by_queue, name, _QueueRatios, _MAX_QUEUES)
         queue.to_estimate.add(ratio)
--- a/papayapick/speeds/durations.py
+++ b/papayapick/speeds/durations.py
@@ -5,7 +5,7 @@
 
 import math
 
-__all__ = ["known_duration"]
+__all__ = ["is_read_late", "known_duration"]
 
 # Durations are known to some 10 ms; of shorter runs the start is a large part.
 _MIN_SECONDS = 0.2
@@ -34,7 +34,18 @@
         return None
     if not _MIN_SECONDS <= seconds < math.inf:
         return None
+    return None if is_read_late(run, now) else seconds
+
+
+def is_read_late(run, now):
+    """Return whether the end of a run, read just now, may be long past.
+
+    Parameters
+    ----------
+    run : Run
+    now : float
+        Monotonic seconds.
+    """
     unseen = now - run.percent_at
-    if unseen > max(_MAX_UNSEEN_SECONDS, _MAX_UNSEEN_SHARE * seconds):
-        return None
-    return seconds
+    seconds = run.worked_seconds(now)
+    return unseen > max(_MAX_UNSEEN_SECONDS, _MAX_UNSEEN_SHARE * seconds)
--- a/tests/forecasts/test_task_times.py
+++ b/tests/forecasts/test_task_times.py
@@ -34,11 +34,12 @@
         document = JobDocument(name, "q", "pool", "t", steps, 0.0)
         return self.job_registry.add(document, QUEUE, 0.0).steps()
 
-    def end(self, step, seconds, worker="w"):
+    def end(self, step, seconds, worker="w", unseen_seconds=0.0):
         index = min(step.waiting)
         run = self.job_registry.begin_run(step, index, worker, 0.0)
         run.phase = RunPhase.RUNNING
         run.note_sent(0.0)
+        run.percent_at = seconds - unseen_seconds
         self.times.note_done(step, run, seconds)
 
 
@@ -60,6 +61,31 @@
     assert runs.times.expected_seconds(later) == pytest.approx(6.0, rel=0.1)
 
 
+@pytest.mark.parametrize("estimate", [1e-313, float("inf"), float("nan")])
+def test_any_estimate_leaves_the_end_of_a_run_to_be_processed(estimate):
+    """Guards against a worker of which no end is processed any more.
+
+    The ratio to such an estimate has no logarithm, and the error came before the end
+    was marked as processed, at each report again.
+    """
+    runs = Runs({})
+    (step,) = runs.step(estimate=estimate)
+    runs.end(step, 2.0)
+    (later,) = runs.step(estimate=3.0)
+    assert runs.times.expected_seconds(later) == 3.0
+
+
+def test_end_that_was_read_late_tells_nothing_of_the_task():
+    """Guards against tasks that seem long as their worker could not be reached."""
+    runs = Runs({})
+    (step,) = runs.step(estimate=1.0)
+    for _ in range(10):
+        runs.end(step, 6.0, unseen_seconds=5.0)
+    assert runs.times.expected_seconds(step) == 1.0
+    runs.end(step, 6.0, unseen_seconds=0.6)
+    assert runs.times.expected_seconds(step) > 1.0
+
+
 def test_duration_is_that_of_a_worker_of_speed_one():
     """Guards against tasks that seem long because they ran on slow workers."""
     runs = Runs({"slow": 0.5})
