Derive restored speeds at once

Until the next refresh, a new owner knew that speeds differ but took each speed for 1, and the order of classes is kept for half a second after it is first filed: the first round, which places all that waited, gave urgent steps the slow workers first, as every class seemed to be in time.

tests/speeds/test_workers.py: the new test fails without the change (all speeds 1.0); tests/speeds, tests/pool/test_memory.py and test_uneven_workers.py pass.

--- a/papayapick/speeds/workers.py
+++ b/papayapick/speeds/workers.py
@@ -270,8 +270,14 @@
             return False
         self._refreshed_at = now
         self._is_changed = False
+        for known in (*self._workers.values(), *self._kinds.values()):
+            known.mean.fade(now)
+        return self._derive()
+
+    def _derive(self):
+        """Derive speeds and classes; return whether ``differ`` has changed."""
         states = list(self._workers.values())
-        self._estimate_kinds(states, now)
+        self._estimate_kinds(states)
         logs = [state.kind.log_speed(state.mean) for state in states]
         mean = sum(map(math.exp, logs)) / len(logs) if logs else 1.0
         for state, log_speed in zip(states, logs, strict=True):
@@ -280,13 +286,11 @@
             state.certainty = weight / (weight + _TRUST_WEIGHT)
         return self._spread.update(states)
 
-    def _estimate_kinds(self, states, now):
+    def _estimate_kinds(self, states):
         members = {}
         for state in states:
-            state.mean.fade(now)
             members.setdefault(id(state.kind), []).append(state.mean)
         for kind in self._kinds.values():
-            kind.mean.fade(now)
             kind.estimate_spread(members.get(id(kind), ()))
 
     # What the next owner of the pool is given.
@@ -334,5 +338,8 @@
                 state.mean, state.tier, state.born = mean, tier, born
         # The record exists only because speeds differed.
         self._spread.differ = True
+        # At once: the first round places all waiting work, and with speeds of 1 each
+        # worker would seem to be fast enough for it.
+        self._derive()
         self._is_changed = True
         self._refreshed_at = float("-inf")
--- a/tests/speeds/test_workers.py
+++ b/tests/speeds/test_workers.py
@@ -238,6 +238,21 @@
     assert all(fresh.tier(worker) == speeds.tier(worker) for worker in load.true_speeds)
 
 
+def test_restored_speeds_count_at_once():
+    """Guards against a new owner whose first round takes all workers for equal.
+
+    It places all that waited, and urgent steps would be given the slow workers first.
+    """
+    speeds, load = learned()
+    fresh = speeds_of(load.true_speeds)
+    fresh.set_stretch(1.5)
+    fresh.restore(speeds.as_record(load.now), 2.0)
+    assert fresh.differ
+    for worker in load.true_speeds:
+        assert fresh.speed(worker) == pytest.approx(speeds.speed(worker), rel=0.1)
+        assert fresh.tier(worker) == speeds.tier(worker)
+
+
 def test_restored_worker_that_restarted_meanwhile_starts_from_its_kind():
     speeds = speeds_of()
     speeds.note_incarnation("w0", 1)
