Let a host of a small cell that lost the race ask the winner, as before

A host that lost the race for a pool waited 0.65 s for the winner's heartbeats also in a cell of few hosts, where the winner may have ended and is not kept from its heartbeats by being asked. The test of the wait is now of three hundred hosts, and as strict.

--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -6,6 +6,7 @@
 
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.entry.cell.beat_senders import beat_seconds
+from papayapick.entry.cell.fan_out import is_large
 from papayapick.entry.crowds import crowd_delay
 from papayapick.entry.events import (
     CANDIDATE_WAITS,
@@ -279,6 +280,9 @@
     def _expect_winner(self):
         """Give the host that has just taken the pool time for its first heartbeats."""
         self._last_beat_at = self._host.clock.monotonic()
+        if not is_large(self._other_hosts()):
+            # This host asks the winner when it tries again.
+            return
         try:
             row = read_pool(self._host.store, self.pool)
         except TableUnavailable as error:
--- a/tests/entry/test_candidacy.py
+++ b/tests/entry/test_candidacy.py
@@ -366,8 +366,15 @@
     assert candidacy._needs_owner()
 
 
+@pytest.fixture
+def hundreds(candidacy):
+    """Have the candidacy's host be one of three hundred."""
+    candidacy._host.others = [SimpleNamespace(processors=1.0, name="x")] * 299
+    return 299
+
+
 def test_host_that_lost_the_race_for_a_pool_expects_the_winners_heartbeats(
-    monkeypatch, candidacy, rows, taken
+    monkeypatch, candidacy, hundreds, rows, taken
 ):
     """Guards against the same when all hosts of a new cell claim its pool at once."""
     host = candidacy._host
@@ -380,13 +387,36 @@
     host.not_owning.add("127.0.0.1:8")
     _check_owner(candidacy)
     assert candidacy.row.owner == "h3"
-    host.clock.advance(0.6)
+    host.clock.advance(3 * beat_seconds(hundreds))
     assert not candidacy._needs_owner()
-    host.clock.advance(0.1)
+    host.clock.advance(0.5 * beat_seconds(hundreds))
     assert candidacy._needs_owner()
     assert (host.asked, taken) == (0, [])
 
 
+@pytest.mark.parametrize("others", [0, 39])
+def test_winner_of_a_small_cell_that_ended_is_replaced_at_once(
+    monkeypatch, candidacy, rows, taken, others
+):
+    """Guards against a small cell that waits for the heartbeats of a dead process.
+
+    A host that found out by losing the race asks the winner when it tries again.
+    """
+    host = candidacy._host
+    host.others = [SimpleNamespace(processors=1.0, name="x")] * others
+
+    def lose(store, seen, owner, address):
+        rows[0] = PoolRow("pool", "h3", 1, "127.0.0.1:8", 1)
+        raise OwnershipLost(pool="pool")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(module, "claim_pool", lose)
+        _check_owner(candidacy)
+    host.not_owning.add("127.0.0.1:8")
+    _check_owner(candidacy)
+    assert taken == [2]
+
+
 def test_released_pool_is_taken_at_once_by_a_host_that_lost_a_race(
     monkeypatch, candidacy, rows, taken
 ):
