Copy stragglers of jobs whose end is not known where speeds differ

Where speeds differ, a copy was started only for a run that makes its job late by its deadline. A run of a step that allows copies is never moved either, so a task on a stalled worker waited for ever if its job had no deadline, no estimate, or was too late to be useful. For these steps stragglers are chosen as before speeds were known, within the allowance of copies.

tests/forecasts/test_unequal_load.py: both cases of the new replay fail without the change (the job had not ended after 50 s of a task of 3 s).

--- a/papayapick/placement/copies.py
+++ b/papayapick/placement/copies.py
@@ -15,7 +15,13 @@
 from papayapick.placement.tier_preference import in_time_until
 from papayapick.placement.timeliness import has_deadline, useful_seconds
 
-__all__ = ["LateRun", "copy_allowance", "late_runs", "stragglers"]
+__all__ = [
+    "LateRun",
+    "copy_allowance",
+    "late_runs",
+    "stragglers",
+    "unjudged_stragglers",
+]
 
 # Above the usual variation of run times within a step, which is a factor of two.
 _SLOW_FACTOR = 2.5
@@ -88,11 +94,9 @@
         Those that end last first.
     """
     job, times = step.job, knowledge.task_times
-    if not _may_be_copied(step) or not has_deadline(step):
+    if not _may_be_copied(step) or not _has_known_end(step, now, times):
         return []
     expected = times.expected_seconds(step)
-    if not expected or now > job.arrived_at + useful_seconds(job):
-        return []
     following = times.critical_path_seconds(job, step.key.step) - expected
     # The later steps may run on the fastest workers, and not earlier than expected.
     limit = in_time_until(job, times) - following
@@ -111,6 +115,36 @@
     return sorted(found, key=lambda late: -late.remaining_seconds)
 
 
+def unjudged_stragglers(step, now, knowledge):
+    """Return the stragglers of a step of which ``late_runs`` can say nothing.
+
+    Without a copy, the task of a stalled run would wait for as long as its worker
+    stalls, as runs of steps that allow copies are not moved.
+
+    Parameters
+    ----------
+    step : StepState
+    now : float
+        Monotonic seconds.
+    knowledge : PoolKnowledge
+
+    Returns
+    -------
+    list of int
+        Task indexes, slowest first.
+    """
+    if _has_known_end(step, now, knowledge.task_times):
+        return []
+    return stragglers(step, now)
+
+
+def _has_known_end(step, now, times):
+    """Return whether a step's job has a deadline, and when it would end is known."""
+    job = step.job
+    is_useful = now <= job.arrived_at + useful_seconds(job)
+    return bool(has_deadline(step) and is_useful and times.expected_seconds(step))
+
+
 def copy_allowance(steps, capacity_processors):
     """Return the processors that further copies may use, in millicores.
 
--- a/papayapick/pool/rounds/decisions.py
+++ b/papayapick/pool/rounds/decisions.py
@@ -2,7 +2,12 @@
 
 from papayapick.jobs.state import JobStatus
 from papayapick.placement.backlog import BacklogMonitor
-from papayapick.placement.copies import copy_allowance, late_runs, stragglers
+from papayapick.placement.copies import (
+    copy_allowance,
+    late_runs,
+    stragglers,
+    unjudged_stragglers,
+)
 from papayapick.placement.preemption import (
     StoppableRuns,
     choose_victims,
@@ -117,6 +122,10 @@
                     ),
                 ):
                     allowance -= demand
+            for index in unjudged_stragglers(step, now, knowledge):
+                demand = step.step.room_demand.processors
+                if demand <= allowance and self._start_copy(step, index, now):
+                    allowance -= demand
 
     def _runs_beside(self, run):
         """Return the runs on the worker of a run, with the steps of live jobs."""
--- a/tests/forecasts/test_unequal_load.py
+++ b/tests/forecasts/test_unequal_load.py
@@ -6,7 +6,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.forecasts.unequal import UnequalPool
+from papayapick.jobs import Step
+from papayapick.ledger import Amounts
+from tests.forecasts.unequal import URGENT, UnequalPool
 
 SEEDS = range(1, 7)
 CASES = {
@@ -69,6 +71,32 @@
     assert 0 < found["by slack"][1] < found["best fit"][1]
 
 
+@pytest.mark.parametrize("estimate", [0.0, 3.0])
+def test_task_on_a_stalled_worker_is_copied_whatever_is_known_of_its_job(estimate):
+    """Guards against a task that waits for ever for a worker that has stalled.
+
+    Its step allows copies, so that it is not moved. Its caller gave no estimate; or no
+    worker had room for a copy until its job was no longer useful.
+    """
+    pool = UnequalPool("by slack")
+    demand = Amounts(1000, 10)
+    step = Step(6, demand, estimate, allows_copies=True, tasks_per_worker=1)
+    identifier = pool.load.submit_steps([step], URGENT, length=3.0)
+    pool.load.run(1.0)
+    stalled = next(one for one in pool.load.workers.values() if one.runs)
+    stalled.speed = 0.0
+    if estimate:
+        for room in pool.load.owner.rooms:
+            room.is_draining = True
+            room.is_open = False
+    pool.load.run(30.0)
+    for room in pool.load.owner.rooms:
+        room.is_draining = False
+    pool.load.run(20.0)
+    assert identifier in pool.load.finished
+    assert pool.load.copies >= 1
+
+
 @settings(max_examples=15, deadline=None)
 @given(st.integers(0, 10**6), st.sampled_from([0, 1, 3]), st.booleans())
 def test_copies_keep_all_limits(seed, tasks_per_worker, allows_copies):
--- a/tests/placement/test_copies.py
+++ b/tests/placement/test_copies.py
@@ -7,7 +7,12 @@
 from papayapick.forecasts import DeclaredTimes
 from papayapick.jobs import JobDocument, JobRegistry, Queue, RunPhase, Step
 from papayapick.ledger import Amounts
-from papayapick.placement.copies import LateRun, copy_allowance, late_runs
+from papayapick.placement.copies import (
+    LateRun,
+    copy_allowance,
+    late_runs,
+    unjudged_stragglers,
+)
 from tests.forecasts.speeds import KnownSpeeds
 
 QUEUE = Queue("q", "h", "/q/", "pool", 0, 2, 1.5, 0.5, 3.0, False, None)
@@ -21,16 +26,25 @@
     Its job is in time until second 6.5.
     """
 
-    def __init__(self, **step):
+    def __init__(self, estimate=4.0, times=0, **step):
         self.knowledge = SimpleNamespace(
             speeds=KnownSpeeds(SPEEDS), task_times=DeclaredTimes()
         )
         options = {"allows_copies": True} | step
         document = JobDocument(
-            "0" * 16, "q", "pool", "t", [Step(4, TASK, 4.0, **options)], 0.0
+            "0" * 16,
+            "q",
+            "pool",
+            "t",
+            [Step(4, TASK, estimate, **options)],
+            0.0,
+            occurrences=times,
         )
         self.job_registry = JobRegistry()
-        (self.step,) = self.job_registry.add(document, QUEUE, 0.0).steps()
+        job = self.job_registry.add(document, QUEUE, 0.0)
+        if times:
+            job.open_occurrence(0)
+        (self.step,) = job.steps()
 
     def start(self, index, worker, percent, at, since=0.0, progressed_at=None):
         run = self.job_registry.begin_run(self.step, index, worker, since)
@@ -145,6 +159,33 @@
     assert not LateRun(0, 100.0, 1.0).is_worth_copy("fast", speeds)
 
 
+@pytest.mark.parametrize(
+    ("now", "estimate", "times", "expected"),
+    [
+        (19.4, 4.0, 0, []),
+        (19.6, 4.0, 0, [0]),
+        (19.4, 4.0, 1, [0]),
+        (19.4, 0.0, 0, [0]),
+    ],
+)
+def test_straggler_of_a_job_without_a_known_end_is_copied(
+    now, estimate, times, expected
+):
+    """Guards against a task that waits for as long as its worker stalls.
+
+    Its job has no deadline, or is no longer useful, or its caller gave no estimate.
+    """
+    runs = Runs(estimate=estimate, times=times)
+    for index in (1, 2, 3):
+        runs.start(index, "other", 80, 3.2)
+    runs.step.note_done_run(1.0, "other")
+    runs.start(0, "fast", 10, now, progressed_at=0.4)
+    found = unjudged_stragglers(runs.step, now, runs.knowledge)
+    assert (0 in found) == bool(expected)
+    if expected:
+        assert runs.late(now) == {}
+
+
 def test_copies_use_a_small_share_of_the_pool():
     runs = _runs()
     runs.start(0, "slow", 10, 3.2)
