--- a/papayapick/pool/rounds/decisions.py
+++ b/papayapick/pool/rounds/decisions.py
@@ -2,7 +2,12 @@
 
 from papayapick.jobs.state import JobStatus
 from papayapick.placement.backlog import BacklogMonitor
-from papayapick.placement.copies import copy_allowance, late_runs, stragglers
+from papayapick.placement.copies import (
+    copy_allowance,
+    late_runs,
+    stragglers,
+    unjudged_stragglers,
+)
 from papayapick.placement.preemption import (
     StoppableRuns,
     choose_victims,
@@ -119,13 +124,23 @@
         if any(step.wait_reason in _LACKS_ROOM for step in waiting):
             return
         allowance = copy_allowance(steps, owner.rooms.capacity_processors)
+        allowance = self._start_late_copies(steps, allowance, now)
+        for step in steps:
+            for index in unjudged_stragglers(step, now, knowledge):
+                demand = step.step.room_demand.processors
+                if demand <= allowance and self._start_copy(step, index, now):
+                    allowance -= demand
+
+    def _start_late_copies(self, steps, allowance, now):
+        """Copy the runs that are late, and return what is left of the allowance."""
+        owner, knowledge = self._owner, self._owner.knowledge
         late_of_steps = [
             (step, late)
             for step in steps
             for late in late_runs(step, now, knowledge, self._runs_beside)
         ]
         if not late_of_steps:
-            return
+            return allowance
         # Without a worker on which the copy would end earlier, advice is not needed.
         fastest = max(
             (room.worker for room in owner.rooms if room.is_open),
@@ -142,6 +157,7 @@
                 continue
             if self._start_copy(step, late.index, now, is_worth):
                 allowance -= demand
+        return allowance
 
     def _runs_beside(self, run):
         """Return the runs on the worker of a run, with the steps of live jobs."""
