Hand the recent peak of urgent work on to the next owner

Cause: an owner kept no room for urgent jobs in its first ten seconds, since the peak that it goes by was lost with its predecessor. Change: the headroom is a part of the owner's memory, in use only where overload is expected. The test fails without the registration.

--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -121,6 +121,7 @@
         self._apply_configuration()
         self.job_registry = JobRegistry(self.team_usage)
         self.rooms = Rooms(self.team_usage)
+        self.memory.register(self.rooms.headroom)
         self.rooms.preference = TierPreference(self.knowledge)
         self.roster = WorkerRoster(PROGRESS_TABLE, row.pool)
         self.links_by_worker = {}
--- a/tests/pool/test_headroom.py
+++ b/tests/pool/test_headroom.py
@@ -212,3 +212,14 @@
 def test_nothing_is_recorded_unless_overload_is_expected():
     mixed = _after_burst(is_in_use=False)
     assert mixed.load.owner.rooms.headroom.as_record(mixed.load.now) is None
+
+
+def test_peak_is_in_the_memory_that_the_next_owner_reads():
+    """Guards against a new owner that keeps no room until the next peak is over."""
+    mixed = MixedLoad()
+    owner = mixed.load.owner
+    owner.knowledge.features = OverloadFeatures(expects_overload=True)
+    mixed.run(4)
+    owner.memory.take_changed(mixed.load.now)
+    writes = owner.memory.take_changed(mixed.load.now + 10.0)
+    assert "learned-urgent-peak-0" in {write.key for write in writes}
