Copy tasks of stalled runs although another step waits for room

Where speeds differ, no copy was started while any step waited for room. One job whose tasks fit no worker waits for ever, and kept every other from copies, also of runs that had stalled and are not moved as their step allows copies.

tests/forecasts/test_unequal_load.py: the new replay fails without the change (the job had not ended after 10 s); tests/placement/test_copies.py, tests/forecasts and tests/pool/test_uneven_workers.py were run with it.

--- a/papayapick/placement/copies.py
+++ b/papayapick/placement/copies.py
@@ -53,11 +53,14 @@
         Until its end.
     task_seconds : float
         What a copy takes on a worker of speed 1.
+    has_stalled : bool, optional
+        Whether it makes no progress at present.
     """
 
-    __slots__ = ("index", "remaining_seconds", "task_seconds")
+    __slots__ = ("has_stalled", "index", "remaining_seconds", "task_seconds")
 
-    def __init__(self, index, remaining_seconds, task_seconds):
+    def __init__(self, index, remaining_seconds, task_seconds, has_stalled=False):
+        self.has_stalled = has_stalled
         self.index = index
         self.remaining_seconds = remaining_seconds
         self.task_seconds = task_seconds
@@ -111,7 +114,7 @@
         remaining = whole - run.worked_seconds(now)
         if now + remaining > limit:
             task_seconds = _task_seconds(step, run, whole, knowledge, siblings_of)
-            found.append(LateRun(index, remaining, task_seconds))
+            found.append(LateRun(index, remaining, task_seconds, _has_stalled(run)))
     return sorted(found, key=lambda late: -late.remaining_seconds)
 
 
@@ -185,7 +188,7 @@
     long by itself, and would be on any worker.
     """
     expected = knowledge.task_times.expected_seconds(step)
-    if run.percent_at - run.progressed_at >= _STALL_SECONDS:
+    if _has_stalled(run):
         return expected
     speed = knowledge.speeds.speed(run.worker)
     slowness = []
@@ -199,6 +202,10 @@
     return whole * speed / max(1.0, statistics.median(slowness or [1.0]))
 
 
+def _has_stalled(run):
+    return run.percent_at - run.progressed_at >= _STALL_SECONDS
+
+
 def _may_be_copied(step):
     return step.step.allows_copies and not (step.step.is_gang or step.waiting)
 
--- a/papayapick/pool/rounds/decisions.py
+++ b/papayapick/pool/rounds/decisions.py
@@ -102,17 +102,19 @@
     def _start_useful_copies(self, steps, now):
         """Start copies that end clearly before runs that make their jobs late.
 
-        They must not take room from work that is in time, so none is started while a
-        step waits for room.
+        They must not take room from work that is in time: while a step waits for room,
+        copies are started of runs only that may not end by themselves. Some steps wait
+        for ever, as their tasks fit no worker.
         """
         owner, knowledge = self._owner, self._owner.knowledge
         waiting = owner.job_registry.waiting_steps()
-        if any(step.wait_reason in _LACKS_ROOM for step in waiting):
-            return
+        is_short = any(step.wait_reason in _LACKS_ROOM for step in waiting)
         allowance = copy_allowance(steps, owner.rooms.capacity_processors)
         for step in steps:
             for late in late_runs(step, now, knowledge, self._runs_beside):
                 demand = step.step.room_demand.processors
+                if is_short and not late.has_stalled:
+                    continue
                 if demand <= allowance and self._start_copy(
                     step,
                     late.index,
--- a/tests/forecasts/test_unequal_load.py
+++ b/tests/forecasts/test_unequal_load.py
@@ -8,7 +8,7 @@
 
 from papayapick.jobs import Step
 from papayapick.ledger import Amounts
-from tests.forecasts.unequal import URGENT, UnequalPool
+from tests.forecasts.unequal import PROCESSORS, URGENT, UnequalPool
 
 SEEDS = range(1, 7)
 CASES = {
@@ -97,6 +97,21 @@
     assert pool.load.copies >= 1
 
 
+def test_task_on_a_stalled_worker_is_copied_while_another_step_fits_no_worker():
+    """Guards against one job that fits nowhere, and keeps all others from copies."""
+    pool = UnequalPool("by slack")
+    pool.load.submit_steps([Step(1, Amounts(PROCESSORS + 1, 10))], URGENT)
+    demand = Amounts(1000, 10)
+    step = Step(6, demand, 3.0, allows_copies=True, tasks_per_worker=1)
+    identifier = pool.load.submit_steps([step], URGENT, length=3.0)
+    pool.load.run(1.0)
+    stalled = next(one for one in pool.load.workers.values() if one.runs)
+    stalled.speed = 0.0
+    pool.load.run(9.0)
+    assert identifier in pool.load.finished
+    assert pool.load.copies >= 1
+
+
 @settings(max_examples=15, deadline=None)
 @given(st.integers(0, 10**6), st.sampled_from([0, 1, 3]), st.booleans())
 def test_copies_keep_all_limits(seed, tasks_per_worker, allows_copies):
