--- a/papayapick/pool/rounds/decisions.py
+++ b/papayapick/pool/rounds/decisions.py
@@ -116,41 +116,47 @@
     def _start_useful_copies(self, steps, now):
         """Start copies that end clearly before runs that make their jobs late.
 
-        They must not take room from work that is in time, so none is started while a
-        step waits for room.
+        They must not take room from work that is in time: while a step waits for room,
+        copies are started of runs only that may not end by themselves. Some steps wait
+        for ever, as their tasks fit no worker.
         """
         owner, knowledge = self._owner, self._owner.knowledge
         waiting = owner.job_registry.waiting_steps()
-        if any(step.wait_reason in _LACKS_ROOM for step in waiting):
-            return
+        is_short = any(step.wait_reason in _LACKS_ROOM for step in waiting)
         allowance = copy_allowance(steps, owner.rooms.capacity_processors)
-        allowance = self._start_late_copies(steps, allowance, now)
+        late_runs_by_step = self._late_runs(steps, is_short, now)
+        allowance = self._start_late_copies(late_runs_by_step, allowance, now)
         for step in steps:
             for index in unjudged_stragglers(step, now, knowledge):
                 demand = step.step.room_demand.processors
                 if demand <= allowance and self._start_copy(step, index, now):
                     allowance -= demand
 
-    def _start_late_copies(self, steps, allowance, now):
-        """Copy the runs that are late, and return what is left of the allowance."""
-        owner, knowledge = self._owner, self._owner.knowledge
-        late_of_steps = [
+    def _late_runs(self, steps, is_short, now):
+        """Return the runs that may be copied, as pairs of a step and a LateRun."""
+        knowledge = self._owner.knowledge
+        return [
             (step, late)
             for step in steps
             for late in late_runs(step, now, knowledge, self._runs_beside)
+            if late.has_stalled or not is_short
         ]
-        if not late_of_steps:
+
+    def _start_late_copies(self, late_runs_by_step, allowance, now):
+        """Copy the runs that are late, and return what is left of the allowance."""
+        if not late_runs_by_step:
             return allowance
+        rooms, speeds = self._owner.rooms, self._owner.knowledge.speeds
         # Without a worker on which the copy would end earlier, advice is not needed.
         fastest = max(
-            (room.worker for room in owner.rooms if room.is_open),
-            key=knowledge.speeds.speed,
+            (room.worker for room in rooms if room.is_open),
+            key=speeds.speed,
             default="",
         )
-        for step, late in late_of_steps:
+        for step, late in late_runs_by_step:
 
             def is_worth(worker, late=late):
-                return late.is_worth_copy(worker, knowledge.speeds)
+                return late.is_worth_copy(worker, speeds)
 
             demand = step.step.room_demand.processors
             if demand > allowance or not is_worth(fastest):
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -190,6 +190,7 @@
             version=1,
             queues=queues,
             teams=[Team("hot", jobs_per_second=0.5)],
+            tightest_stretch=lambda pool: RUSH.stretch,
         )
         self.owner = owner_of(self.host)
         for worker in ("w1", "w2"):
