--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -19,20 +19,15 @@
     OWNER_WAIT_SECONDS,
     follow_table,
 )
-from papayapick.entry.cell.joining import cell_key, register
+from papayapick.entry.cell.joining import cell_key, register, register_again
 from papayapick.entry.cell.peer_requests import PeerRequestHandler
 from papayapick.entry.cell.peers import HOSTS_PARTITION, Peers
 from papayapick.entry.configuration.announcements import ANNOUNCEMENT_PARTITION
 from papayapick.entry.configuration.follower import ConfigurationWatcher
-from papayapick.entry.events import (
-    OWNER_UNCONFIRMED,
-    READINESS_CHANGED,
-)
+from papayapick.entry.events import OWNER_UNCONFIRMED, READINESS_CHANGED
 from papayapick.entry.gauges import refresh_gauges
 from papayapick.entry.loops import LoopRunner
-from papayapick.entry.metrics import (
-    STORE_SECONDS,
-)
+from papayapick.entry.metrics import STORE_SECONDS
 from papayapick.entry.store.health import StoreHealth
 from papayapick.entry.store.latency import StoreLatency
 from papayapick.entry.store.probing import StoreProbe
@@ -51,6 +46,9 @@
 # reads the answers, one serves the connection from there. With too few, some hosts get
 # no heartbeats and take the pool again and again.
 _THREADS = 4096
+# Hundreds of hosts may connect to a new owner at the same moment, and take the pool
+# from it if it closes their connections. Leaves threads for all else.
+_MAX_HANDSHAKES = 512
 # Idle connections to workers may take this share of the descriptors. The others are for
 # calls in progress, callers, the store and other hosts.
 _IDLE_DESCRIPTORS_SHARE = 0.25
@@ -107,7 +105,7 @@
         self.writer = GroupWriter(
             self.relayed_store, self.clock, self.stopping, self.executor
         )
-        self.acceptance = Acceptance(self.relayed_store, self.writer, self.job_states)
+        self.acceptance = Acceptance.from_host(self)
         self.advice = AdviceDispatcher(self, HttpPool(_WORKER_TIMEOUT_SECONDS))
         self.peers = None
         self.store_health = StoreHealth(self.clock)
@@ -192,7 +190,10 @@
         refresh_gauges(self, owners)
 
     def _join(self):
-        keys = CellKeys([cell_key(self)])
+        key = cell_key(self)
+        if key is None:
+            return
+        keys = CellKeys([key])
         settings = self.settings
         identity = Hello(
             host=settings.host_name, region=settings.region, zone=settings.zone
@@ -206,6 +207,7 @@
             handler.answer,
             self.executor,
             on_disconnect=handler.note_disconnect,
+            max_handshakes=_MAX_HANDSHAKES,
         )
         self._peer_server.start()
         register(self)
@@ -268,6 +270,9 @@
 
     def _read_cell(self):
         rows, version = self.store.read_all(CELL_TABLE, HOSTS_PARTITION)
+        if all(row.key != self.settings.host_name for row in rows):
+            # Removed before this read, so that no change will tell of it.
+            register_again(self)
         for partition in (ANNOUNCEMENT_PARTITION, *list(self._candidacies)):
             rows += self.store.read_all(CELL_TABLE, partition)[0]
         return rows, version
@@ -276,11 +281,8 @@
         for row in rows:
             if row.partition == HOSTS_PARTITION:
                 self.peers.note_row(row)
-                is_own = row.key == self.settings.host_name
-                if is_own and row.value is None and not self.is_draining:
-                    # An owner removed the row because this host did not answer for a
-                    # long time.
-                    self.executor.submit(register, self)
+                if row.key == self.settings.host_name and row.value is None:
+                    register_again(self)
                 continue
             if row.partition == ANNOUNCEMENT_PARTITION:
                 self.configuration.announcements.note_row(row)
--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -119,7 +119,9 @@
     """
 
     __slots__ = (
+        "comparison",
         "done_seconds",
+        "done_workers",
         "held_on",
         "is_gang_broken",
         "is_ready",
@@ -129,6 +131,7 @@
         "logged_wait_at",
         "preempted_at",
         "ready_at",
+        "saved_shares",
         "step",
         "tasks",
         "unfinished_tasks",
@@ -148,6 +151,9 @@
         self.ready_at = 0.0
         # Monotonic seconds at which other runs were last preempted for this step.
         self.preempted_at = float("-inf")
+        # Share of the work that tasks had done when they were stopped for others, by
+        # index; only where overload is expected.
+        self.saved_shares = {}
         # Workers on which room is held for this step, with the monotonic seconds at
         # which the hold begins.
         self.held_on = {}
@@ -160,6 +166,10 @@
         # Durations of the runs that ended as done: the longest, and the latest ones.
         self.usual_seconds = 0.0
         self.done_seconds = []
+        # Worker of each of these runs.
+        self.done_workers = []
+        # Comparison of the workers by the runs of this step, kept by ``WorkerSpeeds``.
+        self.comparison = None
         # Whether a member ended before the gang was done. All others must end before
         # the gang is started again.
         self.is_gang_broken = False
@@ -169,10 +179,11 @@
         """Return whether all tasks have ended as done."""
         return self.unfinished_tasks == 0
 
-    def note_done_run(self, seconds):
-        """Record the duration of a run that ended as done."""
+    def note_done_run(self, seconds, worker):
+        """Record the duration and the worker of a run that ended as done."""
         self.usual_seconds = max(self.usual_seconds, seconds)
         self.done_seconds = [*self.done_seconds[1 - _DONE_RUNS :], seconds]
+        self.done_workers = [*self.done_workers[1 - _DONE_RUNS :], worker]
 
     def active_runs(self):
         """Return the runs without a known outcome."""
@@ -210,6 +221,8 @@
         The longest of these times.
     is_owed : bool
         Whether the job is within the rate of its team. Other jobs are served last.
+    is_yielding : bool
+        Whether it is served after the others of its priority that can be in time.
     """
 
     __slots__ = (
@@ -224,6 +237,7 @@
         "finished_occurrences",
         "has_placed_task",
         "is_owed",
+        "is_yielding",
         "occurrences",
         "queue",
         "status",
@@ -239,6 +253,7 @@
         self.failed_worker = ""
         self.finished_at = None
         self.is_owed = True
+        self.is_yielding = False
         # Whether this owner has placed a task of the job.
         self.has_placed_task = False
         self.occurrences = {}
--- a/papayapick/placement/worker_rooms.py
+++ b/papayapick/placement/worker_rooms.py
@@ -1,8 +1,9 @@
 """Room of one worker: the part of its capacity that no run has reserved."""
 
-__all__ = ["WorkerRoom"]
+from papayapick.jobs.labels import rack_label
+from papayapick.speeds import SpeedTier
 
-_RACK_LABEL_PREFIX = "r"
+__all__ = ["WorkerRoom"]
 
 
 class WorkerRoom:
@@ -43,6 +44,7 @@
         "_processors",
         "_suspected_until",
         "_team_usage",
+        "_tier",
         "_unknown_demands",
         "filler_runs",
         "hold",
@@ -59,11 +61,12 @@
     def __init__(self, registration):
         self.registration = registration
         self.worker = registration.worker
-        self.rack = _rack(registration.labels)
+        self.rack = rack_label(registration.labels)
         self.number = 0
         self._index = None
         self._team_usage = None
         self._is_open = False
+        self._tier = SpeedTier.NORMAL
         self.is_draining = False
         self.runs = {}
         self.step_counts = {}
@@ -123,6 +126,18 @@
             if self._index is not None:
                 self._index.note_failing(self)
 
+    @property
+    def tier(self):
+        """Class of the worker's speed, a SpeedTier."""
+        return self._tier
+
+    @tier.setter
+    def tier(self, tier):
+        if tier != self._tier:
+            self._tier = tier
+            if self._index is not None:
+                self._index.note_change(self)
+
     @property
     def has_unknown_demand(self):
         """Return whether the demand of one of its runs is not known."""
@@ -228,10 +243,3 @@
             del self.step_counts[key]
         if run.is_filler:
             self.filler_runs += sign
-
-
-def _rack(labels):
-    for label in labels:
-        if label.startswith(_RACK_LABEL_PREFIX) and "-" in label:
-            return label
-    return ""
--- a/papayapick/pool/metrics.py
+++ b/papayapick/pool/metrics.py
@@ -6,7 +6,11 @@
     "COMPLETION_SECONDS",
     "ENDS",
     "FIRST_START_SECONDS",
+    "FORECAST_ERROR_SECONDS",
     "OWNED_POOLS",
+    "PLANNED_JOBS",
+    "PREDICTED_WAIT_SECONDS",
+    "PROMISES_MISSED",
     "RENEWALS",
     "STARTS",
     "TAKEOVERS",
@@ -34,6 +38,10 @@
     ("status",),
     of_jobs=True,
 )
+FORECAST_ERROR_SECONDS = histogram(
+    "papayapick_pool_forecast_error_seconds",
+    "By how much a task took more or less than expected, where speeds differ",
+)
 STARTS = counter(
     PageSection.OWNER,
     "papayapick_pool_starts",
@@ -59,6 +67,23 @@
 OWNED_POOLS = gauge(
     PageSection.HOST_STATE, "papayapick_pool_owned", "Pools that this host owns now"
 )
+PROMISES_MISSED = counter(
+    PageSection.PROMISES,
+    "papayapick_pool_promises_missed",
+    "Jobs expected to be of use at the latest forecast time, and not done while so",
+)
+PREDICTED_WAIT_SECONDS = gauge(
+    PageSection.PROMISES,
+    "papayapick_pool_predicted_wait_seconds",
+    "Seconds until work that comes now would begin, as the owner told in the last 1 s",
+    ("queue", "bound"),
+)
+PLANNED_JOBS = gauge(
+    PageSection.PLANS,
+    "papayapick_pool_planned_jobs",
+    "Jobs in the last plan while more waits than fits: in-time, yielding or late",
+    ("queue", "standing"),
+)
 TEAM_SHARES = gauge(
     PageSection.TEAMS,
     "papayapick_pool_team_share",
--- a/papayapick/pool/rounds/decisions.py
+++ b/papayapick/pool/rounds/decisions.py
@@ -2,22 +2,31 @@
 
 from papayapick.jobs.state import JobStatus
 from papayapick.placement.backlog import BacklogMonitor
-from papayapick.placement.copies import stragglers
+from papayapick.placement.copies import (
+    copy_allowance,
+    late_runs,
+    stragglers,
+    unjudged_stragglers,
+)
 from papayapick.placement.preemption import (
     StoppableRuns,
     choose_victims,
     may_preempt,
+    victim_priority,
 )
 from papayapick.placement.steps import order_steps
 from papayapick.pool.events import COPY_STARTED, STOPPED_FOR_URGENT
 from papayapick.pool.metrics import FIRST_START_SECONDS
 from papayapick.pool.rounds.placement_rounds import PlacementRounds
+from papayapick.pool.rounds.urgent_stops import UrgentStops
 from papayapick.pool.rounds.waiting import WaitReason
 from papayapick.pool.workers.orders import StartOrder
 from papayapick.pool.workers.reports import run_fields
 
 __all__ = ["Decisions"]
 
+_LACKS_ROOM = (WaitReason.ROOM, WaitReason.NO_FIT)
+
 
 class Decisions:
     """Place waiting tasks, and queue their starts until their record is durable.
@@ -31,14 +40,26 @@
     backlog : BacklogMonitor
     """
 
-    __slots__ = ("_owner", "_rounds", "_unsent", "backlog")
+    __slots__ = ("_owner", "_rounds", "_stops", "_unsent", "backlog")
 
     def __init__(self, owner):
         self._owner = owner
         self._rounds = PlacementRounds(owner, self._begin_run, self._queue_starts)
+        self._stops = UrgentStops(owner)
         self._unsent = []
         self.backlog = BacklogMonitor()
 
+    @property
+    def planned_jobs(self):
+        """Return how many jobs of each queue are in time, yield or are late.
+
+        Returns
+        -------
+        dict of str to collections.Counter
+            By queue and ``Standing``; empty while the pool has room for all.
+        """
+        return self._rounds.planned_jobs
+
     def place(self, now):
         """Place waiting tasks, the most urgent first, and queue their starts."""
         owner = self._owner
@@ -82,26 +103,106 @@
 
     def start_copies(self, now):
         """Start second copies of stragglers on other workers with room."""
-        for job in self._owner.job_registry.live_jobs():
-            for step in job.steps():
-                for index in stragglers(step, now):
-                    self._start_copy(step, index, now)
+        steps = [
+            step for job in self._owner.job_registry.live_jobs() for step in job.steps()
+        ]
+        if self._owner.knowledge.speeds.differ:
+            self._start_useful_copies(steps, now)
+            return
+        for step in steps:
+            for index in stragglers(step, now):
+                self._start_copy(step, index, now)
+
+    def _start_useful_copies(self, steps, now):
+        """Start copies that end clearly before runs that make their jobs late.
+
+        They must not take room from work that is in time: while a step waits for room,
+        copies are started of runs only that may not end by themselves. Some steps wait
+        for ever, as their tasks fit no worker.
+        """
+        owner, knowledge = self._owner, self._owner.knowledge
+        waiting = owner.job_registry.waiting_steps()
+        is_short = any(step.wait_reason in _LACKS_ROOM for step in waiting)
+        allowance = copy_allowance(steps, owner.rooms.capacity_processors)
+        late_runs_by_step = self._late_runs(steps, is_short, now)
+        allowance = self._start_late_copies(late_runs_by_step, allowance, now)
+        for step in steps:
+            for index in unjudged_stragglers(step, now, knowledge):
+                demand = step.step.room_demand.processors
+                if demand <= allowance and self._start_copy(step, index, now):
+                    allowance -= demand
+
+    def _late_runs(self, steps, is_short, now):
+        """Return the runs that may be copied, as pairs of a step and a LateRun."""
+        knowledge = self._owner.knowledge
+        return [
+            (step, late)
+            for step in steps
+            for late in late_runs(step, now, knowledge, self._runs_beside)
+            if late.has_stalled or not is_short
+        ]
+
+    def _start_late_copies(self, late_runs_by_step, allowance, now):
+        """Copy the runs that are late, and return what is left of the allowance."""
+        if not late_runs_by_step:
+            return allowance
+        rooms, speeds = self._owner.rooms, self._owner.knowledge.speeds
+        # Without a worker on which the copy would end earlier, advice is not needed.
+        fastest = max(
+            (room.worker for room in rooms if room.is_open),
+            key=speeds.speed,
+            default="",
+        )
+        for step, late in late_runs_by_step:
+
+            def is_worth(worker, late=late):
+                return late.is_worth_copy(worker, speeds)
 
-    def _start_copy(self, step, index, now):
+            demand = step.step.room_demand.processors
+            if demand > allowance or not is_worth(fastest):
+                continue
+            if self._start_copy(step, late.index, now, is_worth):
+                allowance -= demand
+        return allowance
+
+    def _runs_beside(self, run):
+        """Return the runs on the worker of a run, with the steps of live jobs."""
+        room = self._owner.rooms.get(run.worker)
+        runs = () if room is None else room.runs.values()
+        pairs = [(one, self._owner.job_registry.step_of(one.key)) for one in runs]
+        return [(one, step) for one, step in pairs if step is not None]
+
+    def _start_copy(self, step, index, now, is_worth=None):
+        """Start a second copy of a task if possible; return whether it was.
+
+        Parameters
+        ----------
+        step : StepState
+        index : int
+        now : float
+        is_worth : callable, optional
+            Takes the name of a worker; returns whether to start a copy there.
+
+        Returns
+        -------
+        bool
+        """
         if not self._owner.team_usage.admits(step):
-            return
+            return False
         policy, allowed = step.job.queue.advice, None
         if policy is not None:
             allowed = self._owner.advice_manager.tickets(step, now)
             if allowed is None:
                 self._owner.advice_manager.request_if_useful(step, now)
-                return
+                return False
         first = step.tasks[index].runs[0]
         slow = first.worker
         step.tasks[index].avoid.add(slow)
         room = self._owner.rooms.choose(step, index, allowed)
         if room is None or room.worker == slow:
-            return
+            return False
+        if is_worth is not None and not is_worth(room.worker):
+            return False
         run = self._begin_run(step, index, room.worker, None)
         self._queue_starts(step, [run], allowed or {}, is_resumed=False)
         COPY_STARTED.write(
@@ -110,9 +211,16 @@
             slow_seconds=round(first.worked_seconds(now), 3),
             usual_seconds=round(step.usual_seconds, 3),
         )
+        return True
 
     def preempt(self, now):
-        """Stop tasks of lower priority for the most urgent step without room."""
+        """Stop tasks of lower priority for the most urgent step without room.
+
+        Where overload is expected, for the most urgent steps together.
+        """
+        if self._owner.knowledge.features.is_in_use:
+            self._stops.run(now)
+            return
         overdue = [
             step
             for step in self._owner.job_registry.waiting_steps()
@@ -140,13 +248,7 @@
             return
 
     def _victim_priority(self, run):
-        step = self._owner.job_registry.step_of(run.key)
-        if step is None or step.job.is_final:
-            return None
-        found = step.step
-        if not found.has_checkpoints or found.is_gang or found.is_lasting:
-            return None
-        return step.job.priority
+        return victim_priority(self._owner.job_registry.step_of(run.key))
 
     def take_unsent(self, identifiers=None):
         """Remove and return the starts that have not been sent yet.
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -11,7 +11,7 @@
     START_FOUND,
     WORKER_FENCED,
 )
-from papayapick.pool.metrics import ENDS
+from papayapick.pool.metrics import ENDS, FORECAST_ERROR_SECONDS
 from papayapick.pool.takeover.reconciliation import PREDECESSOR_LEASE_SECONDS
 from papayapick.pool.workers.reports import EndOutcome, run_fields
 
@@ -76,6 +76,7 @@
                     self._drop_vanished(room, report, requested_at, now)
             if not link.has_reported:
                 link.has_reported = True
+                self._owner.knowledge.speeds.note_incarnation(link.worker, report.born)
                 # Runs that an earlier owner started there are covered by its lease.
                 link.lapse_at = max(
                     link.lapse_at, self._owner.taken_at + PREDECESSOR_LEASE_SECONDS
@@ -129,6 +130,7 @@
         with self._owner.lock:
             self._mark_lost(link, "began anew", lambda run: run.name not in listed)
             link.begin_incarnation(born)
+            self._owner.knowledge.speeds.note_incarnation(link.worker, born)
             if not link.has_reported:
                 self._owner.reconciliation.note_worker_gone(
                     link.worker, self._owner.now()
@@ -154,12 +156,24 @@
         )
         if run is not None:
             room.release(run)
+            if step is not None and end.outcome == EndOutcome.DONE:
+                self._note_done(step, run, now)
         link.processed = end.number
         ENDS.labels(end.outcome).inc()
         self._owner.run_monitor.note_end(step, run, end, room, now)
         if step is not None and end.outcome != EndOutcome.DONE:
             self._log_run_end(step, end, run, link.worker, now)
 
+    def _note_done(self, step, run, now):
+        """Compare a run that is done with what was expected, and learn from it."""
+        knowledge = self._owner.knowledge
+        expected = knowledge.task_times.expected_seconds(step)
+        is_whole = run.shows_worker_speed and not run.is_resumed
+        if knowledge.speeds.differ and is_whole and expected:
+            expected /= knowledge.speeds.speed(run.worker)
+            FORECAST_ERROR_SECONDS.observe(abs(run.worked_seconds(now) - expected))
+        knowledge.task_times.note_done(step, run, now)
+
     @staticmethod
     def _log_run_end(step, end, run, worker, now):
         task = step.tasks[end.key.index]
--- a/tests/observability/test_events.py
+++ b/tests/observability/test_events.py
@@ -11,6 +11,7 @@
 
 from demo.cells import ROOT
 from papayapick.clock import ManualClock
+from papayapick.executors import ElasticExecutor
 from papayapick.observability.events import EVENTS, Event, EventLog
 from papayapick.observability.logs import get_logger
 from papayapick.observability.queries import events_page
@@ -18,10 +19,12 @@
 SAMPLE = Event("seen in a test", "number text", "Only here.", per_second=3)
 SOURCES = [
     path
-    for package in ("entry", "pool")
+    for package in ("entry", "overload", "pool", "speeds")
     for path in sorted(ROOT.joinpath("papayapick", package).rglob("*.py"))
 ]
 
+MODULES = ("entry", "overload", "pool", "pool.records", "speeds")
+
 
 @pytest.fixture
 def clock():
@@ -31,9 +34,9 @@
 @pytest.fixture(autouse=True)
 def restored_logging():
     root = logging.getLogger("papayapick")
-    before = root.handlers, root.level, root.propagate
+    before = root.handlers, root.level, root.propagate, logging.logThreads
     yield
-    root.handlers, root.level, root.propagate = before
+    root.handlers, root.level, root.propagate, logging.logThreads = before
 
 
 def lines_of(stream):
@@ -62,6 +65,20 @@
     }
 
 
+def test_lines_keep_no_object_of_the_threads_that_wrote_them(clock):
+    """Guards against memory that grows with the threads of an executor that have ended.
+
+    The interpreter keeps an object for each thread of which a line gave the name.
+    """
+    log = open_log(clock, io.StringIO())
+    before = threading.active_count()
+    executor = ElasticExecutor(1, "test")
+    executor.submit(SAMPLE.write, number=3, text="x").result(10)
+    executor.shutdown()
+    assert threading.active_count() == before
+    log.close()
+
+
 def test_failure_carries_its_exception(clock):
     stream = io.StringIO()
     log = open_log(clock, stream)
@@ -142,7 +159,7 @@
 def test_events_are_written_with_the_fields_that_they_declare(path):
     declared = {
         name: event
-        for module in ("entry", "pool")
+        for module in MODULES
         for name, event in vars(
             __import__(f"papayapick.{module}.events", fromlist=["events"])
         ).items()
@@ -165,7 +182,7 @@
 
 def test_each_event_is_written_somewhere():
     text = "".join(path.read_text() for path in SOURCES if path.stem != "events")
-    for module in ("entry", "pool"):
+    for module in MODULES:
         events = __import__(f"papayapick.{module}.events", fromlist=["events"])
         unused = [name for name in events.__all__ if f"{name}.write" not in text]
         assert unused == []
--- a/tests/observability/test_registry.py
+++ b/tests/observability/test_registry.py
@@ -9,7 +9,10 @@
 from papayapick.jobs.state import JobStatus
 from papayapick.observability.registry import describe_metrics, metrics_text
 from papayapick.pool import metrics as pool_metrics
+from papayapick.pool.rounds.yielding import Standing
 from papayapick.pool.workers.reports import EndOutcome, StartOutcome
+from papayapick.speeds import SpeedTier
+from papayapick.speeds import metrics as speed_metrics
 
 # Collectors may cut a page off after this many bytes, also within a line.
 PAGE_LIMIT_BYTES = 4000
@@ -56,14 +59,23 @@
         pool_metrics.STARTS.labels(outcome.value).inc(12345)
     for outcome in constant_values(EndOutcome):
         pool_metrics.ENDS.labels(outcome).inc(12345)
+    for tier in SpeedTier:
+        speed_metrics.WORKERS_BY_TIER.labels("pool-1", tier.name.lower()).set(176)
     for outcome in ("answered", "refused", "no-answer"):
         pool_metrics.RENEWALS.labels(outcome).inc(123456)
     for status in JobStatus.FINAL:
         pool_metrics.COMPLETION_SECONDS.labels(status).observe(12.3)
     for number in range(QUEUES):
         pool_metrics.WAITING_JOBS.labels(f"r-queue{number:02}").set(number + 1)
+        for standing in Standing:
+            labels = f"r-queue{number:02}", standing.value
+            pool_metrics.PLANNED_JOBS.labels(*labels).set(number)
     for number in range(TEAMS):
         pool_metrics.TEAM_SHARES.labels(f"team{number:02}").set(number / TEAMS)
+    for number in range(QUEUES):
+        for bound in ("earliest", "latest"):
+            labels = (f"r-queue{number:02}", bound)
+            pool_metrics.PREDICTED_WAIT_SECONDS.labels(*labels).set(number + 1)
     yield metrics_text().decode()
     for metric in (
         metrics.REFUSALS,
@@ -74,6 +86,8 @@
         pool_metrics.ENDS,
         pool_metrics.RENEWALS,
         pool_metrics.COMPLETION_SECONDS,
+        pool_metrics.PLANNED_JOBS,
+        pool_metrics.PREDICTED_WAIT_SECONDS,
         pool_metrics.TEAM_SHARES,
         pool_metrics.WAITING_JOBS,
     ):
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -6,7 +6,7 @@
 
 from papayapick.clients.rows import StoredRow
 from papayapick.clock import ManualClock
-from papayapick.jobs import JobDocument, Queue, Step
+from papayapick.jobs import CellConfiguration, JobDocument, Queue, Step
 from papayapick.ledger import Amounts
 from papayapick.ownership.pools import PoolRow
 from papayapick.pool.owner import PoolOwner
@@ -116,23 +116,28 @@
                 self._end(name, "done")
         return len(self.ends) > before
 
-    def stop(self, name):
+    def stop(self, name, saves_checkpoint=False):
         if name in self.runs:
-            self._end(name, "stopped")
+            done = max(0.0, self.runs[name])
+            self._end(name, "stopped", str(done) if saves_checkpoint else "")
 
-    def _end(self, name, outcome):
+    def _end(self, name, outcome, checkpoint=""):
         del self.runs[name]
-        self.ends.append(EndReport(len(self.ends) + 1, *name, outcome))
+        self.ends.append(EndReport(len(self.ends) + 1, *name, outcome, checkpoint))
 
     def report(self, length_of):
         highest = 100 if self.is_endless else 99
         runs = [
-            RunReport(*name, percent=int(min(highest, 100 * done / length_of(name))))
+            RunReport(*name, percent=_percent(highest, done / length_of(name)))
             for name, done in self.runs.items()
         ]
         return WorkerReport(50.0, 1, runs, list(self.ends))
 
 
+def _percent(highest, share):
+    return int(max(0, min(highest, 100 * share)))
+
+
 class PoolSimulation:
     """Simulate the workers of a pool under a real owner, without threads.
 
@@ -146,19 +151,67 @@
         Share of the tasks, chosen by their names, that take three times as long.
     accelerators : int
         Number for each worker.
+    speeds : dict of str to float
+        Speed by kind; if given, the workers have these kinds in turn as their labels,
+        and the operator's configuration has the queue of the jobs.
+    variation : float
+        Share by which lengths of tasks are above or below that of their step.
+    long_factor : float
+        How many times as long a long task takes.
+    processors : int
+        Millicores of each worker.
+    order_seconds : float
+        Seconds from a decision to the start, as for a record and an order.
+    restore_seconds : float, optional
+        Time that a run takes to resume from the checkpoint of a stop; by default stops
+        save none.
+
+    Attributes
+    ----------
+    stops, copies : int
+        Numbers of runs stopped and of second copies started.
+    answers_stops : bool
+        Whether stops are carried out, rather than lost.
     """
 
     STEP_SECONDS = 0.05
     POLL_SECONDS = 0.8
 
-    def __init__(self, workers, length, long_share=0.0, accelerators=0):
+    def __init__(
+        self,
+        workers,
+        length,
+        long_share=0.0,
+        accelerators=0,
+        speeds=None,
+        variation=0.0,
+        long_factor=LONG_FACTOR,
+        processors=4000,
+        order_seconds=0.0,
+        restore_seconds=None,
+    ):
+        self._restore_seconds = restore_seconds
+        self.answers_stops = True
         self._length = length
         self._long_share = long_share
+        self._variation = variation
+        self._long_factor = long_factor
+        self._order_seconds = order_seconds
+        # Start orders on their way, with the times at which they arrive.
+        self._ordered = []
+        # Seconds that a task takes on a normal worker, by job, if not ``length``.
+        self._lengths = {}
         self.host = Host()
         self.workers = {f"w{number}": Worker(f"w{number}") for number in range(workers)}
-        for name in self.workers:
-            row = _registration(name, accelerators)
+        for number, (name, worker) in enumerate(self.workers.items()):
+            row = _registration(name, accelerators, processors)
+            if speeds:
+                kind = list(speeds)[number % len(speeds)]
+                worker.speed = speeds[kind]
+                row["labels"] = [kind]
             self.host.put("servers", "", name, row)
+        if speeds:
+            self.host.configuration.current = CellConfiguration(1, [QUEUE], 1000)
         self.owner = PoolOwner(self.host, PoolRow("pool", "h1", 3, "a:1", 9), True)
         self.owner._executor.shutdown()
         self.owner._order_executor.shutdown()
@@ -172,7 +225,7 @@
         self._polled_at = dict.fromkeys(self.workers, 0.0)
         self.submitted_at = {}
         self.finished = {}
-        self.stops = 0
+        self.stops = self.copies = 0
         for worker in self.workers.values():
             self._poll(worker)
 
@@ -187,8 +240,15 @@
 
     def submit_step(self, step, queue=QUEUE, team=""):
         """Submit a job of one step; return its id."""
+        return self.submit_steps([step], queue, team)
+
+    def submit_steps(self, steps, queue=QUEUE, team="", length=None):
+        """Submit a job whose tasks take ``length`` seconds each; return its id."""
         identifier = f"{len(self.submitted_at) + 1:016x}"
-        document = JobDocument(identifier, "q", "pool", "t", [step], 0.0, team=team)
+        name = queue.name
+        document = JobDocument(identifier, name, "pool", "t", steps, 0.0, team=team)
+        if length is not None:
+            self._lengths[identifier] = length
         with self.owner.lock:
             self.owner.job_registry.add(document, queue, self.now)
         self.submitted_at[identifier] = self.now
@@ -223,10 +283,16 @@
             if job.is_final:
                 self.finished.setdefault(job.identifier, self.now)
 
+    def length_of(self, key):
+        """Return the seconds that a task takes on a normal worker."""
+        number = zlib.crc32(str(key).encode())
+        is_long = number % 100 < 100 * self._long_share
+        variation = self._variation * (2 * (number // 100 % 101) / 100 - 1)
+        length = self._lengths.get(key.job, self._length)
+        return length * (1 + variation) * (self._long_factor if is_long else 1)
+
     def _length_of(self, name):
-        key, _ = name
-        is_long = zlib.crc32(str(key).encode()) % 100 < 100 * self._long_share
-        return self._length * (LONG_FACTOR if is_long else 1)
+        return self.length_of(name[0])
 
     def _poll(self, worker):
         self._polled_at[worker.name] = self.now
@@ -239,24 +305,45 @@
 
     def _execute_orders(self):
         orders = self.owner.orders
-        for start in self.owner.decisions.take_unsent():
+        due = self.now + self._order_seconds
+        starts = self.owner.decisions.take_unsent()
+        self._ordered += [(due, start) for start in starts]
+        for start in starts:
+            step = self.owner.job_registry.step(start.run.key)
+            self.copies += (
+                step is not None and len(step.tasks[start.run.key.index].runs) > 1
+            )
+        while self._ordered and self._ordered[0][0] <= self.now:
+            _, start = self._ordered.pop(0)
             run = start.run
             run.note_sent(self.now)
-            self.workers[run.worker].runs[run.name] = 0.0
+            self.workers[run.worker].runs[run.name] = self._progress(start)
             self.owner.job_registry.note_started(run)
         tasks, orders._stop_executor.tasks = orders._stop_executor.tasks, []
         for step, args in tasks:
             if step == orders._stop:
                 self.stops += 1
-                self.workers[args[1].worker].stop(args[1].name)
-                orders.note_stop_confirmed(args[1])
+                orders._stops_in_progress.discard(args[1])
+                if self.answers_stops:
+                    self._stop(args[1])
+
+    def _progress(self, start):
+        """Return the seconds of progress with which a run begins."""
+        if not start.checkpoint or self._restore_seconds is None:
+            return 0.0
+        return float(start.checkpoint) - self._restore_seconds
+
+    def _stop(self, run):
+        saves = self._restore_seconds is not None
+        self.workers[run.worker].stop(run.name, saves)
+        self.owner.orders.note_stop_confirmed(run)
 
 
-def _registration(worker, accelerators=0):
+def _registration(worker, accelerators=0, processors=4000):
     return {
         "service": "pool",
         "address": f"{worker}:1",
         "zone": "z",
         "state": "ready",
-        "capacity": {"cpu": 4000, "mem_mb": 4000, "gpu": accelerators},
+        "capacity": {"cpu": processors, "mem_mb": 4000, "gpu": accelerators},
     }
--- a/tests/quotas/test_entitlements.py
+++ b/tests/quotas/test_entitlements.py
@@ -120,3 +120,45 @@
     step = job.steps()[0]
     assert may_preempt(step, owner.now() + 10)
     assert job.priority > max(j.queue.priority for j in owner.job_registry.jobs())
+
+
+def hot_team(rate=2, window=1.0):
+    """Return the entitlements of a team that has just used up what is owed to it."""
+    found = Entitlements(window)
+    found.set_teams([Team("accounts", jobs_per_second=rate), Team("idle")])
+    while found.is_owed("accounts", 50.0):
+        pass
+    return found
+
+
+def test_team_beyond_its_rate_is_named_with_the_time_until_a_job_is_owed():
+    found = hot_team()
+    assert found.beyond_rate(900.0, 20) == {"accounts": pytest.approx(0.5)}
+    assert found.beyond_rate(900.2, 20) == {"accounts": pytest.approx(0.3)}
+    assert found.beyond_rate(900.5, 20) == {}
+    assert found.is_owed("accounts", 50.5)
+
+
+def test_team_is_owed_again_though_the_clock_of_its_host_is_ahead():
+    """Guards against refusing all jobs of a team for as long as the clocks differ.
+
+    No refused job is counted, so nothing else would tell the owner of the time.
+    """
+    found = hot_team()
+    assert found.beyond_rate(10.0, 20)
+    assert not found.beyond_rate(10.6, 20)
+
+
+def test_team_to_which_nothing_is_owed_is_never_owed_again():
+    found = Entitlements(1.0)
+    found.set_teams([Team("accounts")])
+    found.is_owed("accounts", 1.0)
+    assert found.beyond_rate(2.0, 20) == {"accounts": float("inf")}
+
+
+def test_named_teams_are_bounded():
+    found = Entitlements(1.0)
+    found.set_teams([Team(f"t{number}", jobs_per_second=0.1) for number in range(30)])
+    for number in range(30):
+        found.is_owed(f"t{number}", 1.0)
+    assert len(found.beyond_rate(2.0, 20)) == 20
