Count with the longest lease after a restart under the same id

Cause: a call names the worker's id (X-Expect-Instance), which a restarted worker keeps. A call that got no answer may be executed seconds later, then by the next incarnation. Its lease ends at a time on the clock of the previous one, and is cut to the maximum (6 s in the simulation, 6 to 10 s on the sites). The owner counted with its own leases only (3.6 s): when such a worker was cut off, its tasks were placed again while their runs went on.

Change: when a link learns of a new incarnation, `lapse_at` is at least the last lease granted before, plus 12 s for late calls, plus the longest lease.

--- a/papayapick/pool/records/store_sync.py
+++ b/papayapick/pool/records/store_sync.py
@@ -243,7 +243,8 @@
         host = self._owner.host
         client = WorkerClient(worker, registration.address, host.worker_pool)
         epoch, listener = self._owner.row.epoch, self._owner.report_handler
-        link = WorkerLink(registration, client, epoch, host.clock, listener)
+        limit = host.settings.lease_limit_seconds
+        link = WorkerLink(registration, client, epoch, host.clock, listener, limit)
         link.is_listed = is_listed
         self._owner.links_by_worker[worker] = link
         self._owner.rooms.add(WorkerRoom(registration))
--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -19,6 +19,8 @@
 # A worker's monotonic clock may run 2% slow.
 _CLOCK_RATE = 0.98
 _LAPSE_SLACK_SECONDS = 0.1
+# A call without an answer may be executed late, by up to this time.
+_LATE_CALL_SECONDS = 12.0
 # A long poll returns when a run ends, or after this time at the latest. It also bounds
 # the interval between lease renewals.
 _POLL_SECONDS = 0.6
@@ -45,6 +47,8 @@
     clock : Clock
     listener : LinkListener
         Receives reports, missing answers, restarts and fencing refusals.
+    lease_limit_seconds : float
+        Maximum length of a lease; the worker shortens a longer one to it.
 
     Attributes
     ----------
@@ -56,7 +60,8 @@
     failed_since : float or None
         Monotonic seconds at which the worker stopped answering; None while it answers.
     lapse_at : float
-        Monotonic seconds after which no lease granted by this owner is in force.
+        Monotonic seconds after which no lease granted by this owner is in force, also
+        to an earlier incarnation.
     has_reported : bool
         Whether the worker has answered this owner and so refuses earlier ones.
     due_at : float
@@ -72,6 +77,8 @@
         "_clock",
         "_clock_read_at",
         "_epoch",
+        "_granted_at",
+        "_lease_limit_seconds",
         "_listener",
         "_worker_clock",
         "acknowledged",
@@ -88,15 +95,20 @@
         "registration",
     )
 
-    def __init__(self, registration, client, epoch, clock, listener):
+    def __init__(
+        self, registration, client, epoch, clock, listener, lease_limit_seconds
+    ):
         self.registration = registration
         self.client = client
         self._epoch = epoch
         self._clock = clock
         self._listener = listener
+        self._lease_limit_seconds = lease_limit_seconds
         self._acknowledgement = threading.Event()
         self._worker_clock = None
         self._clock_read_at = 0.0
+        # Monotonic seconds of the last lease; None before the first one.
+        self._granted_at = None
         self.acknowledged = 0
         self.processed = 0
         self.born = None
@@ -131,7 +143,7 @@
         """
         if self._worker_clock is None:
             return None
-        now = self._clock.monotonic()
+        now = self._granted_at = self._clock.monotonic()
         end = self._worker_clock + (now - self._clock_read_at) + LEASE_SECONDS
         longest = (end - self._worker_clock) / _CLOCK_RATE
         lapse = self._clock_read_at + longest + _LAPSE_SLACK_SECONDS
@@ -155,9 +167,20 @@
             self._acknowledgement.set()
 
     def begin_incarnation(self, born):
-        """Reset the numbers of ends after a restart; the caller holds the lock."""
+        """Reset the numbers of ends after a restart; the caller holds the lock.
+
+        Also extends ``lapse_at``. A call names the worker's id, which a restarted
+        worker keeps, so that a late call to the previous incarnation is executed by
+        the new one. Its lease ends at a time on the previous clock, and may count as
+        the longest lease on the new one. If the worker were cut off then, its runs
+        would go on after the end of the leases granted since, and run twice.
+        """
         self.born = born
         self.acknowledged = self.processed = 0
+        if self._granted_at is not None:
+            longest = self._lease_limit_seconds / _CLOCK_RATE + _LAPSE_SLACK_SECONDS
+            lapse = self._granted_at + _LATE_CALL_SECONDS + longest
+            self.lapse_at = max(self.lapse_at, lapse)
 
     def stop(self):
         """Stop polling after the current call."""
--- a/tests/pool/fault_simulation.py
+++ b/tests/pool/fault_simulation.py
@@ -36,7 +36,7 @@
 CAPACITY = 4000
 FAULT_SECONDS = 20.0
 RECOVERY_SECONDS = 25.0
-# With a backlog of patient tasks.
+# With a backlog of tasks, since the pool is small.
 OVERLOAD_RECOVERY_SECONDS = 75.0
 STEP_SECONDS = 0.05
 MAX_LEASE_SECONDS = 6.0
@@ -311,6 +311,9 @@
     expects_overload : bool, optional
         Whether the pool is small, and every second job patient, so that jobs yield and
         tasks are stopped for urgent ones.
+    workers : int, optional
+        Number of workers. With few of them, a task is more often placed on one that
+        has just restarted.
 
     Attributes
     ----------
@@ -321,7 +324,7 @@
         Runs of stray orders do not count.
     """
 
-    def __init__(self, seed, maxima=(), expects_overload=False):
+    def __init__(self, seed, maxima=(), expects_overload=False, workers=None):
         self.rng = random.Random(seed)
         self.duplicate_runs = []
         self.excesses = []
@@ -339,7 +342,8 @@
         self._owner = None
         self._poll_at = {}
         self._workers = {}
-        for number in range(OVERLOAD_WORKERS if expects_overload else WORKERS):
+        usual = OVERLOAD_WORKERS if expects_overload else WORKERS
+        for number in range(workers or usual):
             name = f"w{number}"
             register(self._host, name)
             self._workers[name] = SimulatedWorker(self, name)
@@ -416,8 +420,8 @@
         self._has_faults_ended = True
         for worker in self._workers.values():
             self._recover(worker)
-        expects_overload = self._host.settings.expects_overload
-        seconds = OVERLOAD_RECOVERY_SECONDS if expects_overload else RECOVERY_SECONDS
+        is_small = len(self._workers) < WORKERS
+        seconds = OVERLOAD_RECOVERY_SECONDS if is_small else RECOVERY_SECONDS
         end_at = self.now + seconds
         while self.now < end_at:
             self._advance()
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -40,6 +40,7 @@
         self.settings = SimpleNamespace(
             processors=1.0,
             region="south",
+            lease_limit_seconds=6.0,
             rate_window_seconds=5.0,
             rate_slack_jobs=0,
         )
--- a/tests/pool/test_links.py
+++ b/tests/pool/test_links.py
@@ -19,6 +19,9 @@
 
 OTHER_INSTANCE = 421
 FENCED = 409
+MAX_LEASE_SECONDS = 6.0
+# By which a call without an answer may be executed late.
+LATE_SECONDS = 12.0
 
 
 class Client:
@@ -92,7 +95,9 @@
 @pytest.fixture
 def link(clock):
     registration = Registration("w1", "pool", "a:1", "zone", Amounts(1000, 1000))
-    return WorkerLink(registration, Client(clock), 3, clock, Listener())
+    return WorkerLink(
+        registration, Client(clock), 3, clock, Listener(), MAX_LEASE_SECONDS
+    )
 
 
 class _CallsUsedUp(Exception):
@@ -122,6 +127,27 @@
     assert clock.monotonic() > link.lapse_at
 
 
+def test_lease_after_a_restart_may_be_the_longest(clock, link):
+    """Guards against a task that runs twice after a restart of its worker.
+
+    The restarted worker executes a call that was sent to its previous incarnation
+    seconds before. The call's lease ends at a time on the clock of that one, so that
+    the new one holds the longest lease that there is. If the worker is then cut off,
+    its tasks run for longer than the owner's own leases.
+    """
+    _run(link, 2)
+    granted_at = clock.monotonic()
+    link.client.answers = [WorkerSilent(worker="w1"), _report(clock, born=2)]
+    _run(link, 2)
+    assert link.born == 2
+    assert link.lapse_at >= granted_at + LATE_SECONDS + MAX_LEASE_SECONDS / 0.98
+
+
+def test_lease_without_a_restart_ends_as_granted(clock, link):
+    _run(link, 3)
+    assert link.lapse_at <= clock.monotonic() + LEASE_SECONDS / 0.98 + 0.2
+
+
 def test_worker_that_answers_again_is_granted_a_lease(clock, link):
     _run(link, 2)
     link.client.answers = [WorkerSilent(worker="w1")]
@@ -203,7 +229,9 @@
     """
     clock = ManualClock()
     registration = Registration("w1", "pool", "a:1", "z", Amounts(4000, 4096))
-    link = WorkerLink(registration, Client(clock), 1, clock, Listener())
+    link = WorkerLink(
+        registration, Client(clock), 1, clock, Listener(), MAX_LEASE_SECONDS
+    )
     link.begin_incarnation(1)
     link.processed = 57
     number, born = link.processed, link.born
--- a/tests/pool/test_upkeep.py
+++ b/tests/pool/test_upkeep.py
@@ -144,9 +144,8 @@
         wave = Wave(7, [*names, "m-gone"], seconds, at_once)
         current = SimpleNamespace(pools={"pool"})
         load.host.configuration = SimpleNamespace(waves={KEY: wave}, current=current)
-        load.host.settings = SimpleNamespace(
-            upkeep_seconds=UPKEEP_SECONDS, host_name="h1"
-        )
+        load.host.settings.upkeep_seconds = UPKEEP_SECONDS
+        load.host.settings.host_name = "h1"
         self.take_over()
 
     def take_over(self):
