Count with the longest lease at a worker's first report

Change: the first report sets `lapse_at` to at least the longest lease from then on; afterwards the worker refuses the earlier owner's calls. It matters only if the worker falls silent within the difference of the leases (2.5 s at 6 s) after that report.

--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -178,9 +178,12 @@
         self.born = born
         self.acknowledged = self.processed = 0
         if self._granted_at is not None:
-            longest = self._lease_limit_seconds / _CLOCK_RATE + _LAPSE_SLACK_SECONDS
-            lapse = self._granted_at + _LATE_CALL_SECONDS + longest
-            self.lapse_at = max(self.lapse_at, lapse)
+            self.note_longest_lease(self._granted_at + _LATE_CALL_SECONDS)
+
+    def note_longest_lease(self, begins_at):
+        """Count with the longest lease from a time, in monotonic seconds."""
+        longest = self._lease_limit_seconds / _CLOCK_RATE + _LAPSE_SLACK_SECONDS
+        self.lapse_at = max(self.lapse_at, begins_at + longest)
 
     def stop(self):
         """Stop polling after the current call."""
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -80,6 +80,10 @@
                 link.lapse_at = max(
                     link.lapse_at, self._owner.taken_at + PREDECESSOR_LEASE_SECONDS
                 )
+                # A late call of an earlier owner to the worker's previous incarnation
+                # may have lengthened the lease to the maximum. From this report on,
+                # the worker refuses such calls.
+                link.note_longest_lease(now)
                 self._owner.reconciliation.release_safe_tasks(now)
             self.update_availability(link)
             if not report.has_more_ends:
--- a/tests/pool/test_reconciliation.py
+++ b/tests/pool/test_reconciliation.py
@@ -120,3 +120,19 @@
     assert place(owner) == []
     report(owner, "w1", runs=[(KEY, 2)])
     assert place(owner) == []
+
+
+def test_lease_at_the_first_report_may_be_the_longest():
+    """Guards against a task that runs twice after a takeover and a restart.
+
+    A worker restarts under its id. Before its first report to the new owner it executes
+    a late call of the earlier owner to its previous incarnation, which lengthens its
+    lease to the maximum. What the new owner starts there goes on for that long if the
+    worker is cut off.
+    """
+    host = host_with_two_workers()
+    owner = owner_of(host)
+    host.clock.advance(2.0)
+    reported_at = host.clock.monotonic()
+    link = report(owner, "w1")
+    assert link.lapse_at >= reported_at + host.settings.lease_limit_seconds / 0.98
