Refuse no job by the forecast while it is unknown whether it is stored

A job whose first attempt was stored without an answer, sent again while its pool was forecast full and the store could not be read, was answered with 503, which says that it never runs. The answer is now 504, as for a job beyond its team's maximum: the outcome is unknown.

The test asserted StateUnknown, whose status is 503, against its own docstring. It now asserts AcceptanceUnknown and its status; seen to fail before. Ran tests/entry/test_admission and test_acceptance: pass.

--- a/papayapick/entry/callers/acceptance.py
+++ b/papayapick/entry/callers/acceptance.py
@@ -112,7 +112,9 @@
             return None
         now = self._admission.now()
         error = self._admission.refusal(document, now)
-        if error is not None and not self._is_stored(partition, document):
+        if error is not None and not self._may_be_stored(
+            partition, document.identifier
+        ):
             self._admission.note_refused(document, error, now)
             raise error
         return now
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -18,7 +18,7 @@
 from papayapick.entry.cell.beat_senders import BeatSender
 from papayapick.entry.cell.forecast_messages import decode_forecast, encode_forecast
 from papayapick.entry.cell.peer_requests import PeerRequestHandler
-from papayapick.entry.exceptions import BeyondRate, StateUnknown, TooLate
+from papayapick.entry.exceptions import AcceptanceUnknown, BeyondRate, TooLate
 from papayapick.jobs import Queue
 from papayapick.overload.forecast import PoolForecast, QueueForecast
 from papayapick.pool.metrics import PROMISES_MISSED
@@ -116,11 +116,15 @@
 
 
 def test_job_is_not_refused_while_the_store_cannot_be_read():
-    """Guards against refusing a job that may be stored, and then runs."""
+    """Guards against refusing a job that may be stored, and then runs.
+
+    To a caller, status 503 says that its job never runs.
+    """
     host = CallerHost(FakeStore(is_away=True))
     host.receive(FULL_SECONDS)
-    with pytest.raises(StateUnknown):
+    with pytest.raises(AcceptanceUnknown) as raised:
         host.acceptance.submit(JOB)
+    assert raised.value.status.startswith("504")
 
 
 def test_job_whose_state_is_known_is_not_refused():
