Refuse no job for a full queue while it is unknown whether it is stored

As with a forecast: a job that was stored without an answer was answered with 503 on its second attempt if its queue was full and the store could not be read. This holds also where overload features are not in use, and changes only that answer.

The test asserted StateUnknown (503); it now asserts AcceptanceUnknown and 504, seen to fail before. Ran tests/entry/test_admission, test_acceptance and test_keys: pass.

--- a/papayapick/entry/callers/acceptance.py
+++ b/papayapick/entry/callers/acceptance.py
@@ -75,7 +75,7 @@
         Raises
         ------
         QueueFull, TooLate, BeyondRate, ExceedsMaximum, NotAccepted,
-        AcceptanceUnknown, StateUnknown
+        AcceptanceUnknown
         """
         identifier = document.identifier
         if self._job_states.state(identifier) is not None:
@@ -107,7 +107,7 @@
         """
         if self._admission is None:
             retry_after = self._job_states.retry_after(document.pool, document.queue)
-            if retry_after and not self._is_stored(partition, document):
+            if retry_after and not self._may_be_stored(partition, document.identifier):
                 raise QueueFull(queue=document.queue, retry_after=retry_after)
             return None
         now = self._admission.now()
@@ -119,9 +119,6 @@
             raise error
         return now
 
-    def _is_stored(self, partition, document):
-        return self._stored_team(partition, document.identifier) is not None
-
     def _may_be_stored(self, partition, identifier):
         """Return whether a job has this id; raise AcceptanceUnknown if it is unknown.
 
--- a/tests/entry/test_acceptance.py
+++ b/tests/entry/test_acceptance.py
@@ -9,7 +9,7 @@
 from papayapick.clock import ManualClock
 from papayapick.entry.callers.acceptance import Acceptance
 from papayapick.entry.callers.job_states import JobStateCache
-from papayapick.entry.exceptions import QueueFull, StateUnknown
+from papayapick.entry.exceptions import AcceptanceUnknown, QueueFull
 from papayapick.jobs import JobDocument, Step
 from papayapick.jobs.state import JobStatus
 from papayapick.ledger import Amounts
@@ -69,8 +69,13 @@
 
 
 def test_job_is_not_refused_while_the_store_cannot_be_read():
-    with pytest.raises(StateUnknown):
+    """Guards against reporting a job as refused that may be stored, and then runs.
+
+    To a caller, status 503 says that its job never runs.
+    """
+    with pytest.raises(AcceptanceUnknown) as raised:
         acceptance(FakeStore(is_away=True), 9)[0].submit(JOB)
+    assert raised.value.status.startswith("504")
 
 
 def test_queue_that_is_not_full_writes_its_jobs():
