Let jobs yield that could not be in time even by themselves

Of the large jobs of a queue at most half yield; of a single one, none. If it needed more than the pool can do by its time, as by an absurd estimate, it was kept, and all waiting jobs of the usual size that need their room later yielded to it in vain. It yields now, and the others are judged without it.

The new test failed before.

--- a/papayapick/overload/plan.py
+++ b/papayapick/overload/plan.py
@@ -20,7 +20,7 @@
     one exceeds what the processors can do by then, the largest job so far yields: that
     is the method of Moore and Hodgson, by which the fewest jobs are late. Jobs that
     have begun do not yield to others, and of the large jobs of a queue at most half
-    yield.
+    yield, besides those that could not be in time even by themselves.
 
     One plan is kept for each priority, because it counts how often large jobs yielded.
 
@@ -58,9 +58,13 @@
         classes = self._shares.begin(jobs)
         selection = _Selection(classes, self._shares.allowances())
         for job in sorted(jobs, key=lambda job: (job.finish_by, job.identifier)):
-            seconds = max(0.0, job.finish_by - now)
+            limit = processors / _MILLICORES * max(0.0, job.finish_by - now)
+            if job.work > limit > 0 and not job.has_begun:
+                # Kept, it would make all others yield, and still be late.
+                selection.leave_out(job)
+                continue
             selection.add(job)
-            selection.shrink(processors / _MILLICORES * seconds)
+            selection.shrink(limit)
         self._shares.end(selection.yielding)
         return selection.yielding
 
@@ -98,6 +102,10 @@
         self._kept[job.identifier] = True
         self._work += job.work
 
+    def leave_out(self, job):
+        """Let a job yield that could not be in time even by itself."""
+        self._kept[job.identifier] = False
+
     def shrink(self, limit):
         """Let jobs yield until the work of the others is within a limit.
 
--- a/tests/overload/test_plan.py
+++ b/tests/overload/test_plan.py
@@ -174,3 +174,18 @@
     """Guards against jobs that yield for ever."""
     for replay in replays["Yielding"]:
         assert all(job.finished_at is not None for job in replay.jobs)
+
+
+def test_job_that_can_not_be_in_time_alone_makes_no_others_yield():
+    """Guards against one job with an absurd estimate behind which all others yield.
+
+    It is the only one of the largest of its queue, half of which may yield: none.
+    """
+    works = [1.0 + number % 7 for number in range(20)]
+    jobs = [
+        DelayedJob(str(number), work, 5.0 + number % 11, False, work, "q")
+        for number, work in enumerate(works)
+    ]
+    for work in (1000.0, 1e300, float("inf")):
+        huge = DelayedJob("huge", work, 6.0, False, work, "q")
+        assert YieldPlan().yielding([*jobs, huge], 15000, 0.0) == {"huge"}
