--- a/papayapick/placement/copies.py
+++ b/papayapick/placement/copies.py
@@ -12,6 +12,7 @@
 import statistics
 
 from papayapick.jobs.runs import RunPhase
+from papayapick.placement.progress import STALL_SECONDS
 from papayapick.placement.tier_preference import in_time_until
 from papayapick.placement.timeliness import has_deadline, useful_seconds
 
@@ -35,8 +36,6 @@
 # A run must have been at work for this share of the expected time before its progress
 # shows when it ends: percents are integers, and its start was confirmed late.
 _MIN_WORKED_SHARE = 0.3
-# A run without progress for this time has stalled.
-_STALL_SECONDS = 0.7
 # Share of the pool that copies may use.
 _MAX_POOL_SHARE = 0.03
 _FULL = 100
@@ -203,7 +202,7 @@
 
 
 def _has_stalled(run):
-    return run.percent_at - run.progressed_at >= _STALL_SECONDS
+    return run.percent_at - run.progressed_at >= STALL_SECONDS
 
 
 def _may_be_copied(step):
--- a/papayapick/placement/progress.py
+++ b/papayapick/placement/progress.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "REPLACED_LIMIT",
+    "STALL_SECONDS",
     "compare_runs",
     "ended_within_usual_time",
     "may_be_stalled",
@@ -26,7 +27,7 @@
 
 # A run without progress for this time has stalled: the progress of a task of a minute
 # grows by one percent in 0.6 s.
-_STALL_SECONDS = 0.7
+STALL_SECONDS = 0.7
 # Restoring a checkpoint takes up to 0.6 s, during which there is no progress.
 _RESTORE_SECONDS = 0.8
 # The worker of a run without progress for this time is polled again soon.
@@ -190,7 +191,7 @@
     # start order late, or did not report since, would seem to have stalled meanwhile.
     if not run.was_listed_again:
         return False
-    limit = _STALL_SECONDS + (_RESTORE_SECONDS if run.is_resumed else 0.0)
+    limit = STALL_SECONDS + (_RESTORE_SECONDS if run.is_resumed else 0.0)
     return run.percent_at - run.progressed_at >= limit
 
 
