Log why a task is placed again, and tell the lives of a host apart

The record of the second run on processes can't tell its hypotheses apart: a start names neither the reason of an earlier run's end nor the life of its host, a worker that counts as gone after a takeover and a task released then have no line at all.

Each line has process_started; step placed has requeue_reasons; runs lost and run vanished have the epoch and how old the fact is, the first also the end of the lease; new are run never started, worker absent after a takeover and held task released, and the counter papayapick_pool_tasks_placed_again by reason. No decision changes.

--- a/papayapick/entry/program.py
+++ b/papayapick/entry/program.py
@@ -31,6 +31,7 @@
 # Interval at which log lines that were dropped are counted in the metrics.
 _LEFT_OUT_INTERVAL_SECONDS = 5.0
 _MAX_PORT = 65535
+_MILLISECONDS_PER_SECOND = 1000
 
 USAGE = """Run an entry host on the users' platform.
 
@@ -66,7 +67,13 @@
         sys.exit(EXIT_SETTINGS)
     threading.stack_size(_STACK_BYTES)
     clock = BootClock()
-    static = {"host": settings.host_name, "zone": settings.zone}
+    # A process that is started again has the same host name.
+    process_started = round(clock.time() * _MILLISECONDS_PER_SECOND)
+    static = {
+        "host": settings.host_name,
+        "zone": settings.zone,
+        "process_started": process_started,
+    }
     level = options["--log-level"]
     log = EventLog(clock, level, static, on_dropped_lines=LINES_LEFT_OUT.inc)
     log.start()
--- a/papayapick/jobs/held_tasks.py
+++ b/papayapick/jobs/held_tasks.py
@@ -1,5 +1,7 @@
 """Hold back tasks after a takeover that may have a run unknown to the new owner."""
 
+from papayapick.jobs.runs import RequeueReason
+
 __all__ = ["HeldTasks"]
 
 
@@ -98,6 +100,11 @@
             Takes a TaskState and returns whether the task may be released.
         now : float
             Monotonic seconds.
+
+        Returns
+        -------
+        list of (StepState, int)
+            Steps and indexes of the released tasks of which no run was found.
         """
         released = [
             (step, index)
@@ -105,15 +112,23 @@
             if may_release(step.tasks[index])
         ]
         self._tasks.difference_update(released)
+        queued = []
         for step, index in released:
             self.note_found(step, index)
-            self._release(step, index)
+            if self._release(step, index):
+                queued.append((step, index))
         for step in {step for step, _ in released}:
             if not any(held is step for held, _ in self._tasks):
                 self._outcomes.stop_partial_gang(step, now)
+        return queued
 
     def _release(self, step, index):
+        """Release a task; return whether it waits for a worker from now on."""
         task = step.tasks[index]
+        if task.place:
+            task.requeue_reason = RequeueReason.RELEASED
         task.refresh_place()
-        if not (task.is_done or task.runs or step.job.is_final):
-            self._registry.enqueue_task(step, index)
+        if task.is_done or task.runs or step.job.is_final:
+            return False
+        self._registry.enqueue_task(step, index)
+        return True
--- a/papayapick/jobs/outcomes.py
+++ b/papayapick/jobs/outcomes.py
@@ -1,5 +1,6 @@
 """Apply the outcome of a run to its task, step, gang and job."""
 
+from papayapick.jobs.runs import RequeueReason
 from papayapick.jobs.state import JobStatus
 
 __all__ = ["OutcomeHandler"]
@@ -22,8 +23,16 @@
     def __init__(self, registry):
         self._registry = registry
 
-    def drop_run(self, run, now):
-        """Remove a run that did not start and can no longer start."""
+    def drop_run(self, run, now, reason):
+        """Remove a run that did not start and can no longer start.
+
+        Parameters
+        ----------
+        run : Run
+        now : float
+            Monotonic seconds.
+        reason : RequeueReason
+        """
         self._registry.remove_run(run)
         step = self._registry.step(run.key)
         if step is None or step.job.is_final:
@@ -37,9 +46,9 @@
             self._break_gang(step, now)
         elif not task.runs:
             # If only a second copy is dropped, the first run is still active.
-            self._registry.requeue_task(step, run.key.index)
+            self._registry.requeue_task(step, run.key.index, reason)
 
-    def end_run(self, key, attempt, outcome, checkpoint, worker, now):
+    def end_run(self, key, attempt, outcome, checkpoint, worker, now, reason=None):
         """Handle the outcome of a run, which may be reported more than once.
 
         Parameters
@@ -54,6 +63,8 @@
         worker : str
         now : float
             Monotonic seconds.
+        reason : RequeueReason, optional
+            Given if the outcome was inferred; by default the outcome itself.
         """
         step = self._registry.step(key)
         if step is None:
@@ -86,7 +97,8 @@
             if not self._is_of_earlier_run(step, attempt):
                 self._break_gang(step, now)
         elif not task.runs:
-            self._registry.requeue_task(step, key.index)
+            reason = reason or RequeueReason(outcome)
+            self._registry.requeue_task(step, key.index, reason)
 
     @staticmethod
     def _is_of_earlier_run(step, attempt):
@@ -175,4 +187,4 @@
         for index, task in enumerate(step.tasks):
             task.checkpoint = checkpoint
             task.attempt = attempt
-            self._registry.requeue_task(step, index)
+            self._registry.requeue_task(step, index, RequeueReason.BROKEN)
--- a/papayapick/jobs/registry.py
+++ b/papayapick/jobs/registry.py
@@ -4,7 +4,7 @@
 from papayapick.jobs.held_tasks import HeldTasks
 from papayapick.jobs.outcomes import OutcomeHandler
 from papayapick.jobs.records import restore_progress
-from papayapick.jobs.runs import Run, RunPhase
+from papayapick.jobs.runs import RequeueReason, Run, RunPhase
 from papayapick.jobs.schedule import Schedule
 from papayapick.jobs.state import JobState, JobStatus
 from papayapick.jobs.step_queue import StepQueue
@@ -241,13 +241,13 @@
         if step is not None and run.checkpoint:
             step.tasks[run.key.index].checkpoint = run.checkpoint
 
-    def drop_run(self, run, now):
-        """Remove a run that did not start and can no longer start."""
-        self._outcomes.drop_run(run, now)
+    def drop_run(self, run, now, reason=RequeueReason.REFUSED):
+        """Remove a run that did not start; see ``OutcomeHandler.drop_run``."""
+        self._outcomes.drop_run(run, now, reason)
 
-    def end_run(self, key, attempt, outcome, checkpoint, worker, now):
+    def end_run(self, key, attempt, outcome, checkpoint, worker, now, reason=None):
         """Handle the outcome of a run; see ``OutcomeHandler.end_run``."""
-        self._outcomes.end_run(key, attempt, outcome, checkpoint, worker, now)
+        self._outcomes.end_run(key, attempt, outcome, checkpoint, worker, now, reason)
 
     # The methods below are for the other modules of this package.
 
@@ -282,8 +282,9 @@
                     ):
                         self.enqueue_task(step, index)
 
-    def requeue_task(self, step, index):
+    def requeue_task(self, step, index, reason):
         """Queue a task that has no run any more, unless it is held."""
+        step.tasks[index].requeue_reason = reason
         if not self.held.hold_if_required(step, index):
             step.tasks[index].refresh_place()
             self.enqueue_task(step, index)
--- a/papayapick/jobs/runs.py
+++ b/papayapick/jobs/runs.py
@@ -4,7 +4,7 @@
 
 from papayapick.jobs.documents import TaskKey
 
-__all__ = ["Run", "RunPhase"]
+__all__ = ["RequeueReason", "Run", "RunPhase"]
 
 _INITIAL_PACE_PERCENT = 100
 
@@ -21,6 +21,28 @@
     UNSURE = "unsure"
 
 
+class RequeueReason(enum.Enum):
+    """Why a task waits for a worker again after a start."""
+
+    # Its worker listed the end of its run.
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+    # Its worker listed the run earlier, and now lists neither it nor its end.
+    VANISHED = "vanished"
+    # Its worker can't be running it any more.
+    LOST = "lost"
+    # Its worker stopped it before it had started.
+    NEVER_STARTED = "never-started"
+    # Its worker refused the start, or the order was not sent.
+    REFUSED = "refused"
+    # It was held after a takeover, and no run of it was found.
+    RELEASED = "released"
+
+
 class Run:
     """Hold the state of one run of a task.
 
--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -50,6 +50,8 @@
         Worker of the last start; empty while the task waits for a worker. The task may
         run there even while it is held after a takeover, so it is stored for the next
         owner.
+    requeue_reason : RequeueReason or None
+        Why it waits, or waited, for a worker again; None until its first start.
     replaced : int
         How many times the task was moved because its run was stalled or slow.
     """
@@ -63,6 +65,7 @@
         "is_done",
         "place",
         "replaced",
+        "requeue_reason",
         "runs",
         "stuck_since",
     )
@@ -76,6 +79,7 @@
         self.is_done = False
         self.place = ""
         self.replaced = 0
+        self.requeue_reason = None
         self.runs = []
         self.stuck_since = None
 
--- a/papayapick/observability/registry.py
+++ b/papayapick/observability/registry.py
@@ -51,8 +51,10 @@
     PLANS = 8
     # One series per method and status.
     RESPONSES = 9
-    PROCESS = 10
-    HISTOGRAMS = 11
+    # One series per reason for which a task was queued again.
+    PLACED_AGAIN = 10
+    PROCESS = 11
+    HISTOGRAMS = 12
 
 
 class _MetricsPage:
--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -31,6 +31,7 @@
     "RUN_ENDED",
     "RUN_REPLACED",
     "RUN_FOUND",
+    "RUN_NEVER_STARTED",
     "RUN_VANISHED",
     "RUNS_LOST",
     "START_FOUND",
@@ -40,11 +41,13 @@
     "STEP_WAITS",
     "STOP_REFUSED",
     "STOPPED_FOR_URGENT",
+    "TASK_RELEASED",
     "THREADS_SHORT",
     "UPKEEP_BEGUN",
     "UPKEEP_NOT_BEGUN",
     "WAVE_PUT_OFF",
     "WAVE_STATUS",
+    "WORKER_ABSENT",
     "WORKER_BACK",
     "WORKER_FENCED",
     "WORKER_GONE",
@@ -141,9 +144,13 @@
 )
 STEP_PLACED = Event(
     "step placed",
-    "request_id occurrence step tasks attempts workers left waited_seconds "
-    "expected_seconds epoch",
+    "request_id occurrence step tasks attempts workers requeue_reasons left "
+    "waited_seconds expected_seconds epoch",
     "Workers were chosen for tasks of a step; left is the number that wait for room. "
+    "A reason for each task why it was queued again after a start, empty for the first "
+    "one: done (a lasting task), failed, stopped, lapsed, broken or alone as its "
+    "worker listed, vanished, lost, never-started, refused, or released (held after a "
+    "takeover, and no run was found). "
     "The last of these tasks is expected to take expected_seconds: the caller's "
     "estimate, corrected where speeds of workers differ; 0 if there is none.",
     per_second=60,
@@ -248,10 +255,17 @@
 )
 RUN_VANISHED = Event(
     "run vanished",
-    _RUN,
-    "A worker confirmed a run earlier, and lists neither the run nor its end now.",
+    _RUN + " epoch requested_seconds_ago",
+    "A worker confirmed a run earlier, and lists neither the run nor its end now; "
+    "seconds since that list was requested.",
     level=logging.WARNING,
 )
+RUN_NEVER_STARTED = Event(
+    "run never started",
+    _RUN + " epoch requested_seconds_ago",
+    "A worker confirmed the stop of a run, and a list requested after that has neither "
+    "the run nor its end; seconds since that list was requested.",
+)
 MACHINES_UNREAD = Event(
     "machines not read",
     "silent error",
@@ -266,9 +280,24 @@
 )
 RUNS_LOST = Event(
     "runs lost with their worker",
-    "worker runs request_ids silent_seconds reason",
+    "worker runs request_ids silent_seconds reason epoch lapse_in_seconds",
     "The worker can no longer be running them: its lease has expired, its machine has "
-    "no such worker any more, or it restarted.",
+    "no such worker any more, or it restarted. Seconds until the last lease granted to "
+    "the worker ends, negative if it has ended.",
+)
+WORKER_ABSENT = Event(
+    "worker absent after a takeover",
+    "worker reason epoch taken_seconds_ago",
+    "Tasks are no longer held for a worker that has not answered the new owner: it no "
+    "longer exists, by the list of machines, or as another worker is at its address.",
+)
+TASK_RELEASED = Event(
+    "held task released",
+    "request_id occurrence step task attempt reason epoch taken_seconds_ago",
+    "A task that was held after a takeover waits for a worker now, since no run of it "
+    "was found. Reasons: leases over (of all earlier owners), no run (it can't run on "
+    "any worker that has not answered). Attempt is the last known start.",
+    per_second=60,
 )
 WORKER_SILENT = Event(
     "worker silent",
--- a/papayapick/pool/metrics.py
+++ b/papayapick/pool/metrics.py
@@ -15,6 +15,7 @@
     "STARTS",
     "TAKEOVERS",
     "TAKEOVER_SECONDS",
+    "TASKS_PLACED_AGAIN",
     "TEAM_SHARES",
     "WAITING_JOBS",
 ]
@@ -48,6 +49,12 @@
     "Orders to start a task, by what became",
     ("outcome",),
 )
+TASKS_PLACED_AGAIN = counter(
+    PageSection.PLACED_AGAIN,
+    "papayapick_pool_tasks_placed_again",
+    "Tasks placed after an earlier start, by why they were queued again",
+    ("reason",),
+)
 ENDS = counter(
     PageSection.OWNER, "papayapick_pool_ends", "Ends that workers listed", ("outcome",)
 )
--- a/papayapick/pool/rounds/waiting.py
+++ b/papayapick/pool/rounds/waiting.py
@@ -3,6 +3,7 @@
 import enum
 
 from papayapick.pool.events import STEP_PLACED, STEP_WAITS
+from papayapick.pool.metrics import TASKS_PLACED_AGAIN
 
 __all__ = ["WaitReason", "log_placed", "log_wait"]
 
@@ -39,6 +40,9 @@
         Monotonic seconds.
     """
     step.logged_wait = None
+    reasons = [step.tasks[run.key.index].requeue_reason for run in runs]
+    for reason in filter(None, reasons):
+        TASKS_PLACED_AGAIN.labels(reason.value).inc()
     STEP_PLACED.write(
         request_id=step.key.job,
         occurrence=step.key.occurrence,
@@ -46,6 +50,7 @@
         tasks=[run.key.index for run in runs],
         attempts=[run.attempt for run in runs],
         workers=[run.worker for run in runs],
+        requeue_reasons=[reason.value if reason else "" for reason in reasons],
         left=len(step.waiting),
         waited_seconds=round(now - step.ready_at, 3),
         expected_seconds=round(_expected_seconds(owner.knowledge, step, runs), 3),
--- a/papayapick/pool/takeover/reconciliation.py
+++ b/papayapick/pool/takeover/reconciliation.py
@@ -1,6 +1,6 @@
 """Reconciliation after a takeover: which tasks may still run, and on which worker."""
 
-from papayapick.pool.events import POOL_SETTLED
+from papayapick.pool.events import POOL_SETTLED, TASK_RELEASED, WORKER_ABSENT
 from papayapick.pool.metrics import TAKEOVER_SECONDS
 from papayapick.pool.takeover.ownership_status import CONFIRMATION_VALID_SECONDS
 from papayapick.pool.workers.links import LEASE_SECONDS
@@ -73,12 +73,26 @@
         """Return whether tasks are held because a worker has not reported."""
         return not self._is_complete and worker not in self._gone_workers
 
-    def note_worker_gone(self, worker, now):
+    def note_worker_gone(self, worker, now, reason):
         """Stop holding tasks because of a worker that has crashed or left.
 
         If it were treated as silent, all tasks of earlier owners would wait for
         the longest lease that it may have, although other workers are free.
+
+        Parameters
+        ----------
+        worker : str
+        now : float
+            Monotonic seconds.
+        reason : str
+            For the log.
         """
+        WORKER_ABSENT.write(
+            worker=worker,
+            reason=reason,
+            epoch=self._owner.row.epoch,
+            taken_seconds_ago=round(now - self._owner.taken_at, 3),
+        )
         self._gone_workers.add(worker)
         self.release_safe_tasks(now)
 
@@ -96,9 +110,11 @@
             if not (link.has_reported or link.worker in self._gone_workers)
         )
         is_over = now > self._owner.taken_at + PREDECESSOR_LEASE_SECONDS
-        self._owner.job_registry.held.release_tasks(
+        released = self._owner.job_registry.held.release_tasks(
             lambda task: is_over or self._is_safe_to_place(task, bool(silent)), now
         )
+        for step, index in released:
+            self._log_released(step, index, is_over, now)
         if is_over or not (silent or self._owner.job_registry.held):
             self._owner.job_registry.held.release_all(now)
             self._is_complete = True
@@ -111,6 +127,22 @@
                 silent=silent,
             )
 
+    def _log_released(self, step, index, is_over, now):
+        attempt = step.tasks[index].attempt
+        if not attempt:
+            # No start of it is known, as of most tasks that are held.
+            return
+        TASK_RELEASED.write(
+            request_id=step.key.job,
+            occurrence=step.key.occurrence,
+            step=step.key.step,
+            task=index,
+            attempt=attempt,
+            reason="leases over" if is_over else "no run",
+            epoch=self._owner.row.epoch,
+            taken_seconds_ago=round(now - self._owner.taken_at, 3),
+        )
+
     def _is_safe_to_place(self, task, has_silent):
         """Return whether a held task can't run on a worker that has not reported.
 
--- a/papayapick/pool/workers/liveness.py
+++ b/papayapick/pool/workers/liveness.py
@@ -69,7 +69,9 @@
         if link.has_reported:
             self._owner.report_handler.mark_started_runs_lost(link)
         else:
-            self._owner.reconciliation.note_worker_gone(link.worker, self._owner.now())
+            self._owner.reconciliation.note_worker_gone(
+                link.worker, self._owner.now(), "no such worker"
+            )
 
     def _silent_links(self):
         with self._owner.lock:
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -1,11 +1,12 @@
 """Apply the reports of workers to an owner's jobs: runs, ends, missing answers."""
 
-from papayapick.jobs.runs import RunPhase
+from papayapick.jobs.runs import RequeueReason, RunPhase
 from papayapick.placement.pace import Pacer
 from papayapick.placement.progress import may_be_stalled
 from papayapick.pool.events import (
     RUN_ENDED,
     RUN_FOUND,
+    RUN_NEVER_STARTED,
     RUN_VANISHED,
     RUNS_LOST,
     START_FOUND,
@@ -132,12 +133,13 @@
             would be placed again and run twice.
         """
         with self._owner.lock:
-            self._mark_lost(link, "began anew", lambda run: run.name not in listed)
+            reason = "other worker at its address" if born is None else "began anew"
+            self._mark_lost(link, reason, lambda run: run.name not in listed)
             link.begin_incarnation(born)
             self._owner.knowledge.speeds.note_incarnation(link.worker, born)
             if not link.has_reported:
                 self._owner.reconciliation.note_worker_gone(
-                    link.worker, self._owner.now()
+                    link.worker, self._owner.now(), reason
                 )
         self._owner.wake()
 
@@ -229,11 +231,12 @@
         listed = {(found.key, found.attempt) for found in report.runs}
         for run in list(room.runs.values()):
             if run.ran_before(requested_at) and run.name not in listed:
-                RUN_VANISHED.write(**run_fields(run))
-                room.release(run)
-                self._owner.job_registry.end_run(
-                    run.key, run.attempt, EndOutcome.LAPSED, "", run.worker, now
+                RUN_VANISHED.write(
+                    **run_fields(run),
+                    epoch=self._owner.row.epoch,
+                    requested_seconds_ago=round(now - requested_at, 3),
                 )
+                self._end_inferred(room, run, RequeueReason.VANISHED, now)
 
     def _drop_never_started(self, room, report, requested_at, now):
         """Release runs that were stopped before they started.
@@ -248,8 +251,20 @@
             confirmed = run.stop_confirmed
             if confirmed is None or confirmed > requested_at or run.name in listed:
                 continue
+            RUN_NEVER_STARTED.write(
+                **run_fields(run),
+                epoch=self._owner.row.epoch,
+                requested_seconds_ago=round(now - requested_at, 3),
+            )
             room.release(run)
-            self._owner.job_registry.drop_run(run, now)
+            self._owner.job_registry.drop_run(run, now, RequeueReason.NEVER_STARTED)
+
+    def _end_inferred(self, room, run, reason, now):
+        """End a run without an end that its worker listed."""
+        room.release(run)
+        self._owner.job_registry.end_run(
+            run.key, run.attempt, EndOutcome.LAPSED, "", run.worker, now, reason
+        )
 
     def mark_started_runs_lost(self, link):
         """Mark the runs that had started on a worker as lost, since it is gone.
@@ -276,10 +291,9 @@
                 request_ids=sorted({run.key.job for run in lost}),
                 silent_seconds=round(now - (link.failed_since or now), 3),
                 reason=reason,
+                epoch=self._owner.row.epoch,
+                lapse_in_seconds=round(link.lapse_at - now, 3),
             )
         for run in lost:
-            room.release(run)
-            self._owner.job_registry.end_run(
-                run.key, run.attempt, EndOutcome.LAPSED, "", link.worker, now
-            )
+            self._end_inferred(room, run, RequeueReason.LOST, now)
         self._owner.orders.stop_unneeded()
--- a/tests/observability/test_registry.py
+++ b/tests/observability/test_registry.py
@@ -6,6 +6,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from papayapick.entry import exceptions, metrics
+from papayapick.jobs.runs import RequeueReason
 from papayapick.jobs.state import JobStatus
 from papayapick.observability.registry import describe_metrics, metrics_text
 from papayapick.pool import metrics as pool_metrics
@@ -61,6 +62,8 @@
         pool_metrics.ENDS.labels(outcome).inc(12345)
     for tier in SpeedTier:
         speed_metrics.WORKERS_BY_TIER.labels("pool-1", tier.name.lower()).set(176)
+    for reason in RequeueReason:
+        pool_metrics.TASKS_PLACED_AGAIN.labels(reason.value).inc(1234)
     for outcome in ("answered", "refused", "no-answer"):
         pool_metrics.RENEWALS.labels(outcome).inc(123456)
     for status in JobStatus.FINAL:
@@ -88,6 +91,7 @@
         pool_metrics.COMPLETION_SECONDS,
         pool_metrics.PLANNED_JOBS,
         pool_metrics.PREDICTED_WAIT_SECONDS,
+        pool_metrics.TASKS_PLACED_AGAIN,
         pool_metrics.TEAM_SHARES,
         pool_metrics.WAITING_JOBS,
     ):
