Show a second run on processes while the list of machines is behind

The stand-ins of workers tell when each run began and ended, end runs at the time of their lease rather than when they are next called, have clocks and lives of their own, refuse calls meant for another worker, and may change their address.

--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -13,6 +13,7 @@
 
 from papayapick.listening import create_listener
 from tests.standins.machines import MachinesStandin, machine_of
+from tests.standins.runs import RunRecord
 
 THREADS = 96
 GONE = "410 Gone"
@@ -24,6 +25,8 @@
 ROWS_PER_PAGE = 500
 LEASE_LIMIT_MS = 6000
 CLOSE_SECONDS = 10.0
+# What the clock of a worker shows when it begins.
+CLOCK_OFFSET_MS = 5_000_000
 
 
 class Rows:
@@ -135,15 +138,24 @@
 
     def __init__(self, name, cpu=16000, mem_mb=65536, task_seconds=0.1):
         self.name = name
+        # Last part of its address; another worker may take it later.
+        self.slot = name
         self.capacity = {"cpu": cpu, "mem_mb": mem_mb, "gpu": 0}
         self.task_seconds = task_seconds
-        self.born = 1
+        # In Unix milliseconds; an hour ago, as most workers have run for long.
+        self.born = int(time.time() * 1000) - 3_600_000
         self.token = 0
         self.until = 0.0
         self.running = {}
         self.finished = []
         self.last_attempts = {}
         self.starts = []
+        # All runs so far, and the active ones by name.
+        self.records = []
+        self._active = {}
+        # Monotonic seconds at which its clock began, and its speed.
+        self._clock_began = 0.0
+        self.clock_rate = 1.0
         # Time, 1 for a start or -1 for an end, and task.
         self.changes = []
         self.overlaps = []
@@ -180,9 +192,13 @@
         if body["expires_ms"] < self._clock():
             return CONFLICT, self._body(reason="late")
         self._extend(body)
-        self.running[(task, attempt)] = time.monotonic() + self.task_seconds
+        now = time.monotonic()
+        self.running[(task, attempt)] = now + self.task_seconds
         self.starts.append((task, attempt))
-        self.changes.append((time.monotonic(), 1, task))
+        self.changes.append((now, 1, task))
+        record = RunRecord(self.name, task, attempt, self.token, now)
+        self.records.append(record)
+        self._active[(task, attempt)] = record
         self.changed.notify_all()
         if self.starts_to_lose:
             self.starts_to_lose -= 1
@@ -233,25 +249,57 @@
 
     def _advance(self):
         now = time.monotonic()
+        lapse = self._clock_began + self._to_seconds(self.until)
         for name, end in list(self.running.items()):
-            if now >= end:
+            if min(now, lapse) >= end:
                 how = "failed" if name[0] in self.failing else "done"
-                self._end(name, how)
-        if self._clock() > self.until:
+                self._end(name, how, end)
+        if now > lapse:
             for name in list(self.running):
-                self._end(name, "lapsed")
+                self._end(name, "lapsed", lapse)
 
-    def _end(self, name, how):
-        self.running.pop(name)
-        self.changes.append((time.monotonic(), -1, name[0]))
+    def all_records(self):
+        """Return the records of all runs so far, up to the present."""
+        with self.changed:
+            self._advance()
+            return list(self.records)
+
+    def lose_runs(self):
+        """End all runs without a trace, as a crash does; the caller holds the lock."""
+        self._advance()
+        for name in list(self.running):
+            self._close(name, "lost", time.monotonic())
+
+    def restart(self):
+        """Begin another life under the same id; the caller holds the lock."""
+        self.lose_runs()
+        self.born = int(time.time() * 1000)
+        self.token = self.number = 0
+        self.until = 0.0
+        self._clock_began = time.monotonic()
+        self.finished = []
+        self.last_attempts = {}
+
+    def _end(self, name, how, at=None):
+        self._close(name, how, time.monotonic() if at is None else at)
         self.number += 1
         task, attempt = name
         self.last_attempts[task] = max(attempt, self.last_attempts.get(task, 0))
         self.finished.append([self.number, task, attempt, how, ""])
         self.changed.notify_all()
 
+    def _close(self, name, how, at):
+        self.running.pop(name)
+        record = self._active.pop(name)
+        record.ended, record.how = at, how
+        self.changes.append((at, -1, name[0]))
+
     def _clock(self):
-        return int(time.monotonic() * 1000) + 5_000_000
+        seconds = time.monotonic() - self._clock_began
+        return int(seconds * self.clock_rate * 1000) + CLOCK_OFFSET_MS
+
+    def _to_seconds(self, milliseconds):
+        return (milliseconds - CLOCK_OFFSET_MS) / 1000 / self.clock_rate
 
     def _body(self, **fields):
         return {"clock_ms": self._clock(), "born": self.born, **fields}
@@ -313,7 +361,7 @@
             name,
             {
                 "service": "pool-1",
-                "address": f"{self.address}/workers/{name}",
+                "address": f"{self.address}/workers/{worker.slot}",
                 "zone": "z1",
                 "state": state,
                 "capacity": worker.capacity,
@@ -404,14 +452,19 @@
         worker = self.workers[name]
         with worker.changed:
             worker.is_silent = True
-            worker.running.clear()
+            worker.lose_runs()
         self.down.add(name)
 
+    def _worker_at(self, slot):
+        workers = list(self.workers.values())
+        return next((one for one in workers if one.slot == slot), None)
+
     def _answer(self, path, body, query, environ):
         if path.startswith("/workers/"):
-            _, _, name, call = path.split("/")
-            worker = self.workers.get(name)
-            if worker is None:
+            _, _, slot, call = path.split("/")
+            worker = self._worker_at(slot)
+            expected = environ.get("HTTP_X_EXPECT_INSTANCE")
+            if worker is None or expected not in (None, worker.name):
                 return MISDIRECTED, {}
             return None if worker.is_silent else worker.call(call, body)
         if path == "/machines":
--- a/tests/standins/machines.py
+++ b/tests/standins/machines.py
@@ -45,17 +45,21 @@
 
     def list(self, query):
         """Return one page of the machines, sorted by name."""
-        cluster = self._cluster
-        with self._lock:
-            names = sorted([*cluster.workers, *self.in_upkeep])
-            first = int(query.get("page_token", 0))
-            page = [self._entry(name) for name in names[first : first + PER_PAGE]]
-        rest = first + PER_PAGE < len(names)
+        first = int(query.get("page_token", 0))
+        entries = self.entries()
+        page = entries[first : first + PER_PAGE]
+        rest = first + PER_PAGE < len(entries)
         return OK, {
             "machines": page,
             "next_token": str(first + PER_PAGE) if rest else "",
         }
 
+    def entries(self):
+        """Return the entries of all machines, sorted by name."""
+        with self._lock:
+            names = sorted([*list(self._cluster.workers), *self.in_upkeep])
+            return [self._entry(name) for name in names]
+
     def _entry(self, name):
         cluster = self._cluster
         capacity = self.in_upkeep.get(name) or cluster.workers[name].capacity
@@ -102,7 +106,7 @@
         self.max_in_upkeep = max(self.max_in_upkeep, len(self.in_upkeep))
         with worker.changed:
             worker.is_silent = True
-            worker.running.clear()
+            worker.lose_runs()
         self._cluster.rows.remove("servers", "", name)
         timer = threading.Timer(self.upkeep_seconds, self._return, (name,))
         timer.daemon = True
