Take no worker for gone by a list of machines older than the worker

What callers saw: tasks that ran twice at the same time, both ordered by one owner. Cause: the owner took a silent worker that the list of machines lacks for gone, and placed its tasks again at once. It never asked whether the list could show the worker yet: one that has just started, or started again under its id, is missing from a list that is some seconds behind. After a takeover the first answer only had to take over 0.2 s. Trusted was a list with half of the answering workers.

Change: absence counts only if the worker's present process began before the list can have been made (3 s before it was requested): by the owner's own knowledge, by the time since the takeover, or by the start time that the worker tells, with 5 s for unequal clocks. The start time is part of the roster, recorded before anything is started on that process, so that a successor doesn't go by an older entry. A worker that answered a call sent after the request is not gone, and a list that lacks such a worker, begun long before, is ignored. Workers that have run for over 8 s are found gone as before.

--- a/papayapick/pool/records/store_sync.py
+++ b/papayapick/pool/records/store_sync.py
@@ -103,8 +103,11 @@
             for row in workers:
                 self._apply_registration(row)
             for registration in self._owner.roster.restore(progress):
-                if registration.worker not in self._owner.links_by_worker:
+                link = self._owner.links_by_worker.get(registration.worker)
+                if link is None:
                     self._add_link(registration, is_listed=False)
+                else:
+                    link.registration.note_born(registration.born)
             self._owner.memory.restore(progress)
             self._owner.reconciliation.hold_tasks()
         return version
@@ -233,6 +236,7 @@
         if link is not None:
             link.is_listed = True
             link.registration.is_leaving = registration.is_leaving
+            link.registration.note_born(registration.born)
             self._owner.report_handler.update_availability(link)
             return
         self._owner.roster.add(registration)
--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -57,6 +57,10 @@
         is durable.
     born : int or None
         Incarnation of the worker: the start time of its process, as it reports it.
+    incarnation_since : float
+        Monotonic seconds by which this incarnation had begun.
+    alive_at : float
+        Monotonic seconds at which the last answered poll was sent.
     failed_since : float or None
         Monotonic seconds at which the worker stopped answering; None while it answers.
     lapse_at : float
@@ -82,11 +86,13 @@
         "_listener",
         "_worker_clock",
         "acknowledged",
+        "alive_at",
         "born",
         "client",
         "due_at",
         "failed_since",
         "has_reported",
+        "incarnation_since",
         "is_listed",
         "is_stopped",
         "lapse_at",
@@ -112,6 +118,7 @@
         self.acknowledged = 0
         self.processed = 0
         self.born = None
+        self.alive_at = self.incarnation_since = float("-inf")
         self.failed_since = None
         self.has_reported = False
         self.is_listed = True
@@ -261,7 +268,10 @@
             listed = report.runs + report.ends
             names = {(entry.key, entry.attempt) for entry in listed}
             self._listener.note_restart(self, report.born, names)
+        if self.born != report.born:
+            self.incarnation_since = self._clock.monotonic()
         self.born = report.born
+        self.alive_at = requested_at
         self._note_answer()
         self._listener.note_report(self, report, requested_at)
         if self.processed > self.acknowledged:
--- a/papayapick/pool/workers/liveness.py
+++ b/papayapick/pool/workers/liveness.py
@@ -2,8 +2,9 @@
 
 The runs of a worker that doesn't answer may continue until its lease expires 3.7 s
 later; a new owner, which doesn't know that lease, waits 5.7 s. The platform's list
-of machines shows at once that a worker crashed or was removed; a partitioned worker
-stays on it.
+of machines shows that a worker crashed or was removed; a partitioned worker stays on
+it. The list may be some seconds behind, so that a worker that began later than the
+list was made is missing from it although it runs.
 """
 
 from papayapick.platform.exceptions import CallFailed
@@ -18,9 +19,14 @@
 # Workers answer a new owner's first call within this time. The call to a crashed worker
 # takes 0.8 s to time out, and would delay all tasks started before the takeover.
 _FIRST_ANSWER_SECONDS = 0.2
+# A list may show what was true this long before it was requested.
+_LIST_AGE_SECONDS = 3.0
+# The wall clocks of a worker and of this host differ by less than this.
+_CLOCK_DIFFERENCE_SECONDS = 5.0
 # A list with a smaller share of the answering workers is empty, outdated or of another
 # cell.
 _TRUSTED_SHARE = 0.5
+_MILLISECONDS_PER_SECOND = 1000
 
 
 class LivenessCheck:
@@ -50,6 +56,7 @@
     def check_once(self):
         """Read the list of machines once; treat silent workers not on it as gone."""
         silent = self._silent_links()
+        requested_at = self._owner.now()
         try:
             machines = self._machines.fetch()
         except CallFailed as error:
@@ -57,14 +64,39 @@
             return
         alive = {machine.worker for machine in machines if machine.is_up}
         with self._owner.lock:
-            if not self._is_trusted(alive):
+            if not self._is_trusted(alive, requested_at):
                 return
             for link in silent:
                 # The worker may have answered or restarted while the list was read.
-                if link.worker not in alive and self._is_unresponsive(link):
+                is_silent = self._is_unresponsive(link) and link.alive_at < requested_at
+                if (
+                    link.worker not in alive
+                    and is_silent
+                    and self._began_before_list(link, requested_at)
+                ):
                     self._mark_gone(link)
         self._owner.wake()
 
+    def _began_before_list(self, link, requested_at):
+        """Return whether the worker's runs were started before the list was made.
+
+        Guards against the runs of a worker that has just started, and that the list
+        does not have yet, being placed again when a single call to it fails: they
+        would run twice. A worker is on each list that was made after it began, until it
+        ends.
+        """
+        made_at = requested_at - _LIST_AGE_SECONDS
+        known_since = (
+            link.incarnation_since if link.has_reported else self._owner.taken_at
+        )
+        if known_since <= made_at:
+            return True
+        born = link.born or link.registration.born
+        if born is None:
+            return False
+        age = self._owner.host.clock.time() - born / _MILLISECONDS_PER_SECOND
+        return age > _LIST_AGE_SECONDS + _CLOCK_DIFFERENCE_SECONDS
+
     def _mark_gone(self, link):
         if link.has_reported:
             self._owner.report_handler.mark_started_runs_lost(link)
@@ -94,11 +126,13 @@
         runs = self._owner.rooms.get(link.worker).runs.values()
         return any(run.has_begun for run in runs)
 
-    def _is_trusted(self, alive):
-        """Return whether the list contains most of the workers that answer.
+    def _is_trusted(self, alive, requested_at):
+        """Return whether the list is recent and has most of the workers that answer.
 
         With a list that is empty, outdated or of another cell, all silent workers would
         count as gone, and the tasks of those that are only partitioned would run twice.
+        A list is outdated if it lacks a worker that began long before and has answered
+        a call that was sent after the list was requested.
         """
         answering = {
             link.worker
@@ -106,7 +140,14 @@
             if link.has_reported and not link.is_silent and link.is_listed
         }
         # Less than all, as some may have crashed since they last answered.
-        is_trusted = len(answering & alive) > _TRUSTED_SHARE * len(answering)
+        has_most = len(answering & alive) > _TRUSTED_SHARE * len(answering)
+        is_trusted = has_most and not any(
+            link.alive_at >= requested_at
+            and not link.registration.is_leaving
+            and self._began_before_list(link, requested_at)
+            for link in self._owner.links()
+            if link.worker in answering - alive
+        )
         if not is_trusted and not self._is_distrusted:
             MACHINES_DISTRUSTED.write(
                 answering=len(answering), unlisted=sorted(answering - alive)
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -77,6 +77,7 @@
                     self._drop_vanished(room, report, requested_at, now)
             if not link.has_reported:
                 link.has_reported = True
+                self._record_incarnation(link, report.born)
                 self._owner.knowledge.speeds.note_incarnation(link.worker, report.born)
                 # Runs that an earlier owner started there are covered by its lease.
                 link.lapse_at = max(
@@ -136,6 +137,7 @@
             reason = "other worker at its address" if born is None else "began anew"
             self._mark_lost(link, reason, lambda run: run.name not in listed)
             link.begin_incarnation(born)
+            self._record_incarnation(link, born)
             self._owner.knowledge.speeds.note_incarnation(link.worker, born)
             if not link.has_reported:
                 self._owner.reconciliation.note_worker_gone(
@@ -143,6 +145,16 @@
                 )
         self._owner.wake()
 
+    def _record_incarnation(self, link, born):
+        """Record when a worker began, before anything is started there.
+
+        A successor must not take the runs of this incarnation for lost because the
+        list of machines is older than it.
+        """
+        if born is not None and born != link.registration.born:
+            link.registration.born = born
+            self._owner.roster.add(link.registration)
+
     def update_availability(self, link):
         """Update whether tasks may be placed on a worker."""
         room = self._owner.rooms.get(link.worker)
--- a/papayapick/pool/workers/reports.py
+++ b/papayapick/pool/workers/reports.py
@@ -98,6 +98,11 @@
         self.leaves_in = leaves_in
         self.born = born
 
+    def note_born(self, born):
+        """Note the start time of a process of the worker; the latest one counts."""
+        if born is not None:
+            self.born = max(born, self.born or born)
+
 
 class RunReport:
     """A run that a worker reports as running.
--- a/papayapick/pool/workers/roster.py
+++ b/papayapick/pool/workers/roster.py
@@ -98,6 +98,7 @@
         "zone": registration.zone,
         "capacity": registration.capacity.as_mapping(),
         "labels": list(registration.labels),
+        "born": registration.born,
     }
 
 
@@ -110,4 +111,5 @@
         capacity=Amounts.from_mapping(record["capacity"]),
         labels=tuple(record["labels"]),
         is_leaving=True,
+        born=record.get("born"),
     )
--- a/tests/pool/owners.py
+++ b/tests/pool/owners.py
@@ -18,7 +18,7 @@
     )
 
 
-def register(host, worker):
+def register(host, worker, born=1):
     host.put(
         "servers",
         "",
@@ -29,6 +29,7 @@
             "zone": "z",
             "state": "ready",
             "capacity": {"cpu": 4000, "mem_mb": 4000},
+            "born": born,
         },
     )
 
@@ -88,10 +89,10 @@
     return runs
 
 
-def host_with_two_workers():
+def host_with_two_workers(born=1):
     host = Host()
     for worker in ("w1", "w2"):
-        register(host, worker)
+        register(host, worker, born)
     return host
 
 
--- a/tests/pool/test_liveness.py
+++ b/tests/pool/test_liveness.py
@@ -158,3 +158,88 @@
     assert [link.worker for link in check._silent_links()] == ["w2"]
     check.check_once()
     assert [run.worker for run in place(owner)] == ["w1"]
+
+
+# The list may be this old, as ``liveness`` assumes.
+LIST_AGE_SECONDS = 3.0
+
+
+def _begin_anew(load, worker):
+    """Let a worker count as begun now."""
+    link = load.owner.links_by_worker[worker]
+    link.incarnation_since = load.now
+    link.born = round(1000 * load.host.clock.time())
+
+
+def test_worker_that_began_after_the_list_was_made_keeps_its_runs(load):
+    """Guards against second runs of tasks whose worker is not on the list yet."""
+    _begin_anew(load, load.silent)
+    load.host.clock.advance(LIST_AGE_SECONDS - 0.1)
+    assert waiting_after_check(load, Machines(load.other, "")) == 0
+    load.host.clock.advance(0.2)
+    assert waiting_after_check(load, Machines(load.other, "")) == 4
+
+
+def test_outdated_list_is_ignored():
+    """Guards against second runs if the list lacks workers that began long ago."""
+    load = PoolSimulation(workers=4, length=60.0)
+    load.submit_job(tasks=16)
+    load.run(1.0)
+    *running, listed, silent = load.owner.links()
+    silent.failed_since = load.now
+    machines = Machines(running[0].worker, listed.worker)
+    fetch = machines.fetch
+
+    def fetch_while_others_answer():
+        for link in (*running, listed):
+            link.alive_at = load.now
+        return fetch()
+
+    machines.fetch = fetch_while_others_answer
+    LivenessCheck(load.owner, machines).check_once()
+    assert load.owner.rooms.get(silent.worker).runs
+
+
+def test_worker_that_answered_a_call_sent_after_the_list_was_requested_is_kept(load):
+    """Guards against a list that is contradicted by the worker itself."""
+    machines = Machines(load.other, "")
+    fetch = machines.fetch
+
+    def fetch_while_it_answers():
+        load.owner.links_by_worker[load.silent].alive_at = load.now
+        return fetch()
+
+    machines.fetch = fetch_while_it_answers
+    assert waiting_after_check(load, machines) == 0
+
+
+def _taken_over_beside(born, recorded_born=None):
+    """Return host and owner after a takeover; w2, which ran a task, doesn't answer."""
+    host = host_with_two_workers(born)
+    if recorded_born is not None:
+        first = owner_of(host)
+        for worker in ("w1", "w2"):
+            link = report(first, worker)
+        first.report_handler.note_restart(link, recorded_born)
+        for write in first.roster.take_changed():
+            host.put(write.table, write.partition, write.key, write.value)
+    store_job(host, job(), started_record("w2"))
+    owner = owner_of(host, is_journal_exact=True)
+    report(owner, "w1")
+    host.clock.advance(0.3)
+    LivenessCheck(owner, Machines("w1", "")).check_once()
+    return host, owner
+
+
+@pytest.mark.parametrize("recorded_born", [None, 999_000])
+def test_new_owner_waits_for_a_worker_that_began_shortly_before(recorded_born):
+    """Guards against second runs after a takeover while the list is behind.
+
+    The entry of the worker may still be that of its earlier life. The earlier owner has
+    recorded the present one.
+    """
+    host, owner = _taken_over_beside(1 if recorded_born else 999_000, recorded_born)
+    assert place(owner) == []
+    host.clock.advance(LIST_AGE_SECONDS)
+    LivenessCheck(owner, Machines("w1", "")).check_once()
+    assert [run.worker for run in place(owner)] == ["w1"]
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -366,6 +366,7 @@
                 "state": state,
                 "capacity": worker.capacity,
                 "labels": ["a", "r1-1"],
+                "born": worker.born,
             },
         )
 
