Keep starts on their way when their worker restarts under its id

What callers saw: a task that ran twice at the same time, both runs ordered by one owner. Cause: when a worker answers as a new process, the owner took all runs that its report doesn't list for lost, also starts that were unanswered, or confirmed after the report was made. A call names the worker's id, which it keeps, so the new process may still execute such an order, and the stop that was under way was forgotten with the run. The report was older than the order that it was used against.

Change: lost are the runs that the worker confirmed before the report was requested, and those whose order was not sent yet. Others stay in the books: the next report shows a confirmed one, an unanswered one is stopped at the new process first, also if the earlier one had confirmed the stop, which binds only the process that confirmed it.

Three tests in test_links.py stop or delay at these places; all three failed before, and pass. FaultSimulation excused each order to an earlier process of a worker as beyond the owner's reach; it now excuses only those of an earlier owner, and those that the earlier process had stopped.

--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -267,7 +267,7 @@
             # ends are numbered from the start, and it lists only runs started since.
             listed = report.runs + report.ends
             names = {(entry.key, entry.attempt) for entry in listed}
-            self._listener.note_restart(self, report.born, names)
+            self._listener.note_restart(self, report.born, names, requested_at)
         if self.born != report.born:
             self.incarnation_since = self._clock.monotonic()
         self.born = report.born
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -120,9 +120,15 @@
         self._owner.ownership_status.invalidate()
         self._owner.host.verify_ownership(self._owner)
 
-    def note_restart(self, link, born, listed=frozenset()):
+    def note_restart(self, link, born, listed=frozenset(), requested_at=None):
         """Mark the runs of a restarted worker as lost and track its new incarnation.
 
+        Not those of starts on their way: a call names the id of the worker, which it
+        keeps, so that its new incarnation may execute such an order after it has
+        made the report. Placed again at once, the task would run twice. The report
+        requested next shows whether a confirmed run goes on; an unanswered start is
+        stopped at the new incarnation first.
+
         Parameters
         ----------
         link : WorkerLink
@@ -132,10 +138,20 @@
             Names of the runs, ended ones included, that the new incarnation has
             started. If they were marked as lost before its report is applied, they
             would be placed again and run twice.
+        requested_at : float, optional
+            Monotonic seconds at which the report of the new incarnation was requested.
+            By default no run is kept, as another worker answers: it refuses all orders.
         """
         with self._owner.lock:
             reason = "other worker at its address" if born is None else "began anew"
-            self._mark_lost(link, reason, lambda run: run.name not in listed)
+            self._mark_lost(
+                link,
+                reason,
+                lambda run: (
+                    run.name not in listed and not _is_on_its_way(run, requested_at)
+                ),
+            )
+            self._repeat_stops(link)
             link.begin_incarnation(born)
             self._record_incarnation(link, born)
             self._owner.knowledge.speeds.note_incarnation(link.worker, born)
@@ -145,6 +161,16 @@
                 )
         self._owner.wake()
 
+    def _repeat_stops(self, link):
+        """Send stops again, which bind only the incarnation that confirmed them."""
+        room = self._owner.rooms.get(link.worker)
+        for run in () if room is None else room.runs.values():
+            if run.phase in (RunPhase.UNSURE, RunPhase.STOPPING):
+                run.phase = RunPhase.STOPPING
+                run.stop_requested = self._owner.now()
+                run.stop_confirmed = None
+                self._owner.orders.stop(link, run)
+
     def _record_incarnation(self, link, born):
         """Record when a worker began, before anything is started there.
 
@@ -309,3 +335,9 @@
         for run in lost:
             self._end_inferred(room, run, RequeueReason.LOST, now)
         self._owner.orders.stop_unneeded()
+
+
+def _is_on_its_way(run, requested_at):
+    """Return whether a start may be executed after a report was requested."""
+    is_sent = run.since is not None
+    return requested_at is not None and is_sent and not run.ran_before(requested_at)
--- a/tests/pool/fault_simulation.py
+++ b/tests/pool/fault_simulation.py
@@ -93,8 +93,9 @@
         self.length = rng.choice([0.05, 0.1, 0.3, 1.0, 2.0])
         self.fails = rng.random() < 0.05
         self.ends_at = None
-        # Whether its order was sent to the worker's previous incarnation. No owner can
-        # prevent such a run.
+        # Whether its order was sent to an earlier incarnation of the worker, by an
+        # earlier owner, or one which had confirmed its stop before it ended. The
+        # present owner can't prevent such a run.
         self.is_stray = False
 
 
@@ -114,6 +115,8 @@
         self.is_partitioned = False
         self.is_up = True
         self.born = 0
+        # Stops by incarnation, key and attempt.
+        self.stops = set()
         self._simulation = simulation
         self.restart()
 
@@ -164,6 +167,7 @@
 
     def stop(self, key, attempt, epoch):
         self._check(epoch)
+        self.stops.add((self.born, key, attempt))
         self._highest_attempts[key] = max(self._highest_attempts.get(key, 0), attempt)
         run = self.runs.get((key, attempt))
         if run is not None and run.ends_at is None:
@@ -259,7 +263,10 @@
             outcome = self._worker.start(run.key, run.attempt, lease_end, epoch)
             started = self._worker.runs.get((run.key, run.attempt))
             if started is not None:
-                started.is_stray = self._worker.born != incarnation
+                is_over = (incarnation, run.key, run.attempt) in self._worker.stops
+                started.is_stray = self._worker.born != incarnation and (
+                    is_over or epoch != self._simulation.epoch
+                )
                 self._simulation.note_started(self._worker, run.key)
             return outcome
 
@@ -355,6 +362,11 @@
     def now(self):
         return self._host.clock.monotonic()
 
+    @property
+    def epoch(self):
+        """Return the epoch of the present owner."""
+        return self._epoch
+
     def step_of(self, key):
         return self._steps[(key.job, key.step)]
 
--- a/tests/pool/test_links.py
+++ b/tests/pool/test_links.py
@@ -67,7 +67,7 @@
     def note_silence(self, link):
         self.events.append("silence")
 
-    def note_restart(self, link, born, listed=frozenset()):
+    def note_restart(self, link, born, listed=frozenset(), requested_at=None):
         link.begin_incarnation(born)
         self.events.append("rebirth")
 
@@ -360,3 +360,97 @@
     link._poll()
     assert placement.placed == []
     assert owner.job_registry.step_of(KEY).tasks[0].is_done == has_ended
+
+
+class RestartingWorker(SlowWorker):
+    """Give no answer to orders until it has restarted."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.stops = []
+        self.on_renew = lambda: None
+
+    def renew(self, *args, **options):
+        report = super().renew(*args, **options)
+        self.on_renew()
+        return report
+
+    def start(self, run, *rest):
+        return StartOutcome.UNKNOWN if self.born == 1 else StartOutcome.STARTED
+
+    def stop(self, key, attempt, epoch):
+        if self.born == 1:
+            raise WorkerSilent(worker="w1")
+        self.stops.append((key, attempt))
+
+
+def _run_orders(owner):
+    """Send the stops that were submitted."""
+    executor = owner.orders._stop_executor
+    tasks, executor.tasks = executor.tasks, []
+    for step, args in tasks:
+        step(*args)
+
+
+@pytest.fixture
+def restarting():
+    """Return an owner, its link to a worker, and a start that was not sent yet."""
+    host, owner = owner_with(job())
+    owner.rooms.get("w2").is_open = False
+    link = owner.links_by_worker["w1"]
+    link.client = RestartingWorker(host.clock)
+    link._poll()
+    with owner.lock:
+        owner.decisions.place(host.clock.monotonic())
+    (start,) = owner.decisions.take_unsent()
+    host.clock.advance(0.1)
+    return owner, link, start
+
+
+def test_unanswered_start_is_stopped_at_the_new_incarnation_first(restarting):
+    """Guards against a task that runs twice as its order is executed after a restart.
+
+    The order gets no answer, nor does its stop, and the worker restarts under its id.
+    """
+    owner, link, start = restarting
+    owner.orders._start(link, start)
+    _run_orders(owner)
+    link.client.restart()
+    owner.host.clock.advance(0.1)
+    link._poll()
+    assert waiting_tasks(owner) == 0
+    owner.host.clock.advance(0.1)
+    _run_orders(owner)
+    assert link.client.stops == [start.run.name]
+    assert waiting_tasks(owner) == 1
+
+
+def test_stop_that_an_earlier_incarnation_confirmed_is_sent_again(restarting):
+    """Guards against an order that is executed after its stop was forgotten."""
+    owner, link, start = restarting
+    owner.orders._start(link, start)
+    owner.orders.note_stop_confirmed(start.run)
+    link.client.restart()
+    owner.host.clock.advance(0.1)
+    link._poll()
+    assert waiting_tasks(owner) == 0
+    _run_orders(owner)
+    assert link.client.stops == [start.run.name]
+
+
+def test_run_that_starts_while_the_report_of_a_restart_is_applied_is_kept(restarting):
+    """Guards against a second run, as a start overtook the report of a restart.
+
+    The thread that polls is delayed between the answer and the owner's lock. The new
+    incarnation confirms a start meanwhile, which its report can't list.
+    """
+    owner, link, start = restarting
+    link.client.restart()
+    link.client.on_renew = lambda: owner.orders._start(link, start)
+    link._poll()
+    assert waiting_tasks(owner) == 0
+    link.client.on_renew = lambda: None
+    link.client.runs = [RunReport(*start.run.name)]
+    owner.host.clock.advance(0.1)
+    link._poll()
+    assert owner.job_registry.step_of(KEY).tasks[0].runs == [start.run]
