Tell runs of one number on different workers apart when one ends

What callers saw, by the test: a task that runs twice at the same time, both runs ordered by one owner, the first never stopped; it ends as done, and that is acknowledged. That is what the users' record shows of both runs; that it was this isn't shown. Cause: starts are sent without a record while the store is slow or away. If their owner ends then, the next one counts from the record, and may give the same number to a run on another worker, once the lease of the first worker is over. When that worker is back it lists the end of the earlier run. The owner looked for the run by task and number only, removed its own active one from the task's runs, and placed the task again; the worker's room still held the run, so that no stop was ever sent.

Change: the end of a run counts for the run of that number on the worker that lists it.

Evidence: test_end_of_a_run_with_the_same_number_on_another_worker_is_told_apart failed before for all three outcomes, and passes. 46 tests of reconciliation and jobs pass.

--- a/papayapick/jobs/outcomes.py
+++ b/papayapick/jobs/outcomes.py
@@ -72,7 +72,13 @@
         task = step.tasks[key.index]
         # The start may be known from this outcome only: its number must not be reused.
         task.attempt = max(task.attempt, attempt)
-        ended = [run for run in task.runs if run.name == (key, attempt)]
+        # A start without a record has its number used again by the next owner, so that
+        # two workers may have runs of the same name.
+        ended = [
+            run
+            for run in task.runs
+            if run.name == (key, attempt) and run.worker == worker
+        ]
         for run in ended:
             self._registry.remove_run(run)
         if step.job.is_final or task.is_done:
--- a/tests/pool/test_reconciliation.py
+++ b/tests/pool/test_reconciliation.py
@@ -136,3 +136,23 @@
     reported_at = host.clock.monotonic()
     link = report(owner, "w1")
     assert link.lapse_at >= reported_at + host.settings.lease_limit_seconds / 0.98
+
+
+@pytest.mark.parametrize("outcome", ["lapsed", "stopped", "failed"])
+def test_end_of_a_run_with_the_same_number_on_another_worker_is_told_apart(outcome):
+    """Guards against a second run while the owner takes its own run for ended.
+
+    An earlier owner started the task without a record, on a worker that is cut off
+    until its lease is over. The new owner starts it elsewhere, with the same number.
+    Then the worker is back and lists the end of the earlier run.
+    """
+    host = host_with_two_workers()
+    store_job(host, job())
+    owner = owner_of(host, is_journal_exact=False)
+    report(owner, "w1")
+    (run,) = _run_rounds(host, owner, 6.0, ("w1",))
+    assert run.worker == "w1"
+    report(owner, "w1", runs=[run.name])
+    report(owner, "w2", ends=[(KEY, run.attempt, outcome)])
+    assert place(owner) == []
+    assert owner.job_registry.step_of(KEY).tasks[0].runs == [run]
