Read a worker's clock in one step, so that leases end as counted

What callers would see: a task that runs twice if its worker is cut off at the wrong moment. Cause: the poll wrote the clock of the worker and the time of reading one after the other, while other threads grant leases from both. A start between the two lines got a lease as much longer than the owner counted as the last poll or silence had taken; two threads that extended the counted end at once could keep the earlier of their two.

Change: the reading is one object, replaced as a whole; the counted end is extended under a lock.

Evidence: test_lease_granted_while_the_clock_is_read_ends_as_counted grants a lease between the two lines after 4 s without a poll. Before, the worker's lease ended at 111.76 and was counted as over at 107.86; it passes now. The second race has no test of its own. Not seen on processes. 78 tests of links, orders and owners pass.

--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -36,6 +36,24 @@
 _OTHER_INSTANCE_STATUS = 421
 
 
+class _ClockReading:
+    """A reading of a worker's clock.
+
+    Parameters
+    ----------
+    shown : float
+        Seconds on the worker's clock.
+    read_at : float
+        Monotonic seconds at which the answer with this time had arrived.
+    """
+
+    __slots__ = ("read_at", "shown")
+
+    def __init__(self, shown, read_at):
+        self.shown = shown
+        self.read_at = read_at
+
+
 class WorkerLink:
     """Track the state of one worker, and poll it.
 
@@ -79,12 +97,12 @@
     __slots__ = (
         "_acknowledgement",
         "_clock",
-        "_clock_read_at",
+        "_clock_reading",
         "_epoch",
         "_granted_at",
         "_lease_limit_seconds",
+        "_lease_lock",
         "_listener",
-        "_worker_clock",
         "acknowledged",
         "alive_at",
         "born",
@@ -111,8 +129,12 @@
         self._listener = listener
         self._lease_limit_seconds = lease_limit_seconds
         self._acknowledgement = threading.Event()
-        self._worker_clock = None
-        self._clock_read_at = 0.0
+        # None until the first answer. Replaced as a whole, since other threads grant
+        # leases at any time: with the time of one reading and the clock of another, a
+        # lease would last longer than counted, and a run that is cut off with it
+        # would go on beside the next one.
+        self._clock_reading = None
+        self._lease_lock = threading.Lock()
         # Monotonic seconds of the last lease; None before the first one.
         self._granted_at = None
         self.acknowledged = 0
@@ -148,15 +170,20 @@
         float or None
             Seconds on the worker's clock; None if that clock was not read yet.
         """
-        if self._worker_clock is None:
+        reading = self._clock_reading
+        if reading is None:
             return None
         now = self._granted_at = self._clock.monotonic()
-        end = self._worker_clock + (now - self._clock_read_at) + LEASE_SECONDS
-        longest = (end - self._worker_clock) / _CLOCK_RATE
-        lapse = self._clock_read_at + longest + _LAPSE_SLACK_SECONDS
-        self.lapse_at = max(self.lapse_at, lapse)
+        end = reading.shown + (now - reading.read_at) + LEASE_SECONDS
+        longest = (end - reading.shown) / _CLOCK_RATE
+        self._extend_lapse(reading.read_at + longest + _LAPSE_SLACK_SECONDS)
         return end
 
+    def _extend_lapse(self, until):
+        # Two threads that read the same end would keep the earlier of their own.
+        with self._lease_lock:
+            self.lapse_at = max(self.lapse_at, until)
+
     def acknowledge(self, number, born):
         """Allow the worker to discard ends up to a number, whose records are durable.
 
@@ -190,7 +217,15 @@
     def note_longest_lease(self, begins_at):
         """Count with the longest lease from a time, in monotonic seconds."""
         longest = self._lease_limit_seconds / _CLOCK_RATE + _LAPSE_SLACK_SECONDS
-        self.lapse_at = max(self.lapse_at, begins_at + longest)
+        self._extend_lapse(begins_at + longest)
+
+    def note_clock(self, shown):
+        """Note what the worker's clock showed when its last answer arrived."""
+        self._clock_reading = _ClockReading(shown, self._clock.monotonic())
+
+    def note_earlier_leases(self, until):
+        """Count with leases that an earlier owner granted until a monotonic time."""
+        self._extend_lapse(until)
 
     def stop(self):
         """Stop polling after the current call."""
@@ -260,8 +295,7 @@
         RENEWALS.labels("answered").inc()
         if self.is_stopped:
             return
-        self._worker_clock = report.clock
-        self._clock_read_at = self._clock.monotonic()
+        self.note_clock(report.clock)
         if self.born is not None and report.born != self.born:
             # The worker restarted under the same id: its earlier runs are gone, its
             # ends are numbered from the start, and it lists only runs started since.
@@ -279,7 +313,7 @@
 
     def _poll_seconds(self):
         """Return how long the worker may hold back its answer until a run ends."""
-        if self._worker_clock is None or self.is_silent:
+        if self._clock_reading is None or self.is_silent:
             return 0.0
         if self.processed > self.acknowledged:
             return 0.0
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -80,8 +80,8 @@
                 self._record_incarnation(link, report.born)
                 self._owner.knowledge.speeds.note_incarnation(link.worker, report.born)
                 # Runs that an earlier owner started there are covered by its lease.
-                link.lapse_at = max(
-                    link.lapse_at, self._owner.taken_at + PREDECESSOR_LEASE_SECONDS
+                link.note_earlier_leases(
+                    self._owner.taken_at + PREDECESSOR_LEASE_SECONDS
                 )
                 # A late call of an earlier owner to the worker's previous incarnation
                 # may have lengthened the lease to the maximum. From this report on,
--- a/tests/pool/test_links.py
+++ b/tests/pool/test_links.py
@@ -454,3 +454,54 @@
     owner.host.clock.advance(0.1)
     link._poll()
     assert owner.job_registry.step_of(KEY).tasks[0].runs == [start.run]
+
+
+class InterruptingClock(ManualClock):
+    """Run a call, as another thread might, whenever the time is read."""
+
+    def __init__(self, now):
+        super().__init__(now)
+        self.interrupt = None
+
+    def monotonic(self):
+        interrupt, self.interrupt = self.interrupt, None
+        if interrupt is not None:
+            interrupt()
+        return super().monotonic()
+
+
+def _lease_ends_at(end, shown, read_at):
+    """Return when a lease ends at the latest, by a clock that is 2% slow."""
+    return read_at + (end - shown) / 0.98
+
+
+def test_lease_granted_while_the_clock_is_read_ends_as_counted():
+    """Guards against a run that outlives the lease that its owner counts.
+
+    A start is sent between the two lines that take over a worker's clock, and the
+    worker is then cut off.
+    """
+    clock = InterruptingClock(100.0)
+    client = Client(clock)
+    link = WorkerLink(
+        Registration("w1", "p", "a:1", "z", Amounts(1, 1)),
+        client,
+        1,
+        clock,
+        Listener(),
+        MAX_LEASE_SECONDS,
+    )
+    client.calls_left = 2
+    link._poll()
+    clock.advance(4.0)
+    granted = []
+
+    def answer_late(*args, **options):
+        clock.interrupt = lambda: granted.append(link.grant_lease())
+        return WorkerReport(clock._now + 1000, 1, [], [])
+
+    client.renew = answer_late
+    link._poll()
+    (end,) = granted
+    true_end = _lease_ends_at(end, clock._now + 1000, clock._now)
+    assert link.lapse_at >= true_end
--- a/tests/pool/test_orders.py
+++ b/tests/pool/test_orders.py
@@ -71,7 +71,7 @@
         self.clients = {}
         for worker, link in self.owner.links_by_worker.items():
             report(self.owner, worker)
-            link._worker_clock = 50.0
+            link.note_clock(50.0)
             link.client = self.clients[worker] = FakeClient(worker in unreachable)
 
     def _note_round(self, owner):
--- a/tests/pool/test_owner.py
+++ b/tests/pool/test_owner.py
@@ -340,7 +340,7 @@
         owner.decisions.place(host.clock.monotonic())
     (start,) = owner.decisions.take_unsent()
     link = owner.links_by_worker[start.run.worker]
-    link._worker_clock = 50.0
+    link.note_clock(50.0)
     link.client = client = StartingWorker()
     owner.report_handler.note_restart(link, 2)
     (second,) = place(owner)
