Count a lease from when the owner was asked whether it may act

What callers would see: a task that runs twice after a host was suspended or stalled. Cause: a poll and a start asked first whether the ownership is confirmed, and counted the lease from the moment after. A process that is suspended between the two, or waits for the owner's lock there, granted a lease from when it went on. A successor that can't reach the worker waits for the longest lease that can have been granted while the ownership was confirmed, and places the task while it still runs.

Change: the lease counts from a time that is taken before the question.

--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -159,12 +159,20 @@
         """Return whether the last call to the worker got no answer."""
         return self.failed_since is not None
 
-    def grant_lease(self):
-        """Grant a lease from now on and return its end.
+    def grant_lease(self, permitted_at=None):
+        """Grant a lease and return its end.
 
         Also extends ``lapse_at``, since the worker may run what it was ordered until
         the lease ends.
 
+        Parameters
+        ----------
+        permitted_at : float, optional
+            Monotonic seconds before which the owner was asked whether it may act; the
+            lease counts from then, by default from now. If the process were suspended
+            after the question and the lease counted from when it goes on, it would last
+            longer than a successor waits for a worker that it can't reach.
+
         Returns
         -------
         float or None
@@ -174,7 +182,8 @@
         if reading is None:
             return None
         now = self._granted_at = self._clock.monotonic()
-        end = reading.shown + (now - reading.read_at) + LEASE_SECONDS
+        begin = now if permitted_at is None else permitted_at
+        end = reading.shown + (begin - reading.read_at) + LEASE_SECONDS
         longest = (end - reading.shown) / _CLOCK_RATE
         self._extend_lapse(reading.read_at + longest + _LAPSE_SLACK_SECONDS)
         return end
@@ -255,12 +264,13 @@
         share : float, optional
             Part of the usual time for which the worker may hold back its answer.
         """
+        permitted_at = self._clock.monotonic()
         if not self._listener.may_act():
             self._acknowledgement.clear()
             self.pause(_RETRY_SECONDS)
             return
         try:
-            self._poll(share)
+            self._poll(share, permitted_at)
         except WorkerSilent:
             RENEWALS.labels("no-answer").inc()
             self._note_no_answer()
@@ -279,7 +289,7 @@
         if not self.is_stopped and report.born == self.born:
             self._listener.note_report(self, report, requested_at)
 
-    def _poll(self, share=1.0):
+    def _poll(self, share=1.0, permitted_at=None):
         wait_seconds = share * self._poll_seconds()
         # A silent worker may have restarted and numbered its ends from the start: it
         # would discard ends that were never read. If it has not restarted, the
@@ -290,7 +300,7 @@
         # A call without an answer may still renew the lease. Calls to a silent worker
         # therefore grant none: otherwise its lease would never count as expired, and
         # the runs of a worker that is gone would never be rescheduled.
-        lease_end = None if self.is_silent else self.grant_lease()
+        lease_end = None if self.is_silent else self.grant_lease(permitted_at)
         report = self.client.renew(self._epoch, acknowledged, lease_end, wait_seconds)
         RENEWALS.labels("answered").inc()
         if self.is_stopped:
--- a/papayapick/pool/workers/orders.py
+++ b/papayapick/pool/workers/orders.py
@@ -220,10 +220,11 @@
             # longer confirmed. The task of a run that was given up has been placed
             # again, and would run twice.
             is_wanted = run.phase == RunPhase.ORDERED and self._is_active(link, run)
+            permitted_at = owner.now()
             may_send = is_wanted and owner.may_act()
             # Writing the record may have taken longer than the ticket is valid.
             may_send = may_send and owner.now() < start.usable_until
-            lease_end = link.grant_lease() if may_send else None
+            lease_end = link.grant_lease(permitted_at) if may_send else None
             if lease_end is not None:
                 run.note_sent(owner.now())
         if lease_end is None:
--- a/tests/pool/test_links.py
+++ b/tests/pool/test_links.py
@@ -92,12 +92,14 @@
     return _NonBlockingClock(100.0)
 
 
+def _make_link(client, clock, listener):
+    registration = Registration("w1", "pool", "a:1", "zone", Amounts(1000, 1000))
+    return WorkerLink(registration, client, 3, clock, listener, MAX_LEASE_SECONDS)
+
+
 @pytest.fixture
 def link(clock):
-    registration = Registration("w1", "pool", "a:1", "zone", Amounts(1000, 1000))
-    return WorkerLink(
-        registration, Client(clock), 3, clock, Listener(), MAX_LEASE_SECONDS
-    )
+    return _make_link(Client(clock), clock, Listener())
 
 
 class _CallsUsedUp(Exception):
@@ -483,14 +485,7 @@
     """
     clock = InterruptingClock(100.0)
     client = Client(clock)
-    link = WorkerLink(
-        Registration("w1", "p", "a:1", "z", Amounts(1, 1)),
-        client,
-        1,
-        clock,
-        Listener(),
-        MAX_LEASE_SECONDS,
-    )
+    link = _make_link(client, clock, Listener())
     client.calls_left = 2
     link._poll()
     clock.advance(4.0)
@@ -505,3 +500,54 @@
     (end,) = granted
     true_end = _lease_ends_at(end, clock._now + 1000, clock._now)
     assert link.lapse_at >= true_end
+
+
+class SlowPermission(Listener):
+    """Permit to act, and be suspended right afterwards."""
+
+    def __init__(self, clock, seconds):
+        super().__init__()
+        self._clock = clock
+        self._seconds = seconds
+
+    def may_act(self):
+        self._clock.advance(self._seconds)
+        return True
+
+
+def test_lease_counts_from_before_the_owner_was_asked_whether_it_may_act(clock):
+    """Guards against a lease beyond the one that a successor waits for.
+
+    The process is suspended between the look whether it still owns the pool and the
+    renewal. A successor, which can't reach the worker, waits for the longest lease that
+    its predecessor could have granted by then.
+    """
+    client = Client(clock)
+    link = _make_link(client, clock, Listener())
+    client.calls_left = 2
+    link.poll_once()
+    asked_at = clock.monotonic()
+    link._listener = SlowPermission(clock, 5.0)
+    link.poll_once()
+    latest = 1000 + asked_at + LEASE_SECONDS
+    assert client.leases[-1] == pytest.approx(latest)
+
+
+def test_start_grants_its_lease_from_before_the_owner_was_asked(restarting):
+    """Guards against a lease beyond the one that a successor waits for."""
+    owner, link, start = restarting
+    leases = []
+    link.client.start = lambda run, payload, end, *rest: leases.append(end)
+    asked_at = owner.host.clock.monotonic()
+    may_act = owner.ownership_status.is_confirmed
+
+    class Status:
+        def is_confirmed(self):
+            found = may_act()
+            owner.host.clock.advance(5.0)
+            return found
+
+    owner.ownership_status = Status()
+    owner.orders._start(link, start)
+    shown = link._clock_reading.shown + asked_at - link._clock_reading.read_at
+    assert leases == [pytest.approx(shown + LEASE_SECONDS)]
