Confirm the ownership of a pool only once all changes were applied

What callers would see: a task that runs twice after a host was suspended. Cause: the answer of the feed of the cell's rows counted as a confirmation before its rows were applied, and also if more changes were to follow. After a suspension that answer is the one that names the new owner: until it was applied, the other threads of the replaced owner took the ownership for confirmed, sent starts and renewed leases that the new owner doesn't count with.

Change: confirmed is a pool once all changes up to the time of the call are applied.

Evidence: test_replaced_owner_is_not_confirmed_by_the_answer_that_names_the_new_one failed in both cases, and passes.

--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -257,10 +257,11 @@
             self._note_cell_rows,
             self._read_cell,
             self.stopping,
-            self._note_cell_answer,
+            self._note_store_answer,
             self.store_health.note_failure,
             self._cell_wait_seconds,
             _CELL_GATHER_SECONDS,
+            self._note_cell_complete,
         )
 
     def _cell_wait_seconds(self):
@@ -293,8 +294,13 @@
         self.has_read_hosts = True
         self._beats.start_missing_senders()
 
-    def _note_cell_answer(self, asked_at):
-        self._note_store_answer(asked_at)
+    def _note_cell_complete(self, asked_at):
+        """Confirm the owned pools, once all changes up to a time were applied.
+
+        An answer may hold the row of another owner, or follow a suspension in which one
+        took the pool. Confirmed before that row is applied, a replaced owner would send
+        orders, from threads that run meanwhile.
+        """
         for candidacy in list(self._candidacies.values()):
             if candidacy.is_owner:
                 candidacy.owner.ownership_status.note_confirmed(asked_at)
--- a/tests/entry/test_followers.py
+++ b/tests/entry/test_followers.py
@@ -219,9 +219,65 @@
         store_health=SimpleNamespace(note_failure=pytest.fail),
         _note_cell_rows=note_rows,
         _read_cell=lambda: ([], 0),
-        _note_cell_answer=lambda asked_at: None,
+        _note_store_answer=lambda asked_at: None,
+        _note_cell_complete=lambda asked_at: None,
         _cell_wait_seconds=lambda: 1.2,
     )
     EntryHost._follow_cell(host)
     assert len(seen) == hosts
     assert host.store.calls < 10
+
+
+class LateRows:
+    """Answer with the row of a new owner, after many other changes."""
+
+    def __init__(self, stopping, pages):
+        self._stopping = stopping
+        self._pages = list(pages)
+
+    def follow(self, table, version, wait_seconds):
+        page = self._pages.pop(0)
+        if not self._pages:
+            self._stopping.set()
+        return page
+
+
+@pytest.mark.parametrize(
+    "pages",
+    [
+        [Page(["new owner"], 1), Page([], 2)],
+        [Page(["other"], 1, has_more=True), Page(["new owner"], 2), Page([], 3)],
+    ],
+    ids=["in the answer", "in the next answer"],
+)
+def test_replaced_owner_is_not_confirmed_by_the_answer_that_names_the_new_one(pages):
+    """Guards against orders of a replaced owner, which start tasks a second time.
+
+    Its host was suspended, and its threads go on while the first answer of the store is
+    applied. The row of the new owner is in that answer, or in what follows it.
+    """
+    clock, stopping = AdvancingClock(100.0), threading.Event()
+    noted = []
+    owner = SimpleNamespace(
+        ownership_status=SimpleNamespace(
+            note_confirmed=lambda asked_at: noted.append("confirmed")
+        )
+    )
+    host = SimpleNamespace(
+        clock=clock,
+        store=LateRows(stopping, pages),
+        stopping=stopping,
+        store_health=SimpleNamespace(note_failure=pytest.fail),
+        _candidacies={"pool": SimpleNamespace(is_owner=True, owner=owner)},
+        _note_store_answer=lambda asked_at: None,
+        _note_cell_rows=noted.extend,
+        _read_cell=lambda: ([], 0),
+        _cell_wait_seconds=lambda: 1.2,
+    )
+    for name in ("_note_cell_answer", "_note_cell_complete"):
+        if hasattr(EntryHost, name):
+            setattr(host, name, getattr(EntryHost, name).__get__(host))
+    EntryHost._follow_cell(host)
+    seen = [one for one in noted if one in ("confirmed", "new owner")]
+    # The first answer, of the whole table, confirms the owner of that time.
+    assert seen[:3] == ["confirmed", "new owner", "confirmed"]
