Keep workers that join between two owners in the recorded roster

What callers would see: a task that runs twice after the store was away and all hosts restarted. Cause: a new owner read the list of workers and then replaced whole rows of its roster by the recorded ones, so that a worker that had joined since the last record was never recorded by this owner, nor by later ones, who did the same. Once its entry lapses while the store is away, a successor doesn't know of it and doesn't wait for it; a task that was started there without a record is placed again while it runs.

Change: recorded rows add to what the list has told, and don't replace it.

Evidence: test_worker_that_joined_while_there_was_no_owner_is_recorded lacked the worker before, and passes. Not seen on processes.

--- a/papayapick/pool/records/store_sync.py
+++ b/papayapick/pool/records/store_sync.py
@@ -106,8 +106,8 @@
                 link = self._owner.links_by_worker.get(registration.worker)
                 if link is None:
                     self._add_link(registration, is_listed=False)
-                else:
-                    link.registration.note_born(registration.born)
+                elif link.registration.note_born(registration.born):
+                    self._owner.roster.add(link.registration)
             self._owner.memory.restore(progress)
             self._owner.reconciliation.hold_tasks()
         return version
--- a/papayapick/pool/workers/reports.py
+++ b/papayapick/pool/workers/reports.py
@@ -99,9 +99,17 @@
         self.born = born
 
     def note_born(self, born):
-        """Note the start time of a process of the worker; the latest one counts."""
-        if born is not None:
-            self.born = max(born, self.born or born)
+        """Note the start time of a process of the worker; the latest one counts.
+
+        Returns
+        -------
+        bool
+            Whether it is later than the one known.
+        """
+        if born is None or (self.born is not None and born <= self.born):
+            return False
+        self.born = born
+        return True
 
 
 class RunReport:
--- a/papayapick/pool/workers/roster.py
+++ b/papayapick/pool/workers/roster.py
@@ -82,7 +82,8 @@
         found = []
         for row in rows:
             if row.key.startswith(_PREFIX) and row.value is not None:
-                self._rows[row.key] = dict(row.value)
+                # Entries of this owner's list are newer than those recorded.
+                self._rows[row.key] = {**row.value, **self._rows.get(row.key, {})}
                 found += [_registration(*one) for one in row.value.items()]
         return found
 
