Follow a worker that restarts under its id at another address

What callers would see: a worker that stays unused, and a task that may run twice after the next takeover. Cause: the owner applied only the state of a known worker's new entry. It went on calling the earlier address, and recorded that one in its roster; a successor that has only the record would call it too, and take the answer of the worker that has the address now for a sign that its own one is gone.

Change: a new address is taken over and recorded; the report from there tells by its start time that the earlier process has ended. New event: worker moved.

Evidence: test_owner_reaches_a_worker_that_restarted_at_another_address and test_new_address_of_a_worker_is_recorded failed before, and pass.

--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -51,6 +51,7 @@
     "WORKER_BACK",
     "WORKER_FENCED",
     "WORKER_GONE",
+    "WORKER_MOVED",
     "WORKER_SILENT",
     "WORKER_SUSPECTED",
     "WORKER_UNSEEN",
@@ -308,6 +309,11 @@
 WORKER_GONE = Event(
     "worker gone", "worker", "A silent, unlisted worker was removed after its lease."
 )
+WORKER_MOVED = Event(
+    "worker moved",
+    "worker address before",
+    "The worker's entry has another address than before: it restarted there.",
+)
 WORKER_FENCED = Event(
     "fenced by a worker",
     "worker epoch",
--- a/papayapick/pool/records/store_sync.py
+++ b/papayapick/pool/records/store_sync.py
@@ -8,7 +8,7 @@
     WorkerClient,
     decode_registration,
 )
-from papayapick.pool.events import JOB_TAKEN, RECORD_REFUSED, WORKER_GONE
+from papayapick.pool.events import JOB_TAKEN, RECORD_REFUSED, WORKER_GONE, WORKER_MOVED
 from papayapick.pool.records.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.records.partitions import job_partitions
 from papayapick.pool.workers.links import WorkerLink
@@ -237,17 +237,36 @@
             link.is_listed = True
             link.registration.is_leaving = registration.is_leaving
             link.registration.note_born(registration.born)
+            if registration.address != link.registration.address:
+                self._move(link, registration.address)
             self._owner.report_handler.update_availability(link)
             return
         self._owner.roster.add(registration)
         self._add_link(registration, is_listed=True)
 
+    def _move(self, link, address):
+        """Call a worker at another address, where it has restarted under its id.
+
+        It would stay unused, and a successor could take another worker that has its
+        earlier address for a sign that it is gone.
+        """
+        WORKER_MOVED.write(
+            worker=link.worker, address=address, before=link.registration.address
+        )
+        link.registration.address = address
+        link.client = self._client(link.registration)
+        self._owner.roster.add(link.registration)
+
+    def _client(self, registration):
+        pool = self._owner.host.worker_pool
+        return WorkerClient(registration.worker, registration.address, pool)
+
     def _add_link(self, registration, is_listed):
         if self._owner.is_stopped:
             return
         worker = registration.worker
         host = self._owner.host
-        client = WorkerClient(worker, registration.address, host.worker_pool)
+        client = self._client(registration)
         epoch, listener = self._owner.row.epoch, self._owner.report_handler
         limit = host.settings.lease_limit_seconds
         link = WorkerLink(registration, client, epoch, host.clock, listener, limit)
--- a/tests/pool/test_roster.py
+++ b/tests/pool/test_roster.py
@@ -3,8 +3,10 @@
 from papayapick.clients.rows import StoredRow
 from papayapick.pool.records.journal import PROGRESS_TABLE
 from tests.pool.owners import (
+    host_with_two_workers,
     owner_of,
     register,
+    report,
 )
 from tests.pool.standins import Host
 
@@ -19,6 +21,16 @@
         kept.append(StoredRow(write.table, write.partition, write.key, write.value, 1))
 
 
+def _move(host, worker, address, born):
+    """Replace the entry of a worker by one of its next life, at another address."""
+    rows = host.rows[("servers", "")]
+    (entry,) = [row for row in rows if row.key == worker]
+    rows.remove(entry)
+    changed = {**entry.value, "address": address, "born": born}
+    rows.append(StoredRow("servers", "", worker, changed, 2))
+    return rows[-1]
+
+
 def test_worker_that_joined_while_there_was_no_owner_is_recorded():
     """Guards against a task that runs twice on a worker that a successor doesn't know.
 
@@ -33,3 +45,26 @@
     _record_roster(host, owner_of(host))
     host.rows[("servers", "")] = []
     assert set(owner_of(host).links_by_worker) == set(WORKERS)
+
+
+def test_owner_reaches_a_worker_that_restarted_at_another_address():
+    """Guards against a worker that stays unused, since its old address is called."""
+    host = host_with_two_workers()
+    owner = owner_of(host)
+    report(owner, "w1")
+    owner.store_sync.note_worker_rows([_move(host, "w1", "w1-moved:2", 2)])
+    link = owner.links_by_worker["w1"]
+    assert link.registration.address == "w1-moved:2"
+    assert link.client._base == "http://w1-moved:2"
+
+
+def test_new_address_of_a_worker_is_recorded():
+    """Guards against a successor that calls an address which another worker has."""
+    host = host_with_two_workers()
+    owner = owner_of(host)
+    _record_roster(host, owner)
+    owner.store_sync.note_worker_rows([_move(host, "w1", "w1-moved:2", 2)])
+    _record_roster(host, owner)
+    host.rows[("servers", "")] = []
+    link = owner_of(host).links_by_worker["w1"]
+    assert link.registration.address == "w1-moved:2"
