Wait for a worker although another one is at its recorded address

What callers would see: a task that runs twice after a takeover. Cause: an answer of another worker at an address counted as a sign that the worker which had it is gone, whatever that address was. A successor that knows a worker only from the roster, and whose predecessor sent starts without records, may have an address that the worker has left; ports are used again by other workers.

Change: such an answer ends the wait for a worker only if its address is current: from its entry, or from records that are known to be complete. Else the leases are awaited.

Evidence: the case of an unlisted worker in test_other_worker_at_a_recorded_address_does_not_end_the_wait failed before; the listed one passed before and after. Not seen on processes.

--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -155,12 +155,21 @@
             link.begin_incarnation(born)
             self._record_incarnation(link, born)
             self._owner.knowledge.speeds.note_incarnation(link.worker, born)
-            if not link.has_reported:
+            if not link.has_reported and self._has_current_address(link):
                 self._owner.reconciliation.note_worker_gone(
                     link.worker, self._owner.now(), reason
                 )
         self._owner.wake()
 
+    def _has_current_address(self, link):
+        """Return whether the address is the last one that the worker had.
+
+        The recorded one of a worker without an entry may be older than starts that an
+        earlier owner sent without a record. If the worker has moved since, another
+        one at that address doesn't show that its runs have ended.
+        """
+        return link.is_listed or self._owner.reconciliation.is_journal_exact
+
     def _repeat_stops(self, link):
         """Send stops again, which bind only the incarnation that confirmed them."""
         room = self._owner.rooms.get(link.worker)
--- a/tests/pool/test_roster.py
+++ b/tests/pool/test_roster.py
@@ -1,12 +1,19 @@
 """The recorded workers of a pool, for a successor whose list is incomplete."""
 
+import pytest
+
 from papayapick.clients.rows import StoredRow
 from papayapick.pool.records.journal import PROGRESS_TABLE
+from papayapick.pool.takeover.reconciliation import PREDECESSOR_LEASE_SECONDS
 from tests.pool.owners import (
     host_with_two_workers,
+    job,
     owner_of,
+    place,
     register,
     report,
+    started_record,
+    store_job,
 )
 from tests.pool.standins import Host
 
@@ -68,3 +75,24 @@
     host.rows[("servers", "")] = []
     link = owner_of(host).links_by_worker["w1"]
     assert link.registration.address == "w1-moved:2"
+
+
+@pytest.mark.parametrize(("is_listed", "is_placed"), [(True, True), (False, False)])
+def test_other_worker_at_a_recorded_address_does_not_end_the_wait(is_listed, is_placed):
+    """Guards against a second run, as a worker has moved and its record is older.
+
+    Its entry has lapsed, and starts were sent without records, so that the recorded
+    address may be one that the worker has left.
+    """
+    host = host_with_two_workers()
+    _record_roster(host, owner_of(host))
+    store_job(host, job(), started_record("w2"))
+    if not is_listed:
+        host.rows[("servers", "")].pop()
+    owner = owner_of(host, is_journal_exact=False)
+    report(owner, "w1")
+    owner.report_handler.note_restart(owner.links_by_worker["w2"], None)
+    assert bool(place(owner)) == is_placed
+    host.clock.advance(PREDECESSOR_LEASE_SECONDS + 0.1)
+    owner.tick(host.clock.monotonic())
+    assert is_placed or [run.worker for run in place(owner)] == ["w1"]
