Hold new jobs that a replaced owner may start without a record

What callers would see: a task of a new job that runs twice, on two workers, just after the pool got another owner while the store is slow. Cause: a new owner holds the tasks of the jobs that it has loaded. An owner that is replaced acts until it learns of it or its confirmation expires, reads new jobs as the new one does, and starts without records while the store is slow. Its start on a worker that the new owner hasn't reached, and the new owner's on another one, overlap.

Change: where records may be missing, jobs that come while the replaced owner may still act are held like the loaded ones, until all workers have reported or their leases are over. With exact records nothing changes: the replaced owner can't record a start.

Evidence: test_job_that_a_replaced_owner_may_have_started_is_held failed before, and passes; two tests say that other new jobs are placed at once.

--- a/papayapick/jobs/held_tasks.py
+++ b/papayapick/jobs/held_tasks.py
@@ -39,7 +39,7 @@
         self._counted = set()
         # Condition for holding tasks of these jobs; None while none are added.
         self._must_hold = None
-        self._jobs = frozenset()
+        self._jobs = set()
 
     def __bool__(self):
         return bool(self._tasks)
@@ -65,6 +65,10 @@
             if not step.waiting:
                 self._registry.dequeue_step(step)
 
+    def cover(self, identifier):
+        """Hold the tasks of a job that is about to be added, as those present."""
+        self._jobs.add(identifier)
+
     def release_all(self, now):
         """Release all held tasks and hold no further ones."""
         self._must_hold = None
--- a/papayapick/pool/records/store_sync.py
+++ b/papayapick/pool/records/store_sync.py
@@ -180,6 +180,7 @@
             document = _document(row.value, record)
             queue = self._owner.host.queue_of(document)
             age = 0.0 if newest is None else newest - document.accepted_at
+            self._owner.reconciliation.note_new_job(document.identifier, now)
             job = self._owner.job_registry.add(document, queue, now, record, age)
             job.is_owed = self._owner.entitlements.is_owed(
                 document.team, document.accepted_at
--- a/papayapick/pool/takeover/reconciliation.py
+++ b/papayapick/pool/takeover/reconciliation.py
@@ -69,6 +69,17 @@
             lambda task: bool(task.place) or not self._is_journal_exact
         )
 
+    def note_new_job(self, identifier, now):
+        """Hold the tasks of a new job if a replaced owner may start them too.
+
+        It acts until its last confirmation has expired, reads the job as this owner
+        does, and may start tasks without records on workers that this owner has not
+        reached. Placed at once, they would run twice.
+        """
+        may_be_started = now < self._owner.taken_at + CONFIRMATION_VALID_SECONDS
+        if may_be_started and not (self._is_journal_exact or self._is_complete):
+            self._owner.job_registry.held.cover(identifier)
+
     def waits_for(self, worker):
         """Return whether tasks are held because a worker has not reported."""
         return not self._is_complete and worker not in self._gone_workers
--- a/tests/pool/test_reconciliation.py
+++ b/tests/pool/test_reconciliation.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from papayapick.clients.rows import StoredRow
 from papayapick.jobs import JobDocument, Step, progress_record
 from papayapick.ledger import Amounts
-from papayapick.pool.records.journal import PROGRESS_TABLE
+from papayapick.pool.records.journal import JOBS_TABLE, PROGRESS_TABLE
 from tests.pool.owners import (
     ID,
     KEY,
@@ -156,3 +157,46 @@
     report(owner, "w2", ends=[(KEY, run.attempt, outcome)])
     assert place(owner) == []
     assert owner.job_registry.step_of(KEY).tasks[0].runs == [run]
+
+
+def _with_new_job(is_journal_exact, seconds):
+    """Return host and owner, to which a job comes some seconds after a takeover.
+
+    One of two workers has not reported yet.
+    """
+    host = host_with_two_workers()
+    owner = owner_of(host, is_journal_exact)
+    report(owner, "w1")
+    host.clock.advance(seconds)
+    row = StoredRow(JOBS_TABLE, f"pool/{int(ID, 16) % 8}", ID, job().as_record(), 7)
+    owner.store_sync._note_job_rows([row])
+    return host, owner
+
+
+def test_job_that_a_replaced_owner_may_have_started_is_held():
+    """Guards against a job that runs twice, as it came while its pool was taken over.
+
+    The replaced owner, which doesn't know it yet, reads the job as the new one does. It
+    starts tasks without records, and one on a worker that the new owner hasn't reached.
+    """
+    _, owner = _with_new_job(is_journal_exact=False, seconds=0.1)
+    assert place(owner) == []
+    report(owner, "w2", runs=[(KEY, 1)])
+    assert place(owner) == []
+    (run,) = owner.job_registry.step_of(KEY).tasks[0].runs
+    assert run.worker == "w2"
+
+
+@pytest.mark.parametrize(("is_journal_exact", "seconds"), [(True, 0.1), (False, 2.1)])
+def test_job_that_no_earlier_owner_can_have_started_is_placed(
+    is_journal_exact, seconds
+):
+    """Guards against new jobs that wait for a silent worker after a takeover."""
+    _, owner = _with_new_job(is_journal_exact, seconds)
+    assert [run.worker for run in place(owner)] == ["w1"]
+
+
+def test_held_new_job_is_placed_once_all_workers_have_reported():
+    _, owner = _with_new_job(is_journal_exact=False, seconds=0.1)
+    report(owner, "w2")
+    assert len(place(owner)) == 1
