Put leases of workers and lost runs into modules of their own

Moves and renames only: link.lease.grant for grant_lease, link.lease.lapse_at, owner.lost_runs.mark_all for mark_runs_lost. 151 tests of links, orders, owners, reconciliation, roster, liveness, upkeep and maxima pass.

--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -32,6 +32,7 @@
 from papayapick.pool.takeover.reconciliation import Reconciliation
 from papayapick.pool.workers.link_threads import LinkThreads
 from papayapick.pool.workers.liveness import LivenessCheck
+from papayapick.pool.workers.lost_runs import LostRuns
 from papayapick.pool.workers.orders import OrderSender
 from papayapick.pool.workers.report_handler import WorkerReportHandler
 from papayapick.pool.workers.roster import WorkerRoster
@@ -92,6 +93,7 @@
         "links_by_worker",
         "lock",
         "loop",
+        "lost_runs",
         "memory",
         "orders",
         "ownership_status",
@@ -144,6 +146,7 @@
         self.ownership_status = OwnershipStatus(host)
         self.reconciliation = Reconciliation(self, is_journal_exact)
         self.store_sync = StoreSync(self)
+        self.lost_runs = LostRuns(self)
         self.report_handler = WorkerReportHandler(self)
         self.advice_manager = AdviceManager(self)
         self.decisions = Decisions(self)
--- a/papayapick/pool/rounds/loop.py
+++ b/papayapick/pool/rounds/loop.py
@@ -84,8 +84,10 @@
 
     def _tick_link(self, link, now):
         owner = self._owner
-        if link.is_silent and now > max(link.lapse_at, self._earliest_lapse(link)):
-            owner.report_handler.mark_runs_lost(link, "lease over")
+        if link.is_silent and now > max(
+            link.lease.lapse_at, self._earliest_lapse(link)
+        ):
+            owner.lost_runs.mark_all(link, "lease over")
             if not link.is_listed and owner.reconciliation.is_complete:
                 owner.store_sync.drop_link(link)
             return
--- a/papayapick/pool/takeover/reconciliation.py
+++ b/papayapick/pool/takeover/reconciliation.py
@@ -3,7 +3,7 @@
 from papayapick.pool.events import POOL_SETTLED, TASK_RELEASED, WORKER_ABSENT
 from papayapick.pool.metrics import TAKEOVER_SECONDS
 from papayapick.pool.takeover.ownership_status import CONFIRMATION_VALID_SECONDS
-from papayapick.pool.workers.links import LEASE_SECONDS
+from papayapick.pool.workers.leases import LEASE_SECONDS
 
 __all__ = ["PREDECESSOR_LEASE_SECONDS", "Reconciliation"]
 
--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -10,17 +10,10 @@
     WORKER_UNSEEN,
 )
 from papayapick.pool.metrics import RENEWALS
+from papayapick.pool.workers.leases import WorkerLease
 
-__all__ = ["LEASE_SECONDS", "WorkerLink"]
+__all__ = ["WorkerLink"]
 
-# Covers a takeover, which takes 2 s after an owner freezes, and one lost renewal. A
-# longer lease would delay rescheduling the tasks of a partitioned worker.
-LEASE_SECONDS = 3.6
-# A worker's monotonic clock may run 2% slow.
-_CLOCK_RATE = 0.98
-_LAPSE_SLACK_SECONDS = 0.1
-# A call without an answer may be executed late, by up to this time.
-_LATE_CALL_SECONDS = 12.0
 # A long poll returns when a run ends, or after this time at the latest. It also bounds
 # the interval between lease renewals.
 _POLL_SECONDS = 0.6
@@ -36,24 +29,6 @@
 _OTHER_INSTANCE_STATUS = 421
 
 
-class _ClockReading:
-    """A reading of a worker's clock.
-
-    Parameters
-    ----------
-    shown : float
-        Seconds on the worker's clock.
-    read_at : float
-        Monotonic seconds at which the answer with this time had arrived.
-    """
-
-    __slots__ = ("read_at", "shown")
-
-    def __init__(self, shown, read_at):
-        self.shown = shown
-        self.read_at = read_at
-
-
 class WorkerLink:
     """Track the state of one worker, and poll it.
 
@@ -81,9 +56,7 @@
         Monotonic seconds at which the last answered poll was sent.
     failed_since : float or None
         Monotonic seconds at which the worker stopped answering; None while it answers.
-    lapse_at : float
-        Monotonic seconds after which no lease granted by this owner is in force, also
-        to an earlier incarnation.
+    lease : WorkerLease
     has_reported : bool
         Whether the worker has answered this owner and so refuses earlier ones.
     due_at : float
@@ -97,11 +70,7 @@
     __slots__ = (
         "_acknowledgement",
         "_clock",
-        "_clock_reading",
         "_epoch",
-        "_granted_at",
-        "_lease_limit_seconds",
-        "_lease_lock",
         "_listener",
         "acknowledged",
         "alive_at",
@@ -113,8 +82,8 @@
         "incarnation_since",
         "is_listed",
         "is_stopped",
-        "lapse_at",
         "last_report_requested_at",
+        "lease",
         "processed",
         "registration",
     )
@@ -127,16 +96,8 @@
         self._epoch = epoch
         self._clock = clock
         self._listener = listener
-        self._lease_limit_seconds = lease_limit_seconds
+        self.lease = WorkerLease(clock, lease_limit_seconds)
         self._acknowledgement = threading.Event()
-        # None until the first answer. Replaced as a whole, since other threads grant
-        # leases at any time: with the time of one reading and the clock of another, a
-        # lease would last longer than counted, and a run that is cut off with it
-        # would go on beside the next one.
-        self._clock_reading = None
-        self._lease_lock = threading.Lock()
-        # Monotonic seconds of the last lease; None before the first one.
-        self._granted_at = None
         self.acknowledged = 0
         self.processed = 0
         self.born = None
@@ -146,7 +107,6 @@
         self.is_listed = True
         self.is_stopped = False
         self.due_at = 0.0
-        self.lapse_at = 0.0
         self.last_report_requested_at = float("-inf")
 
     @property
@@ -159,40 +119,6 @@
         """Return whether the last call to the worker got no answer."""
         return self.failed_since is not None
 
-    def grant_lease(self, permitted_at=None):
-        """Grant a lease and return its end.
-
-        Also extends ``lapse_at``, since the worker may run what it was ordered until
-        the lease ends.
-
-        Parameters
-        ----------
-        permitted_at : float, optional
-            Monotonic seconds before which the owner was asked whether it may act; the
-            lease counts from then, by default from now. If the process were suspended
-            after the question and the lease counted from when it goes on, it would last
-            longer than a successor waits for a worker that it can't reach.
-
-        Returns
-        -------
-        float or None
-            Seconds on the worker's clock; None if that clock was not read yet.
-        """
-        reading = self._clock_reading
-        if reading is None:
-            return None
-        now = self._granted_at = self._clock.monotonic()
-        begin = now if permitted_at is None else permitted_at
-        end = reading.shown + (begin - reading.read_at) + LEASE_SECONDS
-        longest = (end - reading.shown) / _CLOCK_RATE
-        self._extend_lapse(reading.read_at + longest + _LAPSE_SLACK_SECONDS)
-        return end
-
-    def _extend_lapse(self, until):
-        # Two threads that read the same end would keep the earlier of their own.
-        with self._lease_lock:
-            self.lapse_at = max(self.lapse_at, until)
-
     def acknowledge(self, number, born):
         """Allow the worker to discard ends up to a number, whose records are durable.
 
@@ -210,31 +136,10 @@
             self._acknowledgement.set()
 
     def begin_incarnation(self, born):
-        """Reset the numbers of ends after a restart; the caller holds the lock.
-
-        Also extends ``lapse_at``. A call names the worker's id, which a restarted
-        worker keeps, so that a late call to the previous incarnation is executed by
-        the new one. Its lease ends at a time on the previous clock, and may count as
-        the longest lease on the new one. If the worker were cut off then, its runs
-        would go on after the end of the leases granted since, and run twice.
-        """
+        """Reset the numbers of ends after a restart; the caller holds the lock."""
         self.born = born
         self.acknowledged = self.processed = 0
-        if self._granted_at is not None:
-            self.note_longest_lease(self._granted_at + _LATE_CALL_SECONDS)
-
-    def note_longest_lease(self, begins_at):
-        """Count with the longest lease from a time, in monotonic seconds."""
-        longest = self._lease_limit_seconds / _CLOCK_RATE + _LAPSE_SLACK_SECONDS
-        self._extend_lapse(begins_at + longest)
-
-    def note_clock(self, shown):
-        """Note what the worker's clock showed when its last answer arrived."""
-        self._clock_reading = _ClockReading(shown, self._clock.monotonic())
-
-    def note_earlier_leases(self, until):
-        """Count with leases that an earlier owner granted until a monotonic time."""
-        self._extend_lapse(until)
+        self.lease.begin_incarnation()
 
     def stop(self):
         """Stop polling after the current call."""
@@ -300,12 +205,12 @@
         # A call without an answer may still renew the lease. Calls to a silent worker
         # therefore grant none: otherwise its lease would never count as expired, and
         # the runs of a worker that is gone would never be rescheduled.
-        lease_end = None if self.is_silent else self.grant_lease(permitted_at)
+        lease_end = None if self.is_silent else self.lease.grant(permitted_at)
         report = self.client.renew(self._epoch, acknowledged, lease_end, wait_seconds)
         RENEWALS.labels("answered").inc()
         if self.is_stopped:
             return
-        self.note_clock(report.clock)
+        self.lease.note_clock(report.clock)
         if self.born is not None and report.born != self.born:
             # The worker restarted under the same id: its earlier runs are gone, its
             # ends are numbered from the start, and it lists only runs started since.
@@ -323,7 +228,7 @@
 
     def _poll_seconds(self):
         """Return how long the worker may hold back its answer until a run ends."""
-        if self._clock_reading is None or self.is_silent:
+        if self.lease.reading is None or self.is_silent:
             return 0.0
         if self.processed > self.acknowledged:
             return 0.0
@@ -342,7 +247,8 @@
     def _note_no_answer(self):
         if self.failed_since is None:
             now = self.failed_since = self._clock.monotonic()
-            remaining = round(self.lapse_at - now, 3) if self.lapse_at else None
+            lapse_at = self.lease.lapse_at
+            remaining = round(lapse_at - now, 3) if lapse_at else None
             WORKER_SILENT.write(worker=self.worker, lapse_in_seconds=remaining)
         self._listener.note_silence(self)
         self.pause(_RETRY_SECONDS)
--- a/papayapick/pool/workers/liveness.py
+++ b/papayapick/pool/workers/liveness.py
@@ -99,7 +99,7 @@
 
     def _mark_gone(self, link):
         if link.has_reported:
-            self._owner.report_handler.mark_started_runs_lost(link)
+            self._owner.lost_runs.mark_started(link)
         else:
             self._owner.reconciliation.note_worker_gone(
                 link.worker, self._owner.now(), "no such worker"
--- a/papayapick/pool/workers/orders.py
+++ b/papayapick/pool/workers/orders.py
@@ -151,7 +151,7 @@
             elif outcome == StartOutcome.UNKNOWN:
                 if run.phase == RunPhase.ORDERED:
                     run.phase = RunPhase.UNSURE
-                    remaining = link.lapse_at - now
+                    remaining = link.lease.lapse_at - now
                     START_UNANSWERED.write(
                         **run_fields(run), lapse_in_seconds=round(remaining, 3)
                     )
@@ -224,7 +224,7 @@
             may_send = is_wanted and owner.may_act()
             # Writing the record may have taken longer than the ticket is valid.
             may_send = may_send and owner.now() < start.usable_until
-            lease_end = link.grant_lease(permitted_at) if may_send else None
+            lease_end = link.lease.grant(permitted_at) if may_send else None
             if lease_end is not None:
                 run.note_sent(owner.now())
         if lease_end is None:
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -277,7 +277,7 @@
         for worker in self.workers.values():
             has_ended = worker.work(self.STEP_SECONDS, self._length_of)
             link = self.owner.links_by_worker[worker.name]
-            wait = link._poll_seconds() if link._clock_reading else self.POLL_SECONDS
+            wait = link._poll_seconds() if link.lease.reading else self.POLL_SECONDS
             if has_ended or self.now - self._polled_at[worker.name] >= wait:
                 self._poll(worker)
         for job in self.owner.job_registry.jobs():
@@ -298,7 +298,7 @@
     def _poll(self, worker):
         self._polled_at[worker.name] = self.now
         link = self.owner.links_by_worker[worker.name]
-        link.note_clock(50.0)
+        link.lease.note_clock(50.0)
         self.owner.report_handler.note_report(
             link, worker.report(self._length_of), self.now
         )
--- a/tests/pool/test_link_threads.py
+++ b/tests/pool/test_link_threads.py
@@ -3,8 +3,8 @@
 import threading
 
 from papayapick.clock import ManualClock
+from papayapick.pool.workers.leases import LEASE_SECONDS
 from papayapick.pool.workers.link_threads import LinkThreads
-from papayapick.pool.workers.links import LEASE_SECONDS
 
 POLL_SECONDS = 0.6
 WORKERS = 1500
--- a/tests/pool/test_links.py
+++ b/tests/pool/test_links.py
@@ -6,8 +6,9 @@
 from papayapick.jobs import JobStatus, TaskKey
 from papayapick.ledger import Amounts
 from papayapick.platform.exceptions import CallFailed, WorkerSilent
+from papayapick.pool.workers.leases import LEASE_SECONDS
 from papayapick.pool.workers.link_threads import LinkLoop
-from papayapick.pool.workers.links import LEASE_SECONDS, WorkerLink
+from papayapick.pool.workers.links import WorkerLink
 from papayapick.pool.workers.reports import (
     EndReport,
     Registration,
@@ -121,12 +122,12 @@
     """
     _run(link, 2)
     link.client.answers = [WorkerSilent(worker="w1") for _ in range(60)]
-    granted_until = link.lapse_at
+    granted_until = link.lease.lapse_at
     _run(link, 60)
     assert link.is_silent
     # One call may have been in progress when the worker left.
-    assert link.lapse_at <= granted_until + LEASE_SECONDS
-    assert clock.monotonic() > link.lapse_at
+    assert link.lease.lapse_at <= granted_until + LEASE_SECONDS
+    assert clock.monotonic() > link.lease.lapse_at
 
 
 def test_lease_after_a_restart_may_be_the_longest(clock, link):
@@ -142,12 +143,12 @@
     link.client.answers = [WorkerSilent(worker="w1"), _report(clock, born=2)]
     _run(link, 2)
     assert link.born == 2
-    assert link.lapse_at >= granted_at + LATE_SECONDS + MAX_LEASE_SECONDS / 0.98
+    assert link.lease.lapse_at >= granted_at + LATE_SECONDS + MAX_LEASE_SECONDS / 0.98
 
 
 def test_lease_without_a_restart_ends_as_granted(clock, link):
     _run(link, 3)
-    assert link.lapse_at <= clock.monotonic() + LEASE_SECONDS / 0.98 + 0.2
+    assert link.lease.lapse_at <= clock.monotonic() + LEASE_SECONDS / 0.98 + 0.2
 
 
 def test_worker_that_answers_again_is_granted_a_lease(clock, link):
@@ -191,11 +192,11 @@
 
 def test_lapse_time_covers_a_worker_with_a_slow_clock(clock, link):
     _run(link, 1)
-    end = link.grant_lease()
+    end = link.lease.grant()
     read_at = clock.monotonic()
     # The worker's clock runs at 98% of real time.
     reached = read_at + (end - (1000 + read_at)) / 0.98
-    assert link.lapse_at >= reached
+    assert link.lease.lapse_at >= reached
 
 
 def test_restart_under_the_same_id_resets_the_numbers_of_ends(clock, link):
@@ -492,14 +493,14 @@
     granted = []
 
     def answer_late(*args, **options):
-        clock.interrupt = lambda: granted.append(link.grant_lease())
+        clock.interrupt = lambda: granted.append(link.lease.grant())
         return WorkerReport(clock._now + 1000, 1, [], [])
 
     client.renew = answer_late
     link._poll()
     (end,) = granted
     true_end = _lease_ends_at(end, clock._now + 1000, clock._now)
-    assert link.lapse_at >= true_end
+    assert link.lease.lapse_at >= true_end
 
 
 class SlowPermission(Listener):
@@ -549,5 +550,5 @@
 
     owner.ownership_status = Status()
     owner.orders._start(link, start)
-    shown = link._clock_reading.shown + asked_at - link._clock_reading.read_at
+    shown = link.lease.reading.shown + asked_at - link.lease.reading.read_at
     assert leases == [pytest.approx(shown + LEASE_SECONDS)]
--- a/tests/pool/test_orders.py
+++ b/tests/pool/test_orders.py
@@ -71,7 +71,7 @@
         self.clients = {}
         for worker, link in self.owner.links_by_worker.items():
             report(self.owner, worker)
-            link.note_clock(50.0)
+            link.lease.note_clock(50.0)
             link.client = self.clients[worker] = FakeClient(worker in unreachable)
 
     def _note_round(self, owner):
@@ -185,7 +185,7 @@
         for run in runs:
             owner.rooms.get("w0").reserve(run)
             owner.orders.stop_once(run, owner.now())
-        owner.report_handler.mark_runs_lost(owner.links_by_worker["w0"], "lease over")
+        owner.lost_runs.mark_all(owner.links_by_worker["w0"], "lease over")
     client = pool.clients["w0"]
     pool.answer_all()
     assert not wait_until(lambda: client.stops > len(runs) / 2, NEVER_SECONDS)
--- a/tests/pool/test_owner.py
+++ b/tests/pool/test_owner.py
@@ -8,7 +8,7 @@
 from papayapick.ownership.pools import PoolRow
 from papayapick.pool.owner import PoolOwner
 from papayapick.pool.records.journal import JOBS_TABLE, PROGRESS_TABLE
-from papayapick.pool.workers.links import LEASE_SECONDS
+from papayapick.pool.workers.leases import LEASE_SECONDS
 from papayapick.pool.workers.reports import (
     Registration,
     StartOutcome,
@@ -340,7 +340,7 @@
         owner.decisions.place(host.clock.monotonic())
     (start,) = owner.decisions.take_unsent()
     link = owner.links_by_worker[start.run.worker]
-    link.note_clock(50.0)
+    link.lease.note_clock(50.0)
     link.client = client = StartingWorker()
     owner.report_handler.note_restart(link, 2)
     (second,) = place(owner)
--- a/tests/pool/test_reconciliation.py
+++ b/tests/pool/test_reconciliation.py
@@ -136,7 +136,7 @@
     host.clock.advance(2.0)
     reported_at = host.clock.monotonic()
     link = report(owner, "w1")
-    assert link.lapse_at >= reported_at + host.settings.lease_limit_seconds / 0.98
+    assert link.lease.lapse_at >= reported_at + host.settings.lease_limit_seconds / 0.98
 
 
 @pytest.mark.parametrize("outcome", ["lapsed", "stopped", "failed"])
--- a/tests/pool/test_requeue_reasons.py
+++ b/tests/pool/test_requeue_reasons.py
@@ -44,7 +44,7 @@
     _, owner = owner_with(job())
     (run,) = place(owner)
     link = owner.links_by_worker[run.worker]
-    owner.report_handler.mark_runs_lost(link, "lease over")
+    owner.lost_runs.mark_all(link, "lease over")
     place(owner)
     assert reasons(placed) == [[""], ["lost"]]
 
--- a/tests/pool/test_run_times.py
+++ b/tests/pool/test_run_times.py
@@ -32,7 +32,7 @@
         self.host, self.owner = owner_with(job(**step))
         for link in self.owner.links():
             link.client = Client()
-            link.note_clock(50.0)
+            link.lease.note_clock(50.0)
         with self.owner.lock:
             self.owner.decisions.place(self.now)
         self.starts = self.owner.decisions.take_unsent()
--- a/tests/pool/test_team_maxima.py
+++ b/tests/pool/test_team_maxima.py
@@ -256,7 +256,7 @@
     add(owner, ID, Step(3, TASK))
     place(owner)
     for link in owner.links():
-        owner.report_handler.mark_runs_lost(link, "gone")
+        owner.lost_runs.mark_all(link, "gone")
     assert owner.team_usage.used("accounts").processors == 0
 
 
--- a/tests/pool/test_upkeep.py
+++ b/tests/pool/test_upkeep.py
@@ -122,7 +122,7 @@
         owner = load.owner
         with owner.lock:
             link = owner.links_by_worker[old]
-            owner.report_handler.mark_runs_lost(link, "upkeep")
+            owner.lost_runs.mark_all(link, "upkeep")
             owner.store_sync.drop_link(link)
             del load.workers[old], load._polled_at[old]
             new = old + "b"
