Take a worker for as old as its present process after a restart

Found while moving code, a fault of: the time by which a worker's process had begun was noted after the restart had been applied, which set the start time that it is compared with. A worker that was known before its restart kept the time of its earlier process, and an old list of machines still counted against it.

Change: the time is noted first.

Evidence: test_worker_that_an_old_list_of_machines_lacks_keeps_its_runs did not show it, since the owner had known the worker for a second only.

--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -211,14 +211,14 @@
         if self.is_stopped:
             return
         self.lease.note_clock(report.clock)
+        if report.born != self.born:
+            self.incarnation_since = self._clock.monotonic()
         if self.born is not None and report.born != self.born:
             # The worker restarted under the same id: its earlier runs are gone, its
             # ends are numbered from the start, and it lists only runs started since.
             listed = report.runs + report.ends
             names = {(entry.key, entry.attempt) for entry in listed}
             self._listener.note_restart(self, report.born, names, requested_at)
-        if self.born != report.born:
-            self.incarnation_since = self._clock.monotonic()
         self.born = report.born
         self.alive_at = requested_at
         self._note_answer()
--- a/tests/entry/test_second_runs.py
+++ b/tests/entry/test_second_runs.py
@@ -9,6 +9,8 @@
 from tests.standins.runs import overlapping_runs
 
 TASK_SECONDS = 3.0
+# Longer than a list of machines is taken to be behind.
+KNOWN_SECONDS = 3.5
 
 
 @pytest.fixture
@@ -35,6 +37,8 @@
     """
     workers = list(cluster.workers.values())
     with EntryCell(cluster, tmp_path, hosts=2) as cell:
+        # By the time of its restart the worker was known for long.
+        time.sleep(KNOWN_SECONDS)
         restarted = cluster.workers["w1"]
         cluster.down.add("w1")
         with restarted.changed:
--- a/tests/pool/test_links.py
+++ b/tests/pool/test_links.py
@@ -279,6 +279,18 @@
         self.ends = [end for end in self.ends if end.number > acknowledged]
 
 
+def test_restart_is_the_time_by_which_the_worker_had_begun(clock, link):
+    """Guards against a list of machines that is older than a restarted worker."""
+    _run(link, 1)
+    first = link.incarnation_since
+    clock.advance(10.0)
+    _run(link, 1)
+    assert link.incarnation_since == first
+    link.client.answers = [_report(clock, born=2)]
+    _run(link, 1)
+    assert link.incarnation_since == clock.monotonic()
+
+
 def test_run_whose_end_a_delayed_call_discarded_is_placed_again():
     """Guards against a task that is stuck, as its run ended and the end was discarded.
 
