Refuse start times of workers that are no whole numbers

Found in reading the change: the start time of an entry or a report, which may come from another writer in any shape, is compared and divided since. A text in its place would have raised TypeError in the loop that follows the workers, and the owner would have released the pool, on one host after another.

Change: the adapter takes whole numbers and none only; an entry with anything else names no worker, a report counts as no answer.

--- a/papayapick/platform/workers.py
+++ b/papayapick/platform/workers.py
@@ -74,7 +74,7 @@
             labels=tuple(_text(label) for label in labels),
             is_leaving=state == "draining",
             leaves_in=value.get("remaining_ms", 0) / 1000,
-            born=value.get("born"),
+            born=_born(value),
         )
     except _WRONG_SHAPE:
         return None
@@ -236,13 +236,21 @@
     ends = [_end(row) for row in body.get("finished", ())]
     return WorkerReport(
         clock=body["clock_ms"] / 1000,
-        born=body.get("born"),
+        born=_born(body),
         runs=[_run(row) for row in body.get("running", ())],
         ends=ends,
         has_more_ends=len(ends) >= _ENDS_PER_ANSWER,
     )
 
 
+def _born(body):
+    """Return the start time of a worker's process in Unix milliseconds, or None."""
+    born = body.get("born")
+    if born is not None and type(born) is not int:
+        raise TypeError("not a whole number")
+    return born
+
+
 def _run(row):
     key = _task_key(row[0])
     # The fifth entry is the tail latency in milliseconds for a task that serves, and
