Judge no property test by the time that an example takes

That is an assertion on time, which these tests are not to have. All that they assert of the code stays.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,9 +3,15 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import settings
 
 from demo.cells import Cell
 
+# By default an example that takes over 0.2 s fails its test. On a busy machine that
+# says nothing of the code.
+settings.register_profile("no deadline", deadline=None)
+settings.load_profile("no deadline")
+
 KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
 MAX_KNOWN_RED = 3
 
