--- a/tests/entry/test_soak.py
+++ b/tests/entry/test_soak.py
@@ -5,9 +5,12 @@
 from tests.entry.soak import Soak
 
 SECONDS = 12.0
+# Had second runs in soaks of 30 s: 26 as the list of machines was older than a worker,
+# the others as a start was forgotten when its worker restarted.
+SEEDS = (26, 108, 140)
 
 
-@pytest.mark.parametrize("seed", [26, 41])
+@pytest.mark.parametrize("seed", SEEDS)
 def test_no_task_runs_twice_under_random_faults(seed, tmp_path):
     soak = Soak(seed, tmp_path, seconds=SECONDS, hosts=3)
     assert soak.run() == []
