--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -139,10 +139,9 @@
     def stop(self):
         """Hand over the owned pools, finish requests in progress, and stop."""
         self.is_draining = True
-        for candidacy in list(self._candidacies.values()):
-            if candidacy.is_owner:
-                # In a thread: an unavailable store must not delay the shutdown.
-                self.executor.submit(self._hand_over, candidacy.owner)
+        for owner in self._owners():
+            # In a thread: an unavailable store must not delay the shutdown.
+            self.executor.submit(self._hand_over, owner)
         wait = self.settings.grace_seconds - _GRACE_SLACK_SECONDS
         self.clock.wait(self.stopping, wait)
         self.stopping.set()
@@ -178,7 +177,10 @@
 
     def owned_pools(self):
         """Return the names of the pools that this process owns."""
-        return [one.pool for one in list(self._candidacies.values()) if one.is_owner]
+        return [owner.pool for owner in self._owners()]
+
+    def _owners(self):
+        return [one.owner for one in list(self._candidacies.values()) if one.is_owner]
 
     def owner_names(self):
         """Return the names of the hosts that own pools, as far as this host knows."""
@@ -186,8 +188,7 @@
 
     def refresh_metrics(self):
         """Set the gauges to their present values, before the metrics are served."""
-        owners = [one.owner for one in list(self._candidacies.values()) if one.is_owner]
-        refresh_gauges(self, owners)
+        refresh_gauges(self, self._owners())
 
     def _join(self):
         key = cell_key(self)
@@ -266,8 +267,7 @@
 
     def _cell_wait_seconds(self):
         # An owner must detect quickly that it is cut off from the store.
-        is_owner = any(one.is_owner for one in list(self._candidacies.values()))
-        return OWNER_WAIT_SECONDS if is_owner else FOLLOW_WAIT_SECONDS
+        return OWNER_WAIT_SECONDS if self._owners() else FOLLOW_WAIT_SECONDS
 
     def _read_cell(self):
         rows, version = self.store.read_all(CELL_TABLE, HOSTS_PARTITION)
@@ -297,13 +297,10 @@
     def _note_cell_complete(self, asked_at):
         """Confirm the owned pools, once all changes up to a time were applied.
 
-        An answer may hold the row of another owner, or follow a suspension in which one
-        took the pool. Confirmed before that row is applied, a replaced owner would send
-        orders, from threads that run meanwhile.
+        Confirmed before the row of a new owner is applied, a replaced one would act.
         """
-        for candidacy in list(self._candidacies.values()):
-            if candidacy.is_owner:
-                candidacy.owner.ownership_status.note_confirmed(asked_at)
+        for owner in self._owners():
+            owner.ownership_status.note_confirmed(asked_at)
 
     def note_configuration(self, configuration):
         """Watch the pools of a new configuration and update the owners' queues."""
@@ -313,9 +310,8 @@
                 candidacy = Candidacy(self, pool)
                 self._candidacies[pool] = candidacy
                 self.executor.submit(self._loops.run, pool, candidacy.run)
-        for candidacy in list(self._candidacies.values()):
-            if candidacy.is_owner:
-                candidacy.owner.refresh_queues()
+        for owner in self._owners():
+            owner.refresh_queues()
 
     def queue_of(self, document):
         """Return the queue of a job; see ``KnownQueues.queue_of``."""
--- a/papayapick/observability/queries.py
+++ b/papayapick/observability/queries.py
@@ -16,6 +16,7 @@
     "entry.events",
     "pool.events",
     "pool.records.events",
+    "pool.takeover.events",
     "overload.events",
     "speeds.events",
 ):
--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -41,13 +41,11 @@
     "STEP_WAITS",
     "STOP_REFUSED",
     "STOPPED_FOR_URGENT",
-    "TASK_RELEASED",
     "THREADS_SHORT",
     "UPKEEP_BEGUN",
     "UPKEEP_NOT_BEGUN",
     "WAVE_PUT_OFF",
     "WAVE_STATUS",
-    "WORKER_ABSENT",
     "WORKER_BACK",
     "WORKER_FENCED",
     "WORKER_GONE",
@@ -286,20 +284,6 @@
     "no such worker any more, or it restarted. Seconds until the last lease granted to "
     "the worker ends, negative if it has ended.",
 )
-WORKER_ABSENT = Event(
-    "worker absent after a takeover",
-    "worker reason epoch taken_seconds_ago",
-    "Tasks are no longer held for a worker that has not answered the new owner: it no "
-    "longer exists, by the list of machines, or as another worker is at its address.",
-)
-TASK_RELEASED = Event(
-    "held task released",
-    "request_id occurrence step task attempt reason epoch taken_seconds_ago",
-    "A task that was held after a takeover waits for a worker now, since no run of it "
-    "was found. Reasons: leases over (of all earlier owners), no run (it can't run on "
-    "any worker that has not answered). Attempt is the last known start.",
-    per_second=60,
-)
 WORKER_SILENT = Event(
     "worker silent",
     "worker lapse_in_seconds",
--- a/papayapick/pool/takeover/reconciliation.py
+++ b/papayapick/pool/takeover/reconciliation.py
@@ -1,7 +1,8 @@
 """Reconciliation after a takeover: which tasks may still run, and on which worker."""
 
-from papayapick.pool.events import POOL_SETTLED, TASK_RELEASED, WORKER_ABSENT
+from papayapick.pool.events import POOL_SETTLED
 from papayapick.pool.metrics import TAKEOVER_SECONDS
+from papayapick.pool.takeover.events import TASK_RELEASED, WORKER_ABSENT
 from papayapick.pool.takeover.ownership_status import CONFIRMATION_VALID_SECONDS
 from papayapick.pool.workers.leases import LEASE_SECONDS
 
--- a/tests/entry/test_followers.py
+++ b/tests/entry/test_followers.py
@@ -274,9 +274,8 @@
         _read_cell=lambda: ([], 0),
         _cell_wait_seconds=lambda: 1.2,
     )
-    for name in ("_note_cell_answer", "_note_cell_complete"):
-        if hasattr(EntryHost, name):
-            setattr(host, name, getattr(EntryHost, name).__get__(host))
+    host._owners = lambda: EntryHost._owners(host)
+    host._note_cell_complete = lambda at: EntryHost._note_cell_complete(host, at)
     EntryHost._follow_cell(host)
     seen = [one for one in noted if one in ("confirmed", "new owner")]
     # The first answer, of the whole table, confirms the owner of that time.
--- a/tests/observability/test_events.py
+++ b/tests/observability/test_events.py
@@ -23,7 +23,7 @@
     for path in sorted(ROOT.joinpath("papayapick", package).rglob("*.py"))
 ]
 
-MODULES = ("entry", "overload", "pool", "pool.records", "speeds")
+MODULES = ("entry", "overload", "pool", "pool.records", "pool.takeover", "speeds")
 
 
 @pytest.fixture
