--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -295,10 +295,7 @@
         self._beats.start_missing_senders()
 
     def _note_cell_complete(self, asked_at):
-        """Confirm the owned pools, once all changes up to a time were applied.
-
-        Confirmed before the row of a new owner is applied, a replaced one would act.
-        """
+        # Earlier, a replaced owner would send orders until the new one's row is applied.
         for owner in self._owners():
             owner.ownership_status.note_confirmed(asked_at)
 
