--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -295,7 +295,7 @@
         self._beats.start_missing_senders()
 
     def _note_cell_complete(self, asked_at):
-        # Earlier, a replaced owner would send orders until the new one's row is applied.
+        # Earlier, a replaced owner would send orders until it has the new one's row.
         for owner in self._owners():
             owner.ownership_status.note_confirmed(asked_at)
 
