Log which earlier run counted as over, and ends that come too early or too late

What callers saw: a task ran again 0.161 s after it was done, and the record names no reason. The logs could not tell the four hypotheses of the incident apart.

- step placed: for a task placed again, the worker and number of the earlier run, and for how long it has counted as over.
- end not applied: an end of a task that the owner doesn't know, with its epoch and the time since the takeover; so far such an end was dropped without a line.
- end of a run that counted as over: the worker lists an end after the owner had taken the run for over; with outcome done, the task ran twice.
- worker silent: the error of the call (an answer cut off, a reset, a time-out), the age of the last answer, and ends that aren't recorded yet.
- report delayed, and a histogram: how long a report waits for the owner's lock.
- counters of ends that were not applied, by reason.

TaskState.requeue_reason became last_ended, which also names the run. No decision changes.

--- a/papayapick/exceptions.py
+++ b/papayapick/exceptions.py
@@ -1,6 +1,6 @@
 """Define the base class of all errors."""
 
-__all__ = ["PapayapickError", "RetryAfter"]
+__all__ = ["PapayapickError", "RetryAfter", "root_cause"]
 
 
 class PapayapickError(Exception):
@@ -41,6 +41,29 @@
         return dict(self._details)
 
 
+def root_cause(error):
+    """Return the type and the message of the first error that led to an error.
+
+    Parameters
+    ----------
+    error : BaseException
+
+    Returns
+    -------
+    str
+
+    Examples
+    --------
+    >>> error = PapayapickError()
+    >>> error.__cause__ = ConnectionResetError("reset by peer")
+    >>> root_cause(error)
+    'ConnectionResetError: reset by peer'
+    """
+    while error.__cause__ is not None:
+        error = error.__cause__
+    return f"{type(error).__name__}: {error}"
+
+
 class RetryAfter:
     """Add to an error the delay after which a retry may succeed.
 
--- a/papayapick/jobs/__init__.py
+++ b/papayapick/jobs/__init__.py
@@ -7,7 +7,7 @@
 from papayapick.jobs.queues import AdvicePolicy, CellConfiguration, Queue
 from papayapick.jobs.records import progress_record, restore_progress
 from papayapick.jobs.registry import JobRegistry
-from papayapick.jobs.runs import RequeueReason, Run, RunPhase
+from papayapick.jobs.runs import EndedRun, RequeueReason, Run, RunPhase
 from papayapick.jobs.state import JobState, JobStatus, StepState, TaskState
 
 __all__ = [
@@ -18,6 +18,7 @@
     "JobState",
     "JobStatus",
     "Queue",
+    "EndedRun",
     "RequeueReason",
     "Run",
     "RunPhase",
--- a/papayapick/jobs/held_tasks.py
+++ b/papayapick/jobs/held_tasks.py
@@ -1,6 +1,6 @@
 """Hold back tasks after a takeover that may have a run unknown to the new owner."""
 
-from papayapick.jobs.runs import RequeueReason
+from papayapick.jobs.runs import EndedRun, RequeueReason
 
 __all__ = ["HeldTasks"]
 
@@ -119,18 +119,20 @@
         queued = []
         for step, index in released:
             self.note_found(step, index)
-            if self._release(step, index):
+            if self._release(step, index, now):
                 queued.append((step, index))
         for step in {step for step, _ in released}:
             if not any(held is step for held, _ in self._tasks):
                 self._outcomes.stop_partial_gang(step, now)
         return queued
 
-    def _release(self, step, index):
+    def _release(self, step, index, now):
         """Release a task; return whether it waits for a worker from now on."""
         task = step.tasks[index]
         if task.place:
-            task.requeue_reason = RequeueReason.RELEASED
+            task.last_ended = EndedRun(
+                task.place, task.attempt, RequeueReason.RELEASED, now
+            )
         task.refresh_place()
         if task.is_done or task.runs or step.job.is_final:
             return False
--- a/papayapick/jobs/outcomes.py
+++ b/papayapick/jobs/outcomes.py
@@ -1,14 +1,30 @@
 """Apply the outcome of a run to its task, step, gang and job."""
 
-from papayapick.jobs.runs import RequeueReason
+import enum
+
+from papayapick.jobs.runs import EndedRun, RequeueReason
 from papayapick.jobs.state import JobStatus
 
-__all__ = ["OutcomeHandler"]
+__all__ = ["EndEffect", "OutcomeHandler"]
 
 _DONE = "done"
 _FAILED = "failed"
 
 
+class EndEffect(enum.Enum):
+    """What the end of a run changed."""
+
+    APPLIED = "applied"
+    # The task is done or its job has a final status: nothing was left to change.
+    NOT_NEEDED = "not-needed"
+    # No such job.
+    UNKNOWN_JOB = "unknown-job"
+    # The job has no such task, or not yet.
+    UNKNOWN_TASK = "unknown-task"
+    # The task had been queued again, since the run counted as over.
+    COUNTED_AS_OVER = "counted-as-over"
+
+
 class OutcomeHandler:
     """Update the job registry after a run has ended or has failed to start.
 
@@ -46,7 +62,8 @@
             self._break_gang(step, now)
         elif not task.runs:
             # If only a second copy is dropped, the first run is still active.
-            self._registry.requeue_task(step, run.key.index, reason)
+            ended = EndedRun(run.worker, run.attempt, reason, now)
+            self._registry.requeue_task(step, run.key.index, ended)
 
     def end_run(self, key, attempt, outcome, checkpoint, worker, now, reason=None):
         """Handle the outcome of a run, which may be reported more than once.
@@ -65,11 +82,19 @@
             Monotonic seconds.
         reason : RequeueReason, optional
             Given if the outcome was inferred; by default the outcome itself.
+
+        Returns
+        -------
+        EndEffect
         """
         step = self._registry.step(key)
         if step is None:
-            return
+            is_known = key.job in self._registry
+            return EndEffect.UNKNOWN_TASK if is_known else EndEffect.UNKNOWN_JOB
         task = step.tasks[key.index]
+        effect = EndEffect.APPLIED
+        if _is_counted_as_over(task, attempt, worker):
+            effect = EndEffect.COUNTED_AS_OVER
         # The start may be known from this outcome only: its number must not be reused.
         task.attempt = max(task.attempt, attempt)
         # A start without a record has its number used again by the next owner, so that
@@ -82,7 +107,7 @@
         for run in ended:
             self._registry.remove_run(run)
         if step.job.is_final or task.is_done:
-            return
+            return EndEffect.NOT_NEEDED
         self._registry.changed.add(step.job.identifier)
         if checkpoint:
             task.checkpoint = checkpoint
@@ -94,17 +119,19 @@
                 if not run.is_resumed:
                     step.note_done_run(run.worked_seconds(now), worker)
             self._note_done(step, key.index, attempt, now)
-            return
+            return effect
         if outcome == _FAILED:
             self._note_failure(step, key, attempt, worker, now)
         if step.job.is_final:
-            return
+            return effect
         if step.step.is_gang:
             if not self._is_of_earlier_run(step, attempt):
                 self._break_gang(step, now)
         elif not task.runs:
             reason = reason or RequeueReason(outcome)
-            self._registry.requeue_task(step, key.index, reason)
+            ended = EndedRun(worker, attempt, reason, now)
+            self._registry.requeue_task(step, key.index, ended)
+        return effect
 
     @staticmethod
     def _is_of_earlier_run(step, attempt):
@@ -193,4 +220,11 @@
         for index, task in enumerate(step.tasks):
             task.checkpoint = checkpoint
             task.attempt = attempt
-            self._registry.requeue_task(step, index, RequeueReason.BROKEN)
+            ended = EndedRun(task.place, attempt, RequeueReason.BROKEN, now)
+            self._registry.requeue_task(step, index, ended)
+
+
+def _is_counted_as_over(task, attempt, worker):
+    """Return whether a run counted as over before its worker listed its end."""
+    last = task.last_ended
+    return last is not None and (last.attempt, last.worker) == (attempt, worker)
--- a/papayapick/jobs/registry.py
+++ b/papayapick/jobs/registry.py
@@ -247,7 +247,9 @@
 
     def end_run(self, key, attempt, outcome, checkpoint, worker, now, reason=None):
         """Handle the outcome of a run; see ``OutcomeHandler.end_run``."""
-        self._outcomes.end_run(key, attempt, outcome, checkpoint, worker, now, reason)
+        return self._outcomes.end_run(
+            key, attempt, outcome, checkpoint, worker, now, reason
+        )
 
     # The methods below are for the other modules of this package.
 
@@ -282,9 +284,16 @@
                     ):
                         self.enqueue_task(step, index)
 
-    def requeue_task(self, step, index, reason):
-        """Queue a task that has no run any more, unless it is held."""
-        step.tasks[index].requeue_reason = reason
+    def requeue_task(self, step, index, ended):
+        """Queue a task that has no run any more, unless it is held.
+
+        Parameters
+        ----------
+        step : StepState
+        index : int
+        ended : EndedRun
+        """
+        step.tasks[index].last_ended = ended
         if not self.held.hold_if_required(step, index):
             step.tasks[index].refresh_place()
             self.enqueue_task(step, index)
--- a/papayapick/jobs/runs.py
+++ b/papayapick/jobs/runs.py
@@ -4,7 +4,7 @@
 
 from papayapick.jobs.documents import TaskKey
 
-__all__ = ["RequeueReason", "Run", "RunPhase"]
+__all__ = ["EndedRun", "RequeueReason", "Run", "RunPhase"]
 
 _INITIAL_PACE_PERCENT = 100
 
@@ -50,6 +50,28 @@
         return cls.UNKNOWN
 
 
+class EndedRun:
+    """Tell which run of a task was the last one to count as over, and why.
+
+    Parameters
+    ----------
+    worker : str
+        Empty if it is not known.
+    attempt : int
+    reason : RequeueReason
+    counted_at : float
+        Monotonic seconds at which the owner took the run for over.
+    """
+
+    __slots__ = ("attempt", "counted_at", "reason", "worker")
+
+    def __init__(self, worker, attempt, reason, counted_at):
+        self.worker = worker
+        self.attempt = attempt
+        self.reason = reason
+        self.counted_at = counted_at
+
+
 class Run:
     """Hold the state of one run of a task.
 
--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -46,12 +46,12 @@
     stuck_since : float or None
         Monotonic seconds since which only workers in ``failed_on`` have room for the
         task.
+    last_ended : EndedRun or None
+        The run after which it waits, or waited, for a worker again; None until then.
     place : str
         Worker of the last start; empty while the task waits for a worker. The task may
         run there even while it is held after a takeover, so it is stored for the next
         owner.
-    requeue_reason : RequeueReason or None
-        Why it waits, or waited, for a worker again; None until its first start.
     replaced : int
         How many times the task was moved because its run was stalled or slow.
     """
@@ -63,9 +63,9 @@
         "failed_attempts",
         "failed_on",
         "is_done",
+        "last_ended",
         "place",
         "replaced",
-        "requeue_reason",
         "runs",
         "stuck_since",
     )
@@ -77,9 +77,9 @@
         self.failed_attempts = set()
         self.failed_on = set()
         self.is_done = False
+        self.last_ended = None
         self.place = ""
         self.replaced = 0
-        self.requeue_reason = None
         self.runs = []
         self.stuck_since = None
 
--- a/papayapick/observability/queries.py
+++ b/papayapick/observability/queries.py
@@ -17,6 +17,7 @@
     "pool.events",
     "pool.records.events",
     "pool.takeover.events",
+    "pool.workers.events",
     "overload.events",
     "speeds.events",
 ):
--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -8,17 +8,13 @@
     "ADVICE_LOST",
     "COMMIT_PUT_OFF",
     "COPY_STARTED",
+    "END_NOT_APPLIED",
+    "END_OF_GIVEN_UP_RUN",
     "JOB_ENDED",
     "JOB_TAKEN",
     "JOBS_KEPT",
     "JOBS_YIELD",
-    "MACHINES_DISTRUSTED",
-    "MACHINES_UNREAD",
     "NO_ADVICE",
-    "ORDERS_HELD_UP",
-    "ORDER_FAILED",
-    "PACE_NOT_SET",
-    "PACE_SET",
     "POOL_LEFT",
     "POOL_LOOP_FAILED",
     "POOL_LOST",
@@ -27,32 +23,17 @@
     "POOL_TAKEN",
     "RECORD_REFUSED",
     "RECORDING_CHANGED",
-    "RENEWAL_REFUSED",
     "RUN_ENDED",
     "RUN_REPLACED",
-    "RUN_FOUND",
-    "RUN_NEVER_STARTED",
-    "RUN_VANISHED",
-    "RUNS_LOST",
-    "START_FOUND",
-    "START_REFUSED",
-    "START_UNANSWERED",
     "STEP_PLACED",
     "STEP_WAITS",
-    "STOP_REFUSED",
     "STOPPED_FOR_URGENT",
     "THREADS_SHORT",
     "UPKEEP_BEGUN",
     "UPKEEP_NOT_BEGUN",
     "WAVE_PUT_OFF",
     "WAVE_STATUS",
-    "WORKER_BACK",
-    "WORKER_FENCED",
-    "WORKER_GONE",
-    "WORKER_MOVED",
-    "WORKER_SILENT",
     "WORKER_SUSPECTED",
-    "WORKER_UNSEEN",
 ]
 
 _RUN = "request_id step task attempt worker"
@@ -143,13 +124,15 @@
 )
 STEP_PLACED = Event(
     "step placed",
-    "request_id occurrence step tasks attempts workers requeue_reasons left "
-    "waited_seconds expected_seconds epoch",
+    "request_id occurrence step tasks attempts workers requeue_reasons "
+    "earlier_workers earlier_attempts over_for_seconds left waited_seconds "
+    "expected_seconds epoch",
     "Workers were chosen for tasks of a step; left is the number that wait for room. "
     "A reason for each task why it was queued again after a start, empty for the first "
     "one: done (a lasting task), failed, stopped, lapsed, broken or alone as its "
     "worker listed, unknown for any other, vanished, lost, never-started, refused, or "
-    "released (held after a takeover, and no run was found). "
+    "released (held after a takeover, and no run was found). Worker and attempt of "
+    "that start, and for how long it has counted as over. "
     "The last of these tasks is expected to take expected_seconds: the caller's "
     "estimate, corrected where speeds of workers differ; 0 if there is none.",
     per_second=60,
@@ -169,6 +152,21 @@
     _RUN + " slow_worker slow_seconds usual_seconds",
     "A second copy of a slow task was started, which its step allows.",
 )
+END_NOT_APPLIED = Event(
+    "end not applied",
+    _RUN + " outcome reason epoch taken_seconds_ago",
+    "A worker listed the end of a run of a task that this owner doesn't know. Reasons: "
+    "unknown-job, unknown-task (the job is known, and has no such task now).",
+    level=logging.WARNING,
+)
+END_OF_GIVEN_UP_RUN = Event(
+    "end of a run that counted as over",
+    _RUN + " outcome over_reason over_for_seconds active_workers epoch",
+    "A worker listed the end of a run that had counted as over, for the reason that "
+    "step placed has in requeue_reasons. If it is done and active_workers, where the "
+    "task was placed since, is not empty, then the task ran twice.",
+    level=logging.WARNING,
+)
 RUN_REPLACED = Event(
     "run replaced",
     _RUN + " percent seconds still_seconds",
@@ -202,117 +200,8 @@
     per_second=60,
 )
 
-# Orders and workers.
+# Advice.
 
-ORDERS_HELD_UP = Event(
-    "orders held up",
-    "pool starts stops",
-    "Numbers of starts that wait for a thread, and of stops that wait for a thread or "
-    "an answer; nothing is placed until some of them were sent.",
-    level=logging.WARNING,
-    per_second=2,
-)
-ORDER_FAILED = Event(
-    "order failed",
-    "worker",
-    "An unexpected exception while an order was sent or its answer was read. A start "
-    "counts as unanswered.",
-    level=logging.ERROR,
-    per_second=2,
-)
-START_REFUSED = Event(
-    "start refused",
-    _RUN + " reason room_processors room_memory",
-    "A worker refused to start a task, or the order was not sent.",
-)
-START_UNANSWERED = Event(
-    "start unanswered",
-    _RUN + " lapse_in_seconds",
-    "The task may be running or start later; it is stopped, and placed again only once "
-    "it can no longer run.",
-)
-START_FOUND = Event(
-    "late start found", _RUN, "An unanswered start was executed after all."
-)
-STOP_REFUSED = Event(
-    "stop refused", "worker status", "A worker answered a stop with an error."
-)
-PACE_SET = Event(
-    "pace set",
-    _RUN + " percent percent_before",
-    "A filler task's share of its processors was changed.",
-)
-PACE_NOT_SET = Event(
-    "pace not set", "worker error", "A worker did not apply a change of pace."
-)
-RUN_FOUND = Event(
-    "run found",
-    _RUN + " is_needed percent",
-    "A worker lists a run that this owner does not track: an earlier owner started it, "
-    "or its order arrived late. A run that is not needed is stopped.",
-    per_second=200,
-)
-RUN_VANISHED = Event(
-    "run vanished",
-    _RUN + " epoch requested_seconds_ago",
-    "A worker confirmed a run earlier, and lists neither the run nor its end now; "
-    "seconds since that list was requested.",
-    level=logging.WARNING,
-)
-RUN_NEVER_STARTED = Event(
-    "run never started",
-    _RUN + " epoch requested_seconds_ago",
-    "A worker confirmed the stop of a run, and a list requested after that has neither "
-    "the run nor its end; seconds since that list was requested.",
-)
-MACHINES_UNREAD = Event(
-    "machines not read",
-    "silent error",
-    "The list of machines could not be read; the leases of silent workers are awaited.",
-    per_second=2,
-)
-MACHINES_DISTRUSTED = Event(
-    "machines distrusted",
-    "answering unlisted",
-    "The list of machines lacks workers that answer; it is ignored for silent ones.",
-    level=logging.WARNING,
-)
-RUNS_LOST = Event(
-    "runs lost with their worker",
-    "worker runs request_ids silent_seconds reason epoch lapse_in_seconds",
-    "The worker can no longer be running them: its lease has expired, its machine has "
-    "no such worker any more, or it restarted. Seconds until the last lease granted to "
-    "the worker ends, negative if it has ended.",
-)
-WORKER_SILENT = Event(
-    "worker silent",
-    "worker lapse_in_seconds",
-    "The worker did not answer; no new tasks are placed there.",
-)
-WORKER_BACK = Event("worker back", "worker silent_seconds", "The worker answers again.")
-WORKER_GONE = Event(
-    "worker gone", "worker", "A silent, unlisted worker was removed after its lease."
-)
-WORKER_MOVED = Event(
-    "worker moved",
-    "worker address before",
-    "The worker's entry has another address than before: it restarted there.",
-)
-WORKER_FENCED = Event(
-    "fenced by a worker",
-    "worker epoch",
-    "The worker has seen a newer epoch; this owner sends no orders until the store "
-    "confirms its ownership.",
-    level=logging.WARNING,
-)
-WORKER_UNSEEN = Event(
-    "worker not looked at",
-    "worker error",
-    "The worker's lists of runs and ends could not be read after a stop.",
-)
-RENEWAL_REFUSED = Event(
-    "renewal refused", "worker status", "A worker answered a renewal with an error."
-)
 ADVICE_LOST = Event(
     "advice lost",
     "request_id occurrence step asked_seconds",
--- a/papayapick/pool/metrics.py
+++ b/papayapick/pool/metrics.py
@@ -5,6 +5,7 @@
 __all__ = [
     "COMPLETION_SECONDS",
     "ENDS",
+    "ENDS_NOT_APPLIED",
     "FIRST_START_SECONDS",
     "FORECAST_ERROR_SECONDS",
     "OWNED_POOLS",
@@ -12,6 +13,7 @@
     "PREDICTED_WAIT_SECONDS",
     "PROMISES_MISSED",
     "RENEWALS",
+    "REPORT_DELAY_SECONDS",
     "STARTS",
     "TAKEOVERS",
     "TAKEOVER_SECONDS",
@@ -58,6 +60,16 @@
 ENDS = counter(
     PageSection.OWNER, "papayapick_pool_ends", "Ends that workers listed", ("outcome",)
 )
+ENDS_NOT_APPLIED = counter(
+    PageSection.PLACED_AGAIN,
+    "papayapick_pool_ends_not_applied",
+    "Ends that workers listed of unknown tasks, or of runs that had counted as over",
+    ("reason",),
+)
+REPORT_DELAY_SECONDS = histogram(
+    "papayapick_pool_report_delay_seconds",
+    "From a worker's report to its being applied by the owner",
+)
 RENEWALS = counter(
     PageSection.OWNER,
     "papayapick_pool_renewals",
--- a/papayapick/pool/records/store_sync.py
+++ b/papayapick/pool/records/store_sync.py
@@ -8,9 +8,10 @@
     WorkerClient,
     decode_registration,
 )
-from papayapick.pool.events import JOB_TAKEN, RECORD_REFUSED, WORKER_GONE, WORKER_MOVED
+from papayapick.pool.events import JOB_TAKEN, RECORD_REFUSED
 from papayapick.pool.records.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.records.partitions import job_partitions
+from papayapick.pool.workers.events import WORKER_GONE, WORKER_MOVED
 from papayapick.pool.workers.links import WorkerLink
 
 __all__ = ["StoreSync", "check_readable"]
--- a/papayapick/pool/rounds/waiting.py
+++ b/papayapick/pool/rounds/waiting.py
@@ -40,9 +40,9 @@
         Monotonic seconds.
     """
     step.logged_wait = None
-    reasons = [step.tasks[run.key.index].requeue_reason for run in runs]
-    for reason in filter(None, reasons):
-        TASKS_PLACED_AGAIN.labels(reason.value).inc()
+    ended_runs = [step.tasks[run.key.index].last_ended for run in runs]
+    for ended in filter(None, ended_runs):
+        TASKS_PLACED_AGAIN.labels(ended.reason.value).inc()
     STEP_PLACED.write(
         request_id=step.key.job,
         occurrence=step.key.occurrence,
@@ -50,7 +50,12 @@
         tasks=[run.key.index for run in runs],
         attempts=[run.attempt for run in runs],
         workers=[run.worker for run in runs],
-        requeue_reasons=[reason.value if reason else "" for reason in reasons],
+        requeue_reasons=[ended.reason.value if ended else "" for ended in ended_runs],
+        earlier_workers=[ended.worker if ended else "" for ended in ended_runs],
+        earlier_attempts=[ended.attempt if ended else 0 for ended in ended_runs],
+        over_for_seconds=[
+            round(now - ended.counted_at, 3) if ended else 0.0 for ended in ended_runs
+        ],
         left=len(step.waiting),
         waited_seconds=round(now - step.ready_at, 3),
         expected_seconds=round(_expected_seconds(owner.knowledge, step, runs), 3),
--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -2,14 +2,15 @@
 
 import threading
 
+from papayapick.exceptions import root_cause
 from papayapick.platform.exceptions import CallFailed, WorkerSilent
-from papayapick.pool.events import (
+from papayapick.pool.metrics import RENEWALS
+from papayapick.pool.workers.events import (
     RENEWAL_REFUSED,
     WORKER_BACK,
     WORKER_SILENT,
     WORKER_UNSEEN,
 )
-from papayapick.pool.metrics import RENEWALS
 from papayapick.pool.workers.leases import WorkerLease
 
 __all__ = ["WorkerLink"]
@@ -52,6 +53,8 @@
         Incarnation of the worker: the start time of its process, as it reports it.
     incarnation_since : float
         Monotonic seconds by which this incarnation had begun.
+    answered_at : float
+        Monotonic seconds at which the last answer to a poll arrived.
     alive_at : float
         Monotonic seconds at which the last answered poll was sent.
     failed_since : float or None
@@ -74,6 +77,7 @@
         "_listener",
         "acknowledged",
         "alive_at",
+        "answered_at",
         "born",
         "client",
         "due_at",
@@ -102,6 +106,7 @@
         self.processed = 0
         self.born = None
         self.alive_at = self.incarnation_since = float("-inf")
+        self.answered_at = clock.monotonic()
         self.failed_since = None
         self.has_reported = False
         self.is_listed = True
@@ -169,19 +174,19 @@
         share : float, optional
             Part of the usual time for which the worker may hold back its answer.
         """
-        permitted_at = self._clock.monotonic()
+        permitted_at = asked_at = self._clock.monotonic()
         if not self._listener.may_act():
             self._acknowledgement.clear()
             self.pause(_RETRY_SECONDS)
             return
         try:
             self._poll(share, permitted_at)
-        except WorkerSilent:
+        except WorkerSilent as error:
             RENEWALS.labels("no-answer").inc()
-            self._note_no_answer()
+            self._note_no_answer(error, asked_at)
         except CallFailed as error:
             RENEWALS.labels("refused").inc()
-            self._note_refusal(error)
+            self._note_refusal(error, asked_at)
 
     def refresh(self):
         """Read the lists of runs and ends now, beside the pending long poll."""
@@ -208,6 +213,7 @@
         lease_end = None if self.is_silent else self.lease.grant(permitted_at)
         report = self.client.renew(self._epoch, acknowledged, lease_end, wait_seconds)
         RENEWALS.labels("answered").inc()
+        self.answered_at = self._clock.monotonic()
         if self.is_stopped:
             return
         self.lease.note_clock(report.clock)
@@ -244,23 +250,30 @@
             silent = round(self._clock.monotonic() - since, 3)
             WORKER_BACK.write(worker=self.worker, silent_seconds=silent)
 
-    def _note_no_answer(self):
+    def _note_no_answer(self, error, asked_at):
         if self.failed_since is None:
             now = self.failed_since = self._clock.monotonic()
             lapse_at = self.lease.lapse_at
             remaining = round(lapse_at - now, 3) if lapse_at else None
-            WORKER_SILENT.write(worker=self.worker, lapse_in_seconds=remaining)
+            WORKER_SILENT.write(
+                worker=self.worker,
+                lapse_in_seconds=remaining,
+                error=root_cause(error),
+                asked_seconds_ago=round(now - asked_at, 3),
+                answered_seconds_ago=round(now - self.answered_at, 3),
+                unrecorded=self.processed - self.acknowledged,
+            )
         self._listener.note_silence(self)
         self.pause(_RETRY_SECONDS)
 
-    def _note_refusal(self, error):
+    def _note_refusal(self, error, asked_at):
         status = error.details["status"]
         if status == _FENCED_STATUS:
             self._listener.note_fenced(self)
         elif status == _OTHER_INSTANCE_STATUS:
             # Another worker answers at this address, so this one no longer exists.
             self._listener.note_restart(self, None)
-            self._note_no_answer()
+            self._note_no_answer(error, asked_at)
             return
         else:
             RENEWAL_REFUSED.write(worker=self.worker, status=status)
--- a/papayapick/pool/workers/liveness.py
+++ b/papayapick/pool/workers/liveness.py
@@ -8,7 +8,7 @@
 """
 
 from papayapick.platform.exceptions import CallFailed
-from papayapick.pool.events import MACHINES_DISTRUSTED, MACHINES_UNREAD
+from papayapick.pool.workers.events import MACHINES_DISTRUSTED, MACHINES_UNREAD
 
 __all__ = ["LivenessCheck"]
 
--- a/papayapick/pool/workers/lost_runs.py
+++ b/papayapick/pool/workers/lost_runs.py
@@ -1,7 +1,7 @@
 """Runs that end, or never began, without an end that their worker lists."""
 
 from papayapick.jobs.runs import RequeueReason, RunPhase
-from papayapick.pool.events import RUN_NEVER_STARTED, RUN_VANISHED, RUNS_LOST
+from papayapick.pool.workers.events import RUN_NEVER_STARTED, RUN_VANISHED, RUNS_LOST
 from papayapick.pool.workers.reports import EndOutcome, run_fields
 
 __all__ = ["LostRuns"]
@@ -94,6 +94,8 @@
                 reason=reason,
                 epoch=self._owner.row.epoch,
                 lapse_in_seconds=round(link.lease.lapse_at - now, 3),
+                answered_seconds_ago=round(now - link.answered_at, 3),
+                is_leaving=link.registration.is_leaving,
             )
         for run in lost:
             self._end_inferred(room, run, RequeueReason.LOST, now)
--- a/papayapick/pool/workers/orders.py
+++ b/papayapick/pool/workers/orders.py
@@ -4,7 +4,8 @@
 
 from papayapick.jobs.runs import RunPhase
 from papayapick.platform.exceptions import CallFailed, WorkerSilent
-from papayapick.pool.events import (
+from papayapick.pool.metrics import STARTS
+from papayapick.pool.workers.events import (
     ORDER_FAILED,
     ORDERS_HELD_UP,
     PACE_NOT_SET,
@@ -13,7 +14,6 @@
     START_UNANSWERED,
     STOP_REFUSED,
 )
-from papayapick.pool.metrics import STARTS
 from papayapick.pool.workers.reports import StartOutcome, run_fields
 
 __all__ = ["OrderSender", "StartOrder"]
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -1,20 +1,31 @@
 """Apply the reports of workers to an owner's jobs: runs, ends, missing answers."""
 
+from papayapick.jobs.outcomes import EndEffect
 from papayapick.jobs.runs import RunPhase
 from papayapick.placement.pace import Pacer
 from papayapick.placement.progress import may_be_stalled
-from papayapick.pool.events import (
-    RUN_ENDED,
+from papayapick.pool.events import END_NOT_APPLIED, END_OF_GIVEN_UP_RUN, RUN_ENDED
+from papayapick.pool.metrics import (
+    ENDS,
+    ENDS_NOT_APPLIED,
+    FORECAST_ERROR_SECONDS,
+    REPORT_DELAY_SECONDS,
+)
+from papayapick.pool.takeover.reconciliation import PREDECESSOR_LEASE_SECONDS
+from papayapick.pool.workers.events import (
+    REPORT_DELAYED,
     RUN_FOUND,
     START_FOUND,
     WORKER_FENCED,
 )
-from papayapick.pool.metrics import ENDS, FORECAST_ERROR_SECONDS
-from papayapick.pool.takeover.reconciliation import PREDECESSOR_LEASE_SECONDS
 from papayapick.pool.workers.reports import EndOutcome, run_fields
 
 __all__ = ["WorkerReportHandler"]
 
+# A report that waits longer than this is logged: what the owner decides meanwhile goes
+# by older ones.
+_LONG_DELAY_SECONDS = 0.05
+
 
 class WorkerReportHandler:
     """Listen to the links to workers and keep the owner's jobs and rooms up to date.
@@ -59,11 +70,13 @@
             Monotonic seconds at which the report was requested; it reflects everything
             that the worker confirmed before.
         """
+        arrived_at = self._owner.now()
         with self._owner.lock:
             room = self._owner.rooms.get(link.worker)
             if room is None or self._is_of_other_incarnation(link, report):
                 return
             now = self._owner.now()
+            self._note_delay(link, report, now - arrived_at)
             for end in report.ends:
                 if end.number > link.processed:
                     self._apply_end(link, room, end, now)
@@ -96,6 +109,16 @@
         if has_ends or self._owner.job_registry.changed:
             self._owner.journal.wake()
 
+    def _note_delay(self, link, report, seconds):
+        REPORT_DELAY_SECONDS.observe(seconds)
+        if seconds > _LONG_DELAY_SECONDS:
+            REPORT_DELAYED.write(
+                worker=link.worker,
+                ends=len(report.ends),
+                seconds=round(seconds, 3),
+                epoch=self._owner.row.epoch,
+            )
+
     @staticmethod
     def _is_of_other_incarnation(link, report):
         """Return whether a report is of another incarnation than the current one.
@@ -178,9 +201,10 @@
     def _apply_end(self, link, room, end, now):
         run = room.runs.get((end.key, end.attempt))
         step = self._owner.job_registry.step_of(end.key)
-        self._owner.job_registry.end_run(
+        effect = self._owner.job_registry.end_run(
             end.key, end.attempt, end.outcome, end.checkpoint, link.worker, now
         )
+        self._log_effect(effect, step, end, link.worker, now)
         if run is not None:
             room.release(run)
             if step is not None and end.outcome == EndOutcome.DONE:
@@ -191,6 +215,26 @@
         if step is not None and end.outcome != EndOutcome.DONE:
             self._log_run_end(step, end, run, link.worker, now)
 
+    def _log_effect(self, effect, step, end, worker, now):
+        """Log an end that came too early, or too late, to be applied as usual."""
+        if effect in (EndEffect.APPLIED, EndEffect.NOT_NEEDED):
+            return
+        ENDS_NOT_APPLIED.labels(effect.value).inc()
+        fields = {**_end_fields(end, worker), "epoch": self._owner.row.epoch}
+        if effect != EndEffect.COUNTED_AS_OVER:
+            taken_seconds_ago = round(now - self._owner.taken_at, 3)
+            END_NOT_APPLIED.write(
+                **fields, reason=effect.value, taken_seconds_ago=taken_seconds_ago
+            )
+            return
+        task = step.tasks[end.key.index]
+        END_OF_GIVEN_UP_RUN.write(
+            **fields,
+            over_reason=task.last_ended.reason.value,
+            over_for_seconds=round(now - task.last_ended.counted_at, 3),
+            active_workers=[run.worker for run in task.runs],
+        )
+
     def _note_done(self, step, run, now):
         """Compare a run that is done with what was expected, and learn from it."""
         knowledge = self._owner.knowledge
@@ -205,12 +249,7 @@
     def _log_run_end(step, end, run, worker, now):
         task = step.tasks[end.key.index]
         RUN_ENDED.write(
-            request_id=end.key.job,
-            step=end.key.step,
-            task=end.key.index,
-            attempt=end.attempt,
-            worker=worker,
-            outcome=end.outcome,
+            **_end_fields(end, worker),
             failures=task.failures,
             failure_limit=step.job.queue.failure_limit,
             seconds=None if run is None else round(run.worked_seconds(now), 3),
@@ -240,3 +279,15 @@
             if found.checkpoint != run.checkpoint:
                 run.checkpoint = found.checkpoint
                 self._owner.job_registry.note_checkpoint(run)
+
+
+def _end_fields(end, worker):
+    """Return the fields that identify an end in a log event."""
+    return {
+        "request_id": end.key.job,
+        "step": end.key.step,
+        "task": end.key.index,
+        "attempt": end.attempt,
+        "worker": worker,
+        "outcome": end.outcome,
+    }
--- a/tests/pool/fault_simulation.py
+++ b/tests/pool/fault_simulation.py
@@ -556,11 +556,11 @@
         """Let a link poll once; return the seconds until its next poll."""
         try:
             link._poll()
-        except WorkerSilent:
-            link._note_no_answer()
+        except WorkerSilent as error:
+            link._note_no_answer(error, self.now)
             return self.rng.choice([0.4, 1.0])
         except CallFailed as error:
-            link._note_refusal(error)
+            link._note_refusal(error, self.now)
             return 0.2
         return self.rng.choice([0.05, 0.3, 0.6])
 
--- a/tests/pool/test_requeue_reasons.py
+++ b/tests/pool/test_requeue_reasons.py
@@ -53,12 +53,17 @@
 
 
 def test_task_placed_again_tells_that_its_run_was_lost(placed):
-    _, owner = owner_with(job())
+    host, owner = owner_with(job())
     (run,) = place(owner)
     link = owner.links_by_worker[run.worker]
     owner.lost_runs.mark_all(link, "lease over")
+    host.clock.advance(0.2)
     place(owner)
     assert reasons(placed) == [[""], ["lost"]]
+    again = placed[1]
+    assert again["earlier_workers"] == [run.worker]
+    assert again["earlier_attempts"] == [1]
+    assert again["over_for_seconds"] == [pytest.approx(0.2)]
 
 
 def test_task_released_after_a_takeover_names_its_attempt_and_why(placed, monkeypatch):
