Tell ends of runs that were found after a takeover from second runs

Now only what is queued again is marked, and an end counts only if its run isn't known.

Evidence: test_run_found_after_a_takeover_does_not_count_as_over failed before.

--- a/papayapick/jobs/held_tasks.py
+++ b/papayapick/jobs/held_tasks.py
@@ -129,12 +129,11 @@
     def _release(self, step, index, now):
         """Release a task; return whether it waits for a worker from now on."""
         task = step.tasks[index]
-        if task.place:
-            task.last_ended = EndedRun(
-                task.place, task.attempt, RequeueReason.RELEASED, now
-            )
+        place = task.place
         task.refresh_place()
         if task.is_done or task.runs or step.job.is_final:
             return False
+        if place:
+            task.last_ended = EndedRun(place, task.attempt, RequeueReason.RELEASED, now)
         self._registry.enqueue_task(step, index)
         return True
--- a/papayapick/jobs/outcomes.py
+++ b/papayapick/jobs/outcomes.py
@@ -92,9 +92,6 @@
             is_known = key.job in self._registry
             return EndEffect.UNKNOWN_TASK if is_known else EndEffect.UNKNOWN_JOB
         task = step.tasks[key.index]
-        effect = EndEffect.APPLIED
-        if _is_counted_as_over(task, attempt, worker):
-            effect = EndEffect.COUNTED_AS_OVER
         # The start may be known from this outcome only: its number must not be reused.
         task.attempt = max(task.attempt, attempt)
         # A start without a record has its number used again by the next owner, so that
@@ -104,6 +101,9 @@
             for run in task.runs
             if run.name == (key, attempt) and run.worker == worker
         ]
+        effect = EndEffect.APPLIED
+        if not ended and _is_counted_as_over(task, attempt, worker):
+            effect = EndEffect.COUNTED_AS_OVER
         for run in ended:
             self._registry.remove_run(run)
         if step.job.is_final or task.is_done:
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -25,6 +25,7 @@
 # A report that waits longer than this is logged: what the owner decides meanwhile goes
 # by older ones.
 _LONG_DELAY_SECONDS = 0.05
+_UNKNOWN = (EndEffect.UNKNOWN_JOB, EndEffect.UNKNOWN_TASK)
 
 
 class WorkerReportHandler:
@@ -200,11 +201,15 @@
 
     def _apply_end(self, link, room, end, now):
         run = room.runs.get((end.key, end.attempt))
-        step = self._owner.job_registry.step_of(end.key)
+        step = self._owner.job_registry.step(end.key)
+        over = None if step is None else step.tasks[end.key.index].last_ended
         effect = self._owner.job_registry.end_run(
             end.key, end.attempt, end.outcome, end.checkpoint, link.worker, now
         )
-        self._log_effect(effect, step, end, link.worker, now)
+        if effect == EndEffect.COUNTED_AS_OVER:
+            self._log_given_up(step.tasks[end.key.index], over, end, link.worker, now)
+        elif effect in _UNKNOWN:
+            self._log_unknown(effect, end, link.worker, now)
         if run is not None:
             room.release(run)
             if step is not None and end.outcome == EndOutcome.DONE:
@@ -215,24 +220,24 @@
         if step is not None and end.outcome != EndOutcome.DONE:
             self._log_run_end(step, end, run, link.worker, now)
 
-    def _log_effect(self, effect, step, end, worker, now):
-        """Log an end that came too early, or too late, to be applied as usual."""
-        if effect in (EndEffect.APPLIED, EndEffect.NOT_NEEDED):
-            return
+    def _log_unknown(self, effect, end, worker, now):
         ENDS_NOT_APPLIED.labels(effect.value).inc()
-        fields = {**_end_fields(end, worker), "epoch": self._owner.row.epoch}
-        if effect != EndEffect.COUNTED_AS_OVER:
-            taken_seconds_ago = round(now - self._owner.taken_at, 3)
-            END_NOT_APPLIED.write(
-                **fields, reason=effect.value, taken_seconds_ago=taken_seconds_ago
-            )
-            return
-        task = step.tasks[end.key.index]
+        END_NOT_APPLIED.write(
+            **_end_fields(end, worker),
+            reason=effect.value,
+            epoch=self._owner.row.epoch,
+            taken_seconds_ago=round(now - self._owner.taken_at, 3),
+        )
+
+    def _log_given_up(self, task, over, end, worker, now):
+        """Log the end of a run that counted as over; ``over`` is its EndedRun."""
+        ENDS_NOT_APPLIED.labels(EndEffect.COUNTED_AS_OVER.value).inc()
         END_OF_GIVEN_UP_RUN.write(
-            **fields,
-            over_reason=task.last_ended.reason.value,
-            over_for_seconds=round(now - task.last_ended.counted_at, 3),
+            **_end_fields(end, worker),
+            over_reason=over.reason.value,
+            over_for_seconds=round(now - over.counted_at, 3),
             active_workers=[run.worker for run in task.runs],
+            epoch=self._owner.row.epoch,
         )
 
     def _note_done(self, step, run, now):
--- a/tests/pool/test_ends_not_applied.py
+++ b/tests/pool/test_ends_not_applied.py
@@ -4,7 +4,18 @@
 
 from papayapick.jobs import TaskKey
 from papayapick.pool.workers import report_handler
-from tests.pool.owners import ID, KEY, job, owner_with, place, report
+from tests.pool.owners import (
+    ID,
+    KEY,
+    host_with_two_workers,
+    job,
+    owner_of,
+    owner_with,
+    place,
+    report,
+    started_record,
+    store_job,
+)
 from tests.pool.test_waits import RecordedEvents
 
 
@@ -53,3 +64,14 @@
     place(owner)
     report(owner, "w1", ends=[(KEY, 1, "done")])
     assert events == []
+
+
+def test_run_found_after_a_takeover_does_not_count_as_over(events):
+    """Guards against lines about second runs for each run found after a takeover."""
+    host = host_with_two_workers()
+    store_job(host, job(), started_record("w2"))
+    owner = owner_of(host)
+    for worker, runs in (("w2", [(KEY, 1)]), ("w1", ())):
+        report(owner, worker, runs=runs)
+    report(owner, "w2", ends=[(KEY, 1, "done")])
+    assert events == []
