Let one clock serve the entry tests that wait without real time

Seven classes of the same logic (candidates, test_followers, test_joining, test_loops, test_operator_rows, test_takeover_delay, test_writers) are AdvancingClock of tests/standins/clocks.py. Two of them left the time alone if the event is set already, as a real wait does; the one clock does so too.

--- a/tests/entry/candidates.py
+++ b/tests/entry/candidates.py
@@ -3,14 +3,8 @@
 import threading
 from types import SimpleNamespace
 
-from papayapick.clock import ManualClock
 from papayapick.wire.messages import PoolBeat
-
-
-class _Clock(ManualClock):
-    def wait(self, event, seconds):
-        self.advance(seconds)
-        return event.is_set()
+from tests.standins.clocks import AdvancingClock
 
 
 class Settings:
@@ -21,7 +15,7 @@
 
 class Host:
     def __init__(self):
-        self.clock = _Clock(100.0)
+        self.clock = AdvancingClock(100.0)
         self.settings = Settings()
         self.stopping = threading.Event()
         self.store = object()
--- a/tests/entry/test_followers.py
+++ b/tests/entry/test_followers.py
@@ -11,6 +11,7 @@
 from papayapick.entry.process import EntryHost
 from papayapick.platform.store import Store
 from papayapick.pool.records.store_sync import StoreSync
+from tests.standins.clocks import AdvancingClock
 
 # Accepted jobs wait at most this long before their owner repeats the call.
 NOTICED_SECONDS = 1.0
@@ -63,14 +64,6 @@
         return Page(["row"], version + 1)
 
 
-class AdvancingClock(ManualClock):
-    """Advance by the time to wait instead of waiting."""
-
-    def wait(self, event, seconds):
-        self.advance(seconds)
-        return event.is_set()
-
-
 class RecordingSources(StoreSync):
     """Record the rows of workers that are passed on."""
 
--- a/tests/entry/test_joining.py
+++ b/tests/entry/test_joining.py
@@ -9,6 +9,7 @@
 from papayapick.entry.cell.peers import HOSTS_PARTITION
 from papayapick.ownership.pools import CELL_TABLE
 from tests.entry.hosts import SETTINGS, make_host
+from tests.standins.clocks import AdvancingClock
 
 OWN_NAME = SETTINGS["node"]
 
@@ -108,15 +109,6 @@
         self.transact([], [])
 
 
-class AdvancingClock(ManualClock):
-    """Advance by the time to wait instead of waiting."""
-
-    def wait(self, event, seconds):
-        if not event.is_set():
-            self.advance(seconds)
-        return event.is_set()
-
-
 @pytest.mark.parametrize("step", [register, cell_key])
 def test_host_that_stops_while_the_store_is_away_calls_it_no_more(host, step):
     """Guards against a stopping host that calls the store without a pause."""
--- a/tests/entry/test_loops.py
+++ b/tests/entry/test_loops.py
@@ -10,14 +10,7 @@
 from papayapick.entry.loops import LoopRunner
 from papayapick.ownership.pools import PoolRow
 from tests.entry.hosts import make_host
-
-
-class SteppingClock(ManualClock):
-    """Advance by each wait instead of waiting."""
-
-    def wait(self, event, seconds):
-        self.advance(seconds)
-        return event.is_set()
+from tests.standins.clocks import AdvancingClock
 
 
 class Exited(BaseException):
@@ -26,7 +19,7 @@
 
 @pytest.fixture
 def clock():
-    return SteppingClock()
+    return AdvancingClock()
 
 
 @pytest.fixture
--- a/tests/entry/test_operator_rows.py
+++ b/tests/entry/test_operator_rows.py
@@ -10,7 +10,6 @@
 
 from papayapick.clients.exceptions import ConditionFailed
 from papayapick.clients.rows import Page, StoredRow
-from papayapick.clock import ManualClock
 from papayapick.entry.cell.peers import Peer
 from papayapick.entry.configuration.announcements import Announcements
 from papayapick.entry.configuration.exchange import (
@@ -26,6 +25,7 @@
 from papayapick.executors import ElasticExecutor
 from papayapick.wire.exceptions import FrameInvalid, PeerTimeout
 from papayapick.wire.messages import ConfigurationQuery, ConfigurationReply
+from tests.standins.clocks import AdvancingClock
 
 
 def row(key, version, value=None):
@@ -129,15 +129,6 @@
     return StoredRow("cell", "configuration", "newest", value, version)
 
 
-class AdvancingClock(ManualClock):
-    """Advance by the time to wait instead of waiting."""
-
-    def wait(self, event, seconds):
-        if not event.is_set():
-            self.advance(seconds)
-        return event.is_set()
-
-
 class Host:
     """Stand in for an entry host with other hosts beside it."""
 
--- a/tests/entry/test_takeover_delay.py
+++ b/tests/entry/test_takeover_delay.py
@@ -6,10 +6,10 @@
 import pytest
 
 from papayapick.clients.http import HttpAnswer
-from papayapick.clock import ManualClock
 from papayapick.entry.candidacy import Candidacy
 from papayapick.entry.cell.joining import cell_key
 from tests.entry.hosts import make_host
+from tests.standins.clocks import AdvancingClock
 
 NEAR_SECONDS = 0.008
 FAR_SECONDS = 0.047
@@ -17,12 +17,6 @@
 KEY_ROW = {"table": "cell", "part": "key", "key": "key", "value": "eyJrZXkiOiAiIn0="}
 
 
-class _Clock(ManualClock):
-    def wait(self, event, seconds):
-        self.advance(seconds)
-        return event.is_set()
-
-
 class _ScriptedPool:
     """Answer calls of the store by a list of (status, seconds)."""
 
@@ -42,7 +36,7 @@
     """Return a function from the store's answers at the start to a host's delay."""
 
     def start(answers):
-        clock = _Clock(100.0)
+        clock = AdvancingClock(100.0)
         pool = _ScriptedPool(clock, list(answers))
         host = make_host(monkeypatch, clock, pool)
         host.peers = SimpleNamespace(all=list)
--- a/tests/entry/test_writers.py
+++ b/tests/entry/test_writers.py
@@ -7,9 +7,9 @@
 from papayapick.clients import TableUnavailable
 from papayapick.clients.exceptions import ConditionFailed, StoreRefused
 from papayapick.clients.rows import Expectation, RowWrite, StoredRow
-from papayapick.clock import ManualClock
 from papayapick.entry.callers.writers import GroupWriter
 from papayapick.entry.exceptions import AcceptanceUnknown, NotAccepted
+from tests.standins.clocks import AdvancingClock
 
 
 class Store:
@@ -35,12 +35,6 @@
         return 3
 
 
-class _Clock(ManualClock):
-    def wait(self, event, seconds):
-        self.advance(seconds)
-        return event.is_set()
-
-
 class Executor:
     """Collect tasks, and run them when the test says so."""
 
@@ -67,7 +61,7 @@
 
 @pytest.fixture
 def writer(store, executor):
-    return GroupWriter(store, _Clock(10.0), threading.Event(), executor)
+    return GroupWriter(store, AdvancingClock(10.0), threading.Event(), executor)
 
 
 def _submit(writer, key, partition="pool"):
