--- a/tests/ownership/test_leases.py
+++ b/tests/ownership/test_leases.py
@@ -67,6 +67,16 @@
     return task
 
 
+def recover_and_renew(cell, earlier, successor):
+    """Let the successor recover the job, and both owners renew for over three leases."""
+    successor.read_journal()
+    successor.runner.recover(successor.shard, successor.shard.work_index.get("r"))
+    for _ in range(8):
+        cell.clock.advance(LEASE * 0.4)
+        earlier.renew()
+        successor.renew()
+
+
 def places(cell):
     """Return on how many workers the job runs."""
     return sum(len(tasks) for tasks in cell.platform.workers.running().values())
@@ -127,12 +137,7 @@
     successor = Owner(cell, "placer-b", UnreachablePool(cell.platform))
     # B has not fenced the worker, whose fence is still at A's epoch.
     cell.platform.workers._workers[host_of(earlier)].epoch = earlier.shard.epoch
-    successor.read_journal()
-    successor.runner.recover(successor.shard, successor.shard.work_index.get("r"))
-    for _ in range(8):
-        cell.clock.advance(LEASE * 0.4)
-        earlier.renew()
-        successor.renew()
+    recover_and_renew(cell, earlier, successor)
     assert places(cell) == 1
     assert not successor.is_rerun()
 
@@ -149,11 +154,6 @@
     start(cell, earlier)
     cell.entries = [entry for entry in cell.entries if entry.name != host_of(earlier)]
     successor = Owner(cell, "placer-b")
-    successor.read_journal()
-    successor.runner.recover(successor.shard, successor.shard.work_index.get("r"))
-    for _ in range(8):
-        cell.clock.advance(LEASE * 0.4)
-        earlier.renew()
-        successor.renew()
+    recover_and_renew(cell, earlier, successor)
     assert places(cell) == 1
     assert not successor.is_rerun()
