--- a/tests/speeds/test_workers.py
+++ b/tests/speeds/test_workers.py
@@ -37,6 +37,17 @@
     return speeds
 
 
+def learned_speeds_of_two_kinds():
+    """Return speeds in which big workers are twice as fast, and the time then."""
+    kinds = {
+        worker: "big" if number < 4 else "small"
+        for number, worker in enumerate(WORKERS)
+    }
+    speeds = speeds_of(kinds=kinds)
+    durations = {name: 0.5 if kind == "big" else 1.0 for name, kind in kinds.items()}
+    return speeds, learn(speeds, durations, steps=12)
+
+
 @given(
     st.lists(
         st.tuples(
@@ -168,26 +179,14 @@
 
 
 def test_worker_of_another_kind_at_the_same_address_starts_from_that_kind():
-    kinds = {
-        worker: "big" if number < 4 else "small"
-        for number, worker in enumerate(WORKERS)
-    }
-    speeds = speeds_of(kinds=kinds)
-    durations = {name: 0.5 if kind == "big" else 1.0 for name, kind in kinds.items()}
-    now = learn(speeds, durations, steps=12)
+    speeds, now = learned_speeds_of_two_kinds()
     speeds.add_worker(registration("w0", "small"))
     speeds.refresh(now + 1.0)
     assert speeds.speed("w0") == pytest.approx(speeds.speed("w5"), rel=0.2)
 
 
 def test_new_worker_has_the_speed_of_its_kind_but_not_of_its_rack():
-    kinds = {
-        worker: "big" if number < 4 else "small"
-        for number, worker in enumerate(WORKERS)
-    }
-    speeds = speeds_of(kinds=kinds)
-    durations = {name: 0.5 if kind == "big" else 1.0 for name, kind in kinds.items()}
-    now = learn(speeds, durations, steps=12)
+    speeds, now = learned_speeds_of_two_kinds()
     speeds.add_worker(registration("w9", "big", rack="r-77"))
     speeds.refresh(now + 1.0)
     assert speeds.differ
