--- a/tests/pool/test_overload.py
+++ b/tests/pool/test_overload.py
@@ -136,18 +136,10 @@
 
 def test_round_does_not_scan_all_workers_for_steps_that_fit_nowhere():
     """Guards against rounds that use a whole processor while hundreds of steps wait."""
-    load = PoolSimulation(workers=40, length=SECONDS)
+    load = _pool_with_unanswered_steps()
     owner = load.owner
-    owner.host.queue_of = lambda document: ADVISED
-    owner.advice_manager._cache._ask = lambda key, workers, expected: None
-    for _ in range(400):
-        load.submit_job(tasks=4, estimate=SECONDS, queue=ADVISED)
     for step in owner.job_registry.waiting_steps():
-        owner.advice_manager.request(step, load.now)
-        tickets = dict.fromkeys(load.workers, "t")
-        owner.advice_manager._cache.note_answer(
-            step.key, tickets, ADVISED.advice, load.now
-        )
+        _answer_request(owner, step, load.workers, load.now)
     owner.decisions.place(load.now)
     scans = []
     owner.rooms = CountingRooms(owner.rooms, scans)
@@ -158,13 +150,9 @@
 
 def test_round_does_not_scan_all_workers_for_steps_with_tickets_for_full_ones():
     """Guards against the same scans while a worker is free that few steps may use."""
-    load = PoolSimulation(workers=40, length=SECONDS)
+    load = _pool_with_unanswered_steps()
     owner = load.owner
-    owner.host.queue_of = lambda document: ADVISED
-    owner.advice_manager._cache._ask = lambda key, workers, expected: None
     *others, free = load.workers
-    for _ in range(400):
-        load.submit_job(tasks=4, estimate=SECONDS, queue=ADVISED)
     *steps, last = owner.job_registry.waiting_steps()
     for step in steps:
         _answer_request(owner, step, others, load.now)
@@ -179,6 +167,16 @@
     assert len(scans) < 20
 
 
+def _pool_with_unanswered_steps():
+    """Return a pool of 40 workers whose 400 jobs wait for advice."""
+    load = PoolSimulation(workers=40, length=SECONDS)
+    load.owner.host.queue_of = lambda document: ADVISED
+    load.owner.advice_manager._cache._ask = lambda key, workers, expected: None
+    for _ in range(400):
+        load.submit_job(tasks=4, estimate=SECONDS, queue=ADVISED)
+    return load
+
+
 def _answer_request(owner, step, workers, now):
     owner.advice_manager.request(step, now)
     tickets = dict.fromkeys(workers, "t")
