--- a/tests/ownership/test_leases.py
+++ b/tests/ownership/test_leases.py
@@ -68,7 +68,7 @@
 
 
 def recover_and_renew(cell, earlier, successor):
-    """Let the successor recover the job, and both owners renew for over three leases."""
+    """Let the successor recover the job; both owners renew for over three leases."""
     successor.read_journal()
     successor.runner.recover(successor.shard, successor.shard.work_index.get("r"))
     for _ in range(8):
