Let one base hold the generator of policies that draw instances

PowerOfTwo and RandomInstance had the same slots and constructor; both now come from _DrawingPolicy.

--- a/papayapick/placement/instances.py
+++ b/papayapick/placement/instances.py
@@ -44,6 +44,20 @@
         return ledger.free_slots(service)
 
 
+class _DrawingPolicy(_OutcomeBlindPolicy):
+    """Base of policies that draw instances at random.
+
+    Parameters
+    ----------
+    generator : random.Random
+    """
+
+    __slots__ = ("_generator",)
+
+    def __init__(self, generator):
+        self._generator = generator
+
+
 def _with_free_slot(ledger, service, avoid):
     """Return name and slots in use of instances with a free slot.
 
@@ -130,18 +144,10 @@
         )
 
 
-class PowerOfTwo(_OutcomeBlindPolicy):
-    """Draw two instances at random and choose the one with fewer slots in use.
-
-    Parameters
-    ----------
-    generator : random.Random
-    """
-
-    __slots__ = ("_generator",)
+class PowerOfTwo(_DrawingPolicy):
+    """Draw two instances at random and choose the one with fewer slots in use."""
 
-    def __init__(self, generator):
-        self._generator = generator
+    __slots__ = ()
 
     def choose(self, ledger, service, avoid=()):
         """Return the less loaded of two instances with a free slot, or None."""
@@ -153,18 +159,10 @@
         return min(first, second, key=lambda entry: entry[1])[0]
 
 
-class RandomInstance(_OutcomeBlindPolicy):
-    """Choose a random instance with a free slot.
-
-    Parameters
-    ----------
-    generator : random.Random
-    """
-
-    __slots__ = ("_generator",)
+class RandomInstance(_DrawingPolicy):
+    """Choose a random instance with a free slot."""
 
-    def __init__(self, generator):
-        self._generator = generator
+    __slots__ = ()
 
     def choose(self, ledger, service, avoid=()):
         """Return a random instance with a free slot, or None."""
