Let the one clock serve the tests of the owner's client

Its event is never set, so that AdvancingClock of tests/standins/clocks.py does the same as the class that stood here.

--- a/tests/management/test_owner_client.py
+++ b/tests/management/test_owner_client.py
@@ -4,23 +4,16 @@
 
 import pytest
 
-from papayapick.clock import ManualClock
 from papayapick.management.exceptions import OwnerMissing
 from papayapick.management.owner_client import OwnerClient
 from papayapick.wire import PeerRefused, PeerTimeout, PeerUnreachable
 from papayapick.wire.messages import WorkCancel, WorkState
+from tests.standins.clocks import AdvancingClock
 
 ADDRESS = ("127.0.0.1", 7000)
 DONE = WorkState(request_id="hobart-a.0.r", state="ended", outcome="done")
 
 
-class SteppingClock(ManualClock):
-    """Advance by each wait without blocking."""
-
-    def wait(self, event, seconds):
-        self.advance(seconds)
-
-
 class FakeTable:
     """Return the given owners of a shard in turn, and then always the last one."""
 
@@ -55,7 +48,7 @@
 
 def send(owners, answers):
     client = OwnerClient(
-        FakeTable(*owners), lambda: FakePeers(answers), SteppingClock()
+        FakeTable(*owners), lambda: FakePeers(answers), AdvancingClock()
     )
     message = WorkCancel(shard="hobart-a.0", request_id="hobart-a.0.r")
     return client.ask("hobart-a.0", message)
