Keep a complete answer whose connection is reset after it

Callers saw: a worker that leaves ends its last run, answers, and exits; its connection is reset. The owner counted it as silent, the list of machines lacked it, and the run, whose end was in that answer, was placed again: a second run of a task that was done.

Cause: after the last byte of an answer the pool of connections looks for more bytes, which would belong to no answer. If the server has reset the connection by then, that look raises ConnectionResetError, and the whole answer counted as missing.

Change: an answer that arrived whole is kept; its connection isn't used again. An answer that is longer than announced is refused as before, also if a reset follows.

--- a/papayapick/clients/http.py
+++ b/papayapick/clients/http.py
@@ -15,9 +15,11 @@
 )
 from papayapick.clients.time_limits import TimeLimit
 from papayapick.clock import SystemClock
+from papayapick.observability import get_logger
 
 __all__ = ["HttpAnswer", "HttpPool"]
 
+_LOG = get_logger(__name__)
 _MAX_IDLE_PER_ADDRESS = 32
 _MAX_IDLE = 10_000
 _PART_BYTES = 64 << 10
@@ -165,11 +167,18 @@
         limit.apply(sock)
         response = connection.getresponse()
         data = self._read_body(sock, response, path, limit)
-        if _has_more(sock, response):
+        is_reusable = not response.will_close
+        try:
+            has_more = _has_more(sock, response)
+        except OSError as error:
+            # The server exits right after its answer, which may be the only one that
+            # has the last ends of a worker: without it, tasks that are done run again.
+            _LOG.debug("reset after an answer", extra={"error": str(error)})
+            has_more = is_reusable = False
+        if has_more:
             # A Content-Length that is too small makes a truncated answer look complete,
             # and the remaining bytes would be read as the next answer.
             raise AnswerInvalid(url=path, reason="it is longer than its Content-Length")
-        is_reusable = not response.will_close
         response.close()
         return HttpAnswer(response.status, response.headers, data), is_reusable
 
--- /dev/null
+++ b/tests/clients/test_whole_answers.py
@@ -0,0 +1,53 @@
+"""Whole answers are kept, whatever happens to their connection afterwards."""
+
+import socketserver
+
+import pytest
+
+from papayapick.clients.exceptions import AnswerInvalid
+from tests.clients.servers import LateReader, close_with_reset, serving
+
+BODY = b"x" * 20_000
+HEAD = f"HTTP/1.1 200 OK\r\nContent-Length: {len(BODY)}\r\n\r\n".encode()
+
+
+class Resetting(socketserver.BaseRequestHandler):
+    """Answer, and reset the connection."""
+
+    def handle(self):
+        self.request.recv(4096)
+        self.request.sendall(HEAD + BODY)
+        close_with_reset(self.request)
+
+
+class Unread(socketserver.BaseRequestHandler):
+    """Answer, and close the connection with a part of the request unread."""
+
+    def handle(self):
+        self.request.recv(1)
+        self.request.sendall(HEAD + BODY)
+        self.request.close()
+
+
+class TooLong(socketserver.BaseRequestHandler):
+    """Send more than announced, and reset the connection."""
+
+    def handle(self):
+        self.request.recv(4096)
+        self.request.sendall(HEAD + BODY + b"more")
+        close_with_reset(self.request)
+
+
+@pytest.mark.parametrize("handler", [Resetting, Unread])
+def test_answer_is_kept_if_its_connection_is_reset_afterwards(handler):
+    """Guards against the last ends of a worker that exits, thrown away with them."""
+    with serving(handler) as address:
+        pool = LateReader(5.0)
+        assert pool.request("GET", f"http://{address}/").body == BODY
+        assert pool.idle_connections == 0
+
+
+def test_answer_longer_than_announced_is_refused_also_before_a_reset():
+    """Guards against a truncated answer that looks complete."""
+    with serving(TooLong) as address, pytest.raises(AnswerInvalid):
+        LateReader(5.0).request("GET", f"http://{address}/")
