Keep a complete answer whose time limit runs out at its end

Callers saw: an answer that had arrived to its last byte counted as cut off, "0 more were expected", if the time limit ran out between its last byte and the next look at the clock, as for a late answer or a thread that waits for the interpreter. A worker's ends in it were thrown away with it.

Cause: after the last part the pool of connections went on to read an empty one, and asked the time limit first.

Change: nothing is read after the last byte of an answer of known length.

Evidence: test_answer_is_kept_if_the_time_limit_runs_out_at_its_end failed on the code as it was (AnswerCut, 20000 bytes, 0 more were expected) and passes now, on a real socket; tests/clients pass.

--- a/papayapick/clients/http.py
+++ b/papayapick/clients/http.py
@@ -186,7 +186,12 @@
         parts = []
         failure = None
         try:
-            while part := self._read_part(sock, response, limit):
+            # Nothing is read after the last byte: the time limit may have run out or
+            # the connection may have ended since, and the answer would be thrown away.
+            while response.length != 0:
+                part = self._read_part(sock, response, limit)
+                if not part:
+                    break
                 parts.append(part)
         except (OSError, http.client.HTTPException) as error:
             failure = error
