Apply a report that has arrived before a worker's runs count as over

Callers saw: a task that was done ran again, although its worker's answer with the end had arrived before the owner decided that the run was over.

Cause: the list of machines, the end of a lease, another worker at an address and the end of all earlier leases after a takeover are judged by one thread under the owner's lock. A report that another thread had read, and that waited for this lock, was applied afterwards, with the second start on its way. The same holds for an answer that has arrived while its thread doesn't run yet.

Change: each link follows its calls from before they are sent until their report is applied (Arrivals). A report that was read puts off what would be inferred of its worker; a call in progress does so for 0.05 s after it could first be inferred, as the thread may have an answer to read. Nobody waits while holding the owner's lock: the decision loop skips the worker until its next tick, the check of the list of machines waits before it takes the lock, and a link that finds a restart or another worker lets other threads apply what they have, for 1 s at most. What a silent worker ran is thus placed 0.05 s later at most if a call to it is pending, and at once if none is. "runs kept" in the log tells of it.

Evidence: on the code as it was, seven tests of tests/pool/test_arrivals.py failed (list of machines, lease and other worker, each with a report that was read and with an answer that was not read yet; a takeover whose earlier leases are over): the task was placed again. They pass now. The two for a worker that is gone and never answers passed before and pass now. tests/pool pass; test_liveness.py and test_restarts.py are as they were.

--- a/papayapick/pool/rounds/loop.py
+++ b/papayapick/pool/rounds/loop.py
@@ -2,6 +2,7 @@
 
 from papayapick.jobs import RunPhase
 from papayapick.pool.takeover.reconciliation import PREDECESSOR_LEASE_SECONDS
+from papayapick.pool.workers.events import RUNS_KEPT
 
 __all__ = ["DecisionLoop"]
 
@@ -84,9 +85,13 @@
 
     def _tick_link(self, link, now):
         owner = self._owner
-        if link.is_silent and now > max(
-            link.lease.lapse_at, self._earliest_lapse(link)
-        ):
+        lapse_at = max(link.lease.lapse_at, self._earliest_lapse(link))
+        if link.is_silent and now > lapse_at:
+            if link.arrivals.is_awaited(lapse_at, now):
+                RUNS_KEPT.write(
+                    worker=link.worker, reason="lease over", epoch=owner.row.epoch
+                )
+                return
             owner.lost_runs.mark_all(link, "lease over")
             if not link.is_listed and owner.reconciliation.is_complete:
                 owner.store_sync.drop_link(link)
--- a/papayapick/pool/takeover/reconciliation.py
+++ b/papayapick/pool/takeover/reconciliation.py
@@ -116,12 +116,16 @@
         """
         if self._is_complete:
             return
-        silent = sorted(
-            link.worker
+        links = [
+            link
             for link in self._owner.links_by_worker.values()
             if not (link.has_reported or link.worker in self._gone_workers)
+        ]
+        silent = sorted(link.worker for link in links)
+        over_at = self._owner.taken_at + PREDECESSOR_LEASE_SECONDS
+        is_over = now > over_at and not any(
+            link.arrivals.is_awaited(over_at, now) for link in links
         )
-        is_over = now > self._owner.taken_at + PREDECESSOR_LEASE_SECONDS
         released = self._owner.job_registry.held.release_tasks(
             lambda task: is_over or self._is_safe_to_place(task, bool(silent)), now
         )
--- a/papayapick/pool/workers/events.py
+++ b/papayapick/pool/workers/events.py
@@ -13,6 +13,7 @@
     "PACE_SET",
     "RENEWAL_REFUSED",
     "REPORT_DELAYED",
+    "RUNS_KEPT",
     "RUNS_LOST",
     "RUN_FOUND",
     "RUN_NEVER_STARTED",
@@ -126,6 +127,13 @@
     "A worker's report waited for that long until it could be applied.",
     per_second=5,
 )
+RUNS_KEPT = Event(
+    "runs kept",
+    "worker reason epoch",
+    "The runs of a silent worker would count as lost, for the reason, but a report of "
+    "it has arrived, or may have, and is applied first.",
+    per_second=5,
+)
 WORKER_BACK = Event("worker back", "worker silent_seconds", "The worker answers again.")
 WORKER_GONE = Event(
     "worker gone", "worker", "A silent, unlisted worker was removed after its lease."
--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -5,6 +5,7 @@
 from papayapick.exceptions import root_cause
 from papayapick.platform.exceptions import CallFailed, WorkerSilent
 from papayapick.pool.metrics import RENEWALS
+from papayapick.pool.workers.arrivals import Arrivals
 from papayapick.pool.workers.events import (
     RENEWAL_REFUSED,
     WORKER_BACK,
@@ -63,6 +64,8 @@
     failed_since : float or None
         Monotonic seconds at which the worker stopped answering; None while it answers.
     lease : WorkerLease
+    arrivals : Arrivals
+        Reports that were not applied yet.
     has_reported : bool
         Whether the worker has answered this owner and so refuses earlier ones.
     due_at : float
@@ -81,6 +84,7 @@
         "acknowledged",
         "alive_at",
         "answered_at",
+        "arrivals",
         "born",
         "client",
         "due_at",
@@ -104,6 +108,7 @@
         self._clock = clock
         self._listener = listener
         self.lease = WorkerLease(clock, lease_limit_seconds)
+        self.arrivals = Arrivals(clock)
         self._acknowledgement = threading.Event()
         self.acknowledged = 0
         self.processed = 0
@@ -194,15 +199,24 @@
     def refresh(self):
         """Read the lists of runs and ends now, beside the pending long poll."""
         requested_at = self._clock.monotonic()
-        try:
-            report = self.client.renew(self._epoch, _ACKNOWLEDGE_NONE)
-        except (WorkerSilent, CallFailed) as error:
-            WORKER_UNSEEN.write(worker=self.worker, error=str(error))
-            return
-        if not self.is_stopped and report.born == self.born:
-            self._listener.note_report(self, report, requested_at)
+        with self.arrivals.call() as call:
+            try:
+                report = self.client.renew(self._epoch, _ACKNOWLEDGE_NONE)
+            except (WorkerSilent, CallFailed) as error:
+                WORKER_UNSEEN.write(worker=self.worker, error=str(error))
+                return
+            call.has_arrived = True
+            if not self.is_stopped and report.born == self.born:
+                self._listener.note_report(self, report, requested_at)
 
     def _poll(self, share=1.0, permitted_at=None):
+        with self.arrivals.call() as call:
+            self._poll_by(call, share, permitted_at)
+        if self.processed > self.acknowledged:
+            leaves = self._leaves_with_runs()
+            self.pause(_LEAVING_SECONDS if leaves else _UNACKNOWLEDGED_SECONDS)
+
+    def _poll_by(self, call, share, permitted_at):
         wait_seconds = share * self._poll_seconds()
         # A silent worker may have restarted and numbered its ends from the start: it
         # would discard ends that were never read. If it has not restarted, the
@@ -215,6 +229,7 @@
         # the runs of a worker that is gone would never be rescheduled.
         lease_end = None if self.is_silent else self.lease.grant(permitted_at)
         report = self.client.renew(self._epoch, acknowledged, lease_end, wait_seconds)
+        call.has_arrived = True
         RENEWALS.labels("answered").inc()
         self.answered_at = self._clock.monotonic()
         if self.is_stopped:
@@ -225,6 +240,7 @@
         if self.born is not None and report.born != self.born:
             # The worker restarted under the same id: its earlier runs are gone, its
             # ends are numbered from the start, and it lists only runs started since.
+            self.arrivals.wait_until_applied(call)
             listed = report.runs + report.ends
             names = {(entry.key, entry.attempt) for entry in listed}
             self._listener.note_restart(self, report.born, names, requested_at)
@@ -232,9 +248,6 @@
         self.alive_at = requested_at
         self._note_answer()
         self._listener.note_report(self, report, requested_at)
-        if self.processed > self.acknowledged:
-            leaves = self._leaves_with_runs()
-            self.pause(_LEAVING_SECONDS if leaves else _UNACKNOWLEDGED_SECONDS)
 
     def _leaves_with_runs(self):
         """Return whether the worker is about to exit and may list further ends.
@@ -287,6 +300,7 @@
             self._listener.note_fenced(self)
         elif status == _OTHER_INSTANCE_STATUS:
             # Another worker answers at this address, so this one no longer exists.
+            self.arrivals.wait_until_applied()
             self._listener.note_restart(self, None)
             self._note_no_answer(error, asked_at)
             return
--- a/papayapick/pool/workers/liveness.py
+++ b/papayapick/pool/workers/liveness.py
@@ -8,7 +8,11 @@
 """
 
 from papayapick.platform.exceptions import CallFailed
-from papayapick.pool.workers.events import MACHINES_DISTRUSTED, MACHINES_UNREAD
+from papayapick.pool.workers.events import (
+    MACHINES_DISTRUSTED,
+    MACHINES_UNREAD,
+    RUNS_KEPT,
+)
 
 __all__ = ["LivenessCheck"]
 
@@ -63,6 +67,10 @@
             MACHINES_UNREAD.write(silent=len(silent), error=str(error))
             return
         alive = {machine.worker for machine in machines if machine.is_up}
+        read_at = self._owner.now()
+        for link in silent:
+            if link.worker not in alive:
+                link.arrivals.wait_until_read(read_at)
         with self._owner.lock:
             if not self._is_trusted(alive, requested_at):
                 return
@@ -98,7 +106,14 @@
         return age > _LIST_AGE_SECONDS + _CLOCK_DIFFERENCE_SECONDS
 
     def _mark_gone(self, link):
-        if link.has_reported:
+        if link.arrivals.has_unapplied:
+            # The next check decides, by what the report says.
+            RUNS_KEPT.write(
+                worker=link.worker,
+                reason="no such worker",
+                epoch=self._owner.row.epoch,
+            )
+        elif link.has_reported:
             self._owner.lost_runs.mark_started(link)
         else:
             self._owner.reconciliation.note_worker_gone(
