Hold tasks after a takeover until their worker has listed all its ends

Callers saw: a task that was done ran again after a takeover, if its worker had 500 ends or more that no owner had acknowledged.

Cause: a worker lists 500 ends at a time, and the others once these are recorded. The first report of a worker released the tasks that were held for it, although the end of such a task could be among those held back.

Change: a link tells whether its worker has listed all its ends (has_listed_all); held tasks are released by that, and not by the first report. The end of all earlier leases no longer releases what a worker in touch still holds back. A worker that crashes, is cut off or begins anew meanwhile is treated as one that has not reported, so that tasks don't wait for it for longer than before. Where all workers list their ends at once, nothing changes.

--- a/papayapick/pool/takeover/reconciliation.py
+++ b/papayapick/pool/takeover/reconciliation.py
@@ -109,9 +109,9 @@
         self.release_safe_tasks(now)
 
     def release_safe_tasks(self, now):
-        """Release the held tasks that can't run on any worker that is still silent.
+        """Release the held tasks that no awaited worker can run or have run.
 
-        Completes the reconciliation once no task is held and no worker is silent, or
+        Completes the reconciliation once no task is held and no worker is awaited, or
         once all leases of earlier owners have ended.
         """
         if self._is_complete:
@@ -119,19 +119,23 @@
         links = [
             link
             for link in self._owner.links_by_worker.values()
-            if not (link.has_reported or link.worker in self._gone_workers)
+            if not (link.has_listed_all or link.worker in self._gone_workers)
         ]
-        silent = sorted(link.worker for link in links)
         over_at = self._owner.taken_at + PREDECESSOR_LEASE_SECONDS
         is_over = now > over_at and not any(
             link.arrivals.is_awaited(over_at, now) for link in links
         )
+        if is_over:
+            # A worker in touch may hold back the end of a held task until the ends
+            # that it has listed are recorded. Its task would run again.
+            links = [link for link in links if link.has_reported and not link.is_silent]
+        awaited = sorted(link.worker for link in links)
         released = self._owner.job_registry.held.release_tasks(
-            lambda task: is_over or self._is_safe_to_place(task, bool(silent)), now
+            lambda task: self._is_safe_to_place(task, awaited, is_over), now
         )
         for step, index in released:
             self._log_released(step, index, is_over, now)
-        if is_over or not (silent or self._owner.job_registry.held):
+        if not awaited and (is_over or not self._owner.job_registry.held):
             self._owner.job_registry.held.release_all(now)
             self._is_complete = True
             self._completed_at = now
@@ -140,9 +144,17 @@
                 pool=self._owner.pool,
                 epoch=self._owner.row.epoch,
                 seconds=round(now - self._owner.taken_at, 3),
-                silent=silent,
+                silent=self._silent_workers(),
             )
 
+    def _silent_workers(self):
+        """Return the workers that have neither reported nor left, for the log."""
+        return sorted(
+            link.worker
+            for link in self._owner.links_by_worker.values()
+            if not (link.has_reported or link.worker in self._gone_workers)
+        )
+
     def _log_released(self, step, index, is_over, now):
         attempt = step.tasks[index].attempt
         if not attempt:
@@ -159,22 +171,24 @@
             taken_seconds_ago=round(now - self._owner.taken_at, 3),
         )
 
-    def _is_safe_to_place(self, task, has_silent):
-        """Return whether a held task can't run on a worker that has not reported.
+    def _is_safe_to_place(self, task, awaited, is_over):
+        """Return whether no awaited worker can run a held task, or have run it.
 
         A draining worker may have left the platform's list and still run its tasks.
-        They remain held even if all listed workers have reported.
+        They remain held even if all listed workers have reported, until all leases of
+        earlier owners are over.
         """
         if task.place:
             link = self._owner.links_by_worker.get(task.place)
-            is_known = link is not None and link.has_reported
-            if not (is_known or task.place in self._gone_workers):
+            is_known = link is not None and link.has_listed_all
+            is_known = is_known or task.place in self._gone_workers
+            if not is_known and (not is_over or task.place in awaited):
                 return False
             if self._is_journal_exact:
                 return True
         # The last start of the task may have been sent to any worker without a record,
         # even if an earlier start is recorded.
-        return not has_silent
+        return not awaited
 
     def may_lack_records(self):
         """Return whether starts may be missing from the records a successor reads.
--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -68,6 +68,8 @@
         Reports that were not applied yet.
     has_reported : bool
         Whether the worker has answered this owner and so refuses earlier ones.
+    has_listed_all : bool
+        Whether it has also listed all ends that were not acknowledged by then.
     due_at : float
         Monotonic seconds at which the worker is to be polled next.
     is_listed : bool
@@ -89,6 +91,7 @@
         "client",
         "due_at",
         "failed_since",
+        "has_listed_all",
         "has_reported",
         "incarnation_since",
         "is_listed",
@@ -116,7 +119,7 @@
         self.alive_at = self.incarnation_since = float("-inf")
         self.answered_at = clock.monotonic()
         self.failed_since = None
-        self.has_reported = False
+        self.has_reported = self.has_listed_all = False
         self.is_listed = True
         self.is_stopped = False
         self.due_at = 0.0
--- a/papayapick/pool/workers/liveness.py
+++ b/papayapick/pool/workers/liveness.py
@@ -113,9 +113,10 @@
                 reason="no such worker",
                 epoch=self._owner.row.epoch,
             )
-        elif link.has_reported:
+            return
+        if link.has_reported:
             self._owner.lost_runs.mark_started(link)
-        else:
+        if not link.has_listed_all:
             self._owner.reconciliation.note_worker_gone(
                 link.worker, self._owner.now(), "no such worker"
             )
@@ -136,8 +137,9 @@
 
     def _may_have_runs(self, link):
         """Return whether runs may be active on a worker that doesn't answer."""
-        if not link.has_reported:
-            return self._owner.reconciliation.waits_for(link.worker)
+        reconciliation = self._owner.reconciliation
+        if not link.has_listed_all and reconciliation.waits_for(link.worker):
+            return True
         runs = self._owner.rooms.get(link.worker).runs.values()
         return any(run.has_begun for run in runs)
 
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -100,6 +100,8 @@
                 # may have lengthened the lease to the maximum. From this report on,
                 # the worker refuses such calls.
                 link.lease.note_longest(now)
+            if not (link.has_listed_all or report.has_more_ends):
+                link.has_listed_all = True
                 self._owner.reconciliation.release_safe_tasks(now)
             self.update_availability(link)
             if not report.has_more_ends:
@@ -167,7 +169,7 @@
             link.begin_incarnation(born)
             self._record_incarnation(link, born)
             self._owner.knowledge.speeds.note_incarnation(link.worker, born)
-            if not link.has_reported and self._has_current_address(link):
+            if not link.has_listed_all and self._has_current_address(link):
                 self._owner.reconciliation.note_worker_gone(
                     link.worker, self._owner.now(), reason
                 )
@@ -180,7 +182,8 @@
         earlier owner sent without a record. If the worker has moved since, another
         one at that address doesn't show that its runs have ended.
         """
-        return link.is_listed or self._owner.reconciliation.is_journal_exact
+        is_exact = self._owner.reconciliation.is_journal_exact
+        return link.has_reported or link.is_listed or is_exact
 
     def _record_incarnation(self, link, born):
         """Record when a worker began, before anything is started there.
