Read what a peer sent before it ended, also if sending to it fails

Callers saw: calls to another host of the cell failed as "connection broke", although the answer had arrived; and the last messages of a host that ended were not handled, if an answer to an earlier one could not be sent to it.

Cause: sending to a peer that has ended fails with a reset or a broken pipe. The connection was closed then, with all that had arrived on it and was not read yet, and the calls that waited for an answer failed at once.

Change: after such an error the connection is read up to its end; the thread that reads it lets the calls fail that got no answer. Only the call that could not be sent fails at once, and the next one opens another connection. A server goes on with the messages that have arrived. A connection on which sending took too long is closed as before, as its peer may be frozen.

--- a/papayapick/wire/client.py
+++ b/papayapick/wire/client.py
@@ -141,7 +141,10 @@
         try:
             connection.send(identifier, payload, traceparent)
         except PeerDisconnected as error:
-            self._fail(connection, error)
+            # Answers to earlier calls may have arrived. The thread that reads them
+            # lets those calls fail that have none.
+            self._forget(connection)
+            self._fail_calls([identifier], error)
         return identifier, future
 
     def _connected(self):
@@ -195,16 +198,25 @@
 
     def _fail(self, connection, cause):
         connection.close()
+        self._forget(connection)
         with self._lock:
-            if self._connection is connection:
-                self._connection = None
             failed = [
                 identifier
                 for identifier, (sent_on, _) in self._pending.items()
                 if sent_on is connection
             ]
-            futures = [self._pending.pop(identifier)[1] for identifier in failed]
-        for future in futures:
+        self._fail_calls(failed, cause)
+
+    def _forget(self, connection):
+        """Let the next call open another connection."""
+        with self._lock:
+            if self._connection is connection:
+                self._connection = None
+
+    def _fail_calls(self, identifiers, cause):
+        with self._lock:
+            calls = [self._pending.pop(one, None) for one in identifiers]
+        for _, future in filter(None, calls):
             error = PeerDisconnected(address=self._address)
             error.__cause__ = cause
             future.set_exception(error)
--- a/papayapick/wire/frames.py
+++ b/papayapick/wire/frames.py
@@ -158,8 +158,10 @@
                 self._socket.sendall(frame)
             except OSError as error:
                 # Part of the frame may have been sent. The peer would read the next
-                # frame as the rest of it, so the connection can't be used again.
-                self.close()
+                # frame as the rest of it, so the connection can't be used again. What
+                # a peer sent before it ended is still to be read, up to the end.
+                if not isinstance(error, ConnectionError):
+                    self.close()
                 raise PeerDisconnected(address=self._address()) from error
         self._meter(type(payload).__name__, self.distance, "sent", len(frame))
 
--- a/papayapick/wire/server.py
+++ b/papayapick/wire/server.py
@@ -172,7 +172,7 @@
                 lambda future: self._send_result(connection, identifier, future)
             )
         elif answer is not None:
-            connection.send(identifier, answer)
+            self._send(connection, identifier, answer)
 
     def _send_result(self, connection, identifier, future):
         error = future.exception()
@@ -183,9 +183,14 @@
         else:
             _LOG.error("future of the handler failed", exc_info=error)
             answer = _unexpected(error)
+        self._send(connection, identifier, answer)
+
+    @staticmethod
+    def _send(connection, identifier, answer):
         try:
             connection.send(identifier, answer)
         except WireError:
+            # Further messages that the peer sent before it ended are still handled.
             _LOG.debug("answer dropped: connection closed")
 
 
