Open an occurrence when a worker lists a task of it

Cause: an owner opened occurrences only in the tick of its decision loop, by its own clock. The first reports after a takeover come before the first tick, and the clock of the owner before may be ahead. Ends of an occurrence that wasn't open were dropped, counted as processed and were acknowledged; runs of it were stopped as of a job that is over. Then the occurrence was opened and all of its tasks were placed.

Change: what a worker lists was opened by an earlier owner, so the occurrence is opened then (`Schedule.open_listed`) and the end or run is applied. It counts as early until it is due by this owner's clock: nothing of it is queued, neither after an end nor as held tasks are released, nor by the next owner, since the record tells which are early. Ends of an occurrence or a job that is over count as not needed in place of unknown.

`HeldTasks` covers occurrences that open later already (a test shows it): steps that become ready are held by their job until all workers of before are known.

--- a/papayapick/jobs/outcomes.py
+++ b/papayapick/jobs/outcomes.py
@@ -87,10 +87,9 @@
         -------
         EndEffect
         """
-        step = self._registry.step(key)
+        step = self._registry.listed_step(key)
         if step is None:
-            is_known = key.job in self._registry
-            return EndEffect.UNKNOWN_TASK if is_known else EndEffect.UNKNOWN_JOB
+            return self._effect_without_step(key)
         task = step.tasks[key.index]
         effect = EndEffect.APPLIED
         if _is_counted_as_over(task, attempt, worker):
@@ -133,6 +132,14 @@
             self._registry.requeue_task(step, key.index, ended)
         return effect
 
+    def _effect_without_step(self, key):
+        job = self._registry.get(key.job)
+        if job is None:
+            return EndEffect.UNKNOWN_JOB
+        if job.is_final or key.occurrence in job.finished_occurrences:
+            return EndEffect.NOT_NEEDED
+        return EndEffect.UNKNOWN_TASK
+
     @staticmethod
     def _is_of_earlier_run(step, attempt):
         """Return whether all active members of a gang were started after an attempt.
@@ -187,6 +194,7 @@
         occurrence = step.key.occurrence
         if all(one.is_done for one in job.occurrences[occurrence]):
             job.finished_occurrences.add(occurrence)
+            job.early_occurrences.discard(occurrence)
             if len(job.finished_occurrences) >= max(1, job.document.occurrences):
                 self._registry.finish(job, JobStatus.COMPLETED, now)
             elif job.document.is_timed:
--- a/papayapick/jobs/records.py
+++ b/papayapick/jobs/records.py
@@ -20,6 +20,8 @@
         return record
     if job.finished_occurrences:
         record["over"] = sorted(job.finished_occurrences)
+    if job.early_occurrences:
+        record["early"] = sorted(job.early_occurrences)
     record["occurrences"] = {
         str(number): [_step_record(step) for step in steps]
         for number, steps in job.occurrences.items()
@@ -41,6 +43,7 @@
     if job.is_final:
         return
     job.finished_occurrences = set(record.get("over", ()))
+    job.early_occurrences = set(record.get("early", ()))
     for number, steps in record.get("occurrences", {}).items():
         states = job.open_occurrence(int(number))
         for state, found in zip(states, steps, strict=True):
--- a/papayapick/jobs/registry.py
+++ b/papayapick/jobs/registry.py
@@ -199,7 +199,7 @@
         Run
             Also added to ``to_stop`` if it is not needed.
         """
-        step = self.step(report.key)
+        step = self.listed_step(report.key)
         if step is None:
             job = self._jobs.get(report.key.job)
             team = "" if job is None else job.document.team
@@ -269,6 +269,8 @@
 
     def enqueue_ready_steps(self, job, occurrence, now):
         """Queue the tasks of the steps whose earlier steps are done."""
+        if occurrence in job.early_occurrences:
+            return
         steps = job.occurrences[occurrence]
         for step in steps:
             if step.is_ready or step.is_done:
@@ -305,6 +307,9 @@
 
     def enqueue_task(self, step, index):
         """Queue a task for a worker without a check whether it is held."""
+        if step.key.occurrence in step.job.early_occurrences:
+            # Queued with the other tasks of its step once it is due.
+            return
         step.waiting.add(index)
         self.step_queue.add(step)
 
@@ -330,6 +335,13 @@
         step = steps[key.step]
         return step if key.index < len(step.tasks) else None
 
+    def listed_step(self, key):
+        """Return the step of a listed task, or None; see ``Schedule.open_listed``."""
+        job = self._jobs.get(key.job)
+        if job is not None:
+            self._schedule.open_listed(job, key)
+        return self.step(key)
+
     def step_of(self, key):
         """Return the step of a TaskKey or StepKey, or None if it is over."""
         return self.step(TaskKey(key.job, key.occurrence, key.step, 0))
--- a/papayapick/jobs/schedule.py
+++ b/papayapick/jobs/schedule.py
@@ -46,15 +46,45 @@
                 next_due = due
         return next_due
 
+    @staticmethod
+    def open_listed(job, key):
+        """Open the occurrence of a task that a worker lists, if it is not open.
+
+        An earlier owner has opened it, whose clock may be ahead, or which had no record
+        of it. Its ends would be dropped otherwise and its runs stopped, and all of its
+        tasks would run again. Those that no worker lists wait for the due time.
+
+        Parameters
+        ----------
+        job : JobState
+        key : TaskKey
+        """
+        number, steps = key.occurrence, job.document.steps
+        if (
+            job.is_final
+            or number in job.occurrences
+            or number in job.finished_occurrences
+            or not 0 <= number < job.document.occurrences
+            or not 0 <= key.step < len(steps)
+            or not 0 <= key.index < steps[key.step].tasks
+        ):
+            return
+        job.early_occurrences.add(number)
+        job.open_occurrence(number)
+
     def _open_due_of(self, job, wall_now, on_open):
         document = job.document
         for number in range(document.occurrences):
-            if number in job.finished_occurrences or number in job.occurrences:
+            is_early = number in job.early_occurrences
+            is_open = number in job.occurrences and not is_early
+            if is_open or number in job.finished_occurrences:
                 continue
             due = document.due_at(number)
             if due > wall_now:
                 return due
-            job.open_occurrence(number)
+            job.early_occurrences.discard(number)
+            if not is_early:
+                job.open_occurrence(number)
             on_open(job, number)
         self.remove(job)
         return None
--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -216,7 +216,9 @@
     failed_worker : str
         Worker on which that task last failed.
     occurrences : dict of int to list of StepState
-        Occurrences that are due and not over.
+        Occurrences that are due, or that a worker has listed, and not over.
+    early_occurrences : set of int
+        Those of them that are not due yet. None of their tasks is queued.
     finished_occurrences : set of int
         Numbers of the occurrences that are over.
     critical_paths : list of float
@@ -235,6 +237,7 @@
         "critical_paths",
         "document",
         "durable_status",
+        "early_occurrences",
         "failed_task",
         "failed_worker",
         "finished_at",
@@ -261,6 +264,7 @@
         # Whether this owner has placed a task of the job.
         self.has_placed_task = False
         self.occurrences = {}
+        self.early_occurrences = set()
         self.finished_occurrences = set()
         self.critical_paths = remaining_critical_paths(document.steps)
         self.critical_path_seconds = max(self.critical_paths, default=0.0)
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -200,7 +200,7 @@
 
     def _apply_end(self, link, room, end, now):
         run = room.runs.get((end.key, end.attempt))
-        step = self._owner.job_registry.step_of(end.key)
+        step = self._owner.job_registry.listed_step(end.key)
         effect = self._owner.job_registry.end_run(
             end.key, end.attempt, end.outcome, end.checkpoint, link.worker, now
         )
