Read the progress of a job that is added again

What callers would see: a job that runs from its start again, after its tasks were done.

Cause: the feed of jobs, and the whole read after its history was lost, added each job that the registry lacked without its progress record, as if it were new. The registry also lacks (a) a job whose record could not be read when the pool was taken, which the next whole read started from nothing, and a change of its row too; (b) a job that is over and is deleted while all jobs are read: the read has its row, the registry has it no more.

Change: a whole read reads the progress first, as a takeover does, so that it can't be deleted in between; a job that was refused goes on from its record when its row changes, and is left alone while that can't be read. The reads have a module of their own, `JobReader`. A record whose parts are of the wrong type raised AttributeError, which would have ended the owner, on one host after another: it is refused as the others are.

--- a/papayapick/pool/records/store_sync.py
+++ b/papayapick/pool/records/store_sync.py
@@ -9,6 +9,7 @@
     decode_registration,
 )
 from papayapick.pool.events import JOB_TAKEN, RECORD_REFUSED
+from papayapick.pool.records.job_reader import JobReader, records_by_job
 from papayapick.pool.records.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.records.partitions import job_partitions
 from papayapick.pool.workers.events import WORKER_GONE, WORKER_MOVED
@@ -74,11 +75,11 @@
     owner : PoolOwner
     """
 
-    __slots__ = ("_complete_at", "_job_partitions", "_owner", "_unpolled")
+    __slots__ = ("_complete_at", "_owner", "_reader", "_unpolled")
 
     def __init__(self, owner):
         self._owner = owner
-        self._job_partitions = job_partitions(owner.pool)
+        self._reader = JobReader(owner.host, owner.pool)
         self._complete_at = float("-inf")
         # Links of the loaded workers that have not been polled yet.
         self._unpolled = []
@@ -91,15 +92,15 @@
     def load(self):
         """Read the whole state; return the version from which to follow the jobs."""
         store = self._owner.host.store
-        progress, _ = store.read_all(PROGRESS_TABLE, self._owner.pool)
+        progress = self._reader.read_progress()
         requested_at = self._owner.now()
-        jobs, version = self._read_jobs()
+        jobs, version = self._reader.read()
         workers, _ = store.read_all(WORKERS_TABLE, "")
-        # An unreadable record must not make a job count as not started.
-        records = {row.key: row.value or {} for row in progress}
         self._owner.journal.resume(progress)
         with self._owner.lock:
-            self._apply_job_rows(jobs, records, _newest_acceptance(jobs))
+            self._apply_job_rows(
+                jobs, records_by_job(progress), _newest_acceptance(jobs)
+            )
             self._complete_at = requested_at
             for row in workers:
                 self._apply_registration(row)
@@ -113,25 +114,13 @@
             self._owner.reconciliation.hold_tasks()
         return version
 
-    def _read_jobs(self):
-        """Return the rows of all jobs and the oldest version of their partitions."""
-        store = self._owner.host.store
-        pages = list(
-            self._owner.host.executor.map(
-                lambda partition: store.read_all(JOBS_TABLE, partition),
-                self._job_partitions,
-            )
-        )
-        rows = [row for found, _ in pages for row in found]
-        return rows, min(version for _, version in pages)
-
     def follow_jobs(self, version):
         """Apply new jobs and cancellations until the owner stops."""
         self._owner.host.follow(
             JOBS_TABLE,
             version,
             self._note_job_rows,
-            self._read_jobs,
+            self._reader.read_again,
             self._owner.stopping,
             on_complete=self._note_complete,
         )
@@ -141,9 +130,9 @@
             self._complete_at = requested_at
 
     def _note_job_rows(self, rows):
+        own, records = self._reader.with_records(rows)
         with self._owner.lock:
-            own = self._job_partitions
-            self._apply_job_rows([row for row in rows if row.partition in own], {})
+            self._apply_job_rows(own, records)
             self._owner.orders.stop_unneeded()
         self._owner.wake()
 
@@ -186,12 +175,14 @@
             job.is_owed = self._owner.entitlements.is_owed(
                 document.team, document.accepted_at
             )
-        except (KeyError, TypeError, ValueError, IndexError):
+        except (AttributeError, KeyError, TypeError, ValueError, IndexError):
             # One unreadable record must not stop all other jobs, on one host after
             # another. This job stays in the store until an operator repairs it.
             RECORD_REFUSED.write_failure(request_id=row.key)
             self._owner.job_registry.remove(row.key)
+            self._reader.note_refused(row.key)
             return
+        self._reader.note_added(row.key)
         if not job.is_final:
             self._log_job_taken(job)
         self._owner.advice_manager.request_for_job(job, now)
--- a/tests/pool/owners.py
+++ b/tests/pool/owners.py
@@ -68,6 +68,20 @@
     return link
 
 
+def follow_jobs(host, owner, rows, is_whole=False):
+    """Answer one call of the feed: with changes, or with all rows."""
+
+    def follow(table, version, on_rows, read_all, stopping, on_complete=None):
+        asked_at = host.clock.monotonic()
+        found = read_all()[0] if is_whole else rows
+        if found:
+            on_rows(found)
+        on_complete(asked_at)
+
+    host.follow = follow
+    owner.store_sync.follow_jobs(1)
+
+
 def started_record(place, **fields):
     """Return the progress record of a job whose first task was started on a worker."""
     step = {"attempts": {"0": 1}, "places": {"0": place}, **fields}
