Keep ends and runs of jobs that an owner has not read

What callers would see: a task that runs again after its end was acknowledged, or one that is stopped, where another owner started a job which this one's feed brings later.

Cause: an end of an unknown job counted as processed and was acknowledged at once; a run of one was stopped "as of an ended job". Whether the registry could lack the job for now was not asked.

Change: `UnknownJobs` keeps both until the job is read, or a call of the feed that was sent after the list arrived has been applied. Each job is stored before its first start, so that a job which isn't there then is over: its ends are dropped with `end not applied` and acknowledged, and its runs are stopped (`run found` tells why). Later ends of the worker are applied at once; only their acknowledgement waits. Ends of a job whose record can't be read stay unacknowledged, for an owner of another version or after a repair, until the worker's list is full; they are dropped with the reason `unreadable-job`.

--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -156,7 +156,8 @@
     "end not applied",
     _RUN + " outcome reason epoch taken_seconds_ago",
     "A worker listed the end of a run of a task that this owner doesn't know. Reasons: "
-    "unknown-job, unknown-task (the job is known, and has no such task now).",
+    "unknown-job (all jobs are read, and it is not among them), unreadable-job (its "
+    "record can't be read), unknown-task (the job is known, and has no such task).",
     level=logging.WARNING,
 )
 END_OF_GIVEN_UP_RUN = Event(
--- a/papayapick/pool/records/store_sync.py
+++ b/papayapick/pool/records/store_sync.py
@@ -89,6 +89,10 @@
         """Return the monotonic time as of which the registry has all accepted jobs."""
         return self._complete_at
 
+    def is_refused(self, identifier):
+        """Return whether a job, or its progress, could not be read."""
+        return self._reader.is_refused(identifier)
+
     def load(self):
         """Read the whole state; return the version from which to follow the jobs."""
         store = self._owner.host.store
@@ -128,11 +132,14 @@
     def _note_complete(self, requested_at):
         with self._owner.lock:
             self._complete_at = requested_at
+            self._owner.report_handler.settle_unknown()
 
     def _note_job_rows(self, rows):
         own, records = self._reader.with_records(rows)
         with self._owner.lock:
             self._apply_job_rows(own, records)
+            # Before a round places tasks of these jobs.
+            self._owner.report_handler.settle_unknown()
             self._owner.orders.stop_unneeded()
         self._owner.wake()
 
--- a/papayapick/pool/workers/events.py
+++ b/papayapick/pool/workers/events.py
@@ -14,6 +14,7 @@
     "RENEWAL_REFUSED",
     "REPORT_DELAYED",
     "RUNS_LOST",
+    "JOB_NOT_READ",
     "RUN_FOUND",
     "RUN_NEVER_STARTED",
     "RUN_VANISHED",
@@ -72,11 +73,20 @@
 PACE_NOT_SET = Event(
     "pace not set", "worker error", "A worker did not apply a change of pace."
 )
+JOB_NOT_READ = Event(
+    "job not read yet",
+    _RUN + " is_end epoch",
+    "A worker lists a run, or the end of one, of a job that this owner has not read. "
+    "It is kept until the job, or all jobs stored by then, are read. The end of a job "
+    "that can't be read is kept until the worker's list of ends is full.",
+    per_second=50,
+)
 RUN_FOUND = Event(
     "run found",
-    _RUN + " is_needed percent",
+    _RUN + " is_needed reason percent",
     "A worker lists a run that this owner does not track: an earlier owner started it, "
-    "or its order arrived late. A run that is not needed is stopped.",
+    "or its order arrived late. A run that is not needed is stopped; reasons: "
+    "unknown-job, job-over, task-done-or-elsewhere.",
     per_second=200,
 )
 RUN_VANISHED = Event(
--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -21,8 +21,8 @@
 _POLL_PACED_SECONDS = 0.4
 _POLL_STALLED_SECONDS = 0.3
 _RETRY_SECONDS = 0.2
-# Ends can't be acknowledged while the store is unavailable, and a long poll would
-# return at once with the same ends.
+# Ends can't be acknowledged while the store is unavailable or their job is not read,
+# and a long poll would return at once with the same ends.
 _UNACKNOWLEDGED_SECONDS = 0.3
 # Acknowledges no end, as ends are numbered from 1.
 _ACKNOWLEDGE_NONE = 0
@@ -46,9 +46,9 @@
 
     Attributes
     ----------
-    processed, acknowledged : int
-        Number of the last end that was processed, and of the last end whose record
-        is durable.
+    read, processed, acknowledged : int
+        Number of the last end that was read, of the last one up to which all were
+        processed, and of the last one whose record is durable.
     born : int or None
         Incarnation of the worker: the start time of its process, as it reports it.
     incarnation_since : float
@@ -89,6 +89,7 @@
         "last_report_requested_at",
         "lease",
         "processed",
+        "read",
         "registration",
     )
 
@@ -102,8 +103,7 @@
         self._listener = listener
         self.lease = WorkerLease(clock, lease_limit_seconds)
         self._acknowledgement = threading.Event()
-        self.acknowledged = 0
-        self.processed = 0
+        self.acknowledged = self.processed = self.read = 0
         self.born = None
         self.alive_at = self.incarnation_since = float("-inf")
         self.answered_at = clock.monotonic()
@@ -143,7 +143,7 @@
     def begin_incarnation(self, born):
         """Reset the numbers of ends after a restart; the caller holds the lock."""
         self.born = born
-        self.acknowledged = self.processed = 0
+        self.acknowledged = self.processed = self.read = 0
         self.lease.begin_incarnation()
 
     def stop(self):
@@ -229,14 +229,14 @@
         self.alive_at = requested_at
         self._note_answer()
         self._listener.note_report(self, report, requested_at)
-        if self.processed > self.acknowledged:
+        if self.read > self.acknowledged:
             self.pause(_UNACKNOWLEDGED_SECONDS)
 
     def _poll_seconds(self):
         """Return how long the worker may hold back its answer until a run ends."""
         if self.lease.reading is None or self.is_silent:
             return 0.0
-        if self.processed > self.acknowledged:
+        if self.read > self.acknowledged:
             return 0.0
         if self._listener.needs_pacing(self):
             return _POLL_PACED_SECONDS
@@ -261,7 +261,7 @@
                 error=root_cause(error),
                 asked_seconds_ago=round(now - asked_at, 3),
                 answered_seconds_ago=round(now - self.answered_at, 3),
-                unrecorded=self.processed - self.acknowledged,
+                unrecorded=self.read - self.acknowledged,
             )
         self._listener.note_silence(self)
         self.pause(_RETRY_SECONDS)
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -19,6 +19,7 @@
     WORKER_FENCED,
 )
 from papayapick.pool.workers.reports import EndOutcome, run_fields
+from papayapick.pool.workers.unknown_jobs import UnknownJobs
 
 __all__ = ["WorkerReportHandler"]
 
@@ -35,11 +36,12 @@
     owner : PoolOwner
     """
 
-    __slots__ = ("_owner", "_pacer")
+    __slots__ = ("_owner", "_pacer", "_unknown_jobs")
 
     def __init__(self, owner):
         self._owner = owner
         self._pacer = Pacer()
+        self._unknown_jobs = UnknownJobs(owner, self._apply_end, self._adopt_run)
 
     def may_act(self):
         """Return whether leases may be renewed."""
@@ -77,12 +79,10 @@
                 return
             now = self._owner.now()
             self._note_delay(link, report, now - arrived_at)
-            for end in report.ends:
-                if end.number > link.processed:
-                    self._apply_end(link, room, end, now)
+            self._note_ends(link, report, arrived_at, now)
             if requested_at >= link.last_report_requested_at:
                 link.last_report_requested_at = requested_at
-                self._apply_runs(link, room, report, now)
+                self._apply_runs(link, room, report, arrived_at, now)
                 if not report.has_more_ends:
                     self._owner.lost_runs.drop_vanished(room, report, requested_at, now)
             if not link.has_reported:
@@ -109,6 +109,25 @@
         if has_ends or self._owner.job_registry.changed:
             self._owner.journal.wake()
 
+    def settle_unknown(self):
+        """Apply or drop what was kept of unknown jobs; the caller holds the lock."""
+        if self._unknown_jobs.settle(self._owner.now()):
+            self._owner.orders.stop_unneeded()
+            self._owner.journal.wake()
+
+    def _note_ends(self, link, report, arrived_at, now):
+        for end in report.ends:
+            if end.number <= link.read:
+                continue
+            link.read = end.number
+            if self._unknown_jobs.must_keep_end(end.key.job, arrived_at):
+                self._unknown_jobs.keep_end(link, end, arrived_at)
+            else:
+                self._apply_end(link, end, now)
+        if report.has_more_ends:
+            self._unknown_jobs.note_full_list(link)
+        self._unknown_jobs.update_processed(link)
+
     def _note_delay(self, link, report, seconds):
         REPORT_DELAY_SECONDS.observe(seconds)
         if seconds > _LONG_DELAY_SECONDS:
@@ -198,8 +217,10 @@
                 and not room.is_draining
             )
 
-    def _apply_end(self, link, room, end, now):
-        run = room.runs.get((end.key, end.attempt))
+    def _apply_end(self, link, end, now):
+        room = self._owner.rooms.get(link.worker)
+        # A kept end may be applied after its worker was removed.
+        run = None if room is None else room.runs.get((end.key, end.attempt))
         step = self._owner.job_registry.listed_step(end.key)
         effect = self._owner.job_registry.end_run(
             end.key, end.attempt, end.outcome, end.checkpoint, link.worker, now
@@ -209,9 +230,9 @@
             room.release(run)
             if step is not None and end.outcome == EndOutcome.DONE:
                 self._note_done(step, run, now)
-        link.processed = end.number
         ENDS.labels(end.outcome).inc()
-        self._owner.run_monitor.note_end(step, run, end, room, now)
+        if room is not None:
+            self._owner.run_monitor.note_end(step, run, end, room, now)
         if step is not None and end.outcome != EndOutcome.DONE:
             self._log_run_end(step, end, run, link.worker, now)
 
@@ -219,12 +240,15 @@
         """Log an end that came too early, or too late, to be applied as usual."""
         if effect in (EndEffect.APPLIED, EndEffect.NOT_NEEDED):
             return
-        ENDS_NOT_APPLIED.labels(effect.value).inc()
+        reason = effect.value
+        if self._owner.store_sync.is_refused(end.key.job):
+            reason = "unreadable-job"
+        ENDS_NOT_APPLIED.labels(reason).inc()
         fields = {**_end_fields(end, worker), "epoch": self._owner.row.epoch}
         if effect != EndEffect.COUNTED_AS_OVER:
             taken_seconds_ago = round(now - self._owner.taken_at, 3)
             END_NOT_APPLIED.write(
-                **fields, reason=effect.value, taken_seconds_ago=taken_seconds_ago
+                **fields, reason=reason, taken_seconds_ago=taken_seconds_ago
             )
             return
         task = step.tasks[end.key.index]
@@ -256,29 +280,49 @@
             is_retried=not (step.job.is_final or task.is_done),
         )
 
-    def _apply_runs(self, link, room, report, now):
+    def _apply_runs(self, link, room, report, arrived_at, now):
         for found in report.runs:
             run = room.runs.get((found.key, found.attempt))
-            if run is None:
-                run = self._owner.job_registry.adopt_run(found, link.worker, now)
-                room.reserve(run)
-                RUN_FOUND.write(
-                    **run_fields(run),
-                    is_needed=run not in self._owner.job_registry.to_stop,
-                    percent=found.percent,
-                )
-            if run.phase in (RunPhase.ORDERED, RunPhase.UNSURE):
-                if run.phase == RunPhase.UNSURE:
-                    START_FOUND.write(**run_fields(run))
-                self._owner.job_registry.note_started(run)
-            run.was_listed, run.was_listed_again = True, run.was_listed
-            if run.percent != found.percent:
-                run.progressed_at = now
-            run.percent, run.percent_at = found.percent, now
-            run.measurement = found.measurement
-            if found.checkpoint != run.checkpoint:
-                run.checkpoint = found.checkpoint
-                self._owner.job_registry.note_checkpoint(run)
+            if run is not None:
+                self._note_listed(run, found, now)
+            elif self._unknown_jobs.is_undecided(found.key.job, arrived_at):
+                run = self._unknown_jobs.keep_run(link, found, arrived_at, now)
+                self._note_listed(run, found, now)
+            else:
+                self._adopt_run(link, found, now)
+
+    def _adopt_run(self, link, found, now):
+        job_registry = self._owner.job_registry
+        run = job_registry.adopt_run(found, link.worker, now)
+        self._owner.rooms.get(link.worker).reserve(run)
+        is_needed = run not in job_registry.to_stop
+        RUN_FOUND.write(
+            **run_fields(run),
+            is_needed=is_needed,
+            reason=None if is_needed else self._reason_to_stop(found.key.job),
+            percent=found.percent,
+        )
+        self._note_listed(run, found, now)
+
+    def _reason_to_stop(self, identifier):
+        job = self._owner.job_registry.get(identifier)
+        if job is None:
+            return "unknown-job"
+        return "job-over" if job.is_final else "task-done-or-elsewhere"
+
+    def _note_listed(self, run, found, now):
+        if run.phase in (RunPhase.ORDERED, RunPhase.UNSURE):
+            if run.phase == RunPhase.UNSURE:
+                START_FOUND.write(**run_fields(run))
+            self._owner.job_registry.note_started(run)
+        run.was_listed, run.was_listed_again = True, run.was_listed
+        if run.percent != found.percent:
+            run.progressed_at = now
+        run.percent, run.percent_at = found.percent, now
+        run.measurement = found.measurement
+        if found.checkpoint != run.checkpoint:
+            run.checkpoint = found.checkpoint
+            self._owner.job_registry.note_checkpoint(run)
 
 
 def _end_fields(end, worker):
--- a/tests/pool/test_ends_not_applied.py
+++ b/tests/pool/test_ends_not_applied.py
@@ -4,7 +4,7 @@
 
 from papayapick.jobs import TaskKey
 from papayapick.pool.workers import report_handler
-from tests.pool.owners import ID, KEY, job, owner_with, place, report
+from tests.pool.owners import ID, KEY, follow_jobs, job, owner_with, place, report
 from tests.pool.test_waits import RecordedEvents
 
 
@@ -28,6 +28,7 @@
     host, owner = owner_with(job())
     host.clock.advance(0.5)
     report(owner, "w1", ends=[(key, 1, "done")])
+    follow_jobs(host, owner, [])
     (line,) = events
     assert (line["reason"], line["worker"], line["epoch"]) == (reason, "w1", 3)
     assert line["taken_seconds_ago"] == pytest.approx(0.5)
