--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -22,8 +22,8 @@
 _POLL_PACED_SECONDS = 0.4
 _POLL_STALLED_SECONDS = 0.3
 _RETRY_SECONDS = 0.2
-# Ends can't be acknowledged while the store is unavailable, and a long poll would
-# return at once with the same ends.
+# Ends can't be acknowledged while the store is unavailable or their job is not read,
+# and a long poll would return at once with the same ends.
 _UNACKNOWLEDGED_SECONDS = 0.3
 # Time between two polls of a leaving worker where no call may wait for further ends. It
 # exits with what nobody has read, and the tasks of such ends run again.
@@ -50,9 +50,9 @@
 
     Attributes
     ----------
-    processed, acknowledged : int
-        Number of the last end that was processed, and of the last end whose record
-        is durable.
+    read, processed, acknowledged : int
+        Number of the last end that was read, of the last one up to which all were
+        processed, and of the last one whose record is durable.
     born : int or None
         Incarnation of the worker: the start time of its process, as it reports it.
     incarnation_since : float
@@ -99,6 +99,7 @@
         "last_report_requested_at",
         "lease",
         "processed",
+        "read",
         "registration",
     )
 
@@ -113,8 +114,7 @@
         self.lease = WorkerLease(clock, lease_limit_seconds)
         self.arrivals = Arrivals(clock)
         self._acknowledgement = threading.Event()
-        self.acknowledged = 0
-        self.processed = 0
+        self.acknowledged = self.processed = self.read = 0
         self.born = None
         self.alive_at = self.incarnation_since = float("-inf")
         self.answered_at = clock.monotonic()
@@ -154,7 +154,7 @@
     def begin_incarnation(self, born):
         """Reset the numbers of ends after a restart; the caller holds the lock."""
         self.born = born
-        self.acknowledged = self.processed = 0
+        self.acknowledged = self.processed = self.read = 0
         self.lease.begin_incarnation()
 
     def stop(self):
@@ -215,7 +215,7 @@
     def _poll(self, share=1.0, permitted_at=None):
         with self.arrivals.call() as call:
             self._poll_by(call, share, permitted_at)
-        if self.processed > self.acknowledged:
+        if self.read > self.acknowledged:
             leaves = self._leaves_with_runs()
             self.pause(_LEAVING_SECONDS if leaves else _UNACKNOWLEDGED_SECONDS)
 
@@ -265,7 +265,7 @@
         """Return how long the worker may hold back its answer until a run ends."""
         if self.lease.reading is None or self.is_silent:
             return 0.0
-        if self.processed > self.acknowledged:
+        if self.read > self.acknowledged:
             return 0.0
         if self._listener.needs_pacing(self):
             return _POLL_PACED_SECONDS
@@ -291,7 +291,7 @@
                 error=root_cause(error),
                 asked_seconds_ago=round(now - asked_at, 3),
                 answered_seconds_ago=round(now - self.answered_at, 3),
-                unrecorded=self.processed - self.acknowledged,
+                unrecorded=self.read - self.acknowledged,
             )
         self._listener.note_silence(self)
         is_urgent = is_first and self._leaves_with_runs()
