Hold tasks until their worker has listed all its ends

What callers would see: a task that runs again after a takeover though its end stands in its worker's list.

Cause: a worker lists 500 ends at a time. After the first answer, a new owner took a task whose run wasn't listed as neither running nor ended for one that runs nowhere, and released it; the end comes in the next list.

The limit on the hold, the end of all earlier leases, stays.

--- a/papayapick/pool/takeover/reconciliation.py
+++ b/papayapick/pool/takeover/reconciliation.py
@@ -119,7 +119,7 @@
         silent = sorted(
             link.worker
             for link in self._owner.links_by_worker.values()
-            if not (link.has_reported or link.worker in self._gone_workers)
+            if not (link.has_listed_ends or link.worker in self._gone_workers)
         )
         is_over = now > self._owner.taken_at + PREDECESSOR_LEASE_SECONDS
         released = self._owner.job_registry.held.release_tasks(
@@ -163,7 +163,8 @@
         """
         if task.place:
             link = self._owner.links_by_worker.get(task.place)
-            is_known = link is not None and link.has_reported
+            # One of the ends that it has yet to list may say that the task is done.
+            is_known = link is not None and link.has_listed_ends
             if not (is_known or task.place in self._gone_workers):
                 return False
             if self._is_journal_exact:
--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -62,6 +62,8 @@
     lease : WorkerLease
     has_reported : bool
         Whether the worker has answered this owner and so refuses earlier ones.
+    has_listed_ends : bool
+        Whether it has listed all ends that it had when it first answered this owner.
     due_at : float
         Monotonic seconds at which the worker is to be polled next.
     is_listed : bool
@@ -82,6 +84,7 @@
         "client",
         "due_at",
         "failed_since",
+        "has_listed_ends",
         "has_reported",
         "incarnation_since",
         "is_listed",
@@ -108,7 +111,7 @@
         self.alive_at = self.incarnation_since = float("-inf")
         self.answered_at = clock.monotonic()
         self.failed_since = None
-        self.has_reported = False
+        self.has_reported = self.has_listed_ends = False
         self.is_listed = True
         self.is_stopped = False
         self.due_at = 0.0
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -95,6 +95,8 @@
                 # may have lengthened the lease to the maximum. From this report on,
                 # the worker refuses such calls.
                 link.lease.note_longest(now)
+            if not (link.has_listed_ends or report.has_more_ends):
+                link.has_listed_ends = True
                 self._owner.reconciliation.release_safe_tasks(now)
             self.update_availability(link)
             if not report.has_more_ends:
--- a/tests/pool/test_reconciliation.py
+++ b/tests/pool/test_reconciliation.py
@@ -200,3 +200,26 @@
     _, owner = _with_new_job(is_journal_exact=False, seconds=0.1)
     report(owner, "w2")
     assert len(place(owner)) == 1
+
+
+@pytest.mark.parametrize("is_journal_exact", [True, False])
+def test_held_task_waits_for_the_ends_that_its_worker_has_not_listed_yet(
+    is_journal_exact,
+):
+    """Guards against a second run after an end that is not in the first list.
+
+    A worker lists 500 ends at a time, and the next ones once these are acknowledged.
+    """
+    host = host_with_two_workers()
+    store_job(host, job(), started_record("w1"))
+    owner = owner_of(host, is_journal_exact)
+    report(owner, "w2")
+    other = KEY._replace(index=7)
+    link = report(owner, "w1", ends=[(other, 1, "done")], has_more_ends=True)
+    assert link.processed == 1
+    assert place(owner) == []
+    assert not owner.reconciliation.is_complete
+    report(owner, "w1", ends=[(other, 1, "done"), (KEY, 1, "done")])
+    assert place(owner) == []
+    assert owner.job_registry.get(ID).is_final
+    assert owner.reconciliation.is_complete
