Own the pools that hold stored jobs, though no queue uses them any more

Cause: a host watched only the pools of configurations that it had itself seen since its start, so nobody owned the former pool after the restart.

Change: each host lists the partitions of the table of jobs (rows-parts) after its start, 15 s later and after lost history, and watches each pool found there. The stand-in of the platform serves the call.

Evidence: tests/entry/test_moved_queues.py failed before: after the restart the job was not completed within 15 s.

--- a/papayapick/entry/events.py
+++ b/papayapick/entry/events.py
@@ -271,6 +271,18 @@
     "peer pool error",
     "A host did not answer whether it owns a pool.",
 )
+FORMER_POOLS_FOUND = Event(
+    "former pools found",
+    "pools",
+    "These pools hold stored jobs, though no queue has used them since this process "
+    "started; it watches them like those of queues.",
+)
+FORMER_POOLS_UNREAD = Event(
+    "former pools not read",
+    "error",
+    "The store did not name the pools that hold jobs; this host asks again.",
+    level=logging.WARNING,
+)
 POOL_LOST_RACE = Event(
     "pool taken by another host",
     "pool epoch",
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -2,7 +2,6 @@
 
 import threading
 
-from papayapick.clients.exceptions import TableUnavailable
 from papayapick.clients.http import HttpPool
 from papayapick.clock import BootClock
 from papayapick.entry.advice.dispatch import AdviceDispatcher
@@ -12,7 +11,6 @@
 from papayapick.entry.callers.queues import KnownQueues
 from papayapick.entry.callers.servers import FrontendServer
 from papayapick.entry.callers.writers import GroupWriter
-from papayapick.entry.candidacy import Candidacy
 from papayapick.entry.cell.beats import BeatBroadcaster
 from papayapick.entry.cell.followers import (
     FOLLOW_WAIT_SECONDS,
@@ -24,7 +22,7 @@
 from papayapick.entry.cell.peers import HOSTS_PARTITION, Peers
 from papayapick.entry.configuration.announcements import ANNOUNCEMENT_PARTITION
 from papayapick.entry.configuration.follower import ConfigurationWatcher
-from papayapick.entry.events import OWNER_UNCONFIRMED, READINESS_CHANGED
+from papayapick.entry.events import READINESS_CHANGED
 from papayapick.entry.gauges import refresh_gauges
 from papayapick.entry.loops import LoopRunner
 from papayapick.entry.metrics import STORE_SECONDS
@@ -32,8 +30,9 @@
 from papayapick.entry.store.latency import StoreLatency
 from papayapick.entry.store.probing import StoreProbe
 from papayapick.entry.store.relays import RelayedStore, StoreRelay
+from papayapick.entry.watched_pools import WatchedPools
 from papayapick.executors import ElasticExecutor
-from papayapick.ownership.pools import CELL_TABLE, pool_row, read_pool
+from papayapick.ownership.pools import CELL_TABLE, pool_row
 from papayapick.platform.machines import MachineClient
 from papayapick.platform.store import Store
 from papayapick.pool.events import THREADS_SHORT
@@ -118,6 +117,7 @@
         )
         self._relay = StoreRelay(self)
         self._candidacies = {}
+        self._watched_pools = WatchedPools(self, self._candidacies, self._run_loop)
         self._was_ready = False
         self._beats = BeatBroadcaster(self, self._candidacies)
         self._queues = KnownQueues()
@@ -217,8 +217,12 @@
             ("relayed configuration", self.configuration.run_relayed),
             ("cell", self._follow_cell),
             ("probe", self._probe.run),
+            ("former pools", self._watched_pools.run),
         ):
-            self.executor.submit(self._loops.run, name, step)
+            self._run_loop(name, step)
+
+    def _run_loop(self, name, step):
+        self.executor.submit(self._loops.run, name, step)
 
     # Rows and answers of the store.
 
@@ -276,6 +280,7 @@
             register_again(self)
         for partition in (ANNOUNCEMENT_PARTITION, *list(self._candidacies)):
             rows += self.store.read_all(CELL_TABLE, partition)[0]
+        self._watched_pools.look_again()
         return rows, version
 
     def _note_cell_rows(self, rows):
@@ -302,11 +307,7 @@
     def note_configuration(self, configuration):
         """Watch the pools of a new configuration and update the owners' queues."""
         self._queues.update(configuration)
-        for pool in configuration.pools:
-            if pool not in self._candidacies:
-                candidacy = Candidacy(self, pool)
-                self._candidacies[pool] = candidacy
-                self.executor.submit(self._loops.run, pool, candidacy.run)
+        self._watched_pools.watch(configuration.pools)
         for owner in self._owners():
             owner.refresh_queues()
 
@@ -322,21 +323,7 @@
 
     def verify_ownership(self, owner):
         """Read in the background whether this host still owns the pool."""
-        self.executor.submit(self._verify_ownership, owner)
-
-    def _verify_ownership(self, owner):
-        asked_at = self.clock.monotonic()
-        try:
-            row = read_pool(self.store, owner.pool)
-        except TableUnavailable as error:
-            OWNER_UNCONFIRMED.write(
-                pool=owner.pool, epoch=owner.row.epoch, error=str(error)
-            )
-            return
-        if row.version == owner.row.version:
-            owner.ownership_status.note_confirmed(asked_at)
-        else:
-            self._candidacies[owner.pool].note_row(row)
+        self.executor.submit(self._watched_pools.verify_ownership, owner)
 
     def broadcast(self, owner):
         """Cache an owner's changed job states and send them to the other hosts."""
--- a/papayapick/platform/store.py
+++ b/papayapick/platform/store.py
@@ -28,6 +28,7 @@
 _CALL_SECONDS = 1.2
 # Time that the answer of a long poll may take beyond the requested wait.
 _FEED_SLACK_SECONDS = 0.6
+_PARTITIONS_PER_ANSWER = 1000
 
 
 class Store:
@@ -158,6 +159,22 @@
                 return rows, version
             first = page.rows[-1].key + "\0"
 
+    def partitions(self, table):
+        """Return the names of a table's partitions, in order."""
+        found = []
+        while True:
+            query = {"table": table}
+            if found:
+                query["after"] = found[-1]
+            path = "/rows-parts?" + _query(query)
+            answer = self._call("list", "GET", path)
+            if answer.status != 200:
+                raise StoreRefused()
+            names = _partition_names(_json(answer))
+            found += names
+            if len(names) < _PARTITIONS_PER_ANSWER:
+                return found
+
     def follow(self, table, version, wait_seconds):
         """Wait for changes to a table since a version.
 
@@ -234,6 +251,16 @@
     return Page(_rows(body), _version(body), bool(body.get("more_pages")))
 
 
+def _partition_names(body):
+    try:
+        names = required_field(body, "parts", list)
+    except BodyInvalid as error:
+        raise TableUnavailable() from error
+    if not all(isinstance(name, str) for name in names):
+        raise TableUnavailable()
+    return names
+
+
 def _version(body):
     try:
         return required_field(body, "ver", int)
--- a/papayapick/pool/records/partitions.py
+++ b/papayapick/pool/records/partitions.py
@@ -1,6 +1,6 @@
 """Distribute the jobs of a pool over partitions of the store."""
 
-__all__ = ["job_partition", "job_partitions"]
+__all__ = ["job_partition", "job_partitions", "pool_of_partition"]
 
 # A partition applies its transactions one after another. With all jobs of a pool in one
 # partition, a store that is 38 times slower than usual applies 9 transactions a second,
@@ -23,3 +23,14 @@
 def job_partitions(pool):
     """Return all partitions that hold jobs of a pool."""
     return [f"{pool}/{number}" for number in range(_PARTITIONS)]
+
+
+def pool_of_partition(partition):
+    """Return the pool whose jobs a partition holds.
+
+    Examples
+    --------
+    >>> pool_of_partition("pool-1/7")
+    'pool-1'
+    """
+    return partition.rpartition("/")[0]
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -23,6 +23,7 @@
 UNAVAILABLE = "503 Service Unavailable"
 MISDIRECTED = "421 Misdirected Request"
 ROWS_PER_PAGE = 500
+PARTS_PER_PAGE = 1000
 LEASE_LIMIT_MS = 6000
 CLOSE_SECONDS = 10.0
 # What the clock of a worker shows when it begins.
@@ -85,6 +86,12 @@
             body = {"rows": found[:limit], "more_pages": len(found) > limit}
             return OK, {**body, "ver": self.version, "now_ms": 0}
 
+    def parts(self, query):
+        with self.changed:
+            found = {part for table, part, _ in self.rows if table == query["table"]}
+        found = sorted(part for part in found if part > query.get("after", ""))
+        return OK, {"parts": found[:PARTS_PER_PAGE]}
+
     def feed(self, query):
         after, table = int(query["after"]), query["table"]
         deadline = time.monotonic() + int(query["wait_ms"]) / 1000
@@ -136,6 +143,8 @@
 class WorkerStandin:
     """Run tasks for ``task_seconds`` under a lease; refuse lower fencing tokens."""
 
+    service = "pool-1"
+
     def __init__(self, name, cpu=16000, mem_mb=65536, task_seconds=0.1):
         self.name = name
         # Last part of its address; another worker may take it later.
@@ -347,8 +356,9 @@
         self._server.close()
         self._is_closed.set()
 
-    def add_worker(self, name, **settings):
+    def add_worker(self, name, service="pool-1", **settings):
         worker = WorkerStandin(name, **settings)
+        worker.service = service
         self.workers[name] = worker
         self.register(name)
         return worker
@@ -360,7 +370,7 @@
             "",
             name,
             {
-                "service": "pool-1",
+                "service": worker.service,
                 "address": f"{self.address}/workers/{worker.slot}",
                 "zone": "z1",
                 "state": state,
@@ -486,4 +496,6 @@
                 self.rows.answers_to_lose -= 1
                 return None
             return found
+        if path == "/rows-parts":
+            return self.rows.parts(query)
         return self.rows.get(query) if path == "/rows-get" else self.rows.feed(query)
