Look for a job in every pool that its queue has had

Cause: jobs were looked up in the partition of the pool that the queue has now. Nothing in the store told which pools a queue has had.

Change: a row for each queue names its pools, in the order of their first use. A pool is added, on condition of the version that was read, before the first job of the queue is stored there, so whoever adds one learns all others; the row comes to all hosts by a feed that they follow already. An id is looked for in the queue's other pools before it is stored, and after the queue's own pool for GET and DELETE. A queue that always had one pool needs no more calls than before, but one write for its first job in the life of the cell.

Hosts of test_admission and test_application got the attribute and the method that a host has now.

--- a/papayapick/entry/callers/acceptance.py
+++ b/papayapick/entry/callers/acceptance.py
@@ -1,10 +1,9 @@
 """Accept jobs, cancel them and report their states."""
 
-from concurrent.futures import TimeoutError as FutureTimeout
-
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.clients.rows import Expectation, RowWrite
 from papayapick.entry.callers.admission import JobAdmission
+from papayapick.entry.callers.writers import wait_for_write
 from papayapick.entry.events import JOB_KNOWN
 from papayapick.entry.exceptions import (
     AcceptanceUnknown,
@@ -21,8 +20,6 @@
 
 __all__ = ["Acceptance"]
 
-_ANSWER_TIMEOUT_SECONDS = 2.6
-
 
 class Acceptance:
     """Serve callers' requests about jobs.
@@ -34,15 +31,18 @@
     job_states : JobStateCache
     admission : JobAdmission, optional
         Not given where jobs are admitted without a forecast.
+    queue_pools : QueuePools, optional
+        Not given where queues keep their pool for ever.
     """
 
-    __slots__ = ("_admission", "_job_states", "_store", "_writer")
+    __slots__ = ("_admission", "_job_states", "_queue_pools", "_store", "_writer")
 
-    def __init__(self, store, writer, job_states, admission=None):
+    def __init__(self, store, writer, job_states, admission=None, queue_pools=None):
         self._store = store
         self._writer = writer
         self._job_states = job_states
         self._admission = admission
+        self._queue_pools = queue_pools
 
     @classmethod
     def from_host(cls, host):
@@ -55,7 +55,13 @@
         admission = None
         if OverloadFeatures.from_settings(host.settings).is_in_use:
             admission = JobAdmission(host.job_states, host.clock)
-        return cls(host.relayed_store, host.writer, host.job_states, admission)
+        return cls(
+            host.relayed_store,
+            host.writer,
+            host.job_states,
+            admission,
+            host.queue_pools,
+        )
 
     def submit(self, document, unfit_step=None):
         """Store a job; a repeated id denotes the same job.
@@ -82,13 +88,16 @@
             self._check_resubmission(document, self._job_states.team(identifier))
             JOB_KNOWN.write(request_id=identifier, queue=document.queue, source="board")
             return False
+        if self._is_in_other_pool(document):
+            JOB_KNOWN.write(request_id=identifier, queue=document.queue, source="pools")
+            return False
         partition = job_partition(document.pool, identifier)
         if unfit_step is not None and not self._may_be_stored(partition, identifier):
             raise ExceedsMaximum(step=unfit_step, team=document.team)
         decided_at = self._check_admission(document, partition)
         expectation = Expectation(JOBS_TABLE, partition, identifier, 0)
         write = RowWrite(JOBS_TABLE, partition, identifier, document.as_record())
-        is_new = _wait_for(self._writer.submit(expectation, write))
+        is_new = wait_for_write(self._writer.submit(expectation, write))
         if not is_new:
             self._check_stored_job(document, partition)
             JOB_KNOWN.write(request_id=identifier, queue=document.queue, source="store")
@@ -97,6 +106,26 @@
         self._job_states.note_accepted(identifier, document.team)
         return is_new
 
+    def _is_in_other_pool(self, document):
+        """Return whether the job was stored while its queue had another pool.
+
+        Its state is not cached: the owner may have sent a later one already.
+        """
+        if self._queue_pools is None:
+            return False
+        try:
+            self._queue_pools.record(document.queue, document.pool)
+            others = self._queue_pools.others(document.queue, document.pool)
+            for pool in others:
+                partition = job_partition(pool, document.identifier)
+                stored_team = self._stored_team(partition, document.identifier)
+                if stored_team is not None:
+                    self._check_resubmission(document, stored_team)
+                    return True
+        except (StateUnknown, TableUnavailable) as error:
+            raise AcceptanceUnknown() from error
+        return False
+
     def _check_admission(self, document, partition):
         """Raise an error if a new job is refused; a stored one never is.
 
@@ -173,8 +202,8 @@
         if self._job_states.state(identifier) in JobStatus.FINAL:
             self._check_access(queue, identifier, team)
             return False
-        partition = job_partition(queue.pool, identifier)
-        rows = self._read(JOBS_TABLE, partition, identifier, CANCEL_SUFFIX + "~")
+        pool, rows = self._find_job(queue, identifier)
+        partition = job_partition(pool, identifier)
         versions = {row.key: row.version for row in rows}
         if identifier not in versions or not _is_accessible(queue, team, rows):
             raise JobUnknown(identifier=identifier)
@@ -186,7 +215,7 @@
             JOBS_TABLE, partition, identifier, versions[identifier]
         )
         write = RowWrite(JOBS_TABLE, partition, identifier + CANCEL_SUFFIX, {})
-        return _wait_for(self._writer.submit(expectation, write))
+        return wait_for_write(self._writer.submit(expectation, write))
 
     def status(self, queue, identifier, team=""):
         """Return the status of a job.
@@ -206,13 +235,12 @@
         if status is not None:
             self._check_access(queue, identifier, team)
             return status
-        partition = job_partition(queue.pool, identifier)
-        jobs = self._read(JOBS_TABLE, partition, identifier, "~")
+        pool, jobs = self._find_job(queue, identifier)
         job_team = _team_of(jobs)
         if job_team is None or not _is_accessible(queue, team, jobs):
             raise JobUnknown(identifier=identifier)
         status = JobStatus.WAITING
-        for row in self._read(PROGRESS_TABLE, queue.pool, identifier, "~"):
+        for row in self._read(PROGRESS_TABLE, pool, identifier, "~"):
             if row.value is not None:
                 status = row.value["status"]
         is_cancelled = any(row.key != identifier for row in jobs)
@@ -240,6 +268,29 @@
         """
         return _team_of(self._read(JOBS_TABLE, partition, identifier, "~"))
 
+    def _find_job(self, queue, identifier):
+        """Return the pool under which a job was stored, and its rows.
+
+        Other pools than the queue's present one are read only if that one has no such
+        job. Without a job, the rows are empty.
+        """
+        rows = self._read_job(queue.pool, identifier)
+        if rows or self._queue_pools is None:
+            return queue.pool, rows
+        try:
+            others = self._queue_pools.others(queue.name, queue.pool)
+        except TableUnavailable as error:
+            raise StateUnknown() from error
+        for pool in others:
+            rows = self._read_job(pool, identifier)
+            if rows:
+                return pool, rows
+        return queue.pool, []
+
+    def _read_job(self, pool, identifier):
+        partition = job_partition(pool, identifier)
+        return self._read(JOBS_TABLE, partition, identifier, "~")
+
     def _read(self, table, partition, identifier, end):
         try:
             return self._store.read(table, partition, identifier, identifier + end, 3)
@@ -271,10 +322,3 @@
 
 def _is_accessible(queue, team, rows):
     return queue.is_public or _may_access(team, _team_of(rows) or "")
-
-
-def _wait_for(future):
-    try:
-        return future.result(_ANSWER_TIMEOUT_SECONDS)
-    except FutureTimeout as error:
-        raise AcceptanceUnknown() from error
--- a/papayapick/entry/callers/writers.py
+++ b/papayapick/entry/callers/writers.py
@@ -3,6 +3,7 @@
 import collections
 import threading
 from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeout
 
 from papayapick.clients.exceptions import (
     ConditionFailed,
@@ -12,12 +13,13 @@
 from papayapick.entry.events import CONFLICT_UNCLEAR, WRITE_FAILED, WRITE_UNSETTLED
 from papayapick.entry.exceptions import AcceptanceUnknown, NotAccepted
 
-__all__ = ["GroupWriter", "PendingWrite"]
+__all__ = ["GroupWriter", "PendingWrite", "wait_for_write"]
 
 _WRITES_PER_CALL = 50
 _RETRY_SECONDS = 0.1
 # Retries end after this time; callers wait three seconds at most.
 _DEADLINE_SECONDS = 2.2
+_ANSWER_TIMEOUT_SECONDS = 2.6
 
 
 class PendingWrite:
@@ -200,3 +202,16 @@
         "request_ids": [pending.write.key for pending in group],
         "partition": group[0].write.partition,
     }
+
+
+def wait_for_write(future):
+    """Return the result of ``GroupWriter.submit``.
+
+    Raises
+    ------
+    NotAccepted, AcceptanceUnknown
+    """
+    try:
+        return future.result(_ANSWER_TIMEOUT_SECONDS)
+    except FutureTimeout as error:
+        raise AcceptanceUnknown() from error
--- a/papayapick/entry/configuration/follower.py
+++ b/papayapick/entry/configuration/follower.py
@@ -35,6 +35,7 @@
         "_host",
         "_in_force_since",
         "_is_loaded",
+        "_lock",
         "_rows",
         "_waves",
         "announcements",
@@ -44,6 +45,8 @@
     def __init__(self, host):
         self._host = host
         self._current = None
+        # Versions come on two ways, each with a thread of its own.
+        self._lock = threading.Lock()
         self._is_loaded = threading.Event()
         self._in_force_since = 0.0
         self._waves = {}
@@ -134,6 +137,11 @@
         except BodyInvalid as error:
             CONFIGURATION_REFUSED.write(version_in_force=self.version, error=str(error))
 
+    def _is_newer(self, configuration):
+        # A read that began before a change may be answered after it, so an older
+        # version must not replace a newer one.
+        return self._current is None or configuration.version > self._current.version
+
     def _apply(self, value):
         began_at = self._host.clock.monotonic()
         try:
@@ -141,14 +149,17 @@
         except BodyInvalid as error:
             CONFIGURATION_REFUSED.write(version_in_force=self.version, error=str(error))
             return
-        # A read that began before a change may be answered after it, so an older
-        # version must not replace a newer one.
-        if self._current is not None and configuration.version <= self._current.version:
+        if not self._is_newer(configuration):
             return
-        version_before, self._current = self.version, configuration
-        self._in_force_since = self._host.clock.monotonic()
-        self._is_loaded.set()
-        self._host.note_configuration(configuration)
+        self._host.prepare_configuration(configuration)
+        with self._lock:
+            # Again: a newer version may have come on the other way meanwhile.
+            if not self._is_newer(configuration):
+                return
+            version_before, self._current = self.version, configuration
+            self._in_force_since = self._host.clock.monotonic()
+            self._is_loaded.set()
+            self._host.note_configuration(configuration)
         CONFIGURATION_IN_FORCE.write(
             version=configuration.version,
             version_before=version_before,
--- a/papayapick/entry/events.py
+++ b/papayapick/entry/events.py
@@ -283,6 +283,13 @@
     "The store did not name the pools that hold jobs; this host asks again.",
     level=logging.WARNING,
 )
+QUEUE_POOL_UNRECORDED = Event(
+    "pool of a queue not recorded",
+    "queue pool error",
+    "The store did not take in time that a queue gets another pool. The pool is "
+    "recorded before the first job of the queue is stored there.",
+    level=logging.WARNING,
+)
 POOL_LOST_RACE = Event(
     "pool taken by another host",
     "pool epoch",
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -8,6 +8,7 @@
 from papayapick.entry.callers.acceptance import Acceptance
 from papayapick.entry.callers.application import Application
 from papayapick.entry.callers.job_states import JobStateCache
+from papayapick.entry.callers.queue_pools import QUEUES_PARTITION, QueuePools
 from papayapick.entry.callers.queues import KnownQueues
 from papayapick.entry.callers.servers import FrontendServer
 from papayapick.entry.callers.writers import GroupWriter
@@ -104,6 +105,7 @@
         self.writer = GroupWriter(
             self.relayed_store, self.clock, self.stopping, self.executor
         )
+        self.queue_pools = QueuePools(self.relayed_store, self.writer)
         self.acceptance = Acceptance.from_host(self)
         self.advice = AdviceDispatcher(self, HttpPool(_WORKER_TIMEOUT_SECONDS))
         self.peers = None
@@ -278,7 +280,8 @@
         if all(row.key != self.settings.host_name for row in rows):
             # Removed before this read, so that no change will tell of it.
             register_again(self)
-        for partition in (ANNOUNCEMENT_PARTITION, *list(self._candidacies)):
+        partitions = (ANNOUNCEMENT_PARTITION, QUEUES_PARTITION)
+        for partition in (*partitions, *list(self._candidacies)):
             rows += self.store.read_all(CELL_TABLE, partition)[0]
         self._watched_pools.look_again()
         return rows, version
@@ -293,10 +296,14 @@
             if row.partition == ANNOUNCEMENT_PARTITION:
                 self.configuration.announcements.note_row(row)
                 continue
+            if row.partition == QUEUES_PARTITION:
+                self.queue_pools.note_row(row)
+                continue
             pool_state = pool_row(row)
             if pool_state is not None and pool_state.pool in self._candidacies:
                 self._candidacies[pool_state.pool].note_row(pool_state)
         self.has_read_hosts = True
+        self.queue_pools.note_complete()
         self._beats.start_missing_senders()
 
     def _note_cell_complete(self, asked_at):
@@ -304,9 +311,16 @@
         for owner in self._owners():
             owner.ownership_status.note_confirmed(asked_at)
 
+    def prepare_configuration(self, configuration):
+        """Tell the other hosts of changed pools, before they come into force."""
+        self.queue_pools.prepare(
+            configuration, lambda seconds: self.clock.wait(self.stopping, seconds)
+        )
+
     def note_configuration(self, configuration):
         """Watch the pools of a new configuration and update the owners' queues."""
         self._queues.update(configuration)
+        self.queue_pools.note_configuration(configuration)
         self._watched_pools.watch(configuration.pools)
         for owner in self._owners():
             owner.refresh_queues()
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -71,6 +71,7 @@
         )
         self.job_states = JobStateCache(self.clock)
         self.relayed_store = self.writer = store or FakeStore()
+        self.queue_pools = None
         self.acceptance = Acceptance.from_host(self)
         self.store_health = SimpleNamespace(
             logged_age=lambda: None, reported_age=lambda: 0.0
--- a/tests/entry/test_application.py
+++ b/tests/entry/test_application.py
@@ -43,6 +43,9 @@
         self.acceptance = self.store_health = self
         self.accepted = []
 
+    def prepare_configuration(self, configuration):
+        pass
+
     def note_configuration(self, configuration):
         pass
 
--- a/tests/entry/test_moved_queues.py
+++ b/tests/entry/test_moved_queues.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from papayapick.pool.records.journal import CANCEL_SUFFIX
 from tests.entry.cell import EntryCell, job, wait_for
 from tests.standins.cluster import Cluster
 
@@ -65,3 +66,51 @@
     assert all(
         worker.startswith("old") for worker, _ in cluster.starts()[IDS[0] + ".0.0.0"]
     )
+
+
+def test_former_pools_of_a_queue_are_known_after_a_restart_of_all_hosts(cluster, cell):
+    """Guards against jobs that callers can't find, and that run again if sent again.
+
+    The owner of the former pool does not send their states: it can't tell yet, or the
+    host that is asked has forgotten them.
+    """
+    assert _submit(cell.hosts[0], IDS[0]) == 200
+    wait_for(lambda: cluster.starts())
+    _move_queue(cluster, cell)
+    for host in cell.hosts:
+        host.end()
+    # Nobody can own the former pool.
+    cluster.rows.transact = _refuse(cluster.rows.transact, "pool-1")
+    for host in cell.hosts:
+        host.start()
+    for host in cell.hosts:
+        wait_for(host.is_ready)
+    # The record of its progress may be older than its start.
+    assert _state(cell.hosts[1], IDS[0]) in ("pending", "running")
+    for host in cell.hosts:
+        assert _submit(host, IDS[0]) == 200
+        assert _jobs(cluster, IDS[0]) == {"pool-1/1"}
+    assert cell.hosts[0].call("DELETE", f"/quick/{IDS[0]}")[0] == 200
+    assert ("jobs", "pool-1/1", IDS[0] + CANCEL_SUFFIX) in cluster.rows.rows
+
+
+def _refuse(transact, pool):
+    """Refuse to write the owner's row of a pool."""
+
+    def answer(body):
+        if any(
+            one["table"] == "cell" and one["part"] == pool for one in body["writes"]
+        ):
+            return "503 Service Unavailable", {}
+        return transact(body)
+
+    return answer
+
+
+def _jobs(cluster, identifier):
+    """Return the partitions that hold the row of a job."""
+    return {
+        part
+        for table, part, key in cluster.rows.rows
+        if table == "jobs" and key == identifier
+    }
