Count the waiting jobs of a queue in all its pools

The gauge of waiting jobs showed the count of one of the pools.

Cause: the count was that of the pool that the queue has now; the gauge kept one count for each queue's name.

Change: both are sums over the pools that hold stored jobs of the queue. A host that has not read yet which pools these are tells no number, as one without a recent report does.

Evidence: tests/entry/test_moved_queues.py:: test_waiting_jobs_of_a_former_pool_are_counted failed before: no host told 2 within 10 s. Now it passes, also after a restart of all hosts. Hosts of test_counts and test_keys got the attribute that a host has now. tests/entry without the soak, contracts, docs, checks, platform: all pass.

--- a/papayapick/entry/callers/application.py
+++ b/papayapick/entry/callers/application.py
@@ -166,7 +166,8 @@
         if not identifier:
             if method != "GET":
                 return _Reply(_NOT_ALLOWED)
-            return _Reply(_OK, encode_waiting(host.job_states.waiting(queue)))
+            former = host.watched_pools.former_pools(queue)
+            return _Reply(_OK, encode_waiting(host.job_states.waiting(queue, former)))
         if not is_identifier(identifier):
             return _Reply(_NOT_FOUND)
         if method == "POST":
--- a/papayapick/entry/callers/job_states.py
+++ b/papayapick/entry/callers/job_states.py
@@ -2,7 +2,7 @@
 
 import math
 import threading
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 
 from papayapick.entry.exceptions import CountUnknown
 from papayapick.jobs.state import JobStatus
@@ -200,29 +200,37 @@
                 for latest in self._pools.values()
                 if now - latest.known_at <= _COUNT_MAX_AGE_SECONDS
             ]
-        return {
-            name: backlog.waiting
-            for counts in fresh
-            for name, backlog in counts.items()
-            if backlog.waiting
-        }
+        total = Counter()
+        for counts in fresh:
+            total.update({name: one.waiting for name, one in counts.items()})
+        return {name: count for name, count in total.items() if count}
 
-    def waiting(self, queue):
+    def waiting(self, queue, former_pools=()):
         """Return how many jobs of a queue have not begun.
 
+        Parameters
+        ----------
+        queue : Queue
+        former_pools : iterable of str, optional
+            Other pools that may hold jobs of the queue.
+
         Raises
         ------
         CountUnknown
-            No owner of the pool has reported, or not recently: only in a recent
-            report does a queue that is left out have no waiting jobs.
+            No owner of one of the pools has reported, or not recently: only in a
+            recent report does a queue that is left out have no waiting jobs.
         """
+        pools = (queue.pool, *former_pools)
+        return sum(self._waiting_in(pool, queue.name) for pool in pools)
+
+    def _waiting_in(self, pool, queue):
         with self._lock:
-            latest = self._pools.get(queue.pool, _PoolBacklogs())
+            latest = self._pools.get(pool, _PoolBacklogs())
             age = self._clock.monotonic() - latest.known_at
-            backlog = latest.counts.get(queue.name)
+            backlog = latest.counts.get(queue)
         if age > _COUNT_MAX_AGE_SECONDS:
             shown = None if math.isinf(age) else round(age, 3)
-            raise CountUnknown(pool=queue.pool, age_seconds=shown)
+            raise CountUnknown(pool=pool, age_seconds=shown)
         return backlog.waiting if backlog is not None else 0
 
     def retry_after(self, pool, queue):
--- a/papayapick/entry/callers/queue_pools.py
+++ b/papayapick/entry/callers/queue_pools.py
@@ -68,6 +68,11 @@
         self._present = {}
         self._is_complete = False
 
+    @property
+    def is_complete(self):
+        """Return whether the rows of all queues have been read."""
+        return self._is_complete
+
     def note_row(self, row):
         """Update the pools of a queue to its row in the store.
 
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -119,7 +119,7 @@
         )
         self._relay = StoreRelay(self)
         self._candidacies = {}
-        self._watched_pools = WatchedPools(self, self._candidacies, self._run_loop)
+        self.watched_pools = WatchedPools(self, self._candidacies, self._run_loop)
         self._was_ready = False
         self._beats = BeatBroadcaster(self, self._candidacies)
         self._queues = KnownQueues()
@@ -219,7 +219,7 @@
             ("relayed configuration", self.configuration.run_relayed),
             ("cell", self._follow_cell),
             ("probe", self._probe.run),
-            ("former pools", self._watched_pools.run),
+            ("former pools", self.watched_pools.run),
         ):
             self._run_loop(name, step)
 
@@ -283,7 +283,7 @@
         partitions = (ANNOUNCEMENT_PARTITION, QUEUES_PARTITION)
         for partition in (*partitions, *list(self._candidacies)):
             rows += self.store.read_all(CELL_TABLE, partition)[0]
-        self._watched_pools.look_again()
+        self.watched_pools.look_again()
         return rows, version
 
     def _note_cell_rows(self, rows):
@@ -321,7 +321,7 @@
         """Watch the pools of a new configuration and update the owners' queues."""
         self._queues.update(configuration)
         self.queue_pools.note_configuration(configuration)
-        self._watched_pools.watch(configuration.pools)
+        self.watched_pools.watch(configuration.pools)
         for owner in self._owners():
             owner.refresh_queues()
 
@@ -337,7 +337,7 @@
 
     def verify_ownership(self, owner):
         """Read in the background whether this host still owns the pool."""
-        self.executor.submit(self._watched_pools.verify_ownership, owner)
+        self.executor.submit(self.watched_pools.verify_ownership, owner)
 
     def broadcast(self, owner):
         """Cache an owner's changed job states and send them to the other hosts."""
--- a/papayapick/entry/watched_pools.py
+++ b/papayapick/entry/watched_pools.py
@@ -9,6 +9,7 @@
     FORMER_POOLS_UNREAD,
     OWNER_UNCONFIRMED,
 )
+from papayapick.entry.exceptions import CountUnknown
 from papayapick.ownership.pools import read_pool
 from papayapick.pool.records.journal import JOBS_TABLE
 from papayapick.pool.records.partitions import pool_of_partition
@@ -38,13 +39,22 @@
         Runs a named step in the background until the process stops.
     """
 
-    __slots__ = ("_candidacies", "_host", "_lock", "_run_loop", "_wakeup")
+    __slots__ = (
+        "_candidacies",
+        "_has_looked",
+        "_host",
+        "_lock",
+        "_run_loop",
+        "_wakeup",
+    )
 
     def __init__(self, host, candidacies, run_loop):
         self._host = host
         self._candidacies = candidacies
         self._run_loop = run_loop
         self._lock = threading.Lock()
+        # Whether the pools that hold stored jobs have been looked for.
+        self._has_looked = False
         self._wakeup = threading.Event()
 
     def watch(self, pools):
@@ -82,6 +92,28 @@
         else:
             self._candidacies[owner.pool].note_row(row)
 
+    def former_pools(self, queue):
+        """Return the pools other than its own that may hold jobs of a queue.
+
+        A pool that holds no stored jobs is not watched, unless a configuration uses it
+        or has used it lately, and may have no owner.
+
+        Parameters
+        ----------
+        queue : Queue
+
+        Raises
+        ------
+        CountUnknown
+            This host has not read yet which pools a queue has had, or which of them
+            hold jobs.
+        """
+        queue_pools = self._host.queue_pools
+        others = queue_pools.known_others(queue.name, queue.pool)
+        if not queue_pools.is_complete or (others and not self._has_looked):
+            raise CountUnknown(pool=queue.pool, age_seconds=None)
+        return [pool for pool in others if pool in self._candidacies]
+
     def look_again(self):
         """Look for stored jobs once more, as changes may have been missed."""
         self._wakeup.set()
@@ -110,6 +142,7 @@
             FORMER_POOLS_UNREAD.write(error=str(error))
             return False
         pools = {pool_of_partition(partition) for partition in partitions}
+        self._has_looked = True
         found = sorted(pool for pool in pools if pool not in self._candidacies)
         if found:
             FORMER_POOLS_FOUND.write(pools=found)
--- a/tests/entry/test_counts.py
+++ b/tests/entry/test_counts.py
@@ -32,6 +32,7 @@
     def __init__(self, clock):
         self.clock = clock
         self.job_states = JobStateCache(clock)
+        self.watched_pools = SimpleNamespace(former_pools=lambda queue: [])
         self.settings = SimpleNamespace(
             readiness_address=("127.0.0.1", 1), metrics_port=0
         )
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -66,7 +66,7 @@
     def __init__(self):
         super().__init__()
         self.settings.has_teams = True
-        self.job_states = self
+        self.job_states = self.watched_pools = self
         self.calls = []
         self.unfit_steps = []
 
@@ -83,8 +83,11 @@
         self.calls.append(("DELETE", team))
         return False
 
-    def waiting(self, queue):
-        return 0
+    def waiting(self, queue, former_pools):
+        return len(former_pools)
+
+    def former_pools(self, queue):
+        return []
 
     def configure(self, value):
         row = StoredRow(OPERATOR_TABLE, "", CONFIGURATION_KEY, value, 1)
--- a/tests/entry/test_moved_queues.py
+++ b/tests/entry/test_moved_queues.py
@@ -94,6 +94,23 @@
     assert ("jobs", "pool-1/1", IDS[0] + CANCEL_SUFFIX) in cluster.rows.rows
 
 
+def test_waiting_jobs_of_a_former_pool_are_counted(cluster, cell):
+    """Guards against counts that leave out jobs stored before their queue moved."""
+    too_large = job(1, cpu=999_000)
+    assert _submit(cell.hosts[0], IDS[0], too_large) == 200
+    _move_queue(cluster, cell)
+    assert _submit(cell.hosts[0], IDS[1], too_large) == 200
+    for _ in range(2):
+        for host in cell.hosts:
+            wait_for(lambda host=host: _waiting(host) == 2)
+        _restart_all(cell)
+
+
+def _waiting(host):
+    status, found = host.call("GET", "/quick/")
+    return found["queued_jobs"] if status == 200 else None
+
+
 def _refuse(transact, pool):
     """Refuse to write the owner's row of a pool."""
 
