Pass over an owner's row among the rows of queues

What callers would see: a pool whose name is that of the partition with the rows of queues has its owner's row there, and the loop that follows the cell fails at it.

Cause: the field with a queue's pools was demanded of each row. Change: a row without it names no pools. Evidence: the test failed before with KeyError: 'pools'. Now it passes.

--- a/papayapick/entry/callers/queue_pools.py
+++ b/papayapick/entry/callers/queue_pools.py
@@ -84,7 +84,8 @@
             return
         with self._lock:
             known = self._rows.setdefault(row.key, _Row())
-            known.add(row.value[_POOLS])
+            # The row of an owner, if a pool is called like this partition, has none.
+            known.add(row.value.get(_POOLS, ()))
             known.version = max(known.version, row.version)
 
     def note_complete(self):
--- a/tests/entry/test_queue_pools.py
+++ b/tests/entry/test_queue_pools.py
@@ -241,6 +241,14 @@
     assert watcher.version == 3
 
 
+def test_row_of_a_pool_with_the_name_of_the_partition_is_passed_over(store):
+    """Guards against hosts that end because the operator's pool is called "queues"."""
+    host = Host(store)
+    value = {"owner": "h1", "epoch": 1, "address": "a:1"}
+    host.pools.note_row(StoredRow("cell", QUEUES_PARTITION, "owner", value, 1))
+    assert host.pools.others("owner", OLD) == []
+
+
 def test_version_is_not_held_up_by_a_store_that_is_away(store):
     """Guards against a version that does not come into force in an outage."""
     host = Host(store)
