--- a/papayapick/entry/events.py
+++ b/papayapick/entry/events.py
@@ -200,7 +200,8 @@
     "job known already",
     "request_id queue source",
     "A job with a known id was submitted again and not stored. The source is board "
-    "(the cache of job states) or store.",
+    "(the cache of job states), store, or pools (stored while its queue had another "
+    "pool).",
 )
 CANCEL_STORED = Event(
     "cancel stored",
