--- a/papayapick/entry/events.py
+++ b/papayapick/entry/events.py
@@ -200,7 +200,8 @@
     "job known already",
     "request_id queue source",
     "A job with a known id was submitted again and not stored. The source is board "
-    "(the cache of job states) or store.",
+    "(the cache of job states), store, or pools (stored while its queue had another "
+    "pool).",
 )
 CANCEL_STORED = Event(
     "cancel stored",
@@ -271,6 +272,25 @@
     "peer pool error",
     "A host did not answer whether it owns a pool.",
 )
+FORMER_POOLS_FOUND = Event(
+    "former pools found",
+    "pools",
+    "These pools hold stored jobs, though no queue has used them since this process "
+    "started; it watches them like those of queues.",
+)
+FORMER_POOLS_UNREAD = Event(
+    "former pools not read",
+    "error",
+    "The store did not name the pools that hold jobs; this host asks again.",
+    level=logging.WARNING,
+)
+QUEUE_POOL_UNRECORDED = Event(
+    "pool of a queue not recorded",
+    "queue pool error",
+    "The store did not take in time that a queue gets another pool. The pool is "
+    "recorded before the first job of the queue is stored there.",
+    level=logging.WARNING,
+)
 POOL_LOST_RACE = Event(
     "pool taken by another host",
     "pool epoch",
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -2,17 +2,16 @@
 
 import threading
 
-from papayapick.clients.exceptions import TableUnavailable
 from papayapick.clients.http import HttpPool
 from papayapick.clock import BootClock
 from papayapick.entry.advice.dispatch import AdviceDispatcher
 from papayapick.entry.callers.acceptance import Acceptance
 from papayapick.entry.callers.application import Application
 from papayapick.entry.callers.job_states import JobStateCache
+from papayapick.entry.callers.queue_pools import QUEUES_PARTITION, QueuePools
 from papayapick.entry.callers.queues import KnownQueues
 from papayapick.entry.callers.servers import FrontendServer
 from papayapick.entry.callers.writers import GroupWriter
-from papayapick.entry.candidacy import Candidacy
 from papayapick.entry.cell.beats import BeatBroadcaster
 from papayapick.entry.cell.followers import (
     FOLLOW_WAIT_SECONDS,
@@ -24,7 +23,7 @@
 from papayapick.entry.cell.peers import HOSTS_PARTITION, Peers
 from papayapick.entry.configuration.announcements import ANNOUNCEMENT_PARTITION
 from papayapick.entry.configuration.follower import ConfigurationWatcher
-from papayapick.entry.events import OWNER_UNCONFIRMED, READINESS_CHANGED
+from papayapick.entry.events import READINESS_CHANGED
 from papayapick.entry.gauges import refresh_gauges
 from papayapick.entry.loops import LoopRunner
 from papayapick.entry.metrics import STORE_SECONDS
@@ -32,8 +31,9 @@
 from papayapick.entry.store.latency import StoreLatency
 from papayapick.entry.store.probing import StoreProbe
 from papayapick.entry.store.relays import RelayedStore, StoreRelay
+from papayapick.entry.watched_pools import WatchedPools
 from papayapick.executors import ElasticExecutor
-from papayapick.ownership.pools import CELL_TABLE, pool_row, read_pool
+from papayapick.ownership.pools import CELL_TABLE, pool_row
 from papayapick.platform.machines import MachineClient
 from papayapick.platform.store import Store
 from papayapick.pool.events import THREADS_SHORT
@@ -105,6 +105,7 @@
         self.writer = GroupWriter(
             self.relayed_store, self.clock, self.stopping, self.executor
         )
+        self.queue_pools = QueuePools(self.relayed_store, self.writer)
         self.acceptance = Acceptance.from_host(self)
         self.advice = AdviceDispatcher(self, HttpPool(_WORKER_TIMEOUT_SECONDS))
         self.peers = None
@@ -118,6 +119,7 @@
         )
         self._relay = StoreRelay(self)
         self._candidacies = {}
+        self.watched_pools = WatchedPools(self, self._candidacies, self._run_loop)
         self._was_ready = False
         self._beats = BeatBroadcaster(self, self._candidacies)
         self._queues = KnownQueues()
@@ -217,8 +219,12 @@
             ("relayed configuration", self.configuration.run_relayed),
             ("cell", self._follow_cell),
             ("probe", self._probe.run),
+            ("former pools", self.watched_pools.run),
         ):
-            self.executor.submit(self._loops.run, name, step)
+            self._run_loop(name, step)
+
+    def _run_loop(self, name, step):
+        self.executor.submit(self._loops.run, name, step)
 
     # Rows and answers of the store.
 
@@ -274,8 +280,10 @@
         if all(row.key != self.settings.host_name for row in rows):
             # Removed before this read, so that no change will tell of it.
             register_again(self)
-        for partition in (ANNOUNCEMENT_PARTITION, *list(self._candidacies)):
+        partitions = (ANNOUNCEMENT_PARTITION, QUEUES_PARTITION)
+        for partition in (*partitions, *list(self._candidacies)):
             rows += self.store.read_all(CELL_TABLE, partition)[0]
+        self.watched_pools.look_again()
         return rows, version
 
     def _note_cell_rows(self, rows):
@@ -288,10 +296,14 @@
             if row.partition == ANNOUNCEMENT_PARTITION:
                 self.configuration.announcements.note_row(row)
                 continue
+            if row.partition == QUEUES_PARTITION:
+                self.queue_pools.note_row(row)
+                continue
             pool_state = pool_row(row)
             if pool_state is not None and pool_state.pool in self._candidacies:
                 self._candidacies[pool_state.pool].note_row(pool_state)
         self.has_read_hosts = True
+        self.queue_pools.note_complete()
         self._beats.start_missing_senders()
 
     def _note_cell_complete(self, asked_at):
@@ -299,14 +311,17 @@
         for owner in self._owners():
             owner.ownership_status.note_confirmed(asked_at)
 
+    def prepare_configuration(self, configuration):
+        """Tell the other hosts of changed pools, before they come into force."""
+        self.queue_pools.prepare(
+            configuration, lambda seconds: self.clock.wait(self.stopping, seconds)
+        )
+
     def note_configuration(self, configuration):
         """Watch the pools of a new configuration and update the owners' queues."""
         self._queues.update(configuration)
-        for pool in configuration.pools:
-            if pool not in self._candidacies:
-                candidacy = Candidacy(self, pool)
-                self._candidacies[pool] = candidacy
-                self.executor.submit(self._loops.run, pool, candidacy.run)
+        self.queue_pools.note_configuration(configuration)
+        self.watched_pools.watch(configuration.pools)
         for owner in self._owners():
             owner.refresh_queues()
 
@@ -322,21 +337,7 @@
 
     def verify_ownership(self, owner):
         """Read in the background whether this host still owns the pool."""
-        self.executor.submit(self._verify_ownership, owner)
-
-    def _verify_ownership(self, owner):
-        asked_at = self.clock.monotonic()
-        try:
-            row = read_pool(self.store, owner.pool)
-        except TableUnavailable as error:
-            OWNER_UNCONFIRMED.write(
-                pool=owner.pool, epoch=owner.row.epoch, error=str(error)
-            )
-            return
-        if row.version == owner.row.version:
-            owner.ownership_status.note_confirmed(asked_at)
-        else:
-            self._candidacies[owner.pool].note_row(row)
+        self.executor.submit(self.watched_pools.verify_ownership, owner)
 
     def broadcast(self, owner):
         """Cache an owner's changed job states and send them to the other hosts."""
