Log a worker's report that is dropped with ends

What callers saw: nothing; ends of a report that comes after its link was stopped, or after a new incarnation of its worker was noted, vanished without a trace, so that a second run couldn't be traced to them.

Change: "report dropped" names the worker, how many ends were not applied, and why. What is dropped stays as it was: a link is stopped after its worker's lease, when its runs have been placed again, and a later link reads the ends that the worker still lists.

--- a/papayapick/pool/workers/events.py
+++ b/papayapick/pool/workers/events.py
@@ -13,6 +13,7 @@
     "PACE_SET",
     "RENEWAL_REFUSED",
     "REPORT_DELAYED",
+    "REPORT_DROPPED",
     "RUNS_KEPT",
     "RUNS_LOST",
     "RUN_FOUND",
@@ -127,6 +128,13 @@
     "A worker's report waited for that long until it could be applied.",
     per_second=5,
 )
+REPORT_DROPPED = Event(
+    "report dropped",
+    "worker ends reason",
+    "A worker's report with ends that were not applied came too late: its link was "
+    "stopped, or it is of another incarnation of the worker than the current one.",
+    per_second=5,
+)
 RUNS_KEPT = Event(
     "runs kept",
     "worker reason epoch",
--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -8,6 +8,7 @@
 from papayapick.pool.workers.arrivals import Arrivals
 from papayapick.pool.workers.events import (
     RENEWAL_REFUSED,
+    REPORT_DROPPED,
     WORKER_BACK,
     WORKER_SILENT,
     WORKER_UNSEEN,
@@ -209,8 +210,19 @@
                 WORKER_UNSEEN.write(worker=self.worker, error=str(error))
                 return
             call.has_arrived = True
-            if not self.is_stopped and report.born == self.born:
-                self._listener.note_report(self, report, requested_at)
+            if self.is_stopped or report.born != self.born:
+                self.log_dropped(report)
+                return
+            self._listener.note_report(self, report, requested_at)
+
+    def log_dropped(self, report):
+        """Log a report that is not applied, if it has ends that were not either."""
+        is_other = report.born != self.born
+        processed = 0 if is_other else self.processed
+        ends = sum(end.number > processed for end in report.ends)
+        if ends:
+            reason = "other incarnation" if is_other else "link stopped"
+            REPORT_DROPPED.write(worker=self.worker, ends=ends, reason=reason)
 
     def _poll(self, share=1.0, permitted_at=None):
         with self.arrivals.call() as call:
@@ -236,6 +248,7 @@
         RENEWALS.labels("answered").inc()
         self.answered_at = self._clock.monotonic()
         if self.is_stopped:
+            self.log_dropped(report)
             return
         self.lease.note_clock(report.clock)
         if report.born != self.born:
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -79,6 +79,7 @@
         with self._owner.lock:
             room = self._owner.rooms.get(link.worker)
             if room is None or self._is_of_other_incarnation(link, report):
+                link.log_dropped(report)
                 return
             now = self._owner.now()
             self._note_delay(link, report, now - arrived_at)
--- a/tests/pool/test_arrivals.py
+++ b/tests/pool/test_arrivals.py
@@ -6,6 +6,7 @@
 
 from papayapick.platform.exceptions import CallFailed, WorkerSilent
 from papayapick.pool.takeover.reconciliation import PREDECESSOR_LEASE_SECONDS
+from papayapick.pool.workers import links
 from papayapick.pool.workers.liveness import LivenessCheck
 from papayapick.pool.workers.reports import EndReport, WorkerReport
 from tests.pool.linked_workers import NonBlockingClock
@@ -77,8 +78,9 @@
     def renew(self, *args, **options):
         if threading.current_thread() is not self._thread:
             raise CallFailed(address="w", status=OTHER_INSTANCE)
+        report = WorkerReport(50.0, self._link.born, [], self._ends)
         self._wait_at(ARRIVED)
-        return WorkerReport(50.0, self._link.born, [], self._ends)
+        return report
 
     def note_report(self, *args):
         self._wait_at(READ)
@@ -148,6 +150,30 @@
     assert owner.job_registry.step_of(KEY).tasks[0].is_done
 
 
+class Dropped(list):
+    """Record the fields of each event."""
+
+    def write(self, **fields):
+        self.append(fields)
+
+
+@pytest.mark.parametrize("reason", ["link stopped", "other incarnation"])
+def test_report_that_is_dropped_with_ends_is_logged(held_up, monkeypatch, reason):
+    """Guards against ends that are thrown away without a trace."""
+    _, link, thread = held_up
+    events = Dropped()
+    monkeypatch.setattr(links, "REPORT_DROPPED", events)
+    thread.begin()
+    if reason == "link stopped":
+        link.stop()
+        link._listener._owner.store_sync.drop_link(link)
+    else:
+        link.begin_incarnation(2)
+    thread.finish()
+    assert [(one["worker"], one["ends"]) for one in events] == [("w1", 1)]
+    assert events[0]["reason"] == reason
+
+
 class NeverAnswering:
     """Call a worker that is gone, which never answers."""
 
