--- a/tests/observability/test_registry.py
+++ b/tests/observability/test_registry.py
@@ -64,6 +64,8 @@
         speed_metrics.WORKERS_BY_TIER.labels("pool-1", tier.name.lower()).set(176)
     for reason in RequeueReason:
         pool_metrics.TASKS_PLACED_AGAIN.labels(reason.value).inc(1234)
+    for reason in ("unknown-job", "unknown-task", "counted-as-over", "unreadable-job"):
+        pool_metrics.ENDS_NOT_APPLIED.labels(reason).inc(1234)
     for outcome in ("answered", "refused", "no-answer"):
         pool_metrics.RENEWALS.labels(outcome).inc(123456)
     for status in JobStatus.FINAL:
