--- a/tests/pool/fault_simulation.py
+++ b/tests/pool/fault_simulation.py
@@ -7,304 +7,35 @@
 import heapq
 import random
 
-from papayapick.clients.rows import StoredRow
-from papayapick.clock import ManualClock
-from papayapick.jobs import JobDocument, Queue, Step, TaskKey
+from papayapick.jobs import JobDocument, TaskKey
 from papayapick.jobs.queues import CellConfiguration
-from papayapick.ledger import Amounts
 from papayapick.ownership.pools import PoolRow
 from papayapick.platform.exceptions import CallFailed, WorkerSilent
 from papayapick.pool.owner import PoolOwner
 from papayapick.pool.records.journal import JOBS_TABLE
-from papayapick.pool.workers.reports import (
-    EndReport,
-    RunReport,
-    StartOutcome,
-    WorkerReport,
-)
 from papayapick.quotas import Team, TeamDirectory
+from tests.pool.fault_calls import UnreliableClient
+from tests.pool.fault_host import PATIENT, QUEUE, WritableHost
+from tests.pool.fault_jobs import draw_steps
+from tests.pool.fault_workers import SimulatedWorker
 from tests.pool.owners import register
-from tests.pool.standins import Host, ManualExecutor
+from tests.pool.standins import ManualExecutor
 
 __all__ = ["FaultSimulation"]
 
-QUEUE = Queue("q", "h", "/q/", "pool", 0, 1000, 1.5, 0.5, 3.0, True, None)
-PATIENT = Queue("p", "h", "/p/", "pool", 2, 1000, 2.2, 1.2, 3.0, True, None)
 # Enough for the lasting tasks and one gang beside them.
 OVERLOAD_WORKERS = 8
 WORKERS = 14
-CAPACITY = 4000
 FAULT_SECONDS = 20.0
 RECOVERY_SECONDS = 25.0
 # With a backlog of tasks, since the pool is small.
 OVERLOAD_RECOVERY_SECONDS = 75.0
 STEP_SECONDS = 0.05
-MAX_LEASE_SECONDS = 6.0
-GANG_TIMEOUT_SECONDS = 4.0
-STOP_SECONDS = 0.15
 MAX_DELAY_SECONDS = 12.0
 JOB_LIMIT = 120
-FENCED = 409
 TEAMS = ("accounts", "leasing")
 
 
-class NonBlockingClock(ManualClock):
-    """Return at once from waits; only the steps of the simulation advance the time."""
-
-    def wait(self, event, seconds):
-        return event.is_set()
-
-
-class WritableHost(Host):
-    """Store the rows of commits."""
-
-    def __init__(self):
-        super().__init__()
-        self.clock = NonBlockingClock(1000.0)
-        self._version = 10
-
-    def queue_of(self, document):
-        return PATIENT if document.queue == PATIENT.name else QUEUE
-
-    def broadcast(self, owner):
-        pass
-
-    def note_answer(self):
-        pass
-
-    def transact(self, expectations, writes, seconds=None):
-        self._version += 1
-        for write in writes:
-            place = (write.table, write.partition)
-            rows = self.rows.setdefault(place, [])
-            rows[:] = [row for row in rows if row.key != write.key]
-            row = StoredRow(*place, write.key, write.value, self._version)
-            rows.append(row)
-        return self._version
-
-
-class SimulatedRun:
-    """Hold the progress of one run on a simulated worker."""
-
-    def __init__(self, rng):
-        self.done = 0.0
-        # Seconds without the other members of its gang.
-        self.alone = 0.0
-        self.length = rng.choice([0.05, 0.1, 0.3, 1.0, 2.0])
-        self.fails = rng.random() < 0.05
-        self.ends_at = None
-        # Whether its order was sent to an earlier incarnation of the worker, by an
-        # earlier owner, or one which had confirmed its stop before it ended. The
-        # present owner can't prevent such a run.
-        self.is_stray = False
-
-
-class SimulatedWorker:
-    """Execute orders as the platform's workers do.
-
-    Attributes
-    ----------
-    born : int
-        Number of its incarnation.
-    runs : dict
-        Simulated runs by key and attempt.
-    """
-
-    def __init__(self, simulation, name):
-        self.name = name
-        self.is_partitioned = False
-        self.is_up = True
-        self.born = 0
-        # Stops by incarnation, key and attempt.
-        self.stops = set()
-        self._simulation = simulation
-        self.restart()
-
-    def restart(self):
-        """Restart under the same id without any earlier state."""
-        self.is_up = True
-        self.born += 1
-        self.runs, self.ends = {}, []
-        self._end_count = 0
-        self._highest_attempts = {}
-        self._highest_epoch = 0
-        self._lease_end = 0.0
-        self._clock_offset = self._simulation.rng.uniform(0.0, 1000.0)
-
-    def crash(self):
-        """Stop together with all runs."""
-        self.is_up = False
-        self.runs = {}
-
-    @property
-    def is_reached(self):
-        """Return whether calls reach the worker."""
-        return self.is_up and not self.is_partitioned
-
-    @property
-    def _clock(self):
-        return self._simulation.now + self._clock_offset
-
-    def start(self, key, attempt, lease_end, epoch):
-        if epoch < self._highest_epoch:
-            return StartOutcome.FENCED
-        self._highest_epoch = epoch
-        if (key, attempt) in self.runs:
-            return StartOutcome.STARTED
-        if lease_end < self._clock:
-            return StartOutcome.EXPIRED
-        self._extend_lease(lease_end)
-        if attempt <= self._highest_attempts.get(key, 0):
-            return StartOutcome.OUTDATED
-        if (
-            self._used_processors()
-            + self._simulation.step_of(key).room_demand.processors
-            > CAPACITY
-        ):
-            return StartOutcome.NO_ROOM
-        self.runs[(key, attempt)] = SimulatedRun(self._simulation.rng)
-        return StartOutcome.STARTED
-
-    def stop(self, key, attempt, epoch):
-        self._check(epoch)
-        self.stops.add((self.born, key, attempt))
-        self._highest_attempts[key] = max(self._highest_attempts.get(key, 0), attempt)
-        run = self.runs.get((key, attempt))
-        if run is not None and run.ends_at is None:
-            run.ends_at = self._simulation.now + STOP_SECONDS
-
-    def renew(self, epoch, acknowledged, lease_end):
-        self._check(epoch)
-        self.ends = [end for end in self.ends if end.number > acknowledged]
-        if lease_end is not None:
-            self._extend_lease(lease_end)
-        runs = [
-            RunReport(*name, percent=int(min(99, 100 * run.done / run.length)))
-            for name, run in self.runs.items()
-        ]
-        return WorkerReport(self._clock, self.born, runs, list(self.ends))
-
-    def work(self, seconds):
-        """Advance all runs by some seconds, or end them if the lease has expired."""
-        if self._clock > self._lease_end:
-            for name in list(self.runs):
-                self.end(name, "lapsed")
-        for name, run in list(self.runs.items()):
-            if name in self.runs:
-                self._advance_run(name, run, seconds)
-
-    def end(self, name, outcome):
-        """End a run and list its end."""
-        del self.runs[name]
-        key, attempt = name
-        self._highest_attempts[key] = max(self._highest_attempts.get(key, 0), attempt)
-        self._end_count += 1
-        self.ends.append(EndReport(self._end_count, key, attempt, outcome))
-
-    def _advance_run(self, name, run, seconds):
-        key, attempt = name
-        step = self._simulation.step_of(key)
-        members = (
-            self._simulation.members(key, attempt) if step.is_gang else [(self, name)]
-        )
-        if run.ends_at is not None:
-            if self._simulation.now >= run.ends_at:
-                self.end(name, "stopped")
-        elif step.is_gang and len(members) < step.tasks:
-            run.alone += seconds
-            if run.alone > GANG_TIMEOUT_SECONDS:
-                self.end(name, "alone")
-        else:
-            run.done += seconds
-            self._end_if_due(name, run, step, members)
-
-    def _end_if_due(self, name, run, step, members):
-        if run.fails and run.done > run.length / 2:
-            self.end(name, "failed")
-            _end_all([one for one in members if one[1] != name], "broken")
-        elif not step.is_lasting and run.done >= run.length:
-            _end_all(members, "done")
-
-    def _check(self, epoch):
-        if epoch < self._highest_epoch:
-            raise CallFailed(address=self.name, status=FENCED, body=b"")
-        self._highest_epoch = epoch
-
-    def _extend_lease(self, lease_end):
-        latest_end = self._clock + MAX_LEASE_SECONDS
-        self._lease_end = max(self._lease_end, min(lease_end, latest_end))
-
-    def _used_processors(self):
-        return sum(
-            self._simulation.step_of(key).room_demand.processors for key, _ in self.runs
-        )
-
-
-def _end_all(members, outcome):
-    for worker, name in members:
-        worker.end(name, outcome)
-
-
-class NoAnswer(Exception):
-    """Raise for a call that got no answer."""
-
-
-class UnreliableClient:
-    """Call a worker over a network that may lose or delay a call."""
-
-    def __init__(self, simulation, worker):
-        self._simulation = simulation
-        self._worker = worker
-
-    def start(self, run, payload, lease_end, epoch, checkpoint="", ticket=""):
-        incarnation = self._worker.born
-
-        def execute():
-            outcome = self._worker.start(run.key, run.attempt, lease_end, epoch)
-            started = self._worker.runs.get((run.key, run.attempt))
-            if started is not None:
-                is_over = (incarnation, run.key, run.attempt) in self._worker.stops
-                started.is_stray = self._worker.born != incarnation and (
-                    is_over or epoch != self._simulation.epoch
-                )
-                self._simulation.note_started(self._worker, run.key)
-            return outcome
-
-        try:
-            return self._call(execute)
-        except NoAnswer:
-            return StartOutcome.UNKNOWN
-
-    def stop(self, key, attempt, epoch):
-        try:
-            self._call(lambda: self._worker.stop(key, attempt, epoch))
-        except NoAnswer as error:
-            raise WorkerSilent(worker=self._worker.name) from error
-
-    def renew(self, epoch, acknowledged, lease_end=None, wait_seconds=0.0):
-        try:
-            return self._call(
-                lambda: self._worker.renew(epoch, acknowledged, lease_end)
-            )
-        except NoAnswer as error:
-            raise WorkerSilent(worker=self._worker.name) from error
-
-    def _call(self, execute):
-        if not self._worker.is_reached:
-            raise NoAnswer
-        if self._simulation.loses_answer():
-            self._simulation.run_later(lambda: self._execute_late(execute))
-            raise NoAnswer
-        return execute()
-
-    def _execute_late(self, execute):
-        if self._worker.is_reached:
-            try:
-                execute()
-            except CallFailed:
-                return
-
-
 class FaultSimulation:
     """Simulate a pool with random jobs and faults, followed by a recovery phase.
 
@@ -475,7 +206,7 @@
 
     def _submit_job(self):
         identifier = f"{len(self._identifiers) + 1:016x}"
-        steps = self._draw_steps()
+        steps = draw_steps(self.rng)
         for number, step in enumerate(steps):
             self._steps[(identifier, number)] = step
         team = self.rng.choice(TEAMS) if self._maxima else ""
@@ -498,18 +229,6 @@
             step.estimate_seconds = 6.0
         return PATIENT
 
-    def _draw_steps(self):
-        demand = Amounts(1000, 10)
-        kind = self.rng.choice(["plain", "plain", "gang", "lasting", "chain"])
-        tasks = self.rng.randint(2, 4)
-        if kind == "chain":
-            is_gang = self.rng.random() < 0.5
-            follower = Step(2, demand, 0.5, after=[0], is_gang=is_gang)
-            return [Step(2, demand, 0.5), follower]
-        if kind == "lasting":
-            return [Step(1, Amounts(500, 10), 0.8, is_lasting=True)]
-        return [Step(tasks, demand, 0.8, is_gang=kind == "gang")]
-
     def _take_over(self):
         is_exact = True
         if self._owner is not None:
