Don't repeat an acknowledgement that was answered

Each poll repeated the number of the last acknowledged end, so that any poll without an answer, carried out by the worker's next process, made it forget ends that nobody had read. Its report then had neither the run nor its end, the run counted as vanished and was placed again.

Change: a number is sent until an answer confirms it; other polls acknowledge nothing, as refreshes and calls to a silent worker do already. A call that carries a new number and is lost can still do it; nothing in the protocol prevents that.

Evidence: test_call_to_an_earlier_incarnation_repeats_no_acknowledgement failed before ('waiting' in place of 'completed').

--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -73,6 +73,7 @@
     __slots__ = (
         "_acknowledgement",
         "_clock",
+        "_confirmed",
         "_epoch",
         "_listener",
         "acknowledged",
@@ -103,6 +104,8 @@
         self.lease = WorkerLease(clock, lease_limit_seconds)
         self._acknowledgement = threading.Event()
         self.acknowledged = 0
+        # Last acknowledgement that an answer of this incarnation has confirmed.
+        self._confirmed = 0
         self.processed = 0
         self.born = None
         self.alive_at = self.incarnation_since = float("-inf")
@@ -143,7 +146,7 @@
     def begin_incarnation(self, born):
         """Reset the numbers of ends after a restart; the caller holds the lock."""
         self.born = born
-        self.acknowledged = self.processed = 0
+        self.acknowledged = self.processed = self._confirmed = 0
         self.lease.begin_incarnation()
 
     def stop(self):
@@ -201,10 +204,7 @@
 
     def _poll(self, share=1.0, permitted_at=None):
         wait_seconds = share * self._poll_seconds()
-        # A silent worker may have restarted and numbered its ends from the start: it
-        # would discard ends that were never read. If it has not restarted, the
-        # acknowledgement is sent again as soon as it answers.
-        acknowledged = _ACKNOWLEDGE_NONE if self.is_silent else self.acknowledged
+        acknowledged = self._due_acknowledgement()
         self._acknowledgement.clear()
         requested_at = self._clock.monotonic()
         # A call without an answer may still renew the lease. Calls to a silent worker
@@ -225,6 +225,8 @@
             listed = report.runs + report.ends
             names = {(entry.key, entry.attempt) for entry in listed}
             self._listener.note_restart(self, report.born, names, requested_at)
+        else:
+            self._confirmed = max(self._confirmed, acknowledged)
         self.born = report.born
         self.alive_at = requested_at
         self._note_answer()
@@ -232,6 +234,18 @@
         if self.processed > self.acknowledged:
             self.pause(_UNACKNOWLEDGED_SECONDS)
 
+    def _due_acknowledgement(self):
+        """Return the number up to which the worker may now discard its ends.
+
+        A call without an answer may be executed by the next incarnation, which numbers
+        its ends from the start: it would discard ends that were never read, and their
+        tasks would run again. So no call to a silent worker acknowledges any, and an
+        acknowledgement is not repeated once it was answered.
+        """
+        if self.is_silent or self.acknowledged <= self._confirmed:
+            return _ACKNOWLEDGE_NONE
+        return self.acknowledged
+
     def _poll_seconds(self):
         """Return how long the worker may hold back its answer until a run ends."""
         if self.lease.reading is None or self.is_silent:
--- a/tests/pool/test_restarts.py
+++ b/tests/pool/test_restarts.py
@@ -156,3 +156,30 @@
     owner.host.clock.advance(0.1)
     link._poll()
     assert owner.job_registry.step_of(KEY).tasks[0].runs == [start.run]
+
+
+def test_call_to_an_earlier_incarnation_repeats_no_acknowledgement():
+    """Guards against a second run of a task whose end was discarded unread.
+
+    The worker has answered the call that acknowledges 57 ends. A later call gets no
+    answer, and the worker carries it out after it has restarted under its id, when a
+    run has ended as done.
+    """
+    host, owner = owner_with(job())
+    link = owner.links_by_worker["w1"]
+    link.client = worker = SlowWorker(host.clock)
+    owner.rooms.get("w2").is_open = False
+    link._poll()
+    link.processed = link.acknowledged = 57
+    link._poll()
+    worker.is_late = True
+    with pytest.raises(WorkerSilent):
+        link._poll()
+    worker.restart()
+    link._poll()
+    (run,) = place(owner)
+    worker.ends = [EndReport(1, *run.name, "done")]
+    worker.execute_late()
+    host.clock.advance(0.1)
+    link._poll()
+    assert owner.job_registry.get(ID).status == JobStatus.COMPLETED
