Simulate workers that leave, overtaken reports and ends within a stop

The fault simulation had no worker that leaves, applied each report as soon as it was made, let every stopped run end as stopped, and looked for overlaps only.

- workers_leave: workers drain and exit at a fixed time or right after an end, with whatever runs; others join; the owner reads a list of machines that may be 2.5 s old.
- Reports are applied late and overtake each other; answers to long polls are made long after they were requested.
A run that is being stopped may end as done.
- DoneEnds: starts after an end that was acknowledged, or that the present owner had in an answer; not after one that never left its worker.
- waits_for_lock, by hand only: the answers have arrived and wait for the owner's lock.

The earlier tests draw the same random numbers.

--- a/tests/pool/fault_calls.py
+++ b/tests/pool/fault_calls.py
@@ -21,6 +21,7 @@
         incarnation = self._worker.born
 
         def execute():
+            was_there = (run.key, run.attempt) in self._worker.runs
             outcome = self._worker.start(run.key, run.attempt, lease_end, epoch)
             started = self._worker.runs.get((run.key, run.attempt))
             if started is not None:
@@ -29,6 +30,8 @@
                     is_over or epoch != self._simulation.epoch
                 )
                 self._simulation.note_started(self._worker, run.key)
+                if not (was_there or started.is_stray):
+                    self._simulation.done_ends.note_started(run.key)
             return outcome
 
         try:
@@ -43,12 +46,18 @@
             raise WorkerSilent(worker=self._worker.name) from error
 
     def renew(self, epoch, acknowledged, lease_end=None, wait_seconds=0.0):
+        incarnation = self._worker.born
+
+        def execute():
+            is_stray = self._worker.born != incarnation
+            return self._worker.renew(epoch, acknowledged, lease_end, is_stray)
+
         try:
-            return self._call(
-                lambda: self._worker.renew(epoch, acknowledged, lease_end)
-            )
+            report = self._call(execute)
         except NoAnswer as error:
             raise WorkerSilent(worker=self._worker.name) from error
+        self._simulation.note_answer(report, epoch)
+        return report
 
     def _call(self, execute):
         if not self._worker.is_reached:
--- a/tests/pool/fault_simulation.py
+++ b/tests/pool/fault_simulation.py
@@ -15,8 +15,11 @@
 from papayapick.pool.records.journal import JOBS_TABLE
 from papayapick.quotas import Team, TeamDirectory
 from tests.pool.fault_calls import UnreliableClient
+from tests.pool.fault_departures import Departures
+from tests.pool.fault_ends import DoneEnds
 from tests.pool.fault_host import PATIENT, QUEUE, WritableHost
 from tests.pool.fault_jobs import draw_steps
+from tests.pool.fault_reports import DelayedListener
 from tests.pool.fault_workers import SimulatedWorker
 from tests.pool.owners import register
 from tests.pool.standins import ManualExecutor
@@ -52,9 +55,17 @@
     workers : int, optional
         Number of workers. With few of them, a task is more often placed on one that
         has just restarted.
+    workers_leave : bool, optional
+        Whether workers drain and exit, reports are applied late and out of order, and
+        a run that is being stopped may end as done.
+    waits_for_lock : bool, optional
+        Whether the reports that are applied late have arrived before.
 
     Attributes
     ----------
+    done_ends : DoneEnds
+    ends_in_grace : bool
+        Whether a run that is being stopped may end as done.
     excesses : list of tuple
         Teams that had more running after a start than allowed, and the millicores.
     duplicate_runs : list of TaskKey
@@ -62,8 +73,19 @@
         Runs of stray orders do not count.
     """
 
-    def __init__(self, seed, maxima=(), expects_overload=False, workers=None):
+    def __init__(
+        self,
+        seed,
+        maxima=(),
+        expects_overload=False,
+        workers=None,
+        workers_leave=False,
+        waits_for_lock=False,
+    ):
         self.rng = random.Random(seed)
+        self.done_ends = DoneEnds(self)
+        self.ends_in_grace = workers_leave
+        self._waits_for_lock = waits_for_lock
         self.duplicate_runs = []
         self.excesses = []
         self._maxima = list(maxima)
@@ -79,12 +101,17 @@
         self._epoch = 2
         self._owner = None
         self._poll_at = {}
+        # Until when links wait for the answer of their last poll.
+        self._held_until = {}
         self._workers = {}
+        self._departures = Departures(self, self._host) if workers_leave else None
         usual = OVERLOAD_WORKERS if expects_overload else WORKERS
         for number in range(workers or usual):
             name = f"w{number}"
             register(self._host, name)
             self._workers[name] = SimulatedWorker(self, name)
+            if self._departures is not None:
+                self._departures.register(self._workers[name])
         if self._maxima:
             self._configure()
         self._take_over()
@@ -98,6 +125,12 @@
         """Return the epoch of the present owner."""
         return self._epoch
 
+    def shown_born(self, incarnation):
+        """Return the start time that a worker reports, or its number if none leave."""
+        if self._departures is None:
+            return incarnation
+        return self._departures.born(incarnation)
+
     def step_of(self, key):
         return self._steps[(key.job, key.step)]
 
@@ -110,6 +143,11 @@
             if name[0].step_key == key.step_key and name[1] == attempt
         ]
 
+    def note_answer(self, report, epoch):
+        """Record what an owner learns from an answer, unless it arrives later."""
+        if self._departures is None:
+            self.done_ends.note_listed(report.ends, epoch)
+
     def note_started(self, worker, key):
         """Record that a worker has started a run of a task."""
         active = {
@@ -154,6 +192,43 @@
         at = self.now + self.rng.uniform(0.0, MAX_DELAY_SECONDS)
         heapq.heappush(self._events, (at, self._event_count, action))
 
+    def run_in(self, seconds, action, *args):
+        """Run an action after some seconds."""
+        self._event_count += 1
+        event = (self.now + seconds, self._event_count, lambda: action(*args))
+        heapq.heappush(self._events, event)
+
+    def hold_polls(self, link, seconds):
+        """Let a link make its next poll only after some seconds."""
+        self._held_until[link.worker] = self.now + seconds
+
+    def poll_now(self, name):
+        """Let the link to a worker poll in the next step, unless it is held."""
+        self._poll_at[name] = self.now
+
+    def report_now(self, link):
+        """Return what the worker of a link reports now; None without an answer."""
+        worker = self._workers[link.worker]
+        if not worker.is_reached or link.is_stopped or link.born != worker.shown_born:
+            return None
+        try:
+            report = worker.renew(self._epoch, 0, None)
+        except CallFailed:
+            return None
+        return report
+
+    def note_worker_row(self, row):
+        """Let the owner see an entry of a worker."""
+        if self._owner is not None:
+            self._owner.store_sync.note_worker_rows([row])
+            self._connect()
+
+    def join(self):
+        """Let another worker begin."""
+        name = f"w{len(self._workers)}"
+        worker = self._workers[name] = SimulatedWorker(self, name)
+        self._departures.register(worker)
+
     def run(self):
         """Run the phase with faults and the recovery phase after it."""
         faults_end_at = self.now + FAULT_SECONDS
@@ -187,6 +262,8 @@
             self._partition(self.rng.choice(list(self._workers.values())))
         if self.rng.random() < 0.004:
             self._take_over()
+        if self._departures is not None:
+            self._departures.inject(list(self._workers.values()))
         if self._maxima and self.rng.random() < 0.01:
             self._configure()
 
@@ -198,11 +275,12 @@
             worker.crash()
         self.run_later(lambda: self._recover(worker))
 
-    @staticmethod
-    def _recover(worker):
+    def _recover(self, worker):
         worker.is_partitioned = False
-        if not worker.is_up:
+        if not (worker.is_up or worker.is_gone):
             worker.restart()
+            if self._departures is not None:
+                self._departures.register(worker)
 
     def _submit_job(self):
         identifier = f"{len(self._identifiers) + 1:016x}"
@@ -249,8 +327,20 @@
             ManualExecutor(),
         )
         owner.store_sync.load()
-        for name, link in owner.links_by_worker.items():
+        self._held_until = {}
+        self._poll_at = {}
+        self._connect()
+
+    def _connect(self):
+        """Let the links that are new call the simulated workers."""
+        for name, link in self._owner.links_by_worker.items():
+            if isinstance(link.client, UnreliableClient):
+                continue
             link.client = UnreliableClient(self, self._workers[name])
+            if self._departures is not None:
+                link._listener = DelayedListener(
+                    self, link._listener, self._waits_for_lock
+                )
             self._poll_at[name] = self.now + self.rng.uniform(0.0, 0.2)
 
     def _advance(self):
@@ -262,9 +352,12 @@
             if worker.is_up:
                 worker.work(STEP_SECONDS)
         self._owner.ownership_status.note_confirmed(self.now)
-        for name, link in self._owner.links_by_worker.items():
-            if self.now >= self._poll_at[name]:
+        for name, link in list(self._owner.links_by_worker.items()):
+            due_at = max(self._poll_at[name], self._held_until.get(name, 0.0))
+            if self.now >= due_at:
                 self._poll_at[name] = self.now + self._poll(link)
+        if self._departures is not None:
+            self._departures.advance(self._owner, list(self._workers.values()))
         self._owner.loop._run_round(self.now)
         if self.rng.random() < 0.7:
             self._owner.journal.commit()
@@ -273,6 +366,8 @@
 
     def _poll(self, link):
         """Let a link poll once; return the seconds until its next poll."""
+        if self._departures is not None:
+            link._listener.is_polling = True
         try:
             link._poll()
         except WorkerSilent as error:
@@ -281,6 +376,9 @@
         except CallFailed as error:
             link._note_refusal(error, self.now)
             return 0.2
+        finally:
+            if self._departures is not None:
+                link._listener.is_polling = False
         return self.rng.choice([0.05, 0.3, 0.6])
 
     def _run_some_orders(self, executor):
--- a/tests/pool/fault_workers.py
+++ b/tests/pool/fault_workers.py
@@ -42,12 +42,18 @@
         Number of its incarnation.
     runs : dict
         Simulated runs by key and attempt.
+    shown_born : int
+        What it reports as the start time of its process.
     """
 
     def __init__(self, simulation, name):
         self.name = name
         self.is_partitioned = False
         self.is_up = True
+        # Whether it has left for good.
+        self.is_gone = False
+        # Whether it leaves as soon as a run ends as done.
+        self.leaves_at_end = False
         self.born = 0
         # Stops by incarnation, key and attempt.
         self.stops = set()
@@ -58,6 +64,7 @@
         """Restart under the same id without any earlier state."""
         self.is_up = True
         self.born += 1
+        self.shown_born = self._simulation.shown_born(self.born)
         self.runs, self.ends = {}, []
         self._end_count = 0
         self._highest_attempts = {}
@@ -107,8 +114,11 @@
         if run is not None and run.ends_at is None:
             run.ends_at = self._simulation.now + STOP_SECONDS
 
-    def renew(self, epoch, acknowledged, lease_end):
+    def renew(self, epoch, acknowledged, lease_end, is_stray=False):
         self._check(epoch)
+        self._simulation.done_ends.note_acknowledged(
+            (end for end in self.ends if end.number <= acknowledged), is_stray
+        )
         self.ends = [end for end in self.ends if end.number > acknowledged]
         if lease_end is not None:
             self._extend_lease(lease_end)
@@ -116,7 +126,7 @@
             RunReport(*name, percent=int(min(99, 100 * run.done / run.length)))
             for name, run in self.runs.items()
         ]
-        return WorkerReport(self._clock, self.born, runs, list(self.ends))
+        return WorkerReport(self._clock, self.shown_born, runs, list(self.ends))
 
     def work(self, seconds):
         """Advance all runs by some seconds, or end them if the lease has expired."""
@@ -142,7 +152,10 @@
             self._simulation.members(key, attempt) if step.is_gang else [(self, name)]
         )
         if run.ends_at is not None:
-            if self._simulation.now >= run.ends_at:
+            run.done += seconds
+            if self._ends_in_grace(step, run):
+                self.end(name, "done")
+            elif self._simulation.now >= run.ends_at:
                 self.end(name, "stopped")
         elif step.is_gang and len(members) < step.tasks:
             run.alone += seconds
@@ -152,6 +165,11 @@
             run.done += seconds
             self._end_if_due(name, run, step, members)
 
+    def _ends_in_grace(self, step, run):
+        is_single = not (step.is_gang or step.is_lasting)
+        is_done = run.done >= run.length and not run.fails
+        return self._simulation.ends_in_grace and is_single and is_done
+
     def _end_if_due(self, name, run, step, members):
         if run.fails and run.done > run.length / 2:
             self.end(name, "failed")
--- a/tests/pool/test_late_orders.py
+++ b/tests/pool/test_late_orders.py
@@ -16,6 +16,9 @@
 RESTART_STOP_SEEDS = (13, 30)
 # With these, most tasks are stopped for urgent ones.
 STOP_SEEDS = (7, 8, 22, 31, 44, 46)
+# With these, a worker that has restarted unseen executes a start whose lease is over,
+# beside the next run of its task or after the end of that.
+LEAVE_SEEDS = (4, 26, 129, 145)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -49,3 +52,17 @@
     simulation.run()
     assert simulation.stuck_tasks() == []
     assert simulation.duplicate_runs == []
+
+
+@pytest.mark.parametrize("seed", LEAVE_SEEDS)
+def test_departures_and_overtaken_reports_let_no_task_run_twice(seed):
+    """Guards against a run beside another one, or after an end that was known.
+
+    Workers exit with whatever runs, reports overtake each other, and runs that are
+    being stopped end as done.
+    """
+    simulation = FaultSimulation(seed, workers_leave=True)
+    simulation.run()
+    assert simulation.stuck_tasks() == []
+    assert simulation.duplicate_runs == []
+    assert simulation.done_ends.late_starts == []
