Keep an unanswered start until no late call can execute it

What callers saw, in simulations: a task ran twice at once, or started after it was done. Its first start got no answer, and its worker stayed silent until the lease was over, when the task was placed again. The worker had restarted under its id meanwhile, unseen, and executed the order afterwards: on its new clock the named end of the lease is far away, and it knows neither the epoch nor the stop.

Change: at the end of a silent worker's leases, a start that was sent and never confirmed stays in its room for the 12 s in which a call may be executed late, as the leases of a restarted worker already count. Runs that had begun are lost as before. The link of a worker is dropped only once its room is empty. The price: such a task waits up to 12 s in place of 4.5 s for its next start, unless its worker answers before.

--- a/papayapick/pool/rounds/loop.py
+++ b/papayapick/pool/rounds/loop.py
@@ -87,8 +87,9 @@
         if link.is_silent and now > max(
             link.lease.lapse_at, self._earliest_lapse(link)
         ):
-            owner.lost_runs.mark_all(link, "lease over")
-            if not link.is_listed and owner.reconciliation.is_complete:
+            owner.lost_runs.mark_lapsed(link, now)
+            is_needed = link.is_listed or owner.rooms.get(link.worker).runs
+            if not is_needed and owner.reconciliation.is_complete:
                 owner.store_sync.drop_link(link)
             return
         for run in list(owner.rooms.get(link.worker).runs.values()):
--- a/papayapick/pool/workers/leases.py
+++ b/papayapick/pool/workers/leases.py
@@ -2,7 +2,7 @@
 
 import threading
 
-__all__ = ["LEASE_SECONDS", "ClockReading", "WorkerLease"]
+__all__ = ["LATE_CALL_SECONDS", "LEASE_SECONDS", "ClockReading", "WorkerLease"]
 
 # Covers a takeover, which takes 2 s after an owner freezes, and one lost renewal. A
 # longer lease would delay rescheduling the tasks of a partitioned worker.
@@ -11,7 +11,7 @@
 _CLOCK_RATE = 0.98
 _LAPSE_SLACK_SECONDS = 0.1
 # A call without an answer may be executed late, by up to this time.
-_LATE_CALL_SECONDS = 12.0
+LATE_CALL_SECONDS = 12.0
 
 
 class ClockReading:
@@ -124,4 +124,4 @@
         leases granted since, and run twice.
         """
         if self._granted_at is not None:
-            self.note_longest(self._granted_at + _LATE_CALL_SECONDS)
+            self.note_longest(self._granted_at + LATE_CALL_SECONDS)
--- a/papayapick/pool/workers/lost_runs.py
+++ b/papayapick/pool/workers/lost_runs.py
@@ -2,6 +2,7 @@
 
 from papayapick.jobs.runs import RequeueReason, RunPhase
 from papayapick.pool.workers.events import RUN_NEVER_STARTED, RUN_VANISHED, RUNS_LOST
+from papayapick.pool.workers.leases import LATE_CALL_SECONDS
 from papayapick.pool.workers.reports import EndOutcome, run_fields
 
 __all__ = ["LostRuns"]
@@ -79,6 +80,15 @@
         """Mark all runs of a worker as lost, since none of them can still run."""
         self._mark_lost(link, reason, lambda run: True)
 
+    def mark_lapsed(self, link, now):
+        """Mark the runs of a silent worker as lost, since all its leases are over.
+
+        A start without an answer is kept while it may still be executed. The worker
+        may have restarted under its id, unseen, with its clock set back: the end of the
+        lease that the order names is far away there, and the task would run twice.
+        """
+        self._mark_lost(link, "lease over", lambda run: not _may_start_late(run, now))
+
     def _mark_lost(self, link, reason, is_lost):
         room = self._owner.rooms.get(link.worker)
         if room is None:
@@ -119,6 +129,9 @@
             Monotonic seconds at which that report was requested. None if another
             worker answers, which refuses all orders.
         """
+        if requested_at is None:
+            self.mark_all(link, reason)
+            return
         self._mark_lost(
             link,
             reason,
@@ -139,7 +152,14 @@
                 self._owner.orders.stop(link, run)
 
 
+def _may_start_late(run, now):
+    """Return whether a start without an answer may still be executed."""
+    if run.has_begun or run.start_confirmed_at is not None or run.since is None:
+        return False
+    return now < run.since + LATE_CALL_SECONDS
+
+
 def _is_on_its_way(run, requested_at):
     """Return whether a start may be executed after a report was requested."""
     is_sent = run.since is not None
-    return requested_at is not None and is_sent and not run.ran_before(requested_at)
+    return is_sent and not run.ran_before(requested_at)
--- a/tests/pool/test_restarts.py
+++ b/tests/pool/test_restarts.py
@@ -183,3 +183,26 @@
     host.clock.advance(0.1)
     link._poll()
     assert owner.job_registry.get(ID).status == JobStatus.COMPLETED
+
+
+def test_unanswered_start_outlives_the_lease_of_a_silent_worker(restarting):
+    """Guards against a second run, as a start is executed after a restart unseen.
+
+    The worker is silent until its lease is over, and may begin anew meanwhile. On its
+    new clock the end of the lease that the late order names is far away.
+    """
+    owner, link, start = restarting
+    owner.orders._start(link, start)
+    link.client.is_late = True
+    link.poll_once()
+    _tick_after(owner, link.lease.lapse_at - owner.now() + 0.2)
+    assert waiting_tasks(owner) == 0
+    _tick_after(owner, 12.0)
+    assert waiting_tasks(owner) == 1
+
+
+def _tick_after(owner, seconds):
+    owner.host.clock.advance(seconds)
+    owner.ownership_status.note_confirmed(owner.now())
+    with owner.lock:
+        owner.loop.tick(owner.now())
