Don't count a stop that an earlier process of the worker confirmed

What callers would see: a task that runs twice. A worker confirms the stop of an unanswered start and restarts under its id; the link finds that out before the answer to the stop arrives. The stop then counted for the new process: the repeated one was not sent, as the first was in progress, the next report seemed to show that the run had never started, its task was placed again, and the late order began the run after all.

Change: a confirmation counts only if the link has seen no restart since the stop was sent; else a tick sends the stop again.

--- a/papayapick/pool/workers/orders.py
+++ b/papayapick/pool/workers/orders.py
@@ -266,7 +266,7 @@
             return room is not None and room.runs.get(run.name) is run
 
     def _send_stop(self, link, run):
-        owner = self._owner
+        owner, born = self._owner, link.born
         try:
             link.client.stop(run.key, run.attempt, owner.row.epoch)
         except WorkerSilent:
@@ -275,7 +275,13 @@
         except CallFailed as error:
             STOP_REFUSED.write(worker=link.worker, status=error.details["status"])
             return
-        self.note_stop_confirmed(run)
+        with owner.lock:
+            if link.born != born:
+                # The worker has restarted and may have forgotten the stop, so that a
+                # late start would begin the run after all. A later tick sends the stop
+                # again.
+                return
+            self.note_stop_confirmed(run)
         if run.phase == RunPhase.STOPPING and not run.was_listed:
             # The run may never have started. No end is reported for it then, and only
             # a report requested after the stop shows that its room is free.
--- a/tests/pool/test_restarts.py
+++ b/tests/pool/test_restarts.py
@@ -11,6 +11,7 @@
 )
 from tests.pool.linked_workers import (
     NonBlockingClock,
+    RestartingWorker,
     SlowWorker,
     restarting_owner,
     run_orders,
@@ -206,3 +207,35 @@
     owner.ownership_status.note_confirmed(owner.now())
     with owner.lock:
         owner.loop.tick(owner.now())
+
+
+class LateConfirmation(RestartingWorker):
+    """Restart after a stop was confirmed, before its answer arrives."""
+
+    def __init__(self, clock, link):
+        super().__init__(clock)
+        self._link = link
+
+    def stop(self, key, attempt, epoch):
+        if self.born > 1:
+            super().stop(key, attempt, epoch)
+            return
+        self.restart()
+        self._link._poll()
+
+
+def test_stop_confirmed_by_an_earlier_incarnation_does_not_bind_the_next(restarting):
+    """Guards against a second run, as a stop counts that the worker has forgotten.
+
+    The link finds the restart before the answer to the stop arrives. A report of the
+    new incarnation then showed that the run never started, and a late order started it.
+    """
+    owner, link, start = restarting
+    link.client = LateConfirmation(owner.host.clock, link)
+    owner.orders._start(link, start)
+    run_orders(owner)
+    assert waiting_tasks(owner) == 0
+    _tick_after(owner, 0.5)
+    run_orders(owner)
+    assert link.client.stops == [start.run.name]
+    assert waiting_tasks(owner) == 1
