Hold the tasks of a worker until it has listed all ends after a takeover

What callers would see: a task that runs again after it was done. A worker lists 500 ends at a time. The first page counted as its whole report, so that a held task was released although a later page had its end as done.

Change: a worker has reported to a new owner once a report has no more ends to follow. The ends of each page are applied and acknowledged as before.

Evidence: test_held_task_waits_until_its_worker_has_listed_all_ends failed before (the task was placed).

--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -61,7 +61,8 @@
         Monotonic seconds at which the worker stopped answering; None while it answers.
     lease : WorkerLease
     has_reported : bool
-        Whether the worker has answered this owner and so refuses earlier ones.
+        Whether the worker has listed all its runs and ends to this owner, and so
+        refuses earlier ones.
     due_at : float
         Monotonic seconds at which the worker is to be polled next.
     is_listed : bool
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -85,7 +85,8 @@
                 self._apply_runs(link, room, report, now)
                 if not report.has_more_ends:
                     self._owner.lost_runs.drop_vanished(room, report, requested_at, now)
-            if not link.has_reported:
+            # A task that is held for the worker may be done by an end of a later page.
+            if not (link.has_reported or report.has_more_ends):
                 link.has_reported = True
                 self._record_incarnation(link, report.born)
                 self._owner.knowledge.speeds.note_incarnation(link.worker, report.born)
--- a/tests/pool/test_reconciliation.py
+++ b/tests/pool/test_reconciliation.py
@@ -200,3 +200,20 @@
     _, owner = _with_new_job(is_journal_exact=False, seconds=0.1)
     report(owner, "w2")
     assert len(place(owner)) == 1
+
+
+def test_held_task_waits_until_its_worker_has_listed_all_ends():
+    """Guards against a second run of a task whose end is on a later page.
+
+    A worker lists 500 ends at a time. The first page shows neither the run nor that it
+    is done, and the next one does.
+    """
+    host = host_with_two_workers()
+    store_job(host, job(), started_record("w1"))
+    owner = owner_of(host)
+    report(owner, "w2")
+    report(owner, "w1", has_more_ends=True)
+    assert place(owner) == []
+    report(owner, "w1", ends=[(KEY, 1, "done")])
+    assert place(owner) == []
+    assert owner.job_registry.step_of(KEY).tasks[0].is_done
