--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -82,6 +82,7 @@
     __slots__ = (
         "_acknowledgement",
         "_clock",
+        "_confirmed",
         "_epoch",
         "_listener",
         "acknowledged",
@@ -116,6 +117,8 @@
         self.arrivals = Arrivals(clock)
         self._acknowledgement = threading.Event()
         self.acknowledged = self.processed = self.read = 0
+        # Last acknowledgement that an answer of this incarnation has confirmed.
+        self._confirmed = 0
         self.born = None
         self.alive_at = self.incarnation_since = float("-inf")
         self.answered_at = clock.monotonic()
@@ -155,7 +158,7 @@
     def begin_incarnation(self, born):
         """Reset the numbers of ends after a restart; the caller holds the lock."""
         self.born = born
-        self.acknowledged = self.processed = self.read = 0
+        self.acknowledged = self.processed = self.read = self._confirmed = 0
         self.lease.begin_incarnation()
 
     def stop(self):
@@ -233,10 +236,7 @@
 
     def _poll_by(self, call, share, permitted_at):
         wait_seconds = share * self._poll_seconds()
-        # A silent worker may have restarted and numbered its ends from the start: it
-        # would discard ends that were never read. If it has not restarted, the
-        # acknowledgement is sent again as soon as it answers.
-        acknowledged = _ACKNOWLEDGE_NONE if self.is_silent else self.acknowledged
+        acknowledged = self._due_acknowledgement()
         self._acknowledgement.clear()
         requested_at = self._clock.monotonic()
         # A call without an answer may still renew the lease. Calls to a silent worker
@@ -260,6 +260,8 @@
             listed = report.runs + report.ends
             names = {(entry.key, entry.attempt) for entry in listed}
             self._listener.note_restart(self, report.born, names, requested_at)
+        else:
+            self._confirmed = max(self._confirmed, acknowledged)
         self.born = report.born
         self.alive_at = requested_at
         self._note_answer()
@@ -274,6 +276,18 @@
         is_draining = self.registration.is_leaving and self.is_listed
         return is_draining and self._listener.has_runs(self)
 
+    def _due_acknowledgement(self):
+        """Return the number up to which the worker may now discard its ends.
+
+        A call without an answer may be executed by the next incarnation, which numbers
+        its ends from the start: it would discard ends that were never read, and their
+        tasks would run again. So no call to a silent worker acknowledges any, and an
+        acknowledgement is not repeated once it was answered.
+        """
+        if self.is_silent or self.acknowledged <= self._confirmed:
+            return _ACKNOWLEDGE_NONE
+        return self.acknowledged
+
     def _poll_seconds(self):
         """Return how long the worker may hold back its answer until a run ends."""
         if self.lease.reading is None or self.is_silent:
--- a/tests/pool/test_restarts.py
+++ b/tests/pool/test_restarts.py
@@ -11,6 +11,7 @@
 )
 from tests.pool.linked_workers import (
     NonBlockingClock,
+    RestartingWorker,
     SlowWorker,
     restarting_owner,
     run_orders,
@@ -156,3 +157,85 @@
     owner.host.clock.advance(0.1)
     link._poll()
     assert owner.job_registry.step_of(KEY).tasks[0].runs == [start.run]
+
+
+def test_call_to_an_earlier_incarnation_repeats_no_acknowledgement():
+    """Guards against a second run of a task whose end was discarded unread.
+
+    The worker has answered the call that acknowledges 57 ends. A later call gets no
+    answer, and the worker carries it out after it has restarted under its id, when a
+    run has ended as done.
+    """
+    host, owner = owner_with(job())
+    link = owner.links_by_worker["w1"]
+    link.client = worker = SlowWorker(host.clock)
+    owner.rooms.get("w2").is_open = False
+    link._poll()
+    link.processed = link.acknowledged = 57
+    link._poll()
+    worker.is_late = True
+    with pytest.raises(WorkerSilent):
+        link._poll()
+    worker.restart()
+    link._poll()
+    (run,) = place(owner)
+    worker.ends = [EndReport(1, *run.name, "done")]
+    worker.execute_late()
+    host.clock.advance(0.1)
+    link._poll()
+    assert owner.job_registry.get(ID).status == JobStatus.COMPLETED
+
+
+def test_unanswered_start_outlives_the_lease_of_a_silent_worker(restarting):
+    """Guards against a second run, as a start is executed after a restart unseen.
+
+    The worker is silent until its lease is over, and may begin anew meanwhile. On its
+    new clock the end of the lease that the late order names is far away.
+    """
+    owner, link, start = restarting
+    owner.orders._start(link, start)
+    link.client.is_late = True
+    link.poll_once()
+    _tick_after(owner, link.lease.lapse_at - owner.now() + 0.2)
+    assert waiting_tasks(owner) == 0
+    _tick_after(owner, 12.0)
+    assert waiting_tasks(owner) == 1
+
+
+def _tick_after(owner, seconds):
+    owner.host.clock.advance(seconds)
+    owner.ownership_status.note_confirmed(owner.now())
+    with owner.lock:
+        owner.loop.tick(owner.now())
+
+
+class LateConfirmation(RestartingWorker):
+    """Restart after a stop was confirmed, before its answer arrives."""
+
+    def __init__(self, clock, link):
+        super().__init__(clock)
+        self._link = link
+
+    def stop(self, key, attempt, epoch):
+        if self.born > 1:
+            super().stop(key, attempt, epoch)
+            return
+        self.restart()
+        self._link._poll()
+
+
+def test_stop_confirmed_by_an_earlier_incarnation_does_not_bind_the_next(restarting):
+    """Guards against a second run, as a stop counts that the worker has forgotten.
+
+    The link finds the restart before the answer to the stop arrives. A report of the
+    new incarnation then showed that the run never started, and a late order started it.
+    """
+    owner, link, start = restarting
+    link.client = LateConfirmation(owner.host.clock, link)
+    owner.orders._start(link, start)
+    run_orders(owner)
+    assert waiting_tasks(owner) == 0
+    _tick_after(owner, 0.5)
+    run_orders(owner)
+    assert link.client.stops == [start.run.name]
+    assert waiting_tasks(owner) == 1
