--- a/tests/pool/test_ends_not_applied.py
+++ b/tests/pool/test_ends_not_applied.py
@@ -3,7 +3,7 @@
 import pytest
 
 from papayapick.jobs import TaskKey
-from papayapick.pool.workers import report_handler
+from papayapick.pool.workers import ends, report_handler
 from tests.pool.owners import (
     ID,
     KEY,
@@ -23,8 +23,9 @@
 @pytest.fixture
 def events(monkeypatch):
     events = RecordedEvents()
-    for name in ("END_NOT_APPLIED", "END_OF_GIVEN_UP_RUN", "REPORT_DELAYED"):
-        monkeypatch.setattr(report_handler, name, events)
+    for name in ("END_NOT_APPLIED", "END_OF_GIVEN_UP_RUN"):
+        monkeypatch.setattr(ends, name, events)
+    monkeypatch.setattr(report_handler, "REPORT_DELAYED", events)
     return events.found
 
 
--- a/tests/pool/test_unknown_jobs.py
+++ b/tests/pool/test_unknown_jobs.py
@@ -4,7 +4,7 @@
 
 from papayapick.jobs import TaskKey
 from papayapick.pool.records.journal import JOBS_TABLE
-from papayapick.pool.workers import report_handler
+from papayapick.pool.workers import ends, report_handler
 from tests.pool.owners import (
     ID,
     KEY,
@@ -25,7 +25,7 @@
 @pytest.fixture
 def dropped(monkeypatch):
     events = RecordedEvents()
-    monkeypatch.setattr(report_handler, "END_NOT_APPLIED", events)
+    monkeypatch.setattr(ends, "END_NOT_APPLIED", events)
     return events.found
 
 
