--- a/papayapick/entry/events.py
+++ b/papayapick/entry/events.py
@@ -275,8 +275,8 @@
 FORMER_POOLS_FOUND = Event(
     "former pools found",
     "pools",
-    "These pools hold stored jobs, though no queue has used them since this process "
-    "started; it watches them like those of queues.",
+    "These pools hold stored jobs, and no configuration that this process has read "
+    "so far uses them; it watches them like those of queues.",
 )
 FORMER_POOLS_UNREAD = Event(
     "former pools not read",
