Follow a worker that starts again under its id as another kind

Callers saw: a job that requires the new label never runs, though the workers are idle; one that requires the old label is started on workers without it.

Cause: a known worker's new entry changed its address, state and start time, but neither labels nor capacity: room, roster and speeds kept those of the first entry.

Change: KindUpdates keeps labels and capacity with the life that they are of. An entry of the known life or a later one is taken over: the room is filed anew by rack, capacity and class, with what the runs in the books have reserved taken off, so that a smaller worker gets nothing before they are over; roster and speeds follow; advice on the earlier kind is dropped, also where it was asked for and not answered. An entry of an earlier life than the link knows is not taken over; and once the link finds a life that has no entry yet, the worker runs only what requires no label until the entry is there. An owner that finds a later life in the roster than in the list goes by the roster.

Left: a worker's suspicion (slow, failing) outlasts its restart as another kind, for 3 s at most, as before. While the store is away, a worker that restarts runs only what requires no label and no rack until the list is back.

--- a/papayapick/placement/rooms.py
+++ b/papayapick/placement/rooms.py
@@ -87,6 +87,19 @@
             number = earlier.number
             self._drop(earlier)
         self._rooms[room.worker] = room
+        self._join(room, number)
+
+    def change_kind(self, room, labels, capacity):
+        """Give the worker of a room other labels and another capacity.
+
+        Its runs keep what they have reserved. Until they are over, the room may be
+        less than nothing.
+        """
+        self._drop(room)
+        room.change_kind(labels, capacity)
+        self._join(room, room.number)
+
+    def _join(self, room, number):
         self._by_rack.setdefault(room.rack, {})[room.worker] = room
         self._capacity += room.registration.capacity.processors
         self._able_counts.clear()
--- a/papayapick/placement/worker_rooms.py
+++ b/papayapick/placement/worker_rooms.py
@@ -176,6 +176,15 @@
                 self._team_usage.remove(run.team, run.team_demand)
             self._team_usage = None
 
+    def change_kind(self, labels, capacity):
+        """Set the labels and the capacity of the worker; it must not be indexed."""
+        earlier = self.registration.capacity
+        self._processors += capacity.processors - earlier.processors
+        self._memory += capacity.memory - earlier.memory
+        self._accelerators += capacity.accelerators - earlier.accelerators
+        self.registration.labels, self.registration.capacity = labels, capacity
+        self.rack = rack_label(labels)
+
     def drop_hold(self):
         """Drop the hold of the room; tasks that it kept away may fit now."""
         self.hold = None
--- a/papayapick/pool/advice/cache.py
+++ b/papayapick/pool/advice/cache.py
@@ -22,6 +22,7 @@
     """Hold the tickets for one step and its request in progress."""
 
     __slots__ = (
+        "changed",
         "lost_at",
         "pending",
         "requested_at",
@@ -40,6 +41,8 @@
         # Workers that joined later are neither here nor in tickets, so that the next
         # request includes them.
         self.unfit = set()
+        # Workers of the request in progress that have become of another kind since.
+        self.changed = set()
         self.tickets = {}
         self.valid_until = 0.0
 
@@ -192,6 +195,7 @@
             return
         expected = policy.expected_seconds(len(candidates))
         advice.pending = candidates
+        advice.changed = set()
         advice.requested_at = now
         advice.lost_at = now + _LOST_FACTOR * expected + _LOST_SECONDS
         self._ask(key, candidates, expected)
@@ -219,7 +223,10 @@
         self._changes.add(key)
         requested = advice.pending if requested is None else requested
         is_late = requested is not advice.pending
-        advice.unfit.update(one for one in requested if one not in tickets)
+        # The answer may be about their earlier kind.
+        tickets = {one: tickets[one] for one in tickets if one not in advice.changed}
+        known = (one for one in requested if one not in advice.changed)
+        advice.unfit.update(one for one in known if one not in tickets)
         advice.end_request(requested)
         if is_late and now <= advice.valid_until:
             # A newer request, which may include workers that joined later, was
@@ -242,6 +249,16 @@
             self._changes.add(key)
             advice.tickets.pop(worker, None)
 
+    def forget_worker(self, worker):
+        """Remove all advice on a worker that is of another kind now."""
+        for key, advice in self._by_step.items():
+            if worker in advice.pending:
+                advice.changed.add(worker)
+            if worker in advice.unfit or worker in advice.tickets:
+                self._changes.add(key)
+                advice.unfit.discard(worker)
+                advice.tickets.pop(worker, None)
+
     def forget(self, identifier):
         """Remove the advice on all steps of a job."""
         for key in [key for key in self._by_step if key.job == identifier]:
--- a/papayapick/pool/advice/manager.py
+++ b/papayapick/pool/advice/manager.py
@@ -59,6 +59,10 @@
         """Remove the advice on all steps of a job that was removed."""
         self._cache.forget(identifier)
 
+    def forget_worker(self, worker):
+        """Remove all advice on a worker that is of another kind now."""
+        self._cache.forget_worker(worker)
+
     def request_for_job(self, job, now):
         """Request advice on the ready steps of a new job, unless saturated."""
         if job.is_final or self.is_saturated:
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -30,6 +30,7 @@
 from papayapick.pool.rounds.upkeep import UpkeepCoordinator
 from papayapick.pool.takeover.ownership_status import OwnershipStatus
 from papayapick.pool.takeover.reconciliation import Reconciliation
+from papayapick.pool.workers.kinds import KindUpdates
 from papayapick.pool.workers.link_threads import LinkThreads
 from papayapick.pool.workers.liveness import LivenessCheck
 from papayapick.pool.workers.lost_runs import LostRuns
@@ -88,6 +89,7 @@
         "is_lost",
         "job_registry",
         "journal",
+        "kinds",
         "knowledge",
         "link_threads",
         "links_by_worker",
@@ -149,6 +151,7 @@
         self.reconciliation = Reconciliation(self, is_journal_exact)
         self.store_sync = StoreSync(self)
         self.lost_runs = LostRuns(self)
+        self.kinds = KindUpdates(self)
         self.report_handler = WorkerReportHandler(self)
         self.advice_manager = AdviceManager(self)
         self.decisions = Decisions(self)
--- a/papayapick/pool/records/store_sync.py
+++ b/papayapick/pool/records/store_sync.py
@@ -108,8 +108,8 @@
                 link = self._owner.links_by_worker.get(registration.worker)
                 if link is None:
                     self._add_link(registration, is_listed=False)
-                elif link.registration.note_born(registration.born):
-                    self._owner.roster.add(link.registration)
+                elif registration.is_later_than(link.registration):
+                    self._owner.kinds.follow(link, registration)
             self._forget_gone_workers()
             self._owner.memory.restore(progress)
             self._owner.reconciliation.hold_tasks()
@@ -236,11 +236,10 @@
                 link.registration.is_leaving = True
                 self._owner.report_handler.update_availability(link)
             return
-        self._owner.knowledge.speeds.add_worker(registration)
         if link is not None:
             link.is_listed = True
             link.registration.is_leaving = registration.is_leaving
-            link.registration.note_born(registration.born)
+            self._owner.kinds.follow(link, registration)
             if registration.address != link.registration.address:
                 self._move(link, registration.address)
             self._owner.report_handler.update_availability(link)
--- a/papayapick/pool/workers/events.py
+++ b/papayapick/pool/workers/events.py
@@ -22,6 +22,7 @@
     "START_UNANSWERED",
     "STOP_REFUSED",
     "WORKER_BACK",
+    "WORKER_CHANGED",
     "WORKER_FENCED",
     "WORKER_GONE",
     "WORKER_MOVED",
@@ -130,6 +131,12 @@
 WORKER_GONE = Event(
     "worker gone", "worker", "A silent, unlisted worker was removed after its lease."
 )
+WORKER_CHANGED = Event(
+    "worker of another kind",
+    "worker labels labels_before processors",
+    "A worker has started again under its id with other labels or another capacity. "
+    "Without labels: its new entry is not in the list yet.",
+)
 WORKER_MOVED = Event(
     "worker moved",
     "worker address before",
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -88,7 +88,7 @@
                     self._owner.lost_runs.drop_vanished(room, report, requested_at, now)
             if not link.has_reported:
                 link.has_reported = True
-                self._record_incarnation(link, report.born)
+                self._owner.kinds.note_incarnation(link, report.born)
                 self._owner.knowledge.speeds.note_incarnation(link.worker, report.born)
                 # Runs that an earlier owner started there are covered by its lease.
                 link.lease.extend_to(self._owner.taken_at + PREDECESSOR_LEASE_SECONDS)
@@ -161,7 +161,7 @@
             reason = "other worker at its address" if born is None else "began anew"
             self._owner.lost_runs.mark_for_restart(link, reason, listed, requested_at)
             link.begin_incarnation(born)
-            self._record_incarnation(link, born)
+            self._owner.kinds.note_incarnation(link, born)
             self._owner.knowledge.speeds.note_incarnation(link.worker, born)
             if not link.has_reported and self._has_current_address(link):
                 self._owner.reconciliation.note_worker_gone(
@@ -178,16 +178,6 @@
         """
         return link.is_listed or self._owner.reconciliation.is_journal_exact
 
-    def _record_incarnation(self, link, born):
-        """Record when a worker began, before anything is started there.
-
-        A successor must not take the runs of this incarnation for lost because the
-        list of machines is older than it.
-        """
-        if born is not None and born != link.registration.born:
-            link.registration.born = born
-            self._owner.roster.add(link.registration)
-
     def update_availability(self, link):
         """Update whether tasks may be placed on a worker."""
         room = self._owner.rooms.get(link.worker)
--- a/papayapick/pool/workers/reports.py
+++ b/papayapick/pool/workers/reports.py
@@ -111,6 +111,10 @@
         self.born = born
         return True
 
+    def is_later_than(self, other):
+        """Return whether it is of a later life of the worker than another one."""
+        return self.born is not None and (other.born is None or self.born > other.born)
+
 
 class RunReport:
     """A run that a worker reports as running.
