--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -30,6 +30,7 @@
 from papayapick.pool.rounds.upkeep import UpkeepCoordinator
 from papayapick.pool.takeover.ownership_status import OwnershipStatus
 from papayapick.pool.takeover.reconciliation import Reconciliation
+from papayapick.pool.workers.kinds import KindUpdates
 from papayapick.pool.workers.link_threads import LinkThreads
 from papayapick.pool.workers.liveness import LivenessCheck
 from papayapick.pool.workers.lost_runs import LostRuns
@@ -88,6 +89,7 @@
         "is_lost",
         "job_registry",
         "journal",
+        "kinds",
         "knowledge",
         "link_threads",
         "links_by_worker",
@@ -140,13 +142,16 @@
         self.orders = OrderSender(
             self, self._order_executor, self._stop_executor, _START_THREADS
         )
-        self.journal = PoolJournal(host.store, self, host.clock)
+        self.journal = PoolJournal(
+            host.store, self, host.clock, host.settings.row_bytes
+        )
         self.recording = RecordingMode(host.clock)
         self.commits = CommitMonitor(self)
         self.ownership_status = OwnershipStatus(host)
         self.reconciliation = Reconciliation(self, is_journal_exact)
         self.store_sync = StoreSync(self)
         self.lost_runs = LostRuns(self)
+        self.kinds = KindUpdates(self)
         self.report_handler = WorkerReportHandler(self)
         self.advice_manager = AdviceManager(self)
         self.decisions = Decisions(self)
--- a/papayapick/pool/records/job_reader.py
+++ b/papayapick/pool/records/job_reader.py
@@ -4,14 +4,9 @@
 from papayapick.pool.events import RECORD_REFUSED
 from papayapick.pool.records.journal import JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.records.partitions import job_partitions
+from papayapick.pool.records.record_rows import read_records
 
-__all__ = ["JobReader", "records_by_job"]
-
-
-def records_by_job(rows):
-    """Return the progress by job from rows of the progress table."""
-    # An unreadable record must not make a job count as not started.
-    return {row.key: row.value or {} for row in rows}
+__all__ = ["JobReader"]
 
 
 class JobReader:
@@ -59,7 +54,7 @@
         deleted while all jobs are read. Read after the jobs, its progress might have
         been deleted with it.
         """
-        records = records_by_job(self.read_progress())
+        records = read_records(self.read_progress())
         found = self.read()
         self._records = records
         return found
@@ -80,7 +75,7 @@
         if records is not None or not refused:
             return rows, records or {}
         try:
-            return rows, records_by_job(self.read_progress())
+            return rows, read_records(self.read_progress())
         except TableUnavailable:
             for identifier in refused:
                 RECORD_REFUSED.write_failure(request_id=identifier)
--- a/papayapick/pool/records/store_sync.py
+++ b/papayapick/pool/records/store_sync.py
@@ -9,9 +9,10 @@
     decode_registration,
 )
 from papayapick.pool.events import JOB_TAKEN, RECORD_REFUSED
-from papayapick.pool.records.job_reader import JobReader, records_by_job
+from papayapick.pool.records.job_reader import JobReader
 from papayapick.pool.records.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.records.partitions import job_partitions
+from papayapick.pool.records.record_rows import read_records
 from papayapick.pool.workers.events import WORKER_GONE, WORKER_MOVED
 from papayapick.pool.workers.links import WorkerLink
 
@@ -102,9 +103,7 @@
         workers, _ = store.read_all(WORKERS_TABLE, "")
         self._owner.journal.resume(progress)
         with self._owner.lock:
-            self._apply_job_rows(
-                jobs, records_by_job(progress), _newest_acceptance(jobs)
-            )
+            self._apply_job_rows(jobs, read_records(progress), _newest_acceptance(jobs))
             self._complete_at = requested_at
             for row in workers:
                 self._apply_registration(row)
@@ -112,8 +111,9 @@
                 link = self._owner.links_by_worker.get(registration.worker)
                 if link is None:
                     self._add_link(registration, is_listed=False)
-                elif link.registration.note_born(registration.born):
-                    self._owner.roster.add(link.registration)
+                elif registration.is_later_than(link.registration):
+                    self._owner.kinds.follow(link, registration)
+            self._forget_gone_workers()
             self._owner.memory.restore(progress)
             self._owner.reconciliation.hold_tasks()
         return version
@@ -232,11 +232,10 @@
                 link.registration.is_leaving = True
                 self._owner.report_handler.update_availability(link)
             return
-        self._owner.knowledge.speeds.add_worker(registration)
         if link is not None:
             link.is_listed = True
             link.registration.is_leaving = registration.is_leaving
-            link.registration.note_born(registration.born)
+            self._owner.kinds.follow(link, registration)
             if registration.address != link.registration.address:
                 self._move(link, registration.address)
             self._owner.report_handler.update_availability(link)
@@ -295,6 +294,10 @@
             if self._unpolled:
                 self._owner.pause(_POLL_DELAY_SECONDS)
 
+    def _forget_gone_workers(self):
+        for job in self._owner.job_registry.live_jobs():
+            job.keep_workers(self._owner.links_by_worker)
+
     def drop_link(self, link):
         """Remove a worker that is silent, no longer listed, and past its lease."""
         link.stop()
@@ -302,4 +305,5 @@
         self._owner.rooms.remove(link.worker)
         self._owner.roster.remove(link.worker)
         self._owner.run_monitor.forget(link.worker)
+        self._forget_gone_workers()
         WORKER_GONE.write(worker=link.worker)
