Soak: workers that leave, checkpoints, and starts after a known end

The soak of processes had no worker that leaves and looked for overlaps only, so that a start after an end could not show.

--- a/tests/entry/soak.py
+++ b/tests/entry/soak.py
@@ -1,16 +1,16 @@
 """Run entry hosts as processes under random faults, and look for second runs.
 
 By hand: ``python -m tests.entry.soak --seeds=1-50 [--seconds=30] [--hosts=4]
-[--keep=FOLDER]``.
+[--departures] [--keep=FOLDER]``.
 
 The faults come from outside the processes: hosts are killed and started again, alone or
 all at once and in series, or suspended; workers crash and come back under the same id
 or another one, at the same address or another one, or are cut off while their tasks run
 on; calls get no answer and are executed at once, late or never; the store is away, and
-entries of workers lapse meanwhile; the list of machines is behind.
+entries of workers lapse meanwhile; the list of machines is behind. Workers drain and
+exit with whatever runs, also right after the end of a run.
 """
 
-import collections
 import contextlib
 import functools
 import heapq
@@ -27,66 +27,16 @@
 from docopt import docopt
 
 from tests.entry.cell import EntryCell, job
-from tests.standins.cluster import Cluster, WorkerStandin
-from tests.standins.machines import MachinesStandin
-from tests.standins.runs import overlapping_runs
+from tests.entry.soak_workers import LaggingMachines, SoakWorker
+from tests.standins.cluster import Cluster
+from tests.standins.runs import overlapping_runs, starts_after_done
 
 WORKERS = 8
 STEP_SECONDS = 0.05
+# Longest time for which a fault other than a departure is felt.
+FELT_SECONDS = 8.5
 FAULT_INTERVAL_SECONDS = 0.8
 JOB_INTERVAL_SECONDS = 0.35
-# A call to a worker that is cut off gets no answer for this long.
-CUT_CALL_SECONDS = 0.5
-LONGEST_DELAY_SECONDS = 5.0
-
-
-class SoakWorker(WorkerStandin):
-    """Execute some calls late or never, and give no answer while cut off."""
-
-    def __init__(self, name, soak, **settings):
-        super().__init__(name, **settings)
-        self._soak = soak
-        self.is_cut = False
-        # Share of the calls that get no answer.
-        self.loss = 0.0
-
-    def call(self, path, body):
-        is_lost = self._soak.draw() < self.loss
-        if not (self.is_cut or is_lost):
-            return super().call(path, body)
-        delay = LONGEST_DELAY_SECONDS * self._soak.draw()
-        if self._soak.draw() < 0.5:
-            timer = threading.Timer(delay, self._execute_late, (path, body))
-            timer.daemon = True
-            timer.start()
-        elif not self.is_cut:
-            super().call(path, {**body, "wait_ms": 0})
-        time.sleep(CUT_CALL_SECONDS)
-        return None
-
-    def _execute_late(self, path, body):
-        if not (self.is_cut or self.is_silent):
-            super().call(path, {**body, "wait_ms": 0})
-
-
-class LaggingMachines(MachinesStandin):
-    """List the machines as they were some seconds ago."""
-
-    def __init__(self, cluster):
-        super().__init__(cluster)
-        self.lag_seconds = 0.0
-        self._snapshots = collections.deque(maxlen=200)
-
-    def note_present(self):
-        """Keep the present list, to be answered later."""
-        self._snapshots.append((time.monotonic(), super().entries()))
-
-    def entries(self):
-        until = time.monotonic() - self.lag_seconds
-        for at, entries in reversed(self._snapshots):
-            if at <= until:
-                return entries
-        return super().entries()
 
 
 class Soak:
@@ -99,12 +49,15 @@
         Receives settings and logs of the hosts.
     seconds : float
     hosts : int
+    departures : bool, optional
+        Whether workers that leave are the only fault.
     """
 
-    def __init__(self, seed, folder, seconds=30.0, hosts=4):
+    def __init__(self, seed, folder, seconds=30.0, hosts=4, departures=False):
         self._random = random.Random(seed)
         self._lock = threading.Lock()
         self._seconds = seconds
+        self._departures = departures
         self._cluster = Cluster()
         self._cluster.machines = LaggingMachines(self._cluster)
         self._cluster.configure()
@@ -124,7 +77,9 @@
             return self._random.random()
 
     def run(self):
-        """Run the faults, and return the pairs of runs that overlapped.
+        """Run the faults, and return the pairs of runs that break a rule.
+
+        They overlapped, or the second one began although the first was known as done.
 
         Returns
         -------
@@ -136,13 +91,19 @@
         finally:
             self._callers.shutdown(wait=False, cancel_futures=True)
             self._cluster.close()
-        return overlapping_runs(self._workers)
+        late = starts_after_done(self._workers, self._is_calm)
+        return overlapping_runs(self._workers) + late
 
     @property
     def runs(self):
         """Return the number of runs so far."""
         return sum(len(worker.records) for worker in self._workers)
 
+    def _is_calm(self, since, until):
+        """Return whether no fault but departures was felt between two times."""
+        times = [at for at, name in self.faults if name != "drain_a_worker"]
+        return not any(since - FELT_SECONDS < at < until for at in times)
+
     def _run_faults(self):
         began = time.monotonic()
         next_fault, next_job = began + 1.0, began
@@ -173,7 +134,7 @@
 
     def _submit(self):
         identifier = f"{next(self._numbers):016x}"
-        body = job(tasks=4, cpu=1000, estimate_ms=800)
+        body = job(tasks=4, cpu=1000, estimate_ms=800, checkpointing=True)
         self._callers.submit(self._hand_in, identifier, body, self.draw())
 
     def _hand_in(self, identifier, body, draw):
@@ -197,6 +158,10 @@
         self._cluster.register(name)
         return worker
 
+    def note_exit(self, name):
+        """Show the machine of a worker as down, since its process has ended."""
+        self._cluster.down.add(name)
+
     # Faults.
 
     def _inject(self):
@@ -209,7 +174,10 @@
             (0.10, self._lose_calls),
             (0.09, self._disturb_the_store),
             (0.05, self._delay_the_list),
+            (0.25, self._drain_a_worker),
         )
+        if self._departures:
+            kinds = kinds[-1:]
         weights = [weight for weight, _ in kinds]
         with self._lock:
             ((_, fault),) = self._random.choices(kinds, weights)
@@ -243,7 +211,7 @@
 
     def _crash_a_worker(self):
         worker = self._choose(list(self._cluster.workers.values()))
-        if worker.is_silent:
+        if worker.is_silent or worker.is_leaving:
             return
         with worker.changed:
             worker.is_silent = True
@@ -275,6 +243,38 @@
         new = self._add_worker(f"{machine}.{next(self._numbers)}", worker.slot)
         self._workers.append(new)
 
+    def _drain_a_worker(self):
+        worker = self._choose(list(self._cluster.workers.values()))
+        if worker.is_silent or worker.is_leaving:
+            return
+        worker.is_leaving = True
+        if not self._cluster.rows.is_down:
+            self._cluster.register(worker.name, "draining")
+        self._after(self._between(0.2, 3.0), self._leave, worker)
+
+    def _leave(self, worker):
+        """Let a worker exit, at once or just after the next run that is done."""
+        if worker.name not in self._cluster.workers:
+            return
+        if self.draw() < 0.3:
+            self._exit(worker)
+            return
+        delay = self._between(0.0, 0.08)
+
+        def exit_soon():
+            worker.on_done = None
+            timer = threading.Timer(delay, worker.exit)
+            timer.daemon = True
+            timer.start()
+
+        worker.on_done = exit_soon
+        self._after(1.0, self._exit, worker)
+
+    def _exit(self, worker):
+        worker.exit()
+        if worker.name in self._cluster.workers:
+            self._replace(worker)
+
     def _cut_off_a_worker(self):
         worker = self._choose(list(self._cluster.workers.values()))
         worker.is_cut = True
@@ -307,18 +307,19 @@
 USAGE = """Run the soak by hand.
 
 Usage:
-  soak --seeds=RANGE [--seconds=N] [--hosts=N] [--keep=FOLDER]
+  soak --seeds=RANGE [--seconds=N] [--hosts=N] [--departures] [--keep=FOLDER]
 
 Options:
   --seeds=RANGE    First and last seed, such as 1-50.
   --seconds=N      Seconds of faults for each seed [default: 30].
   --hosts=N        Entry hosts [default: 4].
+  --departures     Workers that leave are the only fault.
   --keep=FOLDER    Keep the logs of the hosts there, by seed.
 """
 
 
 def main():
-    """Run some seeds one after the other, and print what overlapped."""
+    """Run some seeds one after the other, and print the second runs."""
     options = docopt(USAGE)
     first, _, last = options["--seeds"].partition("-")
     for seed in range(int(first), int(last or first) + 1):
@@ -329,10 +330,14 @@
             else:
                 folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
             soak = Soak(
-                seed, folder, float(options["--seconds"]), int(options["--hosts"])
+                seed,
+                folder,
+                float(options["--seconds"]),
+                int(options["--hosts"]),
+                options["--departures"],
             )
             found = soak.run()
-        sys.stdout.write(f"seed {seed}: {soak.runs} runs, {len(found)} overlaps\n")
+        sys.stdout.write(f"seed {seed}: {soak.runs} runs, {len(found)} second runs\n")
         for pair in found:
             sys.stdout.write("  {}\n  {}\n".format(*pair))
         sys.stdout.flush()
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -235,9 +235,15 @@
         while not self.finished and time.monotonic() < deadline:
             self.changed.wait(0.01)
             self._advance()
-        running = [[*name, "", self._percent(name), 0] for name in self.running]
+        running = [
+            [*name, self._saved(name), self._percent(name), 0] for name in self.running
+        ]
         return OK, self._body(running=running, finished=list(self.finished))
 
+    def _saved(self, name):
+        """Return the last checkpoint of an active run; empty, as none are made."""
+        return ""
+
     def _percent(self, name):
         rest = self.running[name] - time.monotonic()
         return max(0, min(99, int(100 * (1 - rest / self.task_seconds))))
@@ -281,11 +287,12 @@
         self.last_attempts = {}
 
     def _end(self, name, how, at=None):
+        saved = self._saved(name)
         self._close(name, how, time.monotonic() if at is None else at)
         self.number += 1
         task, attempt = name
         self.last_attempts[task] = max(attempt, self.last_attempts.get(task, 0))
-        self.finished.append([self.number, task, attempt, how, ""])
+        self.finished.append([self.number, task, attempt, how, saved])
         self.changed.notify_all()
 
     def _close(self, name, how, at):
