Divide placement/ into five subpackages

The 29 modules of placement/ lay in one folder, those of step jobs beside those of gateways and placers, and the package's exports loaded ten modules of gateways and placers into every process that imports any part of it. They are now in

- order/ (5): which step is served next,
- rooms/ (6): which worker a task gets,
- runs/ (5): how started tasks do, and what follows,
- release/ (3): making and holding room, draining machines,
- requests/ (10): for gateways and placers; it has the exports of the package.

Of the first four, each imports only those before it; requests/ imports none of them. placement/__init__.py keeps its docstring only: callers of its exports import papayapick.placement.requests.

Moves and import lines only.

Evidence: all 362 modules of papayapick and the 33 of benchmarks/ import; pool.owner and entry.process load no module of requests/; ruff is clean. Collected tests: 4481 before, 4491 after. No test was added or removed by hand: the ten are the five new __init__.py in the two tests that have a case for each module (test_imports.py: size limit; platform/test_names.py: names of the formats); all other ids are the same but for their paths. Runs: 1325 passed (test_imports, placement, overload, placer, quotas, docs, speeds, gateway, the doctests of docs/ and papayapick/placement), 519 passed (pool), 531 passed (platform, forecasts, spec, and the four files of entry whose imports changed). benchmarks.timeliness runs and still tells the two orders apart.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -18,7 +18,7 @@
 from papayapick.ledger import Amounts, HostLedger, SlotLedger
 from papayapick.limits import TokenBucket
 from papayapick.ownership.queries import ShardRow
-from papayapick.placement import PowerOfTwo
+from papayapick.placement.requests import PowerOfTwo
 from papayapick.placer.listing import HostListing
 from papayapick.placer.slots import SlotAllocator
 from papayapick.quotas import QuotaTracker
--- a/benchmarks/estimates.py
+++ b/benchmarks/estimates.py
@@ -14,7 +14,7 @@
 from benchmarks.tables import print_rows
 from papayapick.estimates import DeclaredEstimate, ObservedQuantile
 from papayapick.ledger import Amounts, HostLedger
-from papayapick.placement import BestFit
+from papayapick.placement.requests import BestFit
 
 SEED = 5
 WORKERS, CAPACITY = 100, Amounts(16000, 65536)
--- a/benchmarks/gangs.py
+++ b/benchmarks/gangs.py
@@ -11,7 +11,7 @@
 
 from benchmarks.tables import percentile, print_rows
 from papayapick.ledger import Amounts, HostLedger
-from papayapick.placement import (
+from papayapick.placement.requests import (
     ArrivalOrder,
     Backfill,
     DeadlineOrder,
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -17,7 +17,7 @@
 from benchmarks.tables import percentile, print_rows
 from papayapick.exceptions import PapayapickError
 from papayapick.ledger import SlotLedger
-from papayapick.placement import HealthAware, InstanceHealth, LeastLoaded
+from papayapick.placement.requests import HealthAware, InstanceHealth, LeastLoaded
 from papayapick.placer.slots import SlotAllocator
 from papayapick.wire.messages import SlotGrant, SlotRequest
 
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -14,7 +14,7 @@
 from benchmarks.tables import percentile, print_rows
 from papayapick.ledger import Amounts, HostLedger
 from papayapick.ledger.rooms import RoomIndex
-from papayapick.placement import BestFit, FirstFit, LeastLoadedHost, RandomFit
+from papayapick.placement.requests import BestFit, FirstFit, LeastLoadedHost, RandomFit
 
 SEED = 20260
 # Workers, of these with 8 accelerators each, and running tasks.
--- a/benchmarks/quotas.py
+++ b/benchmarks/quotas.py
@@ -13,7 +13,12 @@
 
 from benchmarks.tables import percentile, print_rows
 from papayapick.ledger import Amounts, HostLedger
-from papayapick.placement import ArrivalOrder, DeadlineOrder, JobQueue, WaitingJob
+from papayapick.placement.requests import (
+    ArrivalOrder,
+    DeadlineOrder,
+    JobQueue,
+    WaitingJob,
+)
 from papayapick.quotas import QuotaTracker, fairness_index
 
 SEED = 670
--- a/benchmarks/timeliness.py
+++ b/benchmarks/timeliness.py
@@ -9,7 +9,7 @@
 from unittest import mock
 
 from benchmarks.tables import print_rows
-from papayapick.placement.steps import service_key
+from papayapick.placement.order.steps import service_key
 from tests.pool.standins import QUEUE, PoolSimulation
 
 WORKERS = 24
@@ -27,7 +27,9 @@
     rows = []
     for share in SHARES:
         for name, key in (("arrival", by_arrival), ("timeliness", service_key)):
-            with mock.patch("papayapick.placement.service_order.service_key", key):
+            with mock.patch(
+                "papayapick.placement.order.service_order.service_key", key
+            ):
                 rows.append({"load": share, "order": name, **measure(share)})
     print_rows(rows)
 
--- a/benchmarks/urgent.py
+++ b/benchmarks/urgent.py
@@ -21,7 +21,7 @@
 from papayapick.ledger import SlotLedger
 from papayapick.limits import AttemptTimeouts, RetryBudgets
 from papayapick.membership import Peer
-from papayapick.placement import (
+from papayapick.placement.requests import (
     HealthAware,
     InstanceHealth,
     LeastLoaded,
--- a/papayapick/entry/cell/peer_requests.py
+++ b/papayapick/entry/cell/peer_requests.py
@@ -3,7 +3,7 @@
 from papayapick.entry.cell.forecast_messages import decode_forecast
 from papayapick.entry.cell.state_relays import StateForwarder
 from papayapick.entry.store.health import LOST_AGE_SECONDS
-from papayapick.placement.backlog import QueueBacklog
+from papayapick.placement.order.backlog import QueueBacklog
 from papayapick.wire.messages import (
     AdviceQuery,
     ConfigurationQuery,
--- a/papayapick/overload/admission.py
+++ b/papayapick/overload/admission.py
@@ -15,7 +15,7 @@
 from papayapick.overload.forecast import MAX_AGE_SECONDS
 from papayapick.overload.types import AdmissionDecision, RefusalReason
 from papayapick.overload.work_ahead import Level
-from papayapick.placement.timeliness import useful_seconds_of
+from papayapick.placement.order.timeliness import useful_seconds_of
 
 __all__ = ["AcceptedWork", "ForecastAdmission", "JobShape", "retry_after", "useful_for"]
 
--- a/papayapick/overload/forecaster.py
+++ b/papayapick/overload/forecaster.py
@@ -13,7 +13,7 @@
 from papayapick.overload.surplus import SurplusRoom
 from papayapick.overload.throughput import Throughput
 from papayapick.overload.work_ahead import Level, WorkAhead
-from papayapick.placement.timeliness import least_patience, useful_seconds
+from papayapick.placement.order.timeliness import least_patience, useful_seconds
 
 __all__ = ["Forecaster"]
 
--- a/papayapick/overload/stops.py
+++ b/papayapick/overload/stops.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from papayapick.ledger import Amounts
-from papayapick.placement.preemption import may_use
+from papayapick.placement.release.preemption import may_use
 
 __all__ = ["FewestStops", "LeastLoss", "StopNeed", "StopPlan", "Victim", "VictimOrder"]
 
--- a/papayapick/overload/work_ahead.py
+++ b/papayapick/overload/work_ahead.py
@@ -11,7 +11,7 @@
 import collections
 import itertools
 
-from papayapick.placement.timeliness import useful_seconds
+from papayapick.placement.order.timeliness import useful_seconds
 
 __all__ = ["Level", "LevelWork", "WorkAhead"]
 
--- a/papayapick/placement/service_order.py
+++ b/papayapick/placement/order/service_order.py
@@ -9,7 +9,7 @@
 
 from sortedcontainers import SortedList
 
-from papayapick.placement.steps import service_key
+from papayapick.placement.order.steps import service_key
 
 __all__ = ["ServiceOrder"]
 
--- a/papayapick/placement/steps.py
+++ b/papayapick/placement/order/steps.py
@@ -1,7 +1,7 @@
 """Order the waiting steps, and place their tasks."""
 
 from papayapick.jobs.documents import TaskKey
-from papayapick.placement.timeliness import Timeliness, has_deadline, latest_start
+from papayapick.placement.order.timeliness import Timeliness, has_deadline, latest_start
 
 __all__ = ["order_steps", "place_step", "service_key"]
 
--- a/papayapick/placement/holds.py
+++ b/papayapick/placement/release/holds.py
@@ -9,7 +9,7 @@
 """
 
 from papayapick.ledger import Amounts
-from papayapick.placement.progress import remaining_seconds
+from papayapick.placement.runs.progress import remaining_seconds
 
 __all__ = ["Hold", "Holds"]
 
--- a/papayapick/placement/preemption.py
+++ b/papayapick/placement/release/preemption.py
@@ -9,7 +9,7 @@
 
 from papayapick.jobs.runs import RunPhase
 from papayapick.ledger import Amounts
-from papayapick.placement.rooms import may_run
+from papayapick.placement.rooms.rooms import may_run
 
 __all__ = [
     "StoppableRuns",
--- a/papayapick/placement/gangs.py
+++ b/papayapick/placement/requests/gangs.py
@@ -1,7 +1,7 @@
 """Reserve room for all members of a job at once, now or at the earliest time."""
 
 from papayapick.ledger import Amounts
-from papayapick.placement.jobs import Place
+from papayapick.placement.requests.jobs import Place
 
 __all__ = ["PromisedStart", "promise_start", "reserve_all"]
 
--- a/papayapick/placement/queue.py
+++ b/papayapick/placement/requests/queue.py
@@ -5,10 +5,10 @@
 import threading
 
 from papayapick.ledger import LedgerError
-from papayapick.placement.jobs import DeadlineOrder
-from papayapick.placement.pauses import choose_pauses
-from papayapick.placement.starts import Backfill
-from papayapick.placement.team_queues import TeamQueues
+from papayapick.placement.requests.jobs import DeadlineOrder
+from papayapick.placement.requests.pauses import choose_pauses
+from papayapick.placement.requests.starts import Backfill
+from papayapick.placement.requests.team_queues import TeamQueues
 from papayapick.quotas import QuotaTracker
 
 __all__ = ["JobQueue"]
--- a/papayapick/placement/starts.py
+++ b/papayapick/placement/requests/starts.py
@@ -4,9 +4,9 @@
 from typing import Protocol
 
 from papayapick.ledger import Amounts
-from papayapick.placement.gangs import promise_start, reserve_all
-from papayapick.placement.host_policies import BestFit
-from papayapick.placement.jobs import RunningJob
+from papayapick.placement.requests.gangs import promise_start, reserve_all
+from papayapick.placement.requests.host_policies import BestFit
+from papayapick.placement.requests.jobs import RunningJob
 
 __all__ = ["Backfill", "FirstComeFirstServed", "FirstThatFits", "StartPolicy"]
 
--- a/papayapick/placement/rooms.py
+++ b/papayapick/placement/rooms/rooms.py
@@ -1,10 +1,10 @@
 """Rooms of the workers of a pool, and the choice of a worker for a task."""
 
-from papayapick.placement.choices import Choice
-from papayapick.placement.headroom import Headroom
-from papayapick.placement.room_index import RoomIndex
-from papayapick.placement.tier_preference import AnyTier
-from papayapick.placement.worker_rooms import WorkerRoom
+from papayapick.placement.rooms.choices import Choice
+from papayapick.placement.rooms.headroom import Headroom
+from papayapick.placement.rooms.room_index import RoomIndex
+from papayapick.placement.rooms.tier_preference import AnyTier
+from papayapick.placement.rooms.worker_rooms import WorkerRoom
 from papayapick.quotas.usage import TeamUsage
 
 __all__ = ["Rooms", "WorkerRoom", "allows_another", "may_run"]
--- a/papayapick/placement/tier_preference.py
+++ b/papayapick/placement/rooms/tier_preference.py
@@ -8,7 +8,7 @@
 whose preferred workers are full is placed on the others.
 """
 
-from papayapick.placement.timeliness import has_deadline, useful_seconds
+from papayapick.placement.order.timeliness import has_deadline, useful_seconds
 from papayapick.speeds import SpeedTier
 
 __all__ = ["AnyTier", "TierPreference", "order_tiers"]
--- a/papayapick/placement/copies.py
+++ b/papayapick/placement/runs/copies.py
@@ -12,9 +12,9 @@
 import statistics
 
 from papayapick.jobs.runs import RunPhase
-from papayapick.placement.progress import STALL_SECONDS
-from papayapick.placement.tier_preference import in_time_until
-from papayapick.placement.timeliness import has_deadline, useful_seconds
+from papayapick.placement.order.timeliness import has_deadline, useful_seconds
+from papayapick.placement.rooms.tier_preference import in_time_until
+from papayapick.placement.runs.progress import STALL_SECONDS
 
 __all__ = [
     "LateRun",
--- a/papayapick/placer/jobs.py
+++ b/papayapick/placer/jobs.py
@@ -7,7 +7,7 @@
 from papayapick.journal import Ended, JournalError, JournalUnsettled, Started
 from papayapick.ledger import Amounts
 from papayapick.observability import get_logger
-from papayapick.placement import Place, RunningJob, WaitingJob
+from papayapick.placement.requests import Place, RunningJob, WaitingJob
 from papayapick.placer.members import JobMembers, in_parallel
 from papayapick.placer.outcomes import journal_outcome
 
--- a/papayapick/placer/shards.py
+++ b/papayapick/placer/shards.py
@@ -4,7 +4,12 @@
 from papayapick.journal import Journal, WorkIndex
 from papayapick.ledger import Amounts, HostLedger, SlotLedger
 from papayapick.ownership import OwnershipUnconfirmed
-from papayapick.placement import FailureTracker, HealthAware, InstanceHealth, JobQueue
+from papayapick.placement.requests import (
+    FailureTracker,
+    HealthAware,
+    InstanceHealth,
+    JobQueue,
+)
 from papayapick.placer.exceptions import ShardClosed
 from papayapick.placer.slots import SlotAllocator
 from papayapick.wire.messages import ShardSummary
--- a/papayapick/platform/waves.py
+++ b/papayapick/platform/waves.py
@@ -1,6 +1,6 @@
 """Decode the operator's waves of upkeep and encode their status."""
 
-from papayapick.placement.waves import Wave
+from papayapick.placement.release.waves import Wave
 from papayapick.platform.exceptions import BodyInvalid
 from papayapick.platform.fields import required_field
 
--- a/papayapick/pool/advice/manager.py
+++ b/papayapick/pool/advice/manager.py
@@ -1,7 +1,7 @@
 """Requests for advice on steps, sent before the tickets are needed."""
 
-from papayapick.placement.progress import projected_remaining_seconds
-from papayapick.placement.rooms import allows_another
+from papayapick.placement.rooms.rooms import allows_another
+from papayapick.placement.runs.progress import projected_remaining_seconds
 from papayapick.pool.advice.cache import AdviceCache
 from papayapick.pool.events import ADVICE_LOST, NO_ADVICE
 from papayapick.pool.exceptions import AdviceNotNeeded
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -6,8 +6,8 @@
 from papayapick.executors import ElasticExecutor
 from papayapick.jobs import JobRegistry
 from papayapick.ownership.pools import OwnershipLost, release_pool
-from papayapick.placement.rooms import Rooms
-from papayapick.placement.tier_preference import TierPreference
+from papayapick.placement.rooms.rooms import Rooms
+from papayapick.placement.rooms.tier_preference import TierPreference
 from papayapick.pool.advice.manager import AdviceManager
 from papayapick.pool.events import (
     POOL_LEFT,
--- a/papayapick/pool/records/status_feed.py
+++ b/papayapick/pool/records/status_feed.py
@@ -6,7 +6,7 @@
 from papayapick.jobs.state import JobStatus
 from papayapick.overload.duty_cycle import DutyCycle
 from papayapick.overload.forecaster import Forecaster
-from papayapick.placement.timeliness import useful_seconds
+from papayapick.placement.order.timeliness import useful_seconds
 from papayapick.pool.metrics import PROMISES_MISSED
 from papayapick.pool.rounds.waiting import WaitReason
 
--- a/papayapick/pool/records/store_sync.py
+++ b/papayapick/pool/records/store_sync.py
@@ -2,7 +2,7 @@
 
 from papayapick.jobs.documents import JobDocument
 from papayapick.jobs.state import JobStatus
-from papayapick.placement.rooms import WorkerRoom
+from papayapick.placement.rooms.rooms import WorkerRoom
 from papayapick.platform.workers import (
     WORKERS_TABLE,
     WorkerClient,
--- a/papayapick/pool/rounds/decisions.py
+++ b/papayapick/pool/rounds/decisions.py
@@ -1,20 +1,20 @@
 """Scheduling decisions: placement, second copies and preemption."""
 
 from papayapick.jobs.state import JobStatus
-from papayapick.placement.backlog import BacklogMonitor
-from papayapick.placement.copies import (
-    copy_allowance,
-    late_runs,
-    stragglers,
-    unjudged_stragglers,
-)
-from papayapick.placement.preemption import (
+from papayapick.placement.order.backlog import BacklogMonitor
+from papayapick.placement.order.steps import order_steps
+from papayapick.placement.release.preemption import (
     StoppableRuns,
     choose_victims,
     may_preempt,
     victim_priority,
 )
-from papayapick.placement.steps import order_steps
+from papayapick.placement.runs.copies import (
+    copy_allowance,
+    late_runs,
+    stragglers,
+    unjudged_stragglers,
+)
 from papayapick.pool.events import COPY_STARTED, STOPPED_FOR_URGENT
 from papayapick.pool.metrics import FIRST_START_SECONDS
 from papayapick.pool.rounds.placement_rounds import PlacementRounds
--- a/papayapick/pool/rounds/placement_rounds.py
+++ b/papayapick/pool/rounds/placement_rounds.py
@@ -8,11 +8,11 @@
 workers that are held are freed sooner or later than expected.
 """
 
-from papayapick.placement.advice_budget import AdviceBudget
-from papayapick.placement.exclusions import lift_exclusions
-from papayapick.placement.holds import Holds
-from papayapick.placement.service_order import ServiceOrder
-from papayapick.placement.steps import place_step
+from papayapick.placement.order.advice_budget import AdviceBudget
+from papayapick.placement.order.service_order import ServiceOrder
+from papayapick.placement.order.steps import place_step
+from papayapick.placement.release.holds import Holds
+from papayapick.placement.runs.exclusions import lift_exclusions
 from papayapick.pool.rounds.waiting import WaitReason, log_placed, log_wait
 from papayapick.pool.rounds.yielding import YieldingJobs
 
--- a/papayapick/pool/rounds/upkeep.py
+++ b/papayapick/pool/rounds/upkeep.py
@@ -2,7 +2,7 @@
 
 from papayapick.clients.exceptions import ConditionFailed, TableUnavailable
 from papayapick.clients.rows import Expectation, RowWrite
-from papayapick.placement.waves import (
+from papayapick.placement.release.waves import (
     WaveRecord,
     choose_machines,
     drain_limit_seconds,
--- a/papayapick/pool/rounds/urgent_stops.py
+++ b/papayapick/pool/rounds/urgent_stops.py
@@ -9,15 +9,15 @@
 from papayapick.jobs.runs import RunPhase
 from papayapick.overload.duty_cycle import DutyCycle
 from papayapick.overload.stops import StopNeed, StopPlan, Victim
-from papayapick.placement.preemption import may_preempt, victim_priority
-from papayapick.placement.progress import projected_remaining_seconds
-from papayapick.placement.steps import service_key
-from papayapick.placement.timeliness import (
+from papayapick.placement.order.steps import service_key
+from papayapick.placement.order.timeliness import (
     Timeliness,
     due_at,
     has_deadline,
     latest_start,
 )
+from papayapick.placement.release.preemption import may_preempt, victim_priority
+from papayapick.placement.runs.progress import projected_remaining_seconds
 from papayapick.pool.events import STOPPED_FOR_URGENT
 from papayapick.pool.rounds.waiting import WaitReason
 from papayapick.pool.workers.reports import run_fields
--- a/papayapick/pool/rounds/yielding.py
+++ b/papayapick/pool/rounds/yielding.py
@@ -12,7 +12,7 @@
 from papayapick.overload.duty_cycle import DutyCycle
 from papayapick.overload.plan import YieldPlan
 from papayapick.overload.types import DelayedJob
-from papayapick.placement.timeliness import due_at, saved_seconds, saved_share
+from papayapick.placement.order.timeliness import due_at, saved_seconds, saved_share
 from papayapick.pool.events import JOBS_YIELD
 
 __all__ = ["Standing", "YieldingJobs"]
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -1,8 +1,8 @@
 """Apply the reports of workers to an owner's jobs: runs, ends, missing answers."""
 
 from papayapick.jobs.runs import RunPhase
-from papayapick.placement.pace import Pacer
-from papayapick.placement.progress import may_be_stalled
+from papayapick.placement.runs.pace import Pacer
+from papayapick.placement.runs.progress import may_be_stalled
 from papayapick.pool.metrics import REPORT_DELAY_SECONDS
 from papayapick.pool.takeover.reconciliation import PREDECESSOR_LEASE_SECONDS
 from papayapick.pool.workers.ends import EndHandler
--- a/papayapick/pool/workers/run_monitor.py
+++ b/papayapick/pool/workers/run_monitor.py
@@ -4,14 +4,14 @@
 worker, and its worker is marked as suspected and used last.
 """
 
-from papayapick.placement.progress import (
+from papayapick.placement.runs.progress import (
     REPLACED_LIMIT,
     compare_runs,
     ended_within_usual_time,
     project_runs,
     stalled_runs,
 )
-from papayapick.placement.suspicion import (
+from papayapick.placement.runs.suspicion import (
     SUSPECT_SECONDS,
     FailingWorkerDetector,
     SlowWorkerDetector,
--- a/tests/entry/test_acceptance.py
+++ b/tests/entry/test_acceptance.py
@@ -13,7 +13,7 @@
 from papayapick.jobs import JobDocument, Step
 from papayapick.jobs.state import JobStatus
 from papayapick.ledger import Amounts
-from papayapick.placement.backlog import QueueBacklog
+from papayapick.placement.order.backlog import QueueBacklog
 
 ID = "5c0e7a21d94b36f8"
 JOB = JobDocument(ID, "counts", "pool", "t", [Step(1, Amounts(100, 10))], 0.0)
--- a/tests/entry/test_counts.py
+++ b/tests/entry/test_counts.py
@@ -12,7 +12,7 @@
 from papayapick.entry.cell.beats import BeatBroadcaster
 from papayapick.entry.cell.peer_requests import PeerRequestHandler
 from papayapick.jobs import AdvicePolicy, Queue
-from papayapick.placement.backlog import QueueBacklog
+from papayapick.placement.order.backlog import QueueBacklog
 from papayapick.quotas import TeamDirectory
 from papayapick.wire.exceptions import PeerTimeout
 from tests.pool.owners import job, owner_with
--- a/tests/entry/test_moved_counts.py
+++ b/tests/entry/test_moved_counts.py
@@ -12,7 +12,7 @@
 from papayapick.entry.exceptions import CountUnknown
 from papayapick.entry.watched_pools import WatchedPools
 from papayapick.jobs import Queue
-from papayapick.placement.backlog import QueueBacklog
+from papayapick.placement.order.backlog import QueueBacklog
 
 OLD, NEW = "pool-1", "pool-2"
 QUEUE = Queue("q", "h", "/q/", NEW, 0, 2, 1.5, 0.5, 3.0, False, None)
--- a/tests/entry/test_takeover_backlogs.py
+++ b/tests/entry/test_takeover_backlogs.py
@@ -8,7 +8,7 @@
 from papayapick.entry.cell.peer_requests import PeerRequestHandler
 from papayapick.jobs import AdvicePolicy, Queue
 from papayapick.ownership.pools import PoolRow
-from papayapick.placement.backlog import QueueBacklog
+from papayapick.placement.order.backlog import QueueBacklog
 from papayapick.pool.owner import PoolOwner
 from tests.pool.standins import Host
 
--- a/tests/forecasts/unequal.py
+++ b/tests/forecasts/unequal.py
@@ -4,7 +4,7 @@
 
 from papayapick.jobs import Queue, Step, TaskKey
 from papayapick.ledger import Amounts
-from papayapick.placement.tier_preference import AnyTier
+from papayapick.placement.rooms.tier_preference import AnyTier
 from papayapick.speeds import SpeedTier
 from tests.forecasts.speeds import KnownSpeeds
 from tests.pool.standins import PoolSimulation
--- a/tests/overload/replay.py
+++ b/tests/overload/replay.py
@@ -11,8 +11,8 @@
 from papayapick.jobs import JobRegistry
 from papayapick.overload.admission import ForecastAdmission, JobShape
 from papayapick.overload.forecaster import Forecaster
-from papayapick.placement.backlog import BacklogMonitor
-from papayapick.placement.steps import order_steps
+from papayapick.placement.order.backlog import BacklogMonitor
+from papayapick.placement.order.steps import order_steps
 from papayapick.quotas import Entitlements, Team
 from tests.overload.loads import NOW, REBUILD, RUSH, document_of
 
--- a/tests/overload/test_stops.py
+++ b/tests/overload/test_stops.py
@@ -9,8 +9,8 @@
 from papayapick.jobs import JobDocument, JobRegistry, Queue, RunPhase, Step
 from papayapick.ledger import Amounts
 from papayapick.overload.stops import FewestStops, LeastLoss, StopNeed, StopPlan, Victim
-from papayapick.placement.preemption import victim_priority
-from papayapick.placement.rooms import Rooms, WorkerRoom
+from papayapick.placement.release.preemption import victim_priority
+from papayapick.placement.rooms.rooms import Rooms, WorkerRoom
 from papayapick.pool.workers.reports import Registration
 
 MAX_STOPS = 12
--- a/tests/placement/test_backlog.py
+++ b/tests/placement/order/test_backlog.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from papayapick.placement.backlog import BacklogMonitor
+from papayapick.placement.order.backlog import BacklogMonitor
 
 BACKLOG = 10_000
 
--- a/tests/placement/test_preemption.py
+++ b/tests/placement/release/test_preemption.py
@@ -5,9 +5,9 @@
 
 from papayapick.jobs import JobDocument, JobRegistry, Queue, RunPhase, Step
 from papayapick.ledger import Amounts
-from papayapick.placement.holds import Hold
-from papayapick.placement.preemption import StoppableRuns, choose_victims
-from papayapick.placement.rooms import Rooms, WorkerRoom
+from papayapick.placement.release.holds import Hold
+from papayapick.placement.release.preemption import StoppableRuns, choose_victims
+from papayapick.placement.rooms.rooms import Rooms, WorkerRoom
 from papayapick.pool.workers.reports import Registration
 
 PRIORITIES = (0, 1, 2)
--- a/tests/placement/test_failures.py
+++ b/tests/placement/requests/test_failures.py
@@ -3,7 +3,7 @@
 import pytest
 
 from papayapick.ledger import Amounts, HostLedger
-from papayapick.placement import FailureTracker, JobQueue, WaitingJob
+from papayapick.placement.requests import FailureTracker, JobQueue, WaitingJob
 
 CORE = Amounts(1000, 1024)
 
--- a/tests/placement/test_gangs.py
+++ b/tests/placement/requests/test_gangs.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from papayapick.ledger import Amounts, HostLedger
-from papayapick.placement import (
+from papayapick.placement.requests import (
     Backfill,
     BestFit,
     DeadlineOrder,
@@ -14,7 +14,7 @@
     JobQueue,
     WaitingJob,
 )
-from papayapick.placement.gangs import promise_start, reserve_all
+from papayapick.placement.requests.gangs import promise_start, reserve_all
 
 CORE = Amounts(1000, 1024)
 
--- a/tests/placement/test_instance_health.py
+++ b/tests/placement/requests/test_instance_health.py
@@ -7,7 +7,7 @@
 
 from papayapick.clock import ManualClock
 from papayapick.ledger import SlotLedger
-from papayapick.placement import HealthAware, InstanceHealth
+from papayapick.placement.requests import HealthAware, InstanceHealth
 
 SERVICE = "counts"
 NAMES = [f"i{number}" for number in range(8)]
--- a/tests/placement/reference.py
+++ b/tests/placement/rooms/reference.py
@@ -1,7 +1,7 @@
 """The decisions of placement as a search of all workers and steps, to compare with."""
 
-from papayapick.placement.rooms import may_run
-from papayapick.placement.timeliness import latest_start
+from papayapick.placement.order.timeliness import latest_start
+from papayapick.placement.rooms.rooms import may_run
 
 MAX_EXCLUDED_SHARE = 0.25
 DOWN_SECONDS = 2.0
--- a/tests/placement/test_room_index.py
+++ b/tests/placement/rooms/test_room_index.py
@@ -7,13 +7,13 @@
 
 from papayapick.jobs import JobDocument, JobRegistry, Queue, Step
 from papayapick.ledger import Amounts
-from papayapick.placement.holds import Hold
-from papayapick.placement.rooms import Rooms, WorkerRoom
-from papayapick.placement.service_order import ServiceOrder
-from papayapick.placement.tier_preference import AnyTier
+from papayapick.placement.order.service_order import ServiceOrder
+from papayapick.placement.release.holds import Hold
+from papayapick.placement.rooms.rooms import Rooms, WorkerRoom
+from papayapick.placement.rooms.tier_preference import AnyTier
 from papayapick.pool.workers.reports import Registration
 from papayapick.speeds import SpeedTier
-from tests.placement import reference
+from tests.placement.rooms import reference
 
 SEEDS = range(60)
 CHANGES = 40
--- a/tests/placement/test_rooms.py
+++ b/tests/placement/rooms/test_rooms.py
@@ -4,15 +4,15 @@
 
 from papayapick.jobs import JobDocument, JobRegistry, Queue, RunPhase, Step
 from papayapick.ledger import Amounts
-from papayapick.placement.copies import stragglers
-from papayapick.placement.pace import Pacer
-from papayapick.placement.preemption import (
+from papayapick.placement.order.steps import order_steps, place_step
+from papayapick.placement.release.preemption import (
     StoppableRuns,
     choose_victims,
     may_preempt,
 )
-from papayapick.placement.rooms import Rooms, WorkerRoom
-from papayapick.placement.steps import order_steps, place_step
+from papayapick.placement.rooms.rooms import Rooms, WorkerRoom
+from papayapick.placement.runs.copies import stragglers
+from papayapick.placement.runs.pace import Pacer
 from papayapick.pool.workers.reports import Registration
 
 QUEUE = Queue("quick", "h", "/q/", "pool", 0, 2, 1.5, 0.5, 3.0, False, None)
--- a/tests/placement/test_tier_preference.py
+++ b/tests/placement/rooms/test_tier_preference.py
@@ -10,8 +10,8 @@
 from papayapick.forecasts import DeclaredTimes
 from papayapick.jobs import JobDocument, JobRegistry, Queue, Step
 from papayapick.ledger import Amounts
-from papayapick.placement.rooms import Rooms, WorkerRoom
-from papayapick.placement.tier_preference import (
+from papayapick.placement.rooms.rooms import Rooms, WorkerRoom
+from papayapick.placement.rooms.tier_preference import (
     TierPreference,
     _chain_length,
     order_tiers,
--- a/tests/placement/test_copies.py
+++ b/tests/placement/runs/test_copies.py
@@ -7,7 +7,7 @@
 from papayapick.forecasts import DeclaredTimes
 from papayapick.jobs import JobDocument, JobRegistry, Queue, RunPhase, Step
 from papayapick.ledger import Amounts
-from papayapick.placement.copies import (
+from papayapick.placement.runs.copies import (
     LateRun,
     copy_allowance,
     late_runs,
--- a/tests/placer/test_slots.py
+++ b/tests/placer/test_slots.py
@@ -6,7 +6,7 @@
 
 from papayapick.clock import ManualClock
 from papayapick.ledger import SlotLedger
-from papayapick.placement import HealthAware, InstanceHealth
+from papayapick.placement.requests import HealthAware, InstanceHealth
 from papayapick.placer.exceptions import SlotWaitExpired, WaitingQueueFull, WaitTooLong
 from papayapick.placer.slots import SlotAllocator
 from papayapick.wire.messages import SlotGrant, SlotRequest
--- a/tests/placer/test_slots_leaving.py
+++ b/tests/placer/test_slots_leaving.py
@@ -10,7 +10,7 @@
 from papayapick.clock import ManualClock
 from papayapick.ledger import SlotLedger
 from papayapick.ownership import shard_of
-from papayapick.placement import HealthAware, InstanceHealth
+from papayapick.placement.requests import HealthAware, InstanceHealth
 from papayapick.placer.exceptions import SlotWaitExpired
 from papayapick.placer.slots import SlotAllocator
 from papayapick.placer.takeover import HostReconciler
--- a/tests/pool/test_last_resort.py
+++ b/tests/pool/test_last_resort.py
@@ -2,7 +2,7 @@
 
 from papayapick.jobs import JobDocument, Step
 from papayapick.ledger import Amounts
-from papayapick.placement.preemption import StoppableRuns, choose_victims
+from papayapick.placement.release.preemption import StoppableRuns, choose_victims
 from tests.pool.owners import (
     job,
     owner_with,
--- a/tests/pool/test_overload.py
+++ b/tests/pool/test_overload.py
@@ -4,7 +4,7 @@
 
 from papayapick.jobs import AdvicePolicy, JobDocument, JobStatus, Queue, Step
 from papayapick.ledger import Amounts
-from papayapick.placement.timeliness import Timeliness, latest_start
+from papayapick.placement.order.timeliness import Timeliness, latest_start
 from tests.pool.standins import QUEUE, PoolSimulation
 
 SECONDS = 0.8
--- a/tests/pool/test_run_times.py
+++ b/tests/pool/test_run_times.py
@@ -3,8 +3,8 @@
 import pytest
 
 from papayapick.jobs import TaskKey
-from papayapick.placement.copies import stragglers
-from papayapick.placement.progress import (
+from papayapick.placement.runs.copies import stragglers
+from papayapick.placement.runs.progress import (
     compare_runs,
     projected_remaining_seconds,
     stalled_runs,
--- a/tests/pool/test_slow_runs.py
+++ b/tests/pool/test_slow_runs.py
@@ -3,12 +3,12 @@
 import pytest
 
 from papayapick.jobs import RunPhase
-from papayapick.placement.progress import (
+from papayapick.placement.runs.progress import (
     compare_runs,
     ended_within_usual_time,
     stalled_runs,
 )
-from papayapick.placement.suspicion import SlowWorkerDetector
+from papayapick.placement.runs.suspicion import SlowWorkerDetector
 from papayapick.speeds import UnknownSpeeds
 from tests.speeds.replay import run_of, step_of
 
--- a/tests/pool/test_takeover_progress.py
+++ b/tests/pool/test_takeover_progress.py
@@ -4,8 +4,8 @@
 from papayapick.jobs.records import progress_record, restore_progress
 from papayapick.jobs.state import JobState
 from papayapick.ledger import Amounts
-from papayapick.placement.progress import compare_runs
-from papayapick.placement.timeliness import Timeliness, latest_start
+from papayapick.placement.order.timeliness import Timeliness, latest_start
+from papayapick.placement.runs.progress import compare_runs
 from papayapick.pool.records.journal import JOBS_TABLE, PROGRESS_TABLE
 from tests.pool.owners import (
     ID,
--- a/tests/pool/test_upkeep.py
+++ b/tests/pool/test_upkeep.py
@@ -4,7 +4,7 @@
 
 from papayapick.jobs import JobDocument, Step
 from papayapick.ledger import Amounts
-from papayapick.placement.waves import Wave, WaveRecord, choose_machines
+from papayapick.placement.release.waves import Wave, WaveRecord, choose_machines
 from papayapick.platform.machines import Machine
 from papayapick.pool.rounds.upkeep import WAVES_TABLE
 from tests.pool.standins import QUEUE
--- a/tests/pool/test_urgent_stops.py
+++ b/tests/pool/test_urgent_stops.py
@@ -9,7 +9,7 @@
 from papayapick.ledger import Amounts
 from papayapick.overload.features import OverloadFeatures
 from papayapick.overload.stops import FewestStops
-from papayapick.placement.timeliness import latest_start, saved_seconds
+from papayapick.placement.order.timeliness import latest_start, saved_seconds
 from papayapick.pool.rounds import urgent_stops
 from papayapick.pool.rounds.urgent_stops import UrgentStops
 from tests.pool.standins import PoolSimulation
--- a/tests/pool/test_yielding.py
+++ b/tests/pool/test_yielding.py
@@ -6,7 +6,7 @@
 from papayapick.jobs import JobDocument, JobStatus, Queue, Step
 from papayapick.ledger import Amounts
 from papayapick.overload.features import OverloadFeatures
-from papayapick.placement.timeliness import Timeliness, latest_start
+from papayapick.placement.order.timeliness import Timeliness, latest_start
 from papayapick.pool.metrics import PLANNED_JOBS
 from papayapick.pool.rounds.yielding import Standing
 from tests.pool.standins import QUEUE, PoolSimulation
--- a/tests/pool/upkeep_cell.py
+++ b/tests/pool/upkeep_cell.py
@@ -4,7 +4,7 @@
 
 from papayapick.clients.exceptions import ConditionFailed, TableUnavailable
 from papayapick.clients.rows import Page, StoredRow
-from papayapick.placement.waves import Wave
+from papayapick.placement.release.waves import Wave
 from papayapick.platform.exceptions import CallFailed
 from papayapick.platform.machines import Machine, UpkeepOutcome
 from papayapick.pool.rounds.upkeep import UpkeepCoordinator
--- a/tests/quotas/test_entitlements.py
+++ b/tests/quotas/test_entitlements.py
@@ -4,7 +4,7 @@
 
 from papayapick.jobs import Step
 from papayapick.ledger import Amounts
-from papayapick.placement.preemption import may_preempt
+from papayapick.placement.release.preemption import may_preempt
 from papayapick.pool.records.journal import JOBS_TABLE
 from papayapick.quotas import Entitlements, Team, TeamDirectory
 from tests.pool.owners import host_with_two_workers, owner_of, place, report
--- a/tests/quotas/test_shares.py
+++ b/tests/quotas/test_shares.py
@@ -3,7 +3,7 @@
 import pytest
 
 from papayapick.ledger import Amounts, HostLedger
-from papayapick.placement import JobQueue, WaitingJob
+from papayapick.placement.requests import JobQueue, WaitingJob
 from papayapick.quotas import QuotaTracker
 
 CORE = Amounts(1000, 1024)
