Count the pause between polls of a leaving worker from call to call

While ends of a leaving worker are recorded, it is asked again after 40 ms. The pause began when the answer had arrived, so that a worker in another region, 20 ms away, was without a call for 80 ms after each answer with ends; an end within that time before it exits was never read, and its task ran again after it was done.

The 40 ms now count from one call to the next, so that a call that took as long is followed by the next one at once. The number of calls stays bounded (25 a second; the test of that is as it was).

test_last_end_of_a_leaving_worker_in_another_region_is_read failed before (one end read of two); tests/pool pass with it.

--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -25,8 +25,8 @@
 # Ends can't be acknowledged while the store is unavailable or their job is not read,
 # and a long poll would return at once with the same ends.
 _UNACKNOWLEDGED_SECONDS = 0.3
-# Time between two polls of a leaving worker where no call may wait for further ends. It
-# exits with what nobody has read, and the tasks of such ends run again.
+# Least time between two calls to a leaving worker where none may wait for further ends.
+# It exits with what nobody has read, and the tasks of such ends run again.
 _LEAVING_SECONDS = 0.04
 # Acknowledges no end, as ends are numbered from 1.
 _ACKNOWLEDGE_NONE = 0
@@ -213,11 +213,14 @@
                 self._listener.note_report(self, report, requested_at)
 
     def _poll(self, share=1.0, permitted_at=None):
+        asked_at = self._clock.monotonic()
         with self.arrivals.call() as call:
             self._poll_by(call, share, permitted_at)
         if self.read > self.acknowledged:
-            leaves = self._leaves_with_runs()
-            self.pause(_LEAVING_SECONDS if leaves else _UNACKNOWLEDGED_SECONDS)
+            self.pause(_UNACKNOWLEDGED_SECONDS)
+            if self._leaves_with_runs():
+                # From call to call: a call to another region takes as long again.
+                self.due_at = asked_at + _LEAVING_SECONDS
 
     def _poll_by(self, call, share, permitted_at):
         wait_seconds = share * self._poll_seconds()
--- a/tests/pool/test_leaving_workers.py
+++ b/tests/pool/test_leaving_workers.py
@@ -32,6 +32,7 @@
         self.exits_at = EXIT
         self.loses_call_at = float("inf")
         self.stops_after = 0.8
+        self.travel_seconds = 0.0
 
     def renew(self, epoch, acknowledged, lease_end=None, wait_seconds=0.0):
         called_at = self._now()
@@ -39,7 +40,9 @@
         self.called_at.append(called_at)
         if called_at >= self.stops_after:
             self._link.stop()
-        while not self._ended() and self._now() < called_at + wait_seconds:
+        self._clock.advance(self.travel_seconds)
+        arrived_at = self._now()
+        while not self._ended() and self._now() < arrived_at + wait_seconds:
             self._clock.advance(0.01)
         if self._now() >= self.exits_at or self._now() >= self.loses_call_at:
             self.loses_call_at = float("inf")
@@ -47,7 +50,9 @@
         ended = self._ended()
         ends = [EndReport(i, *run.name, "done") for i, run in enumerate(ended, 1)]
         runs = [RunReport(*run.name) for run in self._runs if run not in ended]
-        return WorkerReport(self._clock.monotonic(), 1, runs, ends)
+        shown = self._clock.monotonic()
+        self._clock.advance(self.travel_seconds)
+        return WorkerReport(shown, 1, runs, ends)
 
     def _now(self):
         return self._clock.monotonic() - self._began
@@ -93,6 +98,14 @@
     assert ends_read(link) == 2
 
 
+def test_last_end_of_a_leaving_worker_in_another_region_is_read(link):
+    """Guards against a second run if calls to the leaving worker take long."""
+    link.client.travel_seconds = 0.02
+    link.client.ends_at, link.client.exits_at = (0.1, 0.13), 0.17
+    poll(link)
+    assert ends_read(link) == 2
+
+
 def test_call_that_gets_no_answer_is_repeated_soon_while_the_worker_leaves(link):
     """Guards against an end that no call is there to bring, after a lost one."""
     link.client.loses_call_at = FIRST_END
