Order no upkeep of a worker that has not listed all its runs and ends

After a takeover a worker that has not reported yet, or has more ends than one report lists, looked empty: its upkeep was ordered at once. Upkeep ends what an earlier owner started there, and ends that nobody has read are lost with it, so that their tasks run again after they are done.

The owner now waits until the worker has listed everything, is gone, or all leases of earlier owners are over.

--- a/papayapick/pool/rounds/upkeep.py
+++ b/papayapick/pool/rounds/upkeep.py
@@ -246,7 +246,18 @@
             )
             for run in to_move:
                 self._owner.orders.stop_once(run, now)
-            return not room.runs
+            return self._are_runs_known(worker) and not room.runs
+
+    def _are_runs_known(self, worker):
+        """Return whether a worker has listed all its runs and ends, or can have none.
+
+        Guards against upkeep just after a takeover that ends what an earlier owner
+        started there, and with it ends that nobody has read: these tasks would run
+        again.
+        """
+        link = self._owner.links_by_worker.get(worker)
+        is_awaited = self._owner.reconciliation.waits_for(worker)
+        return link is None or link.has_listed_all or not is_awaited
 
     # Ordering upkeep.
 
