Keep the runs of a replaced worker while a report of it waits to be applied

If another worker answered at the address of a worker, the owner waited 1 s at most for reports that had been read, and then took all runs for lost. A report that waited longer for the owner's lock, with the end of a run, came too late, and the task ran again after it was done. The checks of the list of machines and of the lease had no such limit.

The runs are now kept until the next poll, 0.2 s later, which is refused too; it decides by what the report says.

test_report_that_waits_long_is_applied_before_another_worker_is_found failed before (the task was placed while its end waited); tests/pool and tests/checks pass with the change.

--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -8,6 +8,7 @@
 from papayapick.pool.workers.arrivals import Arrivals
 from papayapick.pool.workers.events import (
     RENEWAL_REFUSED,
+    RUNS_KEPT,
     WORKER_BACK,
     WORKER_SILENT,
     WORKER_UNSEEN,
@@ -307,7 +308,13 @@
         elif status == _OTHER_INSTANCE_STATUS:
             # Another worker answers at this address, so this one no longer exists.
             self.arrivals.wait_until_applied()
-            self._listener.note_restart(self, None)
+            if self.arrivals.has_unapplied:
+                # The next poll is refused too, and decides by what the report says.
+                RUNS_KEPT.write(
+                    worker=self.worker, reason="other worker", epoch=self._epoch
+                )
+            else:
+                self._listener.note_restart(self, None)
             self._note_no_answer(error, asked_at)
             return
         else:
--- a/tests/pool/test_arrivals.py
+++ b/tests/pool/test_arrivals.py
@@ -148,6 +148,20 @@
     assert owner.job_registry.step_of(KEY).tasks[0].is_done
 
 
+@pytest.mark.parametrize("held_up", [READ], indirect=True)
+def test_report_that_waits_long_is_applied_before_another_worker_is_found(held_up):
+    """Guards against a second run if the owner's lock is held for long."""
+    owner, link, thread = held_up
+    _use_clock(owner.host, link, NonBlockingClock(owner.now()))
+    thread.begin()
+    link.poll_once()
+    assert place(owner) == []
+    thread.finish()
+    link.poll_once()
+    assert place(owner) == []
+    assert owner.job_registry.step_of(KEY).tasks[0].is_done
+
+
 class NeverAnswering:
     """Call a worker that is gone, which never answers."""
 
