--- a/tests/pool/test_arrivals.py
+++ b/tests/pool/test_arrivals.py
@@ -174,6 +174,20 @@
     assert events[0]["reason"] == reason
 
 
+@pytest.mark.parametrize("held_up", [READ], indirect=True)
+def test_report_that_waits_long_is_applied_before_another_worker_is_found(held_up):
+    """Guards against a second run if the owner's lock is held for long."""
+    owner, link, thread = held_up
+    _use_clock(owner.host, link, NonBlockingClock(owner.now()))
+    thread.begin()
+    link.poll_once()
+    assert place(owner) == []
+    thread.finish()
+    link.poll_once()
+    assert place(owner) == []
+    assert owner.job_registry.step_of(KEY).tasks[0].is_done
+
+
 class NeverAnswering:
     """Call a worker that is gone, which never answers."""
 
