Count connections to workers, and log each one that a worker refuses

No line of the log and no metric told of the orders that were reset; that workers had no connection left was inferred.

Change: `clients/connections.py` holds the connections of an `HttpPool`, which kept them itself before; it counts the open ones per address and tells a monitor of those that were opened, closed, or reset in place of their first answer. For workers that becomes `papayapick_pool_worker_connections_total`, `..._most` and the event `worker connection refused` with the number of connections that this host has open there.

Connections whose call was pending are freed in the instant the host has power again, as its answer is reset there, not before. A connection from the same port does not take the place of its former half. Store, advice service and list of machines accepted 400 connections from one host.

--- a/papayapick/clients/http.py
+++ b/papayapick/clients/http.py
@@ -1,12 +1,10 @@
 """Send HTTP requests over pooled connections; errors say whether one was sent."""
 
-import collections
 import http.client
-import select
 import socket
-import threading
 import urllib.parse
 
+from papayapick.clients.connections import Connections
 from papayapick.clients.exceptions import (
     AnswerCut,
     AnswerInvalid,
@@ -20,16 +18,10 @@
 __all__ = ["HttpAnswer", "HttpPool"]
 
 _LOG = get_logger(__name__)
-_MAX_IDLE_PER_ADDRESS = 32
-_MAX_IDLE = 10_000
 _PART_BYTES = 64 << 10
 # A longer body is sent in parts of this size, and the operating system keeps little
 # more than that: what it has not sent yet looks like a pause before the answer.
 _SENT_PART_BYTES = 32 << 10
-# The operating system repeats a lost SYN packet only after a second; opening another
-# connection is faster. The first limit is several times the time that connecting takes
-# between regions. It is doubled for each further attempt in case the route is slow.
-_CONNECT_SECONDS = 0.25
 
 
 class HttpAnswer:
@@ -52,26 +44,20 @@
         Time limit of a request in seconds, from connecting to the last byte, unless
         the request allows a long answer more.
     clock : Clock, optional
-    max_idle : int, optional
-        Most idle connections to keep in all; those idle for longest are closed.
+    connections : Connections, optional
     """
 
-    __slots__ = ("_clock", "_idle", "_lock", "_max_idle", "_order", "_timeout")
+    __slots__ = ("_clock", "_connections", "_timeout")
 
-    def __init__(self, timeout, clock=None, max_idle=_MAX_IDLE):
+    def __init__(self, timeout, clock=None, connections=None):
         self._timeout = timeout
         self._clock = clock or SystemClock()
-        self._max_idle = max_idle
-        # Idle connections by address.
-        self._idle = {}
-        # Their addresses, by connection, in the order in which they became idle.
-        self._order = collections.OrderedDict()
-        self._lock = threading.Lock()
+        self._connections = connections or Connections(self._clock)
 
     @property
-    def idle_connections(self):
-        """Return the number of idle connections."""
-        return len(self._order)
+    def connections(self):
+        """Return the connections of the pool."""
+        return self._connections
 
     def request(
         self,
@@ -120,10 +106,8 @@
         parts = urllib.parse.urlsplit(url)
         timeout = self._timeout if timeout is None else timeout
         limit = TimeLimit(self._clock, timeout, min_bytes_per_second)
-        connection = None if fresh else self._take_idle(parts.netloc)
         try:
-            if connection is None:
-                connection = self._connect(parts.netloc, limit)
+            connection = self._connections.lend(parts.netloc, limit, is_new=fresh)
         except OSError as error:
             raise NotSent(url=url) from error
         path = parts.path or "/"
@@ -131,30 +115,25 @@
             path += "?" + parts.query
         try:
             answer, is_reusable = self._exchange(
-                connection, method, path, body, headers or {}, limit
+                connection.http, method, path, body, headers or {}, limit
             )
             if check is not None:
                 check(answer)
         except (OSError, http.client.HTTPException) as error:
-            connection.close()
+            self._connections.discard(connection, error)
             raise AnswerMissing(url=url) from error
-        except BaseException:
-            connection.close()
+        except BaseException as error:
+            self._connections.discard(connection, error)
             raise
         if is_reusable:
-            self._keep(parts.netloc, connection)
+            self._connections.give_back(connection)
         else:
-            connection.close()
+            self._connections.discard(connection)
         return answer
 
     def close(self):
         """Close the idle connections."""
-        with self._lock:
-            idle = list(self._order)
-            self._order.clear()
-            self._idle = {}
-        for connection in idle:
-            connection.close()
+        self._connections.close()
 
     def _exchange(self, connection, method, path, body, headers, limit):
         sock = connection.sock
@@ -214,58 +193,6 @@
         limit.note_progress(len(part))
         return part
 
-    def _take_idle(self, netloc):
-        """Return an idle connection that is still usable, or None."""
-        while True:
-            with self._lock:
-                connection = self._pop_idle(netloc)
-            if connection is None or not _is_readable(connection.sock):
-                return connection
-            # Readable without a request: the server closed it or sent unexpected bytes.
-            connection.close()
-
-    def _pop_idle(self, netloc, position=-1):
-        """Remove an idle connection of an address, the latest by default."""
-        kept = self._idle.get(netloc)
-        if not kept:
-            return None
-        connection = kept.pop(position)
-        del self._order[connection]
-        if not kept:
-            del self._idle[netloc]
-        return connection
-
-    def _connect(self, netloc, limit):
-        """Open a connection; raise OSError if that fails or takes too long."""
-        seconds = _CONNECT_SECONDS
-        while True:
-            connection = http.client.HTTPConnection(
-                netloc, timeout=min(seconds, limit.remaining())
-            )
-            try:
-                connection.connect()
-            except TimeoutError:
-                connection.close()
-                seconds *= 2
-            except OSError:
-                connection.close()
-                raise
-            else:
-                return connection
-
-    def _keep(self, netloc, connection):
-        surplus = None
-        with self._lock:
-            kept = self._idle.setdefault(netloc, [])
-            kept.append(connection)
-            self._order[connection] = netloc
-            if len(kept) > _MAX_IDLE_PER_ADDRESS:
-                surplus = self._pop_idle(netloc, 0)
-            elif len(self._order) > self._max_idle:
-                surplus = self._pop_idle(next(iter(self._order.values())), 0)
-        if surplus is not None:
-            surplus.close()
-
 
 def _sent_parts(sock, body, limit):
     """Yield the parts of a body; each is sent before the next one is requested."""
@@ -276,12 +203,6 @@
         limit.note_progress(len(part))
 
 
-def _is_readable(sock):
-    poller = select.poll()
-    poller.register(sock, select.POLLIN)
-    return bool(poller.poll(0))
-
-
 def _has_more(sock, response):
     """Return whether bytes were received after the end of the body."""
     if response.fp is None or response.length is None:
--- a/papayapick/entry/gauges.py
+++ b/papayapick/entry/gauges.py
@@ -11,6 +11,7 @@
     PREDICTED_WAIT_SECONDS,
     TEAM_SHARES,
     WAITING_JOBS,
+    WORKER_CONNECTIONS_MOST,
 )
 
 __all__ = ["refresh_gauges"]
@@ -32,6 +33,7 @@
     CONFIGURATION_VERSION.set(host.configuration.version)
     CONFIGURATION_AGE_SECONDS.set(host.configuration.age())
     OWNED_POOLS.set(len(owners))
+    WORKER_CONNECTIONS_MOST.set(host.worker_pool.connections.most_open())
     _refresh_teams(owners)
     _refresh_plans(owners)
     WAITING_JOBS.clear()
--- a/papayapick/entry/process.py
+++ b/papayapick/entry/process.py
@@ -37,6 +37,7 @@
 from papayapick.platform.machines import MachineClient
 from papayapick.platform.store import Store
 from papayapick.pool.events import THREADS_SHORT
+from papayapick.pool.workers.connections import worker_pool
 from papayapick.wire import CellKeys, PeerServer
 from papayapick.wire.messages import Hello
 
@@ -49,11 +50,8 @@
 # Hundreds of hosts may connect to a new owner at the same moment, and take the pool
 # from it if it closes their connections. Leaves threads for all else.
 _MAX_HANDSHAKES = 512
-# Idle connections to workers may take this share of the descriptors. The others are for
-# calls in progress, callers, the store and other hosts.
-_IDLE_DESCRIPTORS_SHARE = 0.25
 _STORE_TIMEOUT_SECONDS = 2.0
-_WORKER_TIMEOUT_SECONDS = 1.0
+_ADVICE_TIMEOUT_SECONDS = 1.0
 # A host to which the store last answered longer ago is not ready for callers.
 _MAX_STORE_AGE_SECONDS = 2.6
 # Changes of hosts within this time are read together. When a hundred hosts start at
@@ -94,10 +92,7 @@
             self.clock,
             self._observe_store,
         )
-        self.worker_pool = HttpPool(
-            _WORKER_TIMEOUT_SECONDS,
-            max_idle=int(_IDLE_DESCRIPTORS_SHARE * settings.descriptor_limit),
-        )
+        self.worker_pool = worker_pool(settings)
         self.machines = MachineClient(settings.machines_address, self.worker_pool)
         self.job_states = JobStateCache(self.clock)
         self.configuration = ConfigurationWatcher(self)
@@ -107,7 +102,7 @@
         )
         self.queue_pools = QueuePools(self.relayed_store, self.writer)
         self.acceptance = Acceptance.from_host(self)
-        self.advice = AdviceDispatcher(self, HttpPool(_WORKER_TIMEOUT_SECONDS))
+        self.advice = AdviceDispatcher(self, HttpPool(_ADVICE_TIMEOUT_SECONDS))
         self.peers = None
         self.store_health = StoreHealth(self.clock)
         self._probe = StoreProbe(
--- a/papayapick/observability/registry.py
+++ b/papayapick/observability/registry.py
@@ -53,8 +53,10 @@
     RESPONSES = 9
     # One series per reason for which a task was queued again.
     PLACED_AGAIN = 10
-    PROCESS = 11
-    HISTOGRAMS = 12
+    # Connections to workers.
+    CONNECTIONS = 11
+    PROCESS = 12
+    HISTOGRAMS = 13
 
 
 class _MetricsPage:
--- a/papayapick/pool/metrics.py
+++ b/papayapick/pool/metrics.py
@@ -21,6 +21,8 @@
     "TASKS_PLACED_AGAIN",
     "TEAM_SHARES",
     "WAITING_JOBS",
+    "WORKER_CONNECTIONS",
+    "WORKER_CONNECTIONS_MOST",
 ]
 
 # All label values come from fixed sets, except the names of queues and teams, which
@@ -115,3 +117,14 @@
     "Share of its maximum that a team uses, of the teams with the largest shares",
     ("team",),
 )
+WORKER_CONNECTIONS = counter(
+    PageSection.CONNECTIONS,
+    "papayapick_pool_worker_connections",
+    "Connections to workers that were opened, closed, or refused by the worker",
+    ("outcome",),
+)
+WORKER_CONNECTIONS_MOST = gauge(
+    PageSection.CONNECTIONS,
+    "papayapick_pool_worker_connections_most",
+    "Open connections from this host to the worker to which it has most",
+)
--- a/papayapick/pool/workers/events.py
+++ b/papayapick/pool/workers/events.py
@@ -5,6 +5,7 @@
 from papayapick.observability.events import Event
 
 __all__ = [
+    "CONNECTION_REFUSED",
     "MACHINES_DISTRUSTED",
     "MACHINES_UNREAD",
     "ORDERS_HELD_UP",
@@ -35,6 +36,15 @@
 
 _RUN = "request_id step task attempt worker"
 
+CONNECTION_REFUSED = Event(
+    "worker connection refused",
+    "address is_open error",
+    "A worker reset a new connection in place of its first answer, as it does when it "
+    "has as many as it accepts, or when it crashes. Number of other connections that "
+    "this host has open to it.",
+    level=logging.WARNING,
+    per_second=10,
+)
 ORDERS_HELD_UP = Event(
     "orders held up",
     "pool starts stops",
--- a/tests/clients/test_idle_connections.py
+++ b/tests/clients/test_idle_connections.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from papayapick.clients.connections import Connections
 from papayapick.clients.http import HttpPool
 
 ADDRESSES = 6
@@ -45,30 +46,32 @@
     It keeps connections to hundreds of workers, of which each burst of orders opens
     more. Without a bound, it can't accept or open any others.
     """
-    pool = HttpPool(5.0, max_idle=4)
+    pool = HttpPool(5.0, connections=Connections(max_idle=4))
     for url in urls:
         assert pool.request("GET", url).status == 200
-    assert pool.idle_connections == 4
-    kept = pool._idle[urls[-1].split("/")[2]][0]
+    assert pool.connections.idle_count == 4
+    kept = pool.connections._idle[urls[-1].split("/")[2]][0]
     assert pool.request("GET", urls[-1]).status == 200
-    assert pool._idle[urls[-1].split("/")[2]] == [kept]
-    assert urls[0].split("/")[2] not in pool._idle
+    assert pool.connections._idle[urls[-1].split("/")[2]] == [kept]
+    assert urls[0].split("/")[2] not in pool.connections._idle
     pool.close()
-    assert pool.idle_connections == 0
+    assert pool.connections.idle_count == 0
 
 
 def test_connection_that_was_used_again_counts_as_recent(urls):
-    pool = HttpPool(5.0, max_idle=2)
+    pool = HttpPool(5.0, connections=Connections(max_idle=2))
     for url in (urls[0], urls[1], urls[0], urls[2]):
         pool.request("GET", url)
-    assert sorted(pool._idle) == sorted(u.split("/")[2] for u in (urls[0], urls[2]))
+    assert sorted(pool.connections._idle) == sorted(
+        u.split("/")[2] for u in (urls[0], urls[2])
+    )
     pool.close()
 
 
 def test_addresses_that_are_gone_leave_nothing_behind(urls):
     """Guards against a pool that grows with each address it was ever used for."""
-    pool = HttpPool(5.0, max_idle=1)
+    pool = HttpPool(5.0, connections=Connections(max_idle=1))
     for url in urls:
         pool.request("GET", url)
-    assert len(pool._idle) == 1
+    assert len(pool.connections._idle) == 1
     pool.close()
--- a/tests/clients/test_whole_answers.py
+++ b/tests/clients/test_whole_answers.py
@@ -65,7 +65,7 @@
     with serving(handler) as address:
         pool = LateReader(5.0)
         assert pool.request("GET", f"http://{address}/").body == BODY
-        assert pool.idle_connections == 0
+        assert pool.connections.idle_count == 0
 
 
 def test_answer_longer_than_announced_is_refused_also_before_a_reset():
