Put the order in which hosts try to take a pool into a module of its own

Code and constants are moved, nothing else changes; the tests of the delays call the function in place of private methods.

--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -1,13 +1,11 @@
 """Detect that a pool has no working owner and take the pool over."""
 
-import random
 import socket
 import threading
 
 from papayapick.clients.exceptions import TableUnavailable
 from papayapick.entry.cell.beat_senders import beat_seconds
 from papayapick.entry.cell.fan_out import is_large
-from papayapick.entry.crowds import crowd_delay
 from papayapick.entry.events import (
     CANDIDATE_WAITS,
     OWNER_GONE,
@@ -16,6 +14,7 @@
     POOL_NOT_TAKEN,
     POOL_UNREAD,
 )
+from papayapick.entry.takeover_order import size_deficit, takeover_delay
 from papayapick.ownership.pools import OwnershipLost, PoolRow, claim_pool, read_pool
 from papayapick.pool.owner import PoolOwner
 from papayapick.pool.records.recording import RECORDS_TRUSTED_SECONDS
@@ -27,25 +26,7 @@
 _SILENT_AFTER_BEATS = 3.25
 _CHECK_INTERVAL_SECONDS = 0.05
 _CONNECT_TIMEOUT_SECONDS = 0.2
-# Hosts that detect a silent owner at the same time try one after the other, those
-# nearest to the store first; the later ones find the pool taken.
-_JITTER_SECONDS = 0.06
-# Each candidate reads a dozen rows first, which takes the store longer than this.
-_JITTER_SECONDS_PER_HOST = 0.0006
-# An owner in the other region has a latency of 45 ms to the store and to most workers
-# at each call; waiting 0.25 s for a nearer candidate costs less. Hosts near the store
-# measure less than 20 ms even while all hosts start at once, and are not delayed.
-_LATENCY_WEIGHT = 10
-_NEAR_LATENCY_SECONDS = 0.02
-# Upper bound of the delay by latency: a slow store has a high latency from every host,
-# and jobs would wait without an owner. A host two regions away waits this long.
-_MAX_LATENCY_DELAY_SECONDS = 0.4
 _RETRY_SECONDS = 0.3
-# One owner decides for the whole pool and communicates with all of its workers: on a
-# host with a small share of a core or of the network, lease renewals and starts time
-# out. The largest host is not delayed by its size; a host of size zero would wait this
-# long, five times the jitter.
-_MAX_SIZE_DELAY_SECONDS = 0.3
 
 
 class Candidacy:
@@ -182,7 +163,7 @@
 
     def _wait_for_better_hosts(self):
         """Wait so that hosts that are nearer to the store, or larger, try first."""
-        delay = self._delay()
+        delay = takeover_delay(self._host)
         store_seconds = self._host.store_seconds
         CANDIDATE_WAITS.write(
             pool=self.pool,
@@ -190,7 +171,7 @@
             owner=self.row.owner,
             delay_seconds=round(delay, 3),
             store_seconds=None if store_seconds is None else round(store_seconds, 4),
-            smallness=round(self._size_deficit(), 2),
+            smallness=round(size_deficit(self._host), 2),
         )
         self._host.clock.wait(self._host.stopping, delay)
 
@@ -219,31 +200,6 @@
             is_reported=self._is_suspected,
         )
 
-    def _delay(self):
-        return (
-            self._latency_delay()
-            + _MAX_SIZE_DELAY_SECONDS * self._size_deficit()
-            + crowd_delay(self._host.settings, self._host.peers.all())
-            + random.uniform(0, self._jitter())
-        )
-
-    def _jitter(self):
-        return max(_JITTER_SECONDS, _JITTER_SECONDS_PER_HOST * self._other_hosts())
-
-    def _latency_delay(self):
-        """Return the seconds to wait for hosts that are nearer to the store."""
-        seconds = self._host.store_seconds
-        if seconds is None:
-            return _MAX_LATENCY_DELAY_SECONDS
-        excess = max(0.0, seconds - _NEAR_LATENCY_SECONDS)
-        return min(_LATENCY_WEIGHT * excess, _MAX_LATENCY_DELAY_SECONDS)
-
-    def _size_deficit(self):
-        """Return the share of the largest host's cores that this host lacks."""
-        own = self._host.settings.processors
-        others = [peer.processors for peer in self._host.peers.all()]
-        return 1 - own / max([own, *others])
-
     def _try_takeover(self, suspected):
         """Take the pool if its owner is still the suspected one."""
         host = self._host
--- a/tests/entry/test_candidate_order.py
+++ b/tests/entry/test_candidate_order.py
@@ -2,7 +2,7 @@
 
 from types import SimpleNamespace
 
-from papayapick.entry import candidacy as module
+from papayapick.entry.takeover_order import JITTER_SECONDS, takeover_delay
 
 
 def test_host_near_the_store_takes_a_pool_without_waiting(candidacy):
@@ -10,9 +10,9 @@
     # the store takes a little longer then, and each host near it waited for a nearer
     # one.
     candidacy._host.store_seconds = 0.019
-    assert candidacy._delay() < 0.07
+    assert takeover_delay(candidacy._host) < 0.07
     candidacy._host.store_seconds = 0.045
-    assert candidacy._delay() >= 0.25
+    assert takeover_delay(candidacy._host) >= 0.25
 
 
 def test_larger_host_is_first_to_take_a_pool(candidacy):
@@ -23,12 +23,12 @@
     """
     host = candidacy._host
     host.others = [SimpleNamespace(processors=2.0), SimpleNamespace(processors=0.5)]
-    small = [candidacy._delay() for _ in range(50)]
+    small = [takeover_delay(candidacy._host) for _ in range(50)]
     host.settings = SimpleNamespace(processors=2.0)
-    large = [candidacy._delay() for _ in range(50)]
+    large = [takeover_delay(candidacy._host) for _ in range(50)]
     assert max(large) < min(small)
 
 
 def test_hosts_of_equal_size_are_delayed_by_the_jitter_only(candidacy):
     candidacy._host.others = [SimpleNamespace(processors=1.0)] * 8
-    assert max(candidacy._delay() for _ in range(50)) <= module._JITTER_SECONDS
+    assert max(takeover_delay(candidacy._host) for _ in range(50)) <= JITTER_SECONDS
--- a/tests/entry/test_crowds.py
+++ b/tests/entry/test_crowds.py
@@ -6,9 +6,9 @@
 import pytest
 
 from papayapick.clock import ManualClock
-from papayapick.entry.candidacy import Candidacy
 from papayapick.entry.cell.peers import Peers
 from papayapick.entry.crowds import crowd_delay
+from papayapick.entry.takeover_order import takeover_delay
 
 # Time until the other hosts have read that the pool was taken: the winner's reads and
 # its claim, and the time for which followers of the cell's table gather its changes.
@@ -36,7 +36,7 @@
             peers=SimpleNamespace(all=lambda found=others: found),
             store_seconds=STORE_SECONDS[number % 2],
         )
-        delays.append(Candidacy(host, "pool")._delay())
+        delays.append(takeover_delay(host))
     return sorted(delays)
 
 
--- a/tests/entry/test_takeover_delay.py
+++ b/tests/entry/test_takeover_delay.py
@@ -6,8 +6,8 @@
 import pytest
 
 from papayapick.clients.http import HttpAnswer
-from papayapick.entry.candidacy import Candidacy
 from papayapick.entry.cell.joining import cell_key
+from papayapick.entry.takeover_order import takeover_delay
 from tests.entry.hosts import make_host
 from tests.standins.clocks import AdvancingClock
 
@@ -41,7 +41,7 @@
         host = make_host(monkeypatch, clock, pool)
         host.peers = SimpleNamespace(all=list)
         cell_key(host)
-        return Candidacy(host, "pool")._delay()
+        return takeover_delay(host)
 
     return start
 
