Let calls share the connections that a server has accepted, and bound their number

A worker that accepts no more connections resets each new one, while the poll of the present owner goes on over its own, so that the worker seems sound and all orders to it fail for good.

Change: a call takes an idle connection, or opens one, or waits for one that is open if there are as many as `max_open` allows, or if the server has refused the last new one. A call that would wait for more than half of its time isn't sent, so that it doesn't count as unanswered. A second after a refusal, a repeatable call finds out whether the server accepts connections again; while it does not, the call goes over another one. What is kept idle after a call can be given by the caller.

Nothing uses the limits yet.

--- a/papayapick/clients/http.py
+++ b/papayapick/clients/http.py
@@ -69,6 +69,8 @@
         fresh=False,
         check=None,
         min_bytes_per_second=None,
+        is_repeatable=False,
+        keep_idle=None,
     ):
         """Send a request and read the whole answer.
 
@@ -90,6 +92,11 @@
             Allow a request or an answer more time as long as its body is sent or
             arrives at this rate. Otherwise a body that takes longer than the timeout
             on a slow link is cut off, and repeated from its first byte, for ever.
+        is_repeatable : bool, optional
+            Send the request again over another open connection if the server refuses a
+            new one, and let it find out whether the server still does.
+        keep_idle : callable, optional
+            Returns, after the answer, the most idle connections to the address to keep.
 
         Returns
         -------
@@ -106,30 +113,47 @@
         parts = urllib.parse.urlsplit(url)
         timeout = self._timeout if timeout is None else timeout
         limit = TimeLimit(self._clock, timeout, min_bytes_per_second)
-        try:
-            connection = self._connections.lend(parts.netloc, limit, is_new=fresh)
-        except OSError as error:
-            raise NotSent(url=url) from error
         path = parts.path or "/"
         if parts.query:
             path += "?" + parts.query
-        try:
-            answer, is_reusable = self._exchange(
-                connection.http, method, path, body, headers or {}, limit
-            )
-            if check is not None:
-                check(answer)
-        except (OSError, http.client.HTTPException) as error:
-            self._connections.discard(connection, error)
-            raise AnswerMissing(url=url) from error
-        except BaseException as error:
-            self._connections.discard(connection, error)
-            raise
-        if is_reusable:
+        while True:
+            try:
+                connection = self._connections.lend(
+                    parts.netloc, limit, fresh, is_repeatable
+                )
+            except OSError as error:
+                if is_repeatable and self._is_refused(parts.netloc, error):
+                    continue
+                raise NotSent(url=url) from error
+            try:
+                answer, is_reusable = self._exchange(
+                    connection.client, method, path, body, headers or {}, limit
+                )
+                if check is not None:
+                    check(answer)
+            except (OSError, http.client.HTTPException) as error:
+                self._connections.discard(connection, error)
+                if is_repeatable and self._is_refused(parts.netloc, error):
+                    continue
+                raise AnswerMissing(url=url) from error
+            except BaseException:
+                self._connections.discard(connection)
+                raise
+            self._take_back(connection, is_reusable, keep_idle)
+            return answer
+
+    def _is_refused(self, address, error):
+        """Return whether a server has reset a new connection, while others are open."""
+        is_reset = isinstance(error, ConnectionError)
+        return is_reset and self._connections.is_refused(address)
+
+    def _take_back(self, connection, is_reusable, keep_idle):
+        if not is_reusable:
+            self._connections.discard(connection)
+        elif keep_idle is None:
             self._connections.give_back(connection)
         else:
-            self._connections.discard(connection)
-        return answer
+            self._connections.give_back(connection, keep_idle())
 
     def close(self):
         """Close the idle connections."""
--- a/tests/clients/test_idle_connections.py
+++ b/tests/clients/test_idle_connections.py
@@ -50,10 +50,11 @@
     for url in urls:
         assert pool.request("GET", url).status == 200
     assert pool.connections.idle_count == 4
-    kept = pool.connections._idle[urls[-1].split("/")[2]][0]
+    kept = next(reversed(pool.connections._order))
+    assert kept.address == urls[-1].split("/")[2]
     assert pool.request("GET", urls[-1]).status == 200
-    assert pool.connections._idle[urls[-1].split("/")[2]] == [kept]
-    assert urls[0].split("/")[2] not in pool.connections._idle
+    assert next(reversed(pool.connections._order)) is kept
+    assert pool.connections.open_count(urls[0].split("/")[2]) == 0
     pool.close()
     assert pool.connections.idle_count == 0
 
@@ -62,7 +63,7 @@
     pool = HttpPool(5.0, connections=Connections(max_idle=2))
     for url in (urls[0], urls[1], urls[0], urls[2]):
         pool.request("GET", url)
-    assert sorted(pool.connections._idle) == sorted(
+    assert sorted(one.address for one in pool.connections._order) == sorted(
         u.split("/")[2] for u in (urls[0], urls[2])
     )
     pool.close()
@@ -73,5 +74,5 @@
     pool = HttpPool(5.0, connections=Connections(max_idle=1))
     for url in urls:
         pool.request("GET", url)
-    assert len(pool.connections._idle) == 1
+    assert len(pool.connections._addresses) == 1
     pool.close()
--- a/tests/gateway/test_whole_answers.py
+++ b/tests/gateway/test_whole_answers.py
@@ -139,10 +139,10 @@
     server.answer(GOOD, stray, OTHER + b"Content-Length: 0\r\n\r\n", sent, CLOSE)
     assert call(client, server, "first") == b"whole"
     pool = client._pool
-    (idle_connection,) = next(iter(pool.connections._idle.values()))
+    (idle_connection,) = pool.connections._order
     stray.set()
-    idle_connection.http.sock.settimeout(5)
-    idle_connection.http.sock.recv(1, 2)  # MSG_PEEK: the bytes are there.
+    idle_connection.client.sock.settimeout(5)
+    idle_connection.client.sock.recv(1, 2)  # MSG_PEEK: the bytes are there.
     server.answer(GOOD)
     assert call(client, server, "second") == b"whole"
     assert server.connections == 2
@@ -153,9 +153,9 @@
     """A connection that the server closed while idle must not fail a request."""
     server.answer(GOOD, CLOSE)
     call(client, server, "first")
-    (idle_connection,) = next(iter(client._pool.connections._idle.values()))
-    idle_connection.http.sock.settimeout(5)
-    assert idle_connection.http.sock.recv(1, 2) == b""
+    (idle_connection,) = client._pool.connections._order
+    idle_connection.client.sock.settimeout(5)
+    assert idle_connection.client.sock.recv(1, 2) == b""
     server.answer(GOOD)
     assert call(client, server, "second") == b"whole"
 
