Leave few idle connections at workers, whatever number of owners lose power

Cause: a host that loses power closes none of its connections. Those with a call in progress end at the worker when the host is back, as the answer is reset there; idle ones stay for good and count among the 64 that a worker accepts. An owner had up to 29 open to one worker, nearly all idle, so that some eight losses used up a worker.

Change: an owner keeps few idle connections to each worker, 4 at first, and fewer the more owners were lost since the worker's process began: all of them together leave half of what a worker accepts at most. The row of the pool counts the losses, in the claim that each takeover makes anyway. At most 8 are open from one owner to one worker.

Related paths: connections to store, advice service and list of machines have no such limit (400 opened from one host); a process that is killed closes its own; callers' connections end after 60 s without a word, peers' when heartbeats stay away.

--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -40,6 +40,7 @@
 
     __slots__ = (
         "_claimed_epoch",
+        "_given_way_epoch",
         "_last_beat_at",
         "_newest_beat_epoch",
         "_host",
@@ -62,6 +63,8 @@
         self._claimed_epoch = 0
         self._last_beat_at = host.clock.monotonic()
         self._newest_beat_epoch = 0
+        # Epoch of the last owner that has asked for a successor.
+        self._given_way_epoch = 0
         self._is_suspected = True
         self._may_lack_records = True
         self._records_reported_at = 0.0
@@ -133,6 +136,8 @@
             # would try to take the pool every 0.3 s until the store is available.
             if beat.epoch > self.row.epoch or beat.host == self.row.owner:
                 self._is_suspected = bool(beat.gives_way)
+        if beat.gives_way:
+            self._given_way_epoch = beat.epoch
         if beat.gives_way and not self._host.store_health.is_lost():
             self._wakeup.set()
         return True
@@ -220,7 +225,7 @@
             name = host.settings.host_name
             address = "{}:{}".format(*host.settings.peer_address)
             self._claimed_epoch = row.epoch + 1
-            taken = claim_pool(host.store, row, name, address)
+            taken = claim_pool(host.store, self._with_loss(row), name, address)
         except OwnershipLost:
             self._claimed_epoch = 0
             POOL_LOST_RACE.write(pool=self.pool, epoch=self.row.epoch)
@@ -233,6 +238,16 @@
             return
         self._start_owner(taken)
 
+    def _with_loss(self, row):
+        """Return the row of a pool, with the loss of its owner if that was lost.
+
+        An owner that was asked to leave ends its connections to the workers. Of any
+        other one it isn't known here whether its process ended or its power.
+        """
+        if not row.owner or self._given_way_epoch >= row.epoch:
+            return row
+        return row.with_loss(self._host.clock.time())
+
     def _expect_winner(self):
         """Give the host that has just taken the pool time for its first heartbeats."""
         self._last_beat_at = self._host.clock.monotonic()
--- a/papayapick/ownership/pools.py
+++ b/papayapick/ownership/pools.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "CELL_TABLE",
+    "MAX_LOSSES",
     "OwnershipLost",
     "PoolRow",
     "claim_pool",
@@ -21,6 +22,8 @@
 
 CELL_TABLE = "cell"
 _KEY = "owner"
+# Enough for whoever decides by them; a row has a limited size.
+MAX_LOSSES = 16
 
 
 class OwnershipLost(PapayapickError):
@@ -42,16 +45,27 @@
         ``IP:PORT`` at which peers reach the owner.
     version : int
         Version of the row; 0 if there is no row.
+    losses : tuple of float, optional
+        When the pool was taken from an owner that may have lost power, in Unix seconds;
+        the latest ones only, in order.
     """
 
-    __slots__ = ("address", "epoch", "owner", "pool", "version")
+    __slots__ = ("address", "epoch", "losses", "owner", "pool", "version")
 
-    def __init__(self, pool, owner="", epoch=0, address="", version=0):
+    def __init__(self, pool, owner="", epoch=0, address="", version=0, losses=()):
         self.pool = pool
         self.owner = owner
         self.epoch = epoch
         self.address = address
         self.version = version
+        self.losses = tuple(losses)
+
+    def with_loss(self, at):
+        """Return the row with one more loss of an owner, at a time in Unix seconds."""
+        losses = (*self.losses, at)[-MAX_LOSSES:]
+        return PoolRow(
+            self.pool, self.owner, self.epoch, self.address, self.version, losses
+        )
 
     @property
     def expectation(self):
@@ -80,7 +94,13 @@
         return None
     value = row.value
     return PoolRow(
-        row.partition, value["owner"], value["epoch"], value["address"], row.version
+        row.partition,
+        value["owner"],
+        value["epoch"],
+        value["address"],
+        row.version,
+        # Rows of earlier builds have none.
+        value.get("losses", ()),
     )
 
 
@@ -120,6 +140,8 @@
 
 def _change(store, seen, owner, epoch, address):
     value = {"owner": owner, "epoch": epoch, "address": address}
+    if seen.losses:
+        value["losses"] = list(seen.losses)
     write = RowWrite(CELL_TABLE, seen.pool, _KEY, value)
     try:
         version = store.transact([seen.expectation], [write])
@@ -127,7 +149,7 @@
         raise OwnershipLost(pool=seen.pool) from error
     except TableUnavailable:
         version = _settle(store, seen, value)
-    return PoolRow(seen.pool, owner, epoch, address, version)
+    return PoolRow(seen.pool, owner, epoch, address, version, seen.losses)
 
 
 def _settle(store, seen, value):
--- a/papayapick/platform/workers.py
+++ b/papayapick/platform/workers.py
@@ -98,14 +98,18 @@
     ----------
     worker, address : str
     pool : HttpPool
+    allowance : IdleAllowance, optional
+        By default all idle connections are kept.
     """
 
-    __slots__ = ("_base", "_headers", "_pool", "_worker")
+    __slots__ = ("_address", "_allowance", "_base", "_headers", "_pool", "_worker")
 
-    def __init__(self, worker, address, pool):
+    def __init__(self, worker, address, pool, allowance=None):
         self._worker = worker
+        self._address = address
         self._base = "http://" + address
         self._pool = pool
+        self._allowance = allowance
         # Another incarnation of the worker at the same address refuses the call.
         self._headers = {
             "Content-Type": "application/json",
@@ -178,7 +182,9 @@
         }
         self._checked("/pace", body)
 
-    def renew(self, epoch, acknowledged, lease_end=None, wait_seconds=0.0):
+    def renew(
+        self, epoch, acknowledged, lease_end=None, wait_seconds=0.0, is_look=False
+    ):
         """Renew the leases of the worker's runs and return its report.
 
         Parameters
@@ -191,6 +197,8 @@
             Time on the worker's clock, in seconds.
         wait_seconds : float
             How long the worker may delay its answer until a run ends.
+        is_look : bool
+            Whether the call is beside the polls, so that no other one follows it.
 
         Returns
         -------
@@ -206,7 +214,15 @@
         if wait_seconds:
             body["wait_ms"] = int(wait_seconds * 1000)
         slack = _LONG_POLL_SLACK_SECONDS if wait_seconds else _POLL_SLACK_SECONDS
-        answer = self._checked("/hold", body, wait_seconds + slack)
+        # The worker's next process may carry out a call that got no answer: repeated,
+        # an acknowledgement would make it forget ends that nobody has read.
+        answer = self._checked(
+            "/hold",
+            body,
+            wait_seconds + slack,
+            is_poll=not is_look,
+            is_repeatable=not acknowledged,
+        )
         try:
             return _report(_json(answer))
         except _WRONG_SHAPE as error:
@@ -214,9 +230,9 @@
             # the loop that polls this worker.
             raise WorkerSilent(worker=self._worker) from error
 
-    def _checked(self, path, body, seconds=_ORDER_SECONDS):
+    def _checked(self, path, body, seconds=_ORDER_SECONDS, **options):
         try:
-            answer = self._post(path, body, seconds)
+            answer = self._post(path, body, seconds, **options)
         except (NotSent, AnswerMissing, AnswerInvalid) as error:
             raise WorkerSilent(worker=self._worker) from error
         if answer.status != 200:
@@ -225,12 +241,23 @@
             )
         return answer
 
-    def _post(self, path, body, seconds):
+    def _post(self, path, body, seconds, is_poll=False, is_repeatable=False):
         data = json.dumps(body, separators=(",", ":")).encode()
         return self._pool.request(
-            "POST", self._base + path, data, self._headers, timeout=seconds
+            "POST",
+            self._base + path,
+            data,
+            self._headers,
+            timeout=seconds,
+            is_repeatable=is_repeatable,
+            keep_idle=self._idle_limit(is_poll),
         )
 
+    def _idle_limit(self, is_poll):
+        if self._allowance is None:
+            return None
+        return self._allowance.after_poll if is_poll else self._allowance.after_order
+
 
 def _report(body):
     ends = [_end(row) for row in body.get("finished", ())]
--- a/papayapick/pool/owner.py
+++ b/papayapick/pool/owner.py
@@ -276,6 +276,8 @@
             self._executor.shutdown(wait=False, cancel_futures=True)
             self._order_executor.shutdown(wait=False, cancel_futures=True)
             self._stop_executor.shutdown(wait=False, cancel_futures=True)
+        # Workers would go on counting them, though no call follows.
+        self.host.worker_pool.close()
         POOL_LEFT.write(pool=self.pool, epoch=self.row.epoch, is_lost=self.is_lost)
 
     def request_successor(self):
--- a/papayapick/pool/records/store_sync.py
+++ b/papayapick/pool/records/store_sync.py
@@ -13,6 +13,7 @@
 from papayapick.pool.records.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.records.partitions import job_partitions
 from papayapick.pool.records.record_rows import read_records
+from papayapick.pool.workers.connections import IdleAllowance
 from papayapick.pool.workers.events import WORKER_GONE, WORKER_MOVED
 from papayapick.pool.workers.links import WorkerLink
 
@@ -257,8 +258,12 @@
         self._owner.roster.add(link.registration)
 
     def _client(self, registration):
-        pool = self._owner.host.worker_pool
-        return WorkerClient(registration.worker, registration.address, pool)
+        return WorkerClient(
+            registration.worker,
+            registration.address,
+            self._owner.host.worker_pool,
+            IdleAllowance(self._owner, registration),
+        )
 
     def _add_link(self, registration, is_listed):
         if self._owner.is_stopped:
--- a/papayapick/pool/workers/connections.py
+++ b/papayapick/pool/workers/connections.py
@@ -1,4 +1,11 @@
-"""Connections to workers: counted, and logged where a worker refuses one."""
+"""Connections to workers: how many there are, and which ones are kept.
+
+A worker accepts a limited number of connections. A host that loses power closes none of
+its own. Those with a call in progress end when its power is back, as the answer of the
+worker is reset then; idle ones stay at the worker for good. So the idle connections of
+all owners that may have lost power must stay below what the worker accepts, whatever
+their number: each owner keeps fewer than the one before, and after some losses none.
+"""
 
 from papayapick.clients.connections import Connections
 from papayapick.clients.http import HttpPool
@@ -6,12 +13,87 @@
 from papayapick.pool.metrics import WORKER_CONNECTIONS
 from papayapick.pool.workers.events import CONNECTION_REFUSED
 
-__all__ = ["WorkerConnectionMonitor", "worker_pool"]
+__all__ = [
+    "IdleAllowance",
+    "WorkerConnectionMonitor",
+    "idle_limit",
+    "worker_pool",
+]
 
 _CALL_SECONDS = 1.0
 # Idle connections to workers may take this share of the descriptors. The others are for
 # calls in progress, callers, the store and other hosts.
 _IDLE_DESCRIPTORS_SHARE = 0.25
+# What a worker accepts at least.
+_ACCEPTED = 64
+# An owner has at most this many open to one worker: two owners that lost power, and are
+# still without it, leave room for the next one.
+_MAX_OPEN = _ACCEPTED // 8
+# That all owners together may leave idle at a worker.
+_MAX_LEFT_IDLE = _ACCEPTED // 2
+# An owner keeps this part of what is left of them, as its own loss may not be the last.
+_KEPT_PART = 8
+# The clocks of a worker and of the hosts differ by less than this.
+_CLOCK_DIFFERENCE_SECONDS = 10.0
+_MILLISECONDS_PER_SECOND = 1000
+
+
+def idle_limit(losses, born):
+    """Return how many connections for orders to keep idle to a worker.
+
+    Parameters
+    ----------
+    losses : iterable of float
+        When owners that may have lost power were replaced, in Unix seconds.
+    born : int or None
+        Start of the worker's process in Unix milliseconds: it has no connection that
+        was opened before.
+
+    Returns
+    -------
+    int
+
+    Examples
+    --------
+    >>> [idle_limit([0.0] * count, None) for count in (0, 1, 4, 13, 14)]
+    [4, 3, 2, 1, 0]
+    >>> idle_limit([0.0] * 14, born=60_000)
+    4
+    """
+    since = float("-inf")
+    if born is not None:
+        since = born / _MILLISECONDS_PER_SECOND - _CLOCK_DIFFERENCE_SECONDS
+    left = _MAX_LEFT_IDLE
+    for at in losses:
+        if at >= since:
+            left -= left // _KEPT_PART
+    return left // _KEPT_PART
+
+
+class IdleAllowance:
+    """Tell how many idle connections an owner keeps to one worker.
+
+    Parameters
+    ----------
+    owner : PoolOwner
+    registration : Registration
+    """
+
+    __slots__ = ("_owner", "_registration")
+
+    def __init__(self, owner, registration):
+        self._owner = owner
+        self._registration = registration
+
+    def after_order(self):
+        """Return the number to keep after an order; none once the owner stops."""
+        if self._owner.is_stopped:
+            return 0
+        return idle_limit(self._owner.row.losses, self._registration.born)
+
+    def after_poll(self):
+        """Return the number to keep after a poll, which the next one follows soon."""
+        return 0 if self._owner.is_stopped else self.after_order() + 1
 
 
 class WorkerConnectionMonitor:
@@ -47,5 +129,7 @@
     HttpPool
     """
     max_idle = int(_IDLE_DESCRIPTORS_SHARE * settings.descriptor_limit)
-    connections = Connections(max_idle=max_idle, monitor=WorkerConnectionMonitor())
+    connections = Connections(
+        max_idle=max_idle, monitor=WorkerConnectionMonitor(), max_open=_MAX_OPEN
+    )
     return HttpPool(_CALL_SECONDS, connections=connections)
--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -209,7 +209,9 @@
         requested_at = self._clock.monotonic()
         with self.arrivals.call() as call:
             try:
-                report = self.client.renew(self._epoch, _ACKNOWLEDGE_NONE)
+                report = self.client.renew(
+                    self._epoch, _ACKNOWLEDGE_NONE, is_look=True
+                )
             except (WorkerSilent, CallFailed) as error:
                 WORKER_UNSEEN.write(worker=self.worker, error=str(error))
                 return
--- a/tests/pool/test_orders.py
+++ b/tests/pool/test_orders.py
@@ -267,6 +267,16 @@
         self._clock.wait(self.may_answer, timeout)
         raise AnswerMissing(url=url)
 
+    def close(self):
+        pass
+
+    @property
+    def connections(self):
+        return self
+
+    def is_refused(self, address):
+        return False
+
 
 def test_all_workers_of_a_large_pool_are_contacted():
     """No worker of a large pool may be left out silently.
