Place nothing on a worker that answers polls and refuses orders

Change: an order without an answer while the worker refuses connections closes the worker to new tasks until one gets through, or for a second (`OrderRefusals`, event `orders refused`, gauge `papayapick_pool_workers_refusing`).

--- a/papayapick/entry/gauges.py
+++ b/papayapick/entry/gauges.py
@@ -12,6 +12,7 @@
     TEAM_SHARES,
     WAITING_JOBS,
     WORKER_CONNECTIONS_MOST,
+    WORKERS_REFUSING,
 )
 
 __all__ = ["refresh_gauges"]
@@ -34,6 +35,7 @@
     CONFIGURATION_AGE_SECONDS.set(host.configuration.age())
     OWNED_POOLS.set(len(owners))
     WORKER_CONNECTIONS_MOST.set(host.worker_pool.connections.most_open())
+    WORKERS_REFUSING.set(sum(_count_refusing(owner) for owner in owners))
     _refresh_teams(owners)
     _refresh_plans(owners)
     WAITING_JOBS.clear()
@@ -45,6 +47,11 @@
         PREDICTED_WAIT_SECONDS.labels(queue, "latest").set(one.latest)
 
 
+def _count_refusing(owner):
+    with owner.lock:
+        return sum(link.order_refusals.are_recent for link in owner.links())
+
+
 def _refresh_teams(owners):
     TEAM_SHARES.clear()
     for owner in owners:
--- a/papayapick/platform/workers.py
+++ b/papayapick/platform/workers.py
@@ -116,6 +116,11 @@
             "X-Expect-Instance": worker,
         }
 
+    @property
+    def is_refused(self):
+        """Return whether the worker has refused the last new connection to it."""
+        return self._pool.connections.is_refused(self._address)
+
     def start(self, run, payload, lease_end, epoch, checkpoint="", ticket=""):
         """Order the start of a task.
 
--- a/papayapick/pool/metrics.py
+++ b/papayapick/pool/metrics.py
@@ -23,6 +23,7 @@
     "WAITING_JOBS",
     "WORKER_CONNECTIONS",
     "WORKER_CONNECTIONS_MOST",
+    "WORKERS_REFUSING",
 ]
 
 # All label values come from fixed sets, except the names of queues and teams, which
@@ -128,3 +129,8 @@
     "papayapick_pool_worker_connections_most",
     "Open connections from this host to the worker to which it has most",
 )
+WORKERS_REFUSING = gauge(
+    PageSection.CONNECTIONS,
+    "papayapick_pool_workers_refusing",
+    "Workers of this owner that have refused an order in the last second",
+)
--- a/papayapick/pool/workers/events.py
+++ b/papayapick/pool/workers/events.py
@@ -9,6 +9,7 @@
     "MACHINES_DISTRUSTED",
     "MACHINES_UNREAD",
     "ORDERS_HELD_UP",
+    "ORDERS_REFUSED",
     "ORDER_FAILED",
     "PACE_NOT_SET",
     "PACE_SET",
@@ -53,6 +54,14 @@
     level=logging.WARNING,
     per_second=2,
 )
+ORDERS_REFUSED = Event(
+    "orders refused",
+    "worker",
+    "A worker answers polls, but has no connection for orders; nothing is placed there "
+    "until one gets through, or for a second.",
+    level=logging.WARNING,
+    per_second=5,
+)
 ORDER_FAILED = Event(
     "order failed",
     "worker",
--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -15,14 +15,11 @@
     WORKER_UNSEEN,
 )
 from papayapick.pool.workers.leases import WorkerLease
+from papayapick.pool.workers.poll_times import poll_seconds
+from papayapick.pool.workers.refusals import OrderRefusals
 
 __all__ = ["WorkerLink"]
 
-# A long poll returns when a run ends, or after this time at the latest. It also bounds
-# the interval between lease renewals.
-_POLL_SECONDS = 0.6
-_POLL_PACED_SECONDS = 0.4
-_POLL_STALLED_SECONDS = 0.3
 _RETRY_SECONDS = 0.2
 # Ends can't be acknowledged while the store is unavailable or their job is not read,
 # and a long poll would return at once with the same ends.
@@ -66,6 +63,7 @@
     failed_since : float or None
         Monotonic seconds at which the worker stopped answering; None while it answers.
     lease : WorkerLease
+    order_refusals : OrderRefusals
     arrivals : Arrivals
         Reports that were not applied yet.
     has_reported : bool
@@ -101,6 +99,7 @@
         "is_stopped",
         "last_report_requested_at",
         "lease",
+        "order_refusals",
         "processed",
         "read",
         "registration",
@@ -115,6 +114,7 @@
         self._clock = clock
         self._listener = listener
         self.lease = WorkerLease(clock, lease_limit_seconds)
+        self.order_refusals = OrderRefusals(registration.worker, clock)
         self.arrivals = Arrivals(clock)
         self._acknowledgement = threading.Event()
         self.acknowledged = self.processed = self.read = 0
@@ -209,9 +209,7 @@
         requested_at = self._clock.monotonic()
         with self.arrivals.call() as call:
             try:
-                report = self.client.renew(
-                    self._epoch, _ACKNOWLEDGE_NONE, is_look=True
-                )
+                report = self.client.renew(self._epoch, _ACKNOWLEDGE_NONE, is_look=True)
             except (WorkerSilent, CallFailed) as error:
                 WORKER_UNSEEN.write(worker=self.worker, error=str(error))
                 return
@@ -241,7 +239,7 @@
                 self.due_at = asked_at + _LEAVING_SECONDS
 
     def _poll_by(self, call, share, permitted_at):
-        wait_seconds = share * self._poll_seconds()
+        wait_seconds = share * poll_seconds(self, self._listener)
         acknowledged = self._due_acknowledgement()
         self._acknowledgement.clear()
         requested_at = self._clock.monotonic()
@@ -294,18 +292,6 @@
             return _ACKNOWLEDGE_NONE
         return self.acknowledged
 
-    def _poll_seconds(self):
-        """Return how long the worker may hold back its answer until a run ends."""
-        if self.lease.reading is None or self.is_silent:
-            return 0.0
-        if self.read > self.acknowledged:
-            return 0.0
-        if self._listener.needs_pacing(self):
-            return _POLL_PACED_SECONDS
-        if self._listener.may_have_stalled_run(self):
-            return _POLL_STALLED_SECONDS
-        return _POLL_SECONDS
-
     def _note_answer(self):
         since, self.failed_since = self.failed_since, None
         if since is not None:
--- a/papayapick/pool/workers/orders.py
+++ b/papayapick/pool/workers/orders.py
@@ -18,6 +18,8 @@
 
 __all__ = ["OrderSender", "StartOrder"]
 
+_UNANSWERED = (StartOutcome.NOT_SENT, StartOutcome.UNKNOWN)
+
 
 def _log_errors(send):
     """Log unexpected errors of a method that runs in an executor.
@@ -231,6 +233,7 @@
             outcome = StartOutcome.NOT_SENT
         else:
             outcome = self._send_start(link, start, lease_end)
+            self._note_order(link, is_answered=outcome not in _UNANSWERED)
         self.note_start_outcome(link, run, outcome)
 
     def _send_start(self, link, start, lease_end):
@@ -271,10 +274,12 @@
             link.client.stop(run.key, run.attempt, owner.row.epoch)
         except WorkerSilent:
             # A later tick sends the stop again.
+            self._note_order(link, is_answered=False)
             return
         except CallFailed as error:
             STOP_REFUSED.write(worker=link.worker, status=error.details["status"])
             return
+        self._note_order(link, is_answered=True)
         with owner.lock:
             if link.born != born:
                 # The worker has restarted and may have forgotten the stop, so that a
@@ -287,6 +292,12 @@
             # a report requested after the stop shows that its room is free.
             link.refresh()
 
+    def _note_order(self, link, is_answered):
+        """Close a worker to new tasks while it accepts no connection for orders."""
+        link.order_refusals.note_order(is_answered, link.client.is_refused)
+        with self._owner.lock:
+            self._owner.report_handler.update_availability(link)
+
     @_log_errors
     def _pace(self, link, run, percent):
         try:
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -207,6 +207,7 @@
             room.is_open = (
                 link.has_reported
                 and not link.is_silent
+                and not link.order_refusals.are_recent
                 and not link.registration.is_leaving
                 and not room.is_draining
             )
--- a/tests/pool/fault_calls.py
+++ b/tests/pool/fault_calls.py
@@ -13,6 +13,8 @@
 class UnreliableClient:
     """Call a worker over a network that may lose or delay a call."""
 
+    is_refused = False
+
     def __init__(self, simulation, worker):
         self._simulation = simulation
         self._worker = worker
--- a/tests/pool/linked_workers.py
+++ b/tests/pool/linked_workers.py
@@ -20,6 +20,8 @@
 class Client:
     """Answer renewals from a script, and record their leases and acknowledgements."""
 
+    is_refused = False
+
     def __init__(self, clock):
         self.clock = clock
         self.leases = []
@@ -102,6 +104,8 @@
 class SlowWorker:
     """Simulate a worker that executes calls late, also after a restart."""
 
+    is_refused = False
+
     def __init__(self, clock):
         self._clock = clock
         self.born = 1
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -11,6 +11,7 @@
 from papayapick.ledger import Amounts
 from papayapick.ownership.pools import PoolRow
 from papayapick.pool.owner import PoolOwner
+from papayapick.pool.workers.poll_times import poll_seconds
 from papayapick.pool.workers.reports import EndReport, RunReport, WorkerReport
 
 QUEUE = Queue("q", "h", "/q/", "pool", 0, 2, 1.5, 0.5, 3.0, False, None)
@@ -279,7 +280,9 @@
         for worker in self.workers.values():
             has_ended = worker.work(self.STEP_SECONDS, self._length_of)
             link = self.owner.links_by_worker[worker.name]
-            wait = link._poll_seconds() if link.lease.reading else self.POLL_SECONDS
+            wait = self.POLL_SECONDS
+            if link.lease.reading:
+                wait = poll_seconds(link, self.owner.report_handler)
             if has_ended or self.now - self._polled_at[worker.name] >= wait:
                 self._poll(worker)
         for job in self.owner.job_registry.jobs():
--- a/tests/pool/test_arrivals.py
+++ b/tests/pool/test_arrivals.py
@@ -53,6 +53,8 @@
     ends : list of EndReport
     """
 
+    is_refused = False
+
     def __init__(self, owner, link, stage, ends):
         self._owner = owner
         self._link = link
@@ -191,6 +193,8 @@
 class NeverAnswering:
     """Call a worker that is gone, which never answers."""
 
+    is_refused = False
+
     def __init__(self, link):
         self._has_called, self.gate = threading.Event(), threading.Event()
         link.client = self
--- a/tests/pool/test_leaving_workers.py
+++ b/tests/pool/test_leaving_workers.py
@@ -21,6 +21,8 @@
         Seconds after the first call.
     """
 
+    is_refused = False
+
     def __init__(self, owner, link, runs):
         self._owner = owner
         self._clock = clock = link._clock
--- a/tests/pool/test_orders.py
+++ b/tests/pool/test_orders.py
@@ -37,6 +37,8 @@
         Whether orders are answered only once ``may_answer`` is set.
     """
 
+    is_refused = False
+
     def __init__(self, is_unreachable):
         self.may_answer = threading.Event()
         if not is_unreachable:
--- a/tests/pool/test_owner.py
+++ b/tests/pool/test_owner.py
@@ -32,6 +32,8 @@
 class StartingWorker:
     """Fake of a worker that starts every task it is ordered to."""
 
+    is_refused = False
+
     def __init__(self):
         self.started = []
 
--- a/tests/pool/test_pace.py
+++ b/tests/pool/test_pace.py
@@ -20,6 +20,8 @@
 class Client:
     """Execute orders on pace; lose the answers or refuse on request."""
 
+    is_refused = False
+
     def __init__(self):
         self.ordered = []
         self.actual_pace = 100
--- a/tests/pool/test_run_times.py
+++ b/tests/pool/test_run_times.py
@@ -21,6 +21,8 @@
 class Client:
     """Confirm each start."""
 
+    is_refused = False
+
     def start(self, *order):
         return StartOutcome.STARTED
 
