Keep idle connections by what the configuration says that workers accept

What would be seen: a pool whose workers accept fewer connections than 64 is filled by the idle ones of a few owners, or of one.

Change: the configuration names the limit for each service (`max_conns`); half of it is what owners may leave idle. Without it, 64 as before.

Tests: test_fewer_idle_connections_are_kept_where_workers_accept_fewer; and one that an owner closes its idle connections when it stops, which nothing held yet.

--- a/papayapick/jobs/queues.py
+++ b/papayapick/jobs/queues.py
@@ -160,12 +160,24 @@
     queues : list of Queue
     body_limit_bytes : int
     teams : TeamDirectory, optional
+    accepted_connections : dict of str to int, optional
+        How many connections each worker of a pool accepts from all hosts together.
     """
 
-    __slots__ = ("_by_host", "body_limit_bytes", "queues", "teams", "version")
+    __slots__ = (
+        "_by_host",
+        "accepted_connections",
+        "body_limit_bytes",
+        "queues",
+        "teams",
+        "version",
+    )
 
-    def __init__(self, version, queues, body_limit_bytes, teams=None):
+    def __init__(
+        self, version, queues, body_limit_bytes, teams=None, accepted_connections=None
+    ):
         self.version = version
+        self.accepted_connections = accepted_connections or {}
         self.teams = TeamDirectory() if teams is None else teams
         self.queues = {queue.name: queue for queue in queues}
         self.body_limit_bytes = body_limit_bytes
--- a/papayapick/platform/configuration.py
+++ b/papayapick/platform/configuration.py
@@ -48,6 +48,7 @@
         queues=queues,
         body_limit_bytes=required_field(limits, "max_body_bytes", int, "limits"),
         teams=_teams(value) if has_teams else TeamDirectory(),
+        accepted_connections=_accepted_connections(services),
     )
 
 
@@ -77,6 +78,14 @@
     )
 
 
+def _accepted_connections(services):
+    found = {
+        name: optional_field(service, "max_conns", int, 0, f"service {name}")
+        for name, service in services.items()
+    }
+    return {name: limit for name, limit in found.items() if limit > 0}
+
+
 def _advice(policy, place):
     def seconds(name):
         return required_field(policy, name, float, place) / 1000
--- a/papayapick/pool/workers/connections.py
+++ b/papayapick/pool/workers/connections.py
@@ -24,13 +24,13 @@
 # Idle connections to workers may take this share of the descriptors. The others are for
 # calls in progress, callers, the store and other hosts.
 _IDLE_DESCRIPTORS_SHARE = 0.25
-# What a worker accepts at least.
+# What a worker accepts, where the configuration doesn't say it.
 _ACCEPTED = 64
 # An owner has at most this many open to one worker: two owners that lost power, and are
 # still without it, leave room for the next one.
 _MAX_OPEN = _ACCEPTED // 8
-# That all owners together may leave idle at a worker.
-_MAX_LEFT_IDLE = _ACCEPTED // 2
+# Of what a worker accepts, that all owners together may leave idle.
+_MAX_LEFT_SHARE = 0.5
 # An owner keeps this part of what is left of them, as its own loss may not be the last.
 _KEPT_PART = 8
 # The clocks of a worker and of the hosts differ by less than this.
@@ -38,7 +38,7 @@
 _MILLISECONDS_PER_SECOND = 1000
 
 
-def idle_limit(losses, born):
+def idle_limit(losses, born, accepted=_ACCEPTED):
     """Return how many connections for orders to keep idle to a worker.
 
     Parameters
@@ -48,6 +48,8 @@
     born : int or None
         Start of the worker's process in Unix milliseconds: it has no connection that
         was opened before.
+    accepted : int, optional
+        Number of connections that the worker accepts from all hosts together.
 
     Returns
     -------
@@ -59,11 +61,13 @@
     [4, 3, 2, 1, 0]
     >>> idle_limit([0.0] * 14, born=60_000)
     4
+    >>> [idle_limit([], None, accepted) for accepted in (16, 8)]
+    [1, 0]
     """
     since = float("-inf")
     if born is not None:
         since = born / _MILLISECONDS_PER_SECOND - _CLOCK_DIFFERENCE_SECONDS
-    left = _MAX_LEFT_IDLE
+    left = int(_MAX_LEFT_SHARE * accepted)
     for at in losses:
         if at >= since:
             left -= left // _KEPT_PART
@@ -89,7 +93,19 @@
         """Return the number to keep after an order; none once the owner stops."""
         if self._owner.is_stopped:
             return 0
-        return idle_limit(self._owner.row.losses, self._registration.born)
+        return idle_limit(
+            self._owner.row.losses,
+            self._registration.born,
+            self._accepted(),
+        )
+
+    def _accepted(self):
+        """Return how many connections the worker accepts from all hosts together."""
+        configuration = self._owner.host.configuration.current
+        if configuration is None:
+            return _ACCEPTED
+        pool = self._owner.row.pool
+        return configuration.accepted_connections.get(pool, _ACCEPTED)
 
     def after_poll(self):
         """Return the number to keep after a poll, which the next one follows soon."""
--- a/tests/pool/test_worker_connections.py
+++ b/tests/pool/test_worker_connections.py
@@ -14,6 +14,7 @@
 from papayapick.jobs.documents import TaskKey
 from papayapick.ledger.amounts import Amounts
 from papayapick.ownership.pools import PoolRow
+from papayapick.platform.configuration import decode_configuration
 from papayapick.platform.workers import WorkerClient
 from papayapick.pool.metrics import WORKER_CONNECTIONS
 from papayapick.pool.workers.connections import (
@@ -22,6 +23,8 @@
     worker_pool,
 )
 from papayapick.pool.workers.reports import Registration, StartOutcome
+from tests.pool.owners import owner_of, register
+from tests.pool.standins import Host
 from tests.standins.full_worker import FullWorker, reset_on_close, wait_until
 
 ACCEPTED = 64
@@ -93,6 +96,7 @@
 
     def __init__(self, worker, row, born=None):
         self.row = row
+        self.host = SimpleNamespace(configuration=SimpleNamespace(current=None))
         self.is_stopped = False
         self.pool = worker_pool(SimpleNamespace(descriptor_limit=4100))
         registration = Registration(
@@ -174,6 +178,32 @@
     assert (old_limit, new._client._allowance.after_order()) == (0, 4)
 
 
+def test_fewer_idle_connections_are_kept_where_workers_accept_fewer():
+    """Guards against a pool whose workers a single owner's idle connections fill."""
+    host = Host()
+    register(host, "w1")
+    value = {
+        "version": 1,
+        "routes": [],
+        "services": [{"name": "pool", "max_conns": 16}, {"name": "other"}],
+        "limits": {"max_body_bytes": 1000},
+    }
+    host.configuration = SimpleNamespace(current=decode_configuration(value))
+    owner = owner_of(host)
+    allowance = IdleAllowance(owner, owner.links_by_worker["w1"].registration)
+    assert (allowance.after_order(), allowance.after_poll()) == (1, 2)
+
+
+def test_owner_closes_its_idle_connections_when_it_stops(worker):
+    """Guards against connections of replaced owners, over which no call follows."""
+    host = Host()
+    owner = owner_of(host)
+    host.worker_pool.request("GET", f"http://{worker.address}/")
+    assert host.worker_pool.connections.idle_count == 1
+    owner.stop()
+    assert host.worker_pool.connections.idle_count == 0
+
+
 def test_owner_that_stops_keeps_no_connection(worker):
     """Guards against connections of replaced owners, over which no call follows."""
     worker.accepts = ACCEPTED
