Leave a pool to the winner of a race that can't be asked yet

If it has not read the winner's row yet, there is nobody to ask, which counted as "doesn't own it", and it took the pool.

Change: such a host expects the heartbeats of a winner that it doesn't know, as it does those of one that confirms.

Evidence: test_host_that_does_not_know_the_winner_of_a_race_leaves_it_the_pool failed before (taken == [2]). The stand-in of the host knows all hosts by default, so that the test of a winner that has ended holds as it did.

--- a/papayapick/entry/candidacy.py
+++ b/papayapick/entry/candidacy.py
@@ -42,6 +42,7 @@
         "_claimed_epoch",
         "_given_way_epoch",
         "_last_beat_at",
+        "_lost_race_epoch",
         "_newest_beat_epoch",
         "_host",
         "_is_suspected",
@@ -65,6 +66,8 @@
         self._newest_beat_epoch = 0
         # Epoch of the last owner that has asked for a successor.
         self._given_way_epoch = 0
+        # Epoch under which another host won the pool while this one claimed it.
+        self._lost_race_epoch = 0
         self._is_suspected = True
         self._may_lack_records = True
         self._records_reported_at = 0.0
@@ -228,6 +231,7 @@
             taken = claim_pool(host.store, self._with_loss(row), name, address)
         except OwnershipLost:
             self._claimed_epoch = 0
+            self._lost_race_epoch = row.epoch + 1
             POOL_LOST_RACE.write(pool=self.pool, epoch=self.row.epoch)
             self._expect_winner()
             return
@@ -280,7 +284,16 @@
         # The row was written while this host waited and checked. Hundreds of hosts
         # that ask the new owner would keep it from its first heartbeats.
         is_fresh = row.version > suspected.version > 0
-        return is_fresh or self._host.is_owned_by(row)
+        return is_fresh or self._host.is_owned_by(row) or self._is_unknown_winner(row)
+
+    def _is_unknown_winner(self, row):
+        """Return whether a host that can't be asked yet has just won the pool.
+
+        When all hosts of a cell start, one may lose the race for a pool before it has
+        read the row of the winner, and would take the pool from a working owner.
+        """
+        is_unknown = self._host.peers.get(row.owner) is None
+        return is_unknown and row.epoch == self._lost_race_epoch
 
     def _trusts_records(self):
         """Return whether every start so far was recorded before it was ordered."""
--- a/tests/entry/candidates.py
+++ b/tests/entry/candidates.py
@@ -23,8 +23,10 @@
         self.is_draining = False
         self.has_read_hosts = True
         self.asked = 0
-        self.peers = SimpleNamespace(all=lambda: self.others)
+        self.peers = SimpleNamespace(all=lambda: self.others, get=self._peer)
         self.others = []
+        # Names of hosts whose rows this one has not read.
+        self.unknown = set()
         # Addresses at which no process owns the pool, though one may listen.
         self.not_owning = set()
 
@@ -37,7 +39,10 @@
 
     def is_owned_by(self, row):
         self.asked += 1
-        return row.address not in self.not_owning
+        return row.address not in self.not_owning and row.owner not in self.unknown
+
+    def _peer(self, name):
+        return None if name in self.unknown else SimpleNamespace(name=name)
 
 
 def check_owner(candidacy, times=1):
--- a/tests/entry/test_takeover_claims.py
+++ b/tests/entry/test_takeover_claims.py
@@ -10,6 +10,8 @@
 from papayapick.ownership.pools import OwnershipLost, PoolRow
 from tests.entry.candidates import check_owner
 
+SILENT_SECONDS = 5.0
+
 
 def test_pool_without_an_owner_is_taken(candidacy, taken):
     check_owner(candidacy)
@@ -125,6 +127,30 @@
     assert taken == [2]
 
 
+def test_host_that_does_not_know_the_winner_of_a_race_leaves_it_the_pool(
+    monkeypatch, candidacy, rows, taken
+):
+    """Guards against a pool that is taken from a working owner at the first start.
+
+    The host that lost can't ask the winner, whose row it has not read yet.
+    """
+    host = candidacy._host
+
+    def lose(store, seen, owner, address):
+        rows[0] = PoolRow("pool", "h3", 1, "127.0.0.1:8", 1)
+        raise OwnershipLost(pool="pool")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(module, "claim_pool", lose)
+        check_owner(candidacy)
+    host.unknown.add("h3")
+    check_owner(candidacy)
+    assert taken == []
+    host.clock.advance(SILENT_SECONDS)
+    check_owner(candidacy)
+    assert taken == [2]
+
+
 def test_released_pool_is_taken_at_once_by_a_host_that_lost_a_race(
     monkeypatch, candidacy, rows, taken
 ):
