Give up connections of hosts that fell silent without closing them

What would be seen: a host whose threads, memory and descriptors run out after other hosts lost power some thousands of times, until it accepts no connection.

The thread that reads from such a connection has no time limit, so that each loss left a thread and a descriptor at every other host for good.

Change: the operating system probes a peer that is silent for 15 s, and ends the connection after three probes without an answer, each 5 s later. A connection in use is not probed; heartbeats find a lost host sooner, as before.

Evidence: test_silent_peer_is_probed_by_both_sides failed before (SO_KEEPALIVE 0). That the probes end such a connection on the users' network was not tried by itself.

--- a/papayapick/wire/frames.py
+++ b/papayapick/wire/frames.py
@@ -28,6 +28,11 @@
 _HANDSHAKE_SECONDS = 2.0
 _SEND_SECONDS = 5
 _TIMEVAL = struct.Struct("@ll")
+# A silent peer is probed after the first time, then each second one, and is given up
+# after this number of probes without an answer.
+_PROBED_AFTER_SECONDS = 15
+_PROBE_INTERVAL_SECONDS = 5
+_PROBES = 3
 _MAC_BYTES = 16
 _NONCE_BYTES = 16
 # A frame is read whole, with any that follow it, where it is no longer than this. In
@@ -241,6 +246,21 @@
         # would block for ever while it holds the lock that other senders need.
         limit = _TIMEVAL.pack(_SEND_SECONDS, 0)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, limit)
+        self._probe_if_silent()
+
+    def _probe_if_silent(self):
+        """Let the operating system end the connection once the peer is gone.
+
+        A host that loses power closes no connection. Each loss would leave a thread
+        that reads from it, and a descriptor, at every other host for good.
+        """
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in (
+            (socket.TCP_KEEPIDLE, _PROBED_AFTER_SECONDS),
+            (socket.TCP_KEEPINTVL, _PROBE_INTERVAL_SECONDS),
+            (socket.TCP_KEEPCNT, _PROBES),
+        ):
+            self._socket.setsockopt(socket.IPPROTO_TCP, option, value)
 
     def _derive_keys(self, caller_nonce, listener_nonce, is_caller):
         nonces = caller_nonce + listener_nonce
--- a/tests/wire/test_frames.py
+++ b/tests/wire/test_frames.py
@@ -30,6 +30,8 @@
 QUERY = WorkQuery(shard="hobart-a.0", request_id="r1")
 HEADER = struct.Struct(">I")
 MAC_BYTES = 16
+# Some ten hosts may be lost in a day; each may keep a thread busy for this long.
+LONGEST_SILENCE_SECONDS = 60
 
 
 class Recorder:
@@ -275,3 +277,19 @@
         received = [listener.receive()[1].request_id for _ in sent]
         sending.result(WAIT_SECONDS)
         assert received == [query.request_id for query in sent]
+
+
+def test_silent_peer_is_probed_by_both_sides():
+    """Guards against threads and descriptors that hosts without power leave in use."""
+    with connected_pair() as (_, _, *sockets):
+        for sock in sockets:
+            assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+            first, interval, count = (
+                sock.getsockopt(socket.IPPROTO_TCP, option)
+                for option in (
+                    socket.TCP_KEEPIDLE,
+                    socket.TCP_KEEPINTVL,
+                    socket.TCP_KEEPCNT,
+                )
+            )
+            assert first + interval * count <= LONGEST_SILENCE_SECONDS
