--- a/tests/contracts/test_cluster.py
+++ b/tests/contracts/test_cluster.py
@@ -244,7 +244,7 @@
     def __init__(self):
         self.waited = []
 
-    def request(self, method, url, body, headers, timeout):
+    def request(self, method, url, body, headers, timeout, **options):
         self.waited.append(timeout)
         raise AnswerMissing(url=url)
 
