--- /dev/null
+++ b/tests/standins/statuses.py
@@ -0,0 +1,17 @@
+"""Status lines of the platform's answers."""
+
+__all__ = [
+    "CONFLICT",
+    "FAILED",
+    "GONE",
+    "MISDIRECTED",
+    "OK",
+    "UNAVAILABLE",
+]
+
+GONE = "410 Gone"
+OK = "200 OK"
+CONFLICT = "409 Conflict"
+FAILED = "412 Precondition Failed"
+UNAVAILABLE = "503 Service Unavailable"
+MISDIRECTED = "421 Misdirected Request"
