--- a/tests/pool/fault_simulation.py
+++ b/tests/pool/fault_simulation.py
@@ -8,18 +8,18 @@
 import random
 
 from papayapick.jobs import JobDocument, TaskKey
-from papayapick.jobs.queues import CellConfiguration
 from papayapick.ownership.pools import PoolRow
-from papayapick.platform.exceptions import CallFailed, WorkerSilent
+from papayapick.platform.exceptions import CallFailed
 from papayapick.pool.owner import PoolOwner
 from papayapick.pool.records.journal import JOBS_TABLE
-from papayapick.quotas import Team, TeamDirectory
 from tests.pool.fault_calls import UnreliableClient
 from tests.pool.fault_departures import Departures
 from tests.pool.fault_ends import DoneEnds
 from tests.pool.fault_host import PATIENT, QUEUE, WritableHost
 from tests.pool.fault_jobs import draw_steps
+from tests.pool.fault_links import PolledLinks
 from tests.pool.fault_reports import DelayedListener
+from tests.pool.fault_teams import TeamMaxima
 from tests.pool.fault_workers import SimulatedWorker
 from tests.pool.owners import register
 from tests.pool.standins import ManualExecutor
@@ -36,7 +36,6 @@
 STEP_SECONDS = 0.05
 MAX_DELAY_SECONDS = 12.0
 JOB_LIMIT = 120
-TEAMS = ("accounts", "leasing")
 
 
 class FaultSimulation:
@@ -66,8 +65,8 @@
     done_ends : DoneEnds
     ends_in_grace : bool
         Whether a run that is being stopped may end as done.
-    excesses : list of tuple
-        Teams that had more running after a start than allowed, and the millicores.
+    maxima : TeamMaxima or None
+        None if jobs belong to no team.
     duplicate_runs : list of TaskKey
         Tasks of which a run started while another one was active on another worker.
         Runs of stray orders do not count.
@@ -87,10 +86,8 @@
         self.ends_in_grace = workers_leave
         self._waits_for_lock = waits_for_lock
         self.duplicate_runs = []
-        self.excesses = []
-        self._maxima = list(maxima)
-        self._teams = {}
         self._host = WritableHost()
+        self.maxima = TeamMaxima(self, self._host, maxima) if maxima else None
         self._host.settings.expects_overload = expects_overload
         self._loss_probability = self.rng.choice([0.05, 0.15, 0.3])
         self._has_faults_ended = False
@@ -100,9 +97,7 @@
         self._identifiers = []
         self._epoch = 2
         self._owner = None
-        self._poll_at = {}
-        # Until when links wait for the answer of their last poll.
-        self._held_until = {}
+        self._links = PolledLinks(self)
         self._workers = {}
         self._departures = Departures(self, self._host) if workers_leave else None
         usual = OVERLOAD_WORKERS if expects_overload else WORKERS
@@ -112,7 +107,7 @@
             self._workers[name] = SimulatedWorker(self, name)
             if self._departures is not None:
                 self._departures.register(self._workers[name])
-        if self._maxima:
+        if self.maxima is not None:
             self._configure()
         self._take_over()
 
@@ -158,30 +153,12 @@
         }
         if worker.name in active and len(active) > 1:
             self.duplicate_runs.append(key)
-        if self._maxima:
-            self._check_maximum(self._teams[key.job])
-
-    def _check_maximum(self, team):
-        used = sum(
-            self.step_of(key).demand.processors
-            for worker in self._workers.values()
-            for (key, _), run in worker.runs.items()
-            if self._teams[key.job] == team and not run.is_stray
-        )
-        # An order that was sent before the maximum was lowered may be carried out
-        # later.
-        if used > max(self._maxima[0], self._maxima[-1]):
-            self.excesses.append((team, used))
+        if self.maxima is not None:
+            self.maxima.check(key, self._workers.values())
 
     def _configure(self):
-        """Put the next of the maxima into force for both teams."""
-        self._maxima = self._maxima[1:] + self._maxima[:1]
-        teams = [Team(name, maximum={"processors": self._maxima[0]}) for name in TEAMS]
-        self._host.configuration.current = CellConfiguration(
-            self._event_count + 1, [], 1000, TeamDirectory(teams)
-        )
-        if self._owner is not None:
-            self._owner.refresh_queues()
+        """Put the next of the maxima into force."""
+        self.maxima.configure(self._event_count + 1, self._owner)
 
     def loses_answer(self):
         return not self._has_faults_ended and self.rng.random() < self._loss_probability
@@ -200,11 +177,11 @@
 
     def hold_polls(self, link, seconds):
         """Let a link make its next poll only after some seconds."""
-        self._held_until[link.worker] = self.now + seconds
+        self._links.hold(link.worker, seconds)
 
     def poll_now(self, name):
         """Let the link to a worker poll in the next step, unless it is held."""
-        self._poll_at[name] = self.now
+        self._links.poll_after(name, 0.0)
 
     def report_now(self, link):
         """Return what the worker of a link reports now; None without an answer."""
@@ -264,7 +241,7 @@
             self._take_over()
         if self._departures is not None:
             self._departures.inject(list(self._workers.values()))
-        if self._maxima and self.rng.random() < 0.01:
+        if self.maxima is not None and self.rng.random() < 0.01:
             self._configure()
 
     def _partition(self, worker):
@@ -287,8 +264,7 @@
         steps = draw_steps(self.rng)
         for number, step in enumerate(steps):
             self._steps[(identifier, number)] = step
-        team = self.rng.choice(TEAMS) if self._maxima else ""
-        self._teams[identifier] = team
+        team = "" if self.maxima is None else self.maxima.assign(identifier)
         queue = self._queue(steps)
         document = JobDocument(
             identifier, queue.name, "pool", "t", steps, 0.0, team=team
@@ -327,8 +303,7 @@
             ManualExecutor(),
         )
         owner.store_sync.load()
-        self._held_until = {}
-        self._poll_at = {}
+        self._links.forget()
         self._connect()
 
     def _connect(self):
@@ -341,7 +316,7 @@
                 link._listener = DelayedListener(
                     self, link._listener, self._waits_for_lock
                 )
-            self._poll_at[name] = self.now + self.rng.uniform(0.0, 0.2)
+            self._links.poll_after(name, self.rng.uniform(0.0, 0.2))
 
     def _advance(self):
         self._host.clock.advance(STEP_SECONDS)
@@ -352,10 +327,7 @@
             if worker.is_up:
                 worker.work(STEP_SECONDS)
         self._owner.ownership_status.note_confirmed(self.now)
-        for name, link in list(self._owner.links_by_worker.items()):
-            due_at = max(self._poll_at[name], self._held_until.get(name, 0.0))
-            if self.now >= due_at:
-                self._poll_at[name] = self.now + self._poll(link)
+        self._links.poll_due(list(self._owner.links_by_worker.values()))
         if self._departures is not None:
             self._departures.advance(self._owner, list(self._workers.values()))
         self._owner.loop._run_round(self.now)
@@ -364,23 +336,6 @@
         self._run_some_orders(self._owner.orders._executor)
         self._run_some_orders(self._owner.orders._stop_executor)
 
-    def _poll(self, link):
-        """Let a link poll once; return the seconds until its next poll."""
-        if self._departures is not None:
-            link._listener.is_polling = True
-        try:
-            link._poll()
-        except WorkerSilent as error:
-            link._note_no_answer(error, self.now)
-            return self.rng.choice([0.4, 1.0])
-        except CallFailed as error:
-            link._note_refusal(error, self.now)
-            return 0.2
-        finally:
-            if self._departures is not None:
-                link._listener.is_polling = False
-        return self.rng.choice([0.05, 0.3, 0.6])
-
     def _run_some_orders(self, executor):
         """Execute about half of the submitted orders, in random order."""
         tasks, executor.tasks = executor.tasks, []
--- a/tests/pool/test_team_maxima.py
+++ b/tests/pool/test_team_maxima.py
@@ -266,7 +266,7 @@
     """Guards against lost answers, takeovers and crashes that add up to too much."""
     simulation = FaultSimulation(seed, maxima=[4000, 6000, 3000])
     simulation.run()
-    assert simulation.excesses == []
+    assert simulation.maxima.excesses == []
     assert simulation.duplicate_runs == []
 
 
@@ -275,4 +275,4 @@
 def test_random_faults_never_add_up_to_more_than_the_maximum(seed, maximum):
     simulation = FaultSimulation(seed, maxima=[maximum, 2 * maximum])
     simulation.run()
-    assert simulation.excesses == []
+    assert simulation.maxima.excesses == []
