--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -1,4 +1,4 @@
-"""A candidacy whose pool's row and claims are kept by the test."""
+"""A cell of processes, and a candidacy whose pool's row the test keeps."""
 
 import pytest
 
@@ -6,6 +6,8 @@
 from papayapick.entry.candidacy import Candidacy
 from papayapick.ownership.pools import PoolRow
 from tests.entry.candidates import Host
+from tests.entry.cell import EntryCell
+from tests.standins.cluster import Cluster
 
 
 @pytest.fixture
@@ -39,3 +41,19 @@
     found = Candidacy(Host(), "pool")
     found._host.claims = claims
     return found
+
+
+@pytest.fixture
+def cluster():
+    cluster = Cluster()
+    for number in range(1, 5):
+        cluster.add_worker(f"w{number}", task_seconds=0.15)
+    cluster.configure()
+    yield cluster
+    cluster.close()
+
+
+@pytest.fixture
+def cell(cluster, tmp_path):
+    with EntryCell(cluster, tmp_path) as cell:
+        yield cell
