--- a/papayapick/pool/workers/connections.py
+++ b/papayapick/pool/workers/connections.py
@@ -99,6 +99,10 @@
             self._accepted(),
         )
 
+    def after_poll(self):
+        """Return the number to keep after a poll, which the next one follows soon."""
+        return 0 if self._owner.is_stopped else self.after_order() + 1
+
     def _accepted(self):
         """Return how many connections the worker accepts from all hosts together."""
         configuration = self._owner.host.configuration.current
@@ -107,10 +111,6 @@
         pool = self._owner.row.pool
         return configuration.accepted_connections.get(pool, _ACCEPTED)
 
-    def after_poll(self):
-        """Return the number to keep after a poll, which the next one follows soon."""
-        return 0 if self._owner.is_stopped else self.after_order() + 1
-
 
 class WorkerConnectionMonitor:
     """Implement ``ConnectionMonitor`` for connections to workers."""
