Take ids of jobs in capital letters

What callers saw: 404, as for an unknown queue, for an id that is written with capital hexadecimal digits. Cause: the pattern of an id had small letters only; the protocol says 16 hexadecimal digits. Ids that differ in case are different jobs, as the bytes differ.

--- a/papayapick/platform/requests.py
+++ b/papayapick/platform/requests.py
@@ -9,7 +9,7 @@
 
 __all__ = ["decode_job", "encode_state", "encode_waiting", "is_identifier"]
 
-_IDENTIFIER = re.compile(r"[0-9a-f]{16}")
+_IDENTIFIER = re.compile(r"[0-9A-Fa-f]{16}")
 _PAYLOAD_LIMIT_BYTES = 4000
 _STATES = {
     "waiting": "pending",
