--- a/tests/entry/test_takeover_claims.py
+++ b/tests/entry/test_takeover_claims.py
@@ -11,6 +11,18 @@
 from tests.entry.candidates import check_owner
 
 SILENT_SECONDS = 5.0
+# The row of a host that wins the race for a pool without an owner.
+WINNER = PoolRow("pool", "h3", 1, "127.0.0.1:8", 1)
+
+
+def losing_to(rows, winner):
+    """Return a claim that another host makes first; its row is the winner's."""
+
+    def lose(store, seen, owner, address):
+        rows[0] = winner
+        raise OwnershipLost(pool="pool")
+
+    return lose
 
 
 def test_pool_without_an_owner_is_taken(candidacy, taken):
@@ -88,12 +100,7 @@
 ):
     """Guards against the same when all hosts of a new cell claim its pool at once."""
     host = candidacy._host
-
-    def lose(store, seen, owner, address):
-        rows[0] = PoolRow("pool", "h3", 1, "127.0.0.1:8", 1)
-        raise OwnershipLost(pool="pool")
-
-    monkeypatch.setattr(module, "claim_pool", lose)
+    monkeypatch.setattr(module, "claim_pool", losing_to(rows, WINNER))
     host.not_owning.add("127.0.0.1:8")
     check_owner(candidacy)
     assert candidacy.row.owner == "h3"
@@ -115,12 +122,8 @@
     host = candidacy._host
     host.others = [SimpleNamespace(processors=1.0, name="x")] * others
 
-    def lose(store, seen, owner, address):
-        rows[0] = PoolRow("pool", "h3", 1, "127.0.0.1:8", 1)
-        raise OwnershipLost(pool="pool")
-
     with monkeypatch.context() as patched:
-        patched.setattr(module, "claim_pool", lose)
+        patched.setattr(module, "claim_pool", losing_to(rows, WINNER))
         check_owner(candidacy)
     host.not_owning.add("127.0.0.1:8")
     check_owner(candidacy)
@@ -135,13 +138,8 @@
     The host that lost can't ask the winner, whose row it has not read yet.
     """
     host = candidacy._host
-
-    def lose(store, seen, owner, address):
-        rows[0] = PoolRow("pool", "h3", 1, "127.0.0.1:8", 1)
-        raise OwnershipLost(pool="pool")
-
     with monkeypatch.context() as patched:
-        patched.setattr(module, "claim_pool", lose)
+        patched.setattr(module, "claim_pool", losing_to(rows, WINNER))
         check_owner(candidacy)
     host.unknown.add("h3")
     check_owner(candidacy)
@@ -156,12 +154,10 @@
 ):
     claim = module.claim_pool
 
-    def lose(store, seen, owner, address):
-        rows[0] = PoolRow("pool", "", 4, "", 8)
-        raise OwnershipLost(pool="pool")
-
     with monkeypatch.context() as patched:
-        patched.setattr(module, "claim_pool", lose)
+        patched.setattr(
+            module, "claim_pool", losing_to(rows, PoolRow("pool", "", 4, "", 8))
+        )
         check_owner(candidacy)
     assert module.claim_pool is claim
     check_owner(candidacy)
