Let only calls to workers share connections after a refusal

What callers would see: after the store was away for a moment and reset a new connection, calls of the host would wait for an open one, such as that of a call that waits for changes, and not be sent; nothing but the end of all open connections ended that.

Change: sharing is an option of the pool, which only that of workers has; they accept a limited number. All others open a connection at once, as before.

--- a/papayapick/clients/connections.py
+++ b/papayapick/clients/connections.py
@@ -109,6 +109,10 @@
     max_open : int, optional
         Most connections to have open to one address; further calls wait for one of
         these. By default there is no limit.
+    shares_refused : bool, optional
+        Whether calls share the open connections to a server while it refuses new ones,
+        as one does that accepts a limited number. A server that was away for a moment
+        is to be tried at once.
     """
 
     __slots__ = (
@@ -119,14 +123,21 @@
         "_max_open",
         "_monitor",
         "_order",
+        "_shares_refused",
     )
 
     def __init__(
-        self, clock=None, max_idle=_MAX_IDLE, monitor=None, max_open=float("inf")
+        self,
+        clock=None,
+        max_idle=_MAX_IDLE,
+        monitor=None,
+        max_open=float("inf"),
+        shares_refused=False,
     ):
         self._clock = clock or SystemClock()
         self._max_idle = max_idle
         self._max_open = max_open
+        self._shares_refused = shares_refused
         self._monitor = monitor or _NoMonitor()
         self._addresses = {}
         # Idle connections, in the order in which they became idle.
@@ -150,16 +161,16 @@
         return max(counts, default=0)
 
     def is_refused(self, address):
-        """Return whether a server has refused the last new connection to it."""
+        """Return whether calls share the open connections to a server."""
         state = self._addresses.get(address)
         return state is not None and state.refused_at is not None
 
     def lend(self, address, limit, is_new=False, is_repeatable=False):
         """Return an idle connection that is still usable, or open one.
 
-        While a server refuses new connections, calls share those that are open: the
-        one that polls a worker goes on, where each new one is reset, so that a worker
-        that seems sound would carry out no order.
+        While a server refuses new connections, calls may share those that are open:
+        the one that polls a worker goes on, where each new one is reset, so that a
+        worker that seems sound would carry out no order.
 
         Parameters
         ----------
@@ -315,8 +326,9 @@
         return connection
 
     def _note_refusal(self, address):
-        with self._lock:
-            self._addresses[address].refused_at = self._clock.monotonic()
+        if self._shares_refused:
+            with self._lock:
+                self._addresses[address].refused_at = self._clock.monotonic()
 
     def _close(self, connection):
         connection.close()
--- a/papayapick/pool/workers/connections.py
+++ b/papayapick/pool/workers/connections.py
@@ -146,6 +146,9 @@
     """
     max_idle = int(_IDLE_DESCRIPTORS_SHARE * settings.descriptor_limit)
     connections = Connections(
-        max_idle=max_idle, monitor=WorkerConnectionMonitor(), max_open=_MAX_OPEN
+        max_idle=max_idle,
+        monitor=WorkerConnectionMonitor(),
+        max_open=_MAX_OPEN,
+        shares_refused=True,
     )
     return HttpPool(_CALL_SECONDS, connections=connections)
--- a/tests/clients/test_shared_connections.py
+++ b/tests/clients/test_shared_connections.py
@@ -26,8 +26,9 @@
     server.close()
 
 
-def make_pool(**options):
-    return HttpPool(CALL_SECONDS, connections=Connections(**options))
+def make_pool(shares_refused=True, **options):
+    connections = Connections(shares_refused=shares_refused, **options)
+    return HttpPool(CALL_SECONDS, connections=connections)
 
 
 def url_of(server):
@@ -135,3 +136,25 @@
     pool.request("GET", url_of(server), keep_idle=lambda: 0)
     assert pool.connections.idle_count == 0
     assert wait_until(lambda: not server.open)
+
+
+def test_server_without_a_limit_gets_new_connections_after_a_reset(server):
+    """Guards against calls of the store that wait for one that waits for changes.
+
+    A store that was away may have reset a new connection, and answers again.
+    """
+    pool = make_pool(shares_refused=False)
+    pool.request("GET", url_of(server))
+    server.may_answer.clear()
+    follow = threading.Thread(target=pool.request, args=("GET", url_of(server)))
+    follow.start()
+    assert wait_until(lambda: pool.connections.idle_count == 0)
+    with pytest.raises(REFUSED):
+        pool.request("GET", url_of(server))
+    server.accepts = 2
+    with concurrent.futures.ThreadPoolExecutor() as executor:
+        call = executor.submit(pool.request, "GET", url_of(server), timeout=1.0)
+        assert wait_until(lambda: len(server.open) == 2, seconds=1.0)
+        server.may_answer.set()
+        assert call.result().status == 200
+    follow.join()
