Refuse no version for a limit of connections of another type

What would be seen: a configuration that stays out of force since max_conns of a service is missing its number; nothing needs that field.

--- a/papayapick/platform/configuration.py
+++ b/papayapick/platform/configuration.py
@@ -79,11 +79,11 @@
 
 
 def _accepted_connections(services):
-    found = {
-        name: optional_field(service, "max_conns", int, 0, f"service {name}")
-        for name, service in services.items()
+    # Nothing fails without a limit, so that one of another type refuses no version.
+    found = {name: service.get("max_conns") for name, service in services.items()}
+    return {
+        name: limit for name, limit in found.items() if type(limit) is int and limit > 0
     }
-    return {name: limit for name, limit in found.items() if limit > 0}
 
 
 def _advice(policy, place):
--- a/tests/pool/test_worker_connections.py
+++ b/tests/pool/test_worker_connections.py
@@ -194,6 +194,18 @@
     assert (allowance.after_order(), allowance.after_poll()) == (1, 2)
 
 
+@pytest.mark.parametrize("limit", [None, "", 0, -1, 16.5, True, [16]])
+def test_limit_of_another_form_is_passed_over(limit):
+    """Guards against a version that is refused for a field that is not needed."""
+    value = {
+        "version": 1,
+        "routes": [],
+        "services": [{"name": "pool", "max_conns": limit}],
+        "limits": {"max_body_bytes": 1000},
+    }
+    assert decode_configuration(value).accepted_connections == {}
+
+
 def test_owner_closes_its_idle_connections_when_it_stops(worker):
     """Guards against connections of replaced owners, over which no call follows."""
     host = Host()
