Find out refusals of workers whose addresses have a path

What would be seen: a worker at an address with a path that gets tasks though it refuses their orders, and whose polls stay long meanwhile. Connections are known by host and port only. Evidence: test_worker_at_an_address_with_a_path_is_known_to_refuse failed before.

--- a/papayapick/platform/workers.py
+++ b/papayapick/platform/workers.py
@@ -106,7 +106,8 @@
 
     def __init__(self, worker, address, pool, allowance=None):
         self._worker = worker
-        self._address = address
+        # Of its connections, without the path.
+        self._address = address.partition("/")[0]
         self._base = "http://" + address
         self._pool = pool
         self._allowance = allowance
--- a/tests/pool/test_worker_connections.py
+++ b/tests/pool/test_worker_connections.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from papayapick.clients.connections import Connections
+from papayapick.clients.connections import Connections, _Address
 from papayapick.clients.exceptions import AnswerMissing, NotSent
 from papayapick.clients.http import HttpPool
 from papayapick.jobs.documents import TaskKey
@@ -206,6 +206,16 @@
     assert decode_configuration(value).accepted_connections == {}
 
 
+def test_worker_at_an_address_with_a_path_is_known_to_refuse(worker):
+    """Guards against a worker that gets tasks though it refuses their orders."""
+    worker.accepts = 0
+    pool = worker_pool(SimpleNamespace(descriptor_limit=4100))
+    client = WorkerClient("w1", f"{worker.address}/w1", pool)
+    address = pool.connections._addresses[worker.address] = _Address()
+    address.open_count, address.refused_at = 1, 0.0
+    assert client.is_refused
+
+
 def test_owner_closes_its_idle_connections_when_it_stops(worker):
     """Guards against connections of replaced owners, over which no call follows."""
     host = Host()
