--- a/tests/pool/test_worker_connections.py
+++ b/tests/pool/test_worker_connections.py
@@ -14,8 +14,8 @@
 from papayapick.jobs.documents import TaskKey
 from papayapick.ledger.amounts import Amounts
 from papayapick.ownership.pools import PoolRow
-from papayapick.platform.configuration import decode_configuration
 from papayapick.platform import workers as workers_module
+from papayapick.platform.configuration import decode_configuration
 from papayapick.platform.workers import WorkerClient
 from papayapick.pool.metrics import WORKER_CONNECTIONS
 from papayapick.pool.workers.connections import (
