--- a/review/5/case.py
+++ b/review/5/case.py
@@ -13,7 +13,7 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from harness2 import Cell, Cluster, job, main, new_identifier, wait_for  # noqa: E402
+from harness2 import Cell, Platform, job, main, new_identifier, wait_for  # noqa: E402
 
 from tests.standins.runs import overlapping_runs  # noqa: E402
 
@@ -27,7 +27,7 @@
 
 def case(record, has_trouble):
     """Return whether the rule held."""
-    cluster = Cluster()
+    cluster = Platform()
     for number in range(3):
         cluster.add_worker(f"old{number}", "pool-1", task_seconds=TASK_SECONDS)
         cluster.add_worker(f"new{number}", "pool-2", task_seconds=TASK_SECONDS)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -15,7 +15,7 @@
 from harness2 import (  # noqa: E402
     CannotRunError,
     Cell,
-    Cluster,
+    Platform,
     job,
     main,
     new_identifier,
@@ -28,7 +28,7 @@
 
 def case(record, has_trouble):
     """Return whether the rule held."""
-    cluster = Cluster()
+    cluster = Platform()
     for number in range(WORKERS):
         cluster.add_worker(f"w{number}", task_seconds=0.5)
     cluster.configure()
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -184,6 +184,43 @@
                 sock.shutdown(socket.SHUT_RDWR)
 
 
+class Platform(Cluster):
+    """The stand-in of the platform, with an address of its own for each worker.
+
+    A host has a limited number of connections to one address, which the workers would
+    have to share.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self._gates = {}
+
+    def register(self, name, state="ready"):
+        """Write the entry of a worker to the list of workers."""
+        worker = self.workers[name]
+        gate = self._gates.get(worker.slot)
+        if gate is None:
+            gate = self._gates[worker.slot] = Gate(self.address)
+        self.rows.write(
+            "servers",
+            "",
+            name,
+            {
+                "service": worker.service,
+                "address": f"{gate.address}/workers/{worker.slot}",
+                "zone": "z1",
+                "version": "1",
+                "slots": 8,
+                "state": state,
+                "cold_left_ms": 0,
+                "seq": 1,
+                "capacity": worker.capacity,
+                "labels": ["a", "r1-1"],
+                "born": worker.born,
+            },
+        )
+
+
 def loopback_address():
     """Return a loopback address at which nothing listens on the ports of a host."""
     while True:
@@ -266,7 +303,7 @@
 
     def __init__(self, record, hosts=3, cluster=None, gated=()):
         self.record = record
-        self.cluster = cluster or Cluster()
+        self.cluster = cluster or Platform()
         self.gates = {name: Gate(self.cluster.address) for name in gated}
         self._folder = tempfile.TemporaryDirectory()
         folder = pathlib.Path(self._folder.name)
