--- a/review/harness2.py
+++ b/review/harness2.py
@@ -30,6 +30,18 @@
 START_SECONDS = 25.0
 ROUTE_HOST = "jobs.example"
 ROUTE_PREFIX = "/quick/"
+CONTRACTS = [
+    "base",
+    "drain",
+    "config",
+    "cost",
+    "recover",
+    "sched",
+    "platform",
+    "advice",
+    "upkeep",
+    "sharing",
+]
 # The example of DEPLOY.md, with the bounds of the site ffct-pick.
 SETTINGS = """
 node = "{name}"
@@ -46,8 +58,7 @@
 discovery = "platform"
 entry = "vip"
 heartbeat_ms = 1500
-contracts = ["base","drain","config","cost","recover","sched","platform","advice",
-  "upkeep","sharing"]
+contracts = {contracts}
 commands = "rpc"
 advice = "{platform}"
 [zones]
@@ -92,6 +103,9 @@
 thaw_ms = 300
 pace_ms = 100
 harm_ms = 4000
+quota_window_s = 5
+quota_burst = 0.1
+quota_slack = 20
 [platform]
 address = "{store}"
 form = "table"
@@ -234,12 +248,18 @@
 class Host:
     """An entry host: one process, with the command of the deploy file."""
 
-    def __init__(self, name, platform, store, folder):
+    def __init__(self, name, platform, store, folder, contracts=CONTRACTS):
         self.name, self.ip = name, loopback_address()
         self.path = folder / f"{name}.toml"
         self.log = folder / f"{name}.log"
         self.path.write_text(
-            SETTINGS.format(name=name, ip=self.ip, platform=platform, store=store)
+            SETTINGS.format(
+                name=name,
+                ip=self.ip,
+                platform=platform,
+                store=store,
+                contracts=json.dumps(list(contracts)),
+            )
         )
         self.process = None
 
@@ -269,11 +289,14 @@
             self.process.kill()
             self.process.wait()
 
-    def call(self, method, path, body=None, timeout=4.0):
+    def call(self, method, path, body=None, timeout=4.0, key=None):
         """Return status and body of an answer; (None, error) without one."""
         client = http.client.HTTPConnection(self.ip, 8161, timeout=timeout)
+        headers = {"Host": ROUTE_HOST}
+        if key is not None:
+            headers["Api-Key"] = key
         try:
-            client.request(method, path, body, {"Host": ROUTE_HOST})
+            client.request(method, path, body, headers)
             answer = client.getresponse()
             return answer.status, answer.read().decode()
         except OSError as error:
@@ -301,8 +324,11 @@
 class Cell:
     """Some entry hosts beside one platform, ended with the block."""
 
-    def __init__(self, record, hosts=3, cluster=None, gated=()):
+    def __init__(
+        self, record, hosts=3, cluster=None, gated=(), key=None, contracts=CONTRACTS
+    ):
         self.record = record
+        self._key = key
         self.cluster = cluster or Platform()
         self.gates = {name: Gate(self.cluster.address) for name in gated}
         self._folder = tempfile.TemporaryDirectory()
@@ -312,7 +338,9 @@
             name = f"host-{number}"
             gate = self.gates.get(name)
             store = gate.address if gate else self.cluster.address
-            self.hosts[name] = Host(name, self.cluster.address, store, folder)
+            self.hosts[name] = Host(
+                name, self.cluster.address, store, folder, contracts
+            )
 
     def __enter__(self):
         try:
@@ -342,7 +370,7 @@
         """Send a request of a client to a host, and record both."""
         self.record.write(f"client -> {name}: {method} {identifier} {body or ''}")
         found = self.hosts[name].call(
-            method, ROUTE_PREFIX + identifier, body, timeout=timeout
+            method, ROUTE_PREFIX + identifier, body, timeout, self._key
         )
         self.record.write(f"{name} -> client: {method} {identifier}: {found}")
         return found
