--- a/review/harness2.py
+++ b/review/harness2.py
@@ -28,6 +28,8 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 POLL_SECONDS = 0.02
 START_SECONDS = 25.0
+# A case that takes longer is given up, and its hosts are ended.
+LIMIT_SECONDS = 110
 ROUTE_HOST = "jobs.example"
 ROUTE_PREFIX = "/quick/"
 CONTRACTS = [
@@ -402,9 +404,14 @@
     record = Record(pathlib.Path(folder).resolve())
     has_trouble = os.environ.get("TROUBLE") != "0"
     record.write("with the disruption" if has_trouble else "without the disruption")
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, _give_up)
+    signal.alarm(LIMIT_SECONDS)
     try:
         held = case(record, has_trouble)
-    except (CannotRunError, OSError) as error:
+    except BaseException as error:
+        # The hosts have ended with the block of their cell. An error of the case itself
+        # must not look like a broken rule.
         record.write(f"the case could not run: {error!r}")
         code = NOT_RUN
     else:
@@ -412,3 +419,7 @@
         record.write("the rule held" if held else "THE RULE WAS BROKEN")
     sys.stdout.flush()
     os._exit(code)
+
+
+def _give_up(number, frame):
+    raise CannotRunError(f"ended by signal {number}")
