Keep a pool served beside a worker that can't be worked with

Cause: an address was taken by its characters alone. Connecting to one with an empty or too long label raises UnicodeError, a port above 65,535 OverflowError, a path beyond ASCII UnicodeEncodeError: none is an OSError, so the error left the poll of that worker, and PoolOwner gives up the pool for an error of any of its loops. The owner had recorded the entry with the pool's workers, so that each next owner restored it, also after it was removed. A capacity of 400 digits did the same in the decision loop.

Change, three walls. At the border: an entry names a worker only if its address can be called (as connecting encodes it), its id fits a header, its numbers are whole, finite and below 2**53; fields of all decoders get the same check of numbers (2.0 is 2, one rule for all), and reports of workers are checked alike. In the loop: a poll that raises makes its worker silent, without a new lease, and an end whose handling raised is not acknowledged; a round goes on without a worker that raises in it. In the store: recorded workers that can't have been called are left out and removed from their row; one with an unusable capacity is kept without room, as a task may run there.

Why it holds: what would raise is no worker to this version, whoever recorded it, and what raises all the same costs one worker. Ruled out: catching more errors in HttpPool alone, which leaves the decision loop and the record as they are.

CallsUsedUp of the tests' scripted worker is a BaseException now: the link would take it for a failed poll, where it is to end the test's loop.

--- a/papayapick/management/commands/pool.py
+++ b/papayapick/management/commands/pool.py
@@ -56,6 +56,15 @@
             return self._job(view, configuration)
         return self.show_status(view, configuration)
 
+    def _show_unusable_workers(self, view):
+        unusable = view.unusable_workers()
+        if unusable:
+            self.output.write(
+                f"{len(unusable)} entries in the list of workers can't be used: "
+                f"{', '.join(unusable)}",
+                unusable_workers=unusable,
+            )
+
     def show_status(self, view, configuration):
         """Show owner, epoch and queues of each pool, and the entry hosts.
 
@@ -77,6 +86,7 @@
             configuration=configuration.version,
             queues=len(configuration.queues),
         )
+        self._show_unusable_workers(view)
         is_whole = True
         for pool in view.pools(configuration):
             queues = [
--- a/papayapick/management/pools.py
+++ b/papayapick/management/pools.py
@@ -186,6 +186,19 @@
         found = (decode_registration(row.key, row.value) for row in rows)
         return [one for one in found if one is not None and one.pool == pool]
 
+    def unusable_workers(self):
+        """Return the keys of the entries that name no worker, sorted.
+
+        Another program wrote them, or they lack what a call needs; owners leave them
+        out.
+        """
+        rows, _ = self._store.read_all(WORKERS_TABLE, "")
+        return sorted(
+            row.key
+            for row in rows
+            if row.value is not None and decode_registration(row.key, row.value) is None
+        )
+
     def learned(self, pool, part):
         """Return the rows of what the owner of a pool has learned, as a list of dict.
 
--- a/papayapick/platform/fields.py
+++ b/papayapick/platform/fields.py
@@ -1,18 +1,17 @@
 """Read fields of decoded JSON, with an error that names the field."""
 
+from papayapick.numbers import NumberInvalid, finite_number, whole_number
 from papayapick.platform.exceptions import BodyInvalid
 
 __all__ = ["optional_field", "required_field"]
 
-_NUMBER = (int, float)
 _TYPE_NAMES = {
     bool: "true or false",
     dict: "a table",
-    int: "an integer",
     list: "a list",
     str: "a string",
-    _NUMBER: "a number",
 }
+_NUMBER_CHECKS = {float: finite_number, int: whole_number}
 
 
 def required_field(table, name, kind, place=""):
@@ -24,14 +23,15 @@
         Decoded JSON.
     name : str
     kind : type
-        One of bool, dict, float (any number), int, list and str.
+        One of bool, dict, float (any number), int (any whole number), list and str.
     place : str, optional
         Where the table stands in the body, for the error.
 
     Returns
     -------
     object
-        Of the type ``kind``; numbers are finite.
+        Of the type ``kind``; numbers are finite, and whole ones may have a fraction
+        of zero.
 
     Raises
     ------
@@ -62,16 +62,11 @@
 
 
 def _checked(value, kind, path):
-    wanted = _NUMBER if kind is float else kind
-    is_truth_value = isinstance(value, bool)
-    if not isinstance(value, wanted) or is_truth_value != (kind is bool):
-        raise BodyInvalid(reason=f"{path} is not {_TYPE_NAMES[wanted]}")
-    if kind is not float:
-        return value
-    try:
-        number = float(value)
-    except OverflowError as error:
-        raise BodyInvalid(reason=f"{path} is too large") from error
-    if number != number or number in (float("inf"), float("-inf")):
-        raise BodyInvalid(reason=f"{path} is not finite")
-    return number
+    if kind in _NUMBER_CHECKS:
+        try:
+            return _NUMBER_CHECKS[kind](value)
+        except NumberInvalid as error:
+            raise BodyInvalid(reason=f"{path} {error}") from error
+    if not isinstance(value, kind):
+        raise BodyInvalid(reason=f"{path} is not {_TYPE_NAMES[kind]}")
+    return value
--- a/papayapick/platform/workers.py
+++ b/papayapick/platform/workers.py
@@ -1,11 +1,12 @@
 """Client of workers: start, stop and pace runs, renew leases, read ended runs."""
 
 import json
-import re
 
+from papayapick.clients.addresses import is_address, is_header_text
 from papayapick.clients.exceptions import AnswerInvalid, AnswerMissing, NotSent
 from papayapick.jobs.documents import TaskKey
 from papayapick.ledger.amounts import Amounts
+from papayapick.numbers import NumberInvalid, finite_number, whole_number
 from papayapick.platform.exceptions import CallFailed, WorkerSilent
 from papayapick.pool.workers.reports import (
     EndReport,
@@ -18,8 +19,6 @@
 __all__ = ["WORKERS_TABLE", "WorkerClient", "decode_registration"]
 
 WORKERS_TABLE = "servers"
-# Host and port, optionally followed by a path.
-_ADDRESS = re.compile(r"[0-9A-Za-z.-]+:[0-9]{1,5}(/\S*)?")
 # An order is answered within 3 ms, or 50 ms across the link between regions. After this
 # time it counts as unanswered: the run is stopped and the task is placed elsewhere.
 _ORDER_SECONDS = 0.35
@@ -52,28 +51,27 @@
     Returns
     -------
     Registration or None
-        None if fields are missing or have a wrong type, since other programs also write
-        to the table.
+        None if fields are missing, have a wrong type or hold what can't be used, since
+        other programs also write to the table.
     """
     try:
         capacity = value["capacity"]
         state = value["state"]
         if state not in ("ready", "draining"):
             return None
-        labels = value.get("labels", [])
         return Registration(
-            worker=key,
+            worker=_worker_id(key),
             pool=_text(value["service"]),
             address=_address(value["address"]),
             zone=_text(value["zone"]),
             capacity=Amounts(
-                int(capacity["cpu"]),
-                int(capacity["mem_mb"]),
-                int(capacity.get("gpu", 0)),
+                whole_number(capacity["cpu"], least=0),
+                whole_number(capacity["mem_mb"], least=0),
+                whole_number(capacity.get("gpu", 0), least=0),
             ),
-            labels=tuple(_text(label) for label in labels),
+            labels=tuple(_text(label) for label in _list(value.get("labels", []))),
             is_leaving=state == "draining",
-            leaves_in=value.get("remaining_ms", 0) / 1000,
+            leaves_in=finite_number(value.get("remaining_ms", 0)) / 1000,
             born=_born(value),
         )
     except _WRONG_SHAPE:
@@ -85,6 +83,7 @@
     AttributeError,
     IndexError,
     KeyError,
+    NumberInvalid,
     OverflowError,
     TypeError,
     ValueError,
@@ -268,7 +267,7 @@
 def _report(body):
     ends = [_end(row) for row in body.get("finished", ())]
     return WorkerReport(
-        clock=body["clock_ms"] / 1000,
+        clock=finite_number(body["clock_ms"]) / 1000,
         born=_born(body),
         runs=[_run(row) for row in body.get("running", ())],
         ends=ends,
@@ -279,21 +278,30 @@
 def _born(body):
     """Return the start time of a worker's process in Unix milliseconds, or None."""
     born = body.get("born")
-    if born is not None and type(born) is not int:
-        raise TypeError("not a whole number")
-    return born
+    return None if born is None else whole_number(born)
 
 
 def _run(row):
-    key = _task_key(row[0])
     # The fifth entry is the tail latency in milliseconds for a task that serves, and
     # the processors in use, in thousandths, for any other. It may still be missing.
     measurement = row[4] if len(row) > 4 else None
-    return RunReport(key, row[1], row[2], row[3], measurement)
+    return RunReport(
+        _task_key(row[0]),
+        whole_number(row[1]),
+        _text(row[2]),
+        finite_number(row[3]),
+        None if measurement is None else finite_number(measurement),
+    )
 
 
 def _end(row):
-    return EndReport(row[0], _task_key(row[1]), row[2], row[3], row[4])
+    return EndReport(
+        whole_number(row[0]),
+        _task_key(row[1]),
+        whole_number(row[2]),
+        _text(row[3]),
+        _text(row[4]),
+    )
 
 
 def _task(key):
@@ -319,8 +327,15 @@
         return {}
 
 
+def _worker_id(value):
+    # It is sent in a header of each call.
+    if not is_header_text(value):
+        raise ValueError("not a worker id")
+    return value
+
+
 def _address(value):
-    if not _ADDRESS.fullmatch(_text(value)):
+    if not is_address(_text(value)):
         raise ValueError("not an address")
     return value
 
@@ -329,3 +344,9 @@
     if not isinstance(value, str):
         raise TypeError("not a string")
     return value
+
+
+def _list(value):
+    if not isinstance(value, list):
+        raise TypeError("not a list")
+    return value
--- a/papayapick/pool/metrics.py
+++ b/papayapick/pool/metrics.py
@@ -8,6 +8,7 @@
     "ENDS_NOT_APPLIED",
     "FIRST_START_SECONDS",
     "FORECAST_ERROR_SECONDS",
+    "LEFT_OUT",
     "OWNED_POOLS",
     "PLANNED_JOBS",
     "PREDICTED_WAIT_SECONDS",
@@ -85,6 +86,12 @@
     "papayapick_pool_records_left_out",
     "Records of jobs that were left out of a commit, as no transaction can hold them",
 )
+LEFT_OUT = counter(
+    PageSection.PLACED_AGAIN,
+    "papayapick_pool_left_out",
+    "Times that a round went on without a worker, job or step that it can't work with",
+    ("kind",),
+)
 TAKEOVERS = counter(
     PageSection.OWNER, "papayapick_pool_takeovers", "Pools taken by this host"
 )
--- a/papayapick/pool/rounds/loop.py
+++ b/papayapick/pool/rounds/loop.py
@@ -1,8 +1,9 @@
 """The loop that runs scheduling rounds, on worker reports and at fixed intervals."""
 
 from papayapick.jobs import RunPhase
+from papayapick.pool.metrics import LEFT_OUT
 from papayapick.pool.takeover.reconciliation import PREDECESSOR_LEASE_SECONDS
-from papayapick.pool.workers.events import RUNS_KEPT
+from papayapick.pool.workers.events import RUNS_KEPT, WORKER_LEFT_OUT
 
 __all__ = ["DecisionLoop"]
 
@@ -73,7 +74,7 @@
         owner.job_registry.open_due(owner.host.clock.time(), now)
         owner.reconciliation.release_safe_tasks(now)
         for link in owner.links():
-            self._tick_link(link, now)
+            self._tick_link_guarded(link, now)
         owner.advice_manager.prefetch(now)
         owner.run_monitor.replace_slow_runs(now)
         owner.decisions.start_copies(now)
@@ -83,6 +84,16 @@
             self._removed_at = now
             owner.remove_old_jobs(now)
 
+    def _tick_link_guarded(self, link, now):
+        try:
+            self._tick_link(link, now)
+        except Exception:
+            # One worker must not end the owner, and each next one.
+            LEFT_OUT.labels("worker").inc()
+            WORKER_LEFT_OUT.write_failure(
+                worker=link.worker, epoch=self._owner.row.epoch
+            )
+
     def _tick_link(self, link, now):
         owner = self._owner
         lapse_at = max(link.lease.lapse_at, self._earliest_lapse(link))
--- a/papayapick/pool/workers/events.py
+++ b/papayapick/pool/workers/events.py
@@ -13,6 +13,8 @@
     "ORDER_FAILED",
     "PACE_NOT_SET",
     "PACE_SET",
+    "POLL_FAILED",
+    "RECORDED_WORKER_LEFT_OUT",
     "RENEWAL_REFUSED",
     "REPORT_DELAYED",
     "REPORT_DROPPED",
@@ -31,6 +33,7 @@
     "WORKER_FENCED",
     "WORKER_GONE",
     "WORKER_MOVED",
+    "WORKER_LEFT_OUT",
     "WORKER_SILENT",
     "WORKER_UNSEEN",
 ]
@@ -199,6 +202,31 @@
     "worker error",
     "The worker's lists of runs and ends could not be read after a stop.",
 )
+POLL_FAILED = Event(
+    "poll failed",
+    "worker epoch",
+    "An unexpected exception while a worker was polled or its report was applied. It "
+    "counts as silent: nothing is placed there, and its lease is not renewed, until a "
+    "poll succeeds.",
+    level=logging.ERROR,
+    per_second=2,
+)
+RECORDED_WORKER_LEFT_OUT = Event(
+    "recorded worker left out",
+    "worker pool",
+    "The record of a worker that an earlier owner kept has no address that can be "
+    "called, so that nothing runs there. It is removed from the records of the pool.",
+    level=logging.WARNING,
+    per_second=5,
+)
+WORKER_LEFT_OUT = Event(
+    "worker left out",
+    "worker epoch",
+    "An unexpected exception while the state of a worker was examined in a round. The "
+    "round goes on with the other workers, and the next one examines it again.",
+    level=logging.ERROR,
+    per_second=2,
+)
 RENEWAL_REFUSED = Event(
     "renewal refused", "worker status", "A worker answered a renewal with an error."
 )
--- a/papayapick/pool/workers/links.py
+++ b/papayapick/pool/workers/links.py
@@ -7,6 +7,7 @@
 from papayapick.pool.metrics import RENEWALS
 from papayapick.pool.workers.arrivals import Arrivals
 from papayapick.pool.workers.events import (
+    POLL_FAILED,
     RENEWAL_REFUSED,
     REPORT_DROPPED,
     RUNS_KEPT,
@@ -21,6 +22,7 @@
 __all__ = ["WorkerLink"]
 
 _RETRY_SECONDS = 0.2
+_FAILED_SECONDS = 1.0
 # Ends can't be acknowledged while the store is unavailable or their job is not read,
 # and a long poll would return at once with the same ends.
 _UNACKNOWLEDGED_SECONDS = 0.3
@@ -203,6 +205,15 @@
         except CallFailed as error:
             RENEWALS.labels("refused").inc()
             self._note_refusal(error, asked_at)
+        except Exception as error:
+            # One worker that can't be polled, or whose report can't be applied, must
+            # not end the owner, and each next one, while the other workers could go
+            # on. A silent worker gets no lease, so that its tasks run elsewhere once
+            # the last one is over.
+            RENEWALS.labels("failed").inc()
+            POLL_FAILED.write_failure(worker=self.worker, epoch=self._epoch)
+            self._note_no_answer(error, asked_at)
+            self.pause(_FAILED_SECONDS)
 
     def refresh(self):
         """Read the lists of runs and ends now, beside the pending long poll."""
--- a/papayapick/pool/workers/report_handler.py
+++ b/papayapick/pool/workers/report_handler.py
@@ -122,11 +122,12 @@
         for end in report.ends:
             if end.number <= link.read:
                 continue
-            link.read = end.number
             if self._unknown_jobs.must_keep_end(end.key.job, arrived_at):
                 self._unknown_jobs.keep_end(link, end, arrived_at)
             else:
                 self._ends.apply(link, end, now)
+            # Not before: an end whose handling fails must not be acknowledged.
+            link.read = end.number
         if report.has_more_ends:
             self._unknown_jobs.note_full_list(link)
         self._unknown_jobs.update_processed(link)
--- a/papayapick/pool/workers/roster.py
+++ b/papayapick/pool/workers/roster.py
@@ -7,8 +7,11 @@
 
 import zlib
 
+from papayapick.clients.addresses import is_address, is_header_text
 from papayapick.clients.rows import RowWrite
 from papayapick.ledger.amounts import Amounts
+from papayapick.numbers import NumberInvalid, whole_number
+from papayapick.pool.workers.events import RECORDED_WORKER_LEFT_OUT
 from papayapick.pool.workers.reports import Registration
 
 __all__ = ["WorkerRoster"]
@@ -17,6 +20,7 @@
 # limit of a row is 64 KB.
 _ROWS = 32
 _PREFIX = "workers-"
+_AMOUNTS = ("processors", "memory", "accelerators")
 
 
 class WorkerRoster:
@@ -77,14 +81,27 @@
         -------
         list of Registration
             Marked as leaving, so that nothing is placed on these workers until the
-            platform's list has confirmed them.
+            platform's list has confirmed them. Without records of workers that can't
+            have been called: no task runs there, and they are removed from their rows.
         """
         found = []
         for row in rows:
-            if row.key.startswith(_PREFIX) and row.value is not None:
-                # Entries of this owner's list are newer than those recorded.
-                self._rows[row.key] = {**row.value, **self._rows.get(row.key, {})}
-                found += [_registration(*one) for one in row.value.items()]
+            if row.key.startswith(_PREFIX) and isinstance(row.value, dict):
+                found += self._restore_row(row)
+        return found
+
+    def _restore_row(self, row):
+        found = [
+            _registration(worker, record)
+            for worker, record in row.value.items()
+            if _is_callable(worker, record)
+        ]
+        kept = {one.worker: row.value[one.worker] for one in found}
+        for worker in sorted(row.value.keys() - kept.keys()):
+            RECORDED_WORKER_LEFT_OUT.write(worker=worker, pool=self._partition)
+            self._changed.add(row.key)
+        # Entries of this owner's list are newer than those recorded.
+        self._rows[row.key] = {**kept, **self._rows.get(row.key, {})}
         return found
 
 
@@ -103,14 +120,38 @@
     }
 
 
+def _is_callable(worker, record):
+    """Return whether an owner can have called a recorded worker.
+
+    Guards against a pool that no host can own any more: an earlier version recorded
+    each entry of the list of workers, also one with an address that no socket takes,
+    and its own hosts may do so during a rolling update.
+    """
+    address = record.get("address") if isinstance(record, dict) else None
+    is_called = isinstance(address, str) and is_address(address)
+    return is_called and is_header_text(worker)
+
+
 def _registration(worker, record):
     return Registration(
         worker=worker,
-        pool=record["pool"],
+        pool=record.get("pool", ""),
         address=record["address"],
-        zone=record["zone"],
-        capacity=Amounts.from_mapping(record["capacity"]),
-        labels=tuple(record["labels"]),
+        zone=record.get("zone", ""),
+        capacity=_capacity(record.get("capacity")),
+        labels=tuple(record.get("labels", ())),
         is_leaving=True,
         born=record.get("born"),
     )
+
+
+def _capacity(record):
+    """Return a recorded capacity, or none at all if it can't be used.
+
+    A task may run on the worker all the same, and is waited for.
+    """
+    try:
+        amounts = [whole_number(record.get(name, 0), least=0) for name in _AMOUNTS]
+    except (AttributeError, NumberInvalid):
+        return Amounts()
+    return Amounts(*amounts)
--- a/tests/management/test_pool.py
+++ b/tests/management/test_pool.py
@@ -53,6 +53,15 @@
     ]
 
 
+def test_status_names_entries_of_workers_that_cannot_be_used(cell, cluster):
+    cluster.rows.write("servers", "", "x1", {"service": "pool-1", "address": ".:80"})
+    try:
+        result = run_pool_command(cell, "status")
+    finally:
+        cluster.rows.remove("servers", "", "x1")
+    assert result.lines[1] == {"unusable_workers": ["x1"]}
+
+
 def test_job_shows_its_progress(cell, cluster):
     assert cell.hosts[0].call("POST", f"/quick/{ID}", job(tasks=2))[0] == 200
     wait_for(lambda: len(cluster.starts()) == 2)
--- a/tests/pool/linked_workers.py
+++ b/tests/pool/linked_workers.py
@@ -90,7 +90,7 @@
     return WorkerLink(registration, client, 3, clock, listener, MAX_LEASE_SECONDS)
 
 
-class CallsUsedUp(Exception):
+class CallsUsedUp(BaseException):
     """Raise to end the link's endless loop."""
 
 
