Run, refuse or fail a job with values of another kind

Cause: decode_job took times, start_at_ms and interval_ms, amounts, texts and truth values without a look at their types. range(2.0) raised TypeError in each tick, and an owner gives up its pool for any error of its loops; as the job was stored, each next one did the same.

Change, three walls, as for foreign entries. All fields of a submission are checked for type, range and size by the readers of fields that the configuration uses; 2.0 is 2. A stored record is checked as it is read: it runs as before, or fails at once with a reason where no version can run it, in place of waiting for ever. A job that raises as its occurrences are opened or its steps are placed is set aside, and the others go on. A job has at most 100,000 tasks, and 10,000 open ones of occurrences that are due at once, as an owner's memory holds them.

Why it holds: nothing reaches the loops that was not checked, whoever stored it, and what raises all the same costs one job. Ruled out: to refuse 2.0 with 400. It is a whole number in JSON, and the stored one would have ended owners all the same.

--- a/papayapick/jobs/registry.py
+++ b/papayapick/jobs/registry.py
@@ -13,6 +13,10 @@
 __all__ = ["JobRegistry"]
 
 
+def _reraise(job):
+    raise
+
+
 class JobRegistry:
     """Hold all jobs of one pool.
 
@@ -122,12 +126,24 @@
             self.enqueue_ready_steps(job, number, now)
         return job
 
-    def open_due(self, wall_now, now):
+    def open_due(self, wall_now, now, on_failure=_reraise):
         """Open the occurrences that are due; see ``Schedule.open_due``."""
         return self._schedule.open_due(
-            wall_now, lambda job, number: self.enqueue_ready_steps(job, number, now)
+            wall_now,
+            lambda job, number: self.enqueue_ready_steps(job, number, now),
+            on_failure,
         )
 
+    def set_aside(self, job):
+        """Queue no further task of a job whose tasks can't be placed.
+
+        Its runs are followed to their ends, and it can be cancelled.
+        """
+        job.is_set_aside = True
+        self._schedule.remove(job)
+        for step in job.steps():
+            self.dequeue_step(step)
+
     def cancel(self, identifier, now):
         """Cancel a job; its active runs are added to ``to_stop``.
 
@@ -310,6 +326,8 @@
         if step.key.occurrence in step.job.early_occurrences:
             # Queued with the other tasks of its step once it is due.
             return
+        if step.job.is_set_aside:
+            return
         step.waiting.add(index)
         self.step_queue.add(step)
 
--- a/papayapick/jobs/schedule.py
+++ b/papayapick/jobs/schedule.py
@@ -2,6 +2,10 @@
 
 __all__ = ["Schedule"]
 
+# Further occurrences of a job that are due wait until some are over. Thousands that are
+# due at once would exhaust the memory of the owner, and of each next one.
+_OPEN_TASKS_LIMIT = 10_000
+
 
 class Schedule:
     """Hold the jobs that have future occurrences."""
@@ -24,15 +28,20 @@
         """Remove a job if it is in the schedule."""
         self._jobs.pop(job.identifier, None)
 
-    def open_due(self, wall_now, on_open):
+    def open_due(self, wall_now, on_open, on_failure):
         """Open the occurrences that are due.
 
+        A job for which that fails is removed from the schedule. It must not end the
+        owner, and each next one: no job of the pool would run any more.
+
         Parameters
         ----------
         wall_now : float
             Unix seconds.
         on_open : callable
             Called with the job and the number of each occurrence that is opened.
+        on_failure : callable
+            Called with a job while the exception that it has raised is handled.
 
         Returns
         -------
@@ -41,7 +50,12 @@
         """
         next_due = None
         for job in list(self._jobs.values()):
-            due = self._open_due_of(job, wall_now, on_open)
+            try:
+                due = self._open_due_of(job, wall_now, on_open)
+            except Exception:
+                self.remove(job)
+                on_failure(job)
+                continue
             if due is not None and (next_due is None or due < next_due):
                 next_due = due
         return next_due
@@ -82,9 +96,17 @@
             due = document.due_at(number)
             if due > wall_now:
                 return due
+            if not is_early and _is_full(job):
+                return wall_now
             job.early_occurrences.discard(number)
             if not is_early:
                 job.open_occurrence(number)
             on_open(job, number)
         self.remove(job)
         return None
+
+
+def _is_full(job):
+    """Return whether a job has as many tasks of open occurrences as it may have."""
+    tasks = sum(step.tasks for step in job.document.steps)
+    return tasks * len(job.occurrences) >= _OPEN_TASKS_LIMIT
--- a/papayapick/jobs/state.py
+++ b/papayapick/jobs/state.py
@@ -228,6 +228,8 @@
         The longest of these times.
     is_owed : bool
         Whether the job is within the rate of its team. Other jobs are served last.
+    is_set_aside : bool
+        Whether none of its tasks is queued, as they can't be placed.
     is_yielding : bool
         Whether it is served after the others of its priority that can be in time.
     """
@@ -245,6 +247,7 @@
         "finished_occurrences",
         "has_placed_task",
         "is_owed",
+        "is_set_aside",
         "is_yielding",
         "occurrences",
         "queue",
@@ -261,7 +264,7 @@
         self.failed_worker = ""
         self.finished_at = None
         self.is_owed = True
-        self.is_yielding = False
+        self.is_set_aside = self.is_yielding = False
         # Whether this owner has placed a task of the job.
         self.has_placed_task = False
         self.occurrences = {}
--- a/papayapick/management/pools.py
+++ b/papayapick/management/pools.py
@@ -5,7 +5,7 @@
 
 from papayapick.clients.http import HttpPool
 from papayapick.entry.cell.peers import HOSTS_PARTITION
-from papayapick.jobs.documents import JobDocument
+from papayapick.jobs.documents import JobDocument, RecordInvalid
 from papayapick.jobs.state import JobStatus
 from papayapick.ownership.pools import CELL_TABLE, read_pool
 from papayapick.platform.configuration import (
@@ -222,7 +222,7 @@
                 found = {row.key: row.value for row in rows if row.value is not None}
                 for key in found:
                     if not key.endswith(CANCEL_SUFFIX):
-                        document = JobDocument.from_record(found[key])
+                        document = _document(found[key])
                         is_cancelled = key + CANCEL_SUFFIX in found
                         yield _job_view(document, is_cancelled, records.get(key, {}))
 
@@ -245,7 +245,7 @@
                 ).rows
             }
             if rows.get(identifier) is not None:
-                document = JobDocument.from_record(rows[identifier])
+                document = _document(rows[identifier])
                 is_cancelled = identifier + CANCEL_SUFFIX in rows
                 return self._read_job(document, is_cancelled)
         return None
@@ -257,6 +257,14 @@
         return _job_view(document, is_cancelled, record)
 
 
+def _document(value):
+    """Return the document of a stored job, without steps if it can't be used."""
+    try:
+        return JobDocument.from_record(value)
+    except RecordInvalid:
+        return JobDocument.from_record_of_ended(value)
+
+
 def _job_view(document, is_cancelled, record):
     steps = [
         _decode_step(document, int(occurrence), number, step)
--- a/papayapick/platform/requests.py
+++ b/papayapick/platform/requests.py
@@ -6,11 +6,15 @@
 from papayapick.jobs.documents import JobDocument, Step
 from papayapick.ledger.amounts import Amounts
 from papayapick.platform.exceptions import BodyInvalid
+from papayapick.platform.fields import optional_field, required_field
 
 __all__ = ["decode_job", "encode_state", "encode_waiting", "is_identifier"]
 
 _IDENTIFIER = re.compile(r"[0-9A-Fa-f]{16}")
 _PAYLOAD_LIMIT_BYTES = 4000
+# More than a whole cell runs at once. One job could exhaust the memory of the owner of
+# its pool, which holds the state of each task, and that of each next owner.
+_TASK_LIMIT = 100_000
 _STATES = {
     "waiting": "pending",
     "running": "running",
@@ -52,29 +56,26 @@
     ------
     BodyInvalid
     """
-    try:
-        document = json.loads(body)
-        payload = document["spec"]
-        steps = [_step(index, phase) for index, phase in enumerate(document["phases"])]
-        if not isinstance(payload, str) or not steps:
-            raise ValueError("a text and at least one step are needed")
-        if len(payload.encode()) > _PAYLOAD_LIMIT_BYTES:
-            raise ValueError("the text is too long")
-        return JobDocument(
-            identifier=identifier,
-            queue=queue.name,
-            pool=queue.pool,
-            payload=payload,
-            steps=steps,
-            accepted_at=now,
-            occurrences=document.get("times", 0),
-            first_due=document.get("start_at_ms", 0) / 1000,
-            interval_seconds=document.get("interval_ms", 0) / 1000,
-            policy=queue.policy_record(),
-            team=team,
-        )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise BodyInvalid(reason=str(error)) from error
+    document = _json(body)
+    phases = required_field(document, "phases", list)
+    steps = [_step(index, phase) for index, phase in enumerate(phases)]
+    if not steps:
+        raise BodyInvalid(reason="phases is empty")
+    if sum(step.tasks for step in steps) > _TASK_LIMIT:
+        raise BodyInvalid(reason=f"more than {_TASK_LIMIT} tasks")
+    return JobDocument(
+        identifier=identifier,
+        queue=queue.name,
+        pool=queue.pool,
+        payload=_payload(document),
+        steps=steps,
+        accepted_at=now,
+        occurrences=_count(document, "times"),
+        first_due=optional_field(document, "start_at_ms", float, 0) / 1000,
+        interval_seconds=_seconds(document, "interval_ms"),
+        policy=queue.policy_record(),
+        team=team,
+    )
 
 
 def encode_state(status):
@@ -87,30 +88,77 @@
     return json.dumps({"queued_jobs": count}).encode()
 
 
+def _json(body):
+    try:
+        return json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise BodyInvalid(reason=str(error)) from error
+
+
+def _payload(document):
+    payload = required_field(document, "spec", str)
+    try:
+        size = len(payload.encode())
+    except UnicodeEncodeError as error:
+        raise BodyInvalid(reason=f"spec: {error}") from error
+    if size > _PAYLOAD_LIMIT_BYTES:
+        raise BodyInvalid(reason=f"spec has more than {_PAYLOAD_LIMIT_BYTES} bytes")
+    return payload
+
+
 def _step(index, phase):
-    after = phase.get("after", [])
-    count = phase["task_count"]
-    if not isinstance(count, int) or count < 1:
-        raise ValueError("a step needs a task")
-    if any(not isinstance(other, int) or not 0 <= other < index for other in after):
-        raise ValueError("a step follows only earlier ones")
+    place = f"phases {index}"
+    tasks = required_field(phase, "task_count", int, place)
+    if tasks < 1:
+        raise BodyInvalid(reason=f"{place}.task_count is below 1")
+
+    def text(name):
+        return optional_field(phase, name, str, "", place)
+
+    def flag(name):
+        return optional_field(phase, name, bool, False, place)
+
+    def count(name):
+        return _count(phase, name, place)
+
     return Step(
-        tasks=count,
-        demand=Amounts(
-            phase.get("cpu", 0), phase.get("mem_mb", 0), phase.get("gpu", 0)
-        ),
-        estimate_seconds=phase.get("estimate_ms", 0) / 1000,
-        after=after,
-        is_gang=bool(phase.get("gang")),
-        is_rack_bound=bool(phase.get("same_rack")),
-        label=phase.get("requires", ""),
-        preferred_rack=phase.get("data_rack", ""),
-        tasks_per_worker=phase.get("anti_affinity", 0),
-        has_checkpoints=bool(phase.get("checkpointing")),
-        allows_copies=bool(phase.get("speculative")),
-        is_lasting=bool(phase.get("long_running")),
-        image=phase.get("image", ""),
-        tail_limit_seconds=phase.get("target_ms", 0) / 1000,
-        is_filler=bool(phase.get("fills")),
-        unavailable_limit=phase.get("may_miss", 0),
+        tasks=tasks,
+        demand=Amounts(count("cpu"), count("mem_mb"), count("gpu")),
+        estimate_seconds=_seconds(phase, "estimate_ms", place),
+        after=_earlier_steps(index, phase, place),
+        is_gang=flag("gang"),
+        is_rack_bound=flag("same_rack"),
+        label=text("requires"),
+        preferred_rack=text("data_rack"),
+        tasks_per_worker=count("anti_affinity"),
+        has_checkpoints=flag("checkpointing"),
+        allows_copies=flag("speculative"),
+        is_lasting=flag("long_running"),
+        image=text("image"),
+        tail_limit_seconds=_seconds(phase, "target_ms", place),
+        is_filler=flag("fills"),
+        unavailable_limit=count("may_miss"),
     )
+
+
+def _earlier_steps(index, phase, place):
+    numbers = optional_field(phase, "after", list, [], place)
+    steps = [required_field({"after": one}, "after", int, place) for one in numbers]
+    if not all(0 <= step < index for step in steps):
+        raise BodyInvalid(reason=f"{place}.after names a step that isn't earlier")
+    return steps
+
+
+def _count(table, name, place=""):
+    return _not_negative(optional_field(table, name, int, 0, place), name, place)
+
+
+def _seconds(table, name, place=""):
+    milliseconds = optional_field(table, name, float, 0.0, place)
+    return _not_negative(milliseconds, name, place) / 1000
+
+
+def _not_negative(number, name, place):
+    if number < 0:
+        raise BodyInvalid(reason=f"{place}.{name} is below 0".lstrip("."))
+    return number
--- a/papayapick/pool/events.py
+++ b/papayapick/pool/events.py
@@ -11,7 +11,9 @@
     "END_NOT_APPLIED",
     "END_OF_GIVEN_UP_RUN",
     "JOB_ENDED",
+    "JOB_SET_ASIDE",
     "JOB_TAKEN",
+    "JOB_UNUSABLE",
     "JOBS_KEPT",
     "JOBS_YIELD",
     "NO_ADVICE",
@@ -101,6 +103,21 @@
     "A stored job can't be read; it is left unchanged, and the other jobs continue.",
     level=logging.ERROR,
 )
+JOB_UNUSABLE = Event(
+    "job unusable",
+    "request_id pool reason",
+    "A stored job has a value with which no version can run it; it has failed.",
+    level=logging.ERROR,
+    per_second=5,
+)
+JOB_SET_ASIDE = Event(
+    "job set aside",
+    "request_id pool epoch",
+    "An unexpected exception while a job was examined in a round. None of its tasks is "
+    "started by this owner any more; the other jobs go on.",
+    level=logging.ERROR,
+    per_second=5,
+)
 JOBS_KEPT = Event(
     "old jobs kept for now",
     "pool jobs error",
--- a/papayapick/pool/records/store_sync.py
+++ b/papayapick/pool/records/store_sync.py
@@ -1,6 +1,6 @@
 """Load the state of a pool from the store, and follow its jobs and workers."""
 
-from papayapick.jobs.documents import JobDocument
+from papayapick.jobs.documents import JobDocument, RecordInvalid
 from papayapick.jobs.state import JobStatus
 from papayapick.placement.rooms.rooms import WorkerRoom
 from papayapick.platform.workers import (
@@ -8,7 +8,7 @@
     WorkerClient,
     decode_registration,
 )
-from papayapick.pool.events import JOB_TAKEN, RECORD_REFUSED
+from papayapick.pool.events import JOB_TAKEN, JOB_UNUSABLE, RECORD_REFUSED
 from papayapick.pool.records.job_reader import JobReader
 from papayapick.pool.records.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.records.partitions import job_partitions
@@ -34,8 +34,9 @@
     A finished job starts nothing any more. After a restart of all hosts, nine of ten
     jobs that are read are finished, and skipping their steps shortens the takeover.
     """
-    is_over = record is not None and record.get("status") in JobStatus.FINAL
-    return JobDocument.from_record({**value, "steps": []} if is_over else value)
+    if record is not None and record.get("status") in JobStatus.FINAL:
+        return JobDocument.from_record_of_ended(value)
+    return JobDocument.from_record(value)
 
 
 def _newest_acceptance(rows):
@@ -175,14 +176,7 @@
 
     def _add_job(self, row, record, now, newest):
         try:
-            document = _document(row.value, record)
-            queue = self._owner.host.queue_of(document)
-            age = 0.0 if newest is None else newest - document.accepted_at
-            self._owner.reconciliation.note_new_job(document.identifier, now)
-            job = self._owner.job_registry.add(document, queue, now, record, age)
-            job.is_owed = self._owner.entitlements.is_owed(
-                document.team, document.accepted_at
-            )
+            job = self._add_readable(row, record, now, newest)
         except (AttributeError, KeyError, TypeError, ValueError, IndexError):
             # One unreadable record must not stop all other jobs, on one host after
             # another. This job stays in the store until an operator repairs it.
@@ -195,6 +189,29 @@
             self._log_job_taken(job)
         self._owner.advice_manager.request_for_job(job, now)
 
+    def _add_readable(self, row, record, now, newest):
+        try:
+            document = _document(row.value, record)
+        except RecordInvalid as error:
+            return self._fail_unusable(row, now, error)
+        queue = self._owner.host.queue_of(document)
+        age = 0.0 if newest is None else newest - document.accepted_at
+        self._owner.reconciliation.note_new_job(document.identifier, now)
+        job = self._owner.job_registry.add(document, queue, now, record, age)
+        job.is_owed = self._owner.entitlements.is_owed(
+            document.team, document.accepted_at
+        )
+        return job
+
+    def _fail_unusable(self, row, now, error):
+        """Fail a job that no version can run, which its caller would wait for."""
+        JOB_UNUSABLE.write(request_id=row.key, pool=self._owner.pool, reason=str(error))
+        document = JobDocument.from_record_of_ended(row.value)
+        queue = self._owner.host.queue_of(document)
+        job = self._owner.job_registry.add(document, queue, now)
+        self._owner.job_registry.finish(job, JobStatus.FAILED, now)
+        return job
+
     def _log_job_taken(self, job):
         JOB_TAKEN.write(
             request_id=job.identifier,
--- a/papayapick/pool/rounds/loop.py
+++ b/papayapick/pool/rounds/loop.py
@@ -2,6 +2,7 @@
 
 from papayapick.jobs import RunPhase
 from papayapick.pool.metrics import LEFT_OUT
+from papayapick.pool.rounds.failures import set_aside_job
 from papayapick.pool.takeover.reconciliation import PREDECESSOR_LEASE_SECONDS
 from papayapick.pool.workers.events import RUNS_KEPT, WORKER_LEFT_OUT
 
@@ -71,7 +72,7 @@
         """Run all periodic actions that are due; the caller holds the lock."""
         owner = self._owner
         owner.rooms.preference.refresh(owner.rooms, now)
-        owner.job_registry.open_due(owner.host.clock.time(), now)
+        owner.job_registry.open_due(owner.host.clock.time(), now, self._set_aside)
         owner.reconciliation.release_safe_tasks(now)
         for link in owner.links():
             self._tick_link_guarded(link, now)
@@ -84,6 +85,9 @@
             self._removed_at = now
             owner.remove_old_jobs(now)
 
+    def _set_aside(self, job):
+        set_aside_job(self._owner, job)
+
     def _tick_link_guarded(self, link, now):
         try:
             self._tick_link(link, now)
--- a/papayapick/pool/rounds/placement_rounds.py
+++ b/papayapick/pool/rounds/placement_rounds.py
@@ -13,6 +13,7 @@
 from papayapick.placement.order.steps import place_step
 from papayapick.placement.release.holds import Holds
 from papayapick.placement.runs.exclusions import lift_exclusions
+from papayapick.pool.rounds.failures import set_aside_job
 from papayapick.pool.rounds.waiting import WaitReason, log_placed, log_wait
 from papayapick.pool.rounds.yielding import YieldingJobs
 
@@ -91,20 +92,30 @@
                 self._update_headroom()
                 is_update_due = False
             most_urgent = min(most_urgent, priority)
-            if self._waits_for_quota(step):
-                continue
-            if is_full or step.wait_reason is None:
-                self._examine(step)
-            elif step.wait_reason == WaitReason.ADVICE:
-                self._budget.admits(step)
-            elif self._may_have_changed(step):
-                self._examine(step)
+            self._examine_guarded(step, is_full)
         owner.advice_manager.is_saturated = self._budget.is_exhausted
         if is_update_due:
             # None of the steps that wait is limited by what is kept.
             self._update_headroom()
         self._end(queue)
 
+    def _examine_guarded(self, step, is_full):
+        try:
+            self._examine_if_due(step, is_full)
+        except Exception:
+            self._holds.drop(step.key)
+            set_aside_job(self._owner, step.job)
+
+    def _examine_if_due(self, step, is_full):
+        if self._waits_for_quota(step):
+            return
+        if is_full or step.wait_reason is None:
+            self._examine(step)
+        elif step.wait_reason == WaitReason.ADVICE:
+            self._budget.admits(step)
+        elif self._may_have_changed(step):
+            self._examine(step)
+
     def _is_maximum_freed(self):
         """Return whether a team may start more than in the last round."""
         freed = self._owner.team_usage.freed
--- a/papayapick/pool/workers/roster.py
+++ b/papayapick/pool/workers/roster.py
@@ -135,16 +135,33 @@
 def _registration(worker, record):
     return Registration(
         worker=worker,
-        pool=record.get("pool", ""),
+        pool=_text(record.get("pool")),
         address=record["address"],
-        zone=record.get("zone", ""),
+        zone=_text(record.get("zone")),
         capacity=_capacity(record.get("capacity")),
-        labels=tuple(record.get("labels", ())),
+        labels=_labels(record.get("labels")),
         is_leaving=True,
-        born=record.get("born"),
+        born=_born(record.get("born")),
     )
 
 
+def _text(value):
+    return value if isinstance(value, str) else ""
+
+
+def _labels(values):
+    found = values if isinstance(values, list) else []
+    return tuple(value for value in found if isinstance(value, str))
+
+
+def _born(value):
+    """Return a recorded start time, or None, which any report of the worker follows."""
+    try:
+        return whole_number(value)
+    except NumberInvalid:
+        return None
+
+
 def _capacity(record):
     """Return a recorded capacity, or none at all if it can't be used.
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -93,6 +93,19 @@
     assert restored.as_record() == job.as_record()
 
 
+def _timed(**fields):
+    return json.dumps({**json.loads(_body()), **fields})
+
+
+def test_whole_numbers_of_a_job_may_be_written_with_a_fraction_of_zero():
+    """Guards against a job whose 2.0 times end each owner of its pool."""
+    job = decode_job(ID, _queue(), _timed(times=2.0), 5.0)
+    step = decode_job(ID, _queue(), _body(task_count=2.0, cpu=5e2), 5.0).steps[0]
+    found = (job.occurrences, step.tasks, step.demand.processors)
+    assert found == (2, 2, 500)
+    assert all(type(number) is int for number in found)
+
+
 @pytest.mark.parametrize(
     "body",
     [
@@ -106,6 +119,28 @@
         '{"spec": "x", "phases": [{"task_count": 1, "after": [0]}]}',
         '{"spec": "x", "phases": [{"task_count": 1, "after": [-1]}]}',
         json.dumps({"spec": "x" * 4001, "phases": [{"task_count": 1}]}),
+        json.dumps({"spec": "\ud800", "phases": [{"task_count": 1}]}),
+        "[" * 100_000,
+        _body(task_count=2.5),
+        _body(task_count=True),
+        _body(task_count=10**400),
+        _body(task_count=100_001),
+        _body(cpu=-1),
+        _body(cpu="500"),
+        _body(mem_mb=0.5),
+        _body(estimate_ms=float("inf")),
+        _body(after=0),
+        _body(gang=1),
+        _body(requires=7),
+        _body(anti_affinity=None),
+        _timed(times=2.5),
+        _timed(times="2"),
+        _timed(times=True),
+        _timed(times=-1),
+        _timed(times=float("inf")),
+        _timed(start_at_ms=float("nan")),
+        _timed(interval_ms=-1),
+        _timed(interval_ms=10**400),
     ],
 )
 def test_invalid_body_is_refused(body):
