Split checks of stored values and decoding of entries from their modules

Change: jobs/stored_values.py has the checks of stored records, platform/registrations.py decodes the entries of the list of workers, and a job is set aside by pool/rounds/failures.py alone.

--- a/papayapick/jobs/documents.py
+++ b/papayapick/jobs/documents.py
@@ -2,13 +2,11 @@
 
 from typing import NamedTuple
 
-from papayapick.exceptions import PapayapickError
+from papayapick.jobs.stored_values import JOB_CHECKS, STEP_CHECKS, checked_fields
 from papayapick.ledger.amounts import Amounts
-from papayapick.numbers import NumberInvalid, finite_number, whole_number
 
 __all__ = [
     "JobDocument",
-    "RecordInvalid",
     "Step",
     "StepKey",
     "TaskKey",
@@ -16,13 +14,6 @@
 ]
 
 
-class RecordInvalid(PapayapickError):
-    """Report a stored job with a value with which no version can run it."""
-
-    code = "job.record-invalid"
-    template = "{field} {reason}"
-
-
 class TaskKey(NamedTuple):
     """Identify one task by job, occurrence, step and index within the step."""
 
@@ -175,7 +166,7 @@
         >>> Step.from_record(step.as_record()).as_record() == step.as_record()
         True
         """
-        fields = _checked(record, _STEP_CHECKS)
+        fields = checked_fields(record, STEP_CHECKS)
         fields["demand"] = Amounts.from_mapping(fields["demand"])
         return cls(**fields)
 
@@ -283,7 +274,7 @@
         RecordInvalid
             A field, which the error names, has a value that can't be used.
         """
-        fields = _checked(record, _JOB_CHECKS)
+        fields = checked_fields(record, JOB_CHECKS)
         fields["steps"] = [Step.from_record(step) for step in fields["steps"]]
         return cls(**fields)
 
@@ -293,75 +284,7 @@
 
         It has no steps and is due at no time.
         """
-        return cls(**{**record, "steps": [], **dict.fromkeys(_JOB_CHECKS, 0)})
-
-
-# Checks of values that an earlier version accepted as they came. What its hosts can run
-# goes on as it ran there: a truth value is 0 or 1, and nothing ("", null and the like)
-# is the default.
-
-
-def _stored_count(value):
-    return int(finite_number(value if not isinstance(value, bool) else int(value)))
-
-
-def _stored_limit(value):
-    return _stored_count(value or 0)
-
-
-def _stored_occurrences(value):
-    # A negative number was taken for none.
-    return max(0, whole_number(int(value) if isinstance(value, bool) else value))
-
-
-def _stored_label(value):
-    if value and not isinstance(value, str):
-        raise NumberInvalid(reason="not a string")
-    return value or ""
-
-
-def _stored_hint(value):
-    return value if isinstance(value, str) else ""
-
-
-def _or_zero(check):
-    """Return a check that takes 0 for a value without which a job can run."""
-
-    def stored(value):
-        try:
-            return check(value)
-        except NumberInvalid:
-            return 0
-
-    return stored
-
-
-_JOB_CHECKS = {
-    "occurrences": _stored_occurrences,
-    "first_due": finite_number,
-    "interval_seconds": finite_number,
-}
-_STEP_CHECKS = {
-    "tasks": _stored_count,
-    "estimate_seconds": _or_zero(finite_number),
-    "label": _stored_label,
-    "preferred_rack": _stored_hint,
-    "image": _stored_hint,
-    "tasks_per_worker": _stored_limit,
-    "tail_limit_seconds": _or_zero(finite_number),
-    "unavailable_limit": _or_zero(_stored_count),
-}
-
-
-def _checked(record, checks):
-    """Return the fields of a record, each one as it is used."""
-    fields = dict(record)
-    for name in checks.keys() & fields.keys():
-        try:
-            fields[name] = checks[name](fields[name])
-        except NumberInvalid as error:
-            raise RecordInvalid(field=name, reason=str(error)) from error
-    return fields
+        return cls(**{**record, "steps": [], **dict.fromkeys(JOB_CHECKS, 0)})
 
 
 def remaining_critical_paths(steps):
--- a/papayapick/jobs/registry.py
+++ b/papayapick/jobs/registry.py
@@ -13,10 +13,6 @@
 __all__ = ["JobRegistry"]
 
 
-def _reraise(job):
-    raise
-
-
 class JobRegistry:
     """Hold all jobs of one pool.
 
@@ -126,7 +122,7 @@
             self.enqueue_ready_steps(job, number, now)
         return job
 
-    def open_due(self, wall_now, now, on_failure=_reraise):
+    def open_due(self, wall_now, now, on_failure=None):
         """Open the occurrences that are due; see ``Schedule.open_due``."""
         return self._schedule.open_due(
             wall_now,
@@ -134,16 +130,6 @@
             on_failure,
         )
 
-    def set_aside(self, job):
-        """Queue no further task of a job whose tasks can't be placed.
-
-        Its runs are followed to their ends, and it can be cancelled.
-        """
-        job.is_set_aside = True
-        self._schedule.remove(job)
-        for step in job.steps():
-            self.dequeue_step(step)
-
     def cancel(self, identifier, now):
         """Cancel a job; its active runs are added to ``to_stop``.
 
@@ -323,10 +309,9 @@
 
     def enqueue_task(self, step, index):
         """Queue a task for a worker without a check whether it is held."""
-        if step.key.occurrence in step.job.early_occurrences:
-            # Queued with the other tasks of its step once it is due.
-            return
-        if step.job.is_set_aside:
+        is_early = step.key.occurrence in step.job.early_occurrences
+        if is_early or step.job.is_set_aside:
+            # An early one is queued with the other tasks of its step once it is due.
             return
         step.waiting.add(index)
         self.step_queue.add(step)
--- a/papayapick/jobs/schedule.py
+++ b/papayapick/jobs/schedule.py
@@ -40,8 +40,9 @@
             Unix seconds.
         on_open : callable
             Called with the job and the number of each occurrence that is opened.
-        on_failure : callable
-            Called with a job while the exception that it has raised is handled.
+        on_failure : callable or None
+            Called with a job while the exception that it has raised is handled. None
+            to let it through.
 
         Returns
         -------
@@ -53,6 +54,8 @@
             try:
                 due = self._open_due_of(job, wall_now, on_open)
             except Exception:
+                if on_failure is None:
+                    raise
                 self.remove(job)
                 on_failure(job)
                 continue
--- a/papayapick/management/pools.py
+++ b/papayapick/management/pools.py
@@ -5,17 +5,18 @@
 
 from papayapick.clients.http import HttpPool
 from papayapick.entry.cell.peers import HOSTS_PARTITION
-from papayapick.jobs.documents import JobDocument, RecordInvalid
+from papayapick.jobs.documents import JobDocument
 from papayapick.jobs.state import JobStatus
+from papayapick.jobs.stored_values import RecordInvalid
 from papayapick.ownership.pools import CELL_TABLE, read_pool
 from papayapick.platform.configuration import (
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
     decode_configuration,
 )
+from papayapick.platform.registrations import WORKERS_TABLE, decode_registration
 from papayapick.platform.settings import SETTINGS_VARIABLE, PlatformSettings
 from papayapick.platform.store import Store
-from papayapick.platform.workers import WORKERS_TABLE, decode_registration
 from papayapick.pool.records.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
 from papayapick.pool.records.memory import LEARNED_PREFIX
 from papayapick.pool.records.partitions import job_partition, job_partitions
--- a/papayapick/platform/workers.py
+++ b/papayapick/platform/workers.py
@@ -2,23 +2,20 @@
 
 import json
 
-from papayapick.clients.addresses import is_address, is_header_text
 from papayapick.clients.exceptions import AnswerInvalid, AnswerMissing, NotSent
 from papayapick.jobs.documents import TaskKey
-from papayapick.ledger.amounts import Amounts
-from papayapick.numbers import NumberInvalid, finite_number, whole_number
+from papayapick.numbers import finite_number, whole_number
 from papayapick.platform.exceptions import CallFailed, WorkerSilent
+from papayapick.platform.registrations import WRONG_SHAPE, born_of, text_of
 from papayapick.pool.workers.reports import (
     EndReport,
-    Registration,
     RunReport,
     StartOutcome,
     WorkerReport,
 )
 
-__all__ = ["WORKERS_TABLE", "WorkerClient", "decode_registration"]
+__all__ = ["WorkerClient"]
 
-WORKERS_TABLE = "servers"
 # An order is answered within 3 ms, or 50 ms across the link between regions. After this
 # time it counts as unanswered: the run is stopped and the task is placed elsewhere.
 _ORDER_SECONDS = 0.35
@@ -38,58 +35,6 @@
 }
 
 
-def decode_registration(key, value):
-    """Return the registration of a worker, or None if it is invalid.
-
-    Parameters
-    ----------
-    key : str
-        Id of the worker.
-    value : dict or None
-        Value of the worker's row.
-
-    Returns
-    -------
-    Registration or None
-        None if fields are missing, have a wrong type or hold what can't be used, since
-        other programs also write to the table.
-    """
-    try:
-        capacity = value["capacity"]
-        state = value["state"]
-        if state not in ("ready", "draining"):
-            return None
-        return Registration(
-            worker=_worker_id(key),
-            pool=_text(value["service"]),
-            address=_address(value["address"]),
-            zone=_text(value["zone"]),
-            capacity=Amounts(
-                whole_number(capacity["cpu"], least=0),
-                whole_number(capacity["mem_mb"], least=0),
-                whole_number(capacity.get("gpu", 0), least=0),
-            ),
-            labels=tuple(_text(label) for label in _list(value.get("labels", []))),
-            is_leaving=state == "draining",
-            leaves_in=finite_number(value.get("remaining_ms", 0)) / 1000,
-            born=_born(value),
-        )
-    except _WRONG_SHAPE:
-        return None
-
-
-# Raised by JSON of another shape than expected.
-_WRONG_SHAPE = (
-    AttributeError,
-    IndexError,
-    KeyError,
-    NumberInvalid,
-    OverflowError,
-    TypeError,
-    ValueError,
-)
-
-
 class WorkerClient:
     """Call one worker.
 
@@ -230,7 +175,7 @@
         )
         try:
             return _report(_json(answer))
-        except _WRONG_SHAPE as error:
+        except WRONG_SHAPE as error:
             # An invalid answer is handled like a missing one: any other error would end
             # the loop that polls this worker.
             raise WorkerSilent(worker=self._worker) from error
@@ -268,19 +213,13 @@
     ends = [_end(row) for row in body.get("finished", ())]
     return WorkerReport(
         clock=finite_number(body["clock_ms"]) / 1000,
-        born=_born(body),
+        born=born_of(body),
         runs=[_run(row) for row in body.get("running", ())],
         ends=ends,
         has_more_ends=len(ends) >= _ENDS_PER_ANSWER,
     )
 
 
-def _born(body):
-    """Return the start time of a worker's process in Unix milliseconds, or None."""
-    born = body.get("born")
-    return None if born is None else whole_number(born)
-
-
 def _run(row):
     # The fifth entry is the tail latency in milliseconds for a task that serves, and
     # the processors in use, in thousandths, for any other. It may still be missing.
@@ -288,7 +227,7 @@
     return RunReport(
         _task_key(row[0]),
         whole_number(row[1]),
-        _text(row[2]),
+        text_of(row[2]),
         finite_number(row[3]),
         None if measurement is None else finite_number(measurement),
     )
@@ -299,8 +238,8 @@
         whole_number(row[0]),
         _task_key(row[1]),
         whole_number(row[2]),
-        _text(row[3]),
-        _text(row[4]),
+        text_of(row[3]),
+        text_of(row[4]),
     )
 
 
@@ -325,28 +264,3 @@
         return json.loads(answer.body)
     except (ValueError, RecursionError):
         return {}
-
-
-def _worker_id(value):
-    # It is sent in a header of each call.
-    if not is_header_text(value):
-        raise ValueError("not a worker id")
-    return value
-
-
-def _address(value):
-    if not is_address(_text(value)):
-        raise ValueError("not an address")
-    return value
-
-
-def _text(value):
-    if not isinstance(value, str):
-        raise TypeError("not a string")
-    return value
-
-
-def _list(value):
-    if not isinstance(value, list):
-        raise TypeError("not a list")
-    return value
--- a/papayapick/pool/records/store_sync.py
+++ b/papayapick/pool/records/store_sync.py
@@ -1,13 +1,11 @@
 """Load the state of a pool from the store, and follow its jobs and workers."""
 
-from papayapick.jobs.documents import JobDocument, RecordInvalid
+from papayapick.jobs.documents import JobDocument
 from papayapick.jobs.state import JobStatus
+from papayapick.jobs.stored_values import RecordInvalid
 from papayapick.placement.rooms.rooms import WorkerRoom
-from papayapick.platform.workers import (
-    WORKERS_TABLE,
-    WorkerClient,
-    decode_registration,
-)
+from papayapick.platform.registrations import WORKERS_TABLE, decode_registration
+from papayapick.platform.workers import WorkerClient
 from papayapick.pool.events import JOB_TAKEN, JOB_UNUSABLE, RECORD_REFUSED
 from papayapick.pool.records.job_reader import JobReader
 from papayapick.pool.records.journal import CANCEL_SUFFIX, JOBS_TABLE, PROGRESS_TABLE
--- a/papayapick/pool/rounds/failures.py
+++ b/papayapick/pool/rounds/failures.py
@@ -9,6 +9,8 @@
 def set_aside_job(owner, job):
     """Queue no further task of a job that has raised an exception in a round.
 
+    Its runs are followed to their ends, and it can be cancelled.
+
     Guards against one job that ends the owner, and as it is stored, each next one: no
     other job of the pool would run any more. Called while the exception is handled, by
     the holder of the owner's lock.
@@ -22,4 +24,6 @@
     JOB_SET_ASIDE.write_failure(
         request_id=job.identifier, pool=owner.pool, epoch=owner.row.epoch
     )
-    owner.job_registry.set_aside(job)
+    job.is_set_aside = True
+    for step in job.steps():
+        owner.job_registry.dequeue_step(step)
--- a/tests/contracts/test_cluster.py
+++ b/tests/contracts/test_cluster.py
@@ -8,8 +8,9 @@
 from papayapick.jobs import Run, RunPhase, TaskKey
 from papayapick.ledger import Amounts
 from papayapick.platform.exceptions import CallFailed, WorkerSilent
+from papayapick.platform.registrations import decode_registration
 from papayapick.platform.store import Store
-from papayapick.platform.workers import WorkerClient, decode_registration
+from papayapick.platform.workers import WorkerClient
 from papayapick.pool.workers.reports import StartOutcome
 
 TABLE, PART = "jobs", "pool-1"
--- a/tests/platform/test_any_input.py
+++ b/tests/platform/test_any_input.py
@@ -29,11 +29,12 @@
     WorkerSilent,
 )
 from papayapick.platform.machines import MachineClient
+from papayapick.platform.registrations import decode_registration
 from papayapick.platform.requests import decode_job
 from papayapick.platform.settings import PlatformSettings
 from papayapick.platform.store import Store
 from papayapick.platform.waves import decode_wave
-from papayapick.platform.workers import WorkerClient, decode_registration
+from papayapick.platform.workers import WorkerClient
 
 STORE_ERRORS = (ConditionFailed, HistoryLost, StoreRefused, TableUnavailable)
 QUEUE = Queue("q", "h", "/q/", "pool", 0, 2, 1.5, 0.5, 3.0, False, None)
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -8,7 +8,8 @@
 from papayapick.jobs import Run, RunPhase, TaskKey
 from papayapick.ledger import Amounts
 from papayapick.platform.exceptions import WorkerSilent
-from papayapick.platform.workers import WorkerClient, decode_registration
+from papayapick.platform.registrations import decode_registration
+from papayapick.platform.workers import WorkerClient
 from papayapick.pool.workers.reports import StartOutcome
 
 RUN = Run(TaskKey("f" * 16, 0, 0, 0), 1, "w1", Amounts(10, 1), RunPhase.ORDERED, 0.0)
--- a/tests/pool/test_foreign_entries.py
+++ b/tests/pool/test_foreign_entries.py
@@ -5,7 +5,8 @@
 from papayapick.clients.http import HttpPool
 from papayapick.clients.rows import StoredRow
 from papayapick.ledger import Amounts
-from papayapick.platform.workers import WorkerClient, decode_registration
+from papayapick.platform.registrations import decode_registration
+from papayapick.platform.workers import WorkerClient
 from papayapick.pool.records.journal import PROGRESS_TABLE
 from papayapick.pool.rounds.loop import DecisionLoop
 from papayapick.pool.workers.ends import EndHandler
