Start a task above its team's lowered maximum while the team uses under half

Cause: TeamUsage.admissible let a task above the maximum start only if its team had nothing running at all, and left out gangs. Found by the wait reason (quota) at a use of 200 of 3,000.

Change: such a task, or a gang of which all but one member fit, starts while the team uses less than half of its maximum, whichever amount is scarce. Tasks that fit into the maximum wait until they do, as before.

Why it holds: the first one brings the team above half, so no second one follows; the team has one task more than its maximum at most, below the bound on a start (maximum x 1.1 and one task more). Ruled out: to let every task start below half, whatever its size.

--- a/papayapick/quotas/usage.py
+++ b/papayapick/quotas/usage.py
@@ -10,10 +10,12 @@
 import collections
 import heapq
 
-from papayapick.ledger import Amounts
 from papayapick.quotas.shares import QuotaTracker
 
-__all__ = ["TeamUsage", "fits_maximum"]
+__all__ = ["TeamUsage", "fits_maximum", "is_within_maximum"]
+
+# A team that uses less than this share of its maximum is never starved.
+_STARVED_SHARE = 0.5
 
 
 class TeamUsage:
@@ -132,12 +134,24 @@
         if self._unknown_runs[team]:
             return 0
         fitting = self._tracker.fitting(team, demand, wanted)
-        if not fitting and wanted == 1 and self._tracker.used(team) == Amounts():
-            # A maximum that was lowered below a single task would keep an accepted job
-            # waiting for ever, so such a task is run alone.
+        if not fitting and wanted == 1 and self._may_exceed(team, demand, 1):
             return 1
         return fitting
 
+    def _may_exceed(self, team, demand, members):
+        """Return whether a team may exceed its maximum by a part of one task.
+
+        Guards against an accepted job that waits for ever, since its maximum was
+        lowered below one task or gang of it, while lasting tasks run. No second one
+        follows before the team uses less than the share again.
+        """
+        maximum = self._maxima[team]
+        if is_within_maximum(demand, members, maximum):
+            # It fits once enough of the team has ended.
+            return False
+        is_one_beyond = is_within_maximum(demand, members - 1, maximum)
+        return is_one_beyond and self._tracker.ratio(team) < _STARVED_SHARE
+
     def admits(self, step_state):
         """Return whether a waiting task of a step, or its whole gang, may be started.
 
@@ -148,8 +162,13 @@
         team = step_state.job.document.team
         if not team:
             return True
-        members = step_state.step.members_at_once
-        return self.admissible(team, step_state.step.demand, members) == members
+        demand, members = step_state.step.demand, step_state.step.members_at_once
+        fitting = self.admissible(team, demand, members)
+        if fitting == members:
+            return True
+        # All but one of a gang fit beside what runs.
+        is_one_short = 0 < fitting == members - 1
+        return is_one_short and self._may_exceed(team, demand, members)
 
 
 def fits_maximum(step, maximum):
@@ -161,7 +180,20 @@
     maximum : dict of str to int
         Amounts; a missing one is not limited.
     """
+    return is_within_maximum(step.demand, step.members_at_once, maximum)
+
+
+def is_within_maximum(demand, members, maximum):
+    """Return whether some tasks together fit into a maximum.
+
+    Parameters
+    ----------
+    demand : Amounts
+        Of one task.
+    members : int
+    maximum : dict of str to int
+        Amounts; a missing one is not limited.
+    """
     return all(
-        getattr(step.demand, name) * step.members_at_once <= amount
-        for name, amount in maximum.items()
+        getattr(demand, name) * members <= amount for name, amount in maximum.items()
     )
--- a/tests/pool/test_team_maxima.py
+++ b/tests/pool/test_team_maxima.py
@@ -125,6 +125,57 @@
     assert len(place(owner)) == 3
 
 
+def lasting_beside_large(owner):
+    """Let a lasting task run, and add a job whose tasks exceed the lowered maximum."""
+    add(owner, OTHER_ID, Step(1, Amounts(200, 10), is_lasting=True))
+    place(owner)
+    configure(owner.host, version=2, accounts=3000)
+    owner.refresh_queues()
+    return add(owner, ID, Step(2, Amounts(4000, 10)))
+
+
+def test_task_above_a_lowered_maximum_starts_beside_a_lasting_one(owner):
+    """Guards against a job that waits as long as its team runs anything (LOST)."""
+    step = lasting_beside_large(owner)
+    (run,) = place(owner)
+    assert run.key.job == ID
+    later(owner)
+    assert place(owner) == []
+    assert len(step.waiting) == 1
+    report(owner, run.worker, ends=[(run.key, run.attempt, "done")])
+    assert len(place(owner)) == 1
+
+
+def test_task_that_never_fits_beside_lasting_ones_starts_below_half(owner):
+    """Guards against a job that waits as long as lasting tasks run (LOST)."""
+    add(owner, OTHER_ID, Step(1, Amounts(1400, 10), is_lasting=True))
+    place(owner)
+    add(owner, ID, Step(1, Amounts(2000, 10)))
+    later(owner, 3.0)
+    assert [run.key.job for run in place(owner)] == [ID]
+
+
+def test_task_above_a_lowered_maximum_gets_no_second_copy(owner):
+    """Guards against a team that exceeds its maximum by two tasks (QUOTA)."""
+    step = lasting_beside_large(owner)
+    place(owner)
+    assert not owner.team_usage.admits(step)
+
+
+def test_successor_starts_a_task_above_a_lowered_maximum(host):
+    """Guards against a job that waits for ever under a next owner only."""
+    record = {"status": "running", "occurrences": {"0": [{"attempts": {"0": 1}}]}}
+    record["occurrences"]["0"][0]["places"] = {"0": "w1"}
+    lasting = Step(1, Amounts(200, 10), is_lasting=True)
+    store(host, OTHER_ID, lasting, record=record)
+    store(host, ID, Step(1, Amounts(4000, 10)))
+    owner = owner_of(host)
+    key = TaskKey(OTHER_ID, 0, 0, 0)
+    report(owner, "w1", runs=[(key, 1)])
+    report(owner, "w2")
+    assert [run.key.job for run in place(owner)] == [ID]
+
+
 def test_small_tasks_leave_the_maximum_to_a_gang_before_them(owner):
     """Guards against a gang that never starts, as small tasks take what is returned."""
     add(owner, "1" * 16, Step(2, TASK))
--- a/tests/quotas/test_usage.py
+++ b/tests/quotas/test_usage.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from papayapick.jobs import Step
+from papayapick.jobs import JobDocument, JobState, Queue, Step
 from papayapick.ledger import Amounts
 from papayapick.quotas import Team, TeamDirectory, TeamUsage, key_digest
 from papayapick.quotas.usage import fits_maximum
@@ -92,6 +92,46 @@
     assert usage.admissible("accounts", task, 1) == 0
 
 
+@pytest.mark.parametrize("scarce", ["processors", "memory", "accelerators"])
+@pytest.mark.parametrize(
+    ("used", "admitted"), [(0, 1), (700, 1), (1499, 1), (1500, 0), (3000, 0), (9000, 0)]
+)
+def test_task_larger_than_a_lowered_maximum_starts_below_half_of_it(
+    scarce, used, admitted
+):
+    """Guards against a task that waits as long as its team runs anything at all."""
+    usage = usage_with(**{scarce: 3000})
+    usage.add("accounts", Amounts(**{scarce: used}))
+    large = Amounts(**{scarce: 4000})
+    assert usage.admissible("accounts", large, 1) == admitted
+    if admitted:
+        usage.add("accounts", large)
+        assert usage.admissible("accounts", large, 1) == 0
+        assert usage.admissible("accounts", Amounts(**{scarce: 1}), 1) == 0
+
+
+def test_task_that_fits_into_the_maximum_waits_until_it_fits():
+    """Guards against a team that exceeds its maximum though it need not."""
+    usage = usage_with(processors=3000)
+    usage.add("accounts", Amounts(1400))
+    assert usage.admissible("accounts", Amounts(2000), 1) == 0
+
+
+@pytest.mark.parametrize(
+    ("members", "used", "is_admitted"),
+    [(2, 0, True), (2, 900, True), (2, 1500, False), (3, 0, False), (1, 0, True)],
+)
+def test_gang_may_exceed_a_lowered_maximum_by_one_member(members, used, is_admitted):
+    """Guards against a gang that waits for ever, as its members fit only one by one."""
+    usage = usage_with(processors=3000)
+    usage.add("accounts", Amounts(used))
+    gang = Step(members, Amounts(2000), is_gang=True)
+    document = JobDocument("1", "q", "p", "t", [gang], 0.0, team="accounts")
+    queue = Queue("q", "h", "/q/", "p", 0, 2, 1.5, 0.5, 3.0, False, None)
+    step_state = JobState(document, queue, 0.0).open_occurrence(0)[0]
+    assert usage.admits(step_state) == is_admitted
+
+
 def test_gang_must_fit_as_a_whole():
     gang = Step(4, TASK, is_gang=True)
     assert fits_maximum(gang, {"processors": 4000})
