Store no job in a queue's former pool from a host without news of the move

By the same cause, DELETE at the woken host was answered 410 while the job ran on.

Cause: a host looks for an id in the pools that it remembers, and nothing bounds the age of that: a freeze or a silent feed outlasts the pause of 0.2 s before a version comes into force. No condition of the write covered it, as the rows are in two partitions.

Change: before a host looks in another pool it sets a fence in the job's partition there, and storing a job is conditional on the fence that the host knows in its own pool (queue_fences.py, job_pools.py). A host without news learns by the failed condition, and answers known or 503. Before 410 the queue's row is read anew.

Why it holds: whoever looks has fenced before, so what an older configuration stores comes before the look or fails; a fence of a newer version is never changed.

A queue that never moved costs no further call, as test_queue_pools counts; its exact count for an unknown id is two reads now, as one can't tell that there is no job.

Besides: the number of times of a job is at most 1,000,000, and the page of metrics has the new counter.

--- a/papayapick/entry/callers/acceptance.py
+++ b/papayapick/entry/callers/acceptance.py
@@ -1,8 +1,8 @@
 """Accept jobs, cancel them and report their states."""
 
-from papayapick.clients.exceptions import TableUnavailable
 from papayapick.clients.rows import Expectation, RowWrite
 from papayapick.entry.callers.admission import JobAdmission
+from papayapick.entry.callers.job_pools import JobElsewhere, JobPools, team_of
 from papayapick.entry.callers.writers import wait_for_write
 from papayapick.entry.events import JOB_KNOWN
 from papayapick.entry.exceptions import (
@@ -35,14 +35,13 @@
         Not given where queues keep their pool for ever.
     """
 
-    __slots__ = ("_admission", "_job_states", "_queue_pools", "_store", "_writer")
+    __slots__ = ("_admission", "_job_states", "_pools", "_writer")
 
     def __init__(self, store, writer, job_states, admission=None, queue_pools=None):
-        self._store = store
         self._writer = writer
         self._job_states = job_states
         self._admission = admission
-        self._queue_pools = queue_pools
+        self._pools = JobPools(store, writer, queue_pools)
 
     @classmethod
     def from_host(cls, host):
@@ -63,7 +62,7 @@
             host.queue_pools,
         )
 
-    def submit(self, document, unfit_step=None):
+    def submit(self, document, unfit_step=None, configuration=0):
         """Store a job; a repeated id denotes the same job.
 
         Parameters
@@ -72,6 +71,8 @@
         unfit_step : int, optional
             Number of a step that exceeds its team's maximum, so that a new job is
             refused. One that was accepted under a higher maximum still runs.
+        configuration : int, optional
+            Version of the configuration that gives the job's queue its pool.
 
         Returns
         -------
@@ -88,44 +89,30 @@
             self._check_resubmission(document, self._job_states.team(identifier))
             JOB_KNOWN.write(request_id=identifier, queue=document.queue, source="board")
             return False
-        if self._is_in_other_pool(document):
+        try:
+            is_new = self._store(document, unfit_step, configuration)
+        except JobElsewhere as error:
+            self._check_resubmission(document, error.details["team"])
             JOB_KNOWN.write(request_id=identifier, queue=document.queue, source="pools")
             return False
+        self._job_states.note_accepted(identifier, document.team)
+        return is_new
+
+    def _store(self, document, unfit_step, configuration):
+        identifier = document.identifier
+        self._pools.check_elsewhere(document, configuration)
         partition = job_partition(document.pool, identifier)
         if unfit_step is not None and not self._may_be_stored(partition, identifier):
             raise ExceedsMaximum(step=unfit_step, team=document.team)
         decided_at = self._check_admission(document, partition)
-        expectation = Expectation(JOBS_TABLE, partition, identifier, 0)
-        write = RowWrite(JOBS_TABLE, partition, identifier, document.as_record())
-        is_new = wait_for_write(self._writer.submit(expectation, write))
+        is_new = self._pools.store(document, partition, configuration)
         if not is_new:
             self._check_stored_job(document, partition)
             JOB_KNOWN.write(request_id=identifier, queue=document.queue, source="store")
         elif decided_at is not None:
             self._admission.note_accepted(document, decided_at)
-        self._job_states.note_accepted(identifier, document.team)
         return is_new
 
-    def _is_in_other_pool(self, document):
-        """Return whether the job was stored while its queue had another pool.
-
-        Its state is not cached: the owner may have sent a later one already.
-        """
-        if self._queue_pools is None:
-            return False
-        try:
-            self._queue_pools.record(document.queue, document.pool)
-            others = self._queue_pools.others(document.queue, document.pool)
-            for pool in others:
-                partition = job_partition(pool, document.identifier)
-                stored_team = self._stored_team(partition, document.identifier)
-                if stored_team is not None:
-                    self._check_resubmission(document, stored_team)
-                    return True
-        except (StateUnknown, TableUnavailable) as error:
-            raise AcceptanceUnknown() from error
-        return False
-
     def _check_admission(self, document, partition):
         """Raise an error if a new job is refused; a stored one never is.
 
@@ -154,7 +141,7 @@
         The job of a caller that repeats its request must not be refused as not run.
         """
         try:
-            return self._stored_team(partition, identifier) is not None
+            return self._pools.stored_team(partition, identifier) is not None
         except StateUnknown as error:
             raise AcceptanceUnknown() from error
 
@@ -163,7 +150,7 @@
         if not document.team:
             return
         try:
-            stored_team = self._stored_team(partition, document.identifier)
+            stored_team = self._pools.stored_team(partition, document.identifier)
         except StateUnknown as error:
             # A refusal would say that the job never runs, which holds only if it is
             # another team's.
@@ -202,7 +189,7 @@
         if self._job_states.state(identifier) in JobStatus.FINAL:
             self._check_access(queue, identifier, team)
             return False
-        pool, rows = self._find_job(queue, identifier)
+        pool, rows = self._pools.find(queue, identifier)
         partition = job_partition(pool, identifier)
         versions = {row.key: row.version for row in rows}
         if identifier not in versions or not _is_accessible(queue, team, rows):
@@ -235,12 +222,12 @@
         if status is not None:
             self._check_access(queue, identifier, team)
             return status
-        pool, jobs = self._find_job(queue, identifier)
-        job_team = _team_of(jobs)
+        pool, jobs = self._pools.find(queue, identifier)
+        job_team = team_of(jobs)
         if job_team is None or not _is_accessible(queue, team, jobs):
             raise JobUnknown(identifier=identifier)
         status = JobStatus.WAITING
-        for row in self._read(PROGRESS_TABLE, pool, identifier, "~"):
+        for row in self._pools.read(PROGRESS_TABLE, pool, identifier):
             # A large record has further rows, of which not all may have been read.
             if row.key == identifier and row.value is not None:
                 status = row.value["status"]
@@ -261,43 +248,6 @@
         if not _may_access(team, self._job_states.team(identifier)):
             raise JobUnknown(identifier=identifier)
 
-    def _stored_team(self, partition, identifier):
-        """Return the team of the job that was accepted with this id, or None.
-
-        A caller whose first attempt had no answer repeats the request. If it were
-        refused as not accepted, its job would run nevertheless.
-        """
-        return _team_of(self._read(JOBS_TABLE, partition, identifier, "~"))
-
-    def _find_job(self, queue, identifier):
-        """Return the pool under which a job was stored, and its rows.
-
-        Other pools than the queue's present one are read only if that one has no such
-        job. Without a job, the rows are empty.
-        """
-        rows = self._read_job(queue.pool, identifier)
-        if rows or self._queue_pools is None:
-            return queue.pool, rows
-        try:
-            others = self._queue_pools.others(queue.name, queue.pool)
-        except TableUnavailable as error:
-            raise StateUnknown() from error
-        for pool in others:
-            rows = self._read_job(pool, identifier)
-            if rows:
-                return pool, rows
-        return queue.pool, []
-
-    def _read_job(self, pool, identifier):
-        partition = job_partition(pool, identifier)
-        return self._read(JOBS_TABLE, partition, identifier, "~")
-
-    def _read(self, table, partition, identifier, end):
-        try:
-            return self._store.read(table, partition, identifier, identifier + end, 3)
-        except TableUnavailable as error:
-            raise StateUnknown() from error
-
 
 def _may_access(team, job_team):
     """Return whether callers of a team may see and cancel a job.
@@ -313,13 +263,5 @@
     return not job_team or team == job_team
 
 
-def _team_of(rows):
-    """Return the team of the job among the rows of one id, or None without a job."""
-    for row in rows:
-        if not row.key.endswith(CANCEL_SUFFIX):
-            return row.value.get("team", "")
-    return None
-
-
 def _is_accessible(queue, team, rows):
-    return queue.is_public or _may_access(team, _team_of(rows) or "")
+    return queue.is_public or _may_access(team, team_of(rows) or "")
--- a/papayapick/entry/callers/application.py
+++ b/papayapick/entry/callers/application.py
@@ -174,7 +174,7 @@
             body = _read_body(environ, configuration.body_limit_bytes)
             document = decode_job(identifier, queue, body, host.clock.time(), team)
             unfit_step = _find_unfit_step(document, configuration.teams)
-            if host.acceptance.submit(document, unfit_step):
+            if host.acceptance.submit(document, unfit_step, configuration.version):
                 self._note_accepted(document, queue, arrived_at)
             return _Reply(_OK)
         if method == "GET":
--- a/papayapick/entry/callers/queue_pools.py
+++ b/papayapick/entry/callers/queue_pools.py
@@ -123,6 +123,19 @@
             self._read(queue)
         return self.known_others(queue, pool)
 
+    def refreshed_others(self, queue, pool):
+        """Return the same as ``others`` after reading the row of the queue anew.
+
+        What this process knows may be as old as the longest time for which it was
+        frozen, or for which the feed has brought it nothing.
+
+        Raises
+        ------
+        TableUnavailable
+        """
+        self._read(queue)
+        return self.known_others(queue, pool)
+
     def known_others(self, queue, pool):
         """Return the same as ``others``, as far as this process knows."""
         with self._lock:
--- a/papayapick/entry/callers/writers.py
+++ b/papayapick/entry/callers/writers.py
@@ -11,7 +11,11 @@
     TableUnavailable,
 )
 from papayapick.entry.events import CONFLICT_UNCLEAR, WRITE_FAILED, WRITE_UNSETTLED
-from papayapick.entry.exceptions import AcceptanceUnknown, NotAccepted
+from papayapick.entry.exceptions import (
+    AcceptanceUnknown,
+    GuardFailed,
+    NotAccepted,
+)
 
 __all__ = ["GroupWriter", "PendingWrite", "wait_for_write"]
 
@@ -31,19 +35,29 @@
     write : RowWrite
     deadline : float
         Monotonic seconds.
+    guard : Expectation, optional
+        Second condition, on a row of the same partition that other writes share.
 
     Attributes
     ----------
     future : concurrent.futures.Future
         Gives True if the row was written and False if the expectation did not hold;
-        raises ``NotAccepted`` if nothing was written and ``AcceptanceUnknown`` if that
-        is not known.
+        raises ``GuardFailed`` or ``NotAccepted`` if nothing was written and
+        ``AcceptanceUnknown`` if that is not known.
     """
 
-    __slots__ = ("deadline", "expectation", "future", "may_be_applied", "write")
+    __slots__ = (
+        "deadline",
+        "expectation",
+        "future",
+        "guard",
+        "may_be_applied",
+        "write",
+    )
 
-    def __init__(self, expectation, write, deadline):
+    def __init__(self, expectation, write, deadline, guard=None):
         self.expectation = expectation
+        self.guard = guard
         self.write = write
         self.deadline = deadline
         self.future = Future()
@@ -81,8 +95,8 @@
         # Pending writes by partition; a partition is present while its task runs.
         self._waiting = {}
 
-    def submit(self, expectation, write):
-        """Queue a conditional write.
+    def submit(self, expectation, write, guard=None):
+        """Queue a conditional write; see ``PendingWrite``.
 
         Returns
         -------
@@ -90,7 +104,7 @@
             As ``PendingWrite.future``.
         """
         deadline = self._clock.monotonic() + _DEADLINE_SECONDS
-        pending = PendingWrite(expectation, write, deadline)
+        pending = PendingWrite(expectation, write, deadline, guard)
         with self._lock:
             is_idle = write.partition not in self._waiting
             self._waiting.setdefault(write.partition, collections.deque()).append(
@@ -144,10 +158,10 @@
 
     def _try_group(self, group):
         """Try to write a group; return the writes whose outcome is still unknown."""
-        while group:
+        while group := _with_newest_guards(group):
             try:
                 self._store.transact(
-                    [pending.expectation for pending in group],
+                    [pending.expectation for pending in group] + _guards(group),
                     [pending.write for pending in group],
                 )
             except ConditionFailed as error:
@@ -170,10 +184,13 @@
         for pending in group:
             expectation = pending.expectation
             version = versions.get((expectation.table, expectation.key), 0)
-            if version == expectation.version:
-                unsettled.append(pending)
-            else:
+            if version != expectation.version:
                 pending.future.set_result(False)
+            elif _fails_guard(pending, versions):
+                # Nor can an earlier attempt without an answer be applied any more.
+                pending.future.set_exception(GuardFailed())
+            else:
+                unsettled.append(pending)
         if len(unsettled) == len(group):
             # The store reported a failed condition, but all of them hold.
             CONFLICT_UNCLEAR.write(**_log_fields(group))
@@ -196,6 +213,35 @@
         return unsettled
 
 
+def _fails_guard(pending, versions):
+    guard = pending.guard
+    if guard is None:
+        return False
+    return versions.get((guard.table, guard.key), 0) != guard.version
+
+
+def _guards(group):
+    """Return the second conditions of a group, each row once."""
+    found = {one.guard.key: one.guard for one in group if one.guard is not None}
+    return list(found.values())
+
+
+def _with_newest_guards(group):
+    """Fail the writes whose guard expects an older version than others of the group."""
+    newest = {}
+    for one in group:
+        if one.guard is not None:
+            version = newest.get(one.guard.key, 0)
+            newest[one.guard.key] = max(version, one.guard.version)
+    kept = []
+    for one in group:
+        if one.guard is None or one.guard.version == newest[one.guard.key]:
+            kept.append(one)
+        else:
+            one.future.set_exception(GuardFailed())
+    return kept
+
+
 def _log_fields(group):
     """Return the fields that identify a group in log events."""
     return {
@@ -209,7 +255,7 @@
 
     Raises
     ------
-    NotAccepted, AcceptanceUnknown
+    GuardFailed, NotAccepted, AcceptanceUnknown
     """
     try:
         return future.result(_ANSWER_TIMEOUT_SECONDS)
--- a/papayapick/entry/exceptions.py
+++ b/papayapick/entry/exceptions.py
@@ -9,10 +9,12 @@
     "BodyTooLarge",
     "CountUnknown",
     "ExceedsMaximum",
+    "GuardFailed",
     "JobUnknown",
     "KeyUnknown",
     "NoSuchQueue",
     "NotAccepted",
+    "PoolOutdated",
     "QueueFull",
     "StateUnknown",
     "TooLate",
@@ -65,6 +67,19 @@
     retry_after = _RETRY_AFTER_SECONDS
 
 
+class GuardFailed(PapayapickError):
+    """Report that a write was not made since its second condition did not hold."""
+
+    code = "entry.guard-failed"
+    template = "another host has changed the row on which a write depends"
+
+
+class PoolOutdated(NotAccepted):
+    """Report that a newer configuration has given a job's queue another pool."""
+
+    template = "not accepted: a newer configuration gives queue {queue} another pool"
+
+
 class QueueFull(RetryAfter, PapayapickError):
     """Report that a job was not accepted because its queue's backlog is too long."""
 
--- a/papayapick/platform/requests.py
+++ b/papayapick/platform/requests.py
@@ -15,6 +15,8 @@
 # More than a whole cell runs at once. One job could exhaust the memory of the owner of
 # its pool, which holds the state of each task, and that of each next owner.
 _TASK_LIMIT = 100_000
+# Twenty years of one an hour are fewer. Rounds count through those that are over.
+_OCCURRENCE_LIMIT = 1_000_000
 _STATES = {
     "waiting": "pending",
     "running": "running",
@@ -63,6 +65,9 @@
         raise BodyInvalid(reason="phases is empty")
     if sum(step.tasks for step in steps) > _TASK_LIMIT:
         raise BodyInvalid(reason=f"more than {_TASK_LIMIT} tasks")
+    occurrences = _count(document, "times")
+    if occurrences > _OCCURRENCE_LIMIT:
+        raise BodyInvalid(reason=f"times is above {_OCCURRENCE_LIMIT}")
     return JobDocument(
         identifier=identifier,
         queue=queue.name,
@@ -70,7 +75,7 @@
         payload=_payload(document),
         steps=steps,
         accepted_at=now,
-        occurrences=_count(document, "times"),
+        occurrences=occurrences,
         first_due=optional_field(document, "start_at_ms", float, 0) / 1000,
         interval_seconds=_seconds(document, "interval_ms"),
         policy=queue.policy_record(),
--- a/papayapick/pool/metrics.py
+++ b/papayapick/pool/metrics.py
@@ -89,7 +89,7 @@
 LEFT_OUT = counter(
     PageSection.PLACED_AGAIN,
     "papayapick_pool_left_out",
-    "Times that a round went on without a worker, job or step that it can't work with",
+    "Times that a round went on without a worker or job that it can't work with",
     ("kind",),
 )
 TAKEOVERS = counter(
--- a/tests/entry/test_admission.py
+++ b/tests/entry/test_admission.py
@@ -132,6 +132,7 @@
             find=lambda name, path: queue,
             teams=TeamDirectory(),
             body_limit_bytes=9999,
+            version=1,
         ),
     )
     host.receive(FULL_SECONDS)
--- a/tests/entry/test_application.py
+++ b/tests/entry/test_application.py
@@ -49,7 +49,7 @@
     def note_configuration(self, configuration):
         pass
 
-    def submit(self, document, unfit_step):
+    def submit(self, document, unfit_step, configuration):
         self.accepted.append(document.identifier)
         return True
 
@@ -102,7 +102,7 @@
 
 
 def test_refusal_by_a_full_queue_has_its_retry_time(host):
-    def submit(document, unfit_step):
+    def submit(document, unfit_step, configuration):
         raise QueueFull(queue=document.queue, retry_after=7)
 
     host.submit = submit
--- a/tests/entry/test_keys.py
+++ b/tests/entry/test_keys.py
@@ -48,7 +48,7 @@
         self.calls = []
         self.unfit_steps = []
 
-    def submit(self, document, unfit_step):
+    def submit(self, document, unfit_step, configuration):
         self.calls.append(("POST", document.team))
         self.unfit_steps.append(unfit_step)
         return True
--- a/tests/entry/test_queue_pools.py
+++ b/tests/entry/test_queue_pools.py
@@ -100,8 +100,9 @@
             if part == QUEUES_PARTITION:
                 self.pools.note_row(row)
 
-    def submit(self, pool, identifier=ID):
-        return self.acceptance.submit(document_of(pool, identifier))
+    def submit(self, pool, identifier=ID, version=1):
+        document = document_of(pool, identifier)
+        return self.acceptance.submit(document, configuration=version)
 
 
 @pytest.fixture
@@ -162,9 +163,12 @@
     assert host.submit(OLD, OTHER_ID)
     assert store.calls == ["write"]
     store.calls.clear()
+    assert host.acceptance.status(queue_of(OLD), OTHER_ID) == "waiting"
+    assert store.calls == []
+    # Only before a caller is told that there is no such job, the pools are read anew.
     with pytest.raises(JobUnknown):
         host.acceptance.status(queue_of(OLD), "1" * 16)
-    assert store.calls == ["read"]
+    assert store.calls == ["read", "read"]
 
 
 def test_job_is_not_refused_as_new_while_its_former_pool_cannot_be_read(store):
--- a/tests/observability/test_registry.py
+++ b/tests/observability/test_registry.py
@@ -66,6 +66,8 @@
         pool_metrics.TASKS_PLACED_AGAIN.labels(reason.value).inc(1234)
     for reason in ("unknown-job", "unknown-task", "counted-as-over", "unreadable-job"):
         pool_metrics.ENDS_NOT_APPLIED.labels(reason).inc(1234)
+    for kind in ("job", "worker"):
+        pool_metrics.LEFT_OUT.labels(kind).inc(1234)
     for outcome in ("opened", "closed", "refused"):
         pool_metrics.WORKER_CONNECTIONS.labels(outcome).inc(123456)
     for outcome in ("answered", "refused", "no-answer"):
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -137,6 +137,7 @@
         _timed(times="2"),
         _timed(times=True),
         _timed(times=-1),
+        _timed(times=1_000_001),
         _timed(times=float("inf")),
         _timed(start_at_ms=float("nan")),
         _timed(interval_ms=-1),
