Drain machines of a former pool before their upkeep

Cause: UpkeepCoordinator took a pool that no queue of the present configuration uses for one without an owner. Such a pool keeps its owner as long as it has jobs. The owner of the first pool ordered the upkeep, and took the machines for idle, as it has no room of their workers.

Change: a machine is left to the owner of its pool as long as hosts watch that pool; the owner of such a pool works on waves; before stored jobs were looked for, no host orders upkeep of other pools' machines. min() of no pool can't happen any more.

Why it holds: each watched pool gets an owner, and only that one knows what runs there.

--- a/papayapick/entry/watched_pools.py
+++ b/papayapick/entry/watched_pools.py
@@ -57,6 +57,16 @@
         self._has_looked = False
         self._wakeup = threading.Event()
 
+    @property
+    def has_looked(self):
+        """Return whether the pools that hold stored jobs have been looked for."""
+        return self._has_looked
+
+    @property
+    def pools(self):
+        """Return the names of the watched pools, each of which gets an owner."""
+        return set(self._candidacies)
+
     def watch(self, pools):
         """Watch pools from now on, until the process stops.
 
--- a/papayapick/pool/rounds/upkeep.py
+++ b/papayapick/pool/rounds/upkeep.py
@@ -193,13 +193,26 @@
     def _responsible_pool(self, machine):
         """Return the pool whose owner orders the upkeep of a machine.
 
-        A pool that no queue uses has no owner, and no jobs run on its machines. The
-        owner of the first pool by name orders their upkeep; otherwise a wave with such
-        machines would never be over.
+        Only the owner of a machine's own pool can drain it, so it orders the upkeep as
+        long as there is one: a pool whose queue was removed or moved keeps its owner
+        for its jobs. Tasks of several machines would be ended at once otherwise. A pool
+        without an owner has no jobs. The owner of the first pool by name orders the
+        upkeep there; otherwise a wave with such machines would never be over.
         """
+        is_owned = machine.pool in self._owned_pools()
+        # Before all stored jobs were looked for, the pool may have an owner elsewhere.
+        if is_owned or not self._owner.host.watched_pools.has_looked:
+            return machine.pool
+        return min(self._configured_pools() or self._owned_pools())
+
+    def _configured_pools(self):
         current = self._owner.host.configuration.current
-        pools = current.pools if current is not None else {self._owner.pool}
-        return machine.pool if machine.pool in pools else min(pools)
+        return set() if current is None else set(current.pools)
+
+    def _owned_pools(self):
+        """Return the pools that have an owner, or get one soon."""
+        watched = self._owner.host.watched_pools.pools
+        return {self._owner.pool} | self._configured_pools() | watched
 
     # Draining machines.
 
@@ -305,14 +318,11 @@
         else:
             open_wave.record = WaveRecord(open_wave.record.since)
         open_wave.begun_elsewhere = set()
-        current = self._owner.host.configuration.current
-        for other in sorted(current.pools if current is not None else ()):
-            if other != pool:
-                value, version = self._read(WAVES_TABLE, other, key)
-                if value is not None:
-                    open_wave.begun_elsewhere |= WaveRecord.from_row(
-                        value, version
-                    ).begun
+        for other in sorted(self._owned_pools() - {pool}):
+            value, version = self._read(WAVES_TABLE, other, key)
+            if value is not None:
+                begun = WaveRecord.from_row(value, version).begun
+                open_wave.begun_elsewhere |= begun
 
     def _read(self, table, partition, key):
         """Return the value and version of a row; None and 0 if it doesn't exist."""
--- a/tests/pool/standins.py
+++ b/tests/pool/standins.py
@@ -56,6 +56,7 @@
         self.lost_since = None
         self.live_peers = []
         self.configuration = SimpleNamespace(current=None)
+        self.watched_pools = SimpleNamespace(pools=set(), has_looked=True)
 
     def read_all(self, table, partition):
         return list(self.rows.get((table, partition), [])), 1
