Keep guarded writes within the limit of a transaction

Change: a group takes writes, their conditions and each guard's row up to 100 entries together, and no write whose guard another one of it writes, so that no row stands twice among the conditions. The stand-in of the store refuses larger transactions as well.

Evidence: two tests of test_writers.py failed before (150 entries; a guard beside its write).

--- a/papayapick/entry/callers/writers.py
+++ b/papayapick/entry/callers/writers.py
@@ -19,7 +19,8 @@
 
 __all__ = ["GroupWriter", "PendingWrite", "wait_for_write"]
 
-_WRITES_PER_CALL = 50
+# Of a transaction: conditions and writes together.
+_ENTRIES_PER_CALL = 100
 _RETRY_SECONDS = 0.1
 # Retries end after this time; callers wait three seconds at most.
 _DEADLINE_SECONDS = 2.2
@@ -65,6 +66,43 @@
         self.may_be_applied = False
 
 
+class _Group:
+    """Gather writes that fit in one transaction."""
+
+    __slots__ = ("_guards", "_written", "pending")
+
+    def __init__(self):
+        self.pending = []
+        self._written = set()
+        self._guards = set()
+
+    def admits(self, pending):
+        """Return whether a write fits, and depends on none of the others.
+
+        A second write of the same row must wait for the first, and one whose guard
+        another one writes must meet its outcome.
+        """
+        guards = self._guards | _guard_rows(pending)
+        written = self._written | {_row_of(pending.write)}
+        entries = 2 * len(written) + len(guards)
+        is_new = len(written) > len(self._written)
+        return is_new and not written & guards and entries <= _ENTRIES_PER_CALL
+
+    def add(self, pending):
+        """Add a write that fits."""
+        self.pending.append(pending)
+        self._written.add(_row_of(pending.write))
+        self._guards |= _guard_rows(pending)
+
+
+def _row_of(one):
+    return one.table, one.key
+
+
+def _guard_rows(pending):
+    return set() if pending.guard is None else {_row_of(pending.guard)}
+
+
 class GroupWriter:
     """Write rows in groups, each group in one transaction.
 
@@ -128,21 +166,14 @@
 
     def _next_group(self, partition):
         """Remove and return writes that fit in one transaction, the oldest first."""
-        group, keys = [], set()
+        group = _Group()
         with self._lock:
             waiting = self._waiting[partition]
-            # A second write of the same key must wait for the first.
-            while (
-                waiting
-                and len(group) < _WRITES_PER_CALL
-                and waiting[0].write.key not in keys
-            ):
-                pending = waiting.popleft()
-                keys.add(pending.write.key)
-                group.append(pending)
-            if not group:
+            while waiting and group.admits(waiting[0]):
+                group.add(waiting.popleft())
+            if not group.pending:
                 del self._waiting[partition]
-        return group
+        return group.pending
 
     def _write_group(self, group):
         unsettled = self._try_group(group)
--- a/papayapick/platform/workers.py
+++ b/papayapick/platform/workers.py
@@ -228,11 +228,17 @@
         _task_key(row[0]),
         whole_number(row[1]),
         text_of(row[2]),
-        finite_number(row[3]),
-        None if measurement is None else finite_number(measurement),
+        _number(row[3]),
+        None if measurement is None else _number(measurement),
     )
 
 
+def _number(value):
+    """Return a number as it came, once it is known to be finite."""
+    finite_number(value)
+    return value
+
+
 def _end(row):
     return EndReport(
         whole_number(row[0]),
--- a/tests/entry/test_writers.py
+++ b/tests/entry/test_writers.py
@@ -8,7 +8,7 @@
 from papayapick.clients.exceptions import ConditionFailed, StoreRefused
 from papayapick.clients.rows import Expectation, RowWrite, StoredRow
 from papayapick.entry.callers.writers import GroupWriter
-from papayapick.entry.exceptions import AcceptanceUnknown, NotAccepted
+from papayapick.entry.exceptions import AcceptanceUnknown, GuardFailed, NotAccepted
 from tests.standins.clocks import AdvancingClock
 
 
@@ -29,7 +29,7 @@
         if there:
             raise ConditionFailed(there)
         for write in writes:
-            self.rows[write.key] = StoredRow("jobs", "pool", write.key, {}, 3)
+            self.rows[write.key] = StoredRow(write.table, "pool", write.key, {}, 3)
         if failure:
             raise failure
         return 3
@@ -74,6 +74,47 @@
         writer._executor.run_next()
 
 
+def test_group_with_guards_fits_into_a_transaction(writer, store):
+    """Guards against a burst of jobs that the store refuses as one call too large."""
+    sizes = []
+    transact = store.transact
+
+    def measure(expectations, writes):
+        rows = {(one.table, one.key) for one in expectations}
+        assert len(rows) == len(expectations)
+        sizes.append(len(expectations) + len(writes))
+        return transact([one for one in expectations if one.table == "jobs"], writes)
+
+    store.transact = measure
+    futures = [
+        writer.submit(
+            Expectation("jobs", "pool", f"j{number}", 0),
+            RowWrite("jobs", "pool", f"j{number}", {}),
+            Expectation("fences", "pool", f"q{number % 60}", 0),
+        )
+        for number in range(120)
+    ]
+    _drain(writer)
+    assert all(future.result(0) for future in futures)
+    assert max(sizes) <= 100
+
+
+def test_write_whose_guard_another_one_writes_waits_for_it(writer, store):
+    """Guards against a job that is stored beside the fence that is to refuse it."""
+    place = ("fences", "pool", "q")
+    fence = writer.submit(Expectation(*place, 0), RowWrite(*place, {}))
+    job = writer.submit(
+        Expectation("jobs", "pool", "j", 0),
+        RowWrite("jobs", "pool", "j", {}),
+        Expectation(*place, 0),
+    )
+    _drain(writer)
+    assert fence.result(0)
+    with pytest.raises(GuardFailed):
+        job.result(0)
+    assert store.calls == [["q"], ["j"]]
+
+
 def test_pending_writes_go_into_one_call(writer, store):
     futures = [_submit(writer, f"j{number}") for number in range(5)]
     _drain(writer)
--- a/tests/standins/platform_rows.py
+++ b/tests/standins/platform_rows.py
@@ -5,12 +5,13 @@
 import threading
 import time
 
-from tests.standins.statuses import FAILED, GONE, OK, UNAVAILABLE
+from tests.standins.statuses import BAD_REQUEST, FAILED, GONE, OK, UNAVAILABLE
 
 __all__ = ["Rows"]
 
 ROWS_PER_PAGE = 500
 PARTS_PER_PAGE = 1000
+ENTRIES_PER_TRANSACTION = 100
 
 
 class Rows:
@@ -28,6 +29,9 @@
         self.changed = threading.Condition()
 
     def transact(self, body):
+        entries = sum(len(body[name]) for name in ("expected_rev", "writes", "remove"))
+        if entries > ENTRIES_PER_TRANSACTION:
+            return BAD_REQUEST, {}
         with self.changed:
             self.transactions += 1
             failed = [
