Check amounts and sizes of stored jobs, and fields of machines

Found on related paths, by asking what a cell does whose store already holds the record.

Cause: an earlier version accepted "cpu": 1e400 and 10^9 tasks as they came. Reading such a record raises OverflowError, which is none of the errors after which a record is left out, or fills the owner's memory. A machine whose name or pool is no text ended the loops that compare or look it up, and an answer of the list of machines or of the advice service that is nested too deeply raised RecursionError.

Change: demands and numbers of tasks are checked as a stored job is read, and the job fails with a reason; fields of machines are checked as they are decoded; RecursionError counts as an invalid answer.

The case of 10^9 tasks was not run on the code before, as it takes the machine's memory.

--- a/papayapick/jobs/documents.py
+++ b/papayapick/jobs/documents.py
@@ -166,9 +166,7 @@
         >>> Step.from_record(step.as_record()).as_record() == step.as_record()
         True
         """
-        fields = checked_fields(record, STEP_CHECKS)
-        fields["demand"] = Amounts.from_mapping(fields["demand"])
-        return cls(**fields)
+        return cls(**checked_fields(record, STEP_CHECKS))
 
 
 class JobDocument:
--- a/papayapick/jobs/stored_values.py
+++ b/papayapick/jobs/stored_values.py
@@ -1,6 +1,7 @@
 """Check what is stored of a job, as it is read."""
 
 from papayapick.exceptions import PapayapickError
+from papayapick.ledger.amounts import Amounts
 from papayapick.numbers import NumberInvalid, finite_number, whole_number
 
 __all__ = ["JOB_CHECKS", "STEP_CHECKS", "RecordInvalid", "checked_fields"]
@@ -18,6 +19,25 @@
 # is the default.
 
 
+# The memory of no host holds the state of more tasks.
+_MOST_TASKS = 1_000_000
+
+
+def _stored_tasks(value):
+    tasks = _stored_count(value)
+    if not 0 < tasks <= _MOST_TASKS:
+        raise NumberInvalid(reason=f"not between 1 and {_MOST_TASKS}")
+    return tasks
+
+
+def _stored_demand(value):
+    try:
+        amounts = Amounts.from_mapping(value).as_mapping().values()
+    except (AttributeError, OverflowError, TypeError, ValueError) as error:
+        raise NumberInvalid(reason="not a mapping of amounts") from error
+    return Amounts(*(max(0, whole_number(amount)) for amount in amounts))
+
+
 def _stored_count(value):
     return int(finite_number(value if not isinstance(value, bool) else int(value)))
 
@@ -59,7 +79,8 @@
     "interval_seconds": finite_number,
 }
 STEP_CHECKS = {
-    "tasks": _stored_count,
+    "tasks": _stored_tasks,
+    "demand": _stored_demand,
     "estimate_seconds": _or_zero(finite_number),
     "label": _stored_label,
     "preferred_rack": _stored_hint,
--- a/papayapick/platform/advice.py
+++ b/papayapick/platform/advice.py
@@ -60,6 +60,7 @@
             NotSent,
             AnswerMissing,
             AnswerInvalid,
+            RecursionError,
             ValueError,
             KeyError,
             TypeError,
--- a/papayapick/platform/machines.py
+++ b/papayapick/platform/machines.py
@@ -5,7 +5,8 @@
 import urllib.parse
 
 from papayapick.clients.exceptions import AnswerInvalid, AnswerMissing, NotSent
-from papayapick.platform.exceptions import CallFailed
+from papayapick.platform.exceptions import BodyInvalid, CallFailed
+from papayapick.platform.fields import required_field
 
 __all__ = ["Machine", "MachineClient", "UpkeepOutcome"]
 
@@ -104,7 +105,7 @@
             try:
                 machines += [_machine(entry) for entry in page["machines"]]
                 token = page.get("next_token")
-            except (KeyError, TypeError, AttributeError) as error:
+            except (BodyInvalid, KeyError, TypeError, AttributeError) as error:
                 raise CallFailed(address=self._address, status=200) from error
             if not token:
                 return machines
@@ -153,7 +154,13 @@
             answer = self._pool.request("GET", url, timeout=_CALL_SECONDS)
             if answer.status == 200:
                 return json.loads(answer.body)
-        except (NotSent, AnswerMissing, AnswerInvalid, ValueError) as error:
+        except (
+            NotSent,
+            AnswerMissing,
+            AnswerInvalid,
+            RecursionError,
+            ValueError,
+        ) as error:
             raise CallFailed(address=self._address, status=0) from error
         raise CallFailed(address=self._address, status=answer.status)
 
@@ -166,16 +173,16 @@
     if answer.status == 409:
         try:
             return _REASONS[json.loads(answer.body)["reason"]]
-        except (ValueError, KeyError, TypeError):
+        except (RecursionError, ValueError, KeyError, TypeError):
             return UpkeepOutcome.UNKNOWN
     return UpkeepOutcome.REFUSED
 
 
 def _machine(entry):
     return Machine(
-        name=entry["machine"],
-        pool=entry["pool"],
+        name=required_field(entry, "machine", str),
+        pool=required_field(entry, "pool", str),
         is_up=entry["state"] == "up",
-        worker=entry.get("id") or "",
+        worker=required_field({"id": entry.get("id") or ""}, "id", str),
         is_in_upkeep=entry["state"] == "upkeep",
     )
--- a/tests/platform/test_any_input.py
+++ b/tests/platform/test_any_input.py
@@ -100,9 +100,34 @@
 @given(body=_BODIES)
 def test_answers_of_the_machines(body):
     with contextlib.suppress(CallFailed):
+        for machine in MachineClient("a:1", Pool(200, body)).fetch():
+            texts = (machine.name, machine.pool, machine.worker)
+            assert all(isinstance(text, str) for text in texts)
+
+
+@pytest.mark.parametrize("field", ["machine", "pool", "id"])
+def test_machine_with_a_field_of_another_kind_makes_the_list_invalid(field):
+    """Guards against an owner that ends as it compares or looks up such a name."""
+    machine = {"machine": "m", "pool": "p", "state": "up", "id": "w", field: [7]}
+    body = json.dumps({"machines": [machine]}).encode()
+    with pytest.raises(CallFailed):
         MachineClient("a:1", Pool(200, body)).fetch()
 
 
+@pytest.mark.parametrize(
+    "call",
+    [
+        lambda pool: MachineClient("a:1", pool).fetch(),
+        lambda pool: AdviceClient("a:1", pool).ask("s", ["w"], 0.1),
+    ],
+    ids=["machines", "advice"],
+)
+def test_answer_that_is_nested_too_deeply_is_a_failed_call(call):
+    """Guards against a loop that ends by RecursionError."""
+    with pytest.raises(CallFailed):
+        call(Pool(200, b"[" * 100_000))
+
+
 @given(body=_BODIES)
 def test_answers_of_the_advice_service(body):
     with contextlib.suppress(CallFailed):
--- a/tests/pool/test_any_owner_input.py
+++ b/tests/pool/test_any_owner_input.py
@@ -118,15 +118,18 @@
         ODD,
         max_size=3,
     ),
+    amounts=st.dictionaries(
+        st.sampled_from(["processors", "memory", "accelerators"]), ODD, max_size=2
+    ),
 )
-def test_jobs_that_an_earlier_version_stored(step, job):
+def test_jobs_that_an_earlier_version_stored(step, job, amounts):
     if job.get("occurrences") == 2**53:
         # All are due, and take the room of the good job.
         del job["occurrences"]
     if isinstance(step.get("tasks"), int | float) and step["tasks"] > 10:
         del step["tasks"]
     host = host_with_two_workers()
-    demand = Amounts(500, 10).as_mapping()
+    demand = {**Amounts(500, 10).as_mapping(), **amounts}
     document = JobDocument(ID, "q", "pool", "t", [Step(1, Amounts())], 0.0)
     record = {**document.as_record(), "steps": [{"tasks": 1, "demand": demand, **step}]}
     host.put(JOBS_TABLE, f"pool/{int(ID, 16) % 8}", ID, {**record, **job})
--- a/tests/pool/test_stored_jobs.py
+++ b/tests/pool/test_stored_jobs.py
@@ -59,7 +59,18 @@
 
 
 @pytest.mark.parametrize(
-    "step", [{"label": 7}, {"tasks_per_worker": "1"}, {"tasks": "1"}], ids=str
+    "step",
+    [
+        {"label": 7},
+        {"tasks_per_worker": "1"},
+        {"tasks": "1"},
+        {"tasks": 10**9},
+        {"demand": {"processors": float("inf")}},
+        {"demand": {"memory": 10**400}},
+        {"demand": {"memory": "much"}},
+        {"demand": None},
+    ],
+    ids=str,
 )
 def test_stored_step_that_cannot_be_placed_fails_its_job(step):
     """Guards against a pool that no host can own, and a caller that waits for ever."""
